--- /dev/null
+++ b/src/base/event.c
@@ -0,0 +1,52 @@
+#include "base/event.h"
+
+static const struct dw_event_info events[DW_EVENT_COUNT] = {
+	[DW_EVENT_STARTED] = { 100, DW_LEVEL_INFO, "process.started" },
+	[DW_EVENT_STOPPING] = { 101, DW_LEVEL_INFO, "process.stopping" },
+	[DW_EVENT_STOPPED] = { 102, DW_LEVEL_INFO, "process.stopped" },
+	[DW_EVENT_PAUSE_SEEN] = { 103, DW_LEVEL_WARNING, "process.pause_seen" },
+	[DW_EVENT_INPUT_REFUSED] = { 104, DW_LEVEL_WARNING, "input.refused" },
+	[DW_EVENT_CONFIG_APPLIED] = { 200, DW_LEVEL_INFO, "config.applied" },
+	[DW_EVENT_CONFIG_REFUSED] = { 201, DW_LEVEL_WARNING, "config.refused" },
+	[DW_EVENT_CONFIG_CHANGED] = { 202, DW_LEVEL_INFO, "config.changed" },
+	[DW_EVENT_STORE_LOST] = { 210, DW_LEVEL_WARNING, "store.lost" },
+	[DW_EVENT_STORE_BACK] = { 211, DW_LEVEL_INFO, "store.back" },
+	[DW_EVENT_MEMBER_ALIVE] = { 300, DW_LEVEL_INFO, "member.alive" },
+	[DW_EVENT_MEMBER_SUSPECT] = { 301, DW_LEVEL_WARNING, "member.suspect" },
+	[DW_EVENT_MEMBER_LEAVING] = { 302, DW_LEVEL_INFO, "member.leaving" },
+	[DW_EVENT_MEMBER_DEAD] = { 303, DW_LEVEL_WARNING, "member.dead" },
+	[DW_EVENT_PEER_REFUSED] = { 304, DW_LEVEL_WARNING, "peer.refused" },
+	[DW_EVENT_ROSTER_CHANGED] = { 305, DW_LEVEL_INFO, "roster.changed" },
+	[DW_EVENT_REQUEST_RECEIVED] = { 400, DW_LEVEL_INFO, "request.received" },
+	[DW_EVENT_REQUEST_REFUSED] = { 401, DW_LEVEL_INFO, "request.refused" },
+	[DW_EVENT_REQUEST_DONE] = { 402, DW_LEVEL_INFO, "request.done" },
+	[DW_EVENT_REQUEST_FAILED] = { 403, DW_LEVEL_WARNING, "request.failed" },
+	[DW_EVENT_CALLER_GONE] = { 404, DW_LEVEL_INFO, "request.caller_gone" },
+	[DW_EVENT_ATTEMPT_STARTED] = { 500, DW_LEVEL_INFO, "attempt.started" },
+	[DW_EVENT_ATTEMPT_FIRST_TOKEN] = { 501, DW_LEVEL_DEBUG, "attempt.first_token" },
+	[DW_EVENT_ATTEMPT_ENDED] = { 502, DW_LEVEL_INFO, "attempt.ended" },
+	[DW_EVENT_ATTEMPT_FAILED] = { 503, DW_LEVEL_WARNING, "attempt.failed" },
+	[DW_EVENT_LATE_ANSWER_DROPPED] = { 504, DW_LEVEL_WARNING, "attempt.late_answer_dropped" },
+	[DW_EVENT_UPSTREAM_COLD] = { 600, DW_LEVEL_INFO, "upstream.cold" },
+	[DW_EVENT_UPSTREAM_WARM] = { 601, DW_LEVEL_INFO, "upstream.warm" },
+	[DW_EVENT_UPSTREAM_LEAVING] = { 602, DW_LEVEL_INFO, "upstream.leaving" },
+	[DW_EVENT_UPSTREAM_CRASHED] = { 603, DW_LEVEL_WARNING, "upstream.crashed" },
+	[DW_EVENT_LOAN_GRANTED] = { 610, DW_LEVEL_DEBUG, "loan.granted" },
+	[DW_EVENT_LOAN_RETURNED] = { 611, DW_LEVEL_DEBUG, "loan.returned" },
+	[DW_EVENT_INTENT_COMMITTED] = { 700, DW_LEVEL_INFO, "once.intent_committed" },
+	[DW_EVENT_INTENT_REPEATED] = { 701, DW_LEVEL_INFO, "once.repeated" },
+	[DW_EVENT_OUTCOME_KEPT] = { 702, DW_LEVEL_INFO, "once.outcome_kept" },
+	[DW_EVENT_USAGE_RECORDED] = { 710, DW_LEVEL_INFO, "usage.recorded" },
+	[DW_EVENT_USAGE_WRITTEN] = { 711, DW_LEVEL_INFO, "usage.written" },
+	[DW_EVENT_USAGE_ADOPTED] = { 712, DW_LEVEL_INFO, "usage.adopted" },
+	[DW_EVENT_VERSION_HELD] = { 800, DW_LEVEL_WARNING, "version.held" },
+	[DW_EVENT_VERSION_RELEASED] = { 801, DW_LEVEL_INFO, "version.released" },
+	[DW_EVENT_CASCADE_RATED] = { 802, DW_LEVEL_INFO, "cascade.rated" },
+	[DW_EVENT_REQUEST_QUARANTINED] = { 810, DW_LEVEL_WARNING, "request.quarantined" },
+	[DW_EVENT_STANDIN] = { 900, DW_LEVEL_INFO, "standin.note" },
+};
+
+const struct dw_event_info *dw_event_info(enum dw_event event)
+{
+	return &events[event];
+}
--- /dev/null
+++ b/src/base/log.h
@@ -0,0 +1,66 @@
+/**
+ * @file log.h
+ * A small structured logger: one JSON object a line, one line an event.
+ *
+ * Each line has ts_us (wall clock), mono_us, instance, pid, seq, event (number), name, level and
+ * the event's own fields. wharf-timeline merges such files.
+ */
+#ifndef WHARF_BASE_LOG_H
+#define WHARF_BASE_LOG_H
+
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+
+#include "base/event.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+enum dw_field_kind { DW_FIELD_STRING, DW_FIELD_INTEGER, DW_FIELD_KIND_COUNT };
+
+struct dw_field {
+	const char *key;
+	enum dw_field_kind kind;
+	union {
+		const char *string;
+		int64_t integer;
+	};
+};
+
+struct dw_log {
+	FILE *file;
+	char instance[64];
+	enum dw_level level; /**< events below it are dropped */
+	uint64_t seq;
+};
+
+#define DW_STR(k, v)                                                                               \
+	(struct dw_field)                                                                          \
+	{                                                                                          \
+		.key = (k), .kind = DW_FIELD_STRING, .string = (v)                                 \
+	}
+#define DW_INT(k, v)                                                                               \
+	(struct dw_field)                                                                          \
+	{                                                                                          \
+		.key = (k), .kind = DW_FIELD_INTEGER, .integer = (int64_t)(v)                      \
+	}
+
+/** Writes to @p file, which the caller keeps open; @p instance names the process. */
+void dw_log_init(struct dw_log *log, FILE *file, const char *instance, enum dw_level level);
+
+/** Writes one event with its fields; a line is flushed whole. */
+void dw_log_write(struct dw_log *log, enum dw_event event, const struct dw_field *fields,
+		  size_t count);
+
+/** dw_log_event(log, DW_EVENT_X, DW_STR("key", text), DW_INT("other", 5)) */
+#define dw_log_event(log, event, ...)                                                              \
+	dw_log_write((log), (event), (const struct dw_field[]){ __VA_ARGS__ },                     \
+		     sizeof((const struct dw_field[]){ __VA_ARGS__ }) / sizeof(struct dw_field))
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/tests/log_test.cc
@@ -0,0 +1,60 @@
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+
+#include <json-c/json.h>
+
+#include "base/log.h"
+
+namespace
+{
+
+std::string written(const char *text)
+{
+	char *bytes = nullptr;
+	size_t len = 0;
+	FILE *file = open_memstream(&bytes, &len);
+	struct dw_log log;
+	struct dw_field fields[2] = {};
+
+	dw_log_init(&log, file, "haarlem-1", DW_LEVEL_INFO);
+	fields[0].key = "text";
+	fields[0].kind = DW_FIELD_STRING;
+	fields[0].string = text;
+	fields[1].key = "tokens";
+	fields[1].kind = DW_FIELD_INTEGER;
+	fields[1].integer = -7;
+	dw_log_write(&log, DW_EVENT_REQUEST_DONE, fields, 2);
+	dw_log_write(&log, DW_EVENT_LOAN_GRANTED, fields, 2);
+	fclose(file);
+	std::string out(bytes, len);
+	free(bytes);
+	return out;
+}
+
+TEST(Log, WritesOneParsableObjectALineAndDropsLowerLevels)
+{
+	std::string out = written("a \"quoted\"\n\\ text");
+	struct json_object *line = json_tokener_parse(out.c_str());
+
+	ASSERT_NE(line, nullptr);
+	EXPECT_EQ(out.find('\n'), out.size() - 1);
+	EXPECT_STREQ(json_object_get_string(json_object_object_get(line, "text")),
+		     "a \"quoted\"\n\\ text");
+	EXPECT_EQ(json_object_get_int64(json_object_object_get(line, "tokens")), -7);
+	EXPECT_EQ(json_object_get_int(json_object_object_get(line, "event")), 402);
+	json_object_put(line);
+}
+
+TEST(Log, CutsAnOverlongValueButStaysParsable)
+{
+	std::string out = written(std::string(10000, 'x').c_str());
+	struct json_object *line = json_tokener_parse(out.c_str());
+
+	ASSERT_NE(line, nullptr);
+	json_object_put(line);
+}
+
+} // namespace
