--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -71,6 +71,10 @@
 /** Ends the call and closes its connection; on_done tells DW_CANCELLED. */
 void dw_http_cancel(struct dw_http_call *call);
 
+/** Stops reading the answer until dw_http_resume(), for back-pressure. */
+void dw_http_pause(struct dw_http_call *call);
+void dw_http_resume(struct dw_http_call *call);
+
 /** Collects a whole answer and tells it once; a convenience over dw_http_call(). */
 struct dw_http_fetch_result {
 	struct dw_http_result end;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -70,6 +70,9 @@
 /** Queues bytes of the answer; copied. */
 void dw_http_stream_write(struct dw_http_exchange *exchange, const char *bytes, size_t len);
 
+/** Sets who is told each time the caller has taken what was queued. */
+void dw_http_on_drained(struct dw_http_exchange *exchange, dw_http_gone drained, void *data);
+
 /** Bytes queued that the caller hasn't taken yet, for back-pressure. */
 size_t dw_http_stream_queued(const struct dw_http_exchange *exchange);
 
