Peer mesh: sealed, length-framed msgpack between daemons

Cause: configuration, membership, shares and evidence travel between daemons. A connection carries its initiator's messages only, so a cut of one direction stays one. Ruled out: a MAC in the greeting alone (later frames would be unauthenticated); TLS (certificates to look after for a key that all daemons share anyway).

--- /dev/null
+++ b/src/net/peer_mesh.h
@@ -0,0 +1,69 @@
+/**
+ * @file peer_mesh.h
+ * Authenticated message passing between daemons over TCP.
+ *
+ * A frame on the wire is a length (32 bits, big endian) and a sealed body; a body is one byte of
+ * message type and a msgpack value. A connection carries messages from its initiator only, so that
+ * a cut of one direction stays a cut of one direction. Delivery is not guaranteed: a message that
+ * can't be sent is dropped and counted, and the protocols above repeat what matters.
+ */
+#ifndef WHARF_NET_PEER_MESH_H
+#define WHARF_NET_PEER_MESH_H
+
+#include <uv.h>
+
+#include "base/log.h"
+#include "net/peer_channel.h"
+#include "net/peer_identity.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define DW_PEER_FRAME_MAX_BYTES (4U << 20)
+
+struct dw_peer_mesh;
+
+typedef void (*dw_peer_message)(const struct dw_peer_identity *from, uint8_t type,
+				const msgpack_object *value, void *data);
+
+struct dw_peer_mesh_options {
+	const char *bind_ip;
+	uint16_t bind_port;
+	/** As told to peers; its port 0 is replaced by the bound one. */
+	struct dw_peer_identity self;
+	uint8_t cluster_key[DW_CLUSTER_KEY_BYTES];
+	struct dw_log *log; /**< takes peer.refused events */
+	dw_peer_message on_message;
+	void *data;
+};
+
+/** Counters, ever growing. */
+struct dw_peer_mesh_stats {
+	uint64_t sent_bytes;
+	uint64_t received_bytes;
+	uint64_t sent_messages;
+	uint64_t received_messages;
+	uint64_t dropped_messages;
+	uint64_t refused_peers;
+};
+
+enum dw_status dw_peer_mesh_start(struct dw_peer_mesh **out, uv_loop_t *loop,
+				  const struct dw_peer_mesh_options *options);
+
+uint16_t dw_peer_mesh_port(const struct dw_peer_mesh *mesh);
+
+const struct dw_peer_mesh_stats *dw_peer_mesh_stats(const struct dw_peer_mesh *mesh);
+
+/** Sends a message of @p type whose msgpack bytes are @p value to the daemon at @p ip : @p port. */
+void dw_peer_mesh_send(struct dw_peer_mesh *mesh, const char *ip, uint16_t port, uint8_t type,
+		       const void *value, size_t len);
+
+/** Closes all connections and the listener; the mesh is freed once they are closed. */
+void dw_peer_mesh_stop(struct dw_peer_mesh *mesh);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
