Settings: JSON with comments, checked field by field against a table

Cause: json-c takes duplicate fields without a word; an operator's slip must be told with file and field. Change: base/settings reads by a descriptor table and reports all faults in one go.

--- /dev/null
+++ b/src/base/settings.c
@@ -0,0 +1,311 @@
+#include "base/settings.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <json-c/json.h>
+
+#define NAME_MAX_BYTES 64
+#define FILE_MAX_BYTES (1U << 20)
+
+struct reading {
+	const char *file;
+	FILE *errors;
+	bool faulty;
+};
+
+static void fault(struct reading *reading, const char *field, const char *expected)
+{
+	reading->faulty = true;
+	fprintf(reading->errors, "%s: %s: %s\n", reading->file, field, expected);
+}
+
+static bool is_name(const char *text)
+{
+	size_t len = strlen(text);
+
+	return len >= 1 && len <= NAME_MAX_BYTES &&
+	       strspn(text, "abcdefghijklmnopqrstuvwxyz0123456789._-") == len;
+}
+
+static bool is_ip(const char *text)
+{
+	struct in_addr address;
+
+	return inet_pton(AF_INET, text, &address) == 1;
+}
+
+enum dw_status dw_endpoint_parse(const char *text, struct dw_endpoint *out)
+{
+	const char *colon = strrchr(text, ':');
+	size_t ip_len = colon ? (size_t)(colon - text) : 0;
+	char *end;
+	unsigned long port;
+
+	if (!colon || ip_len >= sizeof(out->ip) || colon[1] < '0' || colon[1] > '9')
+		return dw_fail(DW_INVALID_ARGUMENT, "not of the form ip:port: %s", text);
+	memcpy(out->ip, text, ip_len);
+	out->ip[ip_len] = '\0';
+	port = strtoul(colon + 1, &end, 10);
+	if (*end != '\0' || port == 0 || port > UINT16_MAX || !is_ip(out->ip))
+		return dw_fail(DW_INVALID_ARGUMENT, "not of the form ip:port: %s", text);
+	out->port = (uint16_t)port;
+	return DW_OK;
+}
+
+static void take_text(struct reading *reading, const struct dw_setting *setting,
+		      struct json_object *value, char *out)
+{
+	const char *text = json_object_get_string(value);
+
+	if (!json_object_is_type(value, json_type_string) ||
+	    strlen(text) >= DW_SETTINGS_TEXT_BYTES) {
+		fault(reading, setting->name, "expected a text of at most 127 characters");
+		return;
+	}
+	if (setting->kind == DW_SETTING_NAME && !is_name(text)) {
+		fault(reading, setting->name, "expected 1 to 64 characters of a-z 0-9 . _ -");
+		return;
+	}
+	if (setting->kind == DW_SETTING_IP && !is_ip(text)) {
+		fault(reading, setting->name, "expected a numeric IPv4 address");
+		return;
+	}
+	strcpy(out, text);
+}
+
+static void take_integer(struct reading *reading, const struct dw_setting *setting,
+			 struct json_object *value, uint64_t *out)
+{
+	char expected[96];
+	int64_t number = json_object_get_int64(value);
+
+	if (!json_object_is_type(value, json_type_int) || number < 0 ||
+	    (uint64_t)number < setting->min || (uint64_t)number > setting->max) {
+		snprintf(expected, sizeof(expected),
+			 "expected a whole number from %" PRIu64 " to %" PRIu64, setting->min,
+			 setting->max);
+		fault(reading, setting->name, expected);
+		return;
+	}
+	*out = (uint64_t)number;
+}
+
+static int hex_digit(char c)
+{
+	const char *digits = "0123456789abcdef";
+	const char *at = c ? strchr(digits, c) : NULL;
+
+	return at ? (int)(at - digits) : -1;
+}
+
+static void take_key(struct reading *reading, const struct dw_setting *setting,
+		     struct json_object *value, uint8_t *out)
+{
+	const char *text = json_object_get_string(value);
+	bool good = json_object_is_type(value, json_type_string) &&
+		    strlen(text) == (size_t)2 * DW_SETTINGS_KEY_BYTES;
+
+	for (size_t i = 0; good && i < DW_SETTINGS_KEY_BYTES; i++) {
+		int high = hex_digit(text[2 * i]);
+		int low = hex_digit(text[2 * i + 1]);
+
+		good = high >= 0 && low >= 0;
+		out[i] = (uint8_t)(high << 4 | low);
+	}
+	if (!good)
+		fault(reading, setting->name, "expected 64 lower-case hexadecimal digits");
+}
+
+static void take_endpoint(struct reading *reading, const struct dw_setting *setting,
+			  struct json_object *value, struct dw_endpoint *out)
+{
+	if (!json_object_is_type(value, json_type_string) ||
+	    dw_endpoint_parse(json_object_get_string(value), out) != DW_OK)
+		fault(reading, setting->name, "expected \"ip:port\" with a numeric IPv4 address");
+}
+
+static void take_endpoints(struct reading *reading, const struct dw_setting *setting,
+			   struct json_object *value, struct dw_endpoint_list *out)
+{
+	size_t count;
+
+	if (!json_object_is_type(value, json_type_array) ||
+	    json_object_array_length(value) > DW_SETTINGS_ENDPOINTS_MAX) {
+		fault(reading, setting->name, "expected an array of at most 32 \"ip:port\"");
+		return;
+	}
+	count = json_object_array_length(value);
+	for (size_t i = 0; i < count; i++)
+		take_endpoint(reading, setting, json_object_array_get_idx(value, i),
+			      &out->items[i]);
+	out->count = (uint32_t)count;
+}
+
+static void take_value(struct reading *reading, const struct dw_setting *setting,
+		       struct json_object *value, uint8_t *target)
+{
+	void *out = target + setting->offset;
+
+	switch (setting->kind) {
+	case DW_SETTING_TEXT:
+	case DW_SETTING_NAME:
+	case DW_SETTING_IP:
+		take_text(reading, setting, value, out);
+		break;
+	case DW_SETTING_INTEGER:
+		take_integer(reading, setting, value, out);
+		break;
+	case DW_SETTING_KEY:
+		take_key(reading, setting, value, out);
+		break;
+	case DW_SETTING_ENDPOINT:
+		take_endpoint(reading, setting, value, out);
+		break;
+	case DW_SETTING_ENDPOINTS:
+		take_endpoints(reading, setting, value, out);
+		break;
+	case DW_SETTING_KIND_COUNT:
+		break;
+	}
+}
+
+static void take_default(const struct dw_setting *setting, uint8_t *target)
+{
+	void *out = target + setting->offset;
+
+	if (!setting->unset)
+		return;
+	if (setting->kind == DW_SETTING_INTEGER)
+		*(uint64_t *)out = strtoull(setting->unset, NULL, 10);
+	else
+		strcpy(out, setting->unset);
+}
+
+static const struct dw_setting *find_setting(const struct dw_setting *table, const char *name)
+{
+	for (; table->name; table++) {
+		if (strcmp(table->name, name) == 0)
+			return table;
+	}
+	return NULL;
+}
+
+static const char *skip_comment(const char *at)
+{
+	const char *end = at[1] == '*' ? strstr(at + 2, "*/") : strchr(at, '\n');
+
+	if (!end)
+		return at + strlen(at);
+	return at[1] == '*' ? end + 2 : end + 1;
+}
+
+static const char *skip_text(const char *at)
+{
+	for (at++; *at && *at != '"'; at++) {
+		if (*at == '\\' && at[1])
+			at++;
+	}
+	return *at ? at + 1 : at;
+}
+
+/* json-c takes the last of several fields of one name without a word, so they are counted in the
+ * text: a field of the outermost object is a string there that a colon follows. */
+static size_t count_field(const char *text, const char *name)
+{
+	size_t len = strlen(name);
+	size_t count = 0;
+	int depth = 0;
+
+	while (*text) {
+		const char *start = text;
+
+		if (*text == '/' && (text[1] == '*' || text[1] == '/')) {
+			text = skip_comment(text);
+			continue;
+		}
+		if (*text == '{' || *text == '[')
+			depth++;
+		if (*text == '}' || *text == ']')
+			depth--;
+		if (*text != '"') {
+			text++;
+			continue;
+		}
+		text = skip_text(text);
+		if (depth == 1 && (size_t)(text - start) == len + 2 &&
+		    strncmp(start + 1, name, len) == 0 && text[strspn(text, " \t\r\n")] == ':')
+			count++;
+	}
+	return count;
+}
+
+static void take_object(struct reading *reading, struct json_object *root, const char *text,
+			const struct dw_setting *table, void *target)
+{
+	for (const struct dw_setting *row = table; row->name; row++) {
+		struct json_object *value;
+
+		if (json_object_object_get_ex(root, row->name, &value))
+			take_value(reading, row, value, target);
+		else if (row->required)
+			fault(reading, row->name, "is required");
+		else
+			take_default(row, target);
+		if (count_field(text, row->name) > 1)
+			fault(reading, row->name, "is given more than once");
+	}
+	json_object_object_foreach(root, name, value)
+	{
+		(void)value;
+		if (!find_setting(table, name))
+			fault(reading, name, "is no known field");
+	}
+}
+
+enum dw_status dw_settings_parse(const char *name, const char *text, const struct dw_setting *table,
+				 void *target, FILE *errors)
+{
+	struct reading reading = { .file = name, .errors = errors };
+	struct json_tokener *tokener = json_tokener_new();
+	struct json_object *root = json_tokener_parse_ex(tokener, text, (int)strlen(text) + 1);
+	enum json_tokener_error error = json_tokener_get_error(tokener);
+
+	if (error != json_tokener_success)
+		fault(&reading, "(file)", json_tokener_error_desc(error));
+	else if (!json_object_is_type(root, json_type_object))
+		fault(&reading, "(file)", "expected a JSON object");
+	else
+		take_object(&reading, root, text, table, target);
+	json_object_put(root);
+	json_tokener_free(tokener);
+	if (reading.faulty)
+		return dw_fail(DW_INVALID_ARGUMENT, "%s: settings are refused", name);
+	return DW_OK;
+}
+
+enum dw_status dw_settings_load(const char *path, const struct dw_setting *table, void *target,
+				FILE *errors)
+{
+	FILE *file = fopen(path, "r");
+	enum dw_status status;
+	char *text;
+	size_t len;
+
+	if (!file) {
+		fprintf(errors, "%s: (file): %s\n", path, strerror(errno));
+		return dw_fail(DW_NOT_FOUND, "can't open %s", path);
+	}
+	text = calloc(1, FILE_MAX_BYTES + 1);
+	if (!text)
+		abort();
+	len = fread(text, 1, FILE_MAX_BYTES, file);
+	fclose(file);
+	text[len] = '\0';
+	status = dw_settings_parse(path, text, table, target, errors);
+	free(text);
+	return status;
+}
