--- /dev/null
+++ b/include/dragonflywharf/warmth.h
@@ -0,0 +1,68 @@
+/**
+ * @file warmth.h
+ * Whether an upstream may be in a cold start, judged from evidence; when in doubt it is cold.
+ *
+ * A never-seen upstream, a new incarnation, a lost report or a broken connection makes it cold. It
+ * is warm once one incarnation has been seen for its whole cold period and a report of that
+ * incarnation, sent after the latest doubt, has come.
+ */
+#ifndef DRAGONFLYWHARF_WARMTH_H
+#define DRAGONFLYWHARF_WARMTH_H
+
+#include "dragonflywharf/status.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct dw_warmth {
+	uint64_t incarnation; /**< of the upstream's process; 0: none seen */
+	uint64_t warm_at_us; /**< end of the cold period of that incarnation */
+	uint64_t report_due_us; /**< cold from here on unless another report comes */
+	bool unconfirmed; /**< the incarnation may have changed since it was last seen */
+};
+
+/** Evidence passed between peers; the age, not a time, as clocks differ. */
+struct dw_warmth_evidence {
+	uint64_t upstream_id;
+	uint64_t incarnation;
+	uint64_t age_us; /**< how long the sender knows that this incarnation runs */
+};
+
+/** A never-seen upstream: cold. */
+void dw_warmth_init(struct dw_warmth *warmth);
+
+/**
+ * An answer or load report came straight from the upstream. @p cold_period_us is the configured
+ * one; the next report is due within @p report_within_us. An older incarnation than the one
+ * known is ignored.
+ * @return true if the incarnation is a new one (a restart without warning).
+ */
+bool dw_warmth_seen(struct dw_warmth *warmth, uint64_t incarnation, uint64_t cold_period_us,
+		    uint64_t report_within_us, uint64_t now_us);
+
+/** The connection broke or an answer failed: cold until the incarnation is seen again. */
+void dw_warmth_doubt(struct dw_warmth *warmth);
+
+/**
+ * A peer's evidence. A newer incarnation makes the upstream cold here; the same incarnation may
+ * shorten the cold period by the peer's longer knowledge, but never ends a doubt.
+ * @return true if the incarnation was new here.
+ */
+bool dw_warmth_merge(struct dw_warmth *warmth, const struct dw_warmth_evidence *evidence,
+		     uint64_t cold_period_us, uint64_t now_us);
+
+/** Evidence for peers; false if there is none to give. */
+bool dw_warmth_evidence(const struct dw_warmth *warmth, uint64_t upstream_id,
+			uint64_t cold_period_us, uint64_t now_us, struct dw_warmth_evidence *out);
+
+bool dw_warmth_is_cold(const struct dw_warmth *warmth, uint64_t now_us);
+
+/** The next time at which is_cold() may change without new evidence; UINT64_MAX if none. */
+uint64_t dw_warmth_deadline_us(const struct dw_warmth *warmth, uint64_t now_us);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
