--- a/include/dragonflywharf/roster.h
+++ b/include/dragonflywharf/roster.h
@@ -80,7 +80,7 @@
 /** Index of the run of @p instance_id in the roster, or -1. */
 int32_t dw_roster_find_instance(const struct dw_roster *roster, uint64_t instance_id);
 
-/** XXH3 of the epoch and the members' keys: tells two contents under one epoch apart. */
+/** XXH64 of the epoch and the members' keys: tells two contents under one epoch apart. */
 uint64_t dw_roster_digest(const struct dw_roster *roster);
 
 /** DW_INVALID_ARGUMENT if members are unsorted, doubled, unnamed or too many. */
--- a/include/dragonflywharf/warmth.h
+++ b/include/dragonflywharf/warmth.h
@@ -17,6 +17,7 @@
 
 struct dw_warmth {
 	uint64_t incarnation; /**< of the upstream's process; 0: none seen */
+	uint32_t turn; /**< how often it was suspected cold within the incarnation */
 	uint64_t warm_at_us; /**< end of the cold period of that incarnation */
 	uint64_t report_due_us; /**< cold from here on unless another report comes */
 	bool unconfirmed; /**< the incarnation may have changed since it was last seen */
@@ -26,7 +27,8 @@
 struct dw_warmth_evidence {
 	uint64_t upstream_id;
 	uint64_t incarnation;
-	uint64_t age_us; /**< how long the sender knows that this incarnation runs */
+	uint32_t turn;
+	uint64_t age_us; /**< how long the sender knows this incarnation and turn */
 };
 
 /** A never-seen upstream: cold. */
@@ -45,9 +47,15 @@
 void dw_warmth_doubt(struct dw_warmth *warmth);
 
 /**
- * A peer's evidence. A newer incarnation makes the upstream cold here; the same incarnation may
+ * Errors or first-token times say that a warm upstream has turned cold within its incarnation: its
+ * cold period begins again, here and by evidence at the peers. No effect while it is cold.
+ */
+void dw_warmth_suspect(struct dw_warmth *warmth, uint64_t cold_period_us, uint64_t now_us);
+
+/**
+ * A peer's evidence. A newer incarnation or turn makes the upstream cold here; the same ones may
  * shorten the cold period by the peer's longer knowledge, but never ends a doubt.
- * @return true if the incarnation was new here.
+ * @return true if the incarnation or turn was new here.
  */
 bool dw_warmth_merge(struct dw_warmth *warmth, const struct dw_warmth_evidence *evidence,
 		     uint64_t cold_period_us, uint64_t now_us);
--- /dev/null
+++ b/src/core/share.c
@@ -0,0 +1,518 @@
+/**
+ * @file share.c
+ * Upstreams, permits and the passing of time.
+ */
+#include "dragonflywharf/share.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/share_state.h"
+
+#define BITS_PER_WORD 64
+
+void *dw_share_grow(void *array, uint32_t *capacity, uint32_t needed, size_t size)
+{
+	uint32_t larger = *capacity > 0 ? *capacity : 16;
+	void *grown;
+
+	if (needed <= *capacity)
+		return array;
+	while (larger < needed)
+		larger *= 2;
+	grown = realloc(array, larger * size);
+	if (!grown)
+		abort();
+	*capacity = larger;
+	return grown;
+}
+
+struct dw_share *dw_share_new(struct dw_member_key self)
+{
+	struct dw_share *share = calloc(1, sizeof(*share));
+
+	if (!share)
+		return NULL;
+	share->self = self;
+	share->self_index = DW_MEMBER_NONE;
+	return share;
+}
+
+static void free_upstream(struct dw_share_upstream *up)
+{
+	free(up->slots);
+	free(up->free_bits);
+	free(up->idle_bits);
+	free(up);
+}
+
+void dw_share_free(struct dw_share *share)
+{
+	struct dw_share_upstream *up;
+	struct dw_share_upstream *next;
+
+	if (!share)
+		return;
+	HASH_ITER(hh, share->upstreams, up, next)
+	{
+		HASH_DEL(share->upstreams, up);
+		free_upstream(up);
+	}
+	free(share->holds.refs);
+	free(share->lent.refs);
+	free(share->handed);
+	free(share->outbox);
+	free(share->ready);
+	free(share);
+}
+
+struct dw_share_upstream *dw_share_find(const struct dw_share *share, uint64_t upstream_id)
+{
+	struct dw_share_upstream *up;
+
+	HASH_FIND(hh, share->upstreams, &upstream_id, sizeof(upstream_id), up);
+	return up;
+}
+
+uint32_t dw_share_limit(const struct dw_share_upstream *up)
+{
+	if (up->cold && up->cold_limit < up->limit)
+		return up->cold_limit;
+	return up->limit;
+}
+
+uint32_t dw_share_first_bit(const uint64_t *bits, uint32_t limit)
+{
+	for (uint32_t word = 0; word * BITS_PER_WORD < limit; word++) {
+		uint32_t i;
+
+		if (bits[word] == 0)
+			continue;
+		i = word * BITS_PER_WORD + (uint32_t)__builtin_ctzll(bits[word]);
+		return i < limit ? i : UINT32_MAX;
+	}
+	return UINT32_MAX;
+}
+
+static void set_bit(uint64_t *bits, uint32_t i, bool value)
+{
+	uint64_t mask = UINT64_C(1) << (i % BITS_PER_WORD);
+
+	if (value)
+		bits[i / BITS_PER_WORD] |= mask;
+	else
+		bits[i / BITS_PER_WORD] &= ~mask;
+}
+
+static void list_add(struct dw_slot_list *list, struct dw_share_upstream *up, uint32_t i)
+{
+	list->refs =
+		dw_share_grow(list->refs, &list->capacity, list->count + 1, sizeof(list->refs[0]));
+	list->refs[list->count] = (struct dw_slot_ref){ .upstream = up, .slot = i };
+	up->slots[i].position = list->count++;
+}
+
+static void list_remove(struct dw_slot_list *list, uint32_t position)
+{
+	struct dw_slot_ref *last = &list->refs[--list->count];
+
+	list->refs[position] = *last;
+	last->upstream->slots[last->slot].position = position;
+}
+
+static bool is_held(const struct dw_share *share, const struct dw_share_slot *slot)
+{
+	return !dw_share_owns(share, slot) &&
+	       (slot->state == DW_SLOT_USED || slot->state == DW_SLOT_IDLE);
+}
+
+void dw_share_detach(struct dw_share *share, struct dw_share_upstream *up, uint32_t i)
+{
+	struct dw_share_slot *slot = &up->slots[i];
+
+	set_bit(up->free_bits, i, false);
+	set_bit(up->idle_bits, i, false);
+	share->unsettled_count -= slot->unsettled;
+	if (slot->state == DW_SLOT_LENT) {
+		share->peers[slot->holder].lent_count--;
+		list_remove(&share->lent, slot->position);
+	} else if (is_held(share, slot)) {
+		list_remove(&share->holds, slot->position);
+	} else if (slot->state == DW_SLOT_USED) {
+		share->own_in_flight--;
+	}
+}
+
+void dw_share_attach(struct dw_share *share, struct dw_share_upstream *up, uint32_t i)
+{
+	struct dw_share_slot *slot = &up->slots[i];
+
+	set_bit(up->free_bits, i, slot->state == DW_SLOT_FREE && !slot->unsettled);
+	set_bit(up->idle_bits, i, slot->state == DW_SLOT_IDLE);
+	share->unsettled_count += slot->unsettled;
+	if (slot->state == DW_SLOT_LENT) {
+		share->peers[slot->holder].lent_count++;
+		list_add(&share->lent, up, i);
+	} else if (is_held(share, slot)) {
+		list_add(&share->holds, up, i);
+	} else if (slot->state == DW_SLOT_USED) {
+		share->own_in_flight++;
+	}
+}
+
+/** Adds slots up to @p wanted; owned ones are free at once only in a settled epoch. */
+static void grow_slots(struct dw_share *share, struct dw_share_upstream *up, uint32_t wanted)
+{
+	uint32_t old_count = up->slot_count;
+	uint32_t count =
+		(wanted + DW_SHARE_SLOT_BLOCK - 1) / DW_SHARE_SLOT_BLOCK * DW_SHARE_SLOT_BLOCK;
+	uint32_t words = (count + BITS_PER_WORD - 1) / BITS_PER_WORD;
+	uint32_t old_words = (old_count + BITS_PER_WORD - 1) / BITS_PER_WORD;
+
+	up->slots = realloc(up->slots, count * sizeof(up->slots[0]));
+	up->free_bits = realloc(up->free_bits, words * sizeof(uint64_t));
+	up->idle_bits = realloc(up->idle_bits, words * sizeof(uint64_t));
+	if (!up->slots || !up->free_bits || !up->idle_bits)
+		abort();
+	memset(up->free_bits + old_words, 0, (words - old_words) * sizeof(uint64_t));
+	memset(up->idle_bits + old_words, 0, (words - old_words) * sizeof(uint64_t));
+	up->slot_count = count;
+	for (uint32_t i = old_count; i < count; i++) {
+		struct dw_share_slot *slot = &up->slots[i];
+
+		*slot = (struct dw_share_slot){ .owner = dw_share_owner(&share->roster, up->id, i),
+						.holder = DW_MEMBER_NONE };
+		if (dw_share_owns(share, slot)) {
+			slot->state = DW_SLOT_FREE;
+			slot->unsettled = !share->settled;
+		}
+		dw_share_attach(share, up, i);
+	}
+}
+
+enum dw_status dw_share_track(struct dw_share *share, uint64_t upstream_id, uint32_t slot_count,
+			      struct dw_share_upstream **out)
+{
+	struct dw_share_upstream *up = dw_share_find(share, upstream_id);
+
+	if (slot_count > DW_SHARE_SLOTS_MAX)
+		return dw_fail(DW_TOO_LARGE, "limit %u over %d", slot_count, DW_SHARE_SLOTS_MAX);
+	if (!up) {
+		if (HASH_COUNT(share->upstreams) >= DW_SHARE_UPSTREAMS_MAX)
+			return dw_fail(DW_TOO_LARGE, "over %d upstreams", DW_SHARE_UPSTREAMS_MAX);
+		up = calloc(1, sizeof(*up));
+		if (!up)
+			return dw_fail(DW_NO_MEMORY, "upstream");
+		up->id = upstream_id;
+		up->cold = true;
+		HASH_ADD(hh, share->upstreams, id, sizeof(up->id), up);
+	}
+	if (slot_count > up->slot_count)
+		grow_slots(share, up, slot_count);
+	*out = up;
+	return DW_OK;
+}
+
+void dw_share_mark_ready(struct dw_share *share, struct dw_share_upstream *up)
+{
+	if (up->ready)
+		return;
+	share->ready = dw_share_grow(share->ready, &share->ready_capacity, share->ready_count + 1,
+				     sizeof(share->ready[0]));
+	share->ready[share->ready_count++] = up->id;
+	up->ready = true;
+}
+
+bool dw_share_next_ready(struct dw_share *share, uint64_t *upstream_id)
+{
+	if (share->ready_count == 0)
+		return false;
+	*upstream_id = share->ready[--share->ready_count];
+	dw_share_find(share, *upstream_id)->ready = false;
+	return true;
+}
+
+enum dw_status dw_share_set_upstream(struct dw_share *share, uint64_t upstream_id, uint32_t limit,
+				     uint32_t cold_limit)
+{
+	struct dw_share_upstream *up;
+	enum dw_status status = dw_share_track(share, upstream_id, limit, &up);
+
+	if (status != DW_OK)
+		return status;
+	up->limit = limit;
+	up->cold_limit = cold_limit;
+	dw_share_mark_ready(share, up);
+	return DW_OK;
+}
+
+enum dw_status dw_share_set_cold(struct dw_share *share, uint64_t upstream_id, bool cold)
+{
+	struct dw_share_upstream *up = dw_share_find(share, upstream_id);
+
+	if (!up)
+		return dw_fail(DW_NOT_FOUND, "no such upstream");
+	if (up->cold && !cold)
+		dw_share_mark_ready(share, up);
+	up->cold = cold;
+	return DW_OK;
+}
+
+static void use_slot(struct dw_share *share, struct dw_share_upstream *up, uint32_t i,
+		     struct dw_permit *out)
+{
+	struct dw_share_slot *slot = &up->slots[i];
+
+	if (slot->state == DW_SLOT_IDLE) {
+		set_bit(up->idle_bits, i, false);
+		slot->state = DW_SLOT_USED;
+	} else {
+		dw_share_detach(share, up, i);
+		slot->state = DW_SLOT_USED;
+		slot->hold_seq = ++share->last_seq;
+		dw_share_attach(share, up, i);
+	}
+	*out = (struct dw_permit){ .upstream_id = up->id, .hold_seq = slot->hold_seq, .slot = i };
+}
+
+/** An idle loan that may still be used again, or UINT32_MAX. */
+static uint32_t usable_loan(const struct dw_share *share, const struct dw_share_upstream *up,
+			    uint64_t now_us)
+{
+	uint32_t i = dw_share_first_bit(up->idle_bits, dw_share_limit(up));
+
+	if (i == UINT32_MAX || now_us >= share->holds.refs[up->slots[i].position].return_at_us)
+		return UINT32_MAX;
+	return i;
+}
+
+enum dw_status dw_share_acquire(struct dw_share *share, uint64_t upstream_id, uint64_t now_us,
+				struct dw_permit *out)
+{
+	struct dw_share_upstream *up = dw_share_find(share, upstream_id);
+	uint32_t i;
+
+	if (!up)
+		return dw_fail(DW_NOT_FOUND, "no such upstream");
+	if (share->self_index == DW_MEMBER_NONE || share->leaving)
+		return dw_fail(DW_UNAVAILABLE, "not a member of the roster");
+	i = dw_share_first_bit(up->free_bits, dw_share_limit(up));
+	if (i == UINT32_MAX)
+		i = usable_loan(share, up, now_us);
+	if (i == UINT32_MAX)
+		return DW_OVERLOADED;
+	use_slot(share, up, i, out);
+	return DW_OK;
+}
+
+void dw_share_return(struct dw_share *share, struct dw_share_upstream *up, uint32_t i)
+{
+	struct dw_share_slot *slot = &up->slots[i];
+
+	dw_share_detach(share, up, i);
+	slot->state = DW_SLOT_NONE;
+	dw_share_attach(share, up, i);
+	if (slot->owner != DW_MEMBER_NONE)
+		dw_share_send(share, slot->owner, DW_SHARE_RETURN, up->id, slot->hold_seq, i);
+}
+
+/** A request on a slot of another owner has ended: keeps the loan for a while or returns it. */
+static void release_loan(struct dw_share *share, struct dw_share_upstream *up, uint32_t i,
+			 uint64_t now_us)
+{
+	struct dw_share_slot *slot = &up->slots[i];
+
+	if (share->leaving || now_us >= share->holds.refs[slot->position].return_at_us ||
+	    i >= dw_share_limit(up)) {
+		dw_share_return(share, up, i);
+		return;
+	}
+	slot->state = DW_SLOT_IDLE;
+	set_bit(up->idle_bits, i, true);
+	dw_share_mark_ready(share, up);
+}
+
+enum dw_status dw_share_release(struct dw_share *share, const struct dw_permit *permit,
+				uint64_t now_us)
+{
+	struct dw_share_upstream *up = dw_share_find(share, permit->upstream_id);
+	struct dw_share_slot *slot;
+
+	if (!up || permit->slot >= up->slot_count)
+		return dw_fail(DW_STALE, "permit of an unknown slot");
+	slot = &up->slots[permit->slot];
+	if (slot->state != DW_SLOT_USED || slot->hold_seq != permit->hold_seq)
+		return dw_fail(DW_STALE, "permit isn't held");
+	if (!dw_share_owns(share, slot)) {
+		release_loan(share, up, permit->slot, now_us);
+		return DW_OK;
+	}
+	dw_share_detach(share, up, permit->slot);
+	slot->state = DW_SLOT_FREE;
+	dw_share_attach(share, up, permit->slot);
+	dw_share_offer(share, up);
+	return DW_OK;
+}
+
+/** The next other owner that has no ask of ours for @p up, or DW_MEMBER_NONE after a round. */
+static uint8_t next_owner(struct dw_share *share, struct dw_share_upstream *up)
+{
+	uint32_t limit = dw_share_limit(up);
+
+	while (up->ask_cursor < limit) {
+		uint8_t owner = up->slots[up->ask_cursor++].owner;
+		bool asked = false;
+
+		for (uint32_t i = 0; up->asks > 0 && i < share->ask_count; i++)
+			asked |= share->asks[i].upstream == up && share->asks[i].member == owner;
+		if (!asked && owner != share->self_index && owner != DW_MEMBER_NONE)
+			return owner;
+	}
+	up->ask_cursor = 0;
+	return DW_MEMBER_NONE;
+}
+
+void dw_share_want(struct dw_share *share, uint64_t upstream_id, uint32_t count, uint64_t now_us)
+{
+	struct dw_share_upstream *up = dw_share_find(share, upstream_id);
+	uint32_t wanted = count < DW_SHARE_ASKS_PER_UPSTREAM ? count : DW_SHARE_ASKS_PER_UPSTREAM;
+
+	if (!up || share->self_index == DW_MEMBER_NONE || share->leaving)
+		return;
+	while (up->asks < wanted && share->ask_count < DW_SHARE_ASKS_MAX &&
+	       now_us >= up->ask_again_at_us) {
+		uint8_t owner = next_owner(share, up);
+
+		if (owner == DW_MEMBER_NONE) {
+			up->ask_again_at_us = now_us + DW_SHARE_DENIED_US;
+			return;
+		}
+		share->asks[share->ask_count++] = (struct dw_share_ask){
+			.upstream = up,
+			.seq = ++share->last_seq,
+			.deadline_us = now_us + DW_SHARE_ASK_US,
+			.member = owner,
+		};
+		up->asks++;
+		dw_share_send(share, owner, DW_SHARE_ASK, up->id, share->last_seq, 0);
+	}
+}
+
+void dw_share_drop_ask(struct dw_share *share, uint32_t position)
+{
+	share->asks[position].upstream->asks--;
+	share->asks[position] = share->asks[--share->ask_count];
+}
+
+/** The oldest waiter of @p up, or -1. */
+static int32_t first_waiter(const struct dw_share *share, const struct dw_share_upstream *up)
+{
+	for (uint32_t i = 0; up->waiters > 0 && i < share->waiter_count; i++) {
+		if (share->waiters[i].upstream == up)
+			return (int32_t)i;
+	}
+	return -1;
+}
+
+static void drop_waiter(struct dw_share *share, uint32_t position)
+{
+	share->waiters[position].upstream->waiters--;
+	share->waiter_count--;
+	memmove(&share->waiters[position], &share->waiters[position + 1],
+		(share->waiter_count - position) * sizeof(share->waiters[0]));
+}
+
+/** Lends one free slot to the oldest waiter. */
+static bool serve_waiter(struct dw_share *share, struct dw_share_upstream *up)
+{
+	int32_t position = first_waiter(share, up);
+	uint32_t i = dw_share_first_bit(up->free_bits, dw_share_limit(up));
+
+	if (position < 0 || i == UINT32_MAX)
+		return false;
+	dw_share_lend(share, up, i, share->waiters[position].member, share->waiters[position].seq);
+	drop_waiter(share, (uint32_t)position);
+	return true;
+}
+
+void dw_share_offer(struct dw_share *share, struct dw_share_upstream *up)
+{
+	if (!up->local_turn && serve_waiter(share, up)) {
+		up->local_turn = true;
+		return;
+	}
+	up->local_turn = false;
+	dw_share_mark_ready(share, up);
+}
+
+static void tick_loans(struct dw_share *share, uint64_t now_us)
+{
+	uint32_t position = 0;
+
+	while (position < share->holds.count) {
+		struct dw_slot_ref *ref = &share->holds.refs[position];
+		bool idle = ref->upstream->slots[ref->slot].state == DW_SLOT_IDLE;
+
+		if (idle && (share->leaving || now_us >= ref->return_at_us ||
+			     ref->slot >= dw_share_limit(ref->upstream)))
+			dw_share_return(share, ref->upstream, ref->slot);
+		else
+			position++;
+	}
+}
+
+static void tick_asks(struct dw_share *share, uint64_t now_us)
+{
+	uint32_t position = 0;
+
+	while (position < share->ask_count) {
+		if (share->leaving || now_us >= share->asks[position].deadline_us)
+			dw_share_drop_ask(share, position);
+		else
+			position++;
+	}
+	position = 0;
+	while (position < share->waiter_count) {
+		struct dw_share_waiter waiter = share->waiters[position];
+
+		if (serve_waiter(share, waiter.upstream)) {
+			position = 0;
+		} else if (now_us >= waiter.deadline_us) {
+			drop_waiter(share, position);
+			dw_share_send(share, waiter.member, DW_SHARE_DENY, waiter.upstream->id,
+				      waiter.seq, 0);
+		} else {
+			position++;
+		}
+	}
+}
+
+/** Requests declarations of members that keep slots unsettled, or that hold loans. */
+static void tick_polls(struct dw_share *share, uint64_t now_us)
+{
+	bool poll = now_us >= share->poll_at_us;
+	bool loan_poll = now_us >= share->loan_poll_at_us;
+
+	for (uint32_t i = 0; (poll || loan_poll) && i < share->roster.member_count; i++) {
+		struct dw_share_peer *peer = &share->peers[i];
+
+		if ((poll && share->unsettled_count > 0 && !peer->acknowledged) ||
+		    (loan_poll && peer->lent_count > 0)) {
+			peer->declare_due = true;
+			peer->answer_wanted = true;
+		}
+	}
+	if (poll)
+		share->poll_at_us = now_us + DW_SHARE_POLL_US;
+	if (loan_poll)
+		share->loan_poll_at_us = now_us + DW_SHARE_LOAN_POLL_US;
+}
+
+void dw_share_tick(struct dw_share *share, uint64_t now_us)
+{
+	if (share->self_index == DW_MEMBER_NONE)
+		return;
+	tick_loans(share, now_us);
+	tick_asks(share, now_us);
+	tick_polls(share, now_us);
+}
--- /dev/null
+++ b/src/core/share_exchange.c
@@ -0,0 +1,451 @@
+/**
+ * @file share_exchange.c
+ * Messages between owners and borrowers of slots.
+ *
+ * A hold is numbered by its holder, and a number is never used twice. An owner takes a loan for
+ * ended only when its holder says so: by a return of that number, or by a complete declaration
+ * that doesn't name it and whose floor says that a grant of that number would be refused.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/share_state.h"
+
+void dw_share_message_clear(struct dw_share_message *message)
+{
+	if (message->kind != DW_SHARE_DECLARE)
+		return;
+	free(message->declare.entries);
+	message->declare.entries = NULL;
+	message->declare.entry_count = 0;
+}
+
+void dw_share_send(struct dw_share *share, uint8_t member, enum dw_share_message_kind kind,
+		   uint64_t upstream_id, uint64_t hold_seq, uint32_t slot)
+{
+	uint32_t end = share->outbox_head + share->outbox_count;
+
+	if (share->outbox_count >= DW_SHARE_OUTBOX_MAX)
+		return;
+	if (share->outbox_count == 0) {
+		share->outbox_head = 0;
+		end = 0;
+	}
+	share->outbox = dw_share_grow(share->outbox, &share->outbox_capacity, end + 1,
+				      sizeof(share->outbox[0]));
+	share->outbox[end] = (struct dw_share_outgoing){
+		.to = share->roster.members[member].key,
+		.message = { .kind = kind,
+			     .epoch = share->roster.epoch,
+			     .digest = share->digest,
+			     .loan = { .upstream_id = upstream_id,
+				       .hold_seq = hold_seq,
+				       .slot = (uint16_t)slot } },
+	};
+	share->outbox_count++;
+}
+
+void dw_share_lend(struct dw_share *share, struct dw_share_upstream *up, uint32_t i, uint8_t member,
+		   uint64_t seq)
+{
+	struct dw_share_slot *slot = &up->slots[i];
+
+	dw_share_detach(share, up, i);
+	slot->state = DW_SLOT_LENT;
+	slot->holder = member;
+	slot->hold_seq = seq;
+	dw_share_attach(share, up, i);
+	dw_share_send(share, member, DW_SHARE_GRANT, up->id, seq, i);
+}
+
+/** No grant up to the floor will be accepted from @p member: none of those asks is outstanding. */
+static uint64_t floor_for(const struct dw_share *share, uint8_t member)
+{
+	uint64_t floor_seq = share->last_seq;
+
+	for (uint32_t i = 0; i < share->ask_count; i++) {
+		if (share->asks[i].member == member && share->asks[i].seq <= floor_seq)
+			floor_seq = share->asks[i].seq - 1;
+	}
+	return floor_seq;
+}
+
+/** Adds one entry; false if the declaration is full. */
+static bool add_entry(struct dw_share_message *message, uint32_t *capacity,
+		      const struct dw_share_entry *entry)
+{
+	if (message->declare.entry_count >= DW_SHARE_ENTRIES_MAX)
+		return false;
+	message->declare.entries = dw_share_grow(message->declare.entries, capacity,
+						 message->declare.entry_count + 1, sizeof(*entry));
+	message->declare.entries[message->declare.entry_count++] = *entry;
+	return true;
+}
+
+static void build_declaration(struct dw_share *share, uint8_t member, struct dw_share_message *out)
+{
+	uint32_t capacity = 0;
+
+	*out = (struct dw_share_message){
+		.kind = DW_SHARE_DECLARE,
+		.epoch = share->roster.epoch,
+		.digest = share->digest,
+		.declare = { .seq = ++share->declare_seq,
+			     .floor_seq = floor_for(share, member),
+			     .complete = true,
+			     .answer_wanted = share->peers[member].answer_wanted },
+	};
+	for (uint32_t i = 0; i < share->holds.count; i++) {
+		const struct dw_slot_ref *ref = &share->holds.refs[i];
+		const struct dw_share_slot *slot = &ref->upstream->slots[ref->slot];
+		struct dw_share_entry entry = { .upstream_id = ref->upstream->id,
+						.hold_seq = slot->hold_seq,
+						.slot = (uint16_t)ref->slot,
+						.kind = DW_SHARE_HELD };
+
+		if (slot->owner == member && !add_entry(out, &capacity, &entry))
+			out->declare.complete = false;
+	}
+	for (uint32_t i = 0; i < share->handed_count; i++) {
+		if (share->handed[i].owner == member)
+			add_entry(out, &capacity, &share->handed[i].entry);
+	}
+}
+
+bool dw_share_next_message(struct dw_share *share, struct dw_member_key *to,
+			   struct dw_share_message *out)
+{
+	if (share->outbox_count > 0) {
+		struct dw_share_outgoing *next = &share->outbox[share->outbox_head++];
+
+		share->outbox_count--;
+		*to = next->to;
+		*out = next->message;
+		return true;
+	}
+	for (uint32_t i = 0; i < share->roster.member_count; i++) {
+		struct dw_share_peer *peer = &share->peers[i];
+
+		if (!peer->declare_due)
+			continue;
+		build_declaration(share, (uint8_t)i, out);
+		*to = share->roster.members[i].key;
+		peer->declare_due = false;
+		peer->answer_wanted = false;
+		return true;
+	}
+	return false;
+}
+
+/** Queues the ask until a slot is free; false if too many wait. */
+static bool add_waiter(struct dw_share *share, struct dw_share_upstream *up, uint8_t member,
+		       uint64_t seq, uint64_t now_us)
+{
+	if (share->waiter_count >= DW_SHARE_WAITERS_MAX ||
+	    up->waiters >= DW_SHARE_WAITERS_PER_UPSTREAM)
+		return false;
+	share->waiters[share->waiter_count++] = (struct dw_share_waiter){
+		.upstream = up,
+		.seq = seq,
+		.deadline_us = now_us + DW_SHARE_ASK_US / 2,
+		.member = member,
+	};
+	up->waiters++;
+	return true;
+}
+
+static bool is_waiting(const struct dw_share *share, uint8_t member, uint64_t seq)
+{
+	for (uint32_t i = 0; i < share->waiter_count; i++) {
+		if (share->waiters[i].member == member && share->waiters[i].seq == seq)
+			return true;
+	}
+	return false;
+}
+
+static enum dw_status receive_ask(struct dw_share *share, uint8_t member,
+				  const struct dw_share_message *message, uint64_t now_us)
+{
+	struct dw_share_upstream *up = dw_share_find(share, message->loan.upstream_id);
+	uint64_t seq = message->loan.hold_seq;
+	uint32_t i;
+
+	if (seq <= share->peers[member].floor_seq || is_waiting(share, member, seq))
+		return DW_STALE;
+	if (up) {
+		i = dw_share_first_bit(up->free_bits, dw_share_limit(up));
+		if (i != UINT32_MAX) {
+			dw_share_lend(share, up, i, member, seq);
+			return DW_OK;
+		}
+		if (add_waiter(share, up, member, seq, now_us))
+			return DW_OK;
+	}
+	dw_share_send(share, member, DW_SHARE_DENY, message->loan.upstream_id, seq, 0);
+	return DW_OK;
+}
+
+/** The outstanding ask that @p message answers, or -1. */
+static int32_t find_ask(const struct dw_share *share, uint8_t member,
+			const struct dw_share_message *message)
+{
+	for (uint32_t i = 0; i < share->ask_count; i++) {
+		const struct dw_share_ask *ask = &share->asks[i];
+
+		if (ask->seq == message->loan.hold_seq && ask->member == member &&
+		    ask->upstream->id == message->loan.upstream_id)
+			return (int32_t)i;
+	}
+	return -1;
+}
+
+/** Takes a loan in, or sends it straight back if the ask was given up or the slot isn't wanted. */
+static enum dw_status receive_grant(struct dw_share *share, uint8_t member,
+				    const struct dw_share_message *message, uint64_t now_us)
+{
+	int32_t position = find_ask(share, member, message);
+	struct dw_share_upstream *up = dw_share_find(share, message->loan.upstream_id);
+	uint32_t i = message->loan.slot;
+	struct dw_share_slot *slot = up && i < up->slot_count ? &up->slots[i] : NULL;
+
+	if (slot && (slot->state == DW_SLOT_USED || slot->state == DW_SLOT_IDLE) &&
+	    slot->hold_seq == message->loan.hold_seq)
+		return DW_STALE; /* a duplicate of the grant of this very hold */
+	if (position >= 0)
+		dw_share_drop_ask(share, (uint32_t)position);
+	if (position < 0 || !slot || slot->owner != member || slot->state != DW_SLOT_NONE ||
+	    i >= dw_share_limit(up) || share->leaving) {
+		dw_share_send(share, member, DW_SHARE_RETURN, message->loan.upstream_id,
+			      message->loan.hold_seq, i);
+		return DW_OK;
+	}
+	slot->state = DW_SLOT_IDLE;
+	slot->hold_seq = message->loan.hold_seq;
+	dw_share_attach(share, up, i);
+	share->holds.refs[slot->position].return_at_us = now_us + DW_SHARE_LOAN_US;
+	dw_share_mark_ready(share, up);
+	return DW_OK;
+}
+
+static enum dw_status receive_deny(struct dw_share *share, uint8_t member,
+				   const struct dw_share_message *message)
+{
+	int32_t position = find_ask(share, member, message);
+
+	if (position < 0)
+		return DW_STALE;
+	dw_share_mark_ready(share, share->asks[position].upstream);
+	dw_share_drop_ask(share, (uint32_t)position);
+	return DW_OK;
+}
+
+static void end_loan(struct dw_share *share, struct dw_share_upstream *up, uint32_t i)
+{
+	dw_share_detach(share, up, i);
+	up->slots[i].state = DW_SLOT_FREE;
+	dw_share_attach(share, up, i);
+	dw_share_offer(share, up);
+}
+
+static enum dw_status receive_return(struct dw_share *share, uint8_t member,
+				     const struct dw_share_message *message)
+{
+	struct dw_share_upstream *up = dw_share_find(share, message->loan.upstream_id);
+	uint32_t i = message->loan.slot;
+	const struct dw_share_slot *slot = up && i < up->slot_count ? &up->slots[i] : NULL;
+
+	if (!slot || slot->state != DW_SLOT_LENT || slot->holder != member ||
+	    slot->hold_seq != message->loan.hold_seq)
+		return DW_STALE;
+	end_loan(share, up, i);
+	return DW_OK;
+}
+
+/** Records that @p holder holds the slot; the slot isn't settled by that. */
+static void record_hold(struct dw_share *share, struct dw_share_upstream *up, uint32_t i,
+			uint8_t holder, uint64_t seq)
+{
+	struct dw_share_slot *slot = &up->slots[i];
+
+	if (slot->state != DW_SLOT_FREE)
+		return;
+	dw_share_detach(share, up, i);
+	slot->state = DW_SLOT_LENT;
+	slot->holder = holder;
+	slot->hold_seq = seq;
+	dw_share_attach(share, up, i);
+}
+
+/** True if a handed-over loan still runs, as far as its borrower has said in this epoch. */
+static bool may_be_held(const struct dw_share *share, const struct dw_share_entry *entry)
+{
+	const struct dw_share_peer *borrower = &share->peers[entry->borrower];
+
+	if (entry->borrower == share->self_index)
+		return false;
+	return !borrower->acknowledged || entry->hold_seq > borrower->floor_seq;
+}
+
+/** A former owner hands an unsettled slot over: from now on it is ours to use and to lend. */
+static void take_over(struct dw_share *share, struct dw_share_upstream *up, uint32_t i,
+		      const struct dw_share_entry *entry)
+{
+	struct dw_share_slot *slot = &up->slots[i];
+
+	if (!slot->unsettled)
+		return;
+	if (entry->kind == DW_SHARE_HANDED_LENT && may_be_held(share, entry))
+		record_hold(share, up, i, entry->borrower, entry->hold_seq);
+	dw_share_detach(share, up, i);
+	slot->unsettled = false;
+	dw_share_attach(share, up, i);
+	if (slot->state == DW_SLOT_FREE)
+		dw_share_offer(share, up);
+}
+
+static enum dw_status check_declaration(const struct dw_share *share,
+					const struct dw_share_message *message)
+{
+	if (message->declare.entry_count > DW_SHARE_ENTRIES_MAX)
+		return dw_fail(DW_INVALID_ARGUMENT, "declaration too long");
+	for (uint32_t i = 0; i < message->declare.entry_count; i++) {
+		const struct dw_share_entry *entry = &message->declare.entries[i];
+		bool lent = entry->kind == DW_SHARE_HANDED_LENT;
+
+		if (entry->kind >= DW_SHARE_ENTRY_KIND_COUNT || entry->slot >= DW_SHARE_SLOTS_MAX ||
+		    (lent && entry->borrower >= share->roster.member_count))
+			return dw_fail(DW_INVALID_ARGUMENT, "declaration entry %u", i);
+	}
+	return DW_OK;
+}
+
+static enum dw_status apply_entry(struct dw_share *share, uint8_t member,
+				  const struct dw_share_entry *entry)
+{
+	struct dw_share_upstream *up;
+	enum dw_status status =
+		dw_share_track(share, entry->upstream_id, (uint32_t)entry->slot + 1, &up);
+
+	if (status != DW_OK)
+		return status;
+	if (!dw_share_owns(share, &up->slots[entry->slot]))
+		return DW_OK;
+	if (entry->kind == DW_SHARE_HELD)
+		record_hold(share, up, entry->slot, member, entry->hold_seq);
+	else
+		take_over(share, up, entry->slot, entry);
+	return DW_OK;
+}
+
+static int compare_entries(const void *a, const void *b)
+{
+	const struct dw_share_entry *left = a;
+	const struct dw_share_entry *right = b;
+
+	if (left->kind != right->kind)
+		return left->kind < right->kind ? -1 : 1;
+	if (left->hold_seq != right->hold_seq)
+		return left->hold_seq < right->hold_seq ? -1 : 1;
+	if (left->slot != right->slot)
+		return left->slot < right->slot ? -1 : 1;
+	return (left->upstream_id > right->upstream_id) - (left->upstream_id < right->upstream_id);
+}
+
+/** Ends the loans to @p member that its complete declaration doesn't name. */
+static void sweep_loans(struct dw_share *share, uint8_t member,
+			const struct dw_share_message *message)
+{
+	uint32_t count = message->declare.entry_count;
+	size_t size = sizeof(struct dw_share_entry);
+	struct dw_share_entry *sorted = calloc(count + 1, size);
+	uint32_t position = share->lent.count;
+
+	if (!sorted)
+		return;
+	if (count > 0)
+		memcpy(sorted, message->declare.entries, count * size);
+	qsort(sorted, count, size, compare_entries);
+	while (position-- > 0) {
+		struct dw_share_upstream *up = share->lent.refs[position].upstream;
+		uint32_t i = share->lent.refs[position].slot;
+		const struct dw_share_slot *slot = &up->slots[i];
+		struct dw_share_entry key = { .upstream_id = up->id,
+					      .hold_seq = slot->hold_seq,
+					      .slot = (uint16_t)i,
+					      .kind = DW_SHARE_HELD };
+
+		if (slot->holder == member && slot->hold_seq <= message->declare.floor_seq &&
+		    !bsearch(&key, sorted, count, size, compare_entries))
+			end_loan(share, up, i);
+	}
+	free(sorted);
+}
+
+static void acknowledge(struct dw_share *share, uint8_t member)
+{
+	share->peers[member].acknowledged = true;
+	if (share->settled)
+		return;
+	for (uint32_t i = 0; i < share->roster.member_count; i++) {
+		if (i != share->self_index && !share->peers[i].acknowledged)
+			return;
+	}
+	dw_share_settle(share);
+}
+
+static enum dw_status receive_declare(struct dw_share *share, uint8_t member,
+				      const struct dw_share_message *message)
+{
+	struct dw_share_peer *peer = &share->peers[member];
+	bool complete = message->declare.complete;
+	enum dw_status status = check_declaration(share, message);
+
+	if (status != DW_OK)
+		return status;
+	if (message->declare.seq <= peer->declared_seq)
+		return DW_STALE;
+	peer->declared_seq = message->declare.seq;
+	if (message->declare.floor_seq > peer->floor_seq)
+		peer->floor_seq = message->declare.floor_seq;
+	for (uint32_t i = 0; i < message->declare.entry_count; i++) {
+		if (apply_entry(share, member, &message->declare.entries[i]) != DW_OK)
+			complete = false;
+	}
+	if (complete) {
+		sweep_loans(share, member, message);
+		acknowledge(share, member);
+	}
+	if (message->declare.answer_wanted)
+		peer->declare_due = true;
+	return DW_OK;
+}
+
+enum dw_status dw_share_receive(struct dw_share *share, struct dw_member_key from,
+				const struct dw_share_message *message, uint64_t now_us)
+{
+	int32_t found = dw_roster_find(&share->roster, from);
+	bool current = message->epoch == share->roster.epoch && message->digest == share->digest;
+	uint8_t member = (uint8_t)found;
+
+	if (message->epoch > share->epoch_seen)
+		share->epoch_seen = message->epoch;
+	if (found < 0 || share->self_index == DW_MEMBER_NONE || member == share->self_index)
+		return DW_STALE;
+	if (message->kind != DW_SHARE_RETURN && !current)
+		return DW_STALE;
+	switch (message->kind) {
+	case DW_SHARE_ASK:
+		return receive_ask(share, member, message, now_us);
+	case DW_SHARE_GRANT:
+		return receive_grant(share, member, message, now_us);
+	case DW_SHARE_DENY:
+		return receive_deny(share, member, message);
+	case DW_SHARE_RETURN:
+		return receive_return(share, member, message);
+	case DW_SHARE_DECLARE:
+		return receive_declare(share, member, message);
+	case DW_SHARE_MESSAGE_KIND_COUNT:
+		break;
+	}
+	return dw_fail(DW_INVALID_ARGUMENT, "share message of kind %d", (int)message->kind);
+}
--- /dev/null
+++ b/src/core/share_view.c
@@ -0,0 +1,105 @@
+/**
+ * @file share_view.c
+ * What can be read from struct dw_share, and its end.
+ */
+#include "core/share_state.h"
+
+uint64_t dw_share_epoch(const struct dw_share *share)
+{
+	return share->roster.epoch;
+}
+
+uint64_t dw_share_epoch_seen(const struct dw_share *share)
+{
+	return share->epoch_seen > share->roster.epoch ? share->epoch_seen : share->roster.epoch;
+}
+
+bool dw_share_settled(const struct dw_share *share)
+{
+	return share->settled;
+}
+
+void dw_share_leave(struct dw_share *share)
+{
+	share->leaving = true;
+}
+
+bool dw_share_released(const struct dw_share *share)
+{
+	return share->leaving && share->holds.count == 0 && share->own_in_flight == 0;
+}
+
+static uint64_t earlier(uint64_t a, uint64_t b)
+{
+	return a < b ? a : b;
+}
+
+uint64_t dw_share_deadline_us(const struct dw_share *share)
+{
+	uint64_t deadline_us = UINT64_MAX;
+
+	if (share->self_index == DW_MEMBER_NONE)
+		return deadline_us;
+	if (share->unsettled_count > 0)
+		deadline_us = share->poll_at_us;
+	if (share->lent.count > 0)
+		deadline_us = earlier(deadline_us, share->loan_poll_at_us);
+	for (uint32_t i = 0; i < share->ask_count; i++)
+		deadline_us = earlier(deadline_us, share->asks[i].deadline_us);
+	for (uint32_t i = 0; i < share->waiter_count; i++)
+		deadline_us = earlier(deadline_us, share->waiters[i].deadline_us);
+	for (uint32_t i = 0; i < share->holds.count; i++) {
+		const struct dw_slot_ref *ref = &share->holds.refs[i];
+
+		if (ref->upstream->slots[ref->slot].state == DW_SLOT_IDLE)
+			deadline_us = earlier(deadline_us, ref->return_at_us);
+	}
+	return deadline_us;
+}
+
+static void count_owned(const struct dw_share_slot *slot, struct dw_share_upstream_status *out)
+{
+	out->owned++;
+	out->unsettled += slot->unsettled;
+	out->free += slot->state == DW_SLOT_FREE && !slot->unsettled;
+}
+
+enum dw_status dw_share_upstream_status(const struct dw_share *share, uint64_t upstream_id,
+					struct dw_share_upstream_status *out)
+{
+	const struct dw_share_upstream *up = dw_share_find(share, upstream_id);
+
+	if (!up)
+		return dw_fail(DW_NOT_FOUND, "no such upstream");
+	*out = (struct dw_share_upstream_status){ .limit = dw_share_limit(up), .asks = up->asks };
+	for (uint32_t i = 0; i < up->slot_count; i++) {
+		const struct dw_share_slot *slot = &up->slots[i];
+		bool owned = dw_share_owns(share, slot);
+
+		if (owned && i < out->limit)
+			count_owned(slot, out);
+		out->lent += slot->state == DW_SLOT_LENT;
+		out->in_flight += slot->state == DW_SLOT_USED;
+		out->borrowed +=
+			!owned && (slot->state == DW_SLOT_USED || slot->state == DW_SLOT_IDLE);
+	}
+	return DW_OK;
+}
+
+uint64_t dw_share_state_bytes(const struct dw_share *share)
+{
+	uint64_t bytes = sizeof(*share);
+
+	for (const struct dw_share_upstream *up = share->upstreams; up; up = up->hh.next) {
+		uint64_t words = (up->slot_count + 63) / 64;
+
+		bytes += sizeof(*up) + up->slot_count * sizeof(up->slots[0]);
+		bytes += 2 * words * sizeof(uint64_t);
+	}
+	bytes += HASH_OVERHEAD(hh, share->upstreams);
+	bytes += (uint64_t)share->holds.capacity * sizeof(struct dw_slot_ref);
+	bytes += (uint64_t)share->lent.capacity * sizeof(struct dw_slot_ref);
+	bytes += (uint64_t)share->handed_capacity * sizeof(struct dw_share_handed);
+	bytes += (uint64_t)share->outbox_capacity * sizeof(struct dw_share_outgoing);
+	return bytes + (uint64_t)share->ready_capacity * sizeof(uint64_t);
+}
