--- a/include/dragonflywharf/share.h
+++ b/include/dragonflywharf/share.h
@@ -89,7 +89,7 @@
 /** Frees what the message owns. */
 void dw_share_message_clear(struct dw_share_message *message);
 
-struct dw_share_upstream_status {
+struct dw_share_status {
 	uint32_t limit; /**< in force now: the limit, or the cold one */
 	uint32_t owned; /**< of the slots in force */
 	uint32_t free; /**< owned ones that may be used or lent now */
@@ -171,7 +171,7 @@
 bool dw_share_released(const struct dw_share *share);
 
 enum dw_status dw_share_upstream_status(const struct dw_share *share, uint64_t upstream_id,
-					struct dw_share_upstream_status *out);
+					struct dw_share_status *out);
 
 /** Bytes held by @p share. */
 uint64_t dw_share_state_bytes(const struct dw_share *share);
--- a/src/core/share_view.c
+++ b/src/core/share_view.c
@@ -57,7 +57,7 @@
 	return deadline_us;
 }
 
-static void count_owned(const struct dw_share_slot *slot, struct dw_share_upstream_status *out)
+static void count_owned(const struct dw_share_slot *slot, struct dw_share_status *out)
 {
 	out->owned++;
 	out->unsettled += slot->unsettled;
@@ -65,13 +65,13 @@
 }
 
 enum dw_status dw_share_upstream_status(const struct dw_share *share, uint64_t upstream_id,
-					struct dw_share_upstream_status *out)
+					struct dw_share_status *out)
 {
 	const struct dw_share_upstream *up = dw_share_find(share, upstream_id);
 
 	if (!up)
 		return dw_fail(DW_NOT_FOUND, "no such upstream");
-	*out = (struct dw_share_upstream_status){ .limit = dw_share_limit(up), .asks = up->asks };
+	*out = (struct dw_share_status){ .limit = dw_share_limit(up), .asks = up->asks };
 	for (uint32_t i = 0; i < up->slot_count; i++) {
 		const struct dw_share_slot *slot = &up->slots[i];
 		bool owned = dw_share_owns(share, slot);
--- /dev/null
+++ b/tests/share_test.cc
@@ -0,0 +1,462 @@
+/**
+ * Load shares: rules one by one, then a model of instances, network, store and platform list under
+ * random faults. A failing seed is printed; WHARF_SEED=n replays it alone, WHARF_SEEDS=n runs more.
+ */
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <cstring>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "dragonflywharf/share.h"
+#include "net/share_codec.h"
+
+namespace
+{
+
+constexpr uint64_t MS = 1000;
+constexpr uint64_t S = 1000000;
+
+struct Packet {
+	dw_member_key from;
+	dw_member_key to;
+	std::string bytes;
+};
+
+struct Running {
+	dw_permit permit;
+	uint32_t limit; /* the acquirer's limit in force at that time */
+};
+
+/** One name on the platform, and the process that runs under it now. */
+struct Instance {
+	dw_member_key key{};
+	bool alive = false;
+	bool paused = false;
+	bool leaving = false;
+	uint64_t unlisted_since_us = UINT64_MAX;
+	dw_share *share = nullptr;
+	std::vector<Running> running;
+};
+
+struct Limits {
+	uint32_t limit;
+	uint32_t cold_limit;
+	bool cold;
+};
+
+class World
+{
+    public:
+	explicit World(uint64_t seed, uint32_t count) : random(seed), instances(count)
+	{
+		for (uint32_t i = 0; i < count; i++)
+			start(i);
+	}
+
+	~World()
+	{
+		for (Instance &instance : instances)
+			dw_share_free(instance.share);
+	}
+
+	uint64_t below(uint64_t bound)
+	{
+		return random() % bound;
+	}
+
+	bool chance(uint32_t permille)
+	{
+		return below(1000) < permille;
+	}
+
+	Instance &any()
+	{
+		return instances[below(instances.size())];
+	}
+
+	uint64_t any_upstream()
+	{
+		return 1 + below(upstreams.size());
+	}
+
+	void start(uint32_t i)
+	{
+		Instance &instance = instances[i];
+
+		dw_share_free(instance.share);
+		instance = Instance();
+		instance.key = { 1000 + i, ++runs };
+		instance.alive = true;
+		instance.share = dw_share_new(instance.key);
+		for (auto &upstream : upstreams)
+			configure(instance, upstream.first);
+	}
+
+	void kill(Instance &instance)
+	{
+		instance.alive = false;
+		instance.running.clear();
+		instance.unlisted_since_us = now_us + below(5 * S);
+	}
+
+	void configure(Instance &instance, uint64_t id)
+	{
+		const Limits &limits = upstreams[id];
+
+		dw_share_set_upstream(instance.share, id, limits.limit, limits.cold_limit);
+		dw_share_set_cold(instance.share, id, limits.cold);
+	}
+
+	/** What an instance takes for true: it may call a paused one dead, never unlisted. */
+	dw_roster_observation observe(const Instance &instance)
+	{
+		dw_roster_observation seen = {};
+
+		seen.member.key = instance.key;
+		snprintf(seen.member.name, sizeof(seen.member.name), "i%d",
+			 (int)instance.key.instance_id);
+		seen.condition = DW_ROSTER_ALIVE;
+		if (instance.paused)
+			seen.condition = chance(500) ? DW_ROSTER_DEAD : DW_ROSTER_UNREACHABLE;
+		if (!instance.alive)
+			seen.condition = DW_ROSTER_DEAD;
+		if (instance.alive && dw_share_released(instance.share))
+			seen.condition = DW_ROSTER_RELEASED;
+		seen.was_listed = true;
+		seen.unlisted_since_us = now_us >= instance.unlisted_since_us ?
+						 instance.unlisted_since_us :
+						 UINT64_MAX;
+		return seen;
+	}
+
+	/** An instance proposes the next roster; another's write in between makes it lose. */
+	void propose()
+	{
+		std::vector<dw_roster_observation> seen;
+		dw_roster_list_state list = { now_us, (uint32_t)instances.size() };
+		auto next = std::make_unique<dw_roster>();
+
+		for (Instance &instance : instances)
+			seen.push_back(observe(instance));
+		if (store_up && dw_roster_propose(&store, seen.data(), (uint32_t)seen.size(), &list,
+						  now_us, next.get()) == DW_OK)
+			store = *next;
+	}
+
+	void adopt(Instance &instance)
+	{
+		if (store_up && store.epoch > 0) {
+			ASSERT_EQ(dw_share_set_roster(instance.share, &store, now_us), DW_OK);
+		}
+	}
+
+	/** Moves an instance's outbox into the network; a cut swallows it. */
+	void flush(Instance &instance)
+	{
+		dw_member_key to;
+		dw_share_message message;
+
+		while (dw_share_next_message(instance.share, &to, &message)) {
+			msgpack_sbuffer buffer;
+			msgpack_packer packer;
+
+			msgpack_sbuffer_init(&buffer);
+			msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+			dw_share_message_pack(&packer, &message);
+			if (!cuts.count({ instance.key.instance_id, to.instance_id }))
+				network.push_back({ instance.key, to,
+						    std::string(buffer.data, buffer.size) });
+			msgpack_sbuffer_destroy(&buffer);
+			dw_share_message_clear(&message);
+		}
+	}
+
+	void deliver(size_t position, bool keep)
+	{
+		Packet packet = network[position];
+		Instance &to = instances[packet.to.instance_id - 1000];
+		msgpack_unpacked unpacked;
+		dw_share_message message;
+
+		if (to.paused)
+			return;
+		if (!keep) {
+			network[position] = network.back();
+			network.pop_back();
+		}
+		if (!to.alive || !dw_member_key_equal(to.key, packet.to))
+			return;
+		msgpack_unpacked_init(&unpacked);
+		ASSERT_EQ(msgpack_unpack_next(&unpacked, packet.bytes.data(), packet.bytes.size(),
+					      nullptr),
+			  MSGPACK_UNPACK_SUCCESS);
+		ASSERT_EQ(dw_share_message_unpack(&unpacked.data, &message), DW_OK);
+		dw_share_receive(to.share, packet.from, &message, now_us);
+		dw_share_message_clear(&message);
+		msgpack_unpacked_destroy(&unpacked);
+		flush(to);
+	}
+
+	void deliver_all()
+	{
+		while (!network.empty())
+			deliver(0, false);
+	}
+
+	/** Lets every live instance act on the time, and all messages arrive. */
+	void pass(uint64_t us)
+	{
+		now_us += us;
+		for (Instance &instance : instances) {
+			if (!instance.alive)
+				continue;
+			dw_share_tick(instance.share, now_us);
+			flush(instance);
+		}
+		deliver_all();
+	}
+
+	uint32_t limit_seen(const Instance &instance, uint64_t id)
+	{
+		dw_share_status status = {};
+
+		dw_share_upstream_status(instance.share, id, &status);
+		return status.limit;
+	}
+
+	bool acquire(Instance &instance, uint64_t id)
+	{
+		dw_permit permit;
+
+		if (dw_share_acquire(instance.share, id, now_us, &permit) != DW_OK)
+			return false;
+		instance.running.push_back({ permit, limit_seen(instance, id) });
+		EXPECT_LT(permit.slot, instance.running.back().limit);
+		return true;
+	}
+
+	void release(Instance &instance, size_t position)
+	{
+		Running running = instance.running[position];
+
+		instance.running.erase(instance.running.begin() + (long)position);
+		ASSERT_EQ(dw_share_release(instance.share, &running.permit, now_us), DW_OK);
+		flush(instance);
+	}
+
+	/**
+	 * The promise: no slot runs two requests, so no upstream runs more than the highest limit
+	 * under which one of its running requests got its permit.
+	 */
+	void check()
+	{
+		std::set<std::pair<uint64_t, uint32_t>> taken;
+		std::map<uint64_t, std::pair<uint32_t, uint32_t>> sums;
+
+		for (Instance &instance : instances) {
+			for (Running &running : instance.running) {
+				uint64_t id = running.permit.upstream_id;
+				auto &sum = sums[id];
+
+				ASSERT_TRUE(taken.insert({ id, running.permit.slot }).second)
+					<< "two requests on slot " << running.permit.slot;
+				sum.first++;
+				sum.second = std::max(sum.second, running.limit);
+			}
+		}
+		for (auto &sum : sums)
+			ASSERT_LE(sum.second.first, sum.second.second);
+	}
+
+	void step();
+	void heal();
+	void check_capacity();
+
+	std::mt19937_64 random;
+	uint64_t now_us = 100 * S;
+	uint64_t runs = 0;
+	std::vector<Instance> instances;
+	std::map<uint64_t, Limits> upstreams;
+	std::vector<Packet> network;
+	std::set<std::pair<uint64_t, uint64_t>> cuts; /* from, to */
+	dw_roster store = {};
+	bool store_up = true;
+};
+
+void World::step()
+{
+	uint64_t dice = below(1000);
+	Instance &instance = any();
+	uint64_t id = any_upstream();
+	bool runs_now = instance.alive && !instance.paused;
+
+	now_us += chance(20) ? below(20 * S) : below(20 * MS);
+	if (dice < 330) {
+		if (!network.empty())
+			deliver(below(network.size()), chance(50));
+	} else if (dice < 350) {
+		if (!network.empty())
+			network.erase(network.begin() + (long)below(network.size()));
+	} else if (dice < 600) {
+		if (runs_now && !acquire(instance, id))
+			dw_share_want(instance.share, id, 1 + (uint32_t)below(4), now_us);
+	} else if (dice < 750) {
+		if (runs_now && !instance.running.empty())
+			release(instance, below(instance.running.size()));
+	} else if (dice < 840) {
+		if (runs_now)
+			dw_share_tick(instance.share, now_us);
+	} else if (dice < 860) {
+		instance.paused = instance.alive && !instance.paused;
+	} else if (dice < 870) {
+		if (!instance.alive)
+			start((uint32_t)(&instance - instances.data()));
+		else if (chance(500))
+			kill(instance);
+	} else if (dice < 890) {
+		propose();
+	} else if (dice < 950) {
+		if (runs_now)
+			adopt(instance);
+	} else if (dice < 955) {
+		store_up = !store_up;
+	} else if (dice < 965) {
+		std::pair<uint64_t, uint64_t> link = { instance.key.instance_id,
+						       any().key.instance_id };
+
+		if (!cuts.erase(link))
+			cuts.insert(link);
+	} else if (dice < 975) {
+		upstreams[id].limit = 1 + (uint32_t)below(2 * instances.size());
+		upstreams[id].cold_limit = 1 + (uint32_t)below(2);
+	} else if (dice < 980) {
+		upstreams[id].cold = !upstreams[id].cold;
+	} else if (dice < 997) {
+		if (runs_now)
+			configure(instance, id);
+	} else if (runs_now && instance.running.empty()) {
+		dw_share_leave(instance.share);
+	}
+	if (instance.alive && !instance.paused)
+		flush(instance);
+}
+
+/** Faults end, requests end, and the messages that are due go to and fro. */
+void World::heal()
+{
+	cuts.clear();
+	store_up = true;
+	for (Instance &instance : instances) {
+		instance.paused = false;
+		if (!instance.alive)
+			continue;
+		while (!instance.running.empty())
+			release(instance, 0);
+		for (auto &upstream : upstreams)
+			configure(instance, upstream.first);
+	}
+	for (int round = 0; round < 8; round++) {
+		propose();
+		for (Instance &instance : instances) {
+			if (instance.alive)
+				adopt(instance);
+		}
+		pass(15 * S);
+		check();
+	}
+}
+
+/** At rest each slot in force is free at one owner, and one instance alone can use them all. */
+void World::check_capacity()
+{
+	Instance *last = nullptr;
+
+	for (auto &upstream : upstreams) {
+		uint32_t free = 0;
+
+		for (Instance &instance : instances) {
+			dw_share_status status = {};
+
+			if (!instance.alive)
+				continue;
+			dw_share_upstream_status(instance.share, upstream.first, &status);
+			free += status.free;
+			ASSERT_EQ(status.unsettled, 0U);
+			ASSERT_EQ(status.lent + status.borrowed + status.in_flight, 0U);
+			if (dw_roster_find(&store, instance.key) >= 0)
+				last = &instance;
+		}
+		if (last) {
+			ASSERT_EQ(free, limit_seen(*last, upstream.first));
+		}
+	}
+	if (!last)
+		return;
+	for (auto &upstream : upstreams) {
+		for (int round = 0; round < 200 && acquire(*last, upstream.first) + 1; round++) {
+			dw_share_want(last->share, upstream.first, 4, now_us);
+			pass(DW_SHARE_DENIED_US);
+			check();
+		}
+		ASSERT_EQ((uint32_t)std::count_if(last->running.begin(), last->running.end(),
+						  [&](const Running &running) {
+							  return running.permit.upstream_id ==
+								 upstream.first;
+						  }),
+			  limit_seen(*last, upstream.first));
+	}
+}
+
+/** A settled group of @p count instances before one warm upstream, 1. */
+std::unique_ptr<World> quiet_world(uint32_t count, uint32_t limit)
+{
+	auto world = std::make_unique<World>(1, count);
+
+	world->upstreams[1] = { limit, 1, false };
+	world->heal();
+	return world;
+}
+
+uint64_t setting(const char *name, uint64_t fallback)
+{
+	const char *value = getenv(name);
+
+	return value ? strtoull(value, nullptr, 10) : fallback;
+}
+
+TEST(ShareModel, NoSlotRunsTwoRequestsAndNoneIsLost)
+{
+	uint64_t first = setting("WHARF_SEED", 1);
+	uint64_t seeds = getenv("WHARF_SEED") ? 1 : setting("WHARF_SEEDS", 3000);
+
+	for (uint64_t seed = first; seed < first + seeds; seed++) {
+		World world(seed, 2 + seed % 8);
+
+		SCOPED_TRACE("replay with WHARF_SEED=" + std::to_string(seed));
+		for (uint64_t id = 1; id <= 1 + seed % 3; id++)
+			world.upstreams[id] = { 1 + (uint32_t)world.below(2 * (2 + seed % 8)), 1,
+						false };
+		for (Instance &instance : world.instances) {
+			for (auto &upstream : world.upstreams)
+				world.configure(instance, upstream.first);
+		}
+		for (int step = 0; step < 600 && !testing::Test::HasFailure(); step++) {
+			world.step();
+			world.check();
+		}
+		if (!testing::Test::HasFailure())
+			world.heal();
+		if (!testing::Test::HasFailure())
+			world.check_capacity();
+		ASSERT_FALSE(testing::Test::HasFailure());
+	}
+}
+
+} // namespace
