--- a/include/dragonflywharf/entity.h
+++ b/include/dragonflywharf/entity.h
@@ -62,7 +62,7 @@
 	const char *const *cascade; /**< names of models to try first, cheapest first */
 	size_t cascade_count;
 	uint32_t quality_target_permille;
-	const struct dw_version *const *versions; /**< live and withdrawn, sorted by name */
+	const struct dw_version *const *versions; /**< live and withdrawn, in no order */
 	size_t version_count;
 	uint64_t revision;
 };
@@ -74,7 +74,7 @@
 	uint32_t rollout_weight;
 	uint64_t cost_micros_per_1k_tokens;
 	uint64_t release_order;
-	const struct dw_upstream *const *upstreams; /**< those that serve it, sorted by name */
+	const struct dw_upstream *const *upstreams; /**< those that serve it, in no order */
 	size_t upstream_count;
 	uint64_t revision;
 };
@@ -101,7 +101,7 @@
 	const char *name;
 	const char *const *idempotent_paths; /**< sorted by strcmp() */
 	size_t idempotent_path_count;
-	const struct dw_upstream *const *upstreams; /**< sorted by name */
+	const struct dw_upstream *const *upstreams; /**< in no order */
 	size_t upstream_count;
 	uint64_t revision;
 };
@@ -115,6 +115,9 @@
 /** True if @p name has 1 to 64 characters of [a-z0-9._-]. */
 bool dw_name_valid(const char *name);
 
+/** True if @p ip is a numeric IPv4 address in its usual form, without leading zeros. */
+bool dw_ipv4_valid(const char *ip);
+
 /**
  * Checks every field: names, addresses, limits, key hashes, the syntax of references and the
  * counts. Whether referenced entities exist isn't checked, as they may come later.
@@ -122,6 +125,9 @@
  */
 enum dw_status dw_entity_check(const Dragonflywharf__Entity *entity);
 
+/** The kind that is set. Errors: DW_INVALID_ARGUMENT. */
+enum dw_status dw_entity_kind(const Dragonflywharf__Entity *entity, enum dw_entity_kind *kind);
+
 /** Writes the entity's key, for instance "version/MODEL/NAME". Errors: DW_INVALID_ARGUMENT. */
 enum dw_status dw_entity_key(const Dragonflywharf__Entity *entity, char out[DW_ENTITY_KEY_BYTES]);
 
--- a/include/dragonflywharf/ruleset.h
+++ b/include/dragonflywharf/ruleset.h
@@ -37,7 +37,7 @@
 	bool diverged; /**< a snapshot contradicts the known history: a restored store */
 };
 
-/** Told during apply; must not call back into the ruleset's apply functions. */
+/** Told at the end of an apply, once the new values can be read; must not call back into the ruleset's apply functions. */
 struct dw_ruleset_observer {
 	/** A key has changed. May be NULL. */
 	void (*changed)(const char *key, uint64_t mod_revision, bool deleted, void *data);
@@ -57,16 +57,18 @@
 /**
  * Applies the changes of the store revisions in (from_revision, to_revision]: the latest of each
  * changed key is enough. An item that fails its check is skipped and told to the observer; the
- * others come into force (docs/design/configuration.md says why).
+ * others come into force (docs/design/configuration.md says why). At an equal revision the higher
+ * modification revision of each key wins, which mends instances whose digests differ.
  * Errors, all without effect: DW_UNAVAILABLE (gap: pull since dw_ruleset_revision()), DW_STALE
- * (to_revision isn't newer), DW_INVALID_ARGUMENT (an item outside the range), DW_NO_MEMORY.
+ * (to_revision is older), DW_INVALID_ARGUMENT (an item after to_revision), DW_NO_MEMORY.
  */
 enum dw_status dw_ruleset_apply_delta(struct dw_ruleset *ruleset, uint64_t from_revision,
 				      uint64_t to_revision, const struct dw_ruleset_item *items,
 				      size_t count, struct dw_ruleset_result *result);
 
 /**
- * Applies all keys as of @p to_revision; a known key that is absent has been deleted.
+ * Applies all keys as of @p to_revision; a known key that is absent has been deleted, unless the
+ * snapshot contradicts the known history or its revision isn't newer.
  * Errors as above, but for the gap.
  */
 enum dw_status dw_ruleset_apply_snapshot(struct dw_ruleset *ruleset, uint64_t to_revision,
@@ -128,6 +130,10 @@
 bool dw_ruleset_model_allowed(const struct dw_organisation *organisation,
 			      const struct dw_model *model);
 
+/** True if the organisation may use the version, live or not. */
+bool dw_organisation_allows(const struct dw_organisation *organisation,
+			    const struct dw_version *version);
+
 /**
  * DW_OK if the organisation may use the version and it is live; DW_FORBIDDEN, DW_WITHDRAWN or
  * DW_NOT_FOUND else. Asked when a request comes and again at each dispatch.
--- /dev/null
+++ b/src/core/ruleset_entry.c
@@ -0,0 +1,228 @@
+#include "core/ruleset_entry.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static int compare_texts(const void *a, const void *b)
+{
+	const char *const *left = a;
+	const char *const *right = b;
+
+	return strcmp(*left, *right);
+}
+
+static const char *const *sorted(char **texts, size_t count)
+{
+	if (count > 1)
+		qsort(texts, count, sizeof(*texts), compare_texts);
+	return (const char *const *)texts;
+}
+
+static void view_organisation(struct dw_ruleset_entry *entry)
+{
+	Dragonflywharf__Organisation *from = entry->entity->organisation;
+
+	entry->organisation = (struct dw_organisation){
+		.name = from->name,
+		.allowed = sorted(from->allowed, from->n_allowed),
+		.allowed_count = from->n_allowed,
+		.allowed_services = sorted(from->allowed_services, from->n_allowed_services),
+		.allowed_service_count = from->n_allowed_services,
+		.max_in_flight = from->max_in_flight,
+		.weight = from->weight > 0 ? from->weight : 1,
+		.revision = entry->mod_revision,
+	};
+}
+
+static void view_model(struct dw_ruleset_entry *entry)
+{
+	Dragonflywharf__Model *from = entry->entity->model;
+
+	entry->model = (struct dw_model){
+		.name = from->name,
+		.cascade = (const char *const *)from->cascade,
+		.cascade_count = from->n_cascade,
+		.quality_target_permille = from->quality_target_permille,
+		.revision = entry->mod_revision,
+	};
+}
+
+static void view_version(struct dw_ruleset_entry *entry)
+{
+	Dragonflywharf__Version *from = entry->entity->version;
+
+	entry->version = (struct dw_version){
+		.model = from->model,
+		.name = from->name,
+		.live = from->state == DRAGONFLYWHARF__VERSION_STATE__VERSION_LIVE,
+		.rollout_weight = from->rollout_weight,
+		.cost_micros_per_1k_tokens = from->cost_micros_per_1k_tokens,
+		.release_order = from->release_order,
+		.revision = entry->mod_revision,
+	};
+}
+
+static void view_upstream(struct dw_ruleset_entry *entry)
+{
+	Dragonflywharf__Upstream *from = entry->entity->upstream;
+
+	entry->upstream = (struct dw_upstream){
+		.name = from->name,
+		.is_service = from->kind == DRAGONFLYWHARF__UPSTREAM_KIND__UPSTREAM_SERVICE,
+		.ip = from->ip,
+		.port = (uint16_t)from->port,
+		.failure_domain_name = from->failure_domain,
+		.serves = (const char *const *)from->serves,
+		.serves_count = from->n_serves,
+		.service = from->service,
+		.limit = from->limit,
+		.cold_limit = from->cold_limit,
+		.cold_period_ms = from->cold_period_ms,
+		.in_service = from->state == DRAGONFLYWHARF__UPSTREAM_STATE__UPSTREAM_IN_SERVICE,
+		.checks_fencing = from->checks_fencing,
+		.revision = entry->mod_revision,
+	};
+}
+
+static void view_service(struct dw_ruleset_entry *entry)
+{
+	Dragonflywharf__Service *from = entry->entity->service;
+
+	entry->service = (struct dw_service){
+		.name = from->name,
+		.idempotent_paths = sorted(from->idempotent_paths, from->n_idempotent_paths),
+		.idempotent_path_count = from->n_idempotent_paths,
+		.revision = entry->mod_revision,
+	};
+}
+
+static void view_failure_domain(struct dw_ruleset_entry *entry)
+{
+	Dragonflywharf__FailureDomain *from = entry->entity->failure_domain;
+
+	entry->failure_domain = (struct dw_failure_domain){
+		.name = from->name,
+		.in_service = from->state == DRAGONFLYWHARF__DOMAIN_STATE__DOMAIN_IN_SERVICE,
+		.revision = entry->mod_revision,
+	};
+}
+
+static void (*const views[DW_ENTITY_KIND_COUNT])(struct dw_ruleset_entry *entry) = {
+	[DW_ENTITY_ORGANISATION] = view_organisation,
+	[DW_ENTITY_MODEL] = view_model,
+	[DW_ENTITY_VERSION] = view_version,
+	[DW_ENTITY_UPSTREAM] = view_upstream,
+	[DW_ENTITY_SERVICE] = view_service,
+	[DW_ENTITY_FAILURE_DOMAIN] = view_failure_domain,
+};
+
+static enum dw_status check_key(const Dragonflywharf__Entity *entity, const char *key)
+{
+	char expected[DW_ENTITY_KEY_BYTES];
+	enum dw_status status = dw_entity_key(entity, expected);
+
+	if (!status && strcmp(expected, key))
+		return dw_fail(DW_INVALID_ARGUMENT, "value names the key %s", expected);
+	return status;
+}
+
+static enum dw_status unpack(struct dw_ruleset_entry *entry, const struct dw_ruleset_item *item)
+{
+	enum dw_status status;
+
+	if (item->len > DW_ENTITY_MAX_BYTES)
+		return dw_fail(DW_TOO_LARGE, "value over %d bytes", DW_ENTITY_MAX_BYTES);
+	entry->entity = dragonflywharf__entity__unpack(NULL, item->len, item->bytes);
+	if (!entry->entity)
+		return dw_fail(DW_INVALID_ARGUMENT, "value is no packed entity");
+	status = dw_entity_check(entry->entity);
+	if (!status)
+		status = check_key(entry->entity, item->key);
+	if (!status)
+		status = dw_entity_kind(entry->entity, &entry->kind);
+	if (status)
+		return status;
+	entry->bytes = malloc(item->len);
+	if (!entry->bytes)
+		return dw_fail(DW_NO_MEMORY, "no memory for a value");
+	memcpy(entry->bytes, item->bytes, item->len);
+	entry->len = item->len;
+	views[entry->kind](entry);
+	return DW_OK;
+}
+
+enum dw_status dw_ruleset_entry_new(struct dw_ruleset_entry **out,
+				    const struct dw_ruleset_item *item)
+{
+	struct dw_ruleset_entry *entry = calloc(1, sizeof(*entry));
+	enum dw_status status = DW_OK;
+
+	*out = NULL;
+	if (entry)
+		entry->key = strdup(item->key);
+	if (!entry || !entry->key) {
+		free(entry);
+		return dw_fail(DW_NO_MEMORY, "no memory for a key");
+	}
+	entry->mod_revision = item->mod_revision;
+	entry->deleted = item->deleted;
+	if (!item->deleted)
+		status = unpack(entry, item);
+	if (status) {
+		dw_ruleset_entry_free(entry);
+		return status;
+	}
+	*out = entry;
+	return DW_OK;
+}
+
+static void drop_value(struct dw_ruleset_entry *entry)
+{
+	if (entry->entity)
+		dragonflywharf__entity__free_unpacked(entry->entity, NULL);
+	free(entry->bytes);
+	entry->entity = NULL;
+	entry->bytes = NULL;
+	entry->len = 0;
+}
+
+void dw_ruleset_entry_replace(struct dw_ruleset_entry *entry, struct dw_ruleset_entry *fresh)
+{
+	drop_value(entry);
+	entry->mod_revision = fresh->mod_revision;
+	entry->deleted = fresh->deleted;
+	entry->bytes = fresh->bytes;
+	entry->len = fresh->len;
+	entry->entity = fresh->entity;
+	entry->kind = fresh->kind;
+	if (!entry->deleted)
+		views[entry->kind](entry);
+	fresh->bytes = NULL;
+	fresh->entity = NULL;
+	dw_ruleset_entry_free(fresh);
+}
+
+void dw_ruleset_entry_delete(struct dw_ruleset_entry *entry, uint64_t mod_revision)
+{
+	drop_value(entry);
+	entry->deleted = true;
+	entry->mod_revision = mod_revision;
+}
+
+void dw_ruleset_entry_free(struct dw_ruleset_entry *entry)
+{
+	drop_value(entry);
+	free(entry->key);
+	free(entry);
+}
+
+struct dw_ruleset_item dw_ruleset_entry_item(const struct dw_ruleset_entry *entry)
+{
+	return (struct dw_ruleset_item){
+		.key = entry->key,
+		.mod_revision = entry->mod_revision,
+		.deleted = entry->deleted,
+		.bytes = entry->bytes,
+		.len = entry->len,
+	};
+}
--- /dev/null
+++ b/tests/support/entities.cc
@@ -0,0 +1,191 @@
+#include "support/entities.h"
+
+namespace dw_test
+{
+
+namespace
+{
+
+Change pack(Dragonflywharf__Entity &entity)
+{
+	Change change;
+	char key[DW_ENTITY_KEY_BYTES];
+
+	entity.change_id = const_cast<char *>("change");
+	dw_entity_key(&entity, key);
+	change.key = key;
+	change.bytes.resize(dragonflywharf__entity__get_packed_size(&entity));
+	dragonflywharf__entity__pack(&entity, reinterpret_cast<uint8_t *>(&change.bytes[0]));
+	return change;
+}
+
+char *text(const std::string &from)
+{
+	return const_cast<char *>(from.c_str());
+}
+
+std::vector<char *> texts(const std::vector<std::string> &from)
+{
+	std::vector<char *> out;
+
+	for (const auto &one : from)
+		out.push_back(text(one));
+	return out;
+}
+
+std::vector<dw_ruleset_item> items(const std::vector<Change> &changes)
+{
+	std::vector<dw_ruleset_item> out;
+
+	for (const auto &change : changes)
+		out.push_back(change.item());
+	return out;
+}
+
+} // namespace
+
+Change organisation(const std::string &name, std::vector<std::string> allowed,
+		    std::vector<std::string> services, std::vector<std::string> hashes)
+{
+	Dragonflywharf__Entity entity = DRAGONFLYWHARF__ENTITY__INIT;
+	Dragonflywharf__Organisation one = DRAGONFLYWHARF__ORGANISATION__INIT;
+	auto allowed_texts = texts(allowed), service_texts = texts(services);
+	std::vector<ProtobufCBinaryData> data;
+
+	for (auto &hash : hashes)
+		data.push_back({ hash.size(), reinterpret_cast<uint8_t *>(&hash[0]) });
+	one.name = text(name);
+	one.n_allowed = allowed_texts.size();
+	one.allowed = allowed_texts.data();
+	one.n_allowed_services = service_texts.size();
+	one.allowed_services = service_texts.data();
+	one.n_key_hashes = data.size();
+	one.key_hashes = data.data();
+	entity.kind_case = DRAGONFLYWHARF__ENTITY__KIND_ORGANISATION;
+	entity.organisation = &one;
+	return pack(entity);
+}
+
+Change model(const std::string &name, std::vector<std::string> cascade)
+{
+	Dragonflywharf__Entity entity = DRAGONFLYWHARF__ENTITY__INIT;
+	Dragonflywharf__Model one = DRAGONFLYWHARF__MODEL__INIT;
+	auto cascade_texts = texts(cascade);
+
+	one.name = text(name);
+	one.n_cascade = cascade_texts.size();
+	one.cascade = cascade_texts.data();
+	entity.kind_case = DRAGONFLYWHARF__ENTITY__KIND_MODEL;
+	entity.model = &one;
+	return pack(entity);
+}
+
+Change version(const std::string &model, const std::string &name, bool live, uint32_t weight)
+{
+	Dragonflywharf__Entity entity = DRAGONFLYWHARF__ENTITY__INIT;
+	Dragonflywharf__Version one = DRAGONFLYWHARF__VERSION__INIT;
+
+	one.model = text(model);
+	one.name = text(name);
+	one.state = live ? DRAGONFLYWHARF__VERSION_STATE__VERSION_LIVE
+			 : DRAGONFLYWHARF__VERSION_STATE__VERSION_WITHDRAWN;
+	one.rollout_weight = weight;
+	entity.kind_case = DRAGONFLYWHARF__ENTITY__KIND_VERSION;
+	entity.version = &one;
+	return pack(entity);
+}
+
+Change upstream(const UpstreamSpec &spec)
+{
+	Dragonflywharf__Entity entity = DRAGONFLYWHARF__ENTITY__INIT;
+	Dragonflywharf__Upstream one = DRAGONFLYWHARF__UPSTREAM__INIT;
+	auto serves = texts(spec.service.empty() ? spec.serves : std::vector<std::string>());
+
+	one.name = text(spec.name);
+	one.kind = spec.service.empty() ? DRAGONFLYWHARF__UPSTREAM_KIND__UPSTREAM_MODEL_ENGINE
+					: DRAGONFLYWHARF__UPSTREAM_KIND__UPSTREAM_SERVICE;
+	one.ip = text(spec.ip);
+	one.port = spec.port;
+	one.failure_domain = text(spec.failure_domain);
+	one.n_serves = serves.size();
+	one.serves = serves.data();
+	one.service = text(spec.service);
+	one.limit = spec.limit;
+	one.cold_limit = spec.cold_limit;
+	one.state = spec.leaving ? DRAGONFLYWHARF__UPSTREAM_STATE__UPSTREAM_LEAVING
+				 : DRAGONFLYWHARF__UPSTREAM_STATE__UPSTREAM_IN_SERVICE;
+	entity.kind_case = DRAGONFLYWHARF__ENTITY__KIND_UPSTREAM;
+	entity.upstream = &one;
+	return pack(entity);
+}
+
+Change service(const std::string &name, std::vector<std::string> paths)
+{
+	Dragonflywharf__Entity entity = DRAGONFLYWHARF__ENTITY__INIT;
+	Dragonflywharf__Service one = DRAGONFLYWHARF__SERVICE__INIT;
+	auto path_texts = texts(paths);
+
+	one.name = text(name);
+	one.n_idempotent_paths = path_texts.size();
+	one.idempotent_paths = path_texts.data();
+	entity.kind_case = DRAGONFLYWHARF__ENTITY__KIND_SERVICE;
+	entity.service = &one;
+	return pack(entity);
+}
+
+Change failure_domain(const std::string &name, bool in_service)
+{
+	Dragonflywharf__Entity entity = DRAGONFLYWHARF__ENTITY__INIT;
+	Dragonflywharf__FailureDomain one = DRAGONFLYWHARF__FAILURE_DOMAIN__INIT;
+
+	one.name = text(name);
+	one.state = in_service ? DRAGONFLYWHARF__DOMAIN_STATE__DOMAIN_IN_SERVICE
+			       : DRAGONFLYWHARF__DOMAIN_STATE__DOMAIN_DRAINED;
+	entity.kind_case = DRAGONFLYWHARF__ENTITY__KIND_FAILURE_DOMAIN;
+	entity.failure_domain = &one;
+	return pack(entity);
+}
+
+Change at(uint64_t revision, Change change)
+{
+	change.revision = revision;
+	return change;
+}
+
+enum dw_status apply(dw_ruleset *ruleset, uint64_t from, uint64_t to,
+		     const std::vector<Change> &changes, dw_ruleset_result *result)
+{
+	dw_ruleset_result unused;
+	auto list = items(changes);
+
+	return dw_ruleset_apply_delta(ruleset, from, to, list.data(), list.size(),
+				      result ? result : &unused);
+}
+
+enum dw_status apply_snapshot(dw_ruleset *ruleset, uint64_t to, const std::vector<Change> &changes,
+			      dw_ruleset_result *result)
+{
+	dw_ruleset_result unused;
+	auto list = items(changes);
+
+	return dw_ruleset_apply_snapshot(ruleset, to, list.data(), list.size(),
+					 result ? result : &unused);
+}
+
+std::vector<Change> items_since(const dw_ruleset *ruleset, uint64_t since, bool *snapshot)
+{
+	std::vector<Change> out;
+
+	dw_ruleset_items_since(
+		ruleset, since,
+		[](const dw_ruleset_item *item, void *data) {
+			static_cast<std::vector<Change> *>(data)->push_back(
+				{ item->key, item->mod_revision, item->deleted,
+				  std::string(reinterpret_cast<const char *>(item->bytes),
+					      item->len) });
+		},
+		&out, snapshot);
+	return out;
+}
+
+} // namespace dw_test
