--- a/tests/ruleset_test.cc
+++ b/tests/ruleset_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <random>
@@ -388,6 +389,7 @@
 			wire.erase(wire.begin() + static_cast<long>(index));
 		if (pick(5) == 0)
 			return;
+		std::shuffle(message.changes.begin(), message.changes.end(), random);
 		auto *instance = instances[message.to];
 		if (message.snapshot)
 			apply_snapshot(instance, message.to_revision, message.changes);
