--- a/src/core/entity.c
+++ b/src/core/entity.c
@@ -74,7 +74,7 @@
 
 	for (i = 1; i < count; i++)
 		for (j = 0; j < i; j++)
-			if (!strcmp(texts[i], texts[j]))
+			if (strcmp(texts[i], texts[j]) == 0)
 				return true;
 	return false;
 }
@@ -116,13 +116,13 @@
 	for (i = 0; i < organisation->n_allowed; i++) {
 		const char *allowed = organisation->allowed[i];
 
-		if (strcmp(allowed, "*") && !dw_name_valid(allowed) &&
+		if (strcmp(allowed, "*") != 0 && !dw_name_valid(allowed) &&
 		    !version_reference_valid(allowed))
 			return dw_fail(DW_INVALID_ARGUMENT,
 				       "allowed[%zu]: not *, model or model/version", i);
 	}
 	for (i = 0; i < organisation->n_allowed_services; i++)
-		if (strcmp(organisation->allowed_services[i], "*") &&
+		if (strcmp(organisation->allowed_services[i], "*") != 0 &&
 		    !dw_name_valid(organisation->allowed_services[i]))
 			return dw_fail(DW_INVALID_ARGUMENT,
 				       "allowed_services[%zu]: not * or a name", i);
@@ -139,7 +139,8 @@
 	if (model->n_cascade > DW_CASCADE_MAX)
 		return dw_fail(DW_TOO_LARGE, "cascade: at most %d models", DW_CASCADE_MAX);
 	for (i = 0; i < model->n_cascade; i++)
-		if (!dw_name_valid(model->cascade[i]) || !strcmp(model->cascade[i], model->name))
+		if (!dw_name_valid(model->cascade[i]) ||
+		    strcmp(model->cascade[i], model->name) == 0)
 			return dw_fail(DW_INVALID_ARGUMENT,
 				       "cascade[%zu]: not another model's name", i);
 	if (has_duplicate(model->cascade, model->n_cascade))
@@ -318,7 +319,7 @@
 
 enum dw_status dw_entity_check(const Dragonflywharf__Entity *entity)
 {
-	enum dw_entity_kind kind;
+	enum dw_entity_kind kind = DW_ENTITY_ORGANISATION;
 	enum dw_status status = dw_entity_kind(entity, &kind);
 
 	if (status)
@@ -338,7 +339,7 @@
 
 enum dw_status dw_entity_key(const Dragonflywharf__Entity *entity, char out[DW_ENTITY_KEY_BYTES])
 {
-	enum dw_entity_kind kind;
+	enum dw_entity_kind kind = DW_ENTITY_ORGANISATION;
 	enum dw_status status = dw_entity_kind(entity, &kind);
 	const char *name;
 
--- a/src/core/ruleset_entry.c
+++ b/src/core/ruleset_entry.c
@@ -121,7 +121,7 @@
 	char expected[DW_ENTITY_KEY_BYTES];
 	enum dw_status status = dw_entity_key(entity, expected);
 
-	if (!status && strcmp(expected, key))
+	if (!status && strcmp(expected, key) != 0)
 		return dw_fail(DW_INVALID_ARGUMENT, "value names the key %s", expected);
 	return status;
 }
