--- a/src/core/ruleset_index.c
+++ b/src/core/ruleset_index.c
@@ -85,11 +85,9 @@
 {
 	char key[DW_ENTITY_KEY_BYTES];
 	struct dw_ruleset_entry *entry;
-	size_t len = strlen(reference);
+	char *end = stpcpy(stpcpy(key, "version/"), reference);
 
-	memcpy(key, "version/", 8);
-	memcpy(key + 8, reference, len + 1);
-	entry = dw_ruleset_find(ruleset, key, len + 8);
+	entry = dw_ruleset_find(ruleset, key, (size_t)(end - key));
 	return entry && !entry->deleted ? entry : NULL;
 }
 
@@ -151,8 +149,8 @@
 		entry->link_count = *total;
 		*total += count;
 	}
-	ruleset->version_links = calloc(versions + 1, sizeof(*ruleset->version_links));
-	ruleset->upstream_links = calloc(upstreams + 1, sizeof(*ruleset->upstream_links));
+	ruleset->version_links = calloc(versions + 1, sizeof(const struct dw_version *));
+	ruleset->upstream_links = calloc(upstreams + 1, sizeof(const struct dw_upstream *));
 	if (!ruleset->version_links || !ruleset->upstream_links)
 		return dw_fail(DW_NO_MEMORY, "no memory for the index of upstreams");
 	return DW_OK;
--- a/src/core/ruleset_query.c
+++ b/src/core/ruleset_query.c
@@ -2,16 +2,13 @@
 
 #include <string.h>
 
-/* Appends "/" and @text unless it is too long for any key; returns the new length, 0 if it is. */
-static size_t append(char key[DW_ENTITY_KEY_BYTES], size_t len, const char *text)
+/* Appends "/" and @text; NULL if it is too long for any key. */
+static char *append(char *end, const char *text)
 {
-	size_t text_len = strnlen(text, DW_NAME_MAX_BYTES + 1);
-
-	if (text_len > DW_NAME_MAX_BYTES)
-		return 0;
-	key[len] = '/';
-	memcpy(key + len + 1, text, text_len);
-	return len + 1 + text_len;
+	if (!end || strnlen(text, DW_NAME_MAX_BYTES + 1) > DW_NAME_MAX_BYTES)
+		return NULL;
+	*end = '/';
+	return stpcpy(end + 1, text);
 }
 
 struct dw_ruleset_entry *dw_ruleset_find_live(const struct dw_ruleset *ruleset, const char *prefix,
@@ -19,15 +16,13 @@
 {
 	char key[DW_ENTITY_KEY_BYTES];
 	struct dw_ruleset_entry *entry;
-	size_t len = strlen(prefix);
+	char *end = append(stpcpy(key, prefix), name);
 
-	memcpy(key, prefix, len);
-	len = append(key, len, name);
-	if (len > 0 && second)
-		len = append(key, len, second);
-	if (len == 0)
+	if (second)
+		end = append(end, second);
+	if (!end)
 		return NULL;
-	entry = dw_ruleset_find(ruleset, key, len);
+	entry = dw_ruleset_find(ruleset, key, (size_t)(end - key));
 	return entry && !entry->deleted ? entry : NULL;
 }
 
