--- a/src/core/ruleset_index.c
+++ b/src/core/ruleset_index.c
@@ -8,11 +8,11 @@
 
 static void drop_bearers(struct dw_ruleset *ruleset)
 {
-	struct dw_ruleset_bearer *bearer, *next;
+	struct dw_ruleset_bearer *bearer = ruleset->bearers, *next;
 
-	HASH_ITER(hh, ruleset->bearers, bearer, next)
-	{
-		HASH_DEL(ruleset->bearers, bearer);
+	HASH_CLEAR(hh, ruleset->bearers);
+	for (; bearer; bearer = next) {
+		next = bearer->hh.next;
 		free(bearer);
 	}
 }
