--- a/src/core/session_table.c
+++ b/src/core/session_table.c
@@ -11,11 +11,13 @@
 
 struct slot {
 	UT_hash_handle hh;
+	struct slot *next_unused;
 	struct dw_session_entry entry;
 };
 
 struct dw_session_table {
 	struct slot *slots; /**< by id, the least recently used first */
+	struct slot *unused; /**< kept for the next entries */
 	uint32_t capacity;
 	uint64_t lifetime_us;
 };
@@ -59,7 +61,18 @@
 static void drop_slot(struct dw_session_table *table, struct slot *slot)
 {
 	HASH_DEL(table->slots, slot);
-	free(slot);
+	slot->next_unused = table->unused;
+	table->unused = slot;
+}
+
+static struct slot *new_slot(struct dw_session_table *table)
+{
+	struct slot *slot = table->unused;
+
+	if (!slot)
+		return calloc(1, sizeof(*slot));
+	table->unused = slot->next_unused;
+	return slot;
 }
 
 void dw_session_table_free(struct dw_session_table *table)
@@ -74,6 +87,10 @@
 		next = slot->hh.next;
 		free(slot);
 	}
+	for (slot = table->unused; slot; slot = next) {
+		next = slot->next_unused;
+		free(slot);
+	}
 	free(table);
 }
 
@@ -155,7 +172,7 @@
 	}
 	if (HASH_COUNT(table->slots) >= table->capacity)
 		drop_slot(table, table->slots);
-	slot = calloc(1, sizeof(*slot));
+	slot = new_slot(table);
 	if (!slot)
 		return NULL;
 	slot->entry = *entry;
