--- /dev/null
+++ b/src/core/once_shard.c
@@ -0,0 +1,236 @@
+#include "core/once_shard.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/msgpack_check.h"
+
+/* Seven 9-byte integers, four smaller ones and the headers, rounded up. */
+#define RECORD_BYTES 128
+#define VALUE_HEAD_BYTES 16
+#define FIRST_CAPACITY 16
+
+enum record_field {
+	FIELD_KEY_LOW,
+	FIELD_KEY_HIGH,
+	FIELD_FINGERPRINT_LOW,
+	FIELD_FINGERPRINT_HIGH,
+	FIELD_STATE,
+	FIELD_INSTANCE,
+	FIELD_INCARNATION,
+	FIELD_SEQUENCE,
+	FIELD_SETTLES_AT,
+	FIELD_EXPIRES_AT,
+	FIELD_HTTP_STATUS,
+	FIELD_CONTENT_TYPE,
+	FIELD_BODY,
+	FIELD_COUNT
+};
+
+void dw_once_shard_clear(struct dw_once_shard *shard)
+{
+	for (uint32_t i = 0; i < shard->count; i++)
+		free(shard->records[i].body);
+	free(shard->records);
+	*shard = (struct dw_once_shard){ 0 };
+}
+
+struct dw_once_record *dw_once_shard_find(const struct dw_once_shard *shard,
+					  struct dw_fingerprint key)
+{
+	for (uint32_t i = 0; i < shard->count; i++) {
+		if (dw_fingerprint_equal(shard->records[i].key, key))
+			return &shard->records[i];
+	}
+	return NULL;
+}
+
+enum dw_status dw_once_shard_add(struct dw_once_shard *shard, const struct dw_once_record *record)
+{
+	if (shard->count == shard->capacity) {
+		uint32_t capacity = shard->capacity ? shard->capacity * 2 : FIRST_CAPACITY;
+		struct dw_once_record *records =
+			realloc(shard->records, capacity * sizeof(*records));
+
+		if (!records)
+			return dw_fail(DW_NO_MEMORY, "journal shard: no memory");
+		shard->records = records;
+		shard->capacity = capacity;
+	}
+	shard->records[shard->count++] = *record;
+	return DW_OK;
+}
+
+void dw_once_shard_remove(struct dw_once_shard *shard, struct dw_once_record *record)
+{
+	free(record->body);
+	*record = shard->records[--shard->count];
+}
+
+void dw_once_shard_expire(struct dw_once_shard *shard, uint64_t before_us)
+{
+	uint32_t i = 0;
+
+	while (i < shard->count) {
+		if (shard->records[i].expires_at_us < before_us)
+			dw_once_shard_remove(shard, &shard->records[i]);
+		else
+			i++;
+	}
+}
+
+size_t dw_once_shard_intent_bytes(uint32_t max_answer_bytes)
+{
+	return RECORD_BYTES + DW_ONCE_CONTENT_TYPE_BYTES + max_answer_bytes;
+}
+
+size_t dw_once_shard_bytes(const struct dw_once_shard *shard, uint32_t max_answer_bytes)
+{
+	size_t bytes = VALUE_HEAD_BYTES;
+
+	for (uint32_t i = 0; i < shard->count; i++) {
+		const struct dw_once_record *record = &shard->records[i];
+
+		if (record->state == DW_ONCE_STATE_INTENT)
+			bytes += dw_once_shard_intent_bytes(max_answer_bytes);
+		else
+			bytes += RECORD_BYTES + strlen(record->content_type) + record->body_bytes;
+	}
+	return bytes;
+}
+
+static void pack_record(msgpack_packer *packer, const struct dw_once_record *record)
+{
+	size_t type_len = strlen(record->content_type);
+
+	msgpack_pack_array(packer, FIELD_COUNT);
+	msgpack_pack_uint64(packer, record->key.low);
+	msgpack_pack_uint64(packer, record->key.high);
+	msgpack_pack_uint64(packer, record->fingerprint.low);
+	msgpack_pack_uint64(packer, record->fingerprint.high);
+	msgpack_pack_uint8(packer, (uint8_t)record->state);
+	msgpack_pack_uint64(packer, record->owner.instance_id);
+	msgpack_pack_uint64(packer, record->owner.incarnation);
+	msgpack_pack_uint64(packer, record->sequence);
+	msgpack_pack_uint64(packer, record->settles_at_us);
+	msgpack_pack_uint64(packer, record->expires_at_us);
+	msgpack_pack_uint16(packer, record->http_status);
+	msgpack_pack_str(packer, type_len);
+	msgpack_pack_str_body(packer, record->content_type, type_len);
+	if (!record->body) {
+		msgpack_pack_nil(packer);
+		return;
+	}
+	msgpack_pack_bin(packer, record->body_bytes);
+	msgpack_pack_bin_body(packer, record->body, record->body_bytes);
+}
+
+enum dw_status dw_once_shard_encode(const struct dw_once_shard *shard, msgpack_sbuffer *buffer)
+{
+	msgpack_packer packer;
+
+	msgpack_packer_init(&packer, buffer, msgpack_sbuffer_write);
+	msgpack_pack_array(&packer, 2);
+	msgpack_pack_uint8(&packer, DW_ONCE_SHARD_VERSION);
+	if (msgpack_pack_array(&packer, shard->count) != 0)
+		return dw_fail(DW_NO_MEMORY, "journal shard: no memory");
+	for (uint32_t i = 0; i < shard->count; i++)
+		pack_record(&packer, &shard->records[i]);
+	return DW_OK;
+}
+
+static bool read_body(const msgpack_object *object, struct dw_once_record *record)
+{
+	if (object->type == MSGPACK_OBJECT_NIL)
+		return true;
+	if (object->type != MSGPACK_OBJECT_BIN)
+		return false;
+	record->body = malloc(object->via.bin.size + 1);
+	if (!record->body)
+		return false;
+	memcpy(record->body, object->via.bin.ptr, object->via.bin.size);
+	record->body_bytes = object->via.bin.size;
+	return true;
+}
+
+static bool read_record(const msgpack_object *object, struct dw_once_record *record)
+{
+	const msgpack_object *fields = object->via.array.ptr;
+	const msgpack_object *type;
+
+	if (object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size != FIELD_COUNT)
+		return false;
+	for (int i = 0; i <= FIELD_HTTP_STATUS; i++) {
+		if (fields[i].type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+			return false;
+	}
+	type = &fields[FIELD_CONTENT_TYPE];
+	if (fields[FIELD_STATE].via.u64 >= DW_ONCE_STATE_COUNT ||
+	    fields[FIELD_HTTP_STATUS].via.u64 > UINT16_MAX || type->type != MSGPACK_OBJECT_STR ||
+	    type->via.str.size >= DW_ONCE_CONTENT_TYPE_BYTES)
+		return false;
+	*record = (struct dw_once_record){
+		.key = { fields[FIELD_KEY_LOW].via.u64, fields[FIELD_KEY_HIGH].via.u64 },
+		.fingerprint = { fields[FIELD_FINGERPRINT_LOW].via.u64,
+				 fields[FIELD_FINGERPRINT_HIGH].via.u64 },
+		.state = (enum dw_once_state)fields[FIELD_STATE].via.u64,
+		.owner = { fields[FIELD_INSTANCE].via.u64, fields[FIELD_INCARNATION].via.u64 },
+		.sequence = fields[FIELD_SEQUENCE].via.u64,
+		.settles_at_us = fields[FIELD_SETTLES_AT].via.u64,
+		.expires_at_us = fields[FIELD_EXPIRES_AT].via.u64,
+		.http_status = (uint16_t)fields[FIELD_HTTP_STATUS].via.u64,
+	};
+	memcpy(record->content_type, type->via.str.ptr, type->via.str.size);
+	return read_body(&fields[FIELD_BODY], record);
+}
+
+static enum dw_status read_value(struct dw_once_shard *shard, const msgpack_object *value)
+{
+	const msgpack_object *parts = value->via.array.ptr;
+
+	if (value->type != MSGPACK_OBJECT_ARRAY || value->via.array.size != 2 ||
+	    parts[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+	    parts[1].type != MSGPACK_OBJECT_ARRAY)
+		return dw_fail(DW_INVALID_ARGUMENT, "journal shard: malformed value");
+	if (parts[0].via.u64 != DW_ONCE_SHARD_VERSION)
+		return dw_fail(DW_INVALID_ARGUMENT, "journal shard: unknown version %llu",
+			       (unsigned long long)parts[0].via.u64);
+	for (uint32_t i = 0; i < parts[1].via.array.size; i++) {
+		struct dw_once_record record;
+		enum dw_status status;
+
+		if (!read_record(&parts[1].via.array.ptr[i], &record))
+			return dw_fail(DW_INVALID_ARGUMENT, "journal shard: malformed record %u",
+				       i);
+		status = dw_once_shard_add(shard, &record);
+		if (status != DW_OK) {
+			free(record.body);
+			return status;
+		}
+	}
+	return DW_OK;
+}
+
+enum dw_status dw_once_shard_decode(struct dw_once_shard *shard, const uint8_t *bytes, size_t len)
+{
+	msgpack_unpacked unpacked;
+	enum dw_status status;
+
+	if (len == 0)
+		return DW_OK;
+	if (len > DW_ONCE_SHARD_MAX_BYTES)
+		return dw_fail(DW_TOO_LARGE, "journal shard: %zu bytes", len);
+	status = dw_msgpack_check(bytes, len);
+	if (status != DW_OK)
+		return status;
+	msgpack_unpacked_init(&unpacked);
+	if (msgpack_unpack_next(&unpacked, (const char *)bytes, len, NULL) ==
+	    MSGPACK_UNPACK_SUCCESS)
+		status = read_value(shard, &unpacked.data);
+	else
+		status = dw_fail(DW_INVALID_ARGUMENT, "journal shard: malformed value");
+	msgpack_unpacked_destroy(&unpacked);
+	if (status != DW_OK)
+		dw_once_shard_clear(shard);
+	return status;
+}
