--- /dev/null
+++ b/src/core/once.c
@@ -0,0 +1,363 @@
+#include <dragonflywharf/once.h>
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <utlist.h>
+#include <xxhash.h>
+
+#include "core/once_state.h"
+
+struct dw_once_options dw_once_default_options(struct dw_member_key self)
+{
+	return (struct dw_once_options){
+		.self = self,
+		.shard_count = 64,
+		.max_shard_bytes = 512 * 1024,
+		.max_answer_bytes = 4 * 1024,
+		.max_tickets = 1024,
+		.max_conflicts = 8,
+		.group_interval_us = UINT64_C(20000),
+		.retry_interval_us = UINT64_C(10000),
+		.finish_wait_us = UINT64_C(500000),
+		.settle_us = UINT64_C(60000000),
+		.lifetime_us = UINT64_C(86400000000),
+		.clock_margin_us = UINT64_C(5000000),
+	};
+}
+
+static bool options_valid(const struct dw_once_options *options)
+{
+	return options->shard_count > 0 && options->max_tickets > 0 &&
+	       options->max_shard_bytes <= DW_ONCE_SHARD_MAX_BYTES &&
+	       options->max_answer_bytes < options->max_shard_bytes &&
+	       options->retry_interval_us > 0 &&
+	       options->settle_us + 2 * options->clock_margin_us < options->lifetime_us;
+}
+
+enum dw_status dw_once_new(struct dw_once **out, const struct dw_once_options *options)
+{
+	struct dw_once *once;
+
+	*out = NULL;
+	if (!options_valid(options))
+		return dw_fail(DW_INVALID_ARGUMENT, "at most once: options out of range");
+	once = calloc(1, sizeof(*once));
+	if (!once)
+		return dw_fail(DW_NO_MEMORY, "at most once: no memory");
+	once->options = *options;
+	once->views = calloc(options->shard_count, sizeof(*once->views));
+	if (!once->views) {
+		free(once);
+		return dw_fail(DW_NO_MEMORY, "at most once: no memory");
+	}
+	msgpack_sbuffer_init(&once->buffer);
+	*out = once;
+	return DW_OK;
+}
+
+static void free_decision(struct dw_once_queued_decision *queued)
+{
+	if (!queued)
+		return;
+	free(queued->body);
+	free(queued);
+}
+
+void dw_once_free(struct dw_once *once)
+{
+	struct dw_once_queued_decision *queued;
+	struct dw_once_queued_decision *next_queued;
+	struct dw_once_ticket *ticket;
+	struct dw_once_ticket *next;
+
+	if (!once)
+		return;
+	HASH_ITER(hh, once->tickets, ticket, next)
+		dw_once_drop(once, ticket);
+	DL_FOREACH_SAFE(once->decisions, queued, next_queued)
+		free_decision(queued);
+	free_decision(once->taken);
+	msgpack_sbuffer_destroy(&once->buffer);
+	free(once->views);
+	free(once);
+}
+
+static struct dw_once_ticket *ticket_by_id(const struct dw_once *once, uint64_t id)
+{
+	struct dw_once_ticket *ticket;
+
+	HASH_FIND(hh, once->tickets, &id, sizeof(id), ticket);
+	return ticket;
+}
+
+/* A decision that is lost would leave a caller without an answer, so lack of memory ends the run. */
+void dw_once_decide(struct dw_once *once, const struct dw_once_decision *decision)
+{
+	struct dw_once_queued_decision *queued = calloc(1, sizeof(*queued));
+
+	if (!queued)
+		abort();
+	queued->decision = *decision;
+	if (decision->answer.body) {
+		queued->body = malloc((size_t)decision->answer.body_bytes + 1);
+		if (!queued->body)
+			abort();
+		memcpy(queued->body, decision->answer.body, decision->answer.body_bytes);
+		queued->body[decision->answer.body_bytes] = 0;
+		queued->decision.answer.body = (const char *)queued->body;
+	}
+	DL_APPEND(once->decisions, queued);
+}
+
+void dw_once_drop(struct dw_once *once, struct dw_once_ticket *ticket)
+{
+	struct dw_once_view *view = &once->views[ticket->shard];
+
+	HASH_DEL(once->tickets, ticket);
+	DL_DELETE(view->tickets, ticket);
+	free(ticket->body);
+	free(ticket);
+	if (!view->tickets) {
+		dw_once_shard_clear(&view->records);
+		view->known = false;
+	}
+}
+
+void dw_once_refuse(struct dw_once *once, struct dw_once_ticket *ticket, enum dw_status status)
+{
+	once->counters.refusals++;
+	dw_once_decide(once, &(struct dw_once_decision){
+				     .ticket = ticket->id,
+				     .kind = DW_ONCE_REFUSED,
+				     .status = status,
+				     .key_unused = ticket->key_unused,
+			     });
+	if (ticket->written)
+		ticket->state = DW_ONCE_TICKET_ABANDONED;
+	else
+		dw_once_drop(once, ticket);
+}
+
+/* The live ticket of a key on this instance: there is at most one beside abandoned ones. */
+static const struct dw_once_ticket *live_ticket(const struct dw_once_view *view,
+						struct dw_fingerprint key)
+{
+	const struct dw_once_ticket *ticket;
+
+	DL_FOREACH(view->tickets, ticket) {
+		if (ticket->state != DW_ONCE_TICKET_ABANDONED &&
+		    dw_fingerprint_equal(ticket->key, key))
+			return ticket;
+	}
+	return NULL;
+}
+
+static void decide_by_ticket(struct dw_once *once, uint64_t id,
+			     const struct dw_once_request *request,
+			     const struct dw_once_ticket *live)
+{
+	struct dw_once_decision decision = { .ticket = id };
+
+	if (!dw_fingerprint_equal(request->fingerprint, live->fingerprint)) {
+		decision.kind = DW_ONCE_MISMATCH;
+		decision.status = DW_CONFLICT;
+	} else if (live->state != DW_ONCE_TICKET_FINISHED) {
+		decision.kind = DW_ONCE_IN_PROGRESS;
+		decision.status = DW_CONFLICT;
+	} else if (live->outcome == DW_ONCE_STATE_UNKNOWN) {
+		decision.kind = DW_ONCE_OUTCOME_UNKNOWN;
+		decision.status = DW_UNKNOWN_OUTCOME;
+	} else {
+		decision.kind = DW_ONCE_REPLAY;
+		decision.status = DW_OK;
+		decision.answer = live->answer;
+		decision.answer.body = (const char *)live->body;
+		once->counters.replays++;
+	}
+	dw_once_decide(once, &decision);
+}
+
+static uint32_t shard_of(const struct dw_once *once, struct dw_fingerprint key)
+{
+	return (uint32_t)(XXH64(&key, sizeof(key), 0) % once->options.shard_count);
+}
+
+static struct dw_fingerprint key_of(const struct dw_once_request *request)
+{
+	struct dw_fingerprint_part parts[] = {
+		{ request->organisation, strlen(request->organisation) },
+		{ request->service, strlen(request->service) },
+		{ request->key, strlen(request->key) },
+	};
+
+	return dw_fingerprint_of(parts, 3);
+}
+
+static enum dw_status add_ticket(struct dw_once *once, uint64_t id, struct dw_fingerprint key,
+				 const struct dw_once_request *request, struct dw_once_time time)
+{
+	struct dw_once_ticket *ticket = calloc(1, sizeof(*ticket));
+
+	if (!ticket)
+		return dw_fail(DW_NO_MEMORY, "at most once: no memory");
+	ticket->id = id;
+	ticket->state = DW_ONCE_TICKET_WAITING;
+	ticket->shard = shard_of(once, key);
+	ticket->key = key;
+	ticket->fingerprint = request->fingerprint;
+	ticket->deadline_us = request->deadline_us;
+	HASH_ADD(hh, once->tickets, id, sizeof(ticket->id), ticket);
+	DL_APPEND(once->views[ticket->shard].tickets, ticket);
+	dw_once_settle_ticket(once, ticket, time);
+	return DW_OK;
+}
+
+enum dw_status dw_once_begin(struct dw_once *once, const struct dw_once_request *request,
+			     struct dw_once_time time, uint64_t *ticket)
+{
+	struct dw_fingerprint key = key_of(request);
+	const struct dw_once_ticket *live = live_ticket(&once->views[shard_of(once, key)], key);
+
+	*ticket = 0;
+	if (request->key[0] == 0)
+		return dw_fail(DW_INVALID_ARGUMENT, "at most once: empty idempotency key");
+	if (request->deadline_us > time.now_us + once->options.lifetime_us / 2)
+		return dw_fail(DW_INVALID_ARGUMENT, "at most once: deadline too far off");
+	if (!live && HASH_COUNT(once->tickets) >= once->options.max_tickets)
+		return dw_fail(DW_OVERLOADED, "at most once: too many calls under way");
+	*ticket = ++once->last_ticket;
+	if (live) {
+		decide_by_ticket(once, *ticket, request, live);
+		return DW_OK;
+	}
+	return add_ticket(once, *ticket, key, request, time);
+}
+
+bool dw_once_may_send(const struct dw_once *once, uint64_t ticket, uint64_t now_us)
+{
+	const struct dw_once_ticket *found = ticket_by_id(once, ticket);
+
+	return found && found->state == DW_ONCE_TICKET_DISPATCHED && now_us < found->deadline_us;
+}
+
+enum dw_status dw_once_finish(struct dw_once *once, uint64_t ticket,
+			      const struct dw_once_answer *answer, struct dw_once_time time)
+{
+	struct dw_once_ticket *found = ticket_by_id(once, ticket);
+
+	if (!found || found->state != DW_ONCE_TICKET_DISPATCHED)
+		return dw_fail(DW_NOT_FOUND, "at most once: no dispatched call of this ticket");
+	found->outcome = answer ? DW_ONCE_STATE_DONE : DW_ONCE_STATE_UNKNOWN;
+	if (answer && answer->body && answer->body_bytes <= once->options.max_answer_bytes) {
+		found->body = malloc((size_t)answer->body_bytes + 1);
+		if (!found->body)
+			return dw_fail(DW_NO_MEMORY, "at most once: no memory");
+		memcpy(found->body, answer->body, answer->body_bytes);
+		found->answer.body_bytes = answer->body_bytes;
+	}
+	if (answer) {
+		found->answer.http_status = answer->http_status;
+		memcpy(found->answer.content_type, answer->content_type,
+		       DW_ONCE_CONTENT_TYPE_BYTES - 1);
+	}
+	found->state = DW_ONCE_TICKET_FINISHED;
+	found->answer_deadline_us = time.now_us + once->options.finish_wait_us;
+	return DW_OK;
+}
+
+enum dw_status dw_once_release(struct dw_once *once, uint64_t ticket, struct dw_once_time time)
+{
+	struct dw_once_ticket *found = ticket_by_id(once, ticket);
+
+	if (!found || found->state != DW_ONCE_TICKET_DISPATCHED)
+		return dw_fail(DW_NOT_FOUND, "at most once: no dispatched call of this ticket");
+	found->state = DW_ONCE_TICKET_ABANDONED;
+	dw_once_settle_ticket(once, found, time);
+	return DW_OK;
+}
+
+bool dw_once_next_decision(struct dw_once *once, struct dw_once_decision *decision)
+{
+	struct dw_once_queued_decision *first = once->decisions;
+
+	free_decision(once->taken);
+	once->taken = NULL;
+	if (!first)
+		return false;
+	DL_DELETE(once->decisions, first);
+	once->taken = first;
+	*decision = first->decision;
+	return true;
+}
+
+static void tick_ticket(struct dw_once *once, struct dw_once_ticket *ticket,
+			struct dw_once_time time)
+{
+	bool ended = ticket->state == DW_ONCE_TICKET_FINISHED ||
+		     ticket->state == DW_ONCE_TICKET_ABANDONED;
+
+	if (ticket->state == DW_ONCE_TICKET_WAITING && time.now_us >= ticket->deadline_us) {
+		dw_once_refuse(once, ticket, DW_TIMEOUT);
+		return;
+	}
+	if (ticket->state == DW_ONCE_TICKET_FINISHED && !ticket->answered &&
+	    time.now_us >= ticket->answer_deadline_us) {
+		ticket->answered = true;
+		once->counters.unkept++;
+		dw_once_decide(once, &(struct dw_once_decision){
+					     .ticket = ticket->id,
+					     .kind = DW_ONCE_OUTCOME_UNKEPT,
+					     .status = DW_UNAVAILABLE,
+				     });
+	}
+	if (ended && !ticket->in_write && time.wall_us >= ticket->expires_at_us)
+		dw_once_drop(once, ticket);
+}
+
+void dw_once_tick(struct dw_once *once, struct dw_once_time time)
+{
+	struct dw_once_ticket *ticket;
+	struct dw_once_ticket *next;
+
+	HASH_ITER(hh, once->tickets, ticket, next)
+		tick_ticket(once, ticket, time);
+}
+
+static uint64_t earlier(uint64_t a_us, uint64_t b_us)
+{
+	return a_us < b_us ? a_us : b_us;
+}
+
+uint64_t dw_once_deadline_us(const struct dw_once *once)
+{
+	const struct dw_once_ticket *ticket;
+	uint64_t due_us = UINT64_MAX;
+
+	for (ticket = once->tickets; ticket; ticket = ticket->hh.next) {
+		const struct dw_once_view *view = &once->views[ticket->shard];
+
+		if (ticket->state == DW_ONCE_TICKET_WAITING)
+			due_us = earlier(due_us, ticket->deadline_us);
+		if (ticket->state == DW_ONCE_TICKET_FINISHED && !ticket->answered)
+			due_us = earlier(due_us, ticket->answer_deadline_us);
+		if (ticket->state != DW_ONCE_TICKET_DISPATCHED && view->operation_id == 0)
+			due_us = earlier(due_us, view->not_before_us);
+	}
+	return due_us;
+}
+
+size_t dw_once_pending(const struct dw_once *once)
+{
+	const struct dw_once_ticket *ticket;
+	size_t count = 0;
+
+	for (ticket = once->tickets; ticket; ticket = ticket->hh.next)
+		count += ticket->state != DW_ONCE_TICKET_DISPATCHED;
+	return count;
+}
+
+struct dw_once_counters dw_once_counters(const struct dw_once *once)
+{
+	return once->counters;
+}
--- a/src/core/once_shard.c
+++ b/src/core/once_shard.c
@@ -99,43 +99,53 @@
 	return bytes;
 }
 
-static void pack_record(msgpack_packer *packer, const struct dw_once_record *record)
+/* The packer tells a failed allocation by a negative result; any of them fails the value. */
+static int pack_integers(msgpack_packer *packer, const struct dw_once_record *record)
+{
+	int failed = msgpack_pack_array(packer, FIELD_COUNT);
+
+	failed |= msgpack_pack_uint64(packer, record->key.low);
+	failed |= msgpack_pack_uint64(packer, record->key.high);
+	failed |= msgpack_pack_uint64(packer, record->fingerprint.low);
+	failed |= msgpack_pack_uint64(packer, record->fingerprint.high);
+	failed |= msgpack_pack_uint8(packer, (uint8_t)record->state);
+	failed |= msgpack_pack_uint64(packer, record->owner.instance_id);
+	failed |= msgpack_pack_uint64(packer, record->owner.incarnation);
+	failed |= msgpack_pack_uint64(packer, record->sequence);
+	failed |= msgpack_pack_uint64(packer, record->settles_at_us);
+	failed |= msgpack_pack_uint64(packer, record->expires_at_us);
+	failed |= msgpack_pack_uint16(packer, record->http_status);
+	return failed;
+}
+
+static int pack_answer(msgpack_packer *packer, const struct dw_once_record *record)
 {
 	size_t type_len = strlen(record->content_type);
+	int failed = msgpack_pack_str(packer, type_len);
 
-	msgpack_pack_array(packer, FIELD_COUNT);
-	msgpack_pack_uint64(packer, record->key.low);
-	msgpack_pack_uint64(packer, record->key.high);
-	msgpack_pack_uint64(packer, record->fingerprint.low);
-	msgpack_pack_uint64(packer, record->fingerprint.high);
-	msgpack_pack_uint8(packer, (uint8_t)record->state);
-	msgpack_pack_uint64(packer, record->owner.instance_id);
-	msgpack_pack_uint64(packer, record->owner.incarnation);
-	msgpack_pack_uint64(packer, record->sequence);
-	msgpack_pack_uint64(packer, record->settles_at_us);
-	msgpack_pack_uint64(packer, record->expires_at_us);
-	msgpack_pack_uint16(packer, record->http_status);
-	msgpack_pack_str(packer, type_len);
-	msgpack_pack_str_body(packer, record->content_type, type_len);
-	if (!record->body) {
-		msgpack_pack_nil(packer);
-		return;
-	}
-	msgpack_pack_bin(packer, record->body_bytes);
-	msgpack_pack_bin_body(packer, record->body, record->body_bytes);
+	failed |= msgpack_pack_str_body(packer, record->content_type, type_len);
+	if (!record->body)
+		return failed | msgpack_pack_nil(packer);
+	failed |= msgpack_pack_bin(packer, record->body_bytes);
+	failed |= msgpack_pack_bin_body(packer, record->body, record->body_bytes);
+	return failed;
 }
 
 enum dw_status dw_once_shard_encode(const struct dw_once_shard *shard, msgpack_sbuffer *buffer)
 {
 	msgpack_packer packer;
+	int failed;
 
 	msgpack_packer_init(&packer, buffer, msgpack_sbuffer_write);
-	msgpack_pack_array(&packer, 2);
-	msgpack_pack_uint8(&packer, DW_ONCE_SHARD_VERSION);
-	if (msgpack_pack_array(&packer, shard->count) != 0)
+	failed = msgpack_pack_array(&packer, 2);
+	failed |= msgpack_pack_uint8(&packer, DW_ONCE_SHARD_VERSION);
+	failed |= msgpack_pack_array(&packer, shard->count);
+	for (uint32_t i = 0; i < shard->count; i++) {
+		failed |= pack_integers(&packer, &shard->records[i]);
+		failed |= pack_answer(&packer, &shard->records[i]);
+	}
+	if (failed)
 		return dw_fail(DW_NO_MEMORY, "journal shard: no memory");
-	for (uint32_t i = 0; i < shard->count; i++)
-		pack_record(&packer, &shard->records[i]);
 	return DW_OK;
 }
 
