At most once: tests seen red

Change: tests/once_test.cc, 4,000 seeded interleavings of 2 to 5 instances over a fake compare-and-swap store (lost answers with the effect taken, not taken or taken later, outages, conflicts, kills, pauses, the same key through several instances), and scripted cases.

--- a/tests/once_test.cc
+++ b/tests/once_test.cc
@@ -17,6 +17,7 @@
 
 constexpr uint64_t MS = 1000;
 constexpr uint64_t SECOND = 1000 * MS;
+constexpr int KEYS = 12;
 
 struct Value {
 	uint64_t revision = 0;
@@ -27,6 +28,7 @@
 struct Store {
 	std::map<uint32_t, Value> values;
 	uint64_t revision = 0;
+	bool down = false;
 
 	bool cas(uint32_t shard, uint64_t expected, const std::string &bytes, uint64_t *got)
 	{
@@ -79,6 +81,7 @@
 	options.shard_count = 2;
 	options.group_interval_us = 5 * MS;
 	options.finish_wait_us = 50 * MS;
+	options.settle_us = SECOND;
 	return options;
 }
 
@@ -305,7 +308,7 @@
 
 void run_seed(uint64_t seed, uint64_t *replays, uint64_t *refusals, uint64_t *ran)
 {
-	World world(seed, 4);
+	World world(seed, KEYS);
 	SCOPED_TRACE("seed " + std::to_string(seed));
 	for (int i = 0; i < 400; i++)
 		world.step();
@@ -317,7 +320,7 @@
 	for (size_t i = 0; i < world.instances.size(); i++)
 		world.pump((int)i);
 	*refusals += world.refusals;
-	for (int key = 0; key < 4; key++) {
+	for (int key = 0; key < KEYS; key++) {
 		uint64_t before = world.replays;
 		ASSERT_LE(world.executions[key], 1) << "key " << key;
 		*ran += world.executions[key];
@@ -347,11 +350,11 @@
 
 /* One instance and a store without faults, step by step. */
 struct Bench {
-	Store store;
+	Store &store;
 	dw_once *once = nullptr;
 	dw_once_time time{ SECOND, 1000 * SECOND, 5 };
 
-	explicit Bench(dw_once_options options)
+	Bench(Store &shared, dw_once_options options) : store(shared)
 	{
 		EXPECT_EQ(dw_once_new(&once, &options), DW_OK);
 	}
@@ -370,7 +373,8 @@
 		return ticket;
 	}
 
-	void pump()
+	/* The first @p lost writes take effect, but neither they nor reads are answered. */
+	void pump(int lost = 0)
 	{
 		dw_once_operation operation;
 		for (int i = 0; i < 20; i++) {
@@ -380,7 +384,9 @@
 			dw_once_completion done = { operation.id, DW_OK, 0, nullptr, 0 };
 			std::string bytes((const char *)operation.bytes, operation.len);
 			Value &value = store.values[operation.shard];
-			if (operation.kind == DW_ONCE_CAS) {
+			if (store.down) {
+				done.status = DW_UNAVAILABLE;
+			} else if (operation.kind == DW_ONCE_CAS) {
 				if (!store.cas(operation.shard, operation.expected_revision, bytes,
 					       &done.revision))
 					done.status = DW_CONFLICT;
@@ -389,6 +395,10 @@
 				done.bytes = (const uint8_t *)value.bytes.data();
 				done.len = value.bytes.size();
 			}
+			if (lost > 0) {
+				done.status = DW_UNKNOWN_OUTCOME;
+				lost--;
+			}
 			dw_once_complete(once, &done, time);
 		}
 	}
@@ -405,7 +415,8 @@
 TEST(Once, MismatchUnknownAndExpiryOfARecord)
 {
 	dw_once_options options = small_options(1, 1);
-	Bench bench(options);
+	Store store;
+	Bench bench(store, options);
 	uint64_t ticket = bench.begin("k", 1);
 
 	bench.pump();
@@ -428,13 +439,57 @@
 	EXPECT_EQ(bench.decision().kind, DW_ONCE_DISPATCH);
 }
 
+TEST(Once, ARefusedKeyIsFreeAgainThoughItsIntentWasCommitted)
+{
+	dw_once_options options = small_options(1, 1);
+	options.shard_count = 1;
+	Store store;
+	Bench bench(store, options);
+
+	bench.begin("other", 1);
+	bench.pump();
+	ASSERT_EQ(bench.decision().kind, DW_ONCE_DISPATCH);
+	bench.begin("k", 1);
+	bench.pump(2);
+	dw_once_decision decision = bench.decision();
+	EXPECT_EQ(decision.kind, DW_ONCE_REFUSED);
+	EXPECT_EQ(decision.status, DW_UNAVAILABLE);
+	bench.begin("k", 1);
+	bench.pump();
+	EXPECT_EQ(bench.decision().kind, DW_ONCE_DISPATCH);
+}
+
+TEST(Once, ARefusalDoesNotCallAKeyUnusedThatAnotherInstanceRan)
+{
+	dw_once_options options = small_options(1, 1);
+	options.shard_count = 1;
+	Store store;
+	Bench first(store, options);
+	options.self.instance_id = 2;
+	Bench second(store, options);
+
+	first.begin("other", 1);
+	first.pump();
+	ASSERT_EQ(first.decision().kind, DW_ONCE_DISPATCH);
+	second.begin("k", 1);
+	second.pump();
+	ASSERT_EQ(second.decision().kind, DW_ONCE_DISPATCH);
+	first.begin("k", 1);
+	store.down = true;
+	first.pump();
+	dw_once_decision decision = first.decision();
+	EXPECT_EQ(decision.kind, DW_ONCE_REFUSED);
+	EXPECT_FALSE(decision.key_unused);
+}
+
 TEST(Once, AFullShardRefusesAndItsOutcomesStillFit)
 {
 	dw_once_options options = small_options(1, 1);
 	options.shard_count = 1;
 	options.max_shard_bytes = 8 * 1024;
 	options.max_answer_bytes = 1024;
-	Bench bench(options);
+	Store store;
+	Bench bench(store, options);
 	std::string body(1024, 'x');
 	dw_once_answer answer = { 200, "text/plain", body.data(), 1024 };
 	std::vector<uint64_t> running;
