--- a/include/dragonflywharf/ledger.h
+++ b/include/dragonflywharf/ledger.h
@@ -52,16 +52,17 @@
 };
 
 enum dw_ledger_message_kind {
-	DW_LEDGER_COPY, /**< records first_seq.. of owner, to be held */
-	DW_LEDGER_ACK, /**< the holder has owner's records up to seq since its last TRIM */
-	DW_LEDGER_TRIM, /**< owner has written its records up to seq; holders drop them */
+	DW_LEDGER_COPY, /**< records of owner from seq on, to be held */
+	DW_LEDGER_ACK, /**< each of owner's records up to seq is held by the sender or written */
+	DW_LEDGER_TRIM, /**< owner has written its records up to written_seq */
 	DW_LEDGER_MESSAGE_KIND_COUNT
 };
 
 struct dw_ledger_message {
 	enum dw_ledger_message_kind kind;
 	struct dw_member_key owner; /**< whose tail it is about */
-	uint64_t seq; /**< COPY: of the first record; ACK, TRIM: the last one */
+	uint64_t written_seq; /**< COPY, TRIM: holders drop records up to it */
+	uint64_t seq; /**< COPY: of the first record; ACK: the last one */
 	uint32_t record_count; /**< COPY only */
 	struct dw_usage_record records[DW_LEDGER_MESSAGE_RECORDS];
 };
--- /dev/null
+++ b/src/core/held_tail.h
@@ -0,0 +1,57 @@
+/**
+ * @file held_tail.h
+ * The copies of other owners' unwritten usage records that this instance holds.
+ */
+#ifndef WHARF_CORE_HELD_TAIL_H
+#define WHARF_CORE_HELD_TAIL_H
+
+#include <uthash.h>
+
+#include <dragonflywharf/ledger.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/** Owners remembered at most; the longest unheard one that holds nothing makes room. */
+#define DW_HELD_MAX_OWNERS 512
+
+/** A contiguous run of one owner's records, up to last_seq. */
+struct dw_held_tail {
+	struct dw_member_key owner;
+	uint64_t last_seq; /**< every record up to it is held here, written or adopted */
+	struct dw_usage_record *records;
+	uint32_t count;
+	uint32_t capacity;
+	bool dead; /**< the owner is gone: what still arrives is adopted at once */
+	UT_hash_handle hh;
+};
+
+struct dw_held_table {
+	struct dw_held_tail *tails;
+	uint32_t records; /**< over all owners */
+	uint32_t max_records;
+};
+
+void dw_held_table_clear(struct dw_held_table *table);
+
+/** @return the owner's tail, or NULL. */
+struct dw_held_tail *dw_held_table_find(struct dw_held_table *table, struct dw_member_key owner);
+
+/** As find, but makes an empty one; NULL without room. */
+struct dw_held_tail *dw_held_table_open(struct dw_held_table *table, struct dw_member_key owner);
+
+/** Takes a copy's records that continue the tail; a gap is left for the owner to send again.
+ * @return DW_OK, DW_OVERLOADED or DW_NO_MEMORY. */
+enum dw_status dw_held_tail_copy(struct dw_held_table *table, struct dw_held_tail *tail,
+				 const struct dw_ledger_message *message);
+
+/** Drops records up to @p written_seq. */
+void dw_held_tail_trim(struct dw_held_table *table, struct dw_held_tail *tail,
+		       uint64_t written_seq);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
