--- a/include/dragonflywharf/ledger.h
+++ b/include/dragonflywharf/ledger.h
@@ -108,7 +108,13 @@
 enum dw_status dw_ledger_append(struct dw_ledger *ledger, const struct dw_usage_record *record,
 				uint64_t now_us, uint64_t *seq);
 
-/** Names the next record whose answer may end; in order of seq. */
+/**
+ * How a record is kept by now; DW_LEDGER_PROTECTION_COUNT: not yet, its answer must not end. To be
+ * asked after an append, as a repeat may be protected already.
+ */
+enum dw_ledger_protection dw_ledger_protection_of(const struct dw_ledger *ledger, uint64_t seq);
+
+/** Names the next record whose answer may end; in order of seq. Unknown ones were adopted. */
 bool dw_ledger_next_protected(struct dw_ledger *ledger, uint64_t *seq,
 			      enum dw_ledger_protection *protection);
 
@@ -125,7 +131,7 @@
 enum dw_status dw_ledger_receive(struct dw_ledger *ledger, const struct dw_member_key *from,
 				 const struct dw_ledger_message *message, uint64_t now_us);
 
-/** The membership says that a run of an instance is over: its held tail is written by this one. */
+/** A run of an instance is over (dead, or left): its held tail is written by this one. */
 void dw_ledger_member_dead(struct dw_ledger *ledger, const struct dw_member_key *member,
 			   uint64_t now_us);
 
@@ -145,7 +151,7 @@
 /** Own and adopted records that aren't in the store. */
 size_t dw_ledger_unwritten(const struct dw_ledger *ledger);
 
-struct dw_ledger_counters dw_ledger_counters(const struct dw_ledger *ledger);
+struct dw_ledger_counters dw_ledger_read_counters(const struct dw_ledger *ledger);
 
 /** Reads a batch value. @return DW_OK, DW_TOO_LARGE or DW_INVALID_ARGUMENT. */
 enum dw_status dw_usage_batch_decode(const uint8_t *bytes, size_t len,
--- a/include/dragonflywharf/once.h
+++ b/include/dragonflywharf/once.h
@@ -180,7 +180,7 @@
 /** Tickets whose intent or outcome still needs the store; a graceful stop waits for 0. */
 size_t dw_once_pending(const struct dw_once *once);
 
-struct dw_once_counters dw_once_counters(const struct dw_once *once);
+struct dw_once_counters dw_once_read_counters(const struct dw_once *once);
 
 #ifdef __cplusplus
 }
--- a/src/core/ledger_fold.c
+++ b/src/core/ledger_fold.c
@@ -80,7 +80,8 @@
 	struct fold_key key = { .request_id = record->request_id };
 	struct fold_entry *entry;
 
-	strncpy(key.organisation, record->organisation, DW_USAGE_NAME_BYTES - 1);
+	memcpy(key.organisation, record->organisation,
+	       strnlen(record->organisation, DW_USAGE_NAME_BYTES - 1));
 	HASH_FIND(hh, fold->entries, &key, sizeof(key), entry);
 	if (entry) {
 		if (compare_records(record, &entry->record) < 0)
--- a/src/core/once.c
+++ b/src/core/once.c
@@ -357,7 +357,7 @@
 	return count;
 }
 
-struct dw_once_counters dw_once_counters(const struct dw_once *once)
+struct dw_once_counters dw_once_read_counters(const struct dw_once *once)
 {
 	return once->counters;
 }
--- /dev/null
+++ b/tests/ledger_test.cc
@@ -0,0 +1,364 @@
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <dragonflywharf/ledger.h>
+
+namespace
+{
+
+constexpr uint64_t MS = 1000;
+constexpr int REQUESTS = 40;
+
+dw_usage_record record_of(int request, uint64_t finished_at_us)
+{
+	dw_usage_record record{};
+	record.request_id = dw_fingerprint_texts("haarlem", std::to_string(request).c_str());
+	snprintf(record.organisation, sizeof(record.organisation), "org-%d", request % 3);
+	strcpy(record.model, "draft");
+	strcpy(record.version, request % 2 ? "v1" : "v2");
+	record.prompt_tokens = 10 + request;
+	record.completion_tokens = 5;
+	record.cost_micros = 100 + request;
+	record.finished_at_us = finished_at_us;
+	return record;
+}
+
+struct Message {
+	int from;
+	dw_member_key from_key;
+	dw_member_key to;
+	dw_ledger_message body;
+};
+
+struct Write {
+	dw_member_key from;
+	uint64_t id;
+	std::string key;
+	std::string bytes;
+	bool at_store;
+	dw_status status;
+};
+
+struct Instance {
+	std::unique_ptr<dw_ledger, void (*)(dw_ledger *)> ledger{ nullptr, dw_ledger_free };
+	dw_member_key key{};
+	std::map<uint64_t, std::vector<int>> waiting; /* requests whose answers are held back */
+	std::map<int, uint64_t> seqs;
+};
+
+struct World {
+	std::mt19937_64 random;
+	std::vector<Instance> instances;
+	std::deque<Message> network;
+	std::deque<Write> writes;
+	std::map<std::string, std::string> store;
+	std::vector<bool> answered;
+	std::set<int> exposed;
+	uint64_t now_us = 1000 * MS;
+	uint64_t kills = 0;
+	bool quiet = false;
+
+	explicit World(uint64_t seed) : random(seed), answered(REQUESTS)
+	{
+		instances.resize(3 + random() % 2);
+		for (size_t i = 0; i < instances.size(); i++)
+			start(i);
+		for (size_t i = 0; i < instances.size(); i++)
+			choose_holder(i);
+	}
+
+	bool chance(int percent)
+	{
+		return (int)(random() % 100) < percent;
+	}
+
+	void start(size_t index)
+	{
+		dw_ledger *ledger = nullptr;
+		instances[index] = Instance();
+		Instance &instance = instances[index];
+		instance.key = { index + 1, ++now_us };
+		dw_ledger_options options = dw_ledger_default_options(instance.key);
+		options.max_batch_records = 3;
+		ASSERT_EQ(dw_ledger_new(&ledger, &options), DW_OK);
+		instance.ledger.reset(ledger);
+	}
+
+	void choose_holder(size_t index)
+	{
+		size_t holder = (index + 1 + random() % (instances.size() - 1)) % instances.size();
+		dw_ledger_set_holder(instances[index].ledger.get(), &instances[holder].key, now_us);
+	}
+
+	Instance *find(dw_member_key key)
+	{
+		for (Instance &instance : instances) {
+			if (dw_member_key_equal(instance.key, key))
+				return &instance;
+		}
+		return nullptr;
+	}
+
+	/* The ledger bears one loss at a time: copies are whole again before the next. */
+	void copy_all()
+	{
+		quiet = true;
+		for (int round = 0; round < 2; round++) {
+			now_us += 200 * MS;
+			for (size_t i = 0; i < instances.size(); i++)
+				pump(i);
+			while (!network.empty()) {
+				deliver();
+				for (size_t i = 0; i < instances.size(); i++)
+					pump(i);
+			}
+		}
+		quiet = false;
+	}
+
+	void write_all()
+	{
+		copy_all();
+		quiet = true;
+		for (int i = 0; i < 5000 && !written(); i++)
+			step();
+		EXPECT_TRUE(written());
+		quiet = false;
+	}
+
+	bool written()
+	{
+		for (Instance &instance : instances) {
+			if (dw_ledger_unwritten(instance.ledger.get()) > 0)
+				return false;
+		}
+		return true;
+	}
+
+	void kill(size_t index)
+	{
+		dw_member_key dead = instances[index].key;
+		kills++;
+		start(index);
+		for (Instance &instance : instances)
+			dw_ledger_member_dead(instance.ledger.get(), &dead, now_us);
+		for (size_t i = 0; i < instances.size(); i++)
+			choose_holder(i);
+		copy_all();
+	}
+
+	void serve(size_t index, int request)
+	{
+		Instance &instance = instances[index];
+		dw_usage_record record = record_of(request, now_us);
+		uint64_t seq;
+		if (dw_ledger_reserve(instance.ledger.get()) != DW_OK)
+			return;
+		ASSERT_EQ(dw_ledger_append(instance.ledger.get(), &record, now_us, &seq), DW_OK);
+		if (dw_ledger_protection_of(instance.ledger.get(), seq) !=
+		    DW_LEDGER_PROTECTION_COUNT)
+			answered[request] = true;
+		else
+			instance.waiting[seq].push_back(request);
+	}
+
+	void pump(size_t index)
+	{
+		Instance &instance = instances[index];
+		Message message{};
+		dw_ledger_write write;
+		uint64_t seq;
+		dw_ledger_protection protection;
+		while (dw_ledger_next_message(instance.ledger.get(), now_us, &message.to,
+					      &message.body)) {
+			message.from_key = instance.key;
+			if (quiet || !chance(15))
+				network.push_back(message);
+		}
+		if (dw_ledger_next_write(instance.ledger.get(), now_us, &write))
+			writes.push_back({ instance.key, write.id, write.key,
+					   std::string((const char *)write.bytes, write.len), true,
+					   DW_OK });
+		while (dw_ledger_next_protected(instance.ledger.get(), &seq, &protection)) {
+			for (int request : instance.waiting[seq]) {
+				answered[request] = true;
+				if (protection == DW_LEDGER_EXPOSED)
+					exposed.insert(request);
+			}
+			instance.waiting.erase(seq);
+		}
+	}
+
+	void deliver()
+	{
+		size_t index = chance(80) ? 0 : random() % network.size();
+		Message message = network[index];
+		network.erase(network.begin() + (long)index);
+		Instance *to = find(message.to);
+		if (to)
+			dw_ledger_receive(to->ledger.get(), &message.from_key, &message.body,
+					  now_us);
+	}
+
+	void store_step()
+	{
+		Write write = writes.front();
+		writes.pop_front();
+		if (write.at_store) {
+			bool lost_before = !quiet && chance(15);
+			if (lost_before)
+				write.status = DW_UNAVAILABLE;
+			else if (store.count(write.key))
+				write.status = DW_CONFLICT;
+			else
+				store[write.key] = write.bytes;
+			if (!quiet && chance(20))
+				write.status = DW_UNKNOWN_OUTCOME;
+			EXPECT_TRUE(lost_before || store[write.key] == write.bytes);
+			write.at_store = false;
+			writes.push_back(write);
+			return;
+		}
+		Instance *from = find(write.from);
+		if (from)
+			dw_ledger_write_done(from->ledger.get(), write.id, write.status, now_us);
+	}
+
+	void step()
+	{
+		size_t index = random() % instances.size();
+		uint64_t what = random() % 100;
+		if (what < 15 && !quiet)
+			serve(index, (int)(random() % REQUESTS));
+		else if (what < 45 && !network.empty())
+			deliver();
+		else if (what < 55 && !writes.empty())
+			store_step();
+		else if (what < 57 && !quiet && chance(40))
+			kill(index);
+		else
+			now_us += random() % (quiet ? 20 * MS : 60 * MS);
+		dw_ledger_tick(instances[index].ledger.get(), now_us);
+		pump(index);
+	}
+};
+
+struct Totals {
+	uint64_t requests = 0;
+	uint64_t cost_micros = 0;
+	int rows = 0;
+};
+
+void add_total(const dw_ledger_total *total, void *data)
+{
+	Totals *totals = (Totals *)data;
+	totals->requests += total->requests;
+	totals->cost_micros += total->cost_micros;
+	totals->rows++;
+}
+
+Totals fold(const std::map<std::string, std::string> &store)
+{
+	dw_ledger_fold *fold = dw_ledger_fold_new();
+	Totals totals;
+	for (auto &[key, bytes] : store)
+		EXPECT_EQ(dw_ledger_fold_batch(fold, (const uint8_t *)bytes.data(), bytes.size()),
+			  DW_OK);
+	EXPECT_EQ(dw_ledger_fold_totals(fold, add_total, &totals), DW_OK);
+	dw_ledger_fold_free(fold);
+	return totals;
+}
+
+enum dw_status collect(const dw_usage_record *record, void *data)
+{
+	((std::set<uint64_t> *)data)->insert(record->request_id.low);
+	return DW_OK;
+}
+
+TEST(Ledger, EqualsWhatCallersGotOverRandomInterleavings)
+{
+	uint64_t kills = 0;
+	uint64_t answered = 0;
+	for (uint64_t seed = 1; seed <= 1000 && !HasFailure(); seed++) {
+		SCOPED_TRACE("seed " + std::to_string(seed));
+		World world(seed);
+		std::set<uint64_t> billed;
+		for (int i = 0; i < 600; i++)
+			world.step();
+		world.write_all();
+		for (auto &[key, bytes] : world.store)
+			dw_usage_batch_decode((const uint8_t *)bytes.data(), bytes.size(), collect,
+					      &billed);
+		for (int request = 0; request < REQUESTS; request++) {
+			if (!world.answered[request] || world.exposed.count(request))
+				continue;
+			EXPECT_TRUE(billed.count(record_of(request, 0).request_id.low))
+				<< "request " << request << " was answered but isn't billed";
+			answered++;
+		}
+		/* Each caller repeats its request elsewhere; it must not be billed again. */
+		for (int request = 0; request < REQUESTS; request++)
+			world.serve(request % world.instances.size(), request);
+		world.write_all();
+		Totals totals = fold(world.store);
+		EXPECT_EQ(totals.requests, (uint64_t)REQUESTS);
+		EXPECT_EQ(totals.cost_micros,
+			  (uint64_t)REQUESTS * 100 + REQUESTS * (REQUESTS - 1) / 2);
+		EXPECT_EQ(totals.rows, 6);
+		kills += world.kills;
+	}
+	EXPECT_GT(kills, 1000u);
+	EXPECT_GT(answered, 10000u);
+}
+
+TEST(Ledger, TheFoldDoesNotDependOnTheOrder)
+{
+	dw_usage_record first = record_of(1, 500);
+	dw_usage_record second = record_of(1, 600);
+	second.cost_micros = 7;
+	for (bool swapped : { false, true }) {
+		dw_ledger_fold *fold = dw_ledger_fold_new();
+		Totals totals;
+		dw_ledger_fold_add(fold, swapped ? &second : &first);
+		dw_ledger_fold_add(fold, swapped ? &first : &second);
+		dw_ledger_fold_totals(fold, add_total, &totals);
+		EXPECT_EQ(totals.requests, 1u);
+		EXPECT_EQ(totals.cost_micros, first.cost_micros);
+		dw_ledger_fold_free(fold);
+	}
+}
+
+TEST(Ledger, AFullTailRefusesBeforeTheRequestRuns)
+{
+	dw_ledger_options options = dw_ledger_default_options({ 1, 1 });
+	options.max_tail_records = 4;
+	dw_ledger *ledger = nullptr;
+	dw_ledger_write write;
+	uint64_t seq;
+
+	ASSERT_EQ(dw_ledger_new(&ledger, &options), DW_OK);
+	for (int i = 0; i < 4; i++)
+		ASSERT_EQ(dw_ledger_reserve(ledger), DW_OK);
+	EXPECT_EQ(dw_ledger_reserve(ledger), DW_OVERLOADED);
+	for (int i = 0; i < 4; i++) {
+		dw_usage_record record = record_of(i, 1);
+		ASSERT_EQ(dw_ledger_append(ledger, &record, 1, &seq), DW_OK);
+	}
+	EXPECT_EQ(dw_ledger_reserve(ledger), DW_OVERLOADED);
+	ASSERT_TRUE(dw_ledger_next_write(ledger, dw_ledger_deadline_us(ledger), &write));
+	EXPECT_STREQ(write.key, "usage/0000000000000001/0000000000000001/0000000001");
+	dw_ledger_write_done(ledger, write.id, DW_OK, 2);
+	EXPECT_EQ(dw_ledger_unwritten(ledger), 0u);
+	EXPECT_EQ(dw_ledger_reserve(ledger), DW_OK);
+	dw_ledger_free(ledger);
+}
+
+} // namespace
