--- /dev/null
+++ b/include/dragonflywharf/rollout.h
@@ -0,0 +1,143 @@
+/**
+ * @file rollout.h
+ * Holding a version that has turned bad, on the evidence of all instances together.
+ *
+ * Each instance counts its own answers; the counters only grow, and of two values of one member's
+ * counter the greater is the later one. Merging is therefore idempotent, commutative and
+ * associative, whatever is lost, doubled or late. The pooled sums feed a sequential change
+ * detector: a weighted Shiryaev-Roberts sum of likelihood ratios against the baseline rate of bad
+ * answers. Its excess over the sum of the weights (at most 1) is a supermartingale while the
+ * version is good, so that by Doob's inequality it ever crosses 1/alpha with a probability of at
+ * most alpha, however often one looks and however long the roll-out lasts.
+ *
+ * A hold is a flag for one release order of a version. It only ever gets set, spreads to peers,
+ * and loses its force when an operator writes a higher release order: then the evidence starts
+ * again from nothing. It is no withdrawal, and never changes what an operator wrote.
+ */
+#ifndef DRAGONFLYWHARF_ROLLOUT_H
+#define DRAGONFLYWHARF_ROLLOUT_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <dragonflywharf/member_key.h>
+#include <dragonflywharf/status.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define DW_ROLLOUT_MESSAGE_ENTRIES 64
+#define DW_ROLLOUT_MESSAGE_HOLDS 16
+
+struct dw_rollout;
+
+struct dw_rollout_policy {
+	uint32_t versions_max; /**< more are refused */
+	uint32_t members_max; /**< a version's counters kept; beyond, the stalest is dropped */
+	uint32_t false_alarms_per_million; /**< good roll-outs held, at most */
+	/** Rate of bad answers that is still good; a higher rate of the model's other versions
+	 * raises it. */
+	uint32_t baseline_permille;
+};
+
+/** 1 in 1,000 roll-outs, 5% bad answers, 64 versions, 4,096 members. */
+struct dw_rollout_policy dw_rollout_policy_default(void);
+
+enum dw_rollout_outcome {
+	DW_ROLLOUT_GOOD, /**< rated at or above the target */
+	DW_ROLLOUT_BAD, /**< rated below the target */
+	DW_ROLLOUT_ERROR, /**< the version's own failure, not its upstream's */
+	DW_ROLLOUT_OUTCOME_COUNT
+};
+
+/** One member's counters for one release order of a version; they only grow. */
+struct dw_rollout_entry {
+	uint64_t version_id;
+	uint64_t release_order;
+	struct dw_member_key member;
+	uint64_t answers; /**< all outcomes */
+	uint64_t bad;
+	uint64_t errors;
+};
+
+struct dw_rollout_hold {
+	uint64_t version_id;
+	uint64_t release_order;
+};
+
+/** What peers exchange. */
+struct dw_rollout_message {
+	uint32_t entry_count;
+	uint32_t hold_count;
+	struct dw_rollout_entry entries[DW_ROLLOUT_MESSAGE_ENTRIES];
+	struct dw_rollout_hold holds[DW_ROLLOUT_MESSAGE_HOLDS];
+};
+
+/** Pooled over all members, for the present release order. */
+struct dw_rollout_totals {
+	uint64_t answers;
+	uint64_t bad;
+	uint64_t errors;
+	uint64_t release_order;
+	bool held;
+};
+
+struct dw_rollout *dw_rollout_new(const struct dw_rollout_policy *policy,
+				  struct dw_member_key self);
+void dw_rollout_free(struct dw_rollout *rollout);
+
+/**
+ * Tells of a version in the configuration, again on each change. A higher @p release_order ends
+ * an older hold and drops the older evidence; a lower one is refused with DW_STALE.
+ *
+ * @return DW_OK, DW_STALE, DW_TOO_LARGE (versions_max), DW_NO_MEMORY.
+ */
+enum dw_status dw_rollout_set_version(struct dw_rollout *rollout, uint64_t version_id,
+				      uint64_t model_id, uint64_t release_order);
+
+/** The version has left the configuration. */
+void dw_rollout_forget_version(struct dw_rollout *rollout, uint64_t version_id);
+
+/**
+ * Counts one answer of this instance. @p newly_held is set if it made this instance hold the
+ * version. @return DW_OK or DW_NOT_FOUND.
+ */
+enum dw_status dw_rollout_count(struct dw_rollout *rollout, uint64_t version_id,
+				enum dw_rollout_outcome outcome, bool *newly_held);
+
+/** No new work for the version; false for an unknown one. */
+bool dw_rollout_is_held(const struct dw_rollout *rollout, uint64_t version_id);
+
+enum dw_status dw_rollout_totals(const struct dw_rollout *rollout, uint64_t version_id,
+				 struct dw_rollout_totals *out);
+
+/**
+ * Takes in a peer's message. Of versions that aren't known here and of older release orders
+ * nothing is kept; what a newer release order than the one known here says is left out until the
+ * configuration has come. @p newly_held gets the versions that it made this instance hold, at most
+ * @p capacity. @return how many they were.
+ */
+size_t dw_rollout_merge(struct dw_rollout *rollout, const struct dw_rollout_message *message,
+			uint64_t *newly_held, size_t capacity);
+
+/**
+ * Fills @p out with what has changed here since it was last collected, own and learned, and with
+ * the holds in force: to be passed on to a few peers. False when there is nothing to tell; called
+ * again while it returns true.
+ */
+bool dw_rollout_collect(struct dw_rollout *rollout, struct dw_rollout_message *out);
+
+/**
+ * Fills @p out with the next part of everything known, from @p cursor (0 at first): for a peer
+ * that lacks some. False when the end is reached and @p out is empty.
+ */
+bool dw_rollout_collect_all(const struct dw_rollout *rollout, uint64_t *cursor,
+			    struct dw_rollout_message *out);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
