--- /dev/null
+++ b/src/core/upstream_load.c
@@ -0,0 +1,152 @@
+#include <dragonflywharf/upstream_load.h>
+
+#include <stddef.h>
+
+/* Each request that shares an engine's batch slows a token by this part. */
+#define BATCH_SLOPE_PERMILLE 30
+#define PERMILLE 1000
+#define EWMA_SHIFT 3
+#define DEFAULT_US_PER_TOKEN 20000
+#define DEFAULT_US_PER_PROMPT_TOKEN 200
+#define DEFAULT_SERVICE_US 4000000
+
+static uint64_t bucket_of(uint64_t time_us)
+{
+	return time_us / DW_LOAD_BUCKET_US;
+}
+
+/* Brings the history up to now; buckets without a change repeat the count. */
+static void advance(struct dw_upstream_load *load, uint64_t now_us)
+{
+	uint64_t now = bucket_of(now_us);
+	uint64_t missed;
+
+	if (now <= load->history_bucket)
+		return;
+	missed = now - load->history_bucket;
+	if (missed > DW_LOAD_HISTORY)
+		missed = DW_LOAD_HISTORY;
+	for (uint64_t i = 0; i < missed; i++)
+		load->history[(now - i) % DW_LOAD_HISTORY] = load->in_flight;
+	load->history_bucket = now;
+}
+
+static void note(struct dw_upstream_load *load)
+{
+	load->history[load->history_bucket % DW_LOAD_HISTORY] = load->in_flight;
+}
+
+static uint32_t own_at(const struct dw_upstream_load *load, uint64_t time_us)
+{
+	uint64_t bucket = bucket_of(time_us);
+
+	if (bucket >= load->history_bucket)
+		return load->in_flight;
+	if (load->history_bucket - bucket >= DW_LOAD_HISTORY)
+		bucket = load->history_bucket - DW_LOAD_HISTORY + 1;
+	return load->history[bucket % DW_LOAD_HISTORY];
+}
+
+static uint64_t ewma(uint64_t mean, uint64_t sample)
+{
+	if (!mean)
+		return sample;
+	return mean - (mean >> EWMA_SHIFT) + (sample >> EWMA_SHIFT);
+}
+
+static uint64_t slowed(uint64_t time_us, uint32_t batch)
+{
+	return time_us * (PERMILLE + (uint64_t)BATCH_SLOPE_PERMILLE * batch) / PERMILLE;
+}
+
+static uint64_t unslowed(uint64_t time_us, uint32_t batch)
+{
+	return time_us * PERMILLE / (PERMILLE + (uint64_t)BATCH_SLOPE_PERMILLE * batch);
+}
+
+static uint32_t batch_of(const struct dw_upstream_load *load, uint32_t in_flight)
+{
+	return load->slots && in_flight > load->slots ? load->slots : in_flight;
+}
+
+static bool queues(const struct dw_upstream_load *load, uint32_t in_flight)
+{
+	return load->slots && in_flight >= load->slots;
+}
+
+static void learn(struct dw_upstream_load *load, const struct dw_load_sample *sample)
+{
+	uint32_t batch = batch_of(load, sample->load);
+
+	if (sample->total_us)
+		load->service_us = ewma(load->service_us, sample->total_us);
+	if (sample->tokens > 1 && sample->total_us > sample->first_token_us) {
+		uint64_t generated_us = sample->total_us - sample->first_token_us;
+
+		load->us_per_token = ewma(load->us_per_token,
+					  unslowed(generated_us / (sample->tokens - 1), batch));
+	}
+	/* The first token of a request that queued tells of the queue, not of the prompt. */
+	if (sample->prompt_tokens && sample->first_token_us && !queues(load, sample->load))
+		load->us_per_prompt_token = ewma(load->us_per_prompt_token,
+						 sample->first_token_us / sample->prompt_tokens);
+}
+
+void dw_upstream_load_sent(struct dw_upstream_load *load, uint64_t now_us)
+{
+	advance(load, now_us);
+	load->in_flight++;
+	note(load);
+}
+
+void dw_upstream_load_ended(struct dw_upstream_load *load, uint64_t now_us,
+			    const struct dw_load_sample *sample)
+{
+	advance(load, now_us);
+	if (load->in_flight)
+		load->in_flight--;
+	note(load);
+	if (sample)
+		learn(load, sample);
+}
+
+void dw_upstream_load_report(struct dw_upstream_load *load, uint64_t taken_us, uint32_t running,
+			     uint32_t queued)
+{
+	if (taken_us <= load->reported_at_us)
+		return;
+	load->reported_at_us = taken_us;
+	load->reported = running + queued;
+	load->reported_own = own_at(load, taken_us);
+}
+
+uint32_t dw_upstream_load_estimate(const struct dw_upstream_load *load, uint64_t now_us,
+				   uint32_t instances)
+{
+	uint64_t age_us = now_us > load->reported_at_us ? now_us - load->reported_at_us : 0;
+	uint64_t others = 0;
+	uint64_t share = (uint64_t)load->in_flight * (instances > 1 ? instances - 1 : 0);
+
+	if (load->reported > load->reported_own)
+		others = load->reported - load->reported_own;
+	if (!load->reported_at_us || age_us > DW_LOAD_REPORT_STALE_US)
+		age_us = DW_LOAD_REPORT_STALE_US;
+	others = (others * (DW_LOAD_REPORT_STALE_US - age_us) + share * age_us) /
+		 DW_LOAD_REPORT_STALE_US;
+	return load->in_flight + (uint32_t)others;
+}
+
+uint64_t dw_upstream_load_expected_us(const struct dw_upstream_load *load, uint32_t in_flight,
+				      uint32_t prompt_tokens, uint32_t tokens)
+{
+	uint64_t per_token = load->us_per_token ? load->us_per_token : DEFAULT_US_PER_TOKEN;
+	uint64_t per_prompt =
+		load->us_per_prompt_token ? load->us_per_prompt_token : DEFAULT_US_PER_PROMPT_TOKEN;
+	uint64_t service_us = load->service_us ? load->service_us : DEFAULT_SERVICE_US;
+	uint64_t wait_us = 0;
+
+	if (queues(load, in_flight))
+		wait_us = (in_flight - load->slots + 1) * service_us / load->slots;
+	return wait_us + per_prompt * prompt_tokens +
+	       slowed(per_token * tokens, batch_of(load, in_flight));
+}
