--- a/include/dragonflywharf/rollout.h
+++ b/include/dragonflywharf/rollout.h
@@ -10,7 +10,7 @@
  * version is good, so that by Doob's inequality it ever crosses 1/alpha with a probability of at
  * most alpha, however often one looks and however long the roll-out lasts.
  *
- * A hold is a flag for one release order of a version. It only ever gets set, spreads to peers,
+ * A hold is a flag for a version's release orders up to one. It only ever rises, spreads to peers,
  * and loses its force when an operator writes a higher release order: then the evidence starts
  * again from nothing. It is no withdrawal, and never changes what an operator wrote.
  */
@@ -114,9 +114,8 @@
 				 struct dw_rollout_totals *out);
 
 /**
- * Takes in a peer's message. Of versions that aren't known here and of older release orders
- * nothing is kept; what a newer release order than the one known here says is left out until the
- * configuration has come. @p newly_held gets the versions that it made this instance hold, at most
+ * Takes in a peer's message. Counters of versions that aren't known here and of other release
+ * orders than the present one are left out; a hold of a newer order is kept. @p newly_held gets the versions that it made this instance hold, at most
  * @p capacity. @return how many they were.
  */
 size_t dw_rollout_merge(struct dw_rollout *rollout, const struct dw_rollout_message *message,
