Hold test: union bound over instances, weight of a change spread over single answers

Cause: the first version gave each instance the whole false-alarm rate. Every instance sees its own order of arrival and any of them may hold, so their false alarms add up. Ruled out: per-member threshold growth with the counters known, as each starts out alone. Command: build/rollout_test

The functions dw_cascade_choose() and dw_rollout_pooled() are renamed, as in C++ a function may not share a struct's name here.

--- a/include/dragonflywharf/cascade.h
+++ b/include/dragonflywharf/cascade.h
@@ -74,9 +74,9 @@
  * @return DW_OK; DW_UNAVAILABLE if the last step isn't available; DW_INVALID_ARGUMENT for no or
  * too many steps.
  */
-enum dw_status dw_cascade_plan(const struct dw_cascade_request *request,
-			       const struct dw_cascade_step *steps, size_t count,
-			       struct dw_cascade_plan *out);
+enum dw_status dw_cascade_choose(const struct dw_cascade_request *request,
+				 const struct dw_cascade_step *steps, size_t count,
+				 struct dw_cascade_plan *out);
 
 /**
  * Whether the answer of the plan's step @p position may go to the caller. @p rated is false if no
--- a/include/dragonflywharf/rollout.h
+++ b/include/dragonflywharf/rollout.h
@@ -8,7 +8,8 @@
  * detector: a weighted Shiryaev-Roberts sum of likelihood ratios against the baseline rate of bad
  * answers. Its excess over the sum of the weights (at most 1) is a supermartingale while the
  * version is good, so that by Doob's inequality it ever crosses 1/alpha with a probability of at
- * most alpha, however often one looks and however long the roll-out lasts.
+ * most alpha, however often one looks and however long the roll-out lasts. As any instance may
+ * hold, alpha is the stated rate of false alarms divided by the number of instances.
  *
  * A hold is a flag for a version's release orders up to one. It only ever rises, spreads to peers,
  * and loses its force when an operator writes a higher release order: then the evidence starts
@@ -40,9 +41,11 @@
 	/** Rate of bad answers that is still good; a higher rate of the model's other versions
 	 * raises it. */
 	uint32_t baseline_permille;
+	/** Live instances, any of which may hold: their false alarms add up to the stated rate. */
+	uint32_t instances;
 };
 
-/** 1 in 1,000 roll-outs, 5% bad answers, 64 versions, 4,096 members. */
+/** 1 in 1,000 roll-outs, 5% bad answers, 64 versions, 4,096 members, 9 instances. */
 struct dw_rollout_policy dw_rollout_policy_default(void);
 
 enum dw_rollout_outcome {
@@ -88,6 +91,9 @@
 				  struct dw_member_key self);
 void dw_rollout_free(struct dw_rollout *rollout);
 
+/** Tells how many instances are live; a few more or fewer make little difference. */
+void dw_rollout_set_instances(struct dw_rollout *rollout, uint32_t instances);
+
 /**
  * Tells of a version in the configuration, again on each change. A higher @p release_order ends
  * an older hold and drops the older evidence; a lower one is refused with DW_STALE.
@@ -110,7 +116,7 @@
 /** No new work for the version; false for an unknown one. */
 bool dw_rollout_is_held(const struct dw_rollout *rollout, uint64_t version_id);
 
-enum dw_status dw_rollout_totals(const struct dw_rollout *rollout, uint64_t version_id,
+enum dw_status dw_rollout_pooled(const struct dw_rollout *rollout, uint64_t version_id,
 				 struct dw_rollout_totals *out);
 
 /**
--- a/src/core/cascade.c
+++ b/src/core/cascade.c
@@ -221,9 +221,9 @@
 	out->longest_us = subset->longest_us;
 }
 
-enum dw_status dw_cascade_plan(const struct dw_cascade_request *request,
-			       const struct dw_cascade_step *steps, size_t count,
-			       struct dw_cascade_plan *out)
+enum dw_status dw_cascade_choose(const struct dw_cascade_request *request,
+				 const struct dw_cascade_step *steps, size_t count,
+				 struct dw_cascade_plan *out)
 {
 	struct subset subset;
 
--- a/src/core/hold_test.c
+++ b/src/core/hold_test.c
@@ -3,7 +3,9 @@
 #include <math.h>
 
 #define PER_MILLION 1e6
-#define BLOCK_ANSWERS 32
+/* Half of the weight lies on a version that is bad from the start, half on a later change. */
+#define START_WEIGHT 0.5
+#define WEIGHT_SPREAD_ANSWERS 1000.0
 /* Standard deviations above the measured rate of the other versions, and its least evidence. */
 #define UPPER_BOUND_SIGMAS 2.0
 #define OTHERS_MIN_ANSWERS 100
@@ -35,18 +37,22 @@
 	return fmin(fmax(fmax(stated, rate), BASELINE_MIN), BASELINE_MAX);
 }
 
-/* Weight of the blocks that have begun since the last call: sum of 1 / (k (k + 1)) telescopes. */
+/* Weight of all changes before answer @p answers: rises towards 1. */
+static double weight_until(double answers)
+{
+	return 1.0 - (1.0 - START_WEIGHT) / (1.0 + answers / WEIGHT_SPREAD_ANSWERS);
+}
+
 static double take_weight(struct hold_test *test)
 {
-	uint64_t blocks = test->answers / BLOCK_ANSWERS + 1;
-	double weight = 1.0 / (double)(test->blocks + 1) - 1.0 / (double)(blocks + 1);
+	double weight = weight_until((double)test->answers) - test->weight;
 
-	test->blocks = blocks;
+	test->weight += weight;
 	return weight;
 }
 
 bool hold_test_update(struct hold_test *test, const struct tally *pooled,
-		      const struct tally *others, uint32_t baseline_permille)
+		      const struct tally *others, uint32_t baseline_permille, uint32_t instances)
 {
 	uint64_t bad_sum = pooled->bad + pooled->errors;
 	double answers = (double)(pooled->answers - test->answers);
@@ -65,5 +71,5 @@
 	}
 	test->answers = pooled->answers;
 	test->bad = bad_sum;
-	return mean >= test->threshold;
+	return mean >= test->threshold * (instances ? instances : 1);
 }
--- a/src/core/rollout.c
+++ b/src/core/rollout.c
@@ -10,6 +10,7 @@
 #define DEFAULT_MEMBERS 4096
 #define DEFAULT_FALSE_ALARMS_PER_MILLION 1000
 #define DEFAULT_BASELINE_PERMILLE 50
+#define DEFAULT_INSTANCES 9
 
 struct version {
 	uint64_t version_id; /* 0 for a free row */
@@ -34,6 +35,7 @@
 		.members_max = DEFAULT_MEMBERS,
 		.false_alarms_per_million = DEFAULT_FALSE_ALARMS_PER_MILLION,
 		.baseline_permille = DEFAULT_BASELINE_PERMILLE,
+		.instances = DEFAULT_INSTANCES,
 	};
 
 	return policy;
@@ -60,6 +62,11 @@
 	free(rollout);
 }
 
+void dw_rollout_set_instances(struct dw_rollout *rollout, uint32_t instances)
+{
+	rollout->policy.instances = instances;
+}
+
 /* The row of @p version_id; 0 finds a free one. */
 static struct version *find(const struct dw_rollout *rollout, uint64_t version_id)
 {
@@ -140,8 +147,9 @@
 {
 	struct tally others = others_of(rollout, version);
 
-	if (is_held(version) || !hold_test_update(&version->test, &version->evidence.sum, &others,
-						  rollout->policy.baseline_permille))
+	if (is_held(version) ||
+	    !hold_test_update(&version->test, &version->evidence.sum, &others,
+			      rollout->policy.baseline_permille, rollout->policy.instances))
 		return false;
 	version->held_orders = version->release_order + 1;
 	return true;
@@ -174,7 +182,7 @@
 	return version && is_held(version);
 }
 
-enum dw_status dw_rollout_totals(const struct dw_rollout *rollout, uint64_t version_id,
+enum dw_status dw_rollout_pooled(const struct dw_rollout *rollout, uint64_t version_id,
 				 struct dw_rollout_totals *out)
 {
 	const struct version *version = version_id ? find(rollout, version_id) : NULL;
--- /dev/null
+++ b/tests/route_test.cc
@@ -0,0 +1,275 @@
+#include <gtest/gtest.h>
+
+#include <map>
+#include <random>
+#include <vector>
+
+#include <dragonflywharf/route.h>
+
+namespace
+{
+
+constexpr uint64_t kNow = 100'000'000;
+constexpr uint64_t kSeed = 20261204;
+
+/** Upstreams in @p domains failure domains, all warm, with permits and equal speed. */
+struct Fleet {
+	std::vector<dw_upstream_load> loads;
+	std::vector<dw_route_candidate> candidates;
+	dw_route_policy policy = dw_route_policy_default();
+	dw_route_request request = {};
+	std::mt19937_64 random{ kSeed };
+
+	Fleet(size_t count, uint32_t domains) : loads(count), candidates(count)
+	{
+		for (size_t i = 0; i < count; i++) {
+			loads[i] = {};
+			loads[i].slots = 8;
+			candidates[i] = {};
+			candidates[i].upstream_id = 1000 + i;
+			candidates[i].failure_domain = i % domains;
+			candidates[i].limit = 16;
+			candidates[i].permits = 16;
+			candidates[i].load = &loads[i];
+		}
+		request.now_us = kNow;
+		request.prompt_tokens = 500;
+		request.tokens = 100;
+	}
+
+	enum dw_status choose(dw_route_choice *out)
+	{
+		request.random = random();
+		return dw_route_choose(&policy, &request, candidates.data(), candidates.size(),
+				       out);
+	}
+
+	size_t chosen()
+	{
+		dw_route_choice choice;
+
+		EXPECT_EQ(choose(&choice), DW_OK) << dw_last_message();
+		return choice.index;
+	}
+
+	double share_of(size_t index, int draws = 20000)
+	{
+		int hits = 0;
+
+		for (int i = 0; i < draws; i++)
+			hits += chosen() == index;
+		return (double)hits / draws;
+	}
+};
+
+TEST(UpstreamLoad, AddsOwnSendsSinceTheReportToTheReportOfTheOthers)
+{
+	dw_upstream_load load = {};
+
+	load.slots = 8;
+	dw_upstream_load_sent(&load, kNow);
+	dw_upstream_load_sent(&load, kNow);
+	dw_upstream_load_sent(&load, kNow + 600'000);
+	/* True 300 ms after the first two: 7 there, 2 of them ours; it comes later. */
+	dw_upstream_load_report(&load, kNow + 300'000, 5, 2);
+	EXPECT_EQ(dw_upstream_load_estimate(&load, kNow + 300'000, 1), 3U + 5U);
+	/* An older report that comes afterwards changes nothing. */
+	dw_upstream_load_report(&load, kNow + 200'000, 8, 90);
+	EXPECT_EQ(dw_upstream_load_estimate(&load, kNow + 300'000, 1), 8U);
+	/* A stale one counts for nothing; then the others have as much as this instance each. */
+	EXPECT_EQ(dw_upstream_load_estimate(&load, kNow + 60'000'000, 1), 3U);
+	EXPECT_EQ(dw_upstream_load_estimate(&load, kNow + 60'000'000, 4), 12U);
+	dw_upstream_load_ended(&load, kNow + 700'000, nullptr);
+	EXPECT_EQ(dw_upstream_load_estimate(&load, kNow + 300'000, 1), 7U);
+}
+
+TEST(UpstreamLoad, LearnsSpeedFromSamplesAndExpectsQueuesToTakeTime)
+{
+	dw_upstream_load load = {};
+	dw_load_sample sample = { 1000, 101, 100'000, 1'100'000, 0 };
+
+	load.slots = 8;
+	for (int i = 0; i < 40; i++) {
+		dw_upstream_load_sent(&load, kNow);
+		dw_upstream_load_ended(&load, kNow, &sample);
+	}
+	EXPECT_NEAR((double)load.us_per_token, 10'000, 100);
+	EXPECT_NEAR((double)dw_upstream_load_expected_us(&load, 0, 1000, 100), 1'100'000, 20'000);
+	EXPECT_GT(dw_upstream_load_expected_us(&load, 7, 0, 100),
+		  dw_upstream_load_expected_us(&load, 0, 0, 100));
+	EXPECT_GT(dw_upstream_load_expected_us(&load, 16, 0, 100),
+		  dw_upstream_load_expected_us(&load, 7, 0, 100) + 1'000'000);
+}
+
+/* Over random fleets: never one that was tried, without a permit, kept apart, or suspect while
+ * another is left. */
+TEST(Route, TakesOnlyWhatMayBeTaken)
+{
+	std::mt19937_64 random(kSeed);
+
+	for (int round = 0; round < 20000; round++) {
+		Fleet fleet(1 + random() % 12, 3);
+		std::vector<uint64_t> tried;
+		bool any_left = false;
+		bool any_permit = false;
+		bool any_sound = false;
+		dw_route_choice choice;
+
+		fleet.random.seed(round);
+		fleet.request.affinity = random() % 2 ? random() | 1 : 0;
+		for (auto &candidate : fleet.candidates) {
+			candidate.permits = random() % 3;
+			candidate.cold = random() % 4 == 0;
+			candidate.suspect = random() % 4 == 0;
+			candidate.isolation = random() % 6 == 0;
+			candidate.limit = 1 + random() % 4;
+			dw_upstream_load &load = fleet.loads[&candidate - &fleet.candidates[0]];
+			load.in_flight = random() % 6;
+			if (random() % 4 == 0)
+				tried.push_back(candidate.upstream_id);
+			bool left = !candidate.isolation &&
+				    (tried.empty() || tried.back() != candidate.upstream_id);
+			any_left |= left;
+			any_permit |= left && candidate.permits;
+			any_sound |= left && candidate.permits && !candidate.suspect;
+		}
+		fleet.request.tried = tried.data();
+		fleet.request.tried_count = tried.size();
+		enum dw_status status = fleet.choose(&choice);
+
+		ASSERT_EQ(status, any_permit ? DW_OK
+				  : any_left ? DW_OVERLOADED
+					     : DW_UNAVAILABLE)
+			<< "round " << round;
+		if (status == DW_UNAVAILABLE) {
+			ASSERT_EQ(choice.index, DW_ROUTE_NONE);
+			continue;
+		}
+		const dw_route_candidate &taken = fleet.candidates[choice.index];
+
+		ASSERT_FALSE(taken.isolation) << "round " << round;
+		ASSERT_TRUE(status == DW_OVERLOADED || taken.permits) << "round " << round;
+		ASSERT_TRUE(status == DW_OVERLOADED || !taken.suspect || !any_sound)
+			<< "round " << round;
+		for (uint64_t id : tried)
+			ASSERT_NE(id, taken.upstream_id) << "round " << round;
+	}
+}
+
+TEST(Route, ASuspectedRequestGoesToTheIsolationUpstreamOrAnIdleOne)
+{
+	Fleet fleet(6, 3);
+	dw_route_choice choice;
+
+	fleet.request.suspect = true;
+	for (auto &load : fleet.loads)
+		load.in_flight = 3;
+	fleet.loads[4].in_flight = 0;
+	EXPECT_EQ(fleet.chosen(), 4U);
+	fleet.candidates[2].isolation = true;
+	ASSERT_EQ(fleet.choose(&choice), DW_OK);
+	EXPECT_EQ(choice.index, 2U);
+	EXPECT_EQ(choice.reason, DW_ROUTE_ISOLATED);
+}
+
+TEST(Route, AConversationStaysWithItsPrefixUntilTheLoadBoundIsPassed)
+{
+	std::map<size_t, int> homes;
+
+	for (uint64_t conversation = 1; conversation <= 400; conversation++) {
+		Fleet fleet(12, 4);
+
+		fleet.request.affinity = dw_route_affinity(
+			7, reinterpret_cast<const char *>(&conversation), sizeof(conversation));
+		size_t home = fleet.chosen();
+
+		homes[home]++;
+		for (uint32_t domain = 0; domain < 4; domain++) {
+			fleet.request.failure_domain = domain;
+			ASSERT_EQ(fleet.chosen(), home);
+		}
+		fleet.loads[home].in_flight = 15;
+		ASSERT_NE(fleet.chosen(), home) << "above the bound";
+		for (auto &load : fleet.loads)
+			load.in_flight = 14;
+		ASSERT_EQ(fleet.chosen(), home) << "all are as loaded";
+	}
+	EXPECT_EQ(homes.size(), 12U);
+	for (auto &home : homes)
+		EXPECT_LT(home.second, 400 / 12 * 2);
+}
+
+TEST(Route, PrefersTheOwnFailureDomainByItsLinksCost)
+{
+	Fleet fleet(8, 4);
+	std::vector<uint32_t> cost((size_t)DW_ROUTE_DOMAINS_MAX * DW_ROUTE_DOMAINS_MAX, 0);
+
+	double even = fleet.share_of(0) + fleet.share_of(4);
+
+	for (uint32_t other = 1; other < 4; other++)
+		cost[other] = 50'000;
+	fleet.policy.link_cost_us = cost.data();
+	EXPECT_GT(fleet.share_of(0) + fleet.share_of(4), 1.5 * even);
+	/* A costlier link is worth it once the queue at home is longer. */
+	fleet.loads[0].in_flight = fleet.loads[4].in_flight = 15;
+	EXPECT_LT(fleet.share_of(0) + fleet.share_of(4), even);
+}
+
+TEST(Route, AReturningUpstreamsShareRises)
+{
+	Fleet fleet(4, 4);
+	double usual = fleet.share_of(0);
+
+	dw_ramp_start(&fleet.candidates[0].ramp, kNow, kNow + 10'000'000);
+	EXPECT_LT(fleet.share_of(0), usual / 8);
+	fleet.request.now_us = kNow + 5'000'000;
+	double half = fleet.share_of(0);
+	EXPECT_GT(half, usual / 4);
+	EXPECT_LT(half, usual * 3 / 4);
+	fleet.request.now_us = kNow + 10'000'000;
+	EXPECT_NEAR(fleet.share_of(0), usual, 0.02);
+	/* When nothing else is left, a ramp refuses nothing. */
+	fleet.request.now_us = kNow;
+	for (size_t i = 1; i < 4; i++)
+		fleet.candidates[i].permits = 0;
+	EXPECT_EQ(fleet.chosen(), 0U);
+}
+
+/* Nine instances with the same old report must not all send to the one that looked idlest. */
+TEST(Route, InstancesWithTheSameStaleViewDoNotHerd)
+{
+	std::vector<int> sent(12, 0);
+
+	for (int instance = 0; instance < 9; instance++) {
+		Fleet fleet(12, 4);
+
+		fleet.policy.instances = 9;
+		fleet.random.seed(instance);
+		for (size_t i = 0; i < 12; i++)
+			dw_upstream_load_report(&fleet.loads[i], kNow - 500'000, i ? 4 : 3, 0);
+		for (int i = 0; i < 8; i++) {
+			size_t index = fleet.chosen();
+
+			sent[index]++;
+			dw_upstream_load_sent(&fleet.loads[index], kNow);
+		}
+	}
+	for (int count : sent)
+		EXPECT_LE(count, 12) << "the mean is 6";
+}
+
+TEST(Route, RefusesMalformedCandidates)
+{
+	Fleet fleet(2, 1);
+	dw_route_choice choice;
+
+	fleet.candidates[1].load = nullptr;
+	EXPECT_EQ(fleet.choose(&choice), DW_INVALID_ARGUMENT);
+	fleet.candidates[1].load = &fleet.loads[1];
+	fleet.candidates[1].failure_domain = DW_ROUTE_DOMAINS_MAX;
+	EXPECT_EQ(fleet.choose(&choice), DW_INVALID_ARGUMENT);
+	Fleet large(DW_ROUTE_CANDIDATES_MAX + 1, 1);
+	EXPECT_EQ(large.choose(&choice), DW_INVALID_ARGUMENT);
+}
+
+} // namespace
