--- /dev/null
+++ b/tests/support/process.h
@@ -0,0 +1,84 @@
+/**
+ * @file process.h
+ * Starts the project's own programs for process tests and never leaves one behind.
+ */
+#ifndef TESTS_SUPPORT_PROCESS_H
+#define TESTS_SUPPORT_PROCESS_H
+
+#include <sys/types.h>
+
+#include <condition_variable>
+#include <cstdint>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace support
+{
+
+/** How a process ended. */
+struct process_end {
+	bool ended = false; /**< false: it still ran when the wait's timeout passed */
+	int exit_code = -1; /**< -1 if a signal ended it */
+	int signal = 0; /**< 0 if it exited */
+};
+
+/**
+ * One child process. The kernel kills it when the test dies; the destructor kills and reaps it.
+ * Its standard output is collected line by line; its standard error goes to the test's own, or to
+ * @p error_path.
+ */
+class process
+{
+      public:
+	/** Starts WHARF_BIN_DIR/@p program. */
+	process(const std::string &program, const std::vector<std::string> &arguments,
+		const std::string &error_path = "");
+	~process();
+	process(const process &) = delete;
+	process &operator=(const process &) = delete;
+
+	/** Waits for a line of standard output that begins with @p prefix and gives the rest of it.
+	 * Empty if the process ended or @p timeout_ms passed first. */
+	std::string wait_line(const std::string &prefix, int timeout_ms = 10000);
+
+	/** Waits for "listening IP:PORT" and gives the port; 0 on failure. */
+	uint16_t wait_listening(int timeout_ms = 10000);
+
+	/** All lines written to standard output up to now. */
+	std::vector<std::string> lines();
+
+	/** Sends a signal; does nothing once the process has been reaped. */
+	void signal(int number);
+
+	/** Waits for the end; a repeated call gives the same result. */
+	process_end wait(int timeout_ms = 10000);
+
+	/** SIGTERM, then wait(). */
+	process_end terminate(int timeout_ms = 10000);
+
+	/** SIGKILL, then wait(). */
+	process_end kill();
+
+	pid_t pid() const
+	{
+		return pid_;
+	}
+
+      private:
+	void read_output();
+
+	pid_t pid_ = -1;
+	int output_ = -1;
+	process_end end_;
+	std::mutex mutex_;
+	std::condition_variable changed_;
+	std::vector<std::string> lines_;
+	bool output_ended_ = false;
+	std::thread reader_;
+};
+
+} // namespace support
+
+#endif
