--- /dev/null
+++ b/src/platform/etcd_watch.c
@@ -0,0 +1,157 @@
+#include "platform/etcd_watch.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "platform/etcd_json.h"
+
+/** A line larger than this is malformed. */
+#define MAX_LINE_BYTES ((size_t)64 << 20)
+
+struct dw_store_watch {
+	struct dw_etcd_watch_peer peer;
+	struct dw_http_call *call;
+	struct dw_store_watch_options options;
+	char *buffer; /* an unfinished line */
+	size_t buffered;
+	uint64_t next_revision;
+	enum dw_status failure; /* DW_OK while nothing was found wrong */
+	bool cancelled;
+};
+
+static void watch_fail(struct dw_store_watch *watch, enum dw_status status)
+{
+	watch->failure = status;
+	dw_http_cancel(watch->call);
+}
+
+/* Leaves out events that were told before; false if the rest isn't in order. */
+static bool watch_tell(struct dw_store_watch *watch, const struct dw_etcd_reply *reply)
+{
+	size_t first = 0;
+	uint64_t last;
+
+	while (first < reply->count &&
+	       reply->events[first].entry.mod_revision < watch->next_revision)
+		first++;
+	if (first == reply->count)
+		return true;
+	last = reply->events[first].entry.mod_revision;
+	for (size_t i = first; i < reply->count; i++) {
+		if (reply->events[i].entry.mod_revision < last)
+			return false;
+		last = reply->events[i].entry.mod_revision;
+	}
+	watch->next_revision = last + 1;
+	watch->options.on_events(watch, reply->events + first, reply->count - first,
+				 watch->options.data);
+	return true;
+}
+
+static void watch_take(struct dw_store_watch *watch, const struct dw_etcd_reply *reply)
+{
+	if (reply->compact_revision || reply->revision + 1 < watch->next_revision) {
+		watch_fail(watch, DW_STALE);
+		return;
+	}
+	if (reply->canceled) {
+		watch_fail(watch, DW_UPSTREAM_FAILED);
+		return;
+	}
+	if (reply->created && watch->next_revision == 0)
+		watch->next_revision = reply->revision + 1;
+	if (!watch_tell(watch, reply))
+		watch_fail(watch, DW_UPSTREAM_FAILED);
+}
+
+static void watch_take_line(struct dw_store_watch *watch, const char *line, size_t len)
+{
+	struct dw_etcd_reply reply;
+
+	if (len == 0)
+		return;
+	if (dw_etcd_parse_watch(line, len, &reply) != DW_OK) {
+		watch_fail(watch, DW_UPSTREAM_FAILED);
+		return;
+	}
+	watch_take(watch, &reply);
+	dw_etcd_reply_clear(&reply);
+}
+
+static void watch_on_body(struct dw_http_call *call, const char *bytes, size_t len, void *data)
+{
+	struct dw_store_watch *watch = data;
+	size_t start = 0;
+	char *end;
+
+	if (watch->buffered + len > MAX_LINE_BYTES) {
+		watch_fail(watch, DW_TOO_LARGE);
+		return;
+	}
+	watch->buffer = realloc(watch->buffer, watch->buffered + len);
+	memcpy(watch->buffer + watch->buffered, bytes, len);
+	watch->buffered += len;
+	while (!watch->cancelled && watch->failure == DW_OK &&
+	       (end = memchr(watch->buffer + start, '\n', watch->buffered - start))) {
+		size_t line_len = (size_t)(end - watch->buffer) - start;
+
+		watch_take_line(watch, watch->buffer + start, line_len);
+		start += line_len + 1;
+	}
+	memmove(watch->buffer, watch->buffer + start, watch->buffered - start);
+	watch->buffered -= start;
+}
+
+static void watch_on_done(struct dw_http_call *call, const struct dw_http_result *result,
+			  void *data)
+{
+	struct dw_store_watch *watch = data;
+	enum dw_status status = watch->failure;
+
+	if (status == DW_OK)
+		status = result->status == DW_OK ? DW_UPSTREAM_FAILED : result->status;
+	if (!watch->cancelled) {
+		if (status != DW_TIMEOUT && status != DW_STALE)
+			watch->peer.failed(watch->peer.data);
+		watch->options.on_broken(watch, status, watch->next_revision, watch->options.data);
+	}
+	free(watch->buffer);
+	free(watch);
+}
+
+struct dw_store_watch *dw_etcd_watch_start(const struct dw_etcd_watch_peer *peer,
+					   const struct dw_store_watch_options *options)
+{
+	static const struct dw_http_name_value headers[] = {
+		{ "content-type", "application/json" },
+	};
+	struct dw_store_watch *watch = calloc(1, sizeof(*watch));
+	char *body = dw_etcd_json_watch(options->prefix, options->from_revision);
+	struct dw_http_call_options http = {
+		.ip = peer->ip,
+		.port = peer->port,
+		.method = "POST",
+		.path = "/v3/watch",
+		.headers = headers,
+		.header_count = 1,
+		.body = body,
+		.body_len = strlen(body),
+		.deadline_us = options->deadline_us,
+		.on_body = watch_on_body,
+		.on_done = watch_on_done,
+		.data = watch,
+	};
+
+	watch->peer = *peer;
+	watch->options = *options;
+	watch->next_revision = options->from_revision;
+	watch->call = dw_http_call(peer->client, &http);
+	free(body);
+	return watch;
+}
+
+void dw_etcd_watch_cancel(struct dw_store_watch *watch)
+{
+	watch->cancelled = true;
+	dw_http_cancel(watch->call);
+}
--- /dev/null
+++ b/src/platform/etcd_watch.h
@@ -0,0 +1,34 @@
+/**
+ * @file etcd_watch.h
+ * One watch on etcd's JSON gateway: a stream of lines, each a JSON message.
+ */
+#ifndef WHARF_PLATFORM_ETCD_WATCH_H
+#define WHARF_PLATFORM_ETCD_WATCH_H
+
+#include "net/http_client.h"
+#include "platform/store.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct dw_etcd_watch_peer {
+	struct dw_http_client *client;
+	const char *ip;
+	uint16_t port;
+	/** The endpoint was at fault; called before on_broken. */
+	void (*failed)(void *data);
+	void *data;
+};
+
+/** Starts a watch as described in store.h. */
+struct dw_store_watch *dw_etcd_watch_start(const struct dw_etcd_watch_peer *peer,
+					   const struct dw_store_watch_options *options);
+
+void dw_etcd_watch_cancel(struct dw_store_watch *watch);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
