--- a/src/platform/etcd_json.c
+++ b/src/platform/etcd_json.c
@@ -196,8 +196,9 @@
 	uint8_t *bytes = malloc(text_len + 1);
 
 	*len = 0;
-	if (value && (!json_object_is_type(value, json_type_string) ||
-		      sodium_base642bin(bytes, text_len, text, text_len, NULL, len, NULL, BASE64))) {
+	if (value &&
+	    (!json_object_is_type(value, json_type_string) ||
+	     sodium_base642bin(bytes, text_len, text, text_len, NULL, len, NULL, BASE64))) {
 		free(bytes);
 		return NULL;
 	}
@@ -261,8 +262,7 @@
 
 static bool read_range(struct json_object *object, struct dw_etcd_reply *reply)
 {
-	return read_header(object, reply) &&
-	       read_entries(field_of(object, "kvs"), false, reply);
+	return read_header(object, reply) && read_entries(field_of(object, "kvs"), false, reply);
 }
 
 static bool read_put(struct json_object *object, struct dw_etcd_reply *reply)
--- a/src/platform/store.c
+++ b/src/platform/store.c
@@ -61,10 +61,8 @@
 const char *dw_store_outcome_name(enum dw_store_outcome outcome)
 {
 	static const char *const names[DW_STORE_OUTCOME_COUNT] = {
-		[DW_STORE_DONE] = "done",
-		[DW_STORE_CONFLICT] = "conflict",
-		[DW_STORE_UNKNOWN] = "unknown",
-		[DW_STORE_UNAVAILABLE] = "unavailable",
+		[DW_STORE_DONE] = "done",	[DW_STORE_CONFLICT] = "conflict",
+		[DW_STORE_UNKNOWN] = "unknown", [DW_STORE_UNAVAILABLE] = "unavailable",
 		[DW_STORE_REFUSED] = "refused",
 	};
 
--- a/src/platform/store_etcd.c
+++ b/src/platform/store_etcd.c
@@ -255,8 +255,7 @@
 
 	if (call->verb == DW_STORE_PUT || call->deadline_us <= now_us)
 		return call->deadline_us;
-	return now_us +
-	       (call->deadline_us - now_us) / (call->etcd->endpoint_count - call->tried);
+	return now_us + (call->deadline_us - now_us) / (call->etcd->endpoint_count - call->tried);
 }
 
 static void call_try(struct call *call)
@@ -297,8 +296,8 @@
 	call_try(call);
 }
 
-static void etcd_put(struct dw_store *store, const struct dw_store_put *put,
-		     dw_store_put_done done, void *data)
+static void etcd_put(struct dw_store *store, const struct dw_store_put *put, dw_store_put_done done,
+		     void *data)
 {
 	struct call *call =
 		call_new(store, DW_STORE_PUT, dw_etcd_json_put(put), put->deadline_us, data);
--- /dev/null
+++ b/tests/standins/standin_list.c
@@ -0,0 +1,184 @@
+/**
+ * @file standin_list.c
+ * The platform's lagging list of instances.
+ *
+ * POST /admin/set replaces the list: {"instances": [...], "lag_ms": n}; GET /instances shows it
+ * once the lag has passed, until then the one before. POST /admin/state {"name", "state"} changes
+ * one instance, with the same lag. Faults: outage (503), slow (n ms), empty (no instances),
+ * malformed (not JSON).
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "standins/json.h"
+#include "standins/standin.h"
+
+struct pending {
+	struct json_object *instances;
+	uint64_t visible_us;
+	struct pending *next;
+};
+
+struct list {
+	struct json_object *instances; /* as shown */
+	struct json_object *latest; /* as last set */
+	struct pending *pending; /* the oldest first */
+	uint64_t generation;
+	uint64_t lag_us;
+	uint64_t reads;
+};
+
+static const char *const fault_kinds[] = { "outage", "slow", "empty", "malformed", NULL };
+
+static struct list *list_of(const struct standin_request *request)
+{
+	return request->standin->data;
+}
+
+/* Takes over @p instances. */
+static void set_instances(struct list *list, struct json_object *instances)
+{
+	struct pending *change = calloc(1, sizeof(*change));
+	struct pending **at = &list->pending;
+
+	while (*at)
+		at = &(*at)->next;
+	*at = change;
+	change->instances = instances;
+	change->visible_us = dw_clock_now_us() + list->lag_us;
+	list->latest = instances;
+}
+
+static void show_due(struct list *list)
+{
+	while (list->pending && list->pending->visible_us <= dw_clock_now_us()) {
+		struct pending *change = list->pending;
+
+		list->pending = change->next;
+		json_object_put(list->instances);
+		list->instances = change->instances;
+		list->generation++;
+		free(change);
+	}
+}
+
+static void tell_list(struct standin_request *request)
+{
+	struct list *list = list_of(request);
+	struct json_object *body = json_object_new_object();
+	bool empty = fault_set_take(&request->standin->faults, "empty", request->path);
+
+	show_due(list);
+	list->reads++;
+	json_set_u64(body, "generation", list->generation);
+	json_object_object_add(body, "instances",
+			       empty ? json_object_new_array() : json_object_get(list->instances));
+	standin_answer(request, 200, body);
+}
+
+static void on_request(struct standin_request *request)
+{
+	struct fault_set *faults = &request->standin->faults;
+	const struct fault *slow;
+
+	if (strcmp(request->path, "/instances") != 0) {
+		standin_answer_error(request, 404, "no such path");
+		return;
+	}
+	if (fault_set_take(faults, "outage", request->path)) {
+		standin_answer_error(request, 503, "the list is down");
+		return;
+	}
+	if (fault_set_take(faults, "malformed", request->path)) {
+		standin_answer(request, 200, json_object_new_string("not a list"));
+		return;
+	}
+	slow = fault_set_take(faults, "slow", request->path);
+	if (slow)
+		standin_delay(request, slow->n * DW_US_PER_MS, tell_list);
+	else
+		tell_list(request);
+}
+
+static enum dw_status set_state(struct list *list, const char *name, const char *state)
+{
+	struct json_object *copy = NULL;
+
+	json_object_deep_copy(list->latest, &copy, NULL);
+	for (size_t i = 0; i < json_object_array_length(copy); i++) {
+		struct json_object *instance = json_object_array_get_idx(copy, i);
+
+		if (strcmp(json_text(instance, "name", ""), name) == 0) {
+			json_set_text(instance, "state", state);
+			set_instances(list, copy);
+			return DW_OK;
+		}
+	}
+	json_object_put(copy);
+	return dw_fail(DW_NOT_FOUND, "no such instance: %s", name);
+}
+
+static enum dw_status set_all(struct list *list, struct json_object *body)
+{
+	struct json_object *instances = json_field(body, "instances");
+
+	if (!json_object_is_type(instances, json_type_array))
+		return dw_fail(DW_INVALID_ARGUMENT, "instances isn't an array");
+	list->lag_us = json_u64(body, "lag_ms", list->lag_us / DW_US_PER_MS) * DW_US_PER_MS;
+	set_instances(list, json_object_get(instances));
+	return DW_OK;
+}
+
+static void on_admin(struct standin_request *request)
+{
+	struct list *list = list_of(request);
+	enum dw_status status = dw_fail(DW_NOT_FOUND, "no such admin call");
+
+	if (strcmp(request->path, "/admin/set") == 0)
+		status = set_all(list, request->body);
+	else if (strcmp(request->path, "/admin/state") == 0)
+		status = set_state(list, json_text(request->body, "name", ""),
+				   json_text(request->body, "state", "live"));
+	if (status == DW_OK)
+		standin_answer(request, 200, json_object_new_object());
+	else
+		standin_answer_error(request, 400, dw_last_message());
+}
+
+static void on_stats(struct standin *standin, struct json_object *stats)
+{
+	struct list *list = standin->data;
+
+	show_due(list);
+	json_set_u64(stats, "generation", list->generation);
+	json_set_u64(stats, "reads", list->reads);
+}
+
+int main(int argc, char **argv)
+{
+	static struct list list;
+	struct standin standin = {
+		.name = "standin_list",
+		.purpose = "the platform's lagging list of instances",
+		.fault_kinds = fault_kinds,
+		.on_request = on_request,
+		.on_admin = on_admin,
+		.on_stats = on_stats,
+		.data = &list,
+	};
+	struct standin_common common;
+	struct arg_int *lag = arg_int0(NULL, "lag-ms", "N", "age at which a change shows (0)");
+	int rc;
+
+	standin_common_init(&common);
+	lag->ival[0] = 0;
+	void *table[] = { common.help, common.version, common.ip, common.port, lag, common.end };
+	rc = standin_parse(&standin, &common, table, argc, argv);
+	if (rc >= 0)
+		return rc;
+	list.lag_us = (uint64_t)lag->ival[0] * DW_US_PER_MS;
+	list.instances = json_object_new_array();
+	list.latest = list.instances;
+	return standin_run(&standin, &common);
+}
