Quarantine, retry budgets and the peers' codecs with tests

A retry budget's bucket began to fill only when the other one had a token, seen by retry_budget_test (8 retries in 10 s in place of 9); both are asked now.

--- /dev/null
+++ b/src/core/quarantine.c
@@ -0,0 +1,310 @@
+#include <dragonflywharf/quarantine.h>
+
+#include <stdlib.h>
+
+#include <uthash.h>
+
+/* A crash that is known of a fingerprint. */
+struct crash {
+	uint64_t upstream_id;
+	uint64_t upstream_incarnation;
+	uint64_t expires_at_us;
+	bool unsent;
+};
+
+/* Evidence beyond the quarantine's threshold changes nothing and isn't kept. */
+struct suspect {
+	struct dw_fingerprint fingerprint;
+	struct crash crashes[DW_QUARANTINE_CRASHES];
+	uint32_t crash_count;
+	UT_hash_handle hh;
+};
+
+struct dw_quarantine {
+	struct dw_quarantine_options options;
+	struct suspect *suspects;
+};
+
+struct dw_quarantine_options dw_quarantine_default_options(void)
+{
+	return (struct dw_quarantine_options){
+		.max_fingerprints = 4096,
+		.lifetime_us = UINT64_C(900000000),
+	};
+}
+
+enum dw_status dw_quarantine_new(struct dw_quarantine **out,
+				 const struct dw_quarantine_options *options)
+{
+	*out = NULL;
+	if (options->max_fingerprints == 0 || options->lifetime_us == 0)
+		return dw_fail(DW_INVALID_ARGUMENT, "quarantine: options out of range");
+	*out = calloc(1, sizeof(**out));
+	if (!*out)
+		return dw_fail(DW_NO_MEMORY, "quarantine: no memory");
+	(*out)->options = *options;
+	return DW_OK;
+}
+
+static void remove_suspect(struct dw_quarantine *quarantine, struct suspect *suspect)
+{
+	HASH_DEL(quarantine->suspects, suspect);
+	free(suspect);
+}
+
+void dw_quarantine_free(struct dw_quarantine *quarantine)
+{
+	struct suspect *suspect;
+	struct suspect *next;
+
+	if (!quarantine)
+		return;
+	HASH_ITER(hh, quarantine->suspects, suspect, next)
+		remove_suspect(quarantine, suspect);
+	free(quarantine);
+}
+
+static struct suspect *find(const struct dw_quarantine *quarantine,
+			    struct dw_fingerprint fingerprint)
+{
+	struct suspect *suspect;
+
+	HASH_FIND(hh, quarantine->suspects, &fingerprint, sizeof(fingerprint), suspect);
+	return suspect;
+}
+
+static uint32_t live_crashes(const struct suspect *suspect, uint64_t now_us)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; suspect && i < suspect->crash_count; i++)
+		count += suspect->crashes[i].expires_at_us > now_us;
+	return count;
+}
+
+enum dw_status dw_quarantine_check(const struct dw_quarantine *quarantine,
+				   struct dw_fingerprint fingerprint, uint64_t now_us)
+{
+	if (live_crashes(find(quarantine, fingerprint), now_us) < DW_QUARANTINE_CRASHES)
+		return DW_OK;
+	return dw_fail(DW_QUARANTINED, "the request was running on %d upstreams that crashed",
+		       DW_QUARANTINE_CRASHES);
+}
+
+bool dw_quarantine_is_suspect(const struct dw_quarantine *quarantine,
+			      struct dw_fingerprint fingerprint, uint64_t now_us)
+{
+	uint32_t crashes = live_crashes(find(quarantine, fingerprint), now_us);
+
+	return crashes > 0 && crashes < DW_QUARANTINE_CRASHES;
+}
+
+static bool crashed_there(const struct suspect *suspect, uint64_t upstream_id, uint64_t now_us)
+{
+	for (uint32_t i = 0; suspect && i < suspect->crash_count; i++) {
+		if (suspect->crashes[i].upstream_id == upstream_id &&
+		    suspect->crashes[i].expires_at_us > now_us)
+			return true;
+	}
+	return false;
+}
+
+bool dw_quarantine_may_run(const struct dw_quarantine *quarantine,
+			   struct dw_fingerprint fingerprint, uint64_t upstream_id,
+			   const struct dw_fingerprint *running, size_t running_count,
+			   uint64_t now_us)
+{
+	const struct suspect *suspect = find(quarantine, fingerprint);
+	uint32_t crashes = live_crashes(suspect, now_us);
+
+	if (crashes == 0)
+		return true;
+	if (crashes >= DW_QUARANTINE_CRASHES || crashed_there(suspect, upstream_id, now_us))
+		return false;
+	for (size_t i = 0; i < running_count; i++) {
+		if (live_crashes(find(quarantine, running[i]), now_us) > 0)
+			return false;
+	}
+	return true;
+}
+
+bool dw_quarantine_may_retry(const struct dw_quarantine *quarantine,
+			     struct dw_fingerprint fingerprint, uint32_t crash_retries,
+			     uint64_t now_us)
+{
+	return crash_retries < DW_QUARANTINE_CRASHES - 1 &&
+	       live_crashes(find(quarantine, fingerprint), now_us) < DW_QUARANTINE_CRASHES;
+}
+
+static uint64_t expiry(const struct suspect *suspect)
+{
+	uint64_t last_us = 0;
+
+	for (uint32_t i = 0; i < suspect->crash_count; i++) {
+		if (suspect->crashes[i].expires_at_us > last_us)
+			last_us = suspect->crashes[i].expires_at_us;
+	}
+	return last_us;
+}
+
+/* Those that are quarantined stay longer than mere suspects. */
+static bool goes_before(const struct suspect *a, const struct suspect *b)
+{
+	if (!b)
+		return true;
+	if (a->crash_count != b->crash_count)
+		return a->crash_count < b->crash_count;
+	return expiry(a) < expiry(b);
+}
+
+static void make_room(struct dw_quarantine *quarantine)
+{
+	struct suspect *suspect;
+	struct suspect *first = NULL;
+
+	if (HASH_COUNT(quarantine->suspects) < quarantine->options.max_fingerprints)
+		return;
+	for (suspect = quarantine->suspects; suspect; suspect = suspect->hh.next) {
+		if (goes_before(suspect, first))
+			first = suspect;
+	}
+	if (first)
+		remove_suspect(quarantine, first);
+}
+
+static struct suspect *open_suspect(struct dw_quarantine *quarantine,
+				    struct dw_fingerprint fingerprint)
+{
+	struct suspect *suspect = find(quarantine, fingerprint);
+
+	if (suspect)
+		return suspect;
+	make_room(quarantine);
+	suspect = calloc(1, sizeof(*suspect));
+	if (!suspect)
+		return NULL;
+	suspect->fingerprint = fingerprint;
+	HASH_ADD(hh, quarantine->suspects, fingerprint, sizeof(suspect->fingerprint), suspect);
+	return suspect;
+}
+
+static void drop_expired(struct suspect *suspect, uint64_t now_us)
+{
+	uint32_t i = 0;
+
+	while (i < suspect->crash_count) {
+		if (suspect->crashes[i].expires_at_us <= now_us)
+			suspect->crashes[i] = suspect->crashes[--suspect->crash_count];
+		else
+			i++;
+	}
+}
+
+/* The same crash heard of twice counts once and keeps its first expiry. */
+static bool add_crash(struct dw_quarantine *quarantine, struct dw_fingerprint fingerprint,
+		      const struct crash *crash, uint64_t now_us)
+{
+	struct suspect *suspect = open_suspect(quarantine, fingerprint);
+
+	if (!suspect)
+		return false;
+	drop_expired(suspect, now_us);
+	for (uint32_t i = 0; i < suspect->crash_count; i++) {
+		if (suspect->crashes[i].upstream_id == crash->upstream_id &&
+		    suspect->crashes[i].upstream_incarnation == crash->upstream_incarnation)
+			return false;
+	}
+	if (suspect->crash_count == DW_QUARANTINE_CRASHES)
+		return false;
+	suspect->crashes[suspect->crash_count++] = *crash;
+	return true;
+}
+
+void dw_quarantine_crashed(struct dw_quarantine *quarantine, uint64_t upstream_id,
+			   uint64_t upstream_incarnation, const struct dw_fingerprint *running,
+			   size_t running_count, uint64_t now_us)
+{
+	struct crash crash = {
+		.upstream_id = upstream_id,
+		.upstream_incarnation = upstream_incarnation,
+		.expires_at_us = now_us + quarantine->options.lifetime_us,
+		.unsent = true,
+	};
+
+	for (size_t i = 0; i < running_count; i++)
+		add_crash(quarantine, running[i], &crash, now_us);
+}
+
+bool dw_quarantine_merge(struct dw_quarantine *quarantine,
+			 const struct dw_quarantine_evidence *evidence, uint64_t now_us)
+{
+	uint64_t remaining_us = evidence->remaining_us;
+	struct crash crash = {
+		.upstream_id = evidence->upstream_id,
+		.upstream_incarnation = evidence->upstream_incarnation,
+		.unsent = true,
+	};
+
+	if (remaining_us == 0)
+		return false;
+	if (remaining_us > quarantine->options.lifetime_us)
+		remaining_us = quarantine->options.lifetime_us;
+	crash.expires_at_us = now_us + remaining_us;
+	return add_crash(quarantine, evidence->fingerprint, &crash, now_us);
+}
+
+bool dw_quarantine_next_evidence(struct dw_quarantine *quarantine, uint64_t now_us,
+				 struct dw_quarantine_evidence *evidence)
+{
+	struct suspect *suspect;
+
+	for (suspect = quarantine->suspects; suspect; suspect = suspect->hh.next) {
+		for (uint32_t i = 0; i < suspect->crash_count; i++) {
+			struct crash *crash = &suspect->crashes[i];
+
+			if (!crash->unsent || crash->expires_at_us <= now_us)
+				continue;
+			crash->unsent = false;
+			*evidence = (struct dw_quarantine_evidence){
+				.fingerprint = suspect->fingerprint,
+				.upstream_id = crash->upstream_id,
+				.upstream_incarnation = crash->upstream_incarnation,
+				.remaining_us = crash->expires_at_us - now_us,
+			};
+			return true;
+		}
+	}
+	return false;
+}
+
+void dw_quarantine_resend(struct dw_quarantine *quarantine)
+{
+	struct suspect *suspect;
+
+	for (suspect = quarantine->suspects; suspect; suspect = suspect->hh.next) {
+		for (uint32_t i = 0; i < suspect->crash_count; i++)
+			suspect->crashes[i].unsent = true;
+	}
+}
+
+void dw_quarantine_tick(struct dw_quarantine *quarantine, uint64_t now_us)
+{
+	struct suspect *suspect;
+	struct suspect *next;
+
+	HASH_ITER(hh, quarantine->suspects, suspect, next) {
+		drop_expired(suspect, now_us);
+		if (suspect->crash_count == 0)
+			remove_suspect(quarantine, suspect);
+	}
+}
+
+size_t dw_quarantine_count(const struct dw_quarantine *quarantine, uint64_t now_us)
+{
+	const struct suspect *suspect;
+	size_t count = 0;
+
+	for (suspect = quarantine->suspects; suspect; suspect = suspect->hh.next)
+		count += live_crashes(suspect, now_us) >= DW_QUARANTINE_CRASHES;
+	return count;
+}
--- a/src/core/retry_budget.c
+++ b/src/core/retry_budget.c
@@ -66,9 +66,11 @@
 bool dw_retry_budget_take(struct dw_retry_budget *organisation, struct dw_retry_budget *upstream,
 			  const struct dw_retry_budget_options *options, uint64_t now_us)
 {
-	if (!budget_has_token(organisation, options, now_us))
-		return false;
-	if (!budget_has_token(upstream, options, now_us))
+	/* Both are asked, as a bucket begins to fill when it is first used. */
+	bool organisation_allows = budget_has_token(organisation, options, now_us);
+	bool upstream_allows = budget_has_token(upstream, options, now_us);
+
+	if (!organisation_allows || !upstream_allows)
 		return false;
 	budget_spend(organisation);
 	budget_spend(upstream);
--- a/tests/ledger_test.cc
+++ b/tests/ledger_test.cc
@@ -11,6 +11,8 @@
 
 #include <dragonflywharf/ledger.h>
 
+#include "net/ledger_codec.h"
+
 namespace
 {
 
@@ -361,4 +363,27 @@
 	dw_ledger_free(ledger);
 }
 
+TEST(LedgerCodec, ReadsWhatItWroteAndRefusesTheRest)
+{
+	auto message = std::make_unique<dw_ledger_message>();
+	auto read = std::make_unique<dw_ledger_message>();
+	msgpack_sbuffer buffer;
+
+	message->kind = DW_LEDGER_COPY;
+	message->owner = { 1, 2 };
+	message->seq = 3;
+	message->record_count = 2;
+	message->records[0] = record_of(0, 5);
+	message->records[1] = record_of(1, 6);
+	msgpack_sbuffer_init(&buffer);
+	ASSERT_EQ(dw_ledger_message_encode(message.get(), &buffer), DW_OK);
+	const uint8_t *bytes = (const uint8_t *)buffer.data;
+	ASSERT_EQ(dw_ledger_message_decode(bytes, buffer.size, read.get()), DW_OK);
+	EXPECT_EQ(read->seq, 3u);
+	EXPECT_EQ(memcmp(read->records, message->records, 2 * sizeof(dw_usage_record)), 0);
+	for (size_t len = 0; len < buffer.size; len++)
+		EXPECT_EQ(dw_ledger_message_decode(bytes, len, read.get()), DW_INVALID_ARGUMENT);
+	msgpack_sbuffer_destroy(&buffer);
+}
+
 } // namespace
