--- /dev/null
+++ b/tests/standins_test.cc
@@ -0,0 +1,261 @@
+// The stand-ins do what the proofs rely on: their faults strike, and their counts are true.
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "support/http.h"
+#include "support/json.h"
+#include "support/process.h"
+
+using support::http_answer;
+using support::http_call;
+using support::http_stream;
+using support::json_number;
+using support::json_string;
+using support::process;
+using support::wait_until;
+
+// A stand-in with its admin calls.
+struct standin {
+	process child;
+	uint16_t port;
+
+	standin(const std::string &program, const std::vector<std::string> &arguments)
+	    : child(program, arguments), port(child.wait_listening())
+	{
+	}
+
+	int admin(const std::string &call, const std::string &body = "{}")
+	{
+		return http_call(port, "POST", "/admin/" + call, body).status;
+	}
+
+	int fault(const std::string &body)
+	{
+		return admin("fault", body);
+	}
+
+	int64_t count(const std::vector<std::string> &path)
+	{
+		return json_number(http_call(port, "GET", "/admin/stats").body, path);
+	}
+
+	bool reaches(const std::string &field, int64_t value)
+	{
+		return wait_until([&] { return count({ field }) == value; });
+	}
+};
+
+struct engine : standin {
+	explicit engine(std::vector<std::string> arguments = {})
+	    : standin("standin_engine",
+		      (arguments.insert(arguments.end(), { "--serves=m/v1", "--serves=m/v2" }),
+		       arguments))
+	{
+	}
+
+	static std::string chat(bool stream, int tokens, const std::string &prompt = "hello there",
+				const std::string &model = "m/v1")
+	{
+		return R"({"model":")" + model + R"(","max_tokens":)" + std::to_string(tokens) +
+		       (stream ? R"(,"stream":true)" : "") +
+		       R"(,"messages":[{"role":"user","content":")" + prompt + R"("}]})";
+	}
+
+	http_answer ask(const std::string &body, const support::http_headers &headers = {})
+	{
+		return http_call(port, "POST", "/v1/chat/completions", body, headers);
+	}
+};
+
+static const std::vector<std::string> CONTENT = { "choices", "0", "message", "content" };
+static const int ENDLESS = 1000000;
+
+TEST(StandinEngine, AnswersWholeAndCountsTokens)
+{
+	engine engine;
+	support::http_headers headers = { { "x-attempt-id", "a1" },
+					  { "x-request-id", "r1" },
+					  { "x-organisation", "org" } };
+	http_answer plain = engine.ask(engine::chat(false, 5), headers);
+	EXPECT_TRUE(plain.whole);
+	EXPECT_EQ(plain.headers["x-attempt-id"], "a1");
+	EXPECT_EQ(std::stoll(plain.headers["x-upstream-incarnation"]),
+		  engine.count({ "incarnation" }));
+	EXPECT_EQ(json_string(plain.body, CONTENT),
+		  "quality:950 request:r1 token1 token2 token3 token4 ");
+
+	http_stream stream(engine.port, "POST", "/v1/chat/completions", engine::chat(true, 5),
+			   headers);
+	std::vector<std::string> events;
+	for (std::string data; stream.read_event(&data);)
+		events.push_back(data);
+	ASSERT_EQ(events.size(), 7u);
+	EXPECT_TRUE(stream.whole());
+	EXPECT_EQ(json_number(events[5], { "usage", "completion_tokens" }), 5);
+	EXPECT_EQ(events[6], "[DONE]");
+	EXPECT_EQ(engine.count({ "by_organisation", "org", "completion_tokens" }), 10);
+	EXPECT_EQ(engine.count({ "by_version", "m/v1", "prompt_tokens" }), 4);
+	EXPECT_EQ(engine.count({ "by_attempt_id", "a1" }), 2);
+	EXPECT_EQ(engine.ask(engine::chat(false, 5, "hello", "m/v9")).status, 404);
+	EXPECT_EQ(engine.child.terminate().exit_code, 0);
+}
+
+TEST(StandinEngine, CutAndStalledStreamsAreSeenAsSuch)
+{
+	engine engine;
+	std::string data;
+
+	EXPECT_EQ(engine.fault(R"({"kind":"nonsense"})"), 400);
+	engine.fault(R"({"kind":"cut","n":2,"count":2})");
+	http_stream cut(engine.port, "POST", "/v1/chat/completions", engine::chat(true, 9));
+	EXPECT_TRUE(cut.read_event(&data) && cut.read_event(&data));
+	EXPECT_FALSE(cut.read_event(&data));
+	EXPECT_FALSE(cut.whole());
+	EXPECT_EQ(engine.ask(engine::chat(false, 9)).status, 0);
+	EXPECT_EQ(engine.count({ "cut" }), 2);
+
+	engine.fault(R"({"kind":"stall","n":1,"count":1})");
+	http_stream stalled(engine.port, "POST", "/v1/chat/completions", engine::chat(true, 9),
+			    { { "x-request-timeout-ms", "500" } });
+	EXPECT_TRUE(stalled.read_event(&data));
+	EXPECT_FALSE(stalled.read_event(&data));
+	EXPECT_EQ(engine.count({ "timed_out" }), 1);
+	EXPECT_EQ(engine.count({ "completed" }), 0);
+	engine.fault(R"({"kind":"error","count":1,"n":502})");
+	EXPECT_EQ(engine.ask(engine::chat(false, 9)).status, 502);
+	EXPECT_EQ(engine.ask(engine::chat(false, 9)).status, 200);
+}
+
+TEST(StandinEngine, FallsOverAboveItsColdSlotsOrItsLimit)
+{
+	for (bool cold : { true, false }) {
+		SCOPED_TRACE(cold);
+		engine engine(cold ? std::vector<std::string>{ "--cold-ms=60000", "--cold-slots=1" }
+				   : std::vector<std::string>{ "--max-in-flight=1" });
+		int64_t before = engine.count({ "incarnation" });
+		std::string data;
+		http_stream first(engine.port, "POST", "/v1/chat/completions",
+				  engine::chat(true, ENDLESS));
+
+		ASSERT_TRUE(first.read_event(&data));
+		EXPECT_EQ(engine.count({ "cold_breaches" }), 0);
+		EXPECT_EQ(engine.ask(engine::chat(false, 2)).status, 0);
+		first.finish();
+		EXPECT_FALSE(first.whole());
+		EXPECT_EQ(engine.count({ cold ? "cold_breaches" : "limit_breaches" }), 1);
+		EXPECT_EQ(engine.count({ "peak_in_flight_cold" }), cold ? 2 : 0);
+		EXPECT_GT(engine.count({ "incarnation" }), before);
+		EXPECT_EQ(engine.ask(engine::chat(false, 2)).status, 200);
+	}
+}
+
+TEST(StandinEngine, PoisonCrashesIt)
+{
+	engine engine({ "--poison=arsenic" });
+	EXPECT_EQ(engine.ask(engine::chat(false, 2, "some arsenic please")).status, 0);
+	EXPECT_EQ(engine.child.wait().exit_code, 70);
+
+	struct engine second({ "--poison=arsenic", "--crash=reset" });
+	EXPECT_EQ(second.ask(engine::chat(false, 2, "some arsenic please")).status, 0);
+	EXPECT_EQ(second.count({ "crashes" }), 1);
+	EXPECT_EQ(second.ask(engine::chat(false, 2)).status, 200);
+}
+
+TEST(StandinEngine, CallerThatLeavesCancelsItsWorkUnlessItIsLate)
+{
+	engine engine({ "--slots=1", "--first-token-us=1000000" });
+	for (bool late : { false, true }) {
+		if (late)
+			engine.fault(R"({"kind":"late","count":1})");
+		http_stream stream(engine.port, "POST", "/v1/chat/completions",
+				   engine::chat(false, 2));
+		ASSERT_TRUE(engine.reaches("running", 1));
+		stream.close();
+		EXPECT_TRUE(engine.reaches(late ? "completed_for_nobody" : "cancelled", 1));
+		EXPECT_EQ(engine.count({ "running" }), 0);
+	}
+	EXPECT_EQ(engine.count({ "completed" }), 0);
+}
+
+TEST(StandinEngine, CrossedAnswerBelongsToTheRequestBefore)
+{
+	engine engine;
+	engine.ask(engine::chat(false, 2), { { "x-attempt-id", "a1" }, { "x-request-id", "r1" } });
+	engine.fault(R"({"kind":"crossed","count":1})");
+	http_answer answer = engine.ask(engine::chat(false, 2),
+					{ { "x-attempt-id", "a2" }, { "x-request-id", "r2" } });
+	EXPECT_EQ(answer.headers["x-attempt-id"], "a1");
+	EXPECT_NE(answer.body.find("request:r1"), std::string::npos);
+}
+
+TEST(StandinEngine, QueuesAboveItsSlotsByPriorityAndReportsLate)
+{
+	engine engine({ "--slots=1", "--report-lag-ms=10000", "--first-token-us=1000" });
+	std::string data;
+	http_stream running(engine.port, "POST", "/v1/chat/completions",
+			    engine::chat(true, ENDLESS));
+	ASSERT_TRUE(running.read_event(&data));
+	http_stream low(engine.port, "POST", "/v1/chat/completions", engine::chat(true, ENDLESS));
+	ASSERT_TRUE(engine.reaches("in_flight", 2));
+	http_stream high(engine.port, "POST", "/v1/chat/completions", engine::chat(true, 3),
+			 { { "x-priority", "5" } });
+	ASSERT_TRUE(engine.reaches("in_flight", 3));
+	EXPECT_EQ(json_number(http_call(engine.port, "GET", "/load").body, { "running" }), 0);
+	running.close();
+	EXPECT_TRUE(high.finish().whole);
+	EXPECT_EQ(low.status(), 200);
+	EXPECT_EQ(engine.count({ "peak_in_flight" }), 3);
+}
+
+TEST(StandinEngine, ShareOfGoodAnswersIsSeededAndTurnsBad)
+{
+	engine engine({ "--quality-permille=700", "--first-token-us=0", "--prefix-cache=16" });
+	auto good = [&](const std::string &model) {
+		int count = 0;
+
+		for (int i = 0; i < 200; i++)
+			count += engine.ask(engine::chat(false, 1, "q" + std::to_string(i), model))
+					 .body.find("quality:950") != std::string::npos;
+		return count;
+	};
+	int before = good("m/v1");
+
+	EXPECT_NEAR(before, 140, 25);
+	EXPECT_EQ(good("m/v1"), before);
+	engine.fault(R"({"kind":"quality","n":0,"word":"m/v1"})");
+	EXPECT_EQ(good("m/v1"), 0);
+	EXPECT_NEAR(good("m/v2"), 140, 25);
+	engine.ask(engine::chat(false, 1, "q199"));
+	EXPECT_EQ(engine.count({ "cache_hits" }), 1);
+}
+
+TEST(StandinService, CountsEachExecutionAndItsFaultsStrike)
+{
+	standin service("standin_service", {});
+	auto book = [&](const std::string &key) {
+		return http_call(service.port, "POST", "/book", "{}",
+				 { { "idempotency-key", key } });
+	};
+
+	EXPECT_EQ(json_number(book("k1").body, { "execution" }), 1);
+	EXPECT_EQ(json_number(book("k1").body, { "execution" }), 2);
+	service.fault(R"({"kind":"answer_lost","count":1})");
+	EXPECT_EQ(book("k2").status, 0);
+	service.fault(R"({"kind":"refuse","count":1})");
+	EXPECT_EQ(book("k3").status, 503);
+	EXPECT_EQ(service.count({ "executions", "k1 /book" }), 2);
+	EXPECT_EQ(service.count({ "executions", "k2 /book" }), 1);
+	EXPECT_EQ(service.count({ "executions", "k3 /book" }), 0);
+	EXPECT_EQ(service.count({ "most_executions_of_a_key" }), 2);
+
+	service.fault(R"({"kind":"slow_start","n":300,"count":1})");
+	http_stream leaving(service.port, "POST", "/book", "{}", { { "idempotency-key", "k4" } });
+	ASSERT_TRUE(service.reaches("received", 5));
+	leaving.close();
+	EXPECT_TRUE(service.reaches("executed", 4)) << "executed though the caller is gone";
+	service.fault(R"({"kind":"crash_after","count":1})");
+	EXPECT_EQ(book("k5").status, 0);
+	EXPECT_EQ(service.child.wait().exit_code, 70);
+}
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -9,6 +9,7 @@
 
 #include <condition_variable>
 #include <cstdint>
+#include <functional>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -79,6 +80,9 @@
 	std::thread reader_;
 };
 
+/** Asks again and again until @p condition holds; false if @p timeout_ms passes first. */
+bool wait_until(const std::function<bool()> &condition, int timeout_ms = 10000);
+
 } // namespace support
 
 #endif
