--- a/include/dragonflywharf/ledger.h
+++ b/include/dragonflywharf/ledger.h
@@ -23,7 +23,7 @@
 extern "C" {
 #endif
 
-#define DW_USAGE_NAME_BYTES 64
+#define DW_USAGE_NAME_BYTES 65
 #define DW_LEDGER_KEY_BYTES 80
 #define DW_LEDGER_MESSAGE_RECORDS 64
 
--- a/include/dragonflywharf/roster.h
+++ b/include/dragonflywharf/roster.h
@@ -19,7 +19,7 @@
 #endif
 
 #define DW_ROSTER_MEMBERS_MAX 128
-#define DW_ROSTER_NAME_BYTES 64
+#define DW_ROSTER_NAME_BYTES 65
 /** How long the instance list must have missed a dead member before it counts as gone. */
 #define DW_ROSTER_UNLISTED_US UINT64_C(30000000)
 /** Age over which the instance list proves nothing. */
--- a/include/dragonflywharf/share.h
+++ b/include/dragonflywharf/share.h
@@ -173,6 +173,9 @@
 enum dw_status dw_share_upstream_status(const struct dw_share *share, uint64_t upstream_id,
 					struct dw_share_status *out);
 
+/** Permits that dw_share_acquire() would give now, one after another, and the limit in force. */
+uint32_t dw_share_usable(const struct dw_share *share, uint64_t upstream_id, uint32_t *limit);
+
 /** Bytes held by @p share. */
 uint64_t dw_share_state_bytes(const struct dw_share *share);
 
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -74,7 +74,7 @@
 		fault(reading, setting->name, "expected a numeric IPv4 address");
 		return;
 	}
-	strcpy(out, text);
+	snprintf(out, DW_SETTINGS_TEXT_BYTES, "%s", text);
 }
 
 static void take_integer(struct reading *reading, const struct dw_setting *setting,
@@ -182,7 +182,7 @@
 	if (setting->kind == DW_SETTING_INTEGER)
 		*(uint64_t *)out = strtoull(setting->unset, NULL, 10);
 	else
-		strcpy(out, setting->unset);
+		snprintf(out, DW_SETTINGS_TEXT_BYTES, "%s", setting->unset);
 }
 
 static const struct dw_setting *find_setting(const struct dw_setting *table, const char *name)
--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -51,8 +51,7 @@
 
 	if (!admission)
 		return;
-	HASH_ITER(hh, admission->organisations, queue, next)
-	{
+	HASH_ITER(hh, admission->organisations, queue, next) {
 		HASH_DEL(admission->organisations, queue);
 		free(queue);
 	}
--- a/src/core/organisation_queue.c
+++ b/src/core/organisation_queue.c
@@ -48,8 +48,7 @@
 
 	if (queue->max_in_flight && queue->in_flight >= queue->max_in_flight)
 		return NULL;
-	DL_FOREACH(queue->lists[priority], waiting)
-	{
+	DL_FOREACH(queue->lists[priority], waiting) {
 		if (pools >> waiting->entry.pool & 1)
 			return waiting;
 	}
@@ -63,8 +62,7 @@
 	const struct waiting *waiting;
 	uint64_t work_us = 0;
 
-	DL_FOREACH(queue->lists[priority], waiting)
-	{
+	DL_FOREACH(queue->lists[priority], waiting) {
 		if (waiting_deadline_us(waiting) > deadline_us)
 			break;
 		if (waiting->entry.pool == pool)
--- a/src/core/ruleset.c
+++ b/src/core/ruleset.c
@@ -28,7 +28,7 @@
 		return;
 	dw_ruleset_drop_index(ruleset);
 	HASH_ITER(hh, ruleset->entries, entry, next)
-	drop_entry(ruleset, entry);
+		drop_entry(ruleset, entry);
 	free(ruleset);
 }
 
--- a/src/core/share.c
+++ b/src/core/share.c
@@ -53,8 +53,7 @@
 
 	if (!share)
 		return;
-	HASH_ITER(hh, share->upstreams, up, next)
-	{
+	HASH_ITER(hh, share->upstreams, up, next) {
 		HASH_DEL(share->upstreams, up);
 		free_upstream(up);
 	}
--- a/src/core/share_view.c
+++ b/src/core/share_view.c
@@ -86,6 +86,28 @@
 	return DW_OK;
 }
 
+static uint32_t count_bits(const uint64_t *bits, uint32_t limit)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < limit / 64; i++)
+		count += (uint32_t)__builtin_popcountll(bits[i]);
+	if (limit % 64)
+		count += (uint32_t)__builtin_popcountll(bits[limit / 64] &
+							((UINT64_C(1) << (limit % 64)) - 1));
+	return count;
+}
+
+uint32_t dw_share_usable(const struct dw_share *share, uint64_t upstream_id, uint32_t *limit)
+{
+	const struct dw_share_upstream *up = dw_share_find(share, upstream_id);
+
+	*limit = up ? dw_share_limit(up) : 0;
+	if (!up || share->self_index == DW_MEMBER_NONE || share->leaving)
+		return 0;
+	return count_bits(up->free_bits, *limit) + count_bits(up->idle_bits, *limit);
+}
+
 uint64_t dw_share_state_bytes(const struct dw_share *share)
 {
 	uint64_t bytes = sizeof(*share);
--- /dev/null
+++ b/src/dragonflywharfd/attempt.c
@@ -0,0 +1,333 @@
+#include "dragonflywharfd/attempt.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "dragonflywharfd/event_stream.h"
+#include "dragonflywharfd/upstream_table.h"
+
+#define ATTEMPT_ID_BYTES 40
+#define ANSWER_MAX_BYTES (16U << 20)
+#define NUMBER_BYTES 24
+#define TYPE_BYTES 96
+#define END_MARKER "[DONE]"
+/** An upstream that a caller left learns of it within this time. */
+#define CANCEL_GRACE_US (500 * DW_US_PER_MS)
+/** After a broken connection the request may go on at the upstream for a while. */
+#define BROKEN_GRACE_US (2 * DW_US_PER_S)
+
+struct buffer {
+	char *base;
+	size_t len;
+};
+
+struct attempt {
+	struct daemon *daemon;
+	struct attempt_options options; /* its texts are not kept, but for those below */
+	char id[ATTEMPT_ID_BYTES];
+	char request_id[ATTEMPT_ID_BYTES];
+	char upstream_name[DW_NAME_MAX_BYTES + 1];
+	char content_type[TYPE_BYTES];
+	uint64_t upstream_id;
+	struct dw_permit permit;
+	struct dw_load_sample sample;
+	struct dw_http_call *call;
+	struct event_stream stream;
+	struct buffer body;
+	uint64_t started_us;
+	uint64_t first_token_us;
+	int http_status;
+	enum dw_status fault; /* found while reading: crossed, too long */
+	bool end_marker;
+	bool has_length;
+	bool abandoned;
+};
+
+/* A permit that is kept past its attempt, until the request has surely ended at the upstream. */
+struct held_permit {
+	struct daemon *daemon;
+	struct dw_permit permit;
+	uv_timer_t timer;
+};
+
+static void on_held_closed(uv_handle_t *handle)
+{
+	free(handle->data);
+}
+
+static void on_held_over(uv_timer_t *timer)
+{
+	struct held_permit *held = timer->data;
+
+	dw_share_release(held->daemon->share, &held->permit, dw_clock_now_us());
+	uv_close((uv_handle_t *)timer, on_held_closed);
+	daemon_pump(held->daemon);
+}
+
+static void release_later(struct attempt *attempt, uint64_t grace_us)
+{
+	struct held_permit *held = calloc(1, sizeof(*held));
+
+	if (!held)
+		abort();
+	held->daemon = attempt->daemon;
+	held->permit = attempt->permit;
+	uv_timer_init(&attempt->daemon->loop, &held->timer);
+	held->timer.data = held;
+	uv_update_time(&attempt->daemon->loop);
+	uv_timer_start(&held->timer, on_held_over, grace_us / DW_US_PER_MS, 0);
+}
+
+static void release_permit(struct attempt *attempt, const struct dw_http_result *result)
+{
+	if (result->progress == DW_HTTP_NOT_SENT || result->status == DW_OK)
+		dw_share_release(attempt->daemon->share, &attempt->permit, dw_clock_now_us());
+	else if (result->status == DW_UPSTREAM_FAILED)
+		release_later(attempt, BROKEN_GRACE_US);
+	else
+		release_later(attempt, CANCEL_GRACE_US);
+}
+
+static void append(struct attempt *attempt, const char *bytes, size_t len)
+{
+	struct buffer *body = &attempt->body;
+
+	if (body->len + len > ANSWER_MAX_BYTES) {
+		attempt->fault = dw_fail(DW_TOO_LARGE, "the upstream's answer is too long");
+		dw_http_cancel(attempt->call);
+		return;
+	}
+	body->base = realloc(body->base, body->len + len + 1);
+	if (!body->base)
+		abort();
+	memcpy(body->base + body->len, bytes, len);
+	body->len += len;
+	body->base[body->len] = '\0';
+}
+
+static void on_stream_event(const char *data, size_t data_len, const char *raw, size_t raw_len,
+			    void *context)
+{
+	struct attempt *attempt = context;
+
+	if (attempt->abandoned || attempt->fault != DW_OK)
+		return;
+	if (data_len == strlen(END_MARKER) && strncmp(data, END_MARKER, data_len) == 0)
+		attempt->end_marker = true;
+	attempt->options.on_event(data, data_len, raw, raw_len, attempt->options.owner);
+}
+
+static void on_body(struct dw_http_call *call, const char *bytes, size_t len, void *data)
+{
+	struct attempt *attempt = data;
+
+	if (attempt->abandoned || attempt->fault != DW_OK)
+		return;
+	if (attempt->options.mode == ATTEMPT_BUFFERED || attempt->http_status != 200) {
+		append(attempt, bytes, len);
+		return;
+	}
+	if (event_stream_feed(&attempt->stream, bytes, len, on_stream_event, attempt) != DW_OK) {
+		attempt->fault = DW_TOO_LARGE;
+		dw_http_cancel(call);
+	}
+}
+
+static void on_head(struct dw_http_call *call, int http_status, void *data)
+{
+	struct attempt *attempt = data;
+	const char *incarnation = dw_http_call_header(call, "x-upstream-incarnation");
+	const char *id;
+	const char *type;
+
+	attempt->http_status = http_status;
+	if (incarnation)
+		upstream_table_seen(attempt->daemon->upstreams, attempt->upstream_id,
+				    strtoull(incarnation, NULL, 10));
+	type = dw_http_call_header(call, "content-type");
+	snprintf(attempt->content_type, sizeof(attempt->content_type), "%s",
+		 type ? type : "application/octet-stream");
+	attempt->has_length = dw_http_call_header(call, "content-length") != NULL;
+	id = dw_http_call_header(call, "x-attempt-id");
+	if (!id || strcmp(id, attempt->id) == 0)
+		return;
+	attempt->fault = dw_fail(DW_UPSTREAM_FAILED, "the answer belongs to another attempt");
+	dw_counters_add(&attempt->daemon->counters, DW_COUNTER_CROSSED_ANSWERS, 1);
+	dw_log_event(&attempt->daemon->log, DW_EVENT_LATE_ANSWER_DROPPED,
+		     DW_STR("request", attempt->request_id), DW_STR("attempt", attempt->id),
+		     DW_STR("answer_to", id));
+	dw_http_cancel(call);
+}
+
+/* What the end of the call means for the request. */
+static enum dw_status judge(const struct attempt *attempt, const struct dw_http_result *result)
+{
+	if (attempt->fault != DW_OK)
+		return attempt->fault;
+	if (result->status != DW_OK)
+		return result->status;
+	if (attempt->options.mode == ATTEMPT_STREAMED && attempt->http_status == 200 &&
+	    !attempt->end_marker)
+		return dw_fail(DW_UPSTREAM_FAILED, "the stream ended without its end marker");
+	return DW_OK;
+}
+
+static void log_end(struct attempt *attempt, enum dw_status status, int http_status)
+{
+	bool good = status == DW_OK && http_status < 500;
+
+	dw_log_event(&attempt->daemon->log, good ? DW_EVENT_ATTEMPT_ENDED : DW_EVENT_ATTEMPT_FAILED,
+		     DW_STR("request", attempt->request_id), DW_STR("attempt", attempt->id),
+		     DW_STR("upstream", attempt->upstream_name),
+		     DW_STR("status", dw_status_name(status)), DW_INT("http_status", http_status),
+		     DW_INT("duration_us", dw_clock_now_us() - attempt->started_us));
+	if (!good)
+		dw_counters_add(&attempt->daemon->counters, DW_COUNTER_ATTEMPTS_FAILED, 1);
+}
+
+static void tell_upstream(struct attempt *attempt, const struct dw_http_result *result,
+			  enum dw_status status)
+{
+	struct upstream_table *table = attempt->daemon->upstreams;
+	struct upstream *upstream = upstream_table_find(table, attempt->upstream_id);
+	bool good = status == DW_OK && attempt->http_status < 500;
+	bool taught = good && attempt->sample.tokens > 0;
+
+	attempt->sample.total_us = dw_clock_now_us() - attempt->started_us;
+	if (attempt->first_token_us)
+		attempt->sample.first_token_us = attempt->first_token_us - attempt->started_us;
+	upstream_table_ended(table, attempt->upstream_id, attempt->options.fingerprint,
+			     taught ? &attempt->sample : NULL);
+	if (result->status == DW_UPSTREAM_FAILED || result->status == DW_UNAVAILABLE)
+		upstream_table_broke(table, attempt->upstream_id, attempt->options.fingerprint);
+	if (!upstream || attempt->abandoned)
+		return;
+	upstream->failures = good ? 0 : upstream->failures + 1;
+	if (good) {
+		struct dw_retry_budget_options options = dw_retry_budget_default_options();
+
+		dw_retry_budget_success(&upstream->budget, &options, dw_clock_now_us());
+	}
+}
+
+static void on_done(struct dw_http_call *call, const struct dw_http_result *result, void *data)
+{
+	struct attempt *attempt = data;
+	struct daemon *daemon = attempt->daemon;
+	struct attempt_end end = {
+		.status = judge(attempt, result),
+		.progress = result->progress,
+		.http_status = attempt->http_status,
+		.content_type = attempt->content_type,
+		.has_length = attempt->has_length,
+		.body = attempt->body.base ? attempt->body.base : "",
+		.body_len = attempt->body.len,
+	};
+
+	log_end(attempt, end.status, end.http_status);
+	tell_upstream(attempt, result, end.status);
+	release_permit(attempt, result);
+	if (!attempt->abandoned)
+		attempt->options.on_end(&end, attempt->options.owner);
+	event_stream_clear(&attempt->stream);
+	free(attempt->body.base);
+	free(attempt);
+	daemon_pump(daemon);
+}
+
+static void start_call(struct attempt *attempt)
+{
+	const struct attempt_options *options = &attempt->options;
+	const struct upstream *upstream = options->choice->upstream;
+	char timeout_ms[NUMBER_BYTES];
+	uint64_t now_us = dw_clock_now_us();
+	uint64_t left_us = options->deadline_us > now_us ? options->deadline_us - now_us : 0;
+	struct dw_http_name_value headers[] = {
+		{ "content-type", options->content_type },
+		{ "x-attempt-id", attempt->id },
+		{ "x-request-id", attempt->request_id },
+		{ "x-organisation", options->organisation },
+		{ "x-request-timeout-ms", timeout_ms },
+		{ "idempotency-key", options->idempotency_key },
+	};
+	size_t count = sizeof(headers) / sizeof(headers[0]);
+	struct dw_http_call_options call = {
+		.ip = upstream->ip,
+		.port = upstream->port,
+		.method = options->method,
+		.path = options->path,
+		.headers = headers,
+		.header_count = options->idempotency_key ? count : count - 1,
+		.body = options->body,
+		.body_len = options->body_len,
+		.deadline_us = options->deadline_us,
+		.on_head = on_head,
+		.on_body = on_body,
+		.on_done = on_done,
+		.data = attempt,
+	};
+
+	snprintf(timeout_ms, sizeof(timeout_ms), "%" PRIu64, left_us / DW_US_PER_MS + 1);
+	attempt->call = dw_http_call(attempt->daemon->client, &call);
+}
+
+struct attempt *attempt_start(struct daemon *daemon, const struct attempt_options *options)
+{
+	struct attempt *attempt = calloc(1, sizeof(*attempt));
+	struct upstream *upstream = options->choice->upstream;
+
+	if (!attempt)
+		abort();
+	attempt->daemon = daemon;
+	attempt->options = *options;
+	attempt->upstream_id = upstream->id;
+	attempt->permit = options->choice->permit;
+	attempt->sample.load = options->choice->load;
+	attempt->started_us = dw_clock_now_us();
+	snprintf(attempt->upstream_name, sizeof(attempt->upstream_name), "%s", upstream->name);
+	snprintf(attempt->request_id, sizeof(attempt->request_id), "%s", options->request_id);
+	snprintf(attempt->id, sizeof(attempt->id), "%016" PRIx64 "%016" PRIx64,
+		 daemon_random(daemon), daemon_random(daemon));
+	dw_counters_add(&daemon->counters, DW_COUNTER_ATTEMPTS, 1);
+	dw_log_event(&daemon->log, DW_EVENT_ATTEMPT_STARTED, DW_STR("request", attempt->request_id),
+		     DW_STR("attempt", attempt->id), DW_STR("upstream", upstream->name),
+		     DW_STR("organisation", options->organisation),
+		     DW_STR("failure_domain", upstream->failure_domain),
+		     DW_INT("cold", upstream->told_cold));
+	upstream_table_started(daemon->upstreams, upstream, options->fingerprint);
+	start_call(attempt);
+	return attempt;
+}
+
+void attempt_token(struct attempt *attempt)
+{
+	if (attempt->first_token_us != 0)
+		return;
+	attempt->first_token_us = dw_clock_now_us();
+	dw_log_event(&attempt->daemon->log, DW_EVENT_ATTEMPT_FIRST_TOKEN,
+		     DW_STR("request", attempt->request_id), DW_STR("attempt", attempt->id),
+		     DW_INT("duration_us", attempt->first_token_us - attempt->started_us));
+}
+
+void attempt_sample(struct attempt *attempt, uint32_t prompt_tokens, uint32_t completion_tokens)
+{
+	attempt->sample.prompt_tokens = prompt_tokens;
+	attempt->sample.tokens = completion_tokens;
+}
+
+void attempt_pause(struct attempt *attempt)
+{
+	dw_http_pause(attempt->call);
+}
+
+void attempt_resume(struct attempt *attempt)
+{
+	dw_http_resume(attempt->call);
+}
+
+void attempt_abandon(struct attempt *attempt)
+{
+	attempt->abandoned = true;
+	dw_http_cancel(attempt->call);
+}
--- /dev/null
+++ b/src/dragonflywharfd/chat_answer.c
@@ -0,0 +1,219 @@
+/* From an upstream's answer to the caller's: release, usage record, end. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "dragonflywharfd/chat_request_state.h"
+#include "dragonflywharfd/ledger_sync.h"
+
+/** A caller that takes its answer more slowly stops the reading from the upstream. */
+#define QUEUE_PAUSE_BYTES (256U << 10)
+#define SESSION_LIFETIME_US (UINT64_C(7) * 24 * 3600 * DW_US_PER_S)
+#define SERVED_BYTES (2 * DW_NAME_MAX_BYTES + 2)
+
+static void add_answer_headers(struct chat_request *request)
+{
+	const struct chat_step *asked = &request->steps[request->step_count - 1];
+	const struct chat_step *served = chat_request_step(request);
+	struct dw_session_claims claims = { .issued_us = dw_clock_wall_us() };
+	char token[DW_SESSION_TOKEN_BYTES];
+	char name[SERVED_BYTES];
+
+	claims.expires_us = claims.issued_us + SESSION_LIFETIME_US;
+	snprintf(claims.model, sizeof(claims.model), "%s", asked->model);
+	snprintf(claims.version, sizeof(claims.version), "%s", asked->version);
+	snprintf(name, sizeof(name), "%s/%s", served->model, served->version);
+	dw_http_add_header(request->exchange, "x-served-version", name);
+	dw_http_add_header(request->exchange, "x-request-id", request->id);
+	if (request->session_moved)
+		dw_http_add_header(request->exchange, "x-session-moved", "1");
+	if (dw_session_token_make(&request->daemon->session_keys, request->organisation, &claims,
+				  token) == DW_OK)
+		dw_http_add_header(request->exchange, "x-session-token", token);
+}
+
+static void hold_back(struct chat_request *request, const char *bytes, size_t len)
+{
+	request->tail = realloc(request->tail, request->tail_len + len);
+	if (!request->tail)
+		abort();
+	memcpy(request->tail + request->tail_len, bytes, len);
+	request->tail_len += len;
+}
+
+static void log_done(struct chat_request *request)
+{
+	const struct chat_step *step = chat_request_step(request);
+
+	dw_counters_add(&request->daemon->counters, DW_COUNTER_REQUESTS_DONE, 1);
+	dw_log_event(&request->daemon->log, DW_EVENT_REQUEST_DONE, DW_STR("request", request->id),
+		     DW_STR("organisation", request->organisation), DW_STR("model", step->model),
+		     DW_STR("version", step->version),
+		     DW_INT("completion_tokens", request->usage.completion_tokens),
+		     DW_INT("duration_us", dw_clock_now_us() - request->received_us));
+}
+
+/* The usage record is safe: the rest of the answer may go. */
+static void on_safe(void *owner)
+{
+	struct chat_request *request = owner;
+	struct dw_http_exchange *exchange = request->exchange;
+
+	request->pending--;
+	request->exchange = NULL;
+	if (exchange) {
+		log_done(request);
+		if (request->body.stream) {
+			dw_http_stream_write(exchange, request->tail, request->tail_len);
+			dw_http_stream_end(exchange, true);
+		} else {
+			dw_http_respond(exchange, 200, "application/json", request->tail,
+					request->tail_len);
+		}
+		chat_rating_sample(request);
+	}
+	if (!request->ended)
+		chat_request_end(request);
+	chat_request_settle(request);
+}
+
+static uint64_t cost_of(struct chat_request *request)
+{
+	const struct chat_step *step = chat_request_step(request);
+	const struct dw_version *version =
+		dw_ruleset_version(request->daemon->ruleset, step->model, step->version);
+
+	if (!version)
+		return 0;
+	return version->cost_micros_per_1k_tokens * request->usage.completion_tokens / 1000;
+}
+
+/* The answer is whole: writes its usage record and lets it go once that is safe. */
+static void finish(struct chat_request *request)
+{
+	const struct chat_step *step = chat_request_step(request);
+	struct dw_usage_record record = {
+		.request_id = request->request_id,
+		.prompt_tokens = request->usage.prompt_tokens,
+		.completion_tokens = request->usage.completion_tokens,
+		.cost_micros = cost_of(request),
+		.finished_at_us = dw_clock_wall_us(),
+	};
+
+	snprintf(record.organisation, sizeof(record.organisation), "%s", request->organisation);
+	snprintf(record.model, sizeof(record.model), "%s", step->model);
+	snprintf(record.version, sizeof(record.version), "%s", step->version);
+	request->reserved = false;
+	request->pending++;
+	dispatcher_done(request->daemon->dispatcher, &request->turn);
+	ledger_sync_append(request->daemon->ledger_sync, &record, on_safe, request);
+}
+
+static void on_drained(struct dw_http_exchange *exchange, void *data)
+{
+	struct chat_request *request = data;
+
+	if (request->attempt)
+		attempt_resume(request->attempt);
+}
+
+static void start_stream(struct chat_request *request)
+{
+	if (request->answer_started)
+		return;
+	request->answer_started = true;
+	add_answer_headers(request);
+	dw_http_on_drained(request->exchange, on_drained, request);
+	dw_http_stream_start(request->exchange, 200, "text/event-stream");
+}
+
+static void release_plain(struct chat_request *request, const char *body, size_t len)
+{
+	if (request->body.stream) {
+		char *events = chat_answer_as_stream(body, len);
+
+		start_stream(request);
+		hold_back(request, events, strlen(events));
+		free(events);
+	} else {
+		add_answer_headers(request);
+		hold_back(request, body, len);
+	}
+	finish(request);
+}
+
+static void on_rated(struct chat_request *request, bool release)
+{
+	char *body = request->tail;
+	size_t len = request->tail_len;
+
+	if (request->ended)
+		return;
+	if (!release) {
+		free(request->tail);
+		request->tail = NULL;
+		request->tail_len = 0;
+		chat_request_next_step(request);
+		return;
+	}
+	dw_counters_add(&request->daemon->counters, DW_COUNTER_CASCADE_RELEASED, 1);
+	request->tail = NULL;
+	request->tail_len = 0;
+	release_plain(request, body, len);
+	free(body);
+}
+
+void chat_answer_plain(struct chat_request *request, const char *body, size_t len)
+{
+	char *content = NULL;
+	enum dw_status status = chat_answer_read(body, len, &request->usage, &content);
+
+	if (status != DW_OK) {
+		request->may_have_run = true;
+		chat_request_fail(request, status, dw_last_message());
+		return;
+	}
+	if (request->step + 1 < request->step_count) {
+		hold_back(request, body, len);
+		chat_rating_decide(request, content, on_rated);
+	} else {
+		chat_rating_add_content(request, content, strlen(content));
+		release_plain(request, body, len);
+	}
+	free(content);
+}
+
+void chat_answer_event(struct chat_request *request, const char *data, size_t data_len,
+		       const char *raw, size_t raw_len)
+{
+	char *content = NULL;
+	bool is_end = data_len == strlen("[DONE]") && strncmp(data, "[DONE]", data_len) == 0;
+
+	if (!request->exchange)
+		return;
+	if (!is_end && data_len > 0 &&
+	    chat_chunk_read(data, data_len, &request->usage, &content) != DW_OK)
+		return;
+	if (content) {
+		chat_rating_add_content(request, content, strlen(content));
+		free(content);
+		request->content_events++;
+		attempt_token(request->attempt);
+	}
+	start_stream(request);
+	if (is_end) {
+		hold_back(request, raw, raw_len);
+		return;
+	}
+	dw_http_stream_write(request->exchange, raw, raw_len);
+	if (dw_http_stream_queued(request->exchange) > QUEUE_PAUSE_BYTES)
+		attempt_pause(request->attempt);
+}
+
+void chat_answer_streamed(struct chat_request *request)
+{
+	if (!request->usage.known) {
+		request->usage.prompt_tokens = request->body.prompt_tokens;
+		request->usage.completion_tokens = request->content_events;
+	}
+	finish(request);
+}
--- /dev/null
+++ b/src/dragonflywharfd/chat_rating.c
@@ -0,0 +1,132 @@
+/* Ratings of answers: they decide a cascade's release and feed the evidence on versions. */
+#include <stdlib.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "dragonflywharfd/chat_request_state.h"
+#include "platform/rater.h"
+
+#define RATING_TIMEOUT_US (2 * DW_US_PER_S)
+#define PERMILLE 1000
+
+struct rating {
+	struct daemon *daemon;
+	struct chat_request *request; /* NULL for a background rating */
+	struct chat_step step;
+	uint64_t organisation_id;
+	uint32_t quality_target_permille;
+	void (*done)(struct chat_request *request, bool release);
+};
+
+static uint64_t id_of(const char *name, uint64_t seed)
+{
+	return XXH64(name, strlen(name), seed);
+}
+
+void chat_rating_count(struct daemon *daemon, const char *model, const char *version,
+		       enum dw_rollout_outcome outcome)
+{
+	uint64_t version_id = id_of(version, id_of(model, 0));
+	struct dw_rollout_totals totals;
+	bool held = false;
+
+	dw_rollout_count(daemon->rollout, version_id, outcome, &held);
+	if (!held)
+		return;
+	dw_rollout_pooled(daemon->rollout, version_id, &totals);
+	dw_log_event(&daemon->log, DW_EVENT_VERSION_HELD, DW_STR("model", model),
+		     DW_STR("version", version), DW_INT("answers", totals.answers),
+		     DW_INT("bad", totals.bad), DW_INT("errors", totals.errors));
+}
+
+void chat_rating_add_content(struct chat_request *request, const char *text, size_t len)
+{
+	if (request->content_len + len > CHAT_RATED_MAX_BYTES)
+		return;
+	request->content = realloc(request->content, request->content_len + len + 1);
+	if (!request->content)
+		abort();
+	memcpy(request->content + request->content_len, text, len);
+	request->content_len += len;
+	request->content[request->content_len] = '\0';
+}
+
+static void on_rated(const struct dw_rater_result *result, void *data)
+{
+	struct rating *rating = data;
+	struct daemon *daemon = rating->daemon;
+	struct chat_request *request = rating->request;
+	bool rated = result->status == DW_OK;
+	bool passed = rated && result->score_permille >= rating->quality_target_permille;
+
+	if (rated) {
+		chat_rating_count(daemon, rating->step.model, rating->step.version,
+				  passed ? DW_ROLLOUT_GOOD : DW_ROLLOUT_BAD);
+		dw_cascade_rates_learn(daemon->cascade_rates, rating->organisation_id,
+				       id_of(rating->step.model, 0), 0, passed, dw_clock_now_us());
+	}
+	if (request) {
+		dw_counters_add(&daemon->counters, DW_COUNTER_CASCADE_STEPS, 1);
+		dw_log_event(&daemon->log, DW_EVENT_CASCADE_RATED, DW_STR("request", request->id),
+			     DW_STR("model", rating->step.model),
+			     DW_STR("version", rating->step.version),
+			     DW_INT("score_permille", result->score_permille),
+			     DW_INT("released", passed));
+		request->pending--;
+		rating->done(request, passed);
+		chat_request_settle(request);
+	}
+	free(rating);
+}
+
+static struct rating *rating_new(struct chat_request *request)
+{
+	struct rating *rating = calloc(1, sizeof(*rating));
+
+	if (!rating)
+		abort();
+	rating->daemon = request->daemon;
+	rating->step = *chat_request_step(request);
+	rating->organisation_id = request->organisation_id;
+	rating->quality_target_permille = request->quality_target_permille;
+	return rating;
+}
+
+static void rate(struct chat_request *request, struct rating *rating, const char *content)
+{
+	char *prompt = chat_body_prompt(&request->body);
+	struct dw_rater_answer answer = {
+		.organisation = request->organisation,
+		.model = rating->step.model,
+		.version = rating->step.version,
+		.prompt = prompt,
+		.answer = content,
+		.deadline_us = dw_clock_now_us() + RATING_TIMEOUT_US,
+	};
+
+	dw_rater_rate(request->daemon->rater, &answer, on_rated, rating);
+	free(prompt);
+}
+
+void chat_rating_sample(struct chat_request *request)
+{
+	struct daemon *daemon = request->daemon;
+
+	/* A step of a cascade that isn't the last has been rated before its release. */
+	if (!daemon->rater || !request->content || request->step + 1 < request->step_count ||
+	    daemon_random(daemon) % PERMILLE >= daemon->settings.rated_permille)
+		return;
+	rate(request, rating_new(request), request->content);
+}
+
+void chat_rating_decide(struct chat_request *request, const char *content,
+			void (*done)(struct chat_request *request, bool release))
+{
+	struct rating *rating = rating_new(request);
+
+	rating->request = request;
+	rating->done = done;
+	request->pending++;
+	rate(request, rating, content);
+}
--- /dev/null
+++ b/src/dragonflywharfd/chat_request.c
@@ -0,0 +1,535 @@
+#include "dragonflywharfd/chat_request.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "dragonflywharfd/chat_request_state.h"
+#include "dragonflywharfd/ledger_sync.h"
+#include "dragonflywharfd/request_headers.h"
+#include "dragonflywharfd/upstream_table.h"
+
+#define CHAT_PATH "/v1/chat/completions"
+/** Time for the report that tells a crash from a cut connection. */
+#define CRASH_VERDICT_MS 60U
+/** A generated token's time, before an upstream's speed is known. */
+#define GUESSED_TOKEN_US UINT64_C(20000)
+#define GUESSED_TOKENS 64U
+
+static uint64_t id_of(const char *name)
+{
+	return XXH64(name, strlen(name), 0);
+}
+
+static uint64_t version_id(const char *model, const char *version)
+{
+	return XXH64(version, strlen(version), id_of(model));
+}
+
+struct chat_step *chat_request_step(struct chat_request *request)
+{
+	return &request->steps[request->step];
+}
+
+void chat_request_settle(struct chat_request *request)
+{
+	if (!request->ended || request->pending > 0)
+		return;
+	chat_body_clear(&request->body);
+	free(request->content);
+	free(request->tail);
+	free(request);
+}
+
+static void on_retry_timer_closed(uv_handle_t *handle)
+{
+	struct chat_request *request = handle->data;
+
+	request->pending--;
+	chat_request_settle(request);
+}
+
+void chat_request_end(struct chat_request *request)
+{
+	if (request->ended)
+		return;
+	request->ended = true;
+	dispatcher_done(request->daemon->dispatcher, &request->turn);
+	if (request->attempt)
+		attempt_abandon(request->attempt);
+	request->attempt = NULL;
+	if (request->reserved)
+		ledger_sync_unreserve(request->daemon->ledger_sync);
+	request->reserved = false;
+	uv_close((uv_handle_t *)&request->retry_timer, on_retry_timer_closed);
+}
+
+void chat_request_fail(struct chat_request *request, enum dw_status status, const char *message)
+{
+	struct daemon *daemon = request->daemon;
+	struct dw_http_exchange *exchange = request->exchange;
+	enum not_run not_run = request->may_have_run ? NOT_RUN_UNPROVEN : NOT_RUN_PROVEN;
+	bool refused = not_run == NOT_RUN_PROVEN;
+
+	dw_counters_add(&daemon->counters,
+			refused ? DW_COUNTER_REQUESTS_REFUSED : DW_COUNTER_REQUESTS_FAILED, 1);
+	dw_log_event(&daemon->log, refused ? DW_EVENT_REQUEST_REFUSED : DW_EVENT_REQUEST_FAILED,
+		     DW_STR("request", request->id), DW_STR("organisation", request->organisation),
+		     DW_STR("status", dw_status_name(status)), DW_STR("message", message),
+		     DW_INT("not_run", refused));
+	request->exchange = NULL;
+	if (exchange && request->answer_started)
+		dw_http_stream_end(exchange, false);
+	else if (exchange)
+		error_reply(exchange, status, not_run, message);
+	chat_request_end(request);
+}
+
+static void on_caller_gone(struct dw_http_exchange *exchange, void *data)
+{
+	struct chat_request *request = data;
+
+	request->exchange = NULL;
+	if (request->ended)
+		return;
+	dw_counters_add(&request->daemon->counters, DW_COUNTER_CALLERS_GONE, 1);
+	dw_log_event(&request->daemon->log, DW_EVENT_CALLER_GONE, DW_STR("request", request->id));
+	chat_request_end(request);
+}
+
+static bool version_accepted(const struct dw_version *version, bool kept, void *data)
+{
+	struct daemon *daemon = data;
+
+	return !dw_rollout_is_held(daemon->rollout, version_id(version->model, version->name));
+}
+
+/* The session's version for the model asked for, from its token or the caller's own words. */
+static enum dw_status session_version(struct chat_request *request, const char **version)
+{
+	const char *token = dw_http_header(request->exchange, "x-session-token");
+	static struct dw_session_claims claims;
+	enum dw_status status;
+
+	*version = request->body.version[0] ? request->body.version : NULL;
+	if (!token || *version)
+		return DW_OK;
+	status = dw_session_token_check(&request->daemon->session_keys, token,
+					request->organisation, dw_clock_wall_us(), &claims);
+	if (status == DW_STALE)
+		return DW_OK;
+	if (status == DW_OK && strcmp(claims.model, request->body.model) == 0)
+		*version = claims.version;
+	return status;
+}
+
+static enum dw_status choose_version(struct chat_request *request, struct chat_step *step,
+				     const char *kept)
+{
+	struct daemon *daemon = request->daemon;
+	struct dw_version_filter filter = { .accepts = version_accepted, .data = daemon };
+	struct dw_session_choice choice;
+	uint64_t random = kept ? daemon_random(daemon) : request->body.affinity;
+	enum dw_status status;
+
+	/* Without a session the conversation's hash decides, so that its turns mostly agree. */
+	status = dw_session_choose_version(daemon->ruleset, request->organisation, step->model,
+					   kept, &filter, random, &choice);
+	if (status != DW_OK)
+		return status;
+	snprintf(step->version, sizeof(step->version), "%s", choice.version->name);
+	if (choice.outcome == DW_SESSION_MOVED)
+		request->session_moved = true;
+	return DW_OK;
+}
+
+/* A version that the caller itself named is served, or refused; never another one. */
+static enum dw_status choose_named_version(struct chat_request *request, struct chat_step *step)
+{
+	enum dw_status status =
+		dw_ruleset_version_permitted(request->daemon->ruleset, request->organisation,
+					     step->model, request->body.version);
+
+	if (status == DW_OK && dw_rollout_is_held(request->daemon->rollout,
+						  version_id(step->model, request->body.version)))
+		return dw_fail(DW_WITHDRAWN, "version is held after bad answers");
+	snprintf(step->version, sizeof(step->version), "%s", request->body.version);
+	return status;
+}
+
+static uint64_t expected_tokens(const struct chat_request *request)
+{
+	return request->body.max_tokens ? request->body.max_tokens : GUESSED_TOKENS;
+}
+
+static void describe_step(struct chat_request *request, const struct chat_step *step,
+			  struct dw_cascade_step *out)
+{
+	struct daemon *daemon = request->daemon;
+	const struct dw_version *version =
+		dw_ruleset_version(daemon->ruleset, step->model, step->version);
+	uint64_t tokens = expected_tokens(request);
+
+	memset(out, 0, sizeof(*out));
+	out->model_id = id_of(step->model);
+	out->available = version && version->upstream_count > 0;
+	out->cost_micros = version ? version->cost_micros_per_1k_tokens * tokens / 1000 + 1 : 0;
+	out->latency_us = tokens * GUESSED_TOKEN_US;
+	out->pass_rate = dw_cascade_rates_pass(daemon->cascade_rates, request->organisation_id,
+					       out->model_id, 0, dw_clock_now_us());
+}
+
+/* Fills in the steps of the model's cascade that this request shall try. */
+static enum dw_status plan_steps(struct chat_request *request, const struct dw_model *model,
+				 const char *kept)
+{
+	struct dw_cascade_step described[DW_CASCADE_STEPS_MAX];
+	struct chat_step all[DW_CASCADE_STEPS_MAX];
+	struct dw_cascade_request asked = {
+		.now_us = dw_clock_now_us(),
+		.deadline_us = request->deadline_us,
+		.random = daemon_random(request->daemon),
+	};
+	struct dw_cascade_plan plan;
+	enum dw_status status;
+	size_t count = 0;
+
+	memset(all, 0, sizeof(all));
+	for (size_t i = 0; i < model->cascade_count && count + 1 < DW_CASCADE_STEPS_MAX; i++) {
+		snprintf(all[count].model, sizeof(all[count].model), "%s", model->cascade[i]);
+		if (request->body.version[0] == '\0' && request->daemon->settings.rater.port != 0 &&
+		    choose_version(request, &all[count], NULL) == DW_OK)
+			count++;
+	}
+	snprintf(all[count].model, sizeof(all[count].model), "%s", model->name);
+	status = request->body.version[0] ? choose_named_version(request, &all[count])
+					  : choose_version(request, &all[count], kept);
+	if (status != DW_OK)
+		return status;
+	count++;
+	for (size_t i = 0; i < count; i++)
+		describe_step(request, &all[i], &described[i]);
+	status = dw_cascade_choose(&asked, described, count, &plan);
+	if (status != DW_OK)
+		return dw_fail(status, "no upstream serves model %s", model->name);
+	for (size_t i = 0; i < plan.count; i++)
+		request->steps[i] = all[plan.steps[i]];
+	request->step_count = plan.count;
+	return DW_OK;
+}
+
+static void enqueue(struct chat_request *request)
+{
+	const struct chat_step *step = chat_request_step(request);
+	enum dw_status status;
+
+	request->turn.service_us = expected_tokens(request) * GUESSED_TOKEN_US / 4;
+	status = dispatcher_enqueue(request->daemon->dispatcher, &request->turn, step->model,
+				    step->version);
+	if (status != DW_OK)
+		chat_request_fail(request, status, "no capacity within the deadline");
+}
+
+void chat_request_next_step(struct chat_request *request)
+{
+	request->step++;
+	request->tried_count = 0;
+	memset(&request->usage, 0, sizeof(request->usage));
+	dispatcher_done(request->daemon->dispatcher, &request->turn);
+	enqueue(request);
+	daemon_pump(request->daemon);
+}
+
+static void turn_expired(void *owner)
+{
+	chat_request_fail(owner, DW_TIMEOUT, "no capacity within the deadline");
+}
+
+static void on_event(const char *data, size_t data_len, const char *raw, size_t raw_len,
+		     void *owner)
+{
+	chat_answer_event(owner, data, data_len, raw, raw_len);
+}
+
+static void on_retry_timer(uv_timer_t *timer)
+{
+	struct chat_request *request = timer->data;
+
+	if (request->ended)
+		return;
+	enqueue(request);
+	daemon_pump(request->daemon);
+}
+
+static bool take_retry_budget(struct chat_request *request, const struct attempt_end *end)
+{
+	struct dw_retry_budget_options options = dw_retry_budget_default_options();
+	struct daemon *daemon = request->daemon;
+	struct upstream *upstream =
+		upstream_table_find(daemon->upstreams, request->tried[request->tried_count - 1]);
+
+	/* A try that reached no one adds no load. */
+	if (end->progress == DW_HTTP_NOT_SENT)
+		return true;
+	return dw_retry_budget_take(request_headers_budget(daemon, request->organisation_id),
+				    upstream ? &upstream->budget : NULL, &options,
+				    dw_clock_now_us());
+}
+
+static bool may_retry(struct chat_request *request, const struct attempt_end *end)
+{
+	struct daemon *daemon = request->daemon;
+
+	if (request->answer_started || request->tried_count >= CHAT_ATTEMPTS_MAX ||
+	    dw_clock_now_us() >= request->deadline_us || end->status == DW_TIMEOUT)
+		return false;
+	if (!dw_quarantine_may_retry(daemon->quarantine, request->fingerprint,
+				     request->crash_retries, dw_clock_now_us()))
+		return false;
+	if (take_retry_budget(request, end))
+		return true;
+	dw_counters_add(&daemon->counters, DW_COUNTER_RETRIES_DENIED, 1);
+	return false;
+}
+
+static void attempt_failed(struct chat_request *request, const struct attempt_end *end)
+{
+	enum dw_status status = end->status == DW_OK ? DW_UPSTREAM_FAILED : end->status;
+	bool broke = end->status == DW_UPSTREAM_FAILED && end->progress != DW_HTTP_NOT_SENT;
+
+	if (end->progress != DW_HTTP_NOT_SENT)
+		request->may_have_run = true;
+	if (end->http_status == 500)
+		chat_rating_count(request->daemon, chat_request_step(request)->model,
+				  chat_request_step(request)->version, DW_ROLLOUT_ERROR);
+	if (!may_retry(request, end)) {
+		chat_request_fail(request, status, "the upstream's answer failed");
+		return;
+	}
+	dispatcher_done(request->daemon->dispatcher, &request->turn);
+	if (broke)
+		request->crash_retries++;
+	free(request->content);
+	request->content = NULL;
+	request->content_len = 0;
+	dw_counters_add(&request->daemon->counters, DW_COUNTER_RETRIES, 1);
+	uv_update_time(&request->daemon->loop);
+	uv_timer_start(&request->retry_timer, on_retry_timer, broke ? CRASH_VERDICT_MS : 0, 0);
+}
+
+/* The upstream refuses the request itself: no other would take it. */
+static void pass_refusal(struct chat_request *request, const struct attempt_end *end)
+{
+	struct dw_http_exchange *exchange = request->exchange;
+
+	dw_log_event(&request->daemon->log, DW_EVENT_REQUEST_FAILED, DW_STR("request", request->id),
+		     DW_STR("organisation", request->organisation),
+		     DW_STR("status", "refused_by_upstream"),
+		     DW_INT("http_status", end->http_status), DW_INT("not_run", 0));
+	request->exchange = NULL;
+	dw_http_respond(exchange, end->http_status, end->content_type, end->body, end->body_len);
+	chat_request_end(request);
+}
+
+static bool is_refusal(int http_status)
+{
+	return http_status >= 400 && http_status < 500 && http_status != 408 && http_status != 429;
+}
+
+static void on_attempt_end(const struct attempt_end *end, void *owner)
+{
+	struct chat_request *request = owner;
+	bool whole = end->status == DW_OK && end->http_status == 200;
+
+	request->attempt = NULL;
+	if (whole && request->turn.in_flight && request->step + 1 < request->step_count)
+		chat_answer_plain(request, end->body, end->body_len);
+	else if (whole && request->body.stream)
+		chat_answer_streamed(request);
+	else if (whole)
+		chat_answer_plain(request, end->body, end->body_len);
+	else if (end->status == DW_OK && is_refusal(end->http_status))
+		pass_refusal(request, end);
+	else
+		attempt_failed(request, end);
+}
+
+static enum dw_status route(struct chat_request *request, struct dispatch_choice *choice)
+{
+	const struct chat_step *step = chat_request_step(request);
+	struct daemon *daemon = request->daemon;
+	uint64_t now_us = dw_clock_now_us();
+	struct dispatch_request asked = {
+		.model = step->model,
+		.version = step->version,
+		.fingerprint = request->fingerprint,
+		.route = {
+			.now_us = now_us,
+			.deadline_us = request->deadline_us,
+			.affinity = request->body.affinity,
+			.random = daemon_random(daemon),
+			.prompt_tokens = request->body.prompt_tokens,
+			.tokens = (uint32_t)expected_tokens(request),
+			.suspect = dw_quarantine_is_suspect(daemon->quarantine,
+							    request->fingerprint, now_us),
+			.tried = request->tried,
+			.tried_count = request->tried_count,
+		},
+	};
+
+	return dispatcher_route(daemon->dispatcher, &asked, choice);
+}
+
+static void start_attempt(struct chat_request *request, const struct dispatch_choice *choice)
+{
+	const struct chat_step *step = chat_request_step(request);
+	bool last = request->step + 1 == request->step_count;
+	char *body = chat_body_for_upstream(&request->body, step->model, step->version,
+					    last && request->body.stream);
+	struct attempt_options options = {
+		.mode = last && request->body.stream ? ATTEMPT_STREAMED : ATTEMPT_BUFFERED,
+		.choice = choice,
+		.method = "POST",
+		.path = CHAT_PATH,
+		.content_type = "application/json",
+		.body = body,
+		.body_len = strlen(body),
+		.organisation = request->organisation,
+		.request_id = request->id,
+		.fingerprint = request->fingerprint,
+		.deadline_us = request->deadline_us,
+		.on_event = on_event,
+		.on_end = on_attempt_end,
+		.owner = request,
+	};
+
+	request->tried[request->tried_count++] = choice->upstream->id;
+	request->attempt = attempt_start(request->daemon, &options);
+	free(body);
+}
+
+/* What may have changed while the request waited. */
+static enum dw_status recheck(struct chat_request *request)
+{
+	struct daemon *daemon = request->daemon;
+	struct chat_step *step = chat_request_step(request);
+	enum dw_status status =
+		dw_quarantine_check(daemon->quarantine, request->fingerprint, dw_clock_now_us());
+	bool last = request->step + 1 == request->step_count;
+
+	if (status != DW_OK)
+		return status;
+	if (last && request->body.version[0])
+		return choose_named_version(request, step);
+	status = dw_ruleset_version_permitted(daemon->ruleset, request->organisation, step->model,
+					      step->version);
+	if (status == DW_OK &&
+	    !dw_rollout_is_held(daemon->rollout, version_id(step->model, step->version)))
+		return DW_OK;
+	/* The version was withdrawn, held or forbidden meanwhile: another of the model's. */
+	status = choose_version(request, step, NULL);
+	if (status == DW_OK && last)
+		request->session_moved = true;
+	return status;
+}
+
+static bool turn_dispatch(void *owner)
+{
+	struct chat_request *request = owner;
+	struct dispatch_choice choice;
+	enum dw_status status = recheck(request);
+
+	if (status != DW_OK) {
+		chat_request_fail(request, status, dw_last_message());
+		return true;
+	}
+	status = route(request, &choice);
+	if (status == DW_OVERLOADED)
+		return false;
+	if (status != DW_OK)
+		chat_request_fail(request, status, "no upstream in service is left to try");
+	else
+		start_attempt(request, &choice);
+	return true;
+}
+
+static struct chat_request *request_new(struct daemon *daemon, struct dw_http_exchange *exchange,
+					const struct dw_organisation *organisation)
+{
+	struct chat_request *request = calloc(1, sizeof(*request));
+
+	if (!request)
+		abort();
+	request->daemon = daemon;
+	request->exchange = exchange;
+	request->received_us = dw_clock_now_us();
+	snprintf(request->organisation, sizeof(request->organisation), "%s", organisation->name);
+	request->organisation_id = id_of(organisation->name);
+	request_headers_read(daemon, exchange, request->organisation, &request->request_id,
+			     &request->deadline_us, &request->turn.priority);
+	snprintf(request->id, sizeof(request->id), "%016" PRIx64 "%016" PRIx64,
+		 request->request_id.high, request->request_id.low);
+	request->turn.dispatch = turn_dispatch;
+	request->turn.expired = turn_expired;
+	request->turn.owner = request;
+	request->turn.organisation_id = request->organisation_id;
+	request->turn.deadline_us = request->deadline_us;
+	uv_timer_init(&daemon->loop, &request->retry_timer);
+	request->retry_timer.data = request;
+	request->pending = 1; /* the timer's close */
+	return request;
+}
+
+static enum dw_status prepare(struct chat_request *request)
+{
+	struct daemon *daemon = request->daemon;
+	const struct dw_model *model;
+	const char *kept;
+	const char *body;
+	size_t len;
+	enum dw_status status;
+
+	body = dw_http_body(request->exchange, &len);
+	status = chat_body_parse(&request->body, body, len, request->organisation);
+	if (status != DW_OK)
+		return status;
+	request->fingerprint = dw_fingerprint_request(request->organisation, CHAT_PATH, body, len);
+	status = dw_quarantine_check(daemon->quarantine, request->fingerprint, dw_clock_now_us());
+	if (status != DW_OK)
+		return dw_fail(status, "this request has crashed upstreams before");
+	model = dw_ruleset_model(daemon->ruleset, request->body.model);
+	if (!model)
+		return dw_fail(DW_NOT_FOUND, "no model %s", request->body.model);
+	request->quality_target_permille = model->quality_target_permille;
+	status = session_version(request, &kept);
+	if (status != DW_OK)
+		return status;
+	status = plan_steps(request, model, kept);
+	if (status != DW_OK)
+		return status;
+	status = ledger_sync_reserve(daemon->ledger_sync);
+	request->reserved = status == DW_OK;
+	return status;
+}
+
+void chat_request_start(struct daemon *daemon, struct dw_http_exchange *exchange,
+			const struct dw_organisation *organisation)
+{
+	struct chat_request *request = request_new(daemon, exchange, organisation);
+	enum dw_status status;
+
+	dw_http_on_gone(exchange, on_caller_gone, request);
+	dw_log_event(&daemon->log, DW_EVENT_REQUEST_RECEIVED, DW_STR("request", request->id),
+		     DW_STR("organisation", request->organisation), DW_STR("kind", "chat"));
+	status = prepare(request);
+	if (status != DW_OK) {
+		if (status == DW_INVALID_ARGUMENT)
+			dw_counters_add(&daemon->counters, DW_COUNTER_BAD_INPUTS, 1);
+		chat_request_fail(request, status, dw_last_message());
+		return;
+	}
+	enqueue(request);
+	daemon_pump(daemon);
+}
--- /dev/null
+++ b/src/dragonflywharfd/config_sync.c
@@ -0,0 +1,366 @@
+#include "dragonflywharfd/config_sync.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "dragonflywharfd/dispatcher.h"
+#include "dragonflywharfd/peer_bus.h"
+#include "dragonflywharfd/upstream_table.h"
+#include "net/ruleset_codec.h"
+
+#include <xxhash.h>
+
+/** Daemons of a failure domain that watch the store; the others hear from peers. */
+#define WATCHERS_PER_DOMAIN 2U
+#define READ_TIMEOUT_US (2 * DW_US_PER_S)
+#define WATCH_PERIOD_US (10 * DW_US_PER_S)
+#define RETRY_US (300 * DW_US_PER_MS)
+/** A peer that tells a higher revision is asked for what came between. */
+#define PULL_PERIOD_US (200 * DW_US_PER_MS)
+#define PUSH_FANOUT 4U
+
+struct config_sync {
+	struct daemon *daemon;
+	struct dw_store_watch *watch;
+	uint64_t read_at_us; /* when the store may be read again */
+	uint64_t pull_at_us;
+	uint64_t hinted_revision; /* written by this daemon, not in force here yet */
+	bool reading;
+	bool store_reachable;
+	bool store_known; /* store_reachable has been told */
+};
+
+bool config_sync_ready(const struct config_sync *sync)
+{
+	return dw_ruleset_revision(sync->daemon->ruleset) > 0;
+}
+
+bool config_sync_store_reachable(const struct config_sync *sync)
+{
+	return sync->store_reachable;
+}
+
+static void set_reachable(struct config_sync *sync, bool reachable)
+{
+	if (sync->store_known && sync->store_reachable == reachable)
+		return;
+	sync->store_known = true;
+	sync->store_reachable = reachable;
+	dw_log_event(&sync->daemon->log, reachable ? DW_EVENT_STORE_BACK : DW_EVENT_STORE_LOST,
+		     DW_INT("revision", dw_ruleset_revision(sync->daemon->ruleset)));
+	if (!reachable)
+		dw_counters_add(&sync->daemon->counters, DW_COUNTER_STORE_FAILURES, 1);
+}
+
+static void on_changed(const char *key, uint64_t mod_revision, bool deleted, void *data)
+{
+	struct daemon *daemon = data;
+
+	dw_counters_add(&daemon->counters, DW_COUNTER_CONFIG_APPLIED, 1);
+	dw_log_event(&daemon->log, DW_EVENT_CONFIG_APPLIED, DW_STR("key", key),
+		     DW_INT("mod_revision", mod_revision), DW_INT("deleted", deleted));
+}
+
+static void on_refused(const char *key, uint64_t mod_revision, enum dw_status status,
+		       const char *message, void *data)
+{
+	struct daemon *daemon = data;
+
+	dw_counters_add(&daemon->counters, DW_COUNTER_CONFIG_REFUSED, 1);
+	dw_log_event(&daemon->log, DW_EVENT_CONFIG_REFUSED, DW_STR("key", key),
+		     DW_INT("mod_revision", mod_revision), DW_STR("status", dw_status_name(status)),
+		     DW_STR("message", message));
+}
+
+static void tell_rollout(const struct dw_ruleset_item *item, void *data)
+{
+	struct daemon *daemon = data;
+	Dragonflywharf__Entity *entity =
+		dragonflywharf__entity__unpack(NULL, item->len, item->bytes);
+	const Dragonflywharf__Version *version;
+	uint64_t model_id;
+
+	if (!entity)
+		return;
+	version = entity->version;
+	if (entity->kind_case == DRAGONFLYWHARF__ENTITY__KIND_VERSION) {
+		model_id = XXH64(version->model, strlen(version->model), 0);
+		dw_rollout_set_version(daemon->rollout,
+				       XXH64(version->name, strlen(version->name), model_id),
+				       model_id, version->release_order);
+	}
+	dragonflywharf__entity__free_unpacked(entity, NULL);
+}
+
+/* Brings the other parts up to the ruleset. */
+static void in_force(struct config_sync *sync)
+{
+	struct daemon *daemon = sync->daemon;
+
+	dw_membership_set_revision(daemon->membership, dw_ruleset_revision(daemon->ruleset));
+	dw_ruleset_visit_prefix(daemon->ruleset, "version/", tell_rollout, daemon);
+	upstream_table_refresh(daemon->upstreams);
+	dispatcher_refresh(daemon->dispatcher);
+	daemon_pump(daemon);
+}
+
+static void push(struct config_sync *sync, const struct dw_ruleset_delta *delta)
+{
+	struct peer_message_buffer buffer;
+
+	peer_message_buffer_init(&buffer);
+	dw_ruleset_delta_pack(&buffer.packer, delta);
+	peer_bus_gossip(sync->daemon, PUSH_FANOUT, PEER_CONFIG_DELTA, &buffer);
+	peer_message_buffer_clear(&buffer);
+}
+
+/* Applies what the store or a peer sent; passes it on if it was news. */
+static enum dw_status apply(struct config_sync *sync, const struct dw_ruleset_delta *delta)
+{
+	struct daemon *daemon = sync->daemon;
+	struct dw_ruleset_result result;
+	enum dw_status status;
+
+	if (delta->snapshot)
+		status = dw_ruleset_apply_snapshot(daemon->ruleset, delta->to_revision,
+						   delta->items, delta->count, &result);
+	else
+		status = dw_ruleset_apply_delta(daemon->ruleset, delta->from_revision,
+						delta->to_revision, delta->items, delta->count,
+						&result);
+	if (status != DW_OK)
+		return status;
+	in_force(sync);
+	if (delta->count > 0)
+		push(sync, delta);
+	return DW_OK;
+}
+
+/* The items of store entries; their keys lose the prefix. */
+static struct dw_ruleset_item item_of(const struct dw_store_entry *entry, bool deleted)
+{
+	struct dw_ruleset_item item = {
+		.key = entry->key + strlen(CONFIG_PREFIX),
+		.mod_revision = entry->mod_revision,
+		.deleted = deleted,
+		.bytes = entry->value,
+		.len = entry->value_len,
+	};
+
+	return item;
+}
+
+static void report_stale(struct config_sync *sync, uint64_t revision)
+{
+	uint64_t known = dw_ruleset_revision(sync->daemon->ruleset);
+
+	if (revision >= known)
+		return;
+	dw_log_event(&sync->daemon->log, DW_EVENT_CONFIG_REFUSED, DW_STR("key", CONFIG_PREFIX),
+		     DW_INT("mod_revision", revision), DW_INT("known", known),
+		     DW_STR("message", "the store is older than the configuration in force"));
+	dw_counters_add(&sync->daemon->counters, DW_COUNTER_CONFIG_REFUSED, 1);
+}
+
+static void on_read(const struct dw_store_range_result *result, void *data)
+{
+	struct config_sync *sync = data;
+	struct dw_ruleset_delta delta = { .snapshot = true, .to_revision = result->revision };
+
+	sync->reading = false;
+	set_reachable(sync, result->status == DW_OK);
+	sync->read_at_us = dw_clock_now_us() + RETRY_US;
+	if (result->status != DW_OK)
+		return;
+	delta.count = result->count;
+	delta.items = calloc(result->count + 1, sizeof(*delta.items));
+	if (!delta.items)
+		abort();
+	for (size_t i = 0; i < result->count; i++)
+		delta.items[i] = item_of(&result->entries[i], false);
+	if (apply(sync, &delta) == DW_STALE)
+		report_stale(sync, result->revision);
+	free(delta.items);
+}
+
+static void read_store(struct config_sync *sync)
+{
+	sync->reading = true;
+	dw_store_range(sync->daemon->store, CONFIG_PREFIX, 0, dw_clock_now_us() + READ_TIMEOUT_US,
+		       on_read, sync);
+}
+
+static void on_events(struct dw_store_watch *watch, const struct dw_store_event *events,
+		      size_t count, void *data)
+{
+	struct config_sync *sync = data;
+	struct dw_ruleset_delta delta = {
+		.from_revision = dw_ruleset_revision(sync->daemon->ruleset),
+		.count = count,
+	};
+
+	delta.items = calloc(count + 1, sizeof(*delta.items));
+	if (!delta.items)
+		abort();
+	for (size_t i = 0; i < count; i++) {
+		delta.items[i] = item_of(&events[i].entry, events[i].deleted);
+		if (delta.items[i].mod_revision > delta.to_revision)
+			delta.to_revision = delta.items[i].mod_revision;
+	}
+	set_reachable(sync, true);
+	/* Peers may have told the same before; then it is no news. */
+	if (delta.to_revision > delta.from_revision)
+		apply(sync, &delta);
+	free(delta.items);
+}
+
+static void on_broken(struct dw_store_watch *watch, enum dw_status status, uint64_t next_revision,
+		      void *data)
+{
+	struct config_sync *sync = data;
+
+	sync->watch = NULL;
+	/* DW_TIMEOUT is the watch's own period; all else but a lost history is an outage. */
+	if (status != DW_TIMEOUT && status != DW_STALE)
+		set_reachable(sync, false);
+	sync->read_at_us = dw_clock_now_us() + (status == DW_TIMEOUT ? 0 : RETRY_US);
+	if (status == DW_STALE && !sync->reading)
+		read_store(sync);
+}
+
+static void start_watch(struct config_sync *sync)
+{
+	struct dw_store_watch_options options = {
+		.prefix = CONFIG_PREFIX,
+		.from_revision = dw_ruleset_revision(sync->daemon->ruleset) + 1,
+		.deadline_us = dw_clock_now_us() + WATCH_PERIOD_US,
+		.on_events = on_events,
+		.on_broken = on_broken,
+		.data = sync,
+	};
+
+	sync->watch = dw_store_watch(sync->daemon->store, &options);
+}
+
+enum dw_status config_sync_delta(struct config_sync *sync, const msgpack_object *value)
+{
+	struct dw_ruleset_delta delta;
+	enum dw_status status = dw_ruleset_delta_unpack(value, &delta);
+
+	if (status != DW_OK)
+		return status;
+	status = apply(sync, &delta);
+	if (status == DW_UNAVAILABLE)
+		sync->pull_at_us = 0;
+	dw_ruleset_delta_clear(&delta);
+	return status;
+}
+
+static void keep_item(const struct dw_ruleset_item *item, void *data)
+{
+	struct dw_ruleset_delta *delta = data;
+
+	delta->items = realloc(delta->items, (delta->count + 1) * sizeof(*delta->items));
+	if (!delta->items)
+		abort();
+	delta->items[delta->count++] = *item;
+}
+
+enum dw_status config_sync_pull(struct config_sync *sync, uint64_t instance_id,
+				const msgpack_object *value)
+{
+	struct daemon *daemon = sync->daemon;
+	struct dw_ruleset_delta delta = { .to_revision = dw_ruleset_revision(daemon->ruleset) };
+	struct peer_message_buffer buffer;
+
+	if (value->type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+		return dw_fail(DW_INVALID_ARGUMENT, "pull: expected a revision");
+	delta.from_revision = value->via.u64;
+	if (delta.to_revision <= delta.from_revision)
+		return DW_OK;
+	dw_ruleset_items_since(daemon->ruleset, delta.from_revision, keep_item, &delta,
+			       &delta.snapshot);
+	peer_message_buffer_init(&buffer);
+	dw_ruleset_delta_pack(&buffer.packer, &delta);
+	peer_bus_send(daemon, instance_id, PEER_CONFIG_DELTA, &buffer);
+	peer_message_buffer_clear(&buffer);
+	free(delta.items);
+	return DW_OK;
+}
+
+static const struct dw_member *member_ahead(struct daemon *daemon, uint64_t revision)
+{
+	size_t count = dw_membership_count(daemon->membership);
+	size_t start = count ? daemon_random(daemon) % count : 0;
+
+	for (size_t i = 0; i < count; i++) {
+		const struct dw_member *member =
+			dw_membership_at(daemon->membership, (start + i) % count);
+
+		if (member->applied_revision > revision && member->state != DW_MEMBER_DEAD &&
+		    !dw_member_key_equal(member->key, daemon->key))
+			return member;
+	}
+	return NULL;
+}
+
+static void pull_from_peer(struct config_sync *sync)
+{
+	struct daemon *daemon = sync->daemon;
+	uint64_t revision = dw_ruleset_revision(daemon->ruleset);
+	const struct dw_member *member = member_ahead(daemon, revision);
+	struct peer_message_buffer buffer;
+
+	if (!member)
+		return;
+	sync->pull_at_us = dw_clock_now_us() + PULL_PERIOD_US;
+	peer_message_buffer_init(&buffer);
+	msgpack_pack_uint64(&buffer.packer, revision);
+	peer_bus_send(daemon, member->key.instance_id, PEER_CONFIG_PULL, &buffer);
+	peer_message_buffer_clear(&buffer);
+}
+
+struct config_sync *config_sync_start(struct daemon *daemon)
+{
+	struct config_sync *sync = calloc(1, sizeof(*sync));
+	struct dw_ruleset_observer observer = {
+		.changed = on_changed,
+		.refused = on_refused,
+		.data = daemon,
+	};
+
+	if (!sync)
+		abort();
+	sync->daemon = daemon;
+	dw_ruleset_observe(daemon->ruleset, &observer);
+	return sync;
+}
+
+void config_sync_hint(struct config_sync *sync, uint64_t revision)
+{
+	if (revision > sync->hinted_revision)
+		sync->hinted_revision = revision;
+	sync->read_at_us = 0;
+}
+
+void config_sync_tick(struct config_sync *sync)
+{
+	struct daemon *daemon = sync->daemon;
+	uint64_t now_us = dw_clock_now_us();
+	bool watcher = dw_membership_is_watcher(daemon->membership, daemon->settings.failure_domain,
+						WATCHERS_PER_DOMAIN);
+	bool behind = sync->hinted_revision > dw_ruleset_revision(daemon->ruleset);
+
+	if (now_us >= sync->pull_at_us)
+		pull_from_peer(sync);
+	if (sync->watch && !watcher) {
+		dw_store_watch_cancel(daemon->store, sync->watch);
+		sync->watch = NULL;
+	}
+	if (sync->reading || now_us < sync->read_at_us)
+		return;
+	if (!config_sync_ready(sync) || (behind && !sync->watch))
+		read_store(sync);
+	else if (watcher && !sync->watch)
+		start_watch(sync);
+}
--- /dev/null
+++ b/src/dragonflywharfd/daemon_settings.h
@@ -0,0 +1,41 @@
+/**
+ * @file daemon_settings.h
+ * What the daemon reads from its settings file. docs/SETTINGS.md explains each field.
+ */
+#ifndef DAEMON_SETTINGS_H
+#define DAEMON_SETTINGS_H
+
+#include "base/settings.h"
+
+struct daemon_settings {
+	char instance[DW_SETTINGS_TEXT_BYTES];
+	char failure_domain[DW_SETTINGS_TEXT_BYTES];
+	char ip[DW_SETTINGS_TEXT_BYTES];
+	uint64_t caller_port;
+	uint64_t operator_port;
+	uint64_t peer_port;
+	/** Where peers reach this daemon; the same as ip and peer_port if not set. */
+	struct dw_endpoint advertised_peer;
+	struct dw_endpoint_list seeds;
+	struct dw_endpoint_list store;
+	struct dw_endpoint instance_list;
+	struct dw_endpoint rater;
+	uint8_t cluster_key[DW_SETTINGS_KEY_BYTES];
+	uint8_t operator_key_hash[DW_SETTINGS_KEY_BYTES];
+	char log_file[DW_SETTINGS_TEXT_BYTES];
+	char log_level[DW_SETTINGS_TEXT_BYTES];
+	uint64_t max_body_bytes;
+	uint64_t queue_capacity;
+	uint64_t request_timeout_ms;
+	uint64_t stop_timeout_ms;
+	uint64_t report_period_ms;
+	/** Share of released answers that are rated in the background. */
+	uint64_t rated_permille;
+	uint64_t list_period_ms;
+};
+
+/** Reads and checks the file; faults go to @p errors. */
+enum dw_status daemon_settings_load(struct daemon_settings *settings, const char *path,
+				    FILE *errors);
+
+#endif
--- /dev/null
+++ b/src/dragonflywharfd/dispatcher.c
@@ -0,0 +1,374 @@
+#include "dragonflywharfd/dispatcher.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "dragonflywharfd/upstream_table.h"
+
+/** What a request between two failure domains is worth in waiting. */
+#define OTHER_DOMAIN_COST_US 10000U
+#define POOL_FREE 0
+/** Permits asked of peers at once, for one pool. */
+#define WANT_MAX 16U
+
+struct pool {
+	uint64_t id; /* POOL_FREE: not in use */
+	char model[DW_NAME_MAX_BYTES + 1];
+	char version[DW_NAME_MAX_BYTES + 1];
+	bool is_service;
+	uint32_t waiting;
+};
+
+struct dispatcher {
+	struct daemon *daemon;
+	struct dw_admission *admission;
+	struct pool pools[DW_ADMISSION_POOLS_MAX];
+	char domains[DW_ROUTE_DOMAINS_MAX][DW_NAME_MAX_BYTES + 1];
+	uint32_t domain_count;
+	uint32_t *link_cost_us;
+	bool pumping;
+	bool pump_again;
+};
+
+struct candidates {
+	struct dw_route_candidate items[DW_ROUTE_CANDIDATES_MAX];
+	struct upstream *upstreams[DW_ROUTE_CANDIDATES_MAX];
+	size_t count;
+};
+
+struct dispatcher *dispatcher_new(struct daemon *daemon)
+{
+	struct dispatcher *dispatcher = calloc(1, sizeof(*dispatcher));
+	size_t cells = (size_t)DW_ROUTE_DOMAINS_MAX * DW_ROUTE_DOMAINS_MAX;
+
+	if (!dispatcher)
+		abort();
+	dispatcher->daemon = daemon;
+	dispatcher->admission = dw_admission_new(daemon->settings.queue_capacity);
+	dispatcher->link_cost_us = calloc(cells, sizeof(*dispatcher->link_cost_us));
+	if (!dispatcher->admission || !dispatcher->link_cost_us)
+		abort();
+	for (size_t i = 0; i < cells; i++) {
+		if (i / DW_ROUTE_DOMAINS_MAX != i % DW_ROUTE_DOMAINS_MAX)
+			dispatcher->link_cost_us[i] = OTHER_DOMAIN_COST_US;
+	}
+	return dispatcher;
+}
+
+/* Index of a failure domain; the last one stands for all that don't fit. */
+static uint32_t domain_index(struct dispatcher *dispatcher, const char *name)
+{
+	for (uint32_t i = 0; i < dispatcher->domain_count; i++) {
+		if (strcmp(dispatcher->domains[i], name) == 0)
+			return i;
+	}
+	if (dispatcher->domain_count == DW_ROUTE_DOMAINS_MAX)
+		return DW_ROUTE_DOMAINS_MAX - 1;
+	snprintf(dispatcher->domains[dispatcher->domain_count], DW_NAME_MAX_BYTES + 1, "%s", name);
+	return dispatcher->domain_count++;
+}
+
+static void add_candidate(struct dispatcher *dispatcher, const struct dw_upstream *config,
+			  struct candidates *out)
+{
+	struct daemon *daemon = dispatcher->daemon;
+	struct upstream *upstream = upstream_table_by_name(daemon->upstreams, config->name);
+	struct dw_route_candidate *item;
+
+	if (!upstream || !upstream->usable || out->count == DW_ROUTE_CANDIDATES_MAX)
+		return;
+	item = &out->items[out->count];
+	memset(item, 0, sizeof(*item));
+	item->upstream_id = upstream->id;
+	item->failure_domain = domain_index(dispatcher, upstream->failure_domain);
+	item->permits = dw_share_usable(daemon->share, upstream->id, &item->limit);
+	item->cold = upstream->told_cold && !upstream->is_service;
+	item->suspect = upstream->failures > 0;
+	item->load = &upstream->load;
+	item->ramp = upstream->ramp;
+	out->upstreams[out->count++] = upstream;
+}
+
+static void collect(struct dispatcher *dispatcher, const char *model, const char *version,
+		    struct candidates *out)
+{
+	const struct dw_ruleset *ruleset = dispatcher->daemon->ruleset;
+	const struct dw_upstream *const *upstreams = NULL;
+	size_t count = 0;
+
+	out->count = 0;
+	if (version) {
+		const struct dw_version *found = dw_ruleset_version(ruleset, model, version);
+
+		upstreams = found ? found->upstreams : NULL;
+		count = found ? found->upstream_count : 0;
+	} else {
+		const struct dw_service *found = dw_ruleset_service(ruleset, model);
+
+		upstreams = found ? found->upstreams : NULL;
+		count = found ? found->upstream_count : 0;
+	}
+	for (size_t i = 0; i < count; i++)
+		add_candidate(dispatcher, upstreams[i], out);
+}
+
+static void collect_pool(struct dispatcher *dispatcher, const struct pool *pool,
+			 struct candidates *out)
+{
+	collect(dispatcher, pool->model, pool->is_service ? NULL : pool->version, out);
+}
+
+/* What the pool runs at once for this instance: its part of the limits. */
+static uint32_t pool_parallel(struct dispatcher *dispatcher, const struct pool *pool)
+{
+	size_t instances = dw_membership_live_count(dispatcher->daemon->membership);
+	struct candidates candidates;
+	uint64_t sum = 0;
+
+	collect_pool(dispatcher, pool, &candidates);
+	for (size_t i = 0; i < candidates.count; i++)
+		sum += candidates.items[i].limit;
+	sum /= instances ? instances : 1;
+	return sum ? (uint32_t)sum : 1;
+}
+
+static int32_t pool_index(struct dispatcher *dispatcher, const char *model, const char *version)
+{
+	uint64_t id = XXH64(model, strlen(model), version ? 1 : 2);
+	int32_t unused = -1;
+
+	if (version)
+		id = XXH64(version, strlen(version), id);
+	id |= 1;
+	for (int32_t i = 0; i < DW_ADMISSION_POOLS_MAX; i++) {
+		struct pool *pool = &dispatcher->pools[i];
+
+		if (pool->id == id)
+			return i;
+		if (unused < 0 && pool->id == POOL_FREE)
+			unused = i;
+	}
+	if (unused >= 0) {
+		struct pool *pool = &dispatcher->pools[unused];
+
+		pool->id = id;
+		pool->is_service = !version;
+		snprintf(pool->model, sizeof(pool->model), "%s", model);
+		snprintf(pool->version, sizeof(pool->version), "%s", version ? version : "");
+	}
+	return unused;
+}
+
+void dispatcher_refresh(struct dispatcher *dispatcher)
+{
+	for (size_t i = 0; i < DW_ADMISSION_POOLS_MAX; i++) {
+		struct pool *pool = &dispatcher->pools[i];
+
+		if (pool->id == POOL_FREE)
+			continue;
+		dw_admission_set_pool(dispatcher->admission, (uint32_t)i,
+				      pool_parallel(dispatcher, pool));
+	}
+}
+
+enum dw_status dispatcher_enqueue(struct dispatcher *dispatcher, struct turn *turn,
+				  const char *model, const char *version)
+{
+	int32_t index = pool_index(dispatcher, model, version);
+	struct dw_admission_entry entry = {
+		.organisation_id = turn->organisation_id,
+		.priority = turn->priority,
+		.pool = (uint32_t)index,
+		.deadline_us = turn->deadline_us,
+		.service_us = turn->service_us,
+		.data = turn,
+	};
+	enum dw_status status;
+
+	if (index < 0)
+		return dw_fail(DW_OVERLOADED, "more than %d versions and services in use",
+			       DW_ADMISSION_POOLS_MAX);
+	dw_admission_set_pool(dispatcher->admission, entry.pool,
+			      pool_parallel(dispatcher, &dispatcher->pools[index]));
+	turn->pool = entry.pool;
+	status = dw_admission_push(dispatcher->admission, dw_clock_now_us(), &entry, &turn->handle);
+	if (status == DW_OK)
+		dispatcher->pools[index].waiting++;
+	return status;
+}
+
+static void end_in_flight(struct dispatcher *dispatcher, struct turn *turn, uint64_t service_us)
+{
+	if (!turn->in_flight)
+		return;
+	turn->in_flight = false;
+	dw_admission_finished(dispatcher->admission, turn->organisation_id, turn->pool, service_us);
+}
+
+void dispatcher_done(struct dispatcher *dispatcher, struct turn *turn)
+{
+	if (turn->handle != 0 && dw_admission_cancel(dispatcher->admission, turn->handle) == DW_OK)
+		dispatcher->pools[turn->pool].waiting--;
+	turn->handle = 0;
+	end_in_flight(dispatcher, turn, dw_clock_now_us() - turn->popped_at_us);
+}
+
+/* A turn whose permit was gone after all waits on in its old order, as its deadline is the same. */
+static void requeue(struct dispatcher *dispatcher, struct turn *turn)
+{
+	struct pool *pool = &dispatcher->pools[turn->pool];
+
+	end_in_flight(dispatcher, turn, 0);
+	if (dispatcher_enqueue(dispatcher, turn, pool->model,
+			       pool->is_service ? NULL : pool->version) != DW_OK) {
+		turn->handle = 0;
+		turn->expired(turn->owner);
+	}
+}
+
+static void want_permits(struct dispatcher *dispatcher, const struct candidates *candidates,
+			 uint32_t count)
+{
+	struct daemon *daemon = dispatcher->daemon;
+	uint32_t each;
+
+	if (candidates->count == 0)
+		return;
+	each = count / (uint32_t)candidates->count + 1;
+	if (each > WANT_MAX)
+		each = WANT_MAX;
+	for (size_t i = 0; i < candidates->count; i++)
+		dw_share_want(daemon->share, candidates->items[i].upstream_id, each,
+			      dw_clock_now_us());
+}
+
+/* Pools with both a waiting entry and a permit; asks peers for the others. */
+static uint64_t ready_pools(struct dispatcher *dispatcher)
+{
+	struct candidates candidates;
+	uint64_t mask = 0;
+
+	for (size_t i = 0; i < DW_ADMISSION_POOLS_MAX; i++) {
+		struct pool *pool = &dispatcher->pools[i];
+		bool ready = false;
+
+		if (pool->id == POOL_FREE || pool->waiting == 0)
+			continue;
+		collect_pool(dispatcher, pool, &candidates);
+		for (size_t j = 0; j < candidates.count && !ready; j++)
+			ready = candidates.items[j].permits > 0;
+		/* Without any candidate the owner decides what to tell its caller. */
+		if (ready || candidates.count == 0)
+			mask |= UINT64_C(1) << i;
+		else
+			want_permits(dispatcher, &candidates, pool->waiting);
+	}
+	return mask;
+}
+
+static void expire(struct dispatcher *dispatcher)
+{
+	struct dw_admission_entry entry;
+	dw_admission_handle handle;
+
+	while (dw_admission_expire(dispatcher->admission, dw_clock_now_us(), &entry, &handle) ==
+	       DW_OK) {
+		struct turn *turn = entry.data;
+
+		dispatcher->pools[entry.pool].waiting--;
+		turn->handle = 0;
+		turn->expired(turn->owner);
+	}
+}
+
+static void give_turns(struct dispatcher *dispatcher)
+{
+	uint64_t mask = ready_pools(dispatcher);
+	struct dw_admission_entry entry;
+	dw_admission_handle handle;
+
+	while (mask != 0 &&
+	       dw_admission_pop(dispatcher->admission, mask, &entry, &handle) == DW_OK) {
+		struct turn *turn = entry.data;
+
+		dispatcher->pools[entry.pool].waiting--;
+		turn->handle = 0;
+		turn->in_flight = true;
+		turn->popped_at_us = dw_clock_now_us();
+		if (!turn->dispatch(turn->owner)) {
+			requeue(dispatcher, turn);
+			mask &= ~(UINT64_C(1) << entry.pool);
+		} else {
+			mask &= ready_pools(dispatcher);
+		}
+	}
+}
+
+void dispatcher_pump(struct dispatcher *dispatcher)
+{
+	dispatcher->pump_again = true;
+	/* A turn may end another one and come back here. */
+	if (dispatcher->pumping)
+		return;
+	dispatcher->pumping = true;
+	while (dispatcher->pump_again) {
+		dispatcher->pump_again = false;
+		expire(dispatcher);
+		give_turns(dispatcher);
+	}
+	dispatcher->pumping = false;
+}
+
+size_t dispatcher_waiting(const struct dispatcher *dispatcher)
+{
+	return dw_admission_waiting(dispatcher->admission);
+}
+
+/* Leaves out the upstreams where a suspected request must not run. */
+static void drop_forbidden(struct dispatcher *dispatcher, struct dw_fingerprint fingerprint,
+			   struct candidates *candidates)
+{
+	struct dw_quarantine *quarantine = dispatcher->daemon->quarantine;
+	size_t kept = 0;
+
+	for (size_t i = 0; i < candidates->count; i++) {
+		struct upstream *upstream = candidates->upstreams[i];
+
+		if (!dw_quarantine_may_run(quarantine, fingerprint, upstream->id, upstream->running,
+					   upstream->running_count, dw_clock_now_us()))
+			continue;
+		candidates->items[kept] = candidates->items[i];
+		candidates->upstreams[kept++] = upstream;
+	}
+	candidates->count = kept;
+}
+
+enum dw_status dispatcher_route(struct dispatcher *dispatcher,
+				const struct dispatch_request *request,
+				struct dispatch_choice *choice)
+{
+	struct daemon *daemon = dispatcher->daemon;
+	struct dw_route_policy policy = dw_route_policy_default();
+	struct dw_route_request route = request->route;
+	struct dw_route_choice chosen;
+	struct candidates candidates;
+	enum dw_status status;
+
+	collect(dispatcher, request->model, request->version, &candidates);
+	drop_forbidden(dispatcher, request->fingerprint, &candidates);
+	policy.instances = (uint32_t)dw_membership_live_count(daemon->membership);
+	policy.link_cost_us = dispatcher->link_cost_us;
+	route.failure_domain = domain_index(dispatcher, daemon->settings.failure_domain);
+	status = dw_route_choose(&policy, &route, candidates.items, candidates.count, &chosen);
+	if (status == DW_OVERLOADED && chosen.index != DW_ROUTE_NONE)
+		dw_share_want(daemon->share, candidates.items[chosen.index].upstream_id, 1,
+			      dw_clock_now_us());
+	if (status != DW_OK)
+		return status;
+	choice->upstream = candidates.upstreams[chosen.index];
+	choice->load = chosen.load;
+	return dw_share_acquire(daemon->share, choice->upstream->id, dw_clock_now_us(),
+				&choice->permit);
+}
--- /dev/null
+++ b/src/dragonflywharfd/ledger_sync.c
@@ -0,0 +1,262 @@
+#include "dragonflywharfd/ledger_sync.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "dragonflywharfd/peer_bus.h"
+#include "net/ledger_codec.h"
+
+#define WRITE_TIMEOUT_US (2 * DW_US_PER_S)
+
+/* An answer whose end waits for its usage record. */
+struct waiter {
+	uint64_t seq;
+	ledger_safe safe;
+	void *owner;
+	struct waiter *next;
+};
+
+struct ledger_sync {
+	struct daemon *daemon;
+	struct dw_ledger *ledger;
+	struct waiter *waiters;
+	struct dw_member_key holder;
+	bool pumping;
+};
+
+struct ledger_put {
+	struct ledger_sync *sync;
+	uint64_t id;
+};
+
+struct ledger_sync *ledger_sync_start(struct daemon *daemon)
+{
+	struct dw_ledger_options options = dw_ledger_default_options(daemon->key);
+	struct ledger_sync *sync = calloc(1, sizeof(*sync));
+
+	if (!sync || dw_ledger_new(&sync->ledger, &options) != DW_OK)
+		abort();
+	sync->daemon = daemon;
+	return sync;
+}
+
+static void tell_waiters(struct ledger_sync *sync)
+{
+	enum dw_ledger_protection protection;
+	uint64_t seq;
+
+	while (dw_ledger_next_protected(sync->ledger, &seq, &protection)) {
+		struct waiter **at = &sync->waiters;
+
+		if (protection == DW_LEDGER_EXPOSED)
+			dw_counters_add(&sync->daemon->counters, DW_COUNTER_USAGE_EXPOSED, 1);
+		while (*at) {
+			struct waiter *waiter = *at;
+
+			if (waiter->seq != seq) {
+				at = &waiter->next;
+				continue;
+			}
+			*at = waiter->next;
+			waiter->safe(waiter->owner);
+			free(waiter);
+		}
+	}
+}
+
+static void send_messages(struct ledger_sync *sync)
+{
+	struct dw_ledger_message message;
+	struct dw_member_key to;
+
+	while (dw_ledger_next_message(sync->ledger, dw_clock_now_us(), &to, &message)) {
+		struct peer_message_buffer buffer;
+
+		peer_message_buffer_init(&buffer);
+		dw_ledger_message_encode(&message, &buffer.bytes);
+		peer_bus_send(sync->daemon, to.instance_id, PEER_LEDGER, &buffer);
+		peer_message_buffer_clear(&buffer);
+	}
+}
+
+static void ledger_sync_pump(struct ledger_sync *sync);
+
+static enum dw_status status_of(enum dw_store_outcome outcome)
+{
+	switch (outcome) {
+	case DW_STORE_DONE:
+		return DW_OK;
+	case DW_STORE_CONFLICT:
+		return DW_CONFLICT;
+	case DW_STORE_UNKNOWN:
+		return DW_UNKNOWN_OUTCOME;
+	case DW_STORE_UNAVAILABLE:
+	case DW_STORE_REFUSED:
+	case DW_STORE_OUTCOME_COUNT:
+		break;
+	}
+	return DW_UNAVAILABLE;
+}
+
+static void on_written(const struct dw_store_put_result *result, void *data)
+{
+	struct ledger_put *put = data;
+	struct ledger_sync *sync = put->sync;
+	enum dw_status status = status_of(result->outcome);
+
+	if (status == DW_OK || status == DW_CONFLICT)
+		dw_log_event(&sync->daemon->log, DW_EVENT_USAGE_WRITTEN,
+			     DW_INT("revision", result->revision));
+	else
+		dw_counters_add(&sync->daemon->counters, DW_COUNTER_STORE_FAILURES, 1);
+	dw_ledger_write_done(sync->ledger, put->id, status, dw_clock_now_us());
+	free(put);
+	ledger_sync_pump(sync);
+}
+
+static void start_writes(struct ledger_sync *sync)
+{
+	struct dw_ledger_write write;
+
+	while (dw_ledger_next_write(sync->ledger, dw_clock_now_us(), &write)) {
+		struct ledger_put *put = calloc(1, sizeof(*put));
+		struct dw_store_put call = {
+			.key = write.key,
+			.value = write.bytes,
+			.value_len = write.len,
+			.deadline_us = dw_clock_now_us() + WRITE_TIMEOUT_US,
+		};
+
+		if (!put)
+			abort();
+		put->sync = sync;
+		put->id = write.id;
+		dw_store_put(sync->daemon->store, &call, on_written, put);
+	}
+}
+
+/* A safe answer may end other requests, which come back here. */
+static void ledger_sync_pump(struct ledger_sync *sync)
+{
+	if (sync->pumping)
+		return;
+	sync->pumping = true;
+	send_messages(sync);
+	start_writes(sync);
+	tell_waiters(sync);
+	sync->pumping = false;
+}
+
+enum dw_status ledger_sync_reserve(struct ledger_sync *sync)
+{
+	return dw_ledger_reserve(sync->ledger);
+}
+
+void ledger_sync_unreserve(struct ledger_sync *sync)
+{
+	dw_ledger_unreserve(sync->ledger);
+}
+
+void ledger_sync_append(struct ledger_sync *sync, const struct dw_usage_record *record,
+			ledger_safe safe, void *owner)
+{
+	struct waiter *waiter = calloc(1, sizeof(*waiter));
+	struct daemon *daemon = sync->daemon;
+	enum dw_status status;
+
+	if (!waiter)
+		abort();
+	waiter->safe = safe;
+	waiter->owner = owner;
+	status = dw_ledger_append(sync->ledger, record, dw_clock_now_us(), &waiter->seq);
+	if (status != DW_OK) {
+		dw_counters_add(&daemon->counters, DW_COUNTER_USAGE_EXPOSED, 1);
+		free(waiter);
+		safe(owner);
+		return;
+	}
+	dw_counters_add(&daemon->counters, DW_COUNTER_USAGE_RECORDS, 1);
+	dw_log_event(&daemon->log, DW_EVENT_USAGE_RECORDED,
+		     DW_STR("organisation", record->organisation), DW_STR("model", record->model),
+		     DW_STR("version", record->version), DW_INT("seq", waiter->seq),
+		     DW_INT("request_low", record->request_id.low),
+		     DW_INT("completion_tokens", record->completion_tokens));
+	waiter->next = sync->waiters;
+	sync->waiters = waiter;
+	ledger_sync_pump(sync);
+}
+
+void ledger_sync_receive(struct ledger_sync *sync, const struct dw_peer_identity *from,
+			 const struct dw_peer_payload *payload)
+{
+	static struct dw_ledger_message message;
+
+	if (dw_ledger_message_decode(payload->bytes, payload->len, &message) != DW_OK) {
+		dw_counters_add(&sync->daemon->counters, DW_COUNTER_BAD_INPUTS, 1);
+		return;
+	}
+	dw_ledger_receive(sync->ledger, &from->key, &message, dw_clock_now_us());
+	ledger_sync_pump(sync);
+}
+
+void ledger_sync_member_dead(struct ledger_sync *sync, struct dw_member_key member)
+{
+	dw_log_event(&sync->daemon->log, DW_EVENT_USAGE_ADOPTED,
+		     DW_INT("instance_id", member.instance_id));
+	dw_ledger_member_dead(sync->ledger, &member, dw_clock_now_us());
+	ledger_sync_pump(sync);
+}
+
+static uint32_t holder_rank(const struct daemon *daemon, const struct dw_member *member)
+{
+	if (strcmp(member->failure_domain, daemon->settings.failure_domain) != 0)
+		return 2;
+	return 1;
+}
+
+/* The next live member by hash after this one, of another failure domain if there is one. */
+static void choose_holder(struct ledger_sync *sync)
+{
+	struct daemon *daemon = sync->daemon;
+	const struct dw_member *best = NULL;
+	uint64_t best_distance = 0;
+
+	for (size_t i = 0; i < dw_membership_count(daemon->membership); i++) {
+		const struct dw_member *member = dw_membership_at(daemon->membership, i);
+		uint64_t distance = member->key.instance_id - daemon->key.instance_id;
+
+		if (member->state != DW_MEMBER_ALIVE ||
+		    dw_member_key_equal(member->key, daemon->key))
+			continue;
+		if (best && (holder_rank(daemon, member) < holder_rank(daemon, best) ||
+			     (holder_rank(daemon, member) == holder_rank(daemon, best) &&
+			      distance > best_distance)))
+			continue;
+		best = member;
+		best_distance = distance;
+	}
+	if (best && dw_member_key_equal(best->key, sync->holder))
+		return;
+	memset(&sync->holder, 0, sizeof(sync->holder));
+	if (best)
+		sync->holder = best->key;
+	dw_ledger_set_holder(sync->ledger, best ? &sync->holder : NULL, dw_clock_now_us());
+}
+
+void ledger_sync_tick(struct ledger_sync *sync)
+{
+	choose_holder(sync);
+	dw_ledger_tick(sync->ledger, dw_clock_now_us());
+	ledger_sync_pump(sync);
+}
+
+void ledger_sync_flush(struct ledger_sync *sync)
+{
+	dw_ledger_flush(sync->ledger, dw_clock_now_us());
+	ledger_sync_pump(sync);
+}
+
+size_t ledger_sync_unwritten(const struct ledger_sync *sync)
+{
+	return dw_ledger_unwritten(sync->ledger);
+}
--- /dev/null
+++ b/src/dragonflywharfd/once_sync.h
@@ -0,0 +1,31 @@
+/**
+ * @file once_sync.h
+ * Carries the at-most-once journal's operations to the store and its decisions to requests.
+ */
+#ifndef DAEMON_ONCE_SYNC_H
+#define DAEMON_ONCE_SYNC_H
+
+#include "dragonflywharfd/daemon.h"
+
+/** Journal shards in the store are below this prefix. */
+#define ONCE_PREFIX "wharf/once/"
+
+typedef void (*once_decided)(const struct dw_once_decision *decision, void *owner);
+
+struct once_sync *once_sync_start(struct daemon *daemon);
+
+/** As dw_once_begin(); @p decided runs for each decision of the ticket until forgotten. */
+enum dw_status once_sync_begin(struct once_sync *sync, const struct dw_once_request *request,
+			       once_decided decided, void *owner, uint64_t *ticket);
+
+bool once_sync_may_send(struct once_sync *sync, uint64_t ticket);
+void once_sync_finish(struct once_sync *sync, uint64_t ticket, const struct dw_once_answer *answer);
+void once_sync_release(struct once_sync *sync, uint64_t ticket);
+
+/** The owner hears no more; the ticket itself goes on to its end. */
+void once_sync_forget(struct once_sync *sync, uint64_t ticket);
+
+void once_sync_tick(struct once_sync *sync);
+size_t once_sync_pending(const struct once_sync *sync);
+
+#endif
--- /dev/null
+++ b/src/dragonflywharfd/operator_put.c
@@ -0,0 +1,175 @@
+#include "dragonflywharfd/operator_put.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "dragonflywharfd/config_sync.h"
+#include "dragonflywharfd/operator_reply.h"
+
+#define CALL_TIMEOUT_US (2 * DW_US_PER_S)
+#define STORE_KEY_BYTES (DW_ENTITY_KEY_BYTES + sizeof(CONFIG_PREFIX))
+
+struct operator_put {
+	struct daemon *daemon;
+	struct dw_http_exchange *exchange; /* NULL if the operator has gone */
+	Dragonflywharf__PutRequest *request;
+	char key[STORE_KEY_BYTES];
+	bool wrote; /* a write has been sent whose outcome isn't known */
+};
+
+static void on_gone(struct dw_http_exchange *exchange, void *data)
+{
+	struct operator_put *put = data;
+
+	put->exchange = NULL;
+}
+
+static void reply(struct operator_put *put, Dragonflywharf__PutOutcome outcome, uint64_t revision,
+		  const char *message)
+{
+	static const char *const names[] = { "done", "conflict", "unknown", "refused" };
+	Dragonflywharf__PutResponse response = DRAGONFLYWHARF__PUT_RESPONSE__INIT;
+
+	response.outcome = outcome;
+	response.revision = revision;
+	response.message = (char *)message;
+	dw_log_event(&put->daemon->log, DW_EVENT_CONFIG_CHANGED, DW_STR("key", put->key),
+		     DW_STR("outcome", names[outcome]), DW_INT("revision", revision),
+		     DW_STR("change_id", put->request->change_id));
+	if (outcome == DRAGONFLYWHARF__PUT_OUTCOME__PUT_DONE)
+		config_sync_hint(put->daemon->config_sync, revision);
+	if (put->exchange)
+		operator_reply(put->exchange, &response.base);
+	dragonflywharf__put_request__free_unpacked(put->request, NULL);
+	free(put);
+}
+
+/* Whether the value that stands in the store was written by this change. */
+static bool is_own_change(const struct operator_put *put, const struct dw_store_entry *entry)
+{
+	Dragonflywharf__Entity *entity =
+		dragonflywharf__entity__unpack(NULL, entry->value_len, entry->value);
+	bool own = entity && strcmp(entity->change_id, put->request->change_id) == 0;
+
+	if (entity)
+		dragonflywharf__entity__free_unpacked(entity, NULL);
+	return own;
+}
+
+static void on_read_again(const struct dw_store_range_result *result, void *data)
+{
+	struct operator_put *put = data;
+	uint64_t revision = 0;
+
+	if (result->status != DW_OK && result->status != DW_NOT_FOUND) {
+		reply(put,
+		      put->wrote ? DRAGONFLYWHARF__PUT_OUTCOME__PUT_UNKNOWN
+				 : DRAGONFLYWHARF__PUT_OUTCOME__PUT_CONFLICT,
+		      0, "the key-value service can't be read");
+		return;
+	}
+	if (result->count > 0)
+		revision = result->entries[0].mod_revision;
+	if (result->count > 0 && is_own_change(put, &result->entries[0]))
+		reply(put, DRAGONFLYWHARF__PUT_OUTCOME__PUT_DONE, revision, "");
+	else if (put->wrote && revision != put->request->expected_revision)
+		/* Another write came after; whether ours stood in between can't be told. */
+		reply(put, DRAGONFLYWHARF__PUT_OUTCOME__PUT_UNKNOWN, revision,
+		      "another change stands; this one may have come before it");
+	else if (put->wrote)
+		reply(put, DRAGONFLYWHARF__PUT_OUTCOME__PUT_REFUSED, revision,
+		      "the write had no effect; send it again");
+	else
+		reply(put, DRAGONFLYWHARF__PUT_OUTCOME__PUT_CONFLICT, revision,
+		      "the key has another revision");
+}
+
+static void read_again(struct operator_put *put)
+{
+	dw_store_get(put->daemon->store, put->key, dw_clock_now_us() + CALL_TIMEOUT_US,
+		     on_read_again, put);
+}
+
+static void on_put(const struct dw_store_put_result *result, void *data)
+{
+	struct operator_put *put = data;
+
+	switch (result->outcome) {
+	case DW_STORE_DONE:
+		reply(put, DRAGONFLYWHARF__PUT_OUTCOME__PUT_DONE, result->revision, "");
+		break;
+	case DW_STORE_UNKNOWN:
+		put->wrote = true;
+		read_again(put);
+		break;
+	case DW_STORE_CONFLICT:
+		/* It may be this very change, sent before by a call whose answer was lost. */
+		read_again(put);
+		break;
+	case DW_STORE_UNAVAILABLE:
+		reply(put, DRAGONFLYWHARF__PUT_OUTCOME__PUT_REFUSED, 0,
+		      "the key-value service can't be reached; nothing was written");
+		break;
+	case DW_STORE_REFUSED:
+	case DW_STORE_OUTCOME_COUNT:
+		reply(put, DRAGONFLYWHARF__PUT_OUTCOME__PUT_REFUSED, 0,
+		      "the key-value service refused the write");
+		break;
+	}
+}
+
+static void write_entity(struct operator_put *put)
+{
+	Dragonflywharf__Entity *entity = put->request->entity;
+	size_t len;
+	uint8_t *bytes;
+	struct dw_store_put call = {
+		.key = put->key,
+		.expected_revision = put->request->expected_revision,
+		.deadline_us = dw_clock_now_us() + CALL_TIMEOUT_US,
+	};
+
+	free(entity->change_id);
+	entity->change_id = strdup(put->request->change_id);
+	len = dragonflywharf__entity__get_packed_size(entity);
+	bytes = malloc(len + 1);
+	if (!bytes || !entity->change_id)
+		abort();
+	dragonflywharf__entity__pack(entity, bytes);
+	call.value = bytes;
+	call.value_len = len;
+	dw_store_put(put->daemon->store, &call, on_put, put);
+	free(bytes);
+}
+
+void operator_put_start(struct daemon *daemon, struct dw_http_exchange *exchange,
+			Dragonflywharf__PutRequest *request)
+{
+	struct operator_put *put = calloc(1, sizeof(*put));
+	char key[DW_ENTITY_KEY_BYTES] = "";
+	enum dw_status status;
+
+	if (!put)
+		abort();
+	put->daemon = daemon;
+	put->exchange = exchange;
+	put->request = request;
+	dw_http_on_gone(exchange, on_gone, put);
+	if (!request->entity)
+		status = dw_fail(DW_INVALID_ARGUMENT, "entity: is required");
+	else
+		status = dw_entity_check(request->entity);
+	if (status == DW_OK)
+		status = dw_entity_key(request->entity, key);
+	snprintf(put->key, sizeof(put->key), CONFIG_PREFIX "%s", key);
+	if (status == DW_OK &&
+	    (request->change_id[0] == '\0' || strlen(request->change_id) > DW_CHANGE_ID_MAX_BYTES))
+		status = dw_fail(DW_INVALID_ARGUMENT, "change_id: expected 1 to %d bytes",
+				 DW_CHANGE_ID_MAX_BYTES);
+	if (status != DW_OK) {
+		dw_counters_add(&daemon->counters, DW_COUNTER_BAD_INPUTS, 1);
+		reply(put, DRAGONFLYWHARF__PUT_OUTCOME__PUT_REFUSED, 0, dw_last_message());
+		return;
+	}
+	write_entity(put);
+}
--- /dev/null
+++ b/src/dragonflywharfd/peer_bus.c
@@ -0,0 +1,301 @@
+#include "dragonflywharfd/peer_bus.h"
+
+#include <string.h>
+
+#include "dragonflywharfd/config_sync.h"
+#include "dragonflywharfd/ledger_sync.h"
+#include "dragonflywharfd/upstream_table.h"
+#include "net/member_codec.h"
+#include "net/quarantine_codec.h"
+#include "net/rollout_codec.h"
+#include "net/share_codec.h"
+
+/** Peers that evidence is passed on to, each of whom passes it on in turn. */
+#define EVIDENCE_FANOUT 4
+#define WARMTH_FIELDS 3
+#define HELD_MAX 16
+
+typedef void (*message_handler)(struct daemon *daemon, const struct dw_peer_identity *from,
+				const struct dw_peer_payload *payload);
+
+void peer_message_buffer_init(struct peer_message_buffer *buffer)
+{
+	msgpack_sbuffer_init(&buffer->bytes);
+	msgpack_packer_init(&buffer->packer, &buffer->bytes, msgpack_sbuffer_write);
+}
+
+void peer_message_buffer_clear(struct peer_message_buffer *buffer)
+{
+	msgpack_sbuffer_destroy(&buffer->bytes);
+}
+
+static void send_to(struct daemon *daemon, const char *ip, uint16_t port, enum peer_message type,
+		    const struct peer_message_buffer *buffer)
+{
+	dw_peer_mesh_send(daemon->mesh, ip, port, (uint8_t)type, buffer->bytes.data,
+			  buffer->bytes.size);
+}
+
+void peer_bus_send(struct daemon *daemon, uint64_t instance_id, enum peer_message type,
+		   const struct peer_message_buffer *buffer)
+{
+	const struct dw_member *member = dw_membership_find(daemon->membership, instance_id);
+
+	if (member)
+		send_to(daemon, member->ip, member->port, type, buffer);
+}
+
+static bool is_live_peer(const struct daemon *daemon, const struct dw_member *member)
+{
+	return member->state != DW_MEMBER_DEAD && !dw_member_key_equal(member->key, daemon->key);
+}
+
+const struct dw_member *peer_bus_random_member(struct daemon *daemon)
+{
+	size_t count = dw_membership_count(daemon->membership);
+	size_t start = count ? daemon_random(daemon) % count : 0;
+
+	for (size_t i = 0; i < count; i++) {
+		const struct dw_member *member =
+			dw_membership_at(daemon->membership, (start + i) % count);
+
+		if (is_live_peer(daemon, member))
+			return member;
+	}
+	return NULL;
+}
+
+void peer_bus_gossip(struct daemon *daemon, uint32_t fanout, enum peer_message type,
+		     const struct peer_message_buffer *buffer)
+{
+	size_t count = dw_membership_count(daemon->membership);
+	size_t start = count ? daemon_random(daemon) % count : 0;
+
+	for (size_t i = 0; i < count && fanout > 0; i++) {
+		const struct dw_member *member =
+			dw_membership_at(daemon->membership, (start + i) % count);
+
+		if (!is_live_peer(daemon, member))
+			continue;
+		send_to(daemon, member->ip, member->port, type, buffer);
+		fanout--;
+	}
+}
+
+static void bad_message(struct daemon *daemon, const struct dw_peer_identity *from)
+{
+	dw_counters_add(&daemon->counters, DW_COUNTER_BAD_INPUTS, 1);
+	dw_log_event(&daemon->log, DW_EVENT_PEER_REFUSED, DW_STR("peer", from->name),
+		     DW_STR("reason", dw_last_message()));
+}
+
+static void take_member(struct daemon *daemon, const struct dw_peer_identity *from,
+			const struct dw_peer_payload *payload)
+{
+	static struct dw_member_message message;
+
+	if (dw_member_message_unpack(payload->value, &message) != DW_OK ||
+	    dw_membership_receive(daemon->membership, &message, dw_clock_now_us()) != DW_OK)
+		bad_message(daemon, from);
+}
+
+static void take_config_delta(struct daemon *daemon, const struct dw_peer_identity *from,
+			      const struct dw_peer_payload *payload)
+{
+	if (config_sync_delta(daemon->config_sync, payload->value) == DW_INVALID_ARGUMENT)
+		bad_message(daemon, from);
+}
+
+static void take_config_pull(struct daemon *daemon, const struct dw_peer_identity *from,
+			     const struct dw_peer_payload *payload)
+{
+	if (config_sync_pull(daemon->config_sync, from->key.instance_id, payload->value) != DW_OK)
+		bad_message(daemon, from);
+}
+
+static void take_share(struct daemon *daemon, const struct dw_peer_identity *from,
+		       const struct dw_peer_payload *payload)
+{
+	struct dw_share_message message;
+
+	if (dw_share_message_unpack(payload->value, &message) != DW_OK) {
+		bad_message(daemon, from);
+		return;
+	}
+	dw_share_receive(daemon->share, from->key, &message, dw_clock_now_us());
+	dw_share_message_clear(&message);
+}
+
+static void take_rollout(struct daemon *daemon, const struct dw_peer_identity *from,
+			 const struct dw_peer_payload *payload)
+{
+	static struct dw_rollout_message message;
+	uint64_t held[HELD_MAX];
+	size_t count;
+
+	if (dw_rollout_message_unpack(payload->value, &message) != DW_OK) {
+		bad_message(daemon, from);
+		return;
+	}
+	count = dw_rollout_merge(daemon->rollout, &message, held, HELD_MAX);
+	for (size_t i = 0; i < count; i++)
+		dw_log_event(&daemon->log, DW_EVENT_VERSION_HELD, DW_INT("version_id", held[i]),
+			     DW_STR("told_by", from->name));
+}
+
+static void take_quarantine(struct daemon *daemon, const struct dw_peer_identity *from,
+			    const struct dw_peer_payload *payload)
+{
+	struct dw_quarantine_evidence pieces[DW_QUARANTINE_MESSAGE_PIECES];
+	uint64_t now_us = dw_clock_now_us();
+	size_t count;
+
+	if (dw_quarantine_message_decode(payload->bytes, payload->len, pieces, &count) != DW_OK) {
+		bad_message(daemon, from);
+		return;
+	}
+	for (size_t i = 0; i < count; i++) {
+		if (dw_quarantine_merge(daemon->quarantine, &pieces[i], now_us) &&
+		    dw_quarantine_check(daemon->quarantine, pieces[i].fingerprint, now_us) != DW_OK)
+			dw_log_event(&daemon->log, DW_EVENT_REQUEST_QUARANTINED,
+				     DW_INT("fingerprint_low", pieces[i].fingerprint.low));
+	}
+}
+
+static void take_ledger(struct daemon *daemon, const struct dw_peer_identity *from,
+			const struct dw_peer_payload *payload)
+{
+	ledger_sync_receive(daemon->ledger_sync, from, payload);
+}
+
+static void take_warmth(struct daemon *daemon, const struct dw_peer_identity *from,
+			const struct dw_peer_payload *payload)
+{
+	const msgpack_object *value = payload->value;
+	struct dw_warmth_evidence evidence;
+	const msgpack_object *fields;
+
+	if (value->type != MSGPACK_OBJECT_ARRAY || value->via.array.size != WARMTH_FIELDS) {
+		dw_fail(DW_INVALID_ARGUMENT, "warmth evidence: not an array of 3");
+		bad_message(daemon, from);
+		return;
+	}
+	fields = value->via.array.ptr;
+	for (int i = 0; i < WARMTH_FIELDS; i++) {
+		if (fields[i].type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+			return;
+	}
+	evidence.upstream_id = fields[0].via.u64;
+	evidence.incarnation = fields[1].via.u64;
+	evidence.age_us = fields[2].via.u64;
+	upstream_table_merge(daemon->upstreams, &evidence);
+}
+
+static const message_handler handlers[PEER_MESSAGE_LIMIT] = {
+	[PEER_MEMBER] = take_member,	       [PEER_CONFIG_DELTA] = take_config_delta,
+	[PEER_CONFIG_PULL] = take_config_pull, [PEER_SHARE] = take_share,
+	[PEER_ROLLOUT] = take_rollout,	       [PEER_QUARANTINE] = take_quarantine,
+	[PEER_LEDGER] = take_ledger,	       [PEER_WARMTH] = take_warmth,
+};
+
+static void on_message(const struct dw_peer_identity *from, uint8_t type,
+		       const struct dw_peer_payload *payload, void *data)
+{
+	struct daemon *daemon = data;
+
+	/* A newer release may send types that this one doesn't know. */
+	if (type >= PEER_MESSAGE_LIMIT || !handlers[type])
+		return;
+	handlers[type](daemon, from, payload);
+	daemon_pump(daemon);
+}
+
+enum dw_status peer_bus_start(struct daemon *daemon)
+{
+	const struct daemon_settings *settings = &daemon->settings;
+	struct dw_peer_mesh_options options = {
+		.bind_ip = settings->ip,
+		.bind_port = (uint16_t)settings->peer_port,
+		.log = &daemon->log,
+		.on_message = on_message,
+		.data = daemon,
+	};
+	struct dw_peer_identity *self = &options.self;
+	bool advertised = settings->advertised_peer.port != 0;
+
+	self->key = daemon->key;
+	snprintf(self->name, sizeof(self->name), "%s", settings->instance);
+	snprintf(self->failure_domain, sizeof(self->failure_domain), "%s",
+		 settings->failure_domain);
+	snprintf(self->ip, sizeof(self->ip), "%s",
+		 advertised ? settings->advertised_peer.ip : settings->ip);
+	self->port = advertised ? settings->advertised_peer.port : (uint16_t)settings->peer_port;
+	memcpy(options.cluster_key, settings->cluster_key, sizeof(options.cluster_key));
+	return dw_peer_mesh_start(&daemon->mesh, &daemon->loop, &options);
+}
+
+static void flush_members(struct daemon *daemon)
+{
+	static struct dw_member_message message;
+
+	while (dw_membership_next_message(daemon->membership, &message)) {
+		struct peer_message_buffer buffer;
+
+		peer_message_buffer_init(&buffer);
+		dw_member_message_pack(&buffer.packer, &message);
+		send_to(daemon, message.to.ip, message.to.port, PEER_MEMBER, &buffer);
+		peer_message_buffer_clear(&buffer);
+	}
+}
+
+static void flush_share(struct daemon *daemon)
+{
+	struct dw_share_message message;
+	struct dw_member_key to;
+
+	while (dw_share_next_message(daemon->share, &to, &message)) {
+		struct peer_message_buffer buffer;
+
+		peer_message_buffer_init(&buffer);
+		dw_share_message_pack(&buffer.packer, &message);
+		peer_bus_send(daemon, to.instance_id, PEER_SHARE, &buffer);
+		peer_message_buffer_clear(&buffer);
+		dw_share_message_clear(&message);
+	}
+}
+
+static void flush_rollout(struct daemon *daemon)
+{
+	static struct dw_rollout_message message;
+
+	while (dw_rollout_collect(daemon->rollout, &message)) {
+		struct peer_message_buffer buffer;
+
+		peer_message_buffer_init(&buffer);
+		dw_rollout_message_pack(&buffer.packer, &message);
+		peer_bus_gossip(daemon, EVIDENCE_FANOUT, PEER_ROLLOUT, &buffer);
+		peer_message_buffer_clear(&buffer);
+	}
+}
+
+static void flush_quarantine(struct daemon *daemon)
+{
+	struct dw_quarantine_evidence evidence;
+
+	while (dw_quarantine_next_evidence(daemon->quarantine, dw_clock_now_us(), &evidence)) {
+		struct peer_message_buffer buffer;
+
+		peer_message_buffer_init(&buffer);
+		dw_quarantine_message_encode(&evidence, 1, &buffer.bytes);
+		peer_bus_gossip(daemon, EVIDENCE_FANOUT, PEER_QUARANTINE, &buffer);
+		peer_message_buffer_clear(&buffer);
+	}
+}
+
+void peer_bus_flush(struct daemon *daemon)
+{
+	flush_members(daemon);
+	flush_share(daemon);
+	flush_rollout(daemon);
+	flush_quarantine(daemon);
+}
--- /dev/null
+++ b/src/dragonflywharfd/roster_sync.c
@@ -0,0 +1,275 @@
+#include "dragonflywharfd/roster_sync.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+#include <xxhash.h>
+
+#include "dragonflywharfd/upstream_table.h"
+#include "net/share_codec.h"
+#include "platform/instance_list_http.h"
+
+#define ROSTER_KEY "wharf/roster"
+#define CALL_TIMEOUT_US (1000 * DW_US_PER_MS)
+#define READ_PERIOD_US (1000 * DW_US_PER_MS)
+#define RETRY_US (200 * DW_US_PER_MS)
+/** A leaving member gives its place in the roster up for lost after this. */
+#define LEAVE_US (3 * DW_US_PER_S)
+
+/* What the platform's list has said of one name. */
+struct listed {
+	char name[DW_INSTANCE_NAME_BYTES];
+	uint64_t unlisted_since_us; /* UINT64_MAX while the list names it */
+	bool leaving;
+	uint64_t read; /* number of the last read that named it */
+	UT_hash_handle hh;
+};
+
+struct roster_sync {
+	struct daemon *daemon;
+	struct dw_roster roster;
+	uint64_t revision; /* the key's, for compare-and-swap */
+	struct listed *listed;
+	struct dw_roster_list_state list;
+	uint64_t reads;
+	uint64_t read_at_us;
+	uint64_t leave_deadline_us;
+	bool known; /* the key has been read */
+	bool calling;
+	bool leaving;
+	bool left;
+};
+
+static struct listed *find_listed(const struct roster_sync *sync, const char *name)
+{
+	struct listed *listed;
+
+	HASH_FIND(hh, sync->listed, name, strlen(name), listed);
+	return listed;
+}
+
+static void take_listed(struct roster_sync *sync, const struct dw_instance *instance)
+{
+	struct listed *listed = find_listed(sync, instance->name);
+
+	if (!listed) {
+		listed = calloc(1, sizeof(*listed));
+		if (!listed)
+			abort();
+		snprintf(listed->name, sizeof(listed->name), "%s", instance->name);
+		HASH_ADD_KEYPTR(hh, sync->listed, listed->name, strlen(listed->name), listed);
+	}
+	listed->unlisted_since_us = UINT64_MAX;
+	listed->leaving = instance->state == DW_INSTANCE_LEAVING;
+	listed->read = sync->reads;
+}
+
+static void on_list(struct dw_instance_list *list, enum dw_status status, void *data)
+{
+	struct roster_sync *sync = data;
+	const struct dw_instance_snapshot *snapshot;
+	struct listed *listed;
+	struct listed *next;
+
+	if (status != DW_OK)
+		return;
+	snapshot = dw_instance_list_snapshot(list);
+	sync->reads++;
+	for (size_t i = 0; i < snapshot->count; i++)
+		take_listed(sync, &snapshot->instances[i]);
+	HASH_ITER(hh, sync->listed, listed, next) {
+		if (listed->read != sync->reads && listed->unlisted_since_us == UINT64_MAX)
+			listed->unlisted_since_us = snapshot->read_us;
+	}
+	sync->list.read_at_us = snapshot->read_us;
+	sync->list.listed_count = (uint32_t)snapshot->count;
+	upstream_table_refresh(sync->daemon->upstreams);
+	daemon_pump(sync->daemon);
+}
+
+bool roster_sync_listed_leaving(const struct roster_sync *sync, const char *name)
+{
+	const struct listed *listed = find_listed(sync, name);
+
+	return listed && (listed->leaving || listed->unlisted_since_us != UINT64_MAX);
+}
+
+static enum dw_roster_condition condition_of(enum dw_member_state state)
+{
+	static const enum dw_roster_condition conditions[DW_MEMBER_STATE_COUNT] = {
+		[DW_MEMBER_ALIVE] = DW_ROSTER_ALIVE,
+		[DW_MEMBER_LEAVING] = DW_ROSTER_ALIVE,
+		[DW_MEMBER_SUSPECT] = DW_ROSTER_UNREACHABLE,
+		[DW_MEMBER_DEAD] = DW_ROSTER_DEAD,
+	};
+
+	return conditions[state];
+}
+
+static uint32_t observe(struct roster_sync *sync, struct dw_roster_observation *seen, uint32_t max)
+{
+	struct daemon *daemon = sync->daemon;
+	uint32_t count = 0;
+
+	for (size_t i = 0; i < dw_membership_count(daemon->membership) && count < max; i++) {
+		const struct dw_member *member = dw_membership_at(daemon->membership, i);
+		const struct listed *listed = find_listed(sync, member->name);
+		struct dw_roster_observation *row = &seen[count++];
+		bool is_self = dw_member_key_equal(member->key, daemon->key);
+
+		memset(row, 0, sizeof(*row));
+		row->member.key = member->key;
+		snprintf(row->member.name, sizeof(row->member.name), "%s", member->name);
+		row->condition = condition_of(member->state);
+		if (is_self)
+			row->condition = sync->leaving ? DW_ROSTER_RELEASED : DW_ROSTER_ALIVE;
+		row->was_listed = listed != NULL;
+		row->unlisted_since_us = listed ? listed->unlisted_since_us : UINT64_MAX;
+	}
+	return count;
+}
+
+static void adopt(struct roster_sync *sync, const struct dw_roster *roster, uint64_t revision)
+{
+	struct daemon *daemon = sync->daemon;
+
+	sync->revision = revision;
+	if (roster->epoch == sync->roster.epoch)
+		return;
+	if (dw_share_set_roster(daemon->share, roster, dw_clock_now_us()) != DW_OK) {
+		dw_log_event(&daemon->log, DW_EVENT_CONFIG_REFUSED, DW_STR("key", ROSTER_KEY),
+			     DW_STR("message", dw_last_message()));
+		return;
+	}
+	sync->roster = *roster;
+	dw_log_event(&daemon->log, DW_EVENT_ROSTER_CHANGED, DW_INT("epoch", roster->epoch),
+		     DW_INT("members", roster->member_count));
+	if (sync->leaving && dw_roster_find(roster, daemon->key) < 0)
+		sync->left = true;
+}
+
+static void propose(struct roster_sync *sync);
+
+static void on_read(const struct dw_store_range_result *result, void *data)
+{
+	struct roster_sync *sync = data;
+	msgpack_unpacked value;
+	static struct dw_roster roster;
+	size_t used = 0;
+
+	sync->calling = false;
+	sync->read_at_us = dw_clock_now_us() + READ_PERIOD_US;
+	if (result->status == DW_NOT_FOUND) {
+		sync->known = true;
+		sync->revision = 0;
+	} else if (result->status == DW_OK) {
+		const struct dw_store_entry *entry = &result->entries[0];
+
+		msgpack_unpacked_init(&value);
+		if (msgpack_unpack_next(&value, (const char *)entry->value, entry->value_len,
+					&used) == MSGPACK_UNPACK_SUCCESS &&
+		    dw_roster_unpack(&value.data, &roster) == DW_OK) {
+			sync->known = true;
+			adopt(sync, &roster, entry->mod_revision);
+		}
+		msgpack_unpacked_destroy(&value);
+	} else {
+		sync->read_at_us = dw_clock_now_us() + RETRY_US;
+		return;
+	}
+	propose(sync);
+	daemon_pump(sync->daemon);
+}
+
+static void read_roster(struct roster_sync *sync)
+{
+	sync->calling = true;
+	dw_store_get(sync->daemon->store, ROSTER_KEY, dw_clock_now_us() + CALL_TIMEOUT_US, on_read,
+		     sync);
+}
+
+static void on_proposed(const struct dw_store_put_result *result, void *data)
+{
+	struct roster_sync *sync = data;
+
+	/* Whatever came of it, the store's value is the truth: it is read again. */
+	sync->calling = false;
+	sync->read_at_us = result->outcome == DW_STORE_DONE ? 0 : dw_clock_now_us() + RETRY_US;
+	if (result->outcome == DW_STORE_DONE)
+		read_roster(sync);
+}
+
+static void propose(struct roster_sync *sync)
+{
+	static struct dw_roster_observation seen[DW_ROSTER_MEMBERS_MAX];
+	static struct dw_roster next;
+	uint32_t count;
+	msgpack_sbuffer bytes;
+	msgpack_packer packer;
+	struct dw_store_put put = {
+		.key = ROSTER_KEY,
+		.expected_revision = sync->revision,
+		.deadline_us = dw_clock_now_us() + CALL_TIMEOUT_US,
+	};
+
+	if (!sync->known || sync->left || sync->calling)
+		return;
+	count = observe(sync, seen, DW_ROSTER_MEMBERS_MAX);
+	if (dw_roster_propose(&sync->roster, seen, count, &sync->list, dw_clock_now_us(), &next) !=
+	    DW_OK)
+		return;
+	msgpack_sbuffer_init(&bytes);
+	msgpack_packer_init(&packer, &bytes, msgpack_sbuffer_write);
+	dw_roster_pack(&packer, &next);
+	put.value = (const uint8_t *)bytes.data;
+	put.value_len = bytes.size;
+	sync->calling = true;
+	dw_store_put(sync->daemon->store, &put, on_proposed, sync);
+	msgpack_sbuffer_destroy(&bytes);
+}
+
+struct roster_sync *roster_sync_start(struct daemon *daemon)
+{
+	struct roster_sync *sync = calloc(1, sizeof(*sync));
+	struct dw_instance_list_options options = {
+		.period_us = daemon->settings.list_period_ms * DW_US_PER_MS,
+		.read_timeout_us = CALL_TIMEOUT_US,
+		.on_read = on_list,
+		.data = sync,
+	};
+
+	if (!sync)
+		abort();
+	sync->daemon = daemon;
+	if (daemon->settings.instance_list.port != 0)
+		daemon->instance_list = dw_instance_list_http_new(
+			&daemon->loop, daemon->client, daemon->settings.instance_list.ip,
+			daemon->settings.instance_list.port, &options);
+	return sync;
+}
+
+void roster_sync_tick(struct roster_sync *sync)
+{
+	uint64_t now_us = dw_clock_now_us();
+	bool behind = dw_share_epoch_seen(sync->daemon->share) > sync->roster.epoch;
+
+	if (sync->leaving && now_us >= sync->leave_deadline_us)
+		sync->left = true;
+	if (!sync->calling && (behind || now_us >= sync->read_at_us))
+		read_roster(sync);
+}
+
+void roster_sync_leave(struct roster_sync *sync)
+{
+	if (sync->leaving)
+		return;
+	sync->leaving = true;
+	sync->leave_deadline_us = dw_clock_now_us() + LEAVE_US;
+	sync->read_at_us = 0;
+}
+
+bool roster_sync_left(const struct roster_sync *sync)
+{
+	return sync->left;
+}
--- /dev/null
+++ b/src/dragonflywharfd/upstream_table.c
@@ -0,0 +1,343 @@
+#include "dragonflywharfd/upstream_table.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <json-c/json.h>
+#include <xxhash.h>
+
+#include "dragonflywharfd/dispatcher.h"
+#include "dragonflywharfd/peer_bus.h"
+#include "dragonflywharfd/roster_sync.h"
+
+#define REPORT_MAX_BYTES 65536U
+#define REPORT_TIMEOUT_US (1000 * DW_US_PER_MS)
+/** A report is missing when three in a row have not come. */
+#define REPORTS_MISSED 3U
+/** A broken connection is judged by a report that is fetched right after it. */
+#define INVESTIGATE_US (5 * DW_US_PER_MS)
+
+struct upstream_table {
+	struct daemon *daemon;
+	struct upstream *upstreams;
+	uint64_t generation;
+	bool filled;
+};
+
+/* A report under way; the upstream may be gone when it comes. */
+struct report {
+	struct upstream_table *table;
+	uint64_t upstream_id;
+	uint64_t sent_at_us;
+};
+
+struct upstream_table *upstream_table_new(struct daemon *daemon)
+{
+	struct upstream_table *table = calloc(1, sizeof(*table));
+
+	if (!table)
+		abort();
+	table->daemon = daemon;
+	return table;
+}
+
+struct upstream *upstream_table_find(struct upstream_table *table, uint64_t id)
+{
+	struct upstream *upstream;
+
+	HASH_FIND(hh, table->upstreams, &id, sizeof(id), upstream);
+	return upstream;
+}
+
+struct upstream *upstream_table_by_name(struct upstream_table *table, const char *name)
+{
+	return upstream_table_find(table, XXH64(name, strlen(name), 0));
+}
+
+void upstream_table_each(struct upstream_table *table,
+			 void (*visit)(struct upstream *upstream, void *data), void *data)
+{
+	struct upstream *upstream;
+	struct upstream *next;
+
+	HASH_ITER(hh, table->upstreams, upstream, next) {
+		visit(upstream, data);
+	}
+}
+
+static struct upstream *add_upstream(struct upstream_table *table, const char *name)
+{
+	struct upstream *upstream = calloc(1, sizeof(*upstream));
+
+	if (!upstream)
+		abort();
+	upstream->id = XXH64(name, strlen(name), 0);
+	snprintf(upstream->name, sizeof(upstream->name), "%s", name);
+	dw_warmth_init(&upstream->warmth);
+	upstream->told_cold = true;
+	HASH_ADD(hh, table->upstreams, id, sizeof(upstream->id), upstream);
+	return upstream;
+}
+
+/* A returning upstream, or one in a returning failure domain, gets its traffic back by a ramp. */
+static void set_usable(struct upstream_table *table, struct upstream *upstream, bool usable)
+{
+	uint64_t now_us = dw_clock_now_us();
+
+	if (usable && !upstream->usable && table->filled)
+		dw_ramp_start(&upstream->ramp, now_us, now_us + DW_RAMP_DEFAULT_US);
+	if (!usable && upstream->usable)
+		dw_log_event(&table->daemon->log, DW_EVENT_UPSTREAM_LEAVING,
+			     DW_STR("upstream", upstream->name));
+	upstream->usable = usable;
+}
+
+static void take_upstream(const struct dw_upstream *config, void *data)
+{
+	struct upstream_table *table = data;
+	struct upstream *upstream = upstream_table_by_name(table, config->name);
+
+	if (!upstream)
+		upstream = add_upstream(table, config->name);
+	snprintf(upstream->ip, sizeof(upstream->ip), "%s", config->ip);
+	upstream->port = config->port;
+	upstream->limit = config->limit;
+	upstream->cold_limit = config->cold_limit;
+	upstream->cold_period_us = config->cold_period_ms * DW_US_PER_MS;
+	upstream->is_service = config->is_service;
+	upstream->generation = table->generation;
+	upstream->load.slots = config->limit;
+	snprintf(upstream->failure_domain, sizeof(upstream->failure_domain), "%s",
+		 config->failure_domain_name);
+	set_usable(table, upstream,
+		   dw_upstream_usable(config, roster_sync_listed_leaving(table->daemon->roster_sync,
+									 config->name)));
+	dw_share_set_upstream(table->daemon->share, upstream->id, upstream->limit,
+			      upstream->is_service ? upstream->limit : upstream->cold_limit);
+}
+
+void upstream_table_refresh(struct upstream_table *table)
+{
+	struct upstream *upstream;
+	struct upstream *next;
+
+	table->generation++;
+	dw_ruleset_each_upstream(table->daemon->ruleset, take_upstream, table);
+	HASH_ITER(hh, table->upstreams, upstream, next) {
+		if (upstream->generation == table->generation)
+			continue;
+		upstream->usable = false;
+		dw_share_set_upstream(table->daemon->share, upstream->id, 0, 0);
+	}
+	table->filled = true;
+}
+
+/* Tells the share module and the log when the upstream turns cold or warm. */
+static void tell_warmth(struct upstream_table *table, struct upstream *upstream)
+{
+	struct daemon *daemon = table->daemon;
+	bool cold = dw_warmth_is_cold(&upstream->warmth, dw_clock_now_us());
+
+	if (upstream->is_service || cold == upstream->told_cold)
+		return;
+	upstream->told_cold = cold;
+	dw_share_set_cold(daemon->share, upstream->id, cold);
+	dw_log_event(&daemon->log, cold ? DW_EVENT_UPSTREAM_COLD : DW_EVENT_UPSTREAM_WARM,
+		     DW_STR("upstream", upstream->name),
+		     DW_INT("incarnation", upstream->warmth.incarnation));
+}
+
+static void blame_broken(struct upstream_table *table, struct upstream *upstream,
+			 uint64_t crashed_incarnation)
+{
+	struct daemon *daemon = table->daemon;
+
+	if (upstream->broken_count == 0)
+		return;
+	dw_log_event(&daemon->log, DW_EVENT_UPSTREAM_CRASHED, DW_STR("upstream", upstream->name),
+		     DW_INT("incarnation", crashed_incarnation),
+		     DW_INT("requests", upstream->broken_count));
+	dw_quarantine_crashed(daemon->quarantine, upstream->id, crashed_incarnation,
+			      upstream->broken, upstream->broken_count, dw_clock_now_us());
+	upstream->broken_count = 0;
+}
+
+static void gossip_warmth(struct upstream_table *table, struct upstream *upstream)
+{
+	struct dw_warmth_evidence evidence;
+	struct peer_message_buffer buffer;
+
+	if (!dw_warmth_evidence(&upstream->warmth, upstream->id, upstream->cold_period_us,
+				dw_clock_now_us(), &evidence))
+		return;
+	peer_message_buffer_init(&buffer);
+	msgpack_pack_array(&buffer.packer, 3);
+	msgpack_pack_uint64(&buffer.packer, evidence.upstream_id);
+	msgpack_pack_uint64(&buffer.packer, evidence.incarnation);
+	msgpack_pack_uint64(&buffer.packer, evidence.age_us);
+	peer_bus_gossip(table->daemon, DW_MEMBERSHIP_MAX, PEER_WARMTH, &buffer);
+	peer_message_buffer_clear(&buffer);
+}
+
+static uint64_t report_within_us(const struct upstream_table *table)
+{
+	return table->daemon->settings.report_period_ms * DW_US_PER_MS * REPORTS_MISSED;
+}
+
+void upstream_table_seen(struct upstream_table *table, uint64_t id, uint64_t incarnation)
+{
+	struct upstream *upstream = upstream_table_find(table, id);
+	uint64_t before;
+
+	if (!upstream || incarnation == 0)
+		return;
+	before = upstream->warmth.incarnation;
+	if (dw_warmth_seen(&upstream->warmth, incarnation, upstream->cold_period_us,
+			   report_within_us(table), dw_clock_now_us())) {
+		if (before != 0)
+			blame_broken(table, upstream, before);
+		gossip_warmth(table, upstream);
+	}
+	tell_warmth(table, upstream);
+}
+
+void upstream_table_merge(struct upstream_table *table, const struct dw_warmth_evidence *evidence)
+{
+	struct upstream *upstream = upstream_table_find(table, evidence->upstream_id);
+
+	if (!upstream)
+		return;
+	dw_warmth_merge(&upstream->warmth, evidence, upstream->cold_period_us, dw_clock_now_us());
+	tell_warmth(table, upstream);
+}
+
+static bool read_report(const struct dw_http_fetch_result *result, struct upstream_table *table,
+			struct upstream *upstream, uint64_t sent_at_us)
+{
+	struct json_object *root;
+	struct json_object *value;
+	uint64_t incarnation = 0;
+	uint32_t running = 0;
+	uint32_t queued = 0;
+
+	if (result->end.status != DW_OK || result->end.http_status != 200)
+		return false;
+	root = json_tokener_parse(result->body);
+	if (!json_object_is_type(root, json_type_object)) {
+		json_object_put(root);
+		return false;
+	}
+	if (json_object_object_get_ex(root, "incarnation", &value))
+		incarnation = (uint64_t)json_object_get_int64(value);
+	if (json_object_object_get_ex(root, "running", &value))
+		running = (uint32_t)json_object_get_int(value);
+	if (json_object_object_get_ex(root, "queued", &value))
+		queued = (uint32_t)json_object_get_int(value);
+	json_object_put(root);
+	dw_upstream_load_report(&upstream->load, sent_at_us, running, queued);
+	upstream_table_seen(table, upstream->id, incarnation);
+	return incarnation != 0;
+}
+
+static void on_report(const struct dw_http_fetch_result *result, void *data)
+{
+	struct report *report = data;
+	struct upstream_table *table = report->table;
+	struct upstream *upstream = upstream_table_find(table, report->upstream_id);
+
+	if (upstream) {
+		upstream->reporting = false;
+		if (read_report(result, table, upstream, report->sent_at_us)) {
+			/* The same incarnation answers: the break was no crash. */
+			upstream->broken_count = 0;
+		} else if (result->end.progress == DW_HTTP_NOT_SENT) {
+			blame_broken(table, upstream, upstream->warmth.incarnation);
+			dw_warmth_doubt(&upstream->warmth);
+			tell_warmth(table, upstream);
+		}
+		daemon_pump(table->daemon);
+	}
+	free(report);
+}
+
+static void fetch_report(struct upstream_table *table, struct upstream *upstream)
+{
+	struct report *report = calloc(1, sizeof(*report));
+	uint64_t now_us = dw_clock_now_us();
+	struct dw_http_call_options options = {
+		.ip = upstream->ip,
+		.port = upstream->port,
+		.method = "GET",
+		.path = "/load",
+		.deadline_us = now_us + REPORT_TIMEOUT_US,
+	};
+
+	if (!report)
+		abort();
+	report->table = table;
+	report->upstream_id = upstream->id;
+	report->sent_at_us = now_us;
+	upstream->reporting = true;
+	upstream->report_at_us = now_us + table->daemon->settings.report_period_ms * DW_US_PER_MS;
+	dw_http_fetch(table->daemon->client, &options, REPORT_MAX_BYTES, on_report, report);
+}
+
+void upstream_table_tick(struct upstream_table *table)
+{
+	uint64_t now_us = dw_clock_now_us();
+	struct upstream *upstream;
+	struct upstream *next;
+
+	HASH_ITER(hh, table->upstreams, upstream, next) {
+		if (upstream->is_service || upstream->generation != table->generation)
+			continue;
+		tell_warmth(table, upstream);
+		if (!upstream->reporting && now_us >= upstream->report_at_us)
+			fetch_report(table, upstream);
+	}
+}
+
+void upstream_table_started(struct upstream_table *table, struct upstream *upstream,
+			    struct dw_fingerprint fingerprint)
+{
+	dw_upstream_load_sent(&upstream->load, dw_clock_now_us());
+	if (upstream->running_count < UPSTREAM_RUNNING_MAX)
+		upstream->running[upstream->running_count++] = fingerprint;
+}
+
+static void forget_running(struct upstream *upstream, struct dw_fingerprint fingerprint)
+{
+	for (size_t i = 0; i < upstream->running_count; i++) {
+		if (!dw_fingerprint_equal(upstream->running[i], fingerprint))
+			continue;
+		upstream->running[i] = upstream->running[--upstream->running_count];
+		return;
+	}
+}
+
+void upstream_table_ended(struct upstream_table *table, uint64_t id,
+			  struct dw_fingerprint fingerprint, const struct dw_load_sample *sample)
+{
+	struct upstream *upstream = upstream_table_find(table, id);
+
+	if (!upstream)
+		return;
+	dw_upstream_load_ended(&upstream->load, dw_clock_now_us(), sample);
+	forget_running(upstream, fingerprint);
+}
+
+void upstream_table_broke(struct upstream_table *table, uint64_t id,
+			  struct dw_fingerprint fingerprint)
+{
+	struct upstream *upstream = upstream_table_find(table, id);
+	uint64_t soon_us = dw_clock_now_us() + INVESTIGATE_US;
+
+	if (!upstream)
+		return;
+	if (upstream->broken_count < UPSTREAM_BROKEN_MAX)
+		upstream->broken[upstream->broken_count++] = fingerprint;
+	dw_warmth_doubt(&upstream->warmth);
+	tell_warmth(table, upstream);
+	if (upstream->report_at_us > soon_us)
+		upstream->report_at_us = soon_us;
+}
--- /dev/null
+++ b/src/dragonflywharfd/upstream_table.h
@@ -0,0 +1,75 @@
+/**
+ * @file upstream_table.h
+ * What this daemon knows of each upstream while it runs: load, warmth, crashes, running attempts.
+ */
+#ifndef DAEMON_UPSTREAM_TABLE_H
+#define DAEMON_UPSTREAM_TABLE_H
+
+#include <uthash.h>
+
+#include <dragonflywharf/warmth.h>
+
+#include "dragonflywharfd/daemon.h"
+
+#define UPSTREAM_RUNNING_MAX 256
+#define UPSTREAM_BROKEN_MAX 64
+
+struct upstream {
+	uint64_t id; /**< XXH64 of the name */
+	char name[DW_NAME_MAX_BYTES + 1];
+	char ip[16];
+	uint16_t port;
+	uint32_t limit;
+	uint32_t cold_limit;
+	uint64_t cold_period_us;
+	char failure_domain[DW_NAME_MAX_BYTES + 1];
+	bool is_service;
+	bool usable; /**< in service by configuration and instance list */
+	struct dw_upstream_load load;
+	struct dw_warmth warmth;
+	bool told_cold; /**< as last told to the share module */
+	struct dw_ramp ramp;
+	struct dw_retry_budget budget;
+	struct dw_fingerprint running[UPSTREAM_RUNNING_MAX];
+	size_t running_count;
+	/** Requests that were running when connections broke, until a report clears or blames. */
+	struct dw_fingerprint broken[UPSTREAM_BROKEN_MAX];
+	size_t broken_count;
+	uint64_t failures; /**< attempts failed in a row */
+	uint64_t generation;
+	uint64_t report_at_us; /**< when the next report is to be fetched */
+	bool reporting;
+	UT_hash_handle hh;
+};
+
+struct upstream_table *upstream_table_new(struct daemon *daemon);
+
+/** Takes over the upstreams of the ruleset. */
+void upstream_table_refresh(struct upstream_table *table);
+
+void upstream_table_tick(struct upstream_table *table);
+
+struct upstream *upstream_table_find(struct upstream_table *table, uint64_t id);
+struct upstream *upstream_table_by_name(struct upstream_table *table, const char *name);
+
+/** Calls @p visit for each upstream. */
+void upstream_table_each(struct upstream_table *table,
+			 void (*visit)(struct upstream *upstream, void *data), void *data);
+
+/** An attempt starts at, or ends at, the upstream. */
+void upstream_table_started(struct upstream_table *table, struct upstream *upstream,
+			    struct dw_fingerprint fingerprint);
+void upstream_table_ended(struct upstream_table *table, uint64_t id,
+			  struct dw_fingerprint fingerprint, const struct dw_load_sample *sample);
+
+/** An answer came with the upstream's incarnation. */
+void upstream_table_seen(struct upstream_table *table, uint64_t id, uint64_t incarnation);
+
+/** A connection with a request under way broke: cold until seen again, and maybe a crash. */
+void upstream_table_broke(struct upstream_table *table, uint64_t id,
+			  struct dw_fingerprint fingerprint);
+
+/** A peer's evidence of an upstream's incarnation. */
+void upstream_table_merge(struct upstream_table *table, const struct dw_warmth_evidence *evidence);
+
+#endif
--- /dev/null
+++ b/src/net/msgpack_read.c
@@ -0,0 +1,32 @@
+#include "net/msgpack_read.h"
+
+#include <string.h>
+
+const msgpack_object *dw_msgpack_fields(const msgpack_object *object, uint32_t count)
+{
+	if (object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size != count)
+		return NULL;
+	return object->via.array.ptr;
+}
+
+bool dw_msgpack_number(const msgpack_object *object, uint64_t max, uint64_t *out)
+{
+	if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER || object->via.u64 > max)
+		return false;
+	*out = object->via.u64;
+	return true;
+}
+
+bool dw_msgpack_text(const msgpack_object *object, char *out, size_t capacity)
+{
+	if (object->type != MSGPACK_OBJECT_STR || object->via.str.size >= capacity)
+		return false;
+	memcpy(out, object->via.str.ptr, object->via.str.size);
+	out[object->via.str.size] = '\0';
+	return true;
+}
+
+void dw_msgpack_pack_text(msgpack_packer *packer, const char *text)
+{
+	msgpack_pack_str_with_body(packer, text, strlen(text));
+}
--- a/src/net/peer_identity.h
+++ b/src/net/peer_identity.h
@@ -14,7 +14,7 @@
 extern "C" {
 #endif
 
-#define DW_PEER_NAME_BYTES 64
+#define DW_PEER_NAME_BYTES 65
 #define DW_PEER_IP_BYTES 16
 
 struct dw_peer_identity {
--- a/src/net/peer_mesh.c
+++ b/src/net/peer_mesh.c
@@ -7,6 +7,7 @@
 #include <uthash.h>
 
 #include "base/clock.h"
+#include "core/msgpack_check.h"
 
 #define LENGTH_BYTES 4U
 #define TYPE_BYTES 1U
@@ -297,7 +298,10 @@
 		uv_timer_stop(&link->handshake_timer);
 	} else {
 		mesh->stats.received_messages++;
-		mesh->options.on_message(&link->peer, plain[0], &value.data, mesh->options.data);
+		mesh->options.on_message(&link->peer, plain[0],
+					 &(struct dw_peer_payload){ &value.data, plain + TYPE_BYTES,
+								    len - TYPE_BYTES },
+					 mesh->options.data);
 	}
 	msgpack_unpacked_destroy(&value);
 	return status;
@@ -580,8 +584,7 @@
 	struct link *next;
 
 	mesh->stopping = true;
-	HASH_ITER(hh, mesh->initiated, link, next)
-	{
+	HASH_ITER(hh, mesh->initiated, link, next) {
 		link_close(link);
 	}
 	while (mesh->accepted)
--- a/src/net/peer_mesh.h
+++ b/src/net/peer_mesh.h
@@ -24,8 +24,15 @@
 
 struct dw_peer_mesh;
 
+/** A message's value, parsed and as it came; valid within the callback. */
+struct dw_peer_payload {
+	const msgpack_object *value;
+	const uint8_t *bytes;
+	size_t len;
+};
+
 typedef void (*dw_peer_message)(const struct dw_peer_identity *from, uint8_t type,
-				const msgpack_object *value, void *data);
+				const struct dw_peer_payload *payload, void *data);
 
 struct dw_peer_mesh_options {
 	const char *bind_ip;
--- a/src/platform/instance_list.h
+++ b/src/platform/instance_list.h
@@ -16,7 +16,7 @@
 extern "C" {
 #endif
 
-#define DW_INSTANCE_NAME_BYTES 64
+#define DW_INSTANCE_NAME_BYTES 65
 #define DW_INSTANCE_IP_BYTES 16
 
 enum dw_instance_role {
--- /dev/null
+++ b/src/programs/wharfctl.c
@@ -0,0 +1,77 @@
+/**
+ * @file wharfctl.c
+ * The operators' command line.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <argtable2.h>
+#include <sodium.h>
+
+#include "wharfctl/command.h"
+
+#define WORDS_MAX 8
+#define SERVERS_MAX 8
+
+static void print_help(void **table)
+{
+	printf("Usage: wharfctl");
+	arg_print_syntax(stdout, table, "\n");
+	arg_print_glossary(stdout, table, "  %-22s %s\n");
+	printf("Commands:\n");
+	command_list(stdout);
+	printf("Exit codes: 0 done, 1 usage, 2 refused, 3 conflict, 4 outcome unknown,\n"
+	       "5 not reachable, 6 no such entity.\n");
+}
+
+static int run(const struct arg_str *servers, const struct arg_str *key,
+	       const struct arg_str *words, bool json)
+{
+	struct command_context context = { .json = json, .argc = words->count - 1 };
+	const char *arguments[WORDS_MAX + 1] = { NULL };
+	struct dw_endpoint_list endpoints = { .count = 0 };
+	const char *secret = key->count > 0 ? key->sval[0] : getenv("WHARF_OPERATOR_KEY");
+
+	for (int i = 0; i < servers->count; i++) {
+		if (dw_endpoint_parse(servers->sval[i], &endpoints.items[i]) != DW_OK) {
+			fprintf(stderr, "wharfctl: --server: %s\n", dw_last_message());
+			return WHARFCTL_USAGE;
+		}
+		endpoints.count++;
+	}
+	for (int i = 1; i < words->count; i++)
+		arguments[i - 1] = words->sval[i];
+	context.argv = arguments;
+	operator_client_init(&context.client, &endpoints, secret ? secret : "");
+	return command_run(&context, words->sval[0]);
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0("h", "help", "print this help and exit");
+	struct arg_lit *version = arg_lit0(NULL, "version", "print the version and exit");
+	struct arg_lit *json = arg_lit0(NULL, "json", "print JSON, for scripts");
+	struct arg_str *servers = arg_strn("s", "server", "IP:PORT", 0, SERVERS_MAX,
+					   "operators' address of an instance; several are tried");
+	struct arg_str *key = arg_str0("k", "key", "KEY", "operator key, else WHARF_OPERATOR_KEY");
+	struct arg_str *words = arg_strn(NULL, NULL, "COMMAND", 0, WORDS_MAX, "what to do");
+	struct arg_end *end = arg_end(8);
+	void *table[] = { help, version, json, servers, key, words, end };
+	int errors = arg_parse(argc, argv, table);
+
+	if (help->count > 0) {
+		print_help(table);
+		return WHARFCTL_DONE;
+	}
+	if (version->count > 0) {
+		printf("wharfctl %s\n", DW_VERSION);
+		return WHARFCTL_DONE;
+	}
+	if (errors > 0 || words->count == 0 || sodium_init() < 0) {
+		arg_print_errors(stderr, end, "wharfctl");
+		fprintf(stderr, "wharfctl: a command is needed; see --help\n");
+		return WHARFCTL_USAGE;
+	}
+	return run(servers, key, words, json->count > 0);
+}
--- /dev/null
+++ b/src/wharfctl/command_edit.c
@@ -0,0 +1,300 @@
+#include "wharfctl/command_edit.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <sodium.h>
+
+#include <dragonflywharf/entity.h>
+
+#include "wharfctl/proto_json.h"
+
+#define CHANGE_ID_BYTES 33
+#define NUMBER_BASE 10
+
+typedef enum dw_status (*entity_edit)(Dragonflywharf__Entity *entity, const char *const *argv);
+
+static enum wharfctl_exit exit_of_status(enum dw_status status)
+{
+	switch (status) {
+	case DW_OK:
+		return WHARFCTL_DONE;
+	case DW_NOT_FOUND:
+		return WHARFCTL_NOT_FOUND;
+	case DW_CONFLICT:
+		return WHARFCTL_CONFLICT;
+	case DW_UNAVAILABLE:
+	case DW_TIMEOUT:
+	case DW_UPSTREAM_FAILED:
+		return WHARFCTL_UNREACHABLE;
+	default:
+		return WHARFCTL_REFUSED;
+	}
+}
+
+enum wharfctl_exit command_failed(struct command_context *context, enum dw_status status)
+{
+	if (context->json)
+		printf("{\"status\":\"%s\"}\n", dw_status_name(status));
+	fprintf(stderr, "wharfctl: %s: %s\n", dw_status_name(status), dw_last_message());
+	return exit_of_status(status);
+}
+
+static void make_change_id(char out[CHANGE_ID_BYTES])
+{
+	uint8_t random[(CHANGE_ID_BYTES - 1) / 2];
+
+	randombytes_buf(random, sizeof(random));
+	sodium_bin2hex(out, CHANGE_ID_BYTES, random, sizeof(random));
+}
+
+static enum wharfctl_exit print_put(struct command_context *context, const char *key,
+				    const Dragonflywharf__PutResponse *response)
+{
+	static const struct {
+		const char *name;
+		enum wharfctl_exit exit;
+	} outcomes[] = {
+		[DRAGONFLYWHARF__PUT_OUTCOME__PUT_DONE] = { "done", WHARFCTL_DONE },
+		[DRAGONFLYWHARF__PUT_OUTCOME__PUT_CONFLICT] = { "conflict", WHARFCTL_CONFLICT },
+		[DRAGONFLYWHARF__PUT_OUTCOME__PUT_UNKNOWN] = { "unknown", WHARFCTL_UNKNOWN },
+		[DRAGONFLYWHARF__PUT_OUTCOME__PUT_REFUSED] = { "refused", WHARFCTL_REFUSED },
+	};
+	size_t outcome = (size_t)response->outcome;
+
+	if (outcome >= sizeof(outcomes) / sizeof(outcomes[0]))
+		outcome = DRAGONFLYWHARF__PUT_OUTCOME__PUT_UNKNOWN;
+	if (context->json)
+		printf("{\"key\":\"%s\",\"outcome\":\"%s\",\"revision\":%" PRIu64 "}\n", key,
+		       outcomes[outcome].name, response->revision);
+	else
+		printf("%s: %s at revision %" PRIu64 "%s%s\n", key, outcomes[outcome].name,
+		       response->revision, response->message[0] ? ": " : "", response->message);
+	return outcomes[outcome].exit;
+}
+
+enum wharfctl_exit command_put(struct command_context *context, Dragonflywharf__Entity *entity,
+			       uint64_t expected)
+{
+	Dragonflywharf__PutRequest request = DRAGONFLYWHARF__PUT_REQUEST__INIT;
+	ProtobufCMessage *answer = NULL;
+	char change_id[CHANGE_ID_BYTES];
+	char key[DW_ENTITY_KEY_BYTES] = "";
+	enum wharfctl_exit code;
+	enum dw_status status;
+
+	make_change_id(change_id);
+	request.entity = entity;
+	request.expected_revision = expected;
+	request.change_id = change_id;
+	dw_entity_key(entity, key);
+	status = operator_client_call(&context->client, "Put", &request.base,
+				      &dragonflywharf__put_response__descriptor, &answer);
+	if (status != DW_OK)
+		return command_failed(context, status);
+	code = print_put(context, key, (Dragonflywharf__PutResponse *)answer);
+	protobuf_c_message_free_unpacked(answer, NULL);
+	return code;
+}
+
+enum dw_status command_read(struct command_context *context, const char *key,
+			    Dragonflywharf__GetResponse **out)
+{
+	Dragonflywharf__GetRequest request = DRAGONFLYWHARF__GET_REQUEST__INIT;
+	ProtobufCMessage *answer = NULL;
+	enum dw_status status;
+
+	request.key = (char *)key;
+	status = operator_client_call(&context->client, "Get", &request.base,
+				      &dragonflywharf__get_response__descriptor, &answer);
+	*out = (Dragonflywharf__GetResponse *)answer;
+	if (status == DW_OK && !(*out)->entity) {
+		protobuf_c_message_free_unpacked(answer, NULL);
+		return dw_fail(DW_INTERNAL, "the entity of %s can't be read", key);
+	}
+	return status;
+}
+
+static enum wharfctl_exit edit(struct command_context *context, const char *kind,
+			       entity_edit change)
+{
+	Dragonflywharf__GetResponse *found = NULL;
+	char key[DW_ENTITY_KEY_BYTES];
+	enum wharfctl_exit code;
+	enum dw_status status;
+
+	snprintf(key, sizeof(key), "%s/%s", kind, context->argv[0]);
+	status = command_read(context, key, &found);
+	if (status != DW_OK)
+		return command_failed(context, status);
+	status = change(found->entity, context->argv);
+	if (status != DW_OK)
+		code = command_failed(context, status);
+	else
+		code = command_put(context, found->entity, found->revision);
+	dragonflywharf__get_response__free_unpacked(found, NULL);
+	return code;
+}
+
+static enum dw_status parse_count(const char *text, uint32_t *out)
+{
+	char *end;
+	unsigned long number = strtoul(text, &end, NUMBER_BASE);
+
+	if (*text < '0' || *text > '9' || *end != '\0' || number > UINT32_MAX)
+		return dw_fail(DW_INVALID_ARGUMENT, "not a whole number: %s", text);
+	*out = (uint32_t)number;
+	return DW_OK;
+}
+
+static enum dw_status set_withdrawn(Dragonflywharf__Entity *entity, const char *const *argv)
+{
+	(void)argv;
+	entity->version->state = DRAGONFLYWHARF__VERSION_STATE__VERSION_WITHDRAWN;
+	return DW_OK;
+}
+
+static enum dw_status set_live(Dragonflywharf__Entity *entity, const char *const *argv)
+{
+	(void)argv;
+	entity->version->state = DRAGONFLYWHARF__VERSION_STATE__VERSION_LIVE;
+	return DW_OK;
+}
+
+static enum dw_status set_weight(Dragonflywharf__Entity *entity, const char *const *argv)
+{
+	return parse_count(argv[1], &entity->version->rollout_weight);
+}
+
+/* A higher release order ends an automatic hold that was decided before it. */
+static enum dw_status set_release(Dragonflywharf__Entity *entity, const char *const *argv)
+{
+	(void)argv;
+	entity->version->release_order++;
+	return DW_OK;
+}
+
+static enum dw_status set_limit(Dragonflywharf__Entity *entity, const char *const *argv)
+{
+	enum dw_status status = parse_count(argv[1], &entity->upstream->limit);
+
+	if (status == DW_OK && argv[2])
+		status = parse_count(argv[2], &entity->upstream->cold_limit);
+	return status;
+}
+
+static enum dw_status set_leaving(Dragonflywharf__Entity *entity, const char *const *argv)
+{
+	(void)argv;
+	entity->upstream->state = DRAGONFLYWHARF__UPSTREAM_STATE__UPSTREAM_LEAVING;
+	return DW_OK;
+}
+
+static enum dw_status set_in_service(Dragonflywharf__Entity *entity, const char *const *argv)
+{
+	(void)argv;
+	entity->upstream->state = DRAGONFLYWHARF__UPSTREAM_STATE__UPSTREAM_IN_SERVICE;
+	return DW_OK;
+}
+
+static enum dw_status set_drained(Dragonflywharf__Entity *entity, const char *const *argv)
+{
+	(void)argv;
+	entity->failure_domain->state = DRAGONFLYWHARF__DOMAIN_STATE__DOMAIN_DRAINED;
+	return DW_OK;
+}
+
+static enum dw_status set_restored(Dragonflywharf__Entity *entity, const char *const *argv)
+{
+	(void)argv;
+	entity->failure_domain->state = DRAGONFLYWHARF__DOMAIN_STATE__DOMAIN_IN_SERVICE;
+	return DW_OK;
+}
+
+static enum dw_status add_allowed(Dragonflywharf__Entity *entity, const char *const *argv)
+{
+	Dragonflywharf__Organisation *organisation = entity->organisation;
+	size_t count = organisation->n_allowed;
+	char **allowed = realloc(organisation->allowed, (count + 1) * sizeof(*allowed));
+
+	if (!allowed)
+		return dw_fail(DW_NO_MEMORY, "no memory");
+	organisation->allowed = allowed;
+	allowed[count] = strdup(argv[1]);
+	organisation->n_allowed = count + 1;
+	return DW_OK;
+}
+
+static enum dw_status remove_allowed(Dragonflywharf__Entity *entity, const char *const *argv)
+{
+	Dragonflywharf__Organisation *organisation = entity->organisation;
+	size_t kept = 0;
+
+	for (size_t i = 0; i < organisation->n_allowed; i++) {
+		if (strcmp(organisation->allowed[i], argv[1]) == 0)
+			free(organisation->allowed[i]);
+		else
+			organisation->allowed[kept++] = organisation->allowed[i];
+	}
+	if (kept == organisation->n_allowed)
+		return dw_fail(DW_NOT_FOUND, "%s isn't among what is allowed", argv[1]);
+	organisation->n_allowed = kept;
+	return DW_OK;
+}
+
+enum wharfctl_exit command_withdraw(struct command_context *context)
+{
+	return edit(context, "version", set_withdrawn);
+}
+
+enum wharfctl_exit command_live(struct command_context *context)
+{
+	return edit(context, "version", set_live);
+}
+
+enum wharfctl_exit command_weight(struct command_context *context)
+{
+	return edit(context, "version", set_weight);
+}
+
+enum wharfctl_exit command_release(struct command_context *context)
+{
+	return edit(context, "version", set_release);
+}
+
+enum wharfctl_exit command_limit(struct command_context *context)
+{
+	return edit(context, "upstream", set_limit);
+}
+
+enum wharfctl_exit command_leave(struct command_context *context)
+{
+	return edit(context, "upstream", set_leaving);
+}
+
+enum wharfctl_exit command_return(struct command_context *context)
+{
+	return edit(context, "upstream", set_in_service);
+}
+
+enum wharfctl_exit command_drain(struct command_context *context)
+{
+	return edit(context, "failure_domain", set_drained);
+}
+
+enum wharfctl_exit command_restore(struct command_context *context)
+{
+	return edit(context, "failure_domain", set_restored);
+}
+
+enum wharfctl_exit command_allow(struct command_context *context)
+{
+	return edit(context, "organisation", add_allowed);
+}
+
+enum wharfctl_exit command_forbid(struct command_context *context)
+{
+	return edit(context, "organisation", remove_allowed);
+}
--- a/tests/peer_mesh_test.cc
+++ b/tests/peer_mesh_test.cc
@@ -29,12 +29,13 @@
 		snprintf(options.self.ip, sizeof(options.self.ip), "127.0.0.1");
 		memset(options.cluster_key, key_byte, sizeof(options.cluster_key));
 		options.on_message = [](const struct dw_peer_identity *from, uint8_t type,
-					const msgpack_object *value, void *data) {
+					const struct dw_peer_payload *payload, void *data) {
 			Node *node = static_cast<Node *>(data);
 
 			node->last_sender = from->name;
 			node->got.push_back(std::to_string(type) + ":" +
-					    std::string(value->via.str.ptr, value->via.str.size));
+					    std::string(payload->value->via.str.ptr,
+						payload->value->via.str.size));
 		};
 		options.data = this;
 		ASSERT_EQ(dw_peer_mesh_start(&mesh, loop, &options), DW_OK);
--- a/tests/share_test.cc
+++ b/tests/share_test.cc
@@ -53,7 +53,7 @@
 
 class World
 {
-    public:
+      public:
 	explicit World(uint64_t seed, uint32_t count) : random(seed), instances(count)
 	{
 		for (uint32_t i = 0; i < count; i++)
@@ -130,9 +130,9 @@
 		if (instance.alive && dw_share_released(instance.share))
 			seen.condition = DW_ROSTER_RELEASED;
 		seen.was_listed = true;
-		seen.unlisted_since_us = now_us >= instance.unlisted_since_us ?
-						 instance.unlisted_since_us :
-						 UINT64_MAX;
+		seen.unlisted_since_us = now_us >= instance.unlisted_since_us
+						 ? instance.unlisted_since_us
+						 : UINT64_MAX;
 		return seen;
 	}
 
--- /dev/null
+++ b/tests/support/relay.h
@@ -0,0 +1,69 @@
+/**
+ * @file relay.h
+ * A TCP relay on loopback whose cuts stand for those of a network.
+ */
+#ifndef TESTS_SUPPORT_RELAY_H
+#define TESTS_SUPPORT_RELAY_H
+
+#include <atomic>
+#include <cstdint>
+#include <thread>
+#include <vector>
+
+namespace support
+{
+
+enum class relay_mode {
+	pass, /**< bytes go through */
+	hold, /**< connections stay open, bytes go nowhere: a cut link */
+	hold_answers, /**< bytes reach the target, its answers go nowhere: a cut of one way */
+	refuse, /**< connections are closed */
+};
+
+class relay
+{
+      public:
+	explicit relay(uint16_t target_port);
+	~relay();
+	relay(const relay &) = delete;
+	relay &operator=(const relay &) = delete;
+
+	uint16_t port() const
+	{
+		return port_;
+	}
+
+	/** Where new connections go; 0 refuses them. */
+	void set_target(uint16_t port)
+	{
+		target_ = port;
+	}
+
+	void set_mode(relay_mode mode)
+	{
+		mode_ = mode;
+	}
+
+      private:
+	struct pair {
+		int caller;
+		int target;
+	};
+
+	void run();
+	void accept_one();
+	bool forward(int from, int to);
+	void close_pair(size_t index);
+
+	int listener_ = -1;
+	uint16_t port_ = 0;
+	std::atomic<uint16_t> target_;
+	std::atomic<relay_mode> mode_{ relay_mode::pass };
+	std::atomic<bool> stopping_{ false };
+	std::vector<pair> pairs_;
+	std::thread thread_;
+};
+
+} // namespace support
+
+#endif
