--- a/include/dragonflywharf/membership.h
+++ b/include/dragonflywharf/membership.h
@@ -5,9 +5,9 @@
  * machine, with its suspicion mechanism, round-robin probing and piggy-backed updates.
  *
  * It differs from the paper in that a member declared dead that still runs (it was paused) refutes
- * with a higher refutation number, as its run isn't over; that remembered dead members are probed
- * now and then, so that two halves find each other after a cut; and in LEAVING, which a member
- * says of itself.
+ * with a higher refutation number, as its run isn't over; in that remembered dead members are
+ * probed now and then, so that two halves find each other after a cut; and in LEAVING, which a
+ * member says of itself. docs/design/membership.md has the figures.
  */
 #ifndef DRAGONFLYWHARF_MEMBERSHIP_H
 #define DRAGONFLYWHARF_MEMBERSHIP_H
@@ -98,18 +98,21 @@
 /** Drives probes and deadlines; call every 50 to 100 ms. @p random is fresh for each call. */
 void dw_membership_tick(struct dw_membership *membership, uint64_t now_us, uint64_t random);
 
-/** Takes in a message. Errors: DW_INVALID_ARGUMENT. */
+/** Takes in a message. Errors: DW_INVALID_ARGUMENT, without effect. */
 enum dw_status dw_membership_receive(struct dw_membership *membership,
 				     const struct dw_member_message *message, uint64_t now_us);
 
-/** Takes the next message to send; false if there is none. Messages may be lost. */
+/**
+ * Takes the next message to send; false if there is none. Drain it after each tick and receive.
+ * Messages may be lost.
+ */
 bool dw_membership_next_message(struct dw_membership *membership,
 				struct dw_member_message *message);
 
 /** Takes the next change of state; false if there is none. */
 bool dw_membership_next_event(struct dw_membership *membership, struct dw_member_event *event);
 
-/** Says that this member leaves, to all members at once. */
+/** Says that this member leaves, to many members at once; updates carry it to the others. */
 void dw_membership_leave(struct dw_membership *membership, uint64_t now_us);
 
 /** The revision that this member's messages tell. */
@@ -144,6 +147,9 @@
 size_t dw_membership_homes(const struct dw_membership *membership, uint64_t key_hash,
 			   const struct dw_member *homes[2]);
 
+/** True if a later run of this instance was heard of: this one is to stop. */
+bool dw_membership_is_replaced(const struct dw_membership *membership);
+
 /** True if the ticks stopped for longer than the pause bound and the grace after it runs. */
 bool dw_membership_in_pause_grace(const struct dw_membership *membership, uint64_t now_us);
 
--- /dev/null
+++ b/src/core/membership.c
@@ -0,0 +1,369 @@
+#include "core/membership_state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <utlist.h>
+
+#define DEFAULT_PROBE_PERIOD_US UINT64_C(1000000)
+#define DEFAULT_PROBE_TIMEOUT_US UINT64_C(300000)
+#define DEFAULT_INDIRECT_COUNT 3
+#define DEFAULT_DEAD_MEMORY_US UINT64_C(600000000)
+#define DEFAULT_PAUSE_BOUND_US UINT64_C(2000000)
+#define GRACE_PERIODS 3 /* after a pause, before others are judged again */
+#define DISTANT_PROBE_PERIODS 5 /* between probes of a dead member and of unknown seeds */
+#define SEEDS_PROBED_MAX 3 /* unknown seeds probed at once; each may send its whole list */
+#define VERIFY_MAX 4 /* dead members probed in one check because another sees them alive */
+#define CHECKS_PER_PERIOD 4
+#define LEAVE_FANOUT 32
+
+static uint64_t or_default(uint64_t value, uint64_t fallback)
+{
+	return value > 0 ? value : fallback;
+}
+
+static void set_options(struct dw_membership *membership,
+			const struct dw_membership_options *options)
+{
+	struct dw_membership_options *own = &membership->options;
+
+	*own = *options;
+	own->probe_period_us = or_default(own->probe_period_us, DEFAULT_PROBE_PERIOD_US);
+	own->probe_timeout_us = or_default(own->probe_timeout_us, DEFAULT_PROBE_TIMEOUT_US);
+	own->indirect_count = (uint32_t)or_default(own->indirect_count, DEFAULT_INDIRECT_COUNT);
+	own->dead_memory_us = or_default(own->dead_memory_us, DEFAULT_DEAD_MEMORY_US);
+	own->pause_bound_us = or_default(own->pause_bound_us, DEFAULT_PAUSE_BOUND_US);
+}
+
+static bool self_valid(const struct dw_member *self)
+{
+	return dw_name_valid(self->name) && dw_name_valid(self->failure_domain) &&
+	       dw_ipv4_valid(self->ip) && self->state == DW_MEMBER_ALIVE;
+}
+
+struct dw_membership *dw_membership_new(const struct dw_membership_options *options,
+					uint64_t now_us)
+{
+	struct dw_membership *membership;
+
+	if (!self_valid(&options->self) || options->seed_count > DW_MEMBERSHIP_SEEDS_MAX)
+		return NULL;
+	membership = calloc(1, sizeof(*membership));
+	if (!membership)
+		return NULL;
+	set_options(membership, options);
+	membership->last_tick_us = now_us;
+	membership->next_period_us = now_us;
+	membership->random = options->self.key.instance_id ^ options->self.key.incarnation;
+	dw_membership_merge(membership, &options->self, now_us);
+	membership->self = dw_membership_slot(membership, options->self.key.instance_id);
+	if (!membership->self) {
+		dw_membership_free(membership);
+		return NULL;
+	}
+	return membership;
+}
+
+void dw_membership_free(struct dw_membership *membership)
+{
+	struct dw_member_outgoing *outgoing, *next_outgoing;
+	struct dw_member_event_node *event, *next_event;
+	uint32_t i;
+
+	if (!membership)
+		return;
+	HASH_CLEAR(hh, membership->table);
+	for (i = 0; i < membership->count; i++)
+		free(membership->members[i]);
+	DL_FOREACH_SAFE(membership->outbox, outgoing, next_outgoing)
+	free(outgoing);
+	DL_FOREACH_SAFE(membership->events, event, next_event)
+	free(event);
+	free(membership->members);
+	free(membership->ring);
+	free(membership);
+}
+
+static bool in_grace(const struct dw_membership *membership, uint64_t now_us)
+{
+	return now_us < membership->grace_deadline_us;
+}
+
+/*
+ * Answers that came while this process was stopped weren't read, so that it knows nothing of the
+ * others: they get the time to answer again before any is declared dead.
+ */
+static void after_pause(struct dw_membership *membership, uint64_t now_us)
+{
+	uint64_t period_us = membership->options.probe_period_us;
+	uint32_t i;
+
+	membership->grace_deadline_us = now_us + GRACE_PERIODS * period_us;
+	membership->probe.is_active = false;
+	for (i = 0; i < membership->count; i++) {
+		struct dw_member_slot *slot = membership->members[i];
+
+		if (slot->member.state == DW_MEMBER_SUSPECT)
+			slot->suspect_deadline_us = membership->grace_deadline_us +
+						    period_us * dw_membership_log_size(membership);
+	}
+}
+
+static void expire_members(struct dw_membership *membership, uint64_t now_us)
+{
+	uint32_t i = 0;
+
+	while (i < membership->count) {
+		struct dw_member_slot *slot = membership->members[i];
+
+		if (slot->member.state == DW_MEMBER_SUSPECT && now_us >= slot->suspect_deadline_us)
+			dw_membership_set_state(membership, slot, DW_MEMBER_DEAD, now_us);
+		if (slot->member.state == DW_MEMBER_DEAD && now_us >= slot->forget_deadline_us)
+			dw_membership_forget(membership, i);
+		else
+			i++;
+	}
+}
+
+static bool is_peer(const struct dw_membership *membership, const struct dw_member_slot *slot)
+{
+	return slot != membership->self && slot->member.state != DW_MEMBER_DEAD;
+}
+
+static void shuffle_ring(struct dw_membership *membership)
+{
+	uint32_t i;
+
+	membership->ring_at = 0;
+	membership->ring_count = 0;
+	for (i = 0; i < membership->count; i++)
+		if (is_peer(membership, membership->members[i]))
+			membership->ring[membership->ring_count++] =
+				membership->members[i]->member.key.instance_id;
+	for (i = membership->ring_count; i > 1; i--) {
+		uint32_t j = (uint32_t)(dw_membership_random(membership) % i);
+		uint64_t swapped = membership->ring[i - 1];
+
+		membership->ring[i - 1] = membership->ring[j];
+		membership->ring[j] = swapped;
+	}
+}
+
+static struct dw_member_slot *next_target(struct dw_membership *membership)
+{
+	if (membership->ring_at >= membership->ring_count)
+		shuffle_ring(membership);
+	while (membership->ring_at < membership->ring_count) {
+		struct dw_member_slot *slot =
+			dw_membership_slot(membership, membership->ring[membership->ring_at++]);
+
+		if (slot && is_peer(membership, slot))
+			return slot;
+	}
+	return NULL;
+}
+
+static void start_probe(struct dw_membership *membership, uint64_t now_us)
+{
+	struct dw_member_slot *target = next_target(membership);
+
+	membership->probe.is_active = false;
+	if (!target)
+		return;
+	membership->probe = (struct dw_member_probe){
+		.is_active = true,
+		.target = target->member.key,
+		.sequence = ++membership->sequence,
+		.direct_deadline_us = now_us + membership->options.probe_timeout_us,
+	};
+	dw_membership_send(membership, DW_MEMBER_PING, &target->member, membership->sequence);
+}
+
+/* Asks some members to probe the target too. */
+static void probe_indirectly(struct dw_membership *membership)
+{
+	struct dw_member_probe *probe = &membership->probe;
+	uint32_t start = (uint32_t)(dw_membership_random(membership) % membership->count);
+	uint32_t sent = 0, i;
+
+	probe->is_indirect = true;
+	for (i = 0; i < membership->count && sent < membership->options.indirect_count; i++) {
+		struct dw_member_slot *slot = membership->members[(start + i) % membership->count];
+		struct dw_member_outgoing *outgoing;
+
+		if (!is_peer(membership, slot) || slot->member.state == DW_MEMBER_SUSPECT ||
+		    dw_member_key_equal(slot->member.key, probe->target))
+			continue;
+		outgoing = dw_membership_send(membership, DW_MEMBER_PING_REQ, &slot->member,
+					      probe->sequence);
+		if (outgoing)
+			outgoing->target = probe->target;
+		sent++;
+	}
+}
+
+static void judge_probe(struct dw_membership *membership, uint64_t now_us)
+{
+	struct dw_member_slot *slot = dw_membership_run(membership, membership->probe.target);
+
+	if (!membership->probe.is_active || membership->probe.is_acked || !slot)
+		return;
+	if (in_grace(membership, now_us))
+		return;
+	if (slot->member.state == DW_MEMBER_ALIVE || slot->member.state == DW_MEMBER_LEAVING)
+		dw_membership_set_state(membership, slot, DW_MEMBER_SUSPECT, now_us);
+}
+
+static bool address_known(const struct dw_membership *membership,
+			  const struct dw_member_address *address)
+{
+	uint32_t i;
+
+	for (i = 0; i < membership->count; i++) {
+		const struct dw_member *member = &membership->members[i]->member;
+
+		if (member->state != DW_MEMBER_DEAD && member->port == address->port &&
+		    strcmp(member->ip, address->ip) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void probe_seeds(struct dw_membership *membership)
+{
+	uint32_t count = membership->options.seed_count;
+	uint32_t start = (uint32_t)dw_membership_random(membership);
+	uint32_t sent = 0, i;
+
+	for (i = 0; i < count && sent < SEEDS_PROBED_MAX; i++) {
+		const struct dw_member_address *seed =
+			&membership->options.seeds[(start % count + i) % count];
+		struct dw_member_outgoing *outgoing;
+
+		if (address_known(membership, seed))
+			continue;
+		outgoing = dw_membership_send_to(membership, DW_MEMBER_PING, seed,
+						 ++membership->sequence);
+		if (outgoing)
+			outgoing->want_sync = true;
+		sent++;
+	}
+}
+
+static void probe_dead(struct dw_membership *membership)
+{
+	uint32_t start = (uint32_t)(dw_membership_random(membership) % membership->count);
+	uint32_t i;
+
+	for (i = 0; i < membership->count; i++) {
+		const struct dw_member *member =
+			&membership->members[(start + i) % membership->count]->member;
+
+		if (member->state != DW_MEMBER_DEAD)
+			continue;
+		dw_membership_send(membership, DW_MEMBER_PING, member, ++membership->sequence);
+		return;
+	}
+}
+
+static void verify_members(struct dw_membership *membership)
+{
+	uint32_t sent = 0, i;
+
+	for (i = 0; i < membership->count && sent < VERIFY_MAX; i++) {
+		struct dw_member_slot *slot = membership->members[i];
+
+		if (!slot->to_verify)
+			continue;
+		slot->to_verify = false;
+		dw_membership_send(membership, DW_MEMBER_PING, &slot->member,
+				   ++membership->sequence);
+		sent++;
+	}
+}
+
+static void start_period(struct dw_membership *membership, uint64_t now_us)
+{
+	bool alone = dw_membership_peer_count(membership) == 0;
+
+	membership->next_period_us = now_us + membership->options.probe_period_us;
+	judge_probe(membership, now_us);
+	start_probe(membership, now_us);
+	if (alone || membership->period_count % DISTANT_PROBE_PERIODS == 0) {
+		probe_seeds(membership);
+		probe_dead(membership);
+	}
+	membership->period_count++;
+}
+
+void dw_membership_tick(struct dw_membership *membership, uint64_t now_us, uint64_t random)
+{
+	struct dw_member_probe *probe = &membership->probe;
+
+	membership->random ^= random;
+	if (now_us > membership->last_tick_us + membership->options.pause_bound_us)
+		after_pause(membership, now_us);
+	membership->last_tick_us = now_us;
+	if (now_us >= membership->next_check_us) {
+		membership->next_check_us =
+			now_us + membership->options.probe_period_us / CHECKS_PER_PERIOD;
+		expire_members(membership, now_us);
+		verify_members(membership);
+	}
+	if (probe->is_active && !probe->is_acked && !probe->is_indirect &&
+	    now_us >= probe->direct_deadline_us)
+		probe_indirectly(membership);
+	if (now_us >= membership->next_period_us)
+		start_period(membership, now_us);
+}
+
+void dw_membership_leave(struct dw_membership *membership, uint64_t now_us)
+{
+	struct dw_member *self = &membership->self->member;
+	uint32_t start, i, sent = 0;
+
+	if (self->leaving)
+		return;
+	self->leaving = true;
+	self->refutation++;
+	dw_membership_set_state(membership, membership->self, DW_MEMBER_LEAVING, now_us);
+	start = (uint32_t)(dw_membership_random(membership) % membership->count);
+	for (i = 0; i < membership->count && sent < LEAVE_FANOUT; i++) {
+		struct dw_member_slot *slot = membership->members[(start + i) % membership->count];
+
+		if (!is_peer(membership, slot))
+			continue;
+		dw_membership_send(membership, DW_MEMBER_PING, &slot->member,
+				   ++membership->sequence);
+		sent++;
+	}
+}
+
+void dw_membership_set_revision(struct dw_membership *membership, uint64_t applied_revision)
+{
+	membership->self->member.applied_revision = applied_revision;
+}
+
+void dw_membership_add_seed(struct dw_membership *membership, const struct dw_member_address *seed)
+{
+	struct dw_membership_options *options = &membership->options;
+	uint32_t i;
+
+	if (!dw_ipv4_valid(seed->ip))
+		return;
+	for (i = 0; i < options->seed_count; i++)
+		if (options->seeds[i].port == seed->port &&
+		    strcmp(options->seeds[i].ip, seed->ip) == 0)
+			return;
+	if (options->seed_count < DW_MEMBERSHIP_SEEDS_MAX) {
+		options->seeds[options->seed_count++] = *seed;
+		return;
+	}
+	i = (uint32_t)(dw_membership_random(membership) % DW_MEMBERSHIP_SEEDS_MAX);
+	options->seeds[i] = *seed;
+}
+
+bool dw_membership_in_pause_grace(const struct dw_membership *membership, uint64_t now_us)
+{
+	return in_grace(membership, now_us);
+}
