--- a/include/dragonflywharf/cascade.h
+++ b/include/dragonflywharf/cascade.h
@@ -31,6 +31,9 @@
 struct dw_cascade_rates *dw_cascade_rates_new(size_t rows);
 void dw_cascade_rates_free(struct dw_cascade_rates *rates);
 
+/** The kind of work as far as it shows at the door: by power of two of the prompt's length. */
+uint64_t dw_cascade_work(uint32_t prompt_tokens, bool in_session);
+
 /**
  * A rated answer of @p model_id for work of the kind @p work_id (any number that the caller
  * chooses, for instance a class of prompt length; 0 for all alike).
--- a/src/core/cascade.c
+++ b/src/core/cascade.c
@@ -16,6 +16,7 @@
 #define HALF_LIFE_US 600e6
 #define EVIDENCE_MAX 200.0
 #define EXPLORE_SEED 11
+#define WORK_IN_SESSION 64
 
 struct rate {
 	uint64_t organisation_id;
@@ -50,6 +51,18 @@
 	free(rates);
 }
 
+uint64_t dw_cascade_work(uint32_t prompt_tokens, bool in_session)
+{
+	uint64_t bits = 0;
+
+	/* A session's prompt grows from turn to turn, its kind of work stays. */
+	if (in_session)
+		return WORK_IN_SESSION;
+	while (prompt_tokens >> bits > 1)
+		bits++;
+	return bits;
+}
+
 static bool is_row_of(const struct rate *rate, const uint64_t key[3])
 {
 	return rate->used && rate->organisation_id == key[0] && rate->model_id == key[1] &&
