--- a/include/dragonflywharf/cascade.h
+++ b/include/dragonflywharf/cascade.h
@@ -57,7 +57,9 @@
 	uint64_t now_us;
 	uint64_t deadline_us; /**< 0 for none */
 	uint64_t random; /**< uniform over all values */
-	/** What a second of waiting is worth; weighs latency against cost. 0 for cost alone. */
+	/** What a second less at the 95th percentile is worth, against the cost; 0 for cost alone.
+	 * A step that one request in twenty or more goes beyond lengthens that tail, even where it
+	 * shortens the mean. */
 	uint64_t micros_per_second;
 };
 
--- a/src/core/cascade.c
+++ b/src/core/cascade.c
@@ -15,6 +15,8 @@
 /* Evidence halves in ten minutes, and its weight is bounded so that a change shows soon. */
 #define HALF_LIFE_US 600e6
 #define EVIDENCE_MAX 200.0
+/* The tail that waiting is priced at is the 95th percentile. */
+#define TAIL_SHARE 0.05
 #define EXPLORE_SEED 11
 #define WORK_IN_SESSION 64
 
@@ -147,7 +149,8 @@
 	double cost_micros;
 	double expected_us;
 	uint64_t longest_us;
-	double price; /* cost and the worth of the time */
+	double tail_us; /* of the steps that at least the slowest part of the requests reaches */
+	double price; /* cost and the worth of the tail */
 };
 
 static bool has(uint32_t bits, size_t step)
@@ -176,10 +179,12 @@
 		subset.cost_micros += reached * (double)steps[i].cost_micros;
 		subset.expected_us += reached * (double)steps[i].latency_us;
 		subset.longest_us += steps[i].latency_us;
+		if (reached >= TAIL_SHARE)
+			subset.tail_us += (double)steps[i].latency_us;
 		reached *= 1.0 - steps[i].pass_rate;
 	}
-	subset.price = subset.cost_micros +
-		       subset.expected_us * (double)request->micros_per_second / US_PER_S;
+	subset.price =
+		subset.cost_micros + subset.tail_us * (double)request->micros_per_second / US_PER_S;
 	return subset;
 }
 
--- a/src/programs/wharf-replay.c
+++ b/src/programs/wharf-replay.c
@@ -68,20 +68,26 @@
 
 static void replay_trace(const struct trace *trace, uint64_t seed, struct replay *out)
 {
-	struct result *results = calloc(trace->request_count, sizeof(*results));
 	size_t first = 0;
 
-	if (!results)
-		abort();
 	out->trace = trace;
-	for (int i = STRATEGY_COUNT - 1; i >= 0; i--)
-		run_trace(trace, &strategies[i], seed, results, &out->metrics[i]);
-	/* The policy came last: its results are at hand. */
-	out->differences = run_compare_with_naive(trace, results, &out->metrics[0], &first);
+	for (int i = 0; i < STRATEGY_COUNT; i++) {
+		out->results[i] = calloc(trace->request_count, sizeof(*out->results[i]));
+		if (!out->results[i])
+			abort();
+		run_trace(trace, &strategies[i], seed, out->results[i], &out->metrics[i]);
+	}
+	out->differences = run_compare_with_naive(trace, out->results[STRATEGY_POLICY],
+						  &out->metrics[STRATEGY_POLICY], &first);
 	if (out->differences)
 		fprintf(stderr, "%zu requests differ from the naive version, first %zu\n",
 			out->differences, first);
-	free(results);
+}
+
+static void replay_free(struct replay *replay)
+{
+	for (int i = 0; i < STRATEGY_COUNT; i++)
+		free(replay->results[i]);
 }
 
 static int draw(const struct replay *replay, const char *path)
@@ -135,6 +141,7 @@
 	}
 	replay_trace(&trace, expectation.replay_seed, &replay);
 	code = show(args, &replay, &expectation);
+	replay_free(&replay);
 	trace_free(&trace);
 	expectation_free(&expectation);
 	return code;
@@ -185,6 +192,7 @@
 	}
 	replay_trace(&trace, (uint64_t)args->seed->ival[0], &replay);
 	code = show(args, &replay, NULL);
+	replay_free(&replay);
 	trace_free(&trace);
 	return code;
 }
--- a/src/wharf-replay/metrics.c
+++ b/src/wharf-replay/metrics.c
@@ -38,23 +38,61 @@
 	return out;
 }
 
-/* Latencies of the answers to one class; of all model requests for class -1. */
+static bool is_of_class(const struct trace *trace, size_t request, int class)
+{
+	if (class < 0)
+		return !trace->models[trace->requests[request].model].service;
+	return trace->requests[request].class == (uint32_t) class;
+}
+
+/* Latencies of @p results over what @p other answered too, of one class or all models for -1. */
 static struct percentiles latencies_of(const struct trace *trace, const struct result *results,
-				       int class, uint64_t *scratch)
+				       const struct result *other, int class, uint64_t *scratch)
 {
 	uint32_t count = 0;
 
 	for (size_t i = 0; i < trace->request_count; i++) {
-		const struct trace_request *request = &trace->requests[i];
-		bool counts = class < 0 ? !trace->models[request->model].service
-					: request->class == (uint32_t) class;
-
-		if (counts && results[i].outcome == OUTCOME_ANSWERED)
+		if (is_of_class(trace, i, class) && results[i].outcome == OUTCOME_ANSWERED &&
+		    other[i].outcome == OUTCOME_ANSWERED)
 			scratch[count++] = results[i].latency_us;
 	}
 	return percentiles_of(scratch, count);
 }
 
+static uint64_t *scratch_new(const struct trace *trace)
+{
+	uint64_t *scratch = malloc((trace->request_count + 1) * sizeof(*scratch));
+
+	if (!scratch)
+		abort();
+	return scratch;
+}
+
+double metrics_p95_ratio(const struct trace *trace, const struct result *a, const struct result *b,
+			 int class)
+{
+	uint64_t *scratch = scratch_new(trace);
+	struct percentiles of_a = latencies_of(trace, a, b, class, scratch);
+	struct percentiles of_b = latencies_of(trace, b, a, class, scratch);
+
+	free(scratch);
+	return of_b.p95_us ? (double)of_a.p95_us / (double)of_b.p95_us : 1.0;
+}
+
+double metrics_cost_ratio(const struct trace *trace, const struct result *a, const struct result *b)
+{
+	double cost_a = 0.0;
+	double cost_b = 0.0;
+
+	for (size_t i = 0; i < trace->request_count; i++) {
+		if (!a[i].met || !b[i].met)
+			continue;
+		cost_a += (double)a[i].cost_micros;
+		cost_b += (double)b[i].cost_micros;
+	}
+	return cost_b > 0.0 ? cost_a / cost_b : 1.0;
+}
+
 static void add_to_bin(struct metrics *metrics, const struct trace *trace,
 		       const struct trace_request *request, const struct result *result)
 {
@@ -73,11 +111,9 @@
 
 void metrics_sum(struct metrics *metrics, const struct trace *trace, const struct result *results)
 {
-	uint64_t *scratch = malloc((trace->request_count + 1) * sizeof(*scratch));
+	uint64_t *scratch = scratch_new(trace);
 	size_t permitted;
 
-	if (!scratch)
-		abort();
 	for (size_t i = 0; i < trace->request_count; i++) {
 		const struct result *result = &results[i];
 
@@ -98,8 +134,9 @@
 		metrics->cost_per_met_micros = (double)metrics->cost_micros / metrics->met;
 	if (permitted)
 		metrics->met_share = (double)metrics->met / (double)permitted;
-	metrics->all = latencies_of(trace, results, -1, scratch);
+	metrics->all = latencies_of(trace, results, results, -1, scratch);
 	for (uint32_t class = 0; class < trace->class_count; class ++)
-		metrics->classes[class] = latencies_of(trace, results, (int)class, scratch);
+		metrics->classes[class] =
+			latencies_of(trace, results, results, (int)class, scratch);
 	free(scratch);
 }
--- a/src/wharf-replay/metrics.h
+++ b/src/wharf-replay/metrics.h
@@ -64,6 +64,16 @@
 /* Sums up the results of all requests of the trace, one each. */
 void metrics_sum(struct metrics *metrics, const struct trace *trace, const struct result *results);
 
+/*
+ * One run against another over the requests that both served, so that a run that lost its long
+ * requests doesn't look quick or cheap by it: p95 over what both answered (of one class, or all
+ * model requests for class -1; 1 if there are none), cost over what both met the target with.
+ */
+double metrics_p95_ratio(const struct trace *trace, const struct result *a, const struct result *b,
+			 int class);
+double metrics_cost_ratio(const struct trace *trace, const struct result *a,
+			  const struct result *b);
+
 const char *outcome_name(enum outcome outcome);
 
 #endif
--- a/src/wharf-replay/report.c
+++ b/src/wharf-replay/report.c
@@ -60,12 +60,28 @@
 	return count;
 }
 
-static uint64_t quickest_p95(const struct replay *replay, const struct percentiles *a,
-			     const struct percentiles *b)
+/* The policy's p95 against the quicker one of the two baselines. */
+static double p95_to_quickest(const struct replay *replay, int class)
 {
-	if (!a->count || !b->count)
-		return a->p95_us + b->p95_us;
-	return a->p95_us < b->p95_us ? a->p95_us : b->p95_us;
+	const struct result *policy = replay->results[STRATEGY_POLICY];
+	double best =
+		metrics_p95_ratio(replay->trace, policy, replay->results[STRATEGY_BEST], class);
+	double cheap =
+		metrics_p95_ratio(replay->trace, policy, replay->results[STRATEGY_CHEAP], class);
+
+	return best > cheap ? best : cheap;
+}
+
+static double worst_class(const struct replay *replay)
+{
+	double worst = 0.0;
+
+	for (uint32_t i = 0; i < replay->trace->class_count; i++) {
+		double class_ratio = p95_to_quickest(replay, (int)i);
+
+		worst = class_ratio > worst ? class_ratio : worst;
+	}
+	return worst;
 }
 
 /* The policy against the baselines; what the expected outcomes mostly speak of. */
@@ -73,25 +89,15 @@
 {
 	const struct metrics *policy = &replay->metrics[STRATEGY_POLICY];
 	const struct metrics *best = &replay->metrics[STRATEGY_BEST];
-	const struct metrics *cheap = &replay->metrics[STRATEGY_CHEAP];
 	const struct metrics *alone = &replay->metrics[STRATEGY_ALONE];
 	struct json_object *object = json_object_new_object();
-	double worst = 0.0;
 
 	add_double(object, "cost_to_always_best",
-		   ratio(policy->cost_per_met_micros, best->cost_per_met_micros));
+		   metrics_cost_ratio(replay->trace, replay->results[STRATEGY_POLICY],
+				      replay->results[STRATEGY_BEST]));
 	add_double(object, "met_share_minus_always_best", policy->met_share - best->met_share);
-	add_double(object, "p95_to_quickest",
-		   ratio((double)policy->all.p95_us,
-			 (double)quickest_p95(replay, &best->all, &cheap->all)));
-	for (uint32_t i = 0; i < replay->trace->class_count; i++) {
-		double class_ratio =
-			ratio((double)policy->classes[i].p95_us,
-			      (double)quickest_p95(replay, &best->classes[i], &cheap->classes[i]));
-
-		worst = class_ratio > worst ? class_ratio : worst;
-	}
-	add_double(object, "worst_class_p95_to_quickest", worst);
+	add_double(object, "p95_to_quickest", p95_to_quickest(replay, -1));
+	add_double(object, "worst_class_p95_to_quickest", worst_class(replay));
 	add_double(object, "exposed_own_evidence_to_policy",
 		   ratio(alone->exposed, policy->exposed ? policy->exposed : 1));
 	add_double(object, "exposed_always_best_to_policy",
--- a/src/wharf-replay/report.h
+++ b/src/wharf-replay/report.h
@@ -14,6 +14,7 @@
 struct replay {
 	const struct trace *trace;
 	struct metrics metrics[STRATEGY_COUNT];
+	struct result *results[STRATEGY_COUNT]; /* a row for each request */
 	size_t differences; /* of the policy from the naive version */
 };
 
--- a/src/wharf-replay/world.c
+++ b/src/wharf-replay/world.c
@@ -6,7 +6,10 @@
 #define GOSSIP_FANOUT 2
 #define HELD_MAX 8
 /* What a second of a caller's waiting is worth against the cost of tokens. */
-#define MICROS_PER_SECOND 0
+#ifndef MPS
+#define MPS 100
+#endif
+#define MICROS_PER_SECOND MPS
 
 bool world_in_service(const struct world *world, uint32_t engine)
 {
@@ -238,7 +241,10 @@
 		for (int i = 0; i < GOSSIP_FANOUT; i++) {
 			uint32_t peer = random_below(&world->random, world->trace->instances);
 
-			dw_rollout_merge(world->instances[peer].rollout, &message, held, HELD_MAX);
+			if (dw_rollout_merge(world->instances[peer].rollout, &message, held,
+					     HELD_MAX) &&
+			    !world->metrics->held_at_us)
+				world->metrics->held_at_us = world->now_us;
 		}
 	}
 }
