--- a/include/dragonflywharf/cascade.h
+++ b/include/dragonflywharf/cascade.h
@@ -31,6 +31,9 @@
 struct dw_cascade_rates *dw_cascade_rates_new(size_t rows);
 void dw_cascade_rates_free(struct dw_cascade_rates *rates);
 
+/** The kind of work as far as it shows at the door: by power of two of the prompt's length. */
+uint64_t dw_cascade_work(uint32_t prompt_tokens, bool in_session);
+
 /**
  * A rated answer of @p model_id for work of the kind @p work_id (any number that the caller
  * chooses, for instance a class of prompt length; 0 for all alike).
@@ -54,7 +57,9 @@
 	uint64_t now_us;
 	uint64_t deadline_us; /**< 0 for none */
 	uint64_t random; /**< uniform over all values */
-	/** What a second of waiting is worth; weighs latency against cost. 0 for cost alone. */
+	/** What a second less at the 95th percentile is worth, against the cost; 0 for cost alone.
+	 * A step that one request in twenty or more goes beyond lengthens that tail, even where it
+	 * shortens the mean. */
 	uint64_t micros_per_second;
 };
 
--- a/src/core/cascade.c
+++ b/src/core/cascade.c
@@ -15,7 +15,10 @@
 /* Evidence halves in ten minutes, and its weight is bounded so that a change shows soon. */
 #define HALF_LIFE_US 600e6
 #define EVIDENCE_MAX 200.0
+/* The tail that waiting is priced at is the 95th percentile. */
+#define TAIL_SHARE 0.05
 #define EXPLORE_SEED 11
+#define WORK_IN_SESSION 64
 
 struct rate {
 	uint64_t organisation_id;
@@ -50,6 +53,18 @@
 	free(rates);
 }
 
+uint64_t dw_cascade_work(uint32_t prompt_tokens, bool in_session)
+{
+	uint64_t bits = 0;
+
+	/* A session's prompt grows from turn to turn, its kind of work stays. */
+	if (in_session)
+		return WORK_IN_SESSION;
+	while (prompt_tokens >> bits > 1)
+		bits++;
+	return bits;
+}
+
 static bool is_row_of(const struct rate *rate, const uint64_t key[3])
 {
 	return rate->used && rate->organisation_id == key[0] && rate->model_id == key[1] &&
@@ -134,7 +149,8 @@
 	double cost_micros;
 	double expected_us;
 	uint64_t longest_us;
-	double price; /* cost and the worth of the time */
+	double tail_us; /* of the steps that at least the slowest part of the requests reaches */
+	double price; /* cost and the worth of the tail */
 };
 
 static bool has(uint32_t bits, size_t step)
@@ -163,10 +179,12 @@
 		subset.cost_micros += reached * (double)steps[i].cost_micros;
 		subset.expected_us += reached * (double)steps[i].latency_us;
 		subset.longest_us += steps[i].latency_us;
+		if (reached >= TAIL_SHARE)
+			subset.tail_us += (double)steps[i].latency_us;
 		reached *= 1.0 - steps[i].pass_rate;
 	}
-	subset.price = subset.cost_micros +
-		       subset.expected_us * (double)request->micros_per_second / US_PER_S;
+	subset.price =
+		subset.cost_micros + subset.tail_us * (double)request->micros_per_second / US_PER_S;
 	return subset;
 }
 
