--- a/src/core/membership.c
+++ b/src/core/membership.c
@@ -76,9 +76,9 @@
 	for (i = 0; i < membership->count; i++)
 		free(membership->members[i]);
 	DL_FOREACH_SAFE(membership->outbox, outgoing, next_outgoing)
-	free(outgoing);
+		free(outgoing);
 	DL_FOREACH_SAFE(membership->events, event, next_event)
-	free(event);
+		free(event);
 	free(membership->members);
 	free(membership->ring);
 	free(membership);
--- a/src/core/membership_message.c
+++ b/src/core/membership_message.c
@@ -67,8 +67,7 @@
 	struct dw_member_slot *slot, *least = NULL;
 	uint32_t i;
 
-	DL_FOREACH(membership->updates, slot)
-	{
+	DL_FOREACH(membership->updates, slot) {
 		if (least && least->sends <= slot->sends)
 			continue;
 		for (i = 0; i < message->update_count; i++)
--- a/src/dragonflywharfd/config_sync.c
+++ b/src/dragonflywharfd/config_sync.c
@@ -32,7 +32,7 @@
 
 bool config_sync_ready(const struct config_sync *sync)
 {
-	return dw_ruleset_revision(sync->daemon->ruleset) > 0;
+	return dw_ruleset_count(sync->daemon->ruleset) > 0;
 }
 
 bool config_sync_store_reachable(const struct config_sync *sync)
@@ -359,7 +359,7 @@
 	}
 	if (sync->reading || now_us < sync->read_at_us)
 		return;
-	if (!config_sync_ready(sync) || (behind && !sync->watch))
+	if (dw_ruleset_revision(daemon->ruleset) == 0 || (behind && !sync->watch))
 		read_store(sync);
 	else if (watcher && !sync->watch)
 		start_watch(sync);
--- a/src/dragonflywharfd/operator_put.c
+++ b/src/dragonflywharfd/operator_put.c
@@ -129,7 +129,9 @@
 		.deadline_us = dw_clock_now_us() + CALL_TIMEOUT_US,
 	};
 
-	free(entity->change_id);
+	/* An unset text is protobuf-c's own constant. */
+	if (entity->change_id != protobuf_c_empty_string)
+		free(entity->change_id);
 	entity->change_id = strdup(put->request->change_id);
 	len = dragonflywharf__entity__get_packed_size(entity);
 	bytes = malloc(len + 1);
--- a/src/dragonflywharfd/peer_bus.c
+++ b/src/dragonflywharfd/peer_bus.c
@@ -133,7 +133,7 @@
 	uint64_t held[HELD_MAX];
 	size_t count;
 
-	if (dw_rollout_message_unpack(payload->value, &message) != DW_OK) {
+	if (dw_rollout_decode(payload->value, &message) != DW_OK) {
 		bad_message(daemon, from);
 		return;
 	}
@@ -272,7 +272,7 @@
 		struct peer_message_buffer buffer;
 
 		peer_message_buffer_init(&buffer);
-		dw_rollout_message_pack(&buffer.packer, &message);
+		dw_rollout_encode(&message, &buffer.packer);
 		peer_bus_gossip(daemon, EVIDENCE_FANOUT, PEER_ROLLOUT, &buffer);
 		peer_message_buffer_clear(&buffer);
 	}
--- a/tests/peer_mesh_test.cc
+++ b/tests/peer_mesh_test.cc
@@ -35,7 +35,7 @@
 			node->last_sender = from->name;
 			node->got.push_back(std::to_string(type) + ":" +
 					    std::string(payload->value->via.str.ptr,
-						payload->value->via.str.size));
+							payload->value->via.str.size));
 		};
 		options.data = this;
 		ASSERT_EQ(dw_peer_mesh_start(&mesh, loop, &options), DW_OK);
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -171,10 +171,10 @@
 	std::vector<std::string> items;
 
 	for (const auto &[name, row] : listed_)
-		items.push_back("{\"name\":" + quoted(name) + ",\"ip\":\"127.0.0.1\",\"port\":" +
-				std::to_string(row.port) + ",\"failure_domain\":" +
-				quoted(row.failure_domain) + ",\"role\":" + quoted(row.role) +
-				",\"state\":" + quoted(row.state) + "}");
+		items.push_back("{\"name\":" + quoted(name) +
+				",\"ip\":\"127.0.0.1\",\"port\":" + std::to_string(row.port) +
+				",\"failure_domain\":" + quoted(row.failure_domain) + ",\"role\":" +
+				quoted(row.role) + ",\"state\":" + quoted(row.state) + "}");
 	list.admin("/admin/set", "{\"instances\":[" + joined(items, false) + "]}");
 }
 
@@ -233,7 +233,8 @@
 	}
 	text = "{ \"instance\": " + quoted(which.name) +
 	       ", \"failure_domain\": " + quoted(which.failure_domain) +
-	       ", \"ip\": \"127.0.0.1\", \"caller_port\": 0, \"operator_port\": 0, \"peer_port\": " +
+	       ", \"ip\": \"127.0.0.1\", \"caller_port\": 0, \"operator_port\": 0, "
+	       "\"peer_port\": " +
 	       std::to_string(which.peer_port) + ", \"seeds\": [" + joined(seeds, true) +
 	       "], \"store\": [\"127.0.0.1:" + std::to_string(store_port) +
 	       "\"], \"instance_list\": \"127.0.0.1:" + std::to_string(list.port) +
@@ -398,8 +399,7 @@
 }
 
 http_answer cluster::service(const daemon &which, const std::string &organisation,
-			     const std::string &path, const std::string &body,
-			     http_headers headers)
+			     const std::string &path, const std::string &body, http_headers headers)
 {
 	headers["authorization"] = "Bearer " + organisation;
 	headers["content-type"] = "application/json";
--- a/tests/support/relay.cc
+++ b/tests/support/relay.cc
@@ -29,8 +29,7 @@
 
 } // namespace
 
-relay::relay(uint16_t target_port)
-	: target_(target_port)
+relay::relay(uint16_t target_port) : target_(target_port)
 {
 	struct sockaddr_in address = loopback(0);
 	socklen_t len = sizeof(address);
@@ -101,10 +100,12 @@
 		relay_mode mode = mode_;
 
 		for (const pair &p : pairs_) {
-			bool forwards = mode == relay_mode::pass || mode == relay_mode::hold_answers;
+			bool forwards =
+				mode == relay_mode::pass || mode == relay_mode::hold_answers;
 
 			polled.push_back({ p.caller, (short)(forwards ? POLLIN : 0), 0 });
-			polled.push_back({ p.target, (short)(mode == relay_mode::pass ? POLLIN : 0), 0 });
+			polled.push_back(
+				{ p.target, (short)(mode == relay_mode::pass ? POLLIN : 0), 0 });
 		}
 		poll(polled.data(), polled.size(), poll_ms);
 		for (size_t i = pairs_.size(); i-- > 0;) {
@@ -116,8 +117,8 @@
 				open = forward(pairs_[i].caller, pairs_[i].target);
 			if (open && (target & POLLIN))
 				open = forward(pairs_[i].target, pairs_[i].caller);
-			if (open && ((caller | target) & (POLLHUP | POLLERR)) && mode == relay_mode::pass &&
-			    !((caller | target) & POLLIN))
+			if (open && ((caller | target) & (POLLHUP | POLLERR)) &&
+			    mode == relay_mode::pass && !((caller | target) & POLLIN))
 				open = false;
 			if (!open)
 				close_pair(i);
