--- a/src/core/held_tail.c
+++ b/src/core/held_tail.c
@@ -5,59 +5,53 @@
 
 #define FIRST_CAPACITY 64
 
-static void remove_tail(struct dw_held_table *table, struct dw_held_tail *tail)
-{
-	HASH_DEL(table->tails, tail);
-	table->records -= tail->count;
-	free(tail->records);
-	free(tail);
-}
-
 void dw_held_table_clear(struct dw_held_table *table)
 {
-	struct dw_held_tail *tail;
-	struct dw_held_tail *next;
-
-	HASH_ITER(hh, table->tails, tail, next)
-		remove_tail(table, tail);
+	for (uint32_t i = 0; i < table->count; i++) {
+		free(table->tails[i].records);
+		table->tails[i].records = NULL;
+	}
+	table->count = 0;
+	table->records = 0;
 }
 
 struct dw_held_tail *dw_held_table_find(struct dw_held_table *table, struct dw_member_key owner)
 {
-	struct dw_held_tail *tail;
-
-	HASH_FIND(hh, table->tails, &owner, sizeof(owner), tail);
-	return tail;
+	for (uint32_t i = 0; i < table->count; i++) {
+		if (dw_member_key_equal(table->tails[i].owner, owner))
+			return &table->tails[i];
+	}
+	return NULL;
 }
 
-/* uthash iterates in order of insertion, so the first empty tail is the oldest. */
-static bool make_room(struct dw_held_table *table)
+static struct dw_held_tail *oldest_empty(struct dw_held_table *table)
 {
-	struct dw_held_tail *tail;
-	struct dw_held_tail *next;
+	struct dw_held_tail *oldest = NULL;
 
-	if (HASH_COUNT(table->tails) < DW_HELD_MAX_OWNERS)
-		return true;
-	HASH_ITER(hh, table->tails, tail, next) {
-		if (tail->count == 0) {
-			remove_tail(table, tail);
-			return true;
-		}
+	for (uint32_t i = 0; i < table->count; i++) {
+		struct dw_held_tail *tail = &table->tails[i];
+
+		if (tail->count == 0 &&
+		    (!oldest || tail->owner.incarnation < oldest->owner.incarnation))
+			oldest = tail;
 	}
-	return false;
+	return oldest;
 }
 
 struct dw_held_tail *dw_held_table_open(struct dw_held_table *table, struct dw_member_key owner)
 {
 	struct dw_held_tail *tail = dw_held_table_find(table, owner);
 
-	if (tail || !make_room(table))
+	if (tail)
 		return tail;
-	tail = calloc(1, sizeof(*tail));
+	if (table->count < DW_HELD_MAX_OWNERS)
+		tail = &table->tails[table->count++];
+	else
+		tail = oldest_empty(table);
 	if (!tail)
 		return NULL;
-	tail->owner = owner;
-	HASH_ADD(hh, table->tails, owner, sizeof(tail->owner), tail);
+	free(tail->records);
+	*tail = (struct dw_held_tail){ .owner = owner };
 	return tail;
 }
 
--- a/src/core/held_tail.h
+++ b/src/core/held_tail.h
@@ -5,15 +5,13 @@
 #ifndef WHARF_CORE_HELD_TAIL_H
 #define WHARF_CORE_HELD_TAIL_H
 
-#include <uthash.h>
-
 #include <dragonflywharf/ledger.h>
 
 #ifdef __cplusplus
 extern "C" {
 #endif
 
-/** Owners remembered at most; the longest unheard one that holds nothing makes room. */
+/** Owners remembered at most; the oldest run of which nothing is held makes room. */
 #define DW_HELD_MAX_OWNERS 512
 
 /** A contiguous run of one owner's records, up to last_seq. */
@@ -24,11 +22,11 @@
 	uint32_t count;
 	uint32_t capacity;
 	bool dead; /**< the owner is gone: what still arrives is adopted at once */
-	UT_hash_handle hh;
 };
 
 struct dw_held_table {
-	struct dw_held_tail *tails;
+	struct dw_held_tail tails[DW_HELD_MAX_OWNERS];
+	uint32_t count;
 	uint32_t records; /**< over all owners */
 	uint32_t max_records;
 };
--- a/src/core/ledger.c
+++ b/src/core/ledger.c
@@ -46,24 +46,26 @@
 	return DW_OK;
 }
 
-static void drop_first(struct dw_ledger *ledger)
+static void drop_entry(struct dw_ledger *ledger, struct dw_ledger_entry *entry)
 {
-	struct dw_ledger_entry *entry = ledger->tail;
-
 	DL_DELETE(ledger->tail, entry);
-	HASH_DEL(ledger->by_id, entry);
+	if (ledger->by_id)
+		HASH_DEL(ledger->by_id, entry);
 	free(entry);
 }
 
 void dw_ledger_free(struct dw_ledger *ledger)
 {
+	struct dw_ledger_entry *entry;
+	struct dw_ledger_entry *next_entry;
 	struct dw_ledger_ack *ack;
 	struct dw_ledger_ack *next;
 
 	if (!ledger)
 		return;
-	while (ledger->tail)
-		drop_first(ledger);
+	HASH_CLEAR(hh, ledger->by_id);
+	DL_FOREACH_SAFE(ledger->tail, entry, next_entry)
+		free(entry);
 	DL_FOREACH_SAFE(ledger->acks, ack, next)
 		free(ack);
 	dw_held_table_clear(&ledger->held);
@@ -222,7 +224,7 @@
 		return;
 	}
 	while (ledger->tail && ledger->tail->seq <= ledger->sealed_seq) {
-		drop_first(ledger);
+		drop_entry(ledger, ledger->tail);
 		ledger->counters.written++;
 	}
 	ledger->written_seq = ledger->sealed_seq;
--- a/src/core/ledger_fold.c
+++ b/src/core/ledger_fold.c
@@ -8,20 +8,19 @@
 #include <string.h>
 
 #include <uthash.h>
-
-struct fold_key {
-	struct dw_fingerprint request_id;
-	char organisation[DW_USAGE_NAME_BYTES];
-};
+#include <utlist.h>
 
 struct fold_entry {
-	struct fold_key key;
+	struct dw_fingerprint key; /* of organisation and request id */
 	struct dw_usage_record record;
+	struct fold_entry *next;
 	UT_hash_handle hh;
 };
 
 struct dw_ledger_fold {
+	struct fold_entry *by_key;
 	struct fold_entry *entries;
+	size_t count;
 };
 
 struct dw_ledger_fold *dw_ledger_fold_new(void)
@@ -36,10 +35,9 @@
 
 	if (!fold)
 		return;
-	HASH_ITER(hh, fold->entries, entry, next) {
-		HASH_DEL(fold->entries, entry);
+	HASH_CLEAR(hh, fold->by_key);
+	LL_FOREACH_SAFE(fold->entries, entry, next)
 		free(entry);
-	}
 	free(fold);
 }
 
@@ -75,14 +73,22 @@
 	return order;
 }
 
+static struct dw_fingerprint fold_key(const struct dw_usage_record *record)
+{
+	struct dw_fingerprint_part parts[] = {
+		{ record->organisation, strlen(record->organisation) },
+		{ &record->request_id, sizeof(record->request_id) },
+	};
+
+	return dw_fingerprint_of(parts, 2);
+}
+
 enum dw_status dw_ledger_fold_add(struct dw_ledger_fold *fold, const struct dw_usage_record *record)
 {
-	struct fold_key key = { .request_id = record->request_id };
+	struct dw_fingerprint key = fold_key(record);
 	struct fold_entry *entry;
 
-	memcpy(key.organisation, record->organisation,
-	       strnlen(record->organisation, DW_USAGE_NAME_BYTES - 1));
-	HASH_FIND(hh, fold->entries, &key, sizeof(key), entry);
+	HASH_FIND(hh, fold->by_key, &key, sizeof(key), entry);
 	if (entry) {
 		if (compare_records(record, &entry->record) < 0)
 			entry->record = *record;
@@ -93,7 +99,9 @@
 		return dw_fail(DW_NO_MEMORY, "ledger fold: no memory");
 	entry->key = key;
 	entry->record = *record;
-	HASH_ADD(hh, fold->entries, key, sizeof(key), entry);
+	HASH_ADD(hh, fold->by_key, key, sizeof(entry->key), entry);
+	LL_PREPEND(fold->entries, entry);
+	fold->count++;
 	return DW_OK;
 }
 
@@ -107,12 +115,16 @@
 	return dw_usage_batch_decode(bytes, len, add_decoded, fold);
 }
 
+struct sorted_record {
+	const struct dw_usage_record *record;
+};
+
 static int sort_by_names(const void *a, const void *b)
 {
-	const struct dw_usage_record *const *left = a;
-	const struct dw_usage_record *const *right = b;
+	const struct sorted_record *left = a;
+	const struct sorted_record *right = b;
 
-	return compare_names(*left, *right);
+	return compare_names(left->record, right->record);
 }
 
 static void start_total(struct dw_ledger_total *total, const struct dw_usage_record *record)
@@ -135,8 +147,8 @@
 				     void (*each)(const struct dw_ledger_total *total, void *data),
 				     void *data)
 {
-	size_t count = HASH_COUNT(fold->entries);
-	const struct dw_usage_record **sorted;
+	size_t count = fold->count;
+	struct sorted_record *sorted;
 	const struct fold_entry *entry;
 	struct dw_ledger_total total;
 	size_t i = 0;
@@ -146,16 +158,16 @@
 	sorted = malloc(count * sizeof(*sorted));
 	if (!sorted)
 		return dw_fail(DW_NO_MEMORY, "ledger fold: no memory");
-	for (entry = fold->entries; entry; entry = entry->hh.next)
-		sorted[i++] = &entry->record;
+	LL_FOREACH(fold->entries, entry)
+		sorted[i++].record = &entry->record;
 	qsort(sorted, count, sizeof(*sorted), sort_by_names);
-	start_total(&total, sorted[0]);
+	start_total(&total, sorted[0].record);
 	for (i = 0; i < count; i++) {
-		if (i > 0 && compare_names(sorted[i - 1], sorted[i]) != 0) {
+		if (i > 0 && compare_names(sorted[i - 1].record, sorted[i].record) != 0) {
 			each(&total, data);
-			start_total(&total, sorted[i]);
+			start_total(&total, sorted[i].record);
 		}
-		add_to_total(&total, sorted[i]);
+		add_to_total(&total, sorted[i].record);
 	}
 	each(&total, data);
 	free(sorted);
--- a/src/core/once_shard.c
+++ b/src/core/once_shard.c
@@ -69,14 +69,15 @@
 
 void dw_once_shard_expire(struct dw_once_shard *shard, uint64_t before_us)
 {
-	uint32_t i = 0;
+	uint32_t kept = 0;
 
-	while (i < shard->count) {
+	for (uint32_t i = 0; i < shard->count; i++) {
 		if (shard->records[i].expires_at_us < before_us)
-			dw_once_shard_remove(shard, &shard->records[i]);
+			free(shard->records[i].body);
 		else
-			i++;
+			shard->records[kept++] = shard->records[i];
 	}
+	shard->count = kept;
 }
 
 size_t dw_once_shard_intent_bytes(uint32_t max_answer_bytes)
