--- a/include/dragonflywharf/once.h
+++ b/include/dragonflywharf/once.h
@@ -132,13 +132,19 @@
 enum dw_status dw_once_new(struct dw_once **out, const struct dw_once_options *options);
 void dw_once_free(struct dw_once *once);
 
-/** Options that suit a few calls a second: 64 shards, 512 KB a shard, 24 hours. */
+/** Options that suit a few calls a second: 64 shards, 256 KB a shard, 24 hours. */
 struct dw_once_options dw_once_default_options(struct dw_member_key self);
 
 /** @return DW_OK and a ticket, DW_INVALID_ARGUMENT or DW_OVERLOADED; a failure is "not run". */
 enum dw_status dw_once_begin(struct dw_once *once, const struct dw_once_request *request,
 			     struct dw_once_time time, uint64_t *ticket);
 
+/**
+ * The journal shard of a call, the same on all instances. Calls of a shard that come to one
+ * instance share its writes; any instance may take any call.
+ */
+uint32_t dw_once_shard_index(const struct dw_once *once, const struct dw_once_request *request);
+
 /**
  * To be asked just before the bytes of a dispatched call are sent, also before a second try after
  * an attempt that was provably not sent (only the owning ticket may try again).
--- a/src/core/once.c
+++ b/src/core/once.c
@@ -13,7 +13,7 @@
 	return (struct dw_once_options){
 		.self = self,
 		.shard_count = 64,
-		.max_shard_bytes = 512 * 1024,
+		.max_shard_bytes = 256 * 1024,
 		.max_answer_bytes = 4 * 1024,
 		.max_tickets = 1024,
 		.max_conflicts = 8,
@@ -194,6 +194,11 @@
 	return dw_fingerprint_of(parts, 3);
 }
 
+uint32_t dw_once_shard_index(const struct dw_once *once, const struct dw_once_request *request)
+{
+	return shard_of(once, key_of(request));
+}
+
 static enum dw_status add_ticket(struct dw_once *once, uint64_t id, struct dw_fingerprint key,
 				 const struct dw_once_request *request, struct dw_once_time time)
 {
