--- a/bench/bench_once.c
+++ b/bench/bench_once.c
@@ -193,6 +193,13 @@
 	return (*left > *right) - (*left < *right);
 }
 
+static double wait_ms(const struct simulation *sim, size_t permille)
+{
+	size_t index = sim->dispatched * permille / 1000;
+
+	return (double)sim->waits_us[index] / 1e3;
+}
+
 static void report(struct simulation *sim, const struct load *load)
 {
 	struct dw_once_counters sum = { 0 };
@@ -214,10 +221,8 @@
 	       load->calls_per_s, load->shards, (double)load->group_interval_us / 1e3,
 	       load->affinity, sim->dispatched, sim->refused, (double)sum.reads / seconds,
 	       (double)sum.writes / seconds, (double)sum.conflicts / seconds,
-	       (double)sim->stored_bytes / seconds,
-	       (double)sim->waits_us[sim->dispatched / 2] / 1e3,
-	       (double)sim->waits_us[(size_t)sim->dispatched * 95 / 100] / 1e3,
-	       (double)sim->waits_us[(size_t)sim->dispatched * 99 / 100] / 1e3);
+	       (double)sim->stored_bytes / seconds, wait_ms(sim, 500), wait_ms(sim, 950),
+	       wait_ms(sim, 990));
 }
 
 static int run(const struct load *load)
--- a/tests/ledger_test.cc
+++ b/tests/ledger_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <cstdlib>
 #include <cstring>
 #include <deque>
 #include <map>
@@ -285,11 +287,18 @@
 	return DW_OK;
 }
 
+/* The soak runs more seeds: DW_TEST_SEEDS. */
+uint64_t seeds(uint64_t usual)
+{
+	const char *more = getenv("DW_TEST_SEEDS");
+	return more ? std::max<uint64_t>(usual, strtoull(more, nullptr, 10)) : usual;
+}
+
 TEST(Ledger, EqualsWhatCallersGotOverRandomInterleavings)
 {
 	uint64_t kills = 0;
 	uint64_t answered = 0;
-	for (uint64_t seed = 1; seed <= 1000 && !HasFailure(); seed++) {
+	for (uint64_t seed = 1; seed <= seeds(1000) && !HasFailure(); seed++) {
 		SCOPED_TRACE("seed " + std::to_string(seed));
 		World world(seed);
 		std::set<uint64_t> billed;
--- a/tests/once_test.cc
+++ b/tests/once_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <cstdlib>
 #include <cstring>
 #include <deque>
 #include <map>
@@ -336,12 +338,19 @@
 	*replays += world.replays;
 }
 
+/* The soak runs more seeds: DW_TEST_SEEDS. */
+uint64_t seeds(uint64_t usual)
+{
+	const char *more = getenv("DW_TEST_SEEDS");
+	return more ? std::max<uint64_t>(usual, strtoull(more, nullptr, 10)) : usual;
+}
+
 TEST(Once, NeverRunsAKeyTwiceOverRandomInterleavings)
 {
 	uint64_t replays = 0;
 	uint64_t refusals = 0;
 	uint64_t ran = 0;
-	for (uint64_t seed = 1; seed <= 4000 && !HasFailure(); seed++)
+	for (uint64_t seed = 1; seed <= seeds(4000) && !HasFailure(); seed++)
 		run_seed(seed, &replays, &refusals, &ran);
 	EXPECT_GT(replays, 4000u);
 	EXPECT_GT(refusals, 4000u);
