--- a/tests/standins/standin_rater.c
+++ b/tests/standins/standin_rater.c
@@ -44,6 +44,7 @@
 static void on_request(struct standin_request *request)
 {
 	struct fault_set *faults = &request->standin->faults;
+	struct json_object *body;
 	const struct fault *slow;
 
 	if (strcmp(request->path, "/rate") != 0 || !json_text(request->body, "answer", NULL)) {
@@ -51,7 +52,10 @@
 		return;
 	}
 	if (fault_set_take(faults, "outage", request->path)) {
-		standin_answer_error(request, 503, "the rater is down");
+		/* A caller must not take the score of a failed answer. */
+		body = json_object_new_object();
+		json_set_u64(body, "score_permille", MAX_SCORE_PERMILLE);
+		standin_answer(request, 503, body);
 		return;
 	}
 	if (fault_set_take(faults, "malformed", request->path)) {
--- a/tests/standins_test.cc
+++ b/tests/standins_test.cc
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "base/clock.h"
 #include "support/http.h"
 #include "support/json.h"
 #include "support/process.h"
@@ -141,7 +142,7 @@
 
 		ASSERT_TRUE(first.read_event(&data));
 		EXPECT_EQ(engine.count({ "cold_breaches" }), 0);
-		EXPECT_EQ(engine.ask(engine::chat(false, 2)).status, 0);
+		ASSERT_EQ(engine.ask(engine::chat(false, 2)).status, 0);
 		first.finish();
 		EXPECT_FALSE(first.whole());
 		EXPECT_EQ(engine.count({ cold ? "cold_breaches" : "limit_breaches" }), 1);
@@ -192,8 +193,9 @@
 
 TEST(StandinEngine, QueuesAboveItsSlotsByPriorityAndReportsLate)
 {
-	engine engine({ "--slots=1", "--report-lag-ms=10000", "--first-token-us=1000" });
+	engine engine({ "--slots=1", "--report-lag-ms=300", "--first-token-us=1000" });
 	std::string data;
+	uint64_t started_us = dw_clock_now_us();
 	http_stream running(engine.port, "POST", "/v1/chat/completions",
 			    engine::chat(true, ENDLESS));
 	ASSERT_TRUE(running.read_event(&data));
@@ -202,7 +204,13 @@
 	http_stream high(engine.port, "POST", "/v1/chat/completions", engine::chat(true, 3),
 			 { { "x-priority", "5" } });
 	ASSERT_TRUE(engine.reaches("in_flight", 3));
-	EXPECT_EQ(json_number(http_call(engine.port, "GET", "/load").body, { "running" }), 0);
+	EXPECT_TRUE(wait_until([&] {
+		std::string load = http_call(engine.port, "GET", "/load").body;
+
+		return json_number(load, { "running" }) == 1 &&
+		       json_number(load, { "queued" }) == 2;
+	}));
+	EXPECT_GE(dw_clock_now_us(), started_us + 300 * DW_US_PER_MS);
 	running.close();
 	EXPECT_TRUE(high.finish().whole);
 	EXPECT_EQ(low.status(), 200);
