--- /dev/null
+++ b/src/core/hold_test.h
@@ -0,0 +1,39 @@
+/**
+ * @file hold_test.h
+ * The sequential change detector behind an automatic hold.
+ *
+ * A weighted Shiryaev-Roberts sum for each of a few alternative rates of bad answers, mixed
+ * evenly: S <- (S + w) * L with the likelihood ratio L of the new answers. The weights w of all
+ * answers at which the change may lie sum to at most 1, so that for a version that stays at or
+ * below the baseline P(S ever reaches 1 / alpha) <= alpha. Each instance runs the test on its own
+ * order of arrival, and the first one to cross holds for all: hence the union bound, alpha divided
+ * by the number of instances.
+ */
+#ifndef WHARF_CORE_HOLD_TEST_H
+#define WHARF_CORE_HOLD_TEST_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/evidence.h"
+
+#define HOLD_TEST_ALTERNATIVES 3
+
+struct hold_test {
+	double sums[HOLD_TEST_ALTERNATIVES];
+	double threshold;
+	double weight; /* added so far */
+	uint64_t answers; /* answers seen so far */
+	uint64_t bad; /* bad answers and errors among them */
+};
+
+void hold_test_init(struct hold_test *test, uint32_t false_alarms_per_million);
+
+/*
+ * Takes in what has come to @p pooled since the last call. The baseline is the larger one of
+ * @p baseline_permille and the upper bound of the rate of @p others. True: hold the version.
+ */
+bool hold_test_update(struct hold_test *test, const struct tally *pooled,
+		      const struct tally *others, uint32_t baseline_permille, uint32_t instances);
+
+#endif
--- /dev/null
+++ b/src/net/peer_identity.c
@@ -0,0 +1,49 @@
+#include "net/peer_identity.h"
+
+#include <string.h>
+
+#include "net/msgpack_read.h"
+
+enum field {
+	FIELD_INSTANCE_ID,
+	FIELD_INCARNATION,
+	FIELD_NAME,
+	FIELD_FAILURE_DOMAIN,
+	FIELD_IP,
+	FIELD_PORT,
+	FIELD_COUNT
+};
+
+void dw_peer_identity_pack(msgpack_packer *packer, const struct dw_peer_identity *identity)
+{
+	msgpack_pack_array(packer, FIELD_COUNT);
+	msgpack_pack_uint64(packer, identity->key.instance_id);
+	msgpack_pack_uint64(packer, identity->key.incarnation);
+	dw_msgpack_pack_text(packer, identity->name);
+	dw_msgpack_pack_text(packer, identity->failure_domain);
+	dw_msgpack_pack_text(packer, identity->ip);
+	msgpack_pack_uint16(packer, identity->port);
+}
+
+enum dw_status dw_peer_identity_unpack(const msgpack_object *object, struct dw_peer_identity *out)
+{
+	const msgpack_object *fields = dw_msgpack_fields(object, FIELD_COUNT);
+	uint64_t port = 0;
+	bool good;
+
+	memset(out, 0, sizeof(*out));
+	if (!fields)
+		return dw_fail(DW_INVALID_ARGUMENT, "peer identity: not an array of %d",
+			       FIELD_COUNT);
+	good = dw_msgpack_number(&fields[FIELD_INSTANCE_ID], UINT64_MAX, &out->key.instance_id) &&
+	       dw_msgpack_number(&fields[FIELD_INCARNATION], UINT64_MAX, &out->key.incarnation) &&
+	       dw_msgpack_text(&fields[FIELD_NAME], out->name, sizeof(out->name)) &&
+	       dw_msgpack_text(&fields[FIELD_FAILURE_DOMAIN], out->failure_domain,
+			       sizeof(out->failure_domain)) &&
+	       dw_msgpack_text(&fields[FIELD_IP], out->ip, sizeof(out->ip)) &&
+	       dw_msgpack_number(&fields[FIELD_PORT], UINT16_MAX, &port);
+	if (!good)
+		return dw_fail(DW_INVALID_ARGUMENT, "peer identity: a field has a wrong type");
+	out->port = (uint16_t)port;
+	return DW_OK;
+}
