--- a/tests/standins/kv_call.c
+++ b/tests/standins/kv_call.c
@@ -80,10 +80,15 @@
 static bool read_bytes(struct json_object *object, const char *field, struct kv_bytes *bytes)
 {
 	const char *text = json_text(object, field, "");
-	size_t len = strlen(text);
-
-	bytes->base = malloc(len + 1);
-	return sodium_base642bin(bytes->base, len, text, len, NULL, &bytes->len, NULL, BASE64) == 0;
+	size_t text_len = strlen(text);
+	uint8_t *base = malloc(text_len + 1);
+	size_t len = 0;
+	bool good =
+		sodium_base642bin(base, text_len, text, text_len, NULL, &len, NULL, BASE64) == 0;
+
+	bytes->base = base;
+	bytes->len = len;
+	return good;
 }
 
 bool kv_read_range(struct json_object *object, struct kv_range *range)
--- a/tests/standins_test.cc
+++ b/tests/standins_test.cc
@@ -17,6 +17,9 @@
 using support::process;
 using support::wait_until;
 
+namespace
+{
+
 // A stand-in with its admin calls.
 struct standin {
 	process child;
@@ -70,6 +73,8 @@
 	}
 };
 
+} // namespace
+
 static const std::vector<std::string> CONTENT = { "choices", "0", "message", "content" };
 static const int ENDLESS = 1000000;
 
