--- a/include/dragonflywharf/share.h
+++ b/include/dragonflywharf/share.h
@@ -41,7 +41,8 @@
 };
 
 enum dw_share_message_kind {
-	DW_SHARE_ASK, /**< lend me a slot */
+	DW_SHARE_ASK, /**< lend me a slot that is free now */
+	DW_SHARE_WAIT, /**< lend me the next one that becomes free */
 	DW_SHARE_GRANT, /**< here is one */
 	DW_SHARE_DENY, /**< none is free */
 	DW_SHARE_RETURN, /**< the loan has ended */
@@ -69,7 +70,7 @@
 	uint64_t epoch; /**< the sender's */
 	uint64_t digest; /**< of the sender's roster */
 	union {
-		/** ASK, GRANT, DENY and RETURN; `slot` has no meaning in ASK and DENY. */
+		/** All but DECLARE; `slot` has a meaning in GRANT and RETURN only. */
 		struct {
 			uint64_t upstream_id;
 			uint64_t hold_seq;
--- a/src/core/share_epoch.c
+++ b/src/core/share_epoch.c
@@ -261,6 +261,7 @@
 	adopt_peers(share, &change, old_count);
 	for (up = share->upstreams; up; up = up->hh.next) {
 		up->ask_cursor = 0;
+		memset(up->asked, 0, sizeof(up->asked));
 		for (uint32_t i = 0; i < up->slot_count; i++)
 			adopt_slot(share, &change, up, i);
 	}
--- a/src/core/share_exchange.c
+++ b/src/core/share_exchange.c
@@ -178,7 +178,7 @@
 			dw_share_lend(share, up, i, member, seq);
 			return DW_OK;
 		}
-		if (add_waiter(share, up, member, seq, now_us))
+		if (message->kind == DW_SHARE_WAIT && add_waiter(share, up, member, seq, now_us))
 			return DW_OK;
 	}
 	dw_share_send(share, member, DW_SHARE_DENY, message->loan.upstream_id, seq, 0);
@@ -223,6 +223,7 @@
 	slot->hold_seq = message->loan.hold_seq;
 	dw_share_attach(share, up, i);
 	share->holds.refs[slot->position].return_at_us = now_us + DW_SHARE_LOAN_US;
+	dw_share_set_bit(up->asked, member, false);
 	dw_share_mark_ready(share, up);
 	return DW_OK;
 }
@@ -435,6 +436,7 @@
 		return DW_STALE;
 	switch (message->kind) {
 	case DW_SHARE_ASK:
+	case DW_SHARE_WAIT:
 		return receive_ask(share, member, message, now_us);
 	case DW_SHARE_GRANT:
 		return receive_grant(share, member, message, now_us);
--- a/src/core/share_state.h
+++ b/src/core/share_state.h
@@ -1,7 +1,7 @@
 /**
  * @file share_state.h
- * State of struct dw_share, shared by its parts: share.c (permits, time), share_epoch.c (rosters,
- * ownership) and share_exchange.c (messages).
+ * State of struct dw_share, shared by its parts: share.c (permits, time), share_slots.c (states of
+ * slots), share_epoch.c (rosters, ownership), share_exchange.c (messages), share_view.c (reading).
  */
 #ifndef DW_CORE_SHARE_STATE_H
 #define DW_CORE_SHARE_STATE_H
@@ -47,6 +47,8 @@
 	uint64_t *free_bits; /**< owned, free and settled */
 	uint64_t *idle_bits; /**< borrowed and idle */
 	uint32_t ask_cursor; /**< slot whose owner is asked next */
+	uint32_t wait_cursor; /**< slot whose owner is asked next to let us wait */
+	uint64_t asked[DW_ROSTER_MEMBERS_MAX / 64]; /**< owners that had no free slot this round */
 	uint32_t asks;
 	uint32_t waiters;
 	uint64_t ask_again_at_us;
@@ -72,7 +74,7 @@
 	uint8_t member;
 };
 
-/** A peer's ask that found no free slot. */
+/** A peer that waits for a slot. */
 struct dw_share_waiter {
 	struct dw_share_upstream *upstream;
 	uint64_t seq;
@@ -163,6 +165,9 @@
 
 void dw_share_mark_ready(struct dw_share *share, struct dw_share_upstream *up);
 
+bool dw_share_get_bit(const uint64_t *bits, uint32_t i);
+void dw_share_set_bit(uint64_t *bits, uint32_t i, bool value);
+
 /** Lowest set bit below @p limit, or UINT32_MAX. */
 uint32_t dw_share_first_bit(const uint64_t *bits, uint32_t limit);
 
--- /dev/null
+++ b/tests/roster_test.cc
@@ -0,0 +1,122 @@
+/** Rosters: who is taken in, who is kept, who may be removed; the stored form. */
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <string>
+#include <vector>
+
+#include "dragonflywharf/roster.h"
+#include "net/share_codec.h"
+
+namespace
+{
+
+constexpr uint64_t S = 1000000;
+constexpr uint64_t NOW = 1000 * S;
+
+dw_roster_observation seen(uint64_t instance_id, uint64_t incarnation,
+			   dw_roster_condition condition = DW_ROSTER_ALIVE)
+{
+	dw_roster_observation out = {};
+
+	out.member.key = { instance_id, incarnation };
+	snprintf(out.member.name, sizeof(out.member.name), "instance-%d", (int)instance_id);
+	out.condition = condition;
+	out.was_listed = true;
+	out.unlisted_since_us = UINT64_MAX;
+	return out;
+}
+
+class Roster : public testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		ASSERT_EQ(propose({ seen(3, 1), seen(1, 1), seen(2, 1) }), DW_OK);
+		current = next;
+		ASSERT_EQ(current.epoch, 1U);
+		ASSERT_EQ(current.members[0].key.instance_id, 1U);
+	}
+
+	dw_status propose(std::vector<dw_roster_observation> all)
+	{
+		return dw_roster_propose(&current, all.data(), (uint32_t)all.size(), &list, NOW,
+					 &next);
+	}
+
+	dw_roster current = {};
+	dw_roster next = {};
+	dw_roster_list_state list = { NOW, 3 };
+};
+
+TEST_F(Roster, APausedOrUnknownMemberStays)
+{
+	EXPECT_EQ(propose({}), DW_NOT_FOUND);
+	EXPECT_EQ(propose({ seen(1, 1, DW_ROSTER_UNREACHABLE), seen(2, 1, DW_ROSTER_DEAD) }),
+		  DW_NOT_FOUND);
+}
+
+TEST_F(Roster, GoneTakesTheDetectorAndAFreshListThatHasMissedItForLong)
+{
+	dw_roster_observation dead = seen(2, 1, DW_ROSTER_DEAD);
+
+	dead.unlisted_since_us = NOW - DW_ROSTER_UNLISTED_US;
+	EXPECT_EQ(propose({ dead }), DW_OK);
+	EXPECT_EQ(next.member_count, 2U);
+	EXPECT_EQ(next.epoch, 2U);
+
+	list.listed_count = 0;
+	EXPECT_EQ(propose({ dead }), DW_NOT_FOUND);
+	list = { NOW - DW_ROSTER_LIST_FRESH_US, 3 };
+	EXPECT_EQ(propose({ dead }), DW_NOT_FOUND);
+	list = { NOW, 3 };
+	dead.unlisted_since_us++;
+	EXPECT_EQ(propose({ dead }), DW_NOT_FOUND);
+	dead.unlisted_since_us--;
+	dead.was_listed = false;
+	EXPECT_EQ(propose({ dead }), DW_NOT_FOUND);
+	dead.was_listed = true;
+	dead.condition = DW_ROSTER_UNREACHABLE;
+	EXPECT_EQ(propose({ dead }), DW_NOT_FOUND);
+}
+
+TEST_F(Roster, ALaterRunReplacesAndAnEarlierOneDoesNotComeBack)
+{
+	EXPECT_EQ(propose({ seen(2, 1), seen(2, 7) }), DW_OK);
+	EXPECT_EQ(next.members[1].key.incarnation, 7U);
+	current = next;
+	EXPECT_EQ(propose({ seen(2, 1), seen(2, 7) }), DW_NOT_FOUND);
+	EXPECT_EQ(propose({ seen(2, 1) }), DW_NOT_FOUND);
+	EXPECT_EQ(propose({ seen(2, 1), seen(2, 7, DW_ROSTER_RELEASED) }), DW_OK);
+	EXPECT_EQ(next.member_count, 2U);
+	EXPECT_EQ(dw_roster_find_instance(&next, 2), -1);
+}
+
+TEST_F(Roster, ComesBackFromItsStoredFormAndRefusesEveryCut)
+{
+	msgpack_sbuffer buffer;
+	msgpack_packer packer;
+
+	msgpack_sbuffer_init(&buffer);
+	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+	dw_roster_pack(&packer, &current);
+	for (size_t i = 0; i < buffer.size * 256; i++) {
+		std::string bytes(buffer.data, buffer.size);
+		msgpack_unpacked unpacked;
+
+		bytes[i / 256] = (char)(i % 256);
+		msgpack_unpacked_init(&unpacked);
+		if (msgpack_unpack_next(&unpacked, bytes.data(), bytes.size(), nullptr) > 0 &&
+		    dw_roster_unpack(&unpacked.data, &next) == DW_OK) {
+			EXPECT_EQ(dw_roster_check(&next), DW_OK);
+			if (bytes == std::string(buffer.data, buffer.size)) {
+				EXPECT_EQ(dw_roster_digest(&next), dw_roster_digest(&current));
+				EXPECT_STREQ(next.members[2].name, "instance-3");
+			}
+		}
+		msgpack_unpacked_destroy(&unpacked);
+	}
+	msgpack_sbuffer_destroy(&buffer);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/warmth_test.cc
@@ -0,0 +1,86 @@
+/** Cold and warm upstreams: each doubt makes cold, only full evidence makes warm. */
+#include <gtest/gtest.h>
+
+#include "dragonflywharf/warmth.h"
+
+namespace
+{
+
+constexpr uint64_t S = 1000000;
+constexpr uint64_t COLD = 60 * S;
+constexpr uint64_t REPORT = 3 * S;
+
+/** Warm since second 160, with reports each second up to 170. */
+dw_warmth warm_upstream()
+{
+	dw_warmth warmth;
+
+	dw_warmth_init(&warmth);
+	EXPECT_TRUE(dw_warmth_is_cold(&warmth, 0));
+	for (uint64_t t = 100; t <= 170; t++) {
+		EXPECT_EQ(dw_warmth_seen(&warmth, 5, COLD, REPORT, t * S), t == 100);
+		EXPECT_EQ(dw_warmth_is_cold(&warmth, t * S), t < 160) << t;
+	}
+	return warmth;
+}
+
+TEST(Warmth, ARestartMakesColdForItsWholePeriod)
+{
+	dw_warmth warmth = warm_upstream();
+
+	EXPECT_TRUE(dw_warmth_seen(&warmth, 6, COLD, REPORT, 171 * S));
+	EXPECT_TRUE(dw_warmth_is_cold(&warmth, 171 * S));
+	EXPECT_FALSE(dw_warmth_seen(&warmth, 5, COLD, REPORT, 172 * S));
+	EXPECT_EQ(warmth.incarnation, 6U);
+	dw_warmth_seen(&warmth, 6, COLD, REPORT, 230 * S);
+	EXPECT_TRUE(dw_warmth_is_cold(&warmth, 230 * S));
+	EXPECT_EQ(dw_warmth_deadline_us(&warmth, 230 * S), 231 * S);
+	EXPECT_FALSE(dw_warmth_is_cold(&warmth, 231 * S));
+}
+
+TEST(Warmth, ALostReportOrConnectionMakesColdUntilTheIncarnationIsSeenAgain)
+{
+	dw_warmth warmth = warm_upstream();
+
+	EXPECT_EQ(dw_warmth_deadline_us(&warmth, 170 * S), 173 * S);
+	EXPECT_TRUE(dw_warmth_is_cold(&warmth, 173 * S));
+	dw_warmth_seen(&warmth, 5, COLD, REPORT, 180 * S);
+	EXPECT_FALSE(dw_warmth_is_cold(&warmth, 180 * S));
+	dw_warmth_doubt(&warmth);
+	EXPECT_TRUE(dw_warmth_is_cold(&warmth, 180 * S));
+	EXPECT_EQ(dw_warmth_deadline_us(&warmth, 180 * S), UINT64_MAX);
+	dw_warmth_seen(&warmth, 5, COLD, REPORT, 181 * S);
+	EXPECT_FALSE(dw_warmth_is_cold(&warmth, 181 * S));
+}
+
+TEST(Warmth, EvidenceSpreadsColdAndSharesAgesButEndsNoDoubt)
+{
+	dw_warmth here = warm_upstream();
+	dw_warmth peer = warm_upstream();
+	dw_warmth fresh;
+	dw_warmth_evidence evidence;
+
+	dw_warmth_init(&fresh);
+	EXPECT_FALSE(dw_warmth_evidence(&fresh, 9, COLD, 170 * S, &evidence));
+	dw_warmth_suspect(&peer, COLD, 170 * S);
+	ASSERT_TRUE(dw_warmth_evidence(&peer, 9, COLD, 175 * S, &evidence));
+	EXPECT_EQ(evidence.age_us, 5 * S);
+	EXPECT_TRUE(dw_warmth_merge(&here, &evidence, COLD, 171 * S));
+	EXPECT_FALSE(dw_warmth_merge(&here, &evidence, COLD, 171 * S));
+	EXPECT_TRUE(dw_warmth_is_cold(&here, 171 * S));
+	EXPECT_EQ(here.warm_at_us, 226 * S);
+	dw_warmth_suspect(&here, COLD, 200 * S);
+	EXPECT_EQ(here.warm_at_us, 226 * S);
+
+	evidence = { 9, 5, 1, COLD };
+	EXPECT_FALSE(dw_warmth_merge(&here, &evidence, COLD, 180 * S));
+	EXPECT_TRUE(dw_warmth_is_cold(&here, 181 * S));
+	dw_warmth_seen(&here, 5, COLD, REPORT, 181 * S);
+	EXPECT_FALSE(dw_warmth_is_cold(&here, 181 * S));
+
+	evidence = { 9, 5, 0, COLD };
+	EXPECT_FALSE(dw_warmth_merge(&here, &evidence, COLD, 182 * S));
+	EXPECT_EQ(here.turn, 1U);
+}
+
+} // namespace
