--- a/include/dragonflywharf/warmth.h
+++ b/include/dragonflywharf/warmth.h
@@ -61,8 +61,8 @@
 		     uint64_t cold_period_us, uint64_t now_us);
 
 /** Evidence for peers; false if there is none to give. */
-bool dw_warmth_evidence(const struct dw_warmth *warmth, uint64_t upstream_id,
-			uint64_t cold_period_us, uint64_t now_us, struct dw_warmth_evidence *out);
+bool dw_warmth_export(const struct dw_warmth *warmth, uint64_t upstream_id, uint64_t cold_period_us,
+		      uint64_t now_us, struct dw_warmth_evidence *out);
 
 bool dw_warmth_is_cold(const struct dw_warmth *warmth, uint64_t now_us);
 
--- a/src/core/warmth.c
+++ b/src/core/warmth.c
@@ -76,8 +76,8 @@
 	return false;
 }
 
-bool dw_warmth_evidence(const struct dw_warmth *warmth, uint64_t upstream_id,
-			uint64_t cold_period_us, uint64_t now_us, struct dw_warmth_evidence *out)
+bool dw_warmth_export(const struct dw_warmth *warmth, uint64_t upstream_id, uint64_t cold_period_us,
+		      uint64_t now_us, struct dw_warmth_evidence *out)
 {
 	uint64_t left_us = warmth->warm_at_us > now_us ? warmth->warm_at_us - now_us : 0;
 
--- a/tests/warmth_test.cc
+++ b/tests/warmth_test.cc
@@ -61,9 +61,9 @@
 	dw_warmth_evidence evidence;
 
 	dw_warmth_init(&fresh);
-	EXPECT_FALSE(dw_warmth_evidence(&fresh, 9, COLD, 170 * S, &evidence));
+	EXPECT_FALSE(dw_warmth_export(&fresh, 9, COLD, 170 * S, &evidence));
 	dw_warmth_suspect(&peer, COLD, 170 * S);
-	ASSERT_TRUE(dw_warmth_evidence(&peer, 9, COLD, 175 * S, &evidence));
+	ASSERT_TRUE(dw_warmth_export(&peer, 9, COLD, 175 * S, &evidence));
 	EXPECT_EQ(evidence.age_us, 5 * S);
 	EXPECT_TRUE(dw_warmth_merge(&here, &evidence, COLD, 171 * S));
 	EXPECT_FALSE(dw_warmth_merge(&here, &evidence, COLD, 171 * S));
