--- a/bench/bench_share.c
+++ b/bench/bench_share.c
@@ -125,7 +125,7 @@
 	struct dw_share *share = dw_share_new((struct dw_member_key){ 1, 1 });
 	uint64_t start_us;
 
-	if (!share || members < 2 || members + 1 > DW_ROSTER_MEMBERS_MAX)
+	if (!share || upstreams == 0 || members < 2 || members + 1 > DW_ROSTER_MEMBERS_MAX)
 		return EXIT_FAILURE;
 	print("members", members, "members");
 	print("upstreams", upstreams, "upstreams");
--- a/include/dragonflywharf/roster.h
+++ b/include/dragonflywharf/roster.h
@@ -7,6 +7,9 @@
  * is confirmed gone: a later run of the same instance is seen, or the failure detector calls it
  * dead and the platform's instance list, which once listed it, has not listed it for
  * DW_ROSTER_UNLISTED_US. A paused or cut-off member stays.
+ *
+ * A run must start with a higher incarnation than the roster holds for its instance: after a clock
+ * step backwards it takes the stored one plus 1, else it could never replace its predecessor.
  */
 #ifndef DRAGONFLYWHARF_ROSTER_H
 #define DRAGONFLYWHARF_ROSTER_H
--- a/src/core/share.c
+++ b/src/core/share.c
@@ -31,14 +31,16 @@
 void dw_share_free(struct dw_share *share)
 {
 	struct dw_share_upstream *up;
-	struct dw_share_upstream *next;
 
 	if (!share)
 		return;
-	HASH_ITER(hh, share->upstreams, up, next)
-	{
-		HASH_DEL(share->upstreams, up);
+	up = share->upstreams;
+	HASH_CLEAR(hh, share->upstreams);
+	while (up) {
+		struct dw_share_upstream *next = up->hh.next;
+
 		free_upstream(up);
+		up = next;
 	}
 	free(share->holds.refs);
 	free(share->lent.refs);
--- a/tests/roster_test.cc
+++ b/tests/roster_test.cc
@@ -87,6 +87,11 @@
 	current = next;
 	EXPECT_EQ(propose({ seen(2, 1), seen(2, 7) }), DW_NOT_FOUND);
 	EXPECT_EQ(propose({ seen(2, 1) }), DW_NOT_FOUND);
+	dw_roster_observation earlier = seen(2, 1, DW_ROSTER_DEAD);
+	earlier.unlisted_since_us = 0;
+	EXPECT_EQ(propose({ earlier }), DW_NOT_FOUND);
+	EXPECT_EQ(propose({ seen(2, 9, DW_ROSTER_UNREACHABLE) }), DW_OK);
+	EXPECT_EQ(next.member_count, 2U);
 	EXPECT_EQ(propose({ seen(2, 1), seen(2, 7, DW_ROSTER_RELEASED) }), DW_OK);
 	EXPECT_EQ(next.member_count, 2U);
 	EXPECT_EQ(dw_roster_find_instance(&next, 2), -1);
