warmth: one field for doubt

Cause: breaking the rule 'a new incarnation starts unconfirmed' showed no red test: report_due_us = 0 already said it. Change: the flag is gone; three rules that no test saw broken (a late report of an older incarnation, evidence of an older turn, evidence of a new incarnation not yet seen here) have tests, each seen red by removing the rule.

--- a/include/dragonflywharf/warmth.h
+++ b/include/dragonflywharf/warmth.h
@@ -19,8 +19,7 @@
 	uint64_t incarnation; /**< of the upstream's process; 0: none seen */
 	uint32_t turn; /**< how often it was suspected cold within the incarnation */
 	uint64_t warm_at_us; /**< end of the cold period of that incarnation */
-	uint64_t report_due_us; /**< cold from here on unless another report comes */
-	bool unconfirmed; /**< the incarnation may have changed since it was last seen */
+	uint64_t report_due_us; /**< cold from here on unless another report comes; 0: in doubt */
 };
 
 /** Evidence passed between peers; the age, not a time, as clocks differ. */
--- a/src/core/warmth.c
+++ b/src/core/warmth.c
@@ -6,7 +6,7 @@
 
 void dw_warmth_init(struct dw_warmth *warmth)
 {
-	*warmth = (struct dw_warmth){ .unconfirmed = true };
+	*warmth = (struct dw_warmth){ 0 };
 }
 
 static uint64_t add_us(uint64_t time_us, uint64_t period_us)
@@ -21,7 +21,6 @@
 	warmth->turn = turn;
 	warmth->warm_at_us = warm_at_us;
 	warmth->report_due_us = 0;
-	warmth->unconfirmed = true;
 }
 
 bool dw_warmth_seen(struct dw_warmth *warmth, uint64_t incarnation, uint64_t cold_period_us,
@@ -33,14 +32,13 @@
 		return false;
 	if (restarted)
 		start_cold(warmth, incarnation, 0, add_us(now_us, cold_period_us));
-	warmth->unconfirmed = false;
 	warmth->report_due_us = add_us(now_us, report_within_us);
 	return restarted;
 }
 
 void dw_warmth_doubt(struct dw_warmth *warmth)
 {
-	warmth->unconfirmed = true;
+	warmth->report_due_us = 0;
 }
 
 void dw_warmth_suspect(struct dw_warmth *warmth, uint64_t cold_period_us, uint64_t now_us)
@@ -94,13 +92,13 @@
 
 bool dw_warmth_is_cold(const struct dw_warmth *warmth, uint64_t now_us)
 {
-	return warmth->incarnation == 0 || warmth->unconfirmed || now_us < warmth->warm_at_us ||
+	return warmth->incarnation == 0 || now_us < warmth->warm_at_us ||
 	       now_us >= warmth->report_due_us;
 }
 
 uint64_t dw_warmth_deadline_us(const struct dw_warmth *warmth, uint64_t now_us)
 {
-	if (warmth->incarnation == 0 || warmth->unconfirmed || now_us >= warmth->report_due_us)
+	if (warmth->incarnation == 0 || now_us >= warmth->report_due_us)
 		return UINT64_MAX;
 	return now_us < warmth->warm_at_us ? warmth->warm_at_us : warmth->report_due_us;
 }
--- a/tests/warmth_test.cc
+++ b/tests/warmth_test.cc
@@ -32,6 +32,7 @@
 	EXPECT_TRUE(dw_warmth_is_cold(&warmth, 171 * S));
 	EXPECT_FALSE(dw_warmth_seen(&warmth, 5, COLD, REPORT, 172 * S));
 	EXPECT_EQ(warmth.incarnation, 6U);
+	EXPECT_EQ(warmth.report_due_us, 174 * S);
 	dw_warmth_seen(&warmth, 6, COLD, REPORT, 230 * S);
 	EXPECT_TRUE(dw_warmth_is_cold(&warmth, 230 * S));
 	EXPECT_EQ(dw_warmth_deadline_us(&warmth, 230 * S), 231 * S);
@@ -69,6 +70,9 @@
 	EXPECT_FALSE(dw_warmth_merge(&here, &evidence, COLD, 171 * S));
 	EXPECT_TRUE(dw_warmth_is_cold(&here, 171 * S));
 	EXPECT_EQ(here.warm_at_us, 226 * S);
+	evidence = { 9, 5, 0, COLD };
+	EXPECT_FALSE(dw_warmth_merge(&here, &evidence, COLD, 172 * S));
+	EXPECT_EQ(here.warm_at_us, 226 * S);
 	dw_warmth_suspect(&here, COLD, 200 * S);
 	EXPECT_EQ(here.warm_at_us, 226 * S);
 
@@ -78,9 +82,11 @@
 	dw_warmth_seen(&here, 5, COLD, REPORT, 181 * S);
 	EXPECT_FALSE(dw_warmth_is_cold(&here, 181 * S));
 
-	evidence = { 9, 5, 0, COLD };
-	EXPECT_FALSE(dw_warmth_merge(&here, &evidence, COLD, 182 * S));
-	EXPECT_EQ(here.turn, 1U);
+	evidence = { 9, 6, 0, COLD };
+	EXPECT_TRUE(dw_warmth_merge(&here, &evidence, COLD, 182 * S));
+	EXPECT_TRUE(dw_warmth_is_cold(&here, 182 * S));
+	dw_warmth_seen(&here, 6, COLD, REPORT, 183 * S);
+	EXPECT_FALSE(dw_warmth_is_cold(&here, 183 * S));
 }
 
 } // namespace
