Membership: suspect first on a rumour of a death, and ask for lists again

Change: a rumour of a death starts a suspicion and a probe; 24 piggy-backed updates instead of 6 while any are queued; a newcomer asks for the list again in its periods 2, 8 and 32.

--- a/include/dragonflywharf/membership.h
+++ b/include/dragonflywharf/membership.h
@@ -5,9 +5,9 @@
  * machine, with its suspicion mechanism, round-robin probing and piggy-backed updates.
  *
  * It differs from the paper in that a member declared dead that still runs (it was paused) refutes
- * with a higher refutation number, as its run isn't over; in that remembered dead members are
- * probed now and then, so that two halves find each other after a cut; and in LEAVING, which a
- * member says of itself. docs/design/membership.md has the figures.
+ * with a higher refutation number, as its run isn't over; in that no member takes another's word
+ * for a death, but suspects first; in that remembered dead members are probed now and then, so that
+ * two halves find each other after a cut; and in LEAVING, which a member says of itself. docs/design/membership.md has the figures.
  */
 #ifndef DRAGONFLYWHARF_MEMBERSHIP_H
 #define DRAGONFLYWHARF_MEMBERSHIP_H
@@ -21,7 +21,7 @@
 
 #define DW_MEMBER_IP_BYTES 16 /**< numeric IPv4 text with the NUL */
 #define DW_MEMBER_UPDATES_MAX 32 /**< updates in one message */
-#define DW_MEMBER_PIGGYBACK_MAX 6 /**< updates on a probe or its answer */
+#define DW_MEMBER_PIGGYBACK_MAX 24 /**< updates on a probe or its answer */
 #define DW_MEMBERSHIP_MAX 4096 /**< members known, dead ones included */
 #define DW_MEMBERSHIP_SEEDS_MAX 32
 
--- a/src/core/membership.c
+++ b/src/core/membership.c
@@ -13,7 +13,7 @@
 #define GRACE_PERIODS 3 /* after a pause, before others are judged again */
 #define DISTANT_PROBE_PERIODS 5 /* between probes of a dead member and of unknown seeds */
 #define SEEDS_PROBED_MAX 3 /* unknown seeds probed at once; each may send its whole list */
-#define VERIFY_MAX 4 /* dead members probed in one check because another sees them alive */
+#define VERIFY_MAX 16 /* members probed in one check because another sees them otherwise */
 #define CHECKS_PER_PERIOD 4
 #define LEAVE_FANOUT 32
 
@@ -163,9 +163,18 @@
 	return NULL;
 }
 
+/* A member that has just come asks for lists again, as the first may have been short. */
+static bool wants_list(const struct dw_membership *membership)
+{
+	uint64_t period = membership->period_count;
+
+	return period == 2 || period == 8 || period == 32;
+}
+
 static void start_probe(struct dw_membership *membership, uint64_t now_us)
 {
 	struct dw_member_slot *target = next_target(membership);
+	struct dw_member_outgoing *outgoing;
 
 	membership->probe.is_active = false;
 	if (!target)
@@ -176,7 +185,10 @@
 		.sequence = ++membership->sequence,
 		.direct_deadline_us = now_us + membership->options.probe_timeout_us,
 	};
-	dw_membership_send(membership, DW_MEMBER_PING, &target->member, membership->sequence);
+	outgoing = dw_membership_send(membership, DW_MEMBER_PING, &target->member,
+				      membership->sequence);
+	if (outgoing)
+		outgoing->want_sync = wants_list(membership);
 }
 
 /* Asks some members to probe the target too. */
--- a/src/core/membership_table.c
+++ b/src/core/membership_table.c
@@ -216,11 +216,41 @@
 	}
 }
 
+/*
+ * No member takes another's word for a death: a rumour of one starts a suspicion here, and the
+ * member is probed. Else two halves that were cut off would, once they meet, bring each other's
+ * old verdicts into force.
+ */
+static struct dw_member as_rumour(const struct dw_member *record)
+{
+	struct dw_member rumour = *record;
+
+	if (rumour.state == DW_MEMBER_DEAD)
+		rumour.state = DW_MEMBER_SUSPECT;
+	return rumour;
+}
+
+static void merge_run(struct dw_membership *membership, struct dw_member_slot *slot,
+		      const struct dw_member *record, uint64_t now_us)
+{
+	const struct dw_member rumour = as_rumour(record);
+	struct dw_member *held = &slot->member;
+
+	if (held->applied_revision < record->applied_revision)
+		held->applied_revision = record->applied_revision;
+	if (supersedes(&rumour, held)) {
+		take(membership, slot, &rumour, false, now_us);
+		slot->to_verify = record->state == DW_MEMBER_DEAD;
+	} else if (held->state == DW_MEMBER_DEAD && record->state != DW_MEMBER_DEAD) {
+		slot->to_verify = record->refutation == held->refutation;
+	}
+}
+
 void dw_membership_merge(struct dw_membership *membership, const struct dw_member *record,
 			 uint64_t now_us)
 {
 	struct dw_member_slot *slot = dw_membership_slot(membership, record->key.instance_id);
-	struct dw_member *held;
+	struct dw_member rumour;
 
 	if (!slot) {
 		merge_new(membership, record, now_us);
@@ -230,17 +260,12 @@
 		merge_self(membership, record);
 		return;
 	}
-	held = &slot->member;
-	if (record->key.incarnation < held->key.incarnation)
+	if (record->key.incarnation < slot->member.key.incarnation)
 		return;
-	if (record->key.incarnation > held->key.incarnation) {
-		take(membership, slot, record, true, now_us);
+	if (record->key.incarnation == slot->member.key.incarnation) {
+		merge_run(membership, slot, record, now_us);
 		return;
 	}
-	if (held->applied_revision < record->applied_revision)
-		held->applied_revision = record->applied_revision;
-	if (supersedes(record, held))
-		take(membership, slot, record, false, now_us);
-	else if (held->state == DW_MEMBER_DEAD && record->state != DW_MEMBER_DEAD)
-		slot->to_verify = record->refutation == held->refutation;
+	rumour = as_rumour(record);
+	take(membership, slot, &rumour, true, now_us);
 }
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -209,6 +209,12 @@
 	Network network(9, GetParam());
 
 	network.run(20);
+	/* It suspects others when it is stopped, and their answers come while it is. */
+	for (size_t i = 0; i < 9; i++)
+		network.cut[4][i] = network.cut[i][4] = true;
+	network.run(3);
+	for (auto &row : network.cut)
+		row.assign(9, false);
 	network.paused[4] = true;
 	network.run(40);
 	EXPECT_EQ(DW_MEMBER_DEAD, network.state(4, 0));
@@ -220,20 +226,24 @@
 
 TEST_P(MembershipTest, HalvesFindEachOtherAfterACut)
 {
-	Network network(9, GetParam());
+	const size_t count = 40;
+	Network network(count, GetParam());
 
-	network.run(20);
-	for (size_t i = 0; i < 4; i++)
-		for (size_t j = 4; j < 9; j++)
+	EXPECT_LT(network.seconds_to_converge(60), 60u);
+	for (size_t i = 0; i < count / 2; i++)
+		for (size_t j = count / 2; j < count; j++)
 			network.cut[i][j] = network.cut[j][i] = true;
-	network.run(90);
-	EXPECT_EQ(DW_MEMBER_DEAD, network.state(7, 0));
+	network.run(60);
+	EXPECT_EQ(DW_MEMBER_DEAD, network.state(count - 1, 0));
 	/* Without the seeds, only remembered members lead to the other half. */
 	network.stop(0);
 	network.stop(1);
 	for (auto &row : network.cut)
-		row.assign(9, false);
+		row.assign(count, false);
+	size_t before = network.death_count();
 	EXPECT_LT(network.seconds_to_converge(60), 60u);
+	EXPECT_EQ(before + 2 * (count / 2 - 2), network.death_count())
+		<< "old verdicts of the other half killed members";
 }
 
 TEST_P(MembershipTest, ConvergesAfterRandomFaults)
