--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -342,38 +342,41 @@
 	EXPECT_EQ(DW_INVALID_ARGUMENT, dw_membership_receive(at, &rumour, network.now_us));
 	rumour.update_count = DW_MEMBER_UPDATES_MAX + 1;
 	EXPECT_EQ(DW_INVALID_ARGUMENT, dw_membership_receive(at, &rumour, network.now_us));
-	TEST(Membership, RumourOfADeathOnlyStartsASuspicionAndAProbe)
-	{
-		Network network(4, 2);
-		dw_member_message rumour = {}, sent;
-		dw_membership *at = network.members[0];
-		auto probes = [&](uint16_t port) {
-			bool found = false;
-
-			dw_membership_tick(at, network.now_us += kSecondUs / 2, 1);
-			while (dw_membership_next_message(at, &sent))
-				found |= sent.kind == DW_MEMBER_PING && sent.to.port == port;
-			return found;
-		};
-
-		network.run(10);
-		rumour.kind = DW_MEMBER_SYNC;
-		rumour.sender = *dw_membership_self(network.members[1]);
-		rumour.update_count = 1;
-		rumour.updates[0] = *dw_membership_find(at, 4);
-		rumour.updates[0].state = DW_MEMBER_DEAD;
-		EXPECT_EQ(DW_OK, dw_membership_receive(at, &rumour, network.now_us));
-		EXPECT_EQ(DW_MEMBER_SUSPECT, network.state(3, 0));
-		EXPECT_TRUE(probes(1003));
-		network.run(20);
-		EXPECT_EQ(DW_MEMBER_ALIVE, network.state(3, 0));
-		EXPECT_EQ(0u, network.death_count());
-		network.stop(3);
-		network.run(20);
-		rumour.updates[0] = *dw_membership_find(at, 4);
-		EXPECT_EQ(DW_MEMBER_DEAD, rumour.updates[0].state);
-		rumour.updates[0].state = DW_MEMBER_ALIVE;
-		EXPECT_EQ(DW_OK, dw_membership_receive(at, &rumour, network.now_us));
-		EXPECT_TRUE(probes(1003)) << "dead here, alive to another";
-	}
 }
+
+TEST(Membership, RumourOfADeathOnlyStartsASuspicionAndAProbe)
+{
+	Network network(4, 2);
+	dw_member_message rumour = {}, sent;
+	dw_membership *at = network.members[0];
+	auto probes = [&](uint16_t port) {
+		bool found = false;
+
+		dw_membership_tick(at, network.now_us += kSecondUs / 2, 1);
+		while (dw_membership_next_message(at, &sent))
+			found |= sent.kind == DW_MEMBER_PING && sent.to.port == port;
+		return found;
+	};
+
+	network.run(10);
+	rumour.kind = DW_MEMBER_SYNC;
+	rumour.sender = *dw_membership_self(network.members[1]);
+	rumour.update_count = 1;
+	rumour.updates[0] = *dw_membership_find(at, 4);
+	rumour.updates[0].state = DW_MEMBER_DEAD;
+	EXPECT_EQ(DW_OK, dw_membership_receive(at, &rumour, network.now_us));
+	EXPECT_EQ(DW_MEMBER_SUSPECT, network.state(3, 0));
+	EXPECT_TRUE(probes(1003));
+	network.run(20);
+	EXPECT_EQ(DW_MEMBER_ALIVE, network.state(3, 0));
+	EXPECT_EQ(0u, network.death_count());
+	network.stop(3);
+	network.run(20);
+	rumour.updates[0] = *dw_membership_find(at, 4);
+	EXPECT_EQ(DW_MEMBER_DEAD, rumour.updates[0].state);
+	rumour.updates[0].state = DW_MEMBER_ALIVE;
+	EXPECT_EQ(DW_OK, dw_membership_receive(at, &rumour, network.now_us));
+	EXPECT_TRUE(probes(1003)) << "dead here, alive to another";
+}
+
+} // namespace
