--- a/src/core/ruleset.c
+++ b/src/core/ruleset.c
@@ -28,7 +28,7 @@
 		return;
 	dw_ruleset_drop_index(ruleset);
 	HASH_ITER(hh, ruleset->entries, entry, next)
-	drop_entry(ruleset, entry);
+		drop_entry(ruleset, entry);
 	free(ruleset);
 }
 
@@ -241,6 +241,9 @@
 		ruleset->generation++;
 	if (status)
 		return status;
+	if (result->applied == 0 && to_revision == ruleset->revision)
+		return dw_fail(DW_STALE, "nothing new up to revision %llu",
+			       (unsigned long long)to_revision);
 	ruleset->revision = to_revision;
 	if (result->applied > 0)
 		tell_changed(ruleset);
--- a/src/net/ruleset_codec.h
+++ b/src/net/ruleset_codec.h
@@ -1,8 +1,6 @@
 /**
  * @file ruleset_codec.h
- * Configuration between peers as msgpack.
- *
- * [kind, from_revision, to_revision, digest, [[key, mod_revision, deleted, bytes] ...]]
+ * msgpack form of configuration deltas and snapshots between daemons.
  */
 #ifndef WHARF_NET_RULESET_CODEC_H
 #define WHARF_NET_RULESET_CODEC_H
@@ -15,49 +13,26 @@
 extern "C" {
 #endif
 
-#define DW_RULESET_MESSAGE_MAX_BYTES (8 * 1024 * 1024)
-#define DW_RULESET_MESSAGE_ITEMS_MAX 65536
+#define DW_RULESET_DELTA_ITEMS_MAX 65536U
 
-enum dw_ruleset_message_kind {
-	DW_RULESET_PULL, /**< asks for what has changed after from_revision */
-	DW_RULESET_DELTA,
-	DW_RULESET_SNAPSHOT,
-	DW_RULESET_MESSAGE_KIND_COUNT
-};
-
-struct dw_ruleset_message {
-	enum dw_ruleset_message_kind kind;
+/** Changes of the revisions (from, to], or all keys as of `to_revision` for a snapshot. */
+struct dw_ruleset_delta {
+	bool snapshot;
 	uint64_t from_revision;
 	uint64_t to_revision;
-	uint64_t digest; /**< of the sender's ruleset */
 	struct dw_ruleset_item *items;
 	size_t count;
-	char *storage; /**< keys and values of a decoded message */
 };
 
-/** Appends a message; its items may be borrowed. */
-void dw_ruleset_codec_encode(const struct dw_ruleset_message *message, msgpack_sbuffer *out);
-
-/** Appends the PULL of an instance with this ruleset. */
-void dw_ruleset_codec_encode_pull(const struct dw_ruleset *ruleset, msgpack_sbuffer *out);
-
-/** Appends the DELTA or SNAPSHOT for a peer that is complete up to @p since. */
-void dw_ruleset_codec_encode_since(const struct dw_ruleset *ruleset, uint64_t since,
-				   msgpack_sbuffer *out);
+void dw_ruleset_delta_pack(msgpack_packer *packer, const struct dw_ruleset_delta *delta);
 
 /**
- * Free the message with dw_ruleset_message_release(), not needed after a failure.
- * Errors: DW_INVALID_ARGUMENT, DW_TOO_LARGE, DW_NO_MEMORY.
+ * The items' bytes are those of @p object; keys are copied. DW_INVALID_ARGUMENT for any other
+ * shape. On DW_OK the caller clears the delta.
  */
-enum dw_status dw_ruleset_codec_decode(const void *bytes, size_t len,
-				       struct dw_ruleset_message *message);
-
-void dw_ruleset_message_release(struct dw_ruleset_message *message);
+enum dw_status dw_ruleset_delta_unpack(const msgpack_object *object, struct dw_ruleset_delta *out);
 
-/** Applies a DELTA or SNAPSHOT. Errors: those of the apply functions. */
-enum dw_status dw_ruleset_message_apply(const struct dw_ruleset_message *message,
-					struct dw_ruleset *ruleset,
-					struct dw_ruleset_result *result);
+void dw_ruleset_delta_clear(struct dw_ruleset_delta *delta);
 
 #ifdef __cplusplus
 }
--- a/tests/ruleset_test.cc
+++ b/tests/ruleset_test.cc
@@ -122,6 +122,8 @@
 	EXPECT_EQ(DW_STALE, apply_snapshot(ruleset, 4, { limited(4, 8) }));
 	EXPECT_EQ(DW_UNAVAILABLE, apply(ruleset, 6, 7, { limited(7, 32) }));
 	EXPECT_EQ(DW_INVALID_ARGUMENT, apply(ruleset, 5, 6, { limited(7, 32) }));
+	EXPECT_EQ(DW_STALE, apply(ruleset, 4, 5, { limited(5, 16) }))
+		<< "passed on, it would go round";
 	EXPECT_EQ(16u, limit("e1"));
 	EXPECT_EQ(DW_OK, apply(ruleset, 2, 6, { limited(3, 8), at(6, model("m")) }, &result));
 	EXPECT_EQ(1u, result.unchanged);
