--- a/tests/control_codec_test.cc
+++ b/tests/control_codec_test.cc
@@ -1,5 +1,3 @@
-#include <random>
-
 #include <gtest/gtest.h>
 
 #include "core/msgpack_check.h"
@@ -63,7 +61,6 @@
 template <typename Decode> void mangle(const msgpack_sbuffer &whole, Decode decode)
 {
 	std::string bytes(whole.data, whole.size);
-	std::mt19937 random(9);
 
 	for (size_t len = 0; len < bytes.size(); len++) {
 		/* A copy of exact size, so that a sanitizer sees reads beyond it. */
@@ -71,13 +68,14 @@
 
 		EXPECT_EQ(DW_INVALID_ARGUMENT, unpack(cut.data(), cut.size(), decode)) << len;
 	}
-	for (int i = 0; i < 5000; i++) {
-		std::string changed = bytes;
-
-		changed[random() % changed.size()] = static_cast<char>(random());
-		enum dw_status status = unpack(changed.data(), changed.size(), decode);
-		EXPECT_TRUE(status == DW_OK || status == DW_INVALID_ARGUMENT);
-	}
+	for (size_t at = 0; at < bytes.size(); at += 1 + bytes.size() / 200)
+		for (int value = 0; value < 256; value++) {
+			std::string changed = bytes;
+
+			changed[at] = static_cast<char>(value);
+			enum dw_status status = unpack(changed.data(), changed.size(), decode);
+			EXPECT_TRUE(status == DW_OK || status == DW_INVALID_ARGUMENT);
+		}
 }
 
 TEST(MemberCodec, KeepsMessagesAndRefusesMangledOnes)
