Ruleset: keep the indexes on changes that leave them as they are

Cause: each change of an upstream or version rebuilt the links of 12,000 engines. Change: only a change of what an upstream serves, of its failure domain or of an organisation's key hashes, and keys that come or go, rebuild an index.

--- a/src/core/ruleset.c
+++ b/src/core/ruleset.c
@@ -139,29 +139,37 @@
 	ruleset->digest += (uint64_t)one * entry_digest(entry);
 }
 
-/* A drained or restored failure domain is changed in place, so links to it stay right. */
-static void mark_dirty(struct dw_ruleset *ruleset, enum dw_entity_kind kind, bool in_place)
+static void mark_dirty(struct dw_ruleset *ruleset, enum dw_entity_kind kind)
 {
 	if (kind == DW_ENTITY_ORGANISATION)
 		ruleset->bearers_dirty = true;
-	else if (kind != DW_ENTITY_FAILURE_DOMAIN || !in_place)
+	else
 		ruleset->links_dirty = true;
 }
 
+/* Whether the indexes change as @p fresh comes in; @p entry is the one held, or NULL. */
+static bool changes_index(const struct dw_ruleset_entry *entry,
+			  const struct dw_ruleset_entry *fresh)
+{
+	bool was_live = entry && !entry->deleted;
+
+	if (!was_live || fresh->deleted)
+		return was_live || !fresh->deleted;
+	return !dw_ruleset_entry_same_index(entry, fresh);
+}
+
 static void put(struct dw_ruleset *ruleset, struct dw_ruleset_entry *fresh,
 		struct dw_ruleset_result *result)
 {
 	struct dw_ruleset_entry *entry = dw_ruleset_find(ruleset, fresh->key, strlen(fresh->key));
-	bool was_live = entry && !entry->deleted;
 
 	if (!is_news(ruleset, fresh->key, fresh->mod_revision)) {
 		result->unchanged++;
 		dw_ruleset_entry_free(fresh);
 		return;
 	}
-	if (was_live || !fresh->deleted)
-		mark_dirty(ruleset, was_live ? entry->kind : fresh->kind,
-			   was_live && !fresh->deleted);
+	if (changes_index(entry, fresh))
+		mark_dirty(ruleset, fresh->deleted ? entry->kind : fresh->kind);
 	if (entry) {
 		account(ruleset, entry, false);
 		dw_ruleset_entry_replace(entry, fresh);
@@ -322,7 +330,7 @@
 	for (entry = ruleset->entries; entry; entry = entry->hh.next) {
 		if (entry->deleted || entry->snapshot_mark == ruleset->apply_count)
 			continue;
-		mark_dirty(ruleset, entry->kind, false);
+		mark_dirty(ruleset, entry->kind);
 		account(ruleset, entry, false);
 		dw_ruleset_entry_delete(entry, to_revision);
 		account(ruleset, entry, true);
--- a/src/core/ruleset_entry.c
+++ b/src/core/ruleset_entry.c
@@ -186,8 +186,78 @@
 	entry->len = 0;
 }
 
+static bool same_texts(const char *const *a, const char *const *b, size_t count)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		if (strcmp(a[i], b[i]) != 0)
+			return false;
+	return true;
+}
+
+static bool same_upstream_links(const struct dw_upstream *a, const struct dw_upstream *b)
+{
+	return a->is_service == b->is_service && strcmp(a->service, b->service) == 0 &&
+	       strcmp(a->failure_domain_name, b->failure_domain_name) == 0 &&
+	       a->serves_count == b->serves_count &&
+	       same_texts(a->serves, b->serves, a->serves_count);
+}
+
+static bool same_key_hashes(const Dragonflywharf__Organisation *a,
+			    const Dragonflywharf__Organisation *b)
+{
+	size_t i;
+
+	if (a->n_key_hashes != b->n_key_hashes)
+		return false;
+	for (i = 0; i < a->n_key_hashes; i++)
+		if (memcmp(a->key_hashes[i].data, b->key_hashes[i].data, DW_KEY_HASH_BYTES) != 0)
+			return false;
+	return true;
+}
+
+bool dw_ruleset_entry_same_index(const struct dw_ruleset_entry *entry,
+				 const struct dw_ruleset_entry *fresh)
+{
+	switch (entry->kind) {
+	case DW_ENTITY_ORGANISATION:
+		return same_key_hashes(entry->entity->organisation, fresh->entity->organisation);
+	case DW_ENTITY_UPSTREAM:
+		return same_upstream_links(&entry->upstream, &fresh->upstream);
+	default:
+		return true;
+	}
+}
+
+/* What dw_ruleset_reindex() has set stays; it is set anew if the links changed. */
+static void keep_links(struct dw_ruleset_entry *entry, const struct dw_ruleset_entry *before)
+{
+	switch (entry->kind) {
+	case DW_ENTITY_MODEL:
+		entry->model.versions = before->model.versions;
+		entry->model.version_count = before->model.version_count;
+		break;
+	case DW_ENTITY_VERSION:
+		entry->version.upstreams = before->version.upstreams;
+		entry->version.upstream_count = before->version.upstream_count;
+		break;
+	case DW_ENTITY_UPSTREAM:
+		entry->upstream.failure_domain = before->upstream.failure_domain;
+		break;
+	case DW_ENTITY_SERVICE:
+		entry->service.upstreams = before->service.upstreams;
+		entry->service.upstream_count = before->service.upstream_count;
+		break;
+	default:
+		break;
+	}
+}
+
 void dw_ruleset_entry_replace(struct dw_ruleset_entry *entry, struct dw_ruleset_entry *fresh)
 {
+	const struct dw_ruleset_entry before = *entry;
+
 	drop_value(entry);
 	entry->mod_revision = fresh->mod_revision;
 	entry->deleted = fresh->deleted;
@@ -197,6 +267,8 @@
 	entry->kind = fresh->kind;
 	if (!entry->deleted)
 		views[entry->kind](entry);
+	if (!entry->deleted && !before.deleted)
+		keep_links(entry, &before);
 	fresh->bytes = NULL;
 	fresh->entity = NULL;
 	dw_ruleset_entry_free(fresh);
--- a/src/core/ruleset_entry.h
+++ b/src/core/ruleset_entry.h
@@ -38,7 +38,12 @@
 enum dw_status dw_ruleset_entry_new(struct dw_ruleset_entry **out,
 				    const struct dw_ruleset_item *item);
 
-/** Gives @p entry the content of @p fresh but its key and place in the hash; frees @p fresh. */
+/** True if @p fresh can replace the live @p entry with all indexes left as they are. */
+bool dw_ruleset_entry_same_index(const struct dw_ruleset_entry *entry,
+				 const struct dw_ruleset_entry *fresh);
+
+/** Gives @p entry the content of @p fresh, but keeps its key, place in the hash and links; frees
+ * @p fresh. */
 void dw_ruleset_entry_replace(struct dw_ruleset_entry *entry, struct dw_ruleset_entry *fresh);
 
 /** Turns the entry into a tombstone. */
--- a/tests/ruleset_test.cc
+++ b/tests/ruleset_test.cc
@@ -2,6 +2,7 @@
 #include <deque>
 #include <map>
 #include <random>
+#include <set>
 
 #include <gtest/gtest.h>
 
@@ -324,6 +325,9 @@
 		default:
 			spec.name = "e" + digit;
 			spec.limit = limits[digit[0] - '0'] + 1 + pick(9);
+			spec.failure_domain = "d" + std::to_string(pick(3));
+			spec.serves = { "m0/v" + std::to_string(pick(3)),
+					"m1/v" + std::to_string(pick(3)) };
 			return upstream(spec);
 		}
 	}
@@ -499,8 +503,66 @@
 	return status;
 }
 
+/* Names of the upstreams that serve each version, by the store's latest values. */
+std::map<std::string, std::set<std::string>> naive_links(const Store &store)
+{
+	std::map<std::string, std::set<std::string>> links;
+
+	for (const auto &change : store.live()) {
+		auto *entity = dragonflywharf__entity__unpack(
+			nullptr, change.bytes.size(),
+			reinterpret_cast<const uint8_t *>(change.bytes.data()));
+
+		if (entity->kind_case == DRAGONFLYWHARF__ENTITY__KIND_VERSION)
+			links[entity->version->model + std::string("/") + entity->version->name];
+		dragonflywharf__entity__free_unpacked(entity, nullptr);
+	}
+	for (const auto &change : store.live()) {
+		auto *entity = dragonflywharf__entity__unpack(
+			nullptr, change.bytes.size(),
+			reinterpret_cast<const uint8_t *>(change.bytes.data()));
+
+		if (entity->kind_case == DRAGONFLYWHARF__ENTITY__KIND_UPSTREAM)
+			for (size_t i = 0; i < entity->upstream->n_serves; i++)
+				if (links.count(entity->upstream->serves[i]))
+					links[entity->upstream->serves[i]].insert(
+						entity->upstream->name);
+		dragonflywharf__entity__free_unpacked(entity, nullptr);
+	}
+	return links;
+}
+
+void compare_links(const Store &store, const dw_ruleset *instance)
+{
+	for (const auto &link : naive_links(store)) {
+		size_t slash = link.first.find('/');
+		const dw_version *version =
+			dw_ruleset_version(instance, link.first.substr(0, slash).c_str(),
+					   link.first.substr(slash + 1).c_str());
+		std::set<std::string> served;
+
+		for (size_t i = 0; i < version->upstream_count; i++) {
+			const dw_upstream *upstream = version->upstreams[i];
+
+			served.insert(upstream->name);
+			EXPECT_EQ(
+				dw_ruleset_failure_domain(instance, upstream->failure_domain_name),
+				upstream->failure_domain);
+		}
+		EXPECT_EQ(link.second, served) << link.first;
+		EXPECT_EQ(served.size(), version->upstream_count);
+		const dw_model *model = dw_ruleset_model(instance, version->model);
+		if (model) {
+			EXPECT_EQ(1, std::count(model->versions,
+						model->versions + model->version_count, version));
+		}
+	}
+}
+
 void compare_permissions(const World &world)
 {
+	for (auto *instance : world.instances)
+		compare_links(world.store, instance);
 	for (int o = 0; o < 3; o++)
 		for (int m = 0; m < 3; m++)
 			for (int v = 0; v < 3; v++) {
