--- a/bench/bench_membership.c
+++ b/bench/bench_membership.c
@@ -14,7 +14,7 @@
 #include "net/member_codec.h"
 
 #define STEP_US 50000
-#define JOIN_STEPS 1600
+#define JOIN_STEPS 8000
 #define STEADY_STEPS 1200
 #define FIND_STEPS 2400
 #define MEMBERS_MAX 300
