--- a/src/core/membership.c
+++ b/src/core/membership.c
@@ -14,7 +14,8 @@
 #define DISTANT_PROBE_PERIODS 5 /* between probes of a dead member and of unknown seeds */
 #define SEEDS_PROBED_MAX 3 /* unknown seeds probed at once; each may send its whole list */
 #define VERIFY_MAX 16 /* members probed in one check because another sees them otherwise */
-#define CHECKS_PER_PERIOD 4
+#define CHECKS_PER_PERIOD 4 /* of the members' deadlines */
+#define LIST_PERIOD_MAX 32 /* lists are asked for in the periods 2, 4, 8, 16 and 32 */
 #define LEAVE_FANOUT 32
 
 static uint64_t or_default(uint64_t value, uint64_t fallback)
@@ -168,7 +169,7 @@
 {
 	uint64_t period = membership->period_count;
 
-	return period == 2 || period == 8 || period == 32;
+	return period >= 2 && period <= LIST_PERIOD_MAX && (period & (period - 1)) == 0;
 }
 
 static void start_probe(struct dw_membership *membership, uint64_t now_us)
