--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -209,6 +209,12 @@
 	Network network(9, GetParam());
 
 	network.run(20);
+	/* It suspects others when it is stopped, and their answers come while it is. */
+	for (size_t i = 0; i < 9; i++)
+		network.cut[4][i] = network.cut[i][4] = true;
+	network.run(3);
+	for (auto &row : network.cut)
+		row.assign(9, false);
 	network.paused[4] = true;
 	network.run(40);
 	EXPECT_EQ(DW_MEMBER_DEAD, network.state(4, 0));
@@ -220,20 +226,24 @@
 
 TEST_P(MembershipTest, HalvesFindEachOtherAfterACut)
 {
-	Network network(9, GetParam());
+	const size_t count = 40;
+	Network network(count, GetParam());
 
-	network.run(20);
-	for (size_t i = 0; i < 4; i++)
-		for (size_t j = 4; j < 9; j++)
+	EXPECT_LT(network.seconds_to_converge(60), 60u);
+	for (size_t i = 0; i < count / 2; i++)
+		for (size_t j = count / 2; j < count; j++)
 			network.cut[i][j] = network.cut[j][i] = true;
-	network.run(90);
-	EXPECT_EQ(DW_MEMBER_DEAD, network.state(7, 0));
+	network.run(60);
+	EXPECT_EQ(DW_MEMBER_DEAD, network.state(count - 1, 0));
 	/* Without the seeds, only remembered members lead to the other half. */
 	network.stop(0);
 	network.stop(1);
 	for (auto &row : network.cut)
-		row.assign(9, false);
+		row.assign(count, false);
+	size_t before = network.death_count();
 	EXPECT_LT(network.seconds_to_converge(60), 60u);
+	EXPECT_EQ(before + 2 * (count / 2 - 2), network.death_count())
+		<< "old verdicts of the other half killed members";
 }
 
 TEST_P(MembershipTest, ConvergesAfterRandomFaults)
@@ -334,4 +344,39 @@
 	EXPECT_EQ(DW_INVALID_ARGUMENT, dw_membership_receive(at, &rumour, network.now_us));
 }
 
+TEST(Membership, RumourOfADeathOnlyStartsASuspicionAndAProbe)
+{
+	Network network(4, 2);
+	dw_member_message rumour = {}, sent;
+	dw_membership *at = network.members[0];
+	auto probes = [&](uint16_t port) {
+		bool found = false;
+
+		dw_membership_tick(at, network.now_us += kSecondUs / 2, 1);
+		while (dw_membership_next_message(at, &sent))
+			found |= sent.kind == DW_MEMBER_PING && sent.to.port == port;
+		return found;
+	};
+
+	network.run(10);
+	rumour.kind = DW_MEMBER_SYNC;
+	rumour.sender = *dw_membership_self(network.members[1]);
+	rumour.update_count = 1;
+	rumour.updates[0] = *dw_membership_find(at, 4);
+	rumour.updates[0].state = DW_MEMBER_DEAD;
+	EXPECT_EQ(DW_OK, dw_membership_receive(at, &rumour, network.now_us));
+	EXPECT_EQ(DW_MEMBER_SUSPECT, network.state(3, 0));
+	EXPECT_TRUE(probes(1003));
+	network.run(20);
+	EXPECT_EQ(DW_MEMBER_ALIVE, network.state(3, 0));
+	EXPECT_EQ(0u, network.death_count());
+	network.stop(3);
+	network.run(20);
+	rumour.updates[0] = *dw_membership_find(at, 4);
+	EXPECT_EQ(DW_MEMBER_DEAD, rumour.updates[0].state);
+	rumour.updates[0].state = DW_MEMBER_ALIVE;
+	EXPECT_EQ(DW_OK, dw_membership_receive(at, &rumour, network.now_us));
+	EXPECT_TRUE(probes(1003)) << "dead here, alive to another";
+}
+
 } // namespace
