--- a/include/dragonflywharf/cascade.h
+++ b/include/dragonflywharf/cascade.h
@@ -23,6 +23,8 @@
 #define DW_CASCADE_STEPS_MAX 6
 /** Share of plans that put a skipped step back, so that its rate goes on being learned. */
 #define DW_CASCADE_EXPLORE_PERMILLE 10
+/** A usual worth of a second of waiting, see dw_cascade_request. */
+#define DW_CASCADE_MICROS_PER_SECOND 130
 
 /** Learned pass rates: a bounded table, the least recently used row of a set is replaced. */
 struct dw_cascade_rates;
@@ -41,7 +43,11 @@
 void dw_cascade_rates_learn(struct dw_cascade_rates *rates, uint64_t organisation_id,
 			    uint64_t model_id, uint64_t work_id, bool passed, uint64_t now_us);
 
-/** Expected pass rate (mean of a Beta distribution whose evidence halves with time). */
+/**
+ * Expected pass rate: the mean of a Beta distribution whose evidence halves with time. An
+ * organisation without evidence starts from what all have seen, a model without any from a hopeful
+ * 3 in 4, so that it is tried.
+ */
 double dw_cascade_rates_pass(const struct dw_cascade_rates *rates, uint64_t organisation_id,
 			     uint64_t model_id, uint64_t work_id, uint64_t now_us);
 
--- a/src/core/cascade.c
+++ b/src/core/cascade.c
@@ -9,9 +9,12 @@
 #define MIN_ROWS 64
 #define PERMILLE 1000
 #define US_PER_S 1000000
-/* The prior of an unknown pair: one answer's worth of each outcome. */
-#define PRIOR_PASSED 1.0
+/* The prior of a model for a kind of work is hopeful, so that it gets tried; that of one
+ * organisation is what all organisations together have seen. */
+#define PRIOR_PASSED 3.0
 #define PRIOR_FAILED 1.0
+#define PRIOR_FROM_ALL 4.0
+#define ALL_ORGANISATIONS UINT64_MAX
 /* Evidence halves in ten minutes, and its weight is bounded so that a change shows soon. */
 #define HALF_LIFE_US 600e6
 #define EVIDENCE_MAX 200.0
@@ -116,10 +119,9 @@
 	return exp2(-(double)age_us / HALF_LIFE_US);
 }
 
-void dw_cascade_rates_learn(struct dw_cascade_rates *rates, uint64_t organisation_id,
-			    uint64_t model_id, uint64_t work_id, bool passed, uint64_t now_us)
+static void learn(struct dw_cascade_rates *rates, const uint64_t key[3], bool passed,
+		  uint64_t now_us)
 {
-	const uint64_t key[3] = { organisation_id, model_id, work_id };
 	struct rate *rate = find_or_take(rates, key);
 	double kept = decay(rate, now_us);
 	double sum = (rate->passed + rate->failed) * kept;
@@ -131,18 +133,37 @@
 	rate->updated_us = now_us;
 }
 
-double dw_cascade_rates_pass(const struct dw_cascade_rates *rates, uint64_t organisation_id,
-			     uint64_t model_id, uint64_t work_id, uint64_t now_us)
+void dw_cascade_rates_learn(struct dw_cascade_rates *rates, uint64_t organisation_id,
+			    uint64_t model_id, uint64_t work_id, bool passed, uint64_t now_us)
+{
+	const uint64_t own[3] = { organisation_id, model_id, work_id };
+	const uint64_t all[3] = { ALL_ORGANISATIONS, model_id, work_id };
+
+	learn(rates, own, passed, now_us);
+	learn(rates, all, passed, now_us);
+}
+
+static double mean(const struct dw_cascade_rates *rates, const uint64_t key[3], double prior_passed,
+		   double prior_failed, uint64_t now_us)
 {
-	const uint64_t key[3] = { organisation_id, model_id, work_id };
 	const struct rate *rate = find(rates, key);
 	double kept = rate ? decay(rate, now_us) : 0.0;
-	double passed = PRIOR_PASSED + (rate ? rate->passed * kept : 0.0);
-	double failed = PRIOR_FAILED + (rate ? rate->failed * kept : 0.0);
+	double passed = prior_passed + (rate ? rate->passed * kept : 0.0);
+	double failed = prior_failed + (rate ? rate->failed * kept : 0.0);
 
 	return passed / (passed + failed);
 }
 
+double dw_cascade_rates_pass(const struct dw_cascade_rates *rates, uint64_t organisation_id,
+			     uint64_t model_id, uint64_t work_id, uint64_t now_us)
+{
+	const uint64_t own[3] = { organisation_id, model_id, work_id };
+	const uint64_t all[3] = { ALL_ORGANISATIONS, model_id, work_id };
+	double prior = mean(rates, all, PRIOR_PASSED, PRIOR_FAILED, now_us);
+
+	return mean(rates, own, PRIOR_FROM_ALL * prior, PRIOR_FROM_ALL * (1.0 - prior), now_us);
+}
+
 /* A choice of steps: bit i stands for step i; the last step's bit is always set. */
 struct subset {
 	uint32_t bits;
--- a/src/wharf-replay/world.c
+++ b/src/wharf-replay/world.c
@@ -5,11 +5,6 @@
 #define RATING_US 80000
 #define GOSSIP_FANOUT 2
 #define HELD_MAX 8
-/* What a second of a caller's waiting is worth against the cost of tokens. */
-#ifndef MPS
-#define MPS 100
-#endif
-#define MICROS_PER_SECOND MPS
 
 bool world_in_service(const struct world *world, uint32_t engine)
 {
@@ -144,7 +139,7 @@
 	struct dw_cascade_request asked = { .now_us = world->now_us,
 					    .deadline_us = request->deadline_us,
 					    .random = random_next(&world->random),
-					    .micros_per_second = MICROS_PER_SECOND };
+					    .micros_per_second = DW_CASCADE_MICROS_PER_SECOND };
 
 	for (uint32_t model = 0; model <= request->model; model++) {
 		uint64_t cost = world->trace->models[model].cost_micros_per_1k_tokens;
