--- a/include/dragonflywharf/rollout.h
+++ b/include/dragonflywharf/rollout.h
@@ -116,6 +116,14 @@
 /** No new work for the version; false for an unknown one. */
 bool dw_rollout_is_held(const struct dw_rollout *rollout, uint64_t version_id);
 
+/**
+ * Evidence against the version has begun to gather, though not enough for a hold: its answers are
+ * best rated before they are released, and a bad one that belongs to no session is run again on
+ * another version. A good version comes to this now and then for a few answers; it costs the time
+ * of the rating.
+ */
+bool dw_rollout_is_watched(const struct dw_rollout *rollout, uint64_t version_id);
+
 enum dw_status dw_rollout_pooled(const struct dw_rollout *rollout, uint64_t version_id,
 				 struct dw_rollout_totals *out);
 
--- a/src/core/hold_test.c
+++ b/src/core/hold_test.c
@@ -11,6 +11,8 @@
 #define OTHERS_MIN_ANSWERS 100
 #define BASELINE_MIN 0.001
 #define BASELINE_MAX 0.6
+/* Log ratio at which recent evidence is suspicious: two bad answers close together. */
+#define SUSPICION_LOG_RATIO 3.0
 /* Keeps exp() finite; far above any threshold. */
 #define LOG_RATIO_MAX 600.0
 
@@ -67,9 +69,19 @@
 			bad * log(rate / base) + (answers - bad) * log((1.0 - rate) / (1.0 - base));
 
 		test->sums[i] = (test->sums[i] + weight) * exp(fmin(ratio, LOG_RATIO_MAX));
+		test->recent[i] = fmax(0.0, test->recent[i] + ratio);
 		mean += test->sums[i] / HOLD_TEST_ALTERNATIVES;
 	}
 	test->answers = pooled->answers;
 	test->bad = bad_sum;
 	return mean >= test->threshold * (instances ? instances : 1);
 }
+
+bool hold_test_is_suspicious(const struct hold_test *test)
+{
+	for (int i = 0; i < HOLD_TEST_ALTERNATIVES; i++) {
+		if (test->recent[i] >= SUSPICION_LOG_RATIO)
+			return true;
+	}
+	return false;
+}
--- a/src/core/hold_test.h
+++ b/src/core/hold_test.h
@@ -22,6 +22,7 @@
 struct hold_test {
 	double sums[HOLD_TEST_ALTERNATIVES];
 	double threshold;
+	double recent[HOLD_TEST_ALTERNATIVES]; /* CUSUM: log ratio of the best recent start */
 	double weight; /* added so far */
 	uint64_t answers; /* answers seen so far */
 	uint64_t bad; /* bad answers and errors among them */
@@ -36,4 +37,7 @@
 bool hold_test_update(struct hold_test *test, const struct tally *pooled,
 		      const struct tally *others, uint32_t baseline_permille, uint32_t instances);
 
+/* Recent evidence speaks against the version: Page's CUSUM, far below what a hold needs. */
+bool hold_test_is_suspicious(const struct hold_test *test);
+
 #endif
--- a/src/core/rollout.c
+++ b/src/core/rollout.c
@@ -182,6 +182,13 @@
 	return version && is_held(version);
 }
 
+bool dw_rollout_is_watched(const struct dw_rollout *rollout, uint64_t version_id)
+{
+	const struct version *version = version_id ? find(rollout, version_id) : NULL;
+
+	return version && hold_test_is_suspicious(&version->test);
+}
+
 enum dw_status dw_rollout_pooled(const struct dw_rollout *rollout, uint64_t version_id,
 				 struct dw_rollout_totals *out)
 {
--- a/src/wharf-replay/instance.c
+++ b/src/wharf-replay/instance.c
@@ -60,7 +60,8 @@
 }
 
 uint32_t instance_choose_version(const struct instance *instance, const struct trace *trace,
-				 const struct trace_request *request, uint32_t model)
+				 const struct trace_request *request, uint32_t model,
+				 uint32_t avoided)
 {
 	uint64_t key = request->session ? request->session : request->at_us;
 	uint32_t chosen = TRACE_VERSIONS_MAX;
@@ -71,7 +72,7 @@
 		const struct trace_version *version = &trace->versions[i];
 		double draw;
 
-		if (version->model != model ||
+		if (version->model != model || i == avoided ||
 		    dw_rollout_is_held(instance->rollout, instance_version_id(i)))
 			continue;
 		draw = (double)(XXH64(&key, sizeof(key), i) >> 11) / 9007199254740992.0;
@@ -84,6 +85,19 @@
 	return chosen;
 }
 
+bool instance_rates_first(const struct instance *instance, const struct trace *trace,
+			  uint32_t version)
+{
+	if (!dw_rollout_is_watched(instance->rollout, instance_version_id(version)))
+		return false;
+	for (uint32_t i = 0; i < trace->version_count; i++) {
+		if (i != version && trace->versions[i].model == trace->versions[version].model &&
+		    !dw_rollout_is_held(instance->rollout, instance_version_id(i)))
+			return true;
+	}
+	return false;
+}
+
 uint64_t instance_work_of(const struct trace *trace, const struct trace_request *request)
 {
 	if (trace->models[request->model].service)
--- a/src/wharf-replay/instance.h
+++ b/src/wharf-replay/instance.h
@@ -34,9 +34,14 @@
 uint64_t instance_version_id(uint32_t version);
 
 /* The version for the request: by its session, or the request itself, and the roll-out weights of
- * those that aren't held; TRACE_VERSIONS_MAX if all are. */
+ * those that aren't held, @p avoided left out; TRACE_VERSIONS_MAX if there is none. */
 uint32_t instance_choose_version(const struct instance *instance, const struct trace *trace,
-				 const struct trace_request *request, uint32_t model);
+				 const struct trace_request *request, uint32_t model,
+				 uint32_t avoided);
+
+/* The version's answers are rated before release, if there is another version for a bad one. */
+bool instance_rates_first(const struct instance *instance, const struct trace *trace,
+			  uint32_t version);
 
 uint64_t instance_work_of(const struct trace *trace, const struct trace_request *request);
 
--- a/src/wharf-replay/metrics.h
+++ b/src/wharf-replay/metrics.h
@@ -25,6 +25,7 @@
 	enum outcome outcome;
 	bool met; /* at or above the quality target and in time */
 	bool exposed; /* a bad answer of a version that had turned bad was released */
+	bool was_run_again; /* on another version, as the first one's answer was bad */
 	uint32_t version; /* of the released answer */
 	uint64_t latency_us;
 	uint64_t ended_us;
--- a/src/wharf-replay/naive.c
+++ b/src/wharf-replay/naive.c
@@ -41,6 +41,8 @@
 	model = trace->versions[result->version].model;
 	if (!(allowed >> model & 1) || model > request->model)
 		return true;
+	if (result->was_run_again)
+		return request->session != 0;
 	if (metrics->held_at_us && result->ended_us > metrics->held_at_us)
 		return false;
 	return result->version != naive_version(trace, request, model);
--- a/src/wharf-replay/run.c
+++ b/src/wharf-replay/run.c
@@ -68,6 +68,7 @@
 
 	result->version = job->version;
 	result->exposed = job->spoilt;
+	result->was_run_again = job->avoided != TRACE_VERSIONS_MAX;
 	end_job(world, index, OUTCOME_ANSWERED);
 	result->met = score_of(world, index) >= world->trace->quality_target_permille &&
 		      result->ended_us <= request->deadline_us;
@@ -225,8 +226,9 @@
 {
 	struct job *job = &world->jobs[index];
 
-	job->version = instance_choose_version(&world->instances[job->instance], world->trace,
-					       request_of(world, index), model_of(job));
+	job->version =
+		instance_choose_version(&world->instances[job->instance], world->trace,
+					request_of(world, index), model_of(job), job->avoided);
 	if (job->version == TRACE_VERSIONS_MAX)
 		end_job(world, index, OUTCOME_FAILED);
 	else if (world->strategy->decides)
@@ -274,6 +276,16 @@
 	start_engine(world, event->subject);
 }
 
+/* A session keeps its version: its answers can't be run again on another one. */
+static bool rates_first(const struct world *world, uint32_t index)
+{
+	const struct job *job = &world->jobs[index];
+
+	return world->strategy->decides && job->avoided == TRACE_VERSIONS_MAX &&
+	       !request_of(world, index)->session &&
+	       instance_rates_first(&world->instances[job->instance], world->trace, job->version);
+}
+
 /* The instance has the whole answer. */
 static void on_answer(struct world *world, uint32_t index)
 {
@@ -296,7 +308,7 @@
 	job->spoilt = request->luck_permille < world->bad_permille[job->version];
 	if (!model->service)
 		world->results[index].cost_micros += RATING_COST_MICROS;
-	if (job->position + 1 < job->step_count) {
+	if (job->position + 1 < job->step_count || rates_first(world, index)) {
 		schedule(world, world->now_us + RATING_US, EVENT_RATED, index);
 		return;
 	}
@@ -305,36 +317,63 @@
 	release(world, index);
 }
 
-static void on_rated(struct world *world, uint32_t index)
+/* Only the answers of the model that was asked for tell of its version: a cheap model's answers are
+ * often below the target, which the cascade learns. */
+static void count_evidence(struct world *world, const struct job *job, bool passed)
+{
+	bool newly_held;
+
+	dw_rollout_count(world->instances[job->instance].rollout, instance_version_id(job->version),
+			 passed ? DW_ROLLOUT_GOOD : DW_ROLLOUT_BAD, &newly_held);
+	if (newly_held && !world->metrics->held_at_us)
+		world->metrics->held_at_us = world->now_us;
+}
+
+static bool has_passed(const struct world *world, uint32_t index)
+{
+	return score_of(world, index) >= world->trace->quality_target_permille;
+}
+
+static void on_evidence(struct world *world, uint32_t index)
+{
+	count_evidence(world, &world->jobs[index], has_passed(world, index));
+}
+
+/* The last step was rated before release: a bad answer is run again, once, on another version. */
+static void on_last_rated(struct world *world, uint32_t index)
 {
-	const struct trace_request *request = request_of(world, index);
 	struct job *job = &world->jobs[index];
-	bool passed = score_of(world, index) >= world->trace->quality_target_permille;
+	bool passed = has_passed(world, index);
 
-	dw_cascade_rates_learn(world->instances[job->instance].rates, request->organisation,
-			       model_of(job), instance_work_of(world->trace, request), passed,
-			       world->now_us);
+	count_evidence(world, job, passed);
 	if (passed) {
 		release(world, index);
 		return;
 	}
-	job->position++;
+	job->avoided = job->version;
 	job->tried_count = 0;
 	start_step(world, index);
 }
 
-/* Only the answers of the model that was asked for tell of its version: a cheap model's answers are
- * often below the target, which the cascade learns. */
-static void on_evidence(struct world *world, uint32_t index)
+static void on_rated(struct world *world, uint32_t index)
 {
-	const struct job *job = &world->jobs[index];
-	bool passed = score_of(world, index) >= world->trace->quality_target_permille;
-	bool newly_held;
+	const struct trace_request *request = request_of(world, index);
+	struct job *job = &world->jobs[index];
 
-	dw_rollout_count(world->instances[job->instance].rollout, instance_version_id(job->version),
-			 passed ? DW_ROLLOUT_GOOD : DW_ROLLOUT_BAD, &newly_held);
-	if (newly_held && !world->metrics->held_at_us)
-		world->metrics->held_at_us = world->now_us;
+	if (job->position + 1 == job->step_count) {
+		on_last_rated(world, index);
+		return;
+	}
+	dw_cascade_rates_learn(world->instances[job->instance].rates, request->organisation,
+			       model_of(job), instance_work_of(world->trace, request),
+			       has_passed(world, index), world->now_us);
+	if (has_passed(world, index)) {
+		release(world, index);
+		return;
+	}
+	job->position++;
+	job->tried_count = 0;
+	start_step(world, index);
 }
 
 static void handle(struct world *world, const struct event *event)
@@ -388,8 +427,10 @@
 	}
 	for (uint32_t i = 0; i < trace->instances; i++)
 		instance_init(&world->instances[i], trace, world->strategy, i);
-	for (size_t i = 0; i < trace->request_count; i++)
+	for (size_t i = 0; i < trace->request_count; i++) {
 		world->jobs[i].instance = random_below(&world->random, trace->instances);
+		world->jobs[i].avoided = TRACE_VERSIONS_MAX;
+	}
 	for (size_t i = 0; i < trace->fault_count; i++)
 		schedule(world, trace->faults[i].at_us, EVENT_FAULT, (uint32_t)i);
 	schedule(world, 0, EVENT_TICK, 0);
--- a/src/wharf-replay/run.h
+++ b/src/wharf-replay/run.h
@@ -16,7 +16,7 @@
 /*
  * Compares with a naive version of perfect knowledge: whether each request is permitted, that only
  * permitted models answered, and the version that its session and the roll-out weights give, until
- * a version is held. @return how many results differ, the first one in @p first.
+ * a version is held; only a request without a session may have been run again on another. @return how many results differ, the first one in @p first.
  */
 size_t run_compare_with_naive(const struct trace *trace, const struct result *results,
 			      const struct metrics *metrics, size_t *first);
--- a/src/wharf-replay/world.h
+++ b/src/wharf-replay/world.h
@@ -29,6 +29,7 @@
 	uint64_t tried[WORLD_ATTEMPTS_MAX];
 	uint32_t tried_count;
 	struct engine_task task; /* as it ended */
+	uint32_t avoided; /* version whose bad answer is run again; TRACE_VERSIONS_MAX for none */
 	bool popped; /* counts in the admission queue as in flight */
 	bool spoilt; /* the answer at hand is a bad one of a version turned bad */
 };
--- a/tests/rollout_test.cc
+++ b/tests/rollout_test.cc
@@ -186,6 +186,40 @@
 	}
 }
 
+/* Rating before release must start after two or three bad answers, yet stay rare when all is well. */
+TEST(Rollout, WatchesEarlyAndSeldomInVain)
+{
+	std::mt19937 random(kSeed);
+	std::bernoulli_distribution usual(0.04);
+	std::bernoulli_distribution worse(0.6);
+	Rollout good = make(1);
+	int watched = 0;
+	std::vector<int> runs;
+
+	for (int i = 0; i < 50'000; i++) {
+		count(good, usual(random));
+		watched += dw_rollout_is_watched(good.get(), kVersion);
+	}
+	std::cout << "watched in vain: " << watched << " of 50000 answers\n";
+	EXPECT_LE(watched, 50'000 / 10);
+	for (int run = 0; run < 200; run++) {
+		Rollout one = make(1);
+		int bad_count = 0;
+
+		for (int i = 0; i < 1000; i++)
+			count(one, usual(random));
+		while (!dw_rollout_is_watched(one.get(), kVersion)) {
+			bool bad = worse(random);
+
+			bad_count += bad;
+			count(one, bad);
+		}
+		runs.push_back(bad_count);
+	}
+	std::sort(runs.begin(), runs.end());
+	EXPECT_LE(runs[180], 3);
+}
+
 TEST(Rollout, PoolsTheEvidenceOfAllInstances)
 {
 	std::vector<Rollout> all;
