--- a/src/core/route.c
+++ b/src/core/route.c
@@ -223,17 +223,23 @@
 	out->expected_us = option->expected_us;
 }
 
-static void choose_affine(const struct dw_route_request *request,
-			  const struct dw_route_candidate *candidates, const struct option *option,
-			  struct dw_route_choice *out)
+/* Expected time with the prefix in the upstream's cache. */
+static uint64_t cached_us(const struct dw_route_request *request,
+			  const struct dw_route_candidate *candidates, const struct option *option)
 {
 	uint32_t cached = request->cached_tokens < request->prompt_tokens ? request->cached_tokens
 									  : request->prompt_tokens;
 
+	return dw_upstream_load_expected_us(candidates[option->index].load, option->load,
+					    request->prompt_tokens - cached, request->tokens);
+}
+
+static void choose_affine(const struct dw_route_request *request,
+			  const struct dw_route_candidate *candidates, const struct option *option,
+			  struct dw_route_choice *out)
+{
 	choose(out, option, DW_ROUTE_AFFINITY);
-	out->expected_us =
-		dw_upstream_load_expected_us(candidates[option->index].load, option->load,
-					     request->prompt_tokens - cached, request->tokens);
+	out->expected_us = cached_us(request, candidates, option);
 }
 
 static void choose_usual(const struct dw_route_policy *policy,
@@ -242,6 +248,7 @@
 			 struct dw_route_choice *out)
 {
 	const struct option *option = NULL;
+	const struct option *drawn;
 
 	if (options->list[0].tier == TIER_SUSPECT) {
 		choose(out, least(options), DW_ROUTE_LAST_RESORT);
@@ -251,12 +258,14 @@
 		choose(out, &options->list[0], DW_ROUTE_ONLY);
 		return;
 	}
+	drawn = two_choices(options, request->random);
 	if (request->affinity)
 		option = affine(request, candidates, options);
-	if (option && is_within_bound(policy, candidates, options, option))
+	if (option && is_within_bound(policy, candidates, options, option) &&
+	    cached_us(request, candidates, option) <= drawn->expected_us)
 		choose_affine(request, candidates, option, out);
 	else
-		choose(out, two_choices(options, request->random), DW_ROUTE_TWO_CHOICES);
+		choose(out, drawn, DW_ROUTE_TWO_CHOICES);
 }
 
 static enum dw_status check(const struct dw_route_request *request,
