--- a/src/wharf-replay/metrics.c
+++ b/src/wharf-replay/metrics.c
@@ -11,6 +11,7 @@
 		[OUTCOME_REFUSED_LATE] = "refused_late",
 		[OUTCOME_REFUSED_FULL] = "refused_full",
 		[OUTCOME_EXPIRED] = "expired",
+		[OUTCOME_TIMED_OUT] = "timed_out",
 		[OUTCOME_FAILED] = "failed",
 	};
 
@@ -109,6 +110,24 @@
 	}
 }
 
+/* Met share of the organisations that have the weight 1. */
+static double small_met_share(const struct trace *trace, const struct result *results)
+{
+	uint32_t permitted = 0;
+	uint32_t met = 0;
+
+	for (size_t i = 0; i < trace->request_count; i++) {
+		uint32_t organisation = trace->requests[i].organisation;
+
+		if (trace->organisations[organisation].weight > 1 ||
+		    results[i].outcome == OUTCOME_FORBIDDEN)
+			continue;
+		permitted++;
+		met += results[i].met;
+	}
+	return permitted ? (double)met / permitted : 1.0;
+}
+
 void metrics_sum(struct metrics *metrics, const struct trace *trace, const struct result *results)
 {
 	uint64_t *scratch = scratch_new(trace);
@@ -134,6 +153,7 @@
 		metrics->cost_per_met_micros = (double)metrics->cost_micros / metrics->met;
 	if (permitted)
 		metrics->met_share = (double)metrics->met / (double)permitted;
+	metrics->small_met_share = small_met_share(trace, results);
 	metrics->all = latencies_of(trace, results, results, -1, scratch);
 	for (uint32_t class = 0; class < trace->class_count; class ++)
 		metrics->classes[class] =
--- a/src/wharf-replay/metrics.h
+++ b/src/wharf-replay/metrics.h
@@ -16,6 +16,7 @@
 	OUTCOME_REFUSED_LATE, /* couldn't finish by its deadline; not run */
 	OUTCOME_REFUSED_FULL, /* the queue was full; not run */
 	OUTCOME_EXPIRED, /* became hopeless in the queue; not run */
+	OUTCOME_TIMED_OUT, /* a later step or attempt couldn't finish by the deadline */
 	OUTCOME_FAILED, /* every attempt failed */
 	OUTCOME_COUNT
 };
@@ -50,6 +51,7 @@
 	uint64_t cost_micros;
 	double cost_per_met_micros;
 	double met_share; /* of the requests that were permitted */
+	double small_met_share; /* of those of organisations with the least weight */
 	struct percentiles all; /* of model requests; services are a class of their own */
 	struct percentiles classes[TRACE_CLASSES_MAX];
 	/* For the picture: by time of arrival. */
--- a/src/wharf-replay/report.c
+++ b/src/wharf-replay/report.c
@@ -36,6 +36,7 @@
 
 	add_double(object, "cost_per_met_micros", metrics->cost_per_met_micros);
 	add_double(object, "met_share", metrics->met_share);
+	add_double(object, "small_met_share", metrics->small_met_share);
 	for (int i = OUTCOME_ANSWERED; i < OUTCOME_COUNT; i++)
 		add_int(object, outcome_name((enum outcome)i), metrics->outcomes[i]);
 	add_int(object, "late", metrics->late);
@@ -132,6 +133,11 @@
 	return metrics->met_share * 100.0;
 }
 
+static double small_met_of(const struct metrics *metrics)
+{
+	return metrics->small_met_share * 100.0;
+}
+
 static double late_of(const struct metrics *metrics)
 {
 	return metrics->late;
@@ -163,6 +169,7 @@
 } rows[] = {
 	{ "cost per met answer, micros", cost_of },
 	{ "met the target, %", met_of },
+	{ "  of small organisations, %", small_met_of },
 	{ "answered late", late_of },
 	{ "bad answers released", exposed_of },
 	{ "bad version held at, s", held_of },
--- a/src/wharf-replay/run.c
+++ b/src/wharf-replay/run.c
@@ -10,7 +10,6 @@
 #define SUSPECT_US 3000000
 #define TICK_US ENGINE_REPORT_EVERY_US
 #define SPOILT_SCORE 200
-#define NO_DEADLINE 0
 
 static void start_step(struct world *world, uint32_t index);
 
@@ -183,6 +182,28 @@
 	}
 }
 
+/* Nothing of the request has run yet: only then a refusal may say so. */
+static bool has_not_run(const struct job *job)
+{
+	return job->position == 0 && job->tried_count == 0 && job->avoided == TRACE_VERSIONS_MAX;
+}
+
+static void end_expired(struct world *world, uint32_t index)
+{
+	end_job(world, index,
+		has_not_run(&world->jobs[index]) ? OUTCOME_EXPIRED : OUTCOME_TIMED_OUT);
+}
+
+static void end_refused(struct world *world, uint32_t index, enum dw_status status)
+{
+	if (!has_not_run(&world->jobs[index]))
+		end_job(world, index, OUTCOME_TIMED_OUT);
+	else if (status == DW_TIMEOUT)
+		end_job(world, index, OUTCOME_REFUSED_LATE);
+	else
+		end_job(world, index, OUTCOME_REFUSED_FULL);
+}
+
 static void expire(struct world *world)
 {
 	struct dw_admission_entry entry;
@@ -191,26 +212,25 @@
 	for (uint32_t i = 0; i < world->trace->instances; i++) {
 		while (!dw_admission_expire(world->instances[i].admission, world->now_us, &entry,
 					    &handle))
-			end_job(world, (uint32_t)(uintptr_t)entry.data, OUTCOME_EXPIRED);
+			end_expired(world, (uint32_t)(uintptr_t)entry.data);
 	}
 }
 
-/* A later step or attempt has cost work already: it goes first and is not refused any more. */
+/* A later step or attempt has cost work already: it goes first. */
 static void enqueue(struct world *world, uint32_t index)
 {
 	const struct trace_request *request = request_of(world, index);
 	const struct job *job = &world->jobs[index];
 	const struct instance *instance = &world->instances[job->instance];
-	bool is_first = job->position == 0 && job->tried_count == 0;
 	const struct trace_model *model = &world->trace->models[model_of(job)];
 	dw_admission_handle handle;
 	enum dw_status status;
 	struct dw_admission_entry entry = {
 		.organisation_id = request->organisation,
-		.priority = is_first ? (enum dw_admission_priority)request->priority
-				     : DW_ADMISSION_HIGH,
+		.priority = has_not_run(job) ? (enum dw_admission_priority)request->priority
+					     : DW_ADMISSION_HIGH,
 		.pool = model_of(job),
-		.deadline_us = is_first ? request->deadline_us : NO_DEADLINE,
+		.deadline_us = request->deadline_us,
 		.service_us = (uint64_t)model->us_per_token *
 			      instance_expected_tokens(instance, world->trace, request),
 		.data = (void *)(uintptr_t)index,
@@ -218,8 +238,7 @@
 
 	status = dw_admission_push(instance->admission, world->now_us, &entry, &handle);
 	if (status)
-		end_job(world, index,
-			status == DW_TIMEOUT ? OUTCOME_REFUSED_LATE : OUTCOME_REFUSED_FULL);
+		end_refused(world, index, status);
 }
 
 static void start_step(struct world *world, uint32_t index)
--- a/src/wharf-replay/world.c
+++ b/src/wharf-replay/world.c
@@ -100,6 +100,24 @@
 	return round_robin(world, &world->jobs[job]);
 }
 
+/* Expected wait at the door; a cascade's later steps have high priority. */
+static uint64_t door_wait_us(const struct world *world, const struct job *job, uint32_t model,
+			     const struct trace_request *request)
+{
+	const struct instance *instance = &world->instances[job->instance];
+	struct dw_admission_entry entry = {
+		.organisation_id = request->organisation,
+		.priority =
+			model ? DW_ADMISSION_HIGH : (enum dw_admission_priority)request->priority,
+		.pool = model,
+		.deadline_us = request->deadline_us,
+		.service_us = (uint64_t)world->trace->models[model].us_per_token *
+			      instance_expected_tokens(instance, world->trace, request),
+	};
+
+	return dw_admission_expected_wait_us(instance->admission, &entry);
+}
+
 /* Mean over the engines in service, as the instance sees them. */
 static uint64_t expected_us(const struct world *world, const struct job *job, uint32_t model,
 			    const struct trace_request *request)
@@ -120,7 +138,7 @@
 			request->prompt_tokens - request->prefix_tokens, tokens);
 		count++;
 	}
-	return count ? sum_us / count + RATING_US : 0;
+	return count ? sum_us / count + RATING_US + door_wait_us(world, job, model, request) : 0;
 }
 
 static bool may_use(const struct world *world, const struct trace_request *request, uint32_t model)
