--- a/src/wharf-replay/run.c
+++ b/src/wharf-replay/run.c
@@ -227,8 +227,7 @@
 	enum dw_status status;
 	struct dw_admission_entry entry = {
 		.organisation_id = request->organisation,
-		.priority = has_not_run(job) ? (enum dw_admission_priority)request->priority
-					     : DW_ADMISSION_HIGH,
+		.priority = (enum dw_admission_priority)request->priority,
 		.pool = model_of(job),
 		.deadline_us = request->deadline_us,
 		.service_us = (uint64_t)model->us_per_token *
