--- a/src/core/hold_test.c
+++ b/src/core/hold_test.c
@@ -11,8 +11,8 @@
 #define OTHERS_MIN_ANSWERS 100
 #define BASELINE_MIN 0.001
 #define BASELINE_MAX 0.6
-/* Log ratio at which recent evidence is suspicious: two bad answers close together. */
-#define SUSPICION_LOG_RATIO 3.0
+/* Log ratio at which recent evidence is suspicious: one bad answer does it for a moment. */
+#define SUSPICION_LOG_RATIO 2.5
 /* Keeps exp() finite; far above any threshold. */
 #define LOG_RATIO_MAX 600.0
 
--- a/src/wharf-replay/run.c
+++ b/src/wharf-replay/run.c
@@ -345,6 +345,8 @@
 			 passed ? DW_ROLLOUT_GOOD : DW_ROLLOUT_BAD, &newly_held);
 	if (newly_held && !world->metrics->held_at_us)
 		world->metrics->held_at_us = world->now_us;
+	if (!passed)
+		world_tell_evidence(world, job->instance);
 }
 
 static bool has_passed(const struct world *world, uint32_t index)
--- a/src/wharf-replay/world.c
+++ b/src/wharf-replay/world.c
@@ -245,20 +245,35 @@
 	}
 }
 
+static void give(struct world *world, uint32_t peer, const struct dw_rollout_message *message)
+{
+	uint64_t held[HELD_MAX];
+
+	if (dw_rollout_merge(world->instances[peer].rollout, message, held, HELD_MAX) &&
+	    !world->metrics->held_at_us)
+		world->metrics->held_at_us = world->now_us;
+}
+
 static void exchange_evidence(struct world *world, struct instance *instance)
 {
 	struct dw_rollout_message message;
-	uint64_t held[HELD_MAX];
 
 	while (dw_rollout_collect(instance->rollout, &message)) {
-		for (int i = 0; i < GOSSIP_FANOUT; i++) {
-			uint32_t peer = random_below(&world->random, world->trace->instances);
+		for (int i = 0; i < GOSSIP_FANOUT; i++)
+			give(world, random_below(&world->random, world->trace->instances),
+			     &message);
+	}
+}
 
-			if (dw_rollout_merge(world->instances[peer].rollout, &message, held,
-					     HELD_MAX) &&
-			    !world->metrics->held_at_us)
-				world->metrics->held_at_us = world->now_us;
-		}
+void world_tell_evidence(struct world *world, uint32_t instance)
+{
+	struct dw_rollout_message message;
+
+	if (!world->strategy->shares_evidence)
+		return;
+	while (dw_rollout_collect(world->instances[instance].rollout, &message)) {
+		for (uint32_t peer = 0; peer < world->trace->instances; peer++)
+			give(world, peer, &message);
 	}
 }
 
--- a/src/wharf-replay/world.h
+++ b/src/wharf-replay/world.h
@@ -69,6 +69,9 @@
 /* Applies one of the trace's faults; engines that come back are told by EVENT_WARM when warm. */
 void world_apply_fault(struct world *world, const struct trace_fault *fault);
 
+/* An instance tells all others of its evidence at once, if the strategy shares it. */
+void world_tell_evidence(struct world *world, uint32_t instance);
+
 /* Reports reach the instances; evidence is exchanged if the strategy shares it. */
 void world_tick(struct world *world);
 
