--- a/tests/rollout_test.cc
+++ b/tests/rollout_test.cc
@@ -7,6 +7,8 @@
 
 #include <dragonflywharf/rollout.h>
 
+#include "net/rollout_codec.h"
+
 namespace
 {
 
@@ -333,4 +335,60 @@
 	EXPECT_EQ(totals(one).bad, 0U);
 }
 
+std::string encoded(const dw_rollout_message &message)
+{
+	msgpack_sbuffer buffer;
+	msgpack_packer packer;
+
+	msgpack_sbuffer_init(&buffer);
+	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+	dw_rollout_encode(&message, &packer);
+	std::string bytes(buffer.data, buffer.size);
+	msgpack_sbuffer_destroy(&buffer);
+	return bytes;
+}
+
+enum dw_status decoded(const std::string &bytes, dw_rollout_message *out)
+{
+	msgpack_unpacked value;
+	size_t used = 0;
+	enum dw_status status = DW_INVALID_ARGUMENT;
+
+	msgpack_unpacked_init(&value);
+	if (msgpack_unpack_next(&value, bytes.data(), bytes.size(), &used) ==
+	    MSGPACK_UNPACK_SUCCESS)
+		status = dw_rollout_decode(&value.data, out);
+	msgpack_unpacked_destroy(&value);
+	return status;
+}
+
+TEST(RolloutCodec, CarriesAMessageWholeAndNeverTakesAMalformedOne)
+{
+	std::mt19937_64 random(kSeed);
+	dw_rollout_message message = entry_of(7, 8, 1'000'000, 30, 5);
+	dw_rollout_message back = {};
+
+	message.entries[0].errors = 4;
+	message.hold_count = 1;
+	message.holds[0] = { UINT64_MAX, 9 };
+	std::string bytes = encoded(message);
+	ASSERT_EQ(decoded(bytes, &back), DW_OK);
+	EXPECT_EQ(encoded(back), bytes);
+	message.entries[0].bad = 1'000'000;
+	EXPECT_EQ(decoded(encoded(message), &back), DW_INVALID_ARGUMENT) << "unsound counters";
+	EXPECT_EQ(back.entry_count, 0U);
+	/* What is still taken after damage is sound. */
+	for (int i = 0; i < 20'000; i++) {
+		std::string damaged = bytes.substr(0, 1 + random() % bytes.size());
+
+		damaged[random() % damaged.size()] = (char)random();
+		if (decoded(damaged, &back))
+			continue;
+		ASSERT_LE(back.entry_count, (uint32_t)DW_ROLLOUT_MESSAGE_ENTRIES);
+		for (uint32_t j = 0; j < back.entry_count; j++)
+			ASSERT_LE(back.entries[j].bad + back.entries[j].errors,
+				  back.entries[j].answers);
+	}
+}
+
 } // namespace
