--- a/src/dragonflywharfd/attempt.c
+++ b/src/dragonflywharfd/attempt.c
@@ -201,6 +201,8 @@
 			     taught ? &attempt->sample : NULL);
 	if (result->status == DW_UPSTREAM_FAILED || result->status == DW_UNAVAILABLE)
 		upstream_table_broke(table, attempt->upstream_id, attempt->options.fingerprint);
+	if (attempt->http_status == 503 || attempt->http_status == 429)
+		upstream_table_overloaded(table, attempt->upstream_id);
 	if (!upstream || attempt->abandoned)
 		return;
 	upstream->failures = good ? 0 : upstream->failures + 1;
--- a/src/dragonflywharfd/upstream_table.c
+++ b/src/dragonflywharfd/upstream_table.c
@@ -167,13 +167,14 @@
 	struct dw_warmth_evidence evidence;
 	struct peer_message_buffer buffer;
 
-	if (!dw_warmth_evidence(&upstream->warmth, upstream->id, upstream->cold_period_us,
+	if (!dw_warmth_export(&upstream->warmth, upstream->id, upstream->cold_period_us,
 				dw_clock_now_us(), &evidence))
 		return;
 	peer_message_buffer_init(&buffer);
-	msgpack_pack_array(&buffer.packer, 3);
+	msgpack_pack_array(&buffer.packer, UPSTREAM_EVIDENCE_FIELDS);
 	msgpack_pack_uint64(&buffer.packer, evidence.upstream_id);
 	msgpack_pack_uint64(&buffer.packer, evidence.incarnation);
+	msgpack_pack_uint32(&buffer.packer, evidence.turn);
 	msgpack_pack_uint64(&buffer.packer, evidence.age_us);
 	peer_bus_gossip(table->daemon, DW_MEMBERSHIP_MAX, PEER_WARMTH, &buffer);
 	peer_message_buffer_clear(&buffer);
@@ -201,6 +202,17 @@
 	tell_warmth(table, upstream);
 }
 
+void upstream_table_overloaded(struct upstream_table *table, uint64_t id)
+{
+	struct upstream *upstream = upstream_table_find(table, id);
+
+	if (!upstream || upstream->is_service || upstream->told_cold)
+		return;
+	dw_warmth_suspect(&upstream->warmth, upstream->cold_period_us, dw_clock_now_us());
+	gossip_warmth(table, upstream);
+	tell_warmth(table, upstream);
+}
+
 void upstream_table_merge(struct upstream_table *table, const struct dw_warmth_evidence *evidence)
 {
 	struct upstream *upstream = upstream_table_find(table, evidence->upstream_id);
--- a/src/dragonflywharfd/upstream_table.h
+++ b/src/dragonflywharfd/upstream_table.h
@@ -13,6 +13,8 @@
 
 #define UPSTREAM_RUNNING_MAX 256
 #define UPSTREAM_BROKEN_MAX 64
+/** Fields of the peers' message on an upstream's warmth: id, incarnation, turn, age. */
+#define UPSTREAM_EVIDENCE_FIELDS 4
 
 struct upstream {
 	uint64_t id; /**< XXH64 of the name */
@@ -69,6 +71,9 @@
 void upstream_table_broke(struct upstream_table *table, uint64_t id,
 			  struct dw_fingerprint fingerprint);
 
+/** A warm upstream refuses work within its limit: it may have turned cold. */
+void upstream_table_overloaded(struct upstream_table *table, uint64_t id);
+
 /** A peer's evidence of an upstream's incarnation. */
 void upstream_table_merge(struct upstream_table *table, const struct dw_warmth_evidence *evidence);
 
