An oversized request gets the typed JSON error

Cause: h2o refuses it itself, in plain text, before any handler. Change: a filter on both paths replaces the body of such an answer. Red first: http_test got h2o's own text. A request line that is no HTTP at all still gets h2o's plain 400, as no request exists to answer.

--- a/src/dragonflywharfd/peer_bus.c
+++ b/src/dragonflywharfd/peer_bus.c
@@ -176,7 +176,8 @@
 	const msgpack_object *fields;
 	uint64_t turn = 0;
 
-	if (value->type != MSGPACK_OBJECT_ARRAY || value->via.array.size != UPSTREAM_EVIDENCE_FIELDS) {
+	if (value->type != MSGPACK_OBJECT_ARRAY ||
+	    value->via.array.size != UPSTREAM_EVIDENCE_FIELDS) {
 		dw_fail(DW_INVALID_ARGUMENT, "warmth evidence: not an array of 4");
 		bad_message(daemon, from);
 		return;
--- a/src/dragonflywharfd/upstream_table.c
+++ b/src/dragonflywharfd/upstream_table.c
@@ -168,7 +168,7 @@
 	struct peer_message_buffer buffer;
 
 	if (!dw_warmth_export(&upstream->warmth, upstream->id, upstream->cold_period_us,
-				dw_clock_now_us(), &evidence))
+			      dw_clock_now_us(), &evidence))
 		return;
 	peer_message_buffer_init(&buffer);
 	msgpack_pack_array(&buffer.packer, UPSTREAM_EVIDENCE_FIELDS);
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -12,6 +12,11 @@
 /** How often the sockets of outstanding exchanges are looked at for a caller that has left. */
 #define GONE_CHECK_MS 100
 #define STATUS_CLIENT_CLOSED 499
+#define STATUS_TOO_LARGE 413
+/** What callers get for a request that no handler sees; docs/ERRORS.md. */
+#define OWN_ERROR                                                                                  \
+	"{\"error\":{\"type\":\"too_large\",\"code\":2,"                                           \
+	"\"message\":\"the request is too large\",\"not_run\":true}}"
 #define ANY_PORT_HOST 65535
 
 struct bytes {
@@ -61,6 +66,11 @@
 	struct dw_http_server *server;
 };
 
+struct filter {
+	h2o_filter_t super;
+	struct dw_http_server *server;
+};
+
 static void bytes_append(struct bytes *bytes, const char *base, size_t len)
 {
 	if (bytes->len + len > bytes->capacity) {
@@ -259,6 +269,48 @@
 	h2o_accept(&server->accept, h2o_uv_socket_create((uv_stream_t *)tcp, (uv_close_cb)free));
 }
 
+static bool has_exchange(const struct dw_http_server *server, const h2o_req_t *req)
+{
+	const struct dw_http_exchange *exchange = server->exchanges;
+
+	while (exchange && exchange->req != req)
+		exchange = exchange->next;
+	return exchange != NULL;
+}
+
+static void send_own_error(h2o_ostream_t *self, h2o_req_t *req, h2o_iovec_t *bufs, size_t count,
+			   h2o_send_state_t state)
+{
+	h2o_iovec_t body = h2o_iovec_init(OWN_ERROR, strlen(OWN_ERROR));
+
+	h2o_ostream_send_next(self, req, &body, 1, H2O_SEND_STATE_FINAL);
+}
+
+/* An oversized request is refused by h2o itself, in plain text: callers get the typed error. */
+static void on_setup_ostream(h2o_filter_t *self, h2o_req_t *req, h2o_ostream_t **slot)
+{
+	struct dw_http_server *server = ((struct filter *)self)->server;
+
+	if (req->res.status == STATUS_TOO_LARGE && !has_exchange(server, req)) {
+		h2o_ostream_t *stream = h2o_add_ostream(req, sizeof(*stream), slot);
+
+		stream->do_send = send_own_error;
+		req->res.content_length = strlen(OWN_ERROR);
+		h2o_set_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE,
+			       H2O_STRLIT("application/json"), 1);
+		slot = &stream->next;
+	}
+	h2o_setup_next_ostream(req, slot);
+}
+
+static void add_filter(struct dw_http_server *server, h2o_pathconf_t *path)
+{
+	struct filter *filter = (struct filter *)h2o_create_filter(path, sizeof(*filter));
+
+	filter->super.on_setup_ostream = on_setup_ostream;
+	filter->server = server;
+}
+
 static void configure(struct dw_http_server *server)
 {
 	h2o_hostconf_t *host;
@@ -275,6 +327,8 @@
 	handler = (struct handler *)h2o_create_handler(path, sizeof(*handler));
 	handler->super.on_req = on_request;
 	handler->server = server;
+	add_filter(server, path);
+	add_filter(server, &host->fallback_path);
 	h2o_context_init(&server->context, server->loop, &server->config);
 	server->accept.ctx = &server->context;
 	server->accept.hosts = server->config.hosts;
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -184,6 +184,8 @@
 	dw_http_call(client, &options);
 	run_until(answer.done);
 	EXPECT_EQ(answer.end.http_status, 413);
+	EXPECT_NE(answer.body.find("\"type\":\"too_large\""), std::string::npos) << answer.body;
+	EXPECT_NE(answer.body.find("\"not_run\":true"), std::string::npos);
 	EXPECT_FALSE(handled);
 }
 
