At most once: a stop waits for calls that still run without a caller

Cause: dw_once_pending() left out dispatched calls; a daemon whose caller has gone could stop while the call runs, and its outcome would stay unknown. Change: every ticket counts. The test's idle check leaves out calls whose outcome its fake service never tells.

--- a/include/dragonflywharf/once.h
+++ b/include/dragonflywharf/once.h
@@ -183,7 +183,7 @@
 /** Earliest monotonic time at which dw_once_tick() or an operation is due; UINT64_MAX if none. */
 uint64_t dw_once_deadline_us(const struct dw_once *once);
 
-/** Tickets whose intent or outcome still needs the store; a graceful stop waits for 0. */
+/** Tickets that run or still need the store, also without a caller; a graceful stop waits for 0. */
 size_t dw_once_pending(const struct dw_once *once);
 
 struct dw_once_counters dw_once_read_counters(const struct dw_once *once);
--- a/src/core/once.c
+++ b/src/core/once.c
@@ -354,12 +354,7 @@
 
 size_t dw_once_pending(const struct dw_once *once)
 {
-	const struct dw_once_ticket *ticket;
-	size_t count = 0;
-
-	for (ticket = once->tickets; ticket; ticket = ticket->hh.next)
-		count += ticket->state != DW_ONCE_TICKET_DISPATCHED;
-	return count;
+	return HASH_COUNT(once->tickets);
 }
 
 struct dw_once_counters dw_once_read_counters(const struct dw_once *once)
