Ledger glue: a repeat of a safe record is let go, the pump runs until nothing moves, budgets fed

Cause: a repeat whose first record was already told as safe was never named again and its answer never ended; an append from within a told answer waited for the next tick; organisations' retry budgets never grew; with no peer each answer waited 250 ms for a copy that couldn't come.

--- a/src/dragonflywharfd/chat_answer.c
+++ b/src/dragonflywharfd/chat_answer.c
@@ -4,6 +4,7 @@
 
 #include "dragonflywharfd/chat_request_state.h"
 #include "dragonflywharfd/ledger_sync.h"
+#include "dragonflywharfd/request_headers.h"
 
 /** A caller that takes its answer more slowly stops the reading from the upstream. */
 #define QUEUE_PAUSE_BYTES (256U << 10)
@@ -45,6 +46,7 @@
 	const struct chat_step *step = chat_request_step(request);
 
 	dw_counters_add(&request->daemon->counters, DW_COUNTER_REQUESTS_DONE, 1);
+	request_headers_feed_budget(request->daemon, request->organisation_id);
 	dw_log_event(&request->daemon->log, DW_EVENT_REQUEST_DONE, DW_STR("request", request->id),
 		     DW_STR("organisation", request->organisation), DW_STR("model", step->model),
 		     DW_STR("version", step->version),
--- a/src/dragonflywharfd/ledger_sync.c
+++ b/src/dragonflywharfd/ledger_sync.c
@@ -40,34 +40,45 @@
 	return sync;
 }
 
-static void tell_waiters(struct ledger_sync *sync)
+/* Takes the first waiter of a record out of the list; NULL if there is none. */
+static struct waiter *take_waiter(struct ledger_sync *sync, uint64_t seq)
+{
+	struct waiter **at = &sync->waiters;
+	struct waiter *waiter;
+
+	while (*at && (*at)->seq != seq)
+		at = &(*at)->next;
+	waiter = *at;
+	if (waiter)
+		*at = waiter->next;
+	return waiter;
+}
+
+static bool tell_waiters(struct ledger_sync *sync)
 {
 	enum dw_ledger_protection protection;
+	bool moved = false;
 	uint64_t seq;
 
 	while (dw_ledger_next_protected(sync->ledger, &seq, &protection)) {
-		struct waiter **at = &sync->waiters;
+		struct waiter *waiter;
 
+		moved = true;
 		if (protection == DW_LEDGER_EXPOSED)
 			dw_counters_add(&sync->daemon->counters, DW_COUNTER_USAGE_EXPOSED, 1);
-		while (*at) {
-			struct waiter *waiter = *at;
-
-			if (waiter->seq != seq) {
-				at = &waiter->next;
-				continue;
-			}
-			*at = waiter->next;
+		while ((waiter = take_waiter(sync, seq)) != NULL) {
 			waiter->safe(waiter->owner);
 			free(waiter);
 		}
 	}
+	return moved;
 }
 
-static void send_messages(struct ledger_sync *sync)
+static bool send_messages(struct ledger_sync *sync)
 {
 	struct dw_ledger_message message;
 	struct dw_member_key to;
+	bool moved = false;
 
 	while (dw_ledger_next_message(sync->ledger, dw_clock_now_us(), &to, &message)) {
 		struct peer_message_buffer buffer;
@@ -76,7 +87,9 @@
 		dw_ledger_message_encode(&message, &buffer.bytes);
 		peer_bus_send(sync->daemon, to.instance_id, PEER_LEDGER, &buffer);
 		peer_message_buffer_clear(&buffer);
+		moved = true;
 	}
+	return moved;
 }
 
 static void ledger_sync_pump(struct ledger_sync *sync);
@@ -114,9 +127,10 @@
 	ledger_sync_pump(sync);
 }
 
-static void start_writes(struct ledger_sync *sync)
+static bool start_writes(struct ledger_sync *sync)
 {
 	struct dw_ledger_write write;
+	bool moved = false;
 
 	while (dw_ledger_next_write(sync->ledger, dw_clock_now_us(), &write)) {
 		struct ledger_put *put = calloc(1, sizeof(*put));
@@ -132,18 +146,24 @@
 		put->sync = sync;
 		put->id = write.id;
 		dw_store_put(sync->daemon->store, &call, on_written, put);
+		moved = true;
 	}
+	return moved;
 }
 
-/* A safe answer may end other requests, which come back here. */
+/* A safe answer may end other requests, which append more and come back here. */
 static void ledger_sync_pump(struct ledger_sync *sync)
 {
+	bool moved = true;
+
 	if (sync->pumping)
 		return;
 	sync->pumping = true;
-	send_messages(sync);
-	start_writes(sync);
-	tell_waiters(sync);
+	while (moved) {
+		moved = send_messages(sync);
+		moved |= start_writes(sync);
+		moved |= tell_waiters(sync);
+	}
 	sync->pumping = false;
 }
 
@@ -181,8 +201,17 @@
 		     DW_STR("version", record->version), DW_INT("seq", waiter->seq),
 		     DW_INT("request_low", record->request_id.low),
 		     DW_INT("completion_tokens", record->completion_tokens));
+	if (dw_ledger_protection_of(sync->ledger, waiter->seq) != DW_LEDGER_PROTECTION_COUNT) {
+		/* A repeat of a record that is safe already: it won't be named again. */
+		free(waiter);
+		safe(owner);
+		return;
+	}
 	waiter->next = sync->waiters;
 	sync->waiters = waiter;
+	/* With no peer to hold a copy, the answer waits for the store. */
+	if (sync->holder.instance_id == 0)
+		dw_ledger_flush(sync->ledger, dw_clock_now_us());
 	ledger_sync_pump(sync);
 }
 
--- a/src/dragonflywharfd/request_headers.c
+++ b/src/dragonflywharfd/request_headers.c
@@ -69,3 +69,12 @@
 	HASH_ADD(hh, daemon->budgets, organisation_id, sizeof(organisation_id), found);
 	return &found->budget;
 }
+
+void request_headers_feed_budget(struct daemon *daemon, uint64_t organisation_id)
+{
+	struct dw_retry_budget_options options = dw_retry_budget_default_options();
+	struct dw_retry_budget *budget = request_headers_budget(daemon, organisation_id);
+
+	if (budget)
+		dw_retry_budget_success(budget, &options, dw_clock_now_us());
+}
--- a/src/dragonflywharfd/request_headers.h
+++ b/src/dragonflywharfd/request_headers.h
@@ -18,4 +18,7 @@
 /** The retry budget of an organisation. */
 struct dw_retry_budget *request_headers_budget(struct daemon *daemon, uint64_t organisation_id);
 
+/** A request of the organisation was answered: its budget grows by a part of a retry. */
+void request_headers_feed_budget(struct daemon *daemon, uint64_t organisation_id);
+
 #endif
--- a/src/dragonflywharfd/service_request.c
+++ b/src/dragonflywharfd/service_request.c
@@ -129,6 +129,7 @@
 	request->exchange = NULL;
 	if (exchange) {
 		dw_counters_add(&request->daemon->counters, DW_COUNTER_REQUESTS_DONE, 1);
+		request_headers_feed_budget(request->daemon, request->turn.organisation_id);
 		dw_log_event(&request->daemon->log, DW_EVENT_REQUEST_DONE,
 			     DW_STR("request", request->id),
 			     DW_STR("organisation", request->organisation),
