--- a/src/net/share_codec.c
+++ b/src/net/share_codec.c
@@ -159,7 +159,8 @@
 	uint64_t numbers[MEMBER_FIELDS - 1];
 
 	if (object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size != MEMBER_FIELDS ||
-	    fields[0].type != MSGPACK_OBJECT_STR || fields[0].via.str.size >= sizeof(out->name) ||
+	    fields[0].type != MSGPACK_OBJECT_STR || fields[0].via.str.size == 0 ||
+	    fields[0].via.str.size >= sizeof(out->name) ||
 	    !read_numbers(&fields[1], MEMBER_FIELDS - 1, bounds, numbers))
 		return false;
 	*out = (struct dw_roster_member){ .key = { numbers[0], numbers[1] } };
--- a/tests/share_test.cc
+++ b/tests/share_test.cc
@@ -574,6 +574,24 @@
 	EXPECT_EQ(world->take_all(joined, 1), 0U);
 }
 
+TEST(Share, AJoinerUsesWhatItsFormerOwnersHandOverThoughAnotherIsPaused)
+{
+	auto world = quiet_world(4, 32, 1);
+	Instance &joined = world->instances[3];
+
+	world->instances[0].paused = true;
+	world->start(3);
+	world->propose();
+	world->adopt_all();
+	world->pass(S);
+	EXPECT_GT(world->status(joined, 1).free, 0U);
+	EXPECT_GT(world->status(joined, 1).unsettled, 0U);
+	world->instances[0].paused = false;
+	world->adopt_all();
+	world->pass(S);
+	EXPECT_EQ(world->status(joined, 1).unsettled, 0U);
+}
+
 TEST(Share, AGrantThatOutlivesItsEpochIsRefused)
 {
 	auto world = quiet_world(3, 32, 1);
@@ -614,6 +632,7 @@
 	world->now_us += 20 * S;
 	dw_share_tick(owner.share, world->now_us);
 	world->flush(owner);
+	ASSERT_EQ(world->network.size(), 1U);
 	world->deliver(0, false);
 	std::vector<Packet> declaration = world->network;
 	ASSERT_EQ(declaration.size(), 1U);
