Share: an unreachable owner isn't asked

Cause: an ask to a dead or cut-off owner is outstanding for 250 ms and holds one of four places. Change: dw_share_set_reachable(); safety doesn't rest on it. Test seen red without the check: 32 permits in place of 32 less the unreachable owner's.

--- a/include/dragonflywharf/share.h
+++ b/include/dragonflywharf/share.h
@@ -144,6 +144,12 @@
 /** Asks other owners, bounded, for up to @p count more slots; call again while requests wait. */
 void dw_share_want(struct dw_share *share, uint64_t upstream_id, uint32_t count, uint64_t now_us);
 
+/**
+ * The connection to a member is up or down, as the transport or the failure detector sees it. A
+ * member that is down isn't asked for slots; nothing else follows from it. All start as up.
+ */
+void dw_share_set_reachable(struct dw_share *share, struct dw_member_key member, bool reachable);
+
 /**
  * Takes in a message of the authenticated peer @p from.
  * @return DW_STALE if it belongs to another epoch or run, DW_INVALID_ARGUMENT if malformed; both
--- a/src/core/share.c
+++ b/src/core/share.c
@@ -191,9 +191,18 @@
 	return DW_OK;
 }
 
-static bool is_other(const struct dw_share *share, uint8_t owner)
+void dw_share_set_reachable(struct dw_share *share, struct dw_member_key member, bool reachable)
 {
-	return owner != share->self_index && owner != DW_MEMBER_NONE;
+	int32_t found = dw_roster_find(&share->roster, member);
+
+	if (found >= 0)
+		share->peers[found].unreachable = !reachable;
+}
+
+static bool can_ask(const struct dw_share *share, uint8_t owner)
+{
+	return owner != share->self_index && owner != DW_MEMBER_NONE &&
+	       !share->peers[owner].unreachable;
 }
 
 /** The next other owner that wasn't asked in this round, or DW_MEMBER_NONE at its end. */
@@ -204,7 +213,7 @@
 	while (up->ask_cursor < limit) {
 		uint8_t owner = up->slots[up->ask_cursor++].owner;
 
-		if (!is_other(share, owner) || dw_share_get_bit(up->asked, owner))
+		if (!can_ask(share, owner) || dw_share_get_bit(up->asked, owner))
 			continue;
 		dw_share_set_bit(up->asked, owner, true);
 		return owner;
@@ -220,7 +229,7 @@
 	for (uint32_t i = 0; i < limit; i++) {
 		uint8_t owner = up->slots[up->wait_cursor++ % limit].owner;
 
-		if (is_other(share, owner))
+		if (can_ask(share, owner))
 			return owner;
 	}
 	return DW_MEMBER_NONE;
--- a/src/core/share_epoch.c
+++ b/src/core/share_epoch.c
@@ -181,6 +181,7 @@
 			continue;
 		peers[now].declared_seq = share->peers[i].declared_seq;
 		peers[now].floor_seq = share->peers[i].floor_seq;
+		peers[now].unreachable = share->peers[i].unreachable;
 	}
 	memcpy(share->peers, peers, sizeof(peers));
 	share->unsettled_count = 0;
--- a/src/core/share_state.h
+++ b/src/core/share_state.h
@@ -93,6 +93,7 @@
 	uint64_t declared_seq; /**< latest declaration taken in */
 	uint64_t floor_seq; /**< it accepts no grants up to here */
 	uint32_t lent_count;
+	bool unreachable; /**< isn't asked */
 	bool acknowledged; /**< has declared itself in the present epoch */
 	bool declare_due;
 	bool answer_wanted; /**< of the declaration that is due */
--- a/tests/share_test.cc
+++ b/tests/share_test.cc
@@ -666,6 +666,18 @@
 	EXPECT_EQ(served.size(), 9U);
 }
 
+TEST(Share, AnUnreachableOwnerIsNotAsked)
+{
+	auto world = quiet_world(3, 32);
+	Instance &one = world->instances[0];
+
+	dw_share_set_reachable(one.share, world->instances[1].key, false);
+	EXPECT_EQ(world->take_all(one, 1), 32U - world->status(world->instances[1], 1).owned);
+	dw_share_set_reachable(one.share, world->instances[1].key, true);
+	world->take_all(one, 1);
+	EXPECT_EQ(one.running.size(), 32U);
+}
+
 TEST(Share, LimitsGoUpAtOnceAndDownAsRequestsEnd)
 {
 	auto world = quiet_world(3, 4);
