Ruleset: equal digests confirm a peer's revision

Cause: the store's revision also rises with writes that aren't configuration, so an instance that reads the store is ahead of all others in nothing but the number; each of them then pulled the whole configuration (1.27 MB at 13,063 keys). Change: dw_ruleset_confirm() takes over the revision if the digests are equal.

--- a/include/dragonflywharf/ruleset.h
+++ b/include/dragonflywharf/ruleset.h
@@ -75,6 +75,15 @@
 					 const struct dw_ruleset_item *items, size_t count,
 					 struct dw_ruleset_result *result);
 
+/**
+ * Takes a peer's word that the live keys of @p digest are complete up to @p to_revision: if the own
+ * digest is the same, nothing has to be sent. The store's revision rises with writes that aren't
+ * configuration, so instances often differ in nothing else.
+ * Errors: DW_STALE (not newer), DW_UNAVAILABLE (the digests differ: pull).
+ */
+enum dw_status dw_ruleset_confirm(struct dw_ruleset *ruleset, uint64_t to_revision,
+				  uint64_t digest);
+
 /** The store revision up to which the ruleset is complete; 0: no configuration yet. */
 uint64_t dw_ruleset_revision(const struct dw_ruleset *ruleset);
 
--- a/src/core/ruleset.c
+++ b/src/core/ruleset.c
@@ -367,3 +367,16 @@
 		ruleset->tombstone_floor = to_revision;
 	return finish(ruleset, to_revision, result);
 }
+
+enum dw_status dw_ruleset_confirm(struct dw_ruleset *ruleset, uint64_t to_revision, uint64_t digest)
+{
+	if (to_revision <= ruleset->revision)
+		return dw_fail(DW_STALE, "revision %llu is not newer",
+			       (unsigned long long)to_revision);
+	if (ruleset->revision == 0 || digest != ruleset->digest)
+		return dw_fail(DW_UNAVAILABLE, "digests differ");
+	/* As after a snapshot, keys that came and went meanwhile left no tombstone. */
+	ruleset->tombstone_floor = to_revision;
+	ruleset->revision = to_revision;
+	return DW_OK;
+}
--- a/tests/ruleset_test.cc
+++ b/tests/ruleset_test.cc
@@ -157,6 +157,24 @@
 	EXPECT_FALSE(result.diverged);
 }
 
+TEST_F(RulesetTest, EqualDigestsConfirmARevision)
+{
+	dw_ruleset *peer = dw_ruleset_new();
+	bool snapshot;
+
+	EXPECT_EQ(DW_UNAVAILABLE, dw_ruleset_confirm(ruleset, 4, dw_ruleset_digest(ruleset)));
+	EXPECT_EQ(DW_OK, apply(ruleset, 0, 2, { at(1, model("a")), at(2, model("b")) }));
+	EXPECT_EQ(DW_OK, apply_snapshot(peer, 90, { at(1, model("a")), at(2, model("b")) }));
+	EXPECT_EQ(DW_UNAVAILABLE, dw_ruleset_confirm(ruleset, 90, dw_ruleset_digest(peer) + 1));
+	EXPECT_EQ(2u, dw_ruleset_revision(ruleset));
+	EXPECT_EQ(DW_OK, dw_ruleset_confirm(ruleset, 90, dw_ruleset_digest(peer)));
+	EXPECT_EQ(90u, dw_ruleset_revision(ruleset));
+	EXPECT_EQ(DW_STALE, dw_ruleset_confirm(ruleset, 90, dw_ruleset_digest(peer)));
+	items_since(ruleset, 50, &snapshot);
+	EXPECT_TRUE(snapshot) << "deletions up to 90 aren't known one by one";
+	dw_ruleset_free(peer);
+}
+
 TEST_F(RulesetTest, ForgottenDeletionsAreSentAsASnapshot)
 {
 	std::vector<Change> changes;
@@ -269,6 +287,7 @@
 	bool snapshot;
 	uint64_t from_revision, to_revision;
 	std::vector<Change> changes;
+	uint64_t digest = 0; /* of the peer that sent it */
 };
 
 /* Some instances, the store and messages under way, run by a seed. */
@@ -373,8 +392,8 @@
 		bool snapshot;
 		auto changes = items_since(instances[peer], since, &snapshot);
 
-		wire.push_back(
-			{ to, snapshot, since, dw_ruleset_revision(instances[peer]), changes });
+		wire.push_back({ to, snapshot, since, dw_ruleset_revision(instances[peer]), changes,
+				 dw_ruleset_digest(instances[peer]) });
 	}
 
 	void replace(size_t which)
@@ -397,7 +416,9 @@
 			return;
 		std::shuffle(message.changes.begin(), message.changes.end(), random);
 		auto *instance = instances[message.to];
-		if (message.snapshot)
+		if (message.digest && pick(2))
+			dw_ruleset_confirm(instance, message.to_revision, message.digest);
+		else if (message.snapshot)
 			apply_snapshot(instance, message.to_revision, message.changes);
 		else
 			apply(instance, message.from_revision, message.to_revision,
