--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -51,8 +51,10 @@
 
 	if (!admission)
 		return;
-	HASH_ITER(hh, admission->organisations, queue, next) {
-		HASH_DEL(admission->organisations, queue);
+	queue = admission->organisations;
+	HASH_CLEAR(hh, admission->organisations);
+	for (; queue; queue = next) {
+		next = queue->hh.next;
 		free(queue);
 	}
 	free(admission->free_rows);
--- a/src/wharf-replay/random.h
+++ b/src/wharf-replay/random.h
@@ -24,7 +24,7 @@
 /* Uniform below @p bound. */
 static inline uint32_t random_below(struct random_source *random, uint32_t bound)
 {
-	return (uint32_t)(random_next(random) % bound);
+	return bound ? (uint32_t)(random_next(random) % bound) : 0;
 }
 
 /* Uniform in (0, 1]. */
--- a/src/wharf-replay/workload.c
+++ b/src/wharf-replay/workload.c
@@ -95,7 +95,7 @@
 	};
 	int scenario = 0;
 
-	while (scenario < WORKLOAD_SCENARIO_COUNT && strcmp(name, names[scenario]))
+	while (scenario < WORKLOAD_SCENARIO_COUNT && strcmp(name, names[scenario]) != 0)
 		scenario++;
 	return (enum workload_scenario)scenario;
 }
--- a/src/wharf-replay/world.h
+++ b/src/wharf-replay/world.h
@@ -64,7 +64,7 @@
 uint32_t world_choose_engine(struct world *world, uint32_t job);
 
 /* The steps of a job by the strategy. */
-void world_plan(struct world *world, uint32_t job);
+void world_plan(struct world *world, uint32_t index);
 
 /* Applies one of the trace's faults; engines that come back are told by EVENT_WARM when warm. */
 void world_apply_fault(struct world *world, const struct trace_fault *fault);
