--- a/tests/instance_list_test.cc
+++ b/tests/instance_list_test.cc
@@ -27,7 +27,11 @@
 TEST(InstanceList, MalformedOrEmptyIsAnErrorAndNeverAnEmptyList)
 {
 	std::string good = R"({"generation":1,"instances":[)" + std::string(ENGINE) + "]}";
+	std::string longest = good;
+
+	longest.replace(longest.find("e1"), 2, std::string(DW_INSTANCE_NAME_BYTES - 1, 'x'));
 	EXPECT_EQ(parse(good), DW_OK);
+	EXPECT_EQ(parse(longest), DW_OK);
 	EXPECT_EQ(parse(R"({"generation":1,"instances":[]})"), DW_INVALID_ARGUMENT);
 	EXPECT_EQ(parse(""), DW_INVALID_ARGUMENT);
 	for (size_t len = 0; len < good.size(); len++)
@@ -40,7 +44,7 @@
 		     { "engine", "motor" },
 		     { "live", "dead" },
 		     { "haarlem", "" },
-		     { "\"e1\"", "\"" + std::string(64, 'x') + "\"" },
+		     { "\"e1\"", "\"" + std::string(DW_INSTANCE_NAME_BYTES, 'x') + "\"" },
 		     { "\"generation\":1", "\"generation\":-1" } }) {
 		std::string bad = good;
 
--- a/tests/standins/engine.c
+++ b/tests/standins/engine.c
@@ -12,6 +12,7 @@
 #define GOOD_SCORE_PERMILLE 950
 #define BAD_SCORE_PERMILLE 150
 #define PERMILLE 1000
+#define MAX_COUNTED_IDS 100000
 /** A cached prefix makes the first token this much quicker. */
 #define PREFIX_HIT_DIVISOR 4
 
@@ -353,11 +354,22 @@
 	}
 }
 
+/* Bounded, so that a long run doesn't fill the memory; what is left out is told. */
+static void count_id(struct engine *engine, const char *field, const char *id)
+{
+	struct json_object *ids = json_child(engine->counts, field);
+
+	if (json_object_object_length(ids) >= MAX_COUNTED_IDS && !json_field(ids, id))
+		engine_count(engine, "ids_left_out");
+	else
+		json_count(ids, id, 1);
+}
+
 static void count_arrival(struct engine *engine, const struct engine_job *job)
 {
 	engine_count(engine, "requests");
-	json_count(json_child(engine->counts, "by_attempt_id"), job->identity.attempt_id, 1);
-	json_count(json_child(engine->counts, "by_request_id"), job->identity.request_id, 1);
+	count_id(engine, "by_attempt_id", job->identity.attempt_id);
+	count_id(engine, "by_request_id", job->identity.request_id);
 	json_count(json_child(engine->counts, "requests_by_version"), job->version, 1);
 	json_count(json_child(engine->counts, "requests_by_organisation"), job->organisation, 1);
 }
--- a/tests/standins/kv_table.c
+++ b/tests/standins/kv_table.c
@@ -124,6 +124,7 @@
 {
 	table->history = grow(table->history, table->history_count);
 	table->history[table->history_count++] = change;
+	table->history_bytes += strlen(change.value);
 }
 
 void kv_table_put(struct kv_table *table, const struct kv_bytes *key, const char *value,
@@ -207,8 +208,10 @@
 {
 	size_t dropped = 0;
 
-	while (dropped < table->history_count && table->history[dropped].mod_revision <= revision)
+	while (dropped < table->history_count && table->history[dropped].mod_revision <= revision) {
+		table->history_bytes -= strlen(table->history[dropped].value);
 		entry_clear(&table->history[dropped++]);
+	}
 	table->history_count -= dropped;
 	memmove(table->history, table->history + dropped,
 		table->history_count * sizeof(*table->history));
--- a/tests/standins/kv_table.h
+++ b/tests/standins/kv_table.h
@@ -37,6 +37,7 @@
 	size_t count;
 	struct kv_entry *history; /**< in the order of revisions */
 	size_t history_count;
+	size_t history_bytes; /**< of its values */
 	uint64_t compact_revision; /**< the history up to it is gone */
 };
 
--- a/tests/standins/standin_kv.c
+++ b/tests/standins/standin_kv.c
@@ -18,6 +18,8 @@
 #include "standins/standin.h"
 
 #define LEASE_CHECK_MS 20
+/** Above it the older half of the history is dropped, as etcd's automatic compaction does. */
+#define MAX_HISTORY_BYTES ((size_t)64 << 20)
 #define FREEZE_CHECK_US UINT64_C(10000)
 #define HTTP_OK 200
 #define HTTP_BUSY 429
@@ -112,6 +114,11 @@
 	send_message(watch->request->exchange, result);
 }
 
+static void compact_older_half(struct kv_table *table)
+{
+	kv_table_compact(table, table->history[table->history_count / 2].mod_revision);
+}
+
 static void flush_watches(struct standin *standin)
 {
 	struct kv *kv = kv_of(standin);
@@ -120,6 +127,9 @@
 		return;
 	for (struct watch *watch = kv->watches; watch; watch = watch->next)
 		watch_flush(kv, watch);
+	/* All watches have been told, so that none loses a change. */
+	if (kv->service.table->history_bytes > MAX_HISTORY_BYTES)
+		compact_older_half(kv->service.table);
 }
 
 static void cut_watches(struct kv *kv)
