--- a/include/dragonflywharf/ruleset.h
+++ b/include/dragonflywharf/ruleset.h
@@ -60,7 +60,7 @@
  * others come into force (docs/design/configuration.md says why). At an equal revision the higher
  * modification revision of each key wins, which mends instances whose digests differ.
  * Errors, all without effect: DW_UNAVAILABLE (gap: pull since dw_ruleset_revision()), DW_STALE
- * (to_revision is older), DW_INVALID_ARGUMENT (an item after to_revision), DW_NO_MEMORY.
+ * (to_revision is older, or equal and nothing is new), DW_INVALID_ARGUMENT (an item after to_revision), DW_NO_MEMORY.
  */
 enum dw_status dw_ruleset_apply_delta(struct dw_ruleset *ruleset, uint64_t from_revision,
 				      uint64_t to_revision, const struct dw_ruleset_item *items,
--- a/include/dragonflywharf/warmth.h
+++ b/include/dragonflywharf/warmth.h
@@ -19,8 +19,7 @@
 	uint64_t incarnation; /**< of the upstream's process; 0: none seen */
 	uint32_t turn; /**< how often it was suspected cold within the incarnation */
 	uint64_t warm_at_us; /**< end of the cold period of that incarnation */
-	uint64_t report_due_us; /**< cold from here on unless another report comes */
-	bool unconfirmed; /**< the incarnation may have changed since it was last seen */
+	uint64_t report_due_us; /**< cold from here on unless another report comes; 0: in doubt */
 };
 
 /** Evidence passed between peers; the age, not a time, as clocks differ. */
@@ -61,8 +60,8 @@
 		     uint64_t cold_period_us, uint64_t now_us);
 
 /** Evidence for peers; false if there is none to give. */
-bool dw_warmth_evidence(const struct dw_warmth *warmth, uint64_t upstream_id,
-			uint64_t cold_period_us, uint64_t now_us, struct dw_warmth_evidence *out);
+bool dw_warmth_export(const struct dw_warmth *warmth, uint64_t upstream_id, uint64_t cold_period_us,
+		      uint64_t now_us, struct dw_warmth_evidence *out);
 
 bool dw_warmth_is_cold(const struct dw_warmth *warmth, uint64_t now_us);
 
--- a/src/wharf-replay/run.c
+++ b/src/wharf-replay/run.c
@@ -10,7 +10,6 @@
 #define SUSPECT_US 3000000
 #define TICK_US ENGINE_REPORT_EVERY_US
 #define SPOILT_SCORE 200
-#define NO_DEADLINE 0
 
 static void start_step(struct world *world, uint32_t index);
 
@@ -68,6 +67,7 @@
 
 	result->version = job->version;
 	result->exposed = job->spoilt;
+	result->was_run_again = job->avoided != TRACE_VERSIONS_MAX;
 	end_job(world, index, OUTCOME_ANSWERED);
 	result->met = score_of(world, index) >= world->trace->quality_target_permille &&
 		      result->ended_us <= request->deadline_us;
@@ -182,6 +182,28 @@
 	}
 }
 
+/* Nothing of the request has run yet: only then a refusal may say so. */
+static bool has_not_run(const struct job *job)
+{
+	return job->position == 0 && job->tried_count == 0 && job->avoided == TRACE_VERSIONS_MAX;
+}
+
+static void end_expired(struct world *world, uint32_t index)
+{
+	end_job(world, index,
+		has_not_run(&world->jobs[index]) ? OUTCOME_EXPIRED : OUTCOME_TIMED_OUT);
+}
+
+static void end_refused(struct world *world, uint32_t index, enum dw_status status)
+{
+	if (!has_not_run(&world->jobs[index]))
+		end_job(world, index, OUTCOME_TIMED_OUT);
+	else if (status == DW_TIMEOUT)
+		end_job(world, index, OUTCOME_REFUSED_LATE);
+	else
+		end_job(world, index, OUTCOME_REFUSED_FULL);
+}
+
 static void expire(struct world *world)
 {
 	struct dw_admission_entry entry;
@@ -190,26 +212,24 @@
 	for (uint32_t i = 0; i < world->trace->instances; i++) {
 		while (!dw_admission_expire(world->instances[i].admission, world->now_us, &entry,
 					    &handle))
-			end_job(world, (uint32_t)(uintptr_t)entry.data, OUTCOME_EXPIRED);
+			end_expired(world, (uint32_t)(uintptr_t)entry.data);
 	}
 }
 
-/* A later step or attempt has cost work already: it goes first and is not refused any more. */
+/* A later step or attempt has cost work already: it goes first. */
 static void enqueue(struct world *world, uint32_t index)
 {
 	const struct trace_request *request = request_of(world, index);
 	const struct job *job = &world->jobs[index];
 	const struct instance *instance = &world->instances[job->instance];
-	bool is_first = job->position == 0 && job->tried_count == 0;
 	const struct trace_model *model = &world->trace->models[model_of(job)];
 	dw_admission_handle handle;
 	enum dw_status status;
 	struct dw_admission_entry entry = {
 		.organisation_id = request->organisation,
-		.priority = is_first ? (enum dw_admission_priority)request->priority
-				     : DW_ADMISSION_HIGH,
+		.priority = (enum dw_admission_priority)request->priority,
 		.pool = model_of(job),
-		.deadline_us = is_first ? request->deadline_us : NO_DEADLINE,
+		.deadline_us = request->deadline_us,
 		.service_us = (uint64_t)model->us_per_token *
 			      instance_expected_tokens(instance, world->trace, request),
 		.data = (void *)(uintptr_t)index,
@@ -217,16 +237,16 @@
 
 	status = dw_admission_push(instance->admission, world->now_us, &entry, &handle);
 	if (status)
-		end_job(world, index,
-			status == DW_TIMEOUT ? OUTCOME_REFUSED_LATE : OUTCOME_REFUSED_FULL);
+		end_refused(world, index, status);
 }
 
 static void start_step(struct world *world, uint32_t index)
 {
 	struct job *job = &world->jobs[index];
 
-	job->version = instance_choose_version(&world->instances[job->instance], world->trace,
-					       request_of(world, index), model_of(job));
+	job->version =
+		instance_choose_version(&world->instances[job->instance], world->trace,
+					request_of(world, index), model_of(job), job->avoided);
 	if (job->version == TRACE_VERSIONS_MAX)
 		end_job(world, index, OUTCOME_FAILED);
 	else if (world->strategy->decides)
@@ -274,6 +294,16 @@
 	start_engine(world, event->subject);
 }
 
+/* A session keeps its version: its answers can't be run again on another one. */
+static bool rates_first(const struct world *world, uint32_t index)
+{
+	const struct job *job = &world->jobs[index];
+
+	return world->strategy->decides && job->avoided == TRACE_VERSIONS_MAX &&
+	       !request_of(world, index)->session &&
+	       instance_rates_first(&world->instances[job->instance], world->trace, job->version);
+}
+
 /* The instance has the whole answer. */
 static void on_answer(struct world *world, uint32_t index)
 {
@@ -296,7 +326,7 @@
 	job->spoilt = request->luck_permille < world->bad_permille[job->version];
 	if (!model->service)
 		world->results[index].cost_micros += RATING_COST_MICROS;
-	if (job->position + 1 < job->step_count) {
+	if (job->position + 1 < job->step_count || rates_first(world, index)) {
 		schedule(world, world->now_us + RATING_US, EVENT_RATED, index);
 		return;
 	}
@@ -305,36 +335,65 @@
 	release(world, index);
 }
 
-static void on_rated(struct world *world, uint32_t index)
+/* Only the answers of the model that was asked for tell of its version: a cheap model's answers are
+ * often below the target, which the cascade learns. */
+static void count_evidence(struct world *world, const struct job *job, bool passed)
+{
+	bool newly_held;
+
+	dw_rollout_count(world->instances[job->instance].rollout, instance_version_id(job->version),
+			 passed ? DW_ROLLOUT_GOOD : DW_ROLLOUT_BAD, &newly_held);
+	if (newly_held && !world->metrics->held_at_us)
+		world->metrics->held_at_us = world->now_us;
+	if (!passed)
+		world_tell_evidence(world, job->instance);
+}
+
+static bool has_passed(const struct world *world, uint32_t index)
+{
+	return score_of(world, index) >= world->trace->quality_target_permille;
+}
+
+static void on_evidence(struct world *world, uint32_t index)
+{
+	count_evidence(world, &world->jobs[index], has_passed(world, index));
+}
+
+/* The last step was rated before release: a bad answer is run again, once, on another version. */
+static void on_last_rated(struct world *world, uint32_t index)
 {
-	const struct trace_request *request = request_of(world, index);
 	struct job *job = &world->jobs[index];
-	bool passed = score_of(world, index) >= world->trace->quality_target_permille;
+	bool passed = has_passed(world, index);
 
-	dw_cascade_rates_learn(world->instances[job->instance].rates, request->organisation,
-			       model_of(job), instance_work_of(world->trace, request), passed,
-			       world->now_us);
+	count_evidence(world, job, passed);
 	if (passed) {
 		release(world, index);
 		return;
 	}
-	job->position++;
+	job->avoided = job->version;
 	job->tried_count = 0;
 	start_step(world, index);
 }
 
-/* Only the answers of the model that was asked for tell of its version: a cheap model's answers are
- * often below the target, which the cascade learns. */
-static void on_evidence(struct world *world, uint32_t index)
+static void on_rated(struct world *world, uint32_t index)
 {
-	const struct job *job = &world->jobs[index];
-	bool passed = score_of(world, index) >= world->trace->quality_target_permille;
-	bool newly_held;
+	const struct trace_request *request = request_of(world, index);
+	struct job *job = &world->jobs[index];
 
-	dw_rollout_count(world->instances[job->instance].rollout, instance_version_id(job->version),
-			 passed ? DW_ROLLOUT_GOOD : DW_ROLLOUT_BAD, &newly_held);
-	if (newly_held && !world->metrics->held_at_us)
-		world->metrics->held_at_us = world->now_us;
+	if (job->position + 1 == job->step_count) {
+		on_last_rated(world, index);
+		return;
+	}
+	dw_cascade_rates_learn(world->instances[job->instance].rates, request->organisation,
+			       model_of(job), instance_work_of(world->trace, request),
+			       has_passed(world, index), world->now_us);
+	if (has_passed(world, index)) {
+		release(world, index);
+		return;
+	}
+	job->position++;
+	job->tried_count = 0;
+	start_step(world, index);
 }
 
 static void handle(struct world *world, const struct event *event)
@@ -388,8 +447,10 @@
 	}
 	for (uint32_t i = 0; i < trace->instances; i++)
 		instance_init(&world->instances[i], trace, world->strategy, i);
-	for (size_t i = 0; i < trace->request_count; i++)
+	for (size_t i = 0; i < trace->request_count; i++) {
 		world->jobs[i].instance = random_below(&world->random, trace->instances);
+		world->jobs[i].avoided = TRACE_VERSIONS_MAX;
+	}
 	for (size_t i = 0; i < trace->fault_count; i++)
 		schedule(world, trace->faults[i].at_us, EVENT_FAULT, (uint32_t)i);
 	schedule(world, 0, EVENT_TICK, 0);
--- a/src/wharf-replay/world.c
+++ b/src/wharf-replay/world.c
@@ -5,11 +5,6 @@
 #define RATING_US 80000
 #define GOSSIP_FANOUT 2
 #define HELD_MAX 8
-/* What a second of a caller's waiting is worth against the cost of tokens. */
-#ifndef MPS
-#define MPS 100
-#endif
-#define MICROS_PER_SECOND MPS
 
 bool world_in_service(const struct world *world, uint32_t engine)
 {
@@ -105,6 +100,24 @@
 	return round_robin(world, &world->jobs[job]);
 }
 
+/* Expected wait at the door; a cascade's later steps have high priority. */
+static uint64_t door_wait_us(const struct world *world, const struct job *job, uint32_t model,
+			     const struct trace_request *request)
+{
+	const struct instance *instance = &world->instances[job->instance];
+	struct dw_admission_entry entry = {
+		.organisation_id = request->organisation,
+		.priority =
+			model ? DW_ADMISSION_HIGH : (enum dw_admission_priority)request->priority,
+		.pool = model,
+		.deadline_us = request->deadline_us,
+		.service_us = (uint64_t)world->trace->models[model].us_per_token *
+			      instance_expected_tokens(instance, world->trace, request),
+	};
+
+	return dw_admission_expected_wait_us(instance->admission, &entry);
+}
+
 /* Mean over the engines in service, as the instance sees them. */
 static uint64_t expected_us(const struct world *world, const struct job *job, uint32_t model,
 			    const struct trace_request *request)
@@ -125,7 +138,7 @@
 			request->prompt_tokens - request->prefix_tokens, tokens);
 		count++;
 	}
-	return count ? sum_us / count + RATING_US : 0;
+	return count ? sum_us / count + RATING_US + door_wait_us(world, job, model, request) : 0;
 }
 
 static bool may_use(const struct world *world, const struct trace_request *request, uint32_t model)
@@ -144,7 +157,7 @@
 	struct dw_cascade_request asked = { .now_us = world->now_us,
 					    .deadline_us = request->deadline_us,
 					    .random = random_next(&world->random),
-					    .micros_per_second = MICROS_PER_SECOND };
+					    .micros_per_second = DW_CASCADE_MICROS_PER_SECOND };
 
 	for (uint32_t model = 0; model <= request->model; model++) {
 		uint64_t cost = world->trace->models[model].cost_micros_per_1k_tokens;
@@ -232,20 +245,35 @@
 	}
 }
 
+static void give(struct world *world, uint32_t peer, const struct dw_rollout_message *message)
+{
+	uint64_t held[HELD_MAX];
+
+	if (dw_rollout_merge(world->instances[peer].rollout, message, held, HELD_MAX) &&
+	    !world->metrics->held_at_us)
+		world->metrics->held_at_us = world->now_us;
+}
+
 static void exchange_evidence(struct world *world, struct instance *instance)
 {
 	struct dw_rollout_message message;
-	uint64_t held[HELD_MAX];
 
 	while (dw_rollout_collect(instance->rollout, &message)) {
-		for (int i = 0; i < GOSSIP_FANOUT; i++) {
-			uint32_t peer = random_below(&world->random, world->trace->instances);
+		for (int i = 0; i < GOSSIP_FANOUT; i++)
+			give(world, random_below(&world->random, world->trace->instances),
+			     &message);
+	}
+}
 
-			if (dw_rollout_merge(world->instances[peer].rollout, &message, held,
-					     HELD_MAX) &&
-			    !world->metrics->held_at_us)
-				world->metrics->held_at_us = world->now_us;
-		}
+void world_tell_evidence(struct world *world, uint32_t instance)
+{
+	struct dw_rollout_message message;
+
+	if (!world->strategy->shares_evidence)
+		return;
+	while (dw_rollout_collect(world->instances[instance].rollout, &message)) {
+		for (uint32_t peer = 0; peer < world->trace->instances; peer++)
+			give(world, peer, &message);
 	}
 }
 
