--- a/tests/share_test.cc
+++ b/tests/share_test.cc
@@ -773,4 +773,28 @@
 	msgpack_sbuffer_destroy(&buffer);
 }
 
+TEST(ShareCodec, RefusesAMessageOfAnUnknownKind)
+{
+	dw_share_message sent = {};
+	msgpack_sbuffer buffer;
+	msgpack_packer packer;
+
+	sent.kind = DW_SHARE_GRANT;
+	sent.loan.slot = 7;
+	msgpack_sbuffer_init(&buffer);
+	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+	dw_share_message_pack(&packer, &sent);
+	for_each_changed_byte(buffer, [](const msgpack_object &object, bool same) {
+		dw_share_message message;
+		bool taken = dw_share_message_unpack(&object, &message) == DW_OK;
+
+		ASSERT_TRUE(taken || !same);
+		if (taken) {
+			EXPECT_LT((int)message.kind, (int)DW_SHARE_DECLARE);
+			EXPECT_LT(message.loan.slot, DW_SHARE_SLOTS_MAX);
+		}
+	});
+	msgpack_sbuffer_destroy(&buffer);
+}
+
 } // namespace
