--- a/tests/share_test.cc
+++ b/tests/share_test.cc
@@ -780,7 +780,7 @@
 	msgpack_packer packer;
 
 	sent.kind = DW_SHARE_GRANT;
-	sent.loan.slot = 7;
+	sent.loan.slot = 1000;
 	msgpack_sbuffer_init(&buffer);
 	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
 	dw_share_message_pack(&packer, &sent);
