A sentinel connection to each engine; whole answers carry their length; test output read to its end

Cause: between two load reports an engine may restart unseen, and got requests under its warm limit; a report that was on its way when the connection broke ended the doubt. dw_http_respond sent whole answers chunked, so that a cut one looked whole. The tests' process::wait returned before the last lines of output had been read (process_path_test failed 2 of 3 runs on a busy machine). Change: dragonflywharfd/sentinel; only a report sent after the latest doubt ends it; content-length; wait() waits for the pipe's end. Unreachable members aren't asked for loans; 20 ms tick.

--- a/src/dragonflywharfd/attempt.c
+++ b/src/dragonflywharfd/attempt.c
@@ -143,8 +143,8 @@
 
 	attempt->http_status = http_status;
 	if (incarnation)
-		upstream_table_seen(attempt->daemon->upstreams, attempt->upstream_id,
-				    strtoull(incarnation, NULL, 10));
+		upstream_table_answered(attempt->daemon->upstreams, attempt->upstream_id,
+					strtoull(incarnation, NULL, 10));
 	type = dw_http_call_header(call, "content-type");
 	snprintf(attempt->content_type, sizeof(attempt->content_type), "%s",
 		 type ? type : "application/octet-stream");
--- a/src/dragonflywharfd/daemon.c
+++ b/src/dragonflywharfd/daemon.c
@@ -18,7 +18,7 @@
 #include "platform/rater_http.h"
 #include "platform/store_etcd.h"
 
-#define TICK_MS 50U
+#define TICK_MS 20U
 #define STOP_POLL_MS 20U
 /** A gap between ticks that means that the process was paused. */
 #define PAUSE_US (2 * DW_US_PER_S)
@@ -75,6 +75,8 @@
 
 	while (dw_membership_next_event(daemon->membership, &event)) {
 		log_member(daemon, &event);
+		dw_share_set_reachable(daemon->share, event.member.key,
+				       event.member.state != DW_MEMBER_DEAD);
 		if (event.member.state == DW_MEMBER_DEAD)
 			ledger_sync_member_dead(daemon->ledger_sync, event.member.key);
 		if (event.is_new)
--- a/src/dragonflywharfd/upstream_table.c
+++ b/src/dragonflywharfd/upstream_table.c
@@ -73,6 +73,7 @@
 		abort();
 	upstream->id = XXH64(name, strlen(name), 0);
 	snprintf(upstream->name, sizeof(upstream->name), "%s", name);
+	upstream->table = table;
 	dw_warmth_init(&upstream->warmth);
 	upstream->told_cold = true;
 	HASH_ADD(hh, table->upstreams, id, sizeof(upstream->id), upstream);
@@ -92,51 +93,12 @@
 	upstream->usable = usable;
 }
 
-static void take_upstream(const struct dw_upstream *config, void *data)
-{
-	struct upstream_table *table = data;
-	struct upstream *upstream = upstream_table_by_name(table, config->name);
-
-	if (!upstream)
-		upstream = add_upstream(table, config->name);
-	snprintf(upstream->ip, sizeof(upstream->ip), "%s", config->ip);
-	upstream->port = config->port;
-	upstream->limit = config->limit;
-	upstream->cold_limit = config->cold_limit;
-	upstream->cold_period_us = config->cold_period_ms * DW_US_PER_MS;
-	upstream->is_service = config->is_service;
-	upstream->generation = table->generation;
-	upstream->load.slots = config->limit;
-	snprintf(upstream->failure_domain, sizeof(upstream->failure_domain), "%s",
-		 config->failure_domain_name);
-	set_usable(table, upstream,
-		   dw_upstream_usable(config, roster_sync_listed_leaving(table->daemon->roster_sync,
-									 config->name)));
-	dw_share_set_upstream(table->daemon->share, upstream->id, upstream->limit,
-			      upstream->is_service ? upstream->limit : upstream->cold_limit);
-}
-
-void upstream_table_refresh(struct upstream_table *table)
-{
-	struct upstream *upstream;
-	struct upstream *next;
-
-	table->generation++;
-	dw_ruleset_each_upstream(table->daemon->ruleset, take_upstream, table);
-	HASH_ITER(hh, table->upstreams, upstream, next) {
-		if (upstream->generation == table->generation)
-			continue;
-		upstream->usable = false;
-		dw_share_set_upstream(table->daemon->share, upstream->id, 0, 0);
-	}
-	table->filled = true;
-}
-
 /* Tells the share module and the log when the upstream turns cold or warm. */
 static void tell_warmth(struct upstream_table *table, struct upstream *upstream)
 {
 	struct daemon *daemon = table->daemon;
-	bool cold = dw_warmth_is_cold(&upstream->warmth, dw_clock_now_us());
+	bool cold = !upstream->sentinel || !sentinel_is_open(upstream->sentinel) ||
+		    dw_warmth_is_cold(&upstream->warmth, dw_clock_now_us());
 
 	if (upstream->is_service || cold == upstream->told_cold)
 		return;
@@ -185,14 +147,88 @@
 	return table->daemon->settings.report_period_ms * DW_US_PER_MS * REPORTS_MISSED;
 }
 
-void upstream_table_seen(struct upstream_table *table, uint64_t id, uint64_t incarnation)
+static void doubt(struct upstream_table *table, struct upstream *upstream)
 {
-	struct upstream *upstream = upstream_table_find(table, id);
-	uint64_t before;
+	upstream->doubted_at_us = dw_clock_now_us();
+	dw_warmth_doubt(&upstream->warmth);
+	tell_warmth(table, upstream);
+}
+
+static void on_sentinel(bool open, void *data)
+{
+	struct upstream *upstream = data;
+
+	doubt(upstream->table, upstream);
+	/* The report that ends the doubt, or blames a crash, is fetched at once. */
+	upstream->report_at_us = 0;
+	upstream_table_tick(upstream->table);
+	daemon_pump(upstream->table->daemon);
+}
+
+static void watch_upstream(struct upstream_table *table, struct upstream *upstream,
+			   const struct dw_upstream *config)
+{
+	bool moved = strcmp(upstream->ip, config->ip) != 0 || upstream->port != config->port;
+
+	if (upstream->sentinel && moved) {
+		sentinel_close(upstream->sentinel);
+		upstream->sentinel = NULL;
+		dw_warmth_init(&upstream->warmth);
+	}
+	if (!upstream->sentinel && !config->is_service)
+		upstream->sentinel = sentinel_open(&table->daemon->loop, config->ip, config->port,
+						   on_sentinel, upstream);
+}
+
+static void take_upstream(const struct dw_upstream *config, void *data)
+{
+	struct upstream_table *table = data;
+	struct upstream *upstream = upstream_table_by_name(table, config->name);
+
+	if (!upstream)
+		upstream = add_upstream(table, config->name);
+	watch_upstream(table, upstream, config);
+	snprintf(upstream->ip, sizeof(upstream->ip), "%s", config->ip);
+	upstream->port = config->port;
+	upstream->limit = config->limit;
+	upstream->cold_limit = config->cold_limit;
+	upstream->cold_period_us = config->cold_period_ms * DW_US_PER_MS;
+	upstream->is_service = config->is_service;
+	upstream->generation = table->generation;
+	upstream->load.slots = config->limit;
+	snprintf(upstream->failure_domain, sizeof(upstream->failure_domain), "%s",
+		 config->failure_domain_name);
+	set_usable(table, upstream,
+		   dw_upstream_usable(config, roster_sync_listed_leaving(table->daemon->roster_sync,
+									 config->name)));
+	dw_share_set_upstream(table->daemon->share, upstream->id, upstream->limit,
+			      upstream->is_service ? upstream->limit : upstream->cold_limit);
+}
+
+void upstream_table_refresh(struct upstream_table *table)
+{
+	struct upstream *upstream;
+	struct upstream *next;
+
+	table->generation++;
+	dw_ruleset_each_upstream(table->daemon->ruleset, take_upstream, table);
+	HASH_ITER(hh, table->upstreams, upstream, next) {
+		if (upstream->generation == table->generation)
+			continue;
+		upstream->usable = false;
+		if (upstream->sentinel)
+			sentinel_close(upstream->sentinel);
+		upstream->sentinel = NULL;
+		dw_share_set_upstream(table->daemon->share, upstream->id, 0, 0);
+	}
+	table->filled = true;
+}
+
+static void take_incarnation(struct upstream_table *table, struct upstream *upstream,
+			     uint64_t incarnation)
+{
+	uint64_t before = upstream->warmth.incarnation;
 
-	if (!upstream || incarnation == 0)
-		return;
-	before = upstream->warmth.incarnation;
 	if (dw_warmth_seen(&upstream->warmth, incarnation, upstream->cold_period_us,
 			   report_within_us(table), dw_clock_now_us())) {
 		if (before != 0)
@@ -202,6 +238,15 @@
 	tell_warmth(table, upstream);
 }
 
+void upstream_table_answered(struct upstream_table *table, uint64_t id, uint64_t incarnation)
+{
+	struct upstream *upstream = upstream_table_find(table, id);
+
+	/* The end of an answer of a process that is gone must not end the doubt about it. */
+	if (upstream && incarnation != 0 && incarnation != upstream->warmth.incarnation)
+		take_incarnation(table, upstream, incarnation);
+}
+
 void upstream_table_overloaded(struct upstream_table *table, uint64_t id)
 {
 	struct upstream *upstream = upstream_table_find(table, id);
@@ -247,8 +292,11 @@
 		queued = (uint32_t)json_object_get_int(value);
 	json_object_put(root);
 	dw_upstream_load_report(&upstream->load, sent_at_us, running, queued);
-	upstream_table_seen(table, upstream->id, incarnation);
-	return incarnation != 0;
+	if (incarnation == 0)
+		return false;
+	if (sent_at_us > upstream->doubted_at_us || incarnation != upstream->warmth.incarnation)
+		take_incarnation(table, upstream, incarnation);
+	return sent_at_us > upstream->doubted_at_us;
 }
 
 static void on_report(const struct dw_http_fetch_result *result, void *data)
@@ -264,8 +312,7 @@
 			upstream->broken_count = 0;
 		} else if (result->end.progress == DW_HTTP_NOT_SENT) {
 			blame_broken(table, upstream, upstream->warmth.incarnation);
-			dw_warmth_doubt(&upstream->warmth);
-			tell_warmth(table, upstream);
+			doubt(table, upstream);
 		}
 		daemon_pump(table->daemon);
 	}
@@ -348,8 +395,7 @@
 		return;
 	if (upstream->broken_count < UPSTREAM_BROKEN_MAX)
 		upstream->broken[upstream->broken_count++] = fingerprint;
-	dw_warmth_doubt(&upstream->warmth);
-	tell_warmth(table, upstream);
+	doubt(table, upstream);
 	if (upstream->report_at_us > soon_us)
 		upstream->report_at_us = soon_us;
 }
--- a/src/dragonflywharfd/upstream_table.h
+++ b/src/dragonflywharfd/upstream_table.h
@@ -10,12 +10,15 @@
 #include <dragonflywharf/warmth.h>
 
 #include "dragonflywharfd/daemon.h"
+#include "dragonflywharfd/sentinel.h"
 
 #define UPSTREAM_RUNNING_MAX 256
 #define UPSTREAM_BROKEN_MAX 64
 /** Fields of the peers' message on an upstream's warmth: id, incarnation, turn, age. */
 #define UPSTREAM_EVIDENCE_FIELDS 4
 
+struct upstream_table;
+
 struct upstream {
 	uint64_t id; /**< XXH64 of the name */
 	char name[DW_NAME_MAX_BYTES + 1];
@@ -29,6 +32,8 @@
 	bool usable; /**< in service by configuration and instance list */
 	struct dw_upstream_load load;
 	struct dw_warmth warmth;
+	struct sentinel *sentinel; /**< NULL for plain services and those that left */
+	struct upstream_table *table;
 	bool told_cold; /**< as last told to the share module */
 	struct dw_ramp ramp;
 	struct dw_retry_budget budget;
@@ -40,6 +45,8 @@
 	uint64_t failures; /**< attempts failed in a row */
 	uint64_t generation;
 	uint64_t report_at_us; /**< when the next report is to be fetched */
+	/** The latest doubt: only a report that was sent after it can end it. */
+	uint64_t doubted_at_us;
 	bool reporting;
 	UT_hash_handle hh;
 };
@@ -64,8 +71,8 @@
 void upstream_table_ended(struct upstream_table *table, uint64_t id,
 			  struct dw_fingerprint fingerprint, const struct dw_load_sample *sample);
 
-/** An answer came with the upstream's incarnation. */
-void upstream_table_seen(struct upstream_table *table, uint64_t id, uint64_t incarnation);
+/** An answer came with the upstream's incarnation: news only if it is another one. */
+void upstream_table_answered(struct upstream_table *table, uint64_t id, uint64_t incarnation);
 
 /** A connection with a request under way broke: cold until seen again, and maybe a crash. */
 void upstream_table_broke(struct upstream_table *table, uint64_t id,
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -524,6 +524,7 @@
 	set_status(exchange, status, content_type);
 	exchange->end_asked = true;
 	exchange->final_sent = true;
+	exchange->req->res.content_length = len;
 	h2o_send_inline(exchange->req, body, len);
 }
 
--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -147,6 +147,12 @@
 			usleep(POLL_PERIOD_US);
 		}
 	}
+	/* What it wrote last may still be in the pipe. */
+	if (end_.ended) {
+		std::unique_lock<std::mutex> guard(mutex_);
+
+		changed_.wait_until(guard, deadline, [this] { return output_ended_; });
+	}
 	return end_;
 }
 
