--- a/src/dragonflywharfd/config_sync.c
+++ b/src/dragonflywharfd/config_sync.c
@@ -6,6 +6,7 @@
 #include "dragonflywharfd/dispatcher.h"
 #include "dragonflywharfd/peer_bus.h"
 #include "dragonflywharfd/upstream_table.h"
+#include "net/msgpack_read.h"
 #include "net/ruleset_codec.h"
 
 #include <xxhash.h>
@@ -18,6 +19,11 @@
 /** A peer that tells a higher revision is asked for what came between. */
 #define PULL_PERIOD_US (200 * DW_US_PER_MS)
 #define PUSH_FANOUT 4U
+/** After its own operator's write, a daemon that doesn't watch waits so long for the watchers. */
+#define HINT_WAIT_US (1000 * DW_US_PER_MS)
+/** A new daemon asks peers for the configuration before it reads the store. */
+#define BOOT_PEERS_US (1000 * DW_US_PER_MS)
+#define PULL_FIELDS 2U
 
 struct config_sync {
 	struct daemon *daemon;
@@ -134,7 +140,9 @@
 	if (result.applied == 0)
 		return DW_OK;
 	in_force(sync);
-	push(sync, delta);
+	/* A snapshot is as large as the configuration: peers that lack some of it pull that. */
+	if (!delta->snapshot)
+		push(sync, delta);
 	return DW_OK;
 }
 
@@ -258,6 +266,41 @@
 	return status;
 }
 
+/* Pulls and confirmations are a revision and the digest of the live keys. */
+static void send_pair(struct config_sync *sync, uint64_t instance_id, enum peer_message type,
+		      uint64_t revision, uint64_t digest)
+{
+	struct peer_message_buffer buffer;
+
+	peer_message_buffer_init(&buffer);
+	msgpack_pack_array(&buffer.packer, PULL_FIELDS);
+	msgpack_pack_uint64(&buffer.packer, revision);
+	msgpack_pack_uint64(&buffer.packer, digest);
+	peer_bus_send(sync->daemon, instance_id, type, &buffer);
+	peer_message_buffer_clear(&buffer);
+}
+
+static bool read_pair(const msgpack_object *value, uint64_t *revision, uint64_t *digest)
+{
+	const msgpack_object *fields = dw_msgpack_fields(value, PULL_FIELDS);
+
+	return fields && dw_msgpack_number(&fields[0], UINT64_MAX, revision) &&
+	       dw_msgpack_number(&fields[1], UINT64_MAX, digest);
+}
+
+enum dw_status config_sync_confirm(struct config_sync *sync, const msgpack_object *value)
+{
+	struct daemon *daemon = sync->daemon;
+	uint64_t revision;
+	uint64_t digest;
+
+	if (!read_pair(value, &revision, &digest))
+		return dw_fail(DW_INVALID_ARGUMENT, "confirm: expected a revision and a digest");
+	if (dw_ruleset_confirm(daemon->ruleset, revision, digest) == DW_OK)
+		dw_membership_set_revision(daemon->membership, revision);
+	return DW_OK;
+}
+
 static void keep_item(const struct dw_ruleset_item *item, void *data)
 {
 	struct dw_ruleset_delta *delta = data;
@@ -274,12 +317,16 @@
 	struct daemon *daemon = sync->daemon;
 	struct dw_ruleset_delta delta = { .to_revision = dw_ruleset_revision(daemon->ruleset) };
 	struct peer_message_buffer buffer;
+	uint64_t digest;
 
-	if (value->type != MSGPACK_OBJECT_POSITIVE_INTEGER)
-		return dw_fail(DW_INVALID_ARGUMENT, "pull: expected a revision");
-	delta.from_revision = value->via.u64;
+	if (!read_pair(value, &delta.from_revision, &digest))
+		return dw_fail(DW_INVALID_ARGUMENT, "pull: expected a revision and a digest");
 	if (delta.to_revision <= delta.from_revision)
 		return DW_OK;
+	if (digest == dw_ruleset_digest(daemon->ruleset)) {
+		send_pair(sync, instance_id, PEER_CONFIG_CONFIRM, delta.to_revision, digest);
+		return DW_OK;
+	}
 	dw_ruleset_items_since(daemon->ruleset, delta.from_revision, keep_item, &delta,
 			       &delta.snapshot);
 	peer_message_buffer_init(&buffer);
@@ -311,15 +358,12 @@
 	struct daemon *daemon = sync->daemon;
 	uint64_t revision = dw_ruleset_revision(daemon->ruleset);
 	const struct dw_member *member = member_ahead(daemon, revision);
-	struct peer_message_buffer buffer;
 
 	if (!member)
 		return;
 	sync->pull_at_us = dw_clock_now_us() + PULL_PERIOD_US;
-	peer_message_buffer_init(&buffer);
-	msgpack_pack_uint64(&buffer.packer, revision);
-	peer_bus_send(daemon, member->key.instance_id, PEER_CONFIG_PULL, &buffer);
-	peer_message_buffer_clear(&buffer);
+	send_pair(sync, member->key.instance_id, PEER_CONFIG_PULL, revision,
+		  dw_ruleset_digest(daemon->ruleset));
 }
 
 struct config_sync *config_sync_start(struct daemon *daemon)
@@ -334,6 +378,8 @@
 	if (!sync)
 		abort();
 	sync->daemon = daemon;
+	if (daemon->settings.seeds.count > 0)
+		sync->read_at_us = dw_clock_now_us() + BOOT_PEERS_US;
 	dw_ruleset_observe(daemon->ruleset, &observer);
 	return sync;
 }
@@ -342,7 +388,8 @@
 {
 	if (revision > sync->hinted_revision)
 		sync->hinted_revision = revision;
-	sync->read_at_us = 0;
+	if (!sync->watch)
+		sync->read_at_us = dw_clock_now_us() + HINT_WAIT_US;
 }
 
 void config_sync_tick(struct config_sync *sync)
--- a/src/dragonflywharfd/config_sync.h
+++ b/src/dragonflywharfd/config_sync.h
@@ -30,6 +30,9 @@
 enum dw_status config_sync_pull(struct config_sync *sync, uint64_t instance_id,
 				const msgpack_object *value);
 
+/** A peer says up to which revision the live keys of a digest are complete. */
+enum dw_status config_sync_confirm(struct config_sync *sync, const msgpack_object *value);
+
 /** This daemon wrote a change at @p revision: read it now, don't wait for the watch. */
 void config_sync_hint(struct config_sync *sync, uint64_t revision);
 
--- a/src/dragonflywharfd/peer_bus.c
+++ b/src/dragonflywharfd/peer_bus.c
@@ -113,6 +113,13 @@
 		bad_message(daemon, from);
 }
 
+static void take_config_confirm(struct daemon *daemon, const struct dw_peer_identity *from,
+				const struct dw_peer_payload *payload)
+{
+	if (config_sync_confirm(daemon->config_sync, payload->value) != DW_OK)
+		bad_message(daemon, from);
+}
+
 static void take_share(struct daemon *daemon, const struct dw_peer_identity *from,
 		       const struct dw_peer_payload *payload)
 {
@@ -196,10 +203,15 @@
 }
 
 static const message_handler handlers[PEER_MESSAGE_LIMIT] = {
-	[PEER_MEMBER] = take_member,	       [PEER_CONFIG_DELTA] = take_config_delta,
-	[PEER_CONFIG_PULL] = take_config_pull, [PEER_SHARE] = take_share,
-	[PEER_ROLLOUT] = take_rollout,	       [PEER_QUARANTINE] = take_quarantine,
-	[PEER_LEDGER] = take_ledger,	       [PEER_WARMTH] = take_warmth,
+	[PEER_MEMBER] = take_member,
+	[PEER_CONFIG_DELTA] = take_config_delta,
+	[PEER_CONFIG_PULL] = take_config_pull,
+	[PEER_CONFIG_CONFIRM] = take_config_confirm,
+	[PEER_SHARE] = take_share,
+	[PEER_ROLLOUT] = take_rollout,
+	[PEER_QUARANTINE] = take_quarantine,
+	[PEER_LEDGER] = take_ledger,
+	[PEER_WARMTH] = take_warmth,
 };
 
 static void on_message(const struct dw_peer_identity *from, uint8_t type,
