--- a/tests/log_test.cc
+++ b/tests/log_test.cc
@@ -2,6 +2,8 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <fstream>
+#include <sstream>
 #include <string>
 
 #include <json-c/json.h>
@@ -57,4 +59,17 @@
 	json_object_put(line);
 }
 
+TEST(Log, TheCatalogueInTheDocsHasEveryEvent)
+{
+	std::stringstream page;
+
+	page << std::ifstream(WHARF_SOURCE_DIR "/docs/EVENTS.md").rdbuf();
+	for (int i = 0; i < DW_EVENT_COUNT; i++) {
+		const struct dw_event_info *info = dw_event_info((enum dw_event)i);
+		std::string row = "| " + std::to_string(info->number) + " | `" + info->name + "` |";
+
+		EXPECT_NE(page.str().find(row), std::string::npos) << row;
+	}
+}
+
 } // namespace
