--- /dev/null
+++ b/examples/embed.c
@@ -0,0 +1,122 @@
+/**
+ * @file embed.c
+ * The decision library in a program of one's own: permissions, a permit, a choice of upstream.
+ *
+ * The library does no I/O and reads no clock: the program gives it time and random numbers, and
+ * carries out what it decides. Exits with 0 if each step came out as shown.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <dragonflywharf/route.h>
+#include <dragonflywharf/ruleset.h>
+#include <dragonflywharf/share.h>
+
+#define NOW_US UINT64_C(1000000)
+#define ENGINE_ID UINT64_C(42)
+#define ENGINE_LIMIT 4
+#define ENGINE_COLD_LIMIT 1
+
+static void require(bool condition, const char *what)
+{
+	printf("%-60s %s\n", what, condition ? "as expected" : "NOT AS EXPECTED");
+	if (!condition)
+		exit(1);
+}
+
+/* Packs an organisation that may use the model "large". */
+static size_t pack_organisation(uint8_t *out)
+{
+	static char *allowed[] = { "large" };
+	Dragonflywharf__Organisation organisation = DRAGONFLYWHARF__ORGANISATION__INIT;
+	Dragonflywharf__Entity entity = DRAGONFLYWHARF__ENTITY__INIT;
+
+	organisation.name = "atlas";
+	organisation.n_allowed = 1;
+	organisation.allowed = allowed;
+	entity.kind_case = DRAGONFLYWHARF__ENTITY__KIND_ORGANISATION;
+	entity.organisation = &organisation;
+	return dragonflywharf__entity__pack(&entity, out);
+}
+
+static size_t pack_version(uint8_t *out)
+{
+	Dragonflywharf__Version version = DRAGONFLYWHARF__VERSION__INIT;
+	Dragonflywharf__Entity entity = DRAGONFLYWHARF__ENTITY__INIT;
+
+	version.model = "large";
+	version.name = "1";
+	version.rollout_weight = 1;
+	entity.kind_case = DRAGONFLYWHARF__ENTITY__KIND_VERSION;
+	entity.version = &version;
+	return dragonflywharf__entity__pack(&entity, out);
+}
+
+static void show_permissions(void)
+{
+	struct dw_ruleset *ruleset = dw_ruleset_new();
+	uint8_t organisation[256];
+	uint8_t version[256];
+	struct dw_ruleset_item items[] = {
+		{ .key = "organisation/atlas", .mod_revision = 1, .bytes = organisation },
+		{ .key = "version/large/1", .mod_revision = 2, .bytes = version },
+	};
+	struct dw_ruleset_result result;
+
+	items[0].len = pack_organisation(organisation);
+	items[1].len = pack_version(version);
+	require(dw_ruleset_apply_snapshot(ruleset, 2, items, 2, &result) == DW_OK,
+		"a configuration is applied");
+	require(dw_ruleset_version_permitted(ruleset, "atlas", "large", "1") == DW_OK,
+		"the organisation may use the version");
+	require(dw_ruleset_version_permitted(ruleset, "other", "large", "1") != DW_OK,
+		"another organisation may not");
+	dw_ruleset_free(ruleset);
+}
+
+static void show_permit(void)
+{
+	struct dw_member_key self = { .instance_id = 1, .incarnation = 1 };
+	struct dw_share *share = dw_share_new(self);
+	struct dw_roster roster = { .epoch = 1, .member_count = 1 };
+	struct dw_permit permit;
+	struct dw_permit second;
+
+	roster.members[0].key = self;
+	snprintf(roster.members[0].name, sizeof(roster.members[0].name), "embedder");
+	require(dw_share_set_roster(share, &roster, NOW_US) == DW_OK, "a roster is adopted");
+	dw_share_set_upstream(share, ENGINE_ID, ENGINE_LIMIT, ENGINE_COLD_LIMIT);
+	require(dw_share_acquire(share, ENGINE_ID, NOW_US, &permit) == DW_OK,
+		"a cold engine takes its first request");
+	require(dw_share_acquire(share, ENGINE_ID, NOW_US, &second) == DW_OVERLOADED,
+		"and no second one while it is cold");
+	dw_share_release(share, &permit, NOW_US);
+	dw_share_free(share);
+}
+
+static void show_route(void)
+{
+	struct dw_upstream_load busy = { .in_flight = 3, .slots = ENGINE_LIMIT };
+	struct dw_upstream_load idle = { .slots = ENGINE_LIMIT };
+	struct dw_route_candidate candidates[] = {
+		{ .upstream_id = 1, .limit = ENGINE_LIMIT, .permits = 1, .load = &busy },
+		{ .upstream_id = 2, .limit = ENGINE_LIMIT, .permits = 4, .load = &idle },
+	};
+	struct dw_route_policy policy = dw_route_policy_default();
+	struct dw_route_request request = { .now_us = NOW_US, .tokens = 100, .random = 7 };
+	struct dw_route_choice choice;
+
+	policy.instances = 1;
+	require(dw_route_choose(&policy, &request, candidates, 2, &choice) == DW_OK &&
+			candidates[choice.index].upstream_id == 2,
+		"the idle engine is chosen over the busy one");
+}
+
+int main(void)
+{
+	show_permissions();
+	show_permit();
+	show_route();
+	return 0;
+}
