Sessions by id: two homes keep the version of callers that hold no token

Cause: a caller that names only a session id got its version by the conversation's hash, which a change of roll-out weights moves. Ruled out: asking only the first home (after its loss the next one knows nothing).

--- a/src/dragonflywharfd/chat_request.c
+++ b/src/dragonflywharfd/chat_request.c
@@ -9,6 +9,7 @@
 #include "dragonflywharfd/chat_request_state.h"
 #include "dragonflywharfd/ledger_sync.h"
 #include "dragonflywharfd/request_headers.h"
+#include "dragonflywharfd/session_sync.h"
 #include "dragonflywharfd/upstream_table.h"
 
 #define CHAT_PATH "/v1/chat/completions"
@@ -481,11 +482,10 @@
 	return request;
 }
 
-static enum dw_status prepare(struct chat_request *request)
+static enum dw_status prepare(struct chat_request *request, const char **kept)
 {
 	struct daemon *daemon = request->daemon;
 	const struct dw_model *model;
-	const char *kept;
 	const char *body;
 	size_t len;
 	enum dw_status status;
@@ -502,33 +502,95 @@
 	if (!model)
 		return dw_fail(DW_NOT_FOUND, "no model %s", request->body.model);
 	request->quality_target_permille = model->quality_target_permille;
-	status = session_version(request, &kept);
-	if (status != DW_OK)
-		return status;
-	status = plan_steps(request, model, kept);
+	return session_version(request, kept);
+}
+
+/* Chooses the versions and queues the first step; @p kept is the session's version or NULL. */
+static void plan_and_enqueue(struct chat_request *request, const char *kept)
+{
+	struct daemon *daemon = request->daemon;
+	const struct dw_model *model = dw_ruleset_model(daemon->ruleset, request->body.model);
+	enum dw_status status = DW_OK;
+
+	if (!model)
+		status = dw_fail(DW_NOT_FOUND, "no model %s", request->body.model);
+	if (status == DW_OK)
+		status = plan_steps(request, model, kept);
+	if (status == DW_OK)
+		status = ledger_sync_reserve(daemon->ledger_sync);
+	if (status != DW_OK) {
+		chat_request_fail(request, status, dw_last_message());
+		return;
+	}
+	request->reserved = true;
+	if (request->has_session_id && request->session_moved) {
+		request->session.moves++;
+		request->session.assigned_us = dw_clock_wall_us();
+		request->session.member = daemon->key;
+		snprintf(request->session.version, sizeof(request->session.version), "%s",
+			 request->steps[request->step_count - 1].version);
+		session_sync_put(daemon->session_sync, &request->session);
+	}
+	enqueue(request);
+}
+
+static void on_session(const struct dw_session_entry *entry, void *owner)
+{
+	struct chat_request *request = owner;
+
+	request->pending--;
+	if (!request->ended) {
+		request->session = *entry;
+		plan_and_enqueue(request, entry->version[0] ? entry->version : NULL);
+		daemon_pump(request->daemon);
+	}
+	chat_request_settle(request);
+}
+
+/* Proposes a version for the session that the caller names; the one that stands comes back. */
+static enum dw_status resolve_session(struct chat_request *request, const char *session)
+{
+	struct daemon *daemon = request->daemon;
+	struct chat_step step = { .version = "" };
+	struct dw_session_entry proposed = {
+		.id = dw_session_id_make(request->organisation, request->body.model, session),
+		.assigned_us = dw_clock_wall_us(),
+		.member = daemon->key,
+	};
+	enum dw_status status;
+
+	snprintf(step.model, sizeof(step.model), "%s", request->body.model);
+	status = choose_version(request, &step, NULL);
 	if (status != DW_OK)
 		return status;
-	status = ledger_sync_reserve(daemon->ledger_sync);
-	request->reserved = status == DW_OK;
-	return status;
+	snprintf(proposed.version, sizeof(proposed.version), "%s", step.version);
+	request->has_session_id = true;
+	request->pending++;
+	session_sync_resolve(daemon->session_sync, &proposed, on_session, request);
+	return DW_OK;
 }
 
 void chat_request_start(struct daemon *daemon, struct dw_http_exchange *exchange,
 			const struct dw_organisation *organisation)
 {
 	struct chat_request *request = request_new(daemon, exchange, organisation);
+	const char *session = dw_http_header(exchange, "x-session-id");
+	const char *kept = NULL;
 	enum dw_status status;
 
 	dw_http_on_gone(exchange, on_caller_gone, request);
 	dw_log_event(&daemon->log, DW_EVENT_REQUEST_RECEIVED, DW_STR("request", request->id),
 		     DW_STR("organisation", request->organisation), DW_STR("kind", "chat"));
-	status = prepare(request);
+	status = prepare(request, &kept);
+	if (status == DW_OK && session && !kept)
+		status = resolve_session(request, session);
+	else if (status == DW_OK)
+		plan_and_enqueue(request, kept);
 	if (status != DW_OK) {
 		if (status == DW_INVALID_ARGUMENT)
 			dw_counters_add(&daemon->counters, DW_COUNTER_BAD_INPUTS, 1);
 		chat_request_fail(request, status, dw_last_message());
 		return;
 	}
-	enqueue(request);
 	daemon_pump(daemon);
 }
--- a/src/dragonflywharfd/chat_request_state.h
+++ b/src/dragonflywharfd/chat_request_state.h
@@ -38,6 +38,8 @@
 	size_t step;
 	uint32_t quality_target_permille;
 	bool session_moved;
+	bool has_session_id; /* the caller names its session, without a token */
+	struct dw_session_entry session;
 
 	struct attempt *attempt;
 	uint64_t tried[CHAT_ATTEMPTS_MAX];
--- a/src/dragonflywharfd/daemon.c
+++ b/src/dragonflywharfd/daemon.c
@@ -14,6 +14,7 @@
 #include "dragonflywharfd/operator_api.h"
 #include "dragonflywharfd/peer_bus.h"
 #include "dragonflywharfd/roster_sync.h"
+#include "dragonflywharfd/session_sync.h"
 #include "dragonflywharfd/upstream_table.h"
 #include "platform/rater_http.h"
 #include "platform/store_etcd.h"
@@ -107,6 +108,7 @@
 	dw_quarantine_tick(daemon->quarantine, now_us);
 	once_sync_tick(daemon->once_sync);
 	ledger_sync_tick(daemon->ledger_sync);
+	session_sync_tick(daemon->session_sync);
 	daemon_pump(daemon);
 }
 
@@ -256,6 +258,7 @@
 	daemon->dispatcher = dispatcher_new(daemon);
 	daemon->once_sync = once_sync_start(daemon);
 	daemon->ledger_sync = ledger_sync_start(daemon);
+	daemon->session_sync = session_sync_new(daemon);
 	daemon->roster_sync = roster_sync_start(daemon);
 	daemon->config_sync = config_sync_start(daemon);
 	status = operator_api_start(daemon);
--- a/src/dragonflywharfd/daemon.h
+++ b/src/dragonflywharfd/daemon.h
@@ -41,6 +41,7 @@
 struct dispatcher;
 struct once_sync;
 struct ledger_sync;
+struct session_sync;
 
 /** Retry budget of one organisation on this instance. */
 struct organisation_budget {
@@ -80,6 +81,7 @@
 	struct dispatcher *dispatcher;
 	struct once_sync *once_sync;
 	struct ledger_sync *ledger_sync;
+	struct session_sync *session_sync;
 	struct organisation_budget *budgets;
 
 	uv_timer_t tick;
--- a/src/dragonflywharfd/peer_bus.c
+++ b/src/dragonflywharfd/peer_bus.c
@@ -4,6 +4,7 @@
 
 #include "dragonflywharfd/config_sync.h"
 #include "dragonflywharfd/ledger_sync.h"
+#include "dragonflywharfd/session_sync.h"
 #include "dragonflywharfd/upstream_table.h"
 #include "net/member_codec.h"
 #include "net/msgpack_read.h"
@@ -120,6 +121,21 @@
 		bad_message(daemon, from);
 }
 
+static void take_session_ask(struct daemon *daemon, const struct dw_peer_identity *from,
+			     const struct dw_peer_payload *payload)
+{
+	if (session_sync_asked(daemon->session_sync, from->key.instance_id, payload->value) !=
+	    DW_OK)
+		bad_message(daemon, from);
+}
+
+static void take_session_entry(struct daemon *daemon, const struct dw_peer_identity *from,
+			       const struct dw_peer_payload *payload)
+{
+	if (session_sync_answered(daemon->session_sync, payload->value) != DW_OK)
+		bad_message(daemon, from);
+}
+
 static void take_share(struct daemon *daemon, const struct dw_peer_identity *from,
 		       const struct dw_peer_payload *payload)
 {
@@ -207,6 +223,8 @@
 	[PEER_CONFIG_DELTA] = take_config_delta,
 	[PEER_CONFIG_PULL] = take_config_pull,
 	[PEER_CONFIG_CONFIRM] = take_config_confirm,
+	[PEER_SESSION_ASK] = take_session_ask,
+	[PEER_SESSION_ENTRY] = take_session_entry,
 	[PEER_SHARE] = take_share,
 	[PEER_ROLLOUT] = take_rollout,
 	[PEER_QUARANTINE] = take_quarantine,
--- a/tests/process_path_test.cc
+++ b/tests/process_path_test.cc
@@ -49,6 +49,30 @@
 	EXPECT_NE(streamed.body.find("data: [DONE]"), std::string::npos);
 }
 
+TEST_F(Path, ASessionIdKeepsItsVersionThoughOneOfItsHomesIsKilled)
+{
+	support::daemon *third = &c.add_daemon("entry-3", { .failure_domain = "hoofddorp" });
+	support::http_headers headers = { { "x-session-id", "resident-7" } };
+
+	c.apply({ cluster::organisation_entity("haarlemmerland", { "large" }) });
+	for (support::daemon *d : { first, second, third })
+		cluster::wait_until(d->name + " is in the roster", [&] {
+			return support::http_call(d->caller_port, "GET", "/healthz").status == 200;
+		});
+	ASSERT_EQ(c.chat(*first, "haarlemmerland", chat_body("large", "slate"), headers)
+			  .headers["x-served-version"],
+		  "large/1");
+	ASSERT_EQ(c.ctl({ "weight", "large/2", "100" }).exit_code, 0);
+	ASSERT_EQ(c.ctl({ "weight", "large/1", "0" }).exit_code, 0);
+	c.wait_in_force();
+	first->running->kill();
+	for (support::daemon *d : { second, third })
+		EXPECT_EQ(c.chat(*d, "haarlemmerland", chat_body("large", "dormer"), headers)
+				  .headers["x-served-version"],
+			  "large/1")
+			<< d->name;
+}
+
 TEST_F(Path, ASessionKeepsItsVersionOnAnotherInstanceAndARestartedOne)
 {
 	support::http_answer one = c.chat(*first, "haarlemmerland", chat_body("large", "slate"));
