--- a/src/dragonflywharfd/daemon.c
+++ b/src/dragonflywharfd/daemon.c
@@ -93,25 +93,6 @@
 	daemon->last_tick_us = now_us;
 }
 
-static void on_tick(uv_timer_t *timer)
-{
-	struct daemon *daemon = timer->data;
-	uint64_t now_us = dw_clock_now_us();
-
-	notice_pause(daemon, now_us);
-	dw_membership_tick(daemon->membership, now_us, daemon_random(daemon));
-	take_member_events(daemon);
-	config_sync_tick(daemon->config_sync);
-	roster_sync_tick(daemon->roster_sync);
-	upstream_table_tick(daemon->upstreams);
-	dw_share_tick(daemon->share, now_us);
-	dw_quarantine_tick(daemon->quarantine, now_us);
-	once_sync_tick(daemon->once_sync);
-	ledger_sync_tick(daemon->ledger_sync);
-	session_sync_tick(daemon->session_sync);
-	daemon_pump(daemon);
-}
-
 /* The last steps of a planned stop, once no request is under way. */
 static bool has_left(struct daemon *daemon)
 {
@@ -141,14 +122,8 @@
 	exit(forced ? EXIT_STOP_FORCED : EXIT_DONE);
 }
 
-static void on_signal(uv_signal_t *signal, int number)
+static void begin_stop(struct daemon *daemon, int number)
 {
-	struct daemon *daemon = signal->data;
-
-	if (daemon_stopping(daemon)) {
-		daemon->stop_deadline_us = dw_clock_now_us();
-		return;
-	}
 	daemon->stop_deadline_us =
 		dw_clock_now_us() + daemon->settings.stop_timeout_ms * DW_US_PER_MS + 1;
 	dw_log_event(&daemon->log, DW_EVENT_STOPPING, DW_INT("signal", number));
@@ -158,6 +133,43 @@
 	daemon_pump(daemon);
 }
 
+static void on_signal(uv_signal_t *signal, int number)
+{
+	struct daemon *daemon = signal->data;
+
+	if (daemon_stopping(daemon))
+		daemon->stop_deadline_us = dw_clock_now_us();
+	else
+		begin_stop(daemon, number);
+}
+
+/* A later run of this instance has taken its place. */
+static void stop_if_replaced(struct daemon *daemon)
+{
+	if (dw_membership_is_replaced(daemon->membership) && !daemon_stopping(daemon))
+		begin_stop(daemon, 0);
+}
+
+static void on_tick(uv_timer_t *timer)
+{
+	struct daemon *daemon = timer->data;
+	uint64_t now_us = dw_clock_now_us();
+
+	notice_pause(daemon, now_us);
+	dw_membership_tick(daemon->membership, now_us, daemon_random(daemon));
+	take_member_events(daemon);
+	stop_if_replaced(daemon);
+	config_sync_tick(daemon->config_sync);
+	roster_sync_tick(daemon->roster_sync);
+	upstream_table_tick(daemon->upstreams);
+	dw_share_tick(daemon->share, now_us);
+	dw_quarantine_tick(daemon->quarantine, now_us);
+	once_sync_tick(daemon->once_sync);
+	ledger_sync_tick(daemon->ledger_sync);
+	session_sync_tick(daemon->session_sync);
+	daemon_pump(daemon);
+}
+
 static void init_identity(struct daemon *daemon)
 {
 	const struct daemon_settings *settings = &daemon->settings;
