--- a/src/wharf-replay/run.c
+++ b/src/wharf-replay/run.c
@@ -235,6 +235,7 @@
 		.data = (void *)(uintptr_t)index,
 	};
 
+	world_refresh_pool(world, index);
 	status = dw_admission_push(instance->admission, world->now_us, &entry, &handle);
 	if (status)
 		end_refused(world, index, status);
--- a/src/wharf-replay/world.c
+++ b/src/wharf-replay/world.c
@@ -22,6 +22,24 @@
 	return slots - in_flight;
 }
 
+void world_refresh_pool(struct world *world, uint32_t index)
+{
+	const struct job *job = &world->jobs[index];
+	uint32_t model = job->steps[job->position];
+	struct instance *instance = &world->instances[job->instance];
+	uint32_t slots = 0;
+	uint32_t usable = 0;
+
+	for (uint32_t i = 0; i < world->trace->engine_count; i++) {
+		if (world->trace->engines[i].model != model || !world_in_service(world, i))
+			continue;
+		slots += engine_slots(&world->engines[i], world->now_us);
+		usable += instance->loads[i].in_flight + world_permits(world, i);
+	}
+	slots = (slots + world->trace->instances - 1) / world->trace->instances;
+	dw_admission_set_pool(instance->admission, model, slots > usable ? slots : usable);
+}
+
 static uint32_t round_robin(struct world *world, struct job *job)
 {
 	struct instance *instance = &world->instances[job->instance];
--- a/src/wharf-replay/world.h
+++ b/src/wharf-replay/world.h
@@ -66,6 +66,10 @@
 /* The steps of a job by the strategy. */
 void world_plan(struct world *world, uint32_t index);
 
+/* Tells a job's door what its model's engines run at once for this instance: an even part, or what
+ * it has in flight and could still start, if that is more. */
+void world_refresh_pool(struct world *world, uint32_t index);
+
 /* Applies one of the trace's faults; engines that come back are told by EVENT_WARM when warm. */
 void world_apply_fault(struct world *world, const struct trace_fault *fault);
 
