--- a/include/dragonflywharf/admission.h
+++ b/include/dragonflywharf/admission.h
@@ -60,7 +60,10 @@
 					     uint64_t organisation_id, uint32_t weight,
 					     uint32_t max_in_flight);
 
-/** How many entries a pool runs at once for this instance; the estimate of waiting rests on it. */
+/**
+ * How many entries a pool runs at once for this instance; the estimate of waiting rests on it. An
+ * even part of the limits, or what it has in flight and could still start, if that is more.
+ */
 enum dw_status dw_admission_set_pool(struct dw_admission *admission, uint32_t pool,
 				     uint32_t parallel);
 
