--- a/src/base/event.c
+++ b/src/base/event.c
@@ -31,6 +31,7 @@
 	[DW_EVENT_UPSTREAM_WARM] = { 601, DW_LEVEL_INFO, "upstream.warm" },
 	[DW_EVENT_UPSTREAM_LEAVING] = { 602, DW_LEVEL_INFO, "upstream.leaving" },
 	[DW_EVENT_UPSTREAM_CRASHED] = { 603, DW_LEVEL_WARNING, "upstream.crashed" },
+	[DW_EVENT_UPSTREAM_RETURNED] = { 604, DW_LEVEL_INFO, "upstream.returned" },
 	[DW_EVENT_LOAN_GRANTED] = { 610, DW_LEVEL_DEBUG, "loan.granted" },
 	[DW_EVENT_LOAN_RETURNED] = { 611, DW_LEVEL_DEBUG, "loan.returned" },
 	[DW_EVENT_INTENT_COMMITTED] = { 700, DW_LEVEL_INFO, "once.intent_committed" },
@@ -42,6 +43,8 @@
 	[DW_EVENT_VERSION_HELD] = { 800, DW_LEVEL_WARNING, "version.held" },
 	[DW_EVENT_VERSION_RELEASED] = { 801, DW_LEVEL_INFO, "version.released" },
 	[DW_EVENT_CASCADE_RATED] = { 802, DW_LEVEL_INFO, "cascade.rated" },
+	[DW_EVENT_VERSION_WITHDRAWN] = { 803, DW_LEVEL_INFO, "version.withdrawn" },
+	[DW_EVENT_VERSION_LIVE] = { 804, DW_LEVEL_INFO, "version.live" },
 	[DW_EVENT_REQUEST_QUARANTINED] = { 810, DW_LEVEL_WARNING, "request.quarantined" },
 	[DW_EVENT_STANDIN] = { 900, DW_LEVEL_INFO, "standin.note" },
 };
--- a/src/dragonflywharfd/attempt.h
+++ b/src/dragonflywharfd/attempt.h
@@ -36,6 +36,7 @@
 	const char *body;
 	size_t body_len;
 	const char *organisation;
+	const char *serves; /**< "model/version" or a service's name, for the log */
 	const char *request_id; /**< text, the same for all attempts of a request */
 	const char *idempotency_key; /**< NULL if there is none */
 	struct dw_fingerprint fingerprint;
--- a/src/dragonflywharfd/chat_request.c
+++ b/src/dragonflywharfd/chat_request.c
@@ -386,6 +386,7 @@
 {
 	const struct chat_step *step = chat_request_step(request);
 	bool last = request->step + 1 == request->step_count;
+	char serves[2 * DW_NAME_MAX_BYTES + 2];
 	char *body = chat_body_for_upstream(&request->body, step->model, step->version,
 					    last && request->body.stream);
 	struct attempt_options options = {
@@ -397,6 +398,7 @@
 		.body = body,
 		.body_len = strlen(body),
 		.organisation = request->organisation,
+		.serves = serves,
 		.request_id = request->id,
 		.fingerprint = request->fingerprint,
 		.deadline_us = request->deadline_us,
@@ -405,6 +407,7 @@
 		.owner = request,
 	};
 
+	snprintf(serves, sizeof(serves), "%s/%s", step->model, step->version);
 	request->tried[request->tried_count++] = choice->upstream->id;
 	request->attempt = attempt_start(request->daemon, &options);
 	free(body);
--- a/src/dragonflywharfd/config_sync.c
+++ b/src/dragonflywharfd/config_sync.c
@@ -25,12 +25,20 @@
 #define BOOT_PEERS_US (1000 * DW_US_PER_MS)
 #define PULL_FIELDS 2U
 
+/* Whether a version was live when it was last looked at. */
+struct version_state {
+	char name[2 * DW_NAME_MAX_BYTES + 2]; /* MODEL/VERSION */
+	bool live;
+	UT_hash_handle hh;
+};
+
 struct config_sync {
 	struct daemon *daemon;
 	struct dw_store_watch *watch;
 	uint64_t read_at_us; /* when the store may be read again */
 	uint64_t pull_at_us;
 	uint64_t hinted_revision; /* written by this daemon, not in force here yet */
+	struct version_state *versions;
 	bool reading;
 	bool store_reachable;
 	bool store_known; /* store_reachable has been told */
@@ -78,9 +86,32 @@
 		     DW_STR("message", message));
 }
 
-static void tell_rollout(const struct dw_ruleset_item *item, void *data)
+static void note_liveness(struct config_sync *sync, const Dragonflywharf__Version *version)
 {
-	struct daemon *daemon = data;
+	bool live = version->state == DRAGONFLYWHARF__VERSION_STATE__VERSION_LIVE;
+	char name[2 * DW_NAME_MAX_BYTES + 2];
+	struct version_state *state;
+
+	snprintf(name, sizeof(name), "%s/%s", version->model, version->name);
+	HASH_FIND_STR(sync->versions, name, state);
+	if (state && state->live == live)
+		return;
+	if (!state) {
+		state = calloc(1, sizeof(*state));
+		if (!state)
+			abort();
+		memcpy(state->name, name, sizeof(name));
+		HASH_ADD_STR(sync->versions, name, state);
+	}
+	state->live = live;
+	dw_log_event(&sync->daemon->log, live ? DW_EVENT_VERSION_LIVE : DW_EVENT_VERSION_WITHDRAWN,
+		     DW_STR("version", name));
+}
+
+static void take_version(const struct dw_ruleset_item *item, void *data)
+{
+	struct config_sync *sync = data;
+	struct daemon *daemon = sync->daemon;
 	Dragonflywharf__Entity *entity =
 		dragonflywharf__entity__unpack(NULL, item->len, item->bytes);
 	const Dragonflywharf__Version *version;
@@ -94,6 +125,7 @@
 		dw_rollout_set_version(daemon->rollout,
 				       XXH64(version->name, strlen(version->name), model_id),
 				       model_id, version->release_order);
+		note_liveness(sync, version);
 	}
 	dragonflywharf__entity__free_unpacked(entity, NULL);
 }
@@ -103,7 +135,7 @@
 {
 	struct daemon *daemon = sync->daemon;
 
-	dw_ruleset_visit_prefix(daemon->ruleset, "version/", tell_rollout, daemon);
+	dw_ruleset_visit_prefix(daemon->ruleset, "version/", take_version, sync);
 	upstream_table_refresh(daemon->upstreams);
 	dispatcher_refresh(daemon->dispatcher);
 	daemon_pump(daemon);
--- a/src/dragonflywharfd/roster_sync.c
+++ b/src/dragonflywharfd/roster_sync.c
@@ -95,11 +95,12 @@
 	return listed && (listed->leaving || listed->unlisted_since_us != UINT64_MAX);
 }
 
+/* A leaving member keeps its place until it has released it, and gets none again. */
 static enum dw_roster_condition condition_of(enum dw_member_state state)
 {
 	static const enum dw_roster_condition conditions[DW_MEMBER_STATE_COUNT] = {
 		[DW_MEMBER_ALIVE] = DW_ROSTER_ALIVE,
-		[DW_MEMBER_LEAVING] = DW_ROSTER_ALIVE,
+		[DW_MEMBER_LEAVING] = DW_ROSTER_UNREACHABLE,
 		[DW_MEMBER_SUSPECT] = DW_ROSTER_UNREACHABLE,
 		[DW_MEMBER_DEAD] = DW_ROSTER_DEAD,
 	};
--- a/src/dragonflywharfd/service_request.c
+++ b/src/dragonflywharfd/service_request.c
@@ -366,6 +366,7 @@
 		.body = request->body,
 		.body_len = request->body_len,
 		.organisation = request->organisation,
+		.serves = request->service,
 		.request_id = request->id,
 		.idempotency_key = request->key[0] ? request->key : NULL,
 		.fingerprint = request->fingerprint,
--- a/src/dragonflywharfd/upstream_table.c
+++ b/src/dragonflywharfd/upstream_table.c
@@ -85,8 +85,11 @@
 {
 	uint64_t now_us = dw_clock_now_us();
 
-	if (usable && !upstream->usable && table->filled)
+	if (usable && !upstream->usable && table->filled) {
 		dw_ramp_start(&upstream->ramp, now_us, now_us + DW_RAMP_DEFAULT_US);
+		dw_log_event(&table->daemon->log, DW_EVENT_UPSTREAM_RETURNED,
+			     DW_STR("upstream", upstream->name));
+	}
 	if (!usable && upstream->usable)
 		dw_log_event(&table->daemon->log, DW_EVENT_UPSTREAM_LEAVING,
 			     DW_STR("upstream", upstream->name));
--- a/tests/fuzz/fuzz_rollout_codec.c
+++ b/tests/fuzz/fuzz_rollout_codec.c
@@ -3,13 +3,11 @@
  * Bytes from a peer as roll-out evidence: whatever is taken in is merged as well.
  */
 #include <stdlib.h>
-#include <string.h>
 
+#include "core/msgpack_check.h"
 #include "net/rollout_codec.h"
 
 #define VERSION_ID 1
-#define ARRAY32 0xdd
-#define MAP32 0xdf
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
@@ -22,8 +20,8 @@
 	uint64_t held[4];
 	size_t used = 0;
 
-	/* The msgpack library reserves what a 32-bit count asks for, up to 128 GB, before it reads on. */
-	if (memchr(data, ARRAY32, size) || memchr(data, MAP32, size)) {
+	/* As the mesh does: the msgpack library reserves whatever a 32-bit count asks for. */
+	if (dw_msgpack_check(data, size) != DW_OK) {
 		dw_rollout_free(rollout);
 		return 0;
 	}
