--- a/tests/rollout_test.cc
+++ b/tests/rollout_test.cc
@@ -7,6 +7,7 @@
 
 #include <dragonflywharf/rollout.h>
 
+#include "core/msgpack_check.h"
 #include "net/rollout_codec.h"
 
 namespace
@@ -369,6 +370,9 @@
 	size_t used = 0;
 	enum dw_status status = DW_INVALID_ARGUMENT;
 
+	/* As the mesh does before it unpacks. */
+	if (dw_msgpack_check((const uint8_t *)bytes.data(), bytes.size()) != DW_OK)
+		return status;
 	msgpack_unpacked_init(&value);
 	if (msgpack_unpack_next(&value, bytes.data(), bytes.size(), &used) ==
 	    MSGPACK_UNPACK_SUCCESS)
@@ -397,9 +401,6 @@
 		std::string damaged = bytes.substr(0, 1 + random() % bytes.size());
 
 		damaged[random() % damaged.size()] = (char)random();
-		/* A 32-bit count makes the msgpack library reserve up to 128 GB at once. */
-		if (damaged.find_first_of("\xdd\xdf") != std::string::npos)
-			continue;
 		if (decoded(damaged, &back))
 			continue;
 		ASSERT_LE(back.entry_count, (uint32_t)DW_ROLLOUT_MESSAGE_ENTRIES);
