Roll-out evidence counts only answers of the model that was asked for

Cause: each rated answer was counted, also that of a cascade's cheap step, which often misses the target by design, and so were the cheap step's errors. Such a version was held after 4 answers. Change: chat_rating.c and attempt_failed() count at the plan's last step only; the cascade's rates go on learning from every rating.

--- a/src/dragonflywharfd/chat_rating.c
+++ b/src/dragonflywharfd/chat_rating.c
@@ -16,6 +16,7 @@
 	struct chat_step step;
 	uint64_t organisation_id;
 	uint32_t quality_target_permille;
+	bool asked_for; /* the model that the caller asked for, not a cheaper step */
 	void (*done)(struct chat_request *request, bool release);
 };
 
@@ -60,12 +61,12 @@
 	bool rated = result->status == DW_OK;
 	bool passed = rated && result->score_permille >= rating->quality_target_permille;
 
-	if (rated) {
+	if (rated && rating->asked_for)
 		chat_rating_count(daemon, rating->step.model, rating->step.version,
 				  passed ? DW_ROLLOUT_GOOD : DW_ROLLOUT_BAD);
+	if (rated)
 		dw_cascade_rates_learn(daemon->cascade_rates, rating->organisation_id,
 				       id_of(rating->step.model, 0), 0, passed, dw_clock_now_us());
-	}
 	if (request) {
 		dw_counters_add(&daemon->counters, DW_COUNTER_CASCADE_STEPS, 1);
 		dw_log_event(&daemon->log, DW_EVENT_CASCADE_RATED, DW_STR("request", request->id),
@@ -90,6 +91,7 @@
 	rating->step = *chat_request_step(request);
 	rating->organisation_id = request->organisation_id;
 	rating->quality_target_permille = request->quality_target_permille;
+	rating->asked_for = chat_request_at_last_step(request);
 	return rating;
 }
 
@@ -114,7 +116,7 @@
 	struct daemon *daemon = request->daemon;
 
 	/* A step of a cascade that isn't the last has been rated before its release. */
-	if (!daemon->rater || !request->content || request->step + 1 < request->step_count ||
+	if (!daemon->rater || !request->content || !chat_request_at_last_step(request) ||
 	    daemon_random(daemon) % PERMILLE >= daemon->settings.rated_permille)
 		return;
 	rate(request, rating_new(request), request->content);
--- a/src/dragonflywharfd/chat_request.c
+++ b/src/dragonflywharfd/chat_request.c
@@ -302,7 +302,7 @@
 
 	if (end->progress != DW_HTTP_NOT_SENT)
 		request->may_have_run = true;
-	if (end->http_status == 500)
+	if (end->http_status == 500 && chat_request_at_last_step(request))
 		chat_rating_count(request->daemon, chat_request_step(request)->model,
 				  chat_request_step(request)->version, DW_ROLLOUT_ERROR);
 	if (!may_retry(request, end)) {
@@ -343,7 +343,7 @@
 {
 	struct chat_request *request = owner;
 	bool whole = end->status == DW_OK && end->http_status == 200;
-	bool last = request->step + 1 == request->step_count;
+	bool last = chat_request_at_last_step(request);
 
 	request->attempt = NULL;
 	if (whole && last && request->body.stream)
@@ -385,7 +385,7 @@
 static void start_attempt(struct chat_request *request, const struct dispatch_choice *choice)
 {
 	const struct chat_step *step = chat_request_step(request);
-	bool last = request->step + 1 == request->step_count;
+	bool last = chat_request_at_last_step(request);
 	char serves[2 * DW_NAME_MAX_BYTES + 2];
 	char *body = chat_body_for_upstream(&request->body, step->model, step->version,
 					    last && request->body.stream);
@@ -420,7 +420,7 @@
 	struct chat_step *step = chat_request_step(request);
 	enum dw_status status =
 		dw_quarantine_check(daemon->quarantine, request->fingerprint, dw_clock_now_us());
-	bool last = request->step + 1 == request->step_count;
+	bool last = chat_request_at_last_step(request);
 
 	if (status != DW_OK)
 		return status;
--- a/src/dragonflywharfd/chat_request_state.h
+++ b/src/dragonflywharfd/chat_request_state.h
@@ -64,6 +64,12 @@
 /** The version that the current step runs. */
 struct chat_step *chat_request_step(struct chat_request *request);
 
+/** The current step runs the model that was asked for: nothing cheaper is left to try. */
+static inline bool chat_request_at_last_step(const struct chat_request *request)
+{
+	return request->step + 1 == request->step_count;
+}
+
 /** Ends the request without an answer: tells the caller a typed error, or cuts its stream. */
 void chat_request_fail(struct chat_request *request, enum dw_status status, const char *message);
 
@@ -86,7 +92,7 @@
 /** The streamed answer is whole. */
 void chat_answer_streamed(struct chat_request *request);
 
-/** Counts the outcome of a version's answer, and holds the version if the evidence says so. */
+/** Counts the outcome of an answer of the model that was asked for, and holds the version if the evidence says so. */
 void chat_rating_count(struct daemon *daemon, const char *model, const char *version,
 		       enum dw_rollout_outcome outcome);
 
--- /dev/null
+++ b/tests/process_policy_test.cc
@@ -0,0 +1,93 @@
+// The daemon's use of the policy library: cascade, roll-out evidence and admission.
+#include <gtest/gtest.h>
+
+#include "support/cluster.h"
+
+using support::chat_body;
+using support::cluster;
+
+namespace
+{
+
+constexpr char slate[] = "slate";
+/** "After a few seconds", as promised for what instances tell each other. */
+constexpr int few_seconds_ms = 3000;
+
+struct Policy : public ::testing::Test {
+	cluster c;
+	support::standin *small = nullptr;
+	support::standin *large = nullptr;
+	support::daemon *first = nullptr;
+	support::daemon *second = nullptr;
+
+	virtual std::string small_speed()
+	{
+		return "--token-us=1000";
+	}
+
+	void SetUp() override
+	{
+		small = &c.add_engine("engine-small", "haarlem", { "small/1" },
+				      { small_speed(), "--slots=4" });
+		large = &c.add_engine("engine-large", "haarlem", { "large/1", "large/2" },
+				      { "--token-us=1000", "--slots=4" });
+		first = &add_daemon("entry-1", "haarlem");
+		second = &add_daemon("entry-2", "zaandam");
+		c.apply({
+			R"({"failure_domain":{"name":"haarlem"}})",
+			cluster::engine_entity(*small, "haarlem", { "small/1" }, 4, 2, 50),
+			cluster::engine_entity(*large, "haarlem", { "large/1", "large/2" }, 4, 2,
+					       50),
+			R"({"model":{"name":"small","quality_target_permille":800}})",
+			R"({"model":{"name":"large","quality_target_permille":800,)"
+			R"("cascade":["small"]}})",
+			version("small", "1", 100, 1000),
+			version("large", "1", 1, 1000000),
+			version("large", "2", 0, 1000000),
+			cluster::organisation_entity(slate, { "large", "small" }),
+			cluster::organisation_entity("dormer", { "large", "small" }),
+		});
+		for (support::daemon *d : { first, second }) {
+			for (const char *name : { "engine-small", "engine-large" })
+				c.wait_event(*d, "upstream.warm", [&](const support::event &e) {
+					return e.field("upstream") == name;
+				});
+		}
+	}
+
+	support::daemon &add_daemon(const std::string &name, const std::string &domain)
+	{
+		return c.add_daemon(
+			name, { .failure_domain = domain, .settings = "\"rated_permille\": 1000" });
+	}
+
+	static std::string version(const std::string &model, const std::string &name, int weight,
+				   int cost)
+	{
+		return R"({"version":{"model":")" + model + R"(","name":")" + name +
+		       R"(","rollout_weight":)" + std::to_string(weight) +
+		       R"(,"cost_micros_per_1k_tokens":)" + std::to_string(cost) + "}}";
+	}
+
+	support::http_answer ask(const std::string &model, int number,
+				 const support::http_headers &headers = {})
+	{
+		return c.chat(*first, slate, chat_body(model, "tile " + std::to_string(number)),
+			      headers);
+	}
+};
+
+TEST_F(Policy, ACheapStepIsNotHeldForMissingTheTarget)
+{
+	small->fault(R"({"kind":"quality","n":0})");
+	for (int i = 0; i < 25; i++) {
+		support::http_answer answer = ask("large", i);
+
+		EXPECT_EQ(answer.headers["x-served-version"], "large/1") << answer.body;
+	}
+	EXPECT_GE(first->events("cascade.rated").size(), 20U);
+	EXPECT_EQ(first->events("version.held").size(), 0U);
+	EXPECT_EQ(ask("small", 0).status, 200);
+}
+
+} // namespace
