Roll-out evidence is told again to peers that missed it

Cause: each counter and hold was told to four peers once, when it changed. An instance that joined later, or lost that message, went on giving out a held version's answers. Change: each second one random live peer gets the next part of everything known (dw_rollout_collect_all), with a longer pause after a large message: at most 1 KB a second. A bad answer is told at once instead of at the next tick. The number of live instances goes to dw_rollout_set_instances (no process test shows that; rollout_test covers the library's part). Ruled out: everything to each new member from all others, as at 2,100 instances one newcomer would get some 8 MB at once.

--- a/src/dragonflywharfd/chat_rating.c
+++ b/src/dragonflywharfd/chat_rating.c
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 #include "dragonflywharfd/chat_request_state.h"
+#include "dragonflywharfd/peer_bus.h"
 #include "platform/rater.h"
 
 #define RATING_TIMEOUT_US (2 * DW_US_PER_S)
@@ -33,6 +34,9 @@
 	bool held = false;
 
 	dw_rollout_count(daemon->rollout, version_id, outcome, &held);
+	/* Peers go on giving out the version's answers until they hear of this one. */
+	if (outcome != DW_ROLLOUT_GOOD)
+		peer_bus_flush(daemon);
 	if (!held)
 		return;
 	dw_rollout_pooled(daemon->rollout, version_id, &totals);
--- a/src/dragonflywharfd/daemon.c
+++ b/src/dragonflywharfd/daemon.c
@@ -82,6 +82,8 @@
 			ledger_sync_member_dead(daemon->ledger_sync, event.member.key);
 		if (event.is_new)
 			dw_quarantine_resend(daemon->quarantine);
+		dw_rollout_set_instances(daemon->rollout,
+					 (uint32_t)dw_membership_live_count(daemon->membership));
 	}
 }
 
@@ -167,6 +169,7 @@
 	once_sync_tick(daemon->once_sync);
 	ledger_sync_tick(daemon->ledger_sync);
 	session_sync_tick(daemon->session_sync);
+	peer_bus_repeat_evidence(daemon, now_us);
 	daemon_pump(daemon);
 }
 
--- a/src/dragonflywharfd/daemon.h
+++ b/src/dragonflywharfd/daemon.h
@@ -92,6 +92,8 @@
 	bool left; /**< the leaving steps after the last request have begun */
 	uint64_t random_state;
 	uint64_t last_tick_us;
+	uint64_t repeat_cursor; /**< into the roll-out evidence that is told again */
+	uint64_t repeat_at_us; /**< when the next part of it is due */
 };
 
 /** Starts all parts and runs until a planned stop; the process's exit code. */
--- a/src/dragonflywharfd/peer_bus.c
+++ b/src/dragonflywharfd/peer_bus.c
@@ -15,6 +15,9 @@
 /** Peers that evidence is passed on to, each of whom passes it on in turn. */
 #define EVIDENCE_FANOUT 4
 #define HELD_MAX 16
+/** Everything known is told again and again, at most so much of it. */
+#define REPEAT_PERIOD_US DW_US_PER_S
+#define REPEAT_BYTES_PER_S 1024U
 
 typedef void (*message_handler)(struct daemon *daemon, const struct dw_peer_identity *from,
 				const struct dw_peer_payload *payload);
@@ -312,6 +315,33 @@
 	}
 }
 
+/* The next part of everything known; begins again after the last one. */
+static bool next_repeat(struct daemon *daemon, struct dw_rollout_message *message)
+{
+	if (dw_rollout_collect_all(daemon->rollout, &daemon->repeat_cursor, message))
+		return true;
+	daemon->repeat_cursor = 0;
+	return dw_rollout_collect_all(daemon->rollout, &daemon->repeat_cursor, message);
+}
+
+void peer_bus_repeat_evidence(struct daemon *daemon, uint64_t now_us)
+{
+	static struct dw_rollout_message message;
+	struct peer_message_buffer buffer;
+
+	if (now_us < daemon->repeat_at_us)
+		return;
+	daemon->repeat_at_us = now_us + REPEAT_PERIOD_US;
+	if (!peer_bus_random_member(daemon) || !next_repeat(daemon, &message))
+		return;
+	peer_message_buffer_init(&buffer);
+	dw_rollout_encode(&message, &buffer.packer);
+	peer_bus_gossip(daemon, 1, PEER_ROLLOUT, &buffer);
+	/* A large message is paid for by a longer pause. */
+	daemon->repeat_at_us += buffer.bytes.size * DW_US_PER_S / REPEAT_BYTES_PER_S;
+	peer_message_buffer_clear(&buffer);
+}
+
 static void flush_quarantine(struct daemon *daemon)
 {
 	struct dw_quarantine_evidence evidence;
--- a/src/dragonflywharfd/peer_bus.h
+++ b/src/dragonflywharfd/peer_bus.h
@@ -48,6 +48,12 @@
 /** A live member other than this one, drawn at random; NULL if there is none. */
 const struct dw_member *peer_bus_random_member(struct daemon *daemon);
 
+/**
+ * Tells one peer, drawn at random, the next part of all roll-out evidence and holds, once a second
+ * or less often: what was lost on its way, or told before an instance came, is made up for.
+ */
+void peer_bus_repeat_evidence(struct daemon *daemon, uint64_t now_us);
+
 /** Sends what membership, share, roll-out and quarantine want to say. */
 void peer_bus_flush(struct daemon *daemon);
 
--- a/tests/process_policy_test.cc
+++ b/tests/process_policy_test.cc
@@ -90,4 +90,18 @@
 	EXPECT_EQ(ask("small", 0).status, 200);
 }
 
+TEST_F(Policy, AnInstanceThatJoinsLaterHearsOfAHold)
+{
+	small->fault(R"({"kind":"quality","n":0})");
+	cluster::wait_until("the version is held", [&] { return ask("small", 0).status != 200; });
+	c.wait_event(*second, "version.held");
+	support::daemon &third = add_daemon("entry-3", "hoofddorp");
+	cluster::wait_until("the new instance serves", [&] {
+		return support::http_call(third.caller_port, "GET", "/healthz").status == 200;
+	});
+	/* Nothing new happens: only repeating what is known can tell it. */
+	EXPECT_TRUE(c.wait_event(third, "version.held", nullptr, few_seconds_ms));
+	EXPECT_EQ(c.chat(third, slate, chat_body("small", "tile")).status, 410);
+}
+
 } // namespace
