A watched version's answer is rated before it is released

Cause: dw_rollout_is_watched() was never asked; every bad answer went out until the hold. Change: without a session, the asked model's answer of a watched version is buffered and rated (when another version could serve instead), and a bad one runs again once on another version, if the deadline and the organisation's retry budget allow; else it stands. Without a rating it is released. Sessions and callers that name a version keep it, streamed as before. New event 805 version.watched. Ruled out: keeping the bad answer to fall back on if the second run fails; such a request now fails like one whose later cascade step fails.

--- a/src/base/event.c
+++ b/src/base/event.c
@@ -45,6 +45,7 @@
 	[DW_EVENT_CASCADE_RATED] = { 802, DW_LEVEL_INFO, "cascade.rated" },
 	[DW_EVENT_VERSION_WITHDRAWN] = { 803, DW_LEVEL_INFO, "version.withdrawn" },
 	[DW_EVENT_VERSION_LIVE] = { 804, DW_LEVEL_INFO, "version.live" },
+	[DW_EVENT_VERSION_WATCHED] = { 805, DW_LEVEL_INFO, "version.watched" },
 	[DW_EVENT_REQUEST_QUARANTINED] = { 810, DW_LEVEL_WARNING, "request.quarantined" },
 	[DW_EVENT_STANDIN] = { 900, DW_LEVEL_INFO, "standin.note" },
 };
--- a/src/dragonflywharfd/chat_answer.c
+++ b/src/dragonflywharfd/chat_answer.c
@@ -143,27 +143,42 @@
 	finish(request);
 }
 
-static void on_rated(struct chat_request *request, bool release)
+static void drop_held_back(struct chat_request *request)
+{
+	free(request->tail);
+	request->tail = NULL;
+	request->tail_len = 0;
+}
+
+static void release_rated(struct chat_request *request)
 {
 	char *body = request->tail;
 	size_t len = request->tail_len;
 
-	if (request->ended)
-		return;
-	if (!release) {
-		free(request->tail);
-		request->tail = NULL;
-		request->tail_len = 0;
-		chat_request_next_step(request);
-		return;
-	}
-	dw_counters_add(&request->daemon->counters, DW_COUNTER_CASCADE_RELEASED, 1);
 	request->tail = NULL;
 	request->tail_len = 0;
 	release_plain(request, body, len);
 	free(body);
 }
 
+static void on_rated(struct chat_request *request, bool release)
+{
+	bool last = chat_request_at_last_step(request);
+
+	if (request->ended)
+		return;
+	if (!release && !last) {
+		drop_held_back(request);
+		chat_request_next_step(request);
+	} else if (!release && chat_request_run_again(request)) {
+		drop_held_back(request);
+	} else {
+		if (!last)
+			dw_counters_add(&request->daemon->counters, DW_COUNTER_CASCADE_RELEASED, 1);
+		release_rated(request);
+	}
+}
+
 void chat_answer_plain(struct chat_request *request, const char *body, size_t len)
 {
 	char *content = NULL;
@@ -174,7 +189,7 @@
 		chat_request_fail(request, status, dw_last_message());
 		return;
 	}
-	if (request->step + 1 < request->step_count) {
+	if (!chat_request_at_last_step(request) || request->rates_first) {
 		hold_back(request, body, len);
 		chat_rating_decide(request, content, on_rated);
 	} else {
--- a/src/dragonflywharfd/chat_rating.c
+++ b/src/dragonflywharfd/chat_rating.c
@@ -31,9 +31,13 @@
 {
 	uint64_t version_id = id_of(version, id_of(model, 0));
 	struct dw_rollout_totals totals;
+	bool watched = dw_rollout_is_watched(daemon->rollout, version_id);
 	bool held = false;
 
 	dw_rollout_count(daemon->rollout, version_id, outcome, &held);
+	if (!watched && dw_rollout_is_watched(daemon->rollout, version_id))
+		dw_log_event(&daemon->log, DW_EVENT_VERSION_WATCHED, DW_STR("model", model),
+			     DW_STR("version", version));
 	/* Peers go on giving out the version's answers until they hear of this one. */
 	if (outcome != DW_ROLLOUT_GOOD)
 		peer_bus_flush(daemon);
@@ -64,6 +68,7 @@
 	struct chat_request *request = rating->request;
 	bool rated = result->status == DW_OK;
 	bool passed = rated && result->score_permille >= rating->quality_target_permille;
+	bool release = passed || (rating->asked_for && !rated);
 
 	if (rated && rating->asked_for)
 		chat_rating_count(daemon, rating->step.model, rating->step.version,
@@ -72,14 +77,15 @@
 		dw_cascade_rates_learn(daemon->cascade_rates, rating->organisation_id,
 				       id_of(rating->step.model, 0), 0, passed, dw_clock_now_us());
 	if (request) {
-		dw_counters_add(&daemon->counters, DW_COUNTER_CASCADE_STEPS, 1);
+		if (!rating->asked_for)
+			dw_counters_add(&daemon->counters, DW_COUNTER_CASCADE_STEPS, 1);
 		dw_log_event(&daemon->log, DW_EVENT_CASCADE_RATED, DW_STR("request", request->id),
 			     DW_STR("model", rating->step.model),
 			     DW_STR("version", rating->step.version),
 			     DW_INT("score_permille", result->score_permille),
-			     DW_INT("released", passed));
+			     DW_INT("released", release));
 		request->pending--;
-		rating->done(request, passed);
+		rating->done(request, release);
 		chat_request_settle(request);
 	}
 	free(rating);
--- a/src/dragonflywharfd/chat_request.c
+++ b/src/dragonflywharfd/chat_request.c
@@ -102,9 +102,11 @@
 
 static bool version_accepted(const struct dw_version *version, bool kept, void *data)
 {
-	struct daemon *daemon = data;
+	const struct chat_request *request = data;
 
-	return !dw_rollout_is_held(daemon->rollout, version_id(version->model, version->name));
+	return strcmp(version->name, request->avoided_version) != 0 &&
+	       !dw_rollout_is_held(request->daemon->rollout,
+				   version_id(version->model, version->name));
 }
 
 /* The session's version for the model asked for, from its token or the caller's own words. */
@@ -130,7 +132,7 @@
 				     const char *kept)
 {
 	struct daemon *daemon = request->daemon;
-	struct dw_version_filter filter = { .accepts = version_accepted, .data = daemon };
+	struct dw_version_filter filter = { .accepts = version_accepted, .data = request };
 	struct dw_session_choice choice;
 	uint64_t random = kept ? daemon_random(daemon) : request->body.affinity;
 	enum dw_status status;
@@ -243,6 +245,62 @@
 	daemon_pump(request->daemon);
 }
 
+/* Another version than the avoided one for the current step. */
+static enum dw_status choose_other_version(struct chat_request *request, struct chat_step *other)
+{
+	const struct chat_step *step = chat_request_step(request);
+	enum dw_status status;
+
+	*other = *step;
+	memcpy(request->avoided_version, step->version, sizeof(request->avoided_version));
+	status = choose_version(request, other, NULL);
+	if (status != DW_OK)
+		request->avoided_version[0] = '\0';
+	return status;
+}
+
+bool chat_request_rates_first(struct chat_request *request)
+{
+	const struct chat_step *step = chat_request_step(request);
+	struct daemon *daemon = request->daemon;
+	struct chat_step other;
+
+	if (!daemon->rater || request->in_session || request->avoided_version[0] ||
+	    !chat_request_at_last_step(request) ||
+	    !dw_rollout_is_watched(daemon->rollout, version_id(step->model, step->version)) ||
+	    choose_other_version(request, &other) != DW_OK)
+		return false;
+	request->avoided_version[0] = '\0';
+	return true;
+}
+
+bool chat_request_run_again(struct chat_request *request)
+{
+	struct dw_retry_budget_options options = dw_retry_budget_default_options();
+	struct daemon *daemon = request->daemon;
+	struct chat_step other;
+	uint64_t now_us = dw_clock_now_us();
+
+	if (now_us + expected_tokens(request) * GUESSED_TOKEN_US > request->deadline_us ||
+	    choose_other_version(request, &other) != DW_OK)
+		return false;
+	if (!dw_retry_budget_take(request_headers_budget(daemon, request->organisation_id), NULL,
+				  &options, now_us)) {
+		dw_counters_add(&daemon->counters, DW_COUNTER_RETRIES_DENIED, 1);
+		return false;
+	}
+	dispatcher_done(daemon->dispatcher, &request->turn);
+	if (dispatcher_enqueue(daemon->dispatcher, &request->turn, other.model, other.version) !=
+	    DW_OK)
+		return false;
+	*chat_request_step(request) = other;
+	request->tried_count = 0;
+	memset(&request->usage, 0, sizeof(request->usage));
+	dw_counters_add(&daemon->counters, DW_COUNTER_RETRIES, 1);
+	daemon_pump(daemon);
+	return true;
+}
+
 static void turn_expired(void *owner)
 {
 	chat_request_fail(owner, DW_TIMEOUT, "no capacity within the deadline");
@@ -346,7 +404,7 @@
 	bool last = chat_request_at_last_step(request);
 
 	request->attempt = NULL;
-	if (whole && last && request->body.stream)
+	if (whole && last && request->body.stream && !request->rates_first)
 		chat_answer_streamed(request);
 	else if (whole)
 		chat_answer_plain(request, end->body, end->body_len);
@@ -385,12 +443,12 @@
 static void start_attempt(struct chat_request *request, const struct dispatch_choice *choice)
 {
 	const struct chat_step *step = chat_request_step(request);
-	bool last = chat_request_at_last_step(request);
+	bool rates_first = chat_request_rates_first(request);
+	bool streamed = chat_request_at_last_step(request) && request->body.stream && !rates_first;
 	char serves[2 * DW_NAME_MAX_BYTES + 2];
-	char *body = chat_body_for_upstream(&request->body, step->model, step->version,
-					    last && request->body.stream);
+	char *body = chat_body_for_upstream(&request->body, step->model, step->version, streamed);
 	struct attempt_options options = {
-		.mode = last && request->body.stream ? ATTEMPT_STREAMED : ATTEMPT_BUFFERED,
+		.mode = streamed ? ATTEMPT_STREAMED : ATTEMPT_BUFFERED,
 		.choice = choice,
 		.method = "POST",
 		.path = CHAT_PATH,
@@ -408,6 +466,7 @@
 	};
 
 	snprintf(serves, sizeof(serves), "%s/%s", step->model, step->version);
+	request->rates_first = rates_first;
 	request->tried[request->tried_count++] = choice->upstream->id;
 	request->attempt = attempt_start(request->daemon, &options);
 	free(body);
@@ -515,6 +574,7 @@
 	const struct dw_model *model = dw_ruleset_model(daemon->ruleset, request->body.model);
 	enum dw_status status = DW_OK;
 
+	request->in_session = kept || request->has_session_id || request->body.version[0];
 	if (!model)
 		status = dw_fail(DW_NOT_FOUND, "no model %s", request->body.model);
 	if (status == DW_OK)
--- a/src/dragonflywharfd/chat_request_state.h
+++ b/src/dragonflywharfd/chat_request_state.h
@@ -38,6 +38,10 @@
 	size_t step;
 	uint32_t quality_target_permille;
 	bool session_moved;
+	bool in_session; /* it keeps its version until that is held */
+	bool rates_first; /* this answer is rated before its release, as its version is watched */
+	/* A watched version that answered badly: the request runs once more, on another one. */
+	char avoided_version[DW_NAME_MAX_BYTES + 1];
 	bool has_session_id; /* the caller names its session, without a token */
 	struct dw_session_entry session;
 
@@ -82,6 +86,15 @@
 /** Goes on to the next step of the cascade. */
 void chat_request_next_step(struct chat_request *request);
 
+/** Whether the current step's answer is to be rated before its release: a watched version's. */
+bool chat_request_rates_first(struct chat_request *request);
+
+/**
+ * Queues the request again on another version of the model, after a bad answer of a watched one.
+ * False if it may not: no other version, no time, no budget; the answer then stands.
+ */
+bool chat_request_run_again(struct chat_request *request);
+
 /** A whole plain answer of the current step has come. */
 void chat_answer_plain(struct chat_request *request, const char *body, size_t len);
 
@@ -102,7 +115,10 @@
 /** Rates a released answer in the background, a share of them. */
 void chat_rating_sample(struct chat_request *request);
 
-/** Rates an unreleased answer; @p done tells whether it may be released. */
+/**
+ * Rates an unreleased answer; @p done tells whether it may be released. Without a rating an answer
+ * of the model that was asked for may, a cheaper one's may not.
+ */
 void chat_rating_decide(struct chat_request *request, const char *content,
 			void (*done)(struct chat_request *request, bool release));
 
--- a/tests/process_policy_test.cc
+++ b/tests/process_policy_test.cc
@@ -29,23 +29,26 @@
 	{
 		small = &c.add_engine("engine-small", "haarlem", { "small/1" },
 				      { small_speed(), "--slots=4" });
-		large = &c.add_engine("engine-large", "haarlem", { "large/1", "large/2" },
+		large = &c.add_engine("engine-large", "haarlem",
+				      { "large/1", "plain/1", "plain/2" },
 				      { "--token-us=1000", "--slots=4" });
 		first = &add_daemon("entry-1", "haarlem");
 		second = &add_daemon("entry-2", "zaandam");
 		c.apply({
 			R"({"failure_domain":{"name":"haarlem"}})",
 			cluster::engine_entity(*small, "haarlem", { "small/1" }, 4, 2, 50),
-			cluster::engine_entity(*large, "haarlem", { "large/1", "large/2" }, 4, 2,
-					       50),
+			cluster::engine_entity(*large, "haarlem",
+					       { "large/1", "plain/1", "plain/2" }, 4, 2, 50),
 			R"({"model":{"name":"small","quality_target_permille":800}})",
 			R"({"model":{"name":"large","quality_target_permille":800,)"
 			R"("cascade":["small"]}})",
 			version("small", "1", 100, 1000),
-			version("large", "1", 1, 1000000),
-			version("large", "2", 0, 1000000),
-			cluster::organisation_entity(slate, { "large", "small" }),
-			cluster::organisation_entity("dormer", { "large", "small" }),
+			version("large", "1", 100, 1000000),
+			R"({"model":{"name":"plain","quality_target_permille":800}})",
+			version("plain", "1", 0, 1000000),
+			version("plain", "2", 100, 1000000),
+			cluster::organisation_entity(slate, { "large", "plain", "small" }),
+			cluster::organisation_entity("dormer", { "large", "plain", "small" }),
 		});
 		for (support::daemon *d : { first, second }) {
 			for (const char *name : { "engine-small", "engine-large" })
@@ -104,4 +107,23 @@
 	EXPECT_EQ(c.chat(third, slate, chat_body("small", "tile")).status, 410);
 }
 
+TEST_F(Policy, ABadAnswerOfAWatchedVersionRunsAgainButNotForASession)
+{
+	support::http_headers session = { { "x-session-id", "resident-7" } };
+
+	/* A session on the version, and answers enough for a retry in the organisation's budget. */
+	ASSERT_EQ(ask("plain", 0, session).headers["x-served-version"], "plain/2");
+	for (int i = 1; i < 12; i++)
+		ASSERT_EQ(ask("plain", i).headers["x-served-version"], "plain/2");
+	large->fault(R"({"kind":"quality","n":0,"word":"plain/2"})");
+	EXPECT_NE(ask("plain", 20).body.find("quality:150"), std::string::npos);
+	ASSERT_TRUE(c.wait_event(*first, "version.watched"));
+	EXPECT_EQ(ask("plain", 21, session).headers["x-served-version"], "plain/2");
+	support::http_answer again = c.chat(*first, slate, chat_body("plain", "tile 22", 8, true));
+	EXPECT_EQ(again.headers["x-served-version"], "plain/1");
+	EXPECT_NE(again.body.find("quality:950"), std::string::npos) << again.body;
+	EXPECT_NE(again.body.find("data: [DONE]"), std::string::npos);
+	EXPECT_EQ(first->events("version.held").size(), 0U);
+}
+
 } // namespace
