Cascade plans use learned times, the kind of work and the worth of a second

Cause: each step was planned with 20 ms a token whatever its upstreams had shown, and nothing told the upstream table what an answer had cost, so that no speed was ever learned (attempt_sample() had no caller). Rates were kept for all work alike. Change: the owner of a whole answer tells its tokens in attempt_end.sample; a step's time is the quickest candidate's expected time, the expected wait in the queue and, but for the last, the mean rating time. dw_cascade_work() names the work, DW_CASCADE_MICROS_PER_SECOND prices the tail. A cheap step without an upstream in service is left out.

--- a/src/dragonflywharfd/attempt.c
+++ b/src/dragonflywharfd/attempt.c
@@ -225,13 +225,19 @@
 		.has_length = attempt->has_length,
 		.body = attempt->body.base ? attempt->body.base : "",
 		.body_len = attempt->body.len,
+		.sample = &attempt->sample,
 	};
+	bool whole = end.status == DW_OK && end.http_status == 200;
 
 	log_end(attempt, end.status, end.http_status);
-	tell_upstream(attempt, result, end.status);
+	/* Another try must know of a failure; what a whole answer cost, its owner tells. */
+	if (!whole)
+		tell_upstream(attempt, result, end.status);
 	release_permit(attempt, result);
 	if (!attempt->abandoned)
 		attempt->options.on_end(&end, attempt->options.owner);
+	if (whole)
+		tell_upstream(attempt, result, end.status);
 	event_stream_clear(&attempt->stream);
 	free(attempt->body.base);
 	free(attempt);
@@ -313,12 +319,6 @@
 		     DW_INT("duration_us", attempt->first_token_us - attempt->started_us));
 }
 
-void attempt_sample(struct attempt *attempt, uint32_t prompt_tokens, uint32_t completion_tokens)
-{
-	attempt->sample.prompt_tokens = prompt_tokens;
-	attempt->sample.tokens = completion_tokens;
-}
-
 void attempt_pause(struct attempt *attempt)
 {
 	dw_http_pause(attempt->call);
--- a/src/dragonflywharfd/attempt.h
+++ b/src/dragonflywharfd/attempt.h
@@ -25,6 +25,9 @@
 	bool has_length; /**< the answer said its length, so that a cut one is told */
 	const char *body; /**< ATTEMPT_BUFFERED, or an error's body */
 	size_t body_len;
+	/** Of a whole answer of status 200 the owner may tell here the tokens that it cost: the
+	 * upstream's speed is learned from it. */
+	struct dw_load_sample *sample;
 };
 
 struct attempt_options {
@@ -56,9 +59,6 @@
 /** Tells the attempt that a token came; for the time to the first one. */
 void attempt_token(struct attempt *attempt);
 
-/** Tells what the answer cost, for the learned speed of the upstream. */
-void attempt_sample(struct attempt *attempt, uint32_t prompt_tokens, uint32_t completion_tokens);
-
 /** Stops reading from the upstream, and goes on: back-pressure of a slow caller. */
 void attempt_pause(struct attempt *attempt);
 void attempt_resume(struct attempt *attempt);
--- a/src/dragonflywharfd/chat_rating.c
+++ b/src/dragonflywharfd/chat_rating.c
@@ -10,12 +10,16 @@
 
 #define RATING_TIMEOUT_US (2 * DW_US_PER_S)
 #define PERMILLE 1000
+/** Part of a moving average that each rating's time makes up: 1 / 2^3. */
+#define RATING_TIME_SHIFT 3
 
 struct rating {
 	struct daemon *daemon;
 	struct chat_request *request; /* NULL for a background rating */
 	struct chat_step step;
 	uint64_t organisation_id;
+	uint64_t work_id;
+	uint64_t started_us;
 	uint32_t quality_target_permille;
 	bool asked_for; /* the model that the caller asked for, not a cheaper step */
 	void (*done)(struct chat_request *request, bool release);
@@ -61,6 +65,14 @@
 	request->content[request->content_len] = '\0';
 }
 
+static void learn_rating_time(struct daemon *daemon, uint64_t time_us)
+{
+	if (daemon->rating_us == 0)
+		daemon->rating_us = time_us;
+	daemon->rating_us +=
+		(time_us >> RATING_TIME_SHIFT) - (daemon->rating_us >> RATING_TIME_SHIFT);
+}
+
 static void on_rated(const struct dw_rater_result *result, void *data)
 {
 	struct rating *rating = data;
@@ -70,12 +82,14 @@
 	bool passed = rated && result->score_permille >= rating->quality_target_permille;
 	bool release = passed || (rating->asked_for && !rated);
 
+	learn_rating_time(daemon, dw_clock_now_us() - rating->started_us);
 	if (rated && rating->asked_for)
 		chat_rating_count(daemon, rating->step.model, rating->step.version,
 				  passed ? DW_ROLLOUT_GOOD : DW_ROLLOUT_BAD);
 	if (rated)
 		dw_cascade_rates_learn(daemon->cascade_rates, rating->organisation_id,
-				       id_of(rating->step.model, 0), 0, passed, dw_clock_now_us());
+				       id_of(rating->step.model, 0), rating->work_id, passed,
+				       dw_clock_now_us());
 	if (request) {
 		if (!rating->asked_for)
 			dw_counters_add(&daemon->counters, DW_COUNTER_CASCADE_STEPS, 1);
@@ -100,6 +114,8 @@
 	rating->daemon = request->daemon;
 	rating->step = *chat_request_step(request);
 	rating->organisation_id = request->organisation_id;
+	rating->work_id = request->work_id;
+	rating->started_us = dw_clock_now_us();
 	rating->quality_target_permille = request->quality_target_permille;
 	rating->asked_for = chat_request_at_last_step(request);
 	return rating;
--- a/src/dragonflywharfd/chat_request.c
+++ b/src/dragonflywharfd/chat_request.c
@@ -167,6 +167,21 @@
 	return request->body.max_tokens ? request->body.max_tokens : GUESSED_TOKENS;
 }
 
+static uint64_t expected_us(const struct chat_request *request, const struct chat_step *step)
+{
+	struct dispatch_request asked = {
+		.model = step->model,
+		.version = step->version,
+		.route = {
+			.now_us = dw_clock_now_us(),
+			.prompt_tokens = request->body.prompt_tokens,
+			.tokens = (uint32_t)expected_tokens(request),
+		},
+	};
+
+	return dispatcher_expected_us(request->daemon->dispatcher, &request->turn, &asked);
+}
+
 static void describe_step(struct chat_request *request, const struct chat_step *step,
 			  struct dw_cascade_step *out)
 {
@@ -174,14 +189,25 @@
 	const struct dw_version *version =
 		dw_ruleset_version(daemon->ruleset, step->model, step->version);
 	uint64_t tokens = expected_tokens(request);
+	uint64_t now_us = dw_clock_now_us();
 
 	memset(out, 0, sizeof(*out));
 	out->model_id = id_of(step->model);
 	out->available = version && version->upstream_count > 0;
 	out->cost_micros = version ? version->cost_micros_per_1k_tokens * tokens / 1000 + 1 : 0;
-	out->latency_us = tokens * GUESSED_TOKEN_US;
+	out->latency_us = expected_us(request, step);
 	out->pass_rate = dw_cascade_rates_pass(daemon->cascade_rates, request->organisation_id,
-					       out->model_id, 0, dw_clock_now_us());
+					       out->model_id, request->work_id, now_us);
+}
+
+/* A step that isn't the last: it takes a rating, and an upstream in service now. */
+static void add_rating(const struct chat_request *request, struct dw_cascade_step *step)
+{
+	if (step->latency_us == UINT64_MAX) {
+		step->available = false;
+		step->latency_us = 0;
+	}
+	step->latency_us += request->daemon->rating_us;
 }
 
 /* Fills in the steps of the model's cascade that this request shall try. */
@@ -194,6 +220,7 @@
 		.now_us = dw_clock_now_us(),
 		.deadline_us = request->deadline_us,
 		.random = daemon_random(request->daemon),
+		.micros_per_second = DW_CASCADE_MICROS_PER_SECOND,
 	};
 	struct dw_cascade_plan plan;
 	enum dw_status status;
@@ -214,6 +241,10 @@
 	count++;
 	for (size_t i = 0; i < count; i++)
 		describe_step(request, &all[i], &described[i]);
+	for (size_t i = 0; i + 1 < count; i++)
+		add_rating(request, &described[i]);
+	if (described[count - 1].latency_us == UINT64_MAX)
+		described[count - 1].latency_us = 0;
 	status = dw_cascade_choose(&asked, described, count, &plan);
 	if (status != DW_OK)
 		return dw_fail(status, "no upstream serves model %s", model->name);
@@ -281,8 +312,8 @@
 	struct chat_step other;
 	uint64_t now_us = dw_clock_now_us();
 
-	if (now_us + expected_tokens(request) * GUESSED_TOKEN_US > request->deadline_us ||
-	    choose_other_version(request, &other) != DW_OK)
+	if (now_us >= request->deadline_us || choose_other_version(request, &other) != DW_OK ||
+	    expected_us(request, &other) > request->deadline_us - now_us)
 		return false;
 	if (!dw_retry_budget_take(request_headers_budget(daemon, request->organisation_id), NULL,
 				  &options, now_us)) {
@@ -412,6 +443,10 @@
 		pass_refusal(request, end);
 	else
 		attempt_failed(request, end);
+	if (whole) {
+		end->sample->prompt_tokens = request->usage.prompt_tokens;
+		end->sample->tokens = request->usage.completion_tokens;
+	}
 }
 
 static enum dw_status route(struct chat_request *request, struct dispatch_choice *choice)
@@ -575,6 +610,7 @@
 	enum dw_status status = DW_OK;
 
 	request->in_session = kept || request->has_session_id || request->body.version[0];
+	request->work_id = dw_cascade_work(request->body.prompt_tokens, request->in_session);
 	if (!model)
 		status = dw_fail(DW_NOT_FOUND, "no model %s", request->body.model);
 	if (status == DW_OK)
--- a/src/dragonflywharfd/chat_request_state.h
+++ b/src/dragonflywharfd/chat_request_state.h
@@ -38,6 +38,7 @@
 	size_t step;
 	uint32_t quality_target_permille;
 	bool session_moved;
+	uint64_t work_id; /* the kind of work, for the cascade's rates */
 	bool in_session; /* it keeps its version until that is held */
 	bool rates_first; /* this answer is rated before its release, as its version is watched */
 	/* A watched version that answered badly: the request runs once more, on another one. */
--- a/src/dragonflywharfd/daemon.h
+++ b/src/dragonflywharfd/daemon.h
@@ -92,6 +92,7 @@
 	bool left; /**< the leaving steps after the last request have begun */
 	uint64_t random_state;
 	uint64_t last_tick_us;
+	uint64_t rating_us; /**< learned mean time of a rating */
 	uint64_t repeat_cursor; /**< into the roll-out evidence that is told again */
 	uint64_t repeat_at_us; /**< when the next part of it is due */
 };
--- a/src/dragonflywharfd/dispatcher.c
+++ b/src/dragonflywharfd/dispatcher.c
@@ -134,14 +134,33 @@
 	return sum ? (uint32_t)sum : 1;
 }
 
-static int32_t pool_index(struct dispatcher *dispatcher, const char *model, const char *version)
+static uint64_t pool_id(const char *model, const char *version)
 {
 	uint64_t id = XXH64(model, strlen(model), version ? 1 : 2);
-	int32_t unused = -1;
 
 	if (version)
 		id = XXH64(version, strlen(version), id);
-	id |= 1;
+	return id | 1;
+}
+
+/* The pool of a version or service, -1 if it has none yet. */
+static int32_t find_pool(const struct dispatcher *dispatcher, const char *model,
+			 const char *version)
+{
+	uint64_t id = pool_id(model, version);
+
+	for (int32_t i = 0; i < DW_ADMISSION_POOLS_MAX; i++) {
+		if (dispatcher->pools[i].id == id)
+			return i;
+	}
+	return -1;
+}
+
+static int32_t pool_index(struct dispatcher *dispatcher, const char *model, const char *version)
+{
+	uint64_t id = pool_id(model, version);
+	int32_t unused = -1;
+
 	for (int32_t i = 0; i < DW_ADMISSION_POOLS_MAX; i++) {
 		struct pool *pool = &dispatcher->pools[i];
 
@@ -372,3 +391,41 @@
 	return dw_share_acquire(daemon->share, choice->upstream->id, dw_clock_now_us(),
 				&choice->permit);
 }
+
+static uint64_t quickest_us(const struct candidates *candidates, uint32_t instances,
+			    const struct dw_route_request *route)
+{
+	uint64_t quickest = UINT64_MAX;
+
+	for (size_t i = 0; i < candidates->count; i++) {
+		const struct dw_upstream_load *load = candidates->items[i].load;
+		uint32_t in_flight = dw_upstream_load_estimate(load, route->now_us, instances);
+		uint64_t time_us = dw_upstream_load_expected_us(
+			load, in_flight, route->prompt_tokens, route->tokens);
+
+		if (time_us < quickest)
+			quickest = time_us;
+	}
+	return quickest;
+}
+
+uint64_t dispatcher_expected_us(struct dispatcher *dispatcher, const struct turn *turn,
+				const struct dispatch_request *request)
+{
+	size_t instances = dw_membership_live_count(dispatcher->daemon->membership);
+	int32_t index = find_pool(dispatcher, request->model, request->version);
+	struct candidates candidates;
+	struct dw_admission_entry entry = {
+		.organisation_id = turn->organisation_id,
+		.priority = turn->priority,
+		.deadline_us = turn->deadline_us,
+	};
+
+	collect(dispatcher, request->model, request->version, &candidates);
+	entry.service_us = quickest_us(&candidates, (uint32_t)instances, &request->route);
+	/* Nothing waits for a version that has no pool yet. */
+	if (index < 0 || candidates.count == 0)
+		return entry.service_us;
+	entry.pool = (uint32_t)index;
+	return entry.service_us + dw_admission_expected_wait_us(dispatcher->admission, &entry);
+}
--- a/src/dragonflywharfd/dispatcher.h
+++ b/src/dragonflywharfd/dispatcher.h
@@ -46,10 +46,6 @@
 
 size_t dispatcher_waiting(const struct dispatcher *dispatcher);
 
-/**
- * Chooses an upstream of the pool and takes a permit there.
- * @return DW_OK, DW_OVERLOADED (no permit now), DW_UNAVAILABLE (no upstream left to try).
- */
 struct dispatch_request {
 	const char *model;
 	const char *version; /**< NULL for a plain service named by model */
@@ -63,6 +59,17 @@
 	uint32_t load;
 };
 
+/**
+ * Expected time until @p turn would have its answer from the quickest upstream that serves
+ * @p request, its wait for a permit included; UINT64_MAX if there is no upstream in service.
+ */
+uint64_t dispatcher_expected_us(struct dispatcher *dispatcher, const struct turn *turn,
+				const struct dispatch_request *request);
+
+/**
+ * Chooses an upstream of the pool and takes a permit there.
+ * @return DW_OK, DW_OVERLOADED (no permit now), DW_UNAVAILABLE (no upstream left to try).
+ */
 enum dw_status dispatcher_route(struct dispatcher *dispatcher,
 				const struct dispatch_request *request,
 				struct dispatch_choice *choice);
--- a/tests/process_policy_test.cc
+++ b/tests/process_policy_test.cc
@@ -126,4 +126,19 @@
 	EXPECT_EQ(first->events("version.held").size(), 0U);
 }
 
+struct SlowSmall : public Policy {
+	std::string small_speed() override
+	{
+		return "--token-us=150000";
+	}
+};
+
+TEST_F(SlowSmall, ACheapStepThatIsLearnedToBeTooSlowForTheDeadlineIsSkipped)
+{
+	ASSERT_EQ(ask("large", 0).headers["x-served-version"], "small/1");
+	support::http_answer hurried = ask("large", 1, { { "x-request-timeout-ms", "1000" } });
+	EXPECT_EQ(hurried.status, 200) << hurried.body;
+	EXPECT_EQ(hurried.headers["x-served-version"], "large/1");
+}
+
 } // namespace
