A later step's expiry doesn't claim that nothing has run

Cause: only an attempt that failed marked its request as one that may have run; after a cheap step's unreleased answer, an expiry while waiting for the next step was told with not_run true. Change: going on to another step, or running again after a bad answer of a watched version, marks it. Priority and deadline are those of the request's one turn in all steps, as before.

--- a/src/dragonflywharfd/chat_request.c
+++ b/src/dragonflywharfd/chat_request.c
@@ -268,6 +268,8 @@
 
 void chat_request_next_step(struct chat_request *request)
 {
+	/* A step has run, though none of its answer was released. */
+	request->may_have_run = true;
 	request->step++;
 	request->tried_count = 0;
 	memset(&request->usage, 0, sizeof(request->usage));
@@ -324,6 +326,7 @@
 	if (dispatcher_enqueue(daemon->dispatcher, &request->turn, other.model, other.version) !=
 	    DW_OK)
 		return false;
+	request->may_have_run = true;
 	*chat_request_step(request) = other;
 	request->tried_count = 0;
 	memset(&request->usage, 0, sizeof(request->usage));
--- a/tests/process_policy_test.cc
+++ b/tests/process_policy_test.cc
@@ -126,6 +126,28 @@
 	EXPECT_EQ(first->events("version.held").size(), 0U);
 }
 
+TEST_F(Policy, ALaterStepThatExpiresIsATimeoutThatMayHaveRun)
+{
+	std::string one = cluster::engine_entity(*large, "haarlem",
+						 { "large/1", "plain/1", "plain/2" }, 1, 1, 50);
+	std::string event;
+
+	c.apply({ one });
+	/* The engine's speed is learned, so that the plan has time for both steps. */
+	ASSERT_EQ(ask("plain", 0).status, 200);
+	small->fault(R"({"kind":"quality","n":0})");
+	large->fault(R"({"kind":"stall","n":1,"count":1})");
+	support::http_stream blocker(
+		first->caller_port, "POST", "/v1/chat/completions",
+		chat_body("large/1", "roof", 8, true),
+		{ { "authorization", "Bearer dormer" }, { "content-type", "application/json" } });
+	ASSERT_TRUE(blocker.read_event(&event));
+	support::http_answer late = ask("large", 1, { { "x-request-timeout-ms", "1500" } });
+	EXPECT_EQ(first->events("cascade.rated").size(), 1U);
+	EXPECT_EQ(late.status, 504) << late.body;
+	EXPECT_NE(late.body.find("\"not_run\":false"), std::string::npos) << late.body;
+}
+
 struct SlowSmall : public Policy {
 	std::string small_speed() override
 	{
