Admission knows the organisations' weights and limits; pools are sized at refresh

Cause: dw_admission_set_organisation() was never called, so that max_in_flight had no effect and all organisations weighed the same. A pool's size was its even part of the limits alone, and was worked out from all its candidates at each enqueue. Change: dispatcher_refresh() reads the organisations, on a change of the ruleset and of the membership; a limit is split evenly over the live instances, at least 1 each. A pool counts as the larger of its even part and what this instance runs there and has permits for; it is sized when it is first used, on refresh and every 100 ms, as warmth and permits move without either.

--- a/src/dragonflywharfd/daemon.c
+++ b/src/dragonflywharfd/daemon.c
@@ -73,6 +73,7 @@
 static void take_member_events(struct daemon *daemon)
 {
 	struct dw_member_event event;
+	bool changed = false;
 
 	while (dw_membership_next_event(daemon->membership, &event)) {
 		log_member(daemon, &event);
@@ -82,9 +83,13 @@
 			ledger_sync_member_dead(daemon->ledger_sync, event.member.key);
 		if (event.is_new)
 			dw_quarantine_resend(daemon->quarantine);
-		dw_rollout_set_instances(daemon->rollout,
-					 (uint32_t)dw_membership_live_count(daemon->membership));
+		changed = true;
 	}
+	if (!changed)
+		return;
+	dw_rollout_set_instances(daemon->rollout,
+				 (uint32_t)dw_membership_live_count(daemon->membership));
+	dispatcher_refresh(daemon->dispatcher);
 }
 
 static void notice_pause(struct daemon *daemon, uint64_t now_us)
@@ -165,6 +170,7 @@
 	roster_sync_tick(daemon->roster_sync);
 	upstream_table_tick(daemon->upstreams);
 	dw_share_tick(daemon->share, now_us);
+	dispatcher_tick(daemon->dispatcher);
 	dw_quarantine_tick(daemon->quarantine, now_us);
 	once_sync_tick(daemon->once_sync);
 	ledger_sync_tick(daemon->ledger_sync);
--- a/src/dragonflywharfd/dispatcher.c
+++ b/src/dragonflywharfd/dispatcher.c
@@ -10,6 +10,8 @@
 /** What a request between two failure domains is worth in waiting. */
 #define OTHER_DOMAIN_COST_US 10000U
 #define POOL_FREE 0
+#define POOLS_PERIOD_US (100 * DW_US_PER_MS)
+#define ORGANISATION_PREFIX "organisation/"
 /** Permits asked of peers at once, for one pool. */
 #define WANT_MAX 16U
 
@@ -28,6 +30,7 @@
 	char domains[DW_ROUTE_DOMAINS_MAX][DW_NAME_MAX_BYTES + 1];
 	uint32_t domain_count;
 	uint32_t *link_cost_us;
+	uint64_t pools_at_us; /* when the pools are next looked at */
 	bool pumping;
 	bool pump_again;
 };
@@ -120,18 +123,36 @@
 	collect(dispatcher, pool->model, pool->is_service ? NULL : pool->version, out);
 }
 
-/* What the pool runs at once for this instance: its part of the limits. */
+static uint32_t live_instances(const struct dispatcher *dispatcher)
+{
+	size_t count = dw_membership_live_count(dispatcher->daemon->membership);
+
+	return count ? (uint32_t)count : 1;
+}
+
+/* What the pool runs at once for this instance: its even part of the limits, or what it runs there
+ * and has permits for, as others may not need their parts. */
 static uint32_t pool_parallel(struct dispatcher *dispatcher, const struct pool *pool)
 {
-	size_t instances = dw_membership_live_count(dispatcher->daemon->membership);
 	struct candidates candidates;
-	uint64_t sum = 0;
+	uint64_t even = 0;
+	uint64_t own = 0;
 
 	collect_pool(dispatcher, pool, &candidates);
-	for (size_t i = 0; i < candidates.count; i++)
-		sum += candidates.items[i].limit;
-	sum /= instances ? instances : 1;
-	return sum ? (uint32_t)sum : 1;
+	for (size_t i = 0; i < candidates.count; i++) {
+		even += candidates.items[i].limit;
+		own += candidates.items[i].load->in_flight + candidates.items[i].permits;
+	}
+	even /= live_instances(dispatcher);
+	if (own > even)
+		even = own;
+	return even ? (uint32_t)even : 1;
+}
+
+static void set_pool(struct dispatcher *dispatcher, size_t index)
+{
+	dw_admission_set_pool(dispatcher->admission, (uint32_t)index,
+			      pool_parallel(dispatcher, &dispatcher->pools[index]));
 }
 
 static uint64_t pool_id(const char *model, const char *version)
@@ -176,22 +197,50 @@
 		pool->is_service = !version;
 		snprintf(pool->model, sizeof(pool->model), "%s", model);
 		snprintf(pool->version, sizeof(pool->version), "%s", version ? version : "");
+		set_pool(dispatcher, (size_t)unused);
 	}
 	return unused;
 }
 
-void dispatcher_refresh(struct dispatcher *dispatcher)
+static void set_organisation(const struct dw_ruleset_item *item, void *data)
 {
-	for (size_t i = 0; i < DW_ADMISSION_POOLS_MAX; i++) {
-		struct pool *pool = &dispatcher->pools[i];
+	struct dispatcher *dispatcher = data;
+	const char *name = item->key + strlen(ORGANISATION_PREFIX);
+	const struct dw_organisation *organisation =
+		dw_ruleset_organisation(dispatcher->daemon->ruleset, name);
+	uint32_t part;
 
-		if (pool->id == POOL_FREE)
-			continue;
-		dw_admission_set_pool(dispatcher->admission, (uint32_t)i,
-				      pool_parallel(dispatcher, pool));
+	if (!organisation)
+		return;
+	part = organisation->max_in_flight / live_instances(dispatcher);
+	if (organisation->max_in_flight > 0 && part == 0)
+		part = 1;
+	dw_admission_set_organisation(dispatcher->admission, XXH64(name, strlen(name), 0),
+				      organisation->weight, part);
+}
+
+static void set_pools(struct dispatcher *dispatcher)
+{
+	dispatcher->pools_at_us = dw_clock_now_us() + POOLS_PERIOD_US;
+	for (size_t i = 0; i < DW_ADMISSION_POOLS_MAX; i++) {
+		if (dispatcher->pools[i].id != POOL_FREE)
+			set_pool(dispatcher, i);
 	}
 }
 
+void dispatcher_refresh(struct dispatcher *dispatcher)
+{
+	dw_ruleset_visit_prefix(dispatcher->daemon->ruleset, ORGANISATION_PREFIX, set_organisation,
+				dispatcher);
+	set_pools(dispatcher);
+}
+
+void dispatcher_tick(struct dispatcher *dispatcher)
+{
+	if (dw_clock_now_us() >= dispatcher->pools_at_us)
+		set_pools(dispatcher);
+}
+
 enum dw_status dispatcher_enqueue(struct dispatcher *dispatcher, struct turn *turn,
 				  const char *model, const char *version)
 {
@@ -209,8 +258,6 @@
 	if (index < 0)
 		return dw_fail(DW_OVERLOADED, "more than %d versions and services in use",
 			       DW_ADMISSION_POOLS_MAX);
-	dw_admission_set_pool(dispatcher->admission, entry.pool,
-			      pool_parallel(dispatcher, &dispatcher->pools[index]));
 	turn->pool = entry.pool;
 	status = dw_admission_push(dispatcher->admission, dw_clock_now_us(), &entry, &turn->handle);
 	if (status == DW_OK)
--- a/src/dragonflywharfd/dispatcher.h
+++ b/src/dragonflywharfd/dispatcher.h
@@ -28,9 +28,12 @@
 
 struct dispatcher *dispatcher_new(struct daemon *daemon);
 
-/** Re-reads weights and pools after a change of the ruleset. */
+/** Re-reads weights, limits and pools after a change of the ruleset or of the membership. */
 void dispatcher_refresh(struct dispatcher *dispatcher);
 
+/** Re-reads at times what each pool runs at once, which moves with warmth and permits. */
+void dispatcher_tick(struct dispatcher *dispatcher);
+
 /**
  * Queues a turn for the pool of @p model and @p version, or of the service @p model with @p version
  * NULL. @return DW_OK, DW_TIMEOUT, DW_OVERLOADED: refused, not run.
--- a/tests/process_policy_test.cc
+++ b/tests/process_policy_test.cc
@@ -148,6 +148,39 @@
 	EXPECT_NE(late.body.find("\"not_run\":false"), std::string::npos) << late.body;
 }
 
+TEST_F(Policy, AnOrganisationsLimitIsSplitOverTheInstances)
+{
+	auto started = [&] {
+		int count = 0;
+
+		for (const support::event &e : first->events("attempt.started"))
+			count += e.field("organisation") == slate;
+		return count;
+	};
+	std::string entity = cluster::organisation_entity(slate, { "plain" });
+	std::string event;
+
+	entity.insert(entity.size() - 2, R"(,"max_in_flight":2)");
+	c.apply({ entity });
+	large->fault(R"({"kind":"stall","n":1,"count":1})");
+	support::http_headers headers = { { "authorization", std::string("Bearer ") + slate },
+					  { "content-type", "application/json" } };
+	auto running = std::make_unique<support::http_stream>(
+		first->caller_port, "POST", "/v1/chat/completions",
+		chat_body("plain", "roof", 8, true), headers);
+	ASSERT_TRUE(running->read_event(&event));
+	support::http_stream waiting(first->caller_port, "POST", "/v1/chat/completions",
+				     chat_body("plain", "gutter", 8, true), headers);
+	cluster::wait_until("the second request is received",
+			    [&] { return first->events("request.received").size() == 2; });
+	for (int i = 0; i < 5; i++)
+		EXPECT_EQ(c.chat(*first, "dormer", chat_body("plain", "tile")).status, 200);
+	EXPECT_EQ(started(), 1);
+	running.reset();
+	EXPECT_EQ(waiting.status(), 200);
+	EXPECT_EQ(started(), 2);
+}
+
 struct SlowSmall : public Policy {
 	std::string small_speed() override
 	{
