--- a/src/dragonflywharfd/chat_rating.c
+++ b/src/dragonflywharfd/chat_rating.c
@@ -5,17 +5,23 @@
 #include <xxhash.h>
 
 #include "dragonflywharfd/chat_request_state.h"
+#include "dragonflywharfd/peer_bus.h"
 #include "platform/rater.h"
 
 #define RATING_TIMEOUT_US (2 * DW_US_PER_S)
 #define PERMILLE 1000
+/** Part of a moving average that each rating's time makes up: 1 / 2^3. */
+#define RATING_TIME_SHIFT 3
 
 struct rating {
 	struct daemon *daemon;
 	struct chat_request *request; /* NULL for a background rating */
 	struct chat_step step;
 	uint64_t organisation_id;
+	uint64_t work_id;
+	uint64_t started_us;
 	uint32_t quality_target_permille;
+	bool asked_for; /* the model that the caller asked for, not a cheaper step */
 	void (*done)(struct chat_request *request, bool release);
 };
 
@@ -29,9 +35,16 @@
 {
 	uint64_t version_id = id_of(version, id_of(model, 0));
 	struct dw_rollout_totals totals;
+	bool watched = dw_rollout_is_watched(daemon->rollout, version_id);
 	bool held = false;
 
 	dw_rollout_count(daemon->rollout, version_id, outcome, &held);
+	if (!watched && dw_rollout_is_watched(daemon->rollout, version_id))
+		dw_log_event(&daemon->log, DW_EVENT_VERSION_WATCHED, DW_STR("model", model),
+			     DW_STR("version", version));
+	/* Peers go on giving out the version's answers until they hear of this one. */
+	if (outcome != DW_ROLLOUT_GOOD)
+		peer_bus_flush(daemon);
 	if (!held)
 		return;
 	dw_rollout_pooled(daemon->rollout, version_id, &totals);
@@ -52,6 +65,14 @@
 	request->content[request->content_len] = '\0';
 }
 
+static void learn_rating_time(struct daemon *daemon, uint64_t time_us)
+{
+	if (daemon->rating_us == 0)
+		daemon->rating_us = time_us;
+	daemon->rating_us +=
+		(time_us >> RATING_TIME_SHIFT) - (daemon->rating_us >> RATING_TIME_SHIFT);
+}
+
 static void on_rated(const struct dw_rater_result *result, void *data)
 {
 	struct rating *rating = data;
@@ -59,22 +80,26 @@
 	struct chat_request *request = rating->request;
 	bool rated = result->status == DW_OK;
 	bool passed = rated && result->score_permille >= rating->quality_target_permille;
+	bool release = passed || (rating->asked_for && !rated);
 
-	if (rated) {
+	learn_rating_time(daemon, dw_clock_now_us() - rating->started_us);
+	if (rated && rating->asked_for)
 		chat_rating_count(daemon, rating->step.model, rating->step.version,
 				  passed ? DW_ROLLOUT_GOOD : DW_ROLLOUT_BAD);
+	if (rated)
 		dw_cascade_rates_learn(daemon->cascade_rates, rating->organisation_id,
-				       id_of(rating->step.model, 0), 0, passed, dw_clock_now_us());
-	}
+				       id_of(rating->step.model, 0), rating->work_id, passed,
+				       dw_clock_now_us());
 	if (request) {
-		dw_counters_add(&daemon->counters, DW_COUNTER_CASCADE_STEPS, 1);
+		if (!rating->asked_for)
+			dw_counters_add(&daemon->counters, DW_COUNTER_CASCADE_STEPS, 1);
 		dw_log_event(&daemon->log, DW_EVENT_CASCADE_RATED, DW_STR("request", request->id),
 			     DW_STR("model", rating->step.model),
 			     DW_STR("version", rating->step.version),
 			     DW_INT("score_permille", result->score_permille),
-			     DW_INT("released", passed));
+			     DW_INT("released", release));
 		request->pending--;
-		rating->done(request, passed);
+		rating->done(request, release);
 		chat_request_settle(request);
 	}
 	free(rating);
@@ -89,7 +114,10 @@
 	rating->daemon = request->daemon;
 	rating->step = *chat_request_step(request);
 	rating->organisation_id = request->organisation_id;
+	rating->work_id = request->work_id;
+	rating->started_us = dw_clock_now_us();
 	rating->quality_target_permille = request->quality_target_permille;
+	rating->asked_for = chat_request_at_last_step(request);
 	return rating;
 }
 
@@ -114,7 +142,7 @@
 	struct daemon *daemon = request->daemon;
 
 	/* A step of a cascade that isn't the last has been rated before its release. */
-	if (!daemon->rater || !request->content || request->step + 1 < request->step_count ||
+	if (!daemon->rater || !request->content || !chat_request_at_last_step(request) ||
 	    daemon_random(daemon) % PERMILLE >= daemon->settings.rated_permille)
 		return;
 	rate(request, rating_new(request), request->content);
