--- /dev/null
+++ b/tests/process_answers_test.cc
@@ -0,0 +1,234 @@
+// Promise 7 with real processes: a caller gets the whole answer to its own request.
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <future>
+
+#include "support/cluster.h"
+#include "support/json.h"
+
+using support::chat_body;
+using support::cluster;
+using support::http_answer;
+using support::http_stream;
+using support::json_string;
+
+namespace
+{
+
+std::string engine_text(const std::string &request_id, int tokens)
+{
+	std::string text = "quality:950 request:" + request_id + " ";
+
+	for (int i = 1; i < tokens; i++)
+		text += "token" + std::to_string(i) + " ";
+	return text;
+}
+
+/* The text of an answer that looks whole to a caller; "" of any other. */
+std::string whole_text(const http_answer &answer, bool stream)
+{
+	std::string text;
+	size_t at = 0;
+
+	if (answer.status != 200 || !answer.whole)
+		return "";
+	if (!stream)
+		return json_string(answer.body, { "choices", "0", "message", "content" });
+	if (answer.body.find("data: [DONE]") == std::string::npos)
+		return "";
+	while ((at = answer.body.find("data: {", at)) != std::string::npos) {
+		size_t end = answer.body.find('\n', at);
+
+		text += json_string(answer.body.substr(at + 6, end - at - 6),
+				    { "choices", "0", "delta", "content" });
+		at = end;
+	}
+	return text;
+}
+
+struct Answers : public ::testing::Test {
+	cluster c;
+	support::standin *first = nullptr;
+	support::standin *second = nullptr;
+	support::daemon *entry = nullptr;
+
+	void start(int limit, int token_us)
+	{
+		std::vector<std::string> pace = { "--token-us=" + std::to_string(token_us),
+						  "--first-token-us=1000",
+						  "--slots=" + std::to_string(limit) };
+
+		first = &c.add_engine("engine-1", "haarlem", { "large/1" }, pace);
+		second = &c.add_engine("engine-2", "zaandam", { "large/1" }, pace);
+		entry = &c.add_daemon("entry-1", { .failure_domain = "haarlem" });
+		c.apply({
+			"{\"failure_domain\":{\"name\":\"haarlem\"}}",
+			"{\"failure_domain\":{\"name\":\"zaandam\"}}",
+			cluster::engine_entity(*first, "haarlem", { "large/1" }, limit, limit, 50),
+			cluster::engine_entity(*second, "zaandam", { "large/1" }, limit, limit, 50),
+			"{\"model\":{\"name\":\"large\"}}",
+			"{\"version\":{\"model\":\"large\",\"name\":\"1\",\"rollout_weight\":1}}",
+			cluster::organisation_entity("mill", { "large/1" }),
+		});
+		cluster::wait_until("an answer", [&] {
+			return c.chat(*entry, "mill", chat_body("large", "first")).status == 200;
+		});
+	}
+
+	http_answer ask(int number, int tokens, int timeout_ms)
+	{
+		return c.chat(*entry, "mill",
+			      chat_body("large", "slate " + std::to_string(number), tokens,
+					number % 2 == 0),
+			      { { "x-request-timeout-ms", std::to_string(timeout_ms) } });
+	}
+
+	/* Sends requests side by side; each gets its own text, or visibly none. Whole answers. */
+	int judge(const std::string &fault, int count, int timeout_ms)
+	{
+		constexpr int tokens = 6;
+		std::vector<std::future<http_answer>> calls;
+		int whole = 0;
+
+		for (support::standin *engine : { first, second })
+			engine->fault(fault);
+		for (int i = 0; i < count; i++)
+			calls.push_back(std::async(std::launch::async,
+						   [=] { return ask(i, tokens, timeout_ms); }));
+		for (int i = 0; i < count; i++) {
+			http_answer answer = calls[i].get();
+			std::string text = whole_text(answer, i % 2 == 0);
+
+			if (!text.empty()) {
+				EXPECT_EQ(text, engine_text(answer.headers["x-request-id"], tokens))
+					<< fault << answer.body;
+				whole++;
+			} else if (answer.status != 200) {
+				EXPECT_NE(json_string(answer.body, { "error", "type" }), "")
+					<< fault << answer.body;
+			}
+		}
+		for (support::standin *engine : { first, second })
+			engine->fault("{\"kind\":\"none\"}");
+		return whole;
+	}
+
+	int64_t sum(const char *count)
+	{
+		return std::max<int64_t>(0, first->stat(count)) +
+		       std::max<int64_t>(0, second->stat(count));
+	}
+
+	int64_t peak_memory_kb()
+	{
+		std::ifstream file("/proc/" + std::to_string(entry->running->pid()) + "/status");
+		std::string word;
+
+		while (file >> word) {
+			if (word == "VmHWM:") {
+				file >> word;
+				return atoll(word.c_str());
+			}
+		}
+		return -1;
+	}
+};
+
+TEST_F(Answers, NoFaultMakesAShortOrAnothersAnswerLookWhole)
+{
+	start(16, 1000);
+	EXPECT_EQ(judge("{\"kind\":\"none\"}", 24, 10000), 24);
+	for (const char *fault : {
+		     "{\"kind\":\"cut\",\"n\":0}",
+		     "{\"kind\":\"cut\",\"n\":3}",
+		     "{\"kind\":\"stall\",\"n\":3}",
+		     "{\"kind\":\"late\",\"n\":600}",
+		     "{\"kind\":\"crossed\"}",
+		     "{\"kind\":\"error\"}",
+	     })
+		EXPECT_EQ(judge(fault, 24, 400), 0) << fault;
+	/* Answers of before, still late, must not come to these. */
+	EXPECT_EQ(judge("{\"kind\":\"none\"}", 24, 10000), 24);
+}
+
+TEST_F(Answers, ATryThatFailsBeforeTheFirstByteGoesElsewhere)
+{
+	int failed = 0;
+
+	start(16, 1000);
+	for (const char *fault : {
+		     "{\"kind\":\"cut\",\"n\":0,\"count\":1}",
+		     "{\"kind\":\"crossed\",\"count\":1}",
+		     "{\"kind\":\"error\",\"count\":1}",
+	     }) {
+		/* Both engines fail once, so that the third try at the latest is good. */
+		EXPECT_EQ(judge(fault, 1, 10000), 1) << fault;
+		EXPECT_GT((int)entry->events("attempt.failed").size(), failed) << fault;
+		failed = (int)entry->events("attempt.failed").size();
+		EXPECT_EQ(judge("{\"kind\":\"none\"}", 24, 10000), 24);
+	}
+}
+
+TEST_F(Answers, SlowReadersGetAllAndMemoryStaysBounded)
+{
+	constexpr int readers = 50;
+	constexpr int tokens = 16000;
+	constexpr int64_t bound_kb = (32 + readers) * 1024; /* 1 MB a stream above the 32 at rest */
+	std::vector<std::unique_ptr<http_stream>> streams;
+	std::string line;
+
+	start(readers, 1);
+	for (int i = 0; i < readers; i++) {
+		streams.push_back(std::make_unique<http_stream>(
+			entry->caller_port, "POST", "/v1/chat/completions",
+			chat_body("large", "slate", tokens, true),
+			support::http_headers{ { "authorization", "Bearer mill" } }, 30000));
+		ASSERT_TRUE(streams.back()->read_event(&line));
+	}
+	cluster::wait_until(
+		"the engines have made all", [&] { return sum("in_flight") == 0; }, 30000);
+	for (int i = 0; i < 20; i++)
+		EXPECT_EQ(ask(i, 6, 10000).status, 200);
+	for (auto &stream : streams) {
+		int events = 1;
+
+		while (stream->read_event(&line))
+			events++;
+		EXPECT_TRUE(stream->whole());
+		EXPECT_EQ(line, "[DONE]");
+		EXPECT_EQ(events, tokens + 2);
+	}
+	EXPECT_LT(peak_memory_kb(), bound_kb);
+}
+
+TEST_F(Answers, ACallerThatLeavesEndsTheWork)
+{
+	constexpr int limit = 2;
+	std::vector<std::unique_ptr<http_stream>> streams;
+	std::string line;
+	int64_t before;
+
+	start(limit, 20000);
+	before = sum("requests");
+	for (int i = 0; i < 3 * limit; i++)
+		streams.push_back(std::make_unique<http_stream>(
+			entry->caller_port, "POST", "/v1/chat/completions",
+			chat_body("large", "slate", 100000, true),
+			support::http_headers{ { "authorization", "Bearer mill" } }));
+	cluster::wait_until("both engines are full", [&] {
+		return sum("requests") == before + 2 * limit &&
+		       entry->events("request.received").size() >= 3 * limit;
+	});
+	/* Those in the queue go first: they may never reach an engine. */
+	for (int i = 3 * limit; i-- > 0;)
+		streams[i]->close();
+	cluster::wait_until("the work has ended", [&] { return sum("in_flight") == 0; }, 3000);
+	EXPECT_EQ(entry->events("request.caller_gone").size(), 3 * limit);
+	for (int i = 0; i < 4 * limit; i++)
+		EXPECT_EQ(ask(i, 2, 10000).status, 200);
+	EXPECT_EQ(sum("cancelled"), 2 * limit);
+	EXPECT_EQ(sum("requests"), before + 2 * limit + 4 * limit);
+}
+
+} // namespace
