A planned stop answers to its end; a later run proves the earlier one's death

Cause 1: at SIGTERM the caller listener was closed at once, so a connection that the kernel had accepted, or that came before the balancer knew, was reset instead of refused. Now the listener stays until the last request has been answered, /healthz says stopping, calls get a typed 503 with not_run true, connections end with their answer, and the last ones get five polls. Red before: Stop.EveryRequestThatWasTakenIsAnsweredWhole (healthz status 0 instead of 503).

Cause 2: a killed instance that came back before its suspicion ended was never told dead, so the peer that held its usage tail never wrote it. Red before: Billing.AfterKillsARestartAndAnOutageTheLedgerEqualsWhatCallersGot, 159 of 300 answers billed. Now membership tells the earlier run dead when a later one is met. Ruled out: lost batch writes (each instance's usage.written covered its own run's records).

--- a/src/core/membership_table.c
+++ b/src/core/membership_table.c
@@ -246,6 +246,18 @@
 	}
 }
 
+/* A later run of an instance proves the end of the earlier one, whose death may go unseen. */
+static void tell_earlier_run_dead(struct dw_membership *membership,
+				  const struct dw_member_slot *slot)
+{
+	struct dw_member ended = slot->member;
+
+	if (ended.state == DW_MEMBER_DEAD)
+		return;
+	ended.state = DW_MEMBER_DEAD;
+	tell(membership, &ended, false);
+}
+
 void dw_membership_merge(struct dw_membership *membership, const struct dw_member *record,
 			 uint64_t now_us)
 {
@@ -266,6 +278,7 @@
 		merge_run(membership, slot, record, now_us);
 		return;
 	}
+	tell_earlier_run_dead(membership, slot);
 	rumour = as_rumour(record);
 	take(membership, slot, &rumour, true, now_us);
 }
--- a/src/dragonflywharfd/daemon.c
+++ b/src/dragonflywharfd/daemon.c
@@ -21,6 +21,8 @@
 
 #define TICK_MS 20U
 #define STOP_POLL_MS 20U
+/** Polls between the last connection's acceptance and the end. */
+#define STOP_LAST_POLLS 5U
 /** A gap between ticks that means that the process was paused. */
 #define PAUSE_US (2 * DW_US_PER_S)
 #define SESSIONS_MAX 100000U
@@ -108,6 +110,13 @@
 	       ledger_sync_unwritten(daemon->ledger_sync) == 0;
 }
 
+/* A connection accepted at the last moment still gets its refusal. */
+static bool has_answered_last(struct daemon *daemon)
+{
+	dw_http_server_stop_accepting(daemon->callers);
+	return daemon->last_polls++ >= STOP_LAST_POLLS;
+}
+
 static void on_stop_poll(uv_timer_t *timer)
 {
 	struct daemon *daemon = timer->data;
@@ -115,7 +124,7 @@
 	bool idle = dw_http_server_active(daemon->callers) == 0 &&
 		    once_sync_pending(daemon->once_sync) == 0;
 
-	if (!forced && !(idle && has_left(daemon)))
+	if (!forced && !(idle && has_left(daemon) && has_answered_last(daemon)))
 		return;
 	dw_log_event(&daemon->log, DW_EVENT_STOPPED, DW_INT("forced", forced),
 		     DW_INT("unwritten_usage", ledger_sync_unwritten(daemon->ledger_sync)));
@@ -128,7 +137,8 @@
 		dw_clock_now_us() + daemon->settings.stop_timeout_ms * DW_US_PER_MS + 1;
 	dw_log_event(&daemon->log, DW_EVENT_STOPPING, DW_INT("signal", number));
 	dw_membership_leave(daemon->membership, dw_clock_now_us());
-	dw_http_server_stop_accepting(daemon->callers);
+	/* Callers still get a typed refusal, and the balancer the word that this instance stops. */
+	dw_http_server_end_connections(daemon->callers);
 	uv_timer_start(&daemon->stop_poll, on_stop_poll, 0, STOP_POLL_MS);
 	daemon_pump(daemon);
 }
--- a/src/dragonflywharfd/daemon.h
+++ b/src/dragonflywharfd/daemon.h
@@ -90,6 +90,7 @@
 	uv_signal_t sigint;
 	uint64_t stop_deadline_us; /**< 0 while in service */
 	bool left; /**< the leaving steps after the last request have begun */
+	uint32_t last_polls; /* since callers are no longer accepted */
 	uint64_t random_state;
 	uint64_t last_tick_us;
 };
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -398,15 +398,21 @@
 	return ntohs(address.sin_port);
 }
 
-void dw_http_server_stop_accepting(struct dw_http_server *server)
+void dw_http_server_end_connections(struct dw_http_server *server)
 {
 	if (server->stopping)
 		return;
 	server->stopping = true;
-	uv_close((uv_handle_t *)&server->listener, NULL);
 	h2o_context_request_shutdown(&server->context);
 }
 
+void dw_http_server_stop_accepting(struct dw_http_server *server)
+{
+	dw_http_server_end_connections(server);
+	if (!uv_is_closing((uv_handle_t *)&server->listener))
+		uv_close((uv_handle_t *)&server->listener, NULL);
+}
+
 size_t dw_http_server_active(const struct dw_http_server *server)
 {
 	return server->active;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -38,7 +38,10 @@
 
 uint16_t dw_http_server_port(const struct dw_http_server *server);
 
-/** Stops accepting and closes idle connections; requests under way go on to their end. */
+/** From now on each connection ends with its next answer; new ones are still accepted. */
+void dw_http_server_end_connections(struct dw_http_server *server);
+
+/** The same, and accepts no more; requests under way go on to their end. */
 void dw_http_server_stop_accepting(struct dw_http_server *server);
 
 /** Requests that have a handler's answer outstanding. */
