--- a/tests/process_billing_test.cc
+++ b/tests/process_billing_test.cc
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <thread>
@@ -17,7 +18,6 @@
 {
 
 constexpr int callers = 6;
-constexpr int requests = 50; /* of each caller */
 constexpr int daemons = 3;
 const char *const domains[daemons] = { "haarlem", "zaandam", "hoorn" };
 const char *const models[] = { "large", "small" };
@@ -45,6 +45,7 @@
 	cluster c;
 	std::vector<support::daemon *> entries;
 	std::atomic<uint16_t> ports[daemons];
+	std::atomic<bool> stopping{ false };
 	std::atomic<int> done{ 0 };
 	std::atomic<int> repeats{ 0 };
 	std::mutex mutex;
@@ -142,14 +143,46 @@
 		return out;
 	}
 
-	void wait_done(int count)
+	void wait_answers(int more)
 	{
-		bool came = cluster::wait_until(
-			std::to_string(count) + " answers", [&] { return done >= count; }, 30000);
+		int count = done + more;
+		bool came = cluster::wait_until(std::to_string(more) + " answers",
+						[&] { return done >= count; });
 		std::lock_guard<std::mutex> guard(mutex);
+
 		ASSERT_TRUE(came) << last_failure;
 	}
 
+	/* Kills an instance; what is given back waits until the others know and have written. */
+	std::function<void()> kill(int killed)
+	{
+		std::map<int, size_t> deaths;
+
+		for (int i = 0; i < daemons; i++)
+			deaths[i] = entries[i]->events("member.dead").size();
+		entries[killed]->running->kill();
+		return [this, killed, deaths] {
+			for (int i = 0; i < daemons; i++) {
+				if (i != killed)
+					wait_adopted(*entries[i], deaths.at(i));
+			}
+		};
+	}
+
+	static void wait_adopted(const support::daemon &d, size_t deaths_before)
+	{
+		size_t written = 0;
+
+		cluster::wait_until(d.name + " sees the death", [&] {
+			written = d.events("usage.written").size();
+			return d.events("member.dead").size() > deaths_before;
+		});
+		/* One write may have been under way. */
+		cluster::wait_until(d.name + " writes", [&] {
+			return d.events("usage.written").size() >= written + 2;
+		});
+	}
+
 	void restart(int i)
 	{
 		c.restart(*entries[i]);
@@ -167,31 +200,34 @@
 TEST_F(Billing, AfterKillsARestartAndAnOutageTheLedgerEqualsWhatCallersGot)
 {
 	std::vector<std::thread> threads;
+	std::function<void()> wait_adopted;
 
 	for (int caller = 0; caller < callers; caller++)
 		threads.emplace_back([this, caller] {
-			for (int number = 0; number < requests; number++)
+			for (int number = 0; !stopping; number++)
 				request(caller, number);
 		});
-	wait_done(30);
-	entries[1]->running->kill();
-	wait_done(80);
-	restart(1);
-	wait_done(130);
+	wait_answers(50);
+	wait_adopted = kill(1);
+	restart(1); /* before anyone suspects it */
+	wait_answers(50);
+	wait_adopted();
 	c.kv.fault("{\"kind\":\"outage\"}");
-	wait_done(150);
-	entries[2]->running->kill();
-	wait_done(200);
+	wait_answers(50);
+	wait_adopted = kill(2);
+	wait_answers(50);
 	c.kv.fault("{\"kind\":\"none\"}");
-	wait_done(230);
+	wait_adopted();
 	restart(2);
+	wait_answers(50);
+	stopping = true;
 	for (std::thread &thread : threads)
 		thread.join();
 	EXPECT_GT(repeats, 0) << "no answer was lost: the kills proved nothing";
 	expect_ledger_equals_answers();
 	/* What instances still hold back would come now: each writes in the order of its answers. */
 	for (int i = 0; i < daemons; i++)
-		request(i, requests);
+		request(i, 1000000);
 	expect_ledger_equals_answers();
 	for (int i = 0; i < daemons; i++)
 		EXPECT_EQ(entries[i]->running->terminate().exit_code, 0);
