--- a/tests/process_answers_test.cc
+++ b/tests/process_answers_test.cc
@@ -228,7 +228,8 @@
 	/* Those in the queue go first: they may never reach an engine. */
 	for (int i = 3 * limit; i-- > 0;)
 		streams[i]->close();
-	cluster::wait_until("the work has ended", [&] { return sum("in_flight") == 0; }, 3000);
+	cluster::wait_until(
+		"the work has ended", [&] { return sum("in_flight") == 0; }, 3000);
 	EXPECT_EQ(entry->events("request.caller_gone").size(), 3 * limit);
 	for (int i = 0; i < 4 * limit; i++)
 		EXPECT_EQ(ask(i, 2, 10000).status, 200);
--- a/tests/process_billing_test.cc
+++ b/tests/process_billing_test.cc
@@ -82,8 +82,8 @@
 		c.apply(entities);
 		for (support::daemon *d : entries)
 			cluster::wait_until(d->name + " is healthy", [&] {
-				return support::http_call(d->caller_port, "GET", "/healthz").status ==
-				       200;
+				return support::http_call(d->caller_port, "GET", "/healthz")
+					       .status == 200;
 			});
 	}
 
@@ -173,10 +173,9 @@
 	{
 		size_t written = 0;
 
-		cluster::wait_until(d.name + " sees the death", [&] {
-			written = d.events("usage.written").size();
-			return d.events("member.dead").size() > deaths_before;
-		});
+		cluster::wait_until(d.name + " sees the death",
+				    [&] { return d.events("member.dead").size() > deaths_before; });
+		written = d.events("usage.written").size();
 		/* One write may have been under way. */
 		cluster::wait_until(d.name + " writes", [&] {
 			return d.events("usage.written").size() >= written + 2;
@@ -215,6 +214,9 @@
 	c.kv.fault("{\"kind\":\"outage\"}");
 	wait_answers(50);
 	wait_adopted = kill(2);
+	c.wait_event(*entries[0], "member.dead", [&](const support::event &e) {
+		return e.field("member") == entries[2]->name;
+	});
 	wait_answers(50);
 	c.kv.fault("{\"kind\":\"none\"}");
 	wait_adopted();
--- a/tests/process_once_test.cc
+++ b/tests/process_once_test.cc
@@ -75,8 +75,7 @@
 	std::future<http_answer> later(const support::daemon &d, const std::string &key,
 				       int timeout_ms = 10000)
 	{
-		return std::async(std::launch::async,
-				  [=, &d] { return call(d, key, timeout_ms); });
+		return std::async(std::launch::async, [=, &d] { return call(d, key, timeout_ms); });
 	}
 
 	int64_t executions(const std::string &key)
@@ -87,9 +86,8 @@
 	/* Repeats until the kept answer comes; other answers must be typed and claim nothing. */
 	void repeat_until_kept(const support::daemon &d, const std::string &key)
 	{
-		cluster::wait_until("the kept answer of " + key, [&] {
-			return book(d, key).status == 200;
-		});
+		cluster::wait_until("the kept answer of " + key,
+				    [&] { return book(d, key).status == 200; });
 	}
 
 	/* What every key's callers were told, against the service's own counts. */
@@ -182,8 +180,7 @@
 		std::vector<std::pair<std::string, std::future<http_answer>>> callers;
 
 		for (int i = 0; i < keys; i++) {
-			std::string key =
-				"pair" + std::to_string(round) + "-" + std::to_string(i);
+			std::string key = "pair" + std::to_string(round) + "-" + std::to_string(i);
 
 			callers.emplace_back(key, later(*a, key));
 			callers.emplace_back(key, later(*b, key));
@@ -206,8 +203,7 @@
 	const std::vector<std::pair<std::string, std::function<int64_t()>>> stages = {
 		{ "received", [&] { return (int64_t)a->events("request.received").size(); } },
 		{ "writing", [&] { return c.kv.stat("calls./v3/kv/txn"); } },
-		{ "committed",
-		  [&] { return (int64_t)a->events("once.intent_committed").size(); } },
+		{ "committed", [&] { return (int64_t)a->events("once.intent_committed").size(); } },
 		{ "sent", [&] { return booking->stat("received"); } },
 	};
 	std::map<std::string, std::future<http_answer>> callers;
--- a/tests/process_stop_test.cc
+++ b/tests/process_stop_test.cc
@@ -32,8 +32,7 @@
 		engine = &c.add_engine("engine-1", "haarlem", { "large/1" },
 				       { "--token-us=5000", "--slots=4" });
 		booking = &c.add_service("booking", "haarlem");
-		a = &c.add_daemon("entry-1",
-				  { .failure_domain = "haarlem", .settings = settings });
+		a = &c.add_daemon("entry-1", { .failure_domain = "haarlem", .settings = settings });
 		b = &c.add_daemon("entry-2", { .failure_domain = "zaandam" });
 		c.apply({
 			"{\"failure_domain\":{\"name\":\"haarlem\"}}",
@@ -73,10 +72,10 @@
 
 		for (const char *at : { "0", "1", "2" }) {
 			if (support::json_string(output, { "totals", at, "version" }) == version)
-				sum += strtoll(support::json_string(output,
-								    { "totals", at, "requests" })
-						       .c_str(),
-					       nullptr, 10);
+				sum += strtoll(
+					support::json_string(output, { "totals", at, "requests" })
+						.c_str(),
+					nullptr, 10);
 		}
 		return sum;
 	}
@@ -138,9 +137,8 @@
 			return a->events("attempt.first_token").size() > tokens;
 		});
 		a->running->signal(SIGTERM);
-		cluster::wait_until("the stop begins", [&] {
-			return a->events("process.stopping").size() > stops;
-		});
+		cluster::wait_until("the stop begins",
+				    [&] { return a->events("process.stopping").size() > stops; });
 		if (second_signal)
 			a->running->signal(SIGTERM);
 		EXPECT_EQ(a->running->wait(2000).exit_code, exit_forced);
