--- /dev/null
+++ b/tests/support/traffic.cc
@@ -0,0 +1,100 @@
+#include "support/traffic.h"
+
+#include <chrono>
+
+namespace support
+{
+
+namespace
+{
+
+constexpr int timeout_ms = 5000;
+
+} // namespace
+
+traffic::traffic(const std::string &organisation, const std::string &body,
+		 const http_headers &headers)
+	: organisation_(organisation), body_(body), headers_(headers)
+{
+	headers_["authorization"] = "Bearer " + organisation_;
+	headers_["content-type"] = "application/json";
+	headers_.insert({ "x-request-timeout-ms", std::to_string(timeout_ms) });
+}
+
+traffic::~traffic()
+{
+	stopping_ = true;
+	for (std::thread &thread : threads_)
+		thread.join();
+}
+
+traffic::lane &traffic::lane_of(const daemon &through)
+{
+	std::unique_ptr<lane> &found = lanes_[through.name];
+
+	if (!found)
+		found = std::make_unique<lane>();
+	return *found;
+}
+
+void traffic::call(lane &mine, uint16_t port)
+{
+	std::string body = body_;
+	size_t mark = body.find('%');
+
+	if (mark != std::string::npos)
+		body.replace(mark, 1, std::to_string(sent_++));
+	http_answer answer = http_call(port, "POST", "/v1/chat/completions", body, headers_,
+				       2 * timeout_ms);
+	if (answer.status >= 0 && answer.status < statuses)
+		counts_[(size_t)answer.status]++;
+	if (answer.status == 200 && answer.whole)
+		mine.answered++;
+	mine.ended++;
+	/* Nobody listens there: the daemon is between two runs. */
+	if (answer.status == 0)
+		std::this_thread::sleep_for(std::chrono::milliseconds(5));
+}
+
+void traffic::press(const daemon &through, int callers)
+{
+	lane &mine = lane_of(through);
+	uint16_t port = through.caller_port;
+
+	mine.port = port;
+	for (int i = 0; i < callers; i++)
+		threads_.emplace_back([this, &mine, port] {
+			while (!stopping_ && mine.port == port)
+				call(mine, port);
+		});
+}
+
+void traffic::leave(const daemon &through)
+{
+	lane_of(through).port = 0;
+}
+
+uint64_t traffic::answered(const daemon &through)
+{
+	return lane_of(through).answered;
+}
+
+uint64_t traffic::ended(const daemon &through)
+{
+	return lane_of(through).ended;
+}
+
+uint64_t traffic::count(int status)
+{
+	return counts_[(size_t)status];
+}
+
+bool traffic::wait_answered(const daemon &through, uint64_t more)
+{
+	uint64_t wanted = answered(through) + more;
+
+	return cluster::wait_until("answers through " + through.name,
+				   [&] { return answered(through) >= wanted; });
+}
+
+} // namespace support
