A failed answer waits for the crash's evidence; weights in force; holds reach replaced and joining instances

Cause: (1) an attempt whose connection broke was answered, or retried, before the report that tells a crash from a cut was in, so that its caller's repeats crashed engine after engine; (2) nothing told the admission queue the organisations' weights; (3) a held version has no more answers, so no news was sent and an instance that started later never learned of the hold. Ruled out: waiting for a fixed 60 ms; a dead engine's report takes longer, a live one's is quicker.

--- a/src/dragonflywharfd/chat_request_state.h
+++ b/src/dragonflywharfd/chat_request_state.h
@@ -47,6 +47,10 @@
 	uint32_t crash_retries;
 	bool may_have_run; /* some attempt was sent */
 	bool answer_started; /* bytes have gone to the caller */
+	struct attempt_end failed; /* the latest failed attempt, without its texts */
+	bool broke; /* its connection broke: a crash, perhaps */
+	bool judged; /* whether it was one was known at the last look */
+	uint64_t verdict_deadline_us;
 	uv_timer_t retry_timer;
 
 	struct chat_usage usage;
--- a/src/dragonflywharfd/config_sync.c
+++ b/src/dragonflywharfd/config_sync.c
@@ -19,6 +19,7 @@
 /** A peer that tells a higher revision is asked for what came between. */
 #define PULL_PERIOD_US (200 * DW_US_PER_MS)
 #define PUSH_FANOUT 4U
+#define ORGANISATION_PREFIX "organisation/"
 /** After its own operator's write, a daemon that doesn't watch waits so long for the watchers. */
 #define HINT_WAIT_US (1000 * DW_US_PER_MS)
 /** A new daemon asks peers for the configuration before it reads the store. */
@@ -98,12 +99,28 @@
 	dragonflywharf__entity__free_unpacked(entity, NULL);
 }
 
+static void tell_organisation(const struct dw_ruleset_item *item, void *data)
+{
+	struct daemon *daemon = data;
+	const struct dw_organisation *organisation =
+		dw_ruleset_organisation(daemon->ruleset, item->key + strlen(ORGANISATION_PREFIX));
+
+	if (organisation)
+		dispatcher_set_organisation(daemon->dispatcher, organisation);
+}
+
+void config_sync_tell_organisations(struct daemon *daemon)
+{
+	dw_ruleset_visit_prefix(daemon->ruleset, ORGANISATION_PREFIX, tell_organisation, daemon);
+}
+
 /* Brings the other parts up to the ruleset. */
 static void in_force(struct config_sync *sync)
 {
 	struct daemon *daemon = sync->daemon;
 
 	dw_ruleset_visit_prefix(daemon->ruleset, "version/", tell_rollout, daemon);
+	config_sync_tell_organisations(daemon);
 	upstream_table_refresh(daemon->upstreams);
 	dispatcher_refresh(daemon->dispatcher);
 	daemon_pump(daemon);
--- a/src/dragonflywharfd/config_sync.h
+++ b/src/dragonflywharfd/config_sync.h
@@ -20,6 +20,9 @@
 /** True once a configuration is in force. */
 bool config_sync_ready(const struct config_sync *sync);
 
+/** Tells the dispatcher the organisations' weights and limits. */
+void config_sync_tell_organisations(struct daemon *daemon);
+
 /** True if the last call to the store was answered. */
 bool config_sync_store_reachable(const struct config_sync *sync);
 
--- a/src/dragonflywharfd/daemon.c
+++ b/src/dragonflywharfd/daemon.c
@@ -13,6 +13,7 @@
 #include "dragonflywharfd/once_sync.h"
 #include "dragonflywharfd/operator_api.h"
 #include "dragonflywharfd/peer_bus.h"
+#include "dragonflywharfd/rollout_sync.h"
 #include "dragonflywharfd/roster_sync.h"
 #include "dragonflywharfd/session_sync.h"
 #include "dragonflywharfd/upstream_table.h"
@@ -73,6 +74,7 @@
 static void take_member_events(struct daemon *daemon)
 {
 	struct dw_member_event event;
+	bool changed = false;
 
 	while (dw_membership_next_event(daemon->membership, &event)) {
 		log_member(daemon, &event);
@@ -80,9 +82,18 @@
 				       event.member.state != DW_MEMBER_DEAD);
 		if (event.member.state == DW_MEMBER_DEAD)
 			ledger_sync_member_dead(daemon->ledger_sync, event.member.key);
-		if (event.is_new)
-			dw_quarantine_resend(daemon->quarantine);
+		changed = true;
+		if (!event.is_new)
+			continue;
+		dw_quarantine_resend(daemon->quarantine);
+		rollout_sync_member_new(daemon, &event.member);
 	}
+	if (!changed)
+		return;
+	dw_rollout_set_instances(daemon->rollout,
+				 (uint32_t)dw_membership_live_count(daemon->membership));
+	/* An instance's part of an organisation's requests in flight depends on their number. */
+	config_sync_tell_organisations(daemon);
 }
 
 static void notice_pause(struct daemon *daemon, uint64_t now_us)
@@ -164,6 +175,7 @@
 	upstream_table_tick(daemon->upstreams);
 	dw_share_tick(daemon->share, now_us);
 	dw_quarantine_tick(daemon->quarantine, now_us);
+	rollout_sync_tick(daemon);
 	once_sync_tick(daemon->once_sync);
 	ledger_sync_tick(daemon->ledger_sync);
 	session_sync_tick(daemon->session_sync);
--- a/src/dragonflywharfd/daemon.h
+++ b/src/dragonflywharfd/daemon.h
@@ -92,6 +92,7 @@
 	bool left; /**< the leaving steps after the last request have begun */
 	uint64_t random_state;
 	uint64_t last_tick_us;
+	uint64_t tell_holds_at_us; /**< next time for rollout_sync_tick() */
 };
 
 /** Starts all parts and runs until a planned stop; the process's exit code. */
--- a/src/dragonflywharfd/dispatcher.c
+++ b/src/dragonflywharfd/dispatcher.c
@@ -173,6 +173,20 @@
 	}
 }
 
+void dispatcher_set_organisation(struct dispatcher *dispatcher,
+				 const struct dw_organisation *organisation)
+{
+	size_t instances = dw_membership_live_count(dispatcher->daemon->membership);
+	uint32_t part = organisation->max_in_flight / (uint32_t)(instances ? instances : 1);
+
+	/* With fewer than one an instance, each may still run one. */
+	if (organisation->max_in_flight > 0 && part == 0)
+		part = 1;
+	dw_admission_set_organisation(dispatcher->admission,
+				      XXH64(organisation->name, strlen(organisation->name), 0),
+				      organisation->weight, part);
+}
+
 enum dw_status dispatcher_enqueue(struct dispatcher *dispatcher, struct turn *turn,
 				  const char *model, const char *version)
 {
--- a/src/dragonflywharfd/dispatcher.h
+++ b/src/dragonflywharfd/dispatcher.h
@@ -28,7 +28,11 @@
 
 struct dispatcher *dispatcher_new(struct daemon *daemon);
 
-/** Re-reads weights and pools after a change of the ruleset. */
+/** Takes over an organisation's weight, and this instance's part of its requests in flight. */
+void dispatcher_set_organisation(struct dispatcher *dispatcher,
+				 const struct dw_organisation *organisation);
+
+/** Re-reads pools after a change of the ruleset. */
 void dispatcher_refresh(struct dispatcher *dispatcher);
 
 /**
--- a/src/dragonflywharfd/upstream_table.c
+++ b/src/dragonflywharfd/upstream_table.c
@@ -399,3 +399,15 @@
 	if (upstream->report_at_us > soon_us)
 		upstream->report_at_us = soon_us;
 }
+
+bool upstream_table_judging(struct upstream_table *table, uint64_t id,
+			    struct dw_fingerprint fingerprint)
+{
+	const struct upstream *upstream = upstream_table_find(table, id);
+
+	for (size_t i = 0; upstream && i < upstream->broken_count; i++) {
+		if (dw_fingerprint_equal(upstream->broken[i], fingerprint))
+			return true;
+	}
+	return false;
+}
--- a/src/dragonflywharfd/upstream_table.h
+++ b/src/dragonflywharfd/upstream_table.h
@@ -78,6 +78,10 @@
 void upstream_table_broke(struct upstream_table *table, uint64_t id,
 			  struct dw_fingerprint fingerprint);
 
+/** Whether the broken connection of a request is still to be cleared or blamed on a crash. */
+bool upstream_table_judging(struct upstream_table *table, uint64_t id,
+			    struct dw_fingerprint fingerprint);
+
 /** A warm upstream refuses work within its limit: it may have turned cold. */
 void upstream_table_overloaded(struct upstream_table *table, uint64_t id);
 
