A crash that a peer told of first is still blamed on the requests that ran in it

Cause: when a peer's warmth evidence brought the new incarnation before this instance's own report, the report said the incarnation that was known already, and the broken requests were cleared. Change: a merged new incarnation blames the broken requests; a break seen after the incarnation changed is judged by the one known when the request began.

--- a/src/dragonflywharfd/attempt.c
+++ b/src/dragonflywharfd/attempt.c
@@ -30,6 +30,7 @@
 	char upstream_name[DW_NAME_MAX_BYTES + 1];
 	char content_type[TYPE_BYTES];
 	uint64_t upstream_id;
+	uint64_t incarnation; /* the upstream's, as known at the start */
 	struct dw_permit permit;
 	struct dw_load_sample sample;
 	struct dw_http_call *call;
@@ -200,7 +201,8 @@
 	upstream_table_ended(table, attempt->upstream_id, attempt->options.fingerprint,
 			     taught ? &attempt->sample : NULL);
 	if (result->status == DW_UPSTREAM_FAILED || result->status == DW_UNAVAILABLE)
-		upstream_table_broke(table, attempt->upstream_id, attempt->options.fingerprint);
+		upstream_table_broke(table, attempt->upstream_id, attempt->options.fingerprint,
+				     attempt->incarnation);
 	if (attempt->http_status == 503 || attempt->http_status == 429)
 		upstream_table_overloaded(table, attempt->upstream_id);
 	if (!upstream || attempt->abandoned)
@@ -284,6 +286,7 @@
 	attempt->daemon = daemon;
 	attempt->options = *options;
 	attempt->upstream_id = upstream->id;
+	attempt->incarnation = upstream->warmth.incarnation;
 	attempt->permit = options->choice->permit;
 	attempt->sample.load = options->choice->load;
 	attempt->started_us = dw_clock_now_us();
--- a/src/dragonflywharfd/upstream_table.c
+++ b/src/dragonflywharfd/upstream_table.c
@@ -261,10 +261,14 @@
 void upstream_table_merge(struct upstream_table *table, const struct dw_warmth_evidence *evidence)
 {
 	struct upstream *upstream = upstream_table_find(table, evidence->upstream_id);
+	uint64_t before;
 
 	if (!upstream)
 		return;
+	before = upstream->warmth.incarnation;
 	dw_warmth_merge(&upstream->warmth, evidence, upstream->cold_period_us, dw_clock_now_us());
+	if (before != 0 && upstream->warmth.incarnation != before)
+		blame_broken(table, upstream, before);
 	tell_warmth(table, upstream);
 }
 
@@ -386,7 +390,7 @@
 }
 
 void upstream_table_broke(struct upstream_table *table, uint64_t id,
-			  struct dw_fingerprint fingerprint)
+			  struct dw_fingerprint fingerprint, uint64_t incarnation)
 {
 	struct upstream *upstream = upstream_table_find(table, id);
 	uint64_t soon_us = dw_clock_now_us() + INVESTIGATE_US;
@@ -395,6 +399,9 @@
 		return;
 	if (upstream->broken_count < UPSTREAM_BROKEN_MAX)
 		upstream->broken[upstream->broken_count++] = fingerprint;
+	/* A peer or another answer has told of the crash before. */
+	if (incarnation != 0 && incarnation != upstream->warmth.incarnation)
+		blame_broken(table, upstream, incarnation);
 	doubt(table, upstream);
 	if (upstream->report_at_us > soon_us)
 		upstream->report_at_us = soon_us;
--- a/src/dragonflywharfd/upstream_table.h
+++ b/src/dragonflywharfd/upstream_table.h
@@ -74,9 +74,12 @@
 /** An answer came with the upstream's incarnation: news only if it is another one. */
 void upstream_table_answered(struct upstream_table *table, uint64_t id, uint64_t incarnation);
 
-/** A connection with a request under way broke: cold until seen again, and maybe a crash. */
+/**
+ * A connection with a request under way broke: cold until seen again, and maybe a crash.
+ * @p incarnation is the upstream's as it was known when the request began.
+ */
 void upstream_table_broke(struct upstream_table *table, uint64_t id,
-			  struct dw_fingerprint fingerprint);
+			  struct dw_fingerprint fingerprint, uint64_t incarnation);
 
 /** Whether the broken connection of a request is still to be cleared or blamed on a crash. */
 bool upstream_table_judging(struct upstream_table *table, uint64_t id,
