Only an instance itself joins the roster

Cause: a member that had left the roster was put back by a peer that still knew it as alive or leaving; it exited, and its slots stayed idle until the list had missed it for 30 s. Change: a peer that isn't in the roster is no reason to propose one; the instance does so itself.

--- a/src/dragonflywharfd/roster_sync.c
+++ b/src/dragonflywharfd/roster_sync.c
@@ -123,6 +123,11 @@
 		row->member.key = member->key;
 		snprintf(row->member.name, sizeof(row->member.name), "%s", member->name);
 		row->condition = condition_of(member->state);
+		/* Only an instance itself joins: a peer that hasn't heard of its leaving would put
+		 * it back, and its slots would be idle until the list has missed it for long. */
+		if (row->condition == DW_ROSTER_ALIVE &&
+		    dw_roster_find_instance(&sync->roster, member->key.instance_id) < 0)
+			row->condition = DW_ROSTER_UNREACHABLE;
 		if (is_self)
 			row->condition = sync->leaving ? DW_ROSTER_RELEASED : DW_ROSTER_ALIVE;
 		row->was_listed = listed != NULL;
