--- a/src/dragonflywharfd/daemon.c
+++ b/src/dragonflywharfd/daemon.c
@@ -13,6 +13,7 @@
 #include "dragonflywharfd/once_sync.h"
 #include "dragonflywharfd/operator_api.h"
 #include "dragonflywharfd/peer_bus.h"
+#include "dragonflywharfd/rollout_sync.h"
 #include "dragonflywharfd/roster_sync.h"
 #include "dragonflywharfd/session_sync.h"
 #include "dragonflywharfd/upstream_table.h"
@@ -83,9 +84,11 @@
 				       event.member.state != DW_MEMBER_DEAD);
 		if (event.member.state == DW_MEMBER_DEAD)
 			ledger_sync_member_dead(daemon->ledger_sync, event.member.key);
-		if (event.is_new)
-			dw_quarantine_resend(daemon->quarantine);
 		changed = true;
+		if (!event.is_new)
+			continue;
+		dw_quarantine_resend(daemon->quarantine);
+		rollout_sync_member_new(daemon, &event.member);
 	}
 	if (!changed)
 		return;
