Metrics: control traffic, store calls, processor time and memory of the process

Cause: the capacity figures need bytes and messages between daemons, calls to the key-value service by verb, processor time and resident memory of each daemon. Change: /metrics prints them (peer_*_total, store_calls_total{verb}, process_cpu_seconds_total, process_resident_memory_bytes).

--- a/src/dragonflywharfd/operator_api.c
+++ b/src/dragonflywharfd/operator_api.c
@@ -9,6 +9,7 @@
 #include "dragonflywharfd/config_sync.h"
 #include "dragonflywharfd/error_reply.h"
 #include "dragonflywharfd/ledger_sync.h"
+#include "dragonflywharfd/metrics.h"
 #include "dragonflywharfd/operator_put.h"
 #include "dragonflywharfd/operator_reply.h"
 #include "dragonflywharfd/upstream_table.h"
@@ -397,7 +398,7 @@
 static void answer_metrics(struct daemon *daemon, struct dw_http_exchange *exchange)
 {
 	size_t len = 0;
-	char *text = dw_counters_text(&daemon->counters, &len);
+	char *text = metrics_text(daemon, &len);
 
 	dw_http_respond(exchange, 200, "text/plain; version=0.0.4", text ? text : "", len);
 	free(text);
