--- a/src/dragonflywharfd/daemon.c
+++ b/src/dragonflywharfd/daemon.c
@@ -14,11 +14,12 @@
 #include "dragonflywharfd/operator_api.h"
 #include "dragonflywharfd/peer_bus.h"
 #include "dragonflywharfd/roster_sync.h"
+#include "dragonflywharfd/session_sync.h"
 #include "dragonflywharfd/upstream_table.h"
 #include "platform/rater_http.h"
 #include "platform/store_etcd.h"
 
-#define TICK_MS 50U
+#define TICK_MS 20U
 #define STOP_POLL_MS 20U
 /** A gap between ticks that means that the process was paused. */
 #define PAUSE_US (2 * DW_US_PER_S)
@@ -75,6 +76,8 @@
 
 	while (dw_membership_next_event(daemon->membership, &event)) {
 		log_member(daemon, &event);
+		dw_share_set_reachable(daemon->share, event.member.key,
+				       event.member.state != DW_MEMBER_DEAD);
 		if (event.member.state == DW_MEMBER_DEAD)
 			ledger_sync_member_dead(daemon->ledger_sync, event.member.key);
 		if (event.is_new)
@@ -90,24 +93,6 @@
 	daemon->last_tick_us = now_us;
 }
 
-static void on_tick(uv_timer_t *timer)
-{
-	struct daemon *daemon = timer->data;
-	uint64_t now_us = dw_clock_now_us();
-
-	notice_pause(daemon, now_us);
-	dw_membership_tick(daemon->membership, now_us, daemon_random(daemon));
-	take_member_events(daemon);
-	config_sync_tick(daemon->config_sync);
-	roster_sync_tick(daemon->roster_sync);
-	upstream_table_tick(daemon->upstreams);
-	dw_share_tick(daemon->share, now_us);
-	dw_quarantine_tick(daemon->quarantine, now_us);
-	once_sync_tick(daemon->once_sync);
-	ledger_sync_tick(daemon->ledger_sync);
-	daemon_pump(daemon);
-}
-
 /* The last steps of a planned stop, once no request is under way. */
 static bool has_left(struct daemon *daemon)
 {
@@ -137,14 +122,8 @@
 	exit(forced ? EXIT_STOP_FORCED : EXIT_DONE);
 }
 
-static void on_signal(uv_signal_t *signal, int number)
+static void begin_stop(struct daemon *daemon, int number)
 {
-	struct daemon *daemon = signal->data;
-
-	if (daemon_stopping(daemon)) {
-		daemon->stop_deadline_us = dw_clock_now_us();
-		return;
-	}
 	daemon->stop_deadline_us =
 		dw_clock_now_us() + daemon->settings.stop_timeout_ms * DW_US_PER_MS + 1;
 	dw_log_event(&daemon->log, DW_EVENT_STOPPING, DW_INT("signal", number));
@@ -154,6 +133,43 @@
 	daemon_pump(daemon);
 }
 
+static void on_signal(uv_signal_t *signal, int number)
+{
+	struct daemon *daemon = signal->data;
+
+	if (daemon_stopping(daemon))
+		daemon->stop_deadline_us = dw_clock_now_us();
+	else
+		begin_stop(daemon, number);
+}
+
+/* A later run of this instance has taken its place. */
+static void stop_if_replaced(struct daemon *daemon)
+{
+	if (dw_membership_is_replaced(daemon->membership) && !daemon_stopping(daemon))
+		begin_stop(daemon, 0);
+}
+
+static void on_tick(uv_timer_t *timer)
+{
+	struct daemon *daemon = timer->data;
+	uint64_t now_us = dw_clock_now_us();
+
+	notice_pause(daemon, now_us);
+	dw_membership_tick(daemon->membership, now_us, daemon_random(daemon));
+	take_member_events(daemon);
+	stop_if_replaced(daemon);
+	config_sync_tick(daemon->config_sync);
+	roster_sync_tick(daemon->roster_sync);
+	upstream_table_tick(daemon->upstreams);
+	dw_share_tick(daemon->share, now_us);
+	dw_quarantine_tick(daemon->quarantine, now_us);
+	once_sync_tick(daemon->once_sync);
+	ledger_sync_tick(daemon->ledger_sync);
+	session_sync_tick(daemon->session_sync);
+	daemon_pump(daemon);
+}
+
 static void init_identity(struct daemon *daemon)
 {
 	const struct daemon_settings *settings = &daemon->settings;
@@ -254,6 +270,7 @@
 	daemon->dispatcher = dispatcher_new(daemon);
 	daemon->once_sync = once_sync_start(daemon);
 	daemon->ledger_sync = ledger_sync_start(daemon);
+	daemon->session_sync = session_sync_new(daemon);
 	daemon->roster_sync = roster_sync_start(daemon);
 	daemon->config_sync = config_sync_start(daemon);
 	status = operator_api_start(daemon);
