Ledger: unsent records found from the tail's end; batches follow while the tail fills

Cause: at 3,574 requests/s dw_ledger_next_message() took 59% of the daemon's processor time and dw_ledger_tick() 8% (perf record -g, full load of scripts/bench.sh): each message walked all of the unwritten tail, and each tick walked it from its oldest record. Waiters stood newest first, so that each acknowledgement walked them too. Change: both walks begin at the newest record; waiters stand oldest first; while a quarter of the tail's bound is unwritten, the next batch follows after retry_interval_us. Ruled out: writing at once whenever a batch is full, as all daemons would do so after an outage.

--- a/src/core/ledger.c
+++ b/src/core/ledger.c
@@ -13,6 +13,9 @@
 
 #define MAX_BATCH_RECORDS (DW_USAGE_BATCH_MAX_BYTES / DW_USAGE_RECORD_MAX_BYTES)
 
+/** From this part of its bound on the tail counts as filling. */
+#define TAIL_PART 4
+
 struct dw_ledger_options dw_ledger_default_options(struct dw_member_key self)
 {
 	return (struct dw_ledger_options){
@@ -91,12 +94,16 @@
 		ledger->reserved--;
 }
 
-/* Without a holder only the store protects a record, so batches don't wait for their interval. */
+/*
+ * Without a holder only the store protects a record, so batches don't wait for their interval; nor
+ * do they while the tail fills, or a sustained load of more than a batch an interval were refused.
+ */
 void dw_ledger_schedule_write(struct dw_ledger *ledger, uint64_t now_us)
 {
 	uint64_t wait_us = ledger->options.write_interval_us;
+	bool filling = dw_ledger_unwritten(ledger) >= ledger->options.max_tail_records / TAIL_PART;
 
-	if (!ledger->holder.present && ledger->options.retry_interval_us < wait_us)
+	if ((!ledger->holder.present || filling) && ledger->options.retry_interval_us < wait_us)
 		wait_us = ledger->options.retry_interval_us;
 	if (ledger->flushing)
 		wait_us = 0;
@@ -238,13 +245,16 @@
 
 void dw_ledger_tick(struct dw_ledger *ledger, uint64_t now_us)
 {
-	const struct dw_ledger_entry *entry;
+	const struct dw_ledger_entry *entry = ledger->tail ? ledger->tail->prev : NULL;
 
-	DL_FOREACH(ledger->tail, entry) {
-		if (entry->protect_by_us > now_us)
-			return;
-		if (entry->seq > ledger->exposed_seq)
+	/* Deadlines grow with the sequence: the last one that is over tells all before it. */
+	while (entry && entry->seq > ledger->exposed_seq) {
+		if (entry->protect_by_us <= now_us)
 			ledger->exposed_seq = entry->seq;
+		else if (entry != ledger->tail)
+			entry = entry->prev;
+		else
+			return;
 	}
 }
 
--- a/src/core/ledger_peer.c
+++ b/src/core/ledger_peer.c
@@ -46,6 +46,16 @@
 	return true;
 }
 
+/* The first record that the holder wasn't sent; found from the end, as few are unsent. */
+static const struct dw_ledger_entry *first_unsent(const struct dw_ledger *ledger)
+{
+	const struct dw_ledger_entry *entry = ledger->tail->prev;
+
+	while (entry != ledger->tail && entry->prev->seq > ledger->holder.sent_seq)
+		entry = entry->prev;
+	return entry;
+}
+
 static bool next_copy(struct dw_ledger *ledger, uint64_t now_us, struct dw_ledger_message *message)
 {
 	struct dw_ledger_holder *holder = &ledger->holder;
@@ -59,13 +69,9 @@
 		return false;
 	message->kind = DW_LEDGER_COPY;
 	message->seq = holder->sent_seq + 1;
-	DL_FOREACH(ledger->tail, entry) {
-		if (entry->seq <= holder->sent_seq)
-			continue;
-		if (message->record_count == DW_LEDGER_MESSAGE_RECORDS)
-			break;
+	for (entry = first_unsent(ledger);
+	     entry && message->record_count < DW_LEDGER_MESSAGE_RECORDS; entry = entry->next)
 		message->records[message->record_count++] = entry->record;
-	}
 	holder->sent_seq += message->record_count;
 	holder->trimmed_seq = ledger->written_seq;
 	holder->resend_at_us = now_us + ledger->options.retry_interval_us;
--- a/src/dragonflywharfd/ledger_sync.c
+++ b/src/dragonflywharfd/ledger_sync.c
@@ -19,7 +19,8 @@
 struct ledger_sync {
 	struct daemon *daemon;
 	struct dw_ledger *ledger;
-	struct waiter *waiters;
+	struct waiter *waiters; /* the oldest first */
+	struct waiter **waiters_end;
 	struct dw_member_key holder;
 	bool pumping;
 };
@@ -37,6 +38,7 @@
 	if (!sync || dw_ledger_new(&sync->ledger, &options) != DW_OK)
 		abort();
 	sync->daemon = daemon;
+	sync->waiters_end = &sync->waiters;
 	return sync;
 }
 
@@ -49,8 +51,11 @@
 	while (*at && (*at)->seq != seq)
 		at = &(*at)->next;
 	waiter = *at;
-	if (waiter)
-		*at = waiter->next;
+	if (!waiter)
+		return NULL;
+	*at = waiter->next;
+	if (sync->waiters_end == &waiter->next)
+		sync->waiters_end = at;
 	return waiter;
 }
 
@@ -207,8 +212,8 @@
 		safe(owner);
 		return;
 	}
-	waiter->next = sync->waiters;
-	sync->waiters = waiter;
+	*sync->waiters_end = waiter;
+	sync->waiters_end = &waiter->next;
 	/* With no peer to hold a copy, the answer waits for the store. */
 	if (sync->holder.instance_id == 0)
 		dw_ledger_flush(sync->ledger, dw_clock_now_us());
