--- a/scripts/capacity_fit.awk
+++ b/scripts/capacity_fit.awk
@@ -18,15 +18,17 @@
 	printf "%-46s %12.4f %-10s + %12.5f a %s  (%d points)\n", name, base(key), unit, slope(key), x, n[key]
 }
 function row(name, unit, a, b, c) { printf "%-46s %-12s %14.3f %14.3f %14.3f\n", name, unit, a, b, c }
-# One figure at a size: daemons, engines, requests a second and changes a second of one daemon.
+function mean(key) { return n[key] ? sy[key] / n[key] : 0 }
+# One figure at a size. What is flat over the number of daemons is taken as its mean there, and the
+# state at rest has 12 engines and 10 organisations.
 function cpu(engines, requests, changes) {
-	return base("engines cpu") + slope("engines cpu") * engines + slope("requests cpu") * requests + slope("changes cpu") * changes
+	return mean("daemons cpu") + slope("engines cpu") * (engines - 12) + slope("requests cpu") * requests + slope("changes cpu") * changes
 }
 function rss(daemons, engines, organisations) {
-	return base("daemons rss") + slope("daemons rss") * daemons + slope("engines rss") * engines + slope("organisations rss") * organisations
+	return base("daemons rss") + slope("daemons rss") * daemons + slope("engines rss") * (engines - 12) + slope("organisations rss") * (organisations - 10)
 }
-function sent(daemons, requests, changes) {
-	return base("daemons sent") + slope("daemons sent") * daemons + slope("requests sent") * requests + slope("changes sent") * changes
+function sent(requests, changes) {
+	return mean("daemons sent") + slope("requests sent") * requests + slope("changes sent") * changes
 }
 {
 	series = field("series"); daemons = field("daemons"); engines = field("engines")
@@ -87,8 +89,8 @@
 	day = 13000 / 86400
 	row("processor time of a daemon, control", "% of core", cpu(16, 0, day), cpu(12, 0, day), cpu(12000, 0, day))
 	row("memory of a daemon", "MB", rss(9, 16, 100), rss(8, 12, 100), rss(2100, 12000, 1000))
-	row("bytes to peers at rest and with changes", "B/s", sent(9, 0, day), sent(8, 0, day), sent(2100, 0, day))
-	row("the same with 34 requests/s a daemon", "B/s", sent(9, 34.3, day), sent(8, 34.3, day), sent(2100, 34.3, day))
+	row("bytes to peers at rest and with changes", "B/s", sent(0, day), sent(0, day), sent(0, day))
+	row("the same with 34 requests/s a daemon", "B/s", sent(34.3, day), sent(34.3, day), sent(34.3, day))
 	row("load reports fetched by a daemon", "/s", 32, 24, 24000)
 	row("bytes of load reports, a daemon", "B/s", 32 * report_bytes, 24 * report_bytes, 24000 * report_bytes)
 	row("load reports answered by an engine", "/s", 18, 16, 4200)
--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -39,7 +39,8 @@
 { "instance": "$1", "failure_domain": "$2", "ip": "127.0.0.1", "caller_port": 0,
   "operator_port": 0, "peer_port": 0, "seeds": [$3], "store": ["127.0.0.1:$4"],
   "instance_list": "127.0.0.1:$5", "cluster_key": "$(printf '%064d' 7)",
-  "operator_key_hash": "$operator_hash", "log_file": "$work/$1.jsonl" }
+  "operator_key_hash": "$operator_hash", "log_file": "$work/$1.jsonl",
+  "stop_timeout_ms": 3000 }
 SETTINGS
 }
 
