--- a/src/dragonflywharfd/chat_request_state.h
+++ b/src/dragonflywharfd/chat_request_state.h
@@ -38,6 +38,11 @@
 	size_t step;
 	uint32_t quality_target_permille;
 	bool session_moved;
+	uint64_t work_id; /* the kind of work, for the cascade's rates */
+	bool in_session; /* it keeps its version until that is held */
+	bool rates_first; /* this answer is rated before its release, as its version is watched */
+	/* A watched version that answered badly: the request runs once more, on another one. */
+	char avoided_version[DW_NAME_MAX_BYTES + 1];
 	bool has_session_id; /* the caller names its session, without a token */
 	struct dw_session_entry session;
 
@@ -64,6 +69,12 @@
 /** The version that the current step runs. */
 struct chat_step *chat_request_step(struct chat_request *request);
 
+/** The current step runs the model that was asked for: nothing cheaper is left to try. */
+static inline bool chat_request_at_last_step(const struct chat_request *request)
+{
+	return request->step + 1 == request->step_count;
+}
+
 /** Ends the request without an answer: tells the caller a typed error, or cuts its stream. */
 void chat_request_fail(struct chat_request *request, enum dw_status status, const char *message);
 
@@ -76,6 +87,15 @@
 /** Goes on to the next step of the cascade. */
 void chat_request_next_step(struct chat_request *request);
 
+/** Whether the current step's answer is to be rated before its release: a watched version's. */
+bool chat_request_rates_first(struct chat_request *request);
+
+/**
+ * Queues the request again on another version of the model, after a bad answer of a watched one.
+ * False if it may not: no other version, no time, no budget; the answer then stands.
+ */
+bool chat_request_run_again(struct chat_request *request);
+
 /** A whole plain answer of the current step has come. */
 void chat_answer_plain(struct chat_request *request, const char *body, size_t len);
 
@@ -86,7 +106,7 @@
 /** The streamed answer is whole. */
 void chat_answer_streamed(struct chat_request *request);
 
-/** Counts the outcome of a version's answer, and holds the version if the evidence says so. */
+/** Counts the outcome of an answer of the model that was asked for, and holds the version if the evidence says so. */
 void chat_rating_count(struct daemon *daemon, const char *model, const char *version,
 		       enum dw_rollout_outcome outcome);
 
@@ -96,7 +116,10 @@
 /** Rates a released answer in the background, a share of them. */
 void chat_rating_sample(struct chat_request *request);
 
-/** Rates an unreleased answer; @p done tells whether it may be released. */
+/**
+ * Rates an unreleased answer; @p done tells whether it may be released. Without a rating an answer
+ * of the model that was asked for may, a cheaper one's may not.
+ */
 void chat_rating_decide(struct chat_request *request, const char *content,
 			void (*done)(struct chat_request *request, bool release));
 
