Proof of answers: each fault reaches an engine; slow readers' streams exceed what the kernel takes

The first draft stayed green with the checks broken: after the first fault the broken attempts' permits were held and the rest was refused unsent, and 3.7 MB a stream fitted the kernel's buffers. Now the limits leave room, arrivals at the engines are counted, a stream has 11 MB.

--- a/tests/process_answers_test.cc
+++ b/tests/process_answers_test.cc
@@ -1,6 +1,7 @@
 // Promise 7 with real processes: a caller gets the whole answer to its own request.
 #include <gtest/gtest.h>
 
+#include <cstring>
 #include <fstream>
 #include <future>
 
@@ -139,17 +140,23 @@
 
 TEST_F(Answers, NoFaultMakesAShortOrAnothersAnswerLookWhole)
 {
-	start(16, 1000);
+	start(256, 1000); /* broken attempts hold their permits for a while */
 	EXPECT_EQ(judge("{\"kind\":\"none\"}", 24, 10000), 24) << last_refusal;
 	for (const char *fault : {
+		     "{\"path\":\"/v1\",\"kind\":\"crossed\"}",
 		     "{\"path\":\"/v1\",\"kind\":\"cut\",\"n\":0}",
 		     "{\"path\":\"/v1\",\"kind\":\"cut\",\"n\":3}",
 		     "{\"path\":\"/v1\",\"kind\":\"stall\",\"n\":3}",
 		     "{\"path\":\"/v1\",\"kind\":\"late\",\"n\":600}",
-		     "{\"path\":\"/v1\",\"kind\":\"crossed\"}",
 		     "{\"path\":\"/v1\",\"kind\":\"error\",\"n\":502}",
-	     })
+	     }) {
+		int64_t before = sum("requests");
+
 		EXPECT_EQ(judge(fault, 24, 400), 0) << fault;
+		if (strstr(fault, "error") == nullptr) {
+			EXPECT_GE(sum("requests"), before + 24) << fault << last_refusal;
+		}
+	}
 	/* Answers of before, still late, must not come to these. */
 	EXPECT_EQ(judge("{\"kind\":\"none\"}", 24, 10000), 24) << last_refusal;
 }
@@ -166,7 +173,8 @@
 	     }) {
 		size_t failed = entry->events("attempt.failed").size();
 
-		EXPECT_EQ(judge("{\"kind\":\"none\"}", 24, 10000), 24) << last_refusal;
+		/* Good answers earn the retry's budget, a tenth each. */
+		EXPECT_EQ(judge("{\"kind\":\"none\"}", 72, 10000), 72) << last_refusal;
 		first->fault(fault);
 		cluster::wait_until("the fault strikes", [&] {
 			http_answer answer = ask(number++, 6, 10000);
@@ -182,9 +190,9 @@
 
 TEST_F(Answers, SlowReadersGetAllAndMemoryStaysBounded)
 {
-	constexpr int readers = 50;
-	constexpr int tokens = 16000;
-	constexpr int64_t bound_kb = (32 + readers) * 1024; /* 1 MB a stream above the 32 at rest */
+	constexpr int readers = 16;
+	constexpr int tokens = 48000; /* 11 MB, more than the kernel takes */
+	constexpr int64_t bound_kb = 32 * 1024 + readers * 512; /* 32 MB at rest, 512 KB each */
 	std::vector<std::unique_ptr<http_stream>> streams;
 	std::string line;
 
@@ -193,7 +201,9 @@
 		streams.push_back(std::make_unique<http_stream>(
 			entry->caller_port, "POST", "/v1/chat/completions",
 			chat_body("large", "slate", tokens, true),
-			support::http_headers{ { "authorization", "Bearer mill" } }, 30000));
+			support::http_headers{ { "authorization", "Bearer mill" },
+					       { "x-request-timeout-ms", "3600000" } },
+			30000));
 		ASSERT_TRUE(streams.back()->read_event(&line));
 	}
 	cluster::wait_until(
@@ -209,7 +219,10 @@
 		EXPECT_EQ(line, "[DONE]");
 		EXPECT_EQ(events, tokens + 2);
 	}
-	EXPECT_LT(peak_memory_kb(), bound_kb);
+	int64_t peak_kb = peak_memory_kb();
+
+	RecordProperty("peak_kb", std::to_string(peak_kb));
+	EXPECT_LT(peak_kb, bound_kb);
 }
 
 TEST_F(Answers, ACallerThatLeavesEndsTheWork)
