--- a/src/dragonflywharfd/attempt.c
+++ b/src/dragonflywharfd/attempt.c
@@ -295,6 +295,7 @@
 	dw_log_event(&daemon->log, DW_EVENT_ATTEMPT_STARTED, DW_STR("request", attempt->request_id),
 		     DW_STR("attempt", attempt->id), DW_STR("upstream", upstream->name),
 		     DW_STR("organisation", options->organisation),
+		     DW_STR("model", options->model), DW_STR("version", options->version),
 		     DW_STR("failure_domain", upstream->failure_domain),
 		     DW_INT("cold", upstream->told_cold));
 	upstream_table_started(daemon->upstreams, upstream, options->fingerprint);
--- a/src/dragonflywharfd/attempt.h
+++ b/src/dragonflywharfd/attempt.h
@@ -36,6 +36,8 @@
 	const char *body;
 	size_t body_len;
 	const char *organisation;
+	const char *model; /**< NULL for a plain service */
+	const char *version;
 	const char *request_id; /**< text, the same for all attempts of a request */
 	const char *idempotency_key; /**< NULL if there is none */
 	struct dw_fingerprint fingerprint;
--- a/src/dragonflywharfd/chat_request.c
+++ b/src/dragonflywharfd/chat_request.c
@@ -396,6 +396,8 @@
 		.body = body,
 		.body_len = strlen(body),
 		.organisation = request->organisation,
+		.model = step->model,
+		.version = step->version,
 		.request_id = request->id,
 		.fingerprint = request->fingerprint,
 		.deadline_us = request->deadline_us,
--- a/src/programs/wharfctl.c
+++ b/src/programs/wharfctl.c
@@ -26,9 +26,13 @@
 }
 
 static int run(const struct arg_str *servers, const struct arg_str *key,
-	       const struct arg_str *words, bool json)
+	       const struct arg_str *words, bool json, bool allow_lower)
 {
-	struct command_context context = { .json = json, .argc = words->count - 1 };
+	struct command_context context = {
+		.json = json,
+		.allow_lower = allow_lower,
+		.argc = words->count - 1,
+	};
 	const char *arguments[WORDS_MAX + 1] = { NULL };
 	struct dw_endpoint_list endpoints = { .count = 0 };
 	const char *secret = key->count > 0 ? key->sval[0] : getenv("WHARF_OPERATOR_KEY");
@@ -52,12 +56,14 @@
 	struct arg_lit *help = arg_lit0("h", "help", "print this help and exit");
 	struct arg_lit *version = arg_lit0(NULL, "version", "print the version and exit");
 	struct arg_lit *json = arg_lit0(NULL, "json", "print JSON, for scripts");
+	struct arg_lit *allow_lower = arg_lit0(
+		NULL, "allow-lower", "apply may lower limits that stand; else it refuses (2)");
 	struct arg_str *servers = arg_strn("s", "server", "IP:PORT", 0, SERVERS_MAX,
 					   "operators' address of an instance; several are tried");
 	struct arg_str *key = arg_str0("k", "key", "KEY", "operator key, else WHARF_OPERATOR_KEY");
 	struct arg_str *words = arg_strn(NULL, NULL, "COMMAND", 0, WORDS_MAX, "what to do");
 	struct arg_end *end = arg_end(8);
-	void *table[] = { help, version, json, servers, key, words, end };
+	void *table[] = { help, version, json, allow_lower, servers, key, words, end };
 	int errors = arg_parse(argc, argv, table);
 
 	if (help->count > 0) {
@@ -73,5 +79,5 @@
 		fprintf(stderr, "wharfctl: a command is needed; see --help\n");
 		return WHARFCTL_USAGE;
 	}
-	return run(servers, key, words, json->count > 0);
+	return run(servers, key, words, json->count > 0, allow_lower->count > 0);
 }
--- a/src/wharfctl/command.c
+++ b/src/wharfctl/command.c
@@ -71,6 +71,25 @@
 	return WHARFCTL_DONE;
 }
 
+/* An old file must not undo what another operator has raised since. */
+static enum dw_status check_not_lowered(const struct command_context *context, const char *key,
+					const Dragonflywharf__Entity *wanted,
+					const Dragonflywharf__Entity *standing)
+{
+	const Dragonflywharf__Upstream *next = wanted->upstream;
+	const Dragonflywharf__Upstream *now = standing->upstream;
+
+	if (context->allow_lower || wanted->kind_case != DRAGONFLYWHARF__ENTITY__KIND_UPSTREAM ||
+	    standing->kind_case != DRAGONFLYWHARF__ENTITY__KIND_UPSTREAM)
+		return DW_OK;
+	if (next->limit >= now->limit && next->cold_limit >= now->cold_limit)
+		return DW_OK;
+	return dw_fail(DW_INVALID_ARGUMENT,
+		       "%s: the file lowers its limits from %u (cold %u) to %u (cold %u); "
+		       "give --allow-lower if that is meant",
+		       key, now->limit, now->cold_limit, next->limit, next->cold_limit);
+}
+
 static enum wharfctl_exit apply_entity(struct command_context *context, struct json_object *json)
 {
 	Dragonflywharf__Entity *entity = (Dragonflywharf__Entity *)proto_json_to_message(
@@ -87,6 +106,8 @@
 		status = dw_entity_key(entity, key);
 	if (status == DW_OK)
 		status = command_read(context, key, &found);
+	if (status == DW_OK)
+		status = check_not_lowered(context, key, entity, found->entity);
 	if (status == DW_OK || status == DW_NOT_FOUND)
 		code = command_put(context, entity, found ? found->revision : 0);
 	else
@@ -183,9 +204,15 @@
 
 static enum wharfctl_exit run_wait(struct command_context *context)
 {
-	uint64_t wanted = strtoull(context->argv[0], NULL, 10);
 	uint64_t deadline_us = dw_clock_now_us() + WAIT_TIMEOUT_US;
+	const char *text = context->argv[0];
+	char *end;
+	uint64_t wanted = strtoull(text, &end, 10);
 
+	if (*text < '0' || *text > '9' || *end != '\0') {
+		dw_fail(DW_INVALID_ARGUMENT, "not a revision: %s", text);
+		return command_failed(context, DW_INVALID_ARGUMENT);
+	}
 	while (dw_clock_now_us() < deadline_us) {
 		Dragonflywharf__StatusResponse *response = NULL;
 		enum dw_status status = fetch_status(context, &response);
@@ -245,7 +272,7 @@
 static const struct command commands[] = {
 	{ "get", 1, 1, "KEY: prints one entity and its revision", run_get },
 	{ "list", 0, 1, "[PREFIX]: lists the configuration in force", run_list },
-	{ "apply", 1, 1, "FILE: writes the entities of a JSON file", run_apply },
+	{ "apply", 1, 1, "FILE: writes the entities of a JSON file in order, up to the first refusal", run_apply },
 	{ "withdraw", 1, 1, "MODEL/VERSION: takes no new work from now on", command_withdraw },
 	{ "live", 1, 1, "MODEL/VERSION: takes work again", command_live },
 	{ "weight", 2, 2, "MODEL/VERSION N: its share of new sessions", command_weight },
--- a/src/wharfctl/command.h
+++ b/src/wharfctl/command.h
@@ -21,6 +21,7 @@
 struct command_context {
 	struct operator_client client;
 	bool json; /**< print JSON for scripts */
+	bool allow_lower; /**< apply may lower limits that stand */
 	int argc; /**< arguments after the command's name */
 	const char *const *argv;
 };
--- /dev/null
+++ b/tests/process_config_test.cc
@@ -0,0 +1,298 @@
+// The configuration under failure: racing operators, lost answers, cuts, outages, replaced
+// instances and a store that is restored from a backup. No instance ever goes back.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <set>
+#include <thread>
+
+#include "support/json.h"
+#include "support/traffic.h"
+
+using namespace support;
+
+namespace
+{
+
+using support::daemon;
+
+enum { DONE = 0, CONFLICT = 3, UNKNOWN = 4 };
+constexpr int64_t in_force_us = 3000000;
+
+struct Config : public ::testing::Test {
+	cluster c;
+	standin *engine = nullptr;
+	std::vector<daemon *> daemons;
+
+	void start(int daemon_count, const std::vector<std::string> &domains)
+	{
+		engine = &c.add_engine("engine-1", domains[0], { "large/1" },
+				       { "--token-us=20000", "--slots=64" });
+		for (int i = 0; i < daemon_count; i++)
+			daemons.push_back(&c.add_daemon("entry-" + std::to_string(i + 1),
+							{ .failure_domain = domains[i %
+										    domains.size()],
+							  .store_relay = true }));
+		std::vector<std::string> entities = {
+			cluster::engine_entity(*engine, domains[0], { "large/1" }, 4, 4, 50),
+			"{\"model\":{\"name\":\"large\"}}",
+			"{\"version\":{\"model\":\"large\",\"name\":\"1\",\"rollout_weight\":1}}",
+			cluster::organisation_entity("waterland", { "large" }),
+			cluster::organisation_entity("edam", { "large" }),
+		};
+		for (const std::string &domain : domains)
+			entities.push_back("{\"failure_domain\":{\"name\":\"" + domain + "\"}}");
+		c.apply(entities);
+	}
+
+	/** Of one run of an instance, a key's modification revisions only rise. */
+	void TearDown() override
+	{
+		size_t seen = 0;
+
+		for (daemon *d : daemons) {
+			std::map<std::string, int64_t> highest;
+
+			for (const event &e : d->events("config.applied")) {
+				std::string key = e.field("pid") + " " + e.field("key");
+				int64_t revision = std::stoll(e.field("mod_revision"));
+
+				EXPECT_GT(revision, highest[key]) << d->name << " " << key;
+				highest[key] = revision;
+				seen++;
+			}
+		}
+		EXPECT_GT(seen, 0U);
+	}
+
+	/** The revision of the put that wharfctl printed as JSON. */
+	static int64_t revision_of(const command_result &result)
+	{
+		return json_number(result.output, { "revision" });
+	}
+
+	static int64_t applied_us(const daemon &d, const std::string &key, int64_t revision)
+	{
+		for (const event &e : d.events("config.applied")) {
+			if (e.field("key") == key &&
+			    std::stoll(e.field("mod_revision")) >= revision)
+				return time_of(e);
+		}
+		return 0;
+	}
+
+	/** A change put through @p by is in force on @p on within the bound after its answer. */
+	void expect_in_force(const std::vector<std::string> &words, const std::string &key,
+			     daemon *by, const std::vector<daemon *> &on)
+	{
+		std::vector<std::string> all = { "--json" };
+
+		all.insert(all.end(), words.begin(), words.end());
+		command_result result = c.ctl(all, by);
+		ASSERT_EQ(result.exit_code, DONE) << result.output;
+		int64_t answered_us = changed_us(daemons, key);
+		for (daemon *d : on) {
+			cluster::wait_until(d->name + " applies " + key, [&] {
+				return applied_us(*d, key, revision_of(result)) != 0;
+			});
+			EXPECT_LE(applied_us(*d, key, revision_of(result)) - answered_us,
+				  in_force_us)
+				<< d->name;
+		}
+	}
+
+	/** The limit in force at one instance. */
+	int64_t limit_at(daemon *d)
+	{
+		return json_number(c.ctl({ "--json", "list", "upstream/engine-1" }, d).output,
+				   { "entities", "0", "entity", "upstream", "limit" });
+	}
+
+	/** Load through @p through reaches the engine with as many at once as its limit says. */
+	void expect_peak(const std::vector<daemon *> &through, int64_t limit)
+	{
+		traffic load(c, through, (int)limit + 8, [](uint64_t n) {
+			return traffic_call{ "waterland",
+					     chat_body("large", "turn " + std::to_string(n), 4) };
+		});
+
+		cluster::wait_until("the limit is used whole",
+				    [&] { return engine->stat("peak_in_flight") >= limit; });
+		load.stop();
+		EXPECT_EQ(engine->stat("peak_in_flight"), limit);
+	}
+};
+
+TEST_F(Config, OfRacingOperatorsOneWinsEachRevisionAndNoUpdateIsLost)
+{
+	constexpr int operators = 4;
+	constexpr int rounds = 8;
+	std::mutex mutex;
+	std::set<std::string> won;
+	std::set<int64_t> revisions;
+	int conflicts = 0;
+	std::vector<std::thread> threads;
+
+	start(2, { "haarlem", "zaandam" });
+	for (int i = 0; i < operators; i++)
+		threads.emplace_back([&, i] {
+			for (int n = 0; n < rounds; n++) {
+				std::string name =
+					"m" + std::to_string(i) + "-" + std::to_string(n);
+				command_result result =
+					c.ctl({ "--json", "allow", "waterland", name },
+					      daemons[i % daemons.size()]);
+				std::lock_guard<std::mutex> lock(mutex);
+
+				EXPECT_TRUE(result.exit_code == DONE ||
+					    result.exit_code == CONFLICT)
+					<< result.exit_code << result.output;
+				conflicts += result.exit_code == CONFLICT;
+				if (result.exit_code != DONE)
+					continue;
+				won.insert(name);
+				EXPECT_TRUE(revisions.insert(revision_of(result)).second);
+			}
+		});
+	for (std::thread &thread : threads)
+		thread.join();
+	EXPECT_GT(conflicts, 0) << "they never raced";
+	EXPECT_GE(won.size(), (size_t)rounds);
+	c.wait_in_force();
+	for (daemon *d : daemons) {
+		std::string text = c.ctl({ "--json", "list", "organisation/waterland" }, d).output;
+
+		for (int i = 0; i < operators; i++) {
+			for (int n = 0; n < rounds; n++) {
+				std::string name =
+					"m" + std::to_string(i) + "-" + std::to_string(n);
+				bool stands = text.find("\"" + name + "\"") != text.npos;
+
+				EXPECT_EQ(stands, won.count(name) == 1) << d->name << name;
+			}
+		}
+	}
+}
+
+TEST_F(Config, AChangeWhoseAnswerIsLostIsFoundAgainByItsId)
+{
+	start(2, { "haarlem", "zaandam" });
+	for (const char *kind : { "answer_lost", "timed_out" }) {
+		for (int limit = 10; limit < 14; limit++) {
+			c.kv.fault(std::string("{\"kind\":\"") + kind +
+				   "\",\"path\":\"/v3/kv/txn\"}");
+			command_result result = c.ctl({ "--json", "limit", "engine-1",
+							std::to_string(limit) });
+			c.kv.fault("{\"kind\":\"none\"}");
+			EXPECT_EQ(result.exit_code, DONE) << kind << result.output;
+			c.wait_in_force();
+			for (daemon *d : daemons)
+				EXPECT_EQ(limit_at(d), limit) << kind;
+		}
+	}
+}
+
+TEST_F(Config, AChangeIsInForceInThreeSecondsThroughCutsAndKilledWatchers)
+{
+	start(5, { "haarlem" });
+	/* With all links refused, those that watched tell that they lost the store. */
+	for (daemon *d : daemons)
+		d->store_relay->set_mode(relay_mode::refuse);
+	std::vector<daemon *> watchers;
+	cluster::wait_until("the watchers show", [&] {
+		watchers.clear();
+		for (daemon *d : daemons) {
+			if (!d->events("store.lost").empty())
+				watchers.push_back(d);
+		}
+		return watchers.size() >= 2;
+	});
+	for (daemon *d : daemons)
+		d->store_relay->set_mode(relay_mode::pass);
+	for (daemon *d : watchers)
+		c.wait_event(*d, "store.back");
+	std::vector<daemon *> others;
+	std::copy_if(daemons.begin(), daemons.end(), std::back_inserter(others), [&](daemon *d) {
+		return std::find(watchers.begin(), watchers.end(), d) == watchers.end();
+	});
+	ASSERT_GE(others.size(), 2U);
+
+	const std::string key = "upstream/engine-1";
+	expect_in_force({ "limit", "engine-1", "10" }, key, others[0], daemons);
+	expect_in_force({ "limit", "engine-1", "11" }, key, watchers[0], daemons);
+	for (relay_mode cut : { relay_mode::hold, relay_mode::hold_answers, relay_mode::refuse }) {
+		watchers[1]->store_relay->set_mode(cut);
+		others[1]->store_relay->set_mode(cut);
+		expect_in_force({ "limit", "engine-1", "12" }, key, others[0], daemons);
+		watchers[1]->store_relay->set_mode(relay_mode::pass);
+		others[1]->store_relay->set_mode(relay_mode::pass);
+	}
+	for (daemon *d : watchers)
+		d->running->kill();
+	expect_in_force({ "limit", "engine-1", "20" }, key, others[0], others);
+	expect_in_force({ "withdraw", "large/1" }, "version/large/1", others[1], others);
+	for (daemon *d : others)
+		EXPECT_EQ(limit_at(d), 20);
+}
+
+TEST_F(Config, AnInstanceReplacedInAnOutageHasTheConfigurationAndTheRaisedLimit)
+{
+	start(3, { "haarlem", "zaandam", "alkmaar" });
+	ASSERT_EQ(c.ctl({ "limit", "engine-1", "12", "12" }).exit_code, DONE);
+	ASSERT_EQ(c.ctl({ "forbid", "edam", "large" }).exit_code, DONE);
+	c.wait_in_force();
+	c.kv.fault("{\"kind\":\"outage\"}");
+	for (daemon *d : daemons)
+		c.wait_event(*d, "store.lost");
+	daemons[2]->running->kill();
+	c.restart(*daemons[2]);
+	cluster::wait_until("the new run serves by what a peer told it", [&] {
+		return c.chat(*daemons[2], "waterland", chat_body("large", "new")).status == 200;
+	});
+	EXPECT_EQ(c.chat(*daemons[2], "edam", chat_body("large", "new")).status, 403);
+	for (daemon *d : daemons)
+		EXPECT_EQ(limit_at(d), 12) << d->name;
+	EXPECT_NE(c.ctl({ "limit", "engine-1", "14" }).exit_code, DONE);
+	c.kv.fault("{\"kind\":\"none\"}");
+	cluster::wait_until("the store serves again",
+			    [&] { return c.ctl({ "get", "model/large" }).exit_code == DONE; });
+	for (daemon *d : daemons)
+		EXPECT_EQ(limit_at(d), 12) << d->name;
+	expect_peak({ daemons[0], daemons[1] }, 12);
+}
+
+TEST_F(Config, AStoreRestoredFromABackupRevertsNothing)
+{
+	start(3, { "haarlem", "zaandam", "alkmaar" });
+	c.kv.admin("/admin/backup");
+	ASSERT_EQ(c.ctl({ "limit", "engine-1", "12", "12" }).exit_code, DONE);
+	ASSERT_EQ(c.ctl({ "forbid", "edam", "large" }).exit_code, DONE);
+	c.wait_in_force();
+	int64_t known = c.kv.stat("revision");
+	c.kv.admin("/admin/restore");
+	ASSERT_LT(c.kv.stat("revision"), known);
+
+	/* What operators write is in force once the store has outgrown what was known. */
+	for (int weight = 2; c.kv.stat("revision") <= known + 1; weight++)
+		ASSERT_EQ(c.ctl({ "weight", "large/1", std::to_string(weight) }).exit_code, DONE);
+	expect_in_force({ "weight", "large/1", "77" }, "version/large/1", daemons[0], daemons);
+	for (daemon *d : daemons) {
+		EXPECT_EQ(limit_at(d), 12) << d->name;
+		EXPECT_EQ(c.chat(*d, "edam", chat_body("large", "no")).status, 403) << d->name;
+	}
+	size_t told = 0;
+	for (daemon *d : daemons)
+		told += d->events("config.refused").size();
+	EXPECT_GT(told, 0U) << "nobody tells the operators";
+	/* A replaced instance asks its peers first, so that it hears of the raised limit. */
+	daemons[2]->running->kill();
+	c.restart(*daemons[2]);
+	cluster::wait_until("the new run serves", [&] {
+		return c.chat(*daemons[2], "waterland", chat_body("large", "new")).status == 200;
+	});
+	EXPECT_EQ(limit_at(daemons[2]), 12);
+	EXPECT_EQ(c.chat(*daemons[2], "edam", chat_body("large", "no")).status, 403);
+	expect_peak(daemons, 12);
+}
+
+} // namespace
--- a/tests/standins/engine.c
+++ b/tests/standins/engine.c
@@ -13,6 +13,7 @@
 #define BAD_SCORE_PERMILLE 150
 #define PERMILLE 1000
 #define MAX_COUNTED_IDS 100000
+#define PAIR_BYTES 256
 /** A cached prefix makes the first token this much quicker. */
 #define PREFIX_HIT_DIVISOR 4
 
@@ -367,11 +368,15 @@
 
 static void count_arrival(struct engine *engine, const struct engine_job *job)
 {
+	char pair[PAIR_BYTES];
+
 	engine_count(engine, "requests");
 	count_id(engine, "by_attempt_id", job->identity.attempt_id);
 	count_id(engine, "by_request_id", job->identity.request_id);
 	json_count(json_child(engine->counts, "requests_by_version"), job->version, 1);
 	json_count(json_child(engine->counts, "requests_by_organisation"), job->organisation, 1);
+	snprintf(pair, sizeof(pair), "%s %s", job->organisation, job->version);
+	json_count(json_child(engine->counts, "requests_by_pair"), pair, 1);
 }
 
 struct engine_load engine_load_now(const struct engine *engine)
