--- a/src/dragonflywharfd/upstream_table.c
+++ b/src/dragonflywharfd/upstream_table.c
@@ -224,7 +224,8 @@
 		upstream->sentinel = NULL;
 		dw_share_set_upstream(table->daemon->share, upstream->id, 0, 0);
 	}
-	table->filled = true;
+	/* The list may be read before there is a configuration: what that brings is no return. */
+	table->filled = dw_ruleset_count(table->daemon->ruleset) > 0;
 }
 
 static void take_incarnation(struct upstream_table *table, struct upstream *upstream,
--- a/src/wharfctl/command.c
+++ b/src/wharfctl/command.c
@@ -272,7 +272,8 @@
 static const struct command commands[] = {
 	{ "get", 1, 1, "KEY: prints one entity and its revision", run_get },
 	{ "list", 0, 1, "[PREFIX]: lists the configuration in force", run_list },
-	{ "apply", 1, 1, "FILE: writes the entities of a JSON file in order, up to the first refusal", run_apply },
+	{ "apply", 1, 1,
+	  "FILE: writes the entities of a JSON file in order, up to the first refusal", run_apply },
 	{ "withdraw", 1, 1, "MODEL/VERSION: takes no new work from now on", command_withdraw },
 	{ "live", 1, 1, "MODEL/VERSION: takes work again", command_live },
 	{ "weight", 2, 2, "MODEL/VERSION N: its share of new sessions", command_weight },
--- a/tests/process_config_test.cc
+++ b/tests/process_config_test.cc
@@ -29,10 +29,10 @@
 		engine = &c.add_engine("engine-1", domains[0], { "large/1" },
 				       { "--token-us=20000", "--slots=64" });
 		for (int i = 0; i < daemon_count; i++)
-			daemons.push_back(&c.add_daemon("entry-" + std::to_string(i + 1),
-							{ .failure_domain = domains[i %
-										    domains.size()],
-							  .store_relay = true }));
+			daemons.push_back(
+				&c.add_daemon("entry-" + std::to_string(i + 1),
+					      { .failure_domain = domains[i % domains.size()],
+						.store_relay = true }));
 		std::vector<std::string> entities = {
 			cluster::engine_entity(*engine, domains[0], { "large/1" }, 4, 4, 50),
 			"{\"model\":{\"name\":\"large\"}}",
@@ -181,8 +181,8 @@
 		for (int limit = 10; limit < 14; limit++) {
 			c.kv.fault(std::string("{\"kind\":\"") + kind +
 				   "\",\"path\":\"/v3/kv/txn\"}");
-			command_result result = c.ctl({ "--json", "limit", "engine-1",
-							std::to_string(limit) });
+			command_result result =
+				c.ctl({ "--json", "limit", "engine-1", std::to_string(limit) });
 			c.kv.fault("{\"kind\":\"none\"}");
 			EXPECT_EQ(result.exit_code, DONE) << kind << result.output;
 			c.wait_in_force();
@@ -252,8 +252,9 @@
 		EXPECT_EQ(limit_at(d), 12) << d->name;
 	EXPECT_NE(c.ctl({ "limit", "engine-1", "14" }).exit_code, DONE);
 	c.kv.fault("{\"kind\":\"none\"}");
-	cluster::wait_until("the store serves again",
-			    [&] { return c.ctl({ "get", "model/large" }).exit_code == DONE; });
+	cluster::wait_until("the store serves again", [&] {
+		return c.ctl({ "get", "model/large" }).exit_code == DONE;
+	});
 	cluster::wait_until("the new run has its share and serves", [&] {
 		return c.chat(*daemons[2], "waterland", chat_body("large", "new")).status == 200;
 	});
--- a/tests/process_domains_test.cc
+++ b/tests/process_domains_test.cc
@@ -33,8 +33,6 @@
 				"engine-" + std::to_string(i + 1), domains[i], { "large/1" },
 				{ "--token-us=2000", "--first-token-us=5000",
 				  "--slots=" + std::to_string(limit) }));
-			daemons.push_back(&c.add_daemon("entry-" + std::to_string(i + 1),
-							{ .failure_domain = domains[i] }));
 			entities.push_back(std::string("{\"failure_domain\":{\"name\":\"") +
 					   domains[i] + "\"}}");
 			entities.push_back(cluster::engine_entity(*engines[i], domains[i],
@@ -44,15 +42,36 @@
 		entities.push_back(
 			"{\"version\":{\"model\":\"large\",\"name\":\"1\",\"rollout_weight\":1}}");
 		entities.push_back(cluster::organisation_entity("waterland", { "*" }));
+		/* What the daemons find when they start is in no ramp, as what is added later is. */
+		c.add_daemon("entry-0", { .failure_domain = "haarlem" });
 		c.apply(entities);
+		for (size_t i = 0; i < domain_count; i++)
+			daemons.push_back(&c.add_daemon("entry-" + std::to_string(i + 1),
+							{ .failure_domain = domains[i] }));
+		wait_warm();
+	}
+
+	void wait_warm()
+	{
 		for (daemon *d : daemons) {
 			for (standin *engine : engines)
 				c.wait_event(*d, "upstream.warm", [&](const event &e) {
-					return e.field("upstream") == engine->name;
+					return e.field("upstream") == engine->name &&
+					       e.field("pid") == std::to_string(d->running->pid());
 				});
 		}
 	}
 
+	/** A rolling restart: each run is stopped in good order before the next one starts. */
+	void restart_all()
+	{
+		for (daemon *d : daemons) {
+			d->running->terminate();
+			c.restart(*d);
+		}
+		wait_warm();
+	}
+
 	static traffic_call call(uint64_t n)
 	{
 		return { "waterland", chat_body("large", "turn " + std::to_string(n)) };
@@ -102,11 +121,11 @@
 
 	load.wait_answers(100);
 	EXPECT_GT(count(attempts_between(daemons, 0), "failure_domain", "haarlem"), 10U);
-	ASSERT_EQ(c.ctl({ "drain", "haarlem" }).exit_code, 0);
+	ASSERT_EQ(c.ctl({ "drain", "haarlem" }, daemons[1]).exit_code, 0);
 	expect_left(*engines[0], changed_us(daemons, "failure_domain/haarlem") + in_force_us);
 
 	/* Until here 100 and more calls; the return is judged from its own first event on. */
-	ASSERT_EQ(c.ctl({ "restore", "haarlem" }).exit_code, 0);
+	ASSERT_EQ(c.ctl({ "restore", "haarlem" }, daemons[2]).exit_code, 0);
 	int64_t restored_us = changed_us(daemons, "failure_domain/haarlem");
 	int64_t half_us = restored_us + 2000000;
 	int64_t end_us = restored_us + 6000000;
@@ -156,6 +175,15 @@
 	expect_limits_kept(6);
 }
 
+TEST_F(Domains, AfterARollingRestartAllInstancesServe)
+{
+	start(24);
+	c.get("entry-0").running->terminate();
+	restart_all();
+	for (daemon *d : daemons)
+		EXPECT_EQ(c.chat(*d, "waterland", chat_body("large", "after")).status, 200);
+}
+
 TEST_F(Domains, AnEmptyListTakesNothingOutOfService)
 {
 	start(6);
--- a/tests/process_versions_test.cc
+++ b/tests/process_versions_test.cc
@@ -83,8 +83,9 @@
 		size_t found = 0;
 
 		for (const event &e : attempts)
-			found += (organisation.empty() || e.field("organisation") == organisation) &&
-				 e.field("serves") == model + "/" + version;
+			found +=
+				(organisation.empty() || e.field("organisation") == organisation) &&
+				e.field("serves") == model + "/" + version;
 		return found;
 	}
 };
@@ -136,10 +137,10 @@
 	int64_t began_us = now_us();
 	for (size_t i = 0; i < caller_count; i++)
 		callers.emplace_back([&, i] {
-			http_answer answer = c.chat(
-				*daemons[i % 3], "waterland",
-				chat_body("best", "queued " + std::to_string(i), 14),
-				{ { "x-session-token", token } });
+			http_answer answer =
+				c.chat(*daemons[i % 3], "waterland",
+				       chat_body("best", "queued " + std::to_string(i), 14),
+				       { { "x-session-token", token } });
 			std::lock_guard<std::mutex> lock(mutex);
 			answers.push_back(answer);
 		});
@@ -181,9 +182,8 @@
 	traffic load(c, daemons, 12, [](uint64_t n) {
 		static const char *const organisations[] = { "edam", "marken", "volendam",
 							     "nobody" };
-		return traffic_call{ organisations[n % 4],
-				     chat_body(n % 8 < 4 ? "large" : "small",
-					       "turn " + std::to_string(n)) };
+		return traffic_call{ organisations[n % 4], chat_body(n % 8 < 4 ? "large" : "small",
+								     "turn " + std::to_string(n)) };
 	});
 	load.wait_answers(200);
 	ASSERT_EQ(c.ctl({ "forbid", "edam", "large/2" }).exit_code, 0);
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -383,9 +383,12 @@
 /* "KEY: done at revision N", or with --json "revision":N. */
 void cluster::note_revision(const std::string &output)
 {
-	for (const std::string mark : { "done at revision ", "\"outcome\":\"done\",\"revision\":" }) {
-		for (size_t at = output.find(mark); at != output.npos; at = output.find(mark, at + 1)) {
-			uint64_t revision = strtoull(output.c_str() + at + mark.size(), nullptr, 10);
+	for (const std::string mark :
+	     { "done at revision ", "\"outcome\":\"done\",\"revision\":" }) {
+		for (size_t at = output.find(mark); at != output.npos;
+		     at = output.find(mark, at + 1)) {
+			uint64_t revision =
+				strtoull(output.c_str() + at + mark.size(), nullptr, 10);
 
 			if (revision > written_revision_)
 				written_revision_ = revision;
--- a/tests/support/traffic.cc
+++ b/tests/support/traffic.cc
@@ -23,7 +23,7 @@
 
 traffic::traffic(cluster &c, const std::vector<daemon *> &daemons, int threads,
 		 std::function<traffic_call(uint64_t n)> next)
-	: next_(std::move(next))
+    : next_(std::move(next))
 {
 	for (int i = 0; i < threads; i++)
 		threads_.emplace_back([this, &c, daemons] { run(c, daemons); });
