--- a/src/dragonflywharfd/chat_request.c
+++ b/src/dragonflywharfd/chat_request.c
@@ -18,6 +18,8 @@
 #define CRASH_VERDICT_POLL_MS 20U
 /** A broken attempt is given up for unexplained after this. */
 #define CRASH_VERDICT_US (1200 * DW_US_PER_MS)
+/** A suspected request looks again so often for an upstream that runs no other suspect. */
+#define SUSPECT_WAIT_MS 20U
 /** A generated token's time, before an upstream's speed is known. */
 #define GUESSED_TOKEN_US UINT64_C(20000)
 #define GUESSED_TOKENS 64U
@@ -416,6 +418,12 @@
 
 	if (request->ended)
 		return;
+	if (request->waits_for_others) {
+		request->waits_for_others = false;
+		enqueue(request);
+		daemon_pump(request->daemon);
+		return;
+	}
 	if (request->broke && verdict_pending(request)) {
 		uv_timer_start(timer, on_retry_timer, CRASH_VERDICT_POLL_MS, 0);
 		return;
@@ -571,6 +579,15 @@
 	return status;
 }
 
+/* Gives the turn to others and queues again later. */
+static void come_back(struct chat_request *request)
+{
+	request->waits_for_others = true;
+	dispatcher_done(request->daemon->dispatcher, &request->turn);
+	uv_update_time(&request->daemon->loop);
+	uv_timer_start(&request->retry_timer, on_retry_timer, SUSPECT_WAIT_MS, 0);
+}
+
 static bool turn_dispatch(void *owner)
 {
 	struct chat_request *request = owner;
@@ -584,7 +601,9 @@
 	status = route(request, &choice);
 	if (status == DW_OVERLOADED)
 		return false;
-	if (status != DW_OK)
+	if (status == DW_UNAVAILABLE && choice.later)
+		come_back(request);
+	else if (status != DW_OK)
 		chat_request_fail(request, status, "no upstream in service is left to try");
 	else
 		start_attempt(request, &choice);
--- a/src/dragonflywharfd/chat_request_state.h
+++ b/src/dragonflywharfd/chat_request_state.h
@@ -54,6 +54,7 @@
 	bool answer_started; /* bytes have gone to the caller */
 	struct attempt_end failed; /* the latest failed attempt, without its texts */
 	bool broke; /* its connection broke: a crash, perhaps */
+	bool waits_for_others; /* no upstream is free of other suspects now */
 	bool judged; /* whether it was one was known at the last look */
 	uint64_t verdict_deadline_us;
 	uv_timer_t retry_timer;
--- a/src/dragonflywharfd/sentinel.c
+++ b/src/dragonflywharfd/sentinel.c
@@ -2,6 +2,8 @@
 
 #include <stdlib.h>
 
+/** After a failed try; a connection that was open is made again at once, as an idle one may have
+ * been closed by an upstream that is well. */
 #define RECONNECT_MS 50U
 
 struct sentinel {
@@ -12,6 +14,7 @@
 	sentinel_changed changed;
 	void *data;
 	bool open;
+	bool was_open; /* until its end has been dealt with */
 	bool tcp_live; /* the handle is initialised and not closing */
 	bool closing;
 };
@@ -35,7 +38,9 @@
 	if (sentinel->closing)
 		uv_close((uv_handle_t *)&sentinel->timer, on_timer_closed);
 	else
-		uv_timer_start(&sentinel->timer, on_retry, RECONNECT_MS, 0);
+		uv_timer_start(&sentinel->timer, on_retry, sentinel->was_open ? 0 : RECONNECT_MS,
+			       0);
+	sentinel->was_open = false;
 }
 
 static void drop_connection(struct sentinel *sentinel)
@@ -75,6 +80,7 @@
 		return;
 	}
 	sentinel->open = true;
+	sentinel->was_open = true;
 	sentinel->changed(true, sentinel->data);
 }
 
