process_policy_test: wait until the daemon has applied a change

Cause: cluster::apply() may return before a daemon has applied the write: the revision that wait_in_force() waits for is read from one server, which may be the one that lags. In 3 of 48 runs (4 at a time) the first daemon got its requests before config.applied of the organisation's limit. Change: the two tests that change a known entity wait for its config.applied on both daemons.

--- a/tests/process_policy_test.cc
+++ b/tests/process_policy_test.cc
@@ -64,6 +64,22 @@
 			name, { .failure_domain = domain, .settings = "\"rated_permille\": 1000" });
 	}
 
+	/** Writes one more value of a known key and waits until each daemon has applied it. */
+	void change(const std::string &key, const std::string &entity)
+	{
+		auto applied = [&](const support::daemon &d) {
+			size_t count = 0;
+
+			for (const support::event &e : d.events("config.applied"))
+				count += e.field("key") == key;
+			return count;
+		};
+		c.apply({ entity });
+		for (support::daemon *d : { first, second })
+			cluster::wait_until(d->name + " applies it",
+					    [&] { return applied(*d) == 2; });
+	}
+
 	static std::string version(const std::string &model, const std::string &name, int weight,
 				   int cost)
 	{
@@ -132,7 +148,7 @@
 						 { "large/1", "plain/1", "plain/2" }, 1, 1, 50);
 	std::string event;
 
-	c.apply({ one });
+	change("upstream/engine-large", one);
 	/* The engine's speed is learned, so that the plan has time for both steps. */
 	ASSERT_EQ(ask("plain", 0).status, 200);
 	small->fault(R"({"kind":"quality","n":0})");
@@ -161,7 +177,7 @@
 	std::string event;
 
 	entity.insert(entity.size() - 2, R"(,"max_in_flight":2)");
-	c.apply({ entity });
+	change("organisation/slate", entity);
 	large->fault(R"({"kind":"stall","n":1,"count":1})");
 	support::http_headers headers = { { "authorization", std::string("Bearer ") + slate },
 					  { "content-type", "application/json" } };
