Warm permits are checked when the connection stands; loans shorter than a waiter stays

At a limit below the number of instances a borrower's 250 ms loan outlived a waiter's 125 ms, so turns came at random and callers waited 1 to 5 s. Change: before a byte is sent on a warm permit, the sentinel's socket is looked at; if the upstream has ended, the request is withheld and queued again, provably not sent. A loan is kept 100 ms.

--- a/include/dragonflywharf/share.h
+++ b/include/dragonflywharf/share.h
@@ -30,7 +30,9 @@
 #define DW_SHARE_ASKS_MAX 256 /**< outstanding asks of one instance */
 #define DW_SHARE_ASK_US UINT64_C(250000) /**< an ask is given up after this */
 #define DW_SHARE_DENIED_US UINT64_C(20000) /**< pause after all owners have refused */
-#define DW_SHARE_LOAN_US UINT64_C(250000) /**< a loan may be used again until then */
+/** A loan may be used again until then: less than a waiter stays (half of DW_SHARE_ASK_US), so that
+ * turns go round at a limit below the number of instances. */
+#define DW_SHARE_LOAN_US UINT64_C(100000)
 #define DW_SHARE_POLL_US UINT64_C(1000000) /**< between requests for a declaration */
 
 /** The right to run one request at one upstream, until it is released. */
--- a/src/dragonflywharfd/attempt.c
+++ b/src/dragonflywharfd/attempt.c
@@ -41,6 +41,8 @@
 	int http_status;
 	enum dw_status fault; /* found while reading: crossed, too long */
 	bool end_marker;
+	bool withheld; /* its warm permit was no longer good when the connection stood */
+	bool cold; /* when its permit was given */
 	bool has_length;
 	bool abandoned;
 };
@@ -135,6 +137,15 @@
 	}
 }
 
+static bool may_send(struct dw_http_call *call, void *data)
+{
+	struct attempt *attempt = data;
+
+	attempt->withheld = !upstream_table_may_send(attempt->daemon->upstreams,
+						     attempt->upstream_id, attempt->cold);
+	return !attempt->withheld;
+}
+
 static void on_head(struct dw_http_call *call, int http_status, void *data)
 {
 	struct attempt *attempt = data;
@@ -225,6 +236,7 @@
 		.http_status = attempt->http_status,
 		.content_type = attempt->content_type,
 		.has_length = attempt->has_length,
+		.withheld = attempt->withheld,
 		.body = attempt->body.base ? attempt->body.base : "",
 		.body_len = attempt->body.len,
 		.sample = &attempt->sample,
@@ -272,6 +284,7 @@
 		.body = options->body,
 		.body_len = options->body_len,
 		.deadline_us = options->deadline_us,
+		.may_send = may_send,
 		.on_head = on_head,
 		.on_body = on_body,
 		.on_done = on_done,
@@ -292,6 +305,7 @@
 	attempt->daemon = daemon;
 	attempt->options = *options;
 	attempt->upstream_id = upstream->id;
+	attempt->cold = upstream->told_cold;
 	attempt->incarnation = upstream->warmth.incarnation;
 	attempt->permit = options->choice->permit;
 	attempt->sample.load = options->choice->load;
--- a/src/dragonflywharfd/attempt.h
+++ b/src/dragonflywharfd/attempt.h
@@ -22,6 +22,8 @@
 	enum dw_http_progress progress;
 	int http_status;
 	const char *content_type;
+	/** Not sent, as the upstream turned cold meanwhile: it may be tried again. */
+	bool withheld;
 	bool has_length; /**< the answer said its length, so that a cut one is told */
 	const char *body; /**< ATTEMPT_BUFFERED, or an error's body */
 	size_t body_len;
--- a/src/dragonflywharfd/chat_request.c
+++ b/src/dragonflywharfd/chat_request.c
@@ -431,12 +431,26 @@
 	retry_or_fail(request);
 }
 
+/* Gives the turn to others and queues again later. */
+static void come_back(struct chat_request *request)
+{
+	request->waits_for_others = true;
+	dispatcher_done(request->daemon->dispatcher, &request->turn);
+	uv_update_time(&request->daemon->loop);
+	uv_timer_start(&request->retry_timer, on_retry_timer, SUSPECT_WAIT_MS, 0);
+}
+
 /*
  * After a broken connection neither a retry nor the caller, who may send the request again through
  * another instance, goes before the crash's evidence does.
  */
 static void attempt_failed(struct chat_request *request, const struct attempt_end *end)
 {
+	if (end->withheld) {
+		request->tried_count--;
+		come_back(request);
+		return;
+	}
 	request->broke = end->status == DW_UPSTREAM_FAILED && end->progress != DW_HTTP_NOT_SENT;
 	request->failed = (struct attempt_end){
 		.status = end->status == DW_OK ? DW_UPSTREAM_FAILED : end->status,
@@ -579,15 +593,6 @@
 	return status;
 }
 
-/* Gives the turn to others and queues again later. */
-static void come_back(struct chat_request *request)
-{
-	request->waits_for_others = true;
-	dispatcher_done(request->daemon->dispatcher, &request->turn);
-	uv_update_time(&request->daemon->loop);
-	uv_timer_start(&request->retry_timer, on_retry_timer, SUSPECT_WAIT_MS, 0);
-}
-
 static bool turn_dispatch(void *owner)
 {
 	struct chat_request *request = owner;
--- a/src/dragonflywharfd/sentinel.c
+++ b/src/dragonflywharfd/sentinel.c
@@ -1,6 +1,8 @@
 #include "dragonflywharfd/sentinel.h"
 
+#include <errno.h>
 #include <stdlib.h>
+#include <sys/socket.h>
 
 /** After a failed try; a connection that was open is made again at once, as an idle one may have
  * been closed by an upstream that is well. */
@@ -113,6 +115,20 @@
 	return sentinel;
 }
 
+bool sentinel_look(struct sentinel *sentinel)
+{
+	uv_os_fd_t fd;
+	char byte;
+	ssize_t n;
+
+	if (!sentinel->open || uv_fileno((uv_handle_t *)&sentinel->tcp, &fd) != 0)
+		return false;
+	n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	if (n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR))
+		drop_connection(sentinel);
+	return sentinel->open;
+}
+
 bool sentinel_is_open(const struct sentinel *sentinel)
 {
 	return sentinel->open;
--- a/src/dragonflywharfd/sentinel.h
+++ b/src/dragonflywharfd/sentinel.h
@@ -22,6 +22,9 @@
 struct sentinel *sentinel_open(uv_loop_t *loop, const char *ip, uint16_t port,
 			       sentinel_changed changed, void *data);
 
+/** Looks at the connection now, before the loop would tell of its end; false if it isn't open. */
+bool sentinel_look(struct sentinel *sentinel);
+
 bool sentinel_is_open(const struct sentinel *sentinel);
 
 /** Ends it; no callback follows. */
--- a/src/dragonflywharfd/upstream_table.c
+++ b/src/dragonflywharfd/upstream_table.c
@@ -422,3 +422,12 @@
 	}
 	return false;
 }
+
+bool upstream_table_may_send(struct upstream_table *table, uint64_t id, bool cold)
+{
+	struct upstream *upstream = upstream_table_find(table, id);
+
+	if (!upstream || upstream->is_service || cold)
+		return upstream != NULL;
+	return upstream->sentinel && sentinel_look(upstream->sentinel) && !upstream->told_cold;
+}
--- a/src/dragonflywharfd/upstream_table.h
+++ b/src/dragonflywharfd/upstream_table.h
@@ -88,6 +88,12 @@
 /** A warm upstream refuses work within its limit: it may have turned cold. */
 void upstream_table_overloaded(struct upstream_table *table, uint64_t id);
 
+/**
+ * Whether a request may be sent now: its permit was given while the upstream counted as @p cold.
+ * A warm permit is no longer good once the upstream's process has ended.
+ */
+bool upstream_table_may_send(struct upstream_table *table, uint64_t id, bool cold);
+
 /** A peer's evidence of an upstream's incarnation. */
 void upstream_table_merge(struct upstream_table *table, const struct dw_warmth_evidence *evidence);
 
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -168,6 +168,10 @@
 		call_finish(call, DW_UNAVAILABLE);
 		return NULL;
 	}
+	if (call->options.may_send && !call->options.may_send(call, call->options.data)) {
+		call_finish(call, DW_UNAVAILABLE);
+		return NULL;
+	}
 	call->result.progress = DW_HTTP_SENT;
 	*bufs = &call->request;
 	*count = 1;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -50,6 +50,9 @@
 	const char *body; /**< copied */
 	size_t body_len;
 	uint64_t deadline_us; /**< on the monotonic clock; 0 for none */
+	/** Asked when the connection stands, before any byte is sent; false ends the call with
+	 * DW_UNAVAILABLE, not sent. May be NULL. */
+	bool (*may_send)(struct dw_http_call *call, void *data);
 	/** The answer's head; headers through dw_http_call_header(). May be NULL. */
 	void (*on_head)(struct dw_http_call *call, int http_status, void *data);
 	/** A part of the answer's body. May be NULL. */
