The engine stand-in's restart closes all connections, as a process's end does

The stand-in cut running requests but left idle connections open, so the daemons' sentinels saw nothing until the next report and used warm permits. A real process's end closes them; kill -9 and a new start never breached. Change: dw_http_server_cut_connections, used by the stand-in's restart. Ruled out: the check of the sentinel before sending (kept: it closes the window within one turn of the loop), differing cold periods, early release of permits.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -48,6 +48,14 @@
 	bool caller_left;
 };
 
+/* A caller's connection; h2o keeps the handle, which comes first. */
+struct connection {
+	uv_tcp_t tcp;
+	struct dw_http_server *server;
+	struct connection *next;
+	struct connection *previous;
+};
+
 struct dw_http_server {
 	uv_loop_t *loop;
 	uv_tcp_t listener;
@@ -57,6 +65,7 @@
 	h2o_accept_ctx_t accept;
 	struct dw_http_options options;
 	struct dw_http_exchange *exchanges;
+	struct connection *connections;
 	size_t active;
 	bool stopping;
 };
@@ -252,21 +261,52 @@
 	}
 }
 
+static void on_connection_closed(uv_handle_t *handle)
+{
+	struct connection *connection = (struct connection *)handle;
+
+	if (connection->previous)
+		connection->previous->next = connection->next;
+	else
+		connection->server->connections = connection->next;
+	if (connection->next)
+		connection->next->previous = connection->previous;
+	free(connection);
+}
+
 static void on_connection(uv_stream_t *listener, int status)
 {
 	struct dw_http_server *server = listener->data;
-	uv_tcp_t *tcp;
+	struct connection *connection;
 
 	if (status != 0)
 		return;
-	tcp = h2o_mem_alloc(sizeof(*tcp));
-	uv_tcp_init(server->loop, tcp);
-	if (uv_accept(listener, (uv_stream_t *)tcp) != 0) {
-		uv_close((uv_handle_t *)tcp, (uv_close_cb)free);
+	connection = h2o_mem_alloc(sizeof(*connection));
+	connection->server = server;
+	connection->previous = NULL;
+	connection->next = server->connections;
+	if (connection->next)
+		connection->next->previous = connection;
+	server->connections = connection;
+	uv_tcp_init(server->loop, &connection->tcp);
+	if (uv_accept(listener, (uv_stream_t *)&connection->tcp) != 0) {
+		uv_close((uv_handle_t *)&connection->tcp, on_connection_closed);
 		return;
 	}
-	uv_tcp_nodelay(tcp, 1);
-	h2o_accept(&server->accept, h2o_uv_socket_create((uv_stream_t *)tcp, (uv_close_cb)free));
+	uv_tcp_nodelay(&connection->tcp, 1);
+	h2o_accept(&server->accept,
+		   h2o_uv_socket_create((uv_stream_t *)&connection->tcp, on_connection_closed));
+}
+
+void dw_http_server_cut_connections(struct dw_http_server *server)
+{
+	struct connection *connection;
+	uv_os_fd_t fd;
+
+	for (connection = server->connections; connection; connection = connection->next) {
+		if (uv_fileno((uv_handle_t *)&connection->tcp, &fd) == 0)
+			shutdown(fd, SHUT_RDWR);
+	}
 }
 
 static bool has_exchange(const struct dw_http_server *server, const h2o_req_t *req)
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -38,6 +38,9 @@
 
 uint16_t dw_http_server_port(const struct dw_http_server *server);
 
+/** Closes all connections now, as the end of the process would; new ones are still accepted. */
+void dw_http_server_cut_connections(struct dw_http_server *server);
+
 /** From now on each connection ends with its next answer; new ones are still accepted. */
 void dw_http_server_end_connections(struct dw_http_server *server);
 
--- a/tests/standins/engine.c
+++ b/tests/standins/engine.c
@@ -92,6 +92,8 @@
 		engine_count(engine, "cut_by_restart");
 		cut_job(engine, engine->jobs);
 	}
+	/* As the end of a process would: idle connections close too. */
+	dw_http_server_cut_connections(engine->server);
 	engine->incarnation = now_us > engine->incarnation ? now_us : engine->incarnation + 1;
 	engine->cold_until_us = dw_clock_now_us() + engine->cold_us;
 	engine->cache.count = 0;
--- a/tests/standins/engine.h
+++ b/tests/standins/engine.h
@@ -39,6 +39,7 @@
 	uint64_t tokens_in_second;
 	uint64_t tokens_per_s;
 	struct json_object *counts;
+	struct dw_http_server *server;
 };
 
 struct engine *engine_of(const struct standin_request *request);
--- a/tests/standins/standin_engine.c
+++ b/tests/standins/standin_engine.c
@@ -127,6 +127,7 @@
 {
 	struct engine *engine = standin->data;
 
+	engine->server = standin->server;
 	engine_restart(engine);
 	if (engine->report_lag_us == 0)
 		return;
