--- a/src/dragonflywharfd/session_sync.c
+++ b/src/dragonflywharfd/session_sync.c
@@ -203,8 +203,10 @@
 
 	/* The list is in the order of deadlines, as all waits are of one length. */
 	while (waiting && now_us >= waiting->deadline_us) {
+		struct waiting *next = waiting->hh.next;
+
 		end_waiting(sync, waiting);
-		waiting = sync->waiting;
+		waiting = next;
 	}
 	dw_session_table_expire(sync->daemon->sessions, now_us, EXPIRE_MAX);
 }
