--- a/src/dragonflywharfd/chat_request.c
+++ b/src/dragonflywharfd/chat_request.c
@@ -6,6 +6,7 @@
 
 #include <xxhash.h>
 
+#include "dragonflywharfd/chat_plan.h"
 #include "dragonflywharfd/chat_request_state.h"
 #include "dragonflywharfd/ledger_sync.h"
 #include "dragonflywharfd/request_headers.h"
@@ -20,19 +21,6 @@
 #define CRASH_VERDICT_US (1200 * DW_US_PER_MS)
 /** A suspected request looks again so often for an upstream that runs no other suspect. */
 #define SUSPECT_WAIT_MS 20U
-/** A generated token's time, before an upstream's speed is known. */
-#define GUESSED_TOKEN_US UINT64_C(20000)
-#define GUESSED_TOKENS 64U
-
-static uint64_t id_of(const char *name)
-{
-	return XXH64(name, strlen(name), 0);
-}
-
-static uint64_t version_id(const char *model, const char *version)
-{
-	return XXH64(version, strlen(version), id_of(model));
-}
 
 struct chat_step *chat_request_step(struct chat_request *request)
 {
@@ -105,166 +93,12 @@
 	chat_request_end(request);
 }
 
-static bool version_accepted(const struct dw_version *version, bool kept, void *data)
-{
-	const struct chat_request *request = data;
-
-	return strcmp(version->name, request->avoided_version) != 0 &&
-	       !dw_rollout_is_held(request->daemon->rollout,
-				   version_id(version->model, version->name));
-}
-
-/* The session's version for the model asked for, from its token or the caller's own words. */
-static enum dw_status session_version(struct chat_request *request, const char **version)
-{
-	const char *token = dw_http_header(request->exchange, "x-session-token");
-	static struct dw_session_claims claims;
-	enum dw_status status;
-
-	*version = request->body.version[0] ? request->body.version : NULL;
-	if (!token || *version)
-		return DW_OK;
-	status = dw_session_token_check(&request->daemon->session_keys, token,
-					request->organisation, dw_clock_wall_us(), &claims);
-	if (status == DW_STALE)
-		return DW_OK;
-	if (status == DW_OK && strcmp(claims.model, request->body.model) == 0)
-		*version = claims.version;
-	return status;
-}
-
-static enum dw_status choose_version(struct chat_request *request, struct chat_step *step,
-				     const char *kept)
-{
-	struct daemon *daemon = request->daemon;
-	struct dw_version_filter filter = { .accepts = version_accepted, .data = request };
-	struct dw_session_choice choice;
-	uint64_t random = kept ? daemon_random(daemon) : request->body.affinity;
-	enum dw_status status;
-
-	/* Without a session the conversation's hash decides, so that its turns mostly agree. */
-	status = dw_session_choose_version(daemon->ruleset, request->organisation, step->model,
-					   kept, &filter, random, &choice);
-	if (status != DW_OK)
-		return status;
-	snprintf(step->version, sizeof(step->version), "%s", choice.version->name);
-	if (choice.outcome == DW_SESSION_MOVED)
-		request->session_moved = true;
-	return DW_OK;
-}
-
-/* A version that the caller itself named is served, or refused; never another one. */
-static enum dw_status choose_named_version(struct chat_request *request, struct chat_step *step)
-{
-	enum dw_status status =
-		dw_ruleset_version_permitted(request->daemon->ruleset, request->organisation,
-					     step->model, request->body.version);
-
-	if (status == DW_OK && dw_rollout_is_held(request->daemon->rollout,
-						  version_id(step->model, request->body.version)))
-		return dw_fail(DW_WITHDRAWN, "version is held after bad answers");
-	snprintf(step->version, sizeof(step->version), "%s", request->body.version);
-	return status;
-}
-
-static uint64_t expected_tokens(const struct chat_request *request)
-{
-	return request->body.max_tokens ? request->body.max_tokens : GUESSED_TOKENS;
-}
-
-static uint64_t expected_us(const struct chat_request *request, const struct chat_step *step)
-{
-	struct dispatch_request asked = {
-		.model = step->model,
-		.version = step->version,
-		.route = {
-			.now_us = dw_clock_now_us(),
-			.prompt_tokens = request->body.prompt_tokens,
-			.tokens = (uint32_t)expected_tokens(request),
-		},
-	};
-
-	return dispatcher_expected_us(request->daemon->dispatcher, &request->turn, &asked);
-}
-
-static void describe_step(struct chat_request *request, const struct chat_step *step,
-			  struct dw_cascade_step *out)
-{
-	struct daemon *daemon = request->daemon;
-	const struct dw_version *version =
-		dw_ruleset_version(daemon->ruleset, step->model, step->version);
-	uint64_t tokens = expected_tokens(request);
-	uint64_t now_us = dw_clock_now_us();
-
-	memset(out, 0, sizeof(*out));
-	out->model_id = id_of(step->model);
-	out->available = version && version->upstream_count > 0;
-	out->cost_micros = version ? version->cost_micros_per_1k_tokens * tokens / 1000 + 1 : 0;
-	out->latency_us = expected_us(request, step);
-	out->pass_rate = dw_cascade_rates_pass(daemon->cascade_rates, request->organisation_id,
-					       out->model_id, request->work_id, now_us);
-}
-
-/* A step that isn't the last: it takes a rating, and an upstream in service now. */
-static void add_rating(const struct chat_request *request, struct dw_cascade_step *step)
-{
-	if (step->latency_us == UINT64_MAX) {
-		step->available = false;
-		step->latency_us = 0;
-	}
-	step->latency_us += request->daemon->rating_us;
-}
-
-/* Fills in the steps of the model's cascade that this request shall try. */
-static enum dw_status plan_steps(struct chat_request *request, const struct dw_model *model,
-				 const char *kept)
-{
-	struct dw_cascade_step described[DW_CASCADE_STEPS_MAX];
-	struct chat_step all[DW_CASCADE_STEPS_MAX];
-	struct dw_cascade_request asked = {
-		.now_us = dw_clock_now_us(),
-		.deadline_us = request->deadline_us,
-		.random = daemon_random(request->daemon),
-		.micros_per_second = DW_CASCADE_MICROS_PER_SECOND,
-	};
-	struct dw_cascade_plan plan;
-	enum dw_status status;
-	size_t count = 0;
-
-	memset(all, 0, sizeof(all));
-	for (size_t i = 0; i < model->cascade_count && count + 1 < DW_CASCADE_STEPS_MAX; i++) {
-		snprintf(all[count].model, sizeof(all[count].model), "%s", model->cascade[i]);
-		if (request->body.version[0] == '\0' && request->daemon->settings.rater.port != 0 &&
-		    choose_version(request, &all[count], NULL) == DW_OK)
-			count++;
-	}
-	snprintf(all[count].model, sizeof(all[count].model), "%s", model->name);
-	status = request->body.version[0] ? choose_named_version(request, &all[count])
-					  : choose_version(request, &all[count], kept);
-	if (status != DW_OK)
-		return status;
-	count++;
-	for (size_t i = 0; i < count; i++)
-		describe_step(request, &all[i], &described[i]);
-	for (size_t i = 0; i + 1 < count; i++)
-		add_rating(request, &described[i]);
-	if (described[count - 1].latency_us == UINT64_MAX)
-		described[count - 1].latency_us = 0;
-	status = dw_cascade_choose(&asked, described, count, &plan);
-	if (status != DW_OK)
-		return dw_fail(status, "no upstream serves model %s", model->name);
-	for (size_t i = 0; i < plan.count; i++)
-		request->steps[i] = all[plan.steps[i]];
-	request->step_count = plan.count;
-	return DW_OK;
-}
-
 static void enqueue(struct chat_request *request)
 {
 	const struct chat_step *step = chat_request_step(request);
 	enum dw_status status;
 
-	request->turn.service_us = expected_tokens(request) * GUESSED_TOKEN_US / 4;
+	request->turn.service_us = chat_plan_expected_tokens(request) * CHAT_GUESSED_TOKEN_US / 4;
 	status = dispatcher_enqueue(request->daemon->dispatcher, &request->turn, step->model,
 				    step->version);
 	if (status != DW_OK)
@@ -291,7 +125,7 @@
 
 	*other = *step;
 	memcpy(request->avoided_version, step->version, sizeof(request->avoided_version));
-	status = choose_version(request, other, NULL);
+	status = chat_plan_choose_version(request, other, NULL);
 	if (status != DW_OK)
 		request->avoided_version[0] = '\0';
 	return status;
@@ -305,7 +139,8 @@
 
 	if (!daemon->rater || request->in_session || request->avoided_version[0] ||
 	    !chat_request_at_last_step(request) ||
-	    !dw_rollout_is_watched(daemon->rollout, version_id(step->model, step->version)) ||
+	    !dw_rollout_is_watched(daemon->rollout,
+				   chat_plan_version_id(step->model, step->version)) ||
 	    choose_other_version(request, &other) != DW_OK)
 		return false;
 	request->avoided_version[0] = '\0';
@@ -320,7 +155,7 @@
 	uint64_t now_us = dw_clock_now_us();
 
 	if (now_us >= request->deadline_us || choose_other_version(request, &other) != DW_OK ||
-	    expected_us(request, &other) > request->deadline_us - now_us)
+	    chat_plan_expected_us(request, &other) > request->deadline_us - now_us)
 		return false;
 	if (!dw_retry_budget_take(request_headers_budget(daemon, request->organisation_id), NULL,
 				  &options, now_us)) {
@@ -525,7 +360,7 @@
 			.affinity = request->body.affinity,
 			.random = daemon_random(daemon),
 			.prompt_tokens = request->body.prompt_tokens,
-			.tokens = (uint32_t)expected_tokens(request),
+			.tokens = (uint32_t)chat_plan_expected_tokens(request),
 			.suspect = dw_quarantine_is_suspect(daemon->quarantine,
 							    request->fingerprint, now_us),
 			.tried = request->tried,
@@ -580,14 +415,14 @@
 	if (status != DW_OK)
 		return status;
 	if (last && request->body.version[0])
-		return choose_named_version(request, step);
+		return chat_plan_named_version(request, step);
 	status = dw_ruleset_version_permitted(daemon->ruleset, request->organisation, step->model,
 					      step->version);
 	if (status == DW_OK &&
-	    !dw_rollout_is_held(daemon->rollout, version_id(step->model, step->version)))
+	    !dw_rollout_is_held(daemon->rollout, chat_plan_version_id(step->model, step->version)))
 		return DW_OK;
 	/* The version was withdrawn, held or forbidden meanwhile: another of the model's. */
-	status = choose_version(request, step, NULL);
+	status = chat_plan_choose_version(request, step, NULL);
 	if (status == DW_OK && last)
 		request->session_moved = true;
 	return status;
@@ -626,7 +461,7 @@
 	request->exchange = exchange;
 	request->received_us = dw_clock_now_us();
 	snprintf(request->organisation, sizeof(request->organisation), "%s", organisation->name);
-	request->organisation_id = id_of(organisation->name);
+	request->organisation_id = chat_plan_id(organisation->name);
 	request_headers_read(daemon, exchange, request->organisation, &request->request_id,
 			     &request->deadline_us, &request->turn.priority);
 	snprintf(request->id, sizeof(request->id), "%016" PRIx64 "%016" PRIx64,
@@ -662,7 +497,7 @@
 	if (!model)
 		return dw_fail(DW_NOT_FOUND, "no model %s", request->body.model);
 	request->quality_target_permille = model->quality_target_permille;
-	return session_version(request, kept);
+	return chat_plan_session_version(request, kept);
 }
 
 /* Chooses the versions and queues the first step; @p kept is the session's version or NULL. */
@@ -679,7 +514,7 @@
 	}
 	request->in_session = kept || request->has_session_id || request->body.version[0];
 	request->work_id = dw_cascade_work(request->body.prompt_tokens, request->in_session);
-	status = plan_steps(request, model, kept);
+	status = chat_plan_steps(request, model, kept);
 	if (status == DW_OK)
 		status = ledger_sync_reserve(daemon->ledger_sync);
 	if (status != DW_OK) {
@@ -724,7 +559,7 @@
 	enum dw_status status;
 
 	snprintf(step.model, sizeof(step.model), "%s", request->body.model);
-	status = choose_version(request, &step, NULL);
+	status = chat_plan_choose_version(request, &step, NULL);
 	if (status != DW_OK)
 		return status;
 	snprintf(proposed.version, sizeof(proposed.version), "%s", step.version);
