--- a/src/dragonflywharfd/session_sync.c
+++ b/src/dragonflywharfd/session_sync.c
@@ -31,12 +31,12 @@
 	uint32_t missing; /* answers still to come */
 	session_resolved resolved;
 	void *owner;
-	UT_hash_handle hh;
+	struct waiting *next;
 };
 
 struct session_sync {
 	struct daemon *daemon;
-	struct waiting *waiting;
+	struct waiting *waiting; /* few, in the order of their deadlines */
 	uint64_t next_ticket;
 };
 
@@ -126,6 +126,16 @@
 	send_to_homes(sync, TICKET_NONE, &standing);
 }
 
+/* Where the list points to @p waiting; its end for NULL. */
+static struct waiting **place_of(struct session_sync *sync, const struct waiting *waiting)
+{
+	struct waiting **at = &sync->waiting;
+
+	while (*at != waiting)
+		at = &(*at)->next;
+	return at;
+}
+
 void session_sync_resolve(struct session_sync *sync, const struct dw_session_entry *proposed,
 			  session_resolved resolved, void *owner)
 {
@@ -145,7 +155,7 @@
 		resolved(&standing, owner);
 		return;
 	}
-	HASH_ADD(hh, sync->waiting, ticket, sizeof(waiting->ticket), waiting);
+	*place_of(sync, NULL) = waiting;
 }
 
 /* What stands now is told to the request, and to a home that knew otherwise by its merge. */
@@ -157,7 +167,7 @@
 
 	if (standing)
 		copy = *standing;
-	HASH_DEL(sync->waiting, waiting);
+	*place_of(sync, waiting) = waiting->next;
 	send_to_homes(sync, TICKET_NONE, &copy);
 	waiting->resolved(&copy, waiting->owner);
 	free(waiting);
@@ -187,7 +197,8 @@
 	if (!read_entry(value, &ticket, &entry))
 		return dw_fail(DW_INVALID_ARGUMENT, "session: a field is out of bounds");
 	merge(sync, &entry);
-	HASH_FIND(hh, sync->waiting, &ticket, sizeof(ticket), waiting);
+	for (waiting = sync->waiting; waiting && waiting->ticket != ticket;)
+		waiting = waiting->next;
 	if (!waiting)
 		return DW_OK;
 	waiting->missing--;
@@ -203,7 +214,7 @@
 
 	/* The list is in the order of deadlines, as all waits are of one length. */
 	while (waiting && now_us >= waiting->deadline_us) {
-		struct waiting *next = waiting->hh.next;
+		struct waiting *next = waiting->next;
 
 		end_waiting(sync, waiting);
 		waiting = next;
