Demonstration: prices at which a cheap step pays

Cause: since plans weigh a second of waiting at 130 millionths, a cheap step of a 16-token answer that saves 14 millionths is rightly skipped, and the demonstration's cascade step failed.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -124,10 +124,10 @@
 	{"model":{"name":"small","quality_target_permille":600}},
 	{"model":{"name":"large","quality_target_permille":600}},
 	{"model":{"name":"drafts","cascade":["small"],"quality_target_permille":600}},
-	{"version":{"model":"small","name":"1","rollout_weight":1,"cost_micros_per_1k_tokens":100}},
+	{"version":{"model":"small","name":"1","rollout_weight":1,"cost_micros_per_1k_tokens":20000}},
 	{"version":{"model":"large","name":"1","rollout_weight":1,"cost_micros_per_1k_tokens":1000}},
 	{"version":{"model":"large","name":"2","rollout_weight":0,"cost_micros_per_1k_tokens":1000}},
-	{"version":{"model":"drafts","name":"1","rollout_weight":1,"cost_micros_per_1k_tokens":1000}},
+	{"version":{"model":"drafts","name":"1","rollout_weight":1,"cost_micros_per_1k_tokens":2000000}},
 	{"organisation":{"name":"haarlemmerland","key_hashes":["$caller_hash"],
 		"allowed":["large","drafts","small"],"allowed_services":["booking"]}}
 ]}
