One way to count and log a request's end without an answer

Cause: chat and service requests held the same counter and event beside each other; daemon.instance_hash was written and never read. Change: error_count_end in error_reply; the field is gone. Behaviour as before. Ruled out: sharing the requests' ends as well (their lifetimes differ).

--- a/src/dragonflywharfd/chat_request.c
+++ b/src/dragonflywharfd/chat_request.c
@@ -62,17 +62,11 @@
 
 void chat_request_fail(struct chat_request *request, enum dw_status status, const char *message)
 {
-	struct daemon *daemon = request->daemon;
 	struct dw_http_exchange *exchange = request->exchange;
 	enum not_run not_run = request->may_have_run ? NOT_RUN_UNPROVEN : NOT_RUN_PROVEN;
-	bool refused = not_run == NOT_RUN_PROVEN;
-
-	dw_counters_add(&daemon->counters,
-			refused ? DW_COUNTER_REQUESTS_REFUSED : DW_COUNTER_REQUESTS_FAILED, 1);
-	dw_log_event(&daemon->log, refused ? DW_EVENT_REQUEST_REFUSED : DW_EVENT_REQUEST_FAILED,
-		     DW_STR("request", request->id), DW_STR("organisation", request->organisation),
-		     DW_STR("status", dw_status_name(status)), DW_STR("message", message),
-		     DW_INT("not_run", refused));
+
+	error_count_end(request->daemon, request->id, request->organisation, status, not_run,
+			message);
 	request->exchange = NULL;
 	if (exchange && request->answer_started)
 		dw_http_stream_end(exchange, false);
--- a/src/dragonflywharfd/daemon.c
+++ b/src/dragonflywharfd/daemon.c
@@ -198,7 +198,6 @@
 
 	daemon->key.instance_id = XXH64(settings->instance, strlen(settings->instance), 0);
 	daemon->key.incarnation = dw_clock_wall_us();
-	daemon->instance_hash = daemon->key.instance_id;
 	randombytes_buf(&daemon->random_state, sizeof(daemon->random_state));
 	crypto_kdf_derive_from_key(daemon->session_keys.current,
 				   sizeof(daemon->session_keys.current), 1, SESSION_KEY_CONTEXT,
--- a/src/dragonflywharfd/daemon.h
+++ b/src/dragonflywharfd/daemon.h
@@ -56,7 +56,6 @@
 	struct dw_log log;
 	struct dw_counters counters;
 	struct dw_member_key key;
-	uint64_t instance_hash; /**< of the instance's name */
 
 	struct dw_http_client *client;
 	struct dw_http_server *callers;
--- a/src/dragonflywharfd/error_reply.c
+++ b/src/dragonflywharfd/error_reply.c
@@ -60,3 +60,16 @@
 			strlen(text));
 	free(text);
 }
+
+void error_count_end(struct daemon *daemon, const char *request, const char *organisation,
+		     enum dw_status status, enum not_run not_run, const char *message)
+{
+	bool refused = not_run == NOT_RUN_PROVEN;
+
+	dw_counters_add(&daemon->counters,
+			refused ? DW_COUNTER_REQUESTS_REFUSED : DW_COUNTER_REQUESTS_FAILED, 1);
+	dw_log_event(&daemon->log, refused ? DW_EVENT_REQUEST_REFUSED : DW_EVENT_REQUEST_FAILED,
+		     DW_STR("request", request), DW_STR("organisation", organisation),
+		     DW_STR("status", dw_status_name(status)), DW_STR("message", message),
+		     DW_INT("not_run", refused));
+}
--- a/src/dragonflywharfd/error_reply.h
+++ b/src/dragonflywharfd/error_reply.h
@@ -18,6 +18,10 @@
 void error_reply(struct dw_http_exchange *exchange, enum dw_status status, enum not_run not_run,
 		 const char *message);
 
+/** Counts and logs a request's end without an answer: refused if it has not run, else failed. */
+void error_count_end(struct daemon *daemon, const char *request, const char *organisation,
+		     enum dw_status status, enum not_run not_run, const char *message);
+
 /** HTTP status of an error. */
 int error_http_status(enum dw_status status);
 
--- a/src/dragonflywharfd/service_request.c
+++ b/src/dragonflywharfd/service_request.c
@@ -81,16 +81,10 @@
 static void fail(struct service_request *request, enum dw_status status, enum not_run not_run,
 		 const char *message)
 {
-	struct daemon *daemon = request->daemon;
 	struct dw_http_exchange *exchange = request->exchange;
-	bool refused = not_run == NOT_RUN_PROVEN;
-
-	dw_counters_add(&daemon->counters,
-			refused ? DW_COUNTER_REQUESTS_REFUSED : DW_COUNTER_REQUESTS_FAILED, 1);
-	dw_log_event(&daemon->log, refused ? DW_EVENT_REQUEST_REFUSED : DW_EVENT_REQUEST_FAILED,
-		     DW_STR("request", request->id), DW_STR("organisation", request->organisation),
-		     DW_STR("status", dw_status_name(status)), DW_STR("message", message),
-		     DW_INT("not_run", refused));
+
+	error_count_end(request->daemon, request->id, request->organisation, status, not_run,
+			message);
 	request->exchange = NULL;
 	if (exchange)
 		error_reply(exchange, status, not_run, message);
