--- /dev/null
+++ b/include/dragonflywharf/engine_choice.h
@@ -0,0 +1,86 @@
+/**
+ * @file engine_choice.h
+ * Which engine a request goes to: the one with the least expected time to its first byte, with the
+ * prompt parts that it needn't read, its load, its failures and the distance taken into account.
+ *
+ * Requests that share a prompt part meet at the same engine without any exchange between instances:
+ * rendezvous hashing names a home for the part, and the home is reckoned to hold it. Under load the
+ * next engines take over, as the home's queue then costs more than reading the part again.
+ */
+#ifndef DRAGONFLYWHARF_ENGINE_CHOICE_H
+#define DRAGONFLYWHARF_ENGINE_CHOICE_H
+
+#include <dragonflywharf/engine.h>
+#include <dragonflywharf/prefix_cache.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define DW_CHOICE_TRIED_MAX 8
+#define DW_CHOICE_DOMAINS_MAX 16
+
+/** Speed of a model, learnt from answers. Zero-initialise. */
+struct dw_model_speed {
+	uint32_t us_per_1000_tokens; /**< to read a prompt on an idle engine; 0: not learnt yet */
+};
+
+/** Failure domains whose engines get nothing. */
+struct dw_domain_list {
+	char names[DW_CHOICE_DOMAINS_MAX][DW_ENGINE_TEXT_BYTES];
+	uint32_t count;
+};
+
+bool dw_domain_list_holds(const struct dw_domain_list *list, const char *name);
+
+struct dw_choice {
+	const char *service;
+	const char *model; /**< NULL: any */
+	const struct dw_prompt *prompt; /**< NULL: a plain service */
+	const struct dw_model_speed *speed; /**< of that model; NULL without prompt */
+	uint64_t kv_tokens; /**< memory of the service's engines, for the index of parts */
+	uint64_t body_bytes;
+	const char *failure_domain; /**< this instance's */
+	const struct dw_domain_list *evacuated;
+	const char *required_version; /**< NULL: any */
+	const char *avoided_version; /**< NULL: none */
+	const char *tried[DW_CHOICE_TRIED_MAX]; /**< ids that had the request already */
+	uint32_t tried_count;
+	uint32_t cold_sends_per_s; /**< this instance's share for a cold engine; 0: no limit */
+	uint64_t random; /**< breaks ties */
+	uint64_t now_us;
+};
+
+enum dw_choice_result {
+	DW_CHOICE_FOUND,
+	DW_CHOICE_NO_ENGINE, /**< none is known for the service, model and version */
+	DW_CHOICE_ALL_TRIED,
+	DW_CHOICE_ALL_EVACUATED,
+	DW_CHOICE_COLD_LIMIT, /**< only cold engines are left, and their rate is used up */
+	DW_CHOICE_RESULT_COUNT
+};
+
+const char *dw_choice_result_name(enum dw_choice_result result);
+
+struct dw_chosen {
+	struct dw_engine *engine;
+	uint64_t expected_us; /**< to the first byte of the answer */
+	uint32_t uncached_tokens; /**< to be read there */
+};
+
+/** Ejected engines are taken only when no other is left. */
+enum dw_choice_result dw_engine_choose(struct dw_engine_set *set, const struct dw_choice *choice,
+				       struct dw_chosen *chosen);
+
+/** An answer began @p taken_us after its request was sent, with @p uncached_tokens to read. */
+void dw_model_speed_learn(struct dw_model_speed *speed, uint32_t uncached_tokens,
+			  uint64_t taken_us);
+
+/** Hash that stands for a model in the index of parts. */
+uint64_t dw_model_hash(const char *model);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/scripts/install_deps.sh
+++ b/scripts/install_deps.sh
@@ -2,7 +2,7 @@
 # Installs the build's packages through Debian's package manager; does nothing where all are there.
 set -euo pipefail
 packages=(build-essential cmake pkg-config clang clang-format clang-tidy libclang-rt-14-dev
-	libuv1-dev libh2o-dev libmsgpack-dev libargtable2-dev libjson-c-dev libprotobuf-c-dev
+	libuv1-dev libhttp-parser-dev libh2o-dev libmsgpack-dev libargtable2-dev libjson-c-dev libprotobuf-c-dev
 	libxxhash-dev uthash-dev libssl-dev libsodium-dev libgtest-dev curl python3)
 missing=()
 for package in "${packages[@]}"; do
--- /dev/null
+++ b/src/base/bytes.c
@@ -0,0 +1,66 @@
+#include "base/bytes.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define FIRST_SIZE 512
+
+static void make_room(struct bytes *bytes, size_t len)
+{
+	size_t size = bytes->size ? bytes->size : FIRST_SIZE;
+
+	if (bytes->len + len <= bytes->size)
+		return;
+	while (size < bytes->len + len)
+		size *= 2;
+	bytes->data = realloc(bytes->data, size);
+	if (!bytes->data)
+		abort();
+	bytes->size = size;
+}
+
+void bytes_put(struct bytes *bytes, const void *data, size_t len)
+{
+	if (len == 0)
+		return;
+	make_room(bytes, len);
+	memcpy(bytes->data + bytes->len, data, len);
+	bytes->len += len;
+}
+
+void bytes_put_text(struct bytes *bytes, const char *text)
+{
+	bytes_put(bytes, text, strlen(text));
+}
+
+void bytes_printf(struct bytes *bytes, const char *format, ...)
+{
+	va_list arguments;
+	int len;
+
+	va_start(arguments, format);
+	len = vsnprintf(NULL, 0, format, arguments);
+	va_end(arguments);
+	if (len <= 0)
+		return;
+	make_room(bytes, (size_t)len + 1);
+	va_start(arguments, format);
+	vsnprintf(bytes->data + bytes->len, (size_t)len + 1, format, arguments);
+	va_end(arguments);
+	bytes->len += (size_t)len;
+}
+
+void bytes_consume(struct bytes *bytes, size_t len)
+{
+	if (len < bytes->len)
+		memmove(bytes->data, bytes->data + len, bytes->len - len);
+	bytes->len -= len < bytes->len ? len : bytes->len;
+}
+
+void bytes_free(struct bytes *bytes)
+{
+	free(bytes->data);
+	memset(bytes, 0, sizeof(*bytes));
+}
--- /dev/null
+++ b/src/base/bytes.h
@@ -0,0 +1,34 @@
+/**
+ * @file bytes.h
+ * A growing buffer of bytes. Zero-initialise before first use.
+ */
+#ifndef WHARF_BASE_BYTES_H
+#define WHARF_BASE_BYTES_H
+
+#include <stddef.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct bytes {
+	char *data;
+	size_t len;
+	size_t size;
+};
+
+void bytes_put(struct bytes *bytes, const void *data, size_t len);
+void bytes_put_text(struct bytes *bytes, const char *text);
+void bytes_printf(struct bytes *bytes, const char *format, ...)
+	__attribute__((format(printf, 2, 3)));
+
+/** Drops the first @p len bytes. */
+void bytes_consume(struct bytes *bytes, size_t len);
+
+void bytes_free(struct bytes *bytes);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/src/base/event.c
+++ b/src/base/event.c
@@ -47,6 +47,12 @@
 	[DW_EVENT_VERSION_LIVE] = { 804, DW_LEVEL_INFO, "version.live" },
 	[DW_EVENT_VERSION_WATCHED] = { 805, DW_LEVEL_INFO, "version.watched" },
 	[DW_EVENT_REQUEST_QUARANTINED] = { 810, DW_LEVEL_WARNING, "request.quarantined" },
+	[DW_EVENT_ENGINE_CHANGED] = { 605, DW_LEVEL_INFO, "engine.changed" },
+	[DW_EVENT_DOMAIN_EVACUATED] = { 606, DW_LEVEL_INFO, "domain.evacuated" },
+	[DW_EVENT_LOG_LINES_DROPPED] = { 105, DW_LEVEL_WARNING, "log.lines_dropped" },
+	[DW_EVENT_SETTINGS_RELOADED] = { 106, DW_LEVEL_INFO, "settings.reloaded" },
+	[DW_EVENT_SHIFT_CHANGED] = { 806, DW_LEVEL_INFO, "shift.changed" },
+	[DW_EVENT_SHIFT_EVIDENCE] = { 807, DW_LEVEL_INFO, "shift.evidence" },
 	[DW_EVENT_STANDIN] = { 900, DW_LEVEL_INFO, "standin.note" },
 };
 
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -94,6 +94,30 @@
 	*out = (uint64_t)number;
 }
 
+static void take_permille(struct reading *reading, const struct dw_setting *setting,
+			  struct json_object *value, uint64_t *out)
+{
+	double permille = json_object_get_double(value) * 1000;
+
+	if ((!json_object_is_type(value, json_type_double) &&
+	     !json_object_is_type(value, json_type_int)) ||
+	    !(permille >= (double)setting->min) || permille > (double)setting->max) {
+		fault(reading, setting->name, "expected a decimal number in its range");
+		return;
+	}
+	*out = (uint64_t)(permille + 0.5);
+}
+
+static void take_flag(struct reading *reading, const struct dw_setting *setting,
+		      struct json_object *value, bool *out)
+{
+	if (!json_object_is_type(value, json_type_boolean)) {
+		fault(reading, setting->name, "expected true or false");
+		return;
+	}
+	*out = json_object_get_boolean(value);
+}
+
 static int hex_digit(char c)
 {
 	const char *digits = "0123456789abcdef";
@@ -159,6 +183,12 @@
 	case DW_SETTING_INTEGER:
 		take_integer(reading, setting, value, out);
 		break;
+	case DW_SETTING_PERMILLE:
+		take_permille(reading, setting, value, out);
+		break;
+	case DW_SETTING_FLAG:
+		take_flag(reading, setting, value, out);
+		break;
 	case DW_SETTING_KEY:
 		take_key(reading, setting, value, out);
 		break;
@@ -179,7 +209,7 @@
 
 	if (!setting->unset)
 		return;
-	if (setting->kind == DW_SETTING_INTEGER)
+	if (setting->kind == DW_SETTING_INTEGER || setting->kind == DW_SETTING_PERMILLE)
 		*(uint64_t *)out = strtoull(setting->unset, NULL, 10);
 	else
 		snprintf(out, DW_SETTINGS_TEXT_BYTES, "%s", setting->unset);
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -35,6 +35,8 @@
 	DW_SETTING_NAME, /**< the same, [a-z0-9._-]{1,64} */
 	DW_SETTING_IP, /**< the same, a numeric IPv4 address */
 	DW_SETTING_INTEGER, /**< uint64_t between min and max */
+	DW_SETTING_PERMILLE, /**< uint64_t in thousandths, from a decimal number */
+	DW_SETTING_FLAG, /**< bool from true or false */
 	DW_SETTING_KEY, /**< uint8_t[DW_SETTINGS_KEY_BYTES] from 64 hexadecimal digits */
 	DW_SETTING_ENDPOINT, /**< struct dw_endpoint from "ip:port" */
 	DW_SETTING_ENDPOINTS, /**< struct dw_endpoint_list from an array of "ip:port" */
--- /dev/null
+++ b/src/core/catalog.c
@@ -0,0 +1,294 @@
+#include <dragonflywharf/catalog.h>
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include <uthash.h>
+
+struct text {
+	struct text *next;
+	char bytes[];
+};
+
+struct organisation {
+	struct dw_organisation_rule rule;
+	struct organisation *next;
+};
+
+struct key {
+	const char *value;
+	const struct organisation *organisation;
+	UT_hash_handle hh;
+};
+
+struct service {
+	struct dw_service_rule rule;
+	struct service *next;
+};
+
+struct dw_catalog {
+	uint32_t holders;
+	uint64_t version;
+	struct dw_caller_limits limits;
+	struct dw_route_rule *routes; /**< longest prefix first */
+	size_t route_count;
+	struct service *services;
+	struct organisation *organisations;
+	struct key *keys;
+	struct text *texts;
+};
+
+static const struct dw_caller_limits default_limits = {
+	.max_header_bytes = 16384,
+	.max_body_bytes = 4194304,
+	.header_timeout_ms = 5000,
+	.idle_timeout_ms = 15000,
+};
+
+static void *allocate(size_t size)
+{
+	void *memory = calloc(1, size);
+
+	if (!memory)
+		abort();
+	return memory;
+}
+
+static const char *keep(struct dw_catalog *catalog, const char *text)
+{
+	struct text *copy;
+	size_t len;
+
+	if (!text)
+		return NULL;
+	len = strlen(text);
+	copy = allocate(sizeof(*copy) + len + 1);
+	memcpy(copy->bytes, text, len);
+	copy->next = catalog->texts;
+	catalog->texts = copy;
+	return copy->bytes;
+}
+
+enum dw_status dw_catalog_new(struct dw_catalog **out, uint64_t version)
+{
+	struct dw_catalog *catalog = allocate(sizeof(*catalog));
+
+	catalog->holders = 1;
+	catalog->version = version;
+	catalog->limits = default_limits;
+	*out = catalog;
+	return DW_OK;
+}
+
+struct dw_catalog *dw_catalog_hold(struct dw_catalog *catalog)
+{
+	if (catalog)
+		catalog->holders++;
+	return catalog;
+}
+
+static void free_keys(struct dw_catalog *catalog)
+{
+	struct key *key;
+	struct key *next;
+
+	HASH_ITER(hh, catalog->keys, key, next) {
+		HASH_DEL(catalog->keys, key);
+		free(key);
+	}
+}
+
+static void free_lists(struct dw_catalog *catalog)
+{
+	for (struct service *next, *at = catalog->services; at; at = next) {
+		next = at->next;
+		free(at);
+	}
+	for (struct organisation *next, *at = catalog->organisations; at; at = next) {
+		next = at->next;
+		free(at);
+	}
+	for (struct text *next, *at = catalog->texts; at; at = next) {
+		next = at->next;
+		free(at);
+	}
+}
+
+void dw_catalog_release(struct dw_catalog *catalog)
+{
+	if (!catalog || --catalog->holders > 0)
+		return;
+	free_keys(catalog);
+	free_lists(catalog);
+	free(catalog->routes);
+	free(catalog);
+}
+
+static bool is_prefix_valid(const char *prefix)
+{
+	size_t len = prefix ? strlen(prefix) : 0;
+
+	return len > 0 && prefix[0] == '/' && prefix[len - 1] == '/';
+}
+
+static void keep_route(struct dw_catalog *catalog, struct dw_route_rule *route)
+{
+	route->name = keep(catalog, route->name);
+	route->host = keep(catalog, route->host);
+	route->path_prefix = keep(catalog, route->path_prefix);
+	for (uint32_t i = 0; i < route->share_count; i++)
+		route->shares[i].service = keep(catalog, route->shares[i].service);
+	for (uint32_t i = 0; i < route->model_count; i++)
+		route->models[i] = keep(catalog, route->models[i]);
+}
+
+enum dw_status dw_catalog_add_route(struct dw_catalog *catalog, const struct dw_route_rule *route)
+{
+	struct dw_route_rule *routes;
+	size_t at = 0;
+
+	if (!route->name || !route->host || !is_prefix_valid(route->path_prefix) ||
+	    route->share_count == 0 || route->share_count > DW_CATALOG_SPLIT_MAX ||
+	    route->model_count > DW_CATALOG_MODELS_MAX)
+		return dw_fail(DW_INVALID_ARGUMENT, "route %s isn't complete",
+			       route->name ? route->name : "without a name");
+	routes = realloc(catalog->routes, (catalog->route_count + 1) * sizeof(*routes));
+	if (!routes)
+		abort();
+	catalog->routes = routes;
+	while (at < catalog->route_count &&
+	       strlen(routes[at].path_prefix) >= strlen(route->path_prefix))
+		at++;
+	memmove(&routes[at + 1], &routes[at], (catalog->route_count - at) * sizeof(*routes));
+	routes[at] = *route;
+	keep_route(catalog, &routes[at]);
+	catalog->route_count++;
+	return DW_OK;
+}
+
+enum dw_status dw_catalog_add_service(struct dw_catalog *catalog,
+				      const struct dw_service_rule *rule)
+{
+	struct service *service;
+
+	if (!rule->name || rule->model_count > DW_CATALOG_MODELS_MAX)
+		return dw_fail(DW_INVALID_ARGUMENT, "a service isn't complete");
+	service = allocate(sizeof(*service));
+	service->rule = *rule;
+	service->rule.name = keep(catalog, rule->name);
+	service->rule.health_path = keep(catalog, rule->health_path);
+	for (uint32_t i = 0; i < rule->model_count; i++)
+		service->rule.models[i].name = keep(catalog, rule->models[i].name);
+	service->next = catalog->services;
+	catalog->services = service;
+	return DW_OK;
+}
+
+enum dw_status dw_catalog_add_organisation(struct dw_catalog *catalog,
+					   const struct dw_organisation_rule *rule)
+{
+	struct organisation *organisation;
+
+	if (!rule->name)
+		return dw_fail(DW_INVALID_ARGUMENT, "an organisation has no name");
+	organisation = allocate(sizeof(*organisation));
+	organisation->rule = *rule;
+	organisation->rule.name = keep(catalog, rule->name);
+	organisation->next = catalog->organisations;
+	catalog->organisations = organisation;
+	return DW_OK;
+}
+
+enum dw_status dw_catalog_add_key(struct dw_catalog *catalog, const char *name, const char *value)
+{
+	struct organisation *holder = catalog->organisations;
+	struct key *key;
+
+	while (holder && strcmp(holder->rule.name, name) != 0)
+		holder = holder->next;
+	if (!holder || !value)
+		return dw_fail(DW_NOT_FOUND, "no organisation %s", name);
+	HASH_FIND_STR(catalog->keys, value, key);
+	if (key)
+		return dw_fail(DW_CONFLICT, "a key is held twice");
+	key = allocate(sizeof(*key));
+	key->value = keep(catalog, value);
+	key->organisation = holder;
+	HASH_ADD_KEYPTR(hh, catalog->keys, key->value, strlen(key->value), key);
+	return DW_OK;
+}
+
+void dw_catalog_set_limits(struct dw_catalog *catalog, const struct dw_caller_limits *limits)
+{
+	catalog->limits = *limits;
+}
+
+uint64_t dw_catalog_version(const struct dw_catalog *catalog)
+{
+	return catalog->version;
+}
+
+const struct dw_caller_limits *dw_catalog_limits(const struct dw_catalog *catalog)
+{
+	return &catalog->limits;
+}
+
+const struct dw_route_rule *dw_catalog_match(const struct dw_catalog *catalog, const char *host,
+					     const char *path)
+{
+	for (size_t i = 0; i < catalog->route_count; i++) {
+		const struct dw_route_rule *route = &catalog->routes[i];
+
+		if (strncmp(route->path_prefix, path, strlen(route->path_prefix)) == 0 &&
+		    strcasecmp(route->host, host) == 0)
+			return route;
+	}
+	return NULL;
+}
+
+const struct dw_service_rule *dw_catalog_service(const struct dw_catalog *catalog, const char *name)
+{
+	for (const struct service *at = catalog->services; at; at = at->next) {
+		if (strcmp(at->rule.name, name) == 0)
+			return &at->rule;
+	}
+	return NULL;
+}
+
+const struct dw_organisation_rule *dw_catalog_key_holder(const struct dw_catalog *catalog,
+							 const char *value)
+{
+	struct key *key;
+
+	HASH_FIND_STR(catalog->keys, value, key);
+	return key ? &key->organisation->rule : NULL;
+}
+
+bool dw_catalog_needs_keys(const struct dw_catalog *catalog)
+{
+	return catalog->organisations != NULL;
+}
+
+size_t dw_catalog_route_count(const struct dw_catalog *catalog)
+{
+	return catalog->route_count;
+}
+
+const char *dw_route_pick_service(const struct dw_route_rule *route, uint64_t hash)
+{
+	uint64_t total = 0;
+	uint64_t at;
+
+	for (uint32_t i = 0; i < route->share_count; i++)
+		total += route->shares[i].weight;
+	if (total == 0)
+		return route->shares[0].service;
+	at = hash % total;
+	for (uint32_t i = 0; i < route->share_count; i++) {
+		if (at < route->shares[i].weight)
+			return route->shares[i].service;
+		at -= route->shares[i].weight;
+	}
+	return route->shares[0].service;
+}
--- /dev/null
+++ b/src/core/engine.c
@@ -0,0 +1,288 @@
+#include <dragonflywharf/engine.h>
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <dragonflywharf/prefix_cache.h>
+
+#define US_PER_MS UINT64_C(1000)
+#define US_PER_S UINT64_C(1000000)
+#define SEND_RING (sizeof(((struct dw_engine *)0)->recent_sends_us) / sizeof(uint64_t))
+
+/* An engine that left is remembered this long, so that late news of it aren't taken for a new one. */
+#define GONE_KEPT_US (10 * US_PER_S)
+
+/* Out of choice after this many failures in a row, longer each time up to the most. */
+#define EJECT_AFTER_FAILURES 2
+#define EJECT_FIRST_US (500 * US_PER_MS)
+#define EJECT_MOST_US (4 * US_PER_S)
+
+/* Weight of one answer in the moving averages, in thousandths. */
+#define AVERAGE_WEIGHT 150
+#define SLOWNESS_MOST_PERMILLE 20000
+
+struct dw_engine_set {
+	struct dw_engine *engines;
+};
+
+static const char *const state_names[DW_ENGINE_STATE_COUNT] = {
+	[DW_ENGINE_READY] = "ready",
+	[DW_ENGINE_DRAINING] = "draining",
+	[DW_ENGINE_MISSING] = "missing",
+	[DW_ENGINE_GONE] = "gone",
+};
+
+const char *dw_engine_state_name(enum dw_engine_state state)
+{
+	return state < DW_ENGINE_STATE_COUNT ? state_names[state] : "unknown";
+}
+
+struct dw_engine_set *dw_engine_set_new(void)
+{
+	struct dw_engine_set *set = calloc(1, sizeof(*set));
+
+	if (!set)
+		abort();
+	return set;
+}
+
+static void engine_free(struct dw_engine *engine)
+{
+	dw_prefix_cache_free(engine->cache);
+	free(engine);
+}
+
+void dw_engine_set_free(struct dw_engine_set *set)
+{
+	for (struct dw_engine *next, *at = set->engines; at; at = next) {
+		next = at->next;
+		engine_free(at);
+	}
+	free(set);
+}
+
+struct dw_engine *dw_engine_set_first(struct dw_engine_set *set)
+{
+	return set->engines;
+}
+
+struct dw_engine *dw_engine_set_find(struct dw_engine_set *set, const char *id)
+{
+	struct dw_engine *engine = set->engines;
+
+	while (engine && strcmp(engine->entry.id, id) != 0)
+		engine = engine->next;
+	return engine;
+}
+
+/* A start of the engine's process: nothing that was learnt of the one before holds. */
+static void begin_life(struct dw_engine *engine)
+{
+	memset(&engine->load, 0, sizeof(engine->load));
+	engine->failures_in_row = 0;
+	engine->ejected_until_us = 0;
+	engine->failure_permille = 0;
+	engine->slowness_permille = 1000;
+	engine->recent_send_count = 0;
+	if (engine->cache)
+		dw_prefix_cache_clear(engine->cache);
+}
+
+static struct dw_engine *add(struct dw_engine_set *set)
+{
+	struct dw_engine *engine = calloc(1, sizeof(*engine));
+
+	if (!engine)
+		abort();
+	begin_life(engine);
+	engine->next = set->engines;
+	set->engines = engine;
+	return engine;
+}
+
+enum dw_engine_change dw_engine_set_put(struct dw_engine_set *set,
+					const struct dw_engine_entry *entry, uint64_t now_us)
+{
+	enum dw_engine_state state = entry->is_draining ? DW_ENGINE_DRAINING : DW_ENGINE_READY;
+	struct dw_engine *engine = dw_engine_set_find(set, entry->id);
+	enum dw_engine_change change = DW_ENGINE_UNCHANGED;
+
+	if (!engine) {
+		engine = add(set);
+		change = DW_ENGINE_ADDED;
+	} else if (engine->entry.born_ms != entry->born_ms) {
+		begin_life(engine);
+		change = DW_ENGINE_RESTARTED;
+	} else if (engine->state != state) {
+		change = DW_ENGINE_STATE_CHANGED;
+	}
+	engine->entry = *entry;
+	engine->state = state;
+	if (entry->cold_remaining_ms > 0)
+		dw_engine_told_cold(engine, entry->cold_remaining_ms, now_us);
+	return change;
+}
+
+struct dw_engine *dw_engine_set_remove(struct dw_engine_set *set, const char *id,
+				       uint64_t usable_until_us, uint64_t now_us)
+{
+	struct dw_engine *engine = dw_engine_set_find(set, id);
+
+	if (!engine || engine->state == DW_ENGINE_GONE)
+		return engine;
+	if (engine->state == DW_ENGINE_READY && usable_until_us > now_us) {
+		engine->state = DW_ENGINE_MISSING;
+		engine->missing_until_us = usable_until_us;
+		return engine;
+	}
+	engine->state = DW_ENGINE_GONE;
+	engine->missing_until_us = now_us;
+	return engine;
+}
+
+void dw_engine_set_sweep(struct dw_engine_set *set, uint64_t now_us)
+{
+	struct dw_engine **link = &set->engines;
+
+	while (*link) {
+		struct dw_engine *engine = *link;
+
+		if (engine->state == DW_ENGINE_MISSING && now_us >= engine->missing_until_us)
+			engine->state = DW_ENGINE_GONE;
+		if (engine->state == DW_ENGINE_GONE && engine->in_flight == 0 &&
+		    now_us > engine->missing_until_us + GONE_KEPT_US) {
+			*link = engine->next;
+			engine_free(engine);
+		} else {
+			link = &engine->next;
+		}
+	}
+}
+
+bool dw_engine_is_usable(const struct dw_engine *engine, uint64_t now_us)
+{
+	return engine->state == DW_ENGINE_READY ||
+	       (engine->state == DW_ENGINE_MISSING && now_us < engine->missing_until_us);
+}
+
+uint32_t dw_engine_set_usable(const struct dw_engine_set *set, const char *service, uint64_t now_us)
+{
+	uint32_t count = 0;
+
+	for (const struct dw_engine *at = set->engines; at; at = at->next)
+		count += dw_engine_is_usable(at, now_us) &&
+			 (!service || strcmp(at->entry.service, service) == 0);
+	return count;
+}
+
+bool dw_engine_is_cold(const struct dw_engine *engine, uint64_t now_us)
+{
+	return now_us < engine->cold_until_us;
+}
+
+bool dw_engine_has_model(const struct dw_engine *engine, const char *model)
+{
+	for (uint32_t i = 0; i < engine->entry.model_count; i++) {
+		if (strcmp(engine->entry.models[i], model) == 0)
+			return true;
+	}
+	return engine->entry.model_count == 0;
+}
+
+uint32_t dw_engine_sends_last_second(const struct dw_engine *engine, uint64_t now_us)
+{
+	uint32_t known = engine->recent_send_count < SEND_RING ? engine->recent_send_count
+							       : (uint32_t)SEND_RING;
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < known; i++)
+		count += engine->recent_sends_us[i] + US_PER_S > now_us;
+	return count;
+}
+
+void dw_engine_sent(struct dw_engine *engine, uint64_t now_us)
+{
+	engine->in_flight++;
+	engine->unstarted++;
+	engine->sent_since_load++;
+	engine->recent_sends_us[engine->recent_send_count++ % SEND_RING] = now_us;
+}
+
+static uint32_t average(uint32_t old, uint32_t sample)
+{
+	return (old * (1000 - AVERAGE_WEIGHT) + sample * AVERAGE_WEIGHT) / 1000;
+}
+
+void dw_engine_started(struct dw_engine *engine, uint64_t sent_at_us, uint64_t expected_us,
+		       uint64_t now_us)
+{
+	uint64_t taken_us = now_us > sent_at_us ? now_us - sent_at_us : 0;
+	uint64_t ratio = taken_us * 1000 / (expected_us > 0 ? expected_us : 1);
+
+	if (engine->unstarted > 0)
+		engine->unstarted--;
+	engine->last_byte_at_us = now_us;
+	if (ratio > SLOWNESS_MOST_PERMILLE)
+		ratio = SLOWNESS_MOST_PERMILLE;
+	engine->slowness_permille = average(engine->slowness_permille, (uint32_t)ratio);
+}
+
+void dw_engine_told_load(struct dw_engine *engine, const struct dw_engine_load *load)
+{
+	engine->load = *load;
+	engine->sent_since_load = 0;
+}
+
+void dw_engine_told_cold(struct dw_engine *engine, uint32_t cold_ms, uint64_t now_us)
+{
+	uint64_t until_us = now_us + cold_ms * US_PER_MS;
+
+	if (until_us > engine->cold_until_us)
+		engine->cold_until_us = until_us;
+}
+
+static void eject(struct dw_engine *engine, uint64_t now_us)
+{
+	uint32_t doublings = engine->failures_in_row - EJECT_AFTER_FAILURES;
+	uint64_t span_us = EJECT_FIRST_US << (doublings < 4 ? doublings : 4);
+
+	engine->ejected_until_us = now_us + (span_us < EJECT_MOST_US ? span_us : EJECT_MOST_US);
+}
+
+static void count_failure(struct dw_engine *engine, uint64_t now_us)
+{
+	engine->failures_in_row++;
+	engine->failure_permille = average(engine->failure_permille, 1000);
+	if (engine->failures_in_row >= EJECT_AFTER_FAILURES)
+		eject(engine, now_us);
+}
+
+void dw_engine_ended(struct dw_engine *engine, enum dw_engine_outcome outcome, bool started,
+		     uint64_t now_us)
+{
+	if (engine->in_flight > 0)
+		engine->in_flight--;
+	if (!started && engine->unstarted > 0)
+		engine->unstarted--;
+	switch (outcome) {
+	case DW_ENGINE_ANSWERED:
+		engine->failures_in_row = 0;
+		engine->failure_permille = average(engine->failure_permille, 0);
+		break;
+	case DW_ENGINE_UNREACHABLE:
+		/* Nothing listens there: one attempt is evidence enough. */
+		engine->failures_in_row++;
+		if (engine->failures_in_row < EJECT_AFTER_FAILURES)
+			engine->failures_in_row = EJECT_AFTER_FAILURES;
+		eject(engine, now_us);
+		break;
+	case DW_ENGINE_FAILED:
+	case DW_ENGINE_SILENT:
+		count_failure(engine, now_us);
+		break;
+	case DW_ENGINE_REJECTED:
+	case DW_ENGINE_LEFT:
+	case DW_ENGINE_OUTCOME_COUNT:
+		break;
+	}
+}
--- /dev/null
+++ b/src/core/prefix_cache.c
@@ -0,0 +1,108 @@
+#include <dragonflywharf/prefix_cache.h>
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+struct part_key {
+	uint64_t model;
+	uint64_t part;
+};
+
+struct part {
+	struct part_key key;
+	uint32_t tokens;
+	UT_hash_handle hh; /**< its order of insertion is the order of use */
+};
+
+struct dw_prefix_cache {
+	uint64_t capacity_tokens;
+	uint64_t held_tokens;
+	struct part *parts;
+};
+
+struct dw_prefix_cache *dw_prefix_cache_new(uint64_t capacity_tokens)
+{
+	struct dw_prefix_cache *cache = calloc(1, sizeof(*cache));
+
+	if (!cache)
+		abort();
+	cache->capacity_tokens = capacity_tokens;
+	return cache;
+}
+
+static void drop(struct dw_prefix_cache *cache, struct part *part)
+{
+	HASH_DEL(cache->parts, part);
+	cache->held_tokens -= part->tokens;
+	free(part);
+}
+
+void dw_prefix_cache_clear(struct dw_prefix_cache *cache)
+{
+	struct part *part;
+	struct part *next;
+
+	HASH_ITER(hh, cache->parts, part, next)
+		drop(cache, part);
+}
+
+void dw_prefix_cache_free(struct dw_prefix_cache *cache)
+{
+	if (!cache)
+		return;
+	dw_prefix_cache_clear(cache);
+	free(cache);
+}
+
+static struct part *find(const struct dw_prefix_cache *cache, uint64_t model, uint64_t id)
+{
+	struct part_key key = { .model = model, .part = id };
+	struct part *part;
+
+	HASH_FIND(hh, cache->parts, &key, sizeof(key), part);
+	return part;
+}
+
+uint32_t dw_prefix_cache_held(const struct dw_prefix_cache *cache, uint64_t model,
+			      const struct dw_prompt *prompt)
+{
+	uint32_t tokens = 0;
+
+	for (uint32_t i = 0; i < prompt->part_count; i++) {
+		if (!find(cache, model, prompt->parts[i].id))
+			break;
+		tokens += prompt->parts[i].tokens;
+	}
+	return tokens;
+}
+
+static void use_part(struct dw_prefix_cache *cache, uint64_t model,
+		     const struct dw_prompt_part *used)
+{
+	struct part *part = find(cache, model, used->id);
+
+	if (part) {
+		HASH_DEL(cache->parts, part);
+	} else {
+		part = calloc(1, sizeof(*part));
+		if (!part)
+			abort();
+		part->key.model = model;
+		part->key.part = used->id;
+		part->tokens = used->tokens;
+		cache->held_tokens += part->tokens;
+	}
+	HASH_ADD(hh, cache->parts, key, sizeof(part->key), part);
+}
+
+void dw_prefix_cache_use(struct dw_prefix_cache *cache, uint64_t model,
+			 const struct dw_prompt *prompt)
+{
+	/* The last part first, so that a chain yields from its end. */
+	for (uint32_t i = prompt->part_count; i > 0; i--)
+		use_part(cache, model, &prompt->parts[i - 1]);
+	while (cache->held_tokens > cache->capacity_tokens && cache->parts)
+		drop(cache, cache->parts);
+}
--- /dev/null
+++ b/src/core/request_policy.c
@@ -0,0 +1,113 @@
+#include <dragonflywharf/request_policy.h>
+
+#include <string.h>
+
+#define US_PER_MS UINT64_C(1000)
+
+/* Sends that were rejected don't run, but each one draws on the retry budget of all. */
+#define REJECTIONS_MOST 3
+/* A route without a time limit still ends, should a caller give no deadline either. */
+#define DEFAULT_TIMEOUT_MS 60000
+/* A send with less time than this left can't be answered in time. */
+#define SEND_LEAST_US (20 * US_PER_MS)
+
+static const char *const end_names[DW_ATTEMPT_END_COUNT] = {
+	[DW_ATTEMPT_NOT_SENT] = "not_sent",
+	[DW_ATTEMPT_REJECTED] = "rejected",
+	[DW_ATTEMPT_WRONG_INSTANCE] = "wrong_instance",
+	[DW_ATTEMPT_NO_ANSWER] = "no_answer",
+	[DW_ATTEMPT_CUT] = "cut",
+	[DW_ATTEMPT_INVALID] = "invalid",
+	[DW_ATTEMPT_SERVER_ERROR] = "server_error",
+	[DW_ATTEMPT_DROPPED] = "dropped",
+};
+
+static const char *const verdict_names[DW_POLICY_VERDICT_COUNT] = {
+	[DW_POLICY_SEND_AGAIN] = "send_again", [DW_POLICY_PASS_ON] = "pass_on",
+	[DW_POLICY_REFUSE] = "refuse",	       [DW_POLICY_FAIL] = "fail",
+	[DW_POLICY_EXPIRE] = "expire",	       [DW_POLICY_BREAK_OFF] = "break_off",
+};
+
+const char *dw_attempt_end_name(enum dw_attempt_end end)
+{
+	return end < DW_ATTEMPT_END_COUNT ? end_names[end] : "unknown";
+}
+
+const char *dw_policy_verdict_name(enum dw_policy_verdict verdict)
+{
+	return verdict < DW_POLICY_VERDICT_COUNT ? verdict_names[verdict] : "unknown";
+}
+
+void dw_request_policy_init(struct dw_request_policy *policy, const struct dw_route_rule *route,
+			    uint64_t caller_deadline_us, uint64_t now_us)
+{
+	uint32_t timeout_ms = route->timeout_ms > 0 ? route->timeout_ms : DEFAULT_TIMEOUT_MS;
+
+	memset(policy, 0, sizeof(*policy));
+	policy->kind = route->kind;
+	policy->is_idempotent = route->kind == DW_ROUTE_SAFE ||
+				(route->kind == DW_ROUTE_STREAM && route->is_resumable);
+	policy->max_runs =
+		policy->is_idempotent && route->max_attempts > 1 ? route->max_attempts : 1;
+	policy->deadline_us = now_us + timeout_ms * US_PER_MS;
+	if (caller_deadline_us > 0 && caller_deadline_us < policy->deadline_us)
+		policy->deadline_us = caller_deadline_us;
+}
+
+bool dw_request_policy_may_send(const struct dw_request_policy *policy, uint64_t now_us)
+{
+	return policy->runs < policy->max_runs && policy->rejections < REJECTIONS_MOST &&
+	       now_us + SEND_LEAST_US < policy->deadline_us;
+}
+
+void dw_request_policy_sent(struct dw_request_policy *policy)
+{
+	policy->runs++;
+}
+
+/* The send that just ended provably didn't run. */
+static void take_back_run(struct dw_request_policy *policy)
+{
+	if (policy->runs > 0)
+		policy->runs--;
+	policy->rejections++;
+}
+
+enum dw_policy_verdict dw_request_policy_give_up(const struct dw_request_policy *policy,
+						 uint64_t now_us)
+{
+	if (policy->is_begun)
+		return DW_POLICY_BREAK_OFF;
+	if (policy->runs == 0)
+		return DW_POLICY_REFUSE;
+	return now_us >= policy->deadline_us ? DW_POLICY_EXPIRE : DW_POLICY_FAIL;
+}
+
+enum dw_policy_verdict dw_request_policy_ended(struct dw_request_policy *policy,
+					       enum dw_attempt_end end, bool may_retry,
+					       uint64_t now_us)
+{
+	bool provably_not_run = false;
+
+	switch (end) {
+	case DW_ATTEMPT_NOT_SENT:
+	case DW_ATTEMPT_REJECTED:
+	case DW_ATTEMPT_WRONG_INSTANCE:
+		take_back_run(policy);
+		provably_not_run = true;
+		break;
+	case DW_ATTEMPT_NO_ANSWER:
+	case DW_ATTEMPT_CUT:
+	case DW_ATTEMPT_INVALID:
+	case DW_ATTEMPT_SERVER_ERROR:
+	case DW_ATTEMPT_DROPPED:
+	case DW_ATTEMPT_END_COUNT:
+		break;
+	}
+	if (may_retry && (provably_not_run || policy->is_idempotent) &&
+	    dw_request_policy_may_send(policy, now_us))
+		return DW_POLICY_SEND_AGAIN;
+	if (end == DW_ATTEMPT_SERVER_ERROR && !policy->is_begun)
+		return DW_POLICY_PASS_ON;
+	return dw_request_policy_give_up(policy, now_us);
+}
--- /dev/null
+++ b/src/core/retry_window.c
@@ -0,0 +1,59 @@
+#include <dragonflywharf/retry_window.h>
+
+/* One bucket more than the window has, so that the oldest counts whole: repeats are never
+ * forgotten too soon. */
+#define WINDOW_BUCKETS (DW_RETRY_WINDOW_BUCKETS - 1)
+
+static uint64_t bucket_number(const struct dw_retry_window_options *options, uint64_t now_us)
+{
+	uint64_t span_us = options->window_us / WINDOW_BUCKETS;
+
+	return now_us / (span_us > 0 ? span_us : 1);
+}
+
+static struct dw_retry_bucket *current(struct dw_retry_window *window,
+				       const struct dw_retry_window_options *options,
+				       uint64_t now_us)
+{
+	uint64_t number = bucket_number(options, now_us);
+	struct dw_retry_bucket *bucket = &window->buckets[number % DW_RETRY_WINDOW_BUCKETS];
+
+	if (bucket->number != number)
+		*bucket = (struct dw_retry_bucket){ .number = number };
+	return bucket;
+}
+
+void dw_retry_window_request(struct dw_retry_window *window,
+			     const struct dw_retry_window_options *options, uint64_t now_us)
+{
+	current(window, options, now_us)->requests++;
+}
+
+bool dw_retry_window_has_room(const struct dw_retry_window *window,
+			      const struct dw_retry_window_options *options, uint64_t now_us)
+{
+	uint64_t newest = bucket_number(options, now_us);
+	uint64_t requests = 0;
+	uint64_t repeats = 0;
+
+	for (uint32_t i = 0; i < DW_RETRY_WINDOW_BUCKETS; i++) {
+		const struct dw_retry_bucket *bucket = &window->buckets[i];
+
+		if (bucket->number + DW_RETRY_WINDOW_BUCKETS <= newest)
+			continue;
+		repeats += bucket->repeats;
+		/* The oldest bucket may lie partly outside: its requests don't count. */
+		if (bucket->number + WINDOW_BUCKETS > newest)
+			requests += bucket->requests;
+	}
+	return (repeats + 1) * 1000 <= requests * options->ratio_permille + options->slack * 1000U;
+}
+
+bool dw_retry_window_take(struct dw_retry_window *window,
+			  const struct dw_retry_window_options *options, uint64_t now_us)
+{
+	if (!dw_retry_window_has_room(window, options, now_us))
+		return false;
+	current(window, options, now_us)->repeats++;
+	return true;
+}
--- a/src/dragonflywharfd/attempt.c
+++ b/src/dragonflywharfd/attempt.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "dragonflywharfd/event_stream.h"
+#include "net/event_stream.h"
 #include "dragonflywharfd/upstream_table.h"
 
 #define ATTEMPT_ID_BYTES 40
--- a/src/dragonflywharfd/chat_rating.c
+++ b/src/dragonflywharfd/chat_rating.c
@@ -6,7 +6,7 @@
 
 #include "dragonflywharfd/chat_request_state.h"
 #include "dragonflywharfd/peer_bus.h"
-#include "platform/rater.h"
+#include "port/rater.h"
 
 #define RATING_TIMEOUT_US (2 * DW_US_PER_S)
 #define PERMILLE 1000
--- a/src/dragonflywharfd/daemon.c
+++ b/src/dragonflywharfd/daemon.c
@@ -17,8 +17,8 @@
 #include "dragonflywharfd/roster_sync.h"
 #include "dragonflywharfd/session_sync.h"
 #include "dragonflywharfd/upstream_table.h"
-#include "platform/rater_http.h"
-#include "platform/store_etcd.h"
+#include "port/rater_http.h"
+#include "port/store_etcd.h"
 
 #define TICK_MS 20U
 #define STOP_POLL_MS 20U
--- a/src/dragonflywharfd/daemon.h
+++ b/src/dragonflywharfd/daemon.h
@@ -31,9 +31,9 @@
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "net/peer_mesh.h"
-#include "platform/instance_list.h"
-#include "platform/rater.h"
-#include "platform/store.h"
+#include "port/instance_list.h"
+#include "port/rater.h"
+#include "port/store.h"
 
 struct config_sync;
 struct roster_sync;
--- a/src/dragonflywharfd/error_reply.h
+++ b/src/dragonflywharfd/error_reply.h
@@ -5,15 +5,9 @@
 #ifndef DAEMON_ERROR_REPLY_H
 #define DAEMON_ERROR_REPLY_H
 
+#include "base/error_json.h"
 #include "dragonflywharfd/daemon.h"
 
-/** Whether a refusal may say that the request has not run. */
-enum not_run {
-	NOT_RUN_UNPROVEN, /**< it may have run */
-	NOT_RUN_PROVEN,
-	NOT_RUN_COUNT
-};
-
 /** Answers with the error @p status, whose text is @p message. */
 void error_reply(struct dw_http_exchange *exchange, enum dw_status status, enum not_run not_run,
 		 const char *message);
@@ -22,10 +16,4 @@
 void error_count_end(struct daemon *daemon, const char *request, const char *organisation,
 		     enum dw_status status, enum not_run not_run, const char *message);
 
-/** HTTP status of an error. */
-int error_http_status(enum dw_status status);
-
-/** The error as one JSON text; freed by the caller. */
-char *error_json(enum dw_status status, enum not_run not_run, const char *message);
-
 #endif
--- a/src/dragonflywharfd/metrics.c
+++ b/src/dragonflywharfd/metrics.c
@@ -6,7 +6,7 @@
 #include <sys/resource.h>
 #include <unistd.h>
 
-#include "platform/store.h"
+#include "port/store.h"
 
 #define PREFIX "dragonflywharf_"
 
--- a/src/dragonflywharfd/roster_sync.c
+++ b/src/dragonflywharfd/roster_sync.c
@@ -8,7 +8,7 @@
 
 #include "dragonflywharfd/upstream_table.h"
 #include "net/share_codec.h"
-#include "platform/instance_list_http.h"
+#include "port/instance_list_http.h"
 
 #define ROSTER_KEY "wharf/roster"
 #define CALL_TIMEOUT_US (1000 * DW_US_PER_MS)
--- a/src/dragonflywharfd/event_stream.c
+++ b/src/net/event_stream.c
@@ -1,4 +1,4 @@
-#include "dragonflywharfd/event_stream.h"
+#include "net/event_stream.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/dragonflywharfd/event_stream.h
+++ b/src/net/event_stream.h
@@ -2,8 +2,8 @@
  * @file event_stream.h
  * Splits a server-sent event stream into its events.
  */
-#ifndef DAEMON_EVENT_STREAM_H
-#define DAEMON_EVENT_STREAM_H
+#ifndef WHARF_NET_EVENT_STREAM_H
+#define WHARF_NET_EVENT_STREAM_H
 
 #include <dragonflywharf/status.h>
 
--- /dev/null
+++ b/src/net/http_forward.c
@@ -0,0 +1,33 @@
+#include "net/http_forward.h"
+
+#include <strings.h>
+
+/* RFC 9110, section 7.6.1, and the framing, which each hop sets itself. */
+static const char *const hop_by_hop[] = {
+	"Connection",	       "Keep-Alive", "Proxy-Connection", "TE",	   "Trailer",
+	"Transfer-Encoding",   "Upgrade",    "Content-Length",	 "Expect", "Proxy-Authenticate",
+	"Proxy-Authorization", NULL,
+};
+
+static bool is_listed(const char *const *names, const char *name)
+{
+	for (; names && *names; names++) {
+		if (strcasecmp(*names, name) == 0)
+			return true;
+	}
+	return false;
+}
+
+void http_forward_fields(struct bytes *out, const struct http_head *head,
+			 const char *const *dropped, const char *const *kept)
+{
+	for (size_t i = 0; i < head->field_count; i++) {
+		const struct http_field *field = &head->fields[i];
+
+		if (is_listed(hop_by_hop, field->name) || is_listed(dropped, field->name))
+			continue;
+		if (!is_listed(kept, field->name) && http_head_connection_lists(head, field->name))
+			continue;
+		bytes_printf(out, "%s: %s\r\n", field->name, field->value);
+	}
+}
--- /dev/null
+++ b/src/net/tcp_options.c
@@ -0,0 +1,29 @@
+#include "net/tcp_options.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#define KEEPALIVE_IDLE_S 1
+#define KEEPALIVE_INTERVAL_S 1
+#define KEEPALIVE_PROBES 3
+
+void tcp_options_apply(uv_tcp_t *tcp, uint32_t unanswered_timeout_ms)
+{
+	int idle_s = KEEPALIVE_IDLE_S;
+	int interval_s = KEEPALIVE_INTERVAL_S;
+	int probes = KEEPALIVE_PROBES;
+	int on = 1;
+	uv_os_fd_t fd;
+
+	uv_tcp_nodelay(tcp, 1);
+	if (uv_fileno((uv_handle_t *)tcp, &fd) != 0)
+		return;
+	/* A system that lacks one of these options goes on with its defaults. */
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s, sizeof(interval_s));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unanswered_timeout_ms,
+		   sizeof(unanswered_timeout_ms));
+}
--- a/src/platform/etcd_json.c
+++ b/src/port/etcd_json.c
@@ -1,4 +1,4 @@
-#include "platform/etcd_json.h"
+#include "port/etcd_json.h"
 
 #include <errno.h>
 #include <inttypes.h>
--- a/src/platform/etcd_json.h
+++ b/src/port/etcd_json.h
@@ -4,10 +4,10 @@
  *
  * Fields that are absent have their zero value, as in protobuf's published JSON mapping.
  */
-#ifndef WHARF_PLATFORM_ETCD_JSON_H
-#define WHARF_PLATFORM_ETCD_JSON_H
+#ifndef WHARF_PORT_ETCD_JSON_H
+#define WHARF_PORT_ETCD_JSON_H
 
-#include "platform/store.h"
+#include "port/store.h"
 
 #ifdef __cplusplus
 extern "C" {
--- a/src/platform/etcd_watch.c
+++ b/src/port/etcd_watch.c
@@ -1,9 +1,9 @@
-#include "platform/etcd_watch.h"
+#include "port/etcd_watch.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-#include "platform/etcd_json.h"
+#include "port/etcd_json.h"
 
 /** A line larger than this is malformed. */
 #define MAX_LINE_BYTES ((size_t)64 << 20)
--- a/src/platform/etcd_watch.h
+++ b/src/port/etcd_watch.h
@@ -2,11 +2,11 @@
  * @file etcd_watch.h
  * One watch on etcd's JSON gateway: a stream of lines, each a JSON message.
  */
-#ifndef WHARF_PLATFORM_ETCD_WATCH_H
-#define WHARF_PLATFORM_ETCD_WATCH_H
+#ifndef WHARF_PORT_ETCD_WATCH_H
+#define WHARF_PORT_ETCD_WATCH_H
 
 #include "net/http_client.h"
-#include "platform/store.h"
+#include "port/store.h"
 
 #ifdef __cplusplus
 extern "C" {
--- a/src/platform/instance_list.c
+++ b/src/port/instance_list.c
@@ -1,4 +1,4 @@
-#include "platform/instance_list.h"
+#include "port/instance_list.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/platform/instance_list.h
+++ b/src/port/instance_list.h
@@ -5,8 +5,8 @@
  * A read that fails, or gives an empty or malformed list, is an error and leaves the snapshot as it
  * was; it never empties it. An adapter supplies the reading (see instance_list_http.h).
  */
-#ifndef WHARF_PLATFORM_INSTANCE_LIST_H
-#define WHARF_PLATFORM_INSTANCE_LIST_H
+#ifndef WHARF_PORT_INSTANCE_LIST_H
+#define WHARF_PORT_INSTANCE_LIST_H
 
 #include <uv.h>
 
--- a/src/platform/instance_list_http.c
+++ b/src/port/instance_list_http.c
@@ -1,4 +1,4 @@
-#include "platform/instance_list_http.h"
+#include "port/instance_list_http.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/src/platform/instance_list_http.h
+++ b/src/port/instance_list_http.h
@@ -5,11 +5,11 @@
  * The answer: {"generation": n, "instances": [{"name", "ip", "port", "failure_domain", "role":
  * "entry|engine|service", "state": "live|leaving"}]}, all fields required.
  */
-#ifndef WHARF_PLATFORM_INSTANCE_LIST_HTTP_H
-#define WHARF_PLATFORM_INSTANCE_LIST_HTTP_H
+#ifndef WHARF_PORT_INSTANCE_LIST_HTTP_H
+#define WHARF_PORT_INSTANCE_LIST_HTTP_H
 
 #include "net/http_client.h"
-#include "platform/instance_list.h"
+#include "port/instance_list.h"
 
 #ifdef __cplusplus
 extern "C" {
--- a/src/platform/rater.h
+++ b/src/port/rater.h
@@ -3,8 +3,8 @@
  * Port to the platform's service that rates answers. An adapter fills a struct dw_rater_ops (see
  * rater_http.h).
  */
-#ifndef WHARF_PLATFORM_RATER_H
-#define WHARF_PLATFORM_RATER_H
+#ifndef WHARF_PORT_RATER_H
+#define WHARF_PORT_RATER_H
 
 #include <stdint.h>
 
--- a/src/platform/rater_http.c
+++ b/src/port/rater_http.c
@@ -1,4 +1,4 @@
-#include "platform/rater_http.h"
+#include "port/rater_http.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/src/platform/rater_http.h
+++ b/src/port/rater_http.h
@@ -3,11 +3,11 @@
  * Adapter of rater.h to a service that takes POST /rate {"organisation", "model", "version",
  * "prompt", "answer"} and answers {"score_permille": n}.
  */
-#ifndef WHARF_PLATFORM_RATER_HTTP_H
-#define WHARF_PLATFORM_RATER_HTTP_H
+#ifndef WHARF_PORT_RATER_HTTP_H
+#define WHARF_PORT_RATER_HTTP_H
 
 #include "net/http_client.h"
-#include "platform/rater.h"
+#include "port/rater.h"
 
 #ifdef __cplusplus
 extern "C" {
--- a/src/platform/store.c
+++ b/src/port/store.c
@@ -1,4 +1,4 @@
-#include "platform/store.h"
+#include "port/store.h"
 
 void dw_store_get(struct dw_store *store, const char *key, uint64_t deadline_us,
 		  dw_store_range_done done, void *data)
--- a/src/platform/store.h
+++ b/src/port/store.h
@@ -7,8 +7,8 @@
  * changes of the whole service and never go back, unless it was restored from a backup: every
  * result tells the service's revision so that the caller can see that.
  */
-#ifndef WHARF_PLATFORM_STORE_H
-#define WHARF_PLATFORM_STORE_H
+#ifndef WHARF_PORT_STORE_H
+#define WHARF_PORT_STORE_H
 
 #include <stdbool.h>
 #include <stddef.h>
@@ -101,6 +101,13 @@
 	/** Events in the order of their revisions, none twice and none left out. */
 	void (*on_events)(struct dw_store_watch *watch, const struct dw_store_event *events,
 			  size_t count, void *data);
+	/**
+	 * Optional. All changes made until @p proven_at_us, on this process's clock, have been
+	 * delivered: what was learnt from this watch was the newest then.
+	 */
+	void (*on_current)(struct dw_store_watch *watch, uint64_t proven_at_us, void *data);
+	/** Least time between two calls of an adapter that polls: changes gather meanwhile. */
+	uint64_t gather_us;
 	/**
 	 * The watch has ended by itself and is freed after this call. Watching again from
 	 * @p next_revision leaves no gap. DW_STALE: the service no longer has the history from
--- a/src/platform/store_etcd.c
+++ b/src/port/store_etcd.c
@@ -1,12 +1,12 @@
-#include "platform/store_etcd.h"
+#include "port/store_etcd.h"
 
 #include <stdlib.h>
 #include <stdio.h>
 #include <string.h>
 
 #include "base/clock.h"
-#include "platform/etcd_json.h"
-#include "platform/etcd_watch.h"
+#include "port/etcd_json.h"
+#include "port/etcd_watch.h"
 
 /** An answer larger than this is malformed. */
 #define MAX_ANSWER_BYTES ((size_t)64 << 20)
--- a/src/platform/store_etcd.h
+++ b/src/port/store_etcd.h
@@ -2,11 +2,11 @@
  * @file store_etcd.h
  * Adapter of store.h to etcd v3 through its published JSON gateway.
  */
-#ifndef WHARF_PLATFORM_STORE_ETCD_H
-#define WHARF_PLATFORM_STORE_ETCD_H
+#ifndef WHARF_PORT_STORE_ETCD_H
+#define WHARF_PORT_STORE_ETCD_H
 
 #include "net/http_client.h"
-#include "platform/store.h"
+#include "port/store.h"
 
 #ifdef __cplusplus
 extern "C" {
--- /dev/null
+++ b/src/wharf-gateway/attempt.c
@@ -0,0 +1,244 @@
+#include "wharf-gateway/attempt.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+
+/* What becomes of the answer being read. */
+enum answer_use {
+	ANSWER_FOREIGN, /**< it belongs to another request: skipped */
+	ANSWER_REFUSAL, /**< the engine says that it didn't run the request */
+	ANSWER_OWN
+};
+
+struct attempt {
+	struct router *router;
+	struct dw_engine *engine;
+	struct http_link *link;
+	const struct attempt_calls *calls;
+	void *owner;
+	char *attempt_id;
+	struct dw_model_speed *speed;
+	uint64_t sent_at_us;
+	uint64_t expected_us;
+	uint32_t uncached_tokens;
+	bool wants_seal;
+	bool is_started; /**< the first byte of the own answer was seen */
+	enum answer_use use;
+	enum dw_attempt_end refusal; /**< with ANSWER_REFUSAL */
+	bool is_invalid; /**< the answer can't be this request's */
+	uint16_t status;
+};
+
+static void attempt_free(struct attempt *attempt, enum dw_engine_outcome outcome)
+{
+	dw_engine_ended(attempt->engine, outcome, attempt->is_started, dw_clock_now_us());
+	free(attempt->attempt_id);
+	free(attempt);
+}
+
+void attempt_abort(struct attempt *attempt, enum dw_engine_outcome outcome)
+{
+	if (attempt->link)
+		http_link_abort(attempt->link);
+	attempt_free(attempt, outcome);
+}
+
+static void note_start(struct attempt *attempt)
+{
+	uint64_t now_us = dw_clock_now_us();
+
+	if (attempt->is_started)
+		return;
+	attempt->is_started = true;
+	dw_engine_started(attempt->engine, attempt->sent_at_us, attempt->expected_us, now_us);
+	if (attempt->speed && attempt->status < 300)
+		dw_model_speed_learn(attempt->speed, attempt->uncached_tokens,
+				     now_us - attempt->sent_at_us);
+}
+
+static void note_told(struct attempt *attempt, const struct answer_fields *fields)
+{
+	uint64_t now_us = dw_clock_now_us();
+
+	if (fields->has_load) {
+		struct dw_engine_load load = { .running = fields->running,
+					       .waiting = fields->waiting,
+					       .slots = fields->slots,
+					       .told_at_us = now_us };
+
+		dw_engine_told_load(attempt->engine, &load);
+	}
+	if (fields->cold_ms > 0)
+		dw_engine_told_cold(attempt->engine, fields->cold_ms, now_us);
+}
+
+static bool is_own(const struct attempt *attempt, const struct answer_fields *fields)
+{
+	return fields->attempt_id && strcmp(fields->attempt_id, attempt->attempt_id) == 0;
+}
+
+static bool is_valid(const struct attempt *attempt, const struct http_head *head,
+		     const struct answer_fields *fields)
+{
+	if (fields->is_encoded)
+		return false;
+	return head->status >= 300 || !attempt->wants_seal || fields->is_sealed;
+}
+
+static bool on_head(void *owner, const struct http_head *head)
+{
+	struct attempt *attempt = owner;
+	struct answer_fields fields;
+
+	answer_fields_read(head, &fields);
+	attempt->status = head->status;
+	if (fields.is_wrong_engine || fields.is_not_run) {
+		attempt->use = ANSWER_REFUSAL;
+		attempt->refusal =
+			fields.is_wrong_engine ? DW_ATTEMPT_WRONG_INSTANCE : DW_ATTEMPT_REJECTED;
+		if (fields.attempt_id && !is_own(attempt, &fields))
+			attempt->use = ANSWER_FOREIGN;
+		else
+			note_told(attempt, &fields);
+		return true;
+	}
+	if (!is_own(attempt, &fields)) {
+		attempt->use = ANSWER_FOREIGN;
+		dw_counters_add(attempt->router->counters, DW_COUNTER_CROSSED_ANSWERS, 1);
+		dw_log_event(attempt->router->log, DW_EVENT_LATE_ANSWER_DROPPED,
+			     DW_STR("request", attempt->attempt_id),
+			     DW_STR("engine", attempt->engine->entry.id),
+			     DW_STR("answers", fields.attempt_id ? fields.attempt_id : ""));
+		return true;
+	}
+	attempt->use = ANSWER_OWN;
+	note_told(attempt, &fields);
+	if (!is_valid(attempt, head, &fields)) {
+		attempt->is_invalid = true;
+		return false;
+	}
+	note_start(attempt);
+	return attempt->calls->on_head(attempt->owner, head, &fields);
+}
+
+static bool on_body(void *owner, const char *bytes, size_t len)
+{
+	struct attempt *attempt = owner;
+
+	if (attempt->use != ANSWER_OWN)
+		return true;
+	attempt->engine->last_byte_at_us = dw_clock_now_us();
+	return attempt->calls->on_body(attempt->owner, bytes, len);
+}
+
+static void finish(struct attempt *attempt, enum dw_attempt_end end, enum dw_engine_outcome outcome)
+{
+	const struct attempt_calls *calls = attempt->calls;
+	void *owner = attempt->owner;
+
+	attempt_free(attempt, outcome);
+	calls->on_over(owner, end);
+}
+
+static void on_end(void *owner)
+{
+	struct attempt *attempt = owner;
+	const struct attempt_calls *calls = attempt->calls;
+	void *exchange = attempt->owner;
+
+	switch (attempt->use) {
+	case ANSWER_FOREIGN:
+		return; /* this request's own answer is still to come on the connection */
+	case ANSWER_REFUSAL:
+		http_link_release(attempt->link);
+		finish(attempt, attempt->refusal, DW_ENGINE_REJECTED);
+		return;
+	case ANSWER_OWN:
+		http_link_release(attempt->link);
+		attempt_free(attempt,
+			     attempt->status >= 500 ? DW_ENGINE_FAILED : DW_ENGINE_ANSWERED);
+		calls->on_end(exchange);
+		return;
+	}
+}
+
+static void on_failed(void *owner, enum http_link_failure failure)
+{
+	struct attempt *attempt = owner;
+
+	attempt->link = NULL;
+	if (attempt->use == ANSWER_REFUSAL) {
+		finish(attempt, attempt->refusal, DW_ENGINE_REJECTED);
+		return;
+	}
+	switch (failure) {
+	case HTTP_LINK_NOT_CONNECTED:
+		finish(attempt, DW_ATTEMPT_NOT_SENT, DW_ENGINE_UNREACHABLE);
+		return;
+	case HTTP_LINK_NO_ANSWER:
+		finish(attempt, DW_ATTEMPT_NO_ANSWER, DW_ENGINE_SILENT);
+		return;
+	case HTTP_LINK_CUT:
+		finish(attempt, attempt->is_invalid ? DW_ATTEMPT_INVALID : DW_ATTEMPT_CUT,
+		       DW_ENGINE_FAILED);
+		return;
+	case HTTP_LINK_MALFORMED:
+	case HTTP_LINK_FAILURE_COUNT:
+		finish(attempt, DW_ATTEMPT_INVALID, DW_ENGINE_FAILED);
+		return;
+	}
+}
+
+static const struct http_link_calls link_calls = { on_head, on_body, on_end, on_failed };
+
+struct attempt *attempt_start(struct router *router, const struct attempt_options *options,
+			      const struct attempt_calls *calls, void *owner)
+{
+	struct attempt *attempt = calloc(1, sizeof(*attempt));
+	struct dw_engine *engine = options->chosen->engine;
+	struct dw_endpoint server = { .port = engine->entry.port };
+
+	if (!attempt)
+		abort();
+	memcpy(server.ip, engine->entry.ip, sizeof(server.ip));
+	attempt->router = router;
+	attempt->engine = engine;
+	attempt->calls = calls;
+	attempt->owner = owner;
+	attempt->attempt_id = strdup(options->attempt_id);
+	attempt->speed = options->speed;
+	attempt->sent_at_us = dw_clock_now_us();
+	attempt->expected_us = options->chosen->expected_us;
+	attempt->uncached_tokens = options->chosen->uncached_tokens;
+	attempt->wants_seal = options->wants_seal;
+	dw_engine_sent(engine, attempt->sent_at_us);
+	dw_counters_add(router->counters, DW_COUNTER_ATTEMPTS, 1);
+	attempt->link = http_pool_send(router->pool, &server, options->fresh, options->request,
+				       options->request_len, &link_calls, attempt);
+	if (attempt->link)
+		return attempt;
+	attempt_free(attempt, DW_ENGINE_UNREACHABLE);
+	return NULL;
+}
+
+bool attempt_is_connected(const struct attempt *attempt)
+{
+	return http_link_is_connected(attempt->link);
+}
+
+bool attempt_has_begun(const struct attempt *attempt)
+{
+	return attempt->is_started;
+}
+
+const struct dw_engine *attempt_engine(const struct attempt *attempt)
+{
+	return attempt->engine;
+}
+
+void attempt_pause(struct attempt *attempt, bool paused)
+{
+	http_link_pause(attempt->link, paused);
+}
--- /dev/null
+++ b/src/wharf-gateway/gateway.c
@@ -0,0 +1,327 @@
+#include "wharf-gateway/gateway.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "platform/answer_fields.h"
+#include "platform/metadata_store.h"
+#include "wharf-gateway/exchange.h"
+#include "wharf-gateway/store_sync.h"
+
+#define LISTEN_BACKLOG 512
+#define SWEEP_PERIOD_MS 1000
+/* How long the store holds a watch's call that has no news. */
+#define POLL_WAIT_MS 900
+/* After the signal to stop, new connections are taken until the balancer has noticed. */
+#define BALANCER_NOTICE_MS 3500
+#define STOP_LOOK_MS 100
+/* Requests that are still running at this part of the stop's time are cut. */
+#define STOP_CUT_PERMILLE 920
+
+static const struct dw_caller_limits first_limits = {
+	.max_header_bytes = 16384,
+	.max_body_bytes = 4194304,
+	.header_timeout_ms = 5000,
+	.idle_timeout_ms = 15000,
+};
+
+struct gateway {
+	uv_loop_t loop;
+	struct gateway_settings settings;
+	const char *settings_path;
+	struct dw_log log;
+	struct dw_counters counters;
+	struct view view;
+	struct router router;
+	struct dw_store *store;
+	struct store_sync sync;
+	uv_tcp_t caller_listener;
+	uv_tcp_t readiness_listener;
+	uv_tcp_t metrics_listener;
+	uv_signal_t terminate;
+	uv_signal_t interrupt;
+	uv_signal_t hang_up;
+	uv_timer_t sweep;
+	uv_timer_t stop_timer;
+	struct caller_list callers;
+	struct caller_list observers; /**< of readiness and metrics */
+	uint64_t stop_began_at_us; /**< 0: running */
+	enum gateway_exit exit;
+	bool is_listening;
+};
+
+static const struct dw_caller_limits *limits_in_force(void *owner)
+{
+	struct gateway *gateway = owner;
+
+	return gateway->view.catalog ? dw_catalog_limits(gateway->view.catalog) : &first_limits;
+}
+
+static bool is_stopping(void *owner)
+{
+	return ((struct gateway *)owner)->stop_began_at_us > 0;
+}
+
+static void *on_caller_request(void *owner, struct caller *caller,
+			       const struct caller_request *request)
+{
+	struct gateway *gateway = owner;
+
+	return exchange_start(&gateway->router, caller, request);
+}
+
+static void on_caller_left(void *request)
+{
+	exchange_caller_left(request);
+}
+
+static void on_caller_drained(void *request)
+{
+	exchange_caller_drained(request);
+}
+
+static const struct caller_calls caller_calls = {
+	.on_request = on_caller_request,
+	.on_left = on_caller_left,
+	.on_drained = on_caller_drained,
+	.limits = limits_in_force,
+	.is_stopping = is_stopping,
+};
+
+static void reply_text(struct caller *caller, int status, const char *phrase, const char *text,
+		       size_t len)
+{
+	struct bytes fields = { 0 };
+
+	bytes_put_text(&fields, "Content-Type: text/plain\r\n");
+	caller_begin(caller, status, phrase, &fields, len);
+	caller_write(caller, text, len);
+	bytes_free(&fields);
+	caller_end(caller);
+}
+
+static void *on_observer_request(void *owner, struct caller *caller,
+				 const struct caller_request *request)
+{
+	struct gateway *gateway = owner;
+	const struct http_head *head = request->head;
+	bool ready = !is_stopping(gateway) && view_is_ready(&gateway->view, dw_clock_now_us());
+	char *text;
+	size_t len;
+
+	if (is_readiness_question(head->method, head->target)) {
+		reply_text(caller, ready ? 200 : 503, ready ? "OK" : "Service Unavailable",
+			   ready ? "ready\n" : "not ready\n", ready ? 6 : 10);
+	} else if (strcmp(head->target, "/metrics") == 0) {
+		text = dw_counters_text(&gateway->counters, &len);
+		reply_text(caller, 200, "OK", text ? text : "", text ? len : 0);
+		free(text);
+	} else {
+		reply_text(caller, 404, "Not Found", "not found\n", 10);
+	}
+	return NULL;
+}
+
+static const struct caller_calls observer_calls = {
+	.on_request = on_observer_request,
+	.on_left = on_caller_left,
+	.on_drained = on_caller_drained,
+	.limits = limits_in_force,
+	.is_stopping = is_stopping,
+};
+
+static void on_caller_connection(uv_stream_t *listener, int status)
+{
+	struct gateway *gateway = listener->data;
+
+	if (status == 0)
+		caller_accept(listener, &gateway->callers, &caller_calls, gateway);
+}
+
+static void on_observer_connection(uv_stream_t *listener, int status)
+{
+	struct gateway *gateway = listener->data;
+
+	if (status == 0)
+		caller_accept(listener, &gateway->observers, &observer_calls, gateway);
+}
+
+static enum dw_status open_listener(struct gateway *gateway, uv_tcp_t *listener,
+				    const struct dw_endpoint *address,
+				    uv_connection_cb on_connection)
+{
+	struct sockaddr_in socket_address;
+	int error;
+
+	uv_tcp_init(&gateway->loop, listener);
+	listener->data = gateway;
+	uv_ip4_addr(address->ip, address->port, &socket_address);
+	error = uv_tcp_bind(listener, (const struct sockaddr *)&socket_address, 0);
+	if (error == 0)
+		error = uv_listen((uv_stream_t *)listener, LISTEN_BACKLOG, on_connection);
+	if (error == 0)
+		return DW_OK;
+	return dw_fail(DW_UNAVAILABLE, "can't listen at %s:%u: %s", address->ip, address->port,
+		       uv_strerror(error));
+}
+
+static enum dw_status open_listeners(struct gateway *gateway)
+{
+	const struct gateway_settings *settings = &gateway->settings;
+
+	if (open_listener(gateway, &gateway->readiness_listener, &settings->readiness_address,
+			  on_observer_connection) != DW_OK)
+		return DW_UNAVAILABLE;
+	if (settings->metrics_address.port != 0 &&
+	    open_listener(gateway, &gateway->metrics_listener, &settings->metrics_address,
+			  on_observer_connection) != DW_OK)
+		return DW_UNAVAILABLE;
+	return open_listener(gateway, &gateway->caller_listener, &settings->caller_address,
+			     on_caller_connection);
+}
+
+static void on_sweep(uv_timer_t *timer)
+{
+	struct gateway *gateway = timer->data;
+
+	dw_engine_set_sweep(gateway->view.engines, dw_clock_now_us());
+}
+
+static void close_caller_listener(struct gateway *gateway)
+{
+	if (!gateway->is_listening)
+		return;
+	gateway->is_listening = false;
+	uv_close((uv_handle_t *)&gateway->caller_listener, NULL);
+}
+
+static void finish(struct gateway *gateway, enum gateway_exit exit)
+{
+	gateway->exit = exit;
+	uv_stop(&gateway->loop);
+}
+
+static void on_stop_timer(uv_timer_t *timer)
+{
+	struct gateway *gateway = timer->data;
+	uint64_t since_us = dw_clock_now_us() - gateway->stop_began_at_us;
+	uint64_t limit_us = gateway->settings.stop_timeout_ms * DW_US_PER_MS;
+
+	if (since_us >= limit_us * STOP_CUT_PERMILLE / 1000) {
+		finish(gateway,
+		       gateway->router.in_progress > 0 ? GATEWAY_STOP_TIMED_OUT : GATEWAY_STOPPED);
+		return;
+	}
+	if (since_us < BALANCER_NOTICE_MS * DW_US_PER_MS)
+		return;
+	close_caller_listener(gateway);
+	if (gateway->router.in_progress > 0)
+		return;
+	caller_list_close_idle(&gateway->callers);
+	if (gateway->callers.count == 0)
+		finish(gateway, GATEWAY_STOPPED);
+}
+
+static void on_terminate(uv_signal_t *signal, int number)
+{
+	struct gateway *gateway = signal->data;
+
+	if (gateway->stop_began_at_us > 0)
+		return;
+	gateway->stop_began_at_us = dw_clock_now_us();
+	dw_log_event(&gateway->log, DW_EVENT_STOPPING, DW_INT("signal", number),
+		     DW_INT("in_progress", gateway->router.in_progress));
+	uv_timer_start(&gateway->stop_timer, on_stop_timer, STOP_LOOK_MS, STOP_LOOK_MS);
+}
+
+static void on_hang_up(uv_signal_t *signal, int number)
+{
+	struct gateway *gateway = signal->data;
+	struct gateway_settings settings;
+
+	if (gateway_settings_load(&settings, gateway->settings_path, stderr) != DW_OK) {
+		dw_log_event(&gateway->log, DW_EVENT_INPUT_REFUSED,
+			     DW_STR("key", gateway->settings_path),
+			     DW_STR("reason", dw_last_message()));
+		return;
+	}
+	gateway->settings = settings;
+	dw_log_event(&gateway->log, DW_EVENT_SETTINGS_RELOADED,
+		     DW_STR("path", gateway->settings_path));
+}
+
+static void start_signal(struct gateway *gateway, uv_signal_t *signal, uv_signal_cb callback,
+			 int number)
+{
+	uv_signal_init(&gateway->loop, signal);
+	signal->data = gateway;
+	uv_signal_start(signal, callback, number);
+}
+
+static void start_timers(struct gateway *gateway)
+{
+	uv_timer_init(&gateway->loop, &gateway->sweep);
+	gateway->sweep.data = gateway;
+	uv_timer_start(&gateway->sweep, on_sweep, SWEEP_PERIOD_MS, SWEEP_PERIOD_MS);
+	uv_timer_init(&gateway->loop, &gateway->stop_timer);
+	gateway->stop_timer.data = gateway;
+}
+
+static void start_store(struct gateway *gateway)
+{
+	struct metadata_store_options options = {
+		.loop = &gateway->loop,
+		.address = gateway->settings.store,
+		.poll_wait_ms = POLL_WAIT_MS,
+	};
+
+	gateway->store = metadata_store_new(&options);
+	store_sync_start(&gateway->sync, &gateway->loop, gateway->store, &gateway->view,
+			 router_random(&gateway->router));
+}
+
+static enum dw_status start(struct gateway *gateway)
+{
+	signal(SIGPIPE, SIG_IGN);
+	uv_loop_init(&gateway->loop);
+	view_init(&gateway->view, &gateway->settings, &gateway->log, &gateway->counters);
+	router_init(&gateway->router, &gateway->loop, &gateway->view);
+	if (open_listeners(gateway) != DW_OK)
+		return DW_UNAVAILABLE;
+	gateway->is_listening = true;
+	start_signal(gateway, &gateway->terminate, on_terminate, SIGTERM);
+	start_signal(gateway, &gateway->interrupt, on_terminate, SIGINT);
+	start_signal(gateway, &gateway->hang_up, on_hang_up, SIGHUP);
+	start_timers(gateway);
+	start_store(gateway);
+	return DW_OK;
+}
+
+enum gateway_exit gateway_run(const struct gateway_settings *settings, const char *path)
+{
+	struct gateway *gateway = calloc(1, sizeof(*gateway));
+	enum gateway_exit exit;
+
+	if (!gateway)
+		abort();
+	gateway->settings = *settings;
+	gateway->settings_path = path;
+	dw_log_init(&gateway->log, stdout, settings->instance, DW_LEVEL_INFO);
+	if (start(gateway) != DW_OK) {
+		fprintf(stderr, "wharf-gateway: %s\n", dw_last_message());
+		return GATEWAY_START_FAILED;
+	}
+	dw_log_event(&gateway->log, DW_EVENT_STARTED,
+		     DW_STR("failure_domain", settings->failure_domain),
+		     DW_STR("version", DW_VERSION));
+	uv_run(&gateway->loop, UV_RUN_DEFAULT);
+	exit = gateway->exit;
+	dw_log_event(&gateway->log, DW_EVENT_STOPPED, DW_INT("exit", exit),
+		     DW_INT("in_progress", gateway->router.in_progress));
+	/* The process ends here: the system takes back its memory and its connections. */
+	return exit;
+}
--- /dev/null
+++ b/src/wharf-gateway/router.c
@@ -0,0 +1,152 @@
+#include "wharf-gateway/router.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+#include "base/clock.h"
+
+/* Instances that may share a service's slack and a cold engine's rate, spares and unseen ones
+ * included. */
+#define INSTANCES_RECKONED 16
+#define MAX_HEAD_BYTES 32768
+#define MAX_IDLE_LINKS 16
+#define IDLE_TIMEOUT_MS 8000
+#define UNACKNOWLEDGED_TIMEOUT_MS 1500
+
+struct service_budget {
+	char *service;
+	struct dw_retry_window window;
+	UT_hash_handle hh;
+};
+
+struct model_record {
+	char *name;
+	struct dw_model_speed speed;
+	UT_hash_handle hh;
+};
+
+void router_init(struct router *router, uv_loop_t *loop, struct view *view)
+{
+	struct http_pool_options options = {
+		.loop = loop,
+		.max_idle = MAX_IDLE_LINKS,
+		.idle_timeout_ms = IDLE_TIMEOUT_MS,
+		.unanswered_timeout_ms = UNACKNOWLEDGED_TIMEOUT_MS,
+		.max_head_bytes = MAX_HEAD_BYTES,
+	};
+
+	memset(router, 0, sizeof(*router));
+	router->loop = loop;
+	router->settings = view->settings;
+	router->log = view->log;
+	router->counters = view->counters;
+	router->view = view;
+	router->pool = http_pool_new(&options);
+	uv_random(NULL, NULL, &router->random, sizeof(router->random), 0, NULL);
+}
+
+void router_close(struct router *router)
+{
+	struct service_budget *budget;
+	struct service_budget *next_budget;
+	struct model_record *model;
+	struct model_record *next_model;
+
+	HASH_ITER(hh, router->budgets, budget, next_budget) {
+		HASH_DEL(router->budgets, budget);
+		free(budget->service);
+		free(budget);
+	}
+	HASH_ITER(hh, router->models, model, next_model) {
+		HASH_DEL(router->models, model);
+		free(model->name);
+		free(model);
+	}
+	http_pool_free(router->pool);
+}
+
+uint64_t router_random(struct router *router)
+{
+	router->random =
+		router->random * UINT64_C(6364136223846793005) + UINT64_C(1442695040888963407);
+	return router->random >> 17;
+}
+
+static struct dw_retry_window_options budget_options(const struct router *router)
+{
+	uint32_t part = (uint32_t)(router->settings->retry_slack / INSTANCES_RECKONED);
+
+	return (struct dw_retry_window_options){
+		.window_us = router->settings->retry_window_ms * DW_US_PER_MS,
+		.ratio_permille = (uint32_t)router->settings->retry_ratio_permille,
+		.slack = part > 0 ? part : 1,
+	};
+}
+
+static struct dw_retry_window *window_of(struct router *router, const char *service)
+{
+	struct service_budget *budget;
+
+	HASH_FIND_STR(router->budgets, service, budget);
+	if (!budget) {
+		budget = calloc(1, sizeof(*budget));
+		if (!budget)
+			abort();
+		budget->service = strdup(service);
+		HASH_ADD_KEYPTR(hh, router->budgets, budget->service, strlen(budget->service),
+				budget);
+	}
+	return &budget->window;
+}
+
+void router_count_request(struct router *router, const char *service, uint64_t now_us)
+{
+	struct dw_retry_window_options options = budget_options(router);
+
+	dw_retry_window_request(window_of(router, service), &options, now_us);
+}
+
+bool router_may_repeat(struct router *router, const char *service, uint64_t now_us)
+{
+	struct dw_retry_window_options options = budget_options(router);
+
+	return dw_retry_window_has_room(window_of(router, service), &options, now_us);
+}
+
+void router_take_repeat(struct router *router, const char *service, uint64_t now_us)
+{
+	struct dw_retry_window_options options = budget_options(router);
+
+	dw_counters_add(router->counters, DW_COUNTER_RETRIES, 1);
+	dw_retry_window_take(window_of(router, service), &options, now_us);
+}
+
+struct dw_model_speed *router_speed(struct router *router, const char *name)
+{
+	struct model_record *model;
+
+	HASH_FIND_STR(router->models, name, model);
+	if (!model) {
+		model = calloc(1, sizeof(*model));
+		if (!model)
+			abort();
+		model->name = strdup(name);
+		HASH_ADD_KEYPTR(hh, router->models, model->name, strlen(model->name), model);
+	}
+	return &model->speed;
+}
+
+uint32_t router_cold_share(const struct router *router, const struct dw_service_rule *service)
+{
+	double most;
+	uint32_t share;
+
+	if (!service || service->cold_per_s <= 0)
+		return 0;
+	most = service->cold_per_s * (double)router->settings->cold_overshoot_permille / 1000 +
+	       (double)router->settings->cold_slack;
+	share = (uint32_t)(most / INSTANCES_RECKONED);
+	return share > 0 ? share : 1;
+}
--- /dev/null
+++ b/src/wharf-gateway/router.h
@@ -0,0 +1,46 @@
+/**
+ * @file router.h
+ * What all requests of this instance share when they look for an engine: the view, the connections
+ * to engines, the retry budgets and the speeds learnt of models.
+ */
+#ifndef GATEWAY_ROUTER_H
+#define GATEWAY_ROUTER_H
+
+#include <dragonflywharf/retry_window.h>
+
+#include "net/http_link.h"
+#include "wharf-gateway/view.h"
+
+struct service_budget;
+struct model_record;
+
+struct router {
+	uv_loop_t *loop;
+	const struct gateway_settings *settings;
+	struct dw_log *log;
+	struct dw_counters *counters;
+	struct view *view;
+	struct http_pool *pool;
+	struct service_budget *budgets; /**< by service */
+	struct model_record *models; /**< by name */
+	uint64_t random;
+	uint32_t in_progress; /**< requests */
+};
+
+void router_init(struct router *router, uv_loop_t *loop, struct view *view);
+void router_close(struct router *router);
+
+uint64_t router_random(struct router *router);
+
+/** A caller's request for a service, for its retry budget. */
+void router_count_request(struct router *router, const char *service, uint64_t now_us);
+bool router_may_repeat(struct router *router, const char *service, uint64_t now_us);
+void router_take_repeat(struct router *router, const char *service, uint64_t now_us);
+
+/** Speed learnt of a model; valid until the router closes. */
+struct dw_model_speed *router_speed(struct router *router, const char *model);
+
+/** Requests a second that this instance may send to a cold engine of the service; 0: no limit. */
+uint32_t router_cold_share(const struct router *router, const struct dw_service_rule *service);
+
+#endif
--- /dev/null
+++ b/src/wharf-gateway/store_sync.c
@@ -0,0 +1,141 @@
+#include "wharf-gateway/store_sync.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+
+/* Changes gather this long between two calls of the watch: well within each bound of time. */
+#define GATHER_US (400 * DW_US_PER_MS)
+#define READ_TIMEOUT_FIRST_US (700 * DW_US_PER_MS)
+#define READ_TIMEOUT_MOST_US (4 * DW_US_PER_S)
+#define RETRY_FIRST_MS 60
+#define RETRY_MOST_MS 800
+
+static void sync_begin(struct store_sync *sync);
+
+static void on_retry(uv_timer_t *timer)
+{
+	sync_begin(timer->data);
+}
+
+static uint64_t next_random(struct store_sync *sync)
+{
+	sync->random = sync->random * UINT64_C(6364136223846793005) + UINT64_C(1442695040888963407);
+	return sync->random >> 33;
+}
+
+static void retry_later(struct store_sync *sync, enum dw_status reason)
+{
+	uint32_t doublings = sync->failures < 4 ? sync->failures : 4;
+	uint64_t pause_ms = RETRY_FIRST_MS << doublings;
+
+	if (sync->is_stopped)
+		return;
+	if (pause_ms > RETRY_MOST_MS)
+		pause_ms = RETRY_MOST_MS;
+	sync->failures++;
+	view_store_lost(sync->view, dw_status_name(reason), dw_clock_now_us());
+	/* From half of the pause to the whole one, so that instances don't come back together. */
+	uv_timer_start(&sync->retry, on_retry,
+		       pause_ms / 2 + next_random(sync) % (pause_ms / 2 + 1), 0);
+}
+
+static void on_events(struct dw_store_watch *watch, const struct dw_store_event *events,
+		      size_t count, void *data)
+{
+	struct store_sync *sync = data;
+
+	for (size_t i = 0; i < count; i++)
+		view_apply(sync->view, &events[i], dw_clock_now_us());
+}
+
+static void on_current(struct dw_store_watch *watch, uint64_t proven_at_us, void *data)
+{
+	struct store_sync *sync = data;
+
+	sync->failures = 0;
+	view_proven(sync->view, proven_at_us, dw_clock_now_us());
+}
+
+static void on_broken(struct dw_store_watch *watch, enum dw_status status, uint64_t next_revision,
+		      void *data)
+{
+	struct store_sync *sync = data;
+
+	sync->watch = NULL;
+	sync->next_revision = status == DW_STALE ? 0 : next_revision;
+	retry_later(sync, status);
+}
+
+static void watch_start(struct store_sync *sync)
+{
+	struct dw_store_watch_options options = {
+		.prefix = "",
+		.from_revision = sync->next_revision,
+		.deadline_us = UINT64_MAX,
+		.on_events = on_events,
+		.on_current = on_current,
+		.gather_us = GATHER_US,
+		.on_broken = on_broken,
+		.data = sync,
+	};
+
+	sync->watch = dw_store_watch(sync->store, &options);
+}
+
+static void on_all_read(const struct dw_store_range_result *result, void *data)
+{
+	struct store_sync *sync = data;
+	uint64_t now_us = dw_clock_now_us();
+
+	if (sync->is_stopped)
+		return;
+	if (result->status != DW_OK) {
+		retry_later(sync, result->status);
+		return;
+	}
+	view_apply_all(sync->view, result->entries, result->count, result->revision, now_us);
+	view_proven(sync->view, sync->asked_at_us, now_us);
+	sync->failures = 0;
+	sync->next_revision = result->revision + 1;
+	watch_start(sync);
+}
+
+static uint64_t read_timeout_us(const struct store_sync *sync)
+{
+	uint64_t timeout_us = READ_TIMEOUT_FIRST_US << (sync->failures < 4 ? sync->failures : 4);
+
+	return timeout_us < READ_TIMEOUT_MOST_US ? timeout_us : READ_TIMEOUT_MOST_US;
+}
+
+static void sync_begin(struct store_sync *sync)
+{
+	sync->asked_at_us = dw_clock_now_us();
+	if (sync->next_revision > 0)
+		watch_start(sync);
+	else
+		dw_store_range(sync->store, "", 0, sync->asked_at_us + read_timeout_us(sync),
+			       on_all_read, sync);
+}
+
+void store_sync_start(struct store_sync *sync, uv_loop_t *loop, struct dw_store *store,
+		      struct view *view, uint64_t seed)
+{
+	memset(sync, 0, sizeof(*sync));
+	sync->loop = loop;
+	sync->store = store;
+	sync->view = view;
+	sync->random = seed;
+	uv_timer_init(loop, &sync->retry);
+	sync->retry.data = sync;
+	sync_begin(sync);
+}
+
+void store_sync_stop(struct store_sync *sync)
+{
+	sync->is_stopped = true;
+	if (sync->watch)
+		dw_store_watch_cancel(sync->store, sync->watch);
+	sync->watch = NULL;
+	uv_close((uv_handle_t *)&sync->retry, NULL);
+}
--- /dev/null
+++ b/src/wharf-gateway/view.c
@@ -0,0 +1,271 @@
+#include "wharf-gateway/view.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+#include "base/clock.h"
+#include "platform/records.h"
+
+/* An entry that lapsed while the store was away is back this long after its return, if its engine
+ * lives. */
+#define LAPSED_BACK_US (2 * DW_US_PER_S + 200 * DW_US_PER_MS)
+
+/* Keyed requests stop at this part of the time within which a revoked key must be refused. */
+#define FRESH_PERMILLE 700
+
+struct known_record {
+	char *key;
+	uint64_t revision;
+	bool deleted;
+	UT_hash_handle hh;
+};
+
+void view_init(struct view *view, const struct gateway_settings *settings, struct dw_log *log,
+	       struct dw_counters *counters)
+{
+	memset(view, 0, sizeof(*view));
+	view->settings = settings;
+	view->log = log;
+	view->counters = counters;
+	view->engines = dw_engine_set_new();
+}
+
+void view_close(struct view *view)
+{
+	struct known_record *record;
+	struct known_record *next;
+
+	HASH_ITER(hh, view->records, record, next) {
+		HASH_DEL(view->records, record);
+		free(record->key);
+		free(record);
+	}
+	dw_engine_set_free(view->engines);
+	dw_catalog_release(view->catalog);
+}
+
+static struct known_record *find_record(struct view *view, const char *key)
+{
+	struct known_record *record;
+
+	HASH_FIND_STR(view->records, key, record);
+	return record;
+}
+
+/* Notes the revision of a key; false if the news is old. */
+static bool note_revision(struct view *view, const char *key, uint64_t revision, bool deleted)
+{
+	struct known_record *record = find_record(view, key);
+
+	if (record && revision <= record->revision)
+		return false;
+	if (!record) {
+		record = calloc(1, sizeof(*record));
+		if (!record)
+			abort();
+		record->key = strdup(key);
+		HASH_ADD_KEYPTR(hh, view->records, record->key, strlen(record->key), record);
+	}
+	record->revision = revision;
+	record->deleted = deleted;
+	return true;
+}
+
+static void refuse_record(struct view *view, const char *key)
+{
+	dw_counters_add(view->counters, DW_COUNTER_BAD_INPUTS, 1);
+	dw_log_event(view->log, DW_EVENT_INPUT_REFUSED, DW_STR("key", key),
+		     DW_STR("reason", dw_last_message()));
+}
+
+static void apply_config(struct view *view, const struct dw_store_entry *entry)
+{
+	struct dw_catalog *catalog;
+
+	if (record_read_config(entry->value, entry->value_len, &catalog) != DW_OK) {
+		dw_counters_add(view->counters, DW_COUNTER_CONFIG_REFUSED, 1);
+		refuse_record(view, entry->key);
+		return;
+	}
+	if (view->catalog && dw_catalog_version(catalog) < dw_catalog_version(view->catalog)) {
+		dw_counters_add(view->counters, DW_COUNTER_CONFIG_REFUSED, 1);
+		dw_log_event(view->log, DW_EVENT_CONFIG_REFUSED,
+			     DW_INT("version", dw_catalog_version(catalog)),
+			     DW_INT("in_force", dw_catalog_version(view->catalog)),
+			     DW_STR("reason", "older than the version in force"));
+		dw_catalog_release(catalog);
+		return;
+	}
+	dw_catalog_release(view->catalog);
+	view->catalog = catalog;
+	dw_counters_add(view->counters, DW_COUNTER_CONFIG_APPLIED, 1);
+	dw_log_event(view->log, DW_EVENT_CONFIG_APPLIED,
+		     DW_INT("version", dw_catalog_version(catalog)),
+		     DW_INT("revision", entry->mod_revision),
+		     DW_INT("routes", dw_catalog_route_count(catalog)));
+}
+
+static void log_engine(struct view *view, const struct dw_engine *engine, const char *change)
+{
+	dw_log_event(view->log, DW_EVENT_ENGINE_CHANGED, DW_STR("engine", engine->entry.id),
+		     DW_STR("service", engine->entry.service),
+		     DW_STR("failure_domain", engine->entry.failure_domain),
+		     DW_STR("version", engine->entry.version),
+		     DW_STR("state", dw_engine_state_name(engine->state)),
+		     DW_STR("change", change));
+}
+
+static void apply_engine(struct view *view, const char *id, const struct dw_store_entry *record,
+			 uint64_t now_us)
+{
+	static const char *const changes[DW_ENGINE_CHANGE_COUNT] = {
+		[DW_ENGINE_UNCHANGED] = "none",
+		[DW_ENGINE_ADDED] = "added",
+		[DW_ENGINE_RESTARTED] = "restarted",
+		[DW_ENGINE_STATE_CHANGED] = "state",
+	};
+	struct dw_engine_entry entry;
+	enum dw_engine_change change;
+
+	if (record_read_engine(id, record->value, record->value_len, &entry) != DW_OK) {
+		refuse_record(view, record->key);
+		return;
+	}
+	change = dw_engine_set_put(view->engines, &entry, now_us);
+	if (change != DW_ENGINE_UNCHANGED)
+		log_engine(view, dw_engine_set_find(view->engines, id), changes[change]);
+}
+
+static void remove_engine(struct view *view, const char *id, uint64_t now_us)
+{
+	uint64_t usable_until_us =
+		view->store_back_at_us > 0 ? view->store_back_at_us + LAPSED_BACK_US : 0;
+	struct dw_engine *engine = dw_engine_set_remove(view->engines, id, usable_until_us, now_us);
+
+	if (engine)
+		log_engine(view, engine, "removed");
+}
+
+static void set_evacuated(struct view *view, const char *domain, bool evacuated)
+{
+	struct dw_domain_list *list = &view->evacuated;
+	uint32_t at = 0;
+
+	while (at < list->count && strcmp(list->names[at], domain) != 0)
+		at++;
+	if (evacuated == (at < list->count) || strlen(domain) >= DW_ENGINE_TEXT_BYTES)
+		return;
+	if (!evacuated) {
+		list->count--;
+		memmove(list->names[at], list->names[list->count], sizeof(list->names[at]));
+	} else if (list->count < DW_CHOICE_DOMAINS_MAX) {
+		memcpy(list->names[list->count++], domain, strlen(domain) + 1);
+	}
+	dw_log_event(view->log, DW_EVENT_DOMAIN_EVACUATED, DW_STR("failure_domain", domain),
+		     DW_INT("evacuated", evacuated));
+}
+
+static void apply_record(struct view *view, const struct dw_store_event *event, uint64_t now_us)
+{
+	const struct dw_store_entry *entry = &event->entry;
+	const char *name;
+
+	switch (record_kind_of(entry->key, &name)) {
+	case RECORD_CONFIG:
+		if (!event->deleted)
+			apply_config(view, entry);
+		break;
+	case RECORD_ENGINE:
+		if (event->deleted)
+			remove_engine(view, name, now_us);
+		else
+			apply_engine(view, name, entry, now_us);
+		break;
+	case RECORD_EVACUATION:
+		set_evacuated(view, name, !event->deleted);
+		break;
+	case RECORD_ROLLOUT_ORDER:
+	case RECORD_ROLLOUT_STATUS:
+	case RECORD_UNKNOWN:
+	case RECORD_KIND_COUNT:
+		break;
+	}
+}
+
+void view_apply(struct view *view, const struct dw_store_event *event, uint64_t now_us)
+{
+	if (note_revision(view, event->entry.key, event->entry.mod_revision, event->deleted))
+		apply_record(view, event, now_us);
+}
+
+static bool is_listed(const struct dw_store_entry *entries, size_t count, const char *key)
+{
+	for (size_t i = 0; i < count; i++) {
+		if (strcmp(entries[i].key, key) == 0)
+			return true;
+	}
+	return false;
+}
+
+void view_apply_all(struct view *view, const struct dw_store_entry *entries, size_t count,
+		    uint64_t revision, uint64_t now_us)
+{
+	struct known_record *record;
+	struct known_record *next;
+
+	for (size_t i = 0; i < count; i++) {
+		struct dw_store_event event = { .entry = entries[i] };
+
+		view_apply(view, &event, now_us);
+	}
+	HASH_ITER(hh, view->records, record, next) {
+		struct dw_store_event event = { .deleted = true };
+
+		if (record->deleted || record->revision > revision ||
+		    is_listed(entries, count, record->key))
+			continue;
+		event.entry.key = record->key;
+		event.entry.mod_revision = revision;
+		record->revision = revision;
+		record->deleted = true;
+		apply_record(view, &event, now_us);
+	}
+}
+
+void view_proven(struct view *view, uint64_t proven_at_us, uint64_t now_us)
+{
+	if (proven_at_us > view->proven_at_us)
+		view->proven_at_us = proven_at_us;
+	if (view->is_store_reached)
+		return;
+	view->is_store_reached = true;
+	view->store_back_at_us = now_us;
+	dw_log_event(view->log, DW_EVENT_STORE_BACK,
+		     DW_INT("age_ms", (now_us - view->proven_at_us) / DW_US_PER_MS));
+}
+
+void view_store_lost(struct view *view, const char *reason, uint64_t now_us)
+{
+	dw_counters_add(view->counters, DW_COUNTER_STORE_FAILURES, 1);
+	if (!view->is_store_reached)
+		return;
+	view->is_store_reached = false;
+	dw_log_event(view->log, DW_EVENT_STORE_LOST, DW_STR("reason", reason),
+		     DW_INT("age_ms", (now_us - view->proven_at_us) / DW_US_PER_MS));
+}
+
+bool view_is_fresh(const struct view *view, uint64_t now_us)
+{
+	uint64_t limit_us = view->settings->revocation_ms * DW_US_PER_MS * FRESH_PERMILLE / 1000;
+
+	if (!view->settings->keys_fail_closed)
+		return true;
+	return view->proven_at_us > 0 && now_us < view->proven_at_us + limit_us;
+}
+
+bool view_is_ready(const struct view *view, uint64_t now_us)
+{
+	return view->catalog && view_is_fresh(view, now_us);
+}
--- a/tests/fuzz/fuzz_platform_answer.c
+++ b/tests/fuzz/fuzz_platform_answer.c
@@ -1,8 +1,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "platform/etcd_json.h"
-#include "platform/instance_list_http.h"
+#include "port/etcd_json.h"
+#include "port/instance_list_http.h"
 
 #define ETCD_PARSER_COUNT 5
 
--- a/tests/instance_list_test.cc
+++ b/tests/instance_list_test.cc
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "base/clock.h"
-#include "platform/instance_list_http.h"
+#include "port/instance_list_http.h"
 #include "support/http.h"
 #include "support/process.h"
 
--- a/tests/rater_test.cc
+++ b/tests/rater_test.cc
@@ -2,7 +2,7 @@
 #include <gtest/gtest.h>
 
 #include "base/clock.h"
-#include "platform/rater_http.h"
+#include "port/rater_http.h"
 #include "support/http.h"
 #include "support/process.h"
 
--- a/tests/store_etcd_test.cc
+++ b/tests/store_etcd_test.cc
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "base/clock.h"
-#include "platform/store_etcd.h"
+#include "port/store_etcd.h"
 #include "support/http.h"
 #include "support/process.h"
 
