Gateway: models asked by their confidence, versions shifted on pooled evidence

Change: the smallest model answers first where that is cheaper; an answer whose confidence says that it is poor is dropped before the caller has any of it. Version shifts follow one plan in all instances, with evidence and outcome in the store; sessions stay pinned.

--- a/include/dragonflywharf/retry_window.h
+++ b/include/dragonflywharf/retry_window.h
@@ -43,8 +43,8 @@
 bool dw_retry_window_take(struct dw_retry_window *window,
 			  const struct dw_retry_window_options *options, uint64_t now_us);
 
-/** Whether dw_retry_window_take() would succeed. */
-bool dw_retry_window_has_room(const struct dw_retry_window *window,
+/** How many repeats the window has room for. */
+uint32_t dw_retry_window_room(const struct dw_retry_window *window,
 			      const struct dw_retry_window_options *options, uint64_t now_us);
 
 #ifdef __cplusplus
--- a/src/core/retry_window.c
+++ b/src/core/retry_window.c
@@ -29,12 +29,13 @@
 	current(window, options, now_us)->requests++;
 }
 
-bool dw_retry_window_has_room(const struct dw_retry_window *window,
+uint32_t dw_retry_window_room(const struct dw_retry_window *window,
 			      const struct dw_retry_window_options *options, uint64_t now_us)
 {
 	uint64_t newest = bucket_number(options, now_us);
 	uint64_t requests = 0;
 	uint64_t repeats = 0;
+	uint64_t allowed;
 
 	for (uint32_t i = 0; i < DW_RETRY_WINDOW_BUCKETS; i++) {
 		const struct dw_retry_bucket *bucket = &window->buckets[i];
@@ -46,13 +47,14 @@
 		if (bucket->number + WINDOW_BUCKETS > newest)
 			requests += bucket->requests;
 	}
-	return (repeats + 1) * 1000 <= requests * options->ratio_permille + options->slack * 1000U;
+	allowed = (requests * options->ratio_permille + options->slack * UINT64_C(1000)) / 1000;
+	return allowed > repeats ? (uint32_t)(allowed - repeats) : 0;
 }
 
 bool dw_retry_window_take(struct dw_retry_window *window,
 			  const struct dw_retry_window_options *options, uint64_t now_us)
 {
-	if (!dw_retry_window_has_room(window, options, now_us))
+	if (dw_retry_window_room(window, options, now_us) == 0)
 		return false;
 	current(window, options, now_us)->repeats++;
 	return true;
--- /dev/null
+++ b/src/core/session_pins.c
@@ -0,0 +1,87 @@
+#include <dragonflywharf/session_pins.h>
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+#include <dragonflywharf/engine.h>
+#include <dragonflywharf/fingerprint.h>
+
+struct pin {
+	struct dw_fingerprint session; /**< of service and session */
+	char version[DW_ENGINE_TEXT_BYTES];
+	uint64_t used_at_us;
+	UT_hash_handle hh;
+};
+
+struct dw_session_pins {
+	struct pin *pins;
+};
+
+struct dw_session_pins *dw_session_pins_new(void)
+{
+	struct dw_session_pins *pins = calloc(1, sizeof(*pins));
+
+	if (!pins)
+		abort();
+	return pins;
+}
+
+void dw_session_pins_sweep(struct dw_session_pins *pins, uint64_t since_us)
+{
+	struct pin *pin;
+	struct pin *next;
+
+	HASH_ITER(hh, pins->pins, pin, next) {
+		if (pin->used_at_us >= since_us)
+			continue;
+		HASH_DEL(pins->pins, pin);
+		free(pin);
+	}
+}
+
+void dw_session_pins_free(struct dw_session_pins *pins)
+{
+	dw_session_pins_sweep(pins, UINT64_MAX);
+	free(pins);
+}
+
+static struct pin *find(const struct dw_session_pins *pins, const char *service,
+			const char *session)
+{
+	struct dw_fingerprint key = dw_fingerprint_texts(service, session);
+	struct pin *pin;
+
+	HASH_FIND(hh, pins->pins, &key, sizeof(key), pin);
+	return pin;
+}
+
+void dw_session_pins_use(struct dw_session_pins *pins, const char *service, const char *session,
+			 const char *version, uint64_t now_us)
+{
+	struct pin *pin = find(pins, service, session);
+
+	if (!pin) {
+		pin = calloc(1, sizeof(*pin));
+		if (!pin)
+			abort();
+		pin->session = dw_fingerprint_texts(service, session);
+		HASH_ADD(hh, pins->pins, session, sizeof(pin->session), pin);
+	}
+	strncpy(pin->version, version, sizeof(pin->version) - 1);
+	pin->used_at_us = now_us;
+}
+
+const char *dw_session_pins_find(const struct dw_session_pins *pins, const char *service,
+				 const char *session, uint64_t since_us)
+{
+	const struct pin *pin = find(pins, service, session);
+
+	return pin && pin->used_at_us >= since_us ? pin->version : NULL;
+}
+
+size_t dw_session_pins_count(const struct dw_session_pins *pins)
+{
+	return HASH_COUNT(pins->pins);
+}
--- a/src/wharf-gateway/exchange.c
+++ b/src/wharf-gateway/exchange.c
@@ -22,8 +22,16 @@
 #define SILENT_PLAIN_US (700 * DW_US_PER_MS)
 #define SILENT_STREAM_US (1500 * DW_US_PER_MS)
 #define SILENT_EXPECTED_FACTOR 3
-/* A resumable stream goes on elsewhere after such a pause. */
-#define SILENT_GAP_US (1300 * DW_US_PER_MS)
+/* A resumable stream goes on elsewhere after such a pause; while its engine is heard on other
+ * connections, only after the longer one. */
+#define SILENT_GAP_US (1800 * DW_US_PER_MS)
+#define SILENT_MOST_US (4 * DW_US_PER_S)
+#define SILENT_STEP_US (300 * DW_US_PER_MS)
+/* An answer counts against its version when it begins this much later than expected. */
+#define SLOW_FACTOR 3
+#define SLOW_SLACK_US (250 * DW_US_PER_MS)
+/* Repeats that a better answer leaves to requests that fail. */
+#define REPEATS_RESERVED 3
 /* How long a request waits for a cold engine's rate, and how often it looks. */
 #define WAIT_FOR_RATE_US (250 * DW_US_PER_MS)
 #define WAIT_STEP_US (50 * DW_US_PER_MS)
@@ -47,11 +55,17 @@
 	const char *service_name;
 	struct dw_request_policy policy;
 	const char *model; /**< that the gateway chose; NULL: the caller's */
+	uint32_t rung; /**< of the route's models, with model */
+	char version[DW_ENGINE_TEXT_BYTES]; /**< of the attempt's engine */
+	uint64_t sent_at_us; /**< the attempt */
+	uint64_t expected_us; /**< until its answer's first byte */
+	uint64_t begun_at_us; /**< its answer; 0: not yet */
 	char tried[DW_CHOICE_TRIED_MAX][DW_ENGINE_TEXT_BYTES];
 	uint32_t tried_count;
 	uint32_t sends;
 	struct attempt *attempt;
 	uint64_t connect_due_us; /**< the attempt's connection must stand by then */
+	uint64_t silent_since_us;
 	uint64_t silence_due_us; /**< the attempt is given up then unless it answers; 0: never */
 	uint64_t rate_due_us; /**< waiting for a cold engine's rate until then; 0: not waiting */
 	uint64_t first_byte_at_us;
@@ -109,7 +123,8 @@
 		DW_INT("config", dw_catalog_version(exchange->catalog)),
 		DW_INT("config_age_ms",
 		       (now_us - exchange->router->view->proven_at_us) / DW_US_PER_MS),
-		DW_INT("sends", exchange->sends), DW_INT("status", status),
+		DW_INT("sends", exchange->sends), DW_INT("confidence", exchange->answer.confidence),
+		DW_INT("status", status),
 		DW_INT("first_ms", first_us > 0 ? (first_us - arrived_us) / DW_US_PER_MS : 0),
 		DW_INT("total_ms", (now_us - arrived_us) / DW_US_PER_MS), DW_STR("reason", reason));
 }
@@ -246,6 +261,17 @@
 		       0);
 }
 
+/* Whether the silence is due, but the engine answers other requests of this instance. */
+static bool is_heard_elsewhere(const struct exchange *exchange, uint64_t now_us)
+{
+	const struct dw_engine *engine = attempt_engine(exchange->attempt);
+
+	return attempt_is_connected(exchange->attempt) && exchange->silence_due_us > 0 &&
+	       now_us >= exchange->silence_due_us &&
+	       now_us < exchange->silent_since_us + SILENT_MOST_US &&
+	       engine->last_byte_at_us + SILENT_GAP_US / 2 > now_us;
+}
+
 static void on_timer(uv_timer_t *timer)
 {
 	struct exchange *exchange = timer->data;
@@ -258,6 +284,9 @@
 								 : DW_ENGINE_SILENT);
 		exchange->attempt = NULL;
 		give_up(exchange, "the time limit has passed");
+	} else if (exchange->attempt && is_heard_elsewhere(exchange, now_us)) {
+		exchange->silence_due_us = now_us + SILENT_STEP_US;
+		set_timer(exchange);
 	} else if (exchange->attempt && now_us >= attempt_due_us(exchange)) {
 		enum dw_attempt_end end = attempt_is_connected(exchange->attempt)
 						  ? DW_ATTEMPT_NO_ANSWER
@@ -304,14 +333,72 @@
 	caller_write(exchange->caller, raw, raw_len);
 }
 
-/* When the attempt is given up unless something more comes of it; 0: it is waited for. */
-static uint64_t silence_limit_us(const struct exchange *exchange, uint64_t limit_us)
+/* Something came of the attempt: it is given up unless more does within @p limit_us. */
+static void expect_more(struct exchange *exchange, uint64_t limit_us)
+{
+	exchange->silent_since_us = dw_clock_now_us();
+	if (!exchange->policy.is_idempotent || exchange->policy.runs >= exchange->policy.max_runs)
+		exchange->silence_due_us = 0;
+	else
+		exchange->silence_due_us = exchange->silent_since_us + limit_us;
+}
+
+/* An attempt has ended with an answer or a failure that tells of its engine's version. */
+static void count_for_version(struct exchange *exchange, bool failed)
 {
+	uint64_t limit_us = SLOW_FACTOR * exchange->expected_us + SLOW_SLACK_US;
+	bool slow = exchange->begun_at_us > exchange->sent_at_us + limit_us;
+
+	shifts_count_answer(&exchange->router->view->shifts, exchange->service_name,
+			    exchange->version, failed || slow, dw_clock_now_us());
+}
+
+static void describe_choice(struct exchange *exchange, struct dw_choice *choice, uint64_t now_us);
+static enum dw_choice_result choose_engine(struct exchange *exchange, struct dw_choice *choice,
+					   struct dw_chosen *chosen);
+
+/* Whether a smaller model's answer is dropped, and the largest one asked instead. */
+static bool wants_larger_model(struct exchange *exchange, const struct answer_fields *fields)
+{
+	const struct dw_route_rule *route = exchange->route;
+	struct router *router = exchange->router;
 	uint64_t now_us = dw_clock_now_us();
+	struct dw_ladder_situation situation = {
+		.now_us = now_us,
+		.target_at_us =
+			exchange->request.arrived_at_us + route->target_latency_ms * DW_US_PER_MS,
+		.deadline_us = exchange->policy.deadline_us,
+		.target_permille = (uint32_t)router->settings->quality_target_permille,
+	};
+	struct dw_choice choice;
+	struct dw_chosen chosen;
 
-	if (!exchange->policy.is_idempotent || exchange->policy.runs >= exchange->policy.max_runs)
-		return 0;
-	return now_us + limit_us;
+	if (!exchange->model || !fields->has_confidence)
+		return false;
+	dw_ladder_learn(router_ladder(router, route->name), exchange->rung, fields->confidence,
+			situation.target_permille);
+	if (exchange->rung + 1 >= route->model_count || exchange->policy.is_begun ||
+	    !dw_request_policy_may_send(&exchange->policy, now_us) ||
+	    router_repeats_left(router, exchange->service_name, now_us) < REPEATS_RESERVED)
+		return false;
+	describe_choice(exchange, &choice, now_us);
+	choice.model = route->models[route->model_count - 1];
+	choice.speed = router_speed(router, choice.model);
+	choice.tried_count = 0;
+	if (choose_engine(exchange, &choice, &chosen) != DW_CHOICE_FOUND)
+		return false;
+	situation.largest_expected_us = chosen.expected_us;
+	return !dw_ladder_keeps(&situation, fields->confidence);
+}
+
+static void ask_larger_model(struct exchange *exchange)
+{
+	attempt_abort(exchange->attempt, DW_ENGINE_LEFT);
+	exchange->attempt = NULL;
+	exchange->rung = exchange->route->model_count - 1;
+	exchange->model = exchange->route->models[exchange->rung];
+	exchange->tried_count = 0;
+	after_attempt(exchange, DW_ATTEMPT_DROPPED);
 }
 
 static bool on_answer_head(void *owner, const struct http_head *head,
@@ -320,6 +407,7 @@
 	struct exchange *exchange = owner;
 	bool is_stream = exchange->route->kind == DW_ROUTE_STREAM && head->status < 300;
 
+	exchange->begun_at_us = dw_clock_now_us();
 	if (exchange->policy.is_begun)
 		return is_stream; /* a stream that goes on keeps the head of its first engine */
 	exchange->answer.status = head->status;
@@ -328,7 +416,11 @@
 	exchange->answer.fields.len = 0;
 	exchange->held.len = 0;
 	answer_fields_forward(&exchange->answer.fields, head);
-	exchange->silence_due_us = silence_limit_us(exchange, SILENT_GAP_US);
+	if (is_stream && wants_larger_model(exchange, fields)) {
+		ask_larger_model(exchange);
+		return false;
+	}
+	expect_more(exchange, SILENT_GAP_US);
 	set_timer(exchange);
 	return true;
 }
@@ -344,7 +436,7 @@
 	if (event_stream_feed(&exchange->events, bytes, len, on_event, exchange) != DW_OK ||
 	    exchange->is_out_of_order)
 		return false;
-	exchange->silence_due_us = silence_limit_us(exchange, SILENT_GAP_US);
+	expect_more(exchange, SILENT_GAP_US);
 	if (caller_is_congested(exchange->caller))
 		attempt_pause(exchange->attempt, true);
 	return true;
@@ -365,6 +457,7 @@
 		after_attempt(exchange, DW_ATTEMPT_CUT);
 		return;
 	}
+	count_for_version(exchange, false);
 	if (exchange->first_byte_at_us == 0)
 		exchange->first_byte_at_us = dw_clock_now_us();
 	pass_on_whole(exchange);
@@ -381,25 +474,36 @@
 static const struct attempt_calls attempt_calls = { on_answer_head, on_answer_body, on_answer_end,
 						    on_attempt_over };
 
+static bool is_failure_of_engine(enum dw_attempt_end end)
+{
+	return end == DW_ATTEMPT_NO_ANSWER || end == DW_ATTEMPT_CUT || end == DW_ATTEMPT_INVALID ||
+	       end == DW_ATTEMPT_SERVER_ERROR;
+}
+
 static void after_attempt(struct exchange *exchange, enum dw_attempt_end end)
 {
 	uint64_t now_us = dw_clock_now_us();
-	bool may_retry = router_may_repeat(exchange->router, exchange->service_name, now_us);
+	bool may_retry = router_repeats_left(exchange->router, exchange->service_name, now_us) > 0;
 	enum dw_policy_verdict verdict =
 		dw_request_policy_ended(&exchange->policy, end, may_retry, now_us);
 
+	if (is_failure_of_engine(end))
+		count_for_version(exchange, true);
+
 	event_stream_clear(&exchange->events);
 	exchange->is_out_of_order = false;
 	dw_counters_add(exchange->router->counters, DW_COUNTER_ATTEMPTS_FAILED, 1);
 	if (!may_retry)
 		dw_counters_add(exchange->router->counters, DW_COUNTER_RETRIES_DENIED, 1);
-	dw_log_event(exchange->router->log, DW_EVENT_ATTEMPT_FAILED,
-		     DW_STR("request", exchange->fields.attempt_id),
-		     DW_STR("engine", exchange->tried[exchange->tried_count - 1]),
-		     DW_STR("end", dw_attempt_end_name(end)),
-		     DW_INT("status", exchange->answer.status),
-		     DW_STR("verdict", dw_policy_verdict_name(verdict)),
-		     DW_INT("may_retry", may_retry), DW_INT("runs", exchange->policy.runs));
+	dw_log_event(
+		exchange->router->log, DW_EVENT_ATTEMPT_FAILED,
+		DW_STR("request", exchange->fields.attempt_id),
+		DW_STR("engine",
+		       exchange->tried_count > 0 ? exchange->tried[exchange->tried_count - 1] : ""),
+		DW_INT("confidence", exchange->answer.confidence),
+		DW_STR("end", dw_attempt_end_name(end)), DW_INT("status", exchange->answer.status),
+		DW_STR("verdict", dw_policy_verdict_name(verdict)), DW_INT("may_retry", may_retry),
+		DW_INT("runs", exchange->policy.runs));
 	carry_out(exchange, verdict, dw_attempt_end_name(end));
 }
 
@@ -451,6 +555,17 @@
 	return priority < URGENCY_MOST ? (int)priority : URGENCY_MOST;
 }
 
+static void note_version(struct exchange *exchange, const struct dw_chosen *chosen, uint64_t now_us)
+{
+	memcpy(exchange->version, chosen->engine->entry.version, sizeof(exchange->version));
+	exchange->sent_at_us = now_us;
+	exchange->expected_us = chosen->expected_us;
+	exchange->begun_at_us = 0;
+	if (exchange->fields.session)
+		dw_session_pins_use(exchange->router->view->shifts.pins, exchange->service_name,
+				    exchange->fields.session, exchange->version, now_us);
+}
+
 static void start_attempt(struct exchange *exchange, const struct dw_choice *choice,
 			  const struct dw_chosen *chosen)
 {
@@ -489,8 +604,8 @@
 				    choice->prompt);
 	dw_request_policy_sent(&exchange->policy);
 	exchange->connect_due_us = now_us + CONNECT_TIMEOUT_US;
-	exchange->silence_due_us = silence_limit_us(
-		exchange, silent_us + SILENT_EXPECTED_FACTOR * chosen->expected_us);
+	expect_more(exchange, silent_us + SILENT_EXPECTED_FACTOR * chosen->expected_us);
+	note_version(exchange, chosen, now_us);
 	exchange->attempt = attempt_start(exchange->router, &options, &attempt_calls, exchange);
 	bytes_free(&request);
 	if (!exchange->attempt) {
@@ -500,6 +615,50 @@
 	set_timer(exchange);
 }
 
+static uint64_t split_hash(const struct exchange *exchange)
+{
+	const char *text =
+		exchange->fields.session ? exchange->fields.session : exchange->fields.attempt_id;
+
+	return dw_rendezvous_key(text, strlen(text));
+}
+
+/* The version that a shift of the service wants for this request. */
+static void apply_shift(struct exchange *exchange, struct dw_choice *choice)
+{
+	struct shifts *shifts = &exchange->router->view->shifts;
+	const struct dw_shift *shift = shifts_find(shifts, exchange->service_name);
+	uint64_t session_us = exchange->router->settings->session_timeout_ms * DW_US_PER_MS;
+	const char *pinned = NULL;
+	struct dw_shift_demand demand;
+
+	if (!shift)
+		return;
+	if (exchange->fields.session)
+		pinned = dw_session_pins_find(
+			shifts->pins, exchange->service_name, exchange->fields.session,
+			choice->now_us > session_us ? choice->now_us - session_us : 0);
+	demand = dw_shift_demand(shift, pinned, split_hash(exchange), choice->now_us);
+	choice->required_version = demand.required_version;
+	choice->avoided_version = demand.avoided_version;
+}
+
+static enum dw_choice_result choose_engine(struct exchange *exchange, struct dw_choice *choice,
+					   struct dw_chosen *chosen)
+{
+	struct dw_engine_set *engines = exchange->router->view->engines;
+	enum dw_choice_result result;
+
+	apply_shift(exchange, choice);
+	result = dw_engine_choose(engines, choice, chosen);
+	if (result == DW_CHOICE_FOUND || !choice->required_version)
+		return result;
+	/* The new version has no engine for it: while the old one is there, it serves. */
+	choice->avoided_version = choice->required_version;
+	choice->required_version = NULL;
+	return dw_engine_choose(engines, choice, chosen);
+}
+
 static void send_to_engine(struct exchange *exchange)
 {
 	uint64_t now_us = dw_clock_now_us();
@@ -513,7 +672,7 @@
 		return;
 	}
 	describe_choice(exchange, &choice, now_us);
-	result = dw_engine_choose(exchange->router->view->engines, &choice, &chosen);
+	result = choose_engine(exchange, &choice, &chosen);
 	if (result == DW_CHOICE_FOUND) {
 		exchange->rate_due_us = 0;
 		start_attempt(exchange, &choice, &chosen);
@@ -528,23 +687,33 @@
 	give_up(exchange, dw_choice_result_name(result));
 }
 
-/* Which of the route's models answers; NULL leaves the caller's choice. */
-static const char *choose_model(const struct exchange *exchange)
+static double cost_of(const struct dw_service_rule *service, const char *model)
 {
-	const struct dw_route_rule *route = exchange->route;
-
-	if (route->model_count == 0 || !exchange->fields.model ||
-	    strcmp(exchange->fields.model, "*") != 0)
-		return NULL;
-	return route->models[route->model_count - 1];
+	for (uint32_t i = 0; service && i < service->model_count; i++) {
+		if (strcmp(service->models[i].name, model) == 0)
+			return service->models[i].cost;
+	}
+	return 0;
 }
 
-static uint64_t split_hash(const struct exchange *exchange)
+/* Which of the route's models is asked first; the caller's choice stays where it made one. */
+static void choose_model(struct exchange *exchange, uint64_t now_us)
 {
-	const char *text =
-		exchange->fields.session ? exchange->fields.session : exchange->fields.attempt_id;
+	const struct dw_route_rule *route = exchange->route;
+	double costs[DW_CATALOG_MODELS_MAX];
+	bool may_repeat;
 
-	return dw_rendezvous_key(text, strlen(text));
+	if (route->model_count == 0 || !exchange->fields.model ||
+	    strcmp(exchange->fields.model, "*") != 0)
+		return;
+	for (uint32_t i = 0; i < route->model_count; i++)
+		costs[i] = cost_of(exchange->service, route->models[i]);
+	may_repeat = exchange->policy.max_runs > 1 &&
+		     router_repeats_left(exchange->router, exchange->service_name, now_us) >=
+			     REPEATS_RESERVED;
+	exchange->rung = dw_ladder_first(router_ladder(exchange->router, route->name), costs,
+					 route->model_count, may_repeat);
+	exchange->model = route->models[exchange->rung];
 }
 
 static void begin(struct exchange *exchange)
@@ -556,11 +725,11 @@
 
 	exchange->service_name = dw_route_pick_service(exchange->route, split_hash(exchange));
 	exchange->service = dw_catalog_service(exchange->catalog, exchange->service_name);
-	exchange->model = choose_model(exchange);
 	exchange->order.has_last = fields->is_resumed;
 	exchange->order.last_id = fields->last_event_id;
 	dw_request_policy_init(&exchange->policy, exchange->route, caller_deadline_us, now_us);
 	router_count_request(exchange->router, exchange->service_name, now_us);
+	choose_model(exchange, now_us);
 	send_to_engine(exchange);
 }
 
--- a/src/wharf-gateway/gateway.c
+++ b/src/wharf-gateway/gateway.c
@@ -188,7 +188,12 @@
 {
 	struct gateway *gateway = timer->data;
 
-	dw_engine_set_sweep(gateway->view.engines, dw_clock_now_us());
+	uint64_t now_us = dw_clock_now_us();
+	uint64_t session_us = gateway->settings.session_timeout_ms * DW_US_PER_MS;
+
+	dw_engine_set_sweep(gateway->view.engines, now_us);
+	if (now_us > session_us)
+		dw_session_pins_sweep(gateway->view.shifts.pins, now_us - session_us);
 }
 
 static void close_caller_listener(struct gateway *gateway)
@@ -282,6 +287,8 @@
 	gateway->store = metadata_store_new(&options);
 	store_sync_start(&gateway->sync, &gateway->loop, gateway->store, &gateway->view,
 			 router_random(&gateway->router));
+	shifts_start(&gateway->view.shifts, &gateway->loop, gateway->store,
+		     router_random(&gateway->router));
 }
 
 static enum dw_status start(struct gateway *gateway)
--- a/src/wharf-gateway/gateway_settings.c
+++ b/src/wharf-gateway/gateway_settings.c
@@ -30,6 +30,8 @@
 	{ "rollout_share", DW_SETTING_PERMILLE, FIELD(rollout_share_permille), false, 0, 1000,
 	  "100" },
 	{ "rollout_slack", DW_SETTING_INTEGER, FIELD(rollout_slack), false, 0, 1000000, "10" },
+	{ "quality_target", DW_SETTING_PERMILLE, FIELD(quality_target_permille), false, 0, 1000,
+	  "840" },
 	{ "session_timeout_s", DW_SETTING_PERMILLE, FIELD(session_timeout_ms), false, 0, 86400000,
 	  "5000" },
 	{ NULL, DW_SETTING_TEXT, 0, false, 0, 0, NULL },
--- a/src/wharf-gateway/gateway_settings.h
+++ b/src/wharf-gateway/gateway_settings.h
@@ -27,6 +27,7 @@
 	uint64_t cold_slack; /**< and by how many requests besides */
 	uint64_t rollout_share_permille; /**< of a service's requests that a bad version may get */
 	uint64_t rollout_slack; /**< requests besides */
+	uint64_t quality_target_permille; /**< how likely a smaller model's answer must be good */
 	uint64_t session_timeout_ms; /**< between two requests of one session */
 };
 
--- a/src/wharf-gateway/router.c
+++ b/src/wharf-gateway/router.c
@@ -27,6 +27,12 @@
 	UT_hash_handle hh;
 };
 
+struct ladder_record {
+	char *route;
+	struct dw_ladder ladder;
+	UT_hash_handle hh;
+};
+
 void router_init(struct router *router, uv_loop_t *loop, struct view *view)
 {
 	struct http_pool_options options = {
@@ -53,6 +59,8 @@
 	struct service_budget *next_budget;
 	struct model_record *model;
 	struct model_record *next_model;
+	struct ladder_record *ladder;
+	struct ladder_record *next_ladder;
 
 	HASH_ITER(hh, router->budgets, budget, next_budget) {
 		HASH_DEL(router->budgets, budget);
@@ -64,6 +72,11 @@
 		free(model->name);
 		free(model);
 	}
+	HASH_ITER(hh, router->ladders, ladder, next_ladder) {
+		HASH_DEL(router->ladders, ladder);
+		free(ladder->route);
+		free(ladder);
+	}
 	http_pool_free(router->pool);
 }
 
@@ -108,11 +121,11 @@
 	dw_retry_window_request(window_of(router, service), &options, now_us);
 }
 
-bool router_may_repeat(struct router *router, const char *service, uint64_t now_us)
+uint32_t router_repeats_left(struct router *router, const char *service, uint64_t now_us)
 {
 	struct dw_retry_window_options options = budget_options(router);
 
-	return dw_retry_window_has_room(window_of(router, service), &options, now_us);
+	return dw_retry_window_room(window_of(router, service), &options, now_us);
 }
 
 void router_take_repeat(struct router *router, const char *service, uint64_t now_us)
@@ -123,6 +136,21 @@
 	dw_retry_window_take(window_of(router, service), &options, now_us);
 }
 
+struct dw_ladder *router_ladder(struct router *router, const char *route)
+{
+	struct ladder_record *record;
+
+	HASH_FIND_STR(router->ladders, route, record);
+	if (!record) {
+		record = calloc(1, sizeof(*record));
+		if (!record)
+			abort();
+		record->route = strdup(route);
+		HASH_ADD_KEYPTR(hh, router->ladders, record->route, strlen(record->route), record);
+	}
+	return &record->ladder;
+}
+
 struct dw_model_speed *router_speed(struct router *router, const char *name)
 {
 	struct model_record *model;
--- a/src/wharf-gateway/router.h
+++ b/src/wharf-gateway/router.h
@@ -6,6 +6,7 @@
 #ifndef GATEWAY_ROUTER_H
 #define GATEWAY_ROUTER_H
 
+#include <dragonflywharf/model_ladder.h>
 #include <dragonflywharf/retry_window.h>
 
 #include "net/http_link.h"
@@ -13,6 +14,7 @@
 
 struct service_budget;
 struct model_record;
+struct ladder_record;
 
 struct router {
 	uv_loop_t *loop;
@@ -23,6 +25,7 @@
 	struct http_pool *pool;
 	struct service_budget *budgets; /**< by service */
 	struct model_record *models; /**< by name */
+	struct ladder_record *ladders; /**< by route */
 	uint64_t random;
 	uint32_t in_progress; /**< requests */
 };
@@ -34,9 +37,13 @@
 
 /** A caller's request for a service, for its retry budget. */
 void router_count_request(struct router *router, const char *service, uint64_t now_us);
-bool router_may_repeat(struct router *router, const char *service, uint64_t now_us);
+/** Repeated sends that the budget of the service has room for. */
+uint32_t router_repeats_left(struct router *router, const char *service, uint64_t now_us);
 void router_take_repeat(struct router *router, const char *service, uint64_t now_us);
 
+/** What was learnt of a route's models; valid until the router closes. */
+struct dw_ladder *router_ladder(struct router *router, const char *route);
+
 /** Speed learnt of a model; valid until the router closes. */
 struct dw_model_speed *router_speed(struct router *router, const char *model);
 
--- /dev/null
+++ b/src/wharf-gateway/shifts.c
@@ -0,0 +1,425 @@
+#include "wharf-gateway/shifts.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <json-c/json.h>
+#include <uthash.h>
+
+#include "base/clock.h"
+#include "platform/records.h"
+
+#define PROGRESS_PREFIX "wharf/progress/"
+#define EVIDENCE_PREFIX "wharf/evidence/"
+#define KEY_BYTES 200
+#define VALUE_BYTES 256
+
+#define LOOK_PERIOD_MS 200
+#define WRITE_TIMEOUT_US (800 * DW_US_PER_MS)
+/* An instance's evidence is written at most this often, and only when a bad answer came. */
+#define EVIDENCE_PERIOD_US (700 * DW_US_PER_MS)
+/* The progress is written again after this part of the time, in thousandths. */
+#define PROGRESS_STEP_PERMILLE 125
+/* Writers of one record wait up to this long for another to be first. */
+#define FIRST_WRITER_SPREAD_US (500 * DW_US_PER_MS)
+
+struct peer_evidence {
+	char instance[DW_ENGINE_TEXT_BYTES];
+	struct dw_shift_evidence evidence;
+	struct peer_evidence *next;
+};
+
+/* A record that this instance writes. */
+struct written_record {
+	uint64_t revision; /**< of the key as last seen */
+	uint64_t wanted_at_us; /**< when this instance would write; 0: not wanted */
+	bool in_flight;
+};
+
+struct service_shift {
+	struct shifts *owner;
+	struct dw_shift shift;
+	struct peer_evidence *peers;
+	struct written_record status;
+	struct written_record progress;
+	struct written_record evidence;
+	uint32_t written_progress; /**< newest in the store, in thousandths */
+	uint32_t written_bad; /**< of the own evidence in the store */
+	uint64_t evidence_at_us;
+	enum dw_shift_state written_state;
+	UT_hash_handle hh; /**< by shift.order.service */
+};
+
+static uint64_t next_random(struct shifts *shifts)
+{
+	shifts->random =
+		shifts->random * UINT64_C(6364136223846793005) + UINT64_C(1442695040888963407);
+	return shifts->random >> 33;
+}
+
+void shifts_init(struct shifts *shifts, struct dw_log *log, const char *instance)
+{
+	memset(shifts, 0, sizeof(*shifts));
+	shifts->log = log;
+	shifts->instance = instance;
+	shifts->pins = dw_session_pins_new();
+}
+
+static struct service_shift *find(struct shifts *shifts, const char *service)
+{
+	struct service_shift *found;
+
+	HASH_FIND_STR(shifts->services, service, found);
+	return found;
+}
+
+const struct dw_shift *shifts_find(struct shifts *shifts, const char *service)
+{
+	const struct service_shift *found = find(shifts, service);
+
+	return found ? &found->shift : NULL;
+}
+
+static void log_shift(const struct service_shift *service, const char *cause, uint64_t now_us)
+{
+	const struct dw_shift *shift = &service->shift;
+	const struct dw_shift_count *own = shift->own.counts;
+	const struct dw_shift_count *others = shift->others.counts;
+
+	dw_log_event(
+		service->owner->log, DW_EVENT_SHIFT_CHANGED,
+		DW_STR("service", shift->order.service),
+		DW_STR("target", shift->order.target_version),
+		DW_STR("state", dw_shift_state_name(shift->state)), DW_STR("cause", cause),
+		DW_INT("progress_permille", dw_shift_progress(shift, now_us)),
+		DW_INT("new_answers", own[DW_SHIFT_NEW].answers + others[DW_SHIFT_NEW].answers),
+		DW_INT("new_bad", own[DW_SHIFT_NEW].bad + others[DW_SHIFT_NEW].bad),
+		DW_INT("old_answers", own[DW_SHIFT_OLD].answers + others[DW_SHIFT_OLD].answers),
+		DW_INT("old_bad", own[DW_SHIFT_OLD].bad + others[DW_SHIFT_OLD].bad));
+}
+
+static void forget_evidence(struct service_shift *service)
+{
+	for (struct peer_evidence *next, *at = service->peers; at; at = next) {
+		next = at->next;
+		free(at);
+	}
+	service->peers = NULL;
+	service->written_bad = 0;
+	service->written_progress = 0;
+	service->written_state = DW_SHIFT_NONE;
+}
+
+void shifts_take_order(struct shifts *shifts, const struct dw_shift_order *order, uint64_t now_us)
+{
+	struct service_shift *service = find(shifts, order->service);
+
+	if (!service) {
+		service = calloc(1, sizeof(*service));
+		if (!service)
+			abort();
+		service->owner = shifts;
+		memcpy(service->shift.order.service, order->service,
+		       sizeof(service->shift.order.service));
+		HASH_ADD_STR(shifts->services, shift.order.service, service);
+	}
+	if (service->shift.state != DW_SHIFT_NONE &&
+	    order->revision <= service->shift.order.revision)
+		return;
+	forget_evidence(service);
+	dw_shift_take_order(&service->shift, order, now_us);
+	log_shift(service, "order", now_us);
+}
+
+void shifts_take_status(struct shifts *shifts, const char *service_name, enum dw_shift_state state,
+			const char *target, uint64_t revision)
+{
+	struct service_shift *service = find(shifts, service_name);
+	enum dw_shift_state before;
+
+	if (!service)
+		return;
+	service->status.revision = revision;
+	before = service->shift.state;
+	dw_shift_take_status(&service->shift, state, target, revision);
+	if (revision > service->shift.order.revision)
+		service->written_state = state;
+	if (service->shift.state != before)
+		log_shift(service, "recorded outcome", dw_clock_now_us());
+}
+
+static uint64_t number_of(struct json_object *root, const char *name)
+{
+	struct json_object *value;
+
+	return json_object_object_get_ex(root, name, &value) ? json_object_get_uint64(value) : 0;
+}
+
+static void take_progress(struct service_shift *service, const struct dw_store_event *event,
+			  uint64_t now_us)
+{
+	struct json_object *root;
+	uint32_t permille;
+
+	service->progress.revision = event->deleted ? 0 : event->entry.mod_revision;
+	if (event->deleted)
+		return;
+	root = json_tokener_parse((const char *)event->entry.value);
+	if (number_of(root, "order") == service->shift.order.revision) {
+		permille = (uint32_t)number_of(root, "permille");
+		service->written_progress = permille;
+		dw_shift_take_progress(&service->shift, permille, now_us);
+	}
+	json_object_put(root);
+}
+
+static struct peer_evidence *peer_of(struct service_shift *service, const char *instance)
+{
+	struct peer_evidence *peer = service->peers;
+
+	while (peer && strcmp(peer->instance, instance) != 0)
+		peer = peer->next;
+	if (!peer) {
+		peer = calloc(1, sizeof(*peer));
+		if (!peer)
+			abort();
+		snprintf(peer->instance, sizeof(peer->instance), "%s", instance);
+		peer->next = service->peers;
+		service->peers = peer;
+	}
+	return peer;
+}
+
+static void sum_evidence(struct service_shift *service)
+{
+	struct dw_shift_evidence sum = { 0 };
+
+	for (const struct peer_evidence *at = service->peers; at; at = at->next) {
+		for (int side = 0; side < DW_SHIFT_SIDE_COUNT; side++) {
+			sum.counts[side].answers += at->evidence.counts[side].answers;
+			sum.counts[side].bad += at->evidence.counts[side].bad;
+		}
+	}
+	service->shift.others = sum;
+}
+
+static void take_evidence(struct service_shift *service, const char *instance,
+			  const struct dw_store_event *event)
+{
+	struct json_object *root;
+	struct peer_evidence *peer;
+
+	if (strcmp(instance, service->owner->instance) == 0) {
+		service->evidence.revision = event->deleted ? 0 : event->entry.mod_revision;
+		return;
+	}
+	if (event->deleted)
+		return;
+	root = json_tokener_parse((const char *)event->entry.value);
+	if (number_of(root, "order") == service->shift.order.revision) {
+		struct dw_shift_count *counts;
+
+		peer = peer_of(service, instance);
+		counts = peer->evidence.counts;
+		counts[DW_SHIFT_NEW].answers = (uint32_t)number_of(root, "new_answers");
+		counts[DW_SHIFT_NEW].bad = (uint32_t)number_of(root, "new_bad");
+		counts[DW_SHIFT_OLD].answers = (uint32_t)number_of(root, "old_answers");
+		counts[DW_SHIFT_OLD].bad = (uint32_t)number_of(root, "old_bad");
+		sum_evidence(service);
+	}
+	json_object_put(root);
+}
+
+void shifts_take_record(struct shifts *shifts, const struct dw_store_event *event, uint64_t now_us)
+{
+	const char *key = event->entry.key;
+	struct service_shift *service;
+	char name[KEY_BYTES];
+	const char *slash;
+
+	if (strncmp(key, PROGRESS_PREFIX, strlen(PROGRESS_PREFIX)) == 0) {
+		service = find(shifts, key + strlen(PROGRESS_PREFIX));
+		if (service)
+			take_progress(service, event, now_us);
+		return;
+	}
+	if (strncmp(key, EVIDENCE_PREFIX, strlen(EVIDENCE_PREFIX)) != 0)
+		return;
+	key += strlen(EVIDENCE_PREFIX);
+	slash = strchr(key, '/');
+	if (!slash || (size_t)(slash - key) >= sizeof(name))
+		return;
+	memcpy(name, key, (size_t)(slash - key));
+	name[slash - key] = '\0';
+	service = find(shifts, name);
+	if (service)
+		take_evidence(service, slash + 1, event);
+}
+
+static void settle(struct service_shift *service, uint64_t now_us)
+{
+	enum dw_shift_state state = dw_shift_judge(&service->shift, now_us);
+
+	if (state == service->shift.state)
+		return;
+	/* A bad version gets nothing more from here on; a completion waits for its record, as the
+	 * old engines stop with it. */
+	if (state == DW_SHIFT_ROLLED_BACK) {
+		service->shift.state = state;
+		log_shift(service, "evidence", now_us);
+	}
+}
+
+void shifts_count_answer(struct shifts *shifts, const char *service_name, const char *version,
+			 bool bad, uint64_t now_us)
+{
+	struct service_shift *service = find(shifts, service_name);
+	bool is_new;
+
+	if (!service || service->shift.state != DW_SHIFT_RUNNING)
+		return;
+	is_new = strcmp(version, service->shift.order.target_version) == 0;
+	dw_shift_count_answer(&service->shift, is_new ? DW_SHIFT_NEW : DW_SHIFT_OLD, bad);
+	if (is_new && bad)
+		settle(service, now_us);
+}
+
+struct record_write {
+	struct service_shift *service;
+	struct written_record *record;
+	const char *what;
+};
+
+static void on_written(const struct dw_store_put_result *result, void *data)
+{
+	struct record_write *write = data;
+
+	write->record->in_flight = false;
+	write->record->wanted_at_us = 0;
+	if (result->outcome == DW_STORE_DONE || result->outcome == DW_STORE_CONFLICT)
+		write->record->revision = result->revision;
+	dw_log_event(write->service->owner->log, DW_EVENT_SHIFT_EVIDENCE,
+		     DW_STR("service", write->service->shift.order.service),
+		     DW_STR("record", write->what),
+		     DW_STR("outcome", dw_store_outcome_name(result->outcome)),
+		     DW_INT("revision", result->revision));
+	free(write);
+}
+
+static void write_record(struct service_shift *service, struct written_record *record,
+			 const char *what, const char *key, const char *value)
+{
+	struct record_write *write = malloc(sizeof(*write));
+	struct dw_store_put put = {
+		.key = key,
+		.value = (const uint8_t *)value,
+		.value_len = strlen(value),
+		.expected_revision = record->revision,
+		.deadline_us = dw_clock_now_us() + WRITE_TIMEOUT_US,
+	};
+
+	if (!write)
+		abort();
+	write->service = service;
+	write->record = record;
+	write->what = what;
+	record->in_flight = true;
+	dw_store_put(service->owner->store, &put, on_written, write);
+}
+
+/* Whether the time to write has come; the first to want a shared record waits a random while. */
+static bool is_turn(struct service_shift *service, struct written_record *record, bool wanted,
+		    uint64_t now_us)
+{
+	if (!wanted || record->in_flight) {
+		if (!record->in_flight)
+			record->wanted_at_us = 0;
+		return false;
+	}
+	if (record->wanted_at_us == 0)
+		record->wanted_at_us =
+			now_us + 1 + next_random(service->owner) % FIRST_WRITER_SPREAD_US;
+	return now_us >= record->wanted_at_us;
+}
+
+static void write_status(struct service_shift *service, uint64_t now_us)
+{
+	const struct dw_shift_order *order = &service->shift.order;
+	enum dw_shift_state state = dw_shift_judge(&service->shift, now_us);
+	bool wanted = service->written_state != state &&
+		      service->written_state != DW_SHIFT_COMPLETED &&
+		      service->written_state != DW_SHIFT_ROLLED_BACK;
+	char value[VALUE_BYTES];
+	char key[KEY_BYTES];
+
+	if (!is_turn(service, &service->status, wanted, now_us))
+		return;
+	record_rollout_status_key(order->service, key, sizeof(key));
+	record_write_rollout_status(state, order->service, order->target_version, value,
+				    sizeof(value));
+	write_record(service, &service->status, "status", key, value);
+}
+
+static void write_progress(struct service_shift *service, uint64_t now_us)
+{
+	uint32_t permille = dw_shift_progress(&service->shift, now_us);
+	bool wanted = service->shift.state == DW_SHIFT_RUNNING &&
+		      permille >= service->written_progress + PROGRESS_STEP_PERMILLE;
+	char value[VALUE_BYTES];
+	char key[KEY_BYTES];
+
+	if (!is_turn(service, &service->progress, wanted, now_us))
+		return;
+	snprintf(key, sizeof(key), PROGRESS_PREFIX "%s", service->shift.order.service);
+	snprintf(value, sizeof(value), "{\"order\":%" PRIu64 ",\"permille\":%u}",
+		 service->shift.order.revision, permille);
+	write_record(service, &service->progress, "progress", key, value);
+}
+
+static void write_evidence(struct service_shift *service, uint64_t now_us)
+{
+	const struct dw_shift_count *counts = service->shift.own.counts;
+	char value[VALUE_BYTES];
+	char key[KEY_BYTES];
+
+	if (service->shift.state == DW_SHIFT_COMPLETED || service->evidence.in_flight ||
+	    counts[DW_SHIFT_NEW].bad == service->written_bad ||
+	    now_us < service->evidence_at_us + EVIDENCE_PERIOD_US)
+		return;
+	service->evidence_at_us = now_us;
+	service->written_bad = counts[DW_SHIFT_NEW].bad;
+	snprintf(key, sizeof(key), EVIDENCE_PREFIX "%s/%s", service->shift.order.service,
+		 service->owner->instance);
+	snprintf(value, sizeof(value),
+		 "{\"order\":%" PRIu64 ",\"new_answers\":%u,\"new_bad\":%u,\"old_answers\":%u,"
+		 "\"old_bad\":%u}",
+		 service->shift.order.revision, counts[DW_SHIFT_NEW].answers,
+		 counts[DW_SHIFT_NEW].bad, counts[DW_SHIFT_OLD].answers, counts[DW_SHIFT_OLD].bad);
+	write_record(service, &service->evidence, "evidence", key, value);
+}
+
+static void on_look(uv_timer_t *timer)
+{
+	struct shifts *shifts = timer->data;
+	uint64_t now_us = dw_clock_now_us();
+
+	for (struct service_shift *at = shifts->services; at; at = at->hh.next) {
+		if (at->shift.state == DW_SHIFT_NONE)
+			continue;
+		settle(at, now_us);
+		write_status(at, now_us);
+		write_progress(at, now_us);
+		write_evidence(at, now_us);
+	}
+}
+
+void shifts_start(struct shifts *shifts, uv_loop_t *loop, struct dw_store *store, uint64_t seed)
+{
+	shifts->store = store;
+	shifts->random = seed;
+	uv_timer_init(loop, &shifts->timer);
+	shifts->timer.data = shifts;
+	uv_timer_start(&shifts->timer, on_look, LOOK_PERIOD_MS, LOOK_PERIOD_MS);
+}
--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -30,6 +30,7 @@
 	view->log = log;
 	view->counters = counters;
 	view->engines = dw_engine_set_new();
+	shifts_init(&view->shifts, log, settings->instance);
 }
 
 void view_close(struct view *view)
@@ -167,6 +168,29 @@
 		     DW_INT("evacuated", evacuated));
 }
 
+static void apply_order(struct view *view, const struct dw_store_entry *entry, uint64_t now_us)
+{
+	struct dw_shift_order order;
+
+	if (record_read_rollout_order(entry->value, entry->value_len, &order) != DW_OK) {
+		refuse_record(view, entry->key);
+		return;
+	}
+	order.revision = entry->mod_revision;
+	shifts_take_order(&view->shifts, &order, now_us);
+}
+
+static void apply_status(struct view *view, const char *service, const struct dw_store_entry *entry)
+{
+	char target[DW_ENGINE_TEXT_BYTES];
+	enum dw_shift_state state;
+
+	if (record_read_rollout_status(entry->value, entry->value_len, &state, target) == DW_OK)
+		shifts_take_status(&view->shifts, service, state, target, entry->mod_revision);
+	else
+		refuse_record(view, entry->key);
+}
+
 static void apply_record(struct view *view, const struct dw_store_event *event, uint64_t now_us)
 {
 	const struct dw_store_entry *entry = &event->entry;
@@ -187,8 +211,16 @@
 		set_evacuated(view, name, !event->deleted);
 		break;
 	case RECORD_ROLLOUT_ORDER:
+		if (!event->deleted)
+			apply_order(view, entry, now_us);
+		break;
 	case RECORD_ROLLOUT_STATUS:
+		if (!event->deleted)
+			apply_status(view, name, entry);
+		break;
 	case RECORD_UNKNOWN:
+		shifts_take_record(&view->shifts, event, now_us);
+		break;
 	case RECORD_KIND_COUNT:
 		break;
 	}
--- a/src/wharf-gateway/view.h
+++ b/src/wharf-gateway/view.h
@@ -16,6 +16,7 @@
 #include "base/log.h"
 #include "port/store.h"
 #include "wharf-gateway/gateway_settings.h"
+#include "wharf-gateway/shifts.h"
 
 struct known_record;
 
@@ -26,6 +27,7 @@
 	struct dw_catalog *catalog; /**< NULL until the first configuration */
 	struct dw_engine_set *engines;
 	struct dw_domain_list evacuated;
+	struct shifts shifts;
 	struct known_record *records; /**< newest revision of each key seen */
 	uint64_t proven_at_us; /**< the configuration known was the newest then; 0: never */
 	uint64_t store_back_at_us; /**< end of the last time that the store was away; 0: none */
