--- a/src/wharf-gateway/exchange.c
+++ b/src/wharf-gateway/exchange.c
@@ -728,6 +728,11 @@
 	exchange->order.has_last = fields->is_resumed;
 	exchange->order.last_id = fields->last_event_id;
 	dw_request_policy_init(&exchange->policy, exchange->route, caller_deadline_us, now_us);
+	if (!dw_planned_stop_admits(&exchange->router->stop, exchange->route->kind,
+				    exchange->policy.deadline_us, now_us)) {
+		refuse(exchange, DW_UNAVAILABLE, "the instance is stopping");
+		return;
+	}
 	router_count_request(exchange->router, exchange->service_name, now_us);
 	choose_model(exchange, now_us);
 	send_to_engine(exchange);
--- a/src/wharf-gateway/gateway.c
+++ b/src/wharf-gateway/gateway.c
@@ -49,7 +49,6 @@
 	uv_timer_t stop_timer;
 	struct caller_list callers;
 	struct caller_list observers; /**< of readiness and metrics */
-	uint64_t stop_began_at_us; /**< 0: running */
 	enum gateway_exit exit;
 	bool is_listening;
 };
@@ -63,7 +62,7 @@
 
 static bool is_stopping(void *owner)
 {
-	return ((struct gateway *)owner)->stop_began_at_us > 0;
+	return ((struct gateway *)owner)->router.stop.begun_at_us > 0;
 }
 
 static void *on_caller_request(void *owner, struct caller *caller,
@@ -213,15 +212,15 @@
 static void on_stop_timer(uv_timer_t *timer)
 {
 	struct gateway *gateway = timer->data;
-	uint64_t since_us = dw_clock_now_us() - gateway->stop_began_at_us;
-	uint64_t limit_us = gateway->settings.stop_timeout_ms * DW_US_PER_MS;
+	const struct dw_planned_stop *stop = &gateway->router.stop;
+	uint64_t now_us = dw_clock_now_us();
 
-	if (since_us >= limit_us * STOP_CUT_PERMILLE / 1000) {
+	if (now_us >= stop->end_at_us) {
 		finish(gateway,
 		       gateway->router.in_progress > 0 ? GATEWAY_STOP_TIMED_OUT : GATEWAY_STOPPED);
 		return;
 	}
-	if (since_us < BALANCER_NOTICE_MS * DW_US_PER_MS)
+	if (now_us < stop->begun_at_us + BALANCER_NOTICE_MS * DW_US_PER_MS)
 		return;
 	close_caller_listener(gateway);
 	if (gateway->router.in_progress > 0)
@@ -235,9 +234,13 @@
 {
 	struct gateway *gateway = signal->data;
 
-	if (gateway->stop_began_at_us > 0)
+	struct dw_planned_stop *stop = &gateway->router.stop;
+
+	if (stop->begun_at_us > 0)
 		return;
-	gateway->stop_began_at_us = dw_clock_now_us();
+	stop->begun_at_us = dw_clock_now_us();
+	stop->end_at_us = stop->begun_at_us + gateway->settings.stop_timeout_ms * DW_US_PER_MS *
+						      STOP_CUT_PERMILLE / 1000;
 	dw_log_event(&gateway->log, DW_EVENT_STOPPING, DW_INT("signal", number),
 		     DW_INT("in_progress", gateway->router.in_progress));
 	uv_timer_start(&gateway->stop_timer, on_stop_timer, STOP_LOOK_MS, STOP_LOOK_MS);
--- a/src/wharf-gateway/router.h
+++ b/src/wharf-gateway/router.h
@@ -7,6 +7,7 @@
 #define GATEWAY_ROUTER_H
 
 #include <dragonflywharf/model_ladder.h>
+#include <dragonflywharf/planned_stop.h>
 #include <dragonflywharf/retry_window.h>
 
 #include "net/http_link.h"
@@ -27,6 +28,7 @@
 	struct model_record *models; /**< by name */
 	struct ladder_record *ladders; /**< by route */
 	uint64_t random;
+	struct dw_planned_stop stop;
 	uint32_t in_progress; /**< requests */
 };
 
