--- a/src/net/http_link.c
+++ b/src/net/http_link.c
@@ -6,7 +6,7 @@
 
 #include <utlist.h>
 
-#include "net/tcp_options.h"
+#include "net/tcp_socket.h"
 
 #define READ_BYTES 16384
 /* A server closes an idle connection at its own timeout; ours is this much sooner, so that no
@@ -244,7 +244,7 @@
 	}
 	link->keep_alive = false;
 	if (len == UV_EOF && link->state == LINK_BUSY && link->head_seen && !link->reader.ended &&
-	    http_reader_eof(&link->reader) == DW_OK)
+	    !tcp_socket_was_reset(&link->tcp) && http_reader_eof(&link->reader) == DW_OK)
 		return;
 	if (link->state != LINK_CLOSING)
 		link_fail(link, failure_now(link));
@@ -289,7 +289,7 @@
 		link_fail(link, HTTP_LINK_NOT_CONNECTED);
 		return;
 	}
-	tcp_options_apply(&link->tcp, link->pool->options.unanswered_timeout_ms);
+	tcp_socket_set_options(&link->tcp, link->pool->options.unanswered_timeout_ms);
 	link->state = LINK_BUSY;
 	uv_read_start((uv_stream_t *)&link->tcp, on_alloc, on_read);
 	link_write(link, link->unsent, link->unsent_len);
--- a/src/net/tcp_options.c
+++ b/src/net/tcp_socket.c
@@ -1,4 +1,4 @@
-#include "net/tcp_options.h"
+#include "net/tcp_socket.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -8,7 +8,7 @@
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES 3
 
-void tcp_options_apply(uv_tcp_t *tcp, uint32_t unanswered_timeout_ms)
+void tcp_socket_set_options(uv_tcp_t *tcp, uint32_t unanswered_timeout_ms)
 {
 	int idle_s = KEEPALIVE_IDLE_S;
 	int interval_s = KEEPALIVE_INTERVAL_S;
@@ -27,3 +27,13 @@
 	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unanswered_timeout_ms,
 		   sizeof(unanswered_timeout_ms));
 }
+
+bool tcp_socket_was_reset(uv_tcp_t *tcp)
+{
+	uv_os_fd_t fd;
+	char byte;
+
+	if (uv_fileno((uv_handle_t *)tcp, &fd) != 0)
+		return true;
+	return recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) < 0;
+}
--- a/src/wharf-gateway/caller.c
+++ b/src/wharf-gateway/caller.c
@@ -9,7 +9,7 @@
 
 #include "base/clock.h"
 #include "base/error_json.h"
-#include "net/tcp_options.h"
+#include "net/tcp_socket.h"
 
 #define READ_BYTES 65536
 /* What a caller may send ahead while its request is being answered. */
@@ -452,7 +452,7 @@
 		caller_close(caller);
 		return;
 	}
-	tcp_options_apply(&caller->tcp, UNACKNOWLEDGED_TIMEOUT_MS);
+	tcp_socket_set_options(&caller->tcp, UNACKNOWLEDGED_TIMEOUT_MS);
 	wait_for_request(caller);
 	uv_read_start((uv_stream_t *)&caller->tcp, on_alloc, on_read);
 }
