Version shifts: slow and load-bound badness found within the exposure bound

Change: failures and slow answers counted apart, slow ones as a part of the timed ones; long answers with short prompts load one new engine in the second half before the version gets more.

--- a/include/dragonflywharf/engine_choice.h
+++ b/include/dragonflywharf/engine_choice.h
@@ -44,6 +44,9 @@
 	const struct dw_domain_list *evacuated;
 	const char *required_version; /**< NULL: any */
 	const char *avoided_version; /**< NULL: none */
+	/** Share of the fit engines that may be chosen, in thousandths; 0 or 1000: all. The same few
+	 * for all instances, so that a small share of the requests loads them as all would. */
+	uint32_t subset_permille;
 	const char *tried[DW_CHOICE_TRIED_MAX]; /**< ids that had the request already */
 	uint32_t tried_count;
 	uint32_t cold_sends_per_s; /**< this instance's share for a cold engine; 0: no limit */
--- a/include/dragonflywharf/version_shift.h
+++ b/include/dragonflywharf/version_shift.h
@@ -35,10 +35,20 @@
 
 enum dw_shift_side { DW_SHIFT_OLD, DW_SHIFT_NEW, DW_SHIFT_SIDE_COUNT };
 
-/** Answers of a version: how many, and how many failed or were far too slow. */
+/** Answers of a version. */
 struct dw_shift_count {
 	uint32_t answers;
-	uint32_t bad;
+	uint32_t bad; /**< of these, failures */
+	uint32_t timed; /**< of these, those whose time to the first byte counts */
+	uint32_t slow; /**< of these, far slower than expected */
+};
+
+/** What one answer tells of its version. */
+struct dw_shift_answer {
+	bool failed;
+	uint64_t taken_us; /**< to the first byte; 0: there was none */
+	uint64_t expected_us;
+	uint32_t load_permille; /**< of the engine's slots, as the answer told; 0: not told */
 };
 
 struct dw_shift_evidence {
@@ -50,6 +60,7 @@
 	enum dw_shift_state state;
 	uint64_t begun_at_us; /**< by this instance's clock */
 	uint64_t status_revision; /**< of the outcome's record; 0: there is none */
+	uint32_t loaded_answers; /**< good ones of the new version, from an engine under load */
 	struct dw_shift_evidence own;
 	struct dw_shift_evidence others; /**< the sum of the other instances' latest */
 };
@@ -71,8 +82,15 @@
 /** Share of the requests that go to the new version now, in thousandths. */
 uint32_t dw_shift_share(const struct dw_shift *shift, uint64_t now_us);
 
-/** An answer of one version came, or failed to. */
-void dw_shift_count_answer(struct dw_shift *shift, enum dw_shift_side side, bool bad);
+/**
+ * An answer of one version came, or failed to. While few engines are loaded on purpose, times
+ * don't count.
+ */
+void dw_shift_count_answer(struct dw_shift *shift, enum dw_shift_side side,
+			   const struct dw_shift_answer *answer, uint64_t now_us);
+
+/** Whether this instance's own evidence speaks against the new version, so that others need it. */
+bool dw_shift_is_suspect(const struct dw_shift *shift);
 
 /**
  * The state that the evidence and the time call for: ROLLED_BACK if the new version is bad,
@@ -84,14 +102,21 @@
 struct dw_shift_demand {
 	const char *required_version;
 	const char *avoided_version;
+	/** Share of the required version's engines that carry it: as few as are loaded as all will
+	 * be; 0: any. */
+	uint32_t engines_permille;
+	bool is_load_test; /**< the request is to stay long: the largest model answers it */
 };
 
-/**
- * @param pinned the version that the request's session used last, NULL if none or too long ago
- * @param hash of the session, or of the request where it has none
- */
-struct dw_shift_demand dw_shift_demand(const struct dw_shift *shift, const char *pinned,
-				       uint64_t hash, uint64_t now_us);
+/** What the shift needs to know of a request. */
+struct dw_shift_request {
+	const char *pinned_version; /**< that its session used last; NULL: none, or too long ago */
+	uint64_t hash; /**< of its session, or of the request where it has none */
+	bool is_long; /**< its answer takes long and its prompt is short: it loads an engine cheaply */
+};
+
+struct dw_shift_demand dw_shift_demand(const struct dw_shift *shift,
+				       const struct dw_shift_request *request, uint64_t now_us);
 
 #ifdef __cplusplus
 }
--- a/src/core/engine_choice.c
+++ b/src/core/engine_choice.c
@@ -30,6 +30,8 @@
 #define SPEED_TOKENS_MIN 400
 /* Ties within this much are broken at random, so that instances don't move together. */
 #define RANDOM_SPREAD_US (5 * US_PER_MS)
+/* Key under which the engines of a subset are drawn. */
+#define SUBSET_KEY UINT64_C(0x9e3779b97f4a7c15)
 
 static const char *const result_names[DW_CHOICE_RESULT_COUNT] = {
 	[DW_CHOICE_FOUND] = "found",	       [DW_CHOICE_NO_ENGINE] = "no_engine",
@@ -206,6 +208,42 @@
 	return home;
 }
 
+static uint64_t subset_score(const struct dw_engine *engine)
+{
+	return dw_rendezvous_score(SUBSET_KEY,
+				   dw_rendezvous_key(engine->entry.id, strlen(engine->entry.id)));
+}
+
+/* The least score with which an engine belongs to the subset. */
+static uint64_t subset_bound(struct dw_engine_set *set, const struct dw_choice *choice)
+{
+	uint64_t bound = UINT64_MAX;
+	uint32_t fit = 0;
+	uint32_t wanted;
+
+	if (choice->subset_permille == 0 || choice->subset_permille >= 1000)
+		return 0;
+	for (struct dw_engine *at = dw_engine_set_first(set); at; at = at->next)
+		fit += is_fit(choice, at) &&
+		       !dw_domain_list_holds(choice->evacuated, at->entry.failure_domain);
+	wanted = fit * choice->subset_permille / 1000;
+	if (wanted == 0)
+		wanted = 1;
+	for (uint32_t taken = 0; taken < wanted; taken++) {
+		uint64_t best = 0;
+
+		for (struct dw_engine *at = dw_engine_set_first(set); at; at = at->next) {
+			uint64_t score = subset_score(at);
+
+			if (is_fit(choice, at) && score < bound && score > best &&
+			    !dw_domain_list_holds(choice->evacuated, at->entry.failure_domain))
+				best = score;
+		}
+		bound = best;
+	}
+	return bound;
+}
+
 struct ranking {
 	struct dw_chosen best;
 	uint64_t best_cost_us;
@@ -246,9 +284,10 @@
 {
 	struct ranking ranking = { .obstacle = DW_CHOICE_NO_ENGINE };
 	const struct dw_engine *home = find_home(set, choice);
+	uint64_t bound = subset_bound(set, choice);
 
 	for (struct dw_engine *at = dw_engine_set_first(set); at; at = at->next) {
-		if (!is_fit(choice, at))
+		if (!is_fit(choice, at) || (bound > 0 && subset_score(at) < bound))
 			continue;
 		if (dw_domain_list_holds(choice->evacuated, at->entry.failure_domain))
 			ranking.obstacle = DW_CHOICE_ALL_EVACUATED;
--- a/src/core/version_shift.c
+++ b/src/core/version_shift.c
@@ -8,18 +8,36 @@
 	uint32_t from_permille;
 	uint32_t share_permille;
 } plan[] = {
-	{ 0, 0 }, { 40, 100 }, { 510, 250 }, { 570, 500 }, { 630, 1000 },
+	{ 0, 0 },
+	{ 40, 100 },
+	{ 730, 500 },
+	{ 770, 1000 },
 };
 
 #define SECOND_HALF_PERMILLE 510
 /* Answers that began at the old version have ended by then. */
-#define COMPLETE_AT_PERMILLE 870
+#define COMPLETE_AT_PERMILLE 900
+
+/* A version may be bad under load only. So before it gets more, one of its engines is loaded with
+ * long answers until it has shown this many good ones with so much of its slots taken. */
+#define LOAD_TEST_END_PERMILLE 730
+#define LOAD_TEST_ANSWERS 3
+#define LOADED_PERMILLE 550
+/* The load on purpose lasts on for a while; times don't count until then. */
+#define LOAD_GONE_PERMILLE 800
 
 /* A verdict needs this many bad answers of the new version, */
 #define VERDICT_BAD_LEAST 4
 /* a part of its answers that is this much above twice the old version's part, in thousandths. */
 #define VERDICT_EXCESS_PERMILLE 120
 
+/* Or this many slow answers, a part of the timed ones that is this much above twice the old version's
+ * part, in thousandths. An answer is slow at so many times its expected time and some more. */
+#define VERDICT_SLOW_LEAST 6
+#define VERDICT_SLOW_EXCESS_PERMILLE 250
+#define SLOW_FACTOR 4
+#define SLOW_SLACK_US UINT64_C(150000)
+
 static const char *const state_names[DW_SHIFT_STATE_COUNT] = {
 	[DW_SHIFT_NONE] = "none",
 	[DW_SHIFT_RUNNING] = "running",
@@ -72,6 +90,22 @@
 	return (uint32_t)(passed_us * 1000 / shift->order.duration_us);
 }
 
+static bool is_load_test(const struct dw_shift *shift, uint64_t now_us)
+{
+	uint32_t progress = dw_shift_progress(shift, now_us);
+
+	return shift->state == DW_SHIFT_RUNNING && progress >= SECOND_HALF_PERMILLE &&
+	       progress < LOAD_TEST_END_PERMILLE && shift->loaded_answers < LOAD_TEST_ANSWERS;
+}
+
+/* Whether engines of the new version may be loaded on purpose. */
+static bool is_loaded(const struct dw_shift *shift, uint64_t now_us)
+{
+	uint32_t progress = dw_shift_progress(shift, now_us);
+
+	return progress >= SECOND_HALF_PERMILLE && progress < LOAD_GONE_PERMILLE;
+}
+
 uint32_t dw_shift_share(const struct dw_shift *shift, uint64_t now_us)
 {
 	uint32_t progress = dw_shift_progress(shift, now_us);
@@ -94,25 +128,69 @@
 	return share;
 }
 
-void dw_shift_count_answer(struct dw_shift *shift, enum dw_shift_side side, bool bad)
+void dw_shift_count_answer(struct dw_shift *shift, enum dw_shift_side side,
+			   const struct dw_shift_answer *answer, uint64_t now_us)
+{
+	struct dw_shift_count *count = &shift->own.counts[side];
+
+	count->answers++;
+	count->bad += answer->failed;
+	if (side == DW_SHIFT_NEW && !answer->failed && answer->load_permille >= LOADED_PERMILLE)
+		shift->loaded_answers++;
+	if (answer->taken_us == 0 || answer->expected_us == 0 || is_loaded(shift, now_us))
+		return;
+	count->timed++;
+	count->slow += answer->taken_us > SLOW_FACTOR * answer->expected_us + SLOW_SLACK_US;
+}
+
+/* Whether @p some of @p all is well above twice @p old_some of @p old_all. */
+static bool is_excess(uint32_t some, uint32_t all, uint32_t old_some, uint32_t old_all,
+		      uint32_t excess_permille)
+{
+	uint64_t old_permille = old_all > 0 ? (uint64_t)old_some * 1000 / old_all : 0;
+
+	return all > 0 && (uint64_t)some * 1000 / all >= 2 * old_permille + excess_permille;
+}
+
+static bool is_slow(const struct dw_shift_count *new, const struct dw_shift_count *old)
+{
+	return new->slow >= VERDICT_SLOW_LEAST &&is_excess(new->slow, new->timed, old->slow,
+							   old->timed,
+							   VERDICT_SLOW_EXCESS_PERMILLE);
+}
+
+static bool is_failing(const struct dw_shift_count *new, const struct dw_shift_count *old)
 {
-	shift->own.counts[side].answers++;
-	shift->own.counts[side].bad += bad;
+	return new->bad >= VERDICT_BAD_LEAST &&is_excess(new->bad, new->answers, old->bad,
+							 old->answers, VERDICT_EXCESS_PERMILLE);
+}
+
+static struct dw_shift_count pooled(const struct dw_shift *shift, enum dw_shift_side side)
+{
+	const struct dw_shift_count *own = &shift->own.counts[side];
+	const struct dw_shift_count *others = &shift->others.counts[side];
+
+	return (struct dw_shift_count){
+		.answers = own->answers + others->answers,
+		.bad = own->bad + others->bad,
+		.timed = own->timed + others->timed,
+		.slow = own->slow + others->slow,
+	};
 }
 
 static bool is_bad(const struct dw_shift *shift)
 {
-	const struct dw_shift_evidence *own = &shift->own;
-	const struct dw_shift_evidence *others = &shift->others;
-	uint64_t bad = own->counts[DW_SHIFT_NEW].bad + others->counts[DW_SHIFT_NEW].bad;
-	uint64_t answers = own->counts[DW_SHIFT_NEW].answers + others->counts[DW_SHIFT_NEW].answers;
-	uint64_t old_bad = own->counts[DW_SHIFT_OLD].bad + others->counts[DW_SHIFT_OLD].bad;
-	uint64_t old_answers =
-		own->counts[DW_SHIFT_OLD].answers + others->counts[DW_SHIFT_OLD].answers;
-	uint64_t old_permille = old_answers > 0 ? old_bad * 1000 / old_answers : 0;
+	struct dw_shift_count new = pooled(shift, DW_SHIFT_NEW);
+	struct dw_shift_count old = pooled(shift, DW_SHIFT_OLD);
 
-	return bad >= VERDICT_BAD_LEAST && answers > 0 &&
-	       bad * 1000 / answers >= 2 * old_permille + VERDICT_EXCESS_PERMILLE;
+	return is_failing(&new, &old) || is_slow(&new, &old);
+}
+
+bool dw_shift_is_suspect(const struct dw_shift *shift)
+{
+	const struct dw_shift_count *new = &shift->own.counts[DW_SHIFT_NEW];
+
+	return new->bad > 0 || new->slow > 0;
 }
 
 enum dw_shift_state dw_shift_judge(const struct dw_shift *shift, uint64_t now_us)
@@ -126,9 +204,10 @@
 	return DW_SHIFT_RUNNING;
 }
 
-static struct dw_shift_demand demand_new(const struct dw_shift *shift)
+static struct dw_shift_demand demand_new(const struct dw_shift *shift, uint32_t engines_permille)
 {
-	return (struct dw_shift_demand){ .required_version = shift->order.target_version };
+	return (struct dw_shift_demand){ .required_version = shift->order.target_version,
+					 .engines_permille = engines_permille };
 }
 
 static struct dw_shift_demand demand_old(const struct dw_shift *shift)
@@ -136,28 +215,39 @@
 	return (struct dw_shift_demand){ .avoided_version = shift->order.target_version };
 }
 
-struct dw_shift_demand dw_shift_demand(const struct dw_shift *shift, const char *pinned,
-				       uint64_t hash, uint64_t now_us)
+static struct dw_shift_demand demand_running(const struct dw_shift *shift,
+					     const struct dw_shift_request *request,
+					     uint64_t now_us)
 {
-	bool is_pinned_new = pinned && strcmp(pinned, shift->order.target_version) == 0;
-	bool is_first_half = dw_shift_progress(shift, now_us) < SECOND_HALF_PERMILLE;
+	const char *pinned = request->pinned_version;
+	uint32_t share = dw_shift_share(shift, now_us);
+	struct dw_shift_demand demand;
+
+	if (request->is_long && is_load_test(shift, now_us)) {
+		demand = demand_new(shift, 1);
+		demand.is_load_test = true;
+		return demand;
+	}
+	if (pinned && strcmp(pinned, shift->order.target_version) == 0)
+		return demand_new(shift, share);
+	if (pinned && dw_shift_progress(shift, now_us) < SECOND_HALF_PERMILLE)
+		return demand_old(shift);
+	return request->hash % 1000 < share ? demand_new(shift, share) : demand_old(shift);
+}
 
+struct dw_shift_demand dw_shift_demand(const struct dw_shift *shift,
+				       const struct dw_shift_request *request, uint64_t now_us)
+{
 	switch (shift->state) {
 	case DW_SHIFT_COMPLETED:
-		return demand_new(shift);
+		return demand_new(shift, 0);
 	case DW_SHIFT_ROLLED_BACK:
 		return demand_old(shift);
 	case DW_SHIFT_RUNNING:
-		break;
+		return demand_running(shift, request, now_us);
 	case DW_SHIFT_NONE:
 	case DW_SHIFT_STATE_COUNT:
-		return (struct dw_shift_demand){ 0 };
+		break;
 	}
-	if (is_pinned_new)
-		return demand_new(shift);
-	if (pinned && is_first_half)
-		return demand_old(shift);
-	if (hash % 1000 < dw_shift_share(shift, now_us))
-		return demand_new(shift);
-	return demand_old(shift);
+	return (struct dw_shift_demand){ 0 };
 }
--- a/src/wharf-gateway/exchange.c
+++ b/src/wharf-gateway/exchange.c
@@ -27,9 +27,6 @@
 #define SILENT_GAP_US (1800 * DW_US_PER_MS)
 #define SILENT_MOST_US (4 * DW_US_PER_S)
 #define SILENT_STEP_US (300 * DW_US_PER_MS)
-/* An answer counts against its version when it begins this much later than expected. */
-#define SLOW_FACTOR 3
-#define SLOW_SLACK_US (250 * DW_US_PER_MS)
 /* Repeats that a better answer leaves to requests that fail. */
 #define REPEATS_RESERVED 3
 /* How long a request waits for a cold engine's rate, and how often it looks. */
@@ -40,6 +37,9 @@
 #define RETRY_AFTER_SPREAD_MS 400
 /* Answers up to this length are held until they are whole; a longer one is passed on as it comes. */
 #define HELD_MOST_BYTES (1U << 20)
+/* An answer of so many tokens, to a prompt of at most so many times as many, is a long one. */
+#define LONG_ANSWER_TOKENS 100
+#define LONG_PROMPT_FACTOR 8
 #define URGENCY_MOST 9
 #define URGENCY_STEP 2
 
@@ -60,6 +60,7 @@
 	uint64_t sent_at_us; /**< the attempt */
 	uint64_t expected_us; /**< until its answer's first byte */
 	uint64_t begun_at_us; /**< its answer; 0: not yet */
+	uint32_t load_permille; /**< of its engine's slots, as the answer told; 0: not told */
 	char tried[DW_CHOICE_TRIED_MAX][DW_ENGINE_TEXT_BYTES];
 	uint32_t tried_count;
 	uint32_t sends;
@@ -346,11 +347,18 @@
 /* An attempt has ended with an answer or a failure that tells of its engine's version. */
 static void count_for_version(struct exchange *exchange, bool failed)
 {
-	uint64_t limit_us = SLOW_FACTOR * exchange->expected_us + SLOW_SLACK_US;
-	bool slow = exchange->begun_at_us > exchange->sent_at_us + limit_us;
+	uint64_t now_us = dw_clock_now_us();
+	/* An answer that didn't begin took at least until now. */
+	uint64_t begun_us = exchange->begun_at_us > 0 ? exchange->begun_at_us : now_us;
+	struct dw_shift_answer answer = {
+		.failed = failed,
+		.taken_us = begun_us > exchange->sent_at_us ? begun_us - exchange->sent_at_us : 0,
+		.expected_us = exchange->expected_us,
+		.load_permille = exchange->load_permille,
+	};
 
 	shifts_count_answer(&exchange->router->view->shifts, exchange->service_name,
-			    exchange->version, failed || slow, dw_clock_now_us());
+			    exchange->version, &answer, now_us);
 }
 
 static void describe_choice(struct exchange *exchange, struct dw_choice *choice, uint64_t now_us);
@@ -408,6 +416,9 @@
 	bool is_stream = exchange->route->kind == DW_ROUTE_STREAM && head->status < 300;
 
 	exchange->begun_at_us = dw_clock_now_us();
+	if (fields->has_load && fields->slots > 0)
+		exchange->load_permille =
+			(fields->running + fields->waiting) * 1000 / fields->slots;
 	if (exchange->policy.is_begun)
 		return is_stream; /* a stream that goes on keeps the head of its first engine */
 	exchange->answer.status = head->status;
@@ -474,10 +485,11 @@
 static const struct attempt_calls attempt_calls = { on_answer_head, on_answer_body, on_answer_end,
 						    on_attempt_over };
 
-static bool is_failure_of_engine(enum dw_attempt_end end)
+/* Silence and an engine's own time limit tell of its load as well. */
+static bool is_failure_of_version(const struct exchange *exchange, enum dw_attempt_end end)
 {
-	return end == DW_ATTEMPT_NO_ANSWER || end == DW_ATTEMPT_CUT || end == DW_ATTEMPT_INVALID ||
-	       end == DW_ATTEMPT_SERVER_ERROR;
+	return end == DW_ATTEMPT_CUT || end == DW_ATTEMPT_INVALID ||
+	       (end == DW_ATTEMPT_SERVER_ERROR && exchange->answer.status != 504);
 }
 
 static void after_attempt(struct exchange *exchange, enum dw_attempt_end end)
@@ -487,8 +499,10 @@
 	enum dw_policy_verdict verdict =
 		dw_request_policy_ended(&exchange->policy, end, may_retry, now_us);
 
-	if (is_failure_of_engine(end))
+	if (is_failure_of_version(exchange, end))
 		count_for_version(exchange, true);
+	else if (end == DW_ATTEMPT_DROPPED || end == DW_ATTEMPT_NO_ANSWER)
+		count_for_version(exchange, false);
 
 	event_stream_clear(&exchange->events);
 	exchange->is_out_of_order = false;
@@ -561,6 +575,7 @@
 	exchange->sent_at_us = now_us;
 	exchange->expected_us = chosen->expected_us;
 	exchange->begun_at_us = 0;
+	exchange->load_permille = 0;
 	if (exchange->fields.session)
 		dw_session_pins_use(exchange->router->view->shifts.pins, exchange->service_name,
 				    exchange->fields.session, exchange->version, now_us);
@@ -623,23 +638,49 @@
 	return dw_rendezvous_key(text, strlen(text));
 }
 
+/* Whether the answer is long against the prompt, so that it loads an engine cheaply. */
+static bool is_long(const struct exchange *exchange)
+{
+	const struct request_fields *fields = &exchange->fields;
+	uint32_t expected = fields->expected_tokens_out > 0 ? fields->expected_tokens_out
+							    : fields->prompt.tokens_out_max;
+
+	return fields->has_prompt && expected >= LONG_ANSWER_TOKENS &&
+	       expected * LONG_PROMPT_FACTOR >= fields->prompt.tokens_in;
+}
+
+static void use_largest_model(struct exchange *exchange, struct dw_choice *choice)
+{
+	const struct dw_route_rule *route = exchange->route;
+
+	exchange->rung = route->model_count - 1;
+	exchange->model = route->models[exchange->rung];
+	choice->model = exchange->model;
+	if (choice->prompt)
+		choice->speed = router_speed(exchange->router, exchange->model);
+}
+
 /* The version that a shift of the service wants for this request. */
 static void apply_shift(struct exchange *exchange, struct dw_choice *choice)
 {
 	struct shifts *shifts = &exchange->router->view->shifts;
 	const struct dw_shift *shift = shifts_find(shifts, exchange->service_name);
 	uint64_t session_us = exchange->router->settings->session_timeout_ms * DW_US_PER_MS;
-	const char *pinned = NULL;
+	struct dw_shift_request request = { .hash = split_hash(exchange),
+					    .is_long = is_long(exchange) };
 	struct dw_shift_demand demand;
 
 	if (!shift)
 		return;
 	if (exchange->fields.session)
-		pinned = dw_session_pins_find(
+		request.pinned_version = dw_session_pins_find(
 			shifts->pins, exchange->service_name, exchange->fields.session,
 			choice->now_us > session_us ? choice->now_us - session_us : 0);
-	demand = dw_shift_demand(shift, pinned, split_hash(exchange), choice->now_us);
+	demand = dw_shift_demand(shift, &request, choice->now_us);
 	choice->required_version = demand.required_version;
+	choice->subset_permille = demand.engines_permille;
+	if (demand.is_load_test && exchange->model)
+		use_largest_model(exchange, choice);
 	choice->avoided_version = demand.avoided_version;
 }
 
@@ -656,6 +697,7 @@
 	/* The new version has no engine for it: while the old one is there, it serves. */
 	choice->avoided_version = choice->required_version;
 	choice->required_version = NULL;
+	choice->subset_permille = 0;
 	return dw_engine_choose(engines, choice, chosen);
 }
 
--- a/src/wharf-gateway/shifts.c
+++ b/src/wharf-gateway/shifts.c
@@ -18,12 +18,15 @@
 
 #define LOOK_PERIOD_MS 200
 #define WRITE_TIMEOUT_US (800 * DW_US_PER_MS)
-/* An instance's evidence is written at most this often, and only when a bad answer came. */
+/* An instance's evidence is written at most this often, and only while it speaks against the new
+ * version. */
 #define EVIDENCE_PERIOD_US (700 * DW_US_PER_MS)
 /* The progress is written again after this part of the time, in thousandths. */
 #define PROGRESS_STEP_PERMILLE 125
 /* Writers of one record wait up to this long for another to be first. */
-#define FIRST_WRITER_SPREAD_US (500 * DW_US_PER_MS)
+#define FIRST_WRITER_SPREAD_US (2500 * DW_US_PER_MS)
+/* The outcome is urgent: the other instances may not know it yet. */
+#define OUTCOME_SPREAD_US (400 * DW_US_PER_MS)
 
 struct peer_evidence {
 	char instance[DW_ENGINE_TEXT_BYTES];
@@ -46,7 +49,7 @@
 	struct written_record progress;
 	struct written_record evidence;
 	uint32_t written_progress; /**< newest in the store, in thousandths */
-	uint32_t written_bad; /**< of the own evidence in the store */
+	uint32_t written_answers; /**< of the new version, in the own evidence in the store */
 	uint64_t evidence_at_us;
 	enum dw_shift_state written_state;
 	UT_hash_handle hh; /**< by shift.order.service */
@@ -107,7 +110,7 @@
 		free(at);
 	}
 	service->peers = NULL;
-	service->written_bad = 0;
+	service->written_answers = 0;
 	service->written_progress = 0;
 	service->written_state = DW_SHIFT_NONE;
 }
@@ -192,14 +195,36 @@
 	return peer;
 }
 
+static void add_count(struct dw_shift_count *sum, const struct dw_shift_count *count)
+{
+	sum->answers += count->answers;
+	sum->bad += count->bad;
+	sum->timed += count->timed;
+	sum->slow += count->slow;
+}
+
+/* A count is an array of four numbers; what is missing stays zero and only weakens the evidence. */
+static void read_count(struct json_object *root, const char *name, struct dw_shift_count *count)
+{
+	struct json_object *array;
+	uint32_t numbers[4] = { 0 };
+
+	if (json_object_object_get_ex(root, name, &array) &&
+	    json_object_is_type(array, json_type_array)) {
+		for (size_t i = 0; i < 4 && i < json_object_array_length(array); i++)
+			numbers[i] = (uint32_t)json_object_get_uint64(
+				json_object_array_get_idx(array, i));
+	}
+	*count = (struct dw_shift_count){ numbers[0], numbers[1], numbers[2], numbers[3] };
+}
+
 static void sum_evidence(struct service_shift *service)
 {
 	struct dw_shift_evidence sum = { 0 };
 
 	for (const struct peer_evidence *at = service->peers; at; at = at->next) {
 		for (int side = 0; side < DW_SHIFT_SIDE_COUNT; side++) {
-			sum.counts[side].answers += at->evidence.counts[side].answers;
-			sum.counts[side].bad += at->evidence.counts[side].bad;
+			add_count(&sum.counts[side], &at->evidence.counts[side]);
 		}
 	}
 	service->shift.others = sum;
@@ -223,10 +248,8 @@
 
 		peer = peer_of(service, instance);
 		counts = peer->evidence.counts;
-		counts[DW_SHIFT_NEW].answers = (uint32_t)number_of(root, "new_answers");
-		counts[DW_SHIFT_NEW].bad = (uint32_t)number_of(root, "new_bad");
-		counts[DW_SHIFT_OLD].answers = (uint32_t)number_of(root, "old_answers");
-		counts[DW_SHIFT_OLD].bad = (uint32_t)number_of(root, "old_bad");
+		read_count(root, "new", &counts[DW_SHIFT_NEW]);
+		read_count(root, "old", &counts[DW_SHIFT_OLD]);
 		sum_evidence(service);
 	}
 	json_object_put(root);
@@ -273,17 +296,17 @@
 }
 
 void shifts_count_answer(struct shifts *shifts, const char *service_name, const char *version,
-			 bool bad, uint64_t now_us)
+			 const struct dw_shift_answer *answer, uint64_t now_us)
 {
 	struct service_shift *service = find(shifts, service_name);
-	bool is_new;
+	enum dw_shift_side side = DW_SHIFT_OLD;
 
 	if (!service || service->shift.state != DW_SHIFT_RUNNING)
 		return;
-	is_new = strcmp(version, service->shift.order.target_version) == 0;
-	dw_shift_count_answer(&service->shift, is_new ? DW_SHIFT_NEW : DW_SHIFT_OLD, bad);
-	if (is_new && bad)
-		settle(service, now_us);
+	if (strcmp(version, service->shift.order.target_version) == 0)
+		side = DW_SHIFT_NEW;
+	dw_shift_count_answer(&service->shift, side, answer, now_us);
+	settle(service, now_us);
 }
 
 struct record_write {
@@ -295,6 +318,7 @@
 static void on_written(const struct dw_store_put_result *result, void *data)
 {
 	struct record_write *write = data;
+	const struct dw_shift *shift = &write->service->shift;
 
 	write->record->in_flight = false;
 	write->record->wanted_at_us = 0;
@@ -304,7 +328,15 @@
 		     DW_STR("service", write->service->shift.order.service),
 		     DW_STR("record", write->what),
 		     DW_STR("outcome", dw_store_outcome_name(result->outcome)),
-		     DW_INT("revision", result->revision));
+		     DW_INT("revision", result->revision),
+		     DW_INT("new_answers", shift->own.counts[DW_SHIFT_NEW].answers),
+		     DW_INT("new_bad", shift->own.counts[DW_SHIFT_NEW].bad),
+		     DW_INT("new_timed", shift->own.counts[DW_SHIFT_NEW].timed),
+		     DW_INT("new_slow", shift->own.counts[DW_SHIFT_NEW].slow),
+		     DW_INT("old_answers", shift->own.counts[DW_SHIFT_OLD].answers),
+		     DW_INT("old_bad", shift->own.counts[DW_SHIFT_OLD].bad),
+		     DW_INT("old_timed", shift->own.counts[DW_SHIFT_OLD].timed),
+		     DW_INT("old_slow", shift->own.counts[DW_SHIFT_OLD].slow));
 	free(write);
 }
 
@@ -331,7 +363,7 @@
 
 /* Whether the time to write has come; the first to want a shared record waits a random while. */
 static bool is_turn(struct service_shift *service, struct written_record *record, bool wanted,
-		    uint64_t now_us)
+		    uint64_t spread_us, uint64_t now_us)
 {
 	if (!wanted || record->in_flight) {
 		if (!record->in_flight)
@@ -339,8 +371,7 @@
 		return false;
 	}
 	if (record->wanted_at_us == 0)
-		record->wanted_at_us =
-			now_us + 1 + next_random(service->owner) % FIRST_WRITER_SPREAD_US;
+		record->wanted_at_us = now_us + 1 + next_random(service->owner) % spread_us;
 	return now_us >= record->wanted_at_us;
 }
 
@@ -354,7 +385,9 @@
 	char value[VALUE_BYTES];
 	char key[KEY_BYTES];
 
-	if (!is_turn(service, &service->status, wanted, now_us))
+	if (!is_turn(service, &service->status, wanted,
+		     state == DW_SHIFT_RUNNING ? FIRST_WRITER_SPREAD_US : OUTCOME_SPREAD_US,
+		     now_us))
 		return;
 	record_rollout_status_key(order->service, key, sizeof(key));
 	record_write_rollout_status(state, order->service, order->target_version, value,
@@ -370,7 +403,7 @@
 	char value[VALUE_BYTES];
 	char key[KEY_BYTES];
 
-	if (!is_turn(service, &service->progress, wanted, now_us))
+	if (!is_turn(service, &service->progress, wanted, FIRST_WRITER_SPREAD_US, now_us))
 		return;
 	snprintf(key, sizeof(key), PROGRESS_PREFIX "%s", service->shift.order.service);
 	snprintf(value, sizeof(value), "{\"order\":%" PRIu64 ",\"permille\":%u}",
@@ -380,23 +413,23 @@
 
 static void write_evidence(struct service_shift *service, uint64_t now_us)
 {
-	const struct dw_shift_count *counts = service->shift.own.counts;
+	const struct dw_shift_count *new = &service->shift.own.counts[DW_SHIFT_NEW];
+	const struct dw_shift_count *old = &service->shift.own.counts[DW_SHIFT_OLD];
 	char value[VALUE_BYTES];
 	char key[KEY_BYTES];
 
 	if (service->shift.state == DW_SHIFT_COMPLETED || service->evidence.in_flight ||
-	    counts[DW_SHIFT_NEW].bad == service->written_bad ||
+	    new->answers == service->written_answers || !dw_shift_is_suspect(&service->shift) ||
 	    now_us < service->evidence_at_us + EVIDENCE_PERIOD_US)
 		return;
 	service->evidence_at_us = now_us;
-	service->written_bad = counts[DW_SHIFT_NEW].bad;
+	service->written_answers = new->answers;
 	snprintf(key, sizeof(key), EVIDENCE_PREFIX "%s/%s", service->shift.order.service,
 		 service->owner->instance);
 	snprintf(value, sizeof(value),
-		 "{\"order\":%" PRIu64 ",\"new_answers\":%u,\"new_bad\":%u,\"old_answers\":%u,"
-		 "\"old_bad\":%u}",
-		 service->shift.order.revision, counts[DW_SHIFT_NEW].answers,
-		 counts[DW_SHIFT_NEW].bad, counts[DW_SHIFT_OLD].answers, counts[DW_SHIFT_OLD].bad);
+		 "{\"order\":%" PRIu64 ",\"new\":[%u,%u,%u,%u],\"old\":[%u,%u,%u,%u]}",
+		 service->shift.order.revision, new->answers, new->bad, new->timed, new->slow,
+		 old->answers, old->bad, old->timed, old->slow);
 	write_record(service, &service->evidence, "evidence", key, value);
 }
 
--- a/src/wharf-gateway/shifts.h
+++ b/src/wharf-gateway/shifts.h
@@ -44,7 +44,7 @@
 const struct dw_shift *shifts_find(struct shifts *shifts, const char *service);
 
 /** An answer of a version of a service came, or failed to. */
-void shifts_count_answer(struct shifts *shifts, const char *service, const char *version, bool bad,
-			 uint64_t now_us);
+void shifts_count_answer(struct shifts *shifts, const char *service, const char *version,
+			 const struct dw_shift_answer *answer, uint64_t now_us);
 
 #endif
