--- a/include/dragonflywharf/engine_choice.h
+++ b/include/dragonflywharf/engine_choice.h
@@ -54,11 +54,12 @@
 	uint64_t now_us;
 };
 
+/** Where several obstacles stand, the last one of this list is told. */
 enum dw_choice_result {
 	DW_CHOICE_FOUND,
 	DW_CHOICE_NO_ENGINE, /**< none is known for the service, model and version */
-	DW_CHOICE_ALL_TRIED,
 	DW_CHOICE_ALL_EVACUATED,
+	DW_CHOICE_ALL_TRIED,
 	DW_CHOICE_COLD_LIMIT, /**< only cold engines are left, and their rate is used up */
 	DW_CHOICE_RESULT_COUNT
 };
--- a/include/dragonflywharf/version_shift.h
+++ b/include/dragonflywharf/version_shift.h
@@ -115,8 +115,8 @@
 	bool is_long; /**< its answer takes long and its prompt is short: it loads an engine cheaply */
 };
 
-struct dw_shift_demand dw_shift_demand(const struct dw_shift *shift,
-				       const struct dw_shift_request *request, uint64_t now_us);
+struct dw_shift_demand dw_shift_demand_of(const struct dw_shift *shift,
+					  const struct dw_shift_request *request, uint64_t now_us);
 
 #ifdef __cplusplus
 }
--- a/src/core/engine_choice.c
+++ b/src/core/engine_choice.c
@@ -249,7 +249,7 @@
 	uint64_t best_cost_us;
 	struct dw_chosen ejected; /**< the best of those out of choice */
 	uint64_t ejected_cost_us;
-	enum dw_choice_result obstacle; /**< why the last unfit engine was left out */
+	enum dw_choice_result obstacle; /**< why none was ranked */
 };
 
 static void rank(struct ranking *ranking, const struct dw_choice *choice, struct dw_engine *engine,
@@ -279,24 +279,35 @@
 	       dw_engine_sends_last_second(engine, choice->now_us) >= choice->cold_sends_per_s;
 }
 
+/* What keeps a fit engine from being chosen; FOUND: nothing. */
+static enum dw_choice_result obstacle_of(const struct dw_choice *choice,
+					 const struct dw_engine *engine)
+{
+	if (dw_domain_list_holds(choice->evacuated, engine->entry.failure_domain))
+		return DW_CHOICE_ALL_EVACUATED;
+	if (was_tried(choice, engine))
+		return DW_CHOICE_ALL_TRIED;
+	if (is_cold_rate_used_up(choice, engine))
+		return DW_CHOICE_COLD_LIMIT;
+	return DW_CHOICE_FOUND;
+}
+
 enum dw_choice_result dw_engine_choose(struct dw_engine_set *set, const struct dw_choice *choice,
 				       struct dw_chosen *chosen)
 {
 	struct ranking ranking = { .obstacle = DW_CHOICE_NO_ENGINE };
 	const struct dw_engine *home = find_home(set, choice);
 	uint64_t bound = subset_bound(set, choice);
+	enum dw_choice_result obstacle;
 
 	for (struct dw_engine *at = dw_engine_set_first(set); at; at = at->next) {
 		if (!is_fit(choice, at) || (bound > 0 && subset_score(at) < bound))
 			continue;
-		if (dw_domain_list_holds(choice->evacuated, at->entry.failure_domain))
-			ranking.obstacle = DW_CHOICE_ALL_EVACUATED;
-		else if (was_tried(choice, at))
-			ranking.obstacle = DW_CHOICE_ALL_TRIED;
-		else if (is_cold_rate_used_up(choice, at))
-			ranking.obstacle = DW_CHOICE_COLD_LIMIT;
-		else
+		obstacle = obstacle_of(choice, at);
+		if (obstacle == DW_CHOICE_FOUND)
 			rank(&ranking, choice, at, at == home);
+		else if (obstacle > ranking.obstacle)
+			ranking.obstacle = obstacle;
 	}
 	if (!ranking.best.engine)
 		ranking.best = ranking.ejected;
--- a/src/core/retry_window.c
+++ b/src/core/retry_window.c
@@ -4,6 +4,10 @@
  * forgotten too soon. */
 #define WINDOW_BUCKETS (DW_RETRY_WINDOW_BUCKETS - 1)
 
+/* Requests leave a window that slides on before the repeats that they allowed do, so this part of
+ * the ratio is kept to. */
+#define RATIO_USED_PERMILLE 930
+
 static uint64_t bucket_number(const struct dw_retry_window_options *options, uint64_t now_us)
 {
 	uint64_t span_us = options->window_us / WINDOW_BUCKETS;
@@ -47,7 +51,8 @@
 		if (bucket->number + WINDOW_BUCKETS > newest)
 			requests += bucket->requests;
 	}
-	allowed = (requests * options->ratio_permille + options->slack * UINT64_C(1000)) / 1000;
+	allowed = requests * options->ratio_permille * RATIO_USED_PERMILLE / 1000000 +
+		  options->slack;
 	return allowed > repeats ? (uint32_t)(allowed - repeats) : 0;
 }
 
--- a/src/core/version_shift.c
+++ b/src/core/version_shift.c
@@ -235,8 +235,8 @@
 	return request->hash % 1000 < share ? demand_new(shift, share) : demand_old(shift);
 }
 
-struct dw_shift_demand dw_shift_demand(const struct dw_shift *shift,
-				       const struct dw_shift_request *request, uint64_t now_us)
+struct dw_shift_demand dw_shift_demand_of(const struct dw_shift *shift,
+					  const struct dw_shift_request *request, uint64_t now_us)
 {
 	switch (shift->state) {
 	case DW_SHIFT_COMPLETED:
--- a/src/wharf-gateway/exchange.c
+++ b/src/wharf-gateway/exchange.c
@@ -676,7 +676,7 @@
 		request.pinned_version = dw_session_pins_find(
 			shifts->pins, exchange->service_name, exchange->fields.session,
 			choice->now_us > session_us ? choice->now_us - session_us : 0);
-	demand = dw_shift_demand(shift, &request, choice->now_us);
+	demand = dw_shift_demand_of(shift, &request, choice->now_us);
 	choice->required_version = demand.required_version;
 	choice->subset_permille = demand.engines_permille;
 	if (demand.is_load_test && exchange->model)
--- /dev/null
+++ b/tests/catalog_test.cc
@@ -0,0 +1,108 @@
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include <dragonflywharf/catalog.h>
+
+namespace
+{
+
+dw_route_rule route(const char *name, const char *host, const char *prefix)
+{
+	dw_route_rule rule{};
+	rule.name = name;
+	rule.host = host;
+	rule.path_prefix = prefix;
+	rule.shares[0] = { "service", 1 };
+	rule.share_count = 1;
+	rule.max_attempts = 1;
+	return rule;
+}
+
+struct Catalog : testing::Test {
+	dw_catalog *catalog = nullptr;
+
+	void SetUp() override
+	{
+		ASSERT_EQ(dw_catalog_new(&catalog, 7), DW_OK);
+	}
+	void TearDown() override
+	{
+		dw_catalog_release(catalog);
+	}
+	void add(const char *name, const char *host, const char *prefix)
+	{
+		dw_route_rule rule = route(name, host, prefix);
+		ASSERT_EQ(dw_catalog_add_route(catalog, &rule), DW_OK);
+	}
+	std::string match(const char *host, const char *path)
+	{
+		const dw_route_rule *rule = dw_catalog_match(catalog, host, path);
+		return rule ? rule->name : "";
+	}
+};
+
+TEST_F(Catalog, TheLongestPrefixOfTheHostMatches)
+{
+	add("short", "a.example", "/x/");
+	add("long", "a.example", "/x/y/");
+	add("other", "b.example", "/x/y/z/");
+	EXPECT_EQ(match("a.example", "/x/y/z/1"), "long");
+	EXPECT_EQ(match("a.example", "/x/z"), "short");
+	EXPECT_EQ(match("A.Example", "/x/z"), "short");
+	EXPECT_EQ(match("a.example", "/x"), "");
+	EXPECT_EQ(match("c.example", "/x/y/"), "");
+}
+
+TEST_F(Catalog, IncompleteRoutesAreRefused)
+{
+	dw_route_rule rule = route("r", "h", "x/");
+	EXPECT_EQ(dw_catalog_add_route(catalog, &rule), DW_INVALID_ARGUMENT);
+	rule = route("r", "h", "/x");
+	EXPECT_EQ(dw_catalog_add_route(catalog, &rule), DW_INVALID_ARGUMENT);
+	rule = route("r", nullptr, "/x/");
+	EXPECT_EQ(dw_catalog_add_route(catalog, &rule), DW_INVALID_ARGUMENT);
+	rule = route("r", "h", "/x/");
+	rule.share_count = 0;
+	EXPECT_EQ(dw_catalog_add_route(catalog, &rule), DW_INVALID_ARGUMENT);
+	EXPECT_EQ(dw_catalog_route_count(catalog), 0U);
+}
+
+TEST_F(Catalog, KeysLeadToTheirOrganisation)
+{
+	dw_organisation_rule organisation = { "workshop", true, 2 };
+	EXPECT_FALSE(dw_catalog_needs_keys(catalog));
+	ASSERT_EQ(dw_catalog_add_organisation(catalog, &organisation), DW_OK);
+	ASSERT_EQ(dw_catalog_add_key(catalog, "workshop", "k1"), DW_OK);
+	EXPECT_EQ(dw_catalog_add_key(catalog, "workshop", "k1"), DW_CONFLICT);
+	EXPECT_EQ(dw_catalog_add_key(catalog, "nobody", "k2"), DW_NOT_FOUND);
+	EXPECT_TRUE(dw_catalog_needs_keys(catalog));
+	ASSERT_NE(dw_catalog_key_holder(catalog, "k1"), nullptr);
+	EXPECT_STREQ(dw_catalog_key_holder(catalog, "k1")->name, "workshop");
+	EXPECT_EQ(dw_catalog_key_holder(catalog, "k2"), nullptr);
+}
+
+TEST_F(Catalog, WeightsDivideTheRequests)
+{
+	dw_route_rule rule = route("r", "h", "/x/");
+	rule.shares[0] = { "first", 90 };
+	rule.shares[1] = { "second", 10 };
+	rule.share_count = 2;
+	int second = 0;
+	for (uint64_t hash = 0; hash < 1000; hash++)
+		second += std::string(dw_route_pick_service(&rule, hash)) == "second";
+	EXPECT_EQ(second, 100);
+	rule.shares[0].weight = rule.shares[1].weight = 0;
+	EXPECT_STREQ(dw_route_pick_service(&rule, 5), "first");
+}
+
+TEST_F(Catalog, AHolderKeepsItAfterItsReplacement)
+{
+	add("r", "h", "/x/");
+	dw_catalog *held = dw_catalog_hold(catalog);
+	dw_catalog_release(catalog);
+	EXPECT_EQ(dw_catalog_version(held), 7U);
+	EXPECT_EQ(match("h", "/x/1"), "r");
+}
+
+} // namespace
--- /dev/null
+++ b/tests/engine_choice_test.cc
@@ -0,0 +1,211 @@
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+
+#include <dragonflywharf/engine_choice.h>
+
+namespace
+{
+
+constexpr uint64_t MS = 1000;
+constexpr uint64_t SECOND = 1000 * MS;
+
+dw_prompt prompt_of(uint64_t shared_id, uint32_t shared, uint64_t own_id, uint32_t own)
+{
+	dw_prompt prompt{};
+	prompt.parts[0] = { shared_id, shared };
+	prompt.parts[1] = { own_id, own };
+	prompt.part_count = 2;
+	prompt.tokens_in = shared + own;
+	return prompt;
+}
+
+struct EngineChoice : testing::Test {
+	dw_engine_set *set = dw_engine_set_new();
+	dw_choice choice{};
+	dw_model_speed speed = { 40000 };
+	uint64_t random = 1;
+
+	EngineChoice()
+	{
+		choice.service = "llm";
+		choice.model = "m";
+		choice.speed = &speed;
+		choice.kv_tokens = 300000;
+		choice.failure_domain = "a";
+		choice.now_us = 100 * SECOND;
+	}
+	~EngineChoice() override
+	{
+		dw_engine_set_free(set);
+	}
+	dw_engine *add(const std::string &id, const char *domain, const char *version = "v1")
+	{
+		dw_engine_entry entry{};
+		snprintf(entry.id, sizeof(entry.id), "%s", id.c_str());
+		snprintf(entry.service, sizeof(entry.service), "llm");
+		snprintf(entry.failure_domain, sizeof(entry.failure_domain), "%s", domain);
+		snprintf(entry.version, sizeof(entry.version), "%s", version);
+		entry.slots = 64;
+		dw_engine_set_put(set, &entry, 0);
+		return dw_engine_set_find(set, id.c_str());
+	}
+	std::string choose(dw_choice_result expected = DW_CHOICE_FOUND)
+	{
+		dw_chosen chosen{};
+		choice.random = random++;
+		EXPECT_EQ(dw_engine_choose(set, &choice, &chosen), expected);
+		return chosen.engine ? chosen.engine->entry.id : "";
+	}
+};
+
+/* Shared prompts: requests of one subject meet at one engine, those of all subjects spread. */
+TEST_F(EngineChoice, SharedPartsMeetWithoutAnyExchange)
+{
+	for (int i = 0; i < 12; i++)
+		add("e" + std::to_string(i), "a");
+	std::map<std::string, int> load;
+	for (uint64_t subject = 1; subject <= 240; subject++) {
+		std::set<std::string> seen;
+		for (uint64_t request = 0; request < 4; request++) {
+			dw_prompt prompt =
+				prompt_of(subject * 7919, 6000, subject * 1000 + request, 1000);
+			choice.prompt = &prompt;
+			seen.insert(choose());
+		}
+		EXPECT_EQ(seen.size(), 1U);
+		load[*seen.begin()]++;
+	}
+	EXPECT_EQ(load.size(), 12U);
+	for (const auto &[id, count] : load)
+		EXPECT_LT(count, 50) << id;
+}
+
+/* Hot key: one subject gets so much that its home's queue costs more than reading it elsewhere. */
+TEST_F(EngineChoice, AHotSubjectSpreadsWhenItsHomeIsBusy)
+{
+	for (int i = 0; i < 4; i++)
+		add("e" + std::to_string(i), "a");
+	dw_prompt prompt = prompt_of(77, 6000, 1, 1000);
+	choice.prompt = &prompt;
+	std::string home = choose();
+	for (int i = 0; i < 12; i++)
+		dw_engine_sent(dw_engine_set_find(set, home.c_str()), choice.now_us);
+	EXPECT_NE(choose(), home);
+}
+
+TEST_F(EngineChoice, APartThatIsHeldIsWorthADistance)
+{
+	add("near", "a");
+	dw_engine *far = add("far", "b");
+	dw_prompt prompt = prompt_of(5, 6000, 6, 100);
+	prompt.part_count = 1;
+	choice.prompt = &prompt;
+	EXPECT_EQ(choose(), "near");
+	dw_prefix_cache_use(far->cache, dw_model_hash("m"), &prompt);
+	EXPECT_EQ(choose(), "far");
+}
+
+TEST_F(EngineChoice, TheNearOneIsChosenAmongEquals)
+{
+	add("far", "b");
+	add("near", "a");
+	for (int i = 0; i < 20; i++)
+		EXPECT_EQ(choose(), "near");
+}
+
+TEST_F(EngineChoice, EvacuatedDrainingAndTriedOnesGetNothing)
+{
+	add("a1", "a");
+	add("b1", "b");
+	dw_domain_list evacuated{};
+	snprintf(evacuated.names[0], sizeof(evacuated.names[0]), "a");
+	evacuated.count = 1;
+	choice.evacuated = &evacuated;
+	EXPECT_EQ(choose(), "b1");
+	choice.tried[0] = "b1";
+	choice.tried_count = 1;
+	choose(DW_CHOICE_ALL_TRIED);
+	choice.tried_count = 0;
+	dw_engine_set_remove(set, "b1", 0, choice.now_us);
+	choose(DW_CHOICE_ALL_EVACUATED);
+	dw_engine_set_remove(set, "a1", 0, choice.now_us);
+	choose(DW_CHOICE_NO_ENGINE);
+}
+
+/* A failure domain comes back cold: no more than the share goes to each engine in any second. */
+TEST_F(EngineChoice, AColdEnginesRateIsKept)
+{
+	dw_engine *cold = add("cold", "a");
+	dw_engine_told_cold(cold, 5000, choice.now_us);
+	choice.cold_sends_per_s = 2;
+	int sends = 0;
+	for (int step = 0; step < 300; step++) {
+		dw_chosen chosen{};
+		choice.now_us += 10 * MS;
+		if (dw_engine_choose(set, &choice, &chosen) != DW_CHOICE_FOUND)
+			continue;
+		dw_engine_sent(cold, choice.now_us);
+		sends++;
+		EXPECT_LE(dw_engine_sends_last_second(cold, choice.now_us), 2U);
+	}
+	EXPECT_GE(sends, 5);
+	EXPECT_LE(sends, 6);
+}
+
+TEST_F(EngineChoice, AnEjectedEngineIsTheLastResort)
+{
+	dw_engine *bad = add("bad", "a");
+	bad->ejected_until_us = choice.now_us + SECOND;
+	EXPECT_EQ(choose(), "bad");
+	add("good", "b");
+	EXPECT_EQ(choose(), "good");
+}
+
+TEST_F(EngineChoice, AVersionIsRequiredOrAvoided)
+{
+	add("old", "a", "v1");
+	add("new", "b", "v2");
+	choice.required_version = "v2";
+	EXPECT_EQ(choose(), "new");
+	choice.required_version = nullptr;
+	choice.avoided_version = "v2";
+	EXPECT_EQ(choose(), "old");
+}
+
+/* A small share of the requests goes to few engines, the same for every instance. */
+TEST_F(EngineChoice, ASubsetIsTheSameForAll)
+{
+	for (int i = 0; i < 10; i++)
+		add("e" + std::to_string(i), i % 2 ? "a" : "b");
+	std::set<std::string> seen;
+	choice.subset_permille = 200;
+	for (int i = 0; i < 200; i++) {
+		choice.failure_domain = i % 2 ? "a" : "b";
+		seen.insert(choose());
+	}
+	EXPECT_LE(seen.size(), 2U);
+	choice.subset_permille = 1;
+	seen.clear();
+	for (int i = 0; i < 50; i++)
+		seen.insert(choose());
+	EXPECT_EQ(seen.size(), 1U);
+}
+
+TEST_F(EngineChoice, SpeedIsLearntFromAnswersAndNotFromQueues)
+{
+	dw_model_speed learnt{};
+	std::mt19937_64 random(5);
+	for (int i = 0; i < 300; i++) {
+		uint64_t queue_us = random() % 3 == 0 ? random() % SECOND : 0;
+		dw_model_speed_learn(&learnt, 2000, 2000 * 20 + queue_us);
+	}
+	EXPECT_GT(learnt.us_per_1000_tokens, 15000U);
+	EXPECT_LT(learnt.us_per_1000_tokens, 40000U);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/engine_test.cc
@@ -0,0 +1,117 @@
+#include <gtest/gtest.h>
+
+#include <cstdio>
+
+#include <dragonflywharf/engine.h>
+
+namespace
+{
+
+constexpr uint64_t MS = 1000;
+constexpr uint64_t SECOND = 1000 * MS;
+
+dw_engine_entry entry(const char *id, uint64_t born_ms = 1)
+{
+	dw_engine_entry made{};
+	snprintf(made.id, sizeof(made.id), "%s", id);
+	snprintf(made.service, sizeof(made.service), "llm");
+	made.slots = 4;
+	made.born_ms = born_ms;
+	return made;
+}
+
+struct Engines : testing::Test {
+	dw_engine_set *set = dw_engine_set_new();
+
+	~Engines() override
+	{
+		dw_engine_set_free(set);
+	}
+	dw_engine *add(const char *id)
+	{
+		dw_engine_entry made = entry(id);
+		dw_engine_set_put(set, &made, 0);
+		return dw_engine_set_find(set, id);
+	}
+};
+
+TEST_F(Engines, ChangesAreTold)
+{
+	dw_engine_entry made = entry("a");
+	EXPECT_EQ(dw_engine_set_put(set, &made, 0), DW_ENGINE_ADDED);
+	EXPECT_EQ(dw_engine_set_put(set, &made, 0), DW_ENGINE_UNCHANGED);
+	made.is_draining = true;
+	EXPECT_EQ(dw_engine_set_put(set, &made, 0), DW_ENGINE_STATE_CHANGED);
+	EXPECT_FALSE(dw_engine_is_usable(dw_engine_set_find(set, "a"), 0));
+}
+
+/* An engine starts again under its id: what was learnt of the one before must not hold. */
+TEST_F(Engines, ARestartForgetsWhatWasLearnt)
+{
+	dw_engine *engine = add("a");
+	dw_engine_sent(engine, 0);
+	dw_engine_ended(engine, DW_ENGINE_UNREACHABLE, false, 0);
+	EXPECT_GT(engine->ejected_until_us, 0U);
+	dw_engine_entry made = entry("a", 2);
+	EXPECT_EQ(dw_engine_set_put(set, &made, 0), DW_ENGINE_RESTARTED);
+	EXPECT_EQ(engine->ejected_until_us, 0U);
+	EXPECT_EQ(engine->failures_in_row, 0U);
+}
+
+TEST_F(Engines, OneThatLapsedInAStoreOutageStaysUsableForAWhile)
+{
+	dw_engine *engine = add("a");
+	dw_engine_set_remove(set, "a", 2 * SECOND, SECOND);
+	EXPECT_TRUE(dw_engine_is_usable(engine, SECOND));
+	EXPECT_FALSE(dw_engine_is_usable(engine, 2 * SECOND));
+	dw_engine_entry made = entry("a");
+	dw_engine_set_put(set, &made, SECOND);
+	EXPECT_TRUE(dw_engine_is_usable(engine, 2 * SECOND)) << "it registered again";
+	dw_engine_set_remove(set, "a", 0, 3 * SECOND);
+	EXPECT_FALSE(dw_engine_is_usable(engine, 3 * SECOND)) << "removed while the store stood";
+}
+
+TEST_F(Engines, OneInUseOutlivesItsEntry)
+{
+	dw_engine *engine = add("a");
+	dw_engine_sent(engine, 0);
+	dw_engine_set_remove(set, "a", 0, 0);
+	dw_engine_set_sweep(set, 100 * SECOND);
+	EXPECT_EQ(dw_engine_set_find(set, "a"), engine);
+	dw_engine_ended(engine, DW_ENGINE_ANSWERED, false, 100 * SECOND);
+	dw_engine_set_sweep(set, 200 * SECOND);
+	EXPECT_EQ(dw_engine_set_find(set, "a"), nullptr);
+}
+
+/* Grey engine: it fails its requests while its entry looks good. */
+TEST_F(Engines, FailuresInARowTakeItOutOfChoiceForLongerEachTime)
+{
+	dw_engine *engine = add("a");
+	uint64_t now_us = SECOND;
+	uint64_t last_us = 0;
+	for (int i = 0; i < 6; i++) {
+		dw_engine_sent(engine, now_us);
+		dw_engine_ended(engine, DW_ENGINE_SILENT, false, now_us);
+		if (i == 0) {
+			EXPECT_EQ(engine->ejected_until_us, 0U) << "one failure is no evidence";
+			continue;
+		}
+		EXPECT_GE(engine->ejected_until_us - now_us, last_us);
+		last_us = engine->ejected_until_us - now_us;
+	}
+	EXPECT_LE(last_us, 5 * SECOND);
+	dw_engine_sent(engine, now_us);
+	dw_engine_ended(engine, DW_ENGINE_ANSWERED, true, now_us);
+	EXPECT_EQ(engine->failures_in_row, 0U);
+}
+
+TEST_F(Engines, SendsOfTheLastSecondAreCounted)
+{
+	dw_engine *engine = add("a");
+	for (uint64_t at = 0; at < 10; at++)
+		dw_engine_sent(engine, 5 * SECOND + at * 200 * MS);
+	EXPECT_EQ(dw_engine_sends_last_second(engine, 5 * SECOND + 1800 * MS), 5U);
+	EXPECT_EQ(dw_engine_sends_last_second(engine, 8 * SECOND), 0U);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/model_ladder_test.cc
@@ -0,0 +1,55 @@
+#include <gtest/gtest.h>
+
+#include <dragonflywharf/model_ladder.h>
+
+namespace
+{
+
+constexpr uint64_t MS = 1000;
+const double COSTS[] = { 0.017, 0.13, 0.26 };
+
+dw_ladder_situation idle()
+{
+	return { 0, 2000 * MS, 8000 * MS, 300 * MS, 840 };
+}
+
+TEST(ModelLadder, ConfidenceReadsAsAProbability)
+{
+	EXPECT_EQ(dw_confidence_good_permille(50), 500U);
+	EXPECT_GT(dw_confidence_good_permille(100), 995U);
+	EXPECT_LT(dw_confidence_good_permille(20), 10U);
+	for (uint32_t c = 1; c <= 100; c++)
+		EXPECT_GE(dw_confidence_good_permille(c), dw_confidence_good_permille(c - 1));
+}
+
+TEST(ModelLadder, TheCheapestWayToAGoodAnswerBegins)
+{
+	dw_ladder ladder{};
+	EXPECT_EQ(dw_ladder_first(&ladder, COSTS, 3, true), 0U);
+	EXPECT_EQ(dw_ladder_first(&ladder, COSTS, 3, false), 2U) << "no second send is allowed";
+	EXPECT_EQ(dw_ladder_first(&ladder, COSTS, 1, true), 0U);
+	for (int i = 0; i < 2000; i++)
+		dw_ladder_learn(&ladder, 0, 10, 840);
+	EXPECT_NE(dw_ladder_first(&ladder, COSTS, 3, true), 0U) << "its answers are always dropped";
+}
+
+TEST(ModelLadder, ADoubtfulAnswerIsDroppedWhileThereIsTime)
+{
+	dw_ladder_situation situation = idle();
+	EXPECT_TRUE(dw_ladder_keeps(&situation, 90));
+	EXPECT_FALSE(dw_ladder_keeps(&situation, 50));
+	EXPECT_FALSE(dw_ladder_keeps(&situation, 0));
+}
+
+/* Burst: the largest model's answer would begin after the target, or after the deadline. */
+TEST(ModelLadder, UnderLoadAFairAnswerNowIsBetterThanAGoodOneLate)
+{
+	dw_ladder_situation situation = idle();
+	situation.largest_expected_us = 3000 * MS;
+	EXPECT_TRUE(dw_ladder_keeps(&situation, 50));
+	EXPECT_FALSE(dw_ladder_keeps(&situation, 20));
+	situation.largest_expected_us = 9000 * MS;
+	EXPECT_TRUE(dw_ladder_keeps(&situation, 0));
+}
+
+} // namespace
--- /dev/null
+++ b/tests/request_policy_test.cc
@@ -0,0 +1,141 @@
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include <dragonflywharf/request_policy.h>
+
+namespace
+{
+
+constexpr uint64_t MS = 1000;
+
+dw_request_policy policy_of(dw_route_kind kind, bool resumable, uint32_t attempts)
+{
+	dw_route_rule route{};
+	route.kind = kind;
+	route.is_resumable = resumable;
+	route.max_attempts = attempts;
+	route.timeout_ms = 1000;
+	dw_request_policy policy;
+	dw_request_policy_init(&policy, &route, 0, 0);
+	return policy;
+}
+
+TEST(RequestPolicy, ABookingThatMayHaveRunIsNeitherSentAgainNorRefused)
+{
+	for (int end = 0; end < DW_ATTEMPT_END_COUNT; end++) {
+		dw_request_policy policy = policy_of(DW_ROUTE_UNSAFE, false, 3);
+		dw_request_policy_sent(&policy);
+		dw_policy_verdict verdict =
+			dw_request_policy_ended(&policy, (dw_attempt_end)end, true, 10 * MS);
+		switch (end) {
+		case DW_ATTEMPT_NOT_SENT:
+		case DW_ATTEMPT_REJECTED:
+		case DW_ATTEMPT_WRONG_INSTANCE:
+			EXPECT_EQ(verdict, DW_POLICY_SEND_AGAIN)
+				<< dw_attempt_end_name((dw_attempt_end)end);
+			break;
+		case DW_ATTEMPT_SERVER_ERROR:
+			EXPECT_EQ(verdict, DW_POLICY_PASS_ON);
+			break;
+		default:
+			EXPECT_EQ(verdict, DW_POLICY_FAIL)
+				<< dw_attempt_end_name((dw_attempt_end)end);
+		}
+	}
+}
+
+TEST(RequestPolicy, ALookUpIsSentAgainWithinItsAttempts)
+{
+	dw_request_policy policy = policy_of(DW_ROUTE_SAFE, false, 2);
+	dw_request_policy_sent(&policy);
+	EXPECT_EQ(dw_request_policy_ended(&policy, DW_ATTEMPT_SERVER_ERROR, true, MS),
+		  DW_POLICY_SEND_AGAIN);
+	dw_request_policy_sent(&policy);
+	EXPECT_EQ(dw_request_policy_ended(&policy, DW_ATTEMPT_SERVER_ERROR, true, MS),
+		  DW_POLICY_PASS_ON);
+}
+
+TEST(RequestPolicy, WithoutABudgetNothingIsSentAgain)
+{
+	dw_request_policy policy = policy_of(DW_ROUTE_SAFE, false, 3);
+	dw_request_policy_sent(&policy);
+	EXPECT_EQ(dw_request_policy_ended(&policy, DW_ATTEMPT_REJECTED, false, MS),
+		  DW_POLICY_REFUSE);
+}
+
+TEST(RequestPolicy, RejectionsDontCountAsRunsButAreBounded)
+{
+	dw_request_policy policy = policy_of(DW_ROUTE_SAFE, false, 1);
+	int sends = 0;
+	dw_policy_verdict verdict = DW_POLICY_SEND_AGAIN;
+	while (verdict == DW_POLICY_SEND_AGAIN) {
+		dw_request_policy_sent(&policy);
+		sends++;
+		verdict = dw_request_policy_ended(&policy, DW_ATTEMPT_REJECTED, true, MS);
+	}
+	EXPECT_EQ(verdict, DW_POLICY_REFUSE);
+	EXPECT_LE(sends, 3);
+	EXPECT_EQ(policy.runs, 0U);
+}
+
+TEST(RequestPolicy, AnAnswerThatHasBegunEndsVisiblyIncomplete)
+{
+	dw_request_policy policy = policy_of(DW_ROUTE_STREAM, false, 3);
+	dw_request_policy_sent(&policy);
+	policy.is_begun = true;
+	EXPECT_EQ(dw_request_policy_ended(&policy, DW_ATTEMPT_CUT, true, MS), DW_POLICY_BREAK_OFF);
+	policy = policy_of(DW_ROUTE_STREAM, true, 3);
+	dw_request_policy_sent(&policy);
+	policy.is_begun = true;
+	EXPECT_EQ(dw_request_policy_ended(&policy, DW_ATTEMPT_CUT, true, MS), DW_POLICY_SEND_AGAIN);
+}
+
+TEST(RequestPolicy, TheSoonerOfTheCallersDeadlineAndTheRoutesLimitHolds)
+{
+	dw_route_rule route{};
+	route.kind = DW_ROUTE_SAFE;
+	route.max_attempts = 2;
+	route.timeout_ms = 400;
+	dw_request_policy policy;
+	dw_request_policy_init(&policy, &route, 900 * MS, 100 * MS);
+	EXPECT_EQ(policy.deadline_us, 500 * MS);
+	dw_request_policy_init(&policy, &route, 300 * MS, 100 * MS);
+	EXPECT_EQ(policy.deadline_us, 300 * MS);
+	EXPECT_FALSE(dw_request_policy_may_send(&policy, 300 * MS));
+	EXPECT_EQ(dw_request_policy_give_up(&policy, 300 * MS), DW_POLICY_REFUSE);
+	dw_request_policy_sent(&policy);
+	EXPECT_EQ(dw_request_policy_give_up(&policy, 300 * MS), DW_POLICY_EXPIRE);
+}
+
+/* Random attempts: a refusal never follows a send that may have run, and the upstreams that may
+ * have run a request stay within its attempts. */
+TEST(RequestPolicy, ARefusalIsTrueWhateverHappened)
+{
+	std::mt19937_64 random(11);
+	for (int round = 0; round < 20000; round++) {
+		dw_route_kind kind = (dw_route_kind)(random() % DW_ROUTE_KIND_COUNT);
+		uint32_t attempts = 1 + random() % 4;
+		dw_request_policy policy = policy_of(kind, random() % 2, attempts);
+		uint32_t may_have_run = 0;
+		dw_policy_verdict verdict = DW_POLICY_SEND_AGAIN;
+		uint64_t now_us = 0;
+		while (verdict == DW_POLICY_SEND_AGAIN) {
+			now_us += random() % (400 * MS);
+			if (!dw_request_policy_may_send(&policy, now_us)) {
+				verdict = dw_request_policy_give_up(&policy, now_us);
+				break;
+			}
+			dw_request_policy_sent(&policy);
+			auto end = (dw_attempt_end)(random() % DW_ATTEMPT_END_COUNT);
+			if (end > DW_ATTEMPT_WRONG_INSTANCE)
+				may_have_run++;
+			verdict = dw_request_policy_ended(&policy, end, random() % 4 != 0, now_us);
+		}
+		ASSERT_LE(may_have_run, policy.is_idempotent ? attempts : 1U);
+		if (verdict == DW_POLICY_REFUSE)
+			ASSERT_EQ(may_have_run, 0U);
+	}
+}
+
+} // namespace
