--- a/src/core/catalog.c
+++ b/src/core/catalog.c
@@ -90,11 +90,12 @@
 
 static void free_keys(struct dw_catalog *catalog)
 {
-	struct key *key;
+	struct key *key = catalog->keys;
 	struct key *next;
 
-	HASH_ITER(hh, catalog->keys, key, next) {
-		HASH_DEL(catalog->keys, key);
+	HASH_CLEAR(hh, catalog->keys);
+	for (; key; key = next) {
+		next = key->hh.next;
 		free(key);
 	}
 }
@@ -168,54 +169,55 @@
 }
 
 enum dw_status dw_catalog_add_service(struct dw_catalog *catalog,
-				      const struct dw_service_rule *rule)
+				      const struct dw_service_rule *service)
 {
-	struct service *service;
+	struct service *added;
 
-	if (!rule->name || rule->model_count > DW_CATALOG_MODELS_MAX)
+	if (!service->name || service->model_count > DW_CATALOG_MODELS_MAX)
 		return dw_fail(DW_INVALID_ARGUMENT, "a service isn't complete");
-	service = allocate(sizeof(*service));
-	service->rule = *rule;
-	service->rule.name = keep(catalog, rule->name);
-	service->rule.health_path = keep(catalog, rule->health_path);
-	for (uint32_t i = 0; i < rule->model_count; i++)
-		service->rule.models[i].name = keep(catalog, rule->models[i].name);
-	service->next = catalog->services;
-	catalog->services = service;
+	added = allocate(sizeof(*added));
+	added->rule = *service;
+	added->rule.name = keep(catalog, service->name);
+	added->rule.health_path = keep(catalog, service->health_path);
+	for (uint32_t i = 0; i < service->model_count; i++)
+		added->rule.models[i].name = keep(catalog, service->models[i].name);
+	added->next = catalog->services;
+	catalog->services = added;
 	return DW_OK;
 }
 
 enum dw_status dw_catalog_add_organisation(struct dw_catalog *catalog,
-					   const struct dw_organisation_rule *rule)
+					   const struct dw_organisation_rule *organisation)
 {
-	struct organisation *organisation;
+	struct organisation *added;
 
-	if (!rule->name)
+	if (!organisation->name)
 		return dw_fail(DW_INVALID_ARGUMENT, "an organisation has no name");
-	organisation = allocate(sizeof(*organisation));
-	organisation->rule = *rule;
-	organisation->rule.name = keep(catalog, rule->name);
-	organisation->next = catalog->organisations;
-	catalog->organisations = organisation;
+	added = allocate(sizeof(*added));
+	added->rule = *organisation;
+	added->rule.name = keep(catalog, organisation->name);
+	added->next = catalog->organisations;
+	catalog->organisations = added;
 	return DW_OK;
 }
 
-enum dw_status dw_catalog_add_key(struct dw_catalog *catalog, const char *name, const char *value)
+enum dw_status dw_catalog_add_key(struct dw_catalog *catalog, const char *organisation,
+				  const char *key)
 {
 	struct organisation *holder = catalog->organisations;
-	struct key *key;
+	struct key *added;
 
-	while (holder && strcmp(holder->rule.name, name) != 0)
+	while (holder && strcmp(holder->rule.name, organisation) != 0)
 		holder = holder->next;
-	if (!holder || !value)
-		return dw_fail(DW_NOT_FOUND, "no organisation %s", name);
-	HASH_FIND_STR(catalog->keys, value, key);
-	if (key)
+	if (!holder || !key)
+		return dw_fail(DW_NOT_FOUND, "no organisation %s", organisation);
+	HASH_FIND_STR(catalog->keys, key, added);
+	if (added)
 		return dw_fail(DW_CONFLICT, "a key is held twice");
-	key = allocate(sizeof(*key));
-	key->value = keep(catalog, value);
-	key->organisation = holder;
-	HASH_ADD_KEYPTR(hh, catalog->keys, key->value, strlen(key->value), key);
+	added = allocate(sizeof(*added));
+	added->value = keep(catalog, key);
+	added->organisation = holder;
+	HASH_ADD_KEYPTR(hh, catalog->keys, added->value, strlen(added->value), added);
 	return DW_OK;
 }
 
@@ -257,12 +259,12 @@
 }
 
 const struct dw_organisation_rule *dw_catalog_key_holder(const struct dw_catalog *catalog,
-							 const char *value)
+							 const char *key)
 {
-	struct key *key;
+	struct key *found;
 
-	HASH_FIND_STR(catalog->keys, value, key);
-	return key ? &key->organisation->rule : NULL;
+	HASH_FIND_STR(catalog->keys, key, found);
+	return found ? &found->organisation->rule : NULL;
 }
 
 bool dw_catalog_needs_keys(const struct dw_catalog *catalog)
--- a/src/core/prefix_cache.c
+++ b/src/core/prefix_cache.c
@@ -5,14 +5,12 @@
 
 #include <uthash.h>
 
-struct part_key {
-	uint64_t model;
-	uint64_t part;
-};
+#include <dragonflywharf/rendezvous.h>
 
 struct part {
-	struct part_key key;
+	uint64_t key; /**< hash of model and part */
 	uint32_t tokens;
+	struct part *next_unused;
 	UT_hash_handle hh; /**< its order of insertion is the order of use */
 };
 
@@ -20,6 +18,7 @@
 	uint64_t capacity_tokens;
 	uint64_t held_tokens;
 	struct part *parts;
+	struct part *unused; /**< dropped ones, taken again for new parts */
 };
 
 struct dw_prefix_cache *dw_prefix_cache_new(uint64_t capacity_tokens)
@@ -36,7 +35,8 @@
 {
 	HASH_DEL(cache->parts, part);
 	cache->held_tokens -= part->tokens;
-	free(part);
+	part->next_unused = cache->unused;
+	cache->unused = part;
 }
 
 void dw_prefix_cache_clear(struct dw_prefix_cache *cache)
@@ -50,15 +50,27 @@
 
 void dw_prefix_cache_free(struct dw_prefix_cache *cache)
 {
+	struct part *part;
+	struct part *next;
+
 	if (!cache)
 		return;
 	dw_prefix_cache_clear(cache);
+	for (part = cache->unused; part; part = next) {
+		next = part->next_unused;
+		free(part);
+	}
 	free(cache);
 }
 
+static uint64_t key_of(uint64_t model, uint64_t part)
+{
+	return dw_rendezvous_score(model, part);
+}
+
 static struct part *find(const struct dw_prefix_cache *cache, uint64_t model, uint64_t id)
 {
-	struct part_key key = { .model = model, .part = id };
+	uint64_t key = key_of(model, id);
 	struct part *part;
 
 	HASH_FIND(hh, cache->parts, &key, sizeof(key), part);
@@ -78,6 +90,20 @@
 	return tokens;
 }
 
+static struct part *new_part(struct dw_prefix_cache *cache)
+{
+	struct part *part = cache->unused;
+
+	if (part) {
+		cache->unused = part->next_unused;
+		return part;
+	}
+	part = calloc(1, sizeof(*part));
+	if (!part)
+		abort();
+	return part;
+}
+
 static void use_part(struct dw_prefix_cache *cache, uint64_t model,
 		     const struct dw_prompt_part *used)
 {
@@ -86,11 +112,8 @@
 	if (part) {
 		HASH_DEL(cache->parts, part);
 	} else {
-		part = calloc(1, sizeof(*part));
-		if (!part)
-			abort();
-		part->key.model = model;
-		part->key.part = used->id;
+		part = new_part(cache);
+		part->key = key_of(model, used->id);
 		part->tokens = used->tokens;
 		cache->held_tokens += part->tokens;
 	}
--- a/src/core/retry_window.c
+++ b/src/core/retry_window.c
@@ -51,8 +51,8 @@
 		if (bucket->number + WINDOW_BUCKETS > newest)
 			requests += bucket->requests;
 	}
-	allowed = requests * options->ratio_permille * RATIO_USED_PERMILLE / 1000000 +
-		  options->slack;
+	allowed =
+		requests * options->ratio_permille * RATIO_USED_PERMILLE / 1000000 + options->slack;
 	return allowed > repeats ? (uint32_t)(allowed - repeats) : 0;
 }
 
--- a/src/core/session_pins.c
+++ b/src/core/session_pins.c
@@ -1,5 +1,6 @@
 #include <dragonflywharf/session_pins.h>
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -12,11 +13,13 @@
 	struct dw_fingerprint session; /**< of service and session */
 	char version[DW_ENGINE_TEXT_BYTES];
 	uint64_t used_at_us;
+	struct pin *next_unused;
 	UT_hash_handle hh;
 };
 
 struct dw_session_pins {
 	struct pin *pins;
+	struct pin *unused; /**< dropped ones, taken again for new sessions */
 };
 
 struct dw_session_pins *dw_session_pins_new(void)
@@ -28,22 +31,34 @@
 	return pins;
 }
 
+static void remove_pin(struct dw_session_pins *pins, struct pin *pin)
+{
+	HASH_DEL(pins->pins, pin);
+	pin->next_unused = pins->unused;
+	pins->unused = pin;
+}
+
 void dw_session_pins_sweep(struct dw_session_pins *pins, uint64_t since_us)
 {
 	struct pin *pin;
 	struct pin *next;
 
 	HASH_ITER(hh, pins->pins, pin, next) {
-		if (pin->used_at_us >= since_us)
-			continue;
-		HASH_DEL(pins->pins, pin);
-		free(pin);
+		if (pin->used_at_us < since_us)
+			remove_pin(pins, pin);
 	}
 }
 
 void dw_session_pins_free(struct dw_session_pins *pins)
 {
+	struct pin *pin;
+	struct pin *next;
+
 	dw_session_pins_sweep(pins, UINT64_MAX);
+	for (pin = pins->unused; pin; pin = next) {
+		next = pin->next_unused;
+		free(pin);
+	}
 	free(pins);
 }
 
@@ -57,19 +72,31 @@
 	return pin;
 }
 
+static struct pin *new_pin(struct dw_session_pins *pins)
+{
+	struct pin *pin = pins->unused;
+
+	if (pin) {
+		pins->unused = pin->next_unused;
+		return pin;
+	}
+	pin = calloc(1, sizeof(*pin));
+	if (!pin)
+		abort();
+	return pin;
+}
+
 void dw_session_pins_use(struct dw_session_pins *pins, const char *service, const char *session,
 			 const char *version, uint64_t now_us)
 {
 	struct pin *pin = find(pins, service, session);
 
 	if (!pin) {
-		pin = calloc(1, sizeof(*pin));
-		if (!pin)
-			abort();
+		pin = new_pin(pins);
 		pin->session = dw_fingerprint_texts(service, session);
 		HASH_ADD(hh, pins->pins, session, sizeof(pin->session), pin);
 	}
-	strncpy(pin->version, version, sizeof(pin->version) - 1);
+	snprintf(pin->version, sizeof(pin->version), "%s", version);
 	pin->used_at_us = now_us;
 }
 
--- a/src/wharf-gateway/caller.h
+++ b/src/wharf-gateway/caller.h
@@ -57,7 +57,7 @@
 #define CALLER_CHUNKED SIZE_MAX
 void caller_begin(struct caller *caller, int status, const char *reason, const struct bytes *fields,
 		  size_t length);
-void caller_write(struct caller *caller, const void *bytes, size_t len);
+void caller_write(struct caller *caller, const void *data, size_t len);
 /** The answer is whole; the connection goes on, or closes if it was to close. */
 void caller_end(struct caller *caller);
 /** The answer can't be completed: closes so that the caller sees it as cut. */
--- a/src/wharf-gateway/router.c
+++ b/src/wharf-gateway/router.c
@@ -53,30 +53,24 @@
 	uv_random(NULL, NULL, &router->random, sizeof(router->random), 0, NULL);
 }
 
+/* Defines how a table of named records is freed; the table's elements stay linked when it goes. */
+#define FREE_RECORDS(type, table, name)                                                            \
+	do {                                                                                       \
+		struct type *record = (table);                                                     \
+		struct type *next;                                                                 \
+		HASH_CLEAR(hh, table);                                                             \
+		for (; record; record = next) {                                                    \
+			next = record->hh.next;                                                    \
+			free(record->name);                                                        \
+			free(record);                                                              \
+		}                                                                                  \
+	} while (0)
+
 void router_close(struct router *router)
 {
-	struct service_budget *budget;
-	struct service_budget *next_budget;
-	struct model_record *model;
-	struct model_record *next_model;
-	struct ladder_record *ladder;
-	struct ladder_record *next_ladder;
-
-	HASH_ITER(hh, router->budgets, budget, next_budget) {
-		HASH_DEL(router->budgets, budget);
-		free(budget->service);
-		free(budget);
-	}
-	HASH_ITER(hh, router->models, model, next_model) {
-		HASH_DEL(router->models, model);
-		free(model->name);
-		free(model);
-	}
-	HASH_ITER(hh, router->ladders, ladder, next_ladder) {
-		HASH_DEL(router->ladders, ladder);
-		free(ladder->route);
-		free(ladder);
-	}
+	FREE_RECORDS(service_budget, router->budgets, service);
+	FREE_RECORDS(model_record, router->models, name);
+	FREE_RECORDS(ladder_record, router->ladders, route);
 	http_pool_free(router->pool);
 }
 
--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -35,11 +35,12 @@
 
 void view_close(struct view *view)
 {
-	struct known_record *record;
+	struct known_record *record = view->records;
 	struct known_record *next;
 
-	HASH_ITER(hh, view->records, record, next) {
-		HASH_DEL(view->records, record);
+	HASH_CLEAR(hh, view->records);
+	for (; record; record = next) {
+		next = record->hh.next;
 		free(record->key);
 		free(record);
 	}
