Gateway: process tests over stand-ins of the platform

Found by them: an engine whose address another one took was asked by each request; a configuration of the same version replaced the one in force.

--- a/include/dragonflywharf/engine.h
+++ b/include/dragonflywharf/engine.h
@@ -134,6 +134,7 @@
 	DW_ENGINE_FAILED, /**< an answer of 5xx, or one that broke off */
 	DW_ENGINE_UNREACHABLE, /**< no connection */
 	DW_ENGINE_SILENT, /**< no answer in time, or the connection ended without one */
+	DW_ENGINE_MISPLACED, /**< another engine has its address */
 	DW_ENGINE_REJECTED, /**< not run, by the engine's own word */
 	DW_ENGINE_LEFT, /**< the caller left, or the answer isn't needed any more */
 	DW_ENGINE_OUTCOME_COUNT
--- a/src/core/engine.c
+++ b/src/core/engine.c
@@ -269,8 +269,9 @@
 		engine->failures_in_row = 0;
 		engine->failure_permille = average(engine->failure_permille, 0);
 		break;
+	case DW_ENGINE_MISPLACED:
 	case DW_ENGINE_UNREACHABLE:
-		/* Nothing listens there: one attempt is evidence enough. */
+		/* It isn't there: one attempt is evidence enough. */
 		engine->failures_in_row++;
 		if (engine->failures_in_row < EJECT_AFTER_FAILURES)
 			engine->failures_in_row = EJECT_AFTER_FAILURES;
--- a/src/wharf-gateway/attempt.c
+++ b/src/wharf-gateway/attempt.c
@@ -142,6 +142,13 @@
 	calls->on_over(owner, end);
 }
 
+static void finish_refused(struct attempt *attempt)
+{
+	bool is_misplaced = attempt->refusal == DW_ATTEMPT_WRONG_INSTANCE;
+
+	finish(attempt, attempt->refusal, is_misplaced ? DW_ENGINE_MISPLACED : DW_ENGINE_REJECTED);
+}
+
 static void on_end(void *owner)
 {
 	struct attempt *attempt = owner;
@@ -153,7 +160,7 @@
 		return; /* this request's own answer is still to come on the connection */
 	case ANSWER_REFUSAL:
 		http_link_release(attempt->link);
-		finish(attempt, attempt->refusal, DW_ENGINE_REJECTED);
+		finish_refused(attempt);
 		return;
 	case ANSWER_OWN:
 		http_link_release(attempt->link);
@@ -170,7 +177,7 @@
 
 	attempt->link = NULL;
 	if (attempt->use == ANSWER_REFUSAL) {
-		finish(attempt, attempt->refusal, DW_ENGINE_REJECTED);
+		finish_refused(attempt);
 		return;
 	}
 	switch (failure) {
--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -91,12 +91,12 @@
 		refuse_record(view, entry->key);
 		return;
 	}
-	if (view->catalog && dw_catalog_version(catalog) < dw_catalog_version(view->catalog)) {
+	if (view->catalog && dw_catalog_version(catalog) <= dw_catalog_version(view->catalog)) {
 		dw_counters_add(view->counters, DW_COUNTER_CONFIG_REFUSED, 1);
 		dw_log_event(view->log, DW_EVENT_CONFIG_REFUSED,
 			     DW_INT("version", dw_catalog_version(catalog)),
 			     DW_INT("in_force", dw_catalog_version(view->catalog)),
-			     DW_STR("reason", "older than the version in force"));
+			     DW_STR("reason", "not newer than the version in force"));
 		dw_catalog_release(catalog);
 		return;
 	}
--- /dev/null
+++ b/tests/process_gateway_test.cc
@@ -0,0 +1,346 @@
+// The gateway as a process of its own, between callers and stand-ins of the platform.
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <csignal>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "support/http.h"
+#include "support/process.h"
+
+using support::http_answer;
+using support::http_call;
+using support::http_headers;
+using support::process;
+using support::wait_until;
+
+namespace
+{
+
+/* A port that nobody listens at now. */
+uint16_t free_port()
+{
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	sockaddr_in address{};
+	socklen_t len = sizeof(address);
+	address.sin_family = AF_INET;
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	bind(fd, (sockaddr *)&address, sizeof(address));
+	getsockname(fd, (sockaddr *)&address, &len);
+	close(fd);
+	return ntohs(address.sin_port);
+}
+
+std::string escaped(const std::string &text)
+{
+	std::string out;
+	for (char c : text) {
+		if (c == '"' || c == '\\')
+			out += '\\';
+		out += c;
+	}
+	return out;
+}
+
+struct backend {
+	std::string id;
+	std::unique_ptr<process> running;
+	uint16_t port = 0;
+
+	void fault(const std::string &body) const
+	{
+		http_call(port, "POST", "/admin/fault", body);
+	}
+	int64_t stat(const std::string &name) const
+	{
+		std::string text = http_call(port, "GET", "/admin/stats").body;
+		size_t at = text.find("\"" + name + "\":");
+		return at == std::string::npos ? -1 : atoll(text.c_str() + at + name.size() + 3);
+	}
+};
+
+struct Gateway : testing::Test {
+	process store{ "standin_metadata", { "--port=0" } };
+	uint16_t store_port = store.wait_listening();
+	std::vector<std::unique_ptr<backend>> backends;
+	std::unique_ptr<process> gateway;
+	uint16_t caller_port = free_port();
+	uint16_t ready_port = free_port();
+	uint16_t metrics_port = free_port();
+	int next_attempt = 0;
+	int version = 0;
+
+	void put(const std::string &key, const std::string &value) const
+	{
+		http_call(store_port, "POST", "/admin/put",
+			  "{\"key\":\"" + key + "\",\"value\":\"" + escaped(value) + "\"}");
+	}
+	void store_fault(const std::string &body) const
+	{
+		http_call(store_port, "POST", "/admin/fault", body);
+	}
+	void list(const backend &b, const std::string &id, const std::string &state = "ready") const
+	{
+		put("servers/" + id,
+		    "{\"Service\":\"app\",\"Address\":\"127.0.0.1:" + std::to_string(b.port) +
+			    "\",\"Zone\":\"a\",\"Version\":\"v1\",\"Slots\":64,\"State\":\"" +
+			    state + "\",\"ColdRemainingMs\":0,\"Sequence\":1,\"born\":5}");
+	}
+	backend &add_backend(const std::string &id)
+	{
+		auto added = std::make_unique<backend>();
+		added->id = id;
+		added->running = std::make_unique<process>(
+			"standin_backend", std::vector<std::string>{ "--port=0", "--id=" + id });
+		added->port = added->running->wait_listening();
+		list(*added, id);
+		backends.push_back(std::move(added));
+		return *backends.back();
+	}
+	std::string route(const std::string &name, const std::string &kind, int attempts,
+			  const std::string &more = "") const
+	{
+		return "{\"Name\":\"" + name + "\",\"Host\":\"127.0.0.1\",\"PathPrefix\":\"/" +
+		       name + "/\",\"Kind\":\"" + kind +
+		       "\",\"TimeoutMs\":3000,\"TargetLatencyMs\":500,\"Priority\":1,"
+		       "\"Service\":\"app\",\"MaxAttempts\":" +
+		       std::to_string(attempts) + ",\"Public\":false" + more + "}";
+	}
+	void configure(const std::string &keys = "\"k1\"")
+	{
+		version += 3;
+		put("op/config",
+		    "{\"Version\":" + std::to_string(version) + ",\"Routes\":[" +
+			    route("look", "safe", 2) + "," + route("book", "unsafe", 1) + "," +
+			    route("chat", "stream", 3, ",\"Resumable\":true,\"TargetGapMs\":1500") +
+			    "],\"Services\":[{\"Name\":\"app\",\"HealthPath\":\"/health\"}],"
+			    "\"Limits\":{\"MaxHeaderBytes\":8192,\"MaxBodyBytes\":100000,"
+			    "\"HeaderTimeoutMs\":2000,\"IdleTimeoutMs\":5000},\"Tenants\":[{"
+			    "\"Name\":\"workshop\",\"ApiKeys\":[" +
+			    keys + "]}]}");
+	}
+	void start()
+	{
+		std::string path = testing::TempDir() + "gateway-" + std::to_string(caller_port);
+		auto at = [](uint16_t port) {
+			return "\"127.0.0.1:" + std::to_string(port) + "\"";
+		};
+		std::ofstream(path) << "{\"instance\":\"g1\",\"failure_domain\":\"a\","
+				    << "\"caller_address\":" << at(caller_port)
+				    << ",\"readiness_address\":" << at(ready_port)
+				    << ",\"metrics_address\":" << at(metrics_port)
+				    << ",\"store\":" << at(store_port)
+				    << ",\"keys_fail_closed\":true,\"revocation_ms\":2000,"
+				    << "\"retry_ratio\":0.9,\"retry_slack\":160,"
+				    << "\"stop_timeout_s\":8}";
+		gateway = std::make_unique<process>("wharf-gateway",
+						    std::vector<std::string>{ "--settings", path });
+		ASSERT_TRUE(wait_until([&] { return ready() == 200; }));
+	}
+	int ready() const
+	{
+		return http_call(ready_port, "GET", "/dragonflywharf/ready").status;
+	}
+	http_headers headers(const std::string &key = "k1")
+	{
+		return { { "Attempt-Id", "a" + std::to_string(next_attempt++) },
+			 { "Deadline-Ms", "3000" },
+			 { "Credential", key },
+			 { "Tenant", "somebody-else" } };
+	}
+	http_answer call(const std::string &method, const std::string &path,
+			 const std::string &key = "k1")
+	{
+		return http_call(caller_port, method, path, method == "POST" ? "{\"x\":1}" : "",
+				 headers(key));
+	}
+	int64_t all(const std::string &name) const
+	{
+		int64_t sum = 0;
+		for (const auto &b : backends)
+			sum += b->stat(name);
+		return sum;
+	}
+	void SetUp() override
+	{
+		add_backend("e1");
+		add_backend("e2");
+		configure();
+		start();
+	}
+};
+
+TEST_F(Gateway, PassesARequestOnUnderItsOrganisation)
+{
+	http_answer answer = call("GET", "/look/7?x=1");
+	EXPECT_EQ(answer.status, 200);
+	EXPECT_TRUE(answer.whole);
+	EXPECT_NE(answer.body.find("\"organisation\":\"workshop\""), std::string::npos);
+	EXPECT_NE(answer.headers["response-seal"], "");
+	EXPECT_EQ(answer.headers.count("server-load"), 0U);
+}
+
+TEST_F(Gateway, WhatIsntAllowedNeverRuns)
+{
+	EXPECT_EQ(call("GET", "/look/7", "k2").status, 401);
+	EXPECT_EQ(call("GET", "/elsewhere/7").status, 404);
+	EXPECT_EQ(http_call(caller_port, "GET", "/look/7", "").status, 400);
+	EXPECT_EQ(all("runs"), 0);
+}
+
+TEST_F(Gateway, ABookingRunsOnceThoughItsAnswerIsLost)
+{
+	for (const auto &b : backends)
+		b->fault("{\"kind\":\"answer_lost\"}");
+	EXPECT_EQ(call("POST", "/book/1").status, 502);
+	EXPECT_EQ(all("runs"), 1);
+}
+
+TEST_F(Gateway, ARejectedBookingFindsAnotherBackEnd)
+{
+	backends[0]->fault("{\"kind\":\"reject\"}");
+	for (int i = 0; i < 4; i++)
+		EXPECT_EQ(call("POST", "/book/1").status, 200);
+	backends[1]->fault("{\"kind\":\"reject\"}");
+	http_answer answer = call("POST", "/book/1");
+	EXPECT_EQ(answer.status, 503);
+	EXPECT_NE(answer.headers["retry-after"], "");
+	EXPECT_NE(answer.body.find("\"not_run\":true"), std::string::npos);
+	EXPECT_EQ(all("runs"), 4);
+}
+
+TEST_F(Gateway, ACutStreamGoesOnElsewhereWithoutGapOrRepeat)
+{
+	for (const auto &b : backends)
+		b->fault("{\"kind\":\"cut\",\"count\":1,\"n\":2}");
+	http_headers asked = headers();
+	asked["Accept"] = "text/event-stream";
+	http_answer answer = http_call(caller_port, "POST", "/chat/1", "{}", asked);
+	EXPECT_EQ(answer.status, 200);
+	EXPECT_TRUE(answer.whole);
+	std::string expected;
+	for (int i = 1; i <= 5; i++)
+		expected +=
+			"id: " + std::to_string(i) + "\ndata: part " + std::to_string(i) + "\n\n";
+	EXPECT_EQ(answer.body, expected);
+	EXPECT_EQ(all("runs"), 2);
+}
+
+TEST_F(Gateway, AnAddressThatAnotherBackEndTookOverRunsNothing)
+{
+	list(*backends[0], "left-long-ago");
+	list(*backends[0], "e1", "draining");
+	ASSERT_TRUE(wait_until([&] {
+		EXPECT_EQ(call("POST", "/book/1").status, 200);
+		return backends[0]->stat("wrong") > 0;
+	}));
+	int64_t before = backends[0]->stat("runs");
+	for (int i = 0; i < 6; i++)
+		EXPECT_EQ(call("POST", "/book/1").status, 200);
+	EXPECT_EQ(backends[0]->stat("runs"), before);
+	EXPECT_LE(backends[0]->stat("wrong"), 2) << "it isn't asked each time";
+}
+
+TEST_F(Gateway, ADrainingBackEndGetsNoNewRequests)
+{
+	list(*backends[0], "e1", "draining");
+	ASSERT_TRUE(wait_until([&] {
+		int64_t before = backends[0]->stat("runs");
+		for (int i = 0; i < 6; i++)
+			call("GET", "/look/1");
+		return backends[0]->stat("runs") == before;
+	}));
+	int64_t before = backends[0]->stat("runs");
+	for (int i = 0; i < 10; i++)
+		EXPECT_EQ(call("GET", "/look/1").status, 200);
+	EXPECT_EQ(backends[0]->stat("runs"), before);
+}
+
+TEST_F(Gateway, ARevokedKeyIsRefusedAndAnAddedOneServed)
+{
+	EXPECT_EQ(call("GET", "/look/1").status, 200);
+	configure("\"k2\"");
+	EXPECT_TRUE(wait_until([&] { return call("GET", "/look/1", "k2").status == 200; }, 2000));
+	EXPECT_EQ(call("GET", "/look/1", "k1").status, 401);
+}
+
+TEST_F(Gateway, AnOlderConfigurationIsRefused)
+{
+	configure("\"k2\"");
+	ASSERT_TRUE(wait_until([&] { return call("GET", "/look/1", "k2").status == 200; }));
+	version -= 6;
+	configure("\"k1\"");
+	configure("\"k1\"");
+	usleep(1500000);
+	EXPECT_EQ(call("GET", "/look/1", "k2").status, 200);
+}
+
+/* The store is silent: a key might be revoked meanwhile, so keyed requests end within the bound. */
+TEST_F(Gateway, KeysFailClosedWhileTheStoreIsSilent)
+{
+	store_fault("{\"kind\":\"silent\"}");
+	store_fault("{\"kind\":\"outage\"}");
+	EXPECT_TRUE(wait_until([&] { return ready() == 503; }, 2500));
+	http_answer refused = call("GET", "/look/1");
+	EXPECT_EQ(refused.status, 503);
+	EXPECT_NE(refused.body.find("\"not_run\":true"), std::string::npos);
+	store_fault("{\"kind\":\"none\"}");
+	EXPECT_TRUE(wait_until([&] { return ready() == 200; }));
+	EXPECT_EQ(call("GET", "/look/1").status, 200);
+}
+
+TEST_F(Gateway, AForgottenHistoryIsReadAgain)
+{
+	store_fault("{\"kind\":\"outage\",\"for_ms\":600}");
+	configure("\"k3\"");
+	http_call(store_port, "POST", "/admin/compact", "{}");
+	EXPECT_TRUE(wait_until([&] { return call("GET", "/look/1", "k3").status == 200; }));
+}
+
+TEST_F(Gateway, APlannedStopCutsNoStream)
+{
+	http_headers asked = headers();
+	asked["Accept"] = "text/event-stream";
+	support::http_stream stream(caller_port, "POST", "/chat/1", "{}", asked);
+	EXPECT_EQ(stream.status(), 200);
+	gateway->signal(SIGTERM);
+	EXPECT_TRUE(wait_until([&] { return ready() != 200; }, 1000));
+	EXPECT_EQ(call("GET", "/look/1").status, 200) << "the balancer hasn't noticed yet";
+	EXPECT_TRUE(stream.finish().whole);
+	EXPECT_EQ(gateway->wait(8000).exit_code, 0);
+}
+
+TEST_F(Gateway, AnEngineStopsWhenTheCallerLeaves)
+{
+	for (const auto &b : backends)
+		b->fault("{\"kind\":\"late\",\"n\":400}");
+	http_headers asked = headers();
+	asked["Accept"] = "text/event-stream";
+	{
+		support::http_stream stream(caller_port, "POST", "/chat/1", "{}", asked);
+		EXPECT_EQ(stream.status(), 200);
+	}
+	EXPECT_TRUE(wait_until([&] { return all("left") == 1; }, 1000));
+}
+
+TEST_F(Gateway, MetricsAndLogsTellOfARequest)
+{
+	call("GET", "/look/1");
+	std::string metrics = http_call(metrics_port, "GET", "/metrics").body;
+	EXPECT_NE(metrics.find("dragonflywharf_requests_total 1"), std::string::npos);
+	EXPECT_NE(gateway->wait_line("{\"ts_us\"", 100), "");
+	bool found = false;
+	for (const std::string &line : gateway->lines())
+		found |= line.find("\"request.done\"") != std::string::npos &&
+			 line.find("\"request\":\"a0\"") != std::string::npos;
+	EXPECT_TRUE(found);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/standins/standin_metadata.c
@@ -0,0 +1,449 @@
+/**
+ * @file standin_metadata.c
+ * The metadata store of the users' platform, in memory: keys with revisions, transactions under a
+ * condition, watches that wait, a bounded history.
+ *
+ * Faults: outage (calls get 503, waiting watches are cut), silent (no answer until it ends), slow
+ * (each call takes effect n ms late), answer_lost (a write takes effect, then the connection is
+ * cut). POST /admin/put {"key", "value"} writes as the operator does, /admin/delete {"key"} deletes,
+ * /admin/compact forgets the history.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <sodium.h>
+
+#include "base/clock.h"
+#include "standins/json.h"
+#include "standins/kv_table.h"
+#include "standins/standin.h"
+
+#define PAGE_ITEMS 20
+#define KEY_BYTES 256
+#define FIRST_REVISION 10
+
+struct watch {
+	struct standin_request *request;
+	char prefix[KEY_BYTES];
+	uint64_t after;
+	struct watch *next;
+};
+
+struct metadata {
+	struct kv_table *table;
+	struct watch *watches;
+	struct json_object *calls; /* by path */
+};
+
+static const char *const fault_kinds[] = { "outage", "silent", "slow", "answer_lost", NULL };
+
+static struct metadata *metadata_of(const struct standin *standin)
+{
+	return standin->data;
+}
+
+static int hex_of(char c)
+{
+	return c >= '0' && c <= '9' ? c - '0' : (c | 0x20) - 'a' + 10;
+}
+
+/* Value of a query's parameter, unescaped; "" if it is absent. */
+static void query_value(const char *query, const char *name, char *out, size_t size)
+{
+	size_t name_len = strlen(name);
+	size_t len = 0;
+
+	*out = '\0';
+	while (query && *query) {
+		if (strncmp(query, name, name_len) == 0 && query[name_len] == '=')
+			break;
+		query = strchr(query, '&');
+		query = query ? query + 1 : NULL;
+	}
+	if (!query || !*query)
+		return;
+	for (query += name_len + 1; *query && *query != '&' && len + 1 < size; query++) {
+		if (*query == '%' && query[1] && query[2]) {
+			out[len++] = (char)(hex_of(query[1]) * 16 + hex_of(query[2]));
+			query += 2;
+		} else {
+			out[len++] = *query;
+		}
+	}
+	out[len] = '\0';
+}
+
+static bool has_prefix(const struct kv_entry *entry, const char *prefix)
+{
+	size_t len = strlen(prefix);
+
+	return entry->key.len >= len && memcmp(entry->key.base, prefix, len) == 0;
+}
+
+static struct json_object *item_json(const struct kv_entry *entry)
+{
+	struct json_object *item = json_object_new_object();
+
+	json_object_object_add(
+		item, "Key",
+		json_object_new_string_len((const char *)entry->key.base, (int)entry->key.len));
+	json_set_u64(item, "Revision", entry->mod_revision);
+	if (entry->deleted) {
+		json_object_object_add(item, "Tombstone", json_object_new_boolean(true));
+		return item;
+	}
+	json_set_text(item, "Value", entry->value);
+	json_object_object_add(item, "CreateRevision",
+			       json_object_new_int64((int64_t)entry->create_revision));
+	json_object_object_add(item, "Revision",
+			       json_object_new_int64((int64_t)entry->mod_revision));
+	json_object_object_add(item, "Lease", json_object_new_int64((int64_t)entry->lease_id));
+	return item;
+}
+
+static void set_number(struct json_object *object, const char *name, uint64_t value)
+{
+	json_object_object_add(object, name, json_object_new_int64((int64_t)value));
+}
+
+static struct kv_bytes bytes_of(const char *key)
+{
+	return (struct kv_bytes){ .base = (uint8_t *)key, .len = strlen(key) };
+}
+
+static void answer_key(struct standin_request *request, struct metadata *metadata,
+		       const char *query)
+{
+	char key[KEY_BYTES];
+	struct kv_bytes bytes;
+	const struct kv_entry *entry;
+	struct json_object *body;
+
+	query_value(query, "Key", key, sizeof(key));
+	bytes = bytes_of(key);
+	entry = kv_table_find(metadata->table, &bytes);
+	if (!entry) {
+		standin_answer_error(request, 404, "no such key");
+		return;
+	}
+	body = item_json(entry);
+	set_number(body, "StoreRevision", metadata->table->revision);
+	standin_answer(request, 200, body);
+}
+
+static void answer_range(struct standin_request *request, struct metadata *metadata,
+			 const char *query)
+{
+	struct json_object *body = json_object_new_object();
+	struct json_object *items = json_object_new_array();
+	char prefix[KEY_BYTES];
+	char after[KEY_BYTES];
+	size_t count = 0;
+	bool more = false;
+
+	query_value(query, "PathPrefix", prefix, sizeof(prefix));
+	query_value(query, "After", after, sizeof(after));
+	for (size_t i = 0; i < metadata->table->count; i++) {
+		const struct kv_entry *entry = &metadata->table->entries[i];
+		char key[KEY_BYTES];
+
+		snprintf(key, sizeof(key), "%.*s", (int)entry->key.len,
+			 (const char *)entry->key.base);
+		if (!has_prefix(entry, prefix) || (*after && strcmp(key, after) <= 0))
+			continue;
+		if (count == PAGE_ITEMS) {
+			more = true;
+			break;
+		}
+		json_object_array_add(items, item_json(entry));
+		count++;
+	}
+	json_object_object_add(body, "Items", items);
+	json_object_object_add(body, "HasMore", json_object_new_boolean(more));
+	set_number(body, "StoreRevision", metadata->table->revision);
+	standin_answer(request, 200, body);
+}
+
+/* Answers a watch; without events only if @p is_due. @return whether it was answered. */
+static bool answer_watch(struct metadata *metadata, struct standin_request *request,
+			 const char *prefix, uint64_t after, bool is_due)
+{
+	const struct kv_table *table = metadata->table;
+	struct json_object *events;
+	struct json_object *body;
+
+	if (after < table->compact_revision) {
+		standin_answer_error(request, 410, "the history is gone");
+		return true;
+	}
+	events = json_object_new_array();
+	for (size_t i = kv_table_history_from(table, after + 1); i < table->history_count; i++) {
+		if (has_prefix(&table->history[i], prefix))
+			json_object_array_add(events, item_json(&table->history[i]));
+	}
+	if (json_object_array_length(events) == 0 && !is_due) {
+		json_object_put(events);
+		return false;
+	}
+	body = json_object_new_object();
+	json_object_object_add(body, "events", events);
+	set_number(body, "StoreRevision", table->revision);
+	standin_answer(request, 200, body);
+	return true;
+}
+
+static struct watch **find_watch(struct metadata *metadata, const struct standin_request *request)
+{
+	struct watch **at = &metadata->watches;
+
+	while (*at && (*at)->request != request)
+		at = &(*at)->next;
+	return at;
+}
+
+static void drop_watch(struct watch **at)
+{
+	struct watch *watch = *at;
+
+	*at = watch->next;
+	free(watch);
+}
+
+static void on_watch_due(struct standin_request *request)
+{
+	struct metadata *metadata = metadata_of(request->standin);
+	struct watch **at = find_watch(metadata, request);
+	struct watch watch;
+
+	if (!*at) {
+		standin_request_free(request);
+		return;
+	}
+	watch = **at;
+	drop_watch(at);
+	answer_watch(metadata, request, watch.prefix, watch.after, true);
+}
+
+static void start_watch(struct standin_request *request, struct metadata *metadata,
+			const char *query)
+{
+	struct watch *watch = calloc(1, sizeof(*watch));
+	char number[32];
+	uint64_t wait_ms;
+
+	if (!watch)
+		abort();
+	watch->request = request;
+	query_value(query, "PathPrefix", watch->prefix, sizeof(watch->prefix));
+	query_value(query, "After", number, sizeof(number));
+	watch->after = strtoull(number, NULL, 10);
+	query_value(query, "WaitMs", number, sizeof(number));
+	wait_ms = strtoull(number, NULL, 10);
+	if (answer_watch(metadata, request, watch->prefix, watch->after, wait_ms == 0)) {
+		free(watch);
+		return;
+	}
+	watch->next = metadata->watches;
+	metadata->watches = watch;
+	standin_delay(request, wait_ms * DW_US_PER_MS, on_watch_due);
+}
+
+/* Something was written: the watches that wait for it are answered. */
+static void flush_watches(struct metadata *metadata)
+{
+	struct watch **at = &metadata->watches;
+
+	while (*at) {
+		struct watch watch = **at;
+
+		/* One whose caller left goes when its time comes. */
+		if (watch.request->exchange &&
+		    answer_watch(metadata, watch.request, watch.prefix, watch.after, false))
+			drop_watch(at);
+		else
+			at = &(*at)->next;
+	}
+}
+
+static void put_base64(struct metadata *metadata, const char *key, const char *value,
+		       uint64_t lease_id)
+{
+	struct kv_bytes bytes = bytes_of(key);
+
+	kv_table_put(metadata->table, &bytes, value, lease_id, metadata->table->revision);
+}
+
+static bool conditions_hold(struct metadata *metadata, struct json_object *rows,
+			    struct json_object *items)
+{
+	bool hold = true;
+
+	for (size_t i = 0; rows && i < json_object_array_length(rows); i++) {
+		struct json_object *row = json_object_array_get_idx(rows, i);
+		struct kv_bytes key = bytes_of(json_text(row, "Key", ""));
+		const struct kv_entry *entry = kv_table_find(metadata->table, &key);
+
+		if ((entry ? entry->mod_revision : 0) != json_u64(row, "Revision", 0))
+			hold = false;
+		if (entry)
+			json_object_array_add(items, item_json(entry));
+	}
+	return hold;
+}
+
+static void answer_transaction(struct standin_request *request, struct metadata *metadata)
+{
+	struct json_object *items = json_object_new_array();
+	struct json_object *puts = json_field(request->body, "Puts");
+	struct json_object *body = json_object_new_object();
+
+	if (!conditions_hold(metadata, json_field(request->body, "ExpectedRevision"), items)) {
+		json_object_object_add(body, "Items", items);
+		standin_answer(request, 412, body);
+		return;
+	}
+	json_object_put(items);
+	metadata->table->revision++;
+	for (size_t i = 0; puts && i < json_object_array_length(puts); i++) {
+		struct json_object *put = json_object_array_get_idx(puts, i);
+
+		put_base64(metadata, json_text(put, "Key", ""), json_text(put, "Value", ""),
+			   json_u64(put, "Lease", 0));
+	}
+	set_number(body, "Revision", metadata->table->revision);
+	if (fault_set_take(&request->standin->faults, "answer_lost", request->path)) {
+		json_object_put(body);
+		standin_cut(request);
+	} else {
+		standin_answer(request, 200, body);
+	}
+	flush_watches(metadata);
+}
+
+static void carry_out(struct standin_request *request)
+{
+	struct metadata *metadata = metadata_of(request->standin);
+	const char *query = request->exchange ? dw_http_query(request->exchange) : NULL;
+	const char *call = strrchr(request->path, '/') + 1;
+
+	if (!request->exchange)
+		standin_request_free(request);
+	else if (strcmp(call, "kv-key") == 0)
+		answer_key(request, metadata, query);
+	else if (strcmp(call, "kv-range") == 0)
+		answer_range(request, metadata, query);
+	else if (strcmp(call, "kv-watch") == 0)
+		start_watch(request, metadata, query);
+	else if (strcmp(call, "kv-txn") == 0)
+		answer_transaction(request, metadata);
+	else
+		standin_answer_error(request, 404, "no such call");
+}
+
+static void on_request(struct standin_request *request)
+{
+	struct standin *standin = request->standin;
+	const struct fault *slow = fault_set_take(&standin->faults, "slow", request->path);
+
+	json_count(metadata_of(standin)->calls, strrchr(request->path, '/') + 1, 1);
+	if (fault_set_take(&standin->faults, "silent", request->path))
+		return; /* the caller's deadline passes; the request goes when it leaves */
+	if (fault_set_take(&standin->faults, "outage", request->path))
+		standin_answer_error(request, 503, "unavailable");
+	else if (slow)
+		standin_delay(request, slow->n * DW_US_PER_MS, carry_out);
+	else
+		carry_out(request);
+}
+
+static void admin_put(struct standin_request *request, struct metadata *metadata)
+{
+	const char *value = json_text(request->body, "value", "");
+	size_t size = sodium_base64_encoded_len(strlen(value), sodium_base64_VARIANT_ORIGINAL);
+	char *base64 = malloc(size);
+
+	if (!base64)
+		abort();
+	sodium_bin2base64(base64, size, (const unsigned char *)value, strlen(value),
+			  sodium_base64_VARIANT_ORIGINAL);
+	metadata->table->revision++;
+	put_base64(metadata, json_text(request->body, "key", ""), base64, 0);
+	free(base64);
+	standin_answer(request, 200, json_object_new_object());
+	flush_watches(metadata);
+}
+
+static void admin_delete(struct standin_request *request, struct metadata *metadata)
+{
+	struct kv_range range = { .key = bytes_of(json_text(request->body, "key", "")) };
+
+	metadata->table->revision++;
+	kv_table_delete(metadata->table, &range, metadata->table->revision);
+	standin_answer(request, 200, json_object_new_object());
+	flush_watches(metadata);
+}
+
+static void on_admin(struct standin_request *request)
+{
+	struct metadata *metadata = metadata_of(request->standin);
+
+	if (strcmp(request->path, "/admin/put") == 0) {
+		admin_put(request, metadata);
+	} else if (strcmp(request->path, "/admin/delete") == 0) {
+		admin_delete(request, metadata);
+	} else if (strcmp(request->path, "/admin/compact") == 0) {
+		kv_table_compact(metadata->table, metadata->table->revision);
+		standin_answer(request, 200, json_object_new_object());
+	} else {
+		standin_answer_error(request, 404, "no such call");
+	}
+}
+
+static void on_stats(struct standin *standin, struct json_object *stats)
+{
+	json_object_object_add(stats, "calls", json_object_get(metadata_of(standin)->calls));
+	json_set_u64(stats, "revision", metadata_of(standin)->table->revision);
+}
+
+/* An outage cuts the watches that wait. */
+static void on_fault(struct standin *standin, const char *kind)
+{
+	struct metadata *metadata = metadata_of(standin);
+
+	if (strcmp(kind, "outage") != 0)
+		return;
+	while (metadata->watches) {
+		struct standin_request *request = metadata->watches->request;
+
+		drop_watch(&metadata->watches);
+		standin_cut(request);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	static struct metadata metadata;
+	struct standin standin = {
+		.name = "standin_metadata",
+		.purpose = "the metadata store of the users' platform",
+		.fault_kinds = fault_kinds,
+		.on_request = on_request,
+		.on_admin = on_admin,
+		.on_stats = on_stats,
+		.on_fault = on_fault,
+		.data = &metadata,
+	};
+	struct standin_common common;
+	int rc;
+
+	standin_common_init(&common);
+	void *table[] = { common.help, common.version, common.ip, common.port, common.end };
+	rc = standin_parse(&standin, &common, table, argc, argv);
+	if (rc >= 0)
+		return rc;
+	metadata.table = kv_table_new();
+	metadata.table->revision = FIRST_REVISION;
+	metadata.calls = json_object_new_object();
+	return standin_run(&standin, &common);
+}
