--- a/src/base/log.c
+++ b/src/base/log.c
@@ -1,6 +1,8 @@
 #include "base/log.h"
 
+#include <fcntl.h>
 #include <inttypes.h>
+#include <stdbool.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -85,16 +87,56 @@
 	memset(log, 0, sizeof(*log));
 	log->file = file;
 	log->level = level;
+	log->bounded_fd = -1;
 	snprintf(log->instance, sizeof(log->instance), "%s", instance);
 }
 
+void dw_log_bound(struct dw_log *log, int fd, uint32_t max_lines_per_s)
+{
+	int flags = fcntl(fd, F_GETFL);
+
+	if (flags >= 0)
+		fcntl(fd, F_SETFL, flags | O_NONBLOCK);
+	log->bounded_fd = fd;
+	log->max_lines_per_s = max_lines_per_s;
+}
+
+/* Whether a line of that level is within the second's number. */
+static bool has_room(struct dw_log *log, enum dw_level level)
+{
+	uint64_t second = dw_clock_now_us() / DW_US_PER_S;
+
+	if (second != log->second) {
+		log->second = second;
+		log->lines_in_second = 0;
+	}
+	log->lines_in_second++;
+	return level > DW_LEVEL_INFO || log->lines_in_second <= log->max_lines_per_s;
+}
+
+/* A line is shorter than a pipe's atomic write, so it goes whole or not at all. */
+static void write_bounded(struct dw_log *log, enum dw_level level, const struct line *line)
+{
+	uint64_t dropped = log->dropped;
+
+	if (!has_room(log, level) ||
+	    write(log->bounded_fd, line->bytes, line->len) != (ssize_t)line->len) {
+		log->dropped++;
+		return;
+	}
+	if (dropped == 0)
+		return;
+	log->dropped = 0;
+	dw_log_event(log, DW_EVENT_LOG_LINES_DROPPED, DW_INT("lines", dropped));
+}
+
 void dw_log_write(struct dw_log *log, enum dw_event event, const struct dw_field *fields,
 		  size_t count)
 {
 	const struct dw_event_info *info = dw_event_info(event);
 	struct line line = { .len = 0 };
 
-	if (!log || !log->file || info->level < log->level)
+	if (!log || (!log->file && log->bounded_fd < 0) || info->level < log->level)
 		return;
 	line_put_text(&line, "{\"ts_us\":");
 	line_put_integer(&line, (int64_t)dw_clock_wall_us());
@@ -109,6 +151,10 @@
 		line_put_field(&line, &fields[i]);
 	line.bytes[line.len++] = '}';
 	line.bytes[line.len++] = '\n';
+	if (log->bounded_fd >= 0) {
+		write_bounded(log, info->level, &line);
+		return;
+	}
 	fwrite(line.bytes, 1, line.len, log->file);
 	fflush(log->file);
 }
--- a/src/wharf-gateway/exchange.c
+++ b/src/wharf-gateway/exchange.c
@@ -158,6 +158,8 @@
 	struct caller *caller = exchange->caller;
 
 	dw_counters_add(exchange->router->counters, DW_COUNTER_REQUESTS_REFUSED, 1);
+	histogram_add(&exchange->router->refusal,
+		      dw_clock_now_us() - exchange->request.arrived_at_us);
 	log_end(exchange, DW_EVENT_REQUEST_REFUSED, 503, reason);
 	exchange_close(exchange);
 	reply_error(caller, 503, "Service Unavailable", error, NOT_RUN_PROVEN, reason,
@@ -189,11 +191,16 @@
 {
 	struct caller *caller = exchange->caller;
 	bool is_failure = exchange->answer.status >= 500;
+	uint64_t arrived_us = exchange->request.arrived_at_us;
 
 	dw_counters_add(exchange->router->counters,
 			is_failure ? DW_COUNTER_REQUESTS_FAILED : DW_COUNTER_REQUESTS_DONE, 1);
 	log_end(exchange, is_failure ? DW_EVENT_REQUEST_FAILED : DW_EVENT_REQUEST_DONE,
 		exchange->answer.status, is_failure ? "engine's answer" : "");
+	histogram_add(&exchange->router->whole_answer, dw_clock_now_us() - arrived_us);
+	if (exchange->first_byte_at_us > 0)
+		histogram_add(&exchange->router->first_byte,
+			      exchange->first_byte_at_us - arrived_us);
 	if (!exchange->policy.is_begun) {
 		caller_begin(caller, exchange->answer.status, "", &exchange->answer.fields,
 			     exchange->held.len);
--- a/src/wharf-gateway/gateway.c
+++ b/src/wharf-gateway/gateway.c
@@ -10,9 +10,12 @@
 #include "platform/answer_fields.h"
 #include "platform/metadata_store.h"
 #include "wharf-gateway/exchange.h"
+#include "wharf-gateway/gateway_metrics.h"
 #include "wharf-gateway/store_sync.h"
 
 #define LISTEN_BACKLOG 512
+/* Lines of ordinary requests a second; those of failures are always written. */
+#define LOG_LINES_PER_S 300
 #define SWEEP_PERIOD_MS 1000
 /* How long the store holds a watch's call that has no news. */
 #define POLL_WAIT_MS 900
@@ -116,7 +119,7 @@
 		reply_text(caller, ready ? 200 : 503, ready ? "OK" : "Service Unavailable",
 			   ready ? "ready\n" : "not ready\n", ready ? 6 : 10);
 	} else if (strcmp(head->target, "/metrics") == 0) {
-		text = dw_counters_text(&gateway->counters, &len);
+		text = gateway_metrics_text(&gateway->router, gateway->store, &len);
 		reply_text(caller, 200, "OK", text ? text : "", text ? len : 0);
 		free(text);
 	} else {
@@ -321,6 +324,7 @@
 	gateway->settings = *settings;
 	gateway->settings_path = path;
 	dw_log_init(&gateway->log, stdout, settings->instance, DW_LEVEL_INFO);
+	dw_log_bound(&gateway->log, STDOUT_FILENO, LOG_LINES_PER_S);
 	if (start(gateway) != DW_OK) {
 		fprintf(stderr, "wharf-gateway: %s\n", dw_last_message());
 		return GATEWAY_START_FAILED;
--- a/src/wharf-gateway/router.h
+++ b/src/wharf-gateway/router.h
@@ -10,6 +10,7 @@
 #include <dragonflywharf/planned_stop.h>
 #include <dragonflywharf/retry_window.h>
 
+#include "base/histogram.h"
 #include "net/http_link.h"
 #include "wharf-gateway/view.h"
 
@@ -29,6 +30,9 @@
 	struct ladder_record *ladders; /**< by route */
 	uint64_t random;
 	struct dw_planned_stop stop;
+	struct histogram first_byte; /**< of answers passed on */
+	struct histogram whole_answer;
+	struct histogram refusal;
 	uint32_t in_progress; /**< requests */
 };
 
--- a/tests/log_test.cc
+++ b/tests/log_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <unistd.h>
+
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
@@ -73,3 +75,53 @@
 }
 
 } // namespace
+
+namespace
+{
+
+void write_line(dw_log *log, dw_event event)
+{
+	dw_field field = DW_INT("i", 1);
+	dw_log_write(log, event, &field, 1);
+}
+
+/* Nobody reads the pipe: the process goes on, and says later how many lines it left out. */
+TEST(BoundedLog, AFullPipeNeitherBlocksNorHidesTheLoss)
+{
+	int ends[2];
+	ASSERT_EQ(pipe(ends), 0);
+	dw_log log;
+	dw_log_init(&log, nullptr, "i", DW_LEVEL_INFO);
+	dw_log_bound(&log, ends[1], 1000000);
+	for (int i = 0; i < 5000; i++)
+		write_line(&log, DW_EVENT_REQUEST_FAILED);
+	EXPECT_GT(log.dropped, 0U);
+	char buffer[1 << 17];
+	ASSERT_GT(read(ends[0], buffer, sizeof(buffer)), 0);
+	write_line(&log, DW_EVENT_REQUEST_FAILED);
+	EXPECT_EQ(log.dropped, 0U);
+	ssize_t len = read(ends[0], buffer, sizeof(buffer));
+	ASSERT_GT(len, 0);
+	EXPECT_NE(std::string(buffer, (size_t)len).find("log.lines_dropped"), std::string::npos);
+	close(ends[0]);
+	close(ends[1]);
+}
+
+TEST(BoundedLog, OrdinaryLinesAreBoundedAndFailuresArent)
+{
+	int ends[2];
+	ASSERT_EQ(pipe(ends), 0);
+	dw_log log;
+	dw_log_init(&log, nullptr, "i", DW_LEVEL_INFO);
+	dw_log_bound(&log, ends[1], 10);
+	for (int i = 0; i < 40; i++)
+		write_line(&log, DW_EVENT_REQUEST_DONE);
+	EXPECT_GE(log.dropped, 15U) << "a second may end within the loop";
+	for (int i = 0; i < 40; i++)
+		write_line(&log, DW_EVENT_REQUEST_FAILED);
+	EXPECT_LE(log.dropped, 1U);
+	close(ends[0]);
+	close(ends[1]);
+}
+
+} // namespace
