--- a/include/dragonflywharf/engine.h
+++ b/include/dragonflywharf/engine.h
@@ -112,6 +112,10 @@
 uint32_t dw_engine_set_usable(const struct dw_engine_set *set, const char *service,
 			      uint64_t now_us);
 
+/** Engines of a service and version that may take requests. */
+uint32_t dw_engine_set_count_version(const struct dw_engine_set *set, const char *service,
+				     const char *version, uint64_t now_us);
+
 /** READY, or MISSING and not yet given up. */
 bool dw_engine_is_usable(const struct dw_engine *engine, uint64_t now_us);
 bool dw_engine_is_cold(const struct dw_engine *engine, uint64_t now_us);
--- a/include/dragonflywharf/version_shift.h
+++ b/include/dragonflywharf/version_shift.h
@@ -112,6 +112,7 @@
 struct dw_shift_request {
 	const char *pinned_version; /**< that its session used last; NULL: none, or too long ago */
 	uint64_t hash; /**< of its session, or of the request where it has none */
+	uint32_t new_engines; /**< engines of the target version that are there */
 	bool is_long; /**< its answer takes long and its prompt is short: it loads an engine cheaply */
 };
 
--- a/src/core/engine.c
+++ b/src/core/engine.c
@@ -175,6 +175,18 @@
 	return count;
 }
 
+uint32_t dw_engine_set_count_version(const struct dw_engine_set *set, const char *service,
+				     const char *version, uint64_t now_us)
+{
+	uint32_t count = 0;
+
+	for (const struct dw_engine *at = set->engines; at; at = at->next)
+		count += dw_engine_is_usable(at, now_us) &&
+			 strcmp(at->entry.service, service) == 0 &&
+			 strcmp(at->entry.version, version) == 0;
+	return count;
+}
+
 bool dw_engine_is_cold(const struct dw_engine *engine, uint64_t now_us)
 {
 	return now_us < engine->cold_until_us;
--- a/src/core/version_shift.c
+++ b/src/core/version_shift.c
@@ -16,13 +16,15 @@
 
 #define SECOND_HALF_PERMILLE 510
 /* Answers that began at the old version have ended by then. */
-#define COMPLETE_AT_PERMILLE 900
+#define COMPLETE_AT_PERMILLE 885
 
 /* A version may be bad under load only. So before it gets more, one of its engines is loaded with
  * long answers until it has shown this many good ones with so much of its slots taken. */
 #define LOAD_TEST_END_PERMILLE 730
 #define LOAD_TEST_ANSWERS 3
 #define LOADED_PERMILLE 550
+/* Long requests of the traffic of so many engines load one of them. */
+#define LOAD_TEST_ENGINES 12
 /* The load on purpose lasts on for a while; times don't count until then. */
 #define LOAD_GONE_PERMILLE 800
 
@@ -215,6 +217,15 @@
 	return (struct dw_shift_demand){ .avoided_version = shift->order.target_version };
 }
 
+/* Whether the request takes part in loading one engine: all long ones of a small service would, of a
+ * large one as many. */
+static bool is_load(const struct dw_shift_request *request)
+{
+	uint64_t engines = request->new_engines > 0 ? request->new_engines : 1;
+
+	return request->is_long && (request->hash >> 32) % engines < LOAD_TEST_ENGINES;
+}
+
 static struct dw_shift_demand demand_running(const struct dw_shift *shift,
 					     const struct dw_shift_request *request,
 					     uint64_t now_us)
@@ -223,7 +234,7 @@
 	uint32_t share = dw_shift_share(shift, now_us);
 	struct dw_shift_demand demand;
 
-	if (request->is_long && is_load_test(shift, now_us)) {
+	if (is_load_test(shift, now_us) && is_load(request)) {
 		demand = demand_new(shift, 1);
 		demand.is_load_test = true;
 		return demand;
--- a/src/wharf-gateway/exchange.c
+++ b/src/wharf-gateway/exchange.c
@@ -686,6 +686,9 @@
 		request.pinned_version = dw_session_pins_find(
 			shifts->pins, exchange->service_name, exchange->fields.session,
 			choice->now_us > session_us ? choice->now_us - session_us : 0);
+	request.new_engines =
+		dw_engine_set_count_version(exchange->router->view->engines, exchange->service_name,
+					    shift->order.target_version, choice->now_us);
 	demand = dw_shift_demand_of(shift, &request, choice->now_us);
 	choice->required_version = demand.required_version;
 	choice->subset_permille = demand.engines_permille;
@@ -704,10 +707,14 @@
 	result = dw_engine_choose(engines, choice, chosen);
 	if (result == DW_CHOICE_FOUND || !choice->required_version)
 		return result;
-	/* The new version has no engine for it: while the old one is there, it serves. */
+	/* The few engines that are to carry it can't: any of that version does, and while none of
+	 * them can, one of the old version serves. */
+	choice->subset_permille = 0;
+	result = dw_engine_choose(engines, choice, chosen);
+	if (result == DW_CHOICE_FOUND)
+		return result;
 	choice->avoided_version = choice->required_version;
 	choice->required_version = NULL;
-	choice->subset_permille = 0;
 	return dw_engine_choose(engines, choice, chosen);
 }
 
--- a/src/wharf-gateway/gateway.c
+++ b/src/wharf-gateway/gateway.c
@@ -17,8 +17,8 @@
 /* Lines of ordinary requests a second; those of failures are always written. */
 #define LOG_LINES_PER_S 300
 #define SWEEP_PERIOD_MS 1000
-/* How long the store holds a watch's call that has no news. */
-#define POLL_WAIT_MS 900
+/* Changes gather for this part of the time within which they must be in force. */
+#define GATHER_PERMILLE 620
 /* After the signal to stop, new connections are taken until the balancer has noticed. */
 #define BALANCER_NOTICE_MS 3500
 #define STOP_LOOK_MS 100
@@ -284,15 +284,16 @@
 
 static void start_store(struct gateway *gateway)
 {
+	uint64_t gather_ms = gateway->settings.change_applied_ms * GATHER_PERMILLE / 1000;
 	struct metadata_store_options options = {
 		.loop = &gateway->loop,
 		.address = gateway->settings.store,
-		.poll_wait_ms = POLL_WAIT_MS,
+		.poll_wait_ms = (uint32_t)gather_ms,
 	};
 
 	gateway->store = metadata_store_new(&options);
 	store_sync_start(&gateway->sync, &gateway->loop, gateway->store, &gateway->view,
-			 router_random(&gateway->router));
+			 gather_ms * DW_US_PER_MS, router_random(&gateway->router));
 	shifts_start(&gateway->view.shifts, &gateway->loop, gateway->store,
 		     router_random(&gateway->router));
 }
--- a/src/wharf-gateway/gateway_settings.c
+++ b/src/wharf-gateway/gateway_settings.c
@@ -18,6 +18,8 @@
 	{ "log_level", DW_SETTING_TEXT, FIELD(log_level), false, 0, 0, "info" },
 	{ "stop_timeout_s", DW_SETTING_PERMILLE, FIELD(stop_timeout_ms), false, 100, 3600000,
 	  "30000" },
+	{ "change_applied_ms", DW_SETTING_INTEGER, FIELD(change_applied_ms), false, 100, 3600000,
+	  "2000" },
 	{ "revocation_ms", DW_SETTING_INTEGER, FIELD(revocation_ms), false, 100, 3600000, "5000" },
 	{ "keys_fail_closed", DW_SETTING_FLAG, FIELD(keys_fail_closed), false, 0, 0, NULL },
 	{ "retry_window_s", DW_SETTING_PERMILLE, FIELD(retry_window_ms), false, 100, 3600000,
--- a/src/wharf-gateway/gateway_settings.h
+++ b/src/wharf-gateway/gateway_settings.h
@@ -18,6 +18,7 @@
 	uint64_t store_reads_per_s;
 	char log_level[DW_SETTINGS_TEXT_BYTES];
 	uint64_t stop_timeout_ms; /**< from the signal to the end */
+	uint64_t change_applied_ms; /**< within which a change in the store must be in force */
 	uint64_t revocation_ms; /**< within which a revoked key must be refused */
 	bool keys_fail_closed; /**< refuse keyed requests without fresh news of the configuration */
 	uint64_t retry_window_ms;
--- a/src/wharf-gateway/shifts.c
+++ b/src/wharf-gateway/shifts.c
@@ -23,10 +23,14 @@
 #define EVIDENCE_PERIOD_US (700 * DW_US_PER_MS)
 /* The progress is written again after this part of the time, in thousandths. */
 #define PROGRESS_STEP_PERMILLE 125
-/* Writers of one record wait up to this long for another to be first. */
-#define FIRST_WRITER_SPREAD_US (2500 * DW_US_PER_MS)
-/* The outcome is urgent: the other instances may not know it yet. */
-#define OUTCOME_SPREAD_US (400 * DW_US_PER_MS)
+/* A record that all could write is written by few: by whoever wrote the shift's last one, or by one
+ * instance in so many, within a short time; the others follow when nothing has come of it, sooner
+ * with an outcome. */
+#define FIRST_WRITERS_ONE_IN 8
+#define FIRST_WRITER_SPREAD_US (200 * DW_US_PER_MS)
+#define OTHER_WRITER_US (2500 * DW_US_PER_MS)
+#define OTHER_WRITER_OUTCOME_US (700 * DW_US_PER_MS)
+#define OTHER_WRITER_SPREAD_US (900 * DW_US_PER_MS)
 
 struct peer_evidence {
 	char instance[DW_ENGINE_TEXT_BYTES];
@@ -48,7 +52,9 @@
 	struct written_record status;
 	struct written_record progress;
 	struct written_record evidence;
+	bool is_writer; /**< this instance wrote the shift's last shared record */
 	uint32_t written_progress; /**< newest in the store, in thousandths */
+	uint32_t written_against; /**< failures and slow answers in the own evidence in the store */
 	uint32_t written_answers; /**< of the new version, in the own evidence in the store */
 	uint64_t evidence_at_us;
 	enum dw_shift_state written_state;
@@ -111,7 +117,9 @@
 	}
 	service->peers = NULL;
 	service->written_answers = 0;
+	service->written_against = 0;
 	service->written_progress = 0;
+	service->is_writer = false;
 	service->written_state = DW_SHIFT_NONE;
 }
 
@@ -324,6 +332,8 @@
 	write->record->wanted_at_us = 0;
 	if (result->outcome == DW_STORE_DONE || result->outcome == DW_STORE_CONFLICT)
 		write->record->revision = result->revision;
+	if (write->record != &write->service->evidence)
+		write->service->is_writer = result->outcome == DW_STORE_DONE;
 	dw_log_event(write->service->owner->log, DW_EVENT_SHIFT_EVIDENCE,
 		     DW_STR("service", write->service->shift.order.service),
 		     DW_STR("record", write->what),
@@ -361,9 +371,20 @@
 	dw_store_put(service->owner->store, &put, on_written, write);
 }
 
-/* Whether the time to write has come; the first to want a shared record waits a random while. */
+static uint64_t write_delay_us(struct service_shift *service, uint64_t others_wait_us)
+{
+	struct shifts *shifts = service->owner;
+
+	if (service->is_writer)
+		return 0;
+	if (next_random(shifts) % FIRST_WRITERS_ONE_IN == 0)
+		return next_random(shifts) % FIRST_WRITER_SPREAD_US;
+	return others_wait_us + next_random(shifts) % OTHER_WRITER_SPREAD_US;
+}
+
+/* Whether the time to write a shared record has come. */
 static bool is_turn(struct service_shift *service, struct written_record *record, bool wanted,
-		    uint64_t spread_us, uint64_t now_us)
+		    uint64_t others_wait_us, uint64_t now_us)
 {
 	if (!wanted || record->in_flight) {
 		if (!record->in_flight)
@@ -371,7 +392,7 @@
 		return false;
 	}
 	if (record->wanted_at_us == 0)
-		record->wanted_at_us = now_us + 1 + next_random(service->owner) % spread_us;
+		record->wanted_at_us = now_us + 1 + write_delay_us(service, others_wait_us);
 	return now_us >= record->wanted_at_us;
 }
 
@@ -386,8 +407,7 @@
 	char key[KEY_BYTES];
 
 	if (!is_turn(service, &service->status, wanted,
-		     state == DW_SHIFT_RUNNING ? FIRST_WRITER_SPREAD_US : OUTCOME_SPREAD_US,
-		     now_us))
+		     state == DW_SHIFT_RUNNING ? OTHER_WRITER_US : OTHER_WRITER_OUTCOME_US, now_us))
 		return;
 	record_rollout_status_key(order->service, key, sizeof(key));
 	record_write_rollout_status(state, order->service, order->target_version, value,
@@ -403,7 +423,7 @@
 	char value[VALUE_BYTES];
 	char key[KEY_BYTES];
 
-	if (!is_turn(service, &service->progress, wanted, FIRST_WRITER_SPREAD_US, now_us))
+	if (!is_turn(service, &service->progress, wanted, OTHER_WRITER_US, now_us))
 		return;
 	snprintf(key, sizeof(key), PROGRESS_PREFIX "%s", service->shift.order.service);
 	snprintf(value, sizeof(value), "{\"order\":%" PRIu64 ",\"permille\":%u}",
@@ -411,6 +431,16 @@
 	write_record(service, &service->progress, "progress", key, value);
 }
 
+/* Whether the own evidence says more than what is in the store: more against the new version, or far
+ * more answers in all. */
+static bool is_news(const struct service_shift *service)
+{
+	const struct dw_shift_count *new = &service->shift.own.counts[DW_SHIFT_NEW];
+
+	return new->bad + new->slow > service->written_against ||
+	       new->answers > 2 * service->written_answers;
+}
+
 static void write_evidence(struct service_shift *service, uint64_t now_us)
 {
 	const struct dw_shift_count *new = &service->shift.own.counts[DW_SHIFT_NEW];
@@ -419,11 +449,12 @@
 	char key[KEY_BYTES];
 
 	if (service->shift.state == DW_SHIFT_COMPLETED || service->evidence.in_flight ||
-	    new->answers == service->written_answers || !dw_shift_is_suspect(&service->shift) ||
+	    !is_news(service) || !dw_shift_is_suspect(&service->shift) ||
 	    now_us < service->evidence_at_us + EVIDENCE_PERIOD_US)
 		return;
 	service->evidence_at_us = now_us;
 	service->written_answers = new->answers;
+	service->written_against = new->bad + new->slow;
 	snprintf(key, sizeof(key), EVIDENCE_PREFIX "%s/%s", service->shift.order.service,
 		 service->owner->instance);
 	snprintf(value, sizeof(value),
--- a/src/wharf-gateway/store_sync.c
+++ b/src/wharf-gateway/store_sync.c
@@ -4,8 +4,6 @@
 
 #include "base/clock.h"
 
-/* Changes gather this long between two calls of the watch: well within each bound of time. */
-#define GATHER_US (400 * DW_US_PER_MS)
 #define READ_TIMEOUT_FIRST_US (700 * DW_US_PER_MS)
 #define READ_TIMEOUT_MOST_US (4 * DW_US_PER_S)
 #define RETRY_FIRST_MS 60
@@ -75,7 +73,7 @@
 		.deadline_us = UINT64_MAX,
 		.on_events = on_events,
 		.on_current = on_current,
-		.gather_us = GATHER_US,
+		.gather_us = sync->gather_us,
 		.on_broken = on_broken,
 		.data = sync,
 	};
@@ -119,12 +117,13 @@
 }
 
 void store_sync_start(struct store_sync *sync, uv_loop_t *loop, struct dw_store *store,
-		      struct view *view, uint64_t seed)
+		      struct view *view, uint64_t gather_us, uint64_t seed)
 {
 	memset(sync, 0, sizeof(*sync));
 	sync->loop = loop;
 	sync->store = store;
 	sync->view = view;
+	sync->gather_us = gather_us;
 	sync->random = seed;
 	uv_timer_init(loop, &sync->retry);
 	sync->retry.data = sync;
--- a/src/wharf-gateway/store_sync.h
+++ b/src/wharf-gateway/store_sync.h
@@ -19,12 +19,13 @@
 	uint64_t next_revision; /**< to watch from; 0: all keys must be read first */
 	uint64_t asked_at_us; /**< when the reading of all keys began */
 	uint32_t failures; /**< in a row */
+	uint64_t gather_us; /**< changes gather this long between two calls of the watch */
 	uint64_t random;
 	bool is_stopped;
 };
 
 void store_sync_start(struct store_sync *sync, uv_loop_t *loop, struct dw_store *store,
-		      struct view *view, uint64_t seed);
+		      struct view *view, uint64_t gather_us, uint64_t seed);
 void store_sync_stop(struct store_sync *sync);
 
 #endif
--- a/tests/version_shift_test.cc
+++ b/tests/version_shift_test.cc
@@ -36,7 +36,7 @@
 	/* Which side a request goes to: 'n'ew, 'o'ld or '-' for either. */
 	char side(const char *pinned, uint64_t hash, uint64_t now_us, bool is_long = false)
 	{
-		dw_shift_request request = { pinned, hash, is_long };
+		dw_shift_request request = { pinned, hash, 12, is_long };
 		dw_shift_demand demand = dw_shift_demand_of(&shift, &request, now_us);
 		return demand.required_version ? 'n' : demand.avoided_version ? 'o' : '-';
 	}
@@ -119,7 +119,7 @@
 /* A version that is bad under load only: long answers load one engine before it gets more. */
 TEST_F(VersionShift, LongAnswersLoadOneEngineInTheSecondHalf)
 {
-	dw_shift_request request = { "v1", 999, true };
+	dw_shift_request request = { "v1", 999, 12, true };
 	dw_shift_demand demand = dw_shift_demand_of(&shift, &request, at(600));
 	EXPECT_TRUE(demand.is_load_test);
 	EXPECT_STREQ(demand.required_version, "v2");
@@ -132,6 +132,18 @@
 	EXPECT_EQ(shift.own.counts[DW_SHIFT_NEW].timed, 0U) << "its slowness was our doing";
 }
 
+/* A large service: a part of its long answers loads one engine, all of them would overrun it. */
+TEST_F(VersionShift, ALargeServiceLoadsItsEngineWithAPartOfTheLongAnswers)
+{
+	std::mt19937_64 random(4);
+	int loads = 0;
+	for (int i = 0; i < 9000; i++) {
+		dw_shift_request request = { "v1", random(), 90, true };
+		loads += dw_shift_demand_of(&shift, &request, at(600)).is_load_test;
+	}
+	EXPECT_NEAR(loads, 1200, 150);
+}
+
 TEST_F(VersionShift, AnOutcomeOfAnotherOrderIsIgnored)
 {
 	dw_shift_take_status(&shift, DW_SHIFT_COMPLETED, "v2", 4);
