--- a/include/dragonflywharf/engine_choice.h
+++ b/include/dragonflywharf/engine_choice.h
@@ -33,6 +33,17 @@
 
 bool dw_domain_list_holds(const struct dw_domain_list *list, const char *name);
 
+/** The rate that a cold engine bears, and what divides it among the instances. */
+struct dw_cold_share {
+	bool is_limited;
+	uint32_t all_per_s; /**< requests a second, of all instances together */
+	uint32_t instances; /**< to reckon with */
+	uint64_t instance; /**< hash of this one's name */
+};
+
+/** Requests a second that this instance may send to that cold engine; 0: none. */
+uint32_t dw_cold_share_of(const struct dw_cold_share *share, const char *engine_id);
+
 struct dw_choice {
 	const char *service;
 	const char *model; /**< NULL: any */
@@ -49,7 +60,7 @@
 	uint32_t subset_permille;
 	const char *tried[DW_CHOICE_TRIED_MAX]; /**< ids that had the request already */
 	uint32_t tried_count;
-	uint32_t cold_sends_per_s; /**< this instance's share for a cold engine; 0: no limit */
+	struct dw_cold_share cold;
 	uint64_t random; /**< breaks ties */
 	uint64_t now_us;
 };
--- a/src/core/engine_choice.c
+++ b/src/core/engine_choice.c
@@ -30,6 +30,8 @@
 #define SPEED_TOKENS_MIN 400
 /* Ties within this much are broken at random, so that instances don't move together. */
 #define RANDOM_SPREAD_US (5 * US_PER_MS)
+/* Part of a cold engine's rate that is dealt out by lot. */
+#define COLD_DEALT_PERMILLE 550
 /* Key under which the engines of a subset are drawn. */
 #define SUBSET_KEY UINT64_C(0x9e3779b97f4a7c15)
 
@@ -273,10 +275,27 @@
 	}
 }
 
+/*
+ * Where there are more instances than requests, a hash draws those that may send one a second. The
+ * number drawn varies, so only a part of the rate is dealt out.
+ */
+uint32_t dw_cold_share_of(const struct dw_cold_share *share, const char *engine_id)
+{
+	uint32_t instances = share->instances > 0 ? share->instances : 1;
+	uint64_t drawn;
+
+	if (share->all_per_s >= instances)
+		return share->all_per_s / instances;
+	drawn = dw_rendezvous_score(share->instance,
+				    dw_rendezvous_key(engine_id, strlen(engine_id)));
+	return drawn % instances < share->all_per_s * COLD_DEALT_PERMILLE / 1000 ? 1 : 0;
+}
+
 static bool is_cold_rate_used_up(const struct dw_choice *choice, const struct dw_engine *engine)
 {
-	return choice->cold_sends_per_s > 0 && dw_engine_is_cold(engine, choice->now_us) &&
-	       dw_engine_sends_last_second(engine, choice->now_us) >= choice->cold_sends_per_s;
+	return choice->cold.is_limited && dw_engine_is_cold(engine, choice->now_us) &&
+	       dw_engine_sends_last_second(engine, choice->now_us) >=
+		       dw_cold_share_of(&choice->cold, engine->entry.id);
 }
 
 /* What keeps a fit engine from being chosen; FOUND: nothing. */
--- a/src/net/tcp_socket.c
+++ b/src/net/tcp_socket.c
@@ -6,7 +6,7 @@
 
 #define KEEPALIVE_IDLE_S 1
 #define KEEPALIVE_INTERVAL_S 1
-#define KEEPALIVE_PROBES 3
+#define KEEPALIVE_PROBES 2
 
 void tcp_socket_set_options(uv_tcp_t *tcp, uint32_t unanswered_timeout_ms)
 {
--- a/src/wharf-gateway/exchange.c
+++ b/src/wharf-gateway/exchange.c
@@ -20,12 +20,13 @@
 /* An idempotent request goes to another engine when this one is silent for so long beyond its
  * expected time. */
 #define SILENT_PLAIN_US (700 * DW_US_PER_MS)
-#define SILENT_STREAM_US (1500 * DW_US_PER_MS)
+#define SILENT_STREAM_US (3 * DW_US_PER_S)
 #define SILENT_EXPECTED_FACTOR 3
 /* A resumable stream goes on elsewhere after such a pause; while its engine is heard on other
- * connections, only after the longer one. */
-#define SILENT_GAP_US (1800 * DW_US_PER_MS)
-#define SILENT_MOST_US (4 * DW_US_PER_S)
+ * connections, only after the longer one. An engine that is gone shows sooner, by the probes of its
+ * connection; a pause alone mostly tells of load, which reading the prompt again elsewhere adds to. */
+#define SILENT_GAP_US (4 * DW_US_PER_S)
+#define SILENT_MOST_US (8 * DW_US_PER_S)
 #define SILENT_STEP_US (300 * DW_US_PER_MS)
 /* Repeats that a better answer leaves to requests that fail. */
 #define REPEATS_RESERVED 3
@@ -270,14 +271,17 @@
 		       0);
 }
 
-/* Whether the silence is due, but the engine answers other requests of this instance. */
-static bool is_heard_elsewhere(const struct exchange *exchange, uint64_t now_us)
+/* Whether the silence is due, but the request can't go elsewhere, or the engine answers others. */
+static bool is_worth_waiting(const struct exchange *exchange, uint64_t now_us)
 {
 	const struct dw_engine *engine = attempt_engine(exchange->attempt);
 
-	return attempt_is_connected(exchange->attempt) && exchange->silence_due_us > 0 &&
-	       now_us >= exchange->silence_due_us &&
-	       now_us < exchange->silent_since_us + SILENT_MOST_US &&
+	if (!attempt_is_connected(exchange->attempt) || exchange->silence_due_us == 0 ||
+	    now_us < exchange->silence_due_us)
+		return false;
+	if (router_repeats_left(exchange->router, exchange->service_name, now_us) == 0)
+		return true;
+	return now_us < exchange->silent_since_us + SILENT_MOST_US &&
 	       engine->last_byte_at_us + SILENT_GAP_US / 2 > now_us;
 }
 
@@ -293,7 +297,7 @@
 								 : DW_ENGINE_SILENT);
 		exchange->attempt = NULL;
 		give_up(exchange, "the time limit has passed");
-	} else if (exchange->attempt && is_heard_elsewhere(exchange, now_us)) {
+	} else if (exchange->attempt && is_worth_waiting(exchange, now_us)) {
 		exchange->silence_due_us = now_us + SILENT_STEP_US;
 		set_timer(exchange);
 	} else if (exchange->attempt && now_us >= attempt_due_us(exchange)) {
@@ -539,7 +543,7 @@
 		.body_bytes = exchange->request.body_len,
 		.failure_domain = router->settings->failure_domain,
 		.evacuated = &router->view->evacuated,
-		.cold_sends_per_s = router_cold_share(router, exchange->service),
+		.cold = router_cold_share(router, exchange->service, now_us),
 		.random = router_random(router),
 		.now_us = now_us,
 	};
@@ -725,8 +729,8 @@
 	struct dw_choice choice;
 	struct dw_chosen chosen;
 
-	/* The process may have been suspended since the request came. */
-	if (exchange->organisation && !view_is_fresh(exchange->router->view, now_us)) {
+	if (exchange->organisation &&
+	    !view_is_fresh(exchange->router->view, exchange->request.arrived_at_us)) {
 		give_up(exchange, "the configuration isn't known to be fresh");
 		return;
 	}
--- a/src/wharf-gateway/gateway.c
+++ b/src/wharf-gateway/gateway.c
@@ -19,6 +19,8 @@
 #define SWEEP_PERIOD_MS 1000
 /* Changes gather for this part of the time within which they must be in force. */
 #define GATHER_PERMILLE 620
+/* An empty answer, which proves that nothing was missed, must come before keyed requests stop. */
+#define POLL_WAIT_MOST_MS 900
 /* After the signal to stop, new connections are taken until the balancer has noticed. */
 #define BALANCER_NOTICE_MS 3500
 #define STOP_LOOK_MS 100
@@ -288,12 +290,14 @@
 	struct metadata_store_options options = {
 		.loop = &gateway->loop,
 		.address = gateway->settings.store,
-		.poll_wait_ms = (uint32_t)gather_ms,
+		.poll_wait_ms =
+			(uint32_t)(gather_ms < POLL_WAIT_MOST_MS ? gather_ms : POLL_WAIT_MOST_MS),
 	};
 
 	gateway->store = metadata_store_new(&options);
 	store_sync_start(&gateway->sync, &gateway->loop, gateway->store, &gateway->view,
 			 gather_ms * DW_US_PER_MS, router_random(&gateway->router));
+	presence_start(&gateway->view.presence, &gateway->loop, gateway->store);
 	shifts_start(&gateway->view.shifts, &gateway->loop, gateway->store,
 		     router_random(&gateway->router));
 }
--- /dev/null
+++ b/src/wharf-gateway/presence.c
@@ -0,0 +1,129 @@
+#include "wharf-gateway/presence.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "base/clock.h"
+
+#define PREFIX "wharf/instances/"
+#define KEY_BYTES 200
+#define LEASE_S 15
+#define RENEW_PERIOD_MS 5000
+#define CALL_TIMEOUT_US (900 * DW_US_PER_MS)
+/* Until all have had time to write their keys, so many are reckoned with. */
+#define UNCOUNTED_INSTANCES 128
+#define SETTLED_US (4 * DW_US_PER_S)
+/* Instances that are there but not seen: spare ones that start, ones whose lease lapsed. */
+#define UNSEEN_PERCENT 30
+#define UNSEEN_LEAST 3
+
+void presence_init(struct presence *presence, struct dw_log *log, const char *instance)
+{
+	memset(presence, 0, sizeof(*presence));
+	presence->log = log;
+	presence->instance = instance;
+}
+
+void presence_take_record(struct presence *presence, const struct dw_store_event *event,
+			  bool was_there)
+{
+	const char *key = event->entry.key;
+
+	if (strncmp(key, PREFIX, strlen(PREFIX)) != 0)
+		return;
+	if (!event->deleted && !was_there)
+		presence->instances++;
+	if (event->deleted && was_there && presence->instances > 0)
+		presence->instances--;
+	if (strcmp(key + strlen(PREFIX), presence->instance) == 0)
+		presence->key_revision = event->deleted ? 0 : event->entry.mod_revision;
+}
+
+void presence_counted(struct presence *presence, uint64_t now_us)
+{
+	if (presence->counted_at_us == 0)
+		presence->counted_at_us = now_us;
+}
+
+uint32_t presence_reckoned(const struct presence *presence, uint64_t now_us)
+{
+	uint32_t unseen = presence->instances * UNSEEN_PERCENT / 100;
+
+	if (presence->counted_at_us == 0 || now_us < presence->counted_at_us + SETTLED_US)
+		return UNCOUNTED_INSTANCES;
+	return presence->instances + (unseen > UNSEEN_LEAST ? unseen : UNSEEN_LEAST);
+}
+
+static void on_written(const struct dw_store_put_result *result, void *data)
+{
+	struct presence *presence = data;
+
+	presence->is_busy = false;
+	if (result->outcome == DW_STORE_DONE || result->outcome == DW_STORE_CONFLICT)
+		presence->key_revision = result->revision;
+	if (result->outcome != DW_STORE_DONE)
+		presence->lease_id = 0; /* a new lease with the next period */
+}
+
+static void write_key(struct presence *presence)
+{
+	char key[KEY_BYTES];
+	struct dw_store_put put = {
+		.key = key,
+		.value = (const uint8_t *)"{}",
+		.value_len = 2,
+		.expected_revision = presence->key_revision,
+		.lease_id = presence->lease_id,
+		.deadline_us = dw_clock_now_us() + CALL_TIMEOUT_US,
+	};
+
+	snprintf(key, sizeof(key), PREFIX "%s", presence->instance);
+	presence->is_busy = true;
+	dw_store_put(presence->store, &put, on_written, presence);
+}
+
+static void on_granted(const struct dw_store_lease_result *result, void *data)
+{
+	struct presence *presence = data;
+
+	presence->is_busy = false;
+	if (result->status != DW_OK)
+		return;
+	presence->lease_id = result->lease_id;
+	write_key(presence);
+}
+
+static void on_renewed(const struct dw_store_lease_result *result, void *data)
+{
+	struct presence *presence = data;
+
+	presence->is_busy = false;
+	if (result->status != DW_NOT_FOUND)
+		return;
+	/* The lease has ended, and the key with it. */
+	presence->lease_id = 0;
+	presence->key_revision = 0;
+}
+
+static void on_period(uv_timer_t *timer)
+{
+	struct presence *presence = timer->data;
+	uint64_t deadline_us = dw_clock_now_us() + CALL_TIMEOUT_US;
+
+	if (presence->is_busy)
+		return;
+	presence->is_busy = true;
+	if (presence->lease_id == 0)
+		dw_store_lease_grant(presence->store, LEASE_S, deadline_us, on_granted, presence);
+	else
+		dw_store_lease_keep_alive(presence->store, presence->lease_id, deadline_us,
+					  on_renewed, presence);
+}
+
+void presence_start(struct presence *presence, uv_loop_t *loop, struct dw_store *store)
+{
+	presence->store = store;
+	uv_timer_init(loop, &presence->timer);
+	presence->timer.data = presence;
+	uv_timer_start(&presence->timer, on_period, 0, RENEW_PERIOD_MS);
+}
--- /dev/null
+++ b/src/wharf-gateway/presence.h
@@ -0,0 +1,38 @@
+/**
+ * @file presence.h
+ * How many instances there are: each keeps a key of its own in the store under a lease, and counts
+ * the others' keys. Limits that hold for all instances together are divided by this count.
+ */
+#ifndef GATEWAY_PRESENCE_H
+#define GATEWAY_PRESENCE_H
+
+#include <uv.h>
+
+#include "base/log.h"
+#include "port/store.h"
+
+struct presence {
+	struct dw_log *log;
+	const char *instance;
+	struct dw_store *store; /**< set by presence_start() */
+	uv_timer_t timer;
+	uint64_t lease_id; /**< 0: none */
+	uint64_t key_revision; /**< of the own key as last seen; 0: it isn't there */
+	uint32_t instances; /**< keys seen, the own one included */
+	uint64_t counted_at_us; /**< when the first full count was made; 0: not yet */
+	bool is_busy; /**< a call is in progress */
+};
+
+void presence_init(struct presence *presence, struct dw_log *log, const char *instance);
+void presence_start(struct presence *presence, uv_loop_t *loop, struct dw_store *store);
+
+/** A key of the store came or went; keys of other kinds are ignored. */
+void presence_take_record(struct presence *presence, const struct dw_store_event *event,
+			  bool was_there);
+/** All keys have been read. */
+void presence_counted(struct presence *presence, uint64_t now_us);
+
+/** Instances to reckon with, unseen and starting ones included. */
+uint32_t presence_reckoned(const struct presence *presence, uint64_t now_us);
+
+#endif
--- a/src/wharf-gateway/router.c
+++ b/src/wharf-gateway/router.c
@@ -5,14 +5,13 @@
 
 #include <uthash.h>
 
+#include <dragonflywharf/rendezvous.h>
+
 #include "base/clock.h"
 
-/* Instances that may share a service's slack and a cold engine's rate, spares and unseen ones
- * included. */
-#define INSTANCES_RECKONED 16
 #define MAX_HEAD_BYTES 32768
-#define MAX_IDLE_LINKS 16
-#define IDLE_TIMEOUT_MS 8000
+#define MAX_IDLE_LINKS 4
+#define IDLE_TIMEOUT_MS 4000
 #define UNACKNOWLEDGED_TIMEOUT_MS 1500
 
 struct service_budget {
@@ -81,14 +80,15 @@
 	return router->random >> 17;
 }
 
-static struct dw_retry_window_options budget_options(const struct router *router)
+static struct dw_retry_window_options budget_options(const struct router *router, uint64_t now_us)
 {
-	uint32_t part = (uint32_t)(router->settings->retry_slack / INSTANCES_RECKONED);
+	uint32_t instances = presence_reckoned(&router->view->presence, now_us);
+	uint32_t part = (uint32_t)(router->settings->retry_slack / instances);
 
 	return (struct dw_retry_window_options){
 		.window_us = router->settings->retry_window_ms * DW_US_PER_MS,
 		.ratio_permille = (uint32_t)router->settings->retry_ratio_permille,
-		.slack = part > 0 ? part : 1,
+		.slack = part,
 	};
 }
 
@@ -110,21 +110,21 @@
 
 void router_count_request(struct router *router, const char *service, uint64_t now_us)
 {
-	struct dw_retry_window_options options = budget_options(router);
+	struct dw_retry_window_options options = budget_options(router, now_us);
 
 	dw_retry_window_request(window_of(router, service), &options, now_us);
 }
 
 uint32_t router_repeats_left(struct router *router, const char *service, uint64_t now_us)
 {
-	struct dw_retry_window_options options = budget_options(router);
+	struct dw_retry_window_options options = budget_options(router, now_us);
 
 	return dw_retry_window_room(window_of(router, service), &options, now_us);
 }
 
 void router_take_repeat(struct router *router, const char *service, uint64_t now_us)
 {
-	struct dw_retry_window_options options = budget_options(router);
+	struct dw_retry_window_options options = budget_options(router, now_us);
 
 	dw_counters_add(router->counters, DW_COUNTER_RETRIES, 1);
 	dw_retry_window_take(window_of(router, service), &options, now_us);
@@ -160,15 +160,19 @@
 	return &model->speed;
 }
 
-uint32_t router_cold_share(const struct router *router, const struct dw_service_rule *service)
+struct dw_cold_share router_cold_share(const struct router *router,
+				       const struct dw_service_rule *service, uint64_t now_us)
 {
-	double most;
-	uint32_t share;
+	const struct gateway_settings *settings = router->settings;
+	struct dw_cold_share share = { 0 };
 
 	if (!service || service->cold_per_s <= 0)
-		return 0;
-	most = service->cold_per_s * (double)router->settings->cold_overshoot_permille / 1000 +
-	       (double)router->settings->cold_slack;
-	share = (uint32_t)(most / INSTANCES_RECKONED);
-	return share > 0 ? share : 1;
+		return share;
+	share.is_limited = true;
+	share.all_per_s =
+		(uint32_t)(service->cold_per_s * (double)settings->cold_overshoot_permille / 1000) +
+		(uint32_t)settings->cold_slack;
+	share.instances = presence_reckoned(&router->view->presence, now_us);
+	share.instance = dw_rendezvous_key(settings->instance, strlen(settings->instance));
+	return share;
 }
--- a/src/wharf-gateway/router.h
+++ b/src/wharf-gateway/router.h
@@ -53,7 +53,8 @@
 /** Speed learnt of a model; valid until the router closes. */
 struct dw_model_speed *router_speed(struct router *router, const char *name);
 
-/** Requests a second that this instance may send to a cold engine of the service; 0: no limit. */
-uint32_t router_cold_share(const struct router *router, const struct dw_service_rule *service);
+/** This instance's part of what cold engines of the service bear. */
+struct dw_cold_share router_cold_share(const struct router *router,
+				       const struct dw_service_rule *service, uint64_t now_us);
 
 #endif
--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -31,6 +31,7 @@
 	view->counters = counters;
 	view->engines = dw_engine_set_new();
 	shifts_init(&view->shifts, log, settings->instance);
+	presence_init(&view->presence, log, settings->instance);
 }
 
 void view_close(struct view *view)
@@ -56,11 +57,13 @@
 	return record;
 }
 
-/* Notes the revision of a key; false if the news is old. */
-static bool note_revision(struct view *view, const char *key, uint64_t revision, bool deleted)
+/* Notes the revision of a key, and whether it was there before; false if the news is old. */
+static bool note_revision(struct view *view, const char *key, uint64_t revision, bool deleted,
+			  bool *was_there)
 {
 	struct known_record *record = find_record(view, key);
 
+	*was_there = record && !record->deleted;
 	if (record && revision <= record->revision)
 		return false;
 	if (!record) {
@@ -229,8 +232,13 @@
 
 void view_apply(struct view *view, const struct dw_store_event *event, uint64_t now_us)
 {
-	if (note_revision(view, event->entry.key, event->entry.mod_revision, event->deleted))
-		apply_record(view, event, now_us);
+	bool was_there;
+
+	if (!note_revision(view, event->entry.key, event->entry.mod_revision, event->deleted,
+			   &was_there))
+		return;
+	presence_take_record(&view->presence, event, was_there);
+	apply_record(view, event, now_us);
 }
 
 static bool is_listed(const struct dw_store_entry *entries, size_t count, const char *key)
@@ -263,8 +271,10 @@
 		event.entry.mod_revision = revision;
 		record->revision = revision;
 		record->deleted = true;
+		presence_take_record(&view->presence, &event, true);
 		apply_record(view, &event, now_us);
 	}
+	presence_counted(&view->presence, now_us);
 }
 
 void view_proven(struct view *view, uint64_t proven_at_us, uint64_t now_us)
@@ -289,13 +299,13 @@
 		     DW_INT("age_ms", (now_us - view->proven_at_us) / DW_US_PER_MS));
 }
 
-bool view_is_fresh(const struct view *view, uint64_t now_us)
+bool view_is_fresh(const struct view *view, uint64_t arrived_at_us)
 {
 	uint64_t limit_us = view->settings->revocation_ms * DW_US_PER_MS * FRESH_PERMILLE / 1000;
 
 	if (!view->settings->keys_fail_closed)
 		return true;
-	return view->proven_at_us > 0 && now_us < view->proven_at_us + limit_us;
+	return view->proven_at_us > 0 && arrived_at_us < view->proven_at_us + limit_us;
 }
 
 bool view_is_ready(const struct view *view, uint64_t now_us)
--- a/src/wharf-gateway/view.h
+++ b/src/wharf-gateway/view.h
@@ -16,6 +16,7 @@
 #include "base/log.h"
 #include "port/store.h"
 #include "wharf-gateway/gateway_settings.h"
+#include "wharf-gateway/presence.h"
 #include "wharf-gateway/shifts.h"
 
 struct known_record;
@@ -28,6 +29,7 @@
 	struct dw_engine_set *engines;
 	struct dw_domain_list evacuated;
 	struct shifts shifts;
+	struct presence presence;
 	struct known_record *records; /**< newest revision of each key seen */
 	uint64_t proven_at_us; /**< the configuration known was the newest then; 0: never */
 	uint64_t store_back_at_us; /**< end of the last time that the store was away; 0: none */
@@ -53,8 +55,11 @@
 /** The store can't be reached, or its history is lost. */
 void view_store_lost(struct view *view, const char *reason, uint64_t now_us);
 
-/** Whether keyed requests may be admitted: no key can have been revoked for too long. */
-bool view_is_fresh(const struct view *view, uint64_t now_us);
+/**
+ * Whether keyed requests that came at @p arrived_at_us may be admitted: no key can have been revoked
+ * for too long then.
+ */
+bool view_is_fresh(const struct view *view, uint64_t arrived_at_us);
 
 /** Whether this instance should be given callers. */
 bool view_is_ready(const struct view *view, uint64_t now_us);
