--- a/include/dragonflywharf/engine.h
+++ b/include/dragonflywharf/engine.h
@@ -58,6 +58,7 @@
 
 struct dw_engine {
 	struct dw_engine_entry entry;
+	uint64_t id_hash; /**< of entry.id, for rendezvous hashing */
 	enum dw_engine_state state;
 	uint64_t missing_until_us; /**< MISSING: gone from then on */
 	uint64_t cold_until_us;
--- a/include/dragonflywharf/engine_choice.h
+++ b/include/dragonflywharf/engine_choice.h
@@ -50,6 +50,9 @@
 	const struct dw_prompt *prompt; /**< NULL: a plain service */
 	const struct dw_model_speed *speed; /**< of that model; NULL without prompt */
 	uint64_t kv_tokens; /**< memory of the service's engines, for the index of parts */
+	/** The answer is long against the prompt: it is kept apart from long prompts, whose reading
+	 * holds up the tokens of all requests beside it. */
+	bool is_long_answer;
 	uint64_t body_bytes;
 	const char *failure_domain; /**< this instance's */
 	const struct dw_domain_list *evacuated;
--- a/src/core/engine.c
+++ b/src/core/engine.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include <dragonflywharf/prefix_cache.h>
+#include <dragonflywharf/rendezvous.h>
 
 #define US_PER_MS UINT64_C(1000)
 #define US_PER_S UINT64_C(1000000)
@@ -109,6 +110,7 @@
 
 	if (!engine) {
 		engine = add(set);
+		engine->id_hash = dw_rendezvous_key(entry->id, strlen(entry->id));
 		change = DW_ENGINE_ADDED;
 	} else if (engine->entry.born_ms != entry->born_ms) {
 		begin_life(engine);
--- a/src/core/engine_choice.c
+++ b/src/core/engine_choice.c
@@ -32,6 +32,14 @@
 #define RANDOM_SPREAD_US (5 * US_PER_MS)
 /* Part of a cold engine's rate that is dealt out by lot. */
 #define COLD_DEALT_PERMILLE 550
+
+/* Part of the engines that are for long answers, exact up to so many engines. */
+#define ANSWER_ENGINES_PERMILLE 110
+#define ANSWER_ENGINES_EXACT 24
+#define ANSWER_KEY UINT64_C(0xc2b2ae3d27d4eb4f)
+/* What it costs to send a long prompt to them, or a long answer elsewhere. */
+#define LONG_PROMPT_THERE_US (60 * US_PER_MS)
+#define LONG_ANSWER_ELSEWHERE_US (150 * US_PER_MS)
 /* Key under which the engines of a subset are drawn. */
 #define SUBSET_KEY UINT64_C(0x9e3779b97f4a7c15)
 
@@ -178,14 +186,64 @@
 
 	if (strcmp(engine->entry.failure_domain, choice->failure_domain) != 0)
 		cost += CROSS_DOMAIN_US + choice->body_bytes * CROSS_DOMAIN_US_PER_BYTE;
-	cost += dw_rendezvous_score(choice->random,
-				    dw_rendezvous_key(engine->entry.id, strlen(engine->entry.id))) %
-		RANDOM_SPREAD_US;
+	cost += dw_rendezvous_score(choice->random, engine->id_hash) % RANDOM_SPREAD_US;
 	return cost;
 }
 
+/*
+ * Some engines, the same ones for all instances, are for long answers. Where there are few engines
+ * their number is exact, else a hash draws them.
+ */
+struct answer_engines {
+	uint64_t bound; /**< engines with a greater score are for long answers */
+};
+
+static uint64_t answer_score(const struct dw_engine *engine)
+{
+	return dw_rendezvous_score(ANSWER_KEY, engine->id_hash);
+}
+
+static struct answer_engines find_answer_engines(struct dw_engine_set *set,
+						 const struct dw_choice *choice)
+{
+	struct answer_engines group = { .bound = UINT64_MAX };
+	uint32_t fit = 0;
+	uint32_t wanted;
+
+	if (!choice->prompt)
+		return group;
+	for (struct dw_engine *at = dw_engine_set_first(set); at; at = at->next)
+		fit += is_fit(choice, at);
+	wanted = (fit * ANSWER_ENGINES_PERMILLE + 500) / 1000;
+	if (fit > ANSWER_ENGINES_EXACT) {
+		group.bound = UINT64_MAX - UINT64_MAX / 1000 * ANSWER_ENGINES_PERMILLE;
+		return group;
+	}
+	for (uint32_t taken = 0; taken < wanted; taken++) {
+		uint64_t best = 0;
+
+		for (struct dw_engine *at = dw_engine_set_first(set); at; at = at->next) {
+			uint64_t score = answer_score(at);
+
+			if (is_fit(choice, at) && score < group.bound && score > best)
+				best = score;
+		}
+		group.bound = best;
+	}
+	if (wanted > 0)
+		group.bound--;
+	return group;
+}
+
+static bool is_of_group(const struct answer_engines *group, const struct dw_choice *choice,
+			const struct dw_engine *engine)
+{
+	return !choice->prompt || (answer_score(engine) > group->bound) == choice->is_long_answer;
+}
+
 /* The engine at which requests with the same shared parts meet; NULL if there are no such parts. */
-static const struct dw_engine *find_home(struct dw_engine_set *set, const struct dw_choice *choice)
+static const struct dw_engine *find_home(struct dw_engine_set *set, const struct dw_choice *choice,
+					 const struct answer_engines *group)
 {
 	const struct dw_engine *home = NULL;
 	uint64_t best = 0;
@@ -212,8 +270,7 @@
 
 static uint64_t subset_score(const struct dw_engine *engine)
 {
-	return dw_rendezvous_score(SUBSET_KEY,
-				   dw_rendezvous_key(engine->entry.id, strlen(engine->entry.id)));
+	return dw_rendezvous_score(SUBSET_KEY, engine->id_hash);
 }
 
 /* The least score with which an engine belongs to the subset. */
@@ -255,13 +312,15 @@
 };
 
 static void rank(struct ranking *ranking, const struct dw_choice *choice, struct dw_engine *engine,
-		 bool is_home)
+		 bool is_home, bool is_of_group)
 {
 	struct dw_chosen chosen = { .engine = engine };
 	uint64_t cost;
 
 	chosen.expected_us = expected_us(choice, engine, is_home, &chosen.uncached_tokens);
 	cost = chosen.expected_us + extra_cost_us(choice, engine);
+	if (!is_of_group)
+		cost += choice->is_long_answer ? LONG_ANSWER_ELSEWHERE_US : LONG_PROMPT_THERE_US;
 	if (engine->ejected_until_us > choice->now_us) {
 		if (!ranking->ejected.engine || cost < ranking->ejected_cost_us) {
 			ranking->ejected = chosen;
@@ -315,7 +374,8 @@
 				       struct dw_chosen *chosen)
 {
 	struct ranking ranking = { .obstacle = DW_CHOICE_NO_ENGINE };
-	const struct dw_engine *home = find_home(set, choice);
+	struct answer_engines group = find_answer_engines(set, choice);
+	const struct dw_engine *home = find_home(set, choice, &group);
 	uint64_t bound = subset_bound(set, choice);
 	enum dw_choice_result obstacle;
 
@@ -324,7 +384,7 @@
 			continue;
 		obstacle = obstacle_of(choice, at);
 		if (obstacle == DW_CHOICE_FOUND)
-			rank(&ranking, choice, at, at == home);
+			rank(&ranking, choice, at, at == home, is_of_group(&group, choice, at));
 		else if (obstacle > ranking.obstacle)
 			ranking.obstacle = obstacle;
 	}
--- a/src/wharf-gateway/exchange.c
+++ b/src/wharf-gateway/exchange.c
@@ -533,6 +533,17 @@
 	carry_out(exchange, verdict, dw_attempt_end_name(end));
 }
 
+/* Whether the answer is long against the prompt, so that it loads an engine cheaply. */
+static bool is_long(const struct exchange *exchange)
+{
+	const struct request_fields *fields = &exchange->fields;
+	uint32_t expected = fields->expected_tokens_out > 0 ? fields->expected_tokens_out
+							    : fields->prompt.tokens_out_max;
+
+	return fields->has_prompt && expected >= LONG_ANSWER_TOKENS &&
+	       expected * LONG_PROMPT_FACTOR >= fields->prompt.tokens_in;
+}
+
 static void describe_choice(struct exchange *exchange, struct dw_choice *choice, uint64_t now_us)
 {
 	struct router *router = exchange->router;
@@ -551,6 +562,7 @@
 		const char *model = exchange->model ? exchange->model : exchange->fields.model;
 
 		choice->prompt = &exchange->fields.prompt;
+		choice->is_long_answer = is_long(exchange);
 		choice->speed = router_speed(router, model ? model : "");
 		choice->kv_tokens = exchange->service->kv_tokens;
 	}
@@ -652,17 +664,6 @@
 	return dw_rendezvous_key(text, strlen(text));
 }
 
-/* Whether the answer is long against the prompt, so that it loads an engine cheaply. */
-static bool is_long(const struct exchange *exchange)
-{
-	const struct request_fields *fields = &exchange->fields;
-	uint32_t expected = fields->expected_tokens_out > 0 ? fields->expected_tokens_out
-							    : fields->prompt.tokens_out_max;
-
-	return fields->has_prompt && expected >= LONG_ANSWER_TOKENS &&
-	       expected * LONG_PROMPT_FACTOR >= fields->prompt.tokens_in;
-}
-
 static void use_largest_model(struct exchange *exchange, struct dw_choice *choice)
 {
 	const struct dw_route_rule *route = exchange->route;
--- a/tests/engine_choice_test.cc
+++ b/tests/engine_choice_test.cc
@@ -212,6 +212,35 @@
 	EXPECT_EQ(seen.size(), 1U);
 }
 
+/* Chats beside long drafts: the reading of long prompts holds up the tokens of all requests beside it,
+ * so long answers meet at few engines, which long prompts avoid a little. */
+TEST_F(EngineChoice, LongAnswersMeetAtFewEnginesWhileTheyAreFree)
+{
+	for (int i = 0; i < 12; i++)
+		add("e" + std::to_string(i), "a");
+	std::set<std::string> seen;
+	std::set<std::string> of_prompts;
+	for (uint64_t request = 1; request <= 60; request++) {
+		dw_prompt prompt = prompt_of(request * 131, 170, request, 540);
+		choice.prompt = &prompt;
+		choice.is_long_answer = true;
+		seen.insert(choose());
+		dw_prompt draft = prompt_of(request * 977, 6300, request, 2900);
+		choice.prompt = &draft;
+		choice.is_long_answer = false;
+		of_prompts.insert(choose());
+	}
+	EXPECT_LE(seen.size(), 2U);
+	EXPECT_GE(of_prompts.size(), 10U);
+	dw_engine *busy = dw_engine_set_find(set, seen.begin()->c_str());
+	for (int i = 0; i < 10; i++)
+		dw_engine_sent(busy, choice.now_us);
+	dw_prompt prompt = prompt_of(5, 170, 6, 540);
+	choice.prompt = &prompt;
+	choice.is_long_answer = true;
+	EXPECT_NE(choose(), busy->entry.id) << "a busy one isn't worth the company";
+}
+
 TEST_F(EngineChoice, SpeedIsLearntFromAnswersAndNotFromQueues)
 {
 	dw_model_speed learnt{};
