--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -286,6 +286,9 @@
 	view->is_store_reached = true;
 	view->store_back_at_us = now_us;
 	dw_log_event(view->log, DW_EVENT_STORE_BACK,
+		     DW_INT("away_ms", view->store_lost_at_us > 0
+					       ? (now_us - view->store_lost_at_us) / DW_US_PER_MS
+					       : 0),
 		     DW_INT("age_ms", (now_us - view->proven_at_us) / DW_US_PER_MS));
 }
 
@@ -295,6 +298,7 @@
 	if (!view->is_store_reached)
 		return;
 	view->is_store_reached = false;
+	view->store_lost_at_us = now_us;
 	dw_log_event(view->log, DW_EVENT_STORE_LOST, DW_STR("reason", reason),
 		     DW_INT("age_ms", (now_us - view->proven_at_us) / DW_US_PER_MS));
 }
--- a/src/wharf-gateway/view.h
+++ b/src/wharf-gateway/view.h
@@ -32,6 +32,7 @@
 	struct presence presence;
 	struct known_record *records; /**< newest revision of each key seen */
 	uint64_t proven_at_us; /**< the configuration known was the newest then; 0: never */
+	uint64_t store_lost_at_us; /**< begin of the last time that the store was away; 0: none */
 	uint64_t store_back_at_us; /**< end of the last time that the store was away; 0: none */
 	bool is_store_reached;
 };
