--- a/include/dragonflywharf/engine.h
+++ b/include/dragonflywharf/engine.h
@@ -63,6 +63,7 @@
 	uint64_t missing_until_us; /**< MISSING: gone from then on */
 	uint64_t cold_until_us;
 	struct dw_engine_load load;
+	bool load_is_news; /**< told by the engine itself and not yet passed on */
 	uint32_t in_flight; /**< requests of this instance */
 	uint32_t unstarted; /**< of these, those without a first byte of the answer */
 	uint32_t sent_since_load; /**< requests sent after the load was told */
@@ -130,7 +131,10 @@
 /** The first byte of the answer came; @p expected_us is the time that the choice reckoned with. */
 void dw_engine_started(struct dw_engine *engine, uint64_t sent_at_us, uint64_t expected_us,
 		       uint64_t now_us);
+/** The engine's answer told its load. */
 void dw_engine_told_load(struct dw_engine *engine, const struct dw_engine_load *load);
+/** Another instance told it. */
+void dw_engine_heard_load(struct dw_engine *engine, const struct dw_engine_load *load);
 /** The engine told that it will be cold for this long. */
 void dw_engine_told_cold(struct dw_engine *engine, uint32_t cold_ms, uint64_t now_us);
 
--- a/src/core/engine.c
+++ b/src/core/engine.c
@@ -241,12 +241,18 @@
 	engine->slowness_permille = average(engine->slowness_permille, (uint32_t)ratio);
 }
 
-void dw_engine_told_load(struct dw_engine *engine, const struct dw_engine_load *load)
+void dw_engine_heard_load(struct dw_engine *engine, const struct dw_engine_load *load)
 {
 	engine->load = *load;
 	engine->sent_since_load = 0;
 }
 
+void dw_engine_told_load(struct dw_engine *engine, const struct dw_engine_load *load)
+{
+	dw_engine_heard_load(engine, load);
+	engine->load_is_news = true;
+}
+
 void dw_engine_told_cold(struct dw_engine *engine, uint32_t cold_ms, uint64_t now_us)
 {
 	uint64_t until_us = now_us + cold_ms * US_PER_MS;
--- a/src/wharf-gateway/gateway.c
+++ b/src/wharf-gateway/gateway.c
@@ -11,6 +11,7 @@
 #include "platform/metadata_store.h"
 #include "wharf-gateway/exchange.h"
 #include "wharf-gateway/gateway_metrics.h"
+#include "wharf-gateway/load_share.h"
 #include "wharf-gateway/store_sync.h"
 
 #define LISTEN_BACKLOG 512
@@ -44,6 +45,7 @@
 	struct router router;
 	struct dw_store *store;
 	struct store_sync sync;
+	struct load_share load_share;
 	uv_tcp_t caller_listener;
 	uv_tcp_t readiness_listener;
 	uv_tcp_t metrics_listener;
@@ -308,7 +310,8 @@
 	uv_loop_init(&gateway->loop);
 	view_init(&gateway->view, &gateway->settings, &gateway->log, &gateway->counters);
 	router_init(&gateway->router, &gateway->loop, &gateway->view);
-	if (open_listeners(gateway) != DW_OK)
+	if (open_listeners(gateway) != DW_OK ||
+	    load_share_start(&gateway->load_share, &gateway->loop, &gateway->view) != DW_OK)
 		return DW_UNAVAILABLE;
 	gateway->is_listening = true;
 	start_signal(gateway, &gateway->terminate, on_terminate, SIGTERM);
--- a/src/wharf-gateway/gateway_settings.c
+++ b/src/wharf-gateway/gateway_settings.c
@@ -10,6 +10,7 @@
 	{ "caller_address", DW_SETTING_ENDPOINT, FIELD(caller_address), true, 0, 0, NULL },
 	{ "readiness_address", DW_SETTING_ENDPOINT, FIELD(readiness_address), true, 0, 0, NULL },
 	{ "metrics_address", DW_SETTING_ENDPOINT, FIELD(metrics_address), false, 0, 0, NULL },
+	{ "peer_address", DW_SETTING_ENDPOINT, FIELD(peer_address), false, 0, 0, NULL },
 	{ "store", DW_SETTING_ENDPOINT, FIELD(store), true, 0, 0, NULL },
 	{ "store_writes_per_s", DW_SETTING_INTEGER, FIELD(store_writes_per_s), false, 1, 1000000,
 	  "400" },
--- a/src/wharf-gateway/gateway_settings.h
+++ b/src/wharf-gateway/gateway_settings.h
@@ -13,6 +13,7 @@
 	struct dw_endpoint caller_address;
 	struct dw_endpoint readiness_address;
 	struct dw_endpoint metrics_address; /**< port 0: none */
+	struct dw_endpoint peer_address; /**< for datagrams of other instances; port 0: none */
 	struct dw_endpoint store;
 	uint64_t store_writes_per_s; /**< of all instances together */
 	uint64_t store_reads_per_s;
--- a/src/wharf-gateway/presence.c
+++ b/src/wharf-gateway/presence.c
@@ -1,8 +1,11 @@
 #include "wharf-gateway/presence.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
+#include <uthash.h>
+
 #include "base/clock.h"
 
 #define PREFIX "wharf/instances/"
@@ -17,11 +20,80 @@
 #define UNSEEN_PERCENT 30
 #define UNSEEN_LEAST 3
 
-void presence_init(struct presence *presence, struct dw_log *log, const char *instance)
+struct presence_peer {
+	char *instance;
+	struct dw_endpoint address;
+	UT_hash_handle hh;
+};
+
+void presence_init(struct presence *presence, struct dw_log *log, const char *instance,
+		   const struct dw_endpoint *peer_address)
 {
 	memset(presence, 0, sizeof(*presence));
 	presence->log = log;
 	presence->instance = instance;
+	presence->peer_address = peer_address;
+}
+
+void presence_close(struct presence *presence)
+{
+	struct presence_peer *peer = presence->peers;
+	struct presence_peer *next;
+
+	HASH_CLEAR(hh, presence->peers);
+	for (; peer; peer = next) {
+		next = peer->hh.next;
+		free(peer->instance);
+		free(peer);
+	}
+}
+
+bool presence_knows(const struct presence *presence, const char *ip)
+{
+	for (const struct presence_peer *at = presence->peers; at; at = at->hh.next) {
+		if (strcmp(at->address.ip, ip) == 0)
+			return true;
+	}
+	return false;
+}
+
+void presence_each_peer(const struct presence *presence,
+			void (*each)(const struct dw_endpoint *peer, void *data), void *data)
+{
+	for (const struct presence_peer *at = presence->peers; at; at = at->hh.next) {
+		if (at->address.port != 0)
+			each(&at->address, data);
+	}
+}
+
+static void remove_peer(struct presence *presence, struct presence_peer *peer)
+{
+	HASH_DEL(presence->peers, peer);
+	free(peer->instance);
+	free(peer);
+}
+
+/* The value of an instance's key is its address; one that can't be read names none. */
+static void take_peer(struct presence *presence, const char *instance,
+		      const struct dw_store_event *event)
+{
+	struct presence_peer *peer;
+
+	HASH_FIND_STR(presence->peers, instance, peer);
+	if (event->deleted) {
+		if (peer)
+			remove_peer(presence, peer);
+		return;
+	}
+	if (!peer) {
+		peer = calloc(1, sizeof(*peer));
+		if (!peer)
+			abort();
+		peer->instance = strdup(instance);
+		HASH_ADD_KEYPTR(hh, presence->peers, peer->instance, strlen(peer->instance), peer);
+	}
+	if (dw_endpoint_parse((const char *)event->entry.value, &peer->address) != DW_OK)
+		peer->address.port = 0;
 }
 
 void presence_take_record(struct presence *presence, const struct dw_store_event *event,
@@ -37,6 +109,8 @@
 		presence->instances--;
 	if (strcmp(key + strlen(PREFIX), presence->instance) == 0)
 		presence->key_revision = event->deleted ? 0 : event->entry.mod_revision;
+	else
+		take_peer(presence, key + strlen(PREFIX), event);
 }
 
 void presence_counted(struct presence *presence, uint64_t now_us)
@@ -68,16 +142,19 @@
 static void write_key(struct presence *presence)
 {
 	char key[KEY_BYTES];
+	char value[32];
 	struct dw_store_put put = {
 		.key = key,
-		.value = (const uint8_t *)"{}",
-		.value_len = 2,
+		.value = (const uint8_t *)value,
 		.expected_revision = presence->key_revision,
 		.lease_id = presence->lease_id,
 		.deadline_us = dw_clock_now_us() + CALL_TIMEOUT_US,
 	};
 
 	snprintf(key, sizeof(key), PREFIX "%s", presence->instance);
+	snprintf(value, sizeof(value), "%s:%u", presence->peer_address->ip,
+		 presence->peer_address->port);
+	put.value_len = strlen(value);
 	presence->is_busy = true;
 	dw_store_put(presence->store, &put, on_written, presence);
 }
--- a/src/wharf-gateway/presence.h
+++ b/src/wharf-gateway/presence.h
@@ -9,11 +9,16 @@
 #include <uv.h>
 
 #include "base/log.h"
+#include "base/settings.h"
 #include "port/store.h"
 
+struct presence_peer;
+
 struct presence {
 	struct dw_log *log;
 	const char *instance;
+	const struct dw_endpoint *peer_address; /**< this instance's, told to the others */
+	struct presence_peer *peers; /**< the others */
 	struct dw_store *store; /**< set by presence_start() */
 	uv_timer_t timer;
 	uint64_t lease_id; /**< 0: none */
@@ -23,7 +28,9 @@
 	bool is_busy; /**< a call is in progress */
 };
 
-void presence_init(struct presence *presence, struct dw_log *log, const char *instance);
+void presence_init(struct presence *presence, struct dw_log *log, const char *instance,
+		   const struct dw_endpoint *peer_address);
+void presence_close(struct presence *presence);
 void presence_start(struct presence *presence, uv_loop_t *loop, struct dw_store *store);
 
 /** A key of the store came or went; keys of other kinds are ignored. */
@@ -32,6 +39,12 @@
 /** All keys have been read. */
 void presence_counted(struct presence *presence, uint64_t now_us);
 
+/** Whether an instance has told this address. */
+bool presence_knows(const struct presence *presence, const char *ip);
+/** Calls @p each for every other instance that has told an address. */
+void presence_each_peer(const struct presence *presence,
+			void (*each)(const struct dw_endpoint *peer, void *data), void *data);
+
 /** Instances to reckon with, unseen and starting ones included. */
 uint32_t presence_reckoned(const struct presence *presence, uint64_t now_us);
 
--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -31,7 +31,7 @@
 	view->counters = counters;
 	view->engines = dw_engine_set_new();
 	shifts_init(&view->shifts, log, settings->instance);
-	presence_init(&view->presence, log, settings->instance);
+	presence_init(&view->presence, log, settings->instance, &settings->peer_address);
 }
 
 void view_close(struct view *view)
@@ -45,6 +45,7 @@
 		free(record->key);
 		free(record);
 	}
+	presence_close(&view->presence);
 	dw_engine_set_free(view->engines);
 	dw_catalog_release(view->catalog);
 }
--- /dev/null
+++ b/tests/fuzz/fuzz_load_digest.c
@@ -0,0 +1,21 @@
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <dragonflywharf/load_digest.h>
+
+int LLVMFuzzerTestOneInput(const uint8_t *bytes, size_t len);
+
+/* A datagram from anywhere changes an engine's load within its bounds or not at all. */
+int LLVMFuzzerTestOneInput(const uint8_t *bytes, size_t len)
+{
+	struct dw_engine_set *set = dw_engine_set_new();
+	struct dw_engine_entry entry = { .id = "e" };
+	const uint64_t now_us = 10000000;
+
+	dw_engine_set_put(set, &entry, 0);
+	dw_load_digest_read(set, bytes, len, now_us);
+	if (dw_engine_set_first(set)->load.told_at_us > now_us)
+		abort();
+	dw_engine_set_free(set);
+	return 0;
+}
