--- a/src/core/model_ladder.c
+++ b/src/core/model_ladder.c
@@ -12,6 +12,8 @@
 #define ANSWERS_COUNTED 1000
 /* Worth of an answer that begins after its target, against one in time. */
 #define LATE_WORTH_PERMILLE 300
+/* Part of the time left, in thousandths, that the largest model's answer may take on free engines. */
+#define PRESSURE_NONE_PERMILLE 300
 
 uint32_t dw_confidence_good_permille(uint32_t confidence)
 {
@@ -46,15 +48,36 @@
 	return best;
 }
 
+/*
+ * How likely a good answer must be: the target while the engines are free, less the longer the
+ * largest model's answer would take of the time left until it is late, as its run also holds up
+ * others; in the end no more than a late answer is worth.
+ */
+static uint32_t wanted_permille(const struct dw_ladder_situation *situation)
+{
+	uint64_t left_us = situation->target_at_us > situation->now_us
+				   ? situation->target_at_us - situation->now_us
+				   : 0;
+	uint64_t pressure = left_us > 0 ? situation->largest_expected_us * 1000 / left_us : 1000;
+	uint32_t target = situation->target_permille;
+
+	if (pressure <= PRESSURE_NONE_PERMILLE || target <= LATE_WORTH_PERMILLE)
+		return target;
+	if (pressure >= 1000)
+		return LATE_WORTH_PERMILLE;
+	return target -
+	       (uint32_t)((target - LATE_WORTH_PERMILLE) * (pressure - PRESSURE_NONE_PERMILLE) /
+			  (1000 - PRESSURE_NONE_PERMILLE));
+}
+
 bool dw_ladder_keeps(const struct dw_ladder_situation *situation, uint32_t confidence)
 {
 	uint32_t good = dw_confidence_good_permille(confidence);
 	uint64_t begins_at_us = situation->now_us + situation->largest_expected_us;
 
-	if (good >= situation->target_permille || begins_at_us >= situation->deadline_us)
+	if (begins_at_us >= situation->deadline_us)
 		return true;
-	/* The largest model's answer would be late: it must be worth more even so. */
-	return begins_at_us > situation->target_at_us && good >= LATE_WORTH_PERMILLE;
+	return good >= wanted_permille(situation);
 }
 
 void dw_ladder_learn(struct dw_ladder *ladder, uint32_t rung, uint32_t confidence,
