--- a/src/core/engine_choice.c
+++ b/src/core/engine_choice.c
@@ -15,7 +15,7 @@
 #define CROSS_DOMAIN_US (8 * US_PER_MS)
 #define CROSS_DOMAIN_US_PER_BYTE 1
 /* Tokens that a request ahead in the queue still has to read, where nothing better is known. */
-#define QUEUED_TOKENS 2500
+#define QUEUED_TOKENS 4000
 /* A load report loses its weight over this time. */
 #define LOAD_TRUSTED_US (3 * US_PER_S)
 /* An engine that fails all requests counts as this much slower. */
--- a/src/core/model_ladder.c
+++ b/src/core/model_ladder.c
@@ -13,7 +13,7 @@
 /* Worth of an answer that begins after its target, against one in time. */
 #define LATE_WORTH_PERMILLE 300
 /* Part of the time left, in thousandths, that the largest model's answer may take on free engines. */
-#define PRESSURE_NONE_PERMILLE 300
+#define PRESSURE_NONE_PERMILLE 100
 
 uint32_t dw_confidence_good_permille(uint32_t confidence)
 {
