--- a/src/wharf-gateway/exchange.c
+++ b/src/wharf-gateway/exchange.c
@@ -102,8 +102,18 @@
 	free(exchange);
 }
 
+/* The session uses the version of its request's engine from now on, or until now. */
+static void pin_session(struct exchange *exchange)
+{
+	if (exchange->fields.session && exchange->version[0])
+		dw_session_pins_use(exchange->router->view->shifts.pins, exchange->service_name,
+				    exchange->fields.session, exchange->version,
+				    dw_clock_now_us());
+}
+
 static void exchange_close(struct exchange *exchange)
 {
+	pin_session(exchange);
 	exchange->is_over = true;
 	exchange->caller = NULL;
 	exchange->router->in_progress--;
@@ -602,9 +612,7 @@
 	exchange->expected_us = chosen->expected_us;
 	exchange->begun_at_us = 0;
 	exchange->load_permille = 0;
-	if (exchange->fields.session)
-		dw_session_pins_use(exchange->router->view->shifts.pins, exchange->service_name,
-				    exchange->fields.session, exchange->version, now_us);
+	pin_session(exchange);
 }
 
 static void start_attempt(struct exchange *exchange, const struct dw_choice *choice,
--- a/tests/process_gateway_test.cc
+++ b/tests/process_gateway_test.cc
@@ -12,6 +12,8 @@
 #include <string>
 #include <vector>
 
+#include <dragonflywharf/rendezvous.h>
+
 #include "support/http.h"
 #include "support/process.h"
 
@@ -71,9 +73,10 @@
 	uint16_t store_port = store.wait_listening();
 	std::vector<std::unique_ptr<backend>> backends;
 	std::unique_ptr<process> gateway;
-	uint16_t caller_port = free_port();
-	uint16_t ready_port = free_port();
-	uint16_t metrics_port = free_port();
+	uint16_t caller_port = 0;
+	uint16_t ready_port = 0;
+	uint16_t metrics_port = 0;
+	std::string event_ms = "--event-ms=20"; /**< of the back ends' streams */
 	int next_attempt = 0;
 	int version = 0;
 
@@ -86,19 +89,22 @@
 	{
 		http_call(store_port, "POST", "/admin/fault", body);
 	}
-	void list(const backend &b, const std::string &id, const std::string &state = "ready") const
+	void list(const backend &b, const std::string &id, const std::string &state = "ready",
+		  const std::string &version_name = "v1") const
 	{
 		put("servers/" + id,
 		    "{\"Service\":\"app\",\"Address\":\"127.0.0.1:" + std::to_string(b.port) +
-			    "\",\"Zone\":\"a\",\"Version\":\"v1\",\"Slots\":64,\"State\":\"" +
-			    state + "\",\"ColdRemainingMs\":0,\"Sequence\":1,\"born\":5}");
+			    "\",\"Zone\":\"a\",\"Version\":\"" + version_name +
+			    "\",\"Slots\":64,\"State\":\"" + state +
+			    "\",\"ColdRemainingMs\":0,\"Sequence\":1,\"born\":5}");
 	}
 	backend &add_backend(const std::string &id)
 	{
 		auto added = std::make_unique<backend>();
 		added->id = id;
 		added->running = std::make_unique<process>(
-			"standin_backend", std::vector<std::string>{ "--port=0", "--id=" + id });
+			"standin_backend",
+			std::vector<std::string>{ "--port=0", "--id=" + id, event_ms });
 		added->port = added->running->wait_listening();
 		list(*added, id);
 		backends.push_back(std::move(added));
@@ -126,8 +132,22 @@
 			    "\"Name\":\"workshop\",\"ApiKeys\":[" +
 			    keys + "]}]}");
 	}
+	/* Another process may take a port between its choice and its use: then it starts again. */
 	void start()
 	{
+		for (int tries = 0; tries < 5; tries++) {
+			launch();
+			if (wait_until([&] { return ready() == 200 || gateway->wait(0).ended; }) &&
+			    !gateway->wait(0).ended)
+				return;
+		}
+		FAIL() << "the gateway doesn't get ready";
+	}
+	void launch()
+	{
+		caller_port = free_port();
+		ready_port = free_port();
+		metrics_port = free_port();
 		std::string path = testing::TempDir() + "gateway-" + std::to_string(caller_port);
 		auto at = [](uint16_t port) {
 			return "\"127.0.0.1:" + std::to_string(port) + "\"";
@@ -138,11 +158,11 @@
 				    << ",\"metrics_address\":" << at(metrics_port)
 				    << ",\"store\":" << at(store_port)
 				    << ",\"keys_fail_closed\":true,\"revocation_ms\":2000,"
+				    << "\"change_applied_ms\":300,\"session_timeout_s\":0.5,"
 				    << "\"retry_ratio\":0.9,\"retry_slack\":160,"
 				    << "\"stop_timeout_s\":8}";
 		gateway = std::make_unique<process>("wharf-gateway",
 						    std::vector<std::string>{ "--settings", path });
-		ASSERT_TRUE(wait_until([&] { return ready() == 200; }));
 	}
 	int ready() const
 	{
@@ -331,6 +351,36 @@
 	EXPECT_TRUE(wait_until([&] { return all("left") == 1; }, 1000));
 }
 
+struct SlowStreams : Gateway {
+	SlowStreams()
+	{
+		event_ms = "--event-ms=300";
+	}
+};
+
+/* A session's stream outlasts the time between its requests: that time runs from the stream's end. */
+TEST_F(SlowStreams, ASessionStaysOnItsVersion)
+{
+	std::string session;
+	for (int i = 0; session.empty(); i++) {
+		std::string name = "s" + std::to_string(i);
+		if (dw_rendezvous_key(name.data(), name.size()) % 1000 < 100)
+			session = name;
+	}
+	http_headers asked = headers();
+	asked["Accept"] = "text/event-stream";
+	asked["Session"] = session;
+	support::http_stream stream(caller_port, "POST", "/chat/1", "{}", asked);
+	EXPECT_EQ(stream.status(), 200);
+	put("op/rollout/app", "{\"Service\":\"app\",\"Target\":\"v2\",\"DurationS\":10}");
+	list(*backends[0], "e1", "ready", stream.header("response-seal") == "e1" ? "v1" : "v2");
+	list(*backends[1], "e2", "ready", stream.header("response-seal") == "e2" ? "v1" : "v2");
+	EXPECT_TRUE(stream.finish().whole);
+	asked["Attempt-Id"] = "again";
+	http_answer again = http_call(caller_port, "POST", "/chat/1", "{}", asked);
+	EXPECT_EQ(again.headers["response-seal"], stream.header("response-seal"));
+}
+
 TEST_F(Gateway, MetricsAndLogsTellOfARequest)
 {
 	call("GET", "/look/1");
