--- a/src/core/request_policy.c
+++ b/src/core/request_policy.c
@@ -88,6 +88,8 @@
 					       uint64_t now_us)
 {
 	bool provably_not_run = false;
+	/* Only the events of a stream say where another answer would go on. */
+	bool may_go_on = !policy->is_begun || policy->kind == DW_ROUTE_STREAM;
 
 	switch (end) {
 	case DW_ATTEMPT_NOT_SENT:
@@ -104,7 +106,7 @@
 	case DW_ATTEMPT_END_COUNT:
 		break;
 	}
-	if (may_retry && (provably_not_run || policy->is_idempotent) &&
+	if (may_retry && may_go_on && (provably_not_run || policy->is_idempotent) &&
 	    dw_request_policy_may_send(policy, now_us))
 		return DW_POLICY_SEND_AGAIN;
 	if (end == DW_ATTEMPT_SERVER_ERROR && !policy->is_begun)
--- /dev/null
+++ b/src/wharf-gateway/exchange_route.c
@@ -0,0 +1,190 @@
+#include "wharf-gateway/exchange_state.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include <dragonflywharf/rendezvous.h>
+
+#include "base/clock.h"
+
+/* An answer of so many tokens, to a prompt of at most so many times as many, is a long one. */
+#define LONG_ANSWER_TOKENS 100
+#define LONG_PROMPT_FACTOR 8
+#define URGENCY_MOST 9
+/* Urgencies of one organisation's priority, which its routes share. */
+#define URGENCY_STEP 3
+
+/* Whether the answer is long against the prompt, so that it loads an engine cheaply. */
+static bool is_long(const struct exchange *exchange)
+{
+	const struct request_fields *fields = &exchange->fields;
+	uint32_t expected = fields->expected_tokens_out > 0 ? fields->expected_tokens_out
+							    : fields->prompt.tokens_out_max;
+
+	return fields->has_prompt && expected >= LONG_ANSWER_TOKENS &&
+	       expected * LONG_PROMPT_FACTOR >= fields->prompt.tokens_in;
+}
+
+void exchange_describe_choice(struct exchange *exchange, struct dw_choice *choice, uint64_t now_us)
+{
+	struct router *router = exchange->router;
+
+	*choice = (struct dw_choice){
+		.service = exchange->service_name,
+		.model = exchange->model,
+		.body_bytes = exchange->request.body_len,
+		.failure_domain = router->settings->failure_domain,
+		.evacuated = &router->view->evacuated,
+		.cold = router_cold_share(router, exchange->service, now_us),
+		.random = router_random(router),
+		.now_us = now_us,
+	};
+	if (exchange->fields.has_prompt && exchange->service && exchange->service->batch_slots) {
+		const char *model = exchange->model ? exchange->model : exchange->fields.model;
+
+		choice->prompt = &exchange->fields.prompt;
+		choice->is_long_answer = is_long(exchange);
+		choice->speed = router_speed(router, model ? model : "");
+		choice->kv_tokens = exchange->service->kv_tokens;
+	}
+	for (uint32_t i = 0; i < exchange->tried_count; i++)
+		choice->tried[choice->tried_count++] = exchange->tried[i];
+}
+
+uint64_t exchange_split_hash(const struct exchange *exchange)
+{
+	const char *text =
+		exchange->fields.session ? exchange->fields.session : exchange->fields.attempt_id;
+
+	return dw_rendezvous_key(text, strlen(text));
+}
+
+static void use_largest_model(struct exchange *exchange, struct dw_choice *choice)
+{
+	const struct dw_route_rule *route = exchange->route;
+
+	exchange->rung = route->model_count - 1;
+	exchange->model = route->models[exchange->rung];
+	choice->model = exchange->model;
+	if (choice->prompt)
+		choice->speed = router_speed(exchange->router, exchange->model);
+}
+
+/* The version that a shift of the service wants for this request. */
+static void apply_shift(struct exchange *exchange, struct dw_choice *choice)
+{
+	struct shifts *shifts = &exchange->router->view->shifts;
+	const struct dw_shift *shift = shifts_find(shifts, exchange->service_name);
+	uint64_t session_us = exchange->router->settings->session_timeout_ms * DW_US_PER_MS;
+	struct dw_shift_request request = { .hash = exchange_split_hash(exchange),
+					    .is_long = is_long(exchange) };
+	struct dw_shift_demand demand;
+
+	if (!shift)
+		return;
+	if (exchange->fields.session)
+		request.pinned_version = dw_session_pins_find(
+			shifts->pins, exchange->service_name, exchange->fields.session,
+			choice->now_us > session_us ? choice->now_us - session_us : 0);
+	request.new_engines =
+		dw_engine_set_count_version(exchange->router->view->engines, exchange->service_name,
+					    shift->order.target_version, choice->now_us);
+	demand = dw_shift_demand_of(shift, &request, choice->now_us);
+	choice->required_version = demand.required_version;
+	choice->subset_permille = demand.engines_permille;
+	if (demand.is_load_test && exchange->model)
+		use_largest_model(exchange, choice);
+	choice->avoided_version = demand.avoided_version;
+}
+
+enum dw_choice_result exchange_choose_engine(struct exchange *exchange, struct dw_choice *choice,
+					     struct dw_chosen *chosen)
+{
+	struct dw_engine_set *engines = exchange->router->view->engines;
+	enum dw_choice_result result;
+
+	apply_shift(exchange, choice);
+	result = dw_engine_choose(engines, choice, chosen);
+	if (result == DW_CHOICE_FOUND || !choice->required_version)
+		return result;
+	/* The few engines that are to carry it can't: any of that version does, and while none of
+	 * them can, one of the old version serves. */
+	choice->subset_permille = 0;
+	result = dw_engine_choose(engines, choice, chosen);
+	if (result == DW_CHOICE_FOUND)
+		return result;
+	choice->avoided_version = choice->required_version;
+	choice->required_version = NULL;
+	return dw_engine_choose(engines, choice, chosen);
+}
+
+static double cost_of(const struct dw_service_rule *service, const char *model)
+{
+	for (uint32_t i = 0; service && i < service->model_count; i++) {
+		if (strcmp(service->models[i].name, model) == 0)
+			return service->models[i].cost;
+	}
+	return 0;
+}
+
+/* Which of the route's models is asked first; the caller's choice stays where it made one. */
+void exchange_choose_model(struct exchange *exchange, uint64_t now_us)
+{
+	const struct dw_route_rule *route = exchange->route;
+	double costs[DW_CATALOG_MODELS_MAX];
+	bool may_repeat;
+
+	if (route->model_count == 0 || !exchange->fields.model ||
+	    strcmp(exchange->fields.model, "*") != 0)
+		return;
+	for (uint32_t i = 0; i < route->model_count; i++)
+		costs[i] = cost_of(exchange->service, route->models[i]);
+	may_repeat = exchange->policy.max_runs > 1 &&
+		     router_repeats_left(exchange->router, exchange->service_name, now_us) >=
+			     REPEATS_RESERVED;
+	exchange->rung = dw_ladder_first(router_ladder(exchange->router, route->name), costs,
+					 route->model_count, may_repeat);
+	exchange->model = route->models[exchange->rung];
+}
+
+int exchange_urgency(const struct exchange *exchange)
+{
+	uint32_t of_route = exchange->route->priority;
+	uint32_t urgency = of_route;
+
+	if (!exchange->service || exchange->service->batch_slots == 0)
+		return -1;
+	/* The organisation's goes first; among equal ones the route's orders the requests. */
+	if (exchange->organisation && exchange->organisation->has_priority)
+		urgency = exchange->organisation->priority * URGENCY_STEP +
+			  (of_route < URGENCY_STEP ? of_route : URGENCY_STEP - 1);
+	return urgency < URGENCY_MOST ? (int)urgency : URGENCY_MOST;
+}
+
+/* Checks what allows the request; @return true if it may go on. */
+bool exchange_admit(struct exchange *exchange, const char **reason, int *status,
+		    enum dw_status *error)
+{
+	const struct request_fields *fields = &exchange->fields;
+	char path[2048];
+
+	snprintf(path, sizeof(path), "%.*s", (int)strcspn(exchange->request.head->target, "?"),
+		 exchange->request.head->target);
+	exchange->route = dw_catalog_match(exchange->catalog, fields->host, path);
+	if (!exchange->route) {
+		*reason = "no route";
+		*status = 404;
+		*error = DW_NOT_FOUND;
+		return false;
+	}
+	if (!dw_catalog_needs_keys(exchange->catalog) || exchange->route->is_public)
+		return true;
+	if (fields->api_key)
+		exchange->organisation = dw_catalog_key_holder(exchange->catalog, fields->api_key);
+	if (exchange->organisation)
+		return true;
+	*reason = "unknown key";
+	*status = 401;
+	*error = DW_UNAUTHENTICATED;
+	return false;
+}
--- a/src/wharf-gateway/gateway.c
+++ b/src/wharf-gateway/gateway.c
@@ -198,6 +198,7 @@
 	uint64_t session_us = gateway->settings.session_timeout_ms * DW_US_PER_MS;
 
 	dw_engine_set_sweep(gateway->view.engines, now_us);
+	view_sweep(&gateway->view, now_us);
 	if (now_us > session_us)
 		dw_session_pins_sweep(gateway->view.shifts.pins, now_us - session_us);
 }
@@ -264,6 +265,9 @@
 			     DW_STR("reason", dw_last_message()));
 		return;
 	}
+	/* What the process has bound and told others stays until its end. */
+	memcpy(settings.instance, gateway->settings.instance, sizeof(settings.instance));
+	settings.peer_address = gateway->settings.peer_address;
 	gateway->settings = settings;
 	dw_log_event(&gateway->log, DW_EVENT_SETTINGS_RELOADED,
 		     DW_STR("path", gateway->settings_path));
--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -12,6 +12,9 @@
  * lives. */
 #define LAPSED_BACK_US (2 * DW_US_PER_S + 200 * DW_US_PER_MS)
 
+/* The store keeps no history as long as this. */
+#define DELETED_KEPT_US (120 * DW_US_PER_S)
+
 /* Keyed requests stop at this part of the time within which a revoked key must be refused. */
 #define FRESH_PERMILLE 700
 
@@ -19,6 +22,8 @@
 	char *key;
 	uint64_t revision;
 	bool deleted;
+	uint64_t noted_at_us;
+	struct known_record *next_forgotten;
 	UT_hash_handle hh;
 };
 
@@ -76,6 +81,7 @@
 	}
 	record->revision = revision;
 	record->deleted = deleted;
+	record->noted_at_us = dw_clock_now_us();
 	return true;
 }
 
@@ -278,6 +284,26 @@
 	presence_counted(&view->presence, now_us);
 }
 
+void view_sweep(struct view *view, uint64_t now_us)
+{
+	struct known_record *forgotten = NULL;
+	struct known_record *record;
+	struct known_record *next;
+
+	HASH_ITER(hh, view->records, record, next) {
+		if (!record->deleted || now_us < record->noted_at_us + DELETED_KEPT_US)
+			continue;
+		HASH_DEL(view->records, record);
+		record->next_forgotten = forgotten;
+		forgotten = record;
+	}
+	for (; forgotten; forgotten = next) {
+		next = forgotten->next_forgotten;
+		free(forgotten->key);
+		free(forgotten);
+	}
+}
+
 void view_proven(struct view *view, uint64_t proven_at_us, uint64_t now_us)
 {
 	if (proven_at_us > view->proven_at_us)
--- a/src/wharf-gateway/view.h
+++ b/src/wharf-gateway/view.h
@@ -51,6 +51,9 @@
 void view_apply_all(struct view *view, const struct dw_store_entry *entries, size_t count,
 		    uint64_t revision, uint64_t now_us);
 
+/** Forgets deleted keys that no late news can concern any more. */
+void view_sweep(struct view *view, uint64_t now_us);
+
 /** The store answered, and what is known was the newest at @p proven_at_us. */
 void view_proven(struct view *view, uint64_t proven_at_us, uint64_t now_us);
 /** The store can't be reached, or its history is lost. */
--- a/tests/process_gateway_test.cc
+++ b/tests/process_gateway_test.cc
@@ -236,6 +236,16 @@
 	EXPECT_EQ(all("runs"), 4);
 }
 
+TEST_F(Gateway, ALongPlainAnswerIsPassedOnWhole)
+{
+	for (const auto &b : backends)
+		b->fault("{\"kind\":\"long\",\"n\":3000000}");
+	http_answer answer = call("GET", "/look/1");
+	EXPECT_EQ(answer.status, 200);
+	EXPECT_TRUE(answer.whole);
+	EXPECT_GT(answer.body.size(), 3000000U);
+}
+
 TEST_F(Gateway, ACutStreamGoesOnElsewhereWithoutGapOrRepeat)
 {
 	for (const auto &b : backends)
--- a/tests/request_policy_test.cc
+++ b/tests/request_policy_test.cc
@@ -91,6 +91,15 @@
 	EXPECT_EQ(dw_request_policy_ended(&policy, DW_ATTEMPT_CUT, true, MS), DW_POLICY_SEND_AGAIN);
 }
 
+/* A long plain answer is passed on as it comes; when it breaks off, no other one can go on there. */
+TEST(RequestPolicy, ABegunPlainAnswerIsNeverSentAgain)
+{
+	dw_request_policy policy = policy_of(DW_ROUTE_SAFE, false, 3);
+	dw_request_policy_sent(&policy);
+	policy.is_begun = true;
+	EXPECT_EQ(dw_request_policy_ended(&policy, DW_ATTEMPT_CUT, true, MS), DW_POLICY_BREAK_OFF);
+}
+
 TEST(RequestPolicy, TheSoonerOfTheCallersDeadlineAndTheRoutesLimitHolds)
 {
 	dw_route_rule route{};
@@ -133,8 +142,9 @@
 			verdict = dw_request_policy_ended(&policy, end, random() % 4 != 0, now_us);
 		}
 		ASSERT_LE(may_have_run, policy.is_idempotent ? attempts : 1U);
-		if (verdict == DW_POLICY_REFUSE)
+		if (verdict == DW_POLICY_REFUSE) {
 			ASSERT_EQ(may_have_run, 0U);
+		}
 	}
 }
 
--- a/tests/standins/standin_backend.c
+++ b/tests/standins/standin_backend.c
@@ -5,7 +5,7 @@
  * It runs each request that reaches it and expects this instance, and counts runs by attempt id.
  * Faults: reject (503, not run), fail (500), answer_lost (run, then the connection is cut), mute
  * (run, no answer), cut (a stream ends after n events without its end), crash (exit code 70 when a
- * request comes), late (n ms before the answer).
+ * request comes), late (n ms before the answer), long (n bytes more in the answer).
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -37,8 +37,8 @@
 	uint64_t cut_after; /**< cut once this event has gone out; 0: not at all */
 };
 
-static const char *const fault_kinds[] = { "reject", "fail",  "answer_lost", "mute",
-					   "cut",    "crash", "late",	     NULL };
+static const char *const fault_kinds[] = { "reject", "fail", "answer_lost", "mute", "cut",
+					   "crash",  "late", "long",	    NULL };
 
 static struct backend *backend_of(const struct standin_request *request)
 {
@@ -64,6 +64,20 @@
 	standin_answer(request, status, json_object_new_object());
 }
 
+static void add_padding(struct standin_request *request, struct json_object *body)
+{
+	const struct fault *wanted =
+		fault_set_take(&request->standin->faults, "long", request->path);
+	char *text = wanted ? malloc(wanted->n + 1) : NULL;
+
+	if (!text)
+		return;
+	memset(text, 'x', wanted->n);
+	text[wanted->n] = '\0';
+	json_set_text(body, "padding", text);
+	free(text);
+}
+
 static void finish_plain(struct standin_request *request)
 {
 	struct backend *backend = backend_of(request);
@@ -74,6 +88,7 @@
 	json_set_text(body, "path", request->path);
 	json_set_text(body, "organisation", standin_header(request, "tenant"));
 	json_set_text(body, "model", standin_header(request, "model"));
+	add_padding(request, body);
 	if (request->exchange)
 		add_headers(request, true);
 	standin_answer(request, 200, body);
