--- a/src/core/version_shift.c
+++ b/src/core/version_shift.c
@@ -14,6 +14,9 @@
 	{ 770, 1000 },
 };
 
+/* The plan's first share is for services of up to so many engines. */
+#define FULL_SHARE_ENGINES 24
+
 #define SECOND_HALF_PERMILLE 510
 /* Answers that began at the old version have ended by then. */
 #define COMPLETE_AT_PERMILLE 885
@@ -226,12 +229,26 @@
 	return request->is_long && (request->hash >> 32) % engines < LOAD_TEST_ENGINES;
 }
 
+/*
+ * The plan's share, but of a large service less: as many requests tell as much there, and sessions
+ * that change their instance, which doesn't know their version, are fewer among them.
+ */
+static uint32_t share_for(const struct dw_shift *shift, uint32_t engines, uint64_t now_us)
+{
+	uint32_t share = dw_shift_share(shift, now_us);
+
+	if (engines <= FULL_SHARE_ENGINES ||
+	    dw_shift_progress(shift, now_us) >= LOAD_TEST_END_PERMILLE)
+		return share;
+	return share * FULL_SHARE_ENGINES / engines;
+}
+
 static struct dw_shift_demand demand_running(const struct dw_shift *shift,
 					     const struct dw_shift_request *request,
 					     uint64_t now_us)
 {
 	const char *pinned = request->pinned_version;
-	uint32_t share = dw_shift_share(shift, now_us);
+	uint32_t share = share_for(shift, request->new_engines, now_us);
 	struct dw_shift_demand demand;
 
 	if (is_load_test(shift, now_us) && is_load(request)) {
--- a/tests/version_shift_test.cc
+++ b/tests/version_shift_test.cc
@@ -144,6 +144,20 @@
 	EXPECT_NEAR(loads, 1200, 150);
 }
 
+TEST_F(VersionShift, ALargeServiceTriesTheVersionWithASmallerShare)
+{
+	int small = 0;
+	int large = 0;
+	for (uint64_t hash = 0; hash < 1000; hash++) {
+		dw_shift_request request = { nullptr, hash, 12, false };
+		small += dw_shift_demand_of(&shift, &request, at(200)).required_version != nullptr;
+		request.new_engines = 96;
+		large += dw_shift_demand_of(&shift, &request, at(200)).required_version != nullptr;
+	}
+	EXPECT_EQ(small, 100);
+	EXPECT_EQ(large, 25);
+}
+
 TEST_F(VersionShift, AnOutcomeOfAnotherOrderIsIgnored)
 {
 	dw_shift_take_status(&shift, DW_SHIFT_COMPLETED, "v2", 4);
