--- a/src/net/http_link.c
+++ b/src/net/http_link.c
@@ -373,11 +373,6 @@
 	return link->state == LINK_BUSY;
 }
 
-bool http_link_is_reused(const struct http_link *link)
-{
-	return link->requests > 1;
-}
-
 static uint32_t count_idle(const struct http_pool *pool, const struct dw_endpoint *server)
 {
 	const struct http_link *link;
@@ -422,17 +417,6 @@
 	return pool->connections;
 }
 
-void http_pool_forget(struct http_pool *pool, const struct dw_endpoint *server)
-{
-	struct http_link *link;
-	struct http_link *next;
-
-	DL_FOREACH_SAFE(pool->idle, link, next) {
-		if (link->server.port == server->port && strcmp(link->server.ip, server->ip) == 0)
-			link_close(link);
-	}
-}
-
 void http_pool_free(struct http_pool *pool)
 {
 	struct http_link *link;
--- a/src/net/http_link.h
+++ b/src/net/http_link.h
@@ -62,8 +62,6 @@
 
 /** Whether the connection stands, so that the request may have been read. */
 bool http_link_is_connected(const struct http_link *link);
-/** Whether the link served another request before. */
-bool http_link_is_reused(const struct http_link *link);
 
 /** The answer has ended: the link goes back to the pool, or is closed if it can't be reused. */
 void http_link_release(struct http_link *link);
@@ -77,9 +75,6 @@
 /** Connections made since the start. */
 uint64_t http_pool_connections(const struct http_pool *pool);
 
-/** Closes idle links to a server that has left. */
-void http_pool_forget(struct http_pool *pool, const struct dw_endpoint *server);
-
 #ifdef __cplusplus
 }
 #endif
--- a/src/wharf-gateway/caller.c
+++ b/src/wharf-gateway/caller.c
@@ -467,12 +467,3 @@
 			caller_close(caller);
 	}
 }
-
-void caller_list_close(struct caller_list *list)
-{
-	struct caller *caller;
-	struct caller *next;
-
-	DL_FOREACH_SAFE(list->first, caller, next)
-		caller_close(caller);
-}
--- a/src/wharf-gateway/caller.h
+++ b/src/wharf-gateway/caller.h
@@ -68,7 +68,5 @@
 
 /** Closes the connections on which no request is in progress. */
 void caller_list_close_idle(struct caller_list *list);
-/** Closes all connections; on_left follows for each request in progress. */
-void caller_list_close(struct caller_list *list);
 
 #endif
--- a/src/wharf-gateway/exchange.c
+++ b/src/wharf-gateway/exchange.c
@@ -19,9 +19,6 @@
 /* How long a request waits for a cold engine's rate, and how often it looks. */
 #define WAIT_FOR_RATE_US (250 * DW_US_PER_MS)
 #define WAIT_STEP_US (50 * DW_US_PER_MS)
-/* Refused callers come back within this time, spread evenly. */
-#define RETRY_AFTER_LEAST_MS 200
-#define RETRY_AFTER_SPREAD_MS 400
 
 static void send_to_engine(struct exchange *exchange);
 static void on_timer(uv_timer_t *timer);
--- a/src/wharf-gateway/exchange_reply.c
+++ b/src/wharf-gateway/exchange_reply.c
@@ -5,8 +5,7 @@
 
 #include "base/clock.h"
 
-/* Refused callers come back within this time, spread evenly. */
-#define RETRY_AFTER_LEAST_MS 200
+/* Refused callers come back spread evenly over so long beyond the least time. */
 #define RETRY_AFTER_SPREAD_MS 400
 
 static void on_timer_closed(uv_handle_t *handle)
--- a/src/wharf-gateway/exchange_state.h
+++ b/src/wharf-gateway/exchange_state.h
@@ -21,6 +21,8 @@
 #define SILENT_GAP_US (4 * DW_US_PER_S)
 /* Repeats that a better answer leaves to requests that fail. */
 #define REPEATS_RESERVED 3
+/* Refused callers come back no sooner. */
+#define RETRY_AFTER_LEAST_MS 200
 
 struct exchange {
 	struct router *router;
@@ -55,7 +57,6 @@
 		uint16_t status;
 		struct bytes fields;
 		bool is_stream;
-		bool ends_with_connection;
 		uint32_t confidence;
 	} answer;
 	struct bytes held; /**< body not passed on yet */
