Gateway: keyed requests served longer when the store goes away

A proof was up to 2.1 s old when the store went away (events end a watch's call early, and such a call proves only the time at which it was asked), and requests stopped at 70% of the revocation time.

Change: the rule is a module of the library, freshness: requests stop at 90% of the revocation time, counted at their arrival, which is after the caller sent them. The watch's calls wait up to 2 s for events (was 0.9), and the call after one that events ended waits only until the last proof is one wait old, so that half of the revocation time is left at any moment. An empty answer that came early proves no more than its question.

--- a/src/wharf-gateway/gateway.c
+++ b/src/wharf-gateway/gateway.c
@@ -6,6 +6,8 @@
 #include <string.h>
 #include <unistd.h>
 
+#include <dragonflywharf/freshness.h>
+
 #include "base/clock.h"
 #include "platform/answer_fields.h"
 #include "platform/metadata_store.h"
@@ -20,8 +22,6 @@
 #define SWEEP_PERIOD_MS 1000
 /* Changes gather for this part of the time within which they must be in force. */
 #define GATHER_PERMILLE 620
-/* An empty answer, which proves that nothing was missed, must come before keyed requests stop. */
-#define POLL_WAIT_MOST_MS 900
 /* After the signal to stop, new connections are taken until the balancer has noticed. */
 #define BALANCER_NOTICE_MS 3500
 #define STOP_LOOK_MS 100
@@ -293,11 +293,11 @@
 static void start_store(struct gateway *gateway)
 {
 	uint64_t gather_ms = gateway->settings.change_applied_ms * GATHER_PERMILLE / 1000;
+	uint64_t revocation_us = gateway->settings.revocation_ms * DW_US_PER_MS;
 	struct metadata_store_options options = {
 		.loop = &gateway->loop,
 		.address = gateway->settings.store,
-		.poll_wait_ms =
-			(uint32_t)(gather_ms < POLL_WAIT_MOST_MS ? gather_ms : POLL_WAIT_MOST_MS),
+		.poll_wait_us = dw_freshness_wait_us(revocation_us),
 	};
 
 	gateway->store = metadata_store_new(&options);
--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <dragonflywharf/freshness.h>
 #include <uthash.h>
 
 #include "base/clock.h"
@@ -15,9 +16,6 @@
 /* The store keeps no history as long as this. */
 #define DELETED_KEPT_US (120 * DW_US_PER_S)
 
-/* Keyed requests stop at this part of the time within which a revoked key must be refused. */
-#define FRESH_PERMILLE 700
-
 struct known_record {
 	char *key;
 	uint64_t revision;
@@ -332,11 +330,10 @@
 
 bool view_is_fresh(const struct view *view, uint64_t arrived_at_us)
 {
-	uint64_t limit_us = view->settings->revocation_ms * DW_US_PER_MS * FRESH_PERMILLE / 1000;
-
 	if (!view->settings->keys_fail_closed)
 		return true;
-	return view->proven_at_us > 0 && arrived_at_us < view->proven_at_us + limit_us;
+	return dw_freshness_holds(view->proven_at_us, arrived_at_us,
+				  view->settings->revocation_ms * DW_US_PER_MS);
 }
 
 bool view_is_ready(const struct view *view, uint64_t now_us)
--- /dev/null
+++ b/tests/freshness_test.cc
@@ -0,0 +1,84 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <random>
+
+#include <dragonflywharf/freshness.h>
+
+namespace
+{
+
+constexpr uint64_t MS = 1000;
+constexpr uint64_t REVOCATION = 5000 * MS;
+constexpr uint64_t GATHER = 1240 * MS;
+constexpr uint64_t LEAST_WAIT = 50 * MS;
+constexpr uint64_t START = 100000 * MS;
+
+/* A watch whose calls wait at the store until an event comes; the store goes away at some moment. */
+struct watch {
+	uint64_t proven_at = START;
+
+	void run(const std::vector<uint64_t> &events, uint64_t outage_at)
+	{
+		uint64_t longest = dw_freshness_wait_us(REVOCATION);
+		uint64_t asked_at = START;
+
+		while (true) {
+			uint64_t wait =
+				std::max(LEAST_WAIT,
+					 dw_freshness_next_wait_us(proven_at, asked_at, longest));
+			auto event = std::lower_bound(events.begin(), events.end(), asked_at);
+			bool is_early = event != events.end() && *event < asked_at + wait;
+			uint64_t answered_at = is_early ? *event : asked_at + wait;
+
+			if (answered_at >= outage_at)
+				return;
+			proven_at = is_early ? asked_at : answered_at;
+			asked_at = std::max(answered_at + 1, asked_at + GATHER);
+		}
+	}
+};
+
+/* Store lost at any moment, after any series of changes: callers are served for half of the revocation
+ * time after it, less one short call. */
+TEST(Freshness, AStoreThatGoesAwayLeavesHalfOfTheRevocationTime)
+{
+	std::mt19937_64 random(7);
+
+	for (int round = 0; round < 2000; round++) {
+		std::vector<uint64_t> events;
+		for (uint64_t n = random() % 40; n > 0; n--)
+			events.push_back(START + random() % (20000 * MS));
+		std::sort(events.begin(), events.end());
+		uint64_t outage_at = START + 3000 * MS + random() % (15000 * MS);
+		watch watch;
+
+		watch.run(events, outage_at);
+		EXPECT_TRUE(dw_freshness_holds(
+			watch.proven_at, outage_at + REVOCATION / 2 - 2 * LEAST_WAIT, REVOCATION))
+			<< "round " << round << ", proof " << (outage_at - watch.proven_at) / MS
+			<< " ms old";
+	}
+}
+
+/* Store lost for long: no request that arrives when a revocation may have to be obeyed is served. */
+TEST(Freshness, NothingIsServedOnceARevocationMayBeDue)
+{
+	EXPECT_TRUE(dw_freshness_holds(START, START + REVOCATION * 8 / 10, REVOCATION));
+	EXPECT_FALSE(dw_freshness_holds(START, START + REVOCATION, REVOCATION));
+	EXPECT_FALSE(dw_freshness_holds(START, START + 60 * REVOCATION, REVOCATION));
+	EXPECT_FALSE(dw_freshness_holds(0, 1, REVOCATION));
+}
+
+/* A calm day: no event ends a call, so the store is asked no more often than the wait says. */
+TEST(Freshness, ACalmWatchWaitsTheWholeTime)
+{
+	uint64_t longest = dw_freshness_wait_us(REVOCATION);
+
+	EXPECT_EQ(longest, 2000 * MS);
+	EXPECT_EQ(dw_freshness_next_wait_us(START, START, longest), longest);
+	EXPECT_EQ(dw_freshness_next_wait_us(START, START + longest, longest), 0u);
+	EXPECT_LE(dw_freshness_wait_us(60000 * MS), 2000 * MS);
+}
+
+} // namespace
