A new daemon waits for peers that have the configuration before it reads the store

Cause of the known red process_config_test AStoreRestoredFromABackupRevertsNothing: a replaced instance asks its peers for 1 s and then reads the store. On a busy machine the peers' answer takes longer; the store, which was restored from a backup and has outgrown the revision known, gives the old limit 4 for 12, and peers at the same revision never correct it.

Change: as long as a member that has the configuration is known it is asked for up to 8 s; while no peer has been heard of, 3 s; when all peers known have none either, 1 s as before. A daemon that got its configuration from a peer hadn't read the store, and so never logged that the store came back after an outage until some key changed: the watch now tells at once that nothing is missing (on_current of the port, from the service's message that the watch was created), and config_sync takes the store as reached.

--- a/src/dragonflywharfd/config_sync.c
+++ b/src/dragonflywharfd/config_sync.c
@@ -21,8 +21,14 @@
 #define PUSH_FANOUT 4U
 /** After its own operator's write, a daemon that doesn't watch waits so long for the watchers. */
 #define HINT_WAIT_US (1000 * DW_US_PER_MS)
-/** A new daemon asks peers for the configuration before it reads the store. */
+/**
+ * A new daemon asks peers for the configuration before it reads the store, which may have been
+ * restored from a backup: so long when all peers known have none either, when no peer has been heard
+ * of yet, and when one that has it is asked.
+ */
 #define BOOT_PEERS_US (1000 * DW_US_PER_MS)
+#define BOOT_UNHEARD_US (3 * DW_US_PER_S)
+#define BOOT_ASKED_US (8 * DW_US_PER_S)
 #define PULL_FIELDS 2U
 
 /* Whether a version was live when it was last looked at. */
@@ -36,6 +42,7 @@
 	struct daemon *daemon;
 	struct dw_store_watch *watch;
 	uint64_t read_at_us; /* when the store may be read again */
+	uint64_t started_at_us;
 	uint64_t pull_at_us;
 	uint64_t hinted_revision; /* written by this daemon, not in force here yet */
 	struct version_state *versions;
@@ -256,6 +263,11 @@
 	free(delta.items);
 }
 
+static void on_current(struct dw_store_watch *watch, uint64_t proven_at_us, void *data)
+{
+	set_reachable(data, true);
+}
+
 static void on_broken(struct dw_store_watch *watch, enum dw_status status, uint64_t next_revision,
 		      void *data)
 {
@@ -277,6 +289,7 @@
 		.from_revision = dw_ruleset_revision(sync->daemon->ruleset) + 1,
 		.deadline_us = dw_clock_now_us() + WATCH_PERIOD_US,
 		.on_events = on_events,
+		.on_current = on_current,
 		.on_broken = on_broken,
 		.data = sync,
 	};
@@ -410,8 +423,9 @@
 	if (!sync)
 		abort();
 	sync->daemon = daemon;
+	sync->started_at_us = dw_clock_now_us();
 	if (daemon->settings.seeds.count > 0)
-		sync->read_at_us = dw_clock_now_us() + BOOT_PEERS_US;
+		sync->read_at_us = sync->started_at_us + BOOT_PEERS_US;
 	dw_ruleset_observe(daemon->ruleset, &observer);
 	return sync;
 }
@@ -424,6 +438,23 @@
 		sync->read_at_us = dw_clock_now_us() + HINT_WAIT_US;
 }
 
+/* Whether a peer may still tell the configuration to this new daemon. */
+static bool awaits_peers(const struct config_sync *sync, uint64_t now_us)
+{
+	struct daemon *daemon = sync->daemon;
+	uint64_t limit_us;
+
+	if (dw_ruleset_revision(daemon->ruleset) > 0 || daemon->settings.seeds.count == 0)
+		return false;
+	if (member_ahead(daemon, 0))
+		limit_us = BOOT_ASKED_US;
+	else if (!peer_bus_random_member(daemon))
+		limit_us = BOOT_UNHEARD_US;
+	else
+		limit_us = BOOT_PEERS_US;
+	return now_us < sync->started_at_us + limit_us;
+}
+
 void config_sync_tick(struct config_sync *sync)
 {
 	struct daemon *daemon = sync->daemon;
@@ -438,7 +469,7 @@
 		dw_store_watch_cancel(daemon->store, sync->watch);
 		sync->watch = NULL;
 	}
-	if (sync->reading || now_us < sync->read_at_us)
+	if (sync->reading || now_us < sync->read_at_us || awaits_peers(sync, now_us))
 		return;
 	if (dw_ruleset_revision(daemon->ruleset) == 0 || (behind && !sync->watch))
 		read_store(sync);
--- a/src/port/etcd_watch.c
+++ b/src/port/etcd_watch.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/clock.h"
 #include "port/etcd_json.h"
 
 /** A line larger than this is malformed. */
@@ -15,6 +16,7 @@
 	char *buffer; /* an unfinished line */
 	size_t buffered;
 	uint64_t next_revision;
+	uint64_t started_at_us;
 	enum dw_status failure; /* DW_OK while nothing was found wrong */
 	bool cancelled;
 };
@@ -60,6 +62,9 @@
 	}
 	if (reply->created && watch->next_revision == 0)
 		watch->next_revision = reply->revision + 1;
+	/* The service tells its revision with this message: with none beyond it, nothing is missing. */
+	if (reply->created && reply->revision < watch->next_revision && watch->options.on_current)
+		watch->options.on_current(watch, watch->started_at_us, watch->options.data);
 	if (!watch_tell(watch, reply))
 		watch_fail(watch, DW_UPSTREAM_FAILED);
 }
@@ -145,6 +150,7 @@
 	watch->peer = *peer;
 	watch->options = *options;
 	watch->next_revision = options->from_revision;
+	watch->started_at_us = dw_clock_now_us();
 	watch->call = dw_http_call(peer->client, &http);
 	free(body);
 	return watch;
--- a/tests/process_config_test.cc
+++ b/tests/process_config_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <csignal>
 #include <set>
 #include <thread>
 
@@ -300,4 +301,29 @@
 	expect_peak(daemons, 12);
 }
 
+/* Peers that are slow to answer a replaced instance still go before a store that was restored. */
+TEST_F(Config, AReplacedInstanceWaitsForSlowPeersBeforeARestoredStore)
+{
+	start(3, { "haarlem", "zaandam", "alkmaar" });
+	c.kv.admin("/admin/backup");
+	ASSERT_EQ(c.ctl({ "limit", "engine-1", "12", "12" }).exit_code, DONE);
+	c.wait_in_force();
+	int64_t known = c.kv.stat("revision");
+	c.kv.admin("/admin/restore");
+	for (int weight = 3; c.kv.stat("revision") <= known + 1; weight++)
+		ASSERT_EQ(c.ctl({ "weight", "large/1", std::to_string(weight) }).exit_code, DONE);
+	daemons[0]->running->signal(SIGSTOP);
+	daemons[1]->running->signal(SIGSTOP);
+	daemons[2]->running->kill();
+	c.restart(*daemons[2]);
+	std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+	daemons[0]->running->signal(SIGCONT);
+	daemons[1]->running->signal(SIGCONT);
+	cluster::wait_until("the new run serves", [&] {
+		return c.chat(*daemons[2], "waterland", chat_body("large", "new")).status == 200;
+	});
+	EXPECT_EQ(limit_at(daemons[2]), 12);
+	expect_peak(daemons, 12);
+}
+
 } // namespace
--- a/tests/store_etcd_test.cc
+++ b/tests/store_etcd_test.cc
@@ -30,6 +30,7 @@
 	uint64_t deadline_us = 0;
 	std::vector<seen_event> events;
 	std::vector<dw_status> broken;
+	std::vector<uint64_t> current;
 	bool resumes = true;
 
 	void start(uint64_t from)
@@ -40,6 +41,10 @@
 		options.from_revision = from;
 		options.deadline_us = deadline_us;
 		options.on_events = on_events;
+		options.on_current = [](struct dw_store_watch *, uint64_t proven_at_us,
+					void *data) {
+			static_cast<watcher *>(data)->current.push_back(proven_at_us);
+		};
 		options.on_broken = on_broken;
 		options.data = this;
 		watch = dw_store_watch(store, &options);
@@ -315,6 +320,27 @@
 	dw_store_watch_cancel(store.get(), watcher.watch);
 }
 
+TEST_F(StoreEtcd, AWatchTellsAtOnceWhenNothingIsMissing)
+{
+	uint64_t begun_us = dw_clock_now_us();
+	uint64_t last = put("k", "one", 0).revision;
+	watcher ahead;
+	watcher behind;
+
+	ahead.store = behind.store = store.get();
+	ahead.start(last + 1);
+	ASSERT_TRUE(run_until([&] { return ahead.current.size() == 1; }));
+	EXPECT_GE(ahead.current[0], begun_us);
+	EXPECT_LE(ahead.current[0], dw_clock_now_us());
+	EXPECT_TRUE(ahead.events.empty());
+	/* What it lacks comes as an event instead. */
+	behind.start(last);
+	ASSERT_TRUE(run_until([&] { return behind.events.size() == 1; }));
+	EXPECT_TRUE(behind.current.empty());
+	dw_store_watch_cancel(store.get(), ahead.watch);
+	dw_store_watch_cancel(store.get(), behind.watch);
+}
+
 TEST_F(StoreEtcd, WatchEndsAtItsDeadlineAndWhenHistoryIsGone)
 {
 	watcher watcher;
