One generator of random numbers for all programs

router, shifts and store_sync each had the same linear congruential generator, the daemon a SplitMix64 of its own: dw_random_next() in base serves all four.

--- a/src/dragonflywharfd/daemon.c
+++ b/src/dragonflywharfd/daemon.c
@@ -6,6 +6,7 @@
 #include <sodium.h>
 #include <xxhash.h>
 
+#include "base/random.h"
 #include "dragonflywharfd/caller_api.h"
 #include "dragonflywharfd/config_sync.h"
 #include "dragonflywharfd/dispatcher.h"
@@ -35,12 +36,7 @@
 
 uint64_t daemon_random(struct daemon *daemon)
 {
-	/* SplitMix64 (Steele, Lea and Flood 2014); seeded from the system at start. */
-	uint64_t z = (daemon->random_state += UINT64_C(0x9e3779b97f4a7c15));
-
-	z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
-	z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
-	return z ^ (z >> 31);
+	return dw_random_next(&daemon->random_state);
 }
 
 bool daemon_stopping(const struct daemon *daemon)
--- a/src/wharf-gateway/router.c
+++ b/src/wharf-gateway/router.c
@@ -8,6 +8,7 @@
 #include <dragonflywharf/rendezvous.h>
 
 #include "base/clock.h"
+#include "base/random.h"
 
 #define MAX_HEAD_BYTES 32768
 #define MAX_IDLE_LINKS 4
@@ -75,9 +76,7 @@
 
 uint64_t router_random(struct router *router)
 {
-	router->random =
-		router->random * UINT64_C(6364136223846793005) + UINT64_C(1442695040888963407);
-	return router->random >> 17;
+	return dw_random_next(&router->random);
 }
 
 static struct dw_retry_window_options budget_options(const struct router *router, uint64_t now_us)
--- a/src/wharf-gateway/shifts.c
+++ b/src/wharf-gateway/shifts.c
@@ -9,6 +9,7 @@
 #include <uthash.h>
 
 #include "base/clock.h"
+#include "base/random.h"
 #include "platform/records.h"
 
 #define PROGRESS_PREFIX "wharf/progress/"
@@ -61,13 +62,6 @@
 	UT_hash_handle hh; /**< by shift.order.service */
 };
 
-static uint64_t next_random(struct shifts *shifts)
-{
-	shifts->random =
-		shifts->random * UINT64_C(6364136223846793005) + UINT64_C(1442695040888963407);
-	return shifts->random >> 33;
-}
-
 void shifts_init(struct shifts *shifts, struct dw_log *log, const char *instance)
 {
 	memset(shifts, 0, sizeof(*shifts));
@@ -377,9 +371,9 @@
 
 	if (service->is_writer)
 		return 0;
-	if (next_random(shifts) % FIRST_WRITERS_ONE_IN == 0)
-		return next_random(shifts) % FIRST_WRITER_SPREAD_US;
-	return others_wait_us + next_random(shifts) % OTHER_WRITER_SPREAD_US;
+	if (dw_random_next(&shifts->random) % FIRST_WRITERS_ONE_IN == 0)
+		return dw_random_next(&shifts->random) % FIRST_WRITER_SPREAD_US;
+	return others_wait_us + dw_random_next(&shifts->random) % OTHER_WRITER_SPREAD_US;
 }
 
 /* Whether the time to write a shared record has come. */
--- a/src/wharf-gateway/store_sync.c
+++ b/src/wharf-gateway/store_sync.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/random.h"
 
 #define READ_TIMEOUT_FIRST_US (700 * DW_US_PER_MS)
 #define READ_TIMEOUT_MOST_US (4 * DW_US_PER_S)
@@ -16,12 +17,6 @@
 	sync_begin(timer->data);
 }
 
-static uint64_t next_random(struct store_sync *sync)
-{
-	sync->random = sync->random * UINT64_C(6364136223846793005) + UINT64_C(1442695040888963407);
-	return sync->random >> 33;
-}
-
 static void retry_later(struct store_sync *sync, enum dw_status reason)
 {
 	uint32_t doublings = sync->failures < 4 ? sync->failures : 4;
@@ -35,7 +30,7 @@
 	view_store_lost(sync->view, dw_status_name(reason), dw_clock_now_us());
 	/* From half of the pause to the whole one, so that instances don't come back together. */
 	uv_timer_start(&sync->retry, on_retry,
-		       pause_ms / 2 + next_random(sync) % (pause_ms / 2 + 1), 0);
+		       pause_ms / 2 + dw_random_next(&sync->random) % (pause_ms / 2 + 1), 0);
 }
 
 static void on_events(struct dw_store_watch *watch, const struct dw_store_event *events,
