--- a/include/dragonflywharf/model_ladder.h
+++ b/include/dragonflywharf/model_ladder.h
@@ -32,6 +32,7 @@
 	uint64_t deadline_us;
 	uint64_t largest_expected_us; /**< until the largest model's answer would begin */
 	uint32_t target_permille; /**< quality target: how likely a good answer must be */
+	uint32_t load_permille; /**< of an engine's slots, as the smaller model's answer told */
 };
 
 /** Probability that an answer of this confidence (0 to 100) is good, in thousandths. */
--- a/src/wharf-gateway/exchange_answer.c
+++ b/src/wharf-gateway/exchange_answer.c
@@ -77,6 +77,7 @@
 			exchange->request.arrived_at_us + route->target_latency_ms * DW_US_PER_MS,
 		.deadline_us = exchange->policy.deadline_us,
 		.target_permille = (uint32_t)router->settings->quality_target_permille,
+		.load_permille = exchange->load_permille,
 	};
 	struct dw_choice choice;
 	struct dw_chosen chosen;
