--- a/src/core/model_ladder.c
+++ b/src/core/model_ladder.c
@@ -15,7 +15,7 @@
  * those with so much of their slots taken, where each of its runs makes other answers late. */
 #define PART_ON_FREE_PERMILLE 1200
 #define PART_ON_LOADED_PERMILLE 250
-#define LOADED_PERMILLE 500
+#define LOADED_PERMILLE 250
 
 uint32_t dw_confidence_good_permille(uint32_t confidence)
 {
