One command line for both daemons

wharf-gateway and dragonflywharfd had the same main() but for the name and one line of help: daemon_program_main() in base serves both. Behaviour is the same: output and exit code of 14 calls (help, version, no settings, unknown option, missing file, check, extra argument, for each program) compared before and after, identical.

--- a/src/programs/dragonflywharfd.c
+++ b/src/programs/dragonflywharfd.c
@@ -6,12 +6,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <argtable2.h>
-
+#include "base/daemon_program.h"
 #include "dragonflywharfd/daemon.h"
 
-enum exit_code { EXIT_GOOD = 0, EXIT_USAGE = 1, EXIT_SETTINGS = 2, EXIT_CODE_COUNT };
-
 static enum dw_level level_of(const char *name)
 {
 	static const char *const names[DW_LEVEL_COUNT] = {
@@ -58,30 +55,11 @@
 
 int main(int argc, char **argv)
 {
-	struct arg_lit *help = arg_lit0("h", "help", "print this help and exit");
-	struct arg_lit *version = arg_lit0(NULL, "version", "print the version and exit");
-	struct arg_lit *check = arg_lit0(NULL, "check-settings", "check the settings and exit");
-	struct arg_file *settings = arg_file0("s", "settings", "FILE", "settings file");
-	struct arg_end *end = arg_end(8);
-	void *table[] = { help, version, check, settings, end };
-	int errors = arg_parse(argc, argv, table);
+	static const struct daemon_program program = {
+		.name = "dragonflywharfd",
+		.forced_stop = "the deadline or by a second signal with work under way",
+		.run = run,
+	};
 
-	if (help->count > 0) {
-		printf("Usage: dragonflywharfd");
-		arg_print_syntax(stdout, table, "\n");
-		arg_print_glossary(stdout, table, "  %-22s %s\n");
-		printf("Exit codes: 0 planned stop, 1 usage, 2 settings, 3 start failed,\n"
-		       "4 stopped at the deadline or by a second signal with work under way.\n");
-		return EXIT_GOOD;
-	}
-	if (version->count > 0) {
-		printf("dragonflywharfd %s\n", DW_VERSION);
-		return EXIT_GOOD;
-	}
-	if (errors > 0 || settings->count == 0) {
-		arg_print_errors(stderr, end, "dragonflywharfd");
-		fprintf(stderr, "dragonflywharfd: --settings FILE is needed; see --help\n");
-		return EXIT_USAGE;
-	}
-	return run(settings->filename[0], check->count > 0);
+	return daemon_program_main(&program, argc, argv);
 }
