--- a/include/dragonflywharf/membership.h
+++ b/include/dragonflywharf/membership.h
@@ -87,6 +87,12 @@
 	uint64_t
 		dead_retention_us; /**< how long dead members are remembered; 0: default of 10 min */
 	uint64_t pause_threshold_us; /**< gap between ticks treated as a pause; 0: default of 2 s */
+	uint32_t updates_max; /**< in one message, which must fit a datagram; 0: the maximum */
+	/**
+	 * This process is known to be the only run of its instance: if a later run is reported,
+	 * the clock was set back between the two, and this one takes a higher incarnation.
+	 */
+	bool is_only_run;
 };
 
 /** Reports that a member's state changed or a new run replaced an earlier one. */
--- /dev/null
+++ b/include/dragonflywharf/view_log.h
@@ -0,0 +1,81 @@
+/**
+ * @file view_log.h
+ * The newest known record of each key of the store, deleted ones included, from which another instance
+ * can be brought up to date: with the records that changed since a revision, or with all of them.
+ *
+ * Records may arrive in any order and from several sources; an older record of a key never replaces
+ * a newer one. Running out of memory aborts.
+ */
+#ifndef DRAGONFLYWHARF_VIEW_LOG_H
+#define DRAGONFLYWHARF_VIEW_LOG_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct dw_view_record {
+	const char *key; /**< NUL-terminated */
+	const uint8_t *value; /**< followed by a NUL byte; NULL if deleted */
+	size_t value_len;
+	uint64_t revision; /**< store revision of the key's last change */
+	bool deleted;
+};
+
+struct dw_view_log;
+
+struct dw_view_log *dw_view_log_new(void);
+void dw_view_log_free(struct dw_view_log *log);
+
+/**
+ * Stores a copy of a record. @p existed gets whether the key existed before.
+ * @return false, without effect, if the same or a newer revision of the key is known.
+ */
+bool dw_view_log_put(struct dw_view_log *log, const struct dw_view_record *record, uint64_t now_us,
+		     bool *existed);
+
+/** The record of a key, NULL if unknown; valid until the next call that changes the log. */
+const struct dw_view_record *dw_view_log_find(const struct dw_view_log *log, const char *key);
+
+/** Iterates over all records, deleted ones included; NULL as @p previous starts. */
+const struct dw_view_record *dw_view_log_next(const struct dw_view_log *log,
+					      const struct dw_view_record *previous);
+
+/** All changes up to this revision are known; 0: nothing is known yet. */
+uint64_t dw_view_log_revision(const struct dw_view_log *log);
+/** Notes that all changes up to @p revision are known. */
+void dw_view_log_complete(struct dw_view_log *log, uint64_t revision);
+
+/**
+ * Whether the records newer than @p after are all that an instance lacks which knows all changes up
+ * to @p after. Otherwise deletions in between may have been forgotten, and it needs all records.
+ */
+bool dw_view_log_covers(const struct dw_view_log *log, uint64_t after);
+
+/**
+ * Starts taking in all keys of the store as of @p revision: put them all, then call
+ * dw_view_log_next_missing(). Keys that were deleted before and aren't known here stay unknown, so
+ * the log covers no earlier revision from now on.
+ */
+void dw_view_log_begin_snapshot(struct dw_view_log *log, uint64_t revision);
+/**
+ * Marks one key as deleted that existed at or before @p revision and wasn't put since
+ * dw_view_log_begin_snapshot(), and returns its record; NULL if there is none left.
+ */
+const struct dw_view_record *dw_view_log_next_missing(struct dw_view_log *log, uint64_t revision,
+						      uint64_t now_us);
+
+/** Forgets deleted keys that were deleted before @p before_us. */
+void dw_view_log_forget(struct dw_view_log *log, uint64_t before_us);
+
+/** Number of keys, deleted ones included. */
+size_t dw_view_log_count(const struct dw_view_log *log);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/src/core/load_digest.c
+++ b/src/core/load_digest.c
@@ -24,7 +24,8 @@
 }
 
 /* A digest is one flat array with ENTRY_FIELDS elements per entry. */
-size_t dw_load_digest_write(struct dw_engine_set *set, uint64_t now_us, uint8_t *out, size_t size)
+size_t dw_load_digest_write(struct dw_engine_set *set, enum dw_load_scope scope, uint64_t now_us,
+			    uint8_t *out, size_t size)
 {
 	struct dw_engine *reported[DW_LOAD_DIGEST_BYTES / ENTRY_BYTES];
 	size_t max = size / ENTRY_BYTES;
@@ -36,7 +37,7 @@
 	if (max > sizeof(reported) / sizeof(reported[0]))
 		max = sizeof(reported) / sizeof(reported[0]);
 	for (struct dw_engine *at = dw_engine_set_first(set); at && count < max; at = at->next) {
-		if (at->load_is_unsent)
+		if (at->load_scope & scope)
 			reported[count++] = at;
 	}
 	if (count == 0)
@@ -46,7 +47,7 @@
 	msgpack_pack_array(&packer, count * ENTRY_FIELDS);
 	for (size_t i = 0; i < count; i++) {
 		write_entry(&packer, reported[i], now_us);
-		reported[i]->load_is_unsent = false;
+		reported[i]->load_scope &= (uint8_t)~scope;
 	}
 	len = buffer.size <= size ? buffer.size : 0;
 	memcpy(out, buffer.data, len);
@@ -73,7 +74,8 @@
 	return numbers[1] <= LOAD_MAX && numbers[2] <= LOAD_MAX && numbers[3] <= LOAD_MAX;
 }
 
-static void apply_entry(struct dw_engine_set *set, const uint64_t *numbers, uint64_t now_us)
+static void apply_entry(struct dw_engine_set *set, enum dw_load_scope scope,
+			const uint64_t *numbers, uint64_t now_us)
 {
 	struct dw_engine *engine = find_by_hash(set, numbers[0]);
 	struct dw_engine_load load = { .running = (uint32_t)numbers[1],
@@ -83,12 +85,14 @@
 	if (!engine || numbers[4] > AGE_MAX_MS || numbers[4] * US_PER_MS > now_us)
 		return;
 	load.reported_at_us = now_us - numbers[4] * US_PER_MS;
-	if (load.reported_at_us > engine->load.reported_at_us)
-		dw_engine_load_received(engine, &load);
+	if (load.reported_at_us <= engine->load.reported_at_us)
+		return;
+	dw_engine_load_received(engine, &load);
+	engine->load_scope |= (uint8_t)scope;
 }
 
-static enum dw_status apply_entries(struct dw_engine_set *set, const msgpack_object *root,
-				    uint64_t now_us)
+static enum dw_status apply_entries(struct dw_engine_set *set, enum dw_load_scope scope,
+				    const msgpack_object *root, uint64_t now_us)
 {
 	uint64_t numbers[ENTRY_FIELDS];
 
@@ -98,13 +102,13 @@
 		if (!read_entry(&root->via.array.ptr[i], numbers))
 			return dw_fail(DW_INVALID_ARGUMENT, "load digest: malformed entry %u",
 				       i / ENTRY_FIELDS);
-		apply_entry(set, numbers, now_us);
+		apply_entry(set, scope, numbers, now_us);
 	}
 	return DW_OK;
 }
 
-enum dw_status dw_load_digest_read(struct dw_engine_set *set, const uint8_t *bytes, size_t len,
-				   uint64_t now_us)
+enum dw_status dw_load_digest_read(struct dw_engine_set *set, enum dw_load_scope scope,
+				   const uint8_t *bytes, size_t len, uint64_t now_us)
 {
 	msgpack_unpacked unpacked;
 	enum dw_status status =
@@ -112,7 +116,7 @@
 
 	if (status != DW_OK)
 		return status;
-	status = apply_entries(set, &unpacked.data, now_us);
+	status = apply_entries(set, scope, &unpacked.data, now_us);
 	msgpack_unpacked_destroy(&unpacked);
 	return status;
 }
--- a/src/core/membership.c
+++ b/src/core/membership.c
@@ -37,6 +37,8 @@
 	own->indirect_count = (uint32_t)or_default(own->indirect_count, DEFAULT_INDIRECT_COUNT);
 	own->dead_retention_us = or_default(own->dead_retention_us, DEFAULT_DEAD_RETENTION_US);
 	own->pause_threshold_us = or_default(own->pause_threshold_us, DEFAULT_PAUSE_THRESHOLD_US);
+	if (own->updates_max == 0 || own->updates_max > DW_MEMBER_UPDATES_MAX)
+		own->updates_max = DW_MEMBER_UPDATES_MAX;
 }
 
 static bool is_self_valid(const struct dw_member *self)
@@ -306,7 +308,9 @@
 {
 	bool has_no_peers = dw_membership_peer_count(membership) == 0;
 
-	membership->next_period_us = now_us + membership->options.probe_period_us;
+	/* Instances that start together find each other as soon as the seeds listen. */
+	membership->next_period_us = now_us + (has_no_peers ? membership->options.probe_timeout_us
+							    : membership->options.probe_period_us);
 	evaluate_probe(membership, now_us);
 	start_probe(membership, now_us);
 	if (has_no_peers || membership->period_count % UNREACHED_PROBE_PERIODS == 0) {
--- a/src/core/membership_message.c
+++ b/src/core/membership_message.c
@@ -47,7 +47,7 @@
 {
 	uint32_t first;
 
-	for (first = 0; first < membership->count; first += DW_MEMBER_UPDATES_MAX) {
+	for (first = 0; first < membership->count; first += membership->options.updates_max) {
 		struct dw_member_queued_message *outgoing =
 			dw_membership_send(membership, DW_MEMBER_SYNC, to, 0);
 
@@ -84,7 +84,8 @@
 {
 	uint32_t max_sends = SENDS_PER_LOG * dw_membership_log_size(membership);
 
-	while (membership->updates && message->update_count < DW_MEMBER_PIGGYBACK_MAX) {
+	while (membership->updates && message->update_count < DW_MEMBER_PIGGYBACK_MAX &&
+	       message->update_count < membership->options.updates_max) {
 		struct dw_member_entry *entry = least_sent(membership, message);
 
 		if (!entry)
@@ -112,9 +113,10 @@
 static void add_members(const struct dw_membership *membership, struct dw_member_message *message,
 			uint32_t first)
 {
+	uint32_t end = first + membership->options.updates_max;
 	uint32_t i;
 
-	for (i = first; i < membership->count && i < first + DW_MEMBER_UPDATES_MAX; i++)
+	for (i = first; i < membership->count && i < end; i++)
 		if (membership->members[i]->member.state != DW_MEMBER_DEAD)
 			add_update(message, membership->members[i]);
 }
--- a/src/core/membership_table.c
+++ b/src/core/membership_table.c
@@ -183,8 +183,14 @@
 {
 	struct dw_member *self = &membership->self->member;
 
-	if (record->key.incarnation > self->key.incarnation)
-		membership->is_replaced = true;
+	if (record->key.incarnation > self->key.incarnation) {
+		if (!membership->options.is_only_run) {
+			membership->is_replaced = true;
+		} else if (record->key.incarnation < UINT64_MAX) {
+			self->key.incarnation = record->key.incarnation + 1;
+			dw_membership_queue_update(membership, membership->self);
+		}
+	}
 	if (record->key.incarnation != self->key.incarnation)
 		return;
 	if (record->state != DW_MEMBER_SUSPECT && record->state != DW_MEMBER_DEAD)
--- /dev/null
+++ b/src/core/view_log.c
@@ -0,0 +1,191 @@
+#include <dragonflywharf/view_log.h>
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+struct log_entry {
+	struct dw_view_record record; /* first: a record's address is that of its entry */
+	uint64_t updated_at_us;
+	uint64_t snapshot; /* number of the last snapshot that listed the key */
+	UT_hash_handle hh;
+};
+
+struct dw_view_log {
+	struct log_entry *entries; /* by key, in the order of their first appearance */
+	uint64_t revision;
+	uint64_t forgotten_revision; /* highest revision of a forgotten deletion */
+	uint64_t snapshot;
+	struct log_entry *next_checked; /* by dw_view_log_next_missing() */
+};
+
+static void *alloc_or_abort(size_t size)
+{
+	void *memory = calloc(1, size);
+
+	if (!memory)
+		abort();
+	return memory;
+}
+
+struct dw_view_log *dw_view_log_new(void)
+{
+	return alloc_or_abort(sizeof(struct dw_view_log));
+}
+
+static void free_entry(struct log_entry *entry)
+{
+	free((char *)entry->record.key);
+	free((uint8_t *)entry->record.value);
+	free(entry);
+}
+
+void dw_view_log_free(struct dw_view_log *log)
+{
+	struct log_entry *entry;
+	struct log_entry *next;
+
+	if (!log)
+		return;
+	entry = log->entries;
+	HASH_CLEAR(hh, log->entries);
+	for (; entry; entry = next) {
+		next = entry->hh.next;
+		free_entry(entry);
+	}
+	free(log);
+}
+
+static struct log_entry *find_entry(const struct dw_view_log *log, const char *key)
+{
+	struct log_entry *entry;
+
+	HASH_FIND_STR(log->entries, key, entry);
+	return entry;
+}
+
+static struct log_entry *add_entry(struct dw_view_log *log, const char *key)
+{
+	struct log_entry *entry = alloc_or_abort(sizeof(*entry));
+	size_t len = strlen(key);
+	char *copy = alloc_or_abort(len + 1);
+
+	memcpy(copy, key, len);
+	entry->record.key = copy;
+	entry->record.deleted = true;
+	HASH_ADD_KEYPTR(hh, log->entries, entry->record.key, len, entry);
+	return entry;
+}
+
+static void set_value(struct dw_view_record *record, const uint8_t *value, size_t len)
+{
+	uint8_t *copy = NULL;
+
+	if (value) {
+		copy = alloc_or_abort(len + 1);
+		memcpy(copy, value, len);
+	}
+	free((uint8_t *)record->value);
+	record->value = copy;
+	record->value_len = copy ? len : 0;
+}
+
+bool dw_view_log_put(struct dw_view_log *log, const struct dw_view_record *record, uint64_t now_us,
+		     bool *existed)
+{
+	struct log_entry *entry = find_entry(log, record->key);
+
+	*existed = entry && !entry->record.deleted;
+	if (!entry)
+		entry = add_entry(log, record->key);
+	entry->snapshot = log->snapshot;
+	if (record->revision <= entry->record.revision)
+		return false;
+	set_value(&entry->record, record->deleted ? NULL : record->value, record->value_len);
+	entry->record.revision = record->revision;
+	entry->record.deleted = record->deleted;
+	entry->updated_at_us = now_us;
+	return true;
+}
+
+const struct dw_view_record *dw_view_log_find(const struct dw_view_log *log, const char *key)
+{
+	const struct log_entry *entry = find_entry(log, key);
+
+	return entry ? &entry->record : NULL;
+}
+
+const struct dw_view_record *dw_view_log_next(const struct dw_view_log *log,
+					      const struct dw_view_record *previous)
+{
+	const struct log_entry *entry = (const struct log_entry *)previous;
+
+	entry = entry ? entry->hh.next : log->entries;
+	return entry ? &entry->record : NULL;
+}
+
+uint64_t dw_view_log_revision(const struct dw_view_log *log)
+{
+	return log->revision;
+}
+
+void dw_view_log_complete(struct dw_view_log *log, uint64_t revision)
+{
+	if (revision > log->revision)
+		log->revision = revision;
+}
+
+bool dw_view_log_covers(const struct dw_view_log *log, uint64_t after)
+{
+	return after > 0 && after >= log->forgotten_revision;
+}
+
+void dw_view_log_begin_snapshot(struct dw_view_log *log, uint64_t revision)
+{
+	if (revision > log->forgotten_revision)
+		log->forgotten_revision = revision;
+	log->snapshot++;
+	log->next_checked = log->entries;
+}
+
+const struct dw_view_record *dw_view_log_next_missing(struct dw_view_log *log, uint64_t revision,
+						      uint64_t now_us)
+{
+	while (log->next_checked) {
+		struct log_entry *entry = log->next_checked;
+
+		log->next_checked = entry->hh.next;
+		if (entry->record.deleted || entry->snapshot == log->snapshot ||
+		    entry->record.revision > revision)
+			continue;
+		set_value(&entry->record, NULL, 0);
+		entry->record.revision = revision;
+		entry->record.deleted = true;
+		entry->updated_at_us = now_us;
+		return &entry->record;
+	}
+	return NULL;
+}
+
+void dw_view_log_forget(struct dw_view_log *log, uint64_t before_us)
+{
+	struct log_entry *entry = log->entries;
+	struct log_entry *next;
+
+	log->next_checked = NULL;
+	for (; entry; entry = next) {
+		next = entry->hh.next;
+		if (!entry->record.deleted || entry->updated_at_us >= before_us)
+			continue;
+		if (entry->record.revision > log->forgotten_revision)
+			log->forgotten_revision = entry->record.revision;
+		HASH_DEL(log->entries, entry);
+		free_entry(entry);
+	}
+}
+
+size_t dw_view_log_count(const struct dw_view_log *log)
+{
+	return HASH_COUNT(log->entries);
+}
--- /dev/null
+++ b/tests/view_log_test.cc
@@ -0,0 +1,140 @@
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+
+#include <dragonflywharf/view_log.h>
+
+namespace
+{
+
+struct ViewLog : testing::Test {
+	dw_view_log *log = dw_view_log_new();
+
+	~ViewLog() override
+	{
+		dw_view_log_free(log);
+	}
+	static bool put(dw_view_log *to, const std::string &key, const std::string &value,
+			uint64_t revision, uint64_t now_us = 1)
+	{
+		dw_view_record record{};
+		bool existed;
+		record.key = key.c_str();
+		record.value = (const uint8_t *)value.c_str();
+		record.value_len = value.size();
+		record.revision = revision;
+		return dw_view_log_put(to, &record, now_us, &existed);
+	}
+	static bool remove(dw_view_log *from, const std::string &key, uint64_t revision,
+			   uint64_t now_us = 1)
+	{
+		dw_view_record record{};
+		bool existed;
+		record.key = key.c_str();
+		record.revision = revision;
+		record.deleted = true;
+		return dw_view_log_put(from, &record, now_us, &existed);
+	}
+	static std::map<std::string, std::string> contents(const dw_view_log *of)
+	{
+		std::map<std::string, std::string> all;
+		const dw_view_record *record = nullptr;
+		while ((record = dw_view_log_next(of, record))) {
+			if (!record->deleted)
+				all[record->key] = (const char *)record->value;
+		}
+		return all;
+	}
+	/* What an instance does that knows all changes up to @p after and asks this one. */
+	void bring_up_to_date(dw_view_log *other, uint64_t after) const
+	{
+		const dw_view_record *record = nullptr;
+		bool is_snapshot = !dw_view_log_covers(log, after);
+		bool existed;
+		if (is_snapshot)
+			dw_view_log_begin_snapshot(other, dw_view_log_revision(log));
+		while ((record = dw_view_log_next(log, record))) {
+			if (is_snapshot ? !record->deleted : record->revision > after)
+				dw_view_log_put(other, record, 1, &existed);
+		}
+		while (is_snapshot && dw_view_log_next_missing(other, dw_view_log_revision(log), 1))
+			;
+		dw_view_log_complete(other, dw_view_log_revision(log));
+	}
+};
+
+TEST_F(ViewLog, ANewerRecordReplacesAnOlderOne)
+{
+	EXPECT_TRUE(put(log, "a", "two", 2));
+	EXPECT_FALSE(put(log, "a", "one", 1));
+	EXPECT_FALSE(put(log, "a", "again", 2));
+	EXPECT_STREQ((const char *)dw_view_log_find(log, "a")->value, "two");
+	EXPECT_TRUE(remove(log, "a", 3));
+	EXPECT_FALSE(put(log, "a", "late", 2)) << "a late event doesn't bring a deleted key back";
+	EXPECT_TRUE(contents(log).empty());
+}
+
+TEST_F(ViewLog, ASnapshotDeletesWhatItDoesNotList)
+{
+	put(log, "a", "1", 1);
+	put(log, "b", "2", 2);
+	put(log, "newer", "9", 9);
+	dw_view_log_begin_snapshot(log, 5);
+	put(log, "b", "2", 2);
+	const dw_view_record *missing = dw_view_log_next_missing(log, 5, 1);
+	ASSERT_NE(missing, nullptr);
+	EXPECT_STREQ(missing->key, "a");
+	EXPECT_EQ(dw_view_log_next_missing(log, 5, 1), nullptr) << "newer was written after it";
+	EXPECT_EQ(contents(log).size(), 2U);
+}
+
+/* A server that left stays gone: an instance that remembers it is told, also by one that has started
+ * after the deletion and never knew it. */
+TEST_F(ViewLog, ADeletionBeforeTheFirstCopyIsTold)
+{
+	dw_view_log *old = dw_view_log_new();
+	put(old, "servers/gone", "x", 3);
+	put(old, "servers/there", "y", 4);
+	dw_view_log_complete(old, 4);
+	/* Deleted with revision 5; this instance's first copy is of revision 6. */
+	dw_view_log_begin_snapshot(log, 6);
+	put(log, "servers/there", "y", 4);
+	put(log, "config", "z", 6);
+	dw_view_log_complete(log, 6);
+	bring_up_to_date(old, 4);
+	EXPECT_EQ(contents(old), contents(log));
+	EXPECT_EQ(contents(old).count("servers/gone"), 0U);
+	dw_view_log_free(old);
+}
+
+/* A deletion that was forgotten is told as well. */
+TEST_F(ViewLog, AForgottenDeletionIsTold)
+{
+	dw_view_log *old = dw_view_log_new();
+	put(old, "gone", "x", 3);
+	dw_view_log_complete(old, 3);
+	put(log, "gone", "x", 3);
+	put(log, "there", "y", 4);
+	remove(log, "gone", 5, 10);
+	dw_view_log_complete(log, 5);
+	EXPECT_TRUE(dw_view_log_covers(log, 3));
+	dw_view_log_forget(log, 11);
+	EXPECT_EQ(dw_view_log_count(log), 1U);
+	EXPECT_FALSE(dw_view_log_covers(log, 3));
+	EXPECT_TRUE(dw_view_log_covers(log, 5));
+	bring_up_to_date(old, 3);
+	EXPECT_EQ(contents(old), contents(log));
+	dw_view_log_free(old);
+}
+
+TEST_F(ViewLog, WithoutACopyEverythingIsNeeded)
+{
+	EXPECT_FALSE(dw_view_log_covers(log, 0));
+	EXPECT_EQ(dw_view_log_revision(log), 0U);
+	dw_view_log_complete(log, 7);
+	dw_view_log_complete(log, 6);
+	EXPECT_EQ(dw_view_log_revision(log), 7U);
+}
+
+} // namespace
