--- a/src/base/event.c
+++ b/src/base/event.c
@@ -53,6 +53,9 @@
 	[DW_EVENT_SETTINGS_RELOADED] = { 106, DW_LEVEL_INFO, "settings.reloaded" },
 	[DW_EVENT_SHIFT_CHANGED] = { 806, DW_LEVEL_INFO, "shift.changed" },
 	[DW_EVENT_SHIFT_EVIDENCE] = { 807, DW_LEVEL_INFO, "shift.evidence" },
+	[DW_EVENT_VIEW_READER] = { 212, DW_LEVEL_INFO, "view.reader" },
+	[DW_EVENT_VIEW_SOURCE] = { 213, DW_LEVEL_INFO, "view.source" },
+	[DW_EVENT_VIEW_SOURCE_FAILED] = { 214, DW_LEVEL_WARNING, "view.source_failed" },
 	[DW_EVENT_STANDIN] = { 900, DW_LEVEL_INFO, "standin.note" },
 };
 
--- a/src/dragonflywharfd/config_sync.c
+++ b/src/dragonflywharfd/config_sync.c
@@ -265,7 +265,8 @@
 	free(delta.items);
 }
 
-static void on_up_to_date(struct dw_store_watch *watch, uint64_t confirmed_at_us, void *data)
+static void on_up_to_date(struct dw_store_watch *watch, uint64_t revision, uint64_t confirmed_at_us,
+			  void *data)
 {
 	set_reachable(data, true);
 }
--- /dev/null
+++ b/src/net/view_codec.c
@@ -0,0 +1,173 @@
+#include "net/view_codec.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/msgpack_check.h"
+#include "net/msgpack_read.h"
+
+enum answer_field {
+	ANSWER_VERSION,
+	ANSWER_REVISION,
+	ANSWER_IS_SNAPSHOT,
+	ANSWER_HELD,
+	ANSWER_AGE,
+	ANSWER_STORE_BACK,
+	ANSWER_RECORDS,
+	ANSWER_FIELD_COUNT
+};
+
+enum record_field { RECORD_KEY, RECORD_REVISION, RECORD_VALUE, RECORD_FIELD_COUNT };
+
+static bool is_included(const struct dw_view_record *record, const struct view_answer *answer,
+			uint64_t after)
+{
+	return answer->is_snapshot ? !record->deleted : record->revision > after;
+}
+
+static void pack_record(msgpack_packer *packer, const struct dw_view_record *record)
+{
+	msgpack_pack_array(packer, RECORD_FIELD_COUNT);
+	dw_msgpack_pack_string(packer, record->key);
+	msgpack_pack_uint64(packer, record->revision);
+	if (record->deleted) {
+		msgpack_pack_nil(packer);
+		return;
+	}
+	msgpack_pack_bin(packer, record->value_len);
+	msgpack_pack_bin_body(packer, record->value, record->value_len);
+}
+
+static void pack_optional(msgpack_packer *packer, bool is_set, uint64_t value)
+{
+	if (is_set)
+		msgpack_pack_uint64(packer, value);
+	else
+		msgpack_pack_nil(packer);
+}
+
+void view_answer_pack(msgpack_packer *packer, const struct view_answer *answer,
+		      const struct dw_view_log *log, uint64_t after)
+{
+	const struct dw_view_record *record = NULL;
+	size_t count = 0;
+
+	while ((record = dw_view_log_next(log, record)))
+		count += is_included(record, answer, after);
+	msgpack_pack_array(packer, ANSWER_FIELD_COUNT);
+	msgpack_pack_uint8(packer, VIEW_CODEC_VERSION);
+	msgpack_pack_uint64(packer, answer->revision);
+	msgpack_pack_uint8(packer, answer->is_snapshot);
+	msgpack_pack_uint64(packer, answer->held_us);
+	pack_optional(packer, answer->has_proof, answer->age_us);
+	pack_optional(packer, answer->had_outage, answer->store_back_us);
+	msgpack_pack_array(packer, count);
+	while ((record = dw_view_log_next(log, record))) {
+		if (is_included(record, answer, after))
+			pack_record(packer, record);
+	}
+}
+
+static bool read_optional(const msgpack_object *object, bool *is_set, uint64_t *value)
+{
+	*is_set = object->type != MSGPACK_OBJECT_NIL;
+	return !*is_set || dw_msgpack_read_uint(object, UINT64_MAX, value);
+}
+
+/* Copies bytes to the answer's text, followed by a NUL byte. */
+static char *copy_text(char **text, const char *bytes, size_t len)
+{
+	char *copy = *text;
+
+	memcpy(copy, bytes, len);
+	copy[len] = '\0';
+	*text += len + 1;
+	return copy;
+}
+
+static bool read_record(const msgpack_object *object, char **text, struct dw_view_record *out)
+{
+	const msgpack_object *fields = dw_msgpack_read_array(object, RECORD_FIELD_COUNT);
+	const msgpack_object *value;
+
+	if (!fields || fields[RECORD_KEY].type != MSGPACK_OBJECT_STR ||
+	    memchr(fields[RECORD_KEY].via.str.ptr, '\0', fields[RECORD_KEY].via.str.size) ||
+	    !dw_msgpack_read_uint(&fields[RECORD_REVISION], UINT64_MAX, &out->revision))
+		return false;
+	out->key = copy_text(text, fields[RECORD_KEY].via.str.ptr, fields[RECORD_KEY].via.str.size);
+	value = &fields[RECORD_VALUE];
+	out->deleted = value->type == MSGPACK_OBJECT_NIL;
+	if (out->deleted)
+		return true;
+	if (value->type != MSGPACK_OBJECT_BIN)
+		return false;
+	out->value_len = value->via.bin.size;
+	out->value = (uint8_t *)copy_text(text, value->via.bin.ptr, value->via.bin.size);
+	return true;
+}
+
+/* Keys and values with their NUL bytes take less than @p len plus two bytes a record. */
+static bool read_records(const msgpack_object *object, size_t len, struct view_answer *out)
+{
+	char *text;
+
+	if (object->type != MSGPACK_OBJECT_ARRAY)
+		return false;
+	out->record_count = object->via.array.size;
+	out->records = calloc(out->record_count + 1, sizeof(*out->records));
+	out->text = malloc(len + 2 * out->record_count + 1);
+	if (!out->records || !out->text)
+		abort();
+	text = out->text;
+	for (size_t i = 0; i < out->record_count; i++) {
+		if (!read_record(&object->via.array.ptr[i], &text, &out->records[i]))
+			return false;
+	}
+	return true;
+}
+
+static bool read_answer(const msgpack_object *object, size_t len, struct view_answer *out)
+{
+	const msgpack_object *fields = dw_msgpack_read_array(object, ANSWER_FIELD_COUNT);
+	uint64_t is_snapshot = 0;
+	uint64_t version = 0;
+
+	if (!fields ||
+	    !dw_msgpack_read_uint(&fields[ANSWER_VERSION], VIEW_CODEC_VERSION, &version) ||
+	    version != VIEW_CODEC_VERSION)
+		return false;
+	if (!dw_msgpack_read_uint(&fields[ANSWER_REVISION], UINT64_MAX, &out->revision) ||
+	    !dw_msgpack_read_uint(&fields[ANSWER_IS_SNAPSHOT], 1, &is_snapshot) ||
+	    !dw_msgpack_read_uint(&fields[ANSWER_HELD], UINT64_MAX, &out->held_us) ||
+	    !read_optional(&fields[ANSWER_AGE], &out->has_proof, &out->age_us) ||
+	    !read_optional(&fields[ANSWER_STORE_BACK], &out->had_outage, &out->store_back_us))
+		return false;
+	out->is_snapshot = is_snapshot != 0;
+	return read_records(&fields[ANSWER_RECORDS], len, out);
+}
+
+enum dw_status view_answer_unpack(const uint8_t *bytes, size_t len, struct view_answer *answer)
+{
+	msgpack_unpacked unpacked;
+	enum dw_status status;
+
+	memset(answer, 0, sizeof(*answer));
+	status = dw_msgpack_unpack(bytes, len, VIEW_ANSWER_MAX_BYTES, "an answer with records",
+				   &unpacked);
+	if (status != DW_OK)
+		return status;
+	if (!read_answer(&unpacked.data, len, answer)) {
+		view_answer_free(answer);
+		status = dw_fail(DW_INVALID_ARGUMENT,
+				 "answer with records: a field has the wrong type or version");
+	}
+	msgpack_unpacked_destroy(&unpacked);
+	return status;
+}
+
+void view_answer_free(struct view_answer *answer)
+{
+	free(answer->records);
+	free(answer->text);
+	memset(answer, 0, sizeof(*answer));
+}
--- /dev/null
+++ b/src/net/view_codec.h
@@ -0,0 +1,52 @@
+/**
+ * @file view_codec.h
+ * Encoding of the answer in which one instance passes records of the store to another.
+ *
+ * The answer is a msgpack array: version of this encoding, revision, whether these are all records,
+ * time held, age of the proof or nil, time since the end of the store's last outage or nil, and the
+ * records, each an array of key, revision and value or, for a deleted key, nil.
+ */
+#ifndef WHARF_NET_VIEW_CODEC_H
+#define WHARF_NET_VIEW_CODEC_H
+
+#include <msgpack.h>
+
+#include <dragonflywharf/status.h>
+#include <dragonflywharf/view_log.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define VIEW_CODEC_VERSION 1
+#define VIEW_ANSWER_MAX_BYTES (UINT64_C(32) << 20)
+
+struct view_answer {
+	uint64_t revision; /**< all changes up to it are known with these records */
+	bool is_snapshot; /**< these are all records: keys that aren't listed don't exist */
+	uint64_t held_us; /**< for how long the source held the request */
+	bool has_proof; /**< the source's copy was current age_us before the answer */
+	uint64_t age_us;
+	bool had_outage; /**< the store came back store_back_us before the answer */
+	uint64_t store_back_us;
+	struct dw_view_record *records; /**< only set by view_answer_unpack() */
+	size_t record_count;
+	char *text; /**< memory of the records */
+};
+
+/** Packs the answer with the records of @p log newer than @p after, or all that exist. */
+void view_answer_pack(msgpack_packer *packer, const struct view_answer *answer,
+		      const struct dw_view_log *log, uint64_t after);
+
+/**
+ * Unpacks an answer; on DW_OK the caller must call view_answer_free().
+ * @return DW_TOO_LARGE, or DW_INVALID_ARGUMENT if it is malformed or of another version.
+ */
+enum dw_status view_answer_unpack(const uint8_t *bytes, size_t len, struct view_answer *answer);
+void view_answer_free(struct view_answer *answer);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/src/port/etcd_json.c
+++ b/src/port/etcd_json.c
@@ -72,6 +72,8 @@
 		add_bytes(object, "key", range->prefix, strlen(range->prefix));
 	else
 		add_prefix(object, range->prefix);
+	if (range->may_be_stale)
+		json_object_object_add(object, "serializable", json_object_new_boolean(true));
 	if (range->from_revision)
 		add_u64(object, "min_mod_revision", range->from_revision);
 	return serialize_and_free(object);
--- a/src/port/etcd_watch.c
+++ b/src/port/etcd_watch.c
@@ -66,7 +66,8 @@
 	 * are no changes that this watch hasn't delivered. */
 	if (reply->created && reply->revision < watch->next_revision &&
 	    watch->options.on_up_to_date)
-		watch->options.on_up_to_date(watch, watch->started_at_us, watch->options.data);
+		watch->options.on_up_to_date(watch, reply->revision, watch->started_at_us,
+					     watch->options.data);
 	if (!watch_deliver_events(watch, reply))
 		watch_fail(watch, DW_UPSTREAM_FAILED);
 }
--- a/src/port/store.c
+++ b/src/port/store.c
@@ -20,6 +20,18 @@
 	store->ops->range(store, &range, done, data);
 }
 
+void dw_store_read_copy(struct dw_store *store, const char *prefix, uint64_t deadline_us,
+			dw_store_range_done done, void *data)
+{
+	struct dw_store_range range = {
+		.prefix = prefix,
+		.may_be_stale = true,
+		.deadline_us = deadline_us,
+	};
+
+	store->ops->range(store, &range, done, data);
+}
+
 void dw_store_put(struct dw_store *store, const struct dw_store_put *put, dw_store_put_done done,
 		  void *data)
 {
--- a/src/port/store.h
+++ b/src/port/store.h
@@ -96,6 +96,8 @@
 	const char *prefix; /**< the complete key if @c exact is set */
 	bool exact; /**< read one key, see dw_store_get() */
 	uint64_t from_revision; /**< only entries changed at or after it; 0 for all */
+	/** The result may be seconds old, and cheaper: it proves nothing about later changes. */
+	bool may_be_stale;
 	uint64_t deadline_us;
 };
 
@@ -112,9 +114,11 @@
 			  size_t count, void *data);
 	/**
 	 * Optional. Called when all changes made before @p confirmed_at_us, on this process's
-	 * clock, have been delivered: data from this watch was up to date at that time.
+	 * clock, and all up to @p revision have been delivered: data from this watch was up to
+	 * date at that time.
 	 */
-	void (*on_up_to_date)(struct dw_store_watch *watch, uint64_t confirmed_at_us, void *data);
+	void (*on_up_to_date)(struct dw_store_watch *watch, uint64_t revision,
+			      uint64_t confirmed_at_us, void *data);
 	/** Minimum time between two calls of an adapter that polls, to batch changes. */
 	uint64_t min_poll_interval_us;
 	/**
@@ -166,6 +170,10 @@
 void dw_store_range(struct dw_store *store, const char *prefix, uint64_t from_revision,
 		    uint64_t deadline_us, dw_store_range_done done, void *data);
 
+/** Reads all entries with a prefix as they were a moment ago, see dw_store_range.may_be_stale. */
+void dw_store_read_copy(struct dw_store *store, const char *prefix, uint64_t deadline_us,
+			dw_store_range_done done, void *data);
+
 /** Writes one key if its revision equals the expected one (compare-and-swap). */
 void dw_store_put(struct dw_store *store, const struct dw_store_put *put, dw_store_put_done done,
 		  void *data);
--- a/src/wharf-gateway/exchange.c
+++ b/src/wharf-gateway/exchange.c
@@ -294,7 +294,7 @@
 	exchange->router = router;
 	exchange->caller = caller;
 	exchange->request = *request;
-	exchange->catalog = dw_catalog_retain(router->view->catalog);
+	exchange->catalog = dw_catalog_retain(view_catalog(router->view));
 	uv_timer_init(router->loop, &exchange->timer);
 	exchange->timer.data = exchange;
 	router->in_progress++;
@@ -331,7 +331,7 @@
 				     NOT_RUN_PROVEN, dw_last_message(), 0);
 		return NULL;
 	}
-	if (!router->view->catalog) {
+	if (!view_catalog(router->view)) {
 		log_early_refusal(router, request->head, "no configuration yet");
 		exchange_reply_error(caller, 503, "Service Unavailable", DW_NO_CONFIGURATION,
 				     NOT_RUN_PROVEN, "no configuration yet", RETRY_AFTER_MIN_MS);
--- a/src/wharf-gateway/gateway.c
+++ b/src/wharf-gateway/gateway.c
@@ -13,16 +13,18 @@
 #include "platform/metadata_store.h"
 #include "wharf-gateway/exchange.h"
 #include "wharf-gateway/gateway_metrics.h"
-#include "wharf-gateway/load_broadcast.h"
+#include "wharf-gateway/load_exchange.h"
 #include "wharf-gateway/store_sync.h"
+#include "wharf-gateway/view_server.h"
+#include "wharf-gateway/view_sync.h"
 
 #define LISTEN_BACKLOG 512
 /* Log lines of ordinary requests a second; failures are always logged. */
 #define MAX_LOG_LINES_PER_S 300
 #define SWEEP_PERIOD_MS 1000
-/* Least time between two polls of the watch, in thousandths of change_applied_ms; changes in between
- * are batched. */
-#define MIN_POLL_INTERVAL_PERMILLE 620
+/* Instances that start together read the store at moments within this time, unless they have found
+ * another one by then. */
+#define START_SPREAD_US (50 * DW_US_PER_MS)
 /* After the stop signal, the listener stays open for this long, until the load balancer has noticed
  * that the instance isn't ready. */
 #define BALANCER_NOTICE_MS 3500
@@ -48,7 +50,9 @@
 	struct router router;
 	struct dw_store *store;
 	struct store_sync sync;
-	struct load_broadcast load_broadcast;
+	struct view_server view_server;
+	struct view_sync view_sync;
+	struct load_exchange load_exchange;
 	uv_tcp_t caller_listener;
 	uv_tcp_t readiness_listener;
 	uv_tcp_t metrics_listener;
@@ -67,7 +71,9 @@
 {
 	struct gateway *gateway = owner;
 
-	return gateway->view.catalog ? dw_catalog_limits(gateway->view.catalog) : &default_limits;
+	struct dw_catalog *catalog = view_catalog(&gateway->view);
+
+	return catalog ? dw_catalog_limits(catalog) : &default_limits;
 }
 
 static bool is_stopping(void *owner)
@@ -251,6 +257,7 @@
 	if (stop->started_at_us > 0)
 		return;
 	stop->started_at_us = dw_clock_now_us();
+	peers_leave(&gateway->view.peers);
 	stop->end_at_us = stop->started_at_us + gateway->settings.stop_timeout_ms * DW_US_PER_MS *
 							STOP_DRAIN_PERMILLE / 1000;
 	dw_log_event(&gateway->log, DW_EVENT_STOPPING, DW_INT("signal", number),
@@ -294,33 +301,96 @@
 	gateway->stop_timer.data = gateway;
 }
 
+static bool is_reader(void *owner)
+{
+	struct gateway *gateway = owner;
+
+	return gateway->view.peers.membership && dw_view_source_is_reader(&gateway->view.source) &&
+	       gateway->view.is_store_reached;
+}
+
+/* The start of this instance's part in reading the store. Without seeds it waits for nobody. */
+static void delay_first_read(struct gateway *gateway)
+{
+	struct dw_view_source *source = &gateway->view.source;
+
+	source->is_seed = peers_is_seed(&gateway->view.peers);
+	source->has_seeds = peers_seed_count(&gateway->view.peers) > 0;
+	if (source->has_seeds)
+		source->started_at_us += router_random(&gateway->router) % START_SPREAD_US;
+	else
+		source->started_at_us = 0;
+}
+
 static void start_store(struct gateway *gateway)
 {
-	uint64_t min_poll_interval_ms =
-		gateway->settings.change_applied_ms * MIN_POLL_INTERVAL_PERMILLE / 1000;
 	uint64_t revocation_us = gateway->settings.revocation_ms * DW_US_PER_MS;
+	uint64_t max_wait_us = dw_freshness_max_wait_us(revocation_us);
+	uint64_t poll_wait_us = gateway->view.source.timing.poll_wait_us;
 	struct metadata_store_options options = {
 		.loop = &gateway->loop,
 		.address = gateway->settings.store,
-		.max_poll_wait_us = dw_freshness_max_wait_us(revocation_us),
+		.max_poll_wait_us = poll_wait_us < max_wait_us ? poll_wait_us : max_wait_us,
 	};
 
 	gateway->store = metadata_store_new(&options);
-	store_sync_start(&gateway->sync, &gateway->loop, gateway->store, &gateway->view,
-			 min_poll_interval_ms * DW_US_PER_MS, router_random(&gateway->router));
-	presence_start(&gateway->view.presence, &gateway->loop, gateway->store);
+	store_sync_init(&gateway->sync, &gateway->loop, gateway->store, &gateway->view,
+			router_random(&gateway->router));
+	delay_first_read(gateway);
+	store_sync_read_copy(&gateway->sync);
+	view_sync_start(&gateway->view_sync, &gateway->loop, &gateway->view, &gateway->sync);
+	reader_key_start(&gateway->view.reader_key, &gateway->loop, gateway->store, is_reader,
+			 gateway);
 	shifts_start(&gateway->view.shifts, &gateway->loop, gateway->store,
 		     router_random(&gateway->router));
 }
 
+static void on_place(void *owner, const struct dw_view_place *place,
+		     const struct dw_view_member *members, uint32_t count)
+{
+	struct gateway *gateway = owner;
+
+	load_exchange_place(&gateway->load_exchange, members, count);
+	dw_view_source_place(&gateway->view.source, place);
+}
+
+static void on_loads(void *owner, const struct dw_member *from, const uint8_t *bytes, size_t len)
+{
+	struct gateway *gateway = owner;
+
+	load_exchange_receive(&gateway->load_exchange, from, bytes, len);
+}
+
+static const struct peers_callbacks peers_callbacks = { on_place, on_loads };
+
+static void on_confirmed(void *owner)
+{
+	struct gateway *gateway = owner;
+
+	view_server_confirmed(&gateway->view_server);
+}
+
+static enum dw_status start_peers(struct gateway *gateway)
+{
+	struct view *view = &gateway->view;
+
+	view->on_confirmed = on_confirmed;
+	view->on_confirmed_owner = gateway;
+	if (peers_start(&view->peers, &gateway->loop, router_random(&gateway->router),
+			&peers_callbacks, gateway) != DW_OK ||
+	    view_server_start(&gateway->view_server, &gateway->loop, view) != DW_OK)
+		return DW_UNAVAILABLE;
+	load_exchange_start(&gateway->load_exchange, &gateway->loop, view);
+	return DW_OK;
+}
+
 static enum dw_status start(struct gateway *gateway)
 {
 	signal(SIGPIPE, SIG_IGN);
 	uv_loop_init(&gateway->loop);
 	view_init(&gateway->view, &gateway->settings, &gateway->log, &gateway->counters);
 	router_init(&gateway->router, &gateway->loop, &gateway->view);
-	if (open_listeners(gateway) != DW_OK ||
-	    load_broadcast_start(&gateway->load_broadcast, &gateway->loop, &gateway->view) != DW_OK)
+	if (open_listeners(gateway) != DW_OK || start_peers(gateway) != DW_OK)
 		return DW_UNAVAILABLE;
 	gateway->is_listening = true;
 	start_signal(gateway, &gateway->sigterm, on_terminate, SIGTERM);
--- a/src/wharf-gateway/gateway_metrics.c
+++ b/src/wharf-gateway/gateway_metrics.c
@@ -18,7 +18,7 @@
 	uint64_t now_us = dw_clock_now_us();
 	const struct gauge gauges[] = {
 		{ "config_version", "Version of the configuration in force",
-		  view->catalog ? dw_catalog_version(view->catalog) : 0 },
+		  view_catalog(view) ? dw_catalog_version(view_catalog(view)) : 0 },
 		{ "config_age_ms", "Time since the configuration was known to be the newest",
 		  view->confirmed_at_us > 0 ? (now_us - view->confirmed_at_us) / DW_US_PER_MS : 0 },
 		{ "store_reached", "1 while the store answers", view->is_store_reached },
--- a/src/wharf-gateway/router.c
+++ b/src/wharf-gateway/router.c
@@ -82,7 +82,7 @@
 
 static struct dw_retry_window_options budget_options(const struct router *router, uint64_t now_us)
 {
-	uint32_t instances = presence_estimated_instances(&router->view->presence, now_us);
+	uint32_t instances = peers_estimated_instances(&router->view->peers, now_us);
 	uint32_t slack_share = (uint32_t)(router->settings->retry_slack / instances);
 
 	return (struct dw_retry_window_options){
@@ -174,7 +174,7 @@
 	limit.total_per_s = (uint32_t)(service->cold_requests_per_s *
 				       (double)settings->cold_overshoot_permille / 1000) +
 			    (uint32_t)settings->cold_slack;
-	limit.instances = presence_estimated_instances(&router->view->presence, now_us);
+	limit.instances = peers_estimated_instances(&router->view->peers, now_us);
 	limit.instance_hash = dw_rendezvous_key(settings->instance, strlen(settings->instance));
 	return limit;
 }
--- a/src/wharf-gateway/store_sync.c
+++ b/src/wharf-gateway/store_sync.c
@@ -22,10 +22,13 @@
 	uint32_t doublings = sync->failures < 4 ? sync->failures : 4;
 	uint64_t pause_ms = RETRY_MIN_MS << doublings;
 
-	if (sync->is_stopped)
+	if (!sync->is_active)
 		return;
 	if (pause_ms > RETRY_MAX_MS)
 		pause_ms = RETRY_MAX_MS;
+	/* While the store is away, only the readers look for it often. */
+	if (!dw_view_source_is_reader(&sync->view->source))
+		pause_ms = sync->view->source.timing.retry_us / DW_US_PER_MS;
 	sync->failures++;
 	view_store_lost(sync->view, dw_status_name(reason), dw_clock_now_us());
 	/* Jitter: a random pause of at least half, so that instances don't reconnect together. */
@@ -42,12 +45,13 @@
 		view_apply(sync->view, &events[i], dw_clock_now_us());
 }
 
-static void on_up_to_date(struct dw_store_watch *watch, uint64_t confirmed_at_us, void *data)
+static void on_up_to_date(struct dw_store_watch *watch, uint64_t revision, uint64_t confirmed_at_us,
+			  void *data)
 {
 	struct store_sync *sync = data;
 
 	sync->failures = 0;
-	view_store_current(sync->view, confirmed_at_us, dw_clock_now_us());
+	view_store_current(sync->view, revision, confirmed_at_us, dw_clock_now_us());
 }
 
 static void on_ended(struct dw_store_watch *watch, enum dw_status status, uint64_t next_revision,
@@ -56,7 +60,7 @@
 	struct store_sync *sync = data;
 
 	sync->watch = NULL;
-	sync->next_revision = status == DW_STALE ? 0 : next_revision;
+	sync->is_history_lost = status == DW_STALE;
 	retry_later(sync, status);
 }
 
@@ -64,11 +68,11 @@
 {
 	struct dw_store_watch_options options = {
 		.prefix = "",
-		.from_revision = sync->next_revision,
+		.from_revision = dw_view_log_revision(sync->view->records) + 1,
 		.deadline_us = UINT64_MAX,
 		.on_events = on_events,
 		.on_up_to_date = on_up_to_date,
-		.min_poll_interval_us = sync->min_poll_interval_us,
+		.min_poll_interval_us = sync->view->source.timing.poll_interval_us,
 		.on_ended = on_ended,
 		.data = sync,
 	};
@@ -81,17 +85,17 @@
 	struct store_sync *sync = data;
 	uint64_t now_us = dw_clock_now_us();
 
-	if (sync->is_stopped)
-		return;
+	sync->is_range_pending = false;
 	if (result->status != DW_OK) {
 		retry_later(sync, result->status);
 		return;
 	}
 	view_apply_all(sync->view, result->entries, result->count, result->revision, now_us);
-	view_store_current(sync->view, sync->read_started_at_us, now_us);
+	view_store_current(sync->view, result->revision, sync->read_started_at_us, now_us);
 	sync->failures = 0;
-	sync->next_revision = result->revision + 1;
-	watch_start(sync);
+	sync->is_history_lost = false;
+	if (sync->is_active)
+		watch_start(sync);
 }
 
 static uint64_t read_timeout_us(const struct store_sync *sync)
@@ -103,33 +107,66 @@
 
 static void sync_begin(struct store_sync *sync)
 {
-	sync->read_started_at_us = dw_clock_now_us();
-	if (sync->next_revision > 0)
+	if (sync->watch || sync->is_range_pending)
+		return;
+	if (!sync->is_history_lost && dw_view_log_revision(sync->view->records) > 0) {
 		watch_start(sync);
+		return;
+	}
+	sync->read_started_at_us = dw_clock_now_us();
+	sync->is_range_pending = true;
+	dw_store_range(sync->store, "", 0, sync->read_started_at_us + read_timeout_us(sync),
+		       on_all_read, sync);
+}
+
+static void on_copy_read(const struct dw_store_range_result *result, void *data)
+{
+	struct store_sync *sync = data;
+	struct view *view = sync->view;
+
+	sync->is_range_pending = false;
+	/* Other instances may have been faster. */
+	if (result->status == DW_OK && dw_view_log_revision(view->records) == 0)
+		view_apply_all(view, result->entries, result->count, result->revision,
+			       dw_clock_now_us());
+	if (!sync->is_active)
+		return;
+	if (result->status == DW_OK)
+		sync_begin(sync);
 	else
-		dw_store_range(sync->store, "", 0, sync->read_started_at_us + read_timeout_us(sync),
-			       on_all_read, sync);
+		retry_later(sync, result->status);
 }
 
-void store_sync_start(struct store_sync *sync, uv_loop_t *loop, struct dw_store *store,
-		      struct view *view, uint64_t min_poll_interval_us, uint64_t seed)
+void store_sync_read_copy(struct store_sync *sync)
+{
+	sync->is_range_pending = true;
+	dw_store_read_copy(sync->store, "", dw_clock_now_us() + READ_TIMEOUT_MIN_US, on_copy_read,
+			   sync);
+}
+
+void store_sync_init(struct store_sync *sync, uv_loop_t *loop, struct dw_store *store,
+		     struct view *view, uint64_t seed)
 {
 	memset(sync, 0, sizeof(*sync));
-	sync->loop = loop;
 	sync->store = store;
 	sync->view = view;
-	sync->min_poll_interval_us = min_poll_interval_us;
 	sync->random = seed;
 	uv_timer_init(loop, &sync->retry_timer);
 	sync->retry_timer.data = sync;
-	sync_begin(sync);
 }
 
-void store_sync_stop(struct store_sync *sync)
+void store_sync_set_active(struct store_sync *sync, bool is_active)
 {
-	sync->is_stopped = true;
+	if (sync->is_active == is_active)
+		return;
+	sync->is_active = is_active;
+	if (is_active) {
+		sync->failures = 0;
+		sync_begin(sync);
+		return;
+	}
+	uv_timer_stop(&sync->retry_timer);
 	if (sync->watch)
 		dw_store_watch_cancel(sync->store, sync->watch);
 	sync->watch = NULL;
-	uv_close((uv_handle_t *)&sync->retry_timer, NULL);
 }
--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -1,12 +1,11 @@
 #include "wharf-gateway/view.h"
 
-#include <stdlib.h>
 #include <string.h>
 
 #include <dragonflywharf/freshness.h>
-#include <uthash.h>
 
 #include "base/clock.h"
+#include "net/view_codec.h"
 #include "platform/records.h"
 
 /* Engines whose entry expired during a store outage register again within this time after the outage,
@@ -16,15 +15,6 @@
 /* How long deleted keys are remembered. The store's history is shorter, so no event can be older. */
 #define TOMBSTONE_TTL_US (120 * DW_US_PER_S)
 
-struct known_record {
-	char *key;
-	uint64_t revision;
-	bool deleted;
-	uint64_t updated_at_us;
-	struct known_record *next_expired;
-	UT_hash_handle hh;
-};
-
 void view_init(struct view *view, const struct gateway_settings *settings, struct dw_log *log,
 	       struct dw_counters *counters)
 {
@@ -33,57 +23,21 @@
 	view->log = log;
 	view->counters = counters;
 	view->engines = dw_engine_set_new();
+	view->records = dw_view_log_new();
+	dw_view_source_init(&view->source, gateway_settings_change_us(settings), dw_clock_now_us());
 	shifts_init(&view->shifts, log, settings->instance);
-	presence_init(&view->presence, log, settings->instance, &settings->peer_address);
+	peers_init(&view->peers, settings, log, counters);
+	reader_key_init(&view->reader_key, settings->instance, &settings->peer_address);
 }
 
 void view_close(struct view *view)
 {
-	struct known_record *record = view->records;
-	struct known_record *next;
-
-	HASH_CLEAR(hh, view->records);
-	for (; record; record = next) {
-		next = record->hh.next;
-		free(record->key);
-		free(record);
-	}
-	presence_close(&view->presence);
+	dw_view_log_free(view->records);
+	peers_close(&view->peers);
 	dw_engine_set_free(view->engines);
 	dw_catalog_release(view->catalog);
 }
 
-static struct known_record *find_record(struct view *view, const char *key)
-{
-	struct known_record *record;
-
-	HASH_FIND_STR(view->records, key, record);
-	return record;
-}
-
-/* Records a key's revision, and sets @p was_there to whether the key existed before; false if the same
- * or a newer revision is known. */
-static bool update_revision(struct view *view, const char *key, uint64_t revision, bool deleted,
-			    bool *was_there)
-{
-	struct known_record *record = find_record(view, key);
-
-	*was_there = record && !record->deleted;
-	if (record && revision <= record->revision)
-		return false;
-	if (!record) {
-		record = calloc(1, sizeof(*record));
-		if (!record)
-			abort();
-		record->key = strdup(key);
-		HASH_ADD_KEYPTR(hh, view->records, record->key, strlen(record->key), record);
-	}
-	record->revision = revision;
-	record->deleted = deleted;
-	record->updated_at_us = dw_clock_now_us();
-	return true;
-}
-
 static void reject_record(struct view *view, const char *key)
 {
 	dw_counters_add(view->counters, DW_COUNTER_BAD_INPUTS, 1);
@@ -236,86 +190,120 @@
 	}
 }
 
-void view_apply(struct view *view, const struct dw_store_event *event, uint64_t now_us)
+static void apply_change(struct view *view, const struct dw_store_event *event, uint64_t now_us)
 {
-	bool was_there;
+	struct dw_endpoint reader;
 
-	if (!update_revision(view, event->entry.key, event->entry.mod_revision, event->deleted,
-			     &was_there))
-		return;
-	presence_apply_record(&view->presence, event, was_there);
+	if (reader_key_apply(&view->reader_key, event, &reader))
+		peers_add_seed(&view->peers, &reader);
 	apply_record(view, event, now_us);
 }
 
-static bool is_listed(const struct dw_store_entry *entries, size_t count, const char *key)
+void view_apply(struct view *view, const struct dw_store_event *event, uint64_t now_us)
 {
-	for (size_t i = 0; i < count; i++) {
-		if (strcmp(entries[i].key, key) == 0)
-			return true;
+	struct dw_view_record record = {
+		.key = event->entry.key,
+		.value = event->entry.value,
+		.value_len = event->entry.value_len,
+		.revision = event->entry.mod_revision,
+		.deleted = event->deleted,
+	};
+	bool existed;
+
+	if (dw_view_log_put(view->records, &record, now_us, &existed))
+		apply_change(view, event, now_us);
+}
+
+static void apply_missing(struct view *view, uint64_t revision, uint64_t now_us)
+{
+	const struct dw_view_record *record;
+
+	while ((record = dw_view_log_next_missing(view->records, revision, now_us))) {
+		struct dw_store_event event = { .deleted = true };
+
+		event.entry.key = record->key;
+		event.entry.mod_revision = revision;
+		apply_change(view, &event, now_us);
 	}
-	return false;
 }
 
 void view_apply_all(struct view *view, const struct dw_store_entry *entries, size_t count,
 		    uint64_t revision, uint64_t now_us)
 {
-	struct known_record *record;
-	struct known_record *next;
-
+	dw_view_log_begin_snapshot(view->records, revision);
 	for (size_t i = 0; i < count; i++) {
 		struct dw_store_event event = { .entry = entries[i] };
 
 		view_apply(view, &event, now_us);
 	}
-	HASH_ITER(hh, view->records, record, next) {
-		struct dw_store_event event = { .deleted = true };
+	apply_missing(view, revision, now_us);
+	dw_view_log_complete(view->records, revision);
+}
+
+void view_apply_answer(struct view *view, const struct view_answer *answer, uint64_t now_us)
+{
+	if (answer->is_snapshot)
+		dw_view_log_begin_snapshot(view->records, answer->revision);
+	for (size_t i = 0; i < answer->record_count; i++) {
+		const struct dw_view_record *record = &answer->records[i];
+		struct dw_store_event event = { .deleted = record->deleted };
 
-		if (record->deleted || record->revision > revision ||
-		    is_listed(entries, count, record->key))
-			continue;
 		event.entry.key = record->key;
-		event.entry.mod_revision = revision;
-		record->revision = revision;
-		record->deleted = true;
-		presence_apply_record(&view->presence, &event, true);
-		apply_record(view, &event, now_us);
+		event.entry.value = record->value;
+		event.entry.value_len = record->value_len;
+		event.entry.mod_revision = record->revision;
+		view_apply(view, &event, now_us);
 	}
-	presence_mark_counted(&view->presence, now_us);
+	if (answer->is_snapshot)
+		apply_missing(view, answer->revision, now_us);
+	dw_view_log_complete(view->records, answer->revision);
 }
 
 void view_sweep(struct view *view, uint64_t now_us)
 {
-	struct known_record *expired = NULL;
-	struct known_record *record;
-	struct known_record *next;
-
-	HASH_ITER(hh, view->records, record, next) {
-		if (!record->deleted || now_us < record->updated_at_us + TOMBSTONE_TTL_US)
-			continue;
-		HASH_DEL(view->records, record);
-		record->next_expired = expired;
-		expired = record;
-	}
-	for (; expired; expired = next) {
-		next = expired->next_expired;
-		free(expired->key);
-		free(expired);
-	}
+	if (now_us > TOMBSTONE_TTL_US)
+		dw_view_log_forget(view->records, now_us - TOMBSTONE_TTL_US);
+}
+
+static void confirm(struct view *view, enum dw_view_origin origin, uint64_t confirmed_at_us,
+		    uint64_t now_us)
+{
+	dw_view_source_confirmed(&view->source, origin, confirmed_at_us, now_us);
+	view->confirmed_at_us = dw_view_source_confirmed_at_us(&view->source);
+	if (view->on_confirmed)
+		view->on_confirmed(view->on_confirmed_owner);
 }
 
-void view_store_current(struct view *view, uint64_t confirmed_at_us, uint64_t now_us)
+/* Whether the store was out of reach until now for all instances, and not just for this one: then
+ * the copy has not been kept current by the others either. */
+static bool was_store_away(const struct view *view, uint64_t now_us)
 {
-	if (confirmed_at_us > view->confirmed_at_us)
-		view->confirmed_at_us = confirmed_at_us;
+	return view->confirmed_at_us == 0 ||
+	       now_us > view->confirmed_at_us + view->source.timing.stale_us;
+}
+
+void view_store_current(struct view *view, uint64_t revision, uint64_t confirmed_at_us,
+			uint64_t now_us)
+{
+	uint64_t age_us = view->confirmed_at_us > 0 ? now_us - view->confirmed_at_us : 0;
+
+	if (was_store_away(view, now_us))
+		view->store_back_at_us = now_us;
+	dw_view_log_complete(view->records, revision);
+	confirm(view, DW_VIEW_FROM_STORE, confirmed_at_us, now_us);
 	if (view->is_store_reached)
 		return;
 	view->is_store_reached = true;
-	view->store_back_at_us = now_us;
-	dw_log_event(view->log, DW_EVENT_STORE_BACK,
-		     DW_INT("away_ms", view->store_lost_at_us > 0
-					       ? (now_us - view->store_lost_at_us) / DW_US_PER_MS
-					       : 0),
-		     DW_INT("age_ms", (now_us - view->confirmed_at_us) / DW_US_PER_MS));
+	dw_log_event(view->log, DW_EVENT_STORE_BACK, DW_INT("age_ms", age_us / DW_US_PER_MS),
+		     DW_INT("revision", revision));
+}
+
+void view_peer_current(struct view *view, uint64_t confirmed_at_us, uint64_t store_back_at_us,
+		       uint64_t now_us)
+{
+	if (store_back_at_us > view->store_back_at_us)
+		view->store_back_at_us = store_back_at_us;
+	confirm(view, DW_VIEW_FROM_PEER, confirmed_at_us, now_us);
 }
 
 void view_store_lost(struct view *view, const char *reason, uint64_t now_us)
@@ -324,7 +312,6 @@
 	if (!view->is_store_reached)
 		return;
 	view->is_store_reached = false;
-	view->store_lost_at_us = now_us;
 	dw_log_event(view->log, DW_EVENT_STORE_LOST, DW_STR("reason", reason),
 		     DW_INT("age_ms", (now_us - view->confirmed_at_us) / DW_US_PER_MS));
 }
@@ -339,5 +326,10 @@
 
 bool view_is_ready(const struct view *view, uint64_t now_us)
 {
-	return view->catalog && view_is_fresh(view, now_us);
+	return view_catalog(view) && view_is_fresh(view, now_us);
+}
+
+struct dw_catalog *view_catalog(const struct view *view)
+{
+	return view->confirmed_at_us > 0 ? view->catalog : NULL;
 }
--- a/src/wharf-gateway/view.h
+++ b/src/wharf-gateway/view.h
@@ -11,30 +11,35 @@
 
 #include <dragonflywharf/catalog.h>
 #include <dragonflywharf/engine_choice.h>
+#include <dragonflywharf/view_log.h>
+#include <dragonflywharf/view_source.h>
 
 #include "base/counter.h"
 #include "base/log.h"
 #include "port/store.h"
 #include "wharf-gateway/gateway_settings.h"
-#include "wharf-gateway/presence.h"
+#include "wharf-gateway/peers.h"
+#include "wharf-gateway/reader_key.h"
 #include "wharf-gateway/shifts.h"
 
-struct known_record;
-
 struct view {
 	const struct gateway_settings *settings;
 	struct dw_log *log;
 	struct dw_counters *counters;
-	struct dw_catalog *catalog; /**< the configuration in force; NULL: none yet */
+	struct dw_catalog *catalog; /**< the newest known configuration; NULL: none yet */
 	struct dw_engine_set *engines;
 	struct dw_domain_list evacuated;
 	struct shifts shifts;
-	struct presence presence;
-	struct known_record *records; /**< newest known revision of each key */
+	struct peers peers;
+	struct reader_key reader_key;
+	struct dw_view_log *records; /**< newest known record of each key */
+	struct dw_view_source source; /**< from where this copy is kept up to date */
 	uint64_t confirmed_at_us; /**< when the copy was last known to be current; 0: never */
-	uint64_t store_lost_at_us; /**< start of the last store outage; 0: none */
-	uint64_t store_back_at_us; /**< when the store was last reached again, or first; 0: never */
-	bool is_store_reached;
+	/** When the store was last reached again by all instances together, or first; 0: never. */
+	uint64_t store_back_at_us;
+	bool is_store_reached; /**< the last call of this instance's own watch succeeded */
+	void (*on_confirmed)(void *owner); /**< called after each proof, with its changes applied */
+	void *on_confirmed_owner;
 };
 
 void view_init(struct view *view, const struct gateway_settings *settings, struct dw_log *log,
@@ -44,6 +49,11 @@
 /** Applies the write or deletion of one key. */
 void view_apply(struct view *view, const struct dw_store_event *event, uint64_t now_us);
 
+struct view_answer;
+
+/** Applies the records that another instance passed on. */
+void view_apply_answer(struct view *view, const struct view_answer *answer, uint64_t now_us);
+
 /**
  * Applies all keys of the store as of @p revision. Known keys that aren't among them count as deleted,
  * unless their revision is newer.
@@ -54,8 +64,14 @@
 /** Removes tombstones of deleted keys for which no late event can arrive any more. */
 void view_sweep(struct view *view, uint64_t now_us);
 
-/** The store answered, and this copy was current at @p confirmed_at_us. */
-void view_store_current(struct view *view, uint64_t confirmed_at_us, uint64_t now_us);
+/** The store answered: this copy has all changes up to @p revision and was current at
+ * @p confirmed_at_us. */
+void view_store_current(struct view *view, uint64_t revision, uint64_t confirmed_at_us,
+			uint64_t now_us);
+/** Another instance's answer, already applied, proves that this copy was current at
+ * @p confirmed_at_us; the store's last outage ended at @p store_back_at_us, 0: there was none. */
+void view_peer_current(struct view *view, uint64_t confirmed_at_us, uint64_t store_back_at_us,
+		       uint64_t now_us);
 /** The store is unreachable, or no longer has the history that the watch needs. */
 void view_store_lost(struct view *view, const char *reason, uint64_t now_us);
 
@@ -66,6 +82,9 @@
  */
 bool view_is_fresh(const struct view *view, uint64_t arrived_at_us);
 
+/** The configuration in force; NULL until it was once proven to be current. */
+struct dw_catalog *view_catalog(const struct view *view);
+
 /** Whether the load balancer should send callers to this instance. */
 bool view_is_ready(const struct view *view, uint64_t now_us);
 
--- /dev/null
+++ b/src/wharf-gateway/view_server.h
@@ -0,0 +1,36 @@
+/**
+ * @file view_server.h
+ * Passes this instance's copy of the store's records on to other instances, over HTTP on the peer
+ * address: GET /view/1?after=REVISION. The request is held until there are newer records or a newer
+ * proof that the copy is current, but not for long, so that the other side can tell a silent
+ * instance from one without news.
+ */
+#ifndef GATEWAY_VIEW_SERVER_H
+#define GATEWAY_VIEW_SERVER_H
+
+#include <uv.h>
+
+#include "wharf-gateway/caller.h"
+#include "wharf-gateway/view.h"
+
+#define VIEW_TARGET "/view/1?after="
+
+struct view_request;
+
+struct view_server {
+	struct view *view;
+	uv_tcp_t listener;
+	uv_timer_t timer;
+	struct caller_list connections;
+	struct view_request *held;
+	uint64_t answers; /**< since the start */
+	uint64_t answer_bytes;
+};
+
+/** Listens on the peer address; does nothing if the settings have none. */
+enum dw_status view_server_start(struct view_server *server, uv_loop_t *loop, struct view *view);
+
+/** Answers the held requests for which there is news; call it after each proof. */
+void view_server_confirmed(struct view_server *server);
+
+#endif
--- /dev/null
+++ b/src/wharf-gateway/view_sync.c
@@ -0,0 +1,251 @@
+#include "wharf-gateway/view_sync.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/bytes.h"
+#include "base/clock.h"
+#include "net/view_codec.h"
+#include "wharf-gateway/view_server.h"
+
+#define CHECK_PERIOD_MS 50
+#define MAX_HEAD_BYTES 4096
+#define IDLE_TIMEOUT_MS 9000
+#define UNACKNOWLEDGED_TIMEOUT_MS 1500
+#define REQUEST_BYTES 160
+/* An answer that keeps arriving may take this many times the time limit for its first byte. */
+#define WHOLE_ANSWER_TIMEOUTS 4
+/* After the start, for how long the first request waits for the copy from the store. */
+#define COPY_WAIT_US (250 * DW_US_PER_MS)
+/* A machine without power doesn't refuse connections; it stays silent. */
+#define CONNECT_TIMEOUT_MS 150
+/* Least time between two requests. */
+#define REQUEST_INTERVAL_US (10 * DW_US_PER_MS)
+
+static void ask(struct view_sync *sync);
+static void on_check_timer(uv_timer_t *timer);
+
+static void finish_request(struct view_sync *sync)
+{
+	sync->connection = NULL;
+	sync->body.len = 0;
+	uv_timer_stop(&sync->request_timer);
+}
+
+static void fail_request(struct view_sync *sync, const char *reason)
+{
+	uint64_t now_us = dw_clock_now_us();
+	struct dw_endpoint address = { 0 };
+
+	sync->failures++;
+	peers_find(&sync->view->peers, sync->asked, &address);
+	dw_log_event(sync->view->log, DW_EVENT_VIEW_SOURCE_FAILED, DW_STR("source", address.ip),
+		     DW_STR("reason", reason),
+		     DW_INT("waited_ms", (now_us - sync->requested_at_us) / DW_US_PER_MS));
+	dw_view_source_failed(&sync->view->source, now_us);
+	finish_request(sync);
+}
+
+static bool on_head(void *owner, const struct http_head *head)
+{
+	struct view_sync *sync = owner;
+
+	sync->status = head->status;
+	return head->status == 200;
+}
+
+static bool on_body(void *owner, const char *bytes, size_t len)
+{
+	struct view_sync *sync = owner;
+	uint64_t now_us = dw_clock_now_us();
+	uint64_t timeout_us = sync->view->source.timing.pull_timeout_us;
+
+	if (sync->body.len + len > VIEW_ANSWER_MAX_BYTES || now_us >= sync->end_at_us)
+		return false;
+	bytes_put(&sync->body, bytes, len);
+	if (now_us + timeout_us > sync->end_at_us)
+		timeout_us = sync->end_at_us - now_us;
+	uv_timer_start(&sync->request_timer, sync->request_timer.timer_cb,
+		       timeout_us / DW_US_PER_MS + 1, 0);
+	return true;
+}
+
+/* Logs from where the copy is kept up to date, when that has changed. */
+static void log_source(struct view_sync *sync, uint64_t source, const char *address)
+{
+	if (sync->logged_source == source)
+		return;
+	sync->logged_source = source;
+	dw_log_event(
+		sync->view->log, DW_EVENT_VIEW_SOURCE, DW_STR("source", address),
+		DW_INT("revision", dw_view_log_revision(sync->view->records)),
+		DW_INT("age_ms", (dw_clock_now_us() - sync->view->confirmed_at_us) / DW_US_PER_MS));
+}
+
+static void apply_answer(struct view_sync *sync, const struct view_answer *answer)
+{
+	struct view *view = sync->view;
+	uint64_t now_us = dw_clock_now_us();
+	uint64_t confirmed_at_us = 0;
+	uint64_t store_back_at_us = 0;
+	struct dw_endpoint address = { 0 };
+
+	if (answer->has_proof)
+		confirmed_at_us = dw_view_relayed_proof_us(sync->requested_at_us, answer->held_us,
+							   answer->age_us, now_us);
+	if (confirmed_at_us == 0) {
+		fail_request(sync, "no copy");
+		return;
+	}
+	if (answer->had_outage && answer->store_back_us < now_us)
+		store_back_at_us = now_us - answer->store_back_us;
+	finish_request(sync);
+	view_apply_answer(view, answer, now_us);
+	view_peer_current(view, confirmed_at_us, store_back_at_us, now_us);
+	if (peers_find(&view->peers, sync->asked, &address))
+		log_source(sync, sync->asked, address.ip);
+}
+
+static void on_end(void *owner)
+{
+	struct view_sync *sync = owner;
+	struct view_answer answer;
+	enum dw_status status =
+		view_answer_unpack((const uint8_t *)sync->body.data, sync->body.len, &answer);
+
+	http_connection_release(sync->connection);
+	sync->connection = NULL;
+	if (status != DW_OK) {
+		dw_counters_add(sync->view->counters, DW_COUNTER_BAD_INPUTS, 1);
+		fail_request(sync, dw_last_message());
+		return;
+	}
+	apply_answer(sync, &answer);
+	view_answer_free(&answer);
+	/* The next request follows once the connection's callbacks have returned. */
+	uv_timer_start(&sync->check_timer, on_check_timer, 0, CHECK_PERIOD_MS);
+}
+
+static void on_failed(void *owner, enum http_connection_failure failure)
+{
+	struct view_sync *sync = owner;
+
+	sync->connection = NULL;
+	fail_request(sync, http_connection_failure_name(failure));
+}
+
+static const struct http_connection_callbacks callbacks = { on_head, on_body, on_end, on_failed };
+
+static void on_request_timeout(uv_timer_t *timer)
+{
+	struct view_sync *sync = timer->data;
+	uint64_t timeout_ms = sync->view->source.timing.pull_timeout_us / DW_US_PER_MS;
+
+	if (!sync->is_sent && http_connection_is_established(sync->connection)) {
+		sync->is_sent = true;
+		uv_timer_start(&sync->request_timer, on_request_timeout, timeout_ms + 1, 0);
+		return;
+	}
+	http_connection_abort(sync->connection);
+	fail_request(sync, "timeout");
+	ask(sync);
+}
+
+static void send_request(struct view_sync *sync, const struct dw_endpoint *address)
+{
+	uint64_t timeout_us = sync->view->source.timing.pull_timeout_us;
+	char request[REQUEST_BYTES];
+	int len = snprintf(request, sizeof(request),
+			   "GET " VIEW_TARGET "%" PRIu64 " HTTP/1.1\r\nHost: %s:%u\r\n\r\n",
+			   dw_view_log_revision(sync->view->records), address->ip, address->port);
+
+	sync->requested_at_us = dw_clock_now_us();
+	sync->end_at_us = sync->requested_at_us + WHOLE_ANSWER_TIMEOUTS * timeout_us;
+	sync->is_sent = false;
+	sync->requests++;
+	sync->connection =
+		http_pool_send(sync->pool, address, false, request, (size_t)len, &callbacks, sync);
+	if (sync->connection)
+		uv_timer_start(&sync->request_timer, on_request_timeout, CONNECT_TIMEOUT_MS, 0);
+	else
+		fail_request(sync, "no connection");
+}
+
+/* An instance that has just started knows no other one, but where some should be. */
+static void ask_seed(struct view_sync *sync)
+{
+	uint32_t count = peers_seed_count(&sync->view->peers);
+	struct dw_endpoint address;
+
+	if (sync->view->confirmed_at_us > 0 || sync->view->source.place.members > 1 || count == 0)
+		return;
+	address = peers_seed(&sync->view->peers, sync->next_seed++ % count);
+	send_request(sync, &address);
+}
+
+/* Asks the next source, unless a request is in progress. With a copy the answer has only changes. */
+static void ask(struct view_sync *sync)
+{
+	uint64_t now_us = dw_clock_now_us();
+	struct dw_endpoint address;
+
+	if (sync->connection || now_us < sync->requested_at_us + REQUEST_INTERVAL_US)
+		return;
+	if (sync->store->is_range_pending && now_us < sync->started_at_us + COPY_WAIT_US)
+		return;
+	sync->asked = dw_view_source_next(&sync->view->source, now_us);
+	if (sync->asked == 0)
+		ask_seed(sync);
+	else if (peers_find(&sync->view->peers, sync->asked, &address))
+		send_request(sync, &address);
+	else
+		dw_view_source_failed(&sync->view->source, now_us);
+}
+
+static void on_check_timer(uv_timer_t *timer)
+{
+	struct view_sync *sync = timer->data;
+	struct dw_view_source *source = &sync->view->source;
+	uint64_t now_us = dw_clock_now_us();
+	bool reads = dw_view_source_reads_store(source, now_us);
+
+	if (reads != sync->store->is_active)
+		dw_log_event(sync->view->log, DW_EVENT_VIEW_READER, DW_INT("reads", reads),
+			     DW_INT("rank", source->place.rank),
+			     DW_INT("readers", source->place.readers),
+			     DW_INT("members", source->place.members),
+			     DW_INT("age_ms",
+				    sync->view->confirmed_at_us > 0
+					    ? (now_us - sync->view->confirmed_at_us) / DW_US_PER_MS
+					    : 0));
+	store_sync_set_active(sync->store, reads);
+	if (reads && dw_view_source_is_reader(source) && sync->view->is_store_reached)
+		log_source(sync, 0, "store");
+	ask(sync);
+}
+
+void view_sync_start(struct view_sync *sync, uv_loop_t *loop, struct view *view,
+		     struct store_sync *store)
+{
+	struct http_pool_options options = {
+		.loop = loop,
+		.max_idle = 1,
+		.idle_timeout_ms = IDLE_TIMEOUT_MS,
+		.unacknowledged_timeout_ms = UNACKNOWLEDGED_TIMEOUT_MS,
+		.max_head_bytes = MAX_HEAD_BYTES,
+	};
+
+	memset(sync, 0, sizeof(*sync));
+	sync->view = view;
+	sync->store = store;
+	sync->pool = http_pool_new(&options);
+	sync->logged_source = UINT64_MAX;
+	sync->started_at_us = dw_clock_now_us();
+	uv_random(NULL, NULL, &sync->next_seed, sizeof(sync->next_seed), 0, NULL);
+	uv_timer_init(loop, &sync->request_timer);
+	sync->request_timer.data = sync;
+	uv_timer_init(loop, &sync->check_timer);
+	sync->check_timer.data = sync;
+	uv_timer_start(&sync->check_timer, on_check_timer, 0, CHECK_PERIOD_MS);
+}
--- a/tests/store_etcd_test.cc
+++ b/tests/store_etcd_test.cc
@@ -41,8 +41,8 @@
 		options.from_revision = from;
 		options.deadline_us = deadline_us;
 		options.on_events = on_events;
-		options.on_up_to_date = [](struct dw_store_watch *, uint64_t confirmed_at_us,
-					   void *data) {
+		options.on_up_to_date = [](struct dw_store_watch *, uint64_t,
+					   uint64_t confirmed_at_us, void *data) {
 			static_cast<watcher *>(data)->confirmed_times.push_back(confirmed_at_us);
 		};
 		options.on_ended = on_ended;
--- /dev/null
+++ b/tests/view_codec_test.cc
@@ -0,0 +1,115 @@
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "net/view_codec.h"
+
+namespace
+{
+
+struct ViewCodec : testing::Test {
+	dw_view_log *log = dw_view_log_new();
+	msgpack_sbuffer bytes;
+	view_answer answer{};
+
+	ViewCodec()
+	{
+		msgpack_sbuffer_init(&bytes);
+		put("a", "one", 3);
+		put("b", "", 5);
+		dw_view_record gone{};
+		bool existed;
+		gone.key = "c";
+		gone.revision = 7;
+		gone.deleted = true;
+		dw_view_log_put(log, &gone, 1, &existed);
+		answer.revision = 7;
+		answer.held_us = 200;
+		answer.has_proof = true;
+		answer.age_us = 100;
+	}
+	~ViewCodec() override
+	{
+		msgpack_sbuffer_destroy(&bytes);
+		dw_view_log_free(log);
+	}
+	void put(const std::string &key, const std::string &value, uint64_t revision)
+	{
+		dw_view_record record{};
+		bool existed;
+		record.key = key.c_str();
+		record.value = (const uint8_t *)value.c_str();
+		record.value_len = value.size();
+		record.revision = revision;
+		dw_view_log_put(log, &record, 1, &existed);
+	}
+	void pack(uint64_t after)
+	{
+		msgpack_packer packer;
+		msgpack_sbuffer_clear(&bytes);
+		msgpack_packer_init(&packer, &bytes, msgpack_sbuffer_write);
+		view_answer_pack(&packer, &answer, log, after);
+	}
+	dw_status unpack(view_answer *out, size_t len) const
+	{
+		return view_answer_unpack((const uint8_t *)bytes.data, len, out);
+	}
+};
+
+TEST_F(ViewCodec, ChangesArrive)
+{
+	view_answer out;
+	pack(4);
+	ASSERT_EQ(unpack(&out, bytes.size), DW_OK);
+	EXPECT_EQ(out.revision, 7U);
+	EXPECT_EQ(out.held_us, 200U);
+	EXPECT_TRUE(out.has_proof);
+	EXPECT_EQ(out.age_us, 100U);
+	EXPECT_FALSE(out.had_outage);
+	ASSERT_EQ(out.record_count, 2U);
+	EXPECT_STREQ(out.records[0].key, "b");
+	EXPECT_STREQ((const char *)out.records[0].value, "");
+	EXPECT_FALSE(out.records[0].deleted);
+	EXPECT_STREQ(out.records[1].key, "c");
+	EXPECT_TRUE(out.records[1].deleted);
+	view_answer_free(&out);
+}
+
+TEST_F(ViewCodec, ASnapshotHasWhatExists)
+{
+	view_answer out;
+	answer.is_snapshot = true;
+	answer.had_outage = true;
+	answer.store_back_us = 9;
+	pack(0);
+	ASSERT_EQ(unpack(&out, bytes.size), DW_OK);
+	EXPECT_TRUE(out.is_snapshot);
+	EXPECT_EQ(out.store_back_us, 9U);
+	ASSERT_EQ(out.record_count, 2U);
+	EXPECT_EQ(std::string((const char *)out.records[0].value, out.records[0].value_len), "one");
+	view_answer_free(&out);
+}
+
+/* One malformed message doesn't take the process down, and nothing is read beyond its end. */
+TEST_F(ViewCodec, MalformedAnswersAreRefused)
+{
+	view_answer out;
+	pack(0);
+	for (size_t len = 0; len < bytes.size; len++)
+		EXPECT_NE(unpack(&out, len), DW_OK) << len;
+	std::string valid(bytes.data, bytes.size);
+	for (size_t i = 0; i < valid.size() * 256; i++) {
+		std::string changed = valid;
+		changed[i / 256] = (char)(i % 256);
+		if (view_answer_unpack((const uint8_t *)changed.data(), changed.size(), &out) ==
+		    DW_OK)
+			view_answer_free(&out);
+	}
+	const uint8_t other_version[] = { 0x97, 0x02, 0x01, 0x00, 0x00, 0xc0, 0xc0, 0x90 };
+	EXPECT_NE(view_answer_unpack(other_version, sizeof(other_version), &out), DW_OK);
+	const uint8_t endless_array[] = { 0x97, 0x01, 0x01, 0x00, 0x00, 0xc0,
+					  0xc0, 0xdd, 0xff, 0xff, 0xff, 0xff };
+	EXPECT_NE(view_answer_unpack(endless_array, sizeof(endless_array), &out), DW_OK);
+}
+
+} // namespace
