--- /dev/null
+++ b/tests/process_fleet_test.cc
@@ -0,0 +1,259 @@
+// Several wharf-gateway processes that share one view of the store: real sockets, between a simulated
+// store and simulated back ends.
+#include <gtest/gtest.h>
+
+#include <csignal>
+
+#include <algorithm>
+#include <chrono>
+#include <fstream>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "support/http.h"
+#include "support/platform.h"
+#include "support/raw_socket.h"
+
+using support::free_port;
+using support::http_call;
+using support::process;
+using support::wait_until;
+
+namespace
+{
+
+constexpr int CHANGE_MS = 2000;
+constexpr int REVOCATION_MS = 3000;
+constexpr size_t INSTANCES = 6;
+
+int64_t now_ms()
+{
+	return std::chrono::duration_cast<std::chrono::milliseconds>(
+		       std::chrono::steady_clock::now().time_since_epoch())
+		.count();
+}
+
+struct instance {
+	std::string name;
+	std::string peer_ip;
+	uint16_t caller_port = 0;
+	uint16_t ready_port = 0;
+	uint16_t metrics_port = 0;
+	std::unique_ptr<process> gateway;
+
+	int64_t metric(const std::string &name_of_metric) const
+	{
+		std::string text = http_call(metrics_port, "GET", "/metrics").body;
+		std::string line = "\ndragonflywharf_" + name_of_metric + " ";
+		size_t at = text.find(line);
+		return at == std::string::npos ? -1 : atoll(text.c_str() + at + line.size());
+	}
+	bool is_ready() const
+	{
+		return http_call(ready_port, "GET", "/dragonflywharf/ready").status == 200;
+	}
+};
+
+struct Fleet : testing::Test, support::platform {
+	uint16_t peer_port = free_port();
+	std::vector<instance> instances{ INSTANCES };
+	int next_attempt = 0;
+
+	void launch(size_t i)
+	{
+		instance &each = instances[i];
+		auto at = [](uint16_t port) {
+			return "\"127.0.0.1:" + std::to_string(port) + "\"";
+		};
+		each.name = "front-" + std::to_string(i);
+		each.peer_ip = "127.0.7." + std::to_string(i + 1);
+		each.caller_port = free_port();
+		each.ready_port = free_port();
+		each.metrics_port = free_port();
+		std::string path = testing::TempDir() + "fleet-" + std::to_string(peer_port) + "-" +
+				   std::to_string(i);
+		std::ofstream(path)
+			<< "{\"instance\":\"" << each.name << "\",\"failure_domain\":\"d" << i % 3
+			<< "\",\"caller_address\":" << at(each.caller_port)
+			<< ",\"readiness_address\":" << at(each.ready_port)
+			<< ",\"metrics_address\":" << at(each.metrics_port)
+			<< ",\"store\":" << at(store_port) << ",\"peer_address\":\"" << each.peer_ip
+			<< ":" << peer_port << "\",\"seeds\":[\"127.0.7.1:1\",\"127.0.7.2:1\"]"
+			<< ",\"keys_fail_closed\":true,\"revocation_ms\":" << REVOCATION_MS
+			<< ",\"change_applied_ms\":" << CHANGE_MS
+			<< ",\"retry_ratio\":0.9,\"retry_slack\":160,\"stop_timeout_s\":8}";
+		each.gateway = std::make_unique<process>(
+			"wharf-gateway", std::vector<std::string>{ "--settings", path });
+	}
+	/* All instances are ready and know each other. */
+	void wait_for_fleet()
+	{
+		for (const instance &each : instances)
+			ASSERT_TRUE(wait_until([&] {
+				return each.is_ready() && each.metric("members") == INSTANCES;
+			})) << each.name;
+	}
+	void SetUp() override
+	{
+		add_backend("e1");
+		configure();
+		for (size_t i = 0; i < INSTANCES; i++)
+			launch(i);
+		wait_for_fleet();
+	}
+	std::vector<size_t> readers() const
+	{
+		std::vector<size_t> found;
+		for (size_t i = 0; i < INSTANCES; i++) {
+			if (instances[i].metric("view_rank") < 2)
+				found.push_back(i);
+		}
+		return found;
+	}
+	int look(size_t i, const std::string &key)
+	{
+		return http_call(instances[i].caller_port, "GET", "/look/1", "",
+				 { { "Attempt-Id", "a" + std::to_string(next_attempt++) },
+				   { "Deadline-Ms", "1500" },
+				   { "Credential", key } })
+			.status;
+	}
+	/* Time until the instance answers requests with the key with @p status. */
+	int64_t time_until(size_t i, const std::string &key, int status, int64_t since_ms)
+	{
+		wait_until([&] { return look(i, key) == status; });
+		return now_ms() - since_ms;
+	}
+};
+
+/* Two of the instances read the store; all others have each change from them, in time. */
+TEST_F(Fleet, AFewInstancesReadTheStore)
+{
+	auto reading = readers();
+	ASSERT_EQ(reading.size(), 2U);
+	std::this_thread::sleep_for(std::chrono::milliseconds(CHANGE_MS));
+	std::vector<int64_t> calls;
+	for (const instance &each : instances)
+		calls.push_back(each.metric("store_calls"));
+	for (int version_of_keys = 0; version_of_keys < 3; version_of_keys++) {
+		std::string key = "new-" + std::to_string(version_of_keys);
+		configure("\"k1\",\"" + key + "\"");
+		int64_t changed_ms = now_ms();
+		for (size_t i = 0; i < INSTANCES; i++)
+			EXPECT_LT(time_until(i, key, 200, changed_ms), CHANGE_MS) << i;
+	}
+	for (size_t i = 0; i < INSTANCES; i++) {
+		bool is_reader = std::count(reading.begin(), reading.end(), i) > 0;
+		if (!is_reader) {
+			EXPECT_EQ(instances[i].metric("store_calls"), calls[i]) << i;
+		}
+		EXPECT_EQ(instances[i].metric("view_hops") == 0, is_reader) << i;
+	}
+}
+
+/* Both readers are suspended just before a key is withdrawn: the others refuse it in time, and the
+ * readers do as soon as they run again. */
+TEST_F(Fleet, SuspendedReadersAreReplaced)
+{
+	auto suspended = readers();
+	configure("\"k1\",\"k2\"");
+	for (size_t i = 0; i < INSTANCES; i++)
+		ASSERT_TRUE(wait_until([&] { return look(i, "k2") == 200; })) << i;
+	for (size_t i : suspended)
+		instances[i].gateway->signal(SIGSTOP);
+	configure("\"k1\"");
+	int64_t withdrawn_ms = now_ms();
+	for (size_t i = 0; i < INSTANCES; i++) {
+		if (std::count(suspended.begin(), suspended.end(), i) == 0) {
+			EXPECT_LT(time_until(i, "k2", 401, withdrawn_ms), CHANGE_MS) << i;
+		}
+	}
+	while (now_ms() < withdrawn_ms + REVOCATION_MS)
+		std::this_thread::sleep_for(std::chrono::milliseconds(50));
+	int64_t runs = sum_stat("runs");
+	for (size_t i : suspended) {
+		instances[i].gateway->signal(SIGCONT);
+		int status = look(i, "k2");
+		EXPECT_TRUE(status == 401 || status == 503) << status;
+		EXPECT_TRUE(wait_until([&] { return look(i, "k1") == 200; })) << i;
+	}
+	EXPECT_EQ(look(suspended[0], "k2"), 401);
+	EXPECT_EQ(sum_stat("runs"), runs + (int64_t)suspended.size());
+}
+
+/* What an instance gets at its start from the others, who remember more than the store, doesn't bring
+ * back a back end that has left or a key that was withdrawn. */
+TEST_F(Fleet, ARestartBringsNothingBack)
+{
+	support::backend &leaving = add_backend("e2");
+	configure("\"k1\",\"k2\"");
+	for (size_t i = 0; i < INSTANCES; i++)
+		ASSERT_TRUE(wait_until([&] {
+			return instances[i].metric("engines_usable") == 2 && look(i, "k2") == 200;
+		})) << i;
+	/* For 2.2 s after the store was first reached, a missing back end may only be late to register. */
+	std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+	for (size_t i = 0; i < INSTANCES; i += 2)
+		instances[i].gateway->kill();
+	remove("servers/e2");
+	configure("\"k1\"");
+	for (size_t i = 1; i < INSTANCES; i += 2)
+		EXPECT_TRUE(wait_until([&] { return look(i, "k2") == 401; })) << i;
+	int64_t runs = leaving.read_stat("runs");
+	for (size_t i = 0; i < INSTANCES; i += 2)
+		launch(i);
+	for (size_t i = 0; i < INSTANCES; i += 2)
+		ASSERT_TRUE(wait_until([&] { return instances[i].is_ready(); })) << i;
+	for (size_t i = 0; i < INSTANCES; i++) {
+		EXPECT_EQ(look(i, "k2"), 401) << i;
+		EXPECT_EQ(instances[i].metric("engines_usable"), 1) << i;
+		for (int request = 0; request < 5; request++)
+			EXPECT_EQ(look(i, "k1"), 200) << i;
+	}
+	EXPECT_EQ(leaving.read_stat("runs"), runs);
+}
+
+/* All processes die at once and start again: each is ready soon, and two of them read the store. */
+TEST_F(Fleet, AllRestartTogether)
+{
+	for (const instance &each : instances)
+		each.gateway->kill();
+	int64_t started_ms = now_ms();
+	for (size_t i = 0; i < INSTANCES; i++)
+		launch(i);
+	for (const instance &each : instances)
+		ASSERT_TRUE(wait_until([&] { return each.is_ready(); })) << each.name;
+	EXPECT_LT(now_ms() - started_ms, 2000);
+	wait_for_fleet();
+	EXPECT_EQ(readers().size(), 2U);
+}
+
+/* Bytes that are no message, on the ports of the other instances, change nothing. */
+TEST_F(Fleet, MalformedPeerMessagesAreIgnored)
+{
+	std::string long_text(3000, 'x');
+	for (const std::string &path :
+	     { std::string("/view/1?after="), std::string("/view/1?after=-1"),
+	       std::string("/view/2?after=1"), std::string("/view/1?after=99999999999999999999999"),
+	       "/" + long_text, std::string("/metrics") }) {
+		std::string answer = support::exchange_bytes(
+			"127.0.7.1", peer_port, "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n");
+		EXPECT_EQ(answer.find("HTTP/1.1 200"), std::string::npos) << path;
+		EXPECT_TRUE(instances[0].is_ready()) << path;
+	}
+	support::exchange_bytes("127.0.7.1", peer_port, std::string("\0\xff\r\n\r\n", 6));
+	for (const std::string &bytes :
+	     { std::string(1, '\0'), std::string("\1"), std::string("\1\1"), std::string("\1\2"),
+	       std::string("\1\3abcdefgh"), std::string("\1\1\xdd\xff\xff\xff\xff"),
+	       std::string("\1\4") + long_text.substr(0, 1400), std::string("\2\1") }) {
+		support::send_datagram("127.0.7.1", peer_port, bytes);
+		EXPECT_TRUE(instances[0].is_ready());
+	}
+	EXPECT_TRUE(wait_until([&] { return instances[0].metric("bad_inputs_total") >= 7; }));
+	EXPECT_EQ(look(0, "k1"), 200);
+	EXPECT_EQ(instances[0].metric("members"), INSTANCES);
+}
+
+} // namespace
