Rollouts: slow versions are judged by waits as they end, and by their number

The wait was compared with the time expected of that engine, which grows as it is slow (2,246 ms of 6,284 expected). And 7 slow of 15 beside 81 of 477 stayed below twice the old share plus 25 points.

Change: a wait for the first byte counts when it ends, also without a byte if it was too long; it is compared with the time at an engine of usual speed; a share of slow answers 15 points and three standard deviations above the old version's rolls back. Cases from the logs in version_shift_test, red before.

--- a/include/dragonflywharf/engine_choice.h
+++ b/include/dragonflywharf/engine_choice.h
@@ -89,6 +89,9 @@
 struct dw_choice_selection {
 	struct dw_engine *engine;
 	uint64_t expected_us; /**< time to the first response byte */
+	/** The same for an engine that has never been slower than expected: what a slow version is
+	 * compared with, as a slow engine is soon expected to be slow. */
+	uint64_t nominal_us;
 	uint32_t uncached_tokens; /**< prompt tokens that the engine has to process */
 };
 
--- a/include/dragonflywharf/version_shift.h
+++ b/include/dragonflywharf/version_shift.h
@@ -49,7 +49,8 @@
 /** Observations on one answer. */
 struct dw_shift_answer {
 	bool failed;
-	uint64_t first_byte_us; /**< time to the first byte; 0: there was none */
+	/** time to the first byte; 0: there was none, or it was counted when it came */
+	uint64_t first_byte_us;
 	uint64_t expected_first_byte_us; /**< expected time to the first byte; 0: unknown */
 	uint32_t load_permille; /**< share of the engine's slots in use, as answered; 0: unknown */
 };
@@ -92,6 +93,20 @@
 void dw_shift_count_answer(struct dw_shift *shift, enum dw_shift_side side,
 			   const struct dw_shift_answer *answer, uint64_t now_us);
 
+/** A request's wait for its first byte. */
+struct dw_shift_wait {
+	uint64_t waited_us;
+	uint64_t expected_us; /**< at an engine of usual speed; 0: unknown */
+	bool has_started; /**< false: it ended without a byte, and counts only if it was too long */
+};
+
+/**
+ * Counts a wait as soon as it has ended: a slow version shows itself before its answers end, and
+ * callers may leave before they begin.
+ */
+void dw_shift_count_wait(struct dw_shift *shift, enum dw_shift_side side,
+			 const struct dw_shift_wait *wait, uint64_t now_us);
+
 /** True if this instance has evidence against the new version, which the others should get. */
 bool dw_shift_is_suspect(const struct dw_shift *shift);
 
--- a/src/core/engine_choice.c
+++ b/src/core/engine_choice.c
@@ -169,8 +169,8 @@
 	return expected_us * engine->latency_ratio_permille / 1000;
 }
 
-static uint64_t expected_us(const struct dw_choice_request *request, struct dw_engine *engine,
-			    bool is_home, uint32_t *uncached)
+static uint64_t nominal_us(const struct dw_choice_request *request, struct dw_engine *engine,
+			   bool is_home, uint32_t *uncached)
 {
 	uint64_t ahead = requests_ahead_permille(request, engine);
 	uint64_t per_1000 = us_per_1000_tokens(request);
@@ -183,7 +183,7 @@
 		*uncached = uncached_tokens(request, engine, is_home);
 		us = (*uncached + ahead * QUEUED_REQUEST_TOKENS / 1000) * per_1000 / 1000;
 	}
-	return scale_by_latency_ratio(engine, us);
+	return us;
 }
 
 /* Costs besides the expected time: failures, distance and the tie breaker. */
@@ -328,7 +328,8 @@
 	struct dw_choice_selection selection = { .engine = engine };
 	uint64_t cost;
 
-	selection.expected_us = expected_us(request, engine, is_home, &selection.uncached_tokens);
+	selection.nominal_us = nominal_us(request, engine, is_home, &selection.uncached_tokens);
+	selection.expected_us = scale_by_latency_ratio(engine, selection.nominal_us);
 	cost = selection.expected_us + extra_cost_us(request, engine);
 	if (!is_in_group)
 		cost += request->is_long_answer ? LONG_ANSWER_MISMATCH_US : LONG_PROMPT_MISMATCH_US;
--- a/src/core/version_shift.c
+++ b/src/core/version_shift.c
@@ -45,6 +45,12 @@
  * answers exceeds twice the old version's share by at least this much, in thousandths. */
 #define ROLLBACK_MIN_SLOW 6
 #define ROLLBACK_SLOW_EXCESS_PERMILLE 250
+/* Or if their share exceeds the old version's by at least this much, and by more than chance explains:
+ * by this many standard deviations of a share of as many answers. */
+#define ROLLBACK_SLOW_SURPLUS 0.15
+#define ROLLBACK_SLOW_DEVIATIONS 3.0
+/* A share of the old version below this is taken for it, as it may be lower by chance. */
+#define OLD_SLOW_SHARE_MIN 0.02
 /* An answer is slow if it takes longer than this many times the expected time plus this slack. */
 #define SLOW_FACTOR 4
 #define SLOW_SLACK_US UINT64_C(150000)
@@ -147,12 +153,26 @@
 	count->bad += answer->failed;
 	if (side == DW_SHIFT_NEW && !answer->failed && answer->load_permille >= LOADED_PERMILLE)
 		shift->loaded_answers++;
-	if (answer->first_byte_us == 0 || answer->expected_first_byte_us == 0 ||
-	    may_be_loaded(shift, now_us))
+	if (answer->first_byte_us > 0) {
+		struct dw_shift_wait wait = { .waited_us = answer->first_byte_us,
+					      .expected_us = answer->expected_first_byte_us,
+					      .has_started = true };
+
+		dw_shift_count_wait(shift, side, &wait, now_us);
+	}
+}
+
+void dw_shift_count_wait(struct dw_shift *shift, enum dw_shift_side side,
+			 const struct dw_shift_wait *wait, uint64_t now_us)
+{
+	struct dw_shift_counts *count = &shift->own.counts[side];
+	bool is_slow = wait->waited_us > SLOW_FACTOR * wait->expected_us + SLOW_SLACK_US;
+
+	if (wait->expected_us == 0 || may_be_loaded(shift, now_us) ||
+	    (!wait->has_started && !is_slow))
 		return;
 	count->timed++;
-	count->slow += answer->first_byte_us >
-		       SLOW_FACTOR * answer->expected_first_byte_us + SLOW_SLACK_US;
+	count->slow += is_slow;
 }
 
 /* True if the share of @p some in @p all exceeds twice the share of @p old_some in @p old_all by at
@@ -165,11 +185,30 @@
 	return all > 0 && (uint64_t)some * 1000 / all >= 2 * old_permille + excess_permille;
 }
 
+/* Whether more of the new version's answers are slow than chance explains, if it is as fast as the old
+ * version. */
+static bool is_unlikely_slow(const struct dw_shift_counts *new, const struct dw_shift_counts *old)
+{
+	double share;
+	double surplus;
+
+	if (new->timed == 0 || old->timed == 0)
+		return false;
+	share = (double)old->slow / old->timed;
+	if (share < OLD_SLOW_SHARE_MIN)
+		share = OLD_SLOW_SHARE_MIN;
+	surplus = (double)new->slow / new->timed - share;
+	return surplus >= ROLLBACK_SLOW_SURPLUS &&
+	       surplus * surplus >= ROLLBACK_SLOW_DEVIATIONS * ROLLBACK_SLOW_DEVIATIONS * share *
+					    (1 - share) / new->timed;
+}
+
 static bool is_slow(const struct dw_shift_counts *new, const struct dw_shift_counts *old)
 {
-	return new->slow >= ROLLBACK_MIN_SLOW &&is_excess(new->slow, new->timed, old->slow,
-							  old->timed,
-							  ROLLBACK_SLOW_EXCESS_PERMILLE);
+	if (new->slow < ROLLBACK_MIN_SLOW)
+		return false;
+	return is_unlikely_slow(new, old) || is_excess(new->slow, new->timed, old->slow, old->timed,
+						       ROLLBACK_SLOW_EXCESS_PERMILLE);
 }
 
 static bool is_failing(const struct dw_shift_counts *new, const struct dw_shift_counts *old)
--- a/src/wharf-gateway/exchange.c
+++ b/src/wharf-gateway/exchange.c
@@ -103,6 +103,8 @@
 	uint64_t now_us = dw_clock_now_us();
 
 	if (now_us >= exchange->policy.deadline_us) {
+		if (exchange->attempt)
+			exchange_count_version_wait(exchange);
 		if (exchange->attempt)
 			attempt_abort(exchange->attempt, attempt_answer_started(exchange->attempt)
 								 ? DW_ENGINE_CANCELLED
@@ -136,6 +138,8 @@
 	enum dw_policy_verdict verdict =
 		dw_request_policy_ended(&exchange->policy, outcome, may_retry, now_us);
 
+	if (outcome == DW_ATTEMPT_NO_ANSWER)
+		exchange_count_version_wait(exchange);
 	if (exchange_counts_as_version_failure(exchange, outcome))
 		exchange_count_version_result(exchange, true);
 	else if (outcome == DW_ATTEMPT_DROPPED || outcome == DW_ATTEMPT_NO_ANSWER)
@@ -175,8 +179,9 @@
 {
 	memcpy(exchange->version, chosen->engine->entry.version, sizeof(exchange->version));
 	exchange->attempt_sent_at_us = now_us;
-	exchange->attempt_expected_us = chosen->expected_us;
+	exchange->attempt_nominal_us = chosen->nominal_us;
 	exchange->answer_started_at_us = 0;
+	exchange->is_wait_counted = false;
 	exchange->load_permille = 0;
 	exchange_pin_session(exchange);
 }
@@ -353,8 +358,10 @@
 
 void exchange_caller_disconnected(struct exchange *exchange)
 {
-	if (exchange->attempt)
+	if (exchange->attempt) {
+		exchange_count_version_wait(exchange);
 		attempt_abort(exchange->attempt, DW_ENGINE_CANCELLED);
+	}
 	exchange->attempt = NULL;
 	dw_counters_add(exchange->router->counters, DW_COUNTER_CALLERS_GONE, 1);
 	exchange_log_end(exchange, DW_EVENT_CALLER_GONE, 0, "the caller left");
--- a/src/wharf-gateway/exchange_answer.c
+++ b/src/wharf-gateway/exchange_answer.c
@@ -48,18 +48,27 @@
 		exchange->silence_deadline_us = exchange->last_progress_at_us + limit_us;
 }
 
+void exchange_count_version_wait(struct exchange *exchange)
+{
+	uint64_t now_us = dw_clock_now_us();
+	struct dw_shift_wait wait = {
+		.waited_us = now_us - exchange->attempt_sent_at_us,
+		.expected_us = exchange->attempt_nominal_us,
+		.has_started = exchange->answer_started_at_us > 0,
+	};
+
+	if (exchange->is_wait_counted || exchange->attempt_sent_at_us == 0)
+		return;
+	exchange->is_wait_counted = true;
+	shifts_count_wait(&exchange->router->view->shifts, exchange->service_name,
+			  exchange->version, &wait, now_us);
+}
+
 void exchange_count_version_result(struct exchange *exchange, bool failed)
 {
 	uint64_t now_us = dw_clock_now_us();
-	/* An answer that hasn't started takes at least until now. */
-	uint64_t answer_started_us =
-		exchange->answer_started_at_us > 0 ? exchange->answer_started_at_us : now_us;
 	struct dw_shift_answer answer = {
 		.failed = failed,
-		.first_byte_us = answer_started_us > exchange->attempt_sent_at_us
-					 ? answer_started_us - exchange->attempt_sent_at_us
-					 : 0,
-		.expected_first_byte_us = exchange->attempt_expected_us,
 		.load_permille = exchange->load_permille,
 	};
 
@@ -123,6 +132,7 @@
 	if (fields->has_load && fields->slots > 0)
 		exchange->load_permille =
 			(fields->running + fields->waiting) * 1000 / fields->slots;
+	exchange_count_version_wait(exchange);
 	if (exchange->policy.has_response_started)
 		return is_stream; /* a resumed stream keeps the head that its first engine sent */
 	exchange->answer.status = head->status;
--- a/src/wharf-gateway/exchange_state.h
+++ b/src/wharf-gateway/exchange_state.h
@@ -9,6 +9,7 @@
 
 #include <dragonflywharf/event_order.h>
 #include <dragonflywharf/request_policy.h>
+#include <dragonflywharf/version_shift.h>
 
 #include "base/error_json.h"
 #include "net/event_stream.h"
@@ -42,7 +43,8 @@
 	uint32_t model_index; /**< of model in route->models; valid if model is set */
 	char version[DW_ENGINE_TEXT_BYTES]; /**< of the attempt's engine */
 	uint64_t attempt_sent_at_us;
-	uint64_t attempt_expected_us; /**< estimated time to the answer's first byte */
+	uint64_t attempt_nominal_us; /**< time to the first byte at an engine of usual speed */
+	bool is_wait_counted; /**< the attempt's wait for its first byte was counted */
 	uint64_t answer_started_at_us; /**< of the attempt's answer; 0: not started */
 	uint32_t load_permille; /**< of the engine's slots, as reported in the answer; 0: unknown */
 	char tried[DW_CHOICE_TRIED_MAX][DW_ENGINE_TEXT_BYTES];
@@ -117,6 +119,8 @@
 extern const struct attempt_callbacks exchange_attempt_callbacks;
 /** Restarts the silence timeout: without data within @p limit_us, the attempt is aborted. */
 void exchange_restart_silence_timeout(struct exchange *exchange, uint64_t limit_us);
+/** Counts the attempt's wait for its first byte, which has come or won't be waited for any more. */
+void exchange_count_version_wait(struct exchange *exchange);
 /** Counts the attempt's result as evidence about its engine's version. */
 void exchange_count_version_result(struct exchange *exchange, bool failed);
 /** Whether this result counts as a failure of the version; timeouts don't, as load causes them too. */
--- a/src/wharf-gateway/shifts.c
+++ b/src/wharf-gateway/shifts.c
@@ -327,17 +327,39 @@
 	}
 }
 
+/* The service's rollout if it is running, else NULL. */
+static struct service_shift *find_running(struct shifts *shifts, const char *service_name)
+{
+	struct service_shift *service = find(shifts, service_name);
+
+	return service && service->shift.state == DW_SHIFT_RUNNING ? service : NULL;
+}
+
+static enum dw_shift_side side_of(const struct service_shift *service, const char *version)
+{
+	return strcmp(version, service->shift.order.target_version) == 0 ? DW_SHIFT_NEW
+									 : DW_SHIFT_OLD;
+}
+
+void shifts_count_wait(struct shifts *shifts, const char *service_name, const char *version,
+		       const struct dw_shift_wait *wait, uint64_t now_us)
+{
+	struct service_shift *service = find_running(shifts, service_name);
+
+	if (!service)
+		return;
+	dw_shift_count_wait(&service->shift, side_of(service, version), wait, now_us);
+	roll_back_if_bad(service, now_us);
+}
+
 void shifts_count_answer(struct shifts *shifts, const char *service_name, const char *version,
 			 const struct dw_shift_answer *answer, uint64_t now_us)
 {
-	struct service_shift *service = find(shifts, service_name);
-	enum dw_shift_side side = DW_SHIFT_OLD;
+	struct service_shift *service = find_running(shifts, service_name);
 
-	if (!service || service->shift.state != DW_SHIFT_RUNNING)
+	if (!service)
 		return;
-	if (strcmp(version, service->shift.order.target_version) == 0)
-		side = DW_SHIFT_NEW;
-	dw_shift_count_answer(&service->shift, side, answer, now_us);
+	dw_shift_count_answer(&service->shift, side_of(service, version), answer, now_us);
 	roll_back_if_bad(service, now_us);
 }
 
--- a/src/wharf-gateway/shifts.h
+++ b/src/wharf-gateway/shifts.h
@@ -51,6 +51,10 @@
 /** The service's rollout, NULL if there is none. */
 const struct dw_shift *shifts_find(struct shifts *shifts, const char *service);
 
+/** Counts a wait for the first byte of one version of a service, see dw_shift_count_wait(). */
+void shifts_count_wait(struct shifts *shifts, const char *service, const char *version,
+		       const struct dw_shift_wait *wait, uint64_t now_us);
+
 /** Counts an answer or a failure of one version of a service. */
 void shifts_count_answer(struct shifts *shifts, const char *service, const char *version,
 			 const struct dw_shift_answer *answer, uint64_t now_us);
--- a/tests/version_shift_test.cc
+++ b/tests/version_shift_test.cc
@@ -112,6 +112,52 @@
 	EXPECT_EQ(dw_shift_next_state(&shift, at(200)), DW_SHIFT_ROLLED_BACK);
 }
 
+/* Of 58 requests to a version that was slow, 19 were answered in the first half: callers left before
+ * the others, and answers of slow engines end late. Both count when the wait is over. */
+TEST_F(VersionShift, WaitsThatEndWithoutAnAnswerCount)
+{
+	dw_shift_wait usual = { 150 * MS, 100 * MS, true };
+	dw_shift_wait left_early = { 300 * MS, 100 * MS, false };
+	dw_shift_wait left_late = { 2000 * MS, 100 * MS, false };
+	for (int i = 0; i < 50; i++)
+		dw_shift_count_wait(&shift, DW_SHIFT_OLD, &usual, at(100));
+	for (int i = 0; i < 6; i++) {
+		dw_shift_count_wait(&shift, DW_SHIFT_NEW, &usual, at(100));
+		dw_shift_count_wait(&shift, DW_SHIFT_NEW, &left_early, at(100));
+	}
+	EXPECT_EQ(shift.own.counts[DW_SHIFT_NEW].timed, 6U) << "left early: says nothing";
+	EXPECT_EQ(dw_shift_next_state(&shift, at(200)), DW_SHIFT_RUNNING);
+	for (int i = 0; i < 6; i++)
+		dw_shift_count_wait(&shift, DW_SHIFT_NEW, &left_late, at(100));
+	EXPECT_EQ(dw_shift_next_state(&shift, at(200)), DW_SHIFT_ROLLED_BACK);
+}
+
+/* Counts of slow and timed answers, of the new and the old version, from rollouts under traffic: of
+ * versions of which a part of the answers was slow, and of good ones, some in trouble. */
+TEST_F(VersionShift, FewSlowAnswersAreJudgedByTheirNumber)
+{
+	struct {
+		uint32_t new_slow, new_timed, old_slow, old_timed;
+		dw_shift_state expected;
+	} cases[] = {
+		{ 7, 15, 81, 477, DW_SHIFT_ROLLED_BACK },
+		{ 43, 147, 111, 970, DW_SHIFT_ROLLED_BACK },
+		{ 34, 120, 111, 915, DW_SHIFT_ROLLED_BACK },
+		{ 10, 31, 55, 387, DW_SHIFT_RUNNING },
+		{ 55, 242, 67, 693, DW_SHIFT_RUNNING },
+		{ 16, 121, 37, 408, DW_SHIFT_RUNNING },
+		{ 5, 47, 84, 393, DW_SHIFT_RUNNING },
+		{ 5, 10, 0, 400, DW_SHIFT_RUNNING },
+		{ 6, 10, 0, 0, DW_SHIFT_ROLLED_BACK },
+	};
+	for (const auto &each : cases) {
+		shift.peers.counts[DW_SHIFT_NEW] = { 0, 0, each.new_timed, each.new_slow };
+		shift.peers.counts[DW_SHIFT_OLD] = { 0, 0, each.old_timed, each.old_slow };
+		EXPECT_EQ(dw_shift_next_state(&shift, at(500)), each.expected)
+			<< each.new_slow << " of " << each.new_timed;
+	}
+}
+
 TEST_F(VersionShift, EvidenceOfOtherInstancesCounts)
 {
 	shift.peers.counts[DW_SHIFT_NEW] = { 10, 5, 0, 0 };
