--- a/src/core/event_order.c
+++ b/src/core/event_order.c
@@ -21,8 +21,14 @@
 		pos++;
 	if (pos == end || *pos < '0' || *pos > '9')
 		return false;
-	for (; pos < end && *pos >= '0' && *pos <= '9'; pos++)
-		number = number * 10 + (uint64_t)(*pos - '0');
+	for (; pos < end && *pos >= '0' && *pos <= '9'; pos++) {
+		uint64_t digit = (uint64_t)(*pos - '0');
+
+		/* A number that is too large is no id, rather than another one. */
+		if (number > (UINT64_MAX - digit) / 10)
+			return false;
+		number = number * 10 + digit;
+	}
 	*id = number;
 	return true;
 }
--- a/tests/event_order_test.cc
+++ b/tests/event_order_test.cc
@@ -38,3 +38,13 @@
 }
 
 } // namespace
+
+TEST(EventOrder, AnIdThatIsTooLargeIsNone)
+{
+	uint64_t id = 0;
+	const std::string largest = "id: 18446744073709551615\n";
+	const std::string larger = "id: 18446744073709551617\n";
+	EXPECT_TRUE(dw_event_parse_id(largest.data(), largest.size(), &id));
+	EXPECT_EQ(id, UINT64_MAX);
+	EXPECT_FALSE(dw_event_parse_id(larger.data(), larger.size(), &id)) << "not 1";
+}
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -276,6 +276,41 @@
 	EXPECT_TRUE(fields.is_wrong_engine);
 }
 
+/* "-1" was 49 days of cold start, a load of four billion, the highest confidence. */
+TEST(ResponseFields, MalformedNumbersSayNothing)
+{
+	for (const char *text :
+	     { "-1", "+1", " 1", "1x", "0x10", "", "99999999999999999999", "1,2" }) {
+		std::string load = std::string(text) + ",1,8";
+		HeadBuilder response({ { "Attempt-Id", "a1" },
+				       { "Cold-Ms", text },
+				       { "Confidence", text },
+				       { "Server-Load", load.c_str() } });
+		response_fields fields;
+		response_fields_read(&response.head, &fields);
+		EXPECT_FALSE(fields.has_load) << text;
+		if (strcmp(text, "1,2") == 0)
+			continue; /* a list: its first number is taken */
+		EXPECT_EQ(fields.cold_remaining_ms, 0U) << text;
+		EXPECT_FALSE(fields.has_confidence) << text;
+	}
+}
+
+/* A double holds integers up to 2^53; a lease has an id of any size. */
+TEST(MetadataJson, KeepsLargeNumbers)
+{
+	std::string text = R"({"Lease":9007199254740993,"TtlMs":1000})";
+	uint64_t lease = 0;
+	uint64_t ttl_ms = 0;
+	ASSERT_EQ(metadata_lease_read(text.data(), text.size(), &lease, &ttl_ms), DW_OK);
+	EXPECT_EQ(lease, 9007199254740993U);
+	text += " \n";
+	EXPECT_EQ(metadata_lease_read(text.data(), text.size(), &lease, &ttl_ms), DW_OK);
+	text += "{}";
+	EXPECT_NE(metadata_lease_read(text.data(), text.size(), &lease, &ttl_ms), DW_OK)
+		<< "text after the object";
+}
+
 TEST(MetadataJson, DecodesEventsAndTombstones)
 {
 	std::string body =
