--- a/tests/process_poison_test.cc
+++ b/tests/process_poison_test.cc
@@ -14,6 +14,9 @@
 namespace
 {
 
+/* More than the slots that one instance owns of all engines, so that it borrows some of each. */
+constexpr int WARM_UP_CALLERS = 32;
+
 /** Stated bound on the crashes by a poison request that is repeated after each answer, over all
  * instances together. */
 constexpr int max_crashes = 2;
@@ -132,7 +135,7 @@
 		support::traffic warm_up("haarlemmerland", chat_body("large", "feed %", 2));
 
 		/* Successful requests earn the budget that the retries use. */
-		warm_up.press(instance, 8);
+		warm_up.press(instance, WARM_UP_CALLERS);
 		cluster::wait_until("each engine has answered", [&] {
 			return std::all_of(engines.begin(), engines.end(), [](auto *engine) {
 				return engine->stat("completed") >= 40;
