Large fleets: missing changes from the store first, relays pass on what matters

All records are 750 KB there: an instance that started had waited 0.25 s for its copy and then fetched all records from a seed, as did each that lacked a few changes older than its source's own first copy. And a relay passed on every load report, 49 datagrams of 1.2 KB for each 37 engines and 0.3 s: more than half of a link of 20 Mbit/s.

Change: a source that doesn't remember the missing changes says so (409), and the instance asks the store for them; only if it has no answer in a second, another instance for all records. The copy at the start is waited for up to 1 s. A relay passes on loads that changed by an eighth of the slots, or would be forgotten though a quarter is in use.

--- a/include/dragonflywharf/engine.h
+++ b/include/dragonflywharf/engine.h
@@ -63,6 +63,8 @@
 	uint64_t cold_until_us;
 	struct dw_engine_load load;
 	uint8_t load_scope; /**< enum dw_spread_scope: where the load still has to be sent */
+	uint32_t passed_on_load; /**< running and waiting requests, as last passed on by a relay */
+	uint64_t passed_on_at_us; /**< 0: never */
 	uint32_t in_flight; /**< this instance's requests at the engine */
 	uint32_t awaiting_response; /**< requests in flight that have no response byte yet */
 	uint32_t sent_since_load; /**< requests sent since the last load report */
--- a/include/dragonflywharf/view_source.h
+++ b/include/dragonflywharf/view_source.h
@@ -54,6 +54,7 @@
 	uint64_t confirmed_at_us[DW_VIEW_ORIGIN_COUNT]; /**< newest proof of each; 0: none */
 	struct dw_view_failed_source failed[DW_VIEW_SOURCES_MAX];
 	uint64_t asked; /**< the source asked last; 0: none */
+	uint64_t behind_since_us; /**< since when no source has the changes that are missing; 0 */
 	bool is_reading;
 	uint64_t reading_since_us;
 };
@@ -71,6 +72,15 @@
 /** The copy was current at @p confirmed_at_us according to the store or to the source asked. */
 void dw_view_source_confirmed(struct dw_view_source *source, enum dw_view_origin origin,
 			      uint64_t confirmed_at_us, uint64_t now_us);
+/**
+ * The source asked last doesn't remember all changes that this instance lacks. Their number is small
+ * and that of all records may be large, so the store is asked for them first.
+ */
+void dw_view_source_behind(struct dw_view_source *source, uint64_t now_us);
+/** Whether the store is being asked for missing changes, so that no source is asked meanwhile. */
+bool dw_view_source_waits_for_store(const struct dw_view_source *source, uint64_t now_us);
+/** Whether to ask a source for all records, as neither it nor the store had the changes. */
+bool dw_view_source_wants_all(const struct dw_view_source *source, uint64_t now_us);
 /** The source asked last didn't answer, or not properly. */
 void dw_view_source_failed(struct dw_view_source *source, uint64_t now_us);
 
--- a/src/core/load_digest.c
+++ b/src/core/load_digest.c
@@ -11,6 +11,11 @@
 #define ENTRY_FIELDS 5
 #define ENTRY_BYTES 32
 #define LOAD_MAX 100000
+/* A relay passes on changes of more than this part of the slots, and refreshes loads of at least that
+ * part before receivers forget them. */
+#define CHANGE_PART 8
+#define REFRESHED_PART 4
+#define REFRESH_US UINT64_C(1500000)
 
 static void write_entry(msgpack_packer *packer, const struct dw_engine *engine, uint64_t now_us)
 {
@@ -74,6 +79,21 @@
 	return numbers[1] <= LOAD_MAX && numbers[2] <= LOAD_MAX && numbers[3] <= LOAD_MAX;
 }
 
+/* Whether a relay passes the load on: it differs from the last one by an eighth of the slots, or it would
+ * be forgotten though much of the engine is in use. */
+static bool is_worth_passing_on(const struct dw_engine *engine, const struct dw_engine_load *load,
+				uint64_t now_us)
+{
+	uint32_t occupied = load->running + load->waiting;
+	uint32_t before = engine->passed_on_load;
+	uint32_t change = occupied > before ? occupied - before : before - occupied;
+
+	if (change * CHANGE_PART > load->slots)
+		return true;
+	return occupied * REFRESHED_PART >= load->slots &&
+	       now_us >= engine->passed_on_at_us + REFRESH_US;
+}
+
 static void apply_entry(struct dw_engine_set *set, enum dw_spread_scope scope,
 			const uint64_t *numbers, uint64_t now_us)
 {
@@ -88,7 +108,11 @@
 	if (load.reported_at_us <= engine->load.reported_at_us)
 		return;
 	dw_engine_load_received(engine, &load);
+	if (scope == DW_SPREAD_NOWHERE || !is_worth_passing_on(engine, &load, now_us))
+		return;
 	engine->load_scope |= (uint8_t)scope;
+	engine->passed_on_load = load.running + load.waiting;
+	engine->passed_on_at_us = now_us;
 }
 
 static enum dw_status apply_entries(struct dw_engine_set *set, enum dw_spread_scope scope,
--- a/src/core/view_log.c
+++ b/src/core/view_log.c
@@ -9,6 +9,7 @@
 	struct dw_view_record record; /* first: a record's address is that of its entry */
 	uint64_t updated_at_us;
 	uint64_t snapshot; /* number of the last snapshot that listed the key */
+	struct log_entry *next_forgotten;
 	UT_hash_handle hh;
 };
 
@@ -71,7 +72,7 @@
 	size_t len = strlen(key);
 	char *copy = alloc_or_abort(len + 1);
 
-	memcpy(copy, key, len);
+	memcpy(copy, key, len + 1);
 	entry->record.key = copy;
 	entry->record.deleted = true;
 	HASH_ADD_KEYPTR(hh, log->entries, entry->record.key, len, entry);
@@ -170,18 +171,23 @@
 
 void dw_view_log_forget(struct dw_view_log *log, uint64_t before_us)
 {
-	struct log_entry *entry = log->entries;
+	struct log_entry *forgotten = NULL;
+	struct log_entry *entry;
 	struct log_entry *next;
 
 	log->next_checked = NULL;
-	for (; entry; entry = next) {
-		next = entry->hh.next;
+	HASH_ITER(hh, log->entries, entry, next) {
 		if (!entry->record.deleted || entry->updated_at_us >= before_us)
 			continue;
 		if (entry->record.revision > log->forgotten_revision)
 			log->forgotten_revision = entry->record.revision;
 		HASH_DEL(log->entries, entry);
-		free_entry(entry);
+		entry->next_forgotten = forgotten;
+		forgotten = entry;
+	}
+	for (; forgotten; forgotten = next) {
+		next = forgotten->next_forgotten;
+		free_entry(forgotten);
 	}
 }
 
--- a/src/core/view_source.c
+++ b/src/core/view_source.c
@@ -20,6 +20,8 @@
 #define START_US UINT64_C(120000)
 #define START_STEP_US UINT64_C(300000)
 
+/* How long an instance that lacks changes waits for the store before it asks for all records. */
+#define BEHIND_US UINT64_C(1000000)
 /* Pause before a failed source is asked again, doubled with each failure in a row. */
 #define AVOID_US UINT64_C(2000000)
 #define AVOID_DOUBLINGS_MAX 3
@@ -119,11 +121,28 @@
 	avoid(source, source->asked, now_us);
 }
 
+void dw_view_source_behind(struct dw_view_source *source, uint64_t now_us)
+{
+	if (source->behind_since_us == 0)
+		source->behind_since_us = now_us;
+}
+
+bool dw_view_source_waits_for_store(const struct dw_view_source *source, uint64_t now_us)
+{
+	return source->behind_since_us > 0 && now_us < source->behind_since_us + BEHIND_US;
+}
+
+bool dw_view_source_wants_all(const struct dw_view_source *source, uint64_t now_us)
+{
+	return source->behind_since_us > 0 && now_us >= source->behind_since_us + BEHIND_US;
+}
+
 void dw_view_source_confirmed(struct dw_view_source *source, enum dw_view_origin origin,
 			      uint64_t confirmed_at_us, uint64_t now_us)
 {
 	struct dw_view_failed_source *failed;
 
+	source->behind_since_us = 0;
 	source->confirmed_at_us[origin] = max_u64(source->confirmed_at_us[origin], confirmed_at_us);
 	if (origin != DW_VIEW_FROM_PEER)
 		return;
@@ -183,7 +202,7 @@
 	else if (source->is_reading)
 		reads = confirmed_at_us < source->reading_since_us;
 	else
-		reads = is_takeover_due(source, now_us);
+		reads = source->behind_since_us > 0 || is_takeover_due(source, now_us);
 	if (reads && !source->is_reading)
 		source->reading_since_us = now_us;
 	source->is_reading = reads;
--- a/src/wharf-gateway/digest_exchange.c
+++ b/src/wharf-gateway/digest_exchange.c
@@ -11,8 +11,8 @@
 #define DIGESTS_MAX 16
 #define DIGEST_BYTES 1200
 
-_Static_assert(DIGEST_BYTES >= DW_LOAD_DIGEST_BYTES && DIGEST_BYTES >= DW_SESSION_PINS_DIGEST_BYTES,
-	       "digests of all kinds fit");
+_Static_assert(DIGEST_BYTES >= DW_LOAD_DIGEST_BYTES, "digests of loads fit");
+_Static_assert(DIGEST_BYTES >= DW_SESSION_PINS_DIGEST_BYTES, "digests of pins fit");
 
 struct outgoing {
 	struct peers *peers;
--- a/src/wharf-gateway/store_sync.c
+++ b/src/wharf-gateway/store_sync.c
@@ -140,7 +140,7 @@
 void store_sync_read_copy(struct store_sync *sync)
 {
 	sync->is_range_pending = true;
-	dw_store_read_copy(sync->store, "", dw_clock_now_us() + READ_TIMEOUT_MIN_US, on_copy_read,
+	dw_store_read_copy(sync->store, "", dw_clock_now_us() + READ_TIMEOUT_MAX_US, on_copy_read,
 			   sync);
 }
 
--- a/src/wharf-gateway/view_server.c
+++ b/src/wharf-gateway/view_server.c
@@ -4,8 +4,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <utlist.h>
-
 #include "base/clock.h"
 #include "net/view_codec.h"
 
@@ -26,8 +24,8 @@
 	uint64_t after;
 	uint64_t arrived_at_us;
 	uint64_t confirmed_at_us; /* the proof when it arrived */
-	struct view_request *prev;
 	struct view_request *next;
+	struct view_request **link; /* the pointer to this request */
 };
 
 static struct view_answer make_answer(const struct view *view, uint64_t after,
@@ -83,10 +81,20 @@
 	       now_us >= request->arrived_at_us + view->source.timing.hold_us;
 }
 
-static void forget(struct view_request *request)
+static void hold(struct view_server *server, struct view_request *request)
 {
-	DL_DELETE(request->server->held, request);
-	free(request);
+	request->next = server->held;
+	request->link = &server->held;
+	if (request->next)
+		request->next->link = &request->next;
+	server->held = request;
+}
+
+static void release(struct view_request *request)
+{
+	*request->link = request->next;
+	if (request->next)
+		request->next->link = request->link;
 }
 
 static void answer_held(struct view_server *server)
@@ -97,14 +105,16 @@
 	struct view_request *next;
 
 	/* An answer may be followed at once by the next request, which is held in turn. */
-	DL_FOREACH_SAFE(server->held, request, next) {
+	for (request = server->held; request; request = next) {
+		next = request->next;
 		if (!has_news(request, now_us))
 			continue;
-		DL_DELETE(server->held, request);
-		DL_APPEND(due, request);
+		release(request);
+		request->next = due;
+		due = request;
 	}
-	DL_FOREACH_SAFE(due, request, next) {
-		DL_DELETE(due, request);
+	for (request = due; request; request = next) {
+		next = request->next;
 		send_answer(server, request->caller, request->after, request->arrived_at_us);
 		free(request);
 	}
@@ -120,11 +130,6 @@
 	answer_held(timer->data);
 }
 
-static void hold(struct view_server *server, struct view_request *request)
-{
-	DL_APPEND(server->held, request);
-}
-
 static void refuse(struct caller *caller, int status, const char *reason)
 {
 	caller_begin(caller, status, reason, NULL, 0);
@@ -155,6 +160,11 @@
 		refuse(caller, 404, "Not Found");
 		return NULL;
 	}
+	if (after > 0 && dw_view_log_revision(server->view->records) > 0 &&
+	    !dw_view_log_covers(server->view->records, after)) {
+		refuse(caller, VIEW_STATUS_NOT_COVERED, "Conflict");
+		return NULL;
+	}
 	request = calloc(1, sizeof(*request));
 	if (!request)
 		abort();
@@ -174,8 +184,10 @@
 
 static void on_disconnect(void *request)
 {
-	if (request)
-		forget(request);
+	if (!request)
+		return;
+	release(request);
+	free(request);
 }
 
 static void on_drained(void *request)
--- a/src/wharf-gateway/view_sync.c
+++ b/src/wharf-gateway/view_sync.c
@@ -17,7 +17,7 @@
 /* An answer that keeps arriving may take this many times the time limit for its first byte. */
 #define WHOLE_ANSWER_TIMEOUTS 4
 /* After the start, for how long the first request waits for the copy from the store. */
-#define COPY_WAIT_US (250 * DW_US_PER_MS)
+#define COPY_WAIT_US (1000 * DW_US_PER_MS)
 /* A machine without power doesn't refuse connections; it stays silent. */
 #define CONNECT_TIMEOUT_MS 150
 /* Least time between two requests. */
@@ -52,7 +52,7 @@
 	struct view_sync *sync = owner;
 
 	sync->status = head->status;
-	return head->status == 200;
+	return head->status == 200 || head->status == VIEW_STATUS_NOT_COVERED;
 }
 
 static bool on_body(void *owner, const char *bytes, size_t len)
@@ -111,11 +111,16 @@
 {
 	struct view_sync *sync = owner;
 	struct view_answer answer;
-	enum dw_status status =
-		view_answer_unpack((const uint8_t *)sync->body.data, sync->body.len, &answer);
+	enum dw_status status;
 
 	http_connection_release(sync->connection);
 	sync->connection = NULL;
+	if (sync->status == VIEW_STATUS_NOT_COVERED) {
+		dw_view_source_behind(&sync->view->source, dw_clock_now_us());
+		finish_request(sync);
+		return;
+	}
+	status = view_answer_unpack((const uint8_t *)sync->body.data, sync->body.len, &answer);
 	if (status != DW_OK) {
 		dw_counters_add(sync->view->counters, DW_COUNTER_BAD_INPUTS, 1);
 		fail_request(sync, dw_last_message());
@@ -155,10 +160,13 @@
 static void send_request(struct view_sync *sync, const struct dw_endpoint *address)
 {
 	uint64_t timeout_us = sync->view->source.timing.pull_timeout_us;
+	uint64_t after = dw_view_source_wants_all(&sync->view->source, dw_clock_now_us())
+				 ? 0
+				 : dw_view_log_revision(sync->view->records);
 	char request[REQUEST_BYTES];
 	int len = snprintf(request, sizeof(request),
-			   "GET " VIEW_TARGET "%" PRIu64 " HTTP/1.1\r\nHost: %s:%u\r\n\r\n",
-			   dw_view_log_revision(sync->view->records), address->ip, address->port);
+			   "GET " VIEW_TARGET "%" PRIu64 " HTTP/1.1\r\nHost: %s:%u\r\n\r\n", after,
+			   address->ip, address->port);
 
 	sync->requested_at_us = dw_clock_now_us();
 	sync->end_at_us = sync->requested_at_us + WHOLE_ANSWER_TIMEOUTS * timeout_us;
@@ -194,6 +202,8 @@
 		return;
 	if (sync->store->is_range_pending && now_us < sync->started_at_us + COPY_WAIT_US)
 		return;
+	if (dw_view_source_waits_for_store(&sync->view->source, now_us))
+		return;
 	sync->asked = dw_view_source_next(&sync->view->source, now_us);
 	if (sync->asked == 0)
 		ask_seed(sync);
--- a/tests/view_source_test.cc
+++ b/tests/view_source_test.cc
@@ -118,6 +118,24 @@
 	EXPECT_TRUE(dw_view_source_reads_store(&source, now_us)) << "and still tries the store";
 }
 
+/* On a site of 3,000 engines all records are 750 KB: after a start of all, 300 instances that lacked a
+ * few changes fetched them from three seeds, which took 30 s. */
+TEST_F(ViewSource, MissingChangesComeFromTheStoreFirst)
+{
+	confirm(DW_VIEW_FROM_PEER, 0);
+	EXPECT_FALSE(dw_view_source_reads_store(&source, now_us));
+	dw_view_source_next(&source, now_us);
+	dw_view_source_behind(&source, now_us);
+	EXPECT_TRUE(dw_view_source_reads_store(&source, now_us));
+	EXPECT_FALSE(dw_view_source_wants_all(&source, now_us));
+	EXPECT_TRUE(dw_view_source_waits_for_store(&source, now_us));
+	now_us += 1000 * MS;
+	EXPECT_TRUE(dw_view_source_wants_all(&source, now_us)) << "the store doesn't answer";
+	confirm(DW_VIEW_FROM_PEER, 0);
+	EXPECT_FALSE(dw_view_source_wants_all(&source, now_us));
+	EXPECT_FALSE(dw_view_source_reads_store(&source, now_us));
+}
+
 /* An instance that starts is given a moment to get a proof from another one; one that others ask
  * first, or that can't have others, isn't. */
 TEST_F(ViewSource, AStartWaitsForOthersBriefly)
