Tests: a gateway whose free port was taken is started with other ports

The test asks for a free port and another process took it before the gateway bound it. process_gateway_test already starts again in that case; now process_fleet_test and process_endless_test do. What is checked is unchanged.

--- a/tests/process_endless_test.cc
+++ b/tests/process_endless_test.cc
@@ -42,8 +42,8 @@
 struct Endless : testing::Test, support::platform {
 	std::unique_ptr<endless_server> server;
 	std::unique_ptr<process> gateway;
-	uint16_t caller_port = free_port();
-	uint16_t ready_port = free_port();
+	uint16_t caller_port = 0;
+	uint16_t ready_port = 0;
 	int next_attempt = 0;
 
 	void start(const std::string &answer_start, const std::string &repeated, int pause_ms = 0)
@@ -53,6 +53,15 @@
 		registered.port = server->port();
 		register_backend(registered, "e1");
 		configure();
+		for (int tries = 0; tries < 5 && !launch(); tries++)
+			;
+		ASSERT_TRUE(wait_until([&] { return ready_status() == 200; }));
+	}
+	/* False if another process took one of the free ports before the gateway. */
+	bool launch()
+	{
+		caller_port = free_port();
+		ready_port = free_port();
 		std::string path = testing::TempDir() + "endless-" + std::to_string(caller_port);
 		auto at = [](uint16_t port) {
 			return "\"127.0.0.1:" + std::to_string(port) + "\"";
@@ -64,9 +73,12 @@
 			<< ",\"retry_ratio\":0.9,\"retry_slack\":160,\"stop_timeout_s\":8}";
 		gateway = std::make_unique<process>("wharf-gateway",
 						    std::vector<std::string>{ "--settings", path });
-		ASSERT_TRUE(wait_until([&] {
-			return http_call(ready_port, "GET", "/dragonflywharf/ready").status == 200;
-		}));
+		wait_until([&] { return ready_status() != 0 || gateway->wait(0).ended; });
+		return !gateway->wait(0).ended;
+	}
+	int ready_status() const
+	{
+		return http_call(ready_port, "GET", "/dragonflywharf/ready").status;
 	}
 	int64_t memory_mb() const
 	{
--- a/tests/process_fleet_test.cc
+++ b/tests/process_fleet_test.cc
@@ -50,6 +50,10 @@
 		size_t at = text.find(line);
 		return at == std::string::npos ? -1 : atoll(text.c_str() + at + line.size());
 	}
+	bool is_listening() const
+	{
+		return http_call(ready_port, "GET", "/dragonflywharf/ready").status != 0;
+	}
 	bool is_ready() const
 	{
 		return http_call(ready_port, "GET", "/dragonflywharf/ready").status == 200;
@@ -61,7 +65,21 @@
 	std::vector<instance> instances{ INSTANCES };
 	int next_attempt = 0;
 
+	/* Starts an instance; with other ports if another process took a free one before it. */
 	void launch(size_t i)
+	{
+		for (int tries = 0; tries < 5; tries++) {
+			start_process(i);
+			if (wait_until([&] {
+				    return instances[i].is_listening() ||
+					   instances[i].gateway->wait(0).ended;
+			    }) &&
+			    !instances[i].gateway->wait(0).ended)
+				return;
+		}
+		ADD_FAILURE() << "instance " << i << " didn't listen in 5 starts";
+	}
+	void start_process(size_t i)
 	{
 		instance &each = instances[i];
 		auto at = [](uint16_t port) {
