Read once more: counts that err on the safe side, no walk over all members for a digest

- The retry slack was divided by rank among live members: the sides of a cut each counted from 0, so that the remainder was given out once a side.
The rank is now among all members of the last minute, dead ones included, as the number that divides is.
- Each digest searched all members for its sender, and each change of the members did so for each of them: a search by instance_id now (spread).
- The time limits of the view weren't computed anew at SIGHUP; test in view_source_test.

--- a/include/dragonflywharf/view_source.h
+++ b/include/dragonflywharf/view_source.h
@@ -66,6 +66,9 @@
 void dw_view_source_init(struct dw_view_source *source, uint64_t change_applied_us,
 			 uint64_t started_at_us);
 
+/** The time limit for applying a change has changed. */
+void dw_view_source_set_limit(struct dw_view_source *source, uint64_t change_applied_us);
+
 /** The members, and with them the place of this instance, have changed. */
 void dw_view_source_place(struct dw_view_source *source, const struct dw_view_place *place);
 
--- a/src/core/spread.c
+++ b/src/core/spread.c
@@ -17,6 +17,7 @@
 
 struct dw_spread {
 	struct spread_member *members; /* by failure domain, in its order */
+	struct spread_member **by_id; /* the same, by instance_id */
 	uint32_t count;
 	struct spread_member self;
 };
@@ -35,16 +36,28 @@
 	if (!spread)
 		return;
 	free(spread->members);
+	free(spread->by_id);
 	free(spread);
 }
 
+static int compare_ids(const void *left, const void *right)
+{
+	uint64_t a = (*(struct spread_member *const *)left)->instance_id;
+	uint64_t b = (*(struct spread_member *const *)right)->instance_id;
+
+	return (a > b) - (a < b);
+}
+
 static struct spread_member *find(const struct dw_spread *spread, uint64_t id)
 {
-	for (uint32_t i = 0; i < spread->count; i++) {
-		if (spread->members[i].instance_id == id)
-			return &spread->members[i];
-	}
-	return NULL;
+	struct spread_member key = { .instance_id = id };
+	struct spread_member *key_at = &key;
+	struct spread_member **found = NULL;
+
+	if (spread->count > 0)
+		found = bsearch(&key_at, spread->by_id, spread->count, sizeof(*spread->by_id),
+				compare_ids);
+	return found ? *found : NULL;
 }
 
 void dw_spread_place(struct dw_spread *spread, const struct dw_view_member *members, uint32_t count,
@@ -52,8 +65,9 @@
 {
 	struct dw_view_ranked *ranked = calloc(count + 1, sizeof(*ranked));
 	struct spread_member *placed = calloc(count + 1, sizeof(*placed));
+	struct spread_member **by_id = calloc(count + 1, sizeof(*by_id));
 
-	if (!ranked || !placed)
+	if (!ranked || !placed || !by_id)
 		abort();
 	dw_view_rank_domains(members, count, ranked);
 	for (uint32_t i = 0; i < count; i++) {
@@ -63,12 +77,16 @@
 		placed[i].domain_key = ranked[i].member.domain_key;
 		placed[i].domain_rank = ranked[i].domain_rank;
 		placed[i].heard_at_us = known ? known->heard_at_us : 0;
+		by_id[i] = &placed[i];
 		if (placed[i].instance_id == self)
 			spread->self = placed[i];
 	}
+	qsort(by_id, count, sizeof(*by_id), compare_ids);
 	free(ranked);
 	free(spread->members);
+	free(spread->by_id);
 	spread->members = placed;
+	spread->by_id = by_id;
 	spread->count = count;
 }
 
--- a/src/core/view_source.c
+++ b/src/core/view_source.c
@@ -55,6 +55,11 @@
 	source->place.readers = 1;
 }
 
+void dw_view_source_set_limit(struct dw_view_source *source, uint64_t change_applied_us)
+{
+	source->timing = dw_view_timing_from(change_applied_us);
+}
+
 void dw_view_source_place(struct dw_view_source *source, const struct dw_view_place *place)
 {
 	source->place = *place;
--- a/src/wharf-gateway/gateway.c
+++ b/src/wharf-gateway/gateway.c
@@ -286,6 +286,7 @@
 	memcpy(settings.instance, gateway->settings.instance, sizeof(settings.instance));
 	settings.peer_address = gateway->settings.peer_address;
 	gateway->settings = settings;
+	dw_view_source_set_limit(&gateway->view.source, gateway_settings_change_us(&settings));
 	dw_log_event(&gateway->log, DW_EVENT_SETTINGS_RELOADED,
 		     DW_STR("path", gateway->settings_path));
 }
--- a/src/wharf-gateway/peers.c
+++ b/src/wharf-gateway/peers.c
@@ -106,9 +106,14 @@
 	msgpack_sbuffer_destroy(&buffer);
 }
 
+/* Only the instances of its failure domain log a member's death: all would be lines in the square of
+ * the fleet when many die. */
 static void log_member(struct peers *peers, const struct dw_member *member)
 {
-	if (member->state == DW_MEMBER_DEAD)
+	const struct dw_member *self = dw_membership_self(peers->membership);
+
+	if (member->state == DW_MEMBER_DEAD &&
+	    strcmp(member->failure_domain, self->failure_domain) == 0)
 		dw_log_event(peers->log, DW_EVENT_MEMBER_DEAD, DW_STR("instance", member->name),
 			     DW_STR("failure_domain", member->failure_domain));
 }
@@ -139,9 +144,11 @@
 
 	if (!members)
 		abort();
+	peers->slack_rank = 0;
 	for (size_t i = 0; i < count; i++) {
 		const struct dw_member *member = dw_membership_at(peers->membership, i);
 
+		peers->slack_rank += member->key.instance_id < peers->instance_id;
 		if (!takes_part(member))
 			continue;
 		members[used].instance_id = member->key.instance_id;
@@ -421,12 +428,14 @@
 		return 1 + UNCOUNTED_MIN;
 	known = (uint32_t)dw_membership_count(peers->membership);
 	uncounted = known * UNCOUNTED_PERCENT / 100;
-	if (now_us < peers->started_at_us + STARTUP_US)
+	if (now_us < peers->started_at_us + STARTUP_US ||
+	    (known == 1 && peers_seed_count(peers) > 0))
 		return STARTUP_INSTANCES;
 	return known + (uncounted > UNCOUNTED_MIN ? uncounted : UNCOUNTED_MIN);
 }
 
-uint32_t peers_rank(const struct peers *peers)
+uint32_t peers_slack_rank(const struct peers *peers)
 {
-	return peers->place.members > 1 ? peers->place.rank : UINT32_MAX;
+	return peers->membership && dw_membership_count(peers->membership) > 1 ? peers->slack_rank
+									       : UINT32_MAX;
 }
--- a/src/wharf-gateway/peers.h
+++ b/src/wharf-gateway/peers.h
@@ -48,6 +48,7 @@
 	uint64_t started_at_us;
 	uint64_t place_due_us; /**< when the place is computed anew; 0: it is up to date */
 	struct dw_view_place place;
+	uint32_t slack_rank; /**< among all known members, dead ones included */
 	uint64_t datagrams_sent;
 	uint64_t bytes_sent;
 	char receive_buffer[2048]; /**< for one datagram */
@@ -77,11 +78,14 @@
 void peers_send_digest(struct peers *peers, uint64_t to, enum peers_digest kind,
 		       const uint8_t *bytes, size_t len);
 
-/** This instance's rank among the members, from 0; UINT32_MAX while it knows no other one. */
-uint32_t peers_rank(const struct peers *peers);
+/**
+ * This instance's rank among all members known in the last minute, from 0; UINT32_MAX while it knows
+ * no other one. Dead members keep theirs, so that the two sides of a cut don't count from 0 each.
+ */
+uint32_t peers_slack_rank(const struct peers *peers);
 
 /** Estimated number of instances, including starting ones and ones that are cut off. An instance
- * without a peer address is taken for one of very few. */
+ * that should have others and has met none assumes many; one without a peer address, very few. */
 uint32_t peers_estimated_instances(const struct peers *peers, uint64_t now_us);
 
 #endif
--- a/src/wharf-gateway/router.c
+++ b/src/wharf-gateway/router.c
@@ -83,7 +83,7 @@
 static struct dw_retry_window_options budget_options(const struct router *router, uint64_t now_us)
 {
 	uint32_t instances = peers_estimated_instances(&router->view->peers, now_us);
-	uint32_t rank = peers_rank(&router->view->peers);
+	uint32_t rank = peers_slack_rank(&router->view->peers);
 
 	return (struct dw_retry_window_options){
 		.window_us = router->settings->retry_window_ms * DW_US_PER_MS,
--- a/tests/view_source_test.cc
+++ b/tests/view_source_test.cc
@@ -152,6 +152,16 @@
 	EXPECT_TRUE(dw_view_source_is_reader(&source));
 }
 
+/* Settings that are read again take effect. */
+TEST_F(ViewSource, AShorterLimitTakesEffect)
+{
+	confirm(DW_VIEW_FROM_PEER, 0);
+	now_us += 1200 * MS;
+	EXPECT_FALSE(dw_view_source_reads_store(&source, now_us));
+	dw_view_source_set_limit(&source, CHANGE_US / 2);
+	EXPECT_TRUE(dw_view_source_reads_store(&source, now_us));
+}
+
 /* A proof is dated from before the request was sent, whatever happened on the way. */
 TEST_F(ViewSource, ARelayedProofIsNeverYoungerThanItIs)
 {
