Decoders: an empty string without bytes is not copied from

Found by reading for the same: once_shard (two), usage_batch, and view_codec, which is new.

Change: nothing is copied for an empty value; a record of the store without a key is refused.

--- a/src/core/once_shard.c
+++ b/src/core/once_shard.c
@@ -165,7 +165,9 @@
 	record->body = malloc(object->via.bin.size + 1);
 	if (!record->body)
 		return false;
-	memcpy(record->body, object->via.bin.ptr, object->via.bin.size);
+	/* Empty values may have no bytes to point at. */
+	if (object->via.bin.size > 0)
+		memcpy(record->body, object->via.bin.ptr, object->via.bin.size);
 	record->body_bytes = object->via.bin.size;
 	return true;
 }
@@ -197,7 +199,8 @@
 		.expires_at_us = fields[FIELD_EXPIRES_AT].via.u64,
 		.http_status = (uint16_t)fields[FIELD_HTTP_STATUS].via.u64,
 	};
-	memcpy(record->content_type, type->via.str.ptr, type->via.str.size);
+	if (type->via.str.size > 0)
+		memcpy(record->content_type, type->via.str.ptr, type->via.str.size);
 	return read_body(&fields[FIELD_BODY], record);
 }
 
--- a/src/core/usage_batch.c
+++ b/src/core/usage_batch.c
@@ -43,10 +43,14 @@
 
 static bool read_name(const msgpack_object *object, char name[DW_USAGE_NAME_BYTES])
 {
-	if (object->type != MSGPACK_OBJECT_STR || object->via.str.size >= DW_USAGE_NAME_BYTES ||
-	    memchr(object->via.str.ptr, 0, object->via.str.size))
+	if (object->type != MSGPACK_OBJECT_STR || object->via.str.size >= DW_USAGE_NAME_BYTES)
 		return false;
 	memset(name, 0, DW_USAGE_NAME_BYTES);
+	/* An empty name may have no bytes to point at. */
+	if (object->via.str.size == 0)
+		return true;
+	if (memchr(object->via.str.ptr, 0, object->via.str.size))
+		return false;
 	memcpy(name, object->via.str.ptr, object->via.str.size);
 	return true;
 }
--- a/src/net/msgpack_read.c
+++ b/src/net/msgpack_read.c
@@ -21,7 +21,9 @@
 {
 	if (object->type != MSGPACK_OBJECT_STR || object->via.str.size >= capacity)
 		return false;
-	memcpy(out, object->via.str.ptr, object->via.str.size);
+	/* An empty string may have no bytes to point at. */
+	if (object->via.str.size > 0)
+		memcpy(out, object->via.str.ptr, object->via.str.size);
 	out[object->via.str.size] = '\0';
 	return true;
 }
--- a/src/net/view_codec.c
+++ b/src/net/view_codec.c
@@ -81,7 +81,9 @@
 {
 	char *copy = *text;
 
-	memcpy(copy, bytes, len);
+	/* Empty text may have no bytes to point at. */
+	if (len > 0)
+		memcpy(copy, bytes, len);
 	copy[len] = '\0';
 	*text += len + 1;
 	return copy;
@@ -93,6 +95,7 @@
 	const msgpack_object *value;
 
 	if (!fields || fields[RECORD_KEY].type != MSGPACK_OBJECT_STR ||
+	    fields[RECORD_KEY].via.str.size == 0 ||
 	    memchr(fields[RECORD_KEY].via.str.ptr, '\0', fields[RECORD_KEY].via.str.size) ||
 	    !dw_msgpack_read_uint(&fields[RECORD_REVISION], UINT64_MAX, &out->revision))
 		return false;
--- a/tests/control_codec_test.cc
+++ b/tests/control_codec_test.cc
@@ -2,6 +2,7 @@
 
 #include "core/msgpack_check.h"
 #include "net/member_codec.h"
+#include "net/msgpack_read.h"
 #include "net/ruleset_codec.h"
 #include "support/entities.h"
 
@@ -80,6 +81,17 @@
 		}
 }
 
+/* Found by a fuzz target: an empty string at the end of a message has no bytes to copy. */
+TEST(MsgpackRead, AnEmptyStringNeedsNoBytes)
+{
+	msgpack_object object{};
+	char text[4] = "x";
+
+	object.type = MSGPACK_OBJECT_STR;
+	EXPECT_TRUE(dw_msgpack_read_string(&object, text, sizeof(text)));
+	EXPECT_STREQ(text, "");
+}
+
 TEST(MemberCodec, RoundTripsMessagesAndRejectsCorruptedOnes)
 {
 	dw_member_message sent = {}, received;
