--- a/src/port/store.h
+++ b/src/port/store.h
@@ -160,6 +160,8 @@
 	const struct dw_store_ops *ops;
 	/** Requests sent, by verb. Each endpoint that is tried counts; a watch counts once. */
 	uint64_t calls[DW_STORE_VERB_COUNT];
+	/** Bytes of answers that were given up before their end, because of a timeout or a fault. */
+	uint64_t abandoned_bytes;
 };
 
 /** Reads one key. */
--- a/src/wharf-gateway/store_sync.c
+++ b/src/wharf-gateway/store_sync.c
@@ -30,7 +30,8 @@
 	if (!dw_view_source_is_reader(&sync->view->source))
 		pause_ms = sync->view->source.timing.retry_us / DW_US_PER_MS;
 	sync->failures++;
-	view_store_lost(sync->view, dw_status_name(reason), dw_clock_now_us());
+	view_store_lost(sync->view, dw_status_name(reason), sync->store->abandoned_bytes,
+			dw_clock_now_us());
 	/* Jitter: a random pause of at least half, so that instances don't reconnect together. */
 	uv_timer_start(&sync->retry_timer, on_retry,
 		       pause_ms / 2 + dw_random_next(&sync->random) % (pause_ms / 2 + 1), 0);
--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -48,7 +48,13 @@
 		     DW_STR("reason", dw_last_message()));
 }
 
-static void apply_config(struct view *view, const struct dw_store_entry *entry)
+/* Age of the proof that the copy was current; 0: there was none yet. */
+static uint64_t age_ms(const struct view *view, uint64_t now_us)
+{
+	return view->confirmed_at_us > 0 ? (now_us - view->confirmed_at_us) / DW_US_PER_MS : 0;
+}
+
+static void apply_config(struct view *view, const struct dw_store_entry *entry, uint64_t now_us)
 {
 	struct dw_catalog *catalog;
 
@@ -72,17 +78,23 @@
 	dw_log_event(view->log, DW_EVENT_CONFIG_APPLIED,
 		     DW_INT("version", dw_catalog_version(catalog)),
 		     DW_INT("revision", entry->mod_revision),
-		     DW_INT("routes", dw_catalog_route_count(catalog)));
+		     DW_INT("routes", dw_catalog_route_count(catalog)),
+		     DW_INT("bytes", entry->value_len), DW_INT("age_ms", age_ms(view, now_us)));
 }
 
-static void log_engine(struct view *view, const struct dw_engine *engine, const char *change)
+static void log_engine(struct view *view, const struct dw_engine *engine, const char *change,
+		       uint64_t now_us)
 {
+	uint64_t usable_us =
+		engine->state == DW_ENGINE_MISSING ? engine->missing_until_us - now_us : 0;
+
 	dw_log_event(view->log, DW_EVENT_ENGINE_CHANGED, DW_STR("engine", engine->entry.id),
 		     DW_STR("service", engine->entry.service),
 		     DW_STR("failure_domain", engine->entry.failure_domain),
 		     DW_STR("version", engine->entry.version),
-		     DW_STR("state", dw_engine_state_name(engine->state)),
-		     DW_STR("change", change));
+		     DW_STR("state", dw_engine_state_name(engine->state)), DW_STR("change", change),
+		     DW_INT("usable_ms", usable_us / DW_US_PER_MS),
+		     DW_INT("age_ms", age_ms(view, now_us)));
 }
 
 static void apply_engine(struct view *view, const char *id, const struct dw_store_entry *record,
@@ -103,7 +115,7 @@
 	}
 	change = dw_engine_set_put(view->engines, &entry, now_us);
 	if (change != DW_ENGINE_UNCHANGED)
-		log_engine(view, dw_engine_set_find(view->engines, id), changes[change]);
+		log_engine(view, dw_engine_set_find(view->engines, id), changes[change], now_us);
 }
 
 static void remove_engine(struct view *view, const char *id, uint64_t now_us)
@@ -113,7 +125,7 @@
 	struct dw_engine *engine = dw_engine_set_remove(view->engines, id, usable_until_us, now_us);
 
 	if (engine)
-		log_engine(view, engine, "removed");
+		log_engine(view, engine, "removed", now_us);
 }
 
 static void set_evacuated(struct view *view, const char *domain, bool evacuated)
@@ -166,7 +178,7 @@
 	switch (record_kind_of(entry->key, &name)) {
 	case RECORD_CONFIG:
 		if (!event->deleted)
-			apply_config(view, entry);
+			apply_config(view, entry, now_us);
 		break;
 	case RECORD_ENGINE:
 		if (event->deleted)
@@ -310,14 +322,16 @@
 	confirm(view, DW_VIEW_FROM_PEER, confirmed_at_us, now_us);
 }
 
-void view_store_lost(struct view *view, const char *reason, uint64_t now_us)
+void view_store_lost(struct view *view, const char *reason, uint64_t abandoned_bytes,
+		     uint64_t now_us)
 {
 	dw_counters_add(view->counters, DW_COUNTER_STORE_FAILURES, 1);
 	if (!view->is_store_reached)
 		return;
 	view->is_store_reached = false;
 	dw_log_event(view->log, DW_EVENT_STORE_LOST, DW_STR("reason", reason),
-		     DW_INT("age_ms", (now_us - view->confirmed_at_us) / DW_US_PER_MS));
+		     DW_INT("abandoned_bytes", abandoned_bytes),
+		     DW_INT("age_ms", age_ms(view, now_us)));
 }
 
 bool view_is_fresh(const struct view *view, uint64_t arrived_at_us)
--- a/src/wharf-gateway/view.h
+++ b/src/wharf-gateway/view.h
@@ -73,8 +73,12 @@
  * @p confirmed_at_us; the store's last outage ended at @p store_back_at_us, 0: there was none. */
 void view_peer_current(struct view *view, uint64_t confirmed_at_us, uint64_t store_back_at_us,
 		       uint64_t now_us);
-/** The store is unreachable, or no longer has the history that the watch needs. */
-void view_store_lost(struct view *view, const char *reason, uint64_t now_us);
+/**
+ * The store is unreachable, or no longer has the history that the watch needs.
+ * @param abandoned_bytes of its answers that didn't come to their end, since the start
+ */
+void view_store_lost(struct view *view, const char *reason, uint64_t abandoned_bytes,
+		     uint64_t now_us);
 
 /**
  * Whether requests with an API key that arrived at @p arrived_at_us may be admitted. With
