--- a/tests/process_fleet_test.cc
+++ b/tests/process_fleet_test.cc
@@ -15,6 +15,7 @@
 #include "support/http.h"
 #include "support/platform.h"
 #include "support/raw_socket.h"
+#include "support/relay.h"
 
 using support::free_port;
 using support::http_call;
@@ -61,6 +62,9 @@
 };
 
 struct Fleet : testing::Test, support::platform {
+	int change_ms = CHANGE_MS;
+	std::vector<std::unique_ptr<support::relay>>
+		store_links; /* one an instance; none: direct */
 	uint16_t peer_port = free_port();
 	std::vector<instance> instances{ INSTANCES };
 	int next_attempt = 0;
@@ -96,11 +100,12 @@
 			<< "{\"instance\":\"" << each.name << "\",\"failure_domain\":\"d" << i % 3
 			<< "\",\"caller_address\":" << at(each.caller_port)
 			<< ",\"readiness_address\":" << at(each.ready_port)
-			<< ",\"metrics_address\":" << at(each.metrics_port)
-			<< ",\"store\":" << at(store_port) << ",\"peer_address\":\"" << each.peer_ip
-			<< ":" << peer_port << "\",\"seeds\":[\"127.0.7.1:1\",\"127.0.7.2:1\"]"
+			<< ",\"metrics_address\":" << at(each.metrics_port) << ",\"store\":"
+			<< at(store_links.empty() ? store_port : store_links[i]->port())
+			<< ",\"peer_address\":\"" << each.peer_ip << ":" << peer_port
+			<< "\",\"seeds\":[\"127.0.7.1:1\",\"127.0.7.2:1\"]"
 			<< ",\"keys_fail_closed\":true,\"revocation_ms\":" << REVOCATION_MS
-			<< ",\"change_applied_ms\":" << CHANGE_MS
+			<< ",\"change_applied_ms\":" << change_ms
 			<< ",\"retry_ratio\":0.9,\"retry_slack\":160,\"stop_timeout_s\":8}";
 		each.gateway = std::make_unique<process>(
 			"wharf-gateway", std::vector<std::string>{ "--settings", path });
@@ -233,6 +238,95 @@
 	EXPECT_EQ(leaving.read_stat("runs"), runs);
 }
 
+/* Guards against the incident DRAIN: an instance whose copy was late took that for an outage of the
+ * store, told the others, and all kept using a back end that had left for 2.2 s more. */
+TEST_F(Fleet, ALateCopyOfOneInstanceIsNoOutageOfTheStore)
+{
+	auto suspended = readers();
+	int64_t taken_ms[INSTANCES] = { 0 };
+	for (size_t i : suspended)
+		instances[i].gateway->signal(SIGSTOP);
+	std::this_thread::sleep_for(std::chrono::milliseconds(CHANGE_MS));
+	for (size_t i : suspended)
+		instances[i].gateway->signal(SIGCONT);
+	for (size_t i : suspended)
+		ASSERT_TRUE(wait_until([&] { return look(i, "k1") == 200; })) << i;
+	remove("servers/e1");
+	int64_t removed_ms = now_ms();
+	for (size_t i = 0; i < INSTANCES; i++)
+		ASSERT_TRUE(wait_until([&] {
+			taken_ms[i] = now_ms() - removed_ms;
+			return instances[i].metric("engines_usable") == 0;
+		})) << i;
+	for (size_t i = 0; i < INSTANCES; i++)
+		EXPECT_LT(taken_ms[i], CHANGE_MS) << i;
+}
+
+/* Each instance has a slow link to the store: an answer with a large configuration takes 1.5 s. */
+struct SlowLinks : Fleet {
+	static constexpr int ROUTES = 1450;
+	static constexpr uint64_t BYTES_PER_S = 300000;
+
+	void SetUp() override
+	{
+		change_ms = 3000;
+		for (size_t i = 0; i < INSTANCES; i++)
+			store_links.push_back(std::make_unique<support::relay>(store_port));
+		Fleet::SetUp();
+		for (int i = 0; i < ROUTES; i++)
+			more_routes +=
+				"," + route("r" + std::to_string(i * 7919 % 100003), "safe", 2);
+		configure();
+		for (size_t i = 0; i < INSTANCES; i++)
+			ASSERT_TRUE(wait_until([&] { return look_at(i, "r0") == 200; })) << i;
+		for (auto &link : store_links)
+			link->limit_answers(BYTES_PER_S);
+	}
+	int look_at(size_t i, const std::string &route_name)
+	{
+		return http_call(instances[i].caller_port, "GET", "/" + route_name + "/1", "",
+				 { { "Attempt-Id", "b" + std::to_string(next_attempt++) },
+				   { "Deadline-Ms", "1500" },
+				   { "Credential", "k1" } })
+			.status;
+	}
+};
+
+/* Guards against the incident CONFIG: the store's answer with a large configuration was given up
+ * while it arrived, read again from its start, and by each instance for itself. */
+TEST_F(SlowLinks, ALargeConfigurationIsInForceInTime)
+{
+	for (int change = 0; change < 3; change++) {
+		std::string key = "new-" + std::to_string(change);
+		configure("\"k1\",\"" + key + "\"");
+		int64_t changed_ms = now_ms();
+		int64_t taken_ms[INSTANCES];
+		for (size_t i = 0; i < INSTANCES; i++)
+			taken_ms[i] = time_until(i, key, 200, changed_ms);
+		for (size_t i = 0; i < INSTANCES; i++)
+			EXPECT_LT(taken_ms[i], change_ms) << i;
+	}
+}
+
+/* Guards against the incident DRAIN: the removal of a back end waited behind large configurations. */
+TEST_F(SlowLinks, ABackEndThatLeavesBesideALargeConfigurationIsUsedNoMoreInTime)
+{
+	add_backend("e2");
+	for (const instance &each : instances)
+		ASSERT_TRUE(wait_until([&] { return each.metric("engines_usable") == 2; }));
+	configure("\"k1\",\"k2\"");
+	remove("servers/e2");
+	int64_t removed_ms = now_ms();
+	int64_t taken_ms[INSTANCES];
+	for (size_t i = 0; i < INSTANCES; i++)
+		ASSERT_TRUE(wait_until([&] {
+			taken_ms[i] = now_ms() - removed_ms;
+			return instances[i].metric("engines_usable") == 1;
+		})) << i;
+	for (size_t i = 0; i < INSTANCES; i++)
+		EXPECT_LT(taken_ms[i], change_ms) << i;
+}
+
 /* All processes die at once and start again: each is ready soon, and two of them read the store. */
 TEST_F(Fleet, AllRestartTogether)
 {
--- a/tests/support/platform.cc
+++ b/tests/support/platform.cc
@@ -100,6 +100,7 @@
 	    "{\"Version\":" + std::to_string(version) + ",\"Routes\":[" + route("look", "safe", 2) +
 		    "," + route("book", "unsafe", 1) + "," +
 		    route("chat", "stream", 3, ",\"Resumable\":true,\"TargetGapMs\":1500") +
+		    more_routes +
 		    "],\"Services\":[{\"Name\":\"app\",\"HealthPath\":\"/health\"}],"
 		    "\"Limits\":{\"MaxHeaderBytes\":8192,\"MaxBodyBytes\":100000,"
 		    "\"HeaderTimeoutMs\":2000,\"IdleTimeoutMs\":5000},\"Tenants\":[{"
--- a/tests/support/platform.h
+++ b/tests/support/platform.h
@@ -36,6 +36,7 @@
 	std::vector<std::unique_ptr<backend>> backends;
 	std::string event_ms = "--event-ms=20"; /**< pause between the events of a stream */
 	int version = 0; /**< of the configuration */
+	std::string more_routes; /**< of the configuration, each after a comma */
 
 	/** Writes or deletes a record as the operator or a back end does. */
 	void put(const std::string &key, const std::string &value) const;
--- a/tests/support/relay.cc
+++ b/tests/support/relay.cc
@@ -6,6 +6,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <chrono>
 #include <stdexcept>
 
 namespace support
@@ -27,6 +29,13 @@
 	return address;
 }
 
+int64_t now_us()
+{
+	return std::chrono::duration_cast<std::chrono::microseconds>(
+		       std::chrono::steady_clock::now().time_since_epoch())
+		.count();
+}
+
 } // namespace
 
 relay::relay(uint16_t target_port) : target_(target_port)
@@ -74,11 +83,20 @@
 	pairs_.push_back({ caller, target });
 }
 
-// Forwards what has arrived; false once either side has closed.
-bool relay::forward(int from, int to)
+size_t relay::allowance()
+{
+	int64_t passed_us = now_us() - allowed_at_us_;
+
+	if (bytes_per_s_ == 0)
+		return read_bytes;
+	return passed_us <= 0 ? 0 : std::max<size_t>(1, bytes_per_s_ * poll_ms / 1000);
+}
+
+// Forwards what has arrived, at most @most bytes; false once either side has closed.
+bool relay::forward(int from, int to, size_t most)
 {
 	static thread_local char bytes[read_bytes];
-	ssize_t n = recv(from, bytes, sizeof(bytes), MSG_DONTWAIT);
+	ssize_t n = recv(from, bytes, std::min(most, sizeof(bytes)), MSG_DONTWAIT);
 	ssize_t done = 0;
 
 	if (n <= 0)
@@ -93,6 +111,20 @@
 	return true;
 }
 
+// Forwards a part of what the target has sent, as fast as the limit allows.
+bool relay::forward_answer(const pair &p)
+{
+	size_t most = allowance();
+
+	if (most == 0) {
+		std::this_thread::sleep_for(std::chrono::milliseconds(1));
+		return true;
+	}
+	if (bytes_per_s_ > 0)
+		allowed_at_us_ = std::max(allowed_at_us_ + poll_ms * 1000, now_us() - 20 * 1000);
+	return forward(p.target, p.caller, most);
+}
+
 void relay::run()
 {
 	while (!stopping_) {
@@ -114,9 +146,9 @@
 			bool open = mode != relay_mode::refuse;
 
 			if (open && (caller & POLLIN))
-				open = forward(pairs_[i].caller, pairs_[i].target);
+				open = forward(pairs_[i].caller, pairs_[i].target, read_bytes);
 			if (open && (target & POLLIN))
-				open = forward(pairs_[i].target, pairs_[i].caller);
+				open = forward_answer(pairs_[i]);
 			if (open && ((caller | target) & (POLLHUP | POLLERR)) &&
 			    mode == relay_mode::pass && !((caller | target) & POLLIN))
 				open = false;
--- a/tests/support/relay.h
+++ b/tests/support/relay.h
@@ -39,6 +39,12 @@
 		target_ = port;
 	}
 
+	/** Forwards no more than this from the target, like a slow link; 0: without a limit. */
+	void limit_answers(uint64_t bytes_per_s)
+	{
+		bytes_per_s_ = bytes_per_s;
+	}
+
 	void set_mode(relay_mode mode)
 	{
 		mode_ = mode;
@@ -52,13 +58,18 @@
 
 	void run();
 	void accept_one();
-	bool forward(int from, int to);
+	bool forward(int from, int to, size_t most);
+	bool forward_answer(const pair &p);
+	/** Bytes from the target that the limit allows now. */
+	size_t allowance();
 	void close_pair(size_t index);
 
 	int listener_ = -1;
 	uint16_t port_ = 0;
 	std::atomic<uint16_t> target_;
 	std::atomic<relay_mode> mode_{ relay_mode::pass };
+	std::atomic<uint64_t> bytes_per_s_{ 0 };
+	int64_t allowed_at_us_ = 0; /**< when the next byte from the target may be forwarded */
 	std::atomic<bool> stopping_{ false };
 	std::vector<pair> pairs_;
 	std::thread thread_;
