View: a late copy is no outage of the store

Callers saw (DRAIN): requests sent to engines up to 3.4 s after their entry was removed, 3 s allowed. Cause: an instance whose own proof was older than 28% of the limit took that for an outage of the store, kept removed engines in use for 2.2 s, as after an outage, and told the instances that ask it.

Change: an outage (store_outage) takes calls of this instance that failed without a byte of an answer for a while, and no proof from any other instance in that time; another instance's word counts only without an own proof from that time.

Why it holds: where others have proofs, the store isn't away; after a true outage the store isn't stable for longer than the 2.2 s. A sleep of 2.5 s in ARestartBringsNothingBack, which waited for the same belief to pass, is gone.

--- a/src/wharf-gateway/store_sync.c
+++ b/src/wharf-gateway/store_sync.c
@@ -30,8 +30,7 @@
 	if (!dw_view_source_is_reader(&sync->view->source))
 		pause_ms = sync->view->source.timing.retry_us / DW_US_PER_MS;
 	sync->failures++;
-	view_store_lost(sync->view, dw_status_name(reason), sync->store->abandoned_bytes,
-			dw_clock_now_us());
+	view_store_lost(sync->view, reason, sync->store->abandoned_bytes, dw_clock_now_us());
 	/* Jitter: a random pause of at least half, so that instances don't reconnect together. */
 	uv_timer_start(&sync->retry_timer, on_retry,
 		       pause_ms / 2 + dw_random_next(&sync->random) % (pause_ms / 2 + 1), 0);
@@ -42,6 +41,7 @@
 {
 	struct store_sync *sync = data;
 
+	view_store_answered(sync->view, dw_clock_now_us());
 	for (size_t i = 0; i < count; i++)
 		view_apply(sync->view, &events[i], dw_clock_now_us());
 }
@@ -52,6 +52,7 @@
 	struct store_sync *sync = data;
 
 	sync->failures = 0;
+	view_store_answered(sync->view, dw_clock_now_us());
 	view_store_current(sync->view, revision, confirmed_at_us, dw_clock_now_us());
 }
 
@@ -91,6 +92,7 @@
 		retry_later(sync, result->status);
 		return;
 	}
+	view_store_answered(sync->view, now_us);
 	view_apply_all(sync->view, result->entries, result->count, result->revision, now_us);
 	view_store_current(sync->view, result->revision, sync->read_started_at_us, now_us);
 	sync->failures = 0;
--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -120,8 +120,8 @@
 
 static void remove_engine(struct view *view, const char *id, uint64_t now_us)
 {
-	uint64_t usable_until_us =
-		view->store_back_at_us > 0 ? view->store_back_at_us + REREGISTRATION_US : 0;
+	uint64_t ended_at_us = view->outage.ended_at_us;
+	uint64_t usable_until_us = ended_at_us > 0 ? ended_at_us + REREGISTRATION_US : 0;
 	struct dw_engine *engine = dw_engine_set_remove(view->engines, id, usable_until_us, now_us);
 
 	if (engine)
@@ -289,47 +289,48 @@
 		view->on_confirmed(view->on_confirmed_owner);
 }
 
-/* Whether the store was out of reach until now for all instances, and not just for this one: then
- * the copy has not been kept current by the others either. */
-static bool was_store_away(const struct view *view, uint64_t now_us)
+void view_store_answered(struct view *view, uint64_t now_us)
 {
-	return view->confirmed_at_us == 0 ||
-	       now_us > view->confirmed_at_us + view->source.timing.stale_us;
+	dw_store_outage_call_answered(&view->outage, view->confirmed_at_us,
+				      view->source.timing.stale_us, now_us);
+}
+
+void view_peer_answered(struct view *view, uint64_t outage_ended_at_us)
+{
+	dw_store_outage_told(&view->outage, outage_ended_at_us, view->confirmed_at_us,
+			     view->source.timing.stale_us);
 }
 
 void view_store_current(struct view *view, uint64_t revision, uint64_t confirmed_at_us,
 			uint64_t now_us)
 {
-	uint64_t age_us = view->confirmed_at_us > 0 ? now_us - view->confirmed_at_us : 0;
+	uint64_t age_before_ms = age_ms(view, now_us);
 
-	if (was_store_away(view, now_us))
-		view->store_back_at_us = now_us;
 	dw_view_log_complete(view->records, revision);
 	view->hops = 0;
 	confirm(view, DW_VIEW_FROM_STORE, confirmed_at_us, now_us);
 	if (view->is_store_reached)
 		return;
 	view->is_store_reached = true;
-	dw_log_event(view->log, DW_EVENT_STORE_BACK, DW_INT("age_ms", age_us / DW_US_PER_MS),
+	dw_log_event(view->log, DW_EVENT_STORE_BACK, DW_INT("age_ms", age_before_ms),
 		     DW_INT("revision", revision));
 }
 
-void view_peer_current(struct view *view, uint64_t confirmed_at_us, uint64_t store_back_at_us,
-		       uint64_t now_us)
+void view_peer_current(struct view *view, uint64_t confirmed_at_us, uint64_t now_us)
 {
-	if (store_back_at_us > view->store_back_at_us)
-		view->store_back_at_us = store_back_at_us;
 	confirm(view, DW_VIEW_FROM_PEER, confirmed_at_us, now_us);
 }
 
-void view_store_lost(struct view *view, const char *reason, uint64_t abandoned_bytes,
+void view_store_lost(struct view *view, enum dw_status reason, uint64_t abandoned_bytes,
 		     uint64_t now_us)
 {
 	dw_counters_add(view->counters, DW_COUNTER_STORE_FAILURES, 1);
+	if (reason != DW_STALE)
+		dw_store_outage_call_failed(&view->outage, now_us);
 	if (!view->is_store_reached)
 		return;
 	view->is_store_reached = false;
-	dw_log_event(view->log, DW_EVENT_STORE_LOST, DW_STR("reason", reason),
+	dw_log_event(view->log, DW_EVENT_STORE_LOST, DW_STR("reason", dw_status_name(reason)),
 		     DW_INT("abandoned_bytes", abandoned_bytes),
 		     DW_INT("age_ms", age_ms(view, now_us)));
 }
--- a/src/wharf-gateway/view.h
+++ b/src/wharf-gateway/view.h
@@ -11,6 +11,7 @@
 
 #include <dragonflywharf/catalog.h>
 #include <dragonflywharf/engine_choice.h>
+#include <dragonflywharf/store_outage.h>
 #include <dragonflywharf/view_log.h>
 #include <dragonflywharf/view_source.h>
 
@@ -35,8 +36,7 @@
 	struct dw_view_log *records; /**< newest known record of each key */
 	struct dw_view_source source; /**< from where this copy is kept up to date */
 	uint64_t confirmed_at_us; /**< when the copy was last known to be current; 0: never */
-	/** When the store was last reached again by all instances together, or first; 0: never. */
-	uint64_t store_back_at_us;
+	struct dw_store_outage outage; /**< of the store, for all instances */
 	uint32_t hops; /**< instances between this one and the store, as of the last proof */
 	bool is_store_reached; /**< the last call of this instance's own watch succeeded */
 	void (*on_confirmed)(void *owner); /**< called after each proof, with its changes applied */
@@ -65,19 +65,24 @@
 /** Removes tombstones of deleted keys for which no late event can arrive any more. */
 void view_sweep(struct view *view, uint64_t now_us);
 
+/** A call of this instance to the store was answered; to be called before the answer is applied. */
+void view_store_answered(struct view *view, uint64_t now_us);
+/** Another instance answered, and says that the store's last outage ended at @p outage_ended_at_us;
+ * 0: there was none. To be called before the answer is applied. */
+void view_peer_answered(struct view *view, uint64_t outage_ended_at_us);
+
 /** The store answered: this copy has all changes up to @p revision and was current at
  * @p confirmed_at_us. */
 void view_store_current(struct view *view, uint64_t revision, uint64_t confirmed_at_us,
 			uint64_t now_us);
 /** Another instance's answer, already applied, proves that this copy was current at
- * @p confirmed_at_us; the store's last outage ended at @p store_back_at_us, 0: there was none. */
-void view_peer_current(struct view *view, uint64_t confirmed_at_us, uint64_t store_back_at_us,
-		       uint64_t now_us);
+ * @p confirmed_at_us. */
+void view_peer_current(struct view *view, uint64_t confirmed_at_us, uint64_t now_us);
 /**
- * The store is unreachable, or no longer has the history that the watch needs.
+ * The store is unreachable, or no longer has the history that the watch needs (DW_STALE).
  * @param abandoned_bytes of its answers that didn't come to their end, since the start
  */
-void view_store_lost(struct view *view, const char *reason, uint64_t abandoned_bytes,
+void view_store_lost(struct view *view, enum dw_status reason, uint64_t abandoned_bytes,
 		     uint64_t now_us);
 
 /**
--- a/src/wharf-gateway/view_server.c
+++ b/src/wharf-gateway/view_server.c
@@ -37,13 +37,13 @@
 		.is_snapshot = !dw_view_log_covers(view->records, after),
 		.held_us = now_us - arrived_at_us,
 		.has_proof = view->confirmed_at_us > 0,
-		.had_outage = view->store_back_at_us > 0,
+		.had_outage = view->outage.ended_at_us > 0,
 	};
 
 	if (answer.has_proof)
 		answer.age_us = now_us - view->confirmed_at_us;
 	if (answer.had_outage)
-		answer.store_back_us = now_us - view->store_back_at_us;
+		answer.store_back_us = now_us - view->outage.ended_at_us;
 	/* Without a copy there is nothing to tell, above all not that no key exists. */
 	if (answer.revision == 0)
 		answer.is_snapshot = false;
--- a/src/wharf-gateway/view_sync.c
+++ b/src/wharf-gateway/view_sync.c
@@ -88,7 +88,7 @@
 	struct view *view = sync->view;
 	uint64_t now_us = dw_clock_now_us();
 	uint64_t confirmed_at_us = 0;
-	uint64_t store_back_at_us = 0;
+	uint64_t outage_ended_at_us = 0;
 	struct dw_endpoint address = { 0 };
 
 	if (answer->has_proof)
@@ -99,10 +99,11 @@
 		return;
 	}
 	if (answer->had_outage && answer->store_back_us < now_us)
-		store_back_at_us = now_us - answer->store_back_us;
+		outage_ended_at_us = now_us - answer->store_back_us;
 	finish_request(sync);
+	view_peer_answered(view, outage_ended_at_us);
 	view_apply_answer(view, answer, now_us);
-	view_peer_current(view, confirmed_at_us, store_back_at_us, now_us);
+	view_peer_current(view, confirmed_at_us, now_us);
 	if (peers_find(&view->peers, sync->asked, &address))
 		log_source(sync, sync->asked, address.ip);
 }
--- a/tests/process_fleet_test.cc
+++ b/tests/process_fleet_test.cc
@@ -216,8 +216,6 @@
 		ASSERT_TRUE(wait_until([&] {
 			return instances[i].metric("engines_usable") == 2 && look(i, "k2") == 200;
 		})) << i;
-	/* For 2.2 s after the store was first reached, a missing back end may only be late to register. */
-	std::this_thread::sleep_for(std::chrono::milliseconds(2500));
 	for (size_t i = 0; i < INSTANCES; i += 2)
 		instances[i].gateway->kill();
 	remove("servers/e2");
@@ -262,6 +260,27 @@
 		EXPECT_LT(taken_ms[i], CHANGE_MS) << i;
 }
 
+/* Entries that expired while the store was away: their back ends register again soon after. */
+TEST_F(Fleet, ABackEndWhoseEntryExpiredInAnOutageStaysInUse)
+{
+	std::this_thread::sleep_for(std::chrono::milliseconds(CHANGE_MS));
+	inject_store_fault("{\"kind\":\"outage\"}");
+	std::this_thread::sleep_for(std::chrono::milliseconds(CHANGE_MS));
+	remove("servers/e1");
+	int64_t back_ms = now_ms();
+	inject_store_fault("{\"kind\":\"none\"}");
+	while (now_ms() < back_ms + 1500) {
+		for (const instance &each : instances)
+			ASSERT_EQ(each.metric("engines_usable"), 1) << each.name;
+	}
+	register_backend(*backends[0], "e1");
+	for (size_t i = 0; i < INSTANCES; i++)
+		EXPECT_TRUE(wait_until([&] { return look(i, "k1") == 200; })) << i;
+	remove("servers/e1");
+	for (const instance &each : instances)
+		EXPECT_TRUE(wait_until([&] { return each.metric("engines_usable") == 0; }));
+}
+
 /* Each instance has a slow link to the store: an answer with a large configuration takes 1.5 s. */
 struct SlowLinks : Fleet {
 	static constexpr int ROUTES = 1450;
--- /dev/null
+++ b/tests/store_outage_test.cc
@@ -0,0 +1,71 @@
+// Which signs count as an outage of the store. The wrong ones kept engines in use that had left.
+#include <gtest/gtest.h>
+
+#include <dragonflywharf/store_outage.h>
+
+namespace
+{
+
+constexpr uint64_t MS = 1000;
+constexpr uint64_t STALE = 840 * MS;
+constexpr uint64_t START = 100000 * MS;
+
+struct StoreOutage : testing::Test {
+	dw_store_outage outage{};
+
+	void fail(uint64_t from_us, uint64_t to_us)
+	{
+		for (uint64_t at = from_us; at < to_us; at += 200 * MS)
+			dw_store_outage_call_failed(&outage, at);
+	}
+};
+
+TEST_F(StoreOutage, CallsThatFailForAWhileAndNoProofFromAnyoneAreAnOutage)
+{
+	fail(START, START + 4000 * MS);
+	dw_store_outage_call_answered(&outage, START - 100 * MS, STALE, START + 4000 * MS);
+	EXPECT_EQ(outage.ended_at_us, START + 4000 * MS);
+}
+
+/* Guards against the incident DRAIN: a copy that was late, as its change was large, its process
+ * suspended or its source gone, was taken for an outage. */
+TEST_F(StoreOutage, ALateCopyWithoutFailedCallsIsNone)
+{
+	dw_store_outage_call_answered(&outage, START - 5000 * MS, STALE, START);
+	EXPECT_EQ(outage.ended_at_us, 0U);
+	dw_store_outage_call_answered(&outage, 0, STALE, START);
+	EXPECT_EQ(outage.ended_at_us, 0U) << "a process that has just started";
+}
+
+TEST_F(StoreOutage, ACallThatFailsAsTheProcessWakesUpIsNone)
+{
+	dw_store_outage_call_failed(&outage, START);
+	dw_store_outage_call_answered(&outage, START - 5000 * MS, STALE, START + 60 * MS);
+	EXPECT_EQ(outage.ended_at_us, 0U);
+	/* A later failure doesn't count from the earlier one. */
+	dw_store_outage_call_failed(&outage, START + 9000 * MS);
+	dw_store_outage_call_answered(&outage, START, STALE, START + 9060 * MS);
+	EXPECT_EQ(outage.ended_at_us, 0U);
+}
+
+/* A store that refuses some instances and serves the others. */
+TEST_F(StoreOutage, FailedCallsBesideProofsFromOthersAreNone)
+{
+	fail(START, START + 4000 * MS);
+	dw_store_outage_call_answered(&outage, START + 3700 * MS, STALE, START + 4000 * MS);
+	EXPECT_EQ(outage.ended_at_us, 0U);
+}
+
+TEST_F(StoreOutage, AnotherInstanceIsBelievedOnlyWithoutAProofFromThatTime)
+{
+	dw_store_outage_told(&outage, START, START - 300 * MS, STALE);
+	EXPECT_EQ(outage.ended_at_us, 0U) << "this one had proofs all the while";
+	dw_store_outage_told(&outage, START, START + 300 * MS, STALE);
+	EXPECT_EQ(outage.ended_at_us, 0U);
+	dw_store_outage_told(&outage, START, START - 2000 * MS, STALE);
+	EXPECT_EQ(outage.ended_at_us, START);
+	dw_store_outage_told(&outage, START - 10 * MS, 0, STALE);
+	EXPECT_EQ(outage.ended_at_us, START) << "an earlier one changes nothing";
+}
+
+} // namespace
