Store calls: an answer that keeps arriving is waited for

Change: transfer, a small module, states the limits once for the store and for other instances: the next byte is due after a silence, the whole after four times the first byte's limit, so that an answer that trickles ends too. Ruled out: a longer fixed limit, which would notice a silent store later.

--- a/src/wharf-gateway/view_sync.c
+++ b/src/wharf-gateway/view_sync.c
@@ -14,8 +14,6 @@
 #define IDLE_TIMEOUT_MS 9000
 #define UNACKNOWLEDGED_TIMEOUT_MS 1500
 #define REQUEST_BYTES 160
-/* An answer that keeps arriving may take this many times the time limit for its first byte. */
-#define WHOLE_ANSWER_TIMEOUTS 4
 /* After the start, for how long the first request waits for the copy from the store. */
 #define COPY_WAIT_US (1000 * DW_US_PER_MS)
 /* A machine without power doesn't refuse connections; it stays silent. */
@@ -61,13 +59,12 @@
 	uint64_t now_us = dw_clock_now_us();
 	uint64_t timeout_us = sync->view->source.timing.pull_timeout_us;
 
-	if (sync->body.len + len > VIEW_ANSWER_MAX_BYTES || now_us >= sync->end_at_us)
+	if (sync->body.len + len > VIEW_ANSWER_MAX_BYTES || now_us >= sync->transfer.end_us)
 		return false;
 	bytes_put(&sync->body, bytes, len);
-	if (now_us + timeout_us > sync->end_at_us)
-		timeout_us = sync->end_at_us - now_us;
+	dw_transfer_received(&sync->transfer, timeout_us, now_us);
 	uv_timer_start(&sync->request_timer, sync->request_timer.timer_cb,
-		       timeout_us / DW_US_PER_MS + 1, 0);
+		       (sync->transfer.due_us - now_us) / DW_US_PER_MS + 1, 0);
 	return true;
 }
 
@@ -170,7 +167,8 @@
 			   address->ip, address->port);
 
 	sync->requested_at_us = dw_clock_now_us();
-	sync->end_at_us = sync->requested_at_us + WHOLE_ANSWER_TIMEOUTS * timeout_us;
+	dw_transfer_start(&sync->transfer, sync->requested_at_us + timeout_us,
+			  sync->requested_at_us);
 	sync->is_sent = false;
 	sync->requests++;
 	sync->connection =
--- a/src/wharf-gateway/view_sync.h
+++ b/src/wharf-gateway/view_sync.h
@@ -8,6 +8,8 @@
 
 #include <uv.h>
 
+#include <dragonflywharf/transfer.h>
+
 #include "base/bytes.h"
 #include "net/http_connection.h"
 #include "wharf-gateway/store_sync.h"
@@ -26,7 +28,7 @@
 	bool is_sent; /**< the request's connection is established */
 	uint64_t started_at_us;
 	uint64_t requested_at_us;
-	uint64_t end_at_us; /**< however fast the answer arrives, it has failed by then */
+	struct dw_transfer transfer; /**< of the answer */
 	uint64_t logged_source; /**< as logged; 0: the store */
 	uint64_t requests; /**< since the start */
 	uint64_t failures;
