View: large values are passed on between instances as changes to the value before

Evidence: status 409 and view.reader at each change at all 73 instances; by size, 295 of them would read 150 MB from the store a change.

Change: a value of 16 KB or more is packed with zstd against the value before (value_codec, view_pack); instances pass it on as they got it. One that lacks the base gets the value as it is if it is small, else reads the store, as before. A checksum shows another base. The exchange has version 2; instances of version 1 are left for the next source, as designed.

--- a/include/dragonflywharf/view_log.h
+++ b/include/dragonflywharf/view_log.h
@@ -23,6 +23,9 @@
 	size_t value_len;
 	uint64_t revision; /**< store revision of the key's last change */
 	bool deleted;
+	const uint8_t *packed; /**< the value as it is passed on if it is large; NULL: as it is */
+	size_t packed_len;
+	uint64_t base_revision; /**< revision of the value that packed refers to; 0: none */
 };
 
 struct dw_view_log;
@@ -54,10 +57,13 @@
  */
 bool dw_view_log_covers(const struct dw_view_log *log, uint64_t after);
 
+/** Whether an instance that knows all changes up to @p after can unpack the record's value. */
+bool dw_view_record_is_packed_for(const struct dw_view_record *record, uint64_t after);
+
 /**
  * Whether the records newer than @p after are few bytes enough to be passed on to several instances.
- * A large configuration fills the link of an instance that sends it to all its children, while each
- * of them can read it from the store.
+ * A large value that isn't packed fills the link of an instance that sends it to all its children,
+ * while each of them can read it from the store.
  */
 bool dw_view_log_is_small(const struct dw_view_log *log, uint64_t after);
 
--- a/scripts/install_deps.sh
+++ b/scripts/install_deps.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages=(build-essential cmake pkg-config clang clang-format clang-tidy libclang-rt-14-dev
 	libuv1-dev libhttp-parser-dev libh2o-dev libmsgpack-dev libargtable2-dev libjson-c-dev libprotobuf-c-dev
-	libxxhash-dev uthash-dev libssl-dev libsodium-dev libgtest-dev curl python3)
+	libxxhash-dev libzstd-dev uthash-dev libssl-dev libsodium-dev libgtest-dev curl python3)
 missing=()
 for package in "${packages[@]}"; do
 	dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'install ok installed' ||
--- a/src/core/view_log.c
+++ b/src/core/view_log.c
@@ -42,6 +42,7 @@
 {
 	free((char *)entry->record.key);
 	free((uint8_t *)entry->record.value);
+	free((uint8_t *)entry->record.packed);
 	free(entry);
 }
 
@@ -82,17 +83,29 @@
 	return entry;
 }
 
-static void set_value(struct dw_view_record *record, const uint8_t *value, size_t len)
+static uint8_t *copy_bytes(const uint8_t *bytes, size_t len)
 {
-	uint8_t *copy = NULL;
+	uint8_t *copy;
+
+	if (!bytes)
+		return NULL;
+	copy = alloc_or_abort(len + 1);
+	memcpy(copy, bytes, len);
+	return copy;
+}
+
+static void set_value(struct dw_view_record *record, const struct dw_view_record *from)
+{
+	uint8_t *value = from ? copy_bytes(from->value, from->value_len) : NULL;
+	uint8_t *packed = value ? copy_bytes(from->packed, from->packed_len) : NULL;
 
-	if (value) {
-		copy = alloc_or_abort(len + 1);
-		memcpy(copy, value, len);
-	}
 	free((uint8_t *)record->value);
-	record->value = copy;
-	record->value_len = copy ? len : 0;
+	free((uint8_t *)record->packed);
+	record->value = value;
+	record->value_len = value ? from->value_len : 0;
+	record->packed = packed;
+	record->packed_len = packed ? from->packed_len : 0;
+	record->base_revision = packed ? from->base_revision : 0;
 }
 
 bool dw_view_log_put(struct dw_view_log *log, const struct dw_view_record *record, uint64_t now_us)
@@ -104,7 +117,7 @@
 	entry->snapshot = log->snapshot;
 	if (record->revision <= entry->record.revision)
 		return false;
-	set_value(&entry->record, record->deleted ? NULL : record->value, record->value_len);
+	set_value(&entry->record, record->deleted ? NULL : record);
 	entry->record.revision = record->revision;
 	entry->record.deleted = record->deleted;
 	entry->updated_at_us = now_us;
@@ -143,13 +156,25 @@
 	return after > 0 && after >= log->forgotten_revision;
 }
 
+bool dw_view_record_is_packed_for(const struct dw_view_record *record, uint64_t after)
+{
+	return record->packed && after >= record->base_revision;
+}
+
+static size_t passed_on_len(const struct dw_view_record *record, uint64_t after)
+{
+	return strlen(record->key) + (dw_view_record_is_packed_for(record, after)
+					      ? record->packed_len
+					      : record->value_len);
+}
+
 bool dw_view_log_is_small(const struct dw_view_log *log, uint64_t after)
 {
 	size_t bytes = 0;
 
 	for (const struct log_entry *entry = log->entries; entry; entry = entry->hh.next) {
 		if (entry->record.revision > after)
-			bytes += strlen(entry->record.key) + entry->record.value_len;
+			bytes += passed_on_len(&entry->record, after);
 	}
 	return bytes <= PASSED_ON_MAX_BYTES;
 }
@@ -172,7 +197,7 @@
 		if (entry->record.deleted || entry->snapshot == log->snapshot ||
 		    entry->record.revision > revision)
 			continue;
-		set_value(&entry->record, NULL, 0);
+		set_value(&entry->record, NULL);
 		entry->record.revision = revision;
 		entry->record.deleted = true;
 		entry->updated_at_us = now_us;
--- a/src/net/view_codec.c
+++ b/src/net/view_codec.c
@@ -19,6 +19,7 @@
 };
 
 enum record_field { RECORD_KEY, RECORD_REVISION, RECORD_VALUE, RECORD_FIELD_COUNT };
+enum packed_field { PACKED_BASE, PACKED_BYTES, PACKED_FIELD_COUNT };
 
 static bool is_included(const struct dw_view_record *record, const struct view_answer *answer,
 			uint64_t after)
@@ -26,7 +27,13 @@
 	return answer->is_snapshot ? !record->deleted : record->revision > after;
 }
 
-static void pack_record(msgpack_packer *packer, const struct dw_view_record *record)
+static void pack_bytes(msgpack_packer *packer, const uint8_t *bytes, size_t len)
+{
+	msgpack_pack_bin(packer, len);
+	msgpack_pack_bin_body(packer, bytes, len);
+}
+
+static void pack_record(msgpack_packer *packer, const struct dw_view_record *record, uint64_t after)
 {
 	msgpack_pack_array(packer, RECORD_FIELD_COUNT);
 	dw_msgpack_pack_string(packer, record->key);
@@ -35,8 +42,13 @@
 		msgpack_pack_nil(packer);
 		return;
 	}
-	msgpack_pack_bin(packer, record->value_len);
-	msgpack_pack_bin_body(packer, record->value, record->value_len);
+	if (!dw_view_record_is_packed_for(record, after)) {
+		pack_bytes(packer, record->value, record->value_len);
+		return;
+	}
+	msgpack_pack_array(packer, PACKED_FIELD_COUNT);
+	msgpack_pack_uint64(packer, record->base_revision);
+	pack_bytes(packer, record->packed, record->packed_len);
 }
 
 static void pack_optional(msgpack_packer *packer, bool is_set, uint64_t value)
@@ -51,6 +63,7 @@
 		      const struct dw_view_log *log, uint64_t after)
 {
 	const struct dw_view_record *record = NULL;
+	uint64_t known = answer->is_snapshot ? 0 : after;
 	size_t count = 0;
 
 	while ((record = dw_view_log_next(log, record)))
@@ -66,7 +79,7 @@
 	msgpack_pack_array(packer, count);
 	while ((record = dw_view_log_next(log, record))) {
 		if (is_included(record, answer, after))
-			pack_record(packer, record);
+			pack_record(packer, record, known);
 	}
 }
 
@@ -89,6 +102,19 @@
 	return copy;
 }
 
+static bool read_packed(const msgpack_object *object, char **text, struct dw_view_record *out)
+{
+	const msgpack_object *fields = dw_msgpack_read_array(object, PACKED_FIELD_COUNT);
+	const msgpack_object *packed = fields ? &fields[PACKED_BYTES] : NULL;
+
+	if (!fields || packed->type != MSGPACK_OBJECT_BIN ||
+	    !dw_msgpack_read_uint(&fields[PACKED_BASE], UINT64_MAX, &out->base_revision))
+		return false;
+	out->packed_len = packed->via.bin.size;
+	out->packed = (uint8_t *)copy_text(text, packed->via.bin.ptr, packed->via.bin.size);
+	return true;
+}
+
 static bool read_record(const msgpack_object *object, char **text, struct dw_view_record *out)
 {
 	const msgpack_object *fields = dw_msgpack_read_array(object, RECORD_FIELD_COUNT);
@@ -104,6 +130,8 @@
 	out->deleted = value->type == MSGPACK_OBJECT_NIL;
 	if (out->deleted)
 		return true;
+	if (value->type == MSGPACK_OBJECT_ARRAY)
+		return read_packed(value, text, out);
 	if (value->type != MSGPACK_OBJECT_BIN)
 		return false;
 	out->value_len = value->via.bin.size;
--- a/src/net/view_codec.h
+++ b/src/net/view_codec.h
@@ -4,7 +4,8 @@
  *
  * The answer is a msgpack array: version of this encoding, revision, hops, whether these are all records,
  * time held, age of the proof or nil, time since the end of the store's last outage or nil, and the
- * records, each an array of key, revision and value or, for a deleted key, nil.
+ * records, each an array of key, revision and value; in place of the value nil for a deleted key, and
+ * for a packed value (value_codec) an array of the revision of its base, 0 without one, and bytes.
  */
 #ifndef WHARF_NET_VIEW_CODEC_H
 #define WHARF_NET_VIEW_CODEC_H
@@ -18,7 +19,7 @@
 extern "C" {
 #endif
 
-#define VIEW_CODEC_VERSION 1
+#define VIEW_CODEC_VERSION 2
 #define VIEW_ANSWER_MAX_BYTES (UINT64_C(32) << 20)
 
 struct view_answer {
@@ -30,7 +31,8 @@
 	uint64_t age_us;
 	bool had_outage; /**< the store came back store_back_us before the answer */
 	uint64_t store_back_us;
-	struct dw_view_record *records; /**< only set by view_answer_unpack() */
+	/** Only set by view_answer_unpack(). A packed one has no value. */
+	struct dw_view_record *records;
 	size_t record_count;
 	char *text; /**< memory of the records */
 };
--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 #include "net/view_codec.h"
+#include "net/view_pack.h"
 #include "platform/records.h"
 
 /* Engines whose entry expired during a store outage register again within this time after the outage,
@@ -223,9 +224,12 @@
 		.revision = event->entry.mod_revision,
 		.deleted = event->deleted,
 	};
+	struct bytes packed = { 0 };
 
+	view_record_pack(view->records, &record, &packed);
 	if (dw_view_log_put(view->records, &record, now_us))
 		apply_change(view, event, now_us);
+	bytes_free(&packed);
 }
 
 static void apply_missing(struct view *view, uint64_t revision, uint64_t now_us)
@@ -254,24 +258,52 @@
 	dw_view_log_complete(view->records, revision);
 }
 
-void view_apply_answer(struct view *view, const struct view_answer *answer, uint64_t now_us)
+static bool is_known(const struct view *view, const struct dw_view_record *record)
 {
-	if (answer->is_snapshot)
-		dw_view_log_begin_snapshot(view->records, answer->revision);
-	for (size_t i = 0; i < answer->record_count; i++) {
-		const struct dw_view_record *record = &answer->records[i];
-		struct dw_store_event event = { .deleted = record->deleted };
+	const struct dw_view_record *known = dw_view_log_find(view->records, record->key);
 
-		event.entry.key = record->key;
-		event.entry.value = record->value;
-		event.entry.value_len = record->value_len;
-		event.entry.mod_revision = record->revision;
-		view_apply(view, &event, now_us);
+	return known && known->revision >= record->revision;
+}
+
+/* Applies a record that another instance passed on; false if it was packed and can't be unpacked. */
+static bool apply_passed_on(struct view *view, const struct dw_view_record *passed_on,
+			    uint64_t now_us)
+{
+	struct dw_view_record record = *passed_on;
+	struct dw_store_event event = { .deleted = record.deleted };
+	struct bytes value = { 0 };
+
+	if (record.packed && !is_known(view, &record) &&
+	    view_record_unpack(view->records, &record, VIEW_ANSWER_MAX_BYTES, &value) != DW_OK) {
+		bytes_free(&value);
+		reject_record(view, record.key);
+		return false;
 	}
+	event.entry.key = record.key;
+	event.entry.value = record.value;
+	event.entry.value_len = record.value_len;
+	event.entry.mod_revision = record.revision;
+	if (dw_view_log_put(view->records, &record, now_us))
+		apply_change(view, &event, now_us);
+	bytes_free(&value);
+	return true;
+}
+
+bool view_apply_answer(struct view *view, const struct view_answer *answer, uint64_t now_us)
+{
+	bool is_complete = true;
+
+	if (answer->is_snapshot)
+		dw_view_log_begin_snapshot(view->records, answer->revision);
+	for (size_t i = 0; i < answer->record_count; i++)
+		is_complete &= apply_passed_on(view, &answer->records[i], now_us);
+	if (!is_complete)
+		return false;
 	if (answer->is_snapshot)
 		apply_missing(view, answer->revision, now_us);
 	view->hops = answer->hops < HOPS_MAX ? answer->hops + 1 : HOPS_MAX;
 	dw_view_log_complete(view->records, answer->revision);
+	return true;
 }
 
 void view_sweep(struct view *view, uint64_t now_us)
--- a/src/wharf-gateway/view.h
+++ b/src/wharf-gateway/view.h
@@ -52,8 +52,12 @@
 
 struct view_answer;
 
-/** Applies the records that another instance passed on. */
-void view_apply_answer(struct view *view, const struct view_answer *answer, uint64_t now_us);
+/**
+ * Applies the records that another instance passed on.
+ * @return false if one can't be applied, as it refers to a value that this copy doesn't have; the
+ * answer proves nothing then
+ */
+bool view_apply_answer(struct view *view, const struct view_answer *answer, uint64_t now_us);
 
 /**
  * Applies all keys of the store as of @p revision. Known keys that aren't among them count as deleted,
--- a/src/wharf-gateway/view_sync.c
+++ b/src/wharf-gateway/view_sync.c
@@ -99,7 +99,10 @@
 		outage_ended_at_us = now_us - answer->store_back_us;
 	finish_request(sync);
 	view_peer_answered(view, outage_ended_at_us);
-	view_apply_answer(view, answer, now_us);
+	if (!view_apply_answer(view, answer, now_us)) {
+		dw_view_source_behind(&view->source, now_us);
+		return;
+	}
 	view_peer_current(view, confirmed_at_us, now_us);
 	if (peers_find(&view->peers, sync->asked, &address))
 		log_source(sync, sync->asked, address.ip);
--- a/tests/view_codec_test.cc
+++ b/tests/view_codec_test.cc
@@ -90,6 +90,39 @@
 	view_answer_free(&out);
 }
 
+/* A packed value is sent to those who have its base, and as it is to the others. */
+TEST_F(ViewCodec, APackedValueIsSentToThoseWhoHaveItsBase)
+{
+	const uint8_t packed[] = { 1, 2, 3 };
+	dw_view_record large{};
+	view_answer out;
+	large.key = "d";
+	large.value = (const uint8_t *)"large";
+	large.value_len = 5;
+	large.revision = 9;
+	large.packed = packed;
+	large.packed_len = sizeof(packed);
+	large.base_revision = 6;
+	dw_view_log_put(log, &large, 1);
+	answer.revision = 9;
+	for (uint64_t after : { 7, 6, 5 }) {
+		pack(after);
+		ASSERT_EQ(unpack(&out, bytes.size), DW_OK);
+		const dw_view_record &last = out.records[out.record_count - 1];
+		EXPECT_STREQ(last.key, "d");
+		EXPECT_FALSE(last.deleted);
+		EXPECT_EQ(last.packed_len, after >= 6 ? 3U : 0U) << after;
+		EXPECT_EQ(last.base_revision, after >= 6 ? 6U : 0U);
+		EXPECT_EQ(last.value_len, after >= 6 ? 0U : 5U);
+		view_answer_free(&out);
+	}
+	answer.is_snapshot = true;
+	pack(7);
+	ASSERT_EQ(unpack(&out, bytes.size), DW_OK);
+	EXPECT_EQ(out.records[out.record_count - 1].value_len, 5U);
+	view_answer_free(&out);
+}
+
 /* One malformed message doesn't take the process down, and nothing is read beyond its end. */
 TEST_F(ViewCodec, MalformedAnswersAreRefused)
 {
@@ -105,12 +138,15 @@
 		    DW_OK)
 			view_answer_free(&out);
 	}
-	const uint8_t no_key[] = { 0x98, 0x01, 0x01, 0x00, 0x00, 0x00, 0xc0,
+	const uint8_t no_key[] = { 0x98, 0x02, 0x01, 0x00, 0x00, 0x00, 0xc0,
 				   0xc0, 0x91, 0x93, 0xa0, 0x01, 0xc4, 0x00 };
 	EXPECT_NE(view_answer_unpack(no_key, sizeof(no_key), &out), DW_OK);
-	const uint8_t other_version[] = { 0x98, 0x02, 0x01, 0x00, 0x00, 0x00, 0xc0, 0xc0, 0x90 };
-	EXPECT_NE(view_answer_unpack(other_version, sizeof(other_version), &out), DW_OK);
-	const uint8_t endless_array[] = { 0x98, 0x01, 0x01, 0x00, 0x00, 0x00, 0xc0,
+	for (uint8_t version : { 0x00, 0x01, 0x03 }) {
+		const uint8_t other_version[] = { 0x98, version, 0x01, 0x00, 0x00,
+						  0x00, 0xc0,	 0xc0, 0x90 };
+		EXPECT_NE(view_answer_unpack(other_version, sizeof(other_version), &out), DW_OK);
+	}
+	const uint8_t endless_array[] = { 0x98, 0x02, 0x01, 0x00, 0x00, 0x00, 0xc0,
 					  0xc0, 0xdd, 0xff, 0xff, 0xff, 0xff };
 	EXPECT_NE(view_answer_unpack(endless_array, sizeof(endless_array), &out), DW_OK);
 }
