Rollouts: the share grows on proof only, with requests under way counted

Cause, from the logs: the share grew by the clock unless there was evidence against the version, and an answer that is slow ends late or never: of some 75 requests 42 to 62 counted at 73% of the time, on another site 15 of 38, and these are the fast ones; the first byte of a short prompt hides a factor of 8.

Change: each instance counts what is sent, answered and under way; answers by time of work, requests under way included, is a rate that sees slow answers before they end. Beyond the first tenth the share grows only when 16 answers and a rate of 0.65 of the old version's plus 1.2 standard deviations are proven; without proof the shift is rolled back. A version below 0.35 of the rate is rolled back at any time. The instances tell each other their counts at 66% of the time; an instance that restarts takes up what its earlier process told.

Not to be told from chance: twice and three times slower is completed in 5 to 12, and 0 to 2, of 100. Tried: 8 answers and 0.6 (23 of 1,440 broken), 12 and 0.6 + 0.8 (7), 12 and 0.6 + 1.0 (5).

MovesAllRequestsBeforeItCompletes stated the rule by the clock; it now gives proof first, and WithoutProof... states the rest.

--- a/include/dragonflywharf/version_shift.h
+++ b/include/dragonflywharf/version_shift.h
@@ -6,6 +6,9 @@
  * Each instance gets the same order and follows the same schedule: a small share of the requests
  * first, more in the second half, all of them well before the time limit. The instances pool what
  * they observe of both versions, and each rolls back as soon as the pooled evidence calls for it.
+ * The share grows beyond the first one only on proof that the new version completes requests about
+ * as fast as the old one, with requests under way counted; without it the shift is rolled back in
+ * the end. So evidence that is late, lost or missing can't raise the share of a bad version.
  * There is no leader: the first instance to write the order's outcome, with a conditional write,
  * decides it.
  */
@@ -44,6 +47,8 @@
 	uint32_t bad; /**< answers that failed */
 	uint32_t timed; /**< answers whose time to the first byte is evaluated */
 	uint32_t slow; /**< timed answers that were much slower than expected */
+	uint32_t good; /**< requests that were answered completely */
+	uint64_t busy_ms; /**< time that all requests took, those under way so far included */
 };
 
 /** Observations on one answer. */
@@ -59,12 +64,22 @@
 	struct dw_shift_counts counts[DW_SHIFT_SIDE_COUNT];
 };
 
+/** Requests of this instance that are under way at one version. */
+struct dw_shift_open {
+	uint32_t count;
+	uint64_t
+		sent_at_sum_us; /**< sum of the times since the shift's start at which they were sent */
+};
+
 struct dw_shift {
 	struct dw_shift_order order;
 	enum dw_shift_state state;
 	uint64_t started_at_us; /**< start of the shift by this instance's clock */
+	uint64_t ordered_at_us; /**< when this instance learnt of the order */
 	uint64_t status_revision; /**< store revision of the recorded outcome; 0: none */
+	uint64_t promoted_at_us; /**< when the new version was proven good; 0: it isn't yet */
 	uint32_t loaded_answers; /**< good answers of the new version from an engine under load */
+	struct dw_shift_open open[DW_SHIFT_SIDE_COUNT];
 	struct dw_shift_evidence own;
 	struct dw_shift_evidence peers; /**< sum of the other instances' latest evidence */
 };
@@ -107,12 +122,33 @@
 void dw_shift_count_wait(struct dw_shift *shift, enum dw_shift_side side,
 			 const struct dw_shift_wait *wait, uint64_t now_us);
 
+/** A request was sent to a version, other than for the load test. */
+void dw_shift_request_sent(struct dw_shift *shift, enum dw_shift_side side, uint64_t now_us);
+/** A request counted by dw_shift_request_sent() at @p sent_at_us ended; @p good: with its answer. */
+void dw_shift_request_ended(struct dw_shift *shift, enum dw_shift_side side, uint64_t sent_at_us,
+			    bool good, uint64_t now_us);
+
+/** This instance's counts as the others should get them, with its requests under way so far. */
+struct dw_shift_counts dw_shift_own_counts(const struct dw_shift *shift, enum dw_shift_side side,
+					   uint64_t now_us);
+
+/** The counts of all instances, as far as this one knows them. */
+struct dw_shift_counts dw_shift_pooled_counts(const struct dw_shift *shift, enum dw_shift_side side,
+					      uint64_t now_us);
+
+/** Raises the share if the evidence proves the new version good and it is time; call it often. */
+void dw_shift_promote_if_proven(struct dw_shift *shift, uint64_t now_us);
+
+/** Whether the time has come at which the instances need each other's counts for that proof. */
+bool dw_shift_is_proof_due(const struct dw_shift *shift, uint64_t now_us);
+
 /** True if this instance has evidence against the new version, which the others should get. */
 bool dw_shift_is_suspect(const struct dw_shift *shift);
 
 /**
- * The state that follows from the evidence and the time: ROLLED_BACK if the new version is bad,
- * COMPLETED if it has received all requests for long enough, else RUNNING.
+ * The state that follows from the evidence and the time: ROLLED_BACK if the new version is bad or
+ * wasn't proven good in time, COMPLETED if it has received all requests for long enough, else
+ * RUNNING.
  */
 enum dw_shift_state dw_shift_next_state(const struct dw_shift *shift, uint64_t now_us);
 
--- a/src/core/version_shift.c
+++ b/src/core/version_shift.c
@@ -1,20 +1,29 @@
 #include <dragonflywharf/version_shift.h>
 
+#include <math.h>
 #include <string.h>
 
-/* From this part of the time limit on, this share of the requests goes to the new version, both in
- * thousandths. Sessions must not change their version in the first half, so after its first step
- * the share stays constant throughout that half, and until the load test has ended. */
+/* Progress, in thousandths of the time limit, and share of the requests for the new version, in
+ * thousandths. Sessions must not change their version in the first half, so after its first step the
+ * share stays constant throughout that half, and until the load test has ended and the version is
+ * proven good. */
+#define FIRST_SHARE_FROM_PERMILLE 40
 #define FIRST_SHARE_PERMILLE 100
-static const struct {
-	uint32_t from_permille;
-	uint32_t share_permille;
-} schedule[] = {
-	{ 0, 0 },
-	{ 40, FIRST_SHARE_PERMILLE },
-	{ 730, 500 },
-	{ 770, 1000 },
-};
+#define SECOND_SHARE_PERMILLE 500
+#define SECOND_SHARE_FOR_PERMILLE 40
+#define WHOLE_SHARE_PERMILLE 1000
+
+/* Proof that the new version is good: this many complete answers, and at least this part of the old
+ * version's answers in the same time of work, plus this many standard deviations of chance (the times
+ * of answers spread about as much as their mean). */
+#define PROOF_MIN_GOOD 16
+#define PROOF_RATE 0.65
+#define PROOF_DEVIATIONS 1.2
+/* The instances tell each other their counts from this progress on. */
+#define PROOF_TOLD_PERMILLE 660
+/* A version that was proven good is rolled back below this part of the old version's answers. */
+#define SLUGGISH_RATE 0.35
+#define SLUGGISH_MIN_BUSY_MS 20000
 
 /* Services with more engines than this start with a smaller share. */
 #define FULL_SHARE_ENGINES 24
@@ -23,6 +32,8 @@
 #define SECOND_HALF_PERMILLE 510
 /* By this progress, answers that started at the old version have ended. */
 #define COMPLETE_AT_PERMILLE 885
+/* Least time between the proof and the completion. */
+#define COMPLETE_AFTER_PROOF_PERMILLE 110
 
 /* A version may be bad only under load. Before the share is raised, a load test therefore sends
  * long requests to one of its engines, until this many good answers came while at least this part
@@ -54,6 +65,7 @@
 /* An answer is slow if it takes longer than this many times the expected time plus this slack. */
 #define SLOW_FACTOR 4
 #define SLOW_SLACK_US UINT64_C(150000)
+#define US_PER_MS UINT64_C(1000)
 
 static const char *const state_names[DW_SHIFT_STATE_COUNT] = {
 	[DW_SHIFT_NONE] = "none",
@@ -75,6 +87,7 @@
 	shift->order = *order;
 	shift->state = DW_SHIFT_RUNNING;
 	shift->started_at_us = now_us;
+	shift->ordered_at_us = now_us;
 }
 
 void dw_shift_catch_up(struct dw_shift *shift, uint32_t permille, uint64_t now_us)
@@ -122,10 +135,20 @@
 	return progress >= SECOND_HALF_PERMILLE && progress < LOAD_GONE_PERMILLE;
 }
 
+/* Progress at which the new version was proven good. */
+static uint32_t promoted_permille(const struct dw_shift *shift)
+{
+	return dw_shift_progress(shift, shift->promoted_at_us);
+}
+
+static uint64_t since_start_us(const struct dw_shift *shift, uint64_t at_us)
+{
+	return at_us > shift->ordered_at_us ? at_us - shift->ordered_at_us : 0;
+}
+
 uint32_t dw_shift_share(const struct dw_shift *shift, uint64_t now_us)
 {
 	uint32_t progress = dw_shift_progress(shift, now_us);
-	uint32_t share = 0;
 
 	switch (shift->state) {
 	case DW_SHIFT_COMPLETED:
@@ -137,11 +160,43 @@
 	case DW_SHIFT_RUNNING:
 		break;
 	}
-	for (size_t i = 0; i < sizeof(schedule) / sizeof(schedule[0]); i++) {
-		if (progress >= schedule[i].from_permille)
-			share = schedule[i].share_permille;
-	}
-	return share;
+	if (shift->promoted_at_us > 0)
+		return progress < promoted_permille(shift) + SECOND_SHARE_FOR_PERMILLE
+			       ? SECOND_SHARE_PERMILLE
+			       : WHOLE_SHARE_PERMILLE;
+	return progress >= FIRST_SHARE_FROM_PERMILLE ? FIRST_SHARE_PERMILLE : 0;
+}
+
+void dw_shift_request_sent(struct dw_shift *shift, enum dw_shift_side side, uint64_t now_us)
+{
+	shift->open[side].count++;
+	shift->open[side].sent_at_sum_us += since_start_us(shift, now_us);
+}
+
+void dw_shift_request_ended(struct dw_shift *shift, enum dw_shift_side side, uint64_t sent_at_us,
+			    bool good, uint64_t now_us)
+{
+	struct dw_shift_open *open = &shift->open[side];
+	struct dw_shift_counts *count = &shift->own.counts[side];
+
+	if (open->count == 0)
+		return;
+	open->count--;
+	open->sent_at_sum_us -= since_start_us(shift, sent_at_us);
+	count->good += good;
+	count->busy_ms += now_us > sent_at_us ? (now_us - sent_at_us) / US_PER_MS : 0;
+}
+
+struct dw_shift_counts dw_shift_own_counts(const struct dw_shift *shift, enum dw_shift_side side,
+					   uint64_t now_us)
+{
+	const struct dw_shift_open *open = &shift->open[side];
+	struct dw_shift_counts count = shift->own.counts[side];
+	uint64_t until_now_us = open->count * since_start_us(shift, now_us);
+
+	if (until_now_us > open->sent_at_sum_us)
+		count.busy_ms += (until_now_us - open->sent_at_sum_us) / US_PER_MS;
+	return count;
 }
 
 void dw_shift_count_answer(struct dw_shift *shift, enum dw_shift_side side,
@@ -217,25 +272,68 @@
 							old->answers, ROLLBACK_BAD_EXCESS_PERMILLE);
 }
 
-static struct dw_shift_counts pooled(const struct dw_shift *shift, enum dw_shift_side side)
+struct dw_shift_counts dw_shift_pooled_counts(const struct dw_shift *shift, enum dw_shift_side side,
+					      uint64_t now_us)
 {
-	const struct dw_shift_counts *own = &shift->own.counts[side];
+	struct dw_shift_counts own = dw_shift_own_counts(shift, side, now_us);
 	const struct dw_shift_counts *others = &shift->peers.counts[side];
 
 	return (struct dw_shift_counts){
-		.answers = own->answers + others->answers,
-		.bad = own->bad + others->bad,
-		.timed = own->timed + others->timed,
-		.slow = own->slow + others->slow,
+		.answers = own.answers + others->answers,
+		.bad = own.bad + others->bad,
+		.timed = own.timed + others->timed,
+		.slow = own.slow + others->slow,
+		.good = own.good + others->good,
+		.busy_ms = own.busy_ms + others->busy_ms,
 	};
 }
 
-static bool is_bad(const struct dw_shift *shift)
+/* Whether the new version completes at least this part of the requests that the old one completes in
+ * the same time of work. Requests under way are work without an answer so far. */
+static bool has_rate(const struct dw_shift_counts *new, const struct dw_shift_counts *old,
+		     double part)
 {
-	struct dw_shift_counts new = pooled(shift, DW_SHIFT_NEW);
-	struct dw_shift_counts old = pooled(shift, DW_SHIFT_OLD);
+	double new_rate = (double)new->good *(double)old->busy_ms;
+	double old_rate = (double)old->good * (double)new->busy_ms;
 
-	return is_failing(&new, &old) || is_slow(&new, &old);
+	return new_rate >= old_rate * part;
+}
+
+static bool is_sluggish(const struct dw_shift_counts *new, const struct dw_shift_counts *old)
+{
+	return new->busy_ms >= SLUGGISH_MIN_BUSY_MS && !has_rate(new, old, SLUGGISH_RATE);
+}
+
+static bool is_bad(const struct dw_shift *shift, uint64_t now_us)
+{
+	struct dw_shift_counts new = dw_shift_pooled_counts(shift, DW_SHIFT_NEW, now_us);
+	struct dw_shift_counts old = dw_shift_pooled_counts(shift, DW_SHIFT_OLD, now_us);
+
+	return is_failing(&new, &old) || is_slow(&new, &old) || is_sluggish(&new, &old);
+}
+
+static bool is_proven_good(const struct dw_shift *shift, uint64_t now_us)
+{
+	struct dw_shift_counts new = dw_shift_pooled_counts(shift, DW_SHIFT_NEW, now_us);
+	struct dw_shift_counts old = dw_shift_pooled_counts(shift, DW_SHIFT_OLD, now_us);
+
+	if (new.good < PROOF_MIN_GOOD || is_bad(shift, now_us))
+		return false;
+	return has_rate(&new, &old, PROOF_RATE + PROOF_DEVIATIONS / sqrt(new.good));
+}
+
+void dw_shift_promote_if_proven(struct dw_shift *shift, uint64_t now_us)
+{
+	if (shift->state == DW_SHIFT_RUNNING && shift->promoted_at_us == 0 &&
+	    dw_shift_progress(shift, now_us) >= LOAD_TEST_END_PERMILLE &&
+	    is_proven_good(shift, now_us))
+		shift->promoted_at_us = now_us;
+}
+
+bool dw_shift_is_proof_due(const struct dw_shift *shift, uint64_t now_us)
+{
+	return shift->state == DW_SHIFT_RUNNING &&
+	       dw_shift_progress(shift, now_us) >= PROOF_TOLD_PERMILLE;
 }
 
 bool dw_shift_is_suspect(const struct dw_shift *shift)
@@ -247,13 +345,19 @@
 
 enum dw_shift_state dw_shift_next_state(const struct dw_shift *shift, uint64_t now_us)
 {
+	uint32_t progress = dw_shift_progress(shift, now_us);
+
 	if (shift->state != DW_SHIFT_RUNNING)
 		return shift->state;
-	if (is_bad(shift))
+	if (is_bad(shift, now_us))
+		return DW_SHIFT_ROLLED_BACK;
+	if (progress < COMPLETE_AT_PERMILLE)
+		return DW_SHIFT_RUNNING;
+	if (shift->promoted_at_us == 0)
 		return DW_SHIFT_ROLLED_BACK;
-	if (dw_shift_progress(shift, now_us) >= COMPLETE_AT_PERMILLE)
-		return DW_SHIFT_COMPLETED;
-	return DW_SHIFT_RUNNING;
+	return progress >= promoted_permille(shift) + COMPLETE_AFTER_PROOF_PERMILLE
+		       ? DW_SHIFT_COMPLETED
+		       : DW_SHIFT_RUNNING;
 }
 
 static struct dw_shift_constraint require_target(const struct dw_shift *shift,
@@ -300,8 +404,7 @@
 {
 	uint32_t share = dw_shift_share(shift, now_us);
 
-	if (engines <= FULL_SHARE_ENGINES ||
-	    dw_shift_progress(shift, now_us) >= LOAD_TEST_END_PERMILLE)
+	if (engines <= FULL_SHARE_ENGINES || shift->promoted_at_us > 0)
 		return share;
 	return share * FULL_SHARE_ENGINES / engines;
 }
--- a/src/wharf-gateway/exchange.c
+++ b/src/wharf-gateway/exchange.c
@@ -138,6 +138,7 @@
 	enum dw_policy_verdict verdict =
 		dw_request_policy_ended(&exchange->policy, outcome, may_retry, now_us);
 
+	exchange_count_version_end(exchange, false);
 	if (outcome == DW_ATTEMPT_NO_ANSWER)
 		exchange_count_version_wait(exchange);
 	if (exchange_counts_as_version_failure(exchange, outcome))
@@ -183,6 +184,7 @@
 	exchange->answer_started_at_us = 0;
 	exchange->is_wait_counted = false;
 	exchange->load_permille = 0;
+	exchange_count_version_sent(exchange);
 	exchange_pin_session(exchange);
 }
 
--- a/src/wharf-gateway/exchange_answer.c
+++ b/src/wharf-gateway/exchange_answer.c
@@ -48,6 +48,29 @@
 		exchange->silence_deadline_us = exchange->last_progress_at_us + limit_us;
 }
 
+void exchange_count_version_sent(struct exchange *exchange)
+{
+	if (!exchange->is_load_test)
+		exchange->shift_revision =
+			shifts_count_sent(&exchange->router->view->shifts, exchange->service_name,
+					  exchange->version, exchange->attempt_sent_at_us);
+}
+
+void exchange_count_version_end(struct exchange *exchange, bool is_good)
+{
+	struct shift_request request = {
+		.revision = exchange->shift_revision,
+		.version = exchange->version,
+		.sent_at_us = exchange->attempt_sent_at_us,
+	};
+
+	if (exchange->shift_revision == 0)
+		return;
+	exchange->shift_revision = 0;
+	shifts_count_end(&exchange->router->view->shifts, exchange->service_name, &request, is_good,
+			 dw_clock_now_us());
+}
+
 void exchange_count_version_wait(struct exchange *exchange)
 {
 	uint64_t now_us = dw_clock_now_us();
@@ -199,6 +222,7 @@
 		exchange_after_attempt(exchange, DW_ATTEMPT_CUT);
 		return;
 	}
+	exchange_count_version_end(exchange, true);
 	exchange_count_version_result(exchange, false);
 	if (exchange->first_byte_at_us == 0)
 		exchange->first_byte_at_us = dw_clock_now_us();
--- a/src/wharf-gateway/exchange_reply.c
+++ b/src/wharf-gateway/exchange_reply.c
@@ -28,6 +28,7 @@
 
 void exchange_close(struct exchange *exchange)
 {
+	exchange_count_version_end(exchange, false);
 	exchange_pin_session(exchange);
 	exchange->is_finished = true;
 	exchange->caller = NULL;
--- a/src/wharf-gateway/exchange_route.c
+++ b/src/wharf-gateway/exchange_route.c
@@ -93,6 +93,7 @@
 		dw_engine_set_count_version(exchange->router->view->engines, exchange->service_name,
 					    shift->order.target_version, choice->now_us);
 	constraint = dw_shift_constrain(shift, &request, choice->now_us);
+	exchange->is_load_test = constraint.is_load_test;
 	choice->required_version = constraint.required_version;
 	choice->subset_permille = constraint.engines_permille;
 	if (constraint.is_load_test && exchange->model)
--- a/src/wharf-gateway/exchange_state.h
+++ b/src/wharf-gateway/exchange_state.h
@@ -44,6 +44,8 @@
 	char version[DW_ENGINE_TEXT_BYTES]; /**< of the attempt's engine */
 	uint64_t attempt_sent_at_us;
 	uint64_t attempt_nominal_us; /**< time to the first byte at an engine of usual speed */
+	bool is_load_test; /**< the attempt is part of a rollout's load test */
+	uint64_t shift_revision; /**< rollout that counts the attempt as under way; 0: none */
 	bool is_wait_counted; /**< the attempt's wait for its first byte was counted */
 	uint64_t answer_started_at_us; /**< of the attempt's answer; 0: not started */
 	uint32_t load_permille; /**< of the engine's slots, as reported in the answer; 0: unknown */
@@ -119,6 +121,10 @@
 extern const struct attempt_callbacks exchange_attempt_callbacks;
 /** Restarts the silence timeout: without data within @p limit_us, the attempt is aborted. */
 void exchange_restart_silence_timeout(struct exchange *exchange, uint64_t limit_us);
+/** The attempt is sent: counts it for the service's rollout, if one is running. */
+void exchange_count_version_sent(struct exchange *exchange);
+/** The attempt ended; @p is_good: with a complete answer. Later calls have no effect. */
+void exchange_count_version_end(struct exchange *exchange, bool is_good);
 /** Counts the attempt's wait for its first byte, which has come or won't be waited for any more. */
 void exchange_count_version_wait(struct exchange *exchange);
 /** Counts the attempt's result as evidence about its engine's version. */
--- a/src/wharf-gateway/shifts.c
+++ b/src/wharf-gateway/shifts.c
@@ -17,7 +17,9 @@
 #define PROGRESS_PREFIX "wharf/progress/"
 #define EVIDENCE_PREFIX "wharf/evidence/"
 #define KEY_BYTES 200
-#define VALUE_BYTES 256
+#define VALUE_BYTES 384
+#define COUNTS_BYTES 96
+#define COUNT_FIELDS 6
 
 #define CHECK_PERIOD_MS 200
 #define WRITE_TIMEOUT_US (800 * DW_US_PER_MS)
@@ -62,6 +64,7 @@
 	uint32_t written_bad_or_slow;
 	uint32_t written_answers;
 	uint64_t evidence_at_us;
+	bool is_proof_told; /**< the counts that may prove the new version good were written */
 	enum dw_shift_state written_state;
 	UT_hash_handle hh; /**< keyed by shift.order.service */
 };
@@ -92,19 +95,20 @@
 static void log_shift(const struct service_shift *service, const char *cause, uint64_t now_us)
 {
 	const struct dw_shift *shift = &service->shift;
-	const struct dw_shift_counts *own = shift->own.counts;
-	const struct dw_shift_counts *others = shift->peers.counts;
-
-	dw_log_event(
-		service->owner->log, DW_EVENT_SHIFT_CHANGED,
-		DW_STR("service", shift->order.service),
-		DW_STR("target", shift->order.target_version),
-		DW_STR("state", dw_shift_state_name(shift->state)), DW_STR("cause", cause),
-		DW_INT("progress_permille", dw_shift_progress(shift, now_us)),
-		DW_INT("new_answers", own[DW_SHIFT_NEW].answers + others[DW_SHIFT_NEW].answers),
-		DW_INT("new_bad", own[DW_SHIFT_NEW].bad + others[DW_SHIFT_NEW].bad),
-		DW_INT("old_answers", own[DW_SHIFT_OLD].answers + others[DW_SHIFT_OLD].answers),
-		DW_INT("old_bad", own[DW_SHIFT_OLD].bad + others[DW_SHIFT_OLD].bad));
+	struct dw_shift_counts new = dw_shift_pooled_counts(shift, DW_SHIFT_NEW, now_us);
+	struct dw_shift_counts old = dw_shift_pooled_counts(shift, DW_SHIFT_OLD, now_us);
+
+	dw_log_event(service->owner->log, DW_EVENT_SHIFT_CHANGED,
+		     DW_STR("service", shift->order.service),
+		     DW_STR("target", shift->order.target_version),
+		     DW_STR("state", dw_shift_state_name(shift->state)), DW_STR("cause", cause),
+		     DW_INT("progress_permille", dw_shift_progress(shift, now_us)),
+		     DW_INT("new_answers", new.answers), DW_INT("new_bad", new.bad),
+		     DW_INT("new_timed", new.timed), DW_INT("new_slow", new.slow),
+		     DW_INT("new_good", new.good), DW_INT("new_busy_ms", new.busy_ms),
+		     DW_INT("old_answers", old.answers), DW_INT("old_bad", old.bad),
+		     DW_INT("old_timed", old.timed), DW_INT("old_slow", old.slow),
+		     DW_INT("old_good", old.good), DW_INT("old_busy_ms", old.busy_ms));
 }
 
 static void reset_evidence(struct service_shift *service)
@@ -117,6 +121,7 @@
 	service->written_answers = 0;
 	service->written_bad_or_slow = 0;
 	service->written_progress = 0;
+	service->is_proof_told = false;
 	service->is_writer = false;
 	service->written_state = DW_SHIFT_NONE;
 }
@@ -232,22 +237,36 @@
 	sum->bad += count->bad;
 	sum->timed += count->timed;
 	sum->slow += count->slow;
+	sum->good += count->good;
+	sum->busy_ms += count->busy_ms;
 }
 
-/* Counts are an array of four numbers: answers, bad, timed and slow ones. Missing ones count as zero,
- * which only weakens the evidence. */
+/* Counts are an array of numbers: answers, bad, timed, slow and good ones, and the time that requests
+ * took. Missing ones count as zero, which only weakens the evidence. */
 static void read_count(struct json_object *root, const char *name, struct dw_shift_counts *count)
 {
 	struct json_object *array;
-	uint32_t numbers[4] = { 0 };
+	uint64_t numbers[COUNT_FIELDS] = { 0 };
 
 	if (json_object_object_get_ex(root, name, &array) &&
 	    json_object_is_type(array, json_type_array)) {
-		for (size_t i = 0; i < 4 && i < json_object_array_length(array); i++)
-			numbers[i] = (uint32_t)json_object_get_uint64(
-				json_object_array_get_idx(array, i));
+		for (size_t i = 0; i < COUNT_FIELDS && i < json_object_array_length(array); i++)
+			numbers[i] = json_object_get_uint64(json_object_array_get_idx(array, i));
 	}
-	*count = (struct dw_shift_counts){ numbers[0], numbers[1], numbers[2], numbers[3] };
+	*count = (struct dw_shift_counts){
+		.answers = (uint32_t)numbers[0],
+		.bad = (uint32_t)numbers[1],
+		.timed = (uint32_t)numbers[2],
+		.slow = (uint32_t)numbers[3],
+		.good = (uint32_t)numbers[4],
+		.busy_ms = numbers[5],
+	};
+}
+
+static int print_count(char *out, size_t size, const struct dw_shift_counts *count)
+{
+	return snprintf(out, size, "[%u,%u,%u,%u,%u,%" PRIu64 "]", count->answers, count->bad,
+			count->timed, count->slow, count->good, count->busy_ms);
 }
 
 static void sum_evidence(struct service_shift *service)
@@ -265,21 +284,19 @@
 static void apply_evidence(struct service_shift *service, const char *instance,
 			   const struct dw_store_event *event)
 {
+	bool is_own = strcmp(instance, service->owner->instance) == 0;
 	struct json_object *root;
-	struct peer_evidence *peer;
+	struct dw_shift_counts *counts;
 
-	if (strcmp(instance, service->owner->instance) == 0) {
+	if (is_own)
 		service->evidence.revision = event->deleted ? 0 : event->entry.mod_revision;
-		return;
-	}
 	if (event->deleted)
 		return;
 	root = json_tokener_parse((const char *)event->entry.value);
-	if (read_number(root, "order") == service->shift.order.revision) {
-		struct dw_shift_counts *counts;
-
-		peer = find_or_add_peer(service, instance);
-		counts = peer->evidence.counts;
+	/* An own record of another run is what an earlier process of this instance has seen. */
+	if (read_number(root, "order") == service->shift.order.revision &&
+	    (!is_own || read_number(root, "run") != service->owner->run)) {
+		counts = find_or_add_peer(service, instance)->evidence.counts;
 		read_count(root, "new", &counts[DW_SHIFT_NEW]);
 		read_count(root, "old", &counts[DW_SHIFT_OLD]);
 		sum_evidence(service);
@@ -315,8 +332,13 @@
 
 static void roll_back_if_bad(struct service_shift *service, uint64_t now_us)
 {
-	enum dw_shift_state state = dw_shift_next_state(&service->shift, now_us);
+	bool was_promoted = service->shift.promoted_at_us > 0;
+	enum dw_shift_state state;
 
+	dw_shift_promote_if_proven(&service->shift, now_us);
+	if (!was_promoted && service->shift.promoted_at_us > 0)
+		log_shift(service, "proven good", now_us);
+	state = dw_shift_next_state(&service->shift, now_us);
 	if (state == service->shift.state)
 		return;
 	/* A rollback takes effect here at once, so that a bad version gets no more requests. A
@@ -341,6 +363,27 @@
 									 : DW_SHIFT_OLD;
 }
 
+uint64_t shifts_count_sent(struct shifts *shifts, const char *service_name, const char *version,
+			   uint64_t now_us)
+{
+	struct service_shift *service = find_running(shifts, service_name);
+
+	if (!service)
+		return 0;
+	dw_shift_request_sent(&service->shift, side_of(service, version), now_us);
+	return service->shift.order.revision;
+}
+
+void shifts_count_end(struct shifts *shifts, const char *service_name,
+		      const struct shift_request *request, bool is_good, uint64_t now_us)
+{
+	struct service_shift *service = find_running(shifts, service_name);
+
+	if (service && service->shift.order.revision == request->revision)
+		dw_shift_request_ended(&service->shift, side_of(service, request->version),
+				       request->sent_at_us, is_good, now_us);
+}
+
 void shifts_count_wait(struct shifts *shifts, const char *service_name, const char *version,
 		       const struct dw_shift_wait *wait, uint64_t now_us)
 {
@@ -389,6 +432,11 @@
 		     DW_INT("new_bad", shift->own.counts[DW_SHIFT_NEW].bad),
 		     DW_INT("new_timed", shift->own.counts[DW_SHIFT_NEW].timed),
 		     DW_INT("new_slow", shift->own.counts[DW_SHIFT_NEW].slow),
+		     DW_INT("new_good", shift->own.counts[DW_SHIFT_NEW].good),
+		     DW_INT("new_busy_ms", shift->own.counts[DW_SHIFT_NEW].busy_ms),
+		     DW_INT("new_open", shift->open[DW_SHIFT_NEW].count),
+		     DW_INT("old_good", shift->own.counts[DW_SHIFT_OLD].good),
+		     DW_INT("old_busy_ms", shift->own.counts[DW_SHIFT_OLD].busy_ms),
 		     DW_INT("old_answers", shift->own.counts[DW_SHIFT_OLD].answers),
 		     DW_INT("old_bad", shift->own.counts[DW_SHIFT_OLD].bad),
 		     DW_INT("old_timed", shift->own.counts[DW_SHIFT_OLD].timed),
@@ -489,26 +537,59 @@
 	       new->answers > 2 * service->written_answers;
 }
 
+/* This instance's counts with those of its earlier processes. */
+static struct dw_shift_counts counts_to_tell(const struct service_shift *service,
+					     enum dw_shift_side side, uint64_t now_us)
+{
+	struct dw_shift_counts sum = dw_shift_own_counts(&service->shift, side, now_us);
+	const struct peer_evidence *at = service->peers;
+
+	while (at && strcmp(at->instance, service->owner->instance) != 0)
+		at = at->next;
+	if (at)
+		add_count(&sum, &at->evidence.counts[side]);
+	return sum;
+}
+
+/* Whether to tell the others what this instance has seen: evidence against the new version as soon as
+ * there is some, and once what they need to prove it good. */
+static bool is_evidence_due(struct service_shift *service, uint64_t now_us)
+{
+	const struct dw_shift *shift = &service->shift;
+
+	if (shift->state == DW_SHIFT_COMPLETED || service->evidence.in_flight)
+		return false;
+	if (!service->is_proof_told && dw_shift_is_proof_due(shift, now_us)) {
+		service->is_proof_told = true;
+		return shift->own.counts[DW_SHIFT_NEW].good > 0 ||
+		       shift->open[DW_SHIFT_NEW].count > 0;
+	}
+	return has_new_evidence(service) && dw_shift_is_suspect(shift) &&
+	       now_us >= service->evidence_at_us + EVIDENCE_PERIOD_US;
+}
+
 static void write_evidence(struct service_shift *service, uint64_t now_us)
 {
-	const struct dw_shift_counts *new = &service->shift.own.counts[DW_SHIFT_NEW];
-	const struct dw_shift_counts *old = &service->shift.own.counts[DW_SHIFT_OLD];
+	struct dw_shift_counts new = counts_to_tell(service, DW_SHIFT_NEW, now_us);
+	struct dw_shift_counts old = counts_to_tell(service, DW_SHIFT_OLD, now_us);
+	char new_text[COUNTS_BYTES];
+	char old_text[COUNTS_BYTES];
 	char value[VALUE_BYTES];
 	char key[KEY_BYTES];
 
-	if (service->shift.state == DW_SHIFT_COMPLETED || service->evidence.in_flight ||
-	    !has_new_evidence(service) || !dw_shift_is_suspect(&service->shift) ||
-	    now_us < service->evidence_at_us + EVIDENCE_PERIOD_US)
+	if (!is_evidence_due(service, now_us))
 		return;
 	service->evidence_at_us = now_us;
-	service->written_answers = new->answers;
-	service->written_bad_or_slow = new->bad + new->slow;
+	service->written_answers = service->shift.own.counts[DW_SHIFT_NEW].answers;
+	service->written_bad_or_slow = service->shift.own.counts[DW_SHIFT_NEW].bad +
+				       service->shift.own.counts[DW_SHIFT_NEW].slow;
+	print_count(new_text, sizeof(new_text), &new);
+	print_count(old_text, sizeof(old_text), &old);
 	snprintf(key, sizeof(key), EVIDENCE_PREFIX "%s/%s", service->shift.order.service,
 		 service->owner->instance);
 	snprintf(value, sizeof(value),
-		 "{\"order\":%" PRIu64 ",\"new\":[%u,%u,%u,%u],\"old\":[%u,%u,%u,%u]}",
-		 service->shift.order.revision, new->answers, new->bad, new->timed, new->slow,
-		 old->answers, old->bad, old->timed, old->slow);
+		 "{\"order\":%" PRIu64 ",\"run\":%" PRIu64 ",\"new\":%s,\"old\":%s}",
+		 service->shift.order.revision, service->owner->run, new_text, old_text);
 	write_record(service, &service->evidence, "evidence", key, value);
 }
 
@@ -531,6 +612,8 @@
 {
 	shifts->store = store;
 	shifts->random = seed;
+	/* JSON integers are exact up to 2^53. */
+	shifts->run = dw_random_next(&shifts->random) >> 12;
 	uv_timer_init(loop, &shifts->timer);
 	shifts->timer.data = shifts;
 	uv_timer_start(&shifts->timer, on_check_timer, CHECK_PERIOD_MS, CHECK_PERIOD_MS);
--- a/src/wharf-gateway/shifts.h
+++ b/src/wharf-gateway/shifts.h
@@ -6,7 +6,7 @@
  * The gateway's own keys in the store: "wharf/progress/SERVICE" is the elapsed part of an order's
  * duration, for instances that start during the rollout; "wharf/evidence/SERVICE/INSTANCE" holds
  * the counts of struct dw_shift_counts for the answers that an instance got from the new and the old
- * version.
+ * version, earlier processes of the instance included.
  */
 #ifndef GATEWAY_SHIFTS_H
 #define GATEWAY_SHIFTS_H
@@ -29,6 +29,7 @@
 	struct dw_session_pins *pins;
 	uv_timer_t timer;
 	uint64_t random;
+	uint64_t run; /**< number of this process, in its evidence records */
 };
 
 void shifts_init(struct shifts *shifts, struct dw_log *log, const char *instance);
@@ -51,6 +52,24 @@
 /** The service's rollout, NULL if there is none. */
 const struct dw_shift *shifts_find(struct shifts *shifts, const char *service);
 
+/**
+ * Counts a request that is sent to a version of a service.
+ * @return revision of the rollout that counts it; 0: none is running
+ */
+uint64_t shifts_count_sent(struct shifts *shifts, const char *service, const char *version,
+			   uint64_t now_us);
+
+/** A request that shifts_count_sent() counted. */
+struct shift_request {
+	uint64_t revision; /**< as returned by shifts_count_sent() */
+	const char *version;
+	uint64_t sent_at_us;
+};
+
+/** The request ended; @p is_good: with a complete answer. */
+void shifts_count_end(struct shifts *shifts, const char *service,
+		      const struct shift_request *request, bool is_good, uint64_t now_us);
+
 /** Counts a wait for the first byte of one version of a service, see dw_shift_count_wait(). */
 void shifts_count_wait(struct shifts *shifts, const char *service, const char *version,
 		       const struct dw_shift_wait *wait, uint64_t now_us);
--- a/tests/version_shift_test.cc
+++ b/tests/version_shift_test.cc
@@ -1,8 +1,14 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <cmath>
 #include <cstdio>
 #include <cstring>
+#include <functional>
+#include <queue>
 #include <random>
+#include <string>
+#include <vector>
 
 #include <dragonflywharf/version_shift.h>
 
@@ -40,6 +46,14 @@
 		dw_shift_constraint constraint = dw_shift_constrain(&shift, &request, now_us);
 		return constraint.required_version ? 'n' : constraint.excluded_version ? 'o' : '-';
 	}
+	/* Requests that each take @p each_ms, all answered. */
+	void serve(dw_shift_side which, int count, uint64_t each_ms, uint64_t now_us)
+	{
+		for (int i = 0; i < count; i++)
+			dw_shift_request_sent(&shift, which, now_us - each_ms * MS);
+		for (int i = 0; i < count; i++)
+			dw_shift_request_ended(&shift, which, now_us - each_ms * MS, true, now_us);
+	}
 	void answers(dw_shift_side which, int good, int bad, uint64_t now_us)
 	{
 		dw_shift_answer answer = { false, 100 * MS, 100 * MS, 0 };
@@ -76,6 +90,12 @@
 TEST_F(VersionShift, MovesAllRequestsBeforeItCompletes)
 {
 	EXPECT_EQ(dw_shift_share(&shift, at(0)), 0U);
+	serve(DW_SHIFT_OLD, 100, 400, at(700));
+	serve(DW_SHIFT_NEW, 40, 420, at(700));
+	dw_shift_promote_if_proven(&shift, at(720));
+	EXPECT_EQ(shift.promoted_at_us, 0U) << "the load test hasn't ended";
+	dw_shift_promote_if_proven(&shift, at(735));
+	EXPECT_EQ(dw_shift_share(&shift, at(740)), 500U);
 	EXPECT_EQ(dw_shift_share(&shift, at(780)), 1000U);
 	EXPECT_EQ(dw_shift_next_state(&shift, at(780)), DW_SHIFT_RUNNING);
 	EXPECT_EQ(dw_shift_next_state(&shift, at(920)), DW_SHIFT_COMPLETED);
@@ -151,8 +171,8 @@
 		{ 6, 10, 0, 0, DW_SHIFT_ROLLED_BACK },
 	};
 	for (const auto &each : cases) {
-		shift.peers.counts[DW_SHIFT_NEW] = { 0, 0, each.new_timed, each.new_slow };
-		shift.peers.counts[DW_SHIFT_OLD] = { 0, 0, each.old_timed, each.old_slow };
+		shift.peers.counts[DW_SHIFT_NEW] = { 0, 0, each.new_timed, each.new_slow, 0, 0 };
+		shift.peers.counts[DW_SHIFT_OLD] = { 0, 0, each.old_timed, each.old_slow, 0, 0 };
 		EXPECT_EQ(dw_shift_next_state(&shift, at(500)), each.expected)
 			<< each.new_slow << " of " << each.new_timed;
 	}
@@ -160,8 +180,8 @@
 
 TEST_F(VersionShift, EvidenceOfOtherInstancesCounts)
 {
-	shift.peers.counts[DW_SHIFT_NEW] = { 10, 5, 0, 0 };
-	shift.peers.counts[DW_SHIFT_OLD] = { 100, 1, 0, 0 };
+	shift.peers.counts[DW_SHIFT_NEW] = { 10, 5, 0, 0, 0, 0 };
+	shift.peers.counts[DW_SHIFT_OLD] = { 100, 1, 0, 0, 0, 0 };
 	EXPECT_EQ(dw_shift_next_state(&shift, at(100)), DW_SHIFT_ROLLED_BACK);
 }
 
@@ -233,4 +253,268 @@
 	EXPECT_EQ(dw_shift_progress(&shift, START + SECOND), 600U);
 }
 
+/* Without proof the share stays small, and the shift ends by a rollback before the time limit. */
+TEST_F(VersionShift, WithoutProofTheShareStaysSmallAndTheShiftEndsInARollback)
+{
+	serve(DW_SHIFT_OLD, 100, 400, at(700));
+	serve(DW_SHIFT_NEW, 5, 400, at(700));
+	for (uint32_t permille = 730; permille < 885; permille += 5) {
+		dw_shift_promote_if_proven(&shift, at(permille));
+		ASSERT_EQ(dw_shift_share(&shift, at(permille)), 100U) << permille;
+		ASSERT_EQ(dw_shift_next_state(&shift, at(permille)), DW_SHIFT_RUNNING);
+	}
+	EXPECT_EQ(dw_shift_next_state(&shift, at(890)), DW_SHIFT_ROLLED_BACK);
+}
+
+/* Guards against EXPOSURE by a slow version: its requests under way were no evidence, as only those
+ * that had ended were counted. */
+TEST_F(VersionShift, RequestsUnderWayAreNoProof)
+{
+	serve(DW_SHIFT_OLD, 100, 400, at(700));
+	serve(DW_SHIFT_NEW, 20, 400, at(700));
+	for (int i = 0; i < 20; i++)
+		dw_shift_request_sent(&shift, DW_SHIFT_NEW, at(300));
+	dw_shift_promote_if_proven(&shift, at(740));
+	EXPECT_EQ(shift.promoted_at_us, 0U);
+	EXPECT_EQ(dw_shift_own_counts(&shift, DW_SHIFT_NEW, at(740)).busy_ms,
+		  20U * 400 + 20U * 8800);
+}
+
+TEST_F(VersionShift, ALateProofLeavesTimeBeforeTheCompletion)
+{
+	serve(DW_SHIFT_OLD, 100, 400, at(800));
+	serve(DW_SHIFT_NEW, 20, 400, at(800));
+	dw_shift_promote_if_proven(&shift, at(850));
+	EXPECT_EQ(dw_shift_next_state(&shift, at(950)), DW_SHIFT_RUNNING);
+	EXPECT_EQ(dw_shift_next_state(&shift, at(960)), DW_SHIFT_COMPLETED);
+}
+
+/* A model of a rollout: instances that run the library's decisions under traffic, with restarts in the
+ * middle and evidence that is late or lost. */
+struct Rollout {
+	struct settings {
+		int instances = 9;
+		int requests = 1000; /* within the time limit */
+		double slow_factor = 1;
+		double slow_share = 0.5;
+		double restarted = 0; /* part of the instances */
+		double lost = 0; /* part of the evidence */
+		uint64_t delay_us = 500 * MS; /* of records between instances */
+	};
+	struct event {
+		uint64_t at_us;
+		uint64_t number;
+		std::function<void()> run;
+		bool operator<(const event &other) const
+		{
+			return at_us != other.at_us ? at_us > other.at_us : number > other.number;
+		}
+	};
+	struct node {
+		dw_shift shift{};
+		uint64_t run = 0;
+		uint64_t told_at_us = 0;
+		bool is_proof_told = false;
+		uint32_t told_slow = 0;
+		std::vector<dw_shift_evidence> known;
+		dw_shift_evidence earlier{};
+	};
+	static constexpr uint64_t LIMIT = 15 * SECOND;
+	settings how;
+	std::mt19937_64 random;
+	std::vector<node> nodes;
+	std::vector<dw_shift_evidence> stored;
+	std::priority_queue<event> events;
+	uint64_t now_us = START;
+	uint64_t number = 0;
+	dw_shift_state outcome = DW_SHIFT_RUNNING;
+	int sent_new = 0;
+	int sent_all = 0;
+
+	Rollout(const settings &s, uint64_t seed)
+	    : how(s), random(seed), nodes((size_t)s.instances), stored((size_t)s.instances)
+	{
+		for (size_t i = 0; i < nodes.size(); i++) {
+			start(i, START);
+			tick(i, 0);
+		}
+		for (size_t i = 0; i < nodes.size() * how.restarted; i++)
+			at(START + LIMIT * 55 / 100 + random() % (LIMIT / 5), [this, i] {
+				nodes[i].run++;
+				nodes[i].earlier = stored[i];
+				start(i, now_us);
+				dw_shift_catch_up(&nodes[i].shift,
+						  (uint32_t)((now_us - START) * 1000 / LIMIT),
+						  now_us);
+				pool(i);
+				tick(i, nodes[i].run);
+			});
+		for (int i = 0; i < how.requests; i++)
+			at(START + random() % LIMIT, [this] { request(); });
+		while (!events.empty()) {
+			event next = events.top();
+			events.pop();
+			now_us = next.at_us;
+			if (now_us > START + LIMIT)
+				break;
+			next.run();
+		}
+	}
+	void at(uint64_t at_us, std::function<void()> run)
+	{
+		events.push({ at_us, ++number, std::move(run) });
+	}
+	void start(size_t i, uint64_t start_us)
+	{
+		dw_shift_order order{};
+		snprintf(order.service, sizeof(order.service), "llm");
+		snprintf(order.target_version, sizeof(order.target_version), "v2");
+		order.duration_us = LIMIT;
+		order.revision = 5;
+		nodes[i].shift = {};
+		nodes[i].known = stored;
+		nodes[i].is_proof_told = false;
+		dw_shift_set_order(&nodes[i].shift, &order, start_us);
+	}
+	static void add(dw_shift_counts *sum, const dw_shift_counts &count)
+	{
+		sum->answers += count.answers;
+		sum->bad += count.bad;
+		sum->timed += count.timed;
+		sum->slow += count.slow;
+		sum->good += count.good;
+		sum->busy_ms += count.busy_ms;
+	}
+	void pool(size_t i)
+	{
+		node &n = nodes[i];
+		n.shift.peers = n.earlier;
+		for (size_t k = 0; k < nodes.size(); k++) {
+			for (int side = 0; side < DW_SHIFT_SIDE_COUNT && k != i; side++)
+				add(&n.shift.peers.counts[side], n.known[k].counts[side]);
+		}
+	}
+	void tell(size_t i)
+	{
+		node &n = nodes[i];
+		dw_shift_evidence told = n.earlier;
+		n.told_at_us = now_us;
+		n.told_slow = n.shift.own.counts[DW_SHIFT_NEW].slow;
+		for (int side = 0; side < DW_SHIFT_SIDE_COUNT; side++)
+			add(&told.counts[side],
+			    dw_shift_own_counts(&n.shift, (dw_shift_side)side, now_us));
+		if (random() % 1000 < how.lost * 1000)
+			return;
+		at(now_us + how.delay_us, [this, i, told] {
+			stored[i] = told;
+			for (size_t k = 0; k < nodes.size(); k++) {
+				nodes[k].known[i] = told;
+				pool(k);
+			}
+		});
+	}
+	void tick(size_t i, uint64_t run)
+	{
+		node &n = nodes[i];
+		if (n.run != run)
+			return;
+		dw_shift_promote_if_proven(&n.shift, now_us);
+		dw_shift_state state = dw_shift_next_state(&n.shift, now_us);
+		if (state == DW_SHIFT_ROLLED_BACK)
+			n.shift.state = state;
+		if (state != DW_SHIFT_RUNNING && outcome == DW_SHIFT_RUNNING) {
+			outcome = state;
+			at(now_us + how.delay_us, [this, state] {
+				for (node &each : nodes)
+					each.shift.state = state;
+			});
+		}
+		if (!n.is_proof_told && dw_shift_is_proof_due(&n.shift, now_us)) {
+			n.is_proof_told = true;
+			tell(i);
+		} else if (n.shift.own.counts[DW_SHIFT_NEW].slow > n.told_slow &&
+			   now_us > n.told_at_us + 700 * MS) {
+			tell(i);
+		}
+		at(now_us + 200 * MS, [this, i, run] { tick(i, run); });
+	}
+	void request()
+	{
+		size_t i = random() % nodes.size();
+		node &n = nodes[i];
+		dw_shift_request request = { nullptr, random(), 12, random() % 4 == 0 };
+		dw_shift_constraint constraint = dw_shift_constrain(&n.shift, &request, now_us);
+		dw_shift_side side = constraint.required_version ? DW_SHIFT_NEW : DW_SHIFT_OLD;
+		std::lognormal_distribution<double> spread(0, 0.9);
+		uint64_t usual_us = (uint64_t)(1000.0 * MS * spread(random));
+		uint64_t run = n.run;
+		uint64_t sent_us = now_us;
+		if (side == DW_SHIFT_NEW && random() % 1000 < how.slow_share * 1000)
+			usual_us = (uint64_t)((double)usual_us * how.slow_factor);
+		uint64_t first_us = usual_us / 4;
+		bool is_good = usual_us < 8 * SECOND;
+		sent_all++;
+		sent_new += side == DW_SHIFT_NEW;
+		if (constraint.is_load_test)
+			return;
+		dw_shift_request_sent(&n.shift, side, now_us);
+		at(now_us + first_us, [this, i, run, side, first_us] {
+			dw_shift_wait wait = { first_us, 200 * MS, true };
+			if (nodes[i].run == run)
+				dw_shift_count_wait(&nodes[i].shift, side, &wait, now_us);
+		});
+		at(now_us + std::min(usual_us, 8 * SECOND), [this, i, run, side, sent_us, is_good] {
+			dw_shift_answer answer = { !is_good, 0, 0, 0 };
+			if (nodes[i].run != run)
+				return;
+			dw_shift_request_ended(&nodes[i].shift, side, sent_us, is_good, now_us);
+			if (is_good)
+				dw_shift_count_answer(&nodes[i].shift, side, &answer, now_us);
+		});
+	}
+	bool is_kept() const
+	{
+		return outcome != DW_SHIFT_COMPLETED && sent_new <= sent_all * 0.15 + 30;
+	}
+};
+
+/* Guards against EXPOSURE by a version that answers several times slower, whose rollout was completed
+ * and kept: few requests, restarts in the middle, evidence late and lost. */
+TEST(VersionShiftModel, ASlowVersionIsNeitherCompletedNorGetsMoreThanItsShare)
+{
+	for (double factor : { 4.0, 8.0, 20.0 }) {
+		for (int requests : { 300, 600, 1000 }) {
+			for (int trouble = 0; trouble < 4; trouble++) {
+				int broken = 0;
+				for (uint64_t seed = 1; seed <= 40; seed++) {
+					Rollout::settings how;
+					how.slow_factor = factor;
+					how.requests = requests;
+					how.restarted = trouble & 1 ? 0.5 : 0;
+					how.lost = trouble & 2 ? 0.5 : 0;
+					how.delay_us = (trouble & 2 ? 1500 : 500) * MS;
+					broken += !Rollout(how, seed).is_kept();
+				}
+				EXPECT_EQ(broken, 0)
+					<< "of 40, " << factor << " times slower, " << requests
+					<< " requests, trouble " << trouble;
+			}
+		}
+	}
+}
+
+/* The price of that: a good version may lack proof too, but not as a rule. */
+TEST(VersionShiftModel, MostGoodVersionsAreCompleted)
+{
+	for (int requests : { 600, 1000, 3000 }) {
+		int completed = 0;
+		for (uint64_t seed = 1; seed <= 100; seed++) {
+			Rollout::settings how;
+			how.requests = requests;
+			completed += Rollout(how, seed).outcome == DW_SHIFT_COMPLETED;
+		}
+		EXPECT_GT(completed, 50) << "of 100, " << requests << " requests";
+	}
+}
+
 } // namespace
