--- a/src/core/version_shift.c
+++ b/src/core/version_shift.c
@@ -21,7 +21,8 @@
 #define PROOF_DEVIATIONS 1.2
 /* The instances tell each other their counts from this progress on. */
 #define PROOF_TOLD_PERMILLE 660
-/* A version that was proven good is rolled back below this part of the old version's answers. */
+/* A version is rolled back below this part of the old version's answers in the same time of work, once
+ * it has worked for this long. */
 #define SLUGGISH_RATE 0.35
 #define SLUGGISH_MIN_BUSY_MS 20000
 
