--- a/include/dragonflywharf/version_shift.h
+++ b/include/dragonflywharf/version_shift.h
@@ -67,8 +67,8 @@
 /** Requests of this instance that are under way at one version. */
 struct dw_shift_open {
 	uint32_t count;
-	uint64_t
-		sent_at_sum_us; /**< sum of the times since the shift's start at which they were sent */
+	/** Sum of the times at which they were sent, each since the order was learnt. */
+	uint64_t sent_at_sum_us;
 };
 
 struct dw_shift {
