--- a/include/dragonflywharf/fingerprint.h
+++ b/include/dragonflywharf/fingerprint.h
@@ -37,6 +37,15 @@
 struct dw_fingerprint dw_fingerprint_request(const char *organisation, const char *path,
 					     const void *body, size_t body_len);
 
+/** Bytes of a fingerprint as text, including the NUL. */
+#define DW_FINGERPRINT_TEXT_BYTES 33
+
+/** Writes the fingerprint as 32 hexadecimal digits. */
+void dw_fingerprint_text(struct dw_fingerprint fingerprint, char out[DW_FINGERPRINT_TEXT_BYTES]);
+
+/** Reads such a text. @return false if it is malformed */
+bool dw_fingerprint_parse(const char *text, struct dw_fingerprint *out);
+
 static inline bool dw_fingerprint_equal(struct dw_fingerprint a, struct dw_fingerprint b)
 {
 	return a.low == b.low && a.high == b.high;
--- a/src/core/fingerprint.c
+++ b/src/core/fingerprint.c
@@ -1,5 +1,8 @@
 #include <dragonflywharf/fingerprint.h>
 
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <xxhash.h>
@@ -45,3 +48,22 @@
 
 	return dw_fingerprint_of(parts, 3);
 }
+
+void dw_fingerprint_text(struct dw_fingerprint fingerprint, char out[DW_FINGERPRINT_TEXT_BYTES])
+{
+	snprintf(out, DW_FINGERPRINT_TEXT_BYTES, "%016" PRIx64 "%016" PRIx64, fingerprint.high,
+		 fingerprint.low);
+}
+
+bool dw_fingerprint_parse(const char *text, struct dw_fingerprint *out)
+{
+	char high[17] = "";
+
+	if (strlen(text) != DW_FINGERPRINT_TEXT_BYTES - 1 ||
+	    strspn(text, "0123456789abcdef") != DW_FINGERPRINT_TEXT_BYTES - 1)
+		return false;
+	memcpy(high, text, sizeof(high) - 1);
+	out->high = strtoull(high, NULL, 16);
+	out->low = strtoull(text + sizeof(high) - 1, NULL, 16);
+	return true;
+}
--- a/src/net/http_connection.c
+++ b/src/net/http_connection.c
@@ -40,6 +40,7 @@
 	bool keep_alive;
 	bool is_rejected; /**< a callback returned false */
 	bool is_feeding; /**< within connection_feed() */
+	int error; /**< of libuv, when the connection failed */
 	char *unsent; /**< the request, until the connection is established */
 	size_t unsent_len;
 	struct http_connection *prev;
@@ -258,6 +259,7 @@
 		return;
 	}
 	connection->keep_alive = false;
+	connection->error = (int)len;
 	/* An orderly close completes a response without a length: http_reader_eof() calls
 	 * on_end(). */
 	if (len == UV_EOF && connection->state == CONNECTION_BUSY && connection->head_seen &&
@@ -275,8 +277,10 @@
 
 	connection->writes_pending--;
 	free(write);
-	if (status != 0 && status != UV_ECANCELED && connection->state == CONNECTION_BUSY)
-		connection_fail(connection, disconnect_failure(connection));
+	if (status == 0 || status == UV_ECANCELED || connection->state != CONNECTION_BUSY)
+		return;
+	connection->error = status;
+	connection_fail(connection, disconnect_failure(connection));
 }
 
 static void connection_write(struct http_connection *connection, const char *bytes, size_t len)
@@ -305,6 +309,7 @@
 	if (connection->state != CONNECTION_CONNECTING)
 		return;
 	if (status != 0) {
+		connection->error = status;
 		connection_fail(connection, HTTP_CONNECTION_NOT_ESTABLISHED);
 		return;
 	}
@@ -398,6 +403,11 @@
 	return connection->state == CONNECTION_BUSY;
 }
 
+int http_connection_error(const struct http_connection *connection)
+{
+	return connection->error;
+}
+
 static uint32_t count_idle(const struct http_pool *pool, const struct dw_endpoint *server)
 {
 	const struct http_connection *connection;
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -68,6 +68,12 @@
 /** Whether the connection is established, so that the server may have read the request. */
 bool http_connection_is_established(const struct http_connection *connection);
 
+/**
+ * Why the connection failed, as a libuv error: UV_ECONNREFUSED, UV_ECONNRESET, UV_EOF, UV_ETIMEDOUT
+ * and others; 0 if the response was malformed or rejected. Only within on_failed.
+ */
+int http_connection_error(const struct http_connection *connection);
+
 /** Returns the connection to the pool after its response, or closes it if it cannot be reused. */
 void http_connection_release(struct http_connection *connection);
 
--- a/src/wharf-gateway/attempt.c
+++ b/src/wharf-gateway/attempt.c
@@ -29,8 +29,21 @@
 	enum dw_attempt_outcome not_executed_outcome; /**< valid with ANSWER_NOT_EXECUTED */
 	bool is_invalid; /**< the answer failed validation: signature or encoding */
 	uint16_t status;
+	int connection_error; /**< of libuv; 0: none */
 };
 
+static const char *const connection_names[ATTEMPT_CONNECTION_COUNT] = {
+	[ATTEMPT_CONNECTION_KEPT] = "kept",
+	[ATTEMPT_CONNECTION_REFUSED] = "refused",
+	[ATTEMPT_CONNECTION_CLOSED] = "closed",
+	[ATTEMPT_CONNECTION_SILENT] = "silent",
+};
+
+const char *attempt_connection_name(enum attempt_connection connection)
+{
+	return connection < ATTEMPT_CONNECTION_COUNT ? connection_names[connection] : "unknown";
+}
+
 static void attempt_free(struct attempt *attempt, enum dw_engine_outcome engine_outcome)
 {
 	dw_engine_ended(attempt->engine, engine_outcome, attempt->is_answer_started,
@@ -135,14 +148,31 @@
 	return attempt->callbacks->on_body(attempt->owner, bytes, len);
 }
 
+static enum attempt_connection connection_of_error(int error)
+{
+	switch (error) {
+	case 0:
+		return ATTEMPT_CONNECTION_KEPT;
+	case UV_ECONNREFUSED:
+		return ATTEMPT_CONNECTION_REFUSED;
+	case UV_EOF:
+	case UV_ECONNRESET:
+	case UV_EPIPE:
+		return ATTEMPT_CONNECTION_CLOSED;
+	default:
+		return ATTEMPT_CONNECTION_SILENT;
+	}
+}
+
 static void finish_failed(struct attempt *attempt, enum dw_attempt_outcome outcome,
 			  enum dw_engine_outcome engine_outcome)
 {
 	const struct attempt_callbacks *callbacks = attempt->callbacks;
 	void *owner = attempt->owner;
+	enum attempt_connection connection = connection_of_error(attempt->connection_error);
 
 	attempt_free(attempt, engine_outcome);
-	callbacks->on_failed(owner, outcome);
+	callbacks->on_failed(owner, outcome, connection);
 }
 
 static void finish_not_executed(struct attempt *attempt)
@@ -179,6 +209,7 @@
 {
 	struct attempt *attempt = owner;
 
+	attempt->connection_error = http_connection_error(attempt->link);
 	attempt->link = NULL;
 	if (attempt->answer_kind == ANSWER_NOT_EXECUTED) {
 		finish_not_executed(attempt);
--- a/src/wharf-gateway/attempt.h
+++ b/src/wharf-gateway/attempt.h
@@ -13,6 +13,17 @@
 
 struct attempt;
 
+/** How the connection of a failed attempt ended. */
+enum attempt_connection {
+	ATTEMPT_CONNECTION_KEPT, /**< open, or closed by this instance */
+	ATTEMPT_CONNECTION_REFUSED, /**< nothing listens at the engine's address */
+	ATTEMPT_CONNECTION_CLOSED, /**< closed or reset by the engine's machine */
+	ATTEMPT_CONNECTION_SILENT, /**< nothing was heard from the engine's machine */
+	ATTEMPT_CONNECTION_COUNT
+};
+
+const char *attempt_connection_name(enum attempt_connection connection);
+
 struct attempt_callbacks {
 	/** The head of the answer to this request. @return false to drop it: on_failed follows. */
 	bool (*on_head)(void *owner, const struct http_head *head,
@@ -21,7 +32,8 @@
 	/** The answer is complete; the attempt has been freed. */
 	void (*on_end)(void *owner);
 	/** The attempt ended without a complete answer and has been freed. */
-	void (*on_failed)(void *owner, enum dw_attempt_outcome outcome);
+	void (*on_failed)(void *owner, enum dw_attempt_outcome outcome,
+			  enum attempt_connection connection);
 };
 
 struct attempt_options {
--- a/src/wharf-gateway/exchange.c
+++ b/src/wharf-gateway/exchange.c
@@ -123,6 +123,7 @@
 							 ? DW_ENGINE_UNREACHABLE
 							 : DW_ENGINE_NO_RESPONSE);
 		exchange->attempt = NULL;
+		exchange->connection = ATTEMPT_CONNECTION_SILENT;
 		exchange_after_attempt(exchange, outcome);
 	} else if (!exchange->attempt && exchange->cold_wait_deadline_us > 0) {
 		send_to_engine(exchange);
@@ -137,7 +138,9 @@
 	bool may_retry = router_retries_left(exchange->router, exchange->service_name, now_us) > 0;
 	enum dw_policy_verdict verdict =
 		dw_request_policy_ended(&exchange->policy, outcome, may_retry, now_us);
+	char fingerprint[DW_FINGERPRINT_TEXT_BYTES];
 
+	dw_fingerprint_text(exchange->fingerprint, fingerprint);
 	exchange_count_version_end(exchange, false);
 	if (outcome == DW_ATTEMPT_NO_ANSWER)
 		exchange_count_version_wait(exchange);
@@ -160,7 +163,9 @@
 		     DW_STR("end", dw_attempt_outcome_name(outcome)),
 		     DW_INT("status", exchange->answer.status),
 		     DW_STR("verdict", dw_policy_verdict_name(verdict)),
-		     DW_INT("may_retry", may_retry), DW_INT("runs", exchange->policy.runs));
+		     DW_STR("connection", attempt_connection_name(exchange->connection)),
+		     DW_STR("fingerprint", fingerprint), DW_INT("may_retry", may_retry),
+		     DW_INT("runs", exchange->policy.runs));
 	apply_verdict(exchange, verdict, dw_attempt_outcome_name(outcome));
 }
 
@@ -226,6 +231,7 @@
 		dw_prefix_cache_touch(chosen->engine->cache, dw_model_hash(choice->model),
 				      choice->prompt);
 	dw_request_policy_sent(&exchange->policy);
+	exchange->connection = ATTEMPT_CONNECTION_KEPT;
 	exchange->connect_deadline_us = now_us + CONNECT_TIMEOUT_US;
 	exchange_restart_silence_timeout(
 		exchange, silence_timeout_us + SILENCE_EXPECTED_FACTOR * chosen->expected_us);
@@ -286,6 +292,7 @@
 		exchange_refuse(exchange, DW_UNAVAILABLE, "the instance is stopping");
 		return;
 	}
+	exchange_identify(exchange);
 	router_count_request(exchange->router, exchange->service_name, now_us);
 	exchange_choose_model(exchange, now_us);
 	send_to_engine(exchange);
--- a/src/wharf-gateway/exchange_answer.c
+++ b/src/wharf-gateway/exchange_answer.c
@@ -229,11 +229,13 @@
 	exchange_pass_on(exchange);
 }
 
-static void on_attempt_failed(void *owner, enum dw_attempt_outcome outcome)
+static void on_attempt_failed(void *owner, enum dw_attempt_outcome outcome,
+			      enum attempt_connection connection)
 {
 	struct exchange *exchange = owner;
 
 	exchange->attempt = NULL;
+	exchange->connection = connection;
 	exchange_after_attempt(exchange, outcome);
 }
 
--- a/src/wharf-gateway/exchange_reply.c
+++ b/src/wharf-gateway/exchange_reply.c
@@ -42,9 +42,12 @@
 	uint64_t now_us = dw_clock_now_us();
 	uint64_t arrived_us = exchange->request.arrived_at_us;
 	uint64_t first_us = exchange->first_byte_at_us;
+	char fingerprint[DW_FINGERPRINT_TEXT_BYTES];
 
+	dw_fingerprint_text(exchange->fingerprint, fingerprint);
 	dw_log_event(
 		exchange->router->log, event, DW_STR("request", exchange->fields.attempt_id),
+		DW_STR("fingerprint", fingerprint),
 		DW_STR("route", exchange->route ? exchange->route->name : ""),
 		DW_STR("organisation", exchange->organisation ? exchange->organisation->name : ""),
 		DW_STR("engine",
--- a/src/wharf-gateway/exchange_route.c
+++ b/src/wharf-gateway/exchange_route.c
@@ -54,6 +54,25 @@
 		choice->tried[choice->tried_count++] = exchange->tried[i];
 }
 
+/* The attempt id, the deadline and the position in a stream change with each repeat. */
+void exchange_identify(struct exchange *exchange)
+{
+	const struct http_head *head = exchange->request.head;
+	const struct request_fields *fields = &exchange->fields;
+	const char *organisation = exchange->organisation ? exchange->organisation->name : "";
+	const char *model = fields->model ? fields->model : "";
+	const struct dw_fingerprint_part parts[] = {
+		{ organisation, strlen(organisation) },
+		{ fields->host, strlen(fields->host) },
+		{ head->method, strlen(head->method) },
+		{ head->target, strlen(head->target) },
+		{ model, strlen(model) },
+		{ exchange->request.body, exchange->request.body_len },
+	};
+
+	exchange->fingerprint = dw_fingerprint_of(parts, sizeof(parts) / sizeof(parts[0]));
+}
+
 uint64_t exchange_split_hash(const struct exchange *exchange)
 {
 	const char *text =
--- a/src/wharf-gateway/exchange_state.h
+++ b/src/wharf-gateway/exchange_state.h
@@ -8,6 +8,7 @@
 #define GATEWAY_EXCHANGE_STATE_H
 
 #include <dragonflywharf/event_order.h>
+#include <dragonflywharf/fingerprint.h>
 #include <dragonflywharf/request_policy.h>
 #include <dragonflywharf/version_shift.h>
 
@@ -38,6 +39,8 @@
 	const struct dw_organisation_rule *organisation;
 	const struct dw_service_rule *service;
 	const char *service_name;
+	struct dw_fingerprint
+		fingerprint; /**< equal for repeats of the request, see exchange_identify() */
 	struct dw_request_policy policy;
 	const char *model; /**< chosen by the gateway; NULL: the caller named one */
 	uint32_t model_index; /**< of model in route->models; valid if model is set */
@@ -53,6 +56,7 @@
 	uint32_t tried_count;
 	uint32_t send_count;
 	struct attempt *attempt;
+	enum attempt_connection connection; /**< of the last failed attempt */
 	uint64_t connect_deadline_us; /**< by then the attempt must be connected */
 	uint64_t last_progress_at_us; /**< when the attempt was sent or last received data */
 	uint64_t silence_deadline_us; /**< then a silent attempt is aborted; 0: never */
@@ -102,6 +106,8 @@
 /** Finds the route and checks the API key; on false, sets the error to answer with. */
 bool exchange_admit(struct exchange *exchange, const char **reason, int *status,
 		    enum dw_status *error);
+/** Sets the fingerprint: a repeat of the request has the same one, at any instance. */
+void exchange_identify(struct exchange *exchange);
 /** Hash of the session, or of the attempt id if there is none; decides traffic splits. */
 uint64_t exchange_split_hash(const struct exchange *exchange);
 /** Chooses the first model to try if the caller left the choice to the gateway. */
