--- a/tests/process_fleet_test.cc
+++ b/tests/process_fleet_test.cc
@@ -6,20 +6,17 @@
 
 #include <algorithm>
 #include <chrono>
-#include <fstream>
 #include <memory>
 #include <string>
 #include <thread>
 #include <vector>
 
-#include "support/http.h"
-#include "support/platform.h"
+#include "support/fleet.h"
 #include "support/raw_socket.h"
-#include "support/relay.h"
 
-using support::free_port;
 using support::http_call;
-using support::process;
+using support::instance;
+using support::now_ms;
 using support::wait_until;
 
 namespace
@@ -29,94 +26,15 @@
 constexpr int REVOCATION_MS = 3000;
 constexpr size_t INSTANCES = 6;
 
-int64_t now_ms()
-{
-	return std::chrono::duration_cast<std::chrono::milliseconds>(
-		       std::chrono::steady_clock::now().time_since_epoch())
-		.count();
-}
-
-struct instance {
-	std::string name;
-	std::string peer_ip;
-	uint16_t caller_port = 0;
-	uint16_t ready_port = 0;
-	uint16_t metrics_port = 0;
-	std::unique_ptr<process> gateway;
-
-	int64_t metric(const std::string &name_of_metric) const
+struct Fleet : testing::Test, support::fleet {
+	Fleet() : support::fleet(INSTANCES)
 	{
-		std::string text = http_call(metrics_port, "GET", "/metrics").body;
-		std::string line = "\ndragonflywharf_" + name_of_metric + " ";
-		size_t at = text.find(line);
-		return at == std::string::npos ? -1 : atoll(text.c_str() + at + line.size());
+		change_ms = CHANGE_MS;
+		revocation_ms = REVOCATION_MS;
 	}
-	bool is_listening() const
-	{
-		return http_call(ready_port, "GET", "/dragonflywharf/ready").status != 0;
-	}
-	bool is_ready() const
-	{
-		return http_call(ready_port, "GET", "/dragonflywharf/ready").status == 200;
-	}
-};
-
-struct Fleet : testing::Test, support::platform {
-	int change_ms = CHANGE_MS;
-	std::vector<std::unique_ptr<support::relay>>
-		store_links; /* one an instance; none: direct */
-	uint16_t peer_port = free_port();
-	std::vector<instance> instances{ INSTANCES };
-	int next_attempt = 0;
-
-	/* Starts an instance; with other ports if another process took a free one before it. */
-	void launch(size_t i)
-	{
-		for (int tries = 0; tries < 5; tries++) {
-			start_process(i);
-			if (wait_until([&] {
-				    return instances[i].is_listening() ||
-					   instances[i].gateway->wait(0).ended;
-			    }) &&
-			    !instances[i].gateway->wait(0).ended)
-				return;
-		}
-		ADD_FAILURE() << "instance " << i << " didn't listen in 5 starts";
-	}
-	void start_process(size_t i)
-	{
-		instance &each = instances[i];
-		auto at = [](uint16_t port) {
-			return "\"127.0.0.1:" + std::to_string(port) + "\"";
-		};
-		each.name = "front-" + std::to_string(i);
-		each.peer_ip = "127.0.7." + std::to_string(i + 1);
-		each.caller_port = free_port();
-		each.ready_port = free_port();
-		each.metrics_port = free_port();
-		std::string path = testing::TempDir() + "fleet-" + std::to_string(peer_port) + "-" +
-				   std::to_string(i);
-		std::ofstream(path)
-			<< "{\"instance\":\"" << each.name << "\",\"failure_domain\":\"d" << i % 3
-			<< "\",\"caller_address\":" << at(each.caller_port)
-			<< ",\"readiness_address\":" << at(each.ready_port)
-			<< ",\"metrics_address\":" << at(each.metrics_port) << ",\"store\":"
-			<< at(store_links.empty() ? store_port : store_links[i]->port())
-			<< ",\"peer_address\":\"" << each.peer_ip << ":" << peer_port
-			<< "\",\"seeds\":[\"127.0.7.1:1\",\"127.0.7.2:1\"]"
-			<< ",\"keys_fail_closed\":true,\"revocation_ms\":" << REVOCATION_MS
-			<< ",\"change_applied_ms\":" << change_ms
-			<< ",\"retry_ratio\":0.9,\"retry_slack\":160,\"stop_timeout_s\":8}";
-		each.gateway = std::make_unique<process>(
-			"wharf-gateway", std::vector<std::string>{ "--settings", path });
-	}
-	/* All instances are ready and know each other. */
 	void wait_for_fleet()
 	{
-		for (const instance &each : instances)
-			ASSERT_TRUE(wait_until([&] {
-				return each.is_ready() && each.metric("members") == INSTANCES;
-			})) << each.name;
+		ASSERT_TRUE(wait_for_all());
 	}
 	void SetUp() override
 	{
@@ -137,11 +55,7 @@
 	}
 	int look(size_t i, const std::string &key)
 	{
-		return http_call(instances[i].caller_port, "GET", "/look/1", "",
-				 { { "Attempt-Id", "a" + std::to_string(next_attempt++) },
-				   { "Deadline-Ms", "1500" },
-				   { "Credential", key } })
-			.status;
+		return call(i, "GET", "/look/1", key).status;
 	}
 	/* Time until the instance answers requests with the key with @p status. */
 	int64_t time_until(size_t i, const std::string &key, int status, int64_t since_ms)
@@ -303,11 +217,7 @@
 	}
 	int look_at(size_t i, const std::string &route_name)
 	{
-		return http_call(instances[i].caller_port, "GET", "/" + route_name + "/1", "",
-				 { { "Attempt-Id", "b" + std::to_string(next_attempt++) },
-				   { "Deadline-Ms", "1500" },
-				   { "Credential", "k1" } })
-			.status;
+		return call(i, "GET", "/" + route_name + "/1").status;
 	}
 };
 
--- a/tests/standins/standin_backend.c
+++ b/tests/standins/standin_backend.c
@@ -12,6 +12,9 @@
  * - crash: exits with code 70 when it executes a request
  * - late: a response that isn't a stream comes n ms late
  * - long: such a response is n bytes longer
+ *
+ * With --crash-path, the back end exits with code 70 some time after it has begun to run a request
+ * whose path begins so, also after a restart; the connections of all its requests end then.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -28,6 +31,9 @@
 	const char *id;
 	uint32_t events;
 	uint64_t event_us;
+	const char *crash_path; /**< NULL: none */
+	uint64_t crash_after_us;
+	uint64_t work_us; /**< that a response takes that isn't a stream */
 	uint64_t running;
 	uint64_t wrong_instance; /**< requests for another instance, answered with 421 */
 	uint64_t rejected;
@@ -154,6 +160,19 @@
 	send_event(request);
 }
 
+static void crash(struct standin_request *request)
+{
+	printf("crash %s\n", request->path);
+	fflush(stdout);
+	_exit(STANDIN_EXIT_CRASH);
+}
+
+static bool is_crashing(const struct backend *backend, const char *path)
+{
+	return backend->crash_path &&
+	       strncmp(path, backend->crash_path, strlen(backend->crash_path)) == 0;
+}
+
 static void execute(struct standin_request *request)
 {
 	struct backend *backend = backend_of(request);
@@ -163,12 +182,11 @@
 	json_increment(backend->executions, standin_header(request, "attempt-id"), 1);
 	json_increment(backend->organisations, standin_header(request, "tenant"), 1);
 	backend->running++;
-	if (fault_set_consume(faults, "crash", request->path)) {
-		printf("crash %s\n", request->path);
-		fflush(stdout);
-		_exit(STANDIN_EXIT_CRASH);
-	}
-	if (fault_set_consume(faults, "answer_lost", request->path)) {
+	if (fault_set_consume(faults, "crash", request->path))
+		crash(request);
+	if (is_crashing(backend, request->path)) {
+		standin_delay(request, backend->crash_after_us, crash);
+	} else if (fault_set_consume(faults, "answer_lost", request->path)) {
 		backend->running--;
 		standin_close_connection(request);
 	} else if (fault_set_consume(faults, "fail", request->path)) {
@@ -180,7 +198,8 @@
 	} else if (strcmp(standin_header(request, "accept"), "text/event-stream") == 0) {
 		start_stream(request);
 	} else {
-		standin_delay(request, late ? late->n * DW_US_PER_MS : 0, answer_plain);
+		standin_delay(request, late ? late->n * DW_US_PER_MS : backend->work_us,
+			      answer_plain);
 	}
 }
 
@@ -237,11 +256,16 @@
 	struct arg_str *id = arg_str1(NULL, "id", "ID", "instance id");
 	struct arg_int *events = arg_int0(NULL, "events", "N", "events per stream (5)");
 	struct arg_int *event_ms = arg_int0(NULL, "event-ms", "MS", "interval between events (20)");
+	struct arg_str *crash_path =
+		arg_str0(NULL, "crash-path", "PATH", "requests that crash it, by the path's start");
+	struct arg_int *crash_ms =
+		arg_int0(NULL, "crash-after-ms", "MS", "run time before such a crash (0)");
+	struct arg_int *work_ms = arg_int0(NULL, "work-ms", "MS", "run time of a request (0)");
 	int rc;
 
 	standin_common_init(&common);
-	void *table[] = { common.help, common.version, common.ip, common.port,
-			  id,	       events,	       event_ms,  common.end };
+	void *table[] = { common.help, common.version, common.ip, common.port, id,	  events,
+			  event_ms,    crash_path,     crash_ms,  work_ms,     common.end };
 	rc = standin_parse(&standin, &common, table, argc, argv);
 	if (rc >= 0)
 		return rc;
@@ -250,6 +274,12 @@
 		backend.events = (uint32_t)events->ival[0];
 	if (event_ms->count > 0)
 		backend.event_us = (uint64_t)event_ms->ival[0] * DW_US_PER_MS;
+	if (crash_path->count > 0)
+		backend.crash_path = crash_path->sval[0];
+	if (crash_ms->count > 0)
+		backend.crash_after_us = (uint64_t)crash_ms->ival[0] * DW_US_PER_MS;
+	if (work_ms->count > 0)
+		backend.work_us = (uint64_t)work_ms->ival[0] * DW_US_PER_MS;
 	backend.executions = json_object_new_object();
 	backend.organisations = json_object_new_object();
 	return standin_run(&standin, &common);
--- a/tests/support/platform.cc
+++ b/tests/support/platform.cc
@@ -74,15 +74,22 @@
 backend &platform::add_backend(const std::string &id)
 {
 	auto added = std::make_unique<backend>();
-	added->id = id;
-	added->server = std::make_unique<process>(
-		"standin_backend", std::vector<std::string>{ "--port=0", "--id=" + id, event_ms });
-	added->port = added->server->wait_listening();
-	register_backend(*added, id);
+	restart_backend(*added, id);
 	backends.push_back(std::move(added));
 	return *backends.back();
 }
 
+void platform::restart_backend(backend &b, const std::string &id)
+{
+	std::vector<std::string> arguments{ "--port=" + std::to_string(b.port), "--id=" + id,
+					    event_ms };
+	arguments.insert(arguments.end(), backend_arguments.begin(), backend_arguments.end());
+	b.id = id;
+	b.server = std::make_unique<process>("standin_backend", arguments);
+	b.port = b.server->wait_listening();
+	register_backend(b, id);
+}
+
 std::string platform::route(const std::string &name, const std::string &kind, int attempts,
 			    const std::string &more) const
 {
--- a/tests/support/platform.h
+++ b/tests/support/platform.h
@@ -35,6 +35,8 @@
 	uint16_t store_port = store.wait_listening();
 	std::vector<std::unique_ptr<backend>> backends;
 	std::string event_ms = "--event-ms=20"; /**< pause between the events of a stream */
+	/** More arguments of the back ends, for instance --crash-path. */
+	std::vector<std::string> backend_arguments;
 	int version = 0; /**< of the configuration */
 	std::string more_routes; /**< of the configuration, each after a comma */
 
@@ -45,6 +47,8 @@
 
 	/** Starts a back end and registers it. */
 	backend &add_backend(const std::string &id);
+	/** Starts a back end again at its address, with another id; its old entry stays. */
+	void restart_backend(backend &b, const std::string &id);
 	void register_backend(const backend &b, const std::string &id,
 			      const std::string &state = "ready",
 			      const std::string &version_name = "v1") const;
