--- a/include/dragonflywharf/engine.h
+++ b/include/dragonflywharf/engine.h
@@ -67,6 +67,7 @@
 	uint64_t passed_on_at_us; /**< 0: never */
 	uint32_t in_flight; /**< this instance's requests at the engine */
 	uint32_t awaiting_response; /**< requests in flight that have no response byte yet */
+	uint32_t suspects_in_flight; /**< those of them that may crash it, see quarantine.h */
 	uint32_t sent_since_load; /**< requests sent since the last load report */
 	uint64_t last_byte_at_us; /**< time of the latest response byte; 0: never */
 	uint32_t consecutive_failures;
@@ -106,6 +107,9 @@
 				       uint64_t usable_until_us, uint64_t now_us);
 
 struct dw_engine *dw_engine_set_find(struct dw_engine_set *set, const char *id);
+/** The engine with this id_hash and start time; NULL if it isn't known. */
+struct dw_engine *dw_engine_set_find_run(struct dw_engine_set *set, uint64_t id_hash,
+					 uint64_t started_at_ms);
 struct dw_engine *dw_engine_set_first(struct dw_engine_set *set);
 
 /**
@@ -142,6 +146,9 @@
 /** The engine reported that its cold start lasts @p cold_ms more. */
 void dw_engine_cold_start_reported(struct dw_engine *engine, uint32_t cold_ms, uint64_t now_us);
 
+/** The engine's process has ended: it isn't selected for a while, unless no other engine is left. */
+void dw_engine_process_ended(struct dw_engine *engine, uint64_t now_us);
+
 enum dw_engine_outcome {
 	DW_ENGINE_ANSWERED, /**< complete response, no engine failure */
 	DW_ENGINE_FAILED, /**< 5xx response or truncated response */
--- a/include/dragonflywharf/engine_choice.h
+++ b/include/dragonflywharf/engine_choice.h
@@ -68,6 +68,10 @@
 	uint32_t subset_permille;
 	const char *tried[DW_CHOICE_TRIED_MAX]; /**< ids of engines that earlier attempts used */
 	uint32_t tried_count;
+	/** Not 0: the request may crash its engine. It runs beside no other such request of this
+	 * instance, at the engine that a hash of this key selects, so that all instances choose the same
+	 * one, and never at the last engine of the service. */
+	uint64_t suspect_key;
 	struct dw_cold_rate_limit cold_rate_limit;
 	uint64_t random; /**< breaks ties */
 	uint64_t now_us;
@@ -77,8 +81,11 @@
 enum dw_choice_result {
 	DW_CHOICE_FOUND,
 	DW_CHOICE_NO_ENGINE, /**< no engine for the service, model and version */
+	DW_CHOICE_ALL_EJECTED, /**< a request that may crash its engine, and all have failed lately */
 	DW_CHOICE_ALL_EVACUATED,
 	DW_CHOICE_ALL_TRIED,
+	DW_CHOICE_LAST_ENGINE, /**< a request that may crash its engine, and one engine is left */
+	DW_CHOICE_BESIDE_SUSPECTS, /**< such a request, and others run at all engines */
 	DW_CHOICE_COLD_LIMIT, /**< only cold engines are left, and their rate limit is reached */
 	DW_CHOICE_RESULT_COUNT
 };
--- a/include/dragonflywharf/quarantine.h
+++ b/include/dragonflywharf/quarantine.h
@@ -5,11 +5,15 @@
  * Evidence is a set of (fingerprint, upstream, upstream incarnation). Peers merge their sets by
  * union, so a crash that several instances saw counts once. A fingerprint with one crash is a
  * suspect; with two it is quarantined until the evidence expires.
+ *
+ * Evidence can be withdrawn: the request ended well elsewhere, the upstream turned out to be alive, or
+ * an operator says so. A withdrawn piece doesn't count again, however late or often it arrives.
  */
 #ifndef DRAGONFLYWHARF_QUARANTINE_H
 #define DRAGONFLYWHARF_QUARANTINE_H
 
 #include <dragonflywharf/fingerprint.h>
+#include <dragonflywharf/spread.h>
 #include <dragonflywharf/status.h>
 
 #ifdef __cplusplus
@@ -20,6 +24,10 @@
 
 /** Number of distinct crashes after which a fingerprint is quarantined. */
 #define DW_QUARANTINE_CRASHES 2
+/** How often dw_quarantine_take_news() returns a piece. */
+#define DW_QUARANTINE_SENDS 4
+/** Length of a round of dw_quarantine_take_news(). */
+#define DW_QUARANTINE_ROUND_US 100000
 
 struct dw_quarantine_options {
 	/**
@@ -35,7 +43,8 @@
 	struct dw_fingerprint fingerprint;
 	uint64_t upstream_id;
 	uint64_t upstream_incarnation;
-	/** lifetime left when it was sent; a duration, because clocks of peers aren't compared */
+	/** lifetime left when it was sent; a duration, because clocks of peers aren't compared. 0: the
+	 * piece is withdrawn */
 	uint64_t remaining_us;
 };
 
@@ -94,12 +103,47 @@
 bool dw_quarantine_next_evidence(struct dw_quarantine *quarantine, uint64_t now_us,
 				 struct dw_quarantine_evidence *evidence);
 
+/**
+ * Merges evidence from a peer, to be passed on to @p scope.
+ * @return true if it was new here, or withdraws a piece that counted here
+ */
+bool dw_quarantine_merge_scoped(struct dw_quarantine *quarantine,
+				const struct dw_quarantine_evidence *evidence,
+				enum dw_spread_scope scope, uint64_t now_us);
+
+/**
+ * Takes up to @p max pieces that have to be sent to @p scope. Each piece is returned in
+ * DW_QUARANTINE_SENDS rounds, and once in a round, since messages may be lost. @return their number
+ */
+size_t dw_quarantine_take_news(struct dw_quarantine *quarantine, enum dw_spread_scope scope,
+			       uint32_t round, uint64_t now_us, struct dw_quarantine_evidence *out,
+			       size_t max);
+
+/**
+ * Withdraws all evidence against a fingerprint, to be told to @p scope.
+ * @return number of pieces that counted until now
+ */
+uint32_t dw_quarantine_clear(struct dw_quarantine *quarantine, struct dw_fingerprint fingerprint,
+			     enum dw_spread_scope scope, uint64_t now_us);
+
+/** Withdraws one piece, to be told to all. @return whether it counted until now */
+bool dw_quarantine_withdraw(struct dw_quarantine *quarantine, struct dw_fingerprint fingerprint,
+			    uint64_t upstream_id, uint64_t upstream_incarnation, uint64_t now_us);
+
+/** Copies the pieces that count against a fingerprint. @return their number */
+uint32_t dw_quarantine_pieces(const struct dw_quarantine *quarantine,
+			      struct dw_fingerprint fingerprint, uint64_t now_us,
+			      struct dw_quarantine_evidence out[DW_QUARANTINE_CRASHES]);
+
 /** Puts all unexpired evidence into the outbox again, for a peer that has joined. */
 void dw_quarantine_resend(struct dw_quarantine *quarantine);
 
 /** Removes expired evidence. */
 void dw_quarantine_tick(struct dw_quarantine *quarantine, uint64_t now_us);
 
+/** Number of suspects, without the quarantined fingerprints. */
+size_t dw_quarantine_suspect_count(const struct dw_quarantine *quarantine, uint64_t now_us);
+
 /** Number of quarantined fingerprints. */
 size_t dw_quarantine_count(const struct dw_quarantine *quarantine, uint64_t now_us);
 
--- a/src/core/engine.c
+++ b/src/core/engine.c
@@ -79,6 +79,17 @@
 	return engine;
 }
 
+struct dw_engine *dw_engine_set_find_run(struct dw_engine_set *set, uint64_t id_hash,
+					 uint64_t started_at_ms)
+{
+	struct dw_engine *engine = set->engines;
+
+	while (engine &&
+	       (engine->id_hash != id_hash || engine->entry.started_at_ms != started_at_ms))
+		engine = engine->next;
+	return engine;
+}
+
 /* Resets the measurements: those of the previous engine process don't apply to a new one. */
 static void reset_measurements(struct dw_engine *engine)
 {
@@ -275,6 +286,13 @@
 		now_us + (duration_us < EJECT_MAX_US ? duration_us : EJECT_MAX_US);
 }
 
+void dw_engine_process_ended(struct dw_engine *engine, uint64_t now_us)
+{
+	if (engine->consecutive_failures < EJECT_AFTER_FAILURES)
+		engine->consecutive_failures = EJECT_AFTER_FAILURES;
+	engine->ejected_until_us = now_us + EJECT_MAX_US;
+}
+
 static void count_failure(struct dw_engine *engine, uint64_t now_us)
 {
 	engine->consecutive_failures++;
--- a/src/core/engine_choice.c
+++ b/src/core/engine_choice.c
@@ -47,9 +47,14 @@
 #define SUBSET_KEY UINT64_C(0x9e3779b97f4a7c15)
 
 static const char *const result_names[DW_CHOICE_RESULT_COUNT] = {
-	[DW_CHOICE_FOUND] = "found",	       [DW_CHOICE_NO_ENGINE] = "no_engine",
-	[DW_CHOICE_ALL_TRIED] = "all_tried",   [DW_CHOICE_ALL_EVACUATED] = "all_evacuated",
+	[DW_CHOICE_FOUND] = "found",
+	[DW_CHOICE_NO_ENGINE] = "no_engine",
+	[DW_CHOICE_ALL_TRIED] = "all_tried",
+	[DW_CHOICE_ALL_EVACUATED] = "all_evacuated",
 	[DW_CHOICE_COLD_LIMIT] = "cold_limit",
+	[DW_CHOICE_LAST_ENGINE] = "last_engine",
+	[DW_CHOICE_ALL_EJECTED] = "all_ejected",
+	[DW_CHOICE_BESIDE_SUSPECTS] = "beside_suspects",
 };
 
 const char *dw_choice_result_name(enum dw_choice_result result)
@@ -384,6 +389,69 @@
 	return DW_CHOICE_FOUND;
 }
 
+/* Whether another engine of the service is known besides @p engine, in whatever state. */
+static bool has_other_engine(struct dw_engine_set *set, const struct dw_choice_request *request,
+			     const struct dw_engine *engine)
+{
+	for (struct dw_engine *it = dw_engine_set_first(set); it; it = it->next) {
+		if (it != engine && strcmp(it->entry.service, request->service) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* The engines that may run a request that may crash its engine. */
+struct suspect_candidates {
+	struct dw_engine *first; /* by the hash; NULL: none */
+	uint64_t first_score;
+	uint32_t in_use; /* engines that other requests can use */
+	enum dw_choice_result exclusion;
+};
+
+static void consider_for_suspect(struct suspect_candidates *candidates,
+				 const struct dw_choice_request *request, struct dw_engine *engine)
+{
+	enum dw_choice_result exclusion = find_exclusion(request, engine);
+	uint64_t score = dw_rendezvous_score(request->suspect_key, engine->id_hash);
+
+	if (exclusion == DW_CHOICE_ALL_EVACUATED || engine->ejected_until_us > request->now_us)
+		return;
+	candidates->in_use++;
+	if (exclusion == DW_CHOICE_FOUND && engine->suspects_in_flight > 0)
+		exclusion = DW_CHOICE_BESIDE_SUSPECTS;
+	if (exclusion != DW_CHOICE_FOUND) {
+		if (exclusion > candidates->exclusion)
+			candidates->exclusion = exclusion;
+	} else if (!candidates->first || score > candidates->first_score) {
+		candidates->first = engine;
+		candidates->first_score = score;
+	}
+}
+
+static enum dw_choice_result choose_for_suspect(struct dw_engine_set *set,
+						const struct dw_choice_request *request,
+						struct dw_choice_selection *selection)
+{
+	struct suspect_candidates candidates = { .exclusion = DW_CHOICE_NO_ENGINE };
+
+	for (struct dw_engine *it = dw_engine_set_first(set); it; it = it->next) {
+		if (!is_match(request, it))
+			continue;
+		if (candidates.exclusion == DW_CHOICE_NO_ENGINE)
+			candidates.exclusion = DW_CHOICE_ALL_EJECTED;
+		consider_for_suspect(&candidates, request, it);
+	}
+	if (!candidates.first)
+		return candidates.exclusion;
+	if (candidates.in_use == 1 && has_other_engine(set, request, candidates.first))
+		return DW_CHOICE_LAST_ENGINE;
+	*selection = (struct dw_choice_selection){ .engine = candidates.first };
+	selection->nominal_us =
+		nominal_us(request, candidates.first, false, &selection->uncached_tokens);
+	selection->expected_us = scale_by_latency_ratio(candidates.first, selection->nominal_us);
+	return DW_CHOICE_FOUND;
+}
+
 enum dw_choice_result dw_engine_choose(struct dw_engine_set *set,
 				       const struct dw_choice_request *request,
 				       struct dw_choice_selection *selection)
@@ -394,6 +462,8 @@
 	uint64_t bound = subset_bound(set, request);
 	enum dw_choice_result exclusion;
 
+	if (request->suspect_key != 0)
+		return choose_for_suspect(set, request, selection);
 	for (struct dw_engine *it = dw_engine_set_first(set); it; it = it->next) {
 		if (!is_match(request, it) || (bound > 0 && subset_score(it) < bound))
 			continue;
--- a/src/core/quarantine.c
+++ b/src/core/quarantine.c
@@ -4,12 +4,24 @@
 
 #include <uthash.h>
 
+/* Pieces kept for a fingerprint; withdrawn ones make room for others. */
+#define PIECES_MAX 6
+/* The two directions in which news are sent: within the failure domain, and to the others. */
+#define DIRECTIONS 2
+
+/* Rounds between the sends of a piece: the first repeat is for a lost message, the last ones for an
+ * instance on the way that has ended and isn't avoided yet. */
+static const uint32_t send_pauses[DW_QUARANTINE_SENDS] = { 1, 5, 20, 0 };
+
 /* A crash of an upstream that was running the fingerprint. */
 struct crash {
 	uint64_t upstream_id;
 	uint64_t upstream_incarnation;
 	uint64_t expires_at_us;
-	bool unsent;
+	bool is_withdrawn;
+	bool unsent; /* in the outbox */
+	uint8_t sends_left[DIRECTIONS];
+	uint32_t next_round[DIRECTIONS];
 };
 
 /*
@@ -18,7 +30,7 @@
  */
 struct crash_history {
 	struct dw_fingerprint fingerprint;
-	struct crash crashes[DW_QUARANTINE_CRASHES];
+	struct crash crashes[PIECES_MAX];
 	uint32_t crash_count;
 	UT_hash_handle hh;
 };
@@ -79,12 +91,17 @@
 	return history;
 }
 
+static bool counts(const struct crash *crash, uint64_t now_us)
+{
+	return !crash->is_withdrawn && crash->expires_at_us > now_us;
+}
+
 static uint32_t live_crashes(const struct crash_history *history, uint64_t now_us)
 {
 	uint32_t count = 0;
 
 	for (uint32_t i = 0; history && i < history->crash_count; i++)
-		count += history->crashes[i].expires_at_us > now_us;
+		count += counts(&history->crashes[i], now_us);
 	return count;
 }
 
@@ -110,7 +127,7 @@
 {
 	for (uint32_t i = 0; history && i < history->crash_count; i++) {
 		if (history->crashes[i].upstream_id == upstream_id &&
-		    history->crashes[i].expires_at_us > now_us)
+		    counts(&history->crashes[i], now_us))
 			return true;
 	}
 	return false;
@@ -154,13 +171,18 @@
 	return last_us;
 }
 
-/* Eviction order: suspects before quarantined fingerprints, then the earliest expiry. */
+/* Eviction order: fewer crashes that count first, then the earliest expiry. */
 static bool evicts_before(const struct crash_history *a, const struct crash_history *b)
 {
+	uint32_t crashes_a;
+	uint32_t crashes_b;
+
 	if (!b)
 		return true;
-	if (a->crash_count != b->crash_count)
-		return a->crash_count < b->crash_count;
+	crashes_a = live_crashes(a, 0);
+	crashes_b = live_crashes(b, 0);
+	if (crashes_a != crashes_b)
+		return crashes_a < crashes_b;
 	return last_expiry_us(a) < last_expiry_us(b);
 }
 
@@ -207,26 +229,70 @@
 	}
 }
 
+static struct crash *find_crash(struct crash_history *history, const struct crash *wanted)
+{
+	for (uint32_t i = 0; history && i < history->crash_count; i++) {
+		if (history->crashes[i].upstream_id == wanted->upstream_id &&
+		    history->crashes[i].upstream_incarnation == wanted->upstream_incarnation)
+			return &history->crashes[i];
+	}
+	return NULL;
+}
+
+/* A free place; that of a withdrawn piece if all are taken; NULL if all count. */
+static struct crash *find_place(struct crash_history *history)
+{
+	if (history->crash_count < PIECES_MAX)
+		return &history->crashes[history->crash_count++];
+	for (uint32_t i = 0; i < PIECES_MAX; i++) {
+		if (history->crashes[i].is_withdrawn)
+			return &history->crashes[i];
+	}
+	return NULL;
+}
+
+static void withdraw(struct crash *known, const struct crash *news)
+{
+	uint64_t expires_at_us = known->expires_at_us;
+
+	*known = *news;
+	known->is_withdrawn = true;
+	if (expires_at_us > known->expires_at_us)
+		known->expires_at_us = expires_at_us;
+}
+
 /* A crash that is reported twice counts once and keeps its first expiry. */
 static bool add_crash(struct dw_quarantine *quarantine, struct dw_fingerprint fingerprint,
 		      const struct crash *crash, uint64_t now_us)
 {
 	struct crash_history *history = find_or_add_history(quarantine, fingerprint);
+	struct crash *known;
 
 	if (!history)
 		return false;
 	remove_expired(history, now_us);
-	for (uint32_t i = 0; i < history->crash_count; i++) {
-		if (history->crashes[i].upstream_id == crash->upstream_id &&
-		    history->crashes[i].upstream_incarnation == crash->upstream_incarnation)
+	known = find_crash(history, crash);
+	if (known) {
+		if (!crash->is_withdrawn || known->is_withdrawn)
 			return false;
+		withdraw(known, crash);
+		return true;
 	}
-	if (history->crash_count == DW_QUARANTINE_CRASHES)
+	if (!crash->is_withdrawn && live_crashes(history, now_us) == DW_QUARANTINE_CRASHES)
+		return false;
+	known = find_place(history);
+	if (!known)
 		return false;
-	history->crashes[history->crash_count++] = *crash;
+	*known = *crash;
 	return true;
 }
 
+static void set_scope(struct crash *crash, int scope)
+{
+	crash->sends_left[0] = scope & DW_SPREAD_IN_DOMAIN ? DW_QUARANTINE_SENDS : 0;
+	crash->sends_left[1] = scope & DW_SPREAD_TO_DOMAINS ? DW_QUARANTINE_SENDS : 0;
+}
+
 void dw_quarantine_crashed(struct dw_quarantine *quarantine, uint64_t upstream_id,
 			   uint64_t upstream_incarnation, const struct dw_fingerprint *running,
 			   size_t running_count, uint64_t now_us)
@@ -238,28 +304,134 @@
 		.unsent = true,
 	};
 
+	set_scope(&crash, DW_SPREAD_EVERYWHERE);
 	for (size_t i = 0; i < running_count; i++)
 		add_crash(quarantine, running[i], &crash, now_us);
 }
 
-bool dw_quarantine_merge(struct dw_quarantine *quarantine,
-			 const struct dw_quarantine_evidence *evidence, uint64_t now_us)
+bool dw_quarantine_merge_scoped(struct dw_quarantine *quarantine,
+				const struct dw_quarantine_evidence *evidence,
+				enum dw_spread_scope scope, uint64_t now_us)
 {
 	uint64_t remaining_us = evidence->remaining_us;
 	struct crash crash = {
 		.upstream_id = evidence->upstream_id,
 		.upstream_incarnation = evidence->upstream_incarnation,
+		.is_withdrawn = remaining_us == 0,
 		.unsent = true,
 	};
 
-	if (remaining_us == 0)
-		return false;
-	if (remaining_us > quarantine->options.lifetime_us)
+	if (remaining_us == 0 || remaining_us > quarantine->options.lifetime_us)
 		remaining_us = quarantine->options.lifetime_us;
 	crash.expires_at_us = now_us + remaining_us;
+	set_scope(&crash, scope);
 	return add_crash(quarantine, evidence->fingerprint, &crash, now_us);
 }
 
+bool dw_quarantine_merge(struct dw_quarantine *quarantine,
+			 const struct dw_quarantine_evidence *evidence, uint64_t now_us)
+{
+	return dw_quarantine_merge_scoped(quarantine, evidence, DW_SPREAD_EVERYWHERE, now_us);
+}
+
+static bool withdraw_piece(struct dw_quarantine *quarantine,
+			   const struct dw_quarantine_evidence *piece, enum dw_spread_scope scope,
+			   uint64_t now_us)
+{
+	struct dw_quarantine_evidence withdrawn = *piece;
+
+	withdrawn.remaining_us = 0;
+	return find_history(quarantine, piece->fingerprint) &&
+	       dw_quarantine_merge_scoped(quarantine, &withdrawn, scope, now_us);
+}
+
+bool dw_quarantine_withdraw(struct dw_quarantine *quarantine, struct dw_fingerprint fingerprint,
+			    uint64_t upstream_id, uint64_t upstream_incarnation, uint64_t now_us)
+{
+	struct dw_quarantine_evidence piece = {
+		.fingerprint = fingerprint,
+		.upstream_id = upstream_id,
+		.upstream_incarnation = upstream_incarnation,
+	};
+
+	return withdraw_piece(quarantine, &piece, DW_SPREAD_EVERYWHERE, now_us);
+}
+
+uint32_t dw_quarantine_pieces(const struct dw_quarantine *quarantine,
+			      struct dw_fingerprint fingerprint, uint64_t now_us,
+			      struct dw_quarantine_evidence out[DW_QUARANTINE_CRASHES])
+{
+	const struct crash_history *history = find_history(quarantine, fingerprint);
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; history && i < history->crash_count; i++) {
+		const struct crash *crash = &history->crashes[i];
+
+		if (!counts(crash, now_us) || count == DW_QUARANTINE_CRASHES)
+			continue;
+		out[count++] = (struct dw_quarantine_evidence){
+			.fingerprint = fingerprint,
+			.upstream_id = crash->upstream_id,
+			.upstream_incarnation = crash->upstream_incarnation,
+			.remaining_us = crash->expires_at_us - now_us,
+		};
+	}
+	return count;
+}
+
+uint32_t dw_quarantine_clear(struct dw_quarantine *quarantine, struct dw_fingerprint fingerprint,
+			     enum dw_spread_scope scope, uint64_t now_us)
+{
+	struct dw_quarantine_evidence pieces[DW_QUARANTINE_CRASHES];
+	uint32_t count = dw_quarantine_pieces(quarantine, fingerprint, now_us, pieces);
+
+	for (uint32_t i = 0; i < count; i++)
+		withdraw_piece(quarantine, &pieces[i], scope, now_us);
+	return count;
+}
+
+/* Whether the piece has to be sent to @p scope in this round; notes that it is. */
+static bool take_send(struct crash *crash, int scope, uint32_t round)
+{
+	bool is_due = false;
+
+	for (int i = 0; i < DIRECTIONS; i++) {
+		if (!(scope & (i == 0 ? DW_SPREAD_IN_DOMAIN : DW_SPREAD_TO_DOMAINS)) ||
+		    crash->sends_left[i] == 0 || round < crash->next_round[i])
+			continue;
+		crash->next_round[i] =
+			round + send_pauses[DW_QUARANTINE_SENDS - crash->sends_left[i]];
+		crash->sends_left[i]--;
+		is_due = true;
+	}
+	return is_due;
+}
+
+size_t dw_quarantine_take_news(struct dw_quarantine *quarantine, enum dw_spread_scope scope,
+			       uint32_t round, uint64_t now_us, struct dw_quarantine_evidence *out,
+			       size_t max)
+{
+	struct crash_history *history;
+	size_t count = 0;
+
+	for (history = quarantine->histories; history; history = history->hh.next) {
+		for (uint32_t i = 0; i < history->crash_count && count < max; i++) {
+			struct crash *crash = &history->crashes[i];
+
+			if (crash->expires_at_us <= now_us || !take_send(crash, scope, round))
+				continue;
+			out[count++] = (struct dw_quarantine_evidence){
+				.fingerprint = history->fingerprint,
+				.upstream_id = crash->upstream_id,
+				.upstream_incarnation = crash->upstream_incarnation,
+				.remaining_us =
+					crash->is_withdrawn ? 0 : crash->expires_at_us - now_us,
+			};
+		}
+	}
+	return count;
+}
+
 bool dw_quarantine_next_evidence(struct dw_quarantine *quarantine, uint64_t now_us,
 				 struct dw_quarantine_evidence *evidence)
 {
@@ -276,7 +448,8 @@
 				.fingerprint = history->fingerprint,
 				.upstream_id = crash->upstream_id,
 				.upstream_incarnation = crash->upstream_incarnation,
-				.remaining_us = crash->expires_at_us - now_us,
+				.remaining_us =
+					crash->is_withdrawn ? 0 : crash->expires_at_us - now_us,
 			};
 			return true;
 		}
@@ -315,3 +488,13 @@
 		count += live_crashes(history, now_us) >= DW_QUARANTINE_CRASHES;
 	return count;
 }
+
+size_t dw_quarantine_suspect_count(const struct dw_quarantine *quarantine, uint64_t now_us)
+{
+	const struct crash_history *history;
+	size_t count = 0;
+
+	for (history = quarantine->histories; history; history = history->hh.next)
+		count += live_crashes(history, now_us) > 0;
+	return count - dw_quarantine_count(quarantine, now_us);
+}
--- a/tests/engine_choice_test.cc
+++ b/tests/engine_choice_test.cc
@@ -254,4 +254,72 @@
 	EXPECT_LT(learnt.us_per_1000_tokens, 40000U);
 }
 
+/* A request that may crash its engine, sent again through many instances. */
+struct SuspectChoice : EngineChoice {
+	SuspectChoice()
+	{
+		choice.model = nullptr;
+		choice.suspect_key = 4711;
+		for (int i = 1; i <= 3; i++)
+			add("e" + std::to_string(i), i == 1 ? "a" : "b");
+	}
+};
+
+/* All instances send it to the same engine, wherever they are and whatever loads they know. */
+TEST_F(SuspectChoice, AllInstancesChooseTheSameEngine)
+{
+	std::string first = choose();
+	for (const char *domain : { "a", "b", "c" }) {
+		choice.failure_domain = domain;
+		dw_engine_set_find(set, first.c_str())->awaiting_response += 5;
+		for (int i = 0; i < 20; i++)
+			EXPECT_EQ(choose(), first);
+	}
+	std::set<std::string> chosen;
+	for (uint64_t key = 1; key < 60; key++) {
+		choice.suspect_key = key;
+		chosen.insert(choose());
+	}
+	EXPECT_EQ(chosen.size(), 3U) << "different requests are distributed";
+}
+
+TEST_F(SuspectChoice, NeverAtTheLastEngine)
+{
+	dw_engine_process_ended(dw_engine_set_find(set, "e1"), choice.now_us);
+	EXPECT_NE(choose(), "e1");
+	dw_engine_set_remove(set, "e2", 0, choice.now_us);
+	choose(DW_CHOICE_LAST_ENGINE);
+	dw_engine_process_ended(dw_engine_set_find(set, "e3"), choice.now_us);
+	choose(DW_CHOICE_ALL_EJECTED);
+	choice.suspect_key = 0;
+	EXPECT_NE(choose(), "") << "other requests try engines that have failed";
+}
+
+/* A service of one engine has no other that could be kept for other requests. */
+TEST_F(SuspectChoice, TheOnlyEngineOfAServiceIsUsed)
+{
+	choice.service = "other";
+	dw_engine_entry entry{};
+	snprintf(entry.id, sizeof(entry.id), "only");
+	snprintf(entry.service, sizeof(entry.service), "other");
+	dw_engine_set_put(set, &entry, 0);
+	EXPECT_EQ(choose(), "only");
+	choice.service = "none";
+	choose(DW_CHOICE_NO_ENGINE);
+}
+
+/* Two suspects don't run on one engine: if it ends, one of them would be taken for the cause. */
+TEST_F(SuspectChoice, BesideNoOtherSuspect)
+{
+	std::string first = choose();
+	dw_engine_set_find(set, first.c_str())->suspects_in_flight = 1;
+	std::string second = choose();
+	EXPECT_NE(second, first);
+	dw_engine_set_find(set, second.c_str())->suspects_in_flight = 1;
+	choose();
+	for (const char *id : { "e1", "e2", "e3" })
+		dw_engine_set_find(set, id)->suspects_in_flight = 1;
+	choose(DW_CHOICE_BESIDE_SUSPECTS);
+}
+
 } // namespace
--- a/tests/quarantine_test.cc
+++ b/tests/quarantine_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <deque>
 #include <memory>
 #include <random>
@@ -143,6 +144,104 @@
 	EXPECT_EQ(dw_quarantine_check(quarantine.get(), POISON, 2 * SECOND), DW_QUARANTINED);
 }
 
+/* An innocent request: its evidence is withdrawn, and comes again late from another instance. */
+TEST(Quarantine, WithdrawnEvidenceDoesntCountAgain)
+{
+	Quarantine quarantine;
+	dw_quarantine_evidence first = { POISON, 5, 1, 10 * SECOND };
+	dw_quarantine_evidence second = { POISON, 6, 1, 10 * SECOND };
+
+	dw_quarantine_merge(quarantine.get(), &first, SECOND);
+	dw_quarantine_merge(quarantine.get(), &second, SECOND);
+	EXPECT_EQ(dw_quarantine_check(quarantine.get(), POISON, SECOND), DW_QUARANTINED);
+	EXPECT_EQ(dw_quarantine_clear(quarantine.get(), POISON, DW_SPREAD_EVERYWHERE, SECOND), 2U);
+	EXPECT_EQ(dw_quarantine_check(quarantine.get(), POISON, SECOND), DW_OK);
+	EXPECT_FALSE(dw_quarantine_merge(quarantine.get(), &first, 2 * SECOND));
+	EXPECT_FALSE(dw_quarantine_is_suspect(quarantine.get(), POISON, 2 * SECOND));
+	dw_quarantine_evidence third = { POISON, 7, 1, 10 * SECOND };
+	EXPECT_TRUE(dw_quarantine_merge(quarantine.get(), &third, 2 * SECOND))
+		<< "a crash since then counts";
+	EXPECT_TRUE(dw_quarantine_is_suspect(quarantine.get(), POISON, 2 * SECOND));
+	EXPECT_EQ(dw_quarantine_suspect_count(quarantine.get(), 2 * SECOND), 1U);
+}
+
+/* The withdrawal overtakes the evidence. */
+TEST(Quarantine, AWithdrawalThatComesFirstCounts)
+{
+	Quarantine quarantine;
+	dw_quarantine_evidence withdrawn = { POISON, 5, 1, 0 };
+	dw_quarantine_evidence crash = { POISON, 5, 1, 10 * SECOND };
+
+	EXPECT_TRUE(dw_quarantine_merge(quarantine.get(), &withdrawn, SECOND));
+	EXPECT_FALSE(dw_quarantine_merge(quarantine.get(), &crash, SECOND));
+	EXPECT_FALSE(dw_quarantine_is_suspect(quarantine.get(), POISON, SECOND));
+}
+
+/* The order in which crashes and withdrawals arrive makes no difference in the end. */
+TEST(Quarantine, InstancesAgreeWhateverTheOrder)
+{
+	for (uint64_t seed = 1; seed <= 300; seed++) {
+		std::mt19937_64 random(seed);
+		std::vector<dw_quarantine_evidence> news;
+		for (uint64_t upstream = 1; upstream <= 2; upstream++)
+			news.push_back({ POISON, upstream, 1, 10 * SECOND });
+		if (seed % 2 == 0)
+			news.push_back({ POISON, 1, 1, 0 });
+		Quarantine a;
+		Quarantine b;
+		for (Quarantine *each : { &a, &b }) {
+			std::shuffle(news.begin(), news.end(), random);
+			for (const auto &piece : news)
+				dw_quarantine_merge(each->get(), &piece, SECOND);
+		}
+		EXPECT_EQ(dw_quarantine_check(a.get(), POISON, SECOND),
+			  dw_quarantine_check(b.get(), POISON, SECOND))
+			<< seed;
+		EXPECT_EQ(dw_quarantine_is_suspect(a.get(), POISON, SECOND), seed % 2 == 0) << seed;
+	}
+}
+
+/* News go out at once, and again, as messages may be lost; what came from others only where it has to
+ * be passed on. */
+TEST(Quarantine, NewsAreSentAFewTimes)
+{
+	Quarantine quarantine;
+	dw_quarantine_evidence out[8];
+	dw_quarantine_evidence passed_on = { { 4, 4 }, 9, 1, 10 * SECOND };
+	dw_quarantine_evidence leaf = { { 5, 5 }, 9, 1, 10 * SECOND };
+	uint32_t own = 0;
+	uint32_t relayed = 0;
+
+	dw_quarantine_crashed(quarantine.get(), 5, 1, &POISON, 1, SECOND);
+	dw_quarantine_merge_scoped(quarantine.get(), &passed_on, DW_SPREAD_IN_DOMAIN, SECOND);
+	dw_quarantine_merge_scoped(quarantine.get(), &leaf, DW_SPREAD_NOWHERE, SECOND);
+	for (uint32_t round = 50; round < 100; round++) {
+		own += dw_quarantine_take_news(quarantine.get(), DW_SPREAD_TO_DOMAINS, round,
+					       SECOND, out, 8);
+		relayed += dw_quarantine_take_news(quarantine.get(), DW_SPREAD_IN_DOMAIN, round,
+						   SECOND, out, 8);
+		EXPECT_EQ(dw_quarantine_take_news(quarantine.get(), DW_SPREAD_EVERYWHERE, round,
+						  SECOND, out, 8),
+			  0U)
+			<< "once in a round";
+	}
+	EXPECT_EQ(own, (uint32_t)DW_QUARANTINE_SENDS);
+	EXPECT_EQ(relayed, 2U * DW_QUARANTINE_SENDS);
+}
+
+TEST(Fingerprint, IsReadFromItsText)
+{
+	char text[DW_FINGERPRINT_TEXT_BYTES];
+	dw_fingerprint read{};
+
+	dw_fingerprint_text({ 0x123, UINT64_MAX }, text);
+	ASSERT_TRUE(dw_fingerprint_parse(text, &read));
+	EXPECT_TRUE(dw_fingerprint_equal(read, { 0x123, UINT64_MAX }));
+	for (const char *bad :
+	     { "", "12", "xx000000000000000000000000000000", "000000000000000000000000000000000" })
+		EXPECT_FALSE(dw_fingerprint_parse(bad, &read)) << bad;
+}
+
 TEST(QuarantineCodec, DecodesWhatItEncodedAndRejectsTruncatedMessages)
 {
 	dw_quarantine_evidence evidence_list[2] = { { POISON, 1, 2, 3 },
