Gateway: a request that crashes its engines is quarantined over all instances

Cause: nothing knew that it was the same request, nor that the engine had ended under it; a promise without a mechanism. Change: crash_guard. A broken connection makes its request wait until a probe, a refused connection, another id at the address, or discovery tells whether the engine has ended. If so, its requests are suspects: one run at one engine, 30 ms later, so that engines which end together are known; two crashes quarantine, told by datagrams at once and kept in the store (wharf/quarantine/FINGERPRINT, ten minutes, lifted by an operator's {"lifted":true}). A run that ends well clears. Refused with 503, type quarantined, without Retry-After: true (it hasn't run and won't), and no 4xx that breaks an innocent caller's work.

--- a/src/wharf-gateway/attempt.c
+++ b/src/wharf-gateway/attempt.c
@@ -20,6 +20,8 @@
 	void *owner;
 	char *attempt_id;
 	struct dw_model_speed *speed;
+	struct dw_fingerprint fingerprint;
+	bool is_suspect;
 	uint64_t sent_at_us;
 	uint64_t expected_us;
 	uint32_t uncached_tokens;
@@ -44,10 +46,19 @@
 	return connection < ATTEMPT_CONNECTION_COUNT ? connection_names[connection] : "unknown";
 }
 
+static struct crash_guard *guard_of(const struct attempt *attempt)
+{
+	return &attempt->router->view->guard;
+}
+
 static void attempt_free(struct attempt *attempt, enum dw_engine_outcome engine_outcome)
 {
 	dw_engine_ended(attempt->engine, engine_outcome, attempt->is_answer_started,
 			dw_clock_now_us());
+	if (attempt->is_suspect) {
+		attempt->engine->suspects_in_flight--;
+		crash_guard_suspect_ended(guard_of(attempt), attempt->fingerprint);
+	}
 	free(attempt->attempt_id);
 	free(attempt);
 }
@@ -66,6 +77,8 @@
 	if (attempt->is_answer_started)
 		return;
 	attempt->is_answer_started = true;
+	crash_guard_sign(guard_of(attempt), attempt->engine, DW_CRASH_SIGN_ANSWERED,
+			 attempt->sent_at_us);
 	dw_engine_started(attempt->engine, attempt->sent_at_us, attempt->expected_us, now_us);
 	if (attempt->speed && attempt->status < 300)
 		dw_model_speed_learn(attempt->speed, attempt->uncached_tokens,
@@ -164,6 +177,23 @@
 	}
 }
 
+/* Tells the crash guard what the end of the attempt says about its engine. */
+static void report_end(const struct attempt *attempt, enum dw_attempt_outcome outcome,
+		       enum attempt_connection connection)
+{
+	struct crash_guard *guard = guard_of(attempt);
+
+	if (outcome == DW_ATTEMPT_WRONG_INSTANCE)
+		crash_guard_sign(guard, attempt->engine, DW_CRASH_SIGN_REPLACED,
+				 attempt->sent_at_us);
+	else if (connection == ATTEMPT_CONNECTION_REFUSED)
+		crash_guard_sign(guard, attempt->engine, DW_CRASH_SIGN_REFUSED,
+				 attempt->sent_at_us);
+	else if (connection == ATTEMPT_CONNECTION_CLOSED &&
+		 (outcome == DW_ATTEMPT_NO_ANSWER || outcome == DW_ATTEMPT_CUT))
+		crash_guard_connection_lost(guard, attempt->engine, attempt->fingerprint);
+}
+
 static void finish_failed(struct attempt *attempt, enum dw_attempt_outcome outcome,
 			  enum dw_engine_outcome engine_outcome)
 {
@@ -171,6 +201,7 @@
 	void *owner = attempt->owner;
 	enum attempt_connection connection = connection_of_error(attempt->connection_error);
 
+	report_end(attempt, outcome, connection);
 	attempt_free(attempt, engine_outcome);
 	callbacks->on_failed(owner, outcome, connection);
 }
@@ -252,11 +283,17 @@
 	attempt->owner = owner;
 	attempt->attempt_id = strdup(options->attempt_id);
 	attempt->speed = options->speed;
+	attempt->fingerprint = options->fingerprint;
+	attempt->is_suspect = options->is_suspect;
 	attempt->sent_at_us = dw_clock_now_us();
 	attempt->expected_us = options->chosen->expected_us;
 	attempt->uncached_tokens = options->chosen->uncached_tokens;
 	attempt->requires_signature = options->requires_signature;
 	dw_engine_sent(engine, attempt->sent_at_us);
+	if (attempt->is_suspect) {
+		engine->suspects_in_flight++;
+		crash_guard_suspect_sent(guard_of(attempt), attempt->fingerprint);
+	}
 	dw_counters_add(router->counters, DW_COUNTER_ATTEMPTS, 1);
 	attempt->link =
 		http_pool_send(router->pool, &server, options->new_connection, options->request,
--- /dev/null
+++ b/src/wharf-gateway/crash_guard.c
@@ -0,0 +1,327 @@
+#include "wharf-gateway/crash_guard.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "wharf-gateway/engine_probe.h"
+
+/* A run that ended well this long before a crash still shows that the request isn't its cause. */
+#define COMPLETION_US (60 * DW_US_PER_S)
+/* A suspect isn't sent to the next engine sooner after the crash: engines that end together, for a
+ * reason of their own, are known by then. */
+#define SETTLE_US (30 * DW_US_PER_MS)
+#define LIFETIME_US (QUARANTINE_LIFETIME_S * DW_US_PER_S)
+#define OWN "own"
+
+void crash_guard_init(struct crash_guard *guard, struct dw_log *log, struct dw_engine_set *engines)
+{
+	struct dw_quarantine_options options = dw_quarantine_default_options();
+
+	memset(guard, 0, sizeof(*guard));
+	options.lifetime_us = LIFETIME_US;
+	guard->log = log;
+	guard->engines = engines;
+	guard->checks = dw_crash_checks_new();
+	if (dw_quarantine_new(&guard->quarantine, &options) != DW_OK)
+		abort();
+	quarantine_records_init(&guard->records, guard->quarantine, engines);
+}
+
+void crash_guard_start(struct crash_guard *guard, uv_loop_t *loop, struct dw_store *store,
+		       uint64_t seed)
+{
+	guard->loop = loop;
+	quarantine_records_start(&guard->records, loop, store, seed);
+}
+
+void crash_guard_close(struct crash_guard *guard)
+{
+	dw_quarantine_free(guard->quarantine);
+	dw_crash_checks_free(guard->checks);
+}
+
+void crash_guard_sweep(struct crash_guard *guard, uint64_t now_us)
+{
+	dw_crash_checks_expire(guard->checks, now_us);
+	dw_quarantine_tick(guard->quarantine, now_us);
+}
+
+static bool runs_here(const struct crash_guard *guard, struct dw_fingerprint request)
+{
+	for (uint32_t i = 0; i < guard->running_count; i++) {
+		if (dw_fingerprint_equal(guard->running[i], request))
+			return true;
+	}
+	return false;
+}
+
+/* Whether a crash under the request became known within SETTLE_US. */
+static bool has_recent_crash(const struct crash_guard *guard, struct dw_fingerprint request,
+			     uint64_t now_us)
+{
+	struct dw_quarantine_evidence pieces[DW_QUARANTINE_CRASHES];
+	uint32_t count = dw_quarantine_pieces(guard->quarantine, request, now_us, pieces);
+
+	for (uint32_t i = 0; i < count; i++) {
+		if (pieces[i].remaining_us + SETTLE_US > LIFETIME_US)
+			return true;
+	}
+	return false;
+}
+
+enum crash_guard_verdict crash_guard_check(const struct crash_guard *guard,
+					   struct dw_fingerprint request, uint64_t now_us)
+{
+	if (dw_quarantine_check(guard->quarantine, request, now_us) != DW_OK)
+		return CRASH_GUARD_QUARANTINED;
+	if (dw_crash_checks_is_open(guard->checks, request))
+		return CRASH_GUARD_UNDECIDED;
+	if (!dw_quarantine_is_suspect(guard->quarantine, request, now_us))
+		return CRASH_GUARD_RUN;
+	if (has_recent_crash(guard, request, now_us))
+		return CRASH_GUARD_UNDECIDED;
+	if (runs_here(guard, request) || guard->running_count == CRASH_GUARD_RUNNING_MAX)
+		return CRASH_GUARD_RUNS_ALREADY;
+	return CRASH_GUARD_RUN_AS_SUSPECT;
+}
+
+void crash_guard_suspect_sent(struct crash_guard *guard, struct dw_fingerprint request)
+{
+	if (guard->running_count < CRASH_GUARD_RUNNING_MAX)
+		guard->running[guard->running_count++] = request;
+}
+
+void crash_guard_suspect_ended(struct crash_guard *guard, struct dw_fingerprint request)
+{
+	for (uint32_t i = 0; i < guard->running_count; i++) {
+		if (!dw_fingerprint_equal(guard->running[i], request))
+			continue;
+		guard->running[i] = guard->running[--guard->running_count];
+		return;
+	}
+}
+
+static void tell(struct crash_guard *guard)
+{
+	if (guard->on_news)
+		guard->on_news(guard->on_news_owner);
+}
+
+static void log_request(struct crash_guard *guard, enum dw_event event,
+			struct dw_fingerprint request, const struct dw_engine *engine,
+			const char *cause, const char *from)
+{
+	char text[DW_FINGERPRINT_TEXT_BYTES];
+	struct dw_quarantine_evidence pieces[DW_QUARANTINE_CRASHES];
+	uint64_t now_us = dw_clock_now_us();
+	uint32_t count = dw_quarantine_pieces(guard->quarantine, request, now_us, pieces);
+
+	dw_fingerprint_text(request, text);
+	dw_log_event(guard->log, event, DW_STR("fingerprint", text), DW_STR("cause", cause),
+		     DW_STR("engine", engine ? engine->entry.id : ""), DW_STR("from", from),
+		     DW_INT("crashes", count),
+		     DW_INT("age_ms",
+			    count > 0 ? (LIFETIME_US - pieces[0].remaining_us) / DW_US_PER_MS : 0));
+}
+
+static void clear(struct crash_guard *guard, struct dw_fingerprint request, const char *cause,
+		  const char *from)
+{
+	if (dw_quarantine_clear(guard->quarantine, request, DW_SPREAD_EVERYWHERE,
+				dw_clock_now_us()) == 0)
+		return;
+	log_request(guard, DW_EVENT_REQUEST_CLEARED, request, NULL, cause, from);
+	quarantine_records_lift(&guard->records, request);
+	tell(guard);
+}
+
+/* All instances read that in the store, so it isn't passed on. */
+static void lift(struct crash_guard *guard, struct dw_fingerprint request)
+{
+	if (dw_quarantine_clear(guard->quarantine, request, DW_SPREAD_NOWHERE, dw_clock_now_us()) >
+	    0)
+		log_request(guard, DW_EVENT_REQUEST_CLEARED, request, NULL, "lifted", "store");
+}
+
+/* Handles a piece of evidence that is new here. */
+static void handle_crash(struct crash_guard *guard, const struct dw_quarantine_evidence *evidence,
+			 const char *from)
+{
+	uint64_t now_us = dw_clock_now_us();
+	struct dw_engine *engine = dw_engine_set_find_run(guard->engines, evidence->upstream_id,
+							  evidence->upstream_incarnation);
+	bool is_own = strcmp(from, OWN) == 0;
+
+	if (engine)
+		dw_engine_process_ended(engine, now_us);
+	if (engine && dw_completion_cache_has(
+			      &guard->completions, evidence->fingerprint, engine->entry.version,
+			      now_us > COMPLETION_US ? now_us - COMPLETION_US : 0)) {
+		clear(guard, evidence->fingerprint, "it has ended well", from);
+		return;
+	}
+	if (dw_quarantine_check(guard->quarantine, evidence->fingerprint, now_us) != DW_OK) {
+		log_request(guard, DW_EVENT_REQUEST_QUARANTINED, evidence->fingerprint, engine,
+			    "crashes", from);
+		quarantine_records_add(&guard->records, evidence->fingerprint, is_own);
+	} else if (is_own) {
+		log_request(guard, DW_EVENT_REQUEST_SUSPECTED, evidence->fingerprint, engine,
+			    "crash", from);
+	}
+}
+
+static void merge_piece(struct crash_guard *guard, const struct dw_quarantine_evidence *evidence,
+			enum dw_spread_scope scope, const char *from)
+{
+	uint64_t now_us = dw_clock_now_us();
+	bool was_refused =
+		dw_quarantine_check(guard->quarantine, evidence->fingerprint, now_us) != DW_OK;
+
+	if (!dw_quarantine_merge_scoped(guard->quarantine, evidence, scope, now_us))
+		return;
+	if (evidence->remaining_us > 0)
+		handle_crash(guard, evidence, from);
+	else if (was_refused)
+		log_request(guard, DW_EVENT_REQUEST_CLEARED, evidence->fingerprint, NULL, "told so",
+			    from);
+}
+
+void crash_guard_merge(struct crash_guard *guard, const struct dw_quarantine_evidence *evidence,
+		       size_t count, enum dw_spread_scope scope, const char *from)
+{
+	for (size_t i = 0; i < count; i++)
+		merge_piece(guard, &evidence[i], scope, from);
+	tell(guard);
+}
+
+void crash_guard_apply_record(struct crash_guard *guard, const struct dw_store_event *event)
+{
+	struct quarantine_record_change change;
+
+	quarantine_records_apply(&guard->records, event, &change);
+	switch (change.kind) {
+	case QUARANTINE_CHANGE_CRASHES:
+		for (uint32_t i = 0; i < change.crash_count; i++)
+			merge_piece(guard, &change.crashes[i], DW_SPREAD_NOWHERE, "store");
+		break;
+	case QUARANTINE_CHANGE_LIFTED:
+		lift(guard, change.fingerprint);
+		break;
+	case QUARANTINE_CHANGE_NONE:
+	case QUARANTINE_CHANGE_COUNT:
+		break;
+	}
+}
+
+static void add_crashes(struct crash_guard *guard, const struct dw_engine *engine,
+			const struct dw_crash_requests *requests)
+{
+	for (uint32_t i = 0; i < requests->count; i++) {
+		struct dw_quarantine_evidence evidence = {
+			.fingerprint = requests->items[i],
+			.upstream_id = engine->id_hash,
+			.upstream_incarnation = engine->entry.started_at_ms,
+			.remaining_us = LIFETIME_US,
+		};
+
+		merge_piece(guard, &evidence, DW_SPREAD_EVERYWHERE, OWN);
+	}
+	tell(guard);
+}
+
+/* The engine was taken for one that has ended, and has answered since. */
+static void withdraw_crashes(struct crash_guard *guard, const struct dw_engine *engine,
+			     const struct dw_crash_requests *requests)
+{
+	for (uint32_t i = 0; i < requests->count; i++) {
+		if (dw_quarantine_withdraw(guard->quarantine, requests->items[i], engine->id_hash,
+					   engine->entry.started_at_ms, dw_clock_now_us()))
+			log_request(guard, DW_EVENT_REQUEST_CLEARED, requests->items[i], engine,
+				    "the engine runs", OWN);
+	}
+	tell(guard);
+}
+
+static void log_ended(struct crash_guard *guard, const struct dw_engine *engine,
+		      enum dw_crash_sign sign, const struct dw_crash_requests *requests)
+{
+	dw_log_event(
+		guard->log, DW_EVENT_ENGINE_ENDED, DW_STR("engine", engine->entry.id),
+		DW_STR("service", engine->entry.service),
+		DW_STR("failure_domain", engine->entry.failure_domain),
+		DW_STR("sign", dw_crash_sign_name(sign)), DW_INT("requests", requests->count),
+		DW_INT("waited_ms", (dw_clock_now_us() - requests->lost_at_us) / DW_US_PER_MS));
+}
+
+void crash_guard_sign(struct crash_guard *guard, const struct dw_engine *engine,
+		      enum dw_crash_sign sign, uint64_t since_us)
+{
+	struct dw_crash_requests requests;
+
+	switch (dw_crash_checks_sign(guard->checks, engine->id_hash, sign, since_us, &requests)) {
+	case DW_CRASH_ENDED:
+		guard->engines_ended++;
+		log_ended(guard, engine, sign, &requests);
+		add_crashes(guard, engine, &requests);
+		break;
+	case DW_CRASH_ALIVE:
+		if (requests.had_ended)
+			withdraw_crashes(guard, engine, &requests);
+		break;
+	case DW_CRASH_OPEN:
+	case DW_CRASH_VERDICT_COUNT:
+		break;
+	}
+}
+
+static void on_probe_done(void *owner, const char *engine_id, enum engine_probe_result result,
+			  uint64_t started_at_us)
+{
+	struct crash_guard *guard = owner;
+	const struct dw_engine *engine = dw_engine_set_find(guard->engines, engine_id);
+
+	if (!engine)
+		return;
+	switch (result) {
+	case ENGINE_PROBE_REFUSED:
+		crash_guard_sign(guard, engine, DW_CRASH_SIGN_REFUSED, started_at_us);
+		break;
+	case ENGINE_PROBE_CONNECTED:
+		crash_guard_sign(guard, engine, DW_CRASH_SIGN_CONNECTED, started_at_us);
+		break;
+	case ENGINE_PROBE_UNDECIDED:
+	case ENGINE_PROBE_RESULT_COUNT:
+		break;
+	}
+}
+
+static void probe(struct crash_guard *guard, const struct dw_engine *engine)
+{
+	guard->probes++;
+	engine_probe_start(guard->loop, engine, on_probe_done, guard);
+}
+
+void crash_guard_connection_lost(struct crash_guard *guard, const struct dw_engine *engine,
+				 struct dw_fingerprint request)
+{
+	struct dw_crash_upstream upstream = { engine->id_hash, engine->entry.started_at_ms };
+	bool is_known = dw_crash_checks_has_upstream(guard->checks, engine->id_hash);
+	struct dw_crash_requests requests;
+
+	/* An engine that leaves ends with the requests that it couldn't complete. */
+	if (!guard->loop || engine->state == DW_ENGINE_DRAINING || engine->state == DW_ENGINE_GONE)
+		return;
+	if (dw_crash_checks_lost(guard->checks, upstream, request, dw_clock_now_us(), &requests) ==
+	    DW_CRASH_ENDED)
+		add_crashes(guard, engine, &requests);
+	else if (!is_known)
+		probe(guard, engine);
+}
+
+void crash_guard_completed(struct crash_guard *guard, struct dw_fingerprint request,
+			   const char *version)
+{
+	dw_completion_cache_add(&guard->completions, request, version, dw_clock_now_us());
+	clear(guard, request, "it ended well", OWN);
+}
--- /dev/null
+++ b/src/wharf-gateway/crash_guard.h
@@ -0,0 +1,83 @@
+/**
+ * @file crash_guard.h
+ * Protects engines from requests that crash them, over all instances.
+ *
+ * When connections to an engine break, the guard finds out whether it has ended, by a connection of
+ * its own and by what else is seen of the engine. If so, each request that was running there is a
+ * suspect; with two such crashes it is quarantined and isn't sent any more. The evidence goes to the
+ * other instances in digests, a quarantine also to the store. A run that ends well clears a request.
+ */
+#ifndef GATEWAY_CRASH_GUARD_H
+#define GATEWAY_CRASH_GUARD_H
+
+#include <uv.h>
+
+#include <dragonflywharf/completion_cache.h>
+#include <dragonflywharf/crash_check.h>
+#include <dragonflywharf/engine.h>
+#include <dragonflywharf/quarantine.h>
+
+#include "base/log.h"
+#include "wharf-gateway/quarantine_records.h"
+
+/** Suspects that this instance runs at a time. */
+#define CRASH_GUARD_RUNNING_MAX 64
+
+struct crash_guard {
+	uv_loop_t *loop; /**< NULL until crash_guard_start() */
+	struct dw_log *log;
+	struct dw_engine_set *engines;
+	struct dw_quarantine *quarantine;
+	struct dw_crash_checks *checks;
+	struct dw_completion_cache completions;
+	struct quarantine_records records;
+	struct dw_fingerprint running[CRASH_GUARD_RUNNING_MAX]; /**< suspects that run now */
+	uint32_t running_count;
+	void (*on_news)(void *owner); /**< there is evidence to be sent; may be NULL */
+	void *on_news_owner;
+	uint64_t engines_ended; /**< as found by this instance, since the start */
+	uint64_t probes; /**< made to find that out */
+};
+
+void crash_guard_init(struct crash_guard *guard, struct dw_log *log, struct dw_engine_set *engines);
+void crash_guard_start(struct crash_guard *guard, uv_loop_t *loop, struct dw_store *store,
+		       uint64_t seed);
+void crash_guard_close(struct crash_guard *guard);
+/** Forgets what is too old. */
+void crash_guard_sweep(struct crash_guard *guard, uint64_t now_us);
+
+/** What may be done with a request now. */
+enum crash_guard_verdict {
+	CRASH_GUARD_RUN,
+	CRASH_GUARD_RUN_AS_SUSPECT, /**< see dw_choice_request.suspect_key */
+	/** It isn't known yet whether its engine ended under it, or which others ended with it. */
+	CRASH_GUARD_UNDECIDED,
+	CRASH_GUARD_RUNS_ALREADY, /**< it is a suspect, and this instance runs it */
+	CRASH_GUARD_QUARANTINED,
+	CRASH_GUARD_VERDICT_COUNT
+};
+
+enum crash_guard_verdict crash_guard_check(const struct crash_guard *guard,
+					   struct dw_fingerprint request, uint64_t now_us);
+
+/** A suspect is sent to an engine, or its attempt has ended. */
+void crash_guard_suspect_sent(struct crash_guard *guard, struct dw_fingerprint request);
+void crash_guard_suspect_ended(struct crash_guard *guard, struct dw_fingerprint request);
+
+/** The engine's machine closed the connection on which the engine had the request. */
+void crash_guard_connection_lost(struct crash_guard *guard, const struct dw_engine *engine,
+				 struct dw_fingerprint request);
+/** A sign of the engine's life or end, see dw_crash_checks_sign(). */
+void crash_guard_sign(struct crash_guard *guard, const struct dw_engine *engine,
+		      enum dw_crash_sign sign, uint64_t since_us);
+/** A run of the request ended well. */
+void crash_guard_completed(struct crash_guard *guard, struct dw_fingerprint request,
+			   const char *version);
+
+/** Merges evidence that the instance @p from sent, to be passed on to @p scope. */
+void crash_guard_merge(struct crash_guard *guard, const struct dw_quarantine_evidence *evidence,
+		       size_t count, enum dw_spread_scope scope, const char *from);
+/** A key of the store was written or deleted; others than those of quarantines are ignored. */
+void crash_guard_apply_record(struct crash_guard *guard, const struct dw_store_event *event);
+
+#endif
--- a/src/wharf-gateway/digest_exchange.c
+++ b/src/wharf-gateway/digest_exchange.c
@@ -1,12 +1,19 @@
 #include "wharf-gateway/digest_exchange.h"
 
+#include <string.h>
+
 #include <dragonflywharf/load_digest.h>
 
 #include "base/clock.h"
+#include "net/quarantine_codec.h"
 
 #define LOAD_PERIOD_MS 300
 /* A session's next request may follow soon, at another instance. */
 #define PIN_PERIOD_MS 100
+/* Evidence of crashes is sent at once, and again until it was sent often enough. */
+#define CRASH_PERIOD_MS (DW_QUARANTINE_ROUND_US / DW_US_PER_MS)
+/* Pieces of evidence in a digest: five integers of up to nine bytes each. */
+#define CRASHES_MAX 26
 /* Digests of a kind sent in a period at most; what is left waits for the next one. */
 #define DIGESTS_MAX 16
 #define DIGEST_BYTES 1200
@@ -14,6 +21,40 @@
 _Static_assert(DIGEST_BYTES >= DW_LOAD_DIGEST_BYTES, "digests of loads fit");
 _Static_assert(DIGEST_BYTES >= DW_SESSION_PINS_DIGEST_BYTES, "digests of pins fit");
 
+static size_t write_crashes(struct digest_exchange *exchange, enum dw_spread_scope scope,
+			    uint64_t now_us, uint8_t *out)
+{
+	struct dw_quarantine_evidence evidence[CRASHES_MAX];
+	uint32_t round = (uint32_t)(now_us / DW_QUARANTINE_ROUND_US);
+	size_t count = dw_quarantine_take_news(exchange->view->guard.quarantine, scope, round,
+					       now_us, evidence, CRASHES_MAX);
+	msgpack_sbuffer buffer;
+	size_t len = 0;
+
+	if (count == 0)
+		return 0;
+	msgpack_sbuffer_init(&buffer);
+	if (dw_quarantine_message_encode(evidence, count, &buffer) == DW_OK &&
+	    buffer.size <= DIGEST_BYTES) {
+		len = buffer.size;
+		memcpy(out, buffer.data, len);
+	}
+	msgpack_sbuffer_destroy(&buffer);
+	return len;
+}
+
+static enum dw_status read_crashes(struct digest_exchange *exchange, enum dw_spread_scope scope,
+				   const struct dw_member *from, const uint8_t *bytes, size_t len)
+{
+	struct dw_quarantine_evidence evidence[DW_QUARANTINE_MESSAGE_ENTRIES];
+	size_t count;
+	enum dw_status status = dw_quarantine_message_decode(bytes, len, evidence, &count);
+
+	if (status == DW_OK)
+		crash_guard_merge(&exchange->view->guard, evidence, count, scope, from->name);
+	return status;
+}
+
 struct outgoing {
 	struct peers *peers;
 	enum peers_digest kind;
@@ -31,12 +72,15 @@
 		return dw_load_digest_write(view->engines, scope, now_us, out, DIGEST_BYTES);
 	case PEERS_PINS:
 		return dw_session_pins_write(view->shifts.pins, scope, now_us, out, DIGEST_BYTES);
+	case PEERS_CRASHES:
+		return write_crashes(exchange, scope, now_us, out);
 	}
 	return 0;
 }
 
 static enum dw_status read_digest(struct digest_exchange *exchange, enum peers_digest kind,
-				  enum dw_spread_scope scope, const uint8_t *bytes, size_t len)
+				  enum dw_spread_scope scope, const struct dw_member *from,
+				  const uint8_t *bytes, size_t len)
 {
 	struct view *view = exchange->view;
 	uint64_t now_us = dw_clock_now_us();
@@ -46,6 +90,8 @@
 		return dw_load_digest_read(view->engines, scope, bytes, len, now_us);
 	case PEERS_PINS:
 		return dw_session_pins_read(view->shifts.pins, scope, bytes, len, now_us);
+	case PEERS_CRASHES:
+		return read_crashes(exchange, scope, from, bytes, len);
 	}
 	return dw_fail(DW_INVALID_ARGUMENT, "digest of unknown kind %d", (int)kind);
 }
@@ -56,7 +102,7 @@
 	enum dw_spread_scope scope =
 		dw_spread_received(exchange->spread, from->key.instance_id, dw_clock_now_us());
 
-	if (read_digest(exchange, kind, scope, bytes, len) != DW_OK)
+	if (read_digest(exchange, kind, scope, from, bytes, len) != DW_OK)
 		dw_counters_add(exchange->view->counters, DW_COUNTER_BAD_INPUTS, 1);
 }
 
@@ -104,6 +150,16 @@
 	send_news(timer->data, PEERS_PINS);
 }
 
+static void on_crash_timer(uv_timer_t *timer)
+{
+	send_news(timer->data, PEERS_CRASHES);
+}
+
+static void on_crash_news(void *owner)
+{
+	send_news(owner, PEERS_CRASHES);
+}
+
 void digest_exchange_place(struct digest_exchange *exchange, const struct dw_view_member *members,
 			   uint32_t count)
 {
@@ -126,4 +182,7 @@
 		return;
 	start_timer(exchange, loop, &exchange->load_timer, on_load_timer, LOAD_PERIOD_MS);
 	start_timer(exchange, loop, &exchange->pin_timer, on_pin_timer, PIN_PERIOD_MS);
+	start_timer(exchange, loop, &exchange->crash_timer, on_crash_timer, CRASH_PERIOD_MS);
+	view->guard.on_news = on_crash_news;
+	view->guard.on_news_owner = exchange;
 }
--- a/src/wharf-gateway/digest_exchange.h
+++ b/src/wharf-gateway/digest_exchange.h
@@ -1,7 +1,7 @@
 /**
  * @file digest_exchange.h
- * Exchanges news with the other instances: loads reported by engines, and versions of sessions that
- * the others couldn't guess. Sends digests at fixed periods to where the library says (spread.h), and
+ * Exchanges news with the other instances: loads reported by engines, versions of sessions that
+ * the others couldn't guess, and evidence of requests that crash engines. Sends digests at fixed periods to where the library says (spread.h), and
  * applies the digests that arrive.
  */
 #ifndef GATEWAY_DIGEST_EXCHANGE_H
@@ -16,6 +16,7 @@
 	struct dw_spread *spread;
 	uv_timer_t load_timer;
 	uv_timer_t pin_timer;
+	uv_timer_t crash_timer;
 };
 
 /** Starts sending; does nothing if the settings have no peer address. */
--- /dev/null
+++ b/src/wharf-gateway/engine_probe.h
@@ -0,0 +1,29 @@
+/**
+ * @file engine_probe.h
+ * Finds out whether an engine's process still runs, by a connection on which nothing is sent.
+ *
+ * A process that ends may still accept connections when its first ones break, so the connection has to
+ * stay open for a moment; if it doesn't, the engine is probed again.
+ */
+#ifndef GATEWAY_ENGINE_PROBE_H
+#define GATEWAY_ENGINE_PROBE_H
+
+#include <uv.h>
+
+#include <dragonflywharf/engine.h>
+
+enum engine_probe_result {
+	ENGINE_PROBE_REFUSED, /**< nothing listens at its address */
+	ENGINE_PROBE_CONNECTED, /**< the connection stayed open */
+	ENGINE_PROBE_UNDECIDED, /**< no answer, or connections that were closed */
+	ENGINE_PROBE_RESULT_COUNT
+};
+
+/** Called once for each probe; @p engine_id is the engine's, @p started_at_us when it was made. */
+typedef void (*engine_probe_done)(void *owner, const char *engine_id,
+				  enum engine_probe_result result, uint64_t started_at_us);
+
+void engine_probe_start(uv_loop_t *loop, const struct dw_engine *engine, engine_probe_done done,
+			void *owner);
+
+#endif
--- a/src/wharf-gateway/exchange.c
+++ b/src/wharf-gateway/exchange.c
@@ -18,8 +18,10 @@
 #define SILENCE_MAX_US (8 * DW_US_PER_S)
 #define SILENCE_RECHECK_US (300 * DW_US_PER_MS)
 /* How long a request waits for the rate limit of cold engines, and how often it tries again. */
-#define COLD_WAIT_MAX_US (250 * DW_US_PER_MS)
-#define COLD_WAIT_POLL_US (50 * DW_US_PER_MS)
+#define SEND_WAIT_MAX_US (250 * DW_US_PER_MS)
+#define SEND_WAIT_POLL_US (50 * DW_US_PER_MS)
+/* The same while it isn't known whether its engine ended under it. */
+#define VERDICT_POLL_US (5 * DW_US_PER_MS)
 
 static void send_to_engine(struct exchange *exchange);
 static void on_timer(uv_timer_t *timer);
@@ -75,8 +77,9 @@
 
 	if (exchange->attempt && attempt_deadline_us(exchange) < due_us)
 		due_us = attempt_deadline_us(exchange);
-	if (exchange->cold_wait_deadline_us > 0 && now_us + COLD_WAIT_POLL_US < due_us)
-		due_us = now_us + COLD_WAIT_POLL_US;
+	if (!exchange->attempt && exchange->send_wait_deadline_us > 0 &&
+	    exchange->send_retry_at_us < due_us)
+		due_us = exchange->send_retry_at_us;
 	uv_timer_start(&exchange->timer, on_timer,
 		       due_us > now_us ? (due_us - now_us + DW_US_PER_MS - 1) / DW_US_PER_MS : 0,
 		       0);
@@ -125,7 +128,7 @@
 		exchange->attempt = NULL;
 		exchange->connection = ATTEMPT_CONNECTION_SILENT;
 		exchange_after_attempt(exchange, outcome);
-	} else if (!exchange->attempt && exchange->cold_wait_deadline_us > 0) {
+	} else if (!exchange->attempt && exchange->send_wait_deadline_us > 0) {
 		send_to_engine(exchange);
 	} else {
 		exchange_set_timer(exchange);
@@ -212,6 +215,8 @@
 	struct attempt_options options = {
 		.chosen = chosen,
 		.attempt_id = exchange->fields.attempt_id,
+		.fingerprint = exchange->fingerprint,
+		.is_suspect = exchange->is_suspect,
 		.requires_signature = true,
 		.speed = exchange->order.has_last
 				 ? NULL
@@ -246,6 +251,59 @@
 	exchange_set_timer(exchange);
 }
 
+/* Tries again to send the request later. @return false if it has waited long enough */
+static bool wait_to_send(struct exchange *exchange, uint64_t poll_us, uint64_t now_us)
+{
+	if (exchange->send_wait_deadline_us == 0)
+		exchange->send_wait_deadline_us = now_us + SEND_WAIT_MAX_US;
+	if (now_us >= exchange->send_wait_deadline_us)
+		return false;
+	exchange->send_retry_at_us = now_us + poll_us;
+	exchange_set_timer(exchange);
+	return true;
+}
+
+static void refuse_quarantined(struct exchange *exchange)
+{
+	static const char reason[] = "quarantined: engines ended while they ran this request";
+
+	if (exchange->policy.runs == 0 && !exchange->policy.has_response_started)
+		exchange_refuse(exchange, DW_QUARANTINED, reason);
+	else
+		give_up(exchange, reason);
+}
+
+/* Whether the request may be sent now, so that it doesn't end engine after engine; if not, it waits or
+ * has been answered. */
+static bool passes_crash_guard(struct exchange *exchange, uint64_t now_us)
+{
+	exchange->is_suspect = false;
+	switch (crash_guard_check(&exchange->router->view->guard, exchange->fingerprint, now_us)) {
+	case CRASH_GUARD_RUN:
+	case CRASH_GUARD_VERDICT_COUNT:
+		return true;
+	case CRASH_GUARD_RUN_AS_SUSPECT:
+		exchange->is_suspect = true;
+		return true;
+	case CRASH_GUARD_UNDECIDED:
+		exchange->is_suspect = true;
+		return !wait_to_send(exchange, VERDICT_POLL_US, now_us);
+	case CRASH_GUARD_RUNS_ALREADY:
+		if (!wait_to_send(exchange, SEND_WAIT_POLL_US, now_us))
+			give_up(exchange, "an engine has ended under this request, which runs");
+		return false;
+	case CRASH_GUARD_QUARANTINED:
+		refuse_quarantined(exchange);
+		return false;
+	}
+	return true;
+}
+
+static bool is_worth_waiting(enum dw_choice_result result)
+{
+	return result == DW_CHOICE_COLD_LIMIT || result == DW_CHOICE_BESIDE_SUSPECTS;
+}
+
 static void send_to_engine(struct exchange *exchange)
 {
 	uint64_t now_us = dw_clock_now_us();
@@ -258,19 +316,17 @@
 		give_up(exchange, "the configuration isn't known to be fresh");
 		return;
 	}
+	if (!passes_crash_guard(exchange, now_us))
+		return;
 	exchange_init_choice(exchange, &choice, now_us);
 	result = exchange_choose_engine(exchange, &choice, &chosen);
 	if (result == DW_CHOICE_FOUND) {
-		exchange->cold_wait_deadline_us = 0;
+		exchange->send_wait_deadline_us = 0;
 		start_attempt(exchange, &choice, &chosen);
 		return;
 	}
-	if (result == DW_CHOICE_COLD_LIMIT && exchange->cold_wait_deadline_us == 0)
-		exchange->cold_wait_deadline_us = now_us + COLD_WAIT_MAX_US;
-	if (result == DW_CHOICE_COLD_LIMIT && now_us < exchange->cold_wait_deadline_us) {
-		exchange_set_timer(exchange);
+	if (is_worth_waiting(result) && wait_to_send(exchange, SEND_WAIT_POLL_US, now_us))
 		return;
-	}
 	give_up(exchange, dw_choice_result_name(result));
 }
 
--- a/src/wharf-gateway/exchange_answer.c
+++ b/src/wharf-gateway/exchange_answer.c
@@ -222,6 +222,8 @@
 		exchange_after_attempt(exchange, DW_ATTEMPT_CUT);
 		return;
 	}
+	crash_guard_completed(&exchange->router->view->guard, exchange->fingerprint,
+			      exchange->version);
 	exchange_count_version_end(exchange, true);
 	exchange_count_version_result(exchange, false);
 	if (exchange->first_byte_at_us == 0)
--- a/src/wharf-gateway/exchange_reply.c
+++ b/src/wharf-gateway/exchange_reply.c
@@ -95,7 +95,7 @@
 	exchange_log_end(exchange, DW_EVENT_REQUEST_REFUSED, 503, reason);
 	exchange_close(exchange);
 	exchange_reply_error(caller, 503, "Service Unavailable", error, NOT_RUN_PROVEN, reason,
-			     retry_after_ms(exchange));
+			     error == DW_QUARANTINED ? 0 : retry_after_ms(exchange));
 }
 
 void exchange_fail(struct exchange *exchange, int status, const char *phrase, enum dw_status error,
--- a/src/wharf-gateway/exchange_route.c
+++ b/src/wharf-gateway/exchange_route.c
@@ -50,6 +50,8 @@
 		choice->speed = router_speed(router, model ? model : "");
 		choice->kv_cache_tokens = exchange->service->kv_cache_tokens;
 	}
+	if (exchange->is_suspect)
+		choice->suspect_key = exchange->fingerprint.low | 1;
 	for (uint32_t i = 0; i < exchange->tried_count; i++)
 		choice->tried[choice->tried_count++] = exchange->tried[i];
 }
@@ -129,7 +131,7 @@
 
 	apply_version_shift(exchange, choice);
 	result = dw_engine_choose(engines, choice, chosen);
-	if (result == DW_CHOICE_FOUND || !choice->required_version)
+	if (result == DW_CHOICE_FOUND || !choice->required_version || choice->suspect_key != 0)
 		return result;
 	/* No engine of the subset is available: fall back to any engine of the required version, then
 	 * to any other version. */
--- a/src/wharf-gateway/exchange_state.h
+++ b/src/wharf-gateway/exchange_state.h
@@ -60,7 +60,10 @@
 	uint64_t connect_deadline_us; /**< by then the attempt must be connected */
 	uint64_t last_progress_at_us; /**< when the attempt was sent or last received data */
 	uint64_t silence_deadline_us; /**< then a silent attempt is aborted; 0: never */
-	uint64_t cold_wait_deadline_us; /**< end of the wait for a cold engine; 0: not waiting */
+	/** Until then it is tried again to send the request; 0: not waiting. */
+	uint64_t send_wait_deadline_us;
+	uint64_t send_retry_at_us; /**< when it is tried next; valid while waiting */
+	bool is_suspect; /**< the request may crash its engine */
 	uint64_t first_byte_at_us;
 	uv_timer_t timer;
 	/** Head of the answer being received. */
--- a/src/wharf-gateway/peers.h
+++ b/src/wharf-gateway/peers.h
@@ -23,6 +23,7 @@
 enum peers_digest {
 	PEERS_LOADS = 2, /**< loads of engines */
 	PEERS_PINS = 3, /**< versions that sessions use */
+	PEERS_CRASHES = 4, /**< evidence of requests that crash engines */
 };
 
 struct peers_callbacks {
--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -29,6 +29,7 @@
 	view->engines = dw_engine_set_new();
 	view->records = dw_view_log_new();
 	dw_view_source_init(&view->source, gateway_settings_change_us(settings), dw_clock_now_us());
+	crash_guard_init(&view->guard, log, view->engines);
 	shifts_init(&view->shifts, log, settings->instance);
 	peers_init(&view->peers, settings, log, counters);
 	reader_key_init(&view->reader_key, settings->instance, &settings->peer_address);
@@ -38,6 +39,7 @@
 {
 	dw_view_log_free(view->records);
 	peers_close(&view->peers);
+	crash_guard_close(&view->guard);
 	dw_engine_set_free(view->engines);
 	dw_catalog_release(view->catalog);
 }
@@ -109,24 +111,36 @@
 	};
 	struct dw_engine_entry entry;
 	enum dw_engine_change change;
+	struct dw_engine *engine;
 
 	if (record_read_engine(id, record->value, record->value_len, &entry) != DW_OK) {
 		reject_record(view, record->key);
 		return;
 	}
+	engine = dw_engine_set_find(view->engines, id);
+	if (engine && engine->entry.started_at_ms != entry.started_at_ms)
+		crash_guard_sign(&view->guard, engine, DW_CRASH_SIGN_RESTARTED, now_us);
 	change = dw_engine_set_put(view->engines, &entry, now_us);
-	if (change != DW_ENGINE_UNCHANGED)
-		log_engine(view, dw_engine_set_find(view->engines, id), changes[change], now_us);
+	if (change == DW_ENGINE_UNCHANGED)
+		return;
+	engine = dw_engine_set_find(view->engines, id);
+	log_engine(view, engine, changes[change], now_us);
+	if (change == DW_ENGINE_STATE_CHANGED && engine->state == DW_ENGINE_DRAINING)
+		crash_guard_sign(&view->guard, engine, DW_CRASH_SIGN_LEAVING, now_us);
 }
 
 static void remove_engine(struct view *view, const char *id, uint64_t now_us)
 {
 	uint64_t ended_at_us = view->outage.ended_at_us;
 	uint64_t usable_until_us = ended_at_us > 0 ? ended_at_us + REREGISTRATION_US : 0;
-	struct dw_engine *engine = dw_engine_set_remove(view->engines, id, usable_until_us, now_us);
+	struct dw_engine *engine = dw_engine_set_find(view->engines, id);
+	bool was_leaving = engine && engine->state == DW_ENGINE_DRAINING;
 
-	if (engine)
-		log_engine(view, engine, "removed", now_us);
+	if (!dw_engine_set_remove(view->engines, id, usable_until_us, now_us))
+		return;
+	log_engine(view, engine, "removed", now_us);
+	if (engine->state == DW_ENGINE_GONE && !was_leaving)
+		crash_guard_sign(&view->guard, engine, DW_CRASH_SIGN_REMOVED, now_us);
 }
 
 static void set_evacuated(struct view *view, const char *domain, bool evacuated)
@@ -200,6 +214,7 @@
 		break;
 	case RECORD_UNKNOWN:
 		shifts_apply_record(&view->shifts, event, now_us);
+		crash_guard_apply_record(&view->guard, event);
 		break;
 	case RECORD_KIND_COUNT:
 		break;
@@ -310,6 +325,7 @@
 {
 	if (now_us > TOMBSTONE_TTL_US)
 		dw_view_log_forget(view->records, now_us - TOMBSTONE_TTL_US);
+	crash_guard_sweep(&view->guard, now_us);
 }
 
 static void confirm(struct view *view, enum dw_view_origin origin, uint64_t confirmed_at_us,
--- a/src/wharf-gateway/view.h
+++ b/src/wharf-gateway/view.h
@@ -18,6 +18,7 @@
 #include "base/counter.h"
 #include "base/log.h"
 #include "port/store.h"
+#include "wharf-gateway/crash_guard.h"
 #include "wharf-gateway/gateway_settings.h"
 #include "wharf-gateway/peers.h"
 #include "wharf-gateway/reader_key.h"
@@ -31,6 +32,7 @@
 	struct dw_engine_set *engines;
 	struct dw_domain_list evacuated;
 	struct shifts shifts;
+	struct crash_guard guard;
 	struct peers peers;
 	struct reader_key reader_key;
 	struct dw_view_log *records; /**< newest known record of each key */
--- a/tests/standins/standin_backend.c
+++ b/tests/standins/standin_backend.c
@@ -13,8 +13,9 @@
  * - late: a response that isn't a stream comes n ms late
  * - long: such a response is n bytes longer
  *
- * With --crash-path, the back end exits with code 70 some time after it has begun to run a request
- * whose path begins so, also after a restart; the connections of all its requests end then.
+ * With --crash-word, the back end exits with code 70 some time after it has begun to run a request
+ * whose path contains the word, in a stream after its second event; the connections of all its requests
+ * end then.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -26,12 +27,14 @@
 #include "standins/standin.h"
 
 #define SLOTS 64
+/* The event of a stream after which it crashes. */
+#define CRASH_EVENT 2
 
 struct backend {
 	const char *id;
 	uint32_t events;
 	uint64_t event_us;
-	const char *crash_path; /**< NULL: none */
+	const char *crash_word; /**< in the paths of requests that crash it; NULL: none */
 	uint64_t crash_after_us;
 	uint64_t work_us; /**< that a response takes that isn't a stream */
 	uint64_t running;
@@ -118,6 +121,23 @@
 		dw_http_stream_end(exchange, is_complete);
 }
 
+static void crash(struct standin_request *request)
+{
+	printf("crash %s\n", request->path);
+	fflush(stdout);
+	_exit(STANDIN_EXIT_CRASH);
+}
+
+static bool wants_stream(const struct standin_request *request)
+{
+	return strcmp(standin_header(request, "accept"), "text/event-stream") == 0;
+}
+
+static bool is_crashing(const struct backend *backend, const char *path)
+{
+	return backend->crash_word && strstr(path, backend->crash_word);
+}
+
 static void send_event(struct standin_request *request)
 {
 	struct backend *backend = backend_of(request);
@@ -133,6 +153,10 @@
 		 (unsigned long long)stream->next_event_id,
 		 (unsigned long long)stream->next_event_id);
 	dw_http_stream_write(request->exchange, event, strlen(event));
+	if (stream->next_event_id >= CRASH_EVENT && is_crashing(backend, request->path)) {
+		standin_delay(request, backend->crash_after_us, crash);
+		return;
+	}
 	if (stream->next_event_id == stream->cut_after)
 		end_stream(request, false);
 	else if (stream->next_event_id++ >= stream->last_event_id)
@@ -160,19 +184,6 @@
 	send_event(request);
 }
 
-static void crash(struct standin_request *request)
-{
-	printf("crash %s\n", request->path);
-	fflush(stdout);
-	_exit(STANDIN_EXIT_CRASH);
-}
-
-static bool is_crashing(const struct backend *backend, const char *path)
-{
-	return backend->crash_path &&
-	       strncmp(path, backend->crash_path, strlen(backend->crash_path)) == 0;
-}
-
 static void execute(struct standin_request *request)
 {
 	struct backend *backend = backend_of(request);
@@ -184,7 +195,7 @@
 	backend->running++;
 	if (fault_set_consume(faults, "crash", request->path))
 		crash(request);
-	if (is_crashing(backend, request->path)) {
+	if (is_crashing(backend, request->path) && !wants_stream(request)) {
 		standin_delay(request, backend->crash_after_us, crash);
 	} else if (fault_set_consume(faults, "answer_lost", request->path)) {
 		backend->running--;
@@ -195,7 +206,7 @@
 		standin_answer_error(request, 500, "failed");
 	} else if (fault_set_consume(faults, "mute", request->path)) {
 		return;
-	} else if (strcmp(standin_header(request, "accept"), "text/event-stream") == 0) {
+	} else if (wants_stream(request)) {
 		start_stream(request);
 	} else {
 		standin_delay(request, late ? late->n * DW_US_PER_MS : backend->work_us,
@@ -256,8 +267,8 @@
 	struct arg_str *id = arg_str1(NULL, "id", "ID", "instance id");
 	struct arg_int *events = arg_int0(NULL, "events", "N", "events per stream (5)");
 	struct arg_int *event_ms = arg_int0(NULL, "event-ms", "MS", "interval between events (20)");
-	struct arg_str *crash_path =
-		arg_str0(NULL, "crash-path", "PATH", "requests that crash it, by the path's start");
+	struct arg_str *crash_word =
+		arg_str0(NULL, "crash-word", "WORD", "in the paths of requests that crash it");
 	struct arg_int *crash_ms =
 		arg_int0(NULL, "crash-after-ms", "MS", "run time before such a crash (0)");
 	struct arg_int *work_ms = arg_int0(NULL, "work-ms", "MS", "run time of a request (0)");
@@ -265,7 +276,7 @@
 
 	standin_common_init(&common);
 	void *table[] = { common.help, common.version, common.ip, common.port, id,	  events,
-			  event_ms,    crash_path,     crash_ms,  work_ms,     common.end };
+			  event_ms,    crash_word,     crash_ms,  work_ms,     common.end };
 	rc = standin_parse(&standin, &common, table, argc, argv);
 	if (rc >= 0)
 		return rc;
@@ -274,8 +285,8 @@
 		backend.events = (uint32_t)events->ival[0];
 	if (event_ms->count > 0)
 		backend.event_us = (uint64_t)event_ms->ival[0] * DW_US_PER_MS;
-	if (crash_path->count > 0)
-		backend.crash_path = crash_path->sval[0];
+	if (crash_word->count > 0)
+		backend.crash_word = crash_word->sval[0];
 	if (crash_ms->count > 0)
 		backend.crash_after_us = (uint64_t)crash_ms->ival[0] * DW_US_PER_MS;
 	if (work_ms->count > 0)
--- a/tests/standins/standin_metadata.c
+++ b/tests/standins/standin_metadata.c
@@ -37,6 +37,7 @@
 struct metadata {
 	struct kv_table *table;
 	struct watch *watches;
+	uint64_t last_lease;
 	struct json_object *calls; /* count by the last part of the path */
 };
 
@@ -329,6 +330,16 @@
 	notify_watches(metadata);
 }
 
+/* Leases don't expire here. */
+static void answer_lease(struct standin_request *request, struct metadata *metadata)
+{
+	struct json_object *body = json_object_new_object();
+
+	set_number(body, "Lease", ++metadata->last_lease);
+	set_number(body, "TtlMs", json_u64(request->body, "TtlMs", 0));
+	standin_answer(request, 200, body);
+}
+
 static void execute_call(struct standin_request *request)
 {
 	struct metadata *metadata = metadata_of(request->standin);
@@ -345,6 +356,8 @@
 		start_watch(request, metadata, query);
 	else if (strcmp(call_name, "kv-txn") == 0)
 		answer_transaction(request, metadata);
+	else if (strcmp(call_name, "kv-lease") == 0)
+		answer_lease(request, metadata);
 	else
 		standin_answer_error(request, 404, "unknown path");
 }
--- a/tests/support/platform.cc
+++ b/tests/support/platform.cc
@@ -57,6 +57,11 @@
 	http_call(store_port, "POST", "/admin/delete", "{\"key\":\"" + key + "\"}");
 }
 
+std::string platform::read_range(const std::string &prefix) const
+{
+	return http_call(store_port, "GET", "/dragonflywharf/kv-range?PathPrefix=" + prefix).body;
+}
+
 void platform::inject_store_fault(const std::string &body) const
 {
 	http_call(store_port, "POST", "/admin/fault", body);
--- a/tests/support/platform.h
+++ b/tests/support/platform.h
@@ -35,7 +35,7 @@
 	uint16_t store_port = store.wait_listening();
 	std::vector<std::unique_ptr<backend>> backends;
 	std::string event_ms = "--event-ms=20"; /**< pause between the events of a stream */
-	/** More arguments of the back ends, for instance --crash-path. */
+	/** More arguments of the back ends, for instance --crash-word. */
 	std::vector<std::string> backend_arguments;
 	int version = 0; /**< of the configuration */
 	std::string more_routes; /**< of the configuration, each after a comma */
@@ -43,6 +43,8 @@
 	/** Writes or deletes a record as the operator or a back end does. */
 	void put(const std::string &key, const std::string &value) const;
 	void remove(const std::string &key) const;
+	/** The store's items with a prefix, as JSON. */
+	std::string read_range(const std::string &prefix) const;
 	void inject_store_fault(const std::string &body) const;
 
 	/** Starts a back end and registers it. */
