Quarantine records: written once, lifted also while they are being written; a probe that is closed three times

An instance that read a record, as each does after a restart, wrote it again after 2 to 6 s: all of a fleet at once, each with a new lifetime of ten minutes (red in AQuarantineSurvivesAllProcessesUntilItIsLifted: the revision went from 15 to 24). A record lifted while its write was under way stayed. An engine that accepts connections and closes them, as one with too many does, left its requests waiting 0.25 s for a verdict for 8 s; it counts as running now.

--- a/src/wharf-gateway/engine_probe.c
+++ b/src/wharf-gateway/engine_probe.c
@@ -83,7 +83,7 @@
 	if (probe->connections < CONNECTIONS_MAX)
 		close_connection(probe);
 	else
-		finish(probe, ENGINE_PROBE_UNDECIDED);
+		finish(probe, ENGINE_PROBE_CONNECTED);
 }
 
 static void on_connected(uv_connect_t *request, int status)
--- a/src/wharf-gateway/engine_probe.h
+++ b/src/wharf-gateway/engine_probe.h
@@ -2,8 +2,9 @@
  * @file engine_probe.h
  * Finds out whether an engine's process still runs, by a connection on which nothing is sent.
  *
- * A process that ends may still accept connections when its first ones break, so the connection has to
- * stay open for a moment; if it doesn't, the engine is probed again.
+ * A process that ends may still accept a connection when its first ones break, so the connection has to
+ * stay open for a moment; if it doesn't, the engine is probed again. One that accepts and closes several
+ * in turn runs, and has too many.
  */
 #ifndef GATEWAY_ENGINE_PROBE_H
 #define GATEWAY_ENGINE_PROBE_H
@@ -14,8 +15,8 @@
 
 enum engine_probe_result {
 	ENGINE_PROBE_REFUSED, /**< nothing listens at its address */
-	ENGINE_PROBE_CONNECTED, /**< the connection stayed open */
-	ENGINE_PROBE_UNDECIDED, /**< no answer, or connections that were closed */
+	ENGINE_PROBE_CONNECTED, /**< it accepts connections */
+	ENGINE_PROBE_UNDECIDED, /**< no answer */
 	ENGINE_PROBE_RESULT_COUNT
 };
 
--- a/src/wharf-gateway/quarantine_records.c
+++ b/src/wharf-gateway/quarantine_records.c
@@ -26,6 +26,8 @@
 	uint64_t write_due_us; /* 0: nothing to write */
 	uint64_t lease_id;
 	bool is_lifted; /* what has to be written */
+	bool is_stored; /* the store has the crashes */
+	bool is_lift_in_flight; /* what is being written */
 	bool in_flight;
 	UT_hash_handle hh;
 };
@@ -70,6 +72,8 @@
 	uint64_t now_us = dw_clock_now_us();
 
 	record->is_lifted = false;
+	if (record->is_stored)
+		return;
 	record->write_due_us = now_us;
 	if (!is_own)
 		record->write_due_us +=
@@ -130,7 +134,10 @@
 	switch (result->outcome) {
 	case DW_STORE_DONE:
 		record->revision = result->revision;
-		record->write_due_us = 0;
+		record->is_stored = !record->is_lift_in_flight;
+		/* It may have been lifted, or quarantined again, meanwhile. */
+		if (record->is_lift_in_flight == record->is_lifted)
+			record->write_due_us = 0;
 		break;
 	case DW_STORE_CONFLICT:
 		/* Another instance was faster; only a lifting has to replace what it wrote. */
@@ -162,6 +169,7 @@
 		.deadline_us = now_us + CALL_TIMEOUT_US,
 	};
 
+	record->is_lift_in_flight = record->is_lifted;
 	dw_fingerprint_text(record->fingerprint, key + strlen(PREFIX));
 	dw_store_put(record->owner->store, &put, on_written, record);
 	json_object_put(root);
@@ -282,12 +290,13 @@
 		return;
 	record = find_or_add(records, change->fingerprint);
 	record->revision = event->deleted ? 0 : event->entry.mod_revision;
+	record->is_stored = false;
 	/* A key may also be removed by an outage of the store: that lifts nothing. */
 	if (event->deleted)
 		return;
 	read_value(&event->entry, change);
-	if (change->kind == QUARANTINE_CHANGE_CRASHES && !record->is_lifted)
-		record->write_due_us = 0;
-	if (change->kind == QUARANTINE_CHANGE_LIFTED)
+	record->is_stored = change->kind == QUARANTINE_CHANGE_CRASHES;
+	/* A record of crashes that are withdrawn here still has to be marked as lifted. */
+	if (!record->is_stored || !record->is_lifted)
 		record->write_due_us = 0;
 }
--- a/tests/process_crash_test.cc
+++ b/tests/process_crash_test.cc
@@ -25,6 +25,8 @@
 /** Three heartbeats, after which the platform removes the entry of a silent engine. */
 constexpr int ENTRY_MS = 1200;
 constexpr int REPEAT_MS = 120;
+/** Within this time, an instance that was told of a quarantine writes it if nobody else has. */
+constexpr int BACKUP_WRITE_MS = 6500;
 
 struct Crashes : testing::Test, support::fleet {
 	int crashes = 0;
@@ -229,6 +231,7 @@
 		return read_range("wharf/quarantine/").find("wharf/quarantine/") !=
 		       std::string::npos;
 	}));
+	std::string items = read_range("wharf/quarantine/");
 	for (const auto &each : instances)
 		each.gateway->kill();
 	for (size_t i = 0; i < INSTANCES; i++)
@@ -238,8 +241,11 @@
 		EXPECT_EQ(call(i, "GET", "/look/poison").status, 503);
 	tend_for(REPEAT_MS);
 	EXPECT_EQ(crashes, MAX_CRASHES);
+	tend_for(BACKUP_WRITE_MS);
+	EXPECT_EQ(read_range("wharf/quarantine/").substr(0, items.find("StoreRevision")),
+		  items.substr(0, items.find("StoreRevision")))
+		<< "instances that read the record don't write it again";
 
-	std::string items = read_range("wharf/quarantine/");
 	std::string key = items.substr(items.find("wharf/quarantine/"),
 				       std::string("wharf/quarantine/").size() + 32);
 	put(key, "{\"lifted\":true}");
