Rollouts: the counts that prove a version good are written again when their write fails

Callers: a good version was rolled back, as is_proof_told was set before the write had ended: a store that refused or lost it for a moment at 66% of the time made an instance's counts miss. Change: told once the write is done; after a failure again within 0.35 to 1.05 s. Not mended: all instances write them within the same 0.2 s.

--- a/src/wharf-gateway/shifts.c
+++ b/src/wharf-gateway/shifts.c
@@ -65,6 +65,8 @@
 	uint32_t written_answers;
 	uint64_t evidence_at_us;
 	bool is_proof_told; /**< the counts that may prove the new version good were written */
+	bool is_proof_in_flight; /**< they are being written */
+	uint64_t proof_retry_at_us; /**< after a failed write; 0: none failed */
 	enum dw_shift_state written_state;
 	UT_hash_handle hh; /**< keyed by shift.order.service */
 };
@@ -122,6 +124,8 @@
 	service->written_bad_or_slow = 0;
 	service->written_progress = 0;
 	service->is_proof_told = false;
+	service->is_proof_in_flight = false;
+	service->proof_retry_at_us = 0;
 	service->is_writer = false;
 	service->written_state = DW_SHIFT_NONE;
 }
@@ -412,6 +416,14 @@
 	const char *record_name;
 };
 
+static void end_proof_write(struct service_shift *service, enum dw_store_outcome outcome)
+{
+	service->is_proof_in_flight = false;
+	service->is_proof_told = outcome == DW_STORE_DONE;
+	service->proof_retry_at_us = dw_clock_now_us() + EVIDENCE_PERIOD_US / 2 +
+				     dw_random_next(&service->owner->random) % EVIDENCE_PERIOD_US;
+}
+
 static void on_written(const struct dw_store_put_result *result, void *data)
 {
 	struct record_write *write = data;
@@ -421,8 +433,11 @@
 	write->record->write_due_us = 0;
 	if (result->outcome == DW_STORE_DONE || result->outcome == DW_STORE_CONFLICT)
 		write->record->revision = result->revision;
-	if (write->record != &write->service->evidence)
+	if (write->record != &write->service->evidence) {
 		write->service->is_writer = result->outcome == DW_STORE_DONE;
+	} else if (write->service->is_proof_in_flight) {
+		end_proof_write(write->service, result->outcome);
+	}
 	dw_log_event(write->service->owner->log, DW_EVENT_SHIFT_EVIDENCE,
 		     DW_STR("service", write->service->shift.order.service),
 		     DW_STR("record", write->record_name),
@@ -559,10 +574,12 @@
 
 	if (shift->state == DW_SHIFT_COMPLETED || service->evidence.in_flight)
 		return false;
-	if (!service->is_proof_told && dw_shift_is_proof_due(shift, now_us)) {
-		service->is_proof_told = true;
-		return shift->own.counts[DW_SHIFT_NEW].good > 0 ||
-		       shift->open[DW_SHIFT_NEW].count > 0;
+	if (!service->is_proof_told && now_us >= service->proof_retry_at_us &&
+	    dw_shift_is_proof_due(shift, now_us)) {
+		service->is_proof_in_flight = shift->own.counts[DW_SHIFT_NEW].good > 0 ||
+					      shift->open[DW_SHIFT_NEW].count > 0;
+		service->is_proof_told = !service->is_proof_in_flight;
+		return service->is_proof_in_flight;
 	}
 	return has_new_evidence(service) && dw_shift_is_suspect(shift) &&
 	       now_us >= service->evidence_at_us + EVIDENCE_PERIOD_US;
--- a/tests/process_gateway_test.cc
+++ b/tests/process_gateway_test.cc
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <chrono>
 #include <fstream>
 #include <memory>
 #include <string>
@@ -303,6 +304,39 @@
 	EXPECT_EQ(next_answer.headers["response-seal"], stream.header("response-seal"));
 }
 
+/* Guards against a good version that is rolled back, as the write of the counts that prove it failed and
+ * wasn't repeated: the store refuses writes at the time at which they are told. */
+TEST_F(Gateway, CountsOfARolloutAreWrittenAgainWhenTheirWriteFails)
+{
+	constexpr int DURATION_MS = 6000;
+	register_backend(*backends[1], "e2", "ready", "v2");
+	put("op/rollout/app", "{\"Service\":\"app\",\"Target\":\"v2\",\"DurationS\":" +
+				      std::to_string(DURATION_MS / 1000) + "}");
+	auto started = std::chrono::steady_clock::now();
+	auto elapsed_ms = [&] {
+		return std::chrono::duration_cast<std::chrono::milliseconds>(
+			       std::chrono::steady_clock::now() - started)
+			.count();
+	};
+	bool is_refusing = false;
+	while (elapsed_ms() < DURATION_MS * 72 / 100) {
+		call("GET", "/look/" + std::to_string(next_attempt));
+		if (!is_refusing && elapsed_ms() > DURATION_MS * 58 / 100) {
+			is_refusing = true;
+			inject_store_fault("{\"kind\":\"outage\",\"path\":\"/dragonflywharf/"
+					   "kv-txn\"}");
+		}
+	}
+	ASSERT_EQ(read_range("wharf/evidence/").find("wharf/evidence/"), std::string::npos);
+	inject_store_fault("{\"kind\":\"none\"}");
+	EXPECT_TRUE(wait_until(
+		[&] {
+			return read_range("wharf/evidence/").find("wharf/evidence/app/g1") !=
+			       std::string::npos;
+		},
+		1500));
+}
+
 TEST_F(Gateway, MetricsAndLogsRecordARequest)
 {
 	call("GET", "/look/1");
