--- a/include/dragonflywharf/store_outage.h
+++ b/include/dragonflywharf/store_outage.h
@@ -24,6 +24,9 @@
 /** A call of this instance got no byte of an answer, or an answer that refuses all calls. */
 void dw_store_outage_call_failed(struct dw_store_outage *outage, uint64_t now_us);
 
+/** A call of this instance broke off after some bytes of its answer: the store isn't away. */
+void dw_store_outage_call_broke_off(struct dw_store_outage *outage);
+
 /**
  * A call of this instance was answered; to be called before the answer is applied.
  * @param confirmed_at_us this copy's newest proof, from the store or another instance; 0: none yet
--- a/src/core/store_outage.c
+++ b/src/core/store_outage.c
@@ -8,6 +8,11 @@
 		outage->failed_since_us = now_us;
 }
 
+void dw_store_outage_call_broke_off(struct dw_store_outage *outage)
+{
+	outage->failed_since_us = 0;
+}
+
 /* Whether no proof falls into the last @p stale_us before @p at_us. */
 static bool is_stale(uint64_t confirmed_at_us, uint64_t stale_us, uint64_t at_us)
 {
--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -373,8 +373,11 @@
 		     uint64_t now_us)
 {
 	dw_counters_add(view->counters, DW_COUNTER_STORE_FAILURES, 1);
-	if (reason != DW_STALE)
+	if (abandoned_bytes > view->abandoned_bytes)
+		dw_store_outage_call_broke_off(&view->outage);
+	else if (reason != DW_STALE)
 		dw_store_outage_call_failed(&view->outage, now_us);
+	view->abandoned_bytes = abandoned_bytes;
 	if (!view->is_store_reached)
 		return;
 	view->is_store_reached = false;
--- a/src/wharf-gateway/view.h
+++ b/src/wharf-gateway/view.h
@@ -39,6 +39,7 @@
 	struct dw_view_source source; /**< from where this copy is kept up to date */
 	uint64_t confirmed_at_us; /**< when the copy was last known to be current; 0: never */
 	struct dw_store_outage outage; /**< of the store, for all instances */
+	uint64_t abandoned_bytes; /**< of the store's answers, as of the last call that failed */
 	uint32_t hops; /**< instances between this one and the store, as of the last proof */
 	bool is_store_reached; /**< the last call of this instance's own watch succeeded */
 	void (*on_confirmed)(void *owner); /**< called after each proof, with its changes applied */
--- a/tests/store_outage_test.cc
+++ b/tests/store_outage_test.cc
@@ -68,4 +68,17 @@
 	EXPECT_EQ(outage.ended_at_us, START) << "an earlier one changes nothing";
 }
 
+/* Guards against an outage that wasn't: over a slow link a large answer begins, and its end doesn't come
+ * in time, call after call. A store that sends bytes isn't away. */
+TEST_F(StoreOutage, ACallThatBreaksOffAfterSomeBytesIsNoFailure)
+{
+	fail(START, START + 1000 * MS);
+	dw_store_outage_call_broke_off(&outage);
+	dw_store_outage_call_answered(&outage, START - 100 * MS, STALE, START + 4000 * MS);
+	EXPECT_EQ(outage.ended_at_us, 0U);
+	fail(START + 5000 * MS, START + 9000 * MS);
+	dw_store_outage_call_answered(&outage, START - 100 * MS, STALE, START + 9000 * MS);
+	EXPECT_EQ(outage.ended_at_us, START + 9000 * MS) << "calls without a byte still are";
+}
+
 } // namespace
