--- a/tests/quarantine_test.cc
+++ b/tests/quarantine_test.cc
@@ -229,6 +229,37 @@
 	EXPECT_EQ(relayed, 2U * DW_QUARANTINE_SENDS);
 }
 
+/* Thirty engines end at once, each with 64 requests, and a caller invents requests beside other crashes:
+ * memory is bounded, and what is quarantined stays so. */
+TEST(Quarantine, ManyCrashesAtOnceAreBounded)
+{
+	Quarantine quarantine;
+	dw_quarantine_evidence out[26];
+	uint64_t sent = 0;
+
+	dw_quarantine_crashed(quarantine.get(), 1, 1, &POISON, 1, SECOND);
+	dw_quarantine_crashed(quarantine.get(), 2, 1, &POISON, 1, SECOND);
+	for (uint64_t i = 0; i < 30 * 64; i++) {
+		dw_fingerprint innocent = { i, 2 };
+		dw_quarantine_crashed(quarantine.get(), 10 + i / 64, 1, &innocent, 1, SECOND);
+	}
+	EXPECT_EQ(dw_quarantine_suspect_count(quarantine.get(), SECOND), 30U * 64);
+	for (uint32_t round = 1; round < 60; round++) {
+		size_t count;
+		while ((count = dw_quarantine_take_news(quarantine.get(), DW_SPREAD_EVERYWHERE,
+							round, SECOND, out, 26)) > 0)
+			sent += count;
+	}
+	EXPECT_EQ(sent, DW_QUARANTINE_SENDS * (30U * 64 + 2));
+	for (uint64_t i = 0; i < 10000; i++) {
+		dw_fingerprint invented = { i, 3 };
+		dw_quarantine_crashed(quarantine.get(), 100, i, &invented, 1, 2 * SECOND + i);
+	}
+	EXPECT_LT(dw_quarantine_suspect_count(quarantine.get(), 3 * SECOND),
+		  dw_quarantine_default_options().max_fingerprints);
+	EXPECT_EQ(dw_quarantine_check(quarantine.get(), POISON, 3 * SECOND), DW_QUARANTINED);
+}
+
 TEST(Fingerprint, IsReadFromItsText)
 {
 	char text[DW_FINGERPRINT_TEXT_BYTES];
