--- a/src/core/engine.c
+++ b/src/core/engine.c
@@ -281,9 +281,10 @@
 {
 	uint32_t doublings = engine->consecutive_failures - EJECT_AFTER_FAILURES;
 	uint64_t duration_us = EJECT_MIN_US << (doublings < 4 ? doublings : 4);
+	uint64_t until_us = now_us + (duration_us < EJECT_MAX_US ? duration_us : EJECT_MAX_US);
 
-	engine->ejected_until_us =
-		now_us + (duration_us < EJECT_MAX_US ? duration_us : EJECT_MAX_US);
+	if (until_us > engine->ejected_until_us)
+		engine->ejected_until_us = until_us;
 }
 
 void dw_engine_process_ended(struct dw_engine *engine, uint64_t now_us)
--- a/src/wharf-gateway/exchange.c
+++ b/src/wharf-gateway/exchange.c
@@ -17,7 +17,8 @@
  * limit and checked again at this interval. */
 #define SILENCE_MAX_US (8 * DW_US_PER_S)
 #define SILENCE_RECHECK_US (300 * DW_US_PER_MS)
-/* How long a request waits for the rate limit of cold engines, and how often it tries again. */
+/* How long a request waits for the rate limit of cold engines or the end of suspects, and how often it
+ * tries again. */
 #define SEND_WAIT_MAX_US (250 * DW_US_PER_MS)
 #define SEND_WAIT_POLL_US (50 * DW_US_PER_MS)
 /* The same while it isn't known whether its engine ended under it. */
--- a/tests/engine_test.cc
+++ b/tests/engine_test.cc
@@ -115,4 +115,19 @@
 	EXPECT_EQ(dw_engine_sends_last_second(engine, 8 * SECOND), 0U);
 }
 
+/* The requests that were lost with the process end after its end is known: the engine mustn't count as
+ * in use again before its entry goes, or the last other one would pass for one of two. */
+TEST_F(Engines, AnEndedProcessStaysEjectedWhateverItsRequestsReport)
+{
+	dw_engine *engine = add("a");
+	dw_engine_sent(engine, SECOND);
+	dw_engine_process_ended(engine, SECOND);
+	uint64_t until_us = engine->ejected_until_us;
+	EXPECT_GE(until_us, 4 * SECOND);
+	dw_engine_ended(engine, DW_ENGINE_NO_RESPONSE, false, SECOND + 20 * MS);
+	EXPECT_EQ(engine->ejected_until_us, until_us);
+	dw_engine_ended(engine, DW_ENGINE_UNREACHABLE, false, SECOND + 40 * MS);
+	EXPECT_GE(engine->ejected_until_us, until_us);
+}
+
 } // namespace
