Slow readers of long answers: a test of what the table of promises had without one

Eight callers that read nothing of 30 MB each: the gateway stays under 40 MB and answers others; all get their answer. Red with caller_is_congested() always false.

--- a/tests/process_gateway_test.cc
+++ b/tests/process_gateway_test.cc
@@ -304,6 +304,50 @@
 	EXPECT_EQ(next_answer.headers["response-seal"], stream.header("response-seal"));
 }
 
+/* Guards against the memory of a gateway that fills with long answers whose callers read slowly: the
+ * back end is read no faster than the caller. */
+TEST_F(Gateway, SlowReadersOfLongAnswersHoldLittleMemory)
+{
+	constexpr size_t ANSWER_BYTES = 30000000;
+	constexpr int READERS = 8;
+	/* Each may hold 1 MiB for a retry, and a queue as long; the rest is the process itself. */
+	constexpr int64_t MEMORY_MB = 16 + READERS * 3;
+	for (const auto &b : backends)
+		b->inject_fault("{\"kind\":\"long\",\"n\":" + std::to_string(ANSWER_BYTES) + "}");
+	std::vector<int> readers;
+	for (int i = 0; i < READERS; i++) {
+		sockaddr_in address{};
+		address.sin_family = AF_INET;
+		address.sin_port = htons(caller_port);
+		address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
+		ASSERT_EQ(connect(fd, (sockaddr *)&address, sizeof(address)), 0);
+		std::string request =
+			"GET /look/slow-" + std::to_string(i) +
+			" HTTP/1.1\r\nHost: 127.0.0.1\r\nCredential: k1\r\n"
+			"Connection: close\r\nDeadline-Ms: 3000\r\nAttempt-Id: slow-" +
+			std::to_string(i) + "\r\n\r\n";
+		ASSERT_EQ(write(fd, request.data(), request.size()), (ssize_t)request.size());
+		readers.push_back(fd);
+	}
+	usleep(1200000);
+	std::ifstream file("/proc/" + std::to_string(gateway->pid()) + "/statm");
+	int64_t pages = 0;
+	int64_t resident = 0;
+	file >> pages >> resident;
+	EXPECT_LT(resident * 4096 >> 20, MEMORY_MB);
+	EXPECT_EQ(call("GET", "/elsewhere/1").status, 404) << "others are answered meanwhile";
+	for (int fd : readers) {
+		std::vector<char> buffer(1 << 16);
+		size_t received = 0;
+		ssize_t len;
+		while ((len = read(fd, buffer.data(), buffer.size())) > 0)
+			received += (size_t)len;
+		EXPECT_GT(received, ANSWER_BYTES);
+		close(fd);
+	}
+}
+
 /* Guards against a good version that is rolled back, as the write of the counts that prove it failed and
  * wasn't repeated: the store refuses writes at the time at which they are told. */
 TEST_F(Gateway, CountsOfARolloutAreWrittenAgainWhenTheirWriteFails)
