--- a/src/wharf-gateway/quarantine_records.c
+++ b/src/wharf-gateway/quarantine_records.c
@@ -5,7 +5,6 @@
 #include <string.h>
 
 #include <json-c/json.h>
-#include <uthash.h>
 
 #include "base/clock.h"
 #include "base/random.h"
@@ -29,7 +28,7 @@
 	bool is_stored; /* the store has the crashes */
 	bool is_lift_in_flight; /* what is being written */
 	bool in_flight;
-	UT_hash_handle hh;
+	struct quarantine_record *next;
 };
 
 void quarantine_records_init(struct quarantine_records *records,
@@ -43,9 +42,10 @@
 static struct quarantine_record *find(struct quarantine_records *records,
 				      struct dw_fingerprint fingerprint)
 {
-	struct quarantine_record *record;
+	struct quarantine_record *record = records->records;
 
-	HASH_FIND(hh, records->records, &fingerprint, sizeof(fingerprint), record);
+	while (record && !dw_fingerprint_equal(record->fingerprint, fingerprint))
+		record = record->next;
 	return record;
 }
 
@@ -61,7 +61,8 @@
 		abort();
 	record->owner = records;
 	record->fingerprint = fingerprint;
-	HASH_ADD(hh, records->records, fingerprint, sizeof(record->fingerprint), record);
+	record->next = records->records;
+	records->records = record;
 	return record;
 }
 
@@ -210,14 +211,17 @@
 {
 	struct quarantine_records *records = timer->data;
 	uint64_t now_us = dw_clock_now_us();
-	struct quarantine_record *record;
-	struct quarantine_record *next;
+	struct quarantine_record **link = &records->records;
+
+	while (*link) {
+		struct quarantine_record *record = *link;
 
-	HASH_ITER(hh, records->records, record, next) {
 		write_if_due(record, now_us);
-		if (record->in_flight || record->write_due_us > 0 || record->revision > 0)
+		if (record->in_flight || record->write_due_us > 0 || record->revision > 0) {
+			link = &record->next;
 			continue;
-		HASH_DEL(records->records, record);
+		}
+		*link = record->next;
 		free(record);
 	}
 }
--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -136,8 +136,9 @@
 	struct dw_engine *engine = dw_engine_set_find(view->engines, id);
 	bool was_leaving = engine && engine->state == DW_ENGINE_DRAINING;
 
-	if (!dw_engine_set_remove(view->engines, id, usable_until_us, now_us))
+	if (!engine)
 		return;
+	dw_engine_set_remove(view->engines, id, usable_until_us, now_us);
 	log_engine(view, engine, "removed", now_us);
 	if (engine->state == DW_ENGINE_GONE && !was_leaving)
 		crash_guard_sign(&view->guard, engine, DW_CRASH_SIGN_REMOVED, now_us);
