--- /dev/null
+++ b/tests/process_abandoned_test.cc
@@ -0,0 +1,104 @@
+// Requests that crash the engines that run them, and whose callers don't wait for it: nobody is left on
+// the connection when the engine ends. Faults: callers that leave, deadlines, streams given up, instances
+// that hear nothing of each other.
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <string>
+#include <thread>
+
+#include "support/crash_fleet.h"
+#include "support/http.h"
+
+using support::http_headers;
+using support::http_stream;
+using support::MAX_CRASHES;
+using support::other_requests;
+
+namespace
+{
+
+constexpr int REPEAT_MS = 120;
+constexpr size_t REPEATS = 30;
+/** The callers' patience: half of the time that the engine takes to end. */
+constexpr int LEAVE_MS = 30;
+constexpr int DEADLINE_MS = 45;
+
+struct Abandoned : support::crash_fleet {
+	/* Sends the request as caller @n and closes the connection after @leave_ms. */
+	void ask_and_leave(size_t n, const std::string &method, const std::string &path,
+			   int leave_ms, int deadline_ms = 1500)
+	{
+		http_headers headers = { { "Attempt-Id", "p" + std::to_string(n) },
+					 { "Deadline-Ms", std::to_string(deadline_ms) },
+					 { "Credential", "k1" } };
+		if (path.rfind("/chat/", 0) == 0)
+			headers["Accept"] = "text/event-stream";
+		http_stream caller(instances[n % INSTANCES].caller_port, method, path,
+				   method == "POST" ? "{}" : "", headers);
+		std::this_thread::sleep_for(std::chrono::milliseconds(leave_ms));
+	}
+	/* Repeats the request at all instances, beside other requests, and checks the outcome. */
+	void repeat(const std::string &method, const std::string &path, int leave_ms,
+		    int deadline_ms = 1500)
+	{
+		other_requests others(*this);
+		tend_for(300);
+		for (size_t n = 0; n < REPEATS; n++) {
+			ask_and_leave(n, method, path, leave_ms, deadline_ms);
+			tend_for(REPEAT_MS);
+		}
+		others.stop();
+		EXPECT_LE(crashes, MAX_CRASHES);
+		EXPECT_GT(crashes, 0);
+		EXPECT_GE(others.served * 100, others.asked * 98)
+			<< others.served << " of " << others.asked << " others served";
+	}
+};
+
+/* Guards against the incident BUDGET where callers leave early: a request whose caller had left when its
+ * engine ended left no evidence, and its repeats ended all engines again and again. */
+TEST_F(Abandoned, ARequestWhoseCallerLeftEndsNoMoreThanTwoEngines)
+{
+	repeat("GET", "/look/poison", LEAVE_MS);
+}
+
+/* The same for requests that run at most once. */
+TEST_F(Abandoned, ARequestThatRunsAtMostOnceEndsNoMoreThanTwoEngines)
+{
+	repeat("POST", "/book/poison", LEAVE_MS);
+}
+
+/* The same where the deadline has passed and the instance gives the request up. */
+TEST_F(Abandoned, ARequestWhoseDeadlinePassedEndsNoMoreThanTwoEngines)
+{
+	repeat("GET", "/look/poison", 2 * support::CRASH_AFTER_MS, DEADLINE_MS);
+}
+
+/* The same for streams that are given up after their first events. */
+TEST_F(Abandoned, AStreamThatIsGivenUpEndsNoMoreThanTwoEngines)
+{
+	repeat("POST", "/chat/poison", LEAVE_MS);
+}
+
+/* Instances that hear nothing of each other, and all reach the store. */
+struct Unheard : Abandoned {
+	Unheard()
+	{
+		hears_peers = false;
+	}
+};
+
+/* Guards against a request that ends two engines at each such instance: with the store's help, only one
+ * more than where they hear each other. */
+TEST_F(Unheard, ARequestEndsNoMoreThanThreeEnginesOverAllInstances)
+{
+	for (size_t n = 0; n < REPEATS; n++) {
+		EXPECT_NE(call(n % INSTANCES, "GET", "/look/poison").status, 200);
+		tend_for(REPEAT_MS);
+	}
+	EXPECT_LE(crashes, MAX_CRASHES + 1);
+	EXPECT_GT(crashes, 0);
+}
+
+} // namespace
--- a/tests/process_crash_test.cc
+++ b/tests/process_crash_test.cc
@@ -1,157 +1,35 @@
 // Requests that crash the engines that run them, sent again through several wharf-gateway processes.
-// The engines are back after a while, at the same address and with another id.
 #include <gtest/gtest.h>
 
 #include <csignal>
 
-#include <atomic>
-#include <chrono>
+#include <memory>
 #include <thread>
 
-#include "support/fleet.h"
+#include "support/crash_fleet.h"
+#include "support/http.h"
 
 using support::http_answer;
-using support::now_ms;
+using support::MAX_CRASHES;
+using support::other_requests;
+using support::RESTART_MS;
 using support::wait_until;
 
 namespace
 {
 
-constexpr size_t INSTANCES = 4;
-constexpr size_t ENGINES = 3;
-/** Engines that a request may end over the whole fleet. */
-constexpr int MAX_CRASHES = 2;
-constexpr int RESTART_MS = 700;
-/** Three heartbeats, after which the platform removes the entry of a silent engine. */
-constexpr int ENTRY_MS = 1200;
 constexpr int REPEAT_MS = 120;
 /** Within this time, an instance that was told of a quarantine writes it if nobody else has. */
 constexpr int BACKUP_WRITE_MS = 6500;
 
-struct Crashes : testing::Test, support::fleet {
-	int crashes = 0;
-	int starts = 0;
-	int64_t ended_ms[ENGINES] = { 0 }; /* 0: the engine runs */
-	struct old_entry {
-		std::string id;
-		int64_t remove_ms;
-	};
-	std::vector<old_entry> old_entries;
-
-	Crashes() : support::fleet(INSTANCES)
-	{
-		backend_arguments = { "--crash-word=poison", "--crash-after-ms=60",
-				      "--work-ms=10" };
-	}
-	void SetUp() override
-	{
-		for (size_t i = 0; i < ENGINES; i++)
-			add_backend("e" + std::to_string(i + 1));
-		configure();
-		for (size_t i = 0; i < INSTANCES; i++)
-			launch(i);
-		ASSERT_TRUE(wait_for_all());
-		for (const auto &each : instances)
-			ASSERT_TRUE(wait_until(
-				[&] { return each.metric("engines_usable") == ENGINES; }));
-	}
-	/* Notices engines that have ended and starts them again, as the platform does. */
-	void tend()
-	{
-		for (size_t i = 0; i < ENGINES; i++) {
-			if (ended_ms[i] == 0 && backends[i]->server->wait(0).ended) {
-				crashes += backends[i]->server->wait(0).signal == 0;
-				ended_ms[i] = now_ms();
-				old_entries.push_back({ backends[i]->id, now_ms() + ENTRY_MS });
-			}
-			if (ended_ms[i] > 0 && now_ms() > ended_ms[i] + RESTART_MS) {
-				restart_backend(*backends[i], "again-" + std::to_string(++starts));
-				ended_ms[i] = 0;
-			}
-		}
-		while (!old_entries.empty() && now_ms() > old_entries.front().remove_ms) {
-			remove("servers/" + old_entries.front().id);
-			old_entries.erase(old_entries.begin());
-		}
-	}
-	/* What the instances found, for a test that fails. */
-	void TearDown() override
-	{
-		static const char *const events[] = { "engine.ended",	     "request.suspected",
-						      "request.quarantined", "request.cleared",
-						      "attempt.failed",	     "request.refused" };
-		for (const auto &each : instances) {
-			if (!HasFailure())
-				break;
-			for (const std::string &line : each.gateway->lines()) {
-				for (const char *event : events) {
-					if (line.find(event) != std::string::npos)
-						std::cerr << line << "\n";
-				}
-			}
-		}
-	}
-	/* Lets time pass with working engines. */
-	void tend_for(int64_t for_ms)
-	{
-		for (int64_t until_ms = now_ms() + for_ms; now_ms() < until_ms;) {
-			tend();
-			std::this_thread::sleep_for(std::chrono::milliseconds(5));
-		}
-	}
-	int64_t sum_metric(const std::string &name)
-	{
-		int64_t sum = 0;
-		for (const auto &each : instances)
-			sum += each.metric(name);
-		return sum;
-	}
-};
-
-/* Other requests of the same service, through all instances. */
-struct Others {
-	std::atomic<bool> is_over{ false };
-	std::atomic<int> asked{ 0 };
-	std::atomic<int> served{ 0 };
-	std::thread thread;
-
-	/* @path: the same for all; empty: a new one each time */
-	explicit Others(const support::fleet &fleet, const std::string &path = "")
-	    : thread([this, &fleet, path] { run(fleet, path); })
-	{
-	}
-	~Others()
-	{
-		stop();
-	}
-	void stop()
-	{
-		is_over = true;
-		if (thread.joinable())
-			thread.join();
-	}
-	void run(const support::fleet &fleet, const std::string &path)
-	{
-		for (size_t n = 0; !is_over; n++) {
-			std::string number = std::to_string(n);
-			served += support::http_call(
-					  fleet.instances[n % INSTANCES].caller_port, "GET",
-					  path.empty() ? "/look/other-" + number : path, "",
-					  { { "Attempt-Id", "o" + number },
-					    { "Deadline-Ms", "1500" },
-					    { "Credential", "k1" } })
-					  .status == 200;
-			asked++;
-			std::this_thread::sleep_for(std::chrono::milliseconds(10));
-		}
-	}
+struct Crashes : support::crash_fleet {
 };
 
 /* Guards against the incident BUDGET: a request that crashed each engine that ran it was sent again
  * and again, by retries and by each instance that got its repeats, until no engine was left. */
 TEST_F(Crashes, ARequestThatCrashesItsEnginesEndsNoMoreThanTwo)
 {
-	Others others(*this);
+	other_requests others(*this);
 	tend_for(300);
 	for (size_t n = 0; n < 30; n++) {
 		EXPECT_NE(call(n % INSTANCES, "GET", "/look/poison").status, 200);
@@ -274,10 +152,10 @@
 /* A frequent request that runs on two engines as these end for a reason of their own isn't refused. */
 TEST_F(Crashes, AFrequentRequestBesideCrashesIsServedOn)
 {
-	Others others(*this, "/look/frequent");
-	std::vector<std::unique_ptr<Others>> more;
+	other_requests others(*this, "/look/frequent");
+	std::vector<std::unique_ptr<other_requests>> more;
 	for (int i = 0; i < 5; i++)
-		more.push_back(std::make_unique<Others>(*this, "/look/frequent"));
+		more.push_back(std::make_unique<other_requests>(*this, "/look/frequent"));
 	for (int round = 0; round < 3; round++) {
 		tend_for(500);
 		for (size_t i = 0; i < 2; i++)
--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -52,7 +52,8 @@
 	instance &each = instances[i];
 	auto at = [](uint16_t port) { return "\"127.0.0.1:" + std::to_string(port) + "\""; };
 	each.name = "front-" + std::to_string(i);
-	each.peer_ip = "127.0.7." + std::to_string(i + 1);
+	/* An instance takes seeds with its own address for itself. */
+	each.peer_ip = hears_peers ? "127.0.7." + std::to_string(i + 1) : "127.0.7.1";
 	each.caller_port = free_port();
 	each.ready_port = free_port();
 	each.metrics_port = free_port();
@@ -63,7 +64,8 @@
 			    << ",\"readiness_address\":" << at(each.ready_port)
 			    << ",\"metrics_address\":" << at(each.metrics_port) << ",\"store\":"
 			    << at(store_links.empty() ? store_port : store_links[i]->port())
-			    << ",\"peer_address\":\"" << each.peer_ip << ":" << peer_port
+			    << ",\"peer_address\":\"" << each.peer_ip << ":"
+			    << (hears_peers ? peer_port : free_port())
 			    << "\",\"seeds\":[\"127.0.7.1:1\",\"127.0.7.2:1\"]"
 			    << ",\"keys_fail_closed\":true,\"revocation_ms\":" << revocation_ms
 			    << ",\"change_applied_ms\":" << change_ms
@@ -74,11 +76,11 @@
 
 bool fleet::wait_for_all() const
 {
+	int64_t members = hears_peers ? (int64_t)instances.size() : 1;
+
 	for (const instance &each : instances) {
-		if (!wait_until([&] {
-			    return each.is_ready() &&
-				   each.metric("members") == (int64_t)instances.size();
-		    }))
+		if (!wait_until(
+			    [&] { return each.is_ready() && each.metric("members") == members; }))
 			return false;
 	}
 	return true;
