--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -17,6 +17,8 @@
 	[DW_COUNTER_CALLERS_GONE] = { "callers_gone", "Callers that left before the answer's end" },
 	[DW_COUNTER_ATTEMPTS] = { "attempts", "Attempts sent to upstreams" },
 	[DW_COUNTER_ATTEMPTS_FAILED] = { "attempts_failed", "Attempts that failed" },
+	[DW_COUNTER_ATTEMPTS_ABANDONED] = { "attempts_abandoned",
+					    "Attempts ended while their engine worked" },
 	[DW_COUNTER_RETRIES] = { "retries", "Attempts after a failed one" },
 	[DW_COUNTER_RETRIES_DENIED] = { "retries_denied", "Retries that a budget denied" },
 	[DW_COUNTER_CASCADE_STEPS] = { "cascade_steps", "Answers rated in a cascade" },
--- a/src/base/event.c
+++ b/src/base/event.c
@@ -27,6 +27,7 @@
 	[DW_EVENT_ATTEMPT_ENDED] = { 502, DW_LEVEL_INFO, "attempt.ended" },
 	[DW_EVENT_ATTEMPT_FAILED] = { 503, DW_LEVEL_WARNING, "attempt.failed" },
 	[DW_EVENT_LATE_ANSWER_DROPPED] = { 504, DW_LEVEL_WARNING, "attempt.late_answer_dropped" },
+	[DW_EVENT_ATTEMPT_ABANDONED] = { 505, DW_LEVEL_INFO, "attempt.abandoned" },
 	[DW_EVENT_UPSTREAM_COLD] = { 600, DW_LEVEL_INFO, "upstream.cold" },
 	[DW_EVENT_UPSTREAM_WARM] = { 601, DW_LEVEL_INFO, "upstream.warm" },
 	[DW_EVENT_UPSTREAM_LEAVING] = { 602, DW_LEVEL_INFO, "upstream.leaving" },
--- a/src/wharf-gateway/attempt.c
+++ b/src/wharf-gateway/attempt.c
@@ -41,6 +41,12 @@
 	[ATTEMPT_CONNECTION_SILENT] = "silent",
 };
 
+static const char *const abandonment_names[ATTEMPT_ABANDONMENT_COUNT] = {
+	[ATTEMPT_CALLER_LEFT] = "caller_left",	     [ATTEMPT_DEADLINE_PASSED] = "deadline_passed",
+	[ATTEMPT_ENGINE_SILENT] = "engine_silent",   [ATTEMPT_ANSWER_DROPPED] = "answer_dropped",
+	[ATTEMPT_ANSWER_INVALID] = "answer_invalid",
+};
+
 const char *attempt_connection_name(enum attempt_connection connection)
 {
 	return connection < ATTEMPT_CONNECTION_COUNT ? connection_names[connection] : "unknown";
@@ -63,10 +69,27 @@
 	free(attempt);
 }
 
-void attempt_abort(struct attempt *attempt, enum dw_engine_outcome engine_outcome)
+/* The engine may still work on the request, although this instance doesn't wait for it any more. */
+static void record_abandonment(const struct attempt *attempt, enum attempt_abandonment why)
 {
-	if (attempt->link)
-		http_connection_abort(attempt->link);
+	struct router *router = attempt->router;
+	char fingerprint[DW_FINGERPRINT_TEXT_BYTES];
+
+	dw_fingerprint_text(attempt->fingerprint, fingerprint);
+	dw_counters_add(router->counters, DW_COUNTER_ATTEMPTS_ABANDONED, 1);
+	dw_log_event(router->log, DW_EVENT_ATTEMPT_ABANDONED,
+		     DW_STR("request", attempt->attempt_id), DW_STR("fingerprint", fingerprint),
+		     DW_STR("engine", attempt->engine->entry.id),
+		     DW_STR("reason", abandonment_names[why]),
+		     DW_INT("ran_ms", (dw_clock_now_us() - attempt->sent_at_us) / DW_US_PER_MS));
+}
+
+void attempt_abort(struct attempt *attempt, enum attempt_abandonment why,
+		   enum dw_engine_outcome engine_outcome)
+{
+	if (attempt_is_connected(attempt))
+		record_abandonment(attempt, why);
+	http_connection_abort(attempt->link);
 	attempt_free(attempt, engine_outcome);
 }
 
@@ -192,6 +215,11 @@
 	else if (connection == ATTEMPT_CONNECTION_CLOSED &&
 		 (outcome == DW_ATTEMPT_NO_ANSWER || outcome == DW_ATTEMPT_CUT))
 		crash_guard_connection_lost(guard, attempt->engine, attempt->fingerprint);
+	else if (outcome == DW_ATTEMPT_NO_ANSWER || outcome == DW_ATTEMPT_CUT ||
+		 outcome == DW_ATTEMPT_INVALID)
+		record_abandonment(attempt, connection == ATTEMPT_CONNECTION_SILENT
+						    ? ATTEMPT_ENGINE_SILENT
+						    : ATTEMPT_ANSWER_INVALID);
 }
 
 static void finish_failed(struct attempt *attempt, enum dw_attempt_outcome outcome,
--- a/src/wharf-gateway/attempt.h
+++ b/src/wharf-gateway/attempt.h
@@ -24,6 +24,16 @@
 
 const char *attempt_connection_name(enum attempt_connection connection);
 
+/** Why this instance ended an attempt that its engine was still working on. */
+enum attempt_abandonment {
+	ATTEMPT_CALLER_LEFT,
+	ATTEMPT_DEADLINE_PASSED, /**< of the request */
+	ATTEMPT_ENGINE_SILENT, /**< for longer than expected */
+	ATTEMPT_ANSWER_DROPPED, /**< a larger model is asked instead */
+	ATTEMPT_ANSWER_INVALID, /**< the answer can't be used */
+	ATTEMPT_ABANDONMENT_COUNT
+};
+
 struct attempt_callbacks {
 	/** The head of the answer to this request. @return false to drop it: on_failed follows. */
 	bool (*on_head)(void *owner, const struct http_head *head,
@@ -57,7 +67,8 @@
 
 /** Closes the connection at once and frees the attempt; no callback follows. @p engine_outcome is
  * recorded in the engine's statistics. */
-void attempt_abort(struct attempt *attempt, enum dw_engine_outcome engine_outcome);
+void attempt_abort(struct attempt *attempt, enum attempt_abandonment why,
+		   enum dw_engine_outcome engine_outcome);
 
 bool attempt_is_connected(const struct attempt *attempt);
 /** Whether the answer to this request has started. */
--- a/src/wharf-gateway/exchange.c
+++ b/src/wharf-gateway/exchange.c
@@ -110,9 +110,10 @@
 		if (exchange->attempt)
 			exchange_count_version_wait(exchange);
 		if (exchange->attempt)
-			attempt_abort(exchange->attempt, attempt_answer_started(exchange->attempt)
-								 ? DW_ENGINE_CANCELLED
-								 : DW_ENGINE_NO_RESPONSE);
+			attempt_abort(exchange->attempt, ATTEMPT_DEADLINE_PASSED,
+				      attempt_answer_started(exchange->attempt)
+					      ? DW_ENGINE_CANCELLED
+					      : DW_ENGINE_NO_RESPONSE);
 		exchange->attempt = NULL;
 		give_up(exchange, "the time limit has passed");
 	} else if (exchange->attempt && should_keep_waiting(exchange, now_us)) {
@@ -123,9 +124,9 @@
 							  ? DW_ATTEMPT_NO_ANSWER
 							  : DW_ATTEMPT_NOT_SENT;
 
-		attempt_abort(exchange->attempt, outcome == DW_ATTEMPT_NOT_SENT
-							 ? DW_ENGINE_UNREACHABLE
-							 : DW_ENGINE_NO_RESPONSE);
+		attempt_abort(exchange->attempt, ATTEMPT_ENGINE_SILENT,
+			      outcome == DW_ATTEMPT_NOT_SENT ? DW_ENGINE_UNREACHABLE
+							     : DW_ENGINE_NO_RESPONSE);
 		exchange->attempt = NULL;
 		exchange->connection = ATTEMPT_CONNECTION_SILENT;
 		exchange_after_attempt(exchange, outcome);
@@ -426,7 +427,7 @@
 {
 	if (exchange->attempt) {
 		exchange_count_version_wait(exchange);
-		attempt_abort(exchange->attempt, DW_ENGINE_CANCELLED);
+		attempt_abort(exchange->attempt, ATTEMPT_CALLER_LEFT, DW_ENGINE_CANCELLED);
 	}
 	exchange->attempt = NULL;
 	dw_counters_add(exchange->router->counters, DW_COUNTER_CALLERS_GONE, 1);
--- a/src/wharf-gateway/exchange_answer.c
+++ b/src/wharf-gateway/exchange_answer.c
@@ -137,7 +137,7 @@
 
 static void retry_with_largest_model(struct exchange *exchange)
 {
-	attempt_abort(exchange->attempt, DW_ENGINE_CANCELLED);
+	attempt_abort(exchange->attempt, ATTEMPT_ANSWER_DROPPED, DW_ENGINE_CANCELLED);
 	exchange->attempt = NULL;
 	exchange->model_index = exchange->route->model_count - 1;
 	exchange->model = exchange->route->models[exchange->model_index];
--- a/tests/support/crash_fleet.cc
+++ b/tests/support/crash_fleet.cc
@@ -29,7 +29,8 @@
 {
 	static const char *const events[] = { "engine.ended",	     "request.suspected",
 					      "request.quarantined", "request.cleared",
-					      "attempt.failed",	     "request.refused" };
+					      "attempt.failed",	     "request.refused",
+					      "attempt.abandoned" };
 	for (const auto &each : instances) {
 		if (!HasFailure())
 			break;
