--- /dev/null
+++ b/include/dragonflywharf/abandoned_runs.h
@@ -0,0 +1,66 @@
+/**
+ * @file abandoned_runs.h
+ * Remembers the runs of requests that this instance gave up lately: the caller left, a deadline passed,
+ * or another answer is wanted. Most upstreams stop such a run when its connection closes, some go on
+ * and may end under it a little later, when nothing connects the request with its upstream any more.
+ *
+ * A ring of fixed size: under a flood the oldest runs are forgotten first.
+ */
+#ifndef DRAGONFLYWHARF_ABANDONED_RUNS_H
+#define DRAGONFLYWHARF_ABANDONED_RUNS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <dragonflywharf/crash_check.h>
+#include <dragonflywharf/fingerprint.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define DW_ABANDONED_RUNS_MAX 1024
+/** An upstream that ends later than this after a run was given up didn't end under it. */
+#define DW_ABANDONED_RUN_COUNTS_US UINT64_C(1000000)
+/** A run that was given up is taken for still running for this long. */
+#define DW_ABANDONED_RUN_LASTS_US UINT64_C(250000)
+
+struct dw_abandoned_run {
+	struct dw_crash_upstream upstream;
+	struct dw_fingerprint request;
+	uint64_t sent_at_us;
+	uint64_t abandoned_at_us;
+};
+
+/** Zero-initialise. */
+struct dw_abandoned_runs {
+	struct dw_abandoned_run runs[DW_ABANDONED_RUNS_MAX]; /**< ring buffer; upstream 0: none */
+	uint32_t next;
+};
+
+/** Adds a run; one of the same request on the same upstream is replaced. */
+void dw_abandoned_runs_add(struct dw_abandoned_runs *runs, const struct dw_abandoned_run *run);
+
+/**
+ * Removes the runs under which the upstream may have ended at @p ended_at_us.
+ * @return number of requests written to @p out, the last ones given up first
+ */
+uint32_t dw_abandoned_runs_take(struct dw_abandoned_runs *runs, struct dw_crash_upstream upstream,
+				uint64_t ended_at_us, struct dw_fingerprint *out, uint32_t max);
+
+/** Until when the upstream's end would count for one of its runs; 0: it has none. */
+uint64_t dw_abandoned_runs_count_until_us(const struct dw_abandoned_runs *runs,
+					  struct dw_crash_upstream upstream);
+
+/** Whether a run of the request that was given up may still be in progress on an upstream. */
+bool dw_abandoned_runs_may_run(const struct dw_abandoned_runs *runs, struct dw_fingerprint request,
+			       uint64_t now_us);
+
+/** Removes the runs of an upstream whose end will be no crash. */
+void dw_abandoned_runs_forget(struct dw_abandoned_runs *runs, struct dw_crash_upstream upstream);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/include/dragonflywharf/crash_check.h
+++ b/include/dragonflywharf/crash_check.h
@@ -32,6 +32,7 @@
 	DW_CRASH_SIGN_REFUSED, /**< nothing listens at its address */
 	DW_CRASH_SIGN_REPLACED, /**< another upstream answers at its address */
 	DW_CRASH_SIGN_RESTARTED, /**< it is registered with another incarnation */
+	DW_CRASH_SIGN_TOLD, /**< another instance has found it ended */
 	DW_CRASH_SIGN_REMOVED, /**< its entry was removed, and it hadn't said that it leaves */
 	DW_CRASH_SIGN_CONNECTED, /**< it accepted a connection */
 	DW_CRASH_SIGN_ANSWERED, /**< it answered a request */
@@ -48,9 +49,15 @@
 	DW_CRASH_VERDICT_COUNT
 };
 
+/** A request that an upstream was running. */
+struct dw_crash_run {
+	struct dw_fingerprint request;
+	bool is_abandoned; /**< given up here before the upstream ended, see abandoned_runs.h */
+};
+
 /** The requests that a verdict concerns; valid until the next call. */
 struct dw_crash_requests {
-	const struct dw_fingerprint *items;
+	const struct dw_crash_run *items;
 	uint32_t count;
 	uint64_t lost_at_us; /**< when the first connection broke */
 	bool had_ended; /**< with ALIVE: the verdict before was ENDED */
@@ -62,12 +69,12 @@
 void dw_crash_checks_free(struct dw_crash_checks *checks);
 
 /**
- * A connection broke on which the upstream had a request.
+ * A connection broke on which the upstream had a request, or was closed here before the upstream ended.
  * @return ENDED if the upstream is known to have ended (with this request in @p requests), else OPEN
  */
 enum dw_crash_verdict dw_crash_checks_lost(struct dw_crash_checks *checks,
 					   struct dw_crash_upstream upstream,
-					   struct dw_fingerprint request, uint64_t now_us,
+					   struct dw_crash_run run, uint64_t now_us,
 					   struct dw_crash_requests *requests);
 
 /**
@@ -81,6 +88,10 @@
 /** Whether it isn't decided yet if the request's upstream has ended. */
 bool dw_crash_checks_is_open(const struct dw_crash_checks *checks, struct dw_fingerprint request);
 
+/** Whether the upstream is known to have ended. */
+bool dw_crash_checks_has_ended(const struct dw_crash_checks *checks,
+			       struct dw_crash_upstream upstream);
+
 /** Whether a verdict on the upstream is still open. */
 bool dw_crash_checks_has_upstream(const struct dw_crash_checks *checks, uint64_t upstream_id);
 
--- a/include/dragonflywharf/quarantine.h
+++ b/include/dragonflywharf/quarantine.h
@@ -6,12 +6,18 @@
  * union, so a crash that several instances saw counts once. A fingerprint with one crash is a
  * suspect; with two it is quarantined until the evidence expires.
  *
+ * A run that was given up before its upstream ended (abandoned_runs.h) is weaker evidence: upstreams
+ * that end together count once for it, as a caller that leaves one after the other within a second is
+ * no cause of their common end.
+ *
  * Evidence can be withdrawn: the request ended well elsewhere, the upstream turned out to be alive, or
  * an operator says so. A withdrawn piece doesn't count again, however late or often it arrives.
  */
 #ifndef DRAGONFLYWHARF_QUARANTINE_H
 #define DRAGONFLYWHARF_QUARANTINE_H
 
+#include <stdbool.h>
+
 #include <dragonflywharf/fingerprint.h>
 #include <dragonflywharf/spread.h>
 #include <dragonflywharf/status.h>
@@ -26,6 +32,8 @@
 #define DW_QUARANTINE_CRASHES 2
 /** How often dw_quarantine_take_news() returns a piece. */
 #define DW_QUARANTINE_SENDS 4
+/** Crashes of abandoned runs that are found within this time count once. */
+#define DW_QUARANTINE_TOGETHER_US 50000
 /** Length of a round of dw_quarantine_take_news(). */
 #define DW_QUARANTINE_ROUND_US 100000
 
@@ -46,6 +54,7 @@
 	/** lifetime left when it was sent; a duration, because clocks of peers aren't compared. 0: the
 	 * piece is withdrawn */
 	uint64_t remaining_us;
+	bool is_abandoned; /**< the run had been given up when the upstream crashed */
 };
 
 enum dw_status dw_quarantine_new(struct dw_quarantine **out,
@@ -112,12 +121,13 @@
 				enum dw_spread_scope scope, uint64_t now_us);
 
 /**
- * Takes up to @p max pieces that have to be sent to @p scope. Each piece is returned in
+ * Takes up to @p max pieces that have to be sent to @p scope, those of abandoned runs or the others: they
+ * are sent apart, since peers of earlier versions don't know the difference. Each piece is returned in
  * DW_QUARANTINE_SENDS rounds, and once in a round, since messages may be lost. @return their number
  */
-size_t dw_quarantine_take_news(struct dw_quarantine *quarantine, enum dw_spread_scope scope,
-			       uint32_t round, uint64_t now_us, struct dw_quarantine_evidence *out,
-			       size_t max);
+size_t dw_quarantine_take_news(struct dw_quarantine *quarantine, bool is_abandoned,
+			       enum dw_spread_scope scope, uint32_t round, uint64_t now_us,
+			       struct dw_quarantine_evidence *out, size_t max);
 
 /**
  * Withdraws all evidence against a fingerprint, to be told to @p scope.
--- /dev/null
+++ b/src/core/abandoned_runs.c
@@ -0,0 +1,92 @@
+#include <dragonflywharf/abandoned_runs.h>
+
+#include <string.h>
+
+static bool is_at(const struct dw_abandoned_run *run, struct dw_crash_upstream upstream)
+{
+	return run->upstream.id == upstream.id && run->upstream.incarnation == upstream.incarnation;
+}
+
+static struct dw_abandoned_run *find_place(struct dw_abandoned_runs *runs,
+					   const struct dw_abandoned_run *wanted)
+{
+	for (uint32_t i = 0; i < DW_ABANDONED_RUNS_MAX; i++) {
+		struct dw_abandoned_run *run = &runs->runs[i];
+
+		if (is_at(run, wanted->upstream) &&
+		    dw_fingerprint_equal(run->request, wanted->request))
+			return run;
+	}
+	return &runs->runs[runs->next++ % DW_ABANDONED_RUNS_MAX];
+}
+
+void dw_abandoned_runs_add(struct dw_abandoned_runs *runs, const struct dw_abandoned_run *run)
+{
+	*find_place(runs, run) = *run;
+}
+
+static void remove_run(struct dw_abandoned_run *run)
+{
+	memset(run, 0, sizeof(*run));
+}
+
+/* Whether the upstream may have ended under the run. */
+static bool counts(const struct dw_abandoned_run *run, uint64_t ended_at_us)
+{
+	return run->sent_at_us <= ended_at_us &&
+	       ended_at_us <= run->abandoned_at_us + DW_ABANDONED_RUN_COUNTS_US;
+}
+
+uint32_t dw_abandoned_runs_take(struct dw_abandoned_runs *runs, struct dw_crash_upstream upstream,
+				uint64_t ended_at_us, struct dw_fingerprint *out, uint32_t max)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 1; i <= DW_ABANDONED_RUNS_MAX; i++) {
+		struct dw_abandoned_run *run =
+			&runs->runs[(runs->next - i) % DW_ABANDONED_RUNS_MAX];
+
+		if (!is_at(run, upstream))
+			continue;
+		if (counts(run, ended_at_us) && count < max)
+			out[count++] = run->request;
+		remove_run(run);
+	}
+	return count;
+}
+
+uint64_t dw_abandoned_runs_count_until_us(const struct dw_abandoned_runs *runs,
+					  struct dw_crash_upstream upstream)
+{
+	uint64_t until_us = 0;
+
+	for (uint32_t i = 0; i < DW_ABANDONED_RUNS_MAX; i++) {
+		const struct dw_abandoned_run *run = &runs->runs[i];
+		uint64_t run_until_us = run->abandoned_at_us + DW_ABANDONED_RUN_COUNTS_US;
+
+		if (is_at(run, upstream) && run_until_us > until_us)
+			until_us = run_until_us;
+	}
+	return until_us;
+}
+
+bool dw_abandoned_runs_may_run(const struct dw_abandoned_runs *runs, struct dw_fingerprint request,
+			       uint64_t now_us)
+{
+	for (uint32_t i = 0; i < DW_ABANDONED_RUNS_MAX; i++) {
+		const struct dw_abandoned_run *run = &runs->runs[i];
+
+		if (run->upstream.id != 0 && dw_fingerprint_equal(run->request, request) &&
+		    now_us < run->abandoned_at_us + DW_ABANDONED_RUN_LASTS_US)
+			return true;
+	}
+	return false;
+}
+
+void dw_abandoned_runs_forget(struct dw_abandoned_runs *runs, struct dw_crash_upstream upstream)
+{
+	for (uint32_t i = 0; i < DW_ABANDONED_RUNS_MAX; i++) {
+		if (is_at(&runs->runs[i], upstream))
+			remove_run(&runs->runs[i]);
+	}
+}
--- a/src/core/crash_check.c
+++ b/src/core/crash_check.c
@@ -10,21 +10,21 @@
 	bool has_ended;
 	uint64_t lost_at_us;
 	uint64_t expires_at_us;
-	struct dw_fingerprint requests[DW_CRASH_CHECK_REQUESTS_MAX];
+	struct dw_crash_run requests[DW_CRASH_CHECK_REQUESTS_MAX];
 	uint32_t request_count;
 	struct crash_check *next;
 };
 
 struct dw_crash_checks {
 	struct crash_check *checks;
-	struct dw_fingerprint result[DW_CRASH_CHECK_REQUESTS_MAX];
+	struct dw_crash_run result[DW_CRASH_CHECK_REQUESTS_MAX];
 };
 
 static const char *const sign_names[DW_CRASH_SIGN_COUNT] = {
 	[DW_CRASH_SIGN_REFUSED] = "refused",	 [DW_CRASH_SIGN_REPLACED] = "replaced",
 	[DW_CRASH_SIGN_RESTARTED] = "restarted", [DW_CRASH_SIGN_REMOVED] = "removed",
 	[DW_CRASH_SIGN_CONNECTED] = "connected", [DW_CRASH_SIGN_ANSWERED] = "answered",
-	[DW_CRASH_SIGN_LEAVING] = "leaving",
+	[DW_CRASH_SIGN_LEAVING] = "leaving",	 [DW_CRASH_SIGN_TOLD] = "told",
 };
 
 const char *dw_crash_sign_name(enum dw_crash_sign sign)
@@ -105,14 +105,14 @@
 
 enum dw_crash_verdict dw_crash_checks_lost(struct dw_crash_checks *checks,
 					   struct dw_crash_upstream upstream,
-					   struct dw_fingerprint request, uint64_t now_us,
+					   struct dw_crash_run run, uint64_t now_us,
 					   struct dw_crash_requests *requests)
 {
 	struct crash_check *check = find_or_add(checks, upstream, now_us);
 
 	if (check->request_count == DW_CRASH_CHECK_REQUESTS_MAX)
 		return DW_CRASH_OPEN;
-	check->requests[check->request_count++] = request;
+	check->requests[check->request_count++] = run;
 	if (!check->has_ended)
 		return DW_CRASH_OPEN;
 	set_result(checks, check, check->request_count - 1, requests);
@@ -150,6 +150,7 @@
 	case DW_CRASH_SIGN_REFUSED:
 	case DW_CRASH_SIGN_REPLACED:
 	case DW_CRASH_SIGN_RESTARTED:
+	case DW_CRASH_SIGN_TOLD:
 	case DW_CRASH_SIGN_REMOVED:
 		return decide_ended(checks, check, requests);
 	case DW_CRASH_SIGN_CONNECTED:
@@ -175,19 +176,34 @@
 
 	for (check = checks->checks; check; check = check->next) {
 		for (uint32_t i = 0; !check->has_ended && i < check->request_count; i++) {
-			if (dw_fingerprint_equal(check->requests[i], request))
+			if (dw_fingerprint_equal(check->requests[i].request, request))
 				return true;
 		}
 	}
 	return false;
 }
 
-bool dw_crash_checks_has_upstream(const struct dw_crash_checks *checks, uint64_t upstream_id)
+static const struct crash_check *find(const struct dw_crash_checks *checks, uint64_t upstream_id)
 {
 	const struct crash_check *check = checks->checks;
 
 	while (check && check->upstream.id != upstream_id)
 		check = check->next;
+	return check;
+}
+
+bool dw_crash_checks_has_ended(const struct dw_crash_checks *checks,
+			       struct dw_crash_upstream upstream)
+{
+	const struct crash_check *check = find(checks, upstream.id);
+
+	return check && check->has_ended && check->upstream.incarnation == upstream.incarnation;
+}
+
+bool dw_crash_checks_has_upstream(const struct dw_crash_checks *checks, uint64_t upstream_id)
+{
+	const struct crash_check *check = find(checks, upstream_id);
+
 	return check && !check->has_ended;
 }
 
--- a/src/core/quarantine.c
+++ b/src/core/quarantine.c
@@ -19,6 +19,7 @@
 	uint64_t upstream_incarnation;
 	uint64_t expires_at_us;
 	bool is_withdrawn;
+	bool is_abandoned;
 	bool unsent; /* in the outbox */
 	uint8_t sends_left[DIRECTIONS];
 	uint32_t next_round[DIRECTIONS];
@@ -96,12 +97,48 @@
 	return !crash->is_withdrawn && crash->expires_at_us > now_us;
 }
 
+/* Whether @p a was found within DW_QUARANTINE_TOGETHER_US of @p b; all pieces live equally long. */
+static bool is_together(const struct crash *a, const struct crash *b)
+{
+	uint64_t apart_us = a->expires_at_us > b->expires_at_us
+				    ? a->expires_at_us - b->expires_at_us
+				    : b->expires_at_us - a->expires_at_us;
+
+	return apart_us < DW_QUARANTINE_TOGETHER_US;
+}
+
+/* An order that is the same on all instances. */
+static bool is_before(const struct crash *a, const struct crash *b)
+{
+	if (a->expires_at_us != b->expires_at_us)
+		return a->expires_at_us < b->expires_at_us;
+	return a->upstream_id < b->upstream_id;
+}
+
+/* Whether the crash of an abandoned run is counted with another one. */
+static bool is_counted_with_other(const struct crash_history *history, const struct crash *crash,
+				  uint64_t now_us)
+{
+	for (uint32_t i = 0; i < history->crash_count; i++) {
+		const struct crash *other = &history->crashes[i];
+
+		if (other != crash && counts(other, now_us) && is_together(crash, other) &&
+		    (!other->is_abandoned || is_before(other, crash)))
+			return true;
+	}
+	return false;
+}
+
 static uint32_t live_crashes(const struct crash_history *history, uint64_t now_us)
 {
 	uint32_t count = 0;
 
-	for (uint32_t i = 0; history && i < history->crash_count; i++)
-		count += counts(&history->crashes[i], now_us);
+	for (uint32_t i = 0; history && i < history->crash_count; i++) {
+		const struct crash *crash = &history->crashes[i];
+
+		count += counts(crash, now_us) &&
+			 !(crash->is_abandoned && is_counted_with_other(history, crash, now_us));
+	}
 	return count;
 }
 
@@ -251,14 +288,28 @@
 	return NULL;
 }
 
-static void withdraw(struct crash *known, const struct crash *news)
+static bool withdraw(struct crash *known, const struct crash *news)
 {
 	uint64_t expires_at_us = known->expires_at_us;
 
+	if (known->is_withdrawn)
+		return false;
 	*known = *news;
-	known->is_withdrawn = true;
 	if (expires_at_us > known->expires_at_us)
 		known->expires_at_us = expires_at_us;
+	return true;
+}
+
+/* Another run of the request was in progress when the upstream of an abandoned one crashed. */
+static bool confirm(struct crash *known, const struct crash *news)
+{
+	uint64_t expires_at_us = known->expires_at_us;
+
+	if (known->is_withdrawn || !known->is_abandoned || news->is_abandoned)
+		return false;
+	*known = *news;
+	known->expires_at_us = expires_at_us;
+	return true;
 }
 
 /* A crash that is reported twice counts once and keeps its first expiry. */
@@ -272,12 +323,8 @@
 		return false;
 	remove_expired(history, now_us);
 	known = find_crash(history, crash);
-	if (known) {
-		if (!crash->is_withdrawn || known->is_withdrawn)
-			return false;
-		withdraw(known, crash);
-		return true;
-	}
+	if (known)
+		return crash->is_withdrawn ? withdraw(known, crash) : confirm(known, crash);
 	if (!crash->is_withdrawn && live_crashes(history, now_us) == DW_QUARANTINE_CRASHES)
 		return false;
 	known = find_place(history);
@@ -318,6 +365,7 @@
 		.upstream_id = evidence->upstream_id,
 		.upstream_incarnation = evidence->upstream_incarnation,
 		.is_withdrawn = remaining_us == 0,
+		.is_abandoned = evidence->is_abandoned,
 		.unsent = true,
 	};
 
@@ -374,6 +422,7 @@
 			.upstream_id = crash->upstream_id,
 			.upstream_incarnation = crash->upstream_incarnation,
 			.remaining_us = crash->expires_at_us - now_us,
+			.is_abandoned = crash->is_abandoned,
 		};
 	}
 	return count;
@@ -383,11 +432,15 @@
 			     enum dw_spread_scope scope, uint64_t now_us)
 {
 	struct dw_quarantine_evidence pieces[DW_QUARANTINE_CRASHES];
-	uint32_t count = dw_quarantine_pieces(quarantine, fingerprint, now_us, pieces);
+	uint32_t cleared = 0;
+	uint32_t count;
 
-	for (uint32_t i = 0; i < count; i++)
-		withdraw_piece(quarantine, &pieces[i], scope, now_us);
-	return count;
+	while ((count = dw_quarantine_pieces(quarantine, fingerprint, now_us, pieces)) > 0) {
+		for (uint32_t i = 0; i < count; i++)
+			withdraw_piece(quarantine, &pieces[i], scope, now_us);
+		cleared += count;
+	}
+	return cleared;
 }
 
 /* Whether the piece has to be sent to @p scope in this round; notes that it is. */
@@ -407,9 +460,9 @@
 	return is_due;
 }
 
-size_t dw_quarantine_take_news(struct dw_quarantine *quarantine, enum dw_spread_scope scope,
-			       uint32_t round, uint64_t now_us, struct dw_quarantine_evidence *out,
-			       size_t max)
+size_t dw_quarantine_take_news(struct dw_quarantine *quarantine, bool is_abandoned,
+			       enum dw_spread_scope scope, uint32_t round, uint64_t now_us,
+			       struct dw_quarantine_evidence *out, size_t max)
 {
 	struct crash_history *history;
 	size_t count = 0;
@@ -418,7 +471,8 @@
 		for (uint32_t i = 0; i < history->crash_count && count < max; i++) {
 			struct crash *crash = &history->crashes[i];
 
-			if (crash->expires_at_us <= now_us || !take_send(crash, scope, round))
+			if (crash->is_abandoned != is_abandoned || crash->expires_at_us <= now_us ||
+			    !take_send(crash, scope, round))
 				continue;
 			out[count++] = (struct dw_quarantine_evidence){
 				.fingerprint = history->fingerprint,
@@ -426,6 +480,7 @@
 				.upstream_incarnation = crash->upstream_incarnation,
 				.remaining_us =
 					crash->is_withdrawn ? 0 : crash->expires_at_us - now_us,
+				.is_abandoned = crash->is_abandoned,
 			};
 		}
 	}
@@ -450,6 +505,7 @@
 				.upstream_incarnation = crash->upstream_incarnation,
 				.remaining_us =
 					crash->is_withdrawn ? 0 : crash->expires_at_us - now_us,
+				.is_abandoned = crash->is_abandoned,
 			};
 			return true;
 		}
--- a/src/net/quarantine_codec.c
+++ b/src/net/quarantine_codec.c
@@ -50,6 +50,7 @@
 		evidence[i].upstream_id = integers[2].via.u64;
 		evidence[i].upstream_incarnation = integers[3].via.u64;
 		evidence[i].remaining_us = integers[4].via.u64;
+		evidence[i].is_abandoned = false;
 	}
 	return DW_OK;
 }
--- a/src/wharf-gateway/attempt.c
+++ b/src/wharf-gateway/attempt.c
@@ -82,6 +82,8 @@
 		     DW_STR("engine", attempt->engine->entry.id),
 		     DW_STR("reason", abandonment_names[why]),
 		     DW_INT("ran_ms", (dw_clock_now_us() - attempt->sent_at_us) / DW_US_PER_MS));
+	crash_guard_abandoned(guard_of(attempt), attempt->engine, attempt->fingerprint,
+			      attempt->sent_at_us);
 }
 
 void attempt_abort(struct attempt *attempt, enum attempt_abandonment why,
--- a/src/wharf-gateway/crash_guard.c
+++ b/src/wharf-gateway/crash_guard.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <dragonflywharf/rendezvous.h>
+
 #include "base/clock.h"
 #include "wharf-gateway/engine_probe.h"
 
@@ -47,6 +49,16 @@
 	dw_quarantine_tick(guard->quarantine, now_us);
 }
 
+static void check_abandoned(struct crash_guard *guard, const struct dw_engine *engine,
+			    uint64_t ended_at_us);
+static void apply_sign(struct crash_guard *guard, const struct dw_engine *engine,
+		       enum dw_crash_sign sign, uint64_t since_us);
+
+static bool is_leaving(const struct dw_engine *engine)
+{
+	return engine->state == DW_ENGINE_DRAINING || engine->state == DW_ENGINE_GONE;
+}
+
 static bool runs_here(const struct crash_guard *guard, struct dw_fingerprint request)
 {
 	for (uint32_t i = 0; i < guard->running_count; i++) {
@@ -81,7 +93,8 @@
 		return CRASH_GUARD_RUN;
 	if (has_recent_crash(guard, request, now_us))
 		return CRASH_GUARD_UNDECIDED;
-	if (runs_here(guard, request) || guard->running_count == CRASH_GUARD_RUNNING_MAX)
+	if (runs_here(guard, request) || guard->running_count == CRASH_GUARD_RUNNING_MAX ||
+	    dw_abandoned_runs_may_run(&guard->abandoned, request, now_us))
 		return CRASH_GUARD_RUNS_ALREADY;
 	return CRASH_GUARD_RUN_AS_SUSPECT;
 }
@@ -144,6 +157,18 @@
 		log_request(guard, DW_EVENT_REQUEST_CLEARED, request, NULL, "lifted", "store");
 }
 
+/* Another instance has found the engine ended: requests of this one may have run there too. */
+static void note_told(struct crash_guard *guard, const struct dw_engine *engine,
+		      const struct dw_quarantine_evidence *evidence, uint64_t now_us)
+{
+	uint64_t age_us = LIFETIME_US - evidence->remaining_us;
+
+	if (is_leaving(engine))
+		return;
+	check_abandoned(guard, engine, now_us - age_us);
+	apply_sign(guard, engine, DW_CRASH_SIGN_TOLD, now_us);
+}
+
 /* Handles a piece of evidence that is new here. */
 static void handle_crash(struct crash_guard *guard, const struct dw_quarantine_evidence *evidence,
 			 const char *from)
@@ -153,8 +178,11 @@
 							  evidence->upstream_incarnation);
 	bool is_own = strcmp(from, OWN) == 0;
 
-	if (engine)
+	if (engine) {
 		dw_engine_process_ended(engine, now_us);
+		if (!is_own)
+			note_told(guard, engine, evidence, now_us);
+	}
 	if (engine && dw_completion_cache_has(
 			      &guard->completions, evidence->fingerprint, engine->entry.version,
 			      now_us > COMPLETION_US ? now_us - COMPLETION_US : 0)) {
@@ -214,15 +242,21 @@
 	}
 }
 
+static struct dw_crash_upstream upstream_of(const struct dw_engine *engine)
+{
+	return (struct dw_crash_upstream){ engine->id_hash, engine->entry.started_at_ms };
+}
+
 static void add_crashes(struct crash_guard *guard, const struct dw_engine *engine,
 			const struct dw_crash_requests *requests)
 {
 	for (uint32_t i = 0; i < requests->count; i++) {
 		struct dw_quarantine_evidence evidence = {
-			.fingerprint = requests->items[i],
+			.fingerprint = requests->items[i].request,
 			.upstream_id = engine->id_hash,
 			.upstream_incarnation = engine->entry.started_at_ms,
 			.remaining_us = LIFETIME_US,
+			.is_abandoned = requests->items[i].is_abandoned,
 		};
 
 		merge_piece(guard, &evidence, DW_SPREAD_EVERYWHERE, OWN);
@@ -235,14 +269,25 @@
 			     const struct dw_crash_requests *requests)
 {
 	for (uint32_t i = 0; i < requests->count; i++) {
-		if (dw_quarantine_withdraw(guard->quarantine, requests->items[i], engine->id_hash,
+		struct dw_fingerprint request = requests->items[i].request;
+
+		if (dw_quarantine_withdraw(guard->quarantine, request, engine->id_hash,
 					   engine->entry.started_at_ms, dw_clock_now_us()))
-			log_request(guard, DW_EVENT_REQUEST_CLEARED, requests->items[i], engine,
+			log_request(guard, DW_EVENT_REQUEST_CLEARED, request, engine,
 				    "the engine runs", OWN);
 	}
 	tell(guard);
 }
 
+static uint32_t count_abandoned(const struct dw_crash_requests *requests)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < requests->count; i++)
+		count += requests->items[i].is_abandoned;
+	return count;
+}
+
 static void log_ended(struct crash_guard *guard, const struct dw_engine *engine,
 		      enum dw_crash_sign sign, const struct dw_crash_requests *requests)
 {
@@ -251,11 +296,38 @@
 		DW_STR("service", engine->entry.service),
 		DW_STR("failure_domain", engine->entry.failure_domain),
 		DW_STR("sign", dw_crash_sign_name(sign)), DW_INT("requests", requests->count),
+		DW_INT("abandoned", count_abandoned(requests)),
 		DW_INT("waited_ms", (dw_clock_now_us() - requests->lost_at_us) / DW_US_PER_MS));
 }
 
-void crash_guard_sign(struct crash_guard *guard, const struct dw_engine *engine,
-		      enum dw_crash_sign sign, uint64_t since_us)
+/* Whether the sign shows that the engine has just crashed, so that runs count that were given up. The
+ * entry of an engine is also removed when it leaves without saying so, or can't reach the store. */
+static bool shows_crash(enum dw_crash_sign sign)
+{
+	return sign == DW_CRASH_SIGN_REFUSED || sign == DW_CRASH_SIGN_REPLACED ||
+	       sign == DW_CRASH_SIGN_RESTARTED || sign == DW_CRASH_SIGN_TOLD;
+}
+
+/* The engine ended at @p ended_at_us: adds the runs that were given up shortly before to its check. */
+static void check_abandoned(struct crash_guard *guard, const struct dw_engine *engine,
+			    uint64_t ended_at_us)
+{
+	struct dw_fingerprint requests[DW_CRASH_CHECK_REQUESTS_MAX];
+	struct dw_crash_requests late;
+	uint32_t count = dw_abandoned_runs_take(&guard->abandoned, upstream_of(engine), ended_at_us,
+						requests, DW_CRASH_CHECK_REQUESTS_MAX);
+
+	for (uint32_t i = 0; i < count; i++) {
+		struct dw_crash_run run = { requests[i], true };
+
+		if (dw_crash_checks_lost(guard->checks, upstream_of(engine), run, ended_at_us,
+					 &late) == DW_CRASH_ENDED)
+			add_crashes(guard, engine, &late);
+	}
+}
+
+static void apply_sign(struct crash_guard *guard, const struct dw_engine *engine,
+		       enum dw_crash_sign sign, uint64_t since_us)
 {
 	struct dw_crash_requests requests;
 
@@ -275,6 +347,16 @@
 	}
 }
 
+void crash_guard_sign(struct crash_guard *guard, const struct dw_engine *engine,
+		      enum dw_crash_sign sign, uint64_t since_us)
+{
+	if (sign == DW_CRASH_SIGN_LEAVING)
+		dw_abandoned_runs_forget(&guard->abandoned, upstream_of(engine));
+	else if (shows_crash(sign) && !is_leaving(engine))
+		check_abandoned(guard, engine, dw_clock_now_us());
+	apply_sign(guard, engine, sign, since_us);
+}
+
 static void on_probe_done(void *owner, const char *engine_id, enum engine_probe_result result,
 			  uint64_t started_at_us)
 {
@@ -288,6 +370,7 @@
 		crash_guard_sign(guard, engine, DW_CRASH_SIGN_REFUSED, started_at_us);
 		break;
 	case ENGINE_PROBE_CONNECTED:
+	case ENGINE_PROBE_CLOSED:
 		crash_guard_sign(guard, engine, DW_CRASH_SIGN_CONNECTED, started_at_us);
 		break;
 	case ENGINE_PROBE_UNDECIDED:
@@ -299,26 +382,90 @@
 static void probe(struct crash_guard *guard, const struct dw_engine *engine)
 {
 	guard->probes++;
-	engine_probe_start(guard->loop, engine, on_probe_done, guard);
+	engine_probe_start(guard->loop, engine, ENGINE_PROBE_HOLD_MS, on_probe_done, guard);
+}
+
+/* The place of an engine among those watched; with 0, a free one. NULL: there is none. */
+static uint64_t *find_watched(struct crash_guard *guard, uint64_t id_hash)
+{
+	for (uint32_t i = 0; i < CRASH_GUARD_WATCHED_MAX; i++) {
+		if (guard->watched[i] == id_hash)
+			return &guard->watched[i];
+	}
+	return NULL;
+}
+
+static void watch(struct crash_guard *guard, const struct dw_engine *engine);
+
+static void on_watch_done(void *owner, const char *engine_id, enum engine_probe_result result,
+			  uint64_t started_at_us)
+{
+	struct crash_guard *guard = owner;
+	uint64_t *place = find_watched(guard, dw_rendezvous_key(engine_id, strlen(engine_id)));
+	const struct dw_engine *engine = dw_engine_set_find(guard->engines, engine_id);
+
+	if (place)
+		*place = 0;
+	if (!engine)
+		return;
+	if (result == ENGINE_PROBE_CONNECTED)
+		watch(guard, engine);
+	else
+		on_probe_done(owner, engine_id, result, started_at_us);
+}
+
+/* Keeps a connection to the engine for as long as its end would count for a run that was given up. */
+static void watch(struct crash_guard *guard, const struct dw_engine *engine)
+{
+	uint64_t now_us = dw_clock_now_us();
+	uint64_t until_us =
+		dw_abandoned_runs_count_until_us(&guard->abandoned, upstream_of(engine));
+	uint64_t *place = find_watched(guard, 0);
+
+	if (until_us <= now_us || !place || find_watched(guard, engine->id_hash))
+		return;
+	*place = engine->id_hash;
+	guard->probes++;
+	engine_probe_start(guard->loop, engine, (uint32_t)((until_us - now_us) / DW_US_PER_MS) + 1,
+			   on_watch_done, guard);
 }
 
 void crash_guard_connection_lost(struct crash_guard *guard, const struct dw_engine *engine,
 				 struct dw_fingerprint request)
 {
-	struct dw_crash_upstream upstream = { engine->id_hash, engine->entry.started_at_ms };
+	struct dw_crash_run run = { request, false };
 	bool is_known = dw_crash_checks_has_upstream(guard->checks, engine->id_hash);
 	struct dw_crash_requests requests;
 
 	/* An engine that leaves ends with the requests that it couldn't complete. */
-	if (!guard->loop || engine->state == DW_ENGINE_DRAINING || engine->state == DW_ENGINE_GONE)
+	if (!guard->loop || is_leaving(engine))
 		return;
-	if (dw_crash_checks_lost(guard->checks, upstream, request, dw_clock_now_us(), &requests) ==
-	    DW_CRASH_ENDED)
+	if (dw_crash_checks_lost(guard->checks, upstream_of(engine), run, dw_clock_now_us(),
+				 &requests) == DW_CRASH_ENDED)
 		add_crashes(guard, engine, &requests);
 	else if (!is_known)
 		probe(guard, engine);
 }
 
+void crash_guard_abandoned(struct crash_guard *guard, const struct dw_engine *engine,
+			   struct dw_fingerprint request, uint64_t sent_at_us)
+{
+	struct dw_abandoned_run run = {
+		.upstream = upstream_of(engine),
+		.request = request,
+		.sent_at_us = sent_at_us,
+		.abandoned_at_us = dw_clock_now_us(),
+	};
+
+	if (!guard->loop || is_leaving(engine))
+		return;
+	dw_abandoned_runs_add(&guard->abandoned, &run);
+	if (dw_crash_checks_has_ended(guard->checks, run.upstream))
+		check_abandoned(guard, engine, run.abandoned_at_us);
+	else
+		watch(guard, engine);
+}
+
 void crash_guard_completed(struct crash_guard *guard, struct dw_fingerprint request,
 			   const char *version)
 {
--- a/src/wharf-gateway/crash_guard.h
+++ b/src/wharf-gateway/crash_guard.h
@@ -4,14 +4,17 @@
  *
  * When connections to an engine break, the guard finds out whether it has ended, by a connection of
  * its own and by what else is seen of the engine. If so, each request that was running there is a
- * suspect; with two such crashes it is quarantined and isn't sent any more. The evidence goes to the
- * other instances in digests, a quarantine also to the store. A run that ends well clears a request.
+ * suspect; with two such crashes it is quarantined and isn't sent any more. A request that was given up
+ * shortly before counts as running: until then the guard keeps a connection of its own to the engine.
+ * The evidence goes to the other instances in digests, a quarantine also to the store, and so does a
+ * suspicion while few others are heard. A run that ends well clears a request.
  */
 #ifndef GATEWAY_CRASH_GUARD_H
 #define GATEWAY_CRASH_GUARD_H
 
 #include <uv.h>
 
+#include <dragonflywharf/abandoned_runs.h>
 #include <dragonflywharf/completion_cache.h>
 #include <dragonflywharf/crash_check.h>
 #include <dragonflywharf/engine.h>
@@ -22,6 +25,8 @@
 
 /** Suspects that this instance runs at a time. */
 #define CRASH_GUARD_RUNNING_MAX 64
+/** Engines to which a connection is kept after a run was given up; others are found ended later. */
+#define CRASH_GUARD_WATCHED_MAX 64
 
 struct crash_guard {
 	uv_loop_t *loop; /**< NULL until crash_guard_start() */
@@ -30,6 +35,8 @@
 	struct dw_quarantine *quarantine;
 	struct dw_crash_checks *checks;
 	struct dw_completion_cache completions;
+	struct dw_abandoned_runs abandoned;
+	uint64_t watched[CRASH_GUARD_WATCHED_MAX]; /**< id_hash of engines; 0: free place */
 	struct quarantine_records records;
 	struct dw_fingerprint running[CRASH_GUARD_RUNNING_MAX]; /**< suspects that run now */
 	uint32_t running_count;
@@ -67,6 +74,9 @@
 /** The engine's machine closed the connection on which the engine had the request. */
 void crash_guard_connection_lost(struct crash_guard *guard, const struct dw_engine *engine,
 				 struct dw_fingerprint request);
+/** This instance has closed the connection, while the engine worked on the request. */
+void crash_guard_abandoned(struct crash_guard *guard, const struct dw_engine *engine,
+			   struct dw_fingerprint request, uint64_t sent_at_us);
 /** A sign of the engine's life or end, see dw_crash_checks_sign(). */
 void crash_guard_sign(struct crash_guard *guard, const struct dw_engine *engine,
 		      enum dw_crash_sign sign, uint64_t since_us);
--- a/src/wharf-gateway/digest_exchange.c
+++ b/src/wharf-gateway/digest_exchange.c
@@ -21,13 +21,13 @@
 _Static_assert(DIGEST_BYTES >= DW_LOAD_DIGEST_BYTES, "digests of loads fit");
 _Static_assert(DIGEST_BYTES >= DW_SESSION_PINS_DIGEST_BYTES, "digests of pins fit");
 
-static size_t write_crashes(struct digest_exchange *exchange, enum dw_spread_scope scope,
-			    uint64_t now_us, uint8_t *out)
+static size_t write_crashes(struct digest_exchange *exchange, bool is_abandoned,
+			    enum dw_spread_scope scope, uint64_t now_us, uint8_t *out)
 {
 	struct dw_quarantine_evidence evidence[CRASHES_MAX];
 	uint32_t round = (uint32_t)(now_us / DW_QUARANTINE_ROUND_US);
-	size_t count = dw_quarantine_take_news(exchange->view->guard.quarantine, scope, round,
-					       now_us, evidence, CRASHES_MAX);
+	size_t count = dw_quarantine_take_news(exchange->view->guard.quarantine, is_abandoned,
+					       scope, round, now_us, evidence, CRASHES_MAX);
 	msgpack_sbuffer buffer;
 	size_t len = 0;
 
@@ -43,13 +43,16 @@
 	return len;
 }
 
-static enum dw_status read_crashes(struct digest_exchange *exchange, enum dw_spread_scope scope,
-				   const struct dw_member *from, const uint8_t *bytes, size_t len)
+static enum dw_status read_crashes(struct digest_exchange *exchange, bool is_abandoned,
+				   enum dw_spread_scope scope, const struct dw_member *from,
+				   const uint8_t *bytes, size_t len)
 {
 	struct dw_quarantine_evidence evidence[DW_QUARANTINE_MESSAGE_ENTRIES];
 	size_t count;
 	enum dw_status status = dw_quarantine_message_decode(bytes, len, evidence, &count);
 
+	for (size_t i = 0; i < count; i++)
+		evidence[i].is_abandoned = is_abandoned;
 	if (status == DW_OK)
 		crash_guard_merge(&exchange->view->guard, evidence, count, scope, from->name);
 	return status;
@@ -73,7 +76,9 @@
 	case PEERS_PINS:
 		return dw_session_pins_write(view->shifts.pins, scope, now_us, out, DIGEST_BYTES);
 	case PEERS_CRASHES:
-		return write_crashes(exchange, scope, now_us, out);
+		return write_crashes(exchange, false, scope, now_us, out);
+	case PEERS_ABANDONED:
+		return write_crashes(exchange, true, scope, now_us, out);
 	}
 	return 0;
 }
@@ -91,7 +96,9 @@
 	case PEERS_PINS:
 		return dw_session_pins_read(view->shifts.pins, scope, bytes, len, now_us);
 	case PEERS_CRASHES:
-		return read_crashes(exchange, scope, from, bytes, len);
+		return read_crashes(exchange, false, scope, from, bytes, len);
+	case PEERS_ABANDONED:
+		return read_crashes(exchange, true, scope, from, bytes, len);
 	}
 	return dw_fail(DW_INVALID_ARGUMENT, "digest of unknown kind %d", (int)kind);
 }
@@ -150,14 +157,15 @@
 	send_news(timer->data, PEERS_PINS);
 }
 
-static void on_crash_timer(uv_timer_t *timer)
+static void on_crash_news(void *owner)
 {
-	send_news(timer->data, PEERS_CRASHES);
+	send_news(owner, PEERS_CRASHES);
+	send_news(owner, PEERS_ABANDONED);
 }
 
-static void on_crash_news(void *owner)
+static void on_crash_timer(uv_timer_t *timer)
 {
-	send_news(owner, PEERS_CRASHES);
+	on_crash_news(timer->data);
 }
 
 void digest_exchange_place(struct digest_exchange *exchange, const struct dw_view_member *members,
--- a/src/wharf-gateway/engine_probe.c
+++ b/src/wharf-gateway/engine_probe.c
@@ -6,7 +6,6 @@
 #include "base/clock.h"
 
 #define TIMEOUT_MS 500
-#define HOLD_MS 20
 #define CONNECTIONS_MAX 3
 
 struct engine_probe {
@@ -16,6 +15,7 @@
 	struct sockaddr_in address;
 	uint64_t started_at_us; /* of the connection */
 	uint32_t connections; /* made so far */
+	uint32_t hold_ms; /* of this connection */
 	uv_tcp_t tcp;
 	uv_connect_t connect;
 	uv_timer_t timer;
@@ -80,10 +80,11 @@
 
 	if (len >= 0)
 		return;
+	probe->hold_ms = ENGINE_PROBE_HOLD_MS;
 	if (probe->connections < CONNECTIONS_MAX)
 		close_connection(probe);
 	else
-		finish(probe, ENGINE_PROBE_CONNECTED);
+		finish(probe, ENGINE_PROBE_CLOSED);
 }
 
 static void on_connected(uv_connect_t *request, int status)
@@ -97,7 +98,7 @@
 	} else if (status != 0) {
 		finish(probe, ENGINE_PROBE_UNDECIDED);
 	} else {
-		uv_timer_start(&probe->timer, on_held, HOLD_MS, 0);
+		uv_timer_start(&probe->timer, on_held, probe->hold_ms, 0);
 		uv_read_start((uv_stream_t *)&probe->tcp, on_alloc, on_read);
 	}
 }
@@ -114,8 +115,8 @@
 		finish(probe, ENGINE_PROBE_UNDECIDED);
 }
 
-void engine_probe_start(uv_loop_t *loop, const struct dw_engine *engine, engine_probe_done done,
-			void *owner)
+void engine_probe_start(uv_loop_t *loop, const struct dw_engine *engine, uint32_t hold_ms,
+			engine_probe_done done, void *owner)
 {
 	struct engine_probe *probe = calloc(1, sizeof(*probe));
 
@@ -123,6 +124,7 @@
 		abort();
 	probe->done = done;
 	probe->owner = owner;
+	probe->hold_ms = hold_ms;
 	memcpy(probe->engine_id, engine->entry.id, sizeof(probe->engine_id));
 	uv_ip4_addr(engine->entry.ip, engine->entry.port, &probe->address);
 	probe->tcp.data = probe;
--- a/src/wharf-gateway/peers.h
+++ b/src/wharf-gateway/peers.h
@@ -24,6 +24,7 @@
 	PEERS_LOADS = 2, /**< loads of engines */
 	PEERS_PINS = 3, /**< versions that sessions use */
 	PEERS_CRASHES = 4, /**< evidence of requests that crash engines */
+	PEERS_ABANDONED = 5, /**< the same, of runs that were given up before the crash */
 };
 
 struct peers_callbacks {
--- a/tests/crash_check_test.cc
+++ b/tests/crash_check_test.cc
@@ -24,7 +24,8 @@
 	dw_crash_verdict lose(dw_fingerprint request, uint64_t now_us,
 			      dw_crash_upstream upstream = ENGINE)
 	{
-		return dw_crash_checks_lost(checks.get(), upstream, request, now_us, &found);
+		return dw_crash_checks_lost(checks.get(), upstream, { request, false }, now_us,
+					    &found);
 	}
 	dw_crash_verdict see(dw_crash_sign sign, uint64_t since_us)
 	{
@@ -38,8 +39,9 @@
 
 TEST_F(CrashCheck, SignsOfItsEndDecideForAllRequests)
 {
-	for (dw_crash_sign sign : { DW_CRASH_SIGN_REFUSED, DW_CRASH_SIGN_REPLACED,
-				    DW_CRASH_SIGN_RESTARTED, DW_CRASH_SIGN_REMOVED }) {
+	for (dw_crash_sign sign :
+	     { DW_CRASH_SIGN_REFUSED, DW_CRASH_SIGN_REPLACED, DW_CRASH_SIGN_RESTARTED,
+	       DW_CRASH_SIGN_REMOVED, DW_CRASH_SIGN_TOLD }) {
 		dw_crash_checks_expire(checks.get(), UINT64_MAX);
 		EXPECT_EQ(see(sign, SECOND), DW_CRASH_OPEN) << "nothing was lost";
 		EXPECT_EQ(lose(FIRST, SECOND), DW_CRASH_OPEN);
@@ -47,12 +49,28 @@
 		EXPECT_TRUE(is_open(FIRST));
 		ASSERT_EQ(see(sign, SECOND + 2 * MS), DW_CRASH_ENDED) << sign;
 		ASSERT_EQ(found.count, 2U);
-		EXPECT_TRUE(dw_fingerprint_equal(found.items[1], SECOND_REQUEST));
+		EXPECT_TRUE(dw_fingerprint_equal(found.items[1].request, SECOND_REQUEST));
 		EXPECT_FALSE(is_open(FIRST));
 		EXPECT_EQ(see(sign, SECOND + 3 * MS), DW_CRASH_OPEN) << "it is told once";
 	}
 }
 
+/* Requests whose callers had left are told apart: they are weaker evidence. */
+TEST_F(CrashCheck, AbandonedRunsStayMarked)
+{
+	EXPECT_FALSE(dw_crash_checks_has_ended(checks.get(), ENGINE));
+	dw_crash_checks_lost(checks.get(), ENGINE, { FIRST, true }, SECOND, &found);
+	lose(SECOND_REQUEST, SECOND);
+	EXPECT_FALSE(dw_crash_checks_has_ended(checks.get(), ENGINE));
+	ASSERT_EQ(see(DW_CRASH_SIGN_REFUSED, SECOND), DW_CRASH_ENDED);
+	ASSERT_EQ(found.count, 2U);
+	EXPECT_TRUE(found.items[0].is_abandoned);
+	EXPECT_FALSE(found.items[1].is_abandoned);
+	EXPECT_TRUE(dw_crash_checks_has_ended(checks.get(), ENGINE));
+	EXPECT_FALSE(
+		dw_crash_checks_has_ended(checks.get(), { ENGINE.id, ENGINE.incarnation + 1 }));
+}
+
 /* A connection that breaks late, after the verdict. */
 TEST_F(CrashCheck, LaterLossesFollowTheVerdict)
 {
@@ -60,7 +78,7 @@
 	see(DW_CRASH_SIGN_REFUSED, SECOND);
 	ASSERT_EQ(lose(SECOND_REQUEST, SECOND + 50 * MS), DW_CRASH_ENDED);
 	ASSERT_EQ(found.count, 1U);
-	EXPECT_TRUE(dw_fingerprint_equal(found.items[0], SECOND_REQUEST));
+	EXPECT_TRUE(dw_fingerprint_equal(found.items[0].request, SECOND_REQUEST));
 	EXPECT_EQ(lose(FIRST, 2 * SECOND, { ENGINE.id, ENGINE.incarnation + 1 }), DW_CRASH_OPEN)
 		<< "its next run is another one";
 }
--- a/tests/crash_spread_test.cc
+++ b/tests/crash_spread_test.cc
@@ -120,7 +120,7 @@
 	void send_scope(size_t i, dw_spread_scope scope)
 	{
 		std::vector<dw_quarantine_evidence> news(26);
-		news.resize(dw_quarantine_take_news(nodes[i].quarantine, scope,
+		news.resize(dw_quarantine_take_news(nodes[i].quarantine, false, scope,
 						    (uint32_t)(now_us / DW_QUARANTINE_ROUND_US),
 						    now_us, news.data(), news.size()));
 		if (news.empty())
@@ -219,7 +219,8 @@
 	}
 	void find_crash(size_t i, uint64_t id_hash, uint64_t incarnation)
 	{
-		dw_quarantine_evidence piece = { POISON, id_hash, incarnation, 900 * SECOND };
+		dw_quarantine_evidence piece = { POISON, id_hash, incarnation, 900 * SECOND,
+						 false };
 		if (dw_quarantine_merge(nodes[i].quarantine, &piece, now_us))
 			note(i, piece);
 		if (second_crash_us == 0 && is_quarantined(i))
--- a/tests/quarantine_test.cc
+++ b/tests/quarantine_test.cc
@@ -109,10 +109,84 @@
 	}
 }
 
+/* Callers that leave their request before its engine ends. */
+TEST(Quarantine, AbandonedRunsQuarantineToo)
+{
+	Quarantine quarantine;
+	dw_quarantine_evidence first = { POISON, 5, 1, 10 * SECOND, true };
+	dw_quarantine_evidence second = { POISON, 6, 1, 10 * SECOND, true };
+
+	EXPECT_TRUE(dw_quarantine_merge(quarantine.get(), &first, SECOND));
+	EXPECT_TRUE(dw_quarantine_is_suspect(quarantine.get(), POISON, SECOND));
+	EXPECT_TRUE(
+		dw_quarantine_merge(quarantine.get(), &second, SECOND + DW_QUARANTINE_TOGETHER_US));
+	EXPECT_EQ(dw_quarantine_check(quarantine.get(), POISON, 2 * SECOND), DW_QUARANTINED);
+}
+
+/* Engines that end at the same moment for a reason of their own: a caller that left two of them, one
+ * after the other, is innocent. */
+TEST(Quarantine, EnginesThatEndTogetherCountOnceForAbandonedRuns)
+{
+	Quarantine quarantine;
+
+	for (uint64_t i = 0; i < 5; i++) {
+		dw_quarantine_evidence piece = { POISON, 5 + i, 1, 600 * SECOND, true };
+		EXPECT_TRUE(dw_quarantine_merge(quarantine.get(), &piece, SECOND + i));
+	}
+	EXPECT_EQ(dw_quarantine_check(quarantine.get(), POISON, 2 * SECOND), DW_OK);
+	EXPECT_EQ(dw_quarantine_suspect_count(quarantine.get(), 2 * SECOND), 1U);
+	EXPECT_EQ(dw_quarantine_clear(quarantine.get(), POISON, DW_SPREAD_EVERYWHERE, 2 * SECOND),
+		  5U);
+	EXPECT_FALSE(dw_quarantine_is_suspect(quarantine.get(), POISON, 2 * SECOND));
+}
+
+/* One of them was still waiting: only the others count with it. */
+TEST(Quarantine, ARunInProgressCountsBesideAnAbandonedOne)
+{
+	Quarantine quarantine;
+	dw_quarantine_evidence first = { POISON, 5, 1, 600 * SECOND, true };
+	dw_quarantine_evidence second = { POISON, 6, 1, 600 * SECOND, false };
+	dw_quarantine_evidence third = { POISON, 7, 1, 600 * SECOND, false };
+
+	dw_quarantine_merge(quarantine.get(), &first, SECOND);
+	dw_quarantine_merge(quarantine.get(), &second, SECOND);
+	EXPECT_EQ(dw_quarantine_check(quarantine.get(), POISON, SECOND), DW_OK);
+	dw_quarantine_merge(quarantine.get(), &third, SECOND);
+	EXPECT_EQ(dw_quarantine_check(quarantine.get(), POISON, SECOND), DW_QUARANTINED);
+}
+
+/* The same crash, seen with an abandoned run here and one in progress there. */
+TEST(Quarantine, ARunInProgressConfirmsAnAbandonedOne)
+{
+	Quarantine quarantine;
+	dw_quarantine_evidence weak = { POISON, 5, 1, 600 * SECOND, true };
+	dw_quarantine_evidence strong = { POISON, 5, 1, 600 * SECOND, false };
+	dw_quarantine_evidence out[4];
+
+	EXPECT_TRUE(dw_quarantine_merge(quarantine.get(), &weak, SECOND));
+	EXPECT_EQ(dw_quarantine_take_news(quarantine.get(), false, DW_SPREAD_EVERYWHERE, 1, SECOND,
+					  out, 4),
+		  0U);
+	EXPECT_EQ(dw_quarantine_take_news(quarantine.get(), true, DW_SPREAD_EVERYWHERE, 1, SECOND,
+					  out, 4),
+		  1U);
+	EXPECT_TRUE(out[0].is_abandoned);
+	EXPECT_TRUE(dw_quarantine_merge(quarantine.get(), &strong, SECOND));
+	EXPECT_FALSE(dw_quarantine_merge(quarantine.get(), &strong, SECOND));
+	EXPECT_FALSE(dw_quarantine_merge(quarantine.get(), &weak, SECOND));
+	EXPECT_EQ(dw_quarantine_take_news(quarantine.get(), true, DW_SPREAD_EVERYWHERE, 2, SECOND,
+					  out, 4),
+		  0U);
+	EXPECT_EQ(dw_quarantine_take_news(quarantine.get(), false, DW_SPREAD_EVERYWHERE, 2, SECOND,
+					  out, 4),
+		  1U);
+	EXPECT_EQ(dw_quarantine_suspect_count(quarantine.get(), SECOND), 1U);
+}
+
 TEST(Quarantine, OneCrashSeenByManyCountsOnceAndExpires)
 {
 	Quarantine quarantine;
-	dw_quarantine_evidence evidence = { POISON, 5, 1, 10 * SECOND };
+	dw_quarantine_evidence evidence = { POISON, 5, 1, 10 * SECOND, false };
 	dw_fingerprint other = { 1, 1 };
 
 	EXPECT_TRUE(dw_quarantine_merge(quarantine.get(), &evidence, SECOND));
@@ -148,8 +222,8 @@
 TEST(Quarantine, WithdrawnEvidenceDoesntCountAgain)
 {
 	Quarantine quarantine;
-	dw_quarantine_evidence first = { POISON, 5, 1, 10 * SECOND };
-	dw_quarantine_evidence second = { POISON, 6, 1, 10 * SECOND };
+	dw_quarantine_evidence first = { POISON, 5, 1, 10 * SECOND, false };
+	dw_quarantine_evidence second = { POISON, 6, 1, 10 * SECOND, false };
 
 	dw_quarantine_merge(quarantine.get(), &first, SECOND);
 	dw_quarantine_merge(quarantine.get(), &second, SECOND);
@@ -158,7 +232,7 @@
 	EXPECT_EQ(dw_quarantine_check(quarantine.get(), POISON, SECOND), DW_OK);
 	EXPECT_FALSE(dw_quarantine_merge(quarantine.get(), &first, 2 * SECOND));
 	EXPECT_FALSE(dw_quarantine_is_suspect(quarantine.get(), POISON, 2 * SECOND));
-	dw_quarantine_evidence third = { POISON, 7, 1, 10 * SECOND };
+	dw_quarantine_evidence third = { POISON, 7, 1, 10 * SECOND, false };
 	EXPECT_TRUE(dw_quarantine_merge(quarantine.get(), &third, 2 * SECOND))
 		<< "a crash since then counts";
 	EXPECT_TRUE(dw_quarantine_is_suspect(quarantine.get(), POISON, 2 * SECOND));
@@ -169,8 +243,8 @@
 TEST(Quarantine, AWithdrawalThatComesFirstCounts)
 {
 	Quarantine quarantine;
-	dw_quarantine_evidence withdrawn = { POISON, 5, 1, 0 };
-	dw_quarantine_evidence crash = { POISON, 5, 1, 10 * SECOND };
+	dw_quarantine_evidence withdrawn = { POISON, 5, 1, 0, false };
+	dw_quarantine_evidence crash = { POISON, 5, 1, 10 * SECOND, false };
 
 	EXPECT_TRUE(dw_quarantine_merge(quarantine.get(), &withdrawn, SECOND));
 	EXPECT_FALSE(dw_quarantine_merge(quarantine.get(), &crash, SECOND));
@@ -184,9 +258,9 @@
 		std::mt19937_64 random(seed);
 		std::vector<dw_quarantine_evidence> news;
 		for (uint64_t upstream = 1; upstream <= 2; upstream++)
-			news.push_back({ POISON, upstream, 1, 10 * SECOND });
+			news.push_back({ POISON, upstream, 1, 10 * SECOND, false });
 		if (seed % 2 == 0)
-			news.push_back({ POISON, 1, 1, 0 });
+			news.push_back({ POISON, 1, 1, 0, false });
 		Quarantine a;
 		Quarantine b;
 		for (Quarantine *each : { &a, &b }) {
@@ -207,8 +281,8 @@
 {
 	Quarantine quarantine;
 	dw_quarantine_evidence out[8];
-	dw_quarantine_evidence passed_on = { { 4, 4 }, 9, 1, 10 * SECOND };
-	dw_quarantine_evidence leaf = { { 5, 5 }, 9, 1, 10 * SECOND };
+	dw_quarantine_evidence passed_on = { { 4, 4 }, 9, 1, 10 * SECOND, false };
+	dw_quarantine_evidence leaf = { { 5, 5 }, 9, 1, 10 * SECOND, false };
 	uint32_t own = 0;
 	uint32_t relayed = 0;
 
@@ -216,12 +290,12 @@
 	dw_quarantine_merge_scoped(quarantine.get(), &passed_on, DW_SPREAD_IN_DOMAIN, SECOND);
 	dw_quarantine_merge_scoped(quarantine.get(), &leaf, DW_SPREAD_NOWHERE, SECOND);
 	for (uint32_t round = 50; round < 100; round++) {
-		own += dw_quarantine_take_news(quarantine.get(), DW_SPREAD_TO_DOMAINS, round,
+		own += dw_quarantine_take_news(quarantine.get(), false, DW_SPREAD_TO_DOMAINS, round,
 					       SECOND, out, 8);
-		relayed += dw_quarantine_take_news(quarantine.get(), DW_SPREAD_IN_DOMAIN, round,
-						   SECOND, out, 8);
-		EXPECT_EQ(dw_quarantine_take_news(quarantine.get(), DW_SPREAD_EVERYWHERE, round,
-						  SECOND, out, 8),
+		relayed += dw_quarantine_take_news(quarantine.get(), false, DW_SPREAD_IN_DOMAIN,
+						   round, SECOND, out, 8);
+		EXPECT_EQ(dw_quarantine_take_news(quarantine.get(), false, DW_SPREAD_EVERYWHERE,
+						  round, SECOND, out, 8),
 			  0U)
 			<< "once in a round";
 	}
@@ -246,8 +320,9 @@
 	EXPECT_EQ(dw_quarantine_suspect_count(quarantine.get(), SECOND), 30U * 64);
 	for (uint32_t round = 1; round < 60; round++) {
 		size_t count;
-		while ((count = dw_quarantine_take_news(quarantine.get(), DW_SPREAD_EVERYWHERE,
-							round, SECOND, out, 26)) > 0)
+		while ((count = dw_quarantine_take_news(quarantine.get(), false,
+							DW_SPREAD_EVERYWHERE, round, SECOND, out,
+							26)) > 0)
 			sent += count;
 	}
 	EXPECT_EQ(sent, DW_QUARANTINE_SENDS * (30U * 64 + 2));
@@ -275,8 +350,8 @@
 
 TEST(QuarantineCodec, DecodesWhatItEncodedAndRejectsTruncatedMessages)
 {
-	dw_quarantine_evidence evidence_list[2] = { { POISON, 1, 2, 3 },
-						    { POISON, 4, 5, UINT64_MAX } };
+	dw_quarantine_evidence evidence_list[2] = { { POISON, 1, 2, 3, false },
+						    { POISON, 4, 5, UINT64_MAX, false } };
 	dw_quarantine_evidence read[DW_QUARANTINE_MESSAGE_ENTRIES];
 	msgpack_sbuffer buffer;
 	size_t count;
