Quarantine records: suspicions go to the store while few other instances are heard

Cause: a single suspicion travels in datagrams only; the store knew it from the second crash on, and 0.2 to 0.5 s late, as records were written by a timer. Change: an instance that hears fewer than half of the instances known in the last minute, or none, writes its own suspicions too, at once, four each 0.2 s at most (many engines that end together make many, most of them innocent); also those of the last 10 s when it finds that it hears few. A crash in a record can be marked as one of an abandoned run. Own quarantines are written at once. A record that says less than is known here is written again. Ruled out: writing every suspicion (64 requests an engine, and the store's rate is shared by all); a bound of one for isolated instances (an innocent request beside a crash would be refused). Before: process_abandoned_test Unheard 5 engines (3 allowed).

--- a/src/wharf-gateway/crash_guard.c
+++ b/src/wharf-gateway/crash_guard.c
@@ -15,6 +15,7 @@
 #define SETTLE_US (30 * DW_US_PER_MS)
 #define LIFETIME_US (QUARANTINE_LIFETIME_S * DW_US_PER_S)
 #define OWN "own"
+#define STORE "store"
 
 void crash_guard_init(struct crash_guard *guard, struct dw_log *log, struct dw_engine_set *engines)
 {
@@ -154,7 +155,7 @@
 {
 	if (dw_quarantine_clear(guard->quarantine, request, DW_SPREAD_NOWHERE, dw_clock_now_us()) >
 	    0)
-		log_request(guard, DW_EVENT_REQUEST_CLEARED, request, NULL, "lifted", "store");
+		log_request(guard, DW_EVENT_REQUEST_CLEARED, request, NULL, "lifted", STORE);
 }
 
 /* Another instance has found the engine ended: requests of this one may have run there too. */
@@ -177,6 +178,8 @@
 	struct dw_engine *engine = dw_engine_set_find_run(guard->engines, evidence->upstream_id,
 							  evidence->upstream_incarnation);
 	bool is_own = strcmp(from, OWN) == 0;
+	/* The store has a part of the evidence, and this instance the rest. */
+	bool is_from_store = strcmp(from, STORE) == 0;
 
 	if (engine) {
 		dw_engine_process_ended(engine, now_us);
@@ -192,8 +195,10 @@
 	if (dw_quarantine_check(guard->quarantine, evidence->fingerprint, now_us) != DW_OK) {
 		log_request(guard, DW_EVENT_REQUEST_QUARANTINED, evidence->fingerprint, engine,
 			    "crashes", from);
-		quarantine_records_add(&guard->records, evidence->fingerprint, is_own);
+		quarantine_records_add(&guard->records, evidence->fingerprint,
+				       is_own || is_from_store);
 	} else if (is_own) {
+		quarantine_records_add_suspicion(&guard->records, evidence->fingerprint);
 		log_request(guard, DW_EVENT_REQUEST_SUSPECTED, evidence->fingerprint, engine,
 			    "crash", from);
 	}
@@ -231,7 +236,7 @@
 	switch (change.kind) {
 	case QUARANTINE_CHANGE_CRASHES:
 		for (uint32_t i = 0; i < change.crash_count; i++)
-			merge_piece(guard, &change.crashes[i], DW_SPREAD_NOWHERE, "store");
+			merge_piece(guard, &change.crashes[i], DW_SPREAD_NOWHERE, STORE);
 		break;
 	case QUARANTINE_CHANGE_LIFTED:
 		lift(guard, change.fingerprint);
--- a/src/wharf-gateway/peers.c
+++ b/src/wharf-gateway/peers.c
@@ -441,3 +441,20 @@
 	return peers->membership && dw_membership_count(peers->membership) > 1 ? peers->slack_rank
 									       : UINT32_MAX;
 }
+
+bool peers_are_few_heard(const struct peers *peers)
+{
+	size_t count = peers->membership ? dw_membership_count(peers->membership) : 0;
+	uint32_t known = 0;
+	uint32_t heard = 0;
+
+	for (size_t i = 0; i < count; i++) {
+		const struct dw_member *member = dw_membership_at(peers->membership, i);
+
+		if (member->key.instance_id == peers->instance_id || member->leaving)
+			continue;
+		known++;
+		heard += member->state != DW_MEMBER_DEAD;
+	}
+	return heard * 2 < known || known == 0;
+}
--- a/src/wharf-gateway/peers.h
+++ b/src/wharf-gateway/peers.h
@@ -86,6 +86,10 @@
  */
 uint32_t peers_slack_rank(const struct peers *peers);
 
+/** Whether fewer than half of the other instances known in the last minute are heard, or none is
+ * known. */
+bool peers_are_few_heard(const struct peers *peers);
+
 /** Estimated number of instances, including starting ones and ones that are cut off. An instance
  * that should have others and has met none assumes many; one without a peer address, very few. */
 uint32_t peers_estimated_instances(const struct peers *peers, uint64_t now_us);
--- a/src/wharf-gateway/quarantine_records.c
+++ b/src/wharf-gateway/quarantine_records.c
@@ -17,6 +17,14 @@
 /* An instance that was told of the crashes writes only if the one that saw them hasn't by then. */
 #define BACKUP_DELAY_US (2 * DW_US_PER_S)
 #define BACKUP_SPREAD_US (4 * DW_US_PER_S)
+/* A suspicion is written if few others are heard, or are found not to be within this time. */
+#define SUSPICION_KEPT_US (10 * DW_US_PER_S)
+/* Suspicions written in a period of the check. Many engines that end together make many, of which
+ * most are innocent, and the store's rate is shared by all instances. */
+#define SUSPICIONS_PER_PERIOD 4
+
+/* What is known against a request, here or in the store. */
+enum quarantine_level { LEVEL_NONE, LEVEL_SUSPICION, LEVEL_QUARANTINE };
 
 struct quarantine_record {
 	struct quarantine_records *owner;
@@ -25,8 +33,9 @@
 	uint64_t write_due_us; /* 0: nothing to write */
 	uint64_t lease_id;
 	bool is_lifted; /* what has to be written */
-	bool is_stored; /* the store has the crashes */
-	bool is_lift_in_flight; /* what is being written */
+	enum quarantine_level stored;
+	uint64_t suspected_until_us; /* written by then if few others are heard; 0: no suspicion */
+	enum quarantine_level written; /* in the last write, which may be in flight */
 	bool in_flight;
 	struct quarantine_record *next;
 };
@@ -37,6 +46,7 @@
 	memset(records, 0, sizeof(*records));
 	records->quarantine = quarantine;
 	records->engines = engines;
+	records->suspicions_left = SUSPICIONS_PER_PERIOD;
 }
 
 static struct quarantine_record *find(struct quarantine_records *records,
@@ -66,6 +76,8 @@
 	return record;
 }
 
+static void write_if_due(struct quarantine_record *record, uint64_t now_us);
+
 void quarantine_records_add(struct quarantine_records *records, struct dw_fingerprint fingerprint,
 			    bool is_own)
 {
@@ -73,12 +85,39 @@
 	uint64_t now_us = dw_clock_now_us();
 
 	record->is_lifted = false;
-	if (record->is_stored)
+	record->suspected_until_us = 0;
+	if (record->stored == LEVEL_QUARANTINE)
 		return;
 	record->write_due_us = now_us;
 	if (!is_own)
 		record->write_due_us +=
 			BACKUP_DELAY_US + dw_random_next(&records->random) % BACKUP_SPREAD_US;
+	write_if_due(record, now_us);
+}
+
+/* Writes a suspicion if the others can't be told of it in another way. */
+static void write_suspicion(struct quarantine_record *record, uint64_t now_us)
+{
+	struct quarantine_records *records = record->owner;
+
+	if (record->suspected_until_us == 0 || record->stored != LEVEL_NONE ||
+	    record->write_due_us > 0 || records->suspicions_left == 0 || !records->are_few_heard ||
+	    !records->are_few_heard(records->are_few_heard_owner))
+		return;
+	records->suspicions_left--;
+	record->write_due_us = now_us;
+	write_if_due(record, now_us);
+}
+
+void quarantine_records_add_suspicion(struct quarantine_records *records,
+				      struct dw_fingerprint fingerprint)
+{
+	struct quarantine_record *record = find_or_add(records, fingerprint);
+	uint64_t now_us = dw_clock_now_us();
+
+	record->is_lifted = false;
+	record->suspected_until_us = now_us + SUSPICION_KEPT_US;
+	write_suspicion(record, now_us);
 }
 
 void quarantine_records_lift(struct quarantine_records *records, struct dw_fingerprint fingerprint)
@@ -88,10 +127,29 @@
 	if (!record)
 		return;
 	record->is_lifted = true;
+	record->suspected_until_us = 0;
 	/* Nothing was written, nor is being written: nothing has to be lifted. */
 	record->write_due_us = record->revision > 0 || record->in_flight ? dw_clock_now_us() : 0;
 }
 
+static enum quarantine_level level_here(const struct quarantine_record *record, uint64_t now_us)
+{
+	const struct dw_quarantine *quarantine = record->owner->quarantine;
+
+	if (dw_quarantine_check(quarantine, record->fingerprint, now_us) != DW_OK)
+		return LEVEL_QUARANTINE;
+	return dw_quarantine_is_suspect(quarantine, record->fingerprint, now_us) ? LEVEL_SUSPICION
+										 : LEVEL_NONE;
+}
+
+/* Whether the store's record says less, or something else, than is known here. */
+static bool is_write_needed(const struct quarantine_record *record, uint64_t now_us)
+{
+	if (record->is_lifted)
+		return record->stored != LEVEL_NONE || record->written != LEVEL_NONE;
+	return level_here(record, now_us) > record->stored;
+}
+
 static struct json_object *crashes_json(const struct quarantine_record *record, uint64_t now_us)
 {
 	struct dw_quarantine_evidence pieces[DW_QUARANTINE_CRASHES];
@@ -100,6 +158,7 @@
 	struct json_object *names = json_object_new_array();
 	uint32_t count = dw_quarantine_pieces(record->owner->quarantine, record->fingerprint,
 					      now_us, pieces);
+	bool is_suspicion = level_here(record, now_us) == LEVEL_SUSPICION;
 
 	for (uint32_t i = 0; i < count; i++) {
 		struct json_object *crash = json_object_new_array();
@@ -110,6 +169,9 @@
 		json_object_array_add(crash, json_object_new_uint64(pieces[i].upstream_id));
 		json_object_array_add(crash,
 				      json_object_new_uint64(pieces[i].upstream_incarnation));
+		/* That the crashes of a quarantine count was decided with times that aren't stored. */
+		if (pieces[i].is_abandoned && is_suspicion)
+			json_object_array_add(crash, json_object_new_int(1));
 		json_object_array_add(crashes, crash);
 		if (engine)
 			json_object_array_add(names, json_object_new_string(engine->entry.id));
@@ -135,16 +197,14 @@
 	switch (result->outcome) {
 	case DW_STORE_DONE:
 		record->revision = result->revision;
-		record->is_stored = !record->is_lift_in_flight;
-		/* It may have been lifted, or quarantined again, meanwhile. */
-		if (record->is_lift_in_flight == record->is_lifted)
+		record->stored = record->written;
+		/* It may have been lifted, or another crash be known, meanwhile. */
+		if (!is_write_needed(record, dw_clock_now_us()))
 			record->write_due_us = 0;
 		break;
 	case DW_STORE_CONFLICT:
-		/* Another instance was faster; only a lifting has to replace what it wrote. */
+		/* Another instance was faster: its record comes with the view, and may have less. */
 		record->revision = result->revision;
-		if (!record->is_lifted)
-			record->write_due_us = 0;
 		break;
 	case DW_STORE_UNKNOWN:
 	case DW_STORE_UNAVAILABLE:
@@ -170,7 +230,7 @@
 		.deadline_us = now_us + CALL_TIMEOUT_US,
 	};
 
-	record->is_lift_in_flight = record->is_lifted;
+	record->written = record->is_lifted ? LEVEL_NONE : level_here(record, now_us);
 	dw_fingerprint_text(record->fingerprint, key + strlen(PREFIX));
 	dw_store_put(record->owner->store, &put, on_written, record);
 	json_object_put(root);
@@ -188,16 +248,12 @@
 	write_record(record);
 }
 
-static bool is_quarantined(const struct quarantine_record *record, uint64_t now_us)
-{
-	return dw_quarantine_check(record->owner->quarantine, record->fingerprint, now_us) != DW_OK;
-}
-
 static void write_if_due(struct quarantine_record *record, uint64_t now_us)
 {
-	if (record->in_flight || record->write_due_us == 0 || now_us < record->write_due_us)
+	if (!record->owner->store || record->in_flight || record->write_due_us == 0 ||
+	    now_us < record->write_due_us)
 		return;
-	if (!record->is_lifted && !is_quarantined(record, now_us)) {
+	if (!is_write_needed(record, now_us)) {
 		record->write_due_us = 0;
 		return;
 	}
@@ -213,11 +269,16 @@
 	uint64_t now_us = dw_clock_now_us();
 	struct quarantine_record **link = &records->records;
 
+	records->suspicions_left = SUSPICIONS_PER_PERIOD;
 	while (*link) {
 		struct quarantine_record *record = *link;
 
+		write_suspicion(record, now_us);
 		write_if_due(record, now_us);
-		if (record->in_flight || record->write_due_us > 0 || record->revision > 0) {
+		if (now_us >= record->suspected_until_us)
+			record->suspected_until_us = 0;
+		if (record->in_flight || record->write_due_us > 0 || record->revision > 0 ||
+		    record->suspected_until_us > 0) {
 			link = &record->next;
 			continue;
 		}
@@ -253,19 +314,31 @@
 		struct json_object *crash = json_object_array_get_idx(crashes, i);
 
 		if (!json_object_is_type(crash, json_type_array) ||
-		    json_object_array_length(crash) != 2)
+		    json_object_array_length(crash) < 2)
 			return;
 		change->crashes[change->crash_count++] = (struct dw_quarantine_evidence){
 			.fingerprint = change->fingerprint,
 			.upstream_id = read_integer(crash, 0),
 			.upstream_incarnation = read_integer(crash, 1),
 			.remaining_us = QUARANTINE_LIFETIME_S * DW_US_PER_S,
+			.is_abandoned = read_integer(crash, 2) != 0,
 		};
 	}
 	if (change->crash_count > 0)
 		change->kind = QUARANTINE_CHANGE_CRASHES;
 }
 
+static enum quarantine_level stored_level(const struct quarantine_record_change *change)
+{
+	if (change->kind != QUARANTINE_CHANGE_CRASHES)
+		return LEVEL_NONE;
+	for (uint32_t i = 0; i < change->crash_count; i++) {
+		if (change->crashes[i].is_abandoned)
+			return LEVEL_SUSPICION;
+	}
+	return change->crash_count < DW_QUARANTINE_CRASHES ? LEVEL_SUSPICION : LEVEL_QUARANTINE;
+}
+
 static void read_value(const struct dw_store_entry *entry, struct quarantine_record_change *change)
 {
 	struct json_tokener *tokener = json_tokener_new();
@@ -294,13 +367,14 @@
 		return;
 	record = find_or_add(records, change->fingerprint);
 	record->revision = event->deleted ? 0 : event->entry.mod_revision;
-	record->is_stored = false;
+	record->stored = LEVEL_NONE;
 	/* A key may also be removed by an outage of the store: that lifts nothing. */
 	if (event->deleted)
 		return;
 	read_value(&event->entry, change);
-	record->is_stored = change->kind == QUARANTINE_CHANGE_CRASHES;
-	/* A record of crashes that are withdrawn here still has to be marked as lifted. */
-	if (!record->is_stored || !record->is_lifted)
+	record->stored = stored_level(change);
+	/* A record of crashes that are withdrawn here still has to be marked as lifted. One crash less
+	 * than are known here is written again by on_check_timer(). */
+	if (change->kind == QUARANTINE_CHANGE_LIFTED)
 		record->write_due_us = 0;
 }
--- a/src/wharf-gateway/quarantine_records.h
+++ b/src/wharf-gateway/quarantine_records.h
@@ -1,11 +1,13 @@
 /**
  * @file quarantine_records.h
  * Keeps quarantined requests in the store, so that instances that start later know them, and
- * operators can see and lift a quarantine.
+ * operators can see and lift a quarantine. While an instance hears few others, it also keeps its own
+ * suspicions there, as no news of them would reach the others.
  *
  * The key is "wharf/quarantine/FINGERPRINT". The value names the engines that ended under the
  * request: {"crashes":[[ID,INCARNATION],...],"engines":[NAME,...]}, or says that the quarantine is
- * lifted: {"lifted":true}. The store removes the key after the lifetime of the evidence.
+ * lifted: {"lifted":true}. A third element of a crash, 1, says that its run had been given up before.
+ * The store removes the key after the lifetime of the evidence.
  */
 #ifndef GATEWAY_QUARANTINE_RECORDS_H
 #define GATEWAY_QUARANTINE_RECORDS_H
@@ -27,7 +29,11 @@
 	struct dw_engine_set *engines;
 	struct dw_store *store; /**< NULL until quarantine_records_start() */
 	struct quarantine_record *records;
+	/** Whether few other instances are heard; NULL: they are. */
+	bool (*are_few_heard)(const void *owner);
+	const void *are_few_heard_owner;
 	uint64_t random;
+	uint32_t suspicions_left; /**< that may be written until the next check */
 	uv_timer_t timer;
 };
 
@@ -41,6 +47,10 @@
  * record then; others only if none appears. */
 void quarantine_records_add(struct quarantine_records *records, struct dw_fingerprint fingerprint,
 			    bool is_own);
+/** The request is a suspect here, by a crash that this instance saw: written while few others are
+ * heard. */
+void quarantine_records_add_suspicion(struct quarantine_records *records,
+				      struct dw_fingerprint fingerprint);
 /** All evidence was withdrawn here: the record, if there is one, is marked as lifted. */
 void quarantine_records_lift(struct quarantine_records *records, struct dw_fingerprint fingerprint);
 
--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -19,6 +19,11 @@
 /* How long deleted keys are remembered. The store's history is shorter, so no event can be older. */
 #define TOMBSTONE_TTL_US (120 * DW_US_PER_S)
 
+static bool are_few_heard(const void *owner)
+{
+	return peers_are_few_heard(owner);
+}
+
 void view_init(struct view *view, const struct gateway_settings *settings, struct dw_log *log,
 	       struct dw_counters *counters)
 {
@@ -32,6 +37,8 @@
 	crash_guard_init(&view->guard, log, view->engines);
 	shifts_init(&view->shifts, log, settings->instance);
 	peers_init(&view->peers, settings, log, counters);
+	view->guard.records.are_few_heard = are_few_heard;
+	view->guard.records.are_few_heard_owner = &view->peers;
 	reader_key_init(&view->reader_key, settings->instance, &settings->peer_address);
 }
 
--- a/tests/process_abandoned_test.cc
+++ b/tests/process_abandoned_test.cc
@@ -14,6 +14,7 @@
 using support::http_stream;
 using support::MAX_CRASHES;
 using support::other_requests;
+using support::wait_until;
 
 namespace
 {
@@ -101,4 +102,38 @@
 	EXPECT_GT(crashes, 0);
 }
 
+/* The same where the callers leave. */
+TEST_F(Unheard, ARequestWhoseCallerLeftEndsNoMoreThanThreeEngines)
+{
+	for (size_t n = 0; n < REPEATS; n++) {
+		ask_and_leave(n, "GET", "/look/poison", LEAVE_MS);
+		tend_for(REPEAT_MS);
+	}
+	EXPECT_LE(crashes, MAX_CRASHES + 1);
+	EXPECT_GT(crashes, 0);
+}
+
+/* A suspicion that went through the store doesn't outlive the run that clears it. */
+TEST_F(Unheard, AnInnocentRequestIsClearedAtAllInstances)
+{
+	for (const auto &each : backends)
+		each->inject_fault("{\"kind\":\"late\",\"n\":1000,\"count\":1}");
+	std::thread caller(
+		[this] { EXPECT_EQ(call(0, "POST", "/book/innocent", "k1", "{}").status, 502); });
+	ASSERT_TRUE(wait_until([&] { return sum_stat("runs") == 1; }));
+	for (const auto &each : backends) {
+		if (each->read_stat("runs") == 1)
+			each->server->kill();
+	}
+	caller.join();
+	for (const auto &each : instances)
+		EXPECT_TRUE(wait_until([&] { return each.metric("requests_suspected") == 1; }))
+			<< each.name;
+	tend_for(support::RESTART_MS + REPEAT_MS);
+	EXPECT_EQ(call(1, "POST", "/book/innocent", "k1", "{}").status, 200);
+	for (const auto &each : instances)
+		EXPECT_TRUE(wait_until([&] { return each.metric("requests_suspected") == 0; }))
+			<< each.name;
+}
+
 } // namespace
