Gateway: a refusal that an engine writes once more isn't taken for the next request's

It can happen here, in two ways, shown on real sockets: the caller sends its attempt again with the same id, on the connection that has carried its refusal (503 for a request that runs); a refusal without an id is taken for the next request's. Change: requests with the id of a refused one are kept off the connection that carried the refusal (a set of 64 bits a connection: some others are kept off too, a new connection serves them); a refusal without an id counts on a connection's first request only, else the answer that names the request is waited for. The unused option to ask for a new connection is gone. Ruled out: a new connection for each resend (callers' repeats come with the same id too, and connections are priced).

--- a/src/net/http_connection.c
+++ b/src/net/http_connection.c
@@ -33,6 +33,7 @@
 	const struct http_connection_callbacks *callbacks;
 	void *owner;
 	uint64_t requests; /**< sent on this connection */
+	uint64_t avoided_keys; /**< a set of bits, see key_bit() */
 	uint32_t writes_pending;
 	uint32_t handles_open;
 	uint32_t server_keep_alive_ms; /**< from the server's Keep-Alive field; 0 if absent */
@@ -350,14 +351,20 @@
 	return NULL;
 }
 
+static uint64_t key_bit(uint64_t key)
+{
+	return UINT64_C(1) << (key % 64);
+}
+
 static struct http_connection *take_idle_connection(struct http_pool *pool,
-						    const struct dw_endpoint *server)
+						    const struct dw_endpoint *server, uint64_t key)
 {
 	struct http_connection *connection;
 
 	DL_FOREACH(pool->idle, connection) {
 		if (connection->server.port == server->port &&
-		    strcmp(connection->server.ip, server->ip) == 0)
+		    strcmp(connection->server.ip, server->ip) == 0 &&
+		    !(connection->avoided_keys & key_bit(key)))
 			break;
 	}
 	if (!connection)
@@ -368,12 +375,11 @@
 }
 
 struct http_connection *http_pool_send(struct http_pool *pool, const struct dw_endpoint *server,
-				       bool new_connection, const void *request, size_t len,
+				       uint64_t key, const void *request, size_t len,
 				       const struct http_connection_callbacks *callbacks,
 				       void *owner)
 {
-	struct http_connection *connection =
-		new_connection ? NULL : take_idle_connection(pool, server);
+	struct http_connection *connection = take_idle_connection(pool, server, key);
 
 	if (connection) {
 		connection->state = CONNECTION_BUSY;
@@ -398,6 +404,16 @@
 	return connection;
 }
 
+bool http_connection_is_reused(const struct http_connection *connection)
+{
+	return connection->requests > 1;
+}
+
+void http_connection_avoid(struct http_connection *connection, uint64_t key)
+{
+	connection->avoided_keys |= key_bit(key);
+}
+
 bool http_connection_is_established(const struct http_connection *connection)
 {
 	return connection->state == CONNECTION_BUSY;
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -56,15 +56,25 @@
 void http_pool_free(struct http_pool *pool);
 
 /**
- * Sends a request to @p server on an idle connection, or on a new one if there is none or if
- * @p new_connection is true. A new connection sends it once it is established.
+ * Sends a request to @p server on an idle connection, or on a new one if there is none. A new connection
+ * sends it once it is established.
+ * @param key identifies the request; connections that http_connection_avoid() keeps from it aren't used
  * @return the connection, or NULL if it could not be opened.
  */
 struct http_connection *http_pool_send(struct http_pool *pool, const struct dw_endpoint *server,
-				       bool new_connection, const void *request, size_t len,
+				       uint64_t key, const void *request, size_t len,
 				       const struct http_connection_callbacks *callbacks,
 				       void *owner);
 
+/** Whether the connection has carried another request before this one. */
+bool http_connection_is_reused(const struct http_connection *connection);
+
+/**
+ * Keeps later requests with this key off the connection: a response to the one in progress that comes once
+ * more couldn't be told from theirs. Some others are kept off as well.
+ */
+void http_connection_avoid(struct http_connection *connection, uint64_t key);
+
 /** Whether the connection is established, so that the server may have read the request. */
 bool http_connection_is_established(const struct http_connection *connection);
 
--- a/src/wharf-gateway/attempt.c
+++ b/src/wharf-gateway/attempt.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <dragonflywharf/rendezvous.h>
+
 #include "base/clock.h"
 
 /* What the answer being received responds to. */
@@ -52,6 +54,12 @@
 	return connection < ATTEMPT_CONNECTION_COUNT ? connection_names[connection] : "unknown";
 }
 
+/* Callers may send an attempt again, with the same id. */
+static uint64_t attempt_key(const struct attempt *attempt)
+{
+	return dw_rendezvous_key(attempt->attempt_id, strlen(attempt->attempt_id));
+}
+
 static struct crash_guard *guard_of(const struct attempt *attempt)
 {
 	return &attempt->router->view->guard;
@@ -132,6 +140,15 @@
 	return fields->attempt_id && strcmp(fields->attempt_id, attempt->attempt_id) == 0;
 }
 
+/* Whether a refusal is that of this request. Without an id, one on a connection that was used before may
+ * be an earlier one that comes once more. */
+static bool refuses_this_request(const struct attempt *attempt,
+				 const struct response_fields *fields)
+{
+	return fields->attempt_id ? answers_this_request(attempt, fields)
+				  : !http_connection_is_reused(attempt->link);
+}
+
 static bool is_valid_answer(const struct attempt *attempt, const struct http_head *head,
 			    const struct response_fields *fields)
 {
@@ -151,7 +168,7 @@
 		attempt->answer_kind = ANSWER_NOT_EXECUTED;
 		attempt->not_executed_outcome =
 			fields.is_wrong_engine ? DW_ATTEMPT_WRONG_INSTANCE : DW_ATTEMPT_REJECTED;
-		if (fields.attempt_id && !answers_this_request(attempt, &fields))
+		if (!refuses_this_request(attempt, &fields))
 			attempt->answer_kind = ANSWER_OTHER_REQUEST;
 		else
 			record_load_report(attempt, &fields);
@@ -254,6 +271,7 @@
 	case ANSWER_OTHER_REQUEST:
 		return; /* the answer to this request is still to come on the connection */
 	case ANSWER_NOT_EXECUTED:
+		http_connection_avoid(attempt->link, attempt_key(attempt));
 		http_connection_release(attempt->link);
 		finish_not_executed(attempt);
 		return;
@@ -326,7 +344,7 @@
 	}
 	dw_counters_add(router->counters, DW_COUNTER_ATTEMPTS, 1);
 	attempt->link =
-		http_pool_send(router->pool, &server, options->new_connection, options->request,
+		http_pool_send(router->pool, &server, attempt_key(attempt), options->request,
 			       options->request_len, &link_callbacks, attempt);
 	if (attempt->link)
 		return attempt;
--- a/src/wharf-gateway/attempt.h
+++ b/src/wharf-gateway/attempt.h
@@ -53,7 +53,6 @@
 	size_t request_len;
 	struct dw_fingerprint fingerprint; /**< of the request */
 	bool is_suspect; /**< it may crash the engine, see crash_guard.h */
-	bool new_connection; /**< don't reuse an idle one */
 	bool requires_signature; /**< a successful answer must bear the engine's signature */
 	struct dw_model_speed *speed; /**< updated by the answer; may be NULL */
 };
--- a/src/wharf-gateway/view_sync.c
+++ b/src/wharf-gateway/view_sync.c
@@ -175,7 +175,7 @@
 	sync->is_sent = false;
 	sync->requests++;
 	sync->connection =
-		http_pool_send(sync->pool, address, false, request, (size_t)len, &callbacks, sync);
+		http_pool_send(sync->pool, address, 0, request, (size_t)len, &callbacks, sync);
 	if (sync->connection)
 		uv_timer_start(&sync->request_timer, on_request_timeout, CONNECT_TIMEOUT_MS, 0);
 	else
--- a/tests/http_connection_test.cc
+++ b/tests/http_connection_test.cc
@@ -22,6 +22,8 @@
 	http_connection_failure failure = HTTP_CONNECTION_FAILURE_COUNT;
 	http_connection *connection = nullptr;
 	uv_loop_t *loop = nullptr;
+	bool is_reused = false;
+	uint64_t avoided_key = 0; /* 0: none */
 
 	static bool on_head(void *, const http_head *)
 	{
@@ -36,6 +38,9 @@
 	{
 		auto *outcome = (Outcome *)owner;
 		outcome->ends++;
+		outcome->is_reused = http_connection_is_reused(outcome->connection);
+		if (outcome->avoided_key > 0)
+			http_connection_avoid(outcome->connection, outcome->avoided_key);
 		http_connection_release(outcome->connection);
 		uv_stop(outcome->loop);
 	}
@@ -117,12 +122,13 @@
 				script(accept(listener, nullptr, nullptr));
 		});
 	}
-	Outcome send(bool new_connection = false)
+	Outcome send(uint64_t key = 0, uint64_t avoided_key = 0)
 	{
 		static const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
 		Outcome outcome;
 		outcome.loop = &loop;
-		outcome.connection = http_pool_send(pool, &server, new_connection, request.data(),
+		outcome.avoided_key = avoided_key;
+		outcome.connection = http_pool_send(pool, &server, key, request.data(),
 						    request.size(), &CALLBACKS, &outcome);
 		uv_run(&loop, UV_RUN_DEFAULT);
 		return outcome;
@@ -143,6 +149,28 @@
 	EXPECT_EQ(http_pool_connections_opened(pool), 1U);
 }
 
+/* A refusal that comes once more must not meet the same request on its connection. */
+TEST_F(HttpConnection, KeepsRequestsOffAConnectionThatIsToBeAvoided)
+{
+	auto answer = [](int fd) {
+		read_request(fd);
+		write_text(fd, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+	};
+	serve({ [this, answer](int first) {
+		answer(first);
+		int second = accept(listener, nullptr, nullptr);
+		for (int i = 0; i < 3; i++)
+			answer(second);
+		close(second);
+		close(first);
+	} });
+	EXPECT_FALSE(send(5, 5).is_reused);
+	EXPECT_FALSE(send(5, 5).is_reused) << "the same request once more";
+	EXPECT_TRUE(send(6).is_reused);
+	EXPECT_TRUE(send(7).is_reused);
+	EXPECT_EQ(http_pool_connections_opened(pool), 2U);
+}
+
 /* A response without a length ends when the connection is closed. A reset must not count as that
  * end, even if it directly follows the last bytes, which libuv reports as UV_EOF. */
 TEST_F(HttpConnection, ResetDoesNotCompleteResponseWithoutLength)
@@ -154,7 +182,7 @@
 	};
 	serve({ script, script, script });
 	for (int i = 0; i < 3; i++) {
-		Outcome outcome = send(true);
+		Outcome outcome = send();
 		EXPECT_EQ(outcome.ends, 0);
 		EXPECT_EQ(outcome.failures, 1);
 	}
--- /dev/null
+++ b/tests/process_broken_answers_test.cc
@@ -0,0 +1,332 @@
+// Engines whose answers break off anywhere, come twice, or go on as an error, between a real wharf-gateway
+// and its callers: no caller takes them for complete, nor gets what belongs elsewhere.
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "support/fleet.h"
+#include "support/http.h"
+#include "support/raw_server.h"
+
+using support::field_of;
+using support::http_answer;
+using support::http_headers;
+using support::raw_connection;
+using support::raw_server;
+using support::wait_until;
+
+namespace
+{
+
+constexpr int RUN_MS = 30;
+
+std::string head_of(const std::string &status, const std::string &request, const std::string &more)
+{
+	return "HTTP/1.1 " + status + "\r\nAttempt-Id: " + field_of(request, "Attempt-Id") +
+	       "\r\nResponse-Seal: s\r\n" + more + "\r\n";
+}
+
+std::string with_length(const std::string &status, const std::string &request,
+			const std::string &body, const std::string &more = "")
+{
+	return head_of(status, request,
+		       more + "Content-Length: " + std::to_string(body.size()) + "\r\n") +
+	       body;
+}
+
+std::string chunk(const std::string &bytes)
+{
+	char size[24];
+	snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+	return size + bytes + "\r\n";
+}
+
+std::string event_text(int id)
+{
+	return "id: " + std::to_string(id) + "\ndata: part " + std::to_string(id) + "\n\n";
+}
+
+/* A gateway before engines whose answers the test writes. */
+struct BrokenAnswers : testing::Test, support::fleet {
+	std::vector<std::unique_ptr<raw_server>> engines;
+
+	BrokenAnswers() : support::fleet(1)
+	{
+	}
+	void start(size_t count, const raw_server::handler &answer)
+	{
+		for (size_t i = 0; i < count; i++) {
+			engines.push_back(std::make_unique<raw_server>(answer));
+			support::backend registered;
+			registered.port = engines.back()->port();
+			register_backend(registered, "e" + std::to_string(i + 1));
+		}
+		configure();
+		launch(0);
+		ASSERT_TRUE(wait_for_all());
+		ASSERT_TRUE(wait_until(
+			[&] { return instances[0].metric("engines_usable") == (int64_t)count; }));
+	}
+	http_answer call(const std::string &method, const std::string &path,
+			 const std::string &attempt_id = "")
+	{
+		http_headers headers = {
+			{ "Attempt-Id",
+			  attempt_id.empty() ? "a" + std::to_string(next_attempt++) : attempt_id },
+			{ "Deadline-Ms", "2500" },
+			{ "Credential", "k1" },
+		};
+		return support::http_call(instances[0].caller_port, method, path,
+					  method == "POST" ? "{}" : "", headers);
+	}
+};
+
+/* How an answer is framed, where it breaks off, and how its connection ends. */
+struct Break {
+	const char *framing; /* length, chunked, close */
+	bool is_reset;
+	bool is_kept; /* the connection has carried an answer before */
+};
+
+std::string whole_answer(const std::string &framing, const std::string &request)
+{
+	if (framing == "length")
+		return with_length("200 OK", request, "0123456789");
+	if (framing == "chunked")
+		return head_of("200 OK", request, "Transfer-Encoding: chunked\r\n") +
+		       chunk("0123456789") + chunk("abcdef") + "0\r\n\r\n";
+	return head_of("200 OK", request, "") + "0123456789";
+}
+
+struct EachByte : BrokenAnswers, testing::WithParamInterface<Break> {
+};
+
+/* Guards against a success with an empty or short body, framed as whole, for an answer that broke off. */
+TEST_P(EachByte, AnAnswerThatBreaksOffIsNoSuccess)
+{
+	const Break kind = GetParam();
+	std::atomic<size_t> cut_at{ 0 };
+	start(1, [&](raw_connection &connection, const std::string &request) {
+		std::string answer = whole_answer(kind.framing, request);
+		if (request.find("/cut-") == std::string::npos) {
+			connection.send(with_length("200 OK", request, "warm"));
+			return;
+		}
+		connection.send(answer.substr(0, cut_at));
+		if (kind.is_reset)
+			connection.reset();
+		else
+			connection.close();
+	});
+	std::string sample = "X\r\nAttempt-Id: a0000\r\n\r\n";
+	std::string answer = whole_answer(kind.framing, sample);
+	/* The end of the connection completes an answer without a length. */
+	bool ends_at_close = std::string(kind.framing) == "close" && !kind.is_reset;
+	size_t end = ends_at_close ? answer.find("\r\n\r\n") + 4 : answer.size();
+	for (cut_at = 0; cut_at < end; cut_at++) {
+		if (kind.is_kept) {
+			ASSERT_EQ(call("POST", "/book/warm").status, 200);
+		}
+		http_answer got = call("POST", "/book/cut-" + std::to_string(cut_at),
+				       "c" + std::to_string(1000 + cut_at));
+		EXPECT_EQ(got.status, 502) << kind.framing << " cut at " << cut_at;
+		EXPECT_EQ(got.body.find("0123"), std::string::npos);
+	}
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Framings, EachByte,
+	testing::Values(Break{ "length", false, false }, Break{ "length", true, false },
+			Break{ "length", false, true }, Break{ "length", true, true },
+			Break{ "chunked", false, false }, Break{ "chunked", true, false },
+			Break{ "chunked", false, true }, Break{ "chunked", true, true },
+			Break{ "close", false, false }, Break{ "close", true, false },
+			Break{ "close", false, true }, Break{ "close", true, true }));
+
+/* The same for a stream, at each byte of its head and events. */
+TEST_F(BrokenAnswers, AStreamThatBreaksOffIsNotComplete)
+{
+	std::atomic<size_t> cut_at{ 0 };
+	auto stream = [](const std::string &request) {
+		return head_of("200 OK", request,
+			       "Content-Type: text/event-stream\r\nTransfer-Encoding: "
+			       "chunked\r\n") +
+		       chunk(event_text(1)) + chunk(event_text(2)) + "0\r\n\r\n";
+	};
+	start(1, [&](raw_connection &connection, const std::string &request) {
+		connection.send(stream(request).substr(0, cut_at));
+		connection.close();
+	});
+	size_t end = stream("X\r\nAttempt-Id: a0000\r\n\r\n").size();
+	for (cut_at = 0; cut_at < end; cut_at++) {
+		http_answer got = call("POST", "/chat/cut", "c" + std::to_string(1000 + cut_at));
+		EXPECT_FALSE(got.status == 200 && got.whole) << "cut at " << cut_at;
+		EXPECT_TRUE(got.status == 200 || got.status == 502) << got.status;
+	}
+}
+
+/* What the next engine answers after a stream has broken off, with the word "wrong" wherever it must not
+ * reach the caller. */
+std::vector<std::string> wrong_answers(const std::string &request)
+{
+	std::string stream = "Content-Type: text/event-stream\r\n";
+	return {
+		with_length("500 Internal Server Error", request, "wrong"),
+		with_length("503 Service Unavailable", request, "wrong", "Not-Executed: 1\r\n"),
+		with_length("404 Not Found", request, "wrong\n\nwrong\n\n"),
+		with_length("429 Too Many Requests", request, "id: 2\ndata: wrong\n\n"),
+		with_length("200 OK", request, "<p>wrong</p>\n\n<p>wrong</p>\n\n",
+			    "Content-Type: text/html\r\n"),
+		with_length("200 OK", request, "{\"error\":\"wrong\"}\n\n",
+			    "Content-Type: application/json\r\n"),
+		with_length("200 OK", request, "event: error\ndata: wrong\n\n", stream),
+		with_length("200 OK", request, "data: wrong\n\nid: 9\ndata: wrong\n\n", stream),
+		with_length("200 OK", request, "wrong, no event", stream),
+		head_of("200 OK", request, stream) + "event: error\ndata: wrong\n\n",
+		"HTTP/1.1 500 wrong\r\nAttempt-Id: " + field_of(request, "Attempt-Id"),
+		"wrong, no answer",
+		"",
+	};
+}
+
+/* Guards against an error's text, or its whole head, in the middle of a caller's stream, and a stream that
+ * ends as if it were complete. */
+TEST_F(BrokenAnswers, AnErrorOfTheNextEngineStaysOutOfTheStream)
+{
+	std::atomic<int> events{ 1 };
+	std::atomic<size_t> variant{ 0 };
+	std::atomic<bool> is_mid_event{ false };
+	std::mutex mutex;
+	std::map<std::string, int> sends;
+	start(3, [&](raw_connection &connection, const std::string &request) {
+		bool is_first;
+		{
+			std::lock_guard<std::mutex> lock(mutex);
+			is_first = sends[field_of(request, "Attempt-Id")]++ == 0;
+		}
+		if (!is_first) {
+			connection.send(wrong_answers(request)[variant]);
+			connection.close();
+			return;
+		}
+		connection.send(head_of(
+			"200 OK", request,
+			"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
+		for (int i = 1; i <= events; i++)
+			connection.send(chunk(event_text(i)));
+		if (is_mid_event)
+			connection.send(chunk("id: 7\nda"));
+		std::this_thread::sleep_for(std::chrono::milliseconds(5));
+		connection.close();
+	});
+	for (variant = 0; variant < wrong_answers("").size(); variant++) {
+		for (int i = 0; i < 6; i++) {
+			events = i / 2 + 1;
+			is_mid_event = i % 2 == 1;
+			std::string expected;
+			for (int e = 1; e <= events; e++)
+				expected += event_text(e);
+			http_answer got = call("POST", "/chat/" + std::to_string(next_attempt));
+			EXPECT_EQ(got.status, 200);
+			EXPECT_FALSE(got.whole) << "variant " << variant << ", " << events;
+			EXPECT_EQ(got.body, expected) << "variant " << variant << ", " << events;
+		}
+	}
+}
+
+/* A long error on a stream's route breaks off when part of it has reached the caller: no stream of another
+ * engine follows it. */
+TEST_F(BrokenAnswers, AStreamDoesNotFollowALongErrorThatBrokeOff)
+{
+	std::mutex mutex;
+	std::map<std::string, int> sends;
+	start(3, [&](raw_connection &connection, const std::string &request) {
+		bool is_first;
+		{
+			std::lock_guard<std::mutex> lock(mutex);
+			is_first = sends[field_of(request, "Attempt-Id")]++ == 0;
+		}
+		if (is_first) {
+			connection.send(
+				head_of("404 Not Found", request, "Content-Length: 3000000\r\n") +
+				std::string(2000000, 'x'));
+			std::this_thread::sleep_for(std::chrono::milliseconds(RUN_MS));
+		} else {
+			connection.send(head_of("200 OK", request,
+						"Content-Type: text/event-stream\r\n"
+						"Transfer-Encoding: chunked\r\n") +
+					chunk(event_text(1)) + "0\r\n\r\n");
+		}
+		connection.close();
+	});
+	for (int i = 0; i < 4; i++) {
+		http_answer got = call("POST", "/chat/" + std::to_string(i));
+		EXPECT_FALSE(got.whole);
+		EXPECT_EQ(got.body.find("part"), std::string::npos);
+	}
+}
+
+/* An engine that writes its last refusal once more when the next request comes on the connection, which it
+ * runs all the same. */
+struct Refusals : BrokenAnswers {
+	std::mutex mutex;
+	std::map<std::string, int> runs; /* by path */
+
+	void start_with(const std::string &id_field)
+	{
+		start(1, [this, id_field](raw_connection &connection, const std::string &request) {
+			static std::map<int, std::string> last; /* by connection */
+			std::string path = request.substr(request.find('/'), 20);
+			path = path.substr(0, path.find(' '));
+			std::string id = id_field.empty()
+						 ? ""
+						 : id_field + ": " +
+							   field_of(request, "Attempt-Id") + "\r\n";
+			{
+				std::lock_guard<std::mutex> lock(mutex);
+				if (connection.request == 0)
+					last.erase(connection.fd());
+				if (last.count(connection.fd()) > 0)
+					connection.send(last[connection.fd()]);
+				if (path == "/book/full") {
+					last[connection.fd()] =
+						"HTTP/1.1 503 Service Unavailable\r\n" + id +
+						"Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+					connection.send(last[connection.fd()]);
+					return;
+				}
+				runs[path]++;
+			}
+			std::this_thread::sleep_for(std::chrono::milliseconds(RUN_MS));
+			connection.send(with_length("200 OK", request, "done"));
+		});
+	}
+};
+
+/* Guards against "not run" for a request that runs: the caller sends its attempt again, with the same id. */
+TEST_F(Refusals, ARefusalThatComesOnceMoreIsNotTakenForTheNextRuns)
+{
+	start_with("Attempt-Id");
+	EXPECT_EQ(call("POST", "/book/full", "same").status, 503);
+	EXPECT_EQ(call("POST", "/book/run", "same").status, 200);
+	EXPECT_EQ(runs["/book/run"], 1);
+	EXPECT_EQ(call("POST", "/book/other", "other").status, 200);
+}
+
+/* The same for a refusal that names no attempt. */
+TEST_F(Refusals, ARefusalWithoutAnIdCountsForTheFirstRequestOfAConnectionOnly)
+{
+	start_with("");
+	EXPECT_EQ(call("POST", "/book/full", "first").status, 503);
+	EXPECT_EQ(call("POST", "/book/run", "second").status, 200);
+	EXPECT_EQ(runs["/book/run"], 1);
+}
+
+} // namespace
