Gateway: what follows a stream that broke off is its continuation or nothing

A page of HTML, a JSON text with blank lines or an event without an id was passed on into the stream, which then ended as complete; and on the route of a resumable stream, an error of over 1 MiB that broke off was followed by another engine's stream within the same answer. Change: the next engine's answer must have the type that the caller was told, and its first event with data must bear an id; else the attempt counts as cut, and the stream goes on elsewhere or ends visibly broken. An answer that isn't a stream of events is never continued (request_policy, is_stream_started). A sealed, empty stream still says that nothing is left.

--- a/include/dragonflywharf/request_policy.h
+++ b/include/dragonflywharf/request_policy.h
@@ -25,6 +25,7 @@
 	uint32_t rejections; /**< attempts that are known not to have run */
 	uint64_t deadline_us; /**< the caller's or the route's, whichever is earlier */
 	bool has_response_started; /**< part of a response has been sent to the caller */
+	bool is_stream_started; /**< that part consists of complete events, which another can continue */
 };
 
 /** Outcome of an attempt. */
--- a/src/core/request_policy.c
+++ b/src/core/request_policy.c
@@ -90,7 +90,7 @@
 {
 	bool has_not_run = false;
 	/* Only the event ids of a stream tell where another response has to continue. */
-	bool can_continue = !policy->has_response_started || policy->kind == DW_ROUTE_STREAM;
+	bool can_continue = !policy->has_response_started || policy->is_stream_started;
 
 	switch (outcome) {
 	case DW_ATTEMPT_NOT_SENT:
--- a/src/wharf-gateway/exchange_answer.c
+++ b/src/wharf-gateway/exchange_answer.c
@@ -1,13 +1,18 @@
 #include "wharf-gateway/exchange_state.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
+#include <string.h>
 
 #include "base/clock.h"
 
 /* A non-streaming answer is buffered until it is complete, so that the request can still be retried;
  * a longer one is flushed whenever the buffer exceeds this size. */
 #define MAX_BUFFERED_BODY_BYTES (1U << 20)
+/* First character of a comment in an event stream. */
+#define EVENT_COMMENT ':'
 
 /* Forwards a complete event of the stream, without repeats, and stops at a gap. */
 static void on_event(const char *data, size_t data_len, const char *raw, size_t raw_len,
@@ -18,7 +23,13 @@
 
 	if (exchange->is_out_of_order)
 		return;
-	if (dw_event_parse_id(raw, raw_len, &id)) {
+	if (!dw_event_parse_id(raw, raw_len, &id)) {
+		if (exchange->is_continuation_due) {
+			exchange->is_out_of_order = raw[0] != EVENT_COMMENT;
+			return;
+		}
+	} else {
+		exchange->is_continuation_due = false;
 		switch (dw_event_order_check(&exchange->order, id)) {
 		case DW_EVENT_PASS:
 			break;
@@ -32,6 +43,7 @@
 	}
 	if (!exchange->policy.has_response_started) {
 		exchange->policy.has_response_started = true;
+		exchange->policy.is_stream_started = true;
 		exchange->first_byte_at_us = dw_clock_now_us();
 		caller_begin(exchange->caller, exchange->answer.status, "",
 			     &exchange->answer.fields, CALLER_CHUNKED);
@@ -145,6 +157,22 @@
 	exchange_after_attempt(exchange, DW_ATTEMPT_DROPPED);
 }
 
+static const char *content_type(const struct http_head *head)
+{
+	const char *type = http_head_get(head, "Content-Type");
+
+	return type ? type : "";
+}
+
+/* Whether the answer of the next engine is of the type that the caller was told. */
+static bool has_type_of_stream(const struct exchange *exchange, const struct http_head *head)
+{
+	char type[sizeof(exchange->answer.type)];
+
+	snprintf(type, sizeof(type), "%s", content_type(head));
+	return strcasecmp(type, exchange->answer.type) == 0;
+}
+
 static bool on_answer_head(void *owner, const struct http_head *head,
 			   const struct response_fields *fields)
 {
@@ -156,14 +184,19 @@
 		exchange->load_permille =
 			(fields->running + fields->waiting) * 1000 / fields->slots;
 	exchange_count_version_wait(exchange);
-	if (exchange->policy.has_response_started)
-		return is_stream; /* a resumed stream keeps the head that its first engine sent */
+	if (exchange->policy.has_response_started) {
+		/* A resumed stream keeps the head that its first engine sent. */
+		exchange->is_continuation_due = true;
+		return is_stream && has_type_of_stream(exchange, head);
+	}
+	exchange->is_continuation_due = false;
 	exchange->answer.status = head->status;
 	exchange->answer.is_stream = is_stream;
 	exchange->answer.confidence = fields->confidence;
 	exchange->answer.fields.len = 0;
 	exchange->buffered_body.len = 0;
 	response_fields_forward(&exchange->answer.fields, head);
+	snprintf(exchange->answer.type, sizeof(exchange->answer.type), "%s", content_type(head));
 	if (is_stream && needs_largest_model(exchange, fields)) {
 		retry_with_largest_model(exchange);
 		return false;
--- a/src/wharf-gateway/exchange_state.h
+++ b/src/wharf-gateway/exchange_state.h
@@ -70,6 +70,7 @@
 	struct http_answer_head {
 		uint16_t status;
 		struct bytes fields;
+		char type[64]; /**< its content type, cut to this length */
 		bool is_stream;
 		uint32_t confidence;
 	} answer;
@@ -77,6 +78,8 @@
 	struct event_stream events;
 	struct dw_event_order order;
 	bool is_out_of_order;
+	/** The stream is resumed, and its next event hasn't come yet. */
+	bool is_continuation_due;
 	bool is_finished;
 };
 
--- a/tests/request_policy_test.cc
+++ b/tests/request_policy_test.cc
@@ -88,9 +88,19 @@
 	policy = policy_of(DW_ROUTE_STREAM, true, 3);
 	dw_request_policy_sent(&policy);
 	policy.has_response_started = true;
+	policy.is_stream_started = true;
 	EXPECT_EQ(dw_request_policy_ended(&policy, DW_ATTEMPT_CUT, true, MS), DW_POLICY_SEND_AGAIN);
 }
 
+/* A long error on a resumable stream's route breaks off: a stream can't continue it. */
+TEST(RequestPolicy, AStartedErrorOnAStreamsRouteIsNeverRetried)
+{
+	dw_request_policy policy = policy_of(DW_ROUTE_STREAM, true, 3);
+	dw_request_policy_sent(&policy);
+	policy.has_response_started = true;
+	EXPECT_EQ(dw_request_policy_ended(&policy, DW_ATTEMPT_CUT, true, MS), DW_POLICY_BREAK_OFF);
+}
+
 /* A long plain response is forwarded as it arrives; if it is truncated, another upstream's response
  * can't continue at that point. */
 TEST(RequestPolicy, StartedPlainResponseIsNeverRetried)
