HTTP client: an answer that ends between two chunks isn't whole

It can happen in dragonflywharfd, shown on real sockets at each byte of an answer: the HTTP library takes the end of the connection between two chunks for the end of the answer, so a chunked error of an upstream that broke off there was passed on as whole, 404 with "no suc" for "no such thing". Change: if the answer is chunked, its server hasn't said that it closes the connection, and the connection has ended when the answer does, the call has failed. A stream that has its end marker lacks nothing and stays complete. Left: a server that announces the close and breaks off between two chunks; the checks of JSON and of the end marker stay for it.

--- a/src/dragonflywharfd/attempt.c
+++ b/src/dragonflywharfd/attempt.c
@@ -178,12 +178,14 @@
 {
 	if (attempt->read_status != DW_OK)
 		return attempt->read_status;
-	if (result->status != DW_OK)
+	if (attempt->options.mode != ATTEMPT_STREAMED || attempt->http_status != 200)
 		return result->status;
-	if (attempt->options.mode == ATTEMPT_STREAMED && attempt->http_status == 200 &&
-	    !attempt->end_marker)
+	/* Nothing follows the end marker, so a connection that breaks after it cuts nothing off. */
+	if (attempt->end_marker && result->status == DW_UPSTREAM_FAILED)
+		return DW_OK;
+	if (result->status == DW_OK && !attempt->end_marker)
 		return dw_fail(DW_UPSTREAM_FAILED, "the stream ended without its end marker");
-	return DW_OK;
+	return result->status;
 }
 
 static void log_end(struct attempt *attempt, enum dw_status status, int http_status)
--- a/src/dragonflywharfd/service_request.c
+++ b/src/dragonflywharfd/service_request.c
@@ -265,7 +265,8 @@
 	free_if_done(request);
 }
 
-/* The HTTP client can't detect that a chunked answer was cut off; invalid JSON shows it. */
+/* A chunked answer of a server that closes its connection after it may be cut off between two chunks;
+ * invalid JSON shows it. */
 static bool is_complete(const struct attempt_end *end)
 {
 	struct json_object *parsed;
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include <h2o.h>
 #include <uthash.h>
@@ -38,6 +39,8 @@
 	h2o_header_t *headers; /* valid only within on_head */
 	size_t header_count;
 	h2o_socket_cb paused_read; /* restored by dw_http_resume(); NULL unless paused */
+	bool is_chunked;
+	bool closes_after; /* the server said that it closes the connection after the response */
 	bool in_callback;
 	bool cancelled;
 	bool finished;
@@ -107,6 +110,24 @@
 		call_abort(call, DW_TIMEOUT);
 }
 
+/* h2o takes the end of the connection between two chunks for the end of the response. */
+static bool is_cut_between_chunks(const struct dw_http_call *call, const h2o_http1client_t *h2o)
+{
+	char byte;
+
+	return call->is_chunked && !call->closes_after &&
+	       recv(h2o_socket_get_fd(h2o->sock), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) ==
+		       0;
+}
+
+static enum dw_status end_status(const struct dw_http_call *call, const h2o_http1client_t *h2o,
+				 const char *error)
+{
+	if (error != h2o_http1client_error_is_eos || is_cut_between_chunks(call, h2o))
+		return DW_UPSTREAM_FAILED;
+	return DW_OK;
+}
+
 static int on_body(h2o_http1client_t *h2o, const char *error)
 {
 	struct dw_http_call *call = h2o->data;
@@ -121,8 +142,7 @@
 		h2o_buffer_consume(input, (*input)->size);
 	}
 	if (error) {
-		call_finish(call,
-			    error == h2o_http1client_error_is_eos ? DW_OK : DW_UPSTREAM_FAILED);
+		call_finish(call, end_status(call, h2o, error));
 		return 0;
 	}
 	if (call->cancelled) {
@@ -132,6 +152,19 @@
 	return 0;
 }
 
+static bool header_has(struct dw_http_call *call, const char *name, const char *word)
+{
+	const char *value = dw_http_call_header(call, name);
+
+	return value && strcasestr(value, word);
+}
+
+static void read_framing(struct dw_http_call *call)
+{
+	call->is_chunked = header_has(call, "transfer-encoding", "chunked");
+	call->closes_after = header_has(call, "connection", "close");
+}
+
 static h2o_http1client_body_cb on_head(h2o_http1client_t *h2o, const char *error, int minor_version,
 				       int status, h2o_iovec_t msg, h2o_header_t *headers,
 				       size_t num_headers, int rlen)
@@ -146,6 +179,7 @@
 	call->result.http_status = status;
 	call->headers = headers;
 	call->header_count = num_headers;
+	read_framing(call);
 	call->in_callback = true;
 	if (call->options.on_head)
 		call->options.on_head(call, status, call->options.data);
@@ -218,6 +252,7 @@
 {
 	struct dw_http_call *call = h2o_mem_alloc(sizeof(*call));
 	struct sockaddr_in address;
+	h2o_socketpool_t *pool;
 
 	memset(call, 0, sizeof(*call));
 	call->client = client;
@@ -230,8 +265,8 @@
 		return call;
 	}
 	start_deadline(call);
-	h2o_http1client_connect_with_pool(&call->h2o, call, &client->context,
-					  &get_pool(client, &address)->sockets, on_connect);
+	pool = &get_pool(client, &address)->sockets;
+	h2o_http1client_connect_with_pool(&call->h2o, call, &client->context, pool, on_connect);
 	return call;
 }
 
--- a/tests/support/raw_server.cc
+++ b/tests/support/raw_server.cc
@@ -56,13 +56,16 @@
 	return "";
 }
 
-raw_server::raw_server(handler answer) : answer_(std::move(answer))
+raw_server::raw_server(handler answer, uint16_t port) : answer_(std::move(answer))
 {
 	sockaddr_in address{};
 	socklen_t len = sizeof(address);
 	address.sin_family = AF_INET;
 	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address.sin_port = htons(port);
 	listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int on = 1;
+	setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
 	bind(listener_, (sockaddr *)&address, sizeof(address));
 	listen(listener_, 64);
 	getsockname(listener_, (sockaddr *)&address, &len);
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -50,7 +50,8 @@
 	/** Answers a request, whose bytes are @p request. */
 	using handler = std::function<void(raw_connection &connection, const std::string &request)>;
 
-	explicit raw_server(handler answer);
+	/** @param port to listen on; 0: a free one */
+	explicit raw_server(handler answer, uint16_t port = 0);
 	~raw_server();
 	raw_server(const raw_server &) = delete;
 	raw_server &operator=(const raw_server &) = delete;
