Daemon: a refusal without an id isn't taken for the answer to a call that runs

In dragonflywharfd each attempt has an id of its own, so a refusal that an upstream writes once more is recognised by it (green before any change); without an id it was taken for the next call's: the caller got 503, and it was stored as the call's outcome, while the call ran. Change: a 429 or 503 without an id on a connection that may have been used before says nothing about this call: its outcome is unknown (502 or repeated where that is allowed), never "not run". Before: process_broken_upstreams_test ARefusalThatComesOnceMore red without an id. After: green, 5 of 5 in all.

--- a/src/dragonflywharfd/attempt.c
+++ b/src/dragonflywharfd/attempt.c
@@ -146,6 +146,23 @@
 	return !attempt->send_refused;
 }
 
+/* Without an id, a refusal on a connection that was used before may be an earlier one that comes once
+ * more, while the upstream runs this request. */
+static enum dw_status check_attribution(const struct attempt *attempt, struct dw_http_call *call,
+					const char *id)
+{
+	bool is_refusal = attempt->http_status == 429 || attempt->http_status == 503;
+
+	if (id && strcmp(id, attempt->id) != 0)
+		return dw_fail(DW_UPSTREAM_FAILED, "the answer belongs to another attempt");
+	if (!id && is_refusal && dw_http_call_may_be_reused(call))
+		return dw_fail(DW_UPSTREAM_FAILED,
+			       "a refusal with status %d that names no attempt, on a connection "
+			       "that was used before",
+			       attempt->http_status);
+	return DW_OK;
+}
+
 static void on_head(struct dw_http_call *call, int http_status, void *data)
 {
 	struct attempt *attempt = data;
@@ -162,13 +179,13 @@
 		 type ? type : "application/octet-stream");
 	attempt->has_length = dw_http_call_header(call, "content-length") != NULL;
 	id = dw_http_call_header(call, "x-attempt-id");
-	if (!id || strcmp(id, attempt->id) == 0)
+	attempt->read_status = check_attribution(attempt, call, id);
+	if (attempt->read_status == DW_OK)
 		return;
-	attempt->read_status = dw_fail(DW_UPSTREAM_FAILED, "the answer belongs to another attempt");
 	dw_counters_add(&attempt->daemon->counters, DW_COUNTER_CROSSED_ANSWERS, 1);
 	dw_log_event(&attempt->daemon->log, DW_EVENT_LATE_ANSWER_DROPPED,
 		     DW_STR("request", attempt->request_id), DW_STR("attempt", attempt->id),
-		     DW_STR("answer_to", id));
+		     DW_STR("answer_to", id ? id : ""));
 	dw_http_cancel(call);
 }
 
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -39,6 +39,7 @@
 	h2o_header_t *headers; /* valid only within on_head */
 	size_t header_count;
 	h2o_socket_cb paused_read; /* restored by dw_http_resume(); NULL unless paused */
+	bool may_be_reused; /* the connection may have carried another call */
 	bool is_chunked;
 	bool closes_after; /* the server said that it closes the connection after the response */
 	bool in_callback;
@@ -266,6 +267,7 @@
 	}
 	start_deadline(call);
 	pool = &get_pool(client, &address)->sockets;
+	call->may_be_reused = !h2o_linklist_is_empty(&pool->_shared.sockets);
 	h2o_http1client_connect_with_pool(&call->h2o, call, &client->context, pool, on_connect);
 	return call;
 }
@@ -287,6 +289,11 @@
 	return NULL;
 }
 
+bool dw_http_call_may_be_reused(const struct dw_http_call *call)
+{
+	return call->may_be_reused;
+}
+
 void dw_http_cancel(struct dw_http_call *call)
 {
 	if (call->finished || call->cancelled)
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -76,6 +76,9 @@
  */
 const char *dw_http_call_header(struct dw_http_call *call, const char *name);
 
+/** Whether the connection may have carried another request before this one. */
+bool dw_http_call_may_be_reused(const struct dw_http_call *call);
+
 /** Aborts the request and closes its connection; on_done reports DW_CANCELLED. */
 void dw_http_cancel(struct dw_http_call *call);
 
