Gateway: only an answer that shows a run clears a request that may crash its engines

Change: the answer must be signed and have an end of its own. An answer without a length counts as a run that was given up when its connection ended: if the engine has ended with it, that is evidence.

--- a/src/wharf-gateway/attempt.c
+++ b/src/wharf-gateway/attempt.c
@@ -31,6 +31,7 @@
 	bool is_answer_started; /**< the answer to this request has started */
 	enum answer_kind answer_kind;
 	enum dw_attempt_outcome not_executed_outcome; /**< valid with ANSWER_NOT_EXECUTED */
+	bool ends_at_close; /**< the answer has no length: the connection's end completes it */
 	bool is_invalid; /**< the answer failed validation: signature or encoding */
 	uint16_t status;
 	int connection_error; /**< of libuv; 0: none */
@@ -184,6 +185,7 @@
 		return true;
 	}
 	attempt->answer_kind = ANSWER_THIS_REQUEST;
+	attempt->ends_at_close = head->ends_at_close;
 	record_load_report(attempt, &fields);
 	if (!is_valid_answer(attempt, head, &fields)) {
 		attempt->is_invalid = true;
@@ -261,6 +263,13 @@
 		      is_wrong_engine ? DW_ENGINE_WRONG_INSTANCE : DW_ENGINE_REJECTED);
 }
 
+/* The end of the connection completed the answer; it may have been that of the engine. */
+static void note_possible_end(const struct attempt *attempt)
+{
+	crash_guard_abandoned(guard_of(attempt), attempt->engine, attempt->fingerprint,
+			      attempt->sent_at_us);
+}
+
 static void on_end(void *owner)
 {
 	struct attempt *attempt = owner;
@@ -277,6 +286,8 @@
 		return;
 	case ANSWER_THIS_REQUEST:
 		http_connection_release(attempt->link);
+		if (attempt->ends_at_close)
+			note_possible_end(attempt);
 		attempt_free(attempt,
 			     attempt->status >= 500 ? DW_ENGINE_FAILED : DW_ENGINE_ANSWERED);
 		callbacks->on_end(attempt_owner);
--- a/src/wharf-gateway/exchange_answer.c
+++ b/src/wharf-gateway/exchange_answer.c
@@ -184,6 +184,7 @@
 		exchange->load_permille =
 			(fields->running + fields->waiting) * 1000 / fields->slots;
 	exchange_count_version_wait(exchange);
+	exchange->answer.shows_run = fields->is_signed && !head->ends_at_close;
 	if (exchange->policy.has_response_started) {
 		/* A resumed stream keeps the head that its first engine sent. */
 		exchange->is_continuation_due = true;
@@ -255,8 +256,9 @@
 		exchange_after_attempt(exchange, DW_ATTEMPT_CUT);
 		return;
 	}
-	crash_guard_completed(&exchange->router->view->guard, exchange->fingerprint,
-			      exchange->version);
+	if (exchange->answer.shows_run)
+		crash_guard_completed(&exchange->router->view->guard, exchange->fingerprint,
+				      exchange->version);
 	exchange_count_version_end(exchange, true);
 	exchange_count_version_result(exchange, false);
 	if (exchange->first_byte_at_us == 0)
--- a/src/wharf-gateway/exchange_state.h
+++ b/src/wharf-gateway/exchange_state.h
@@ -72,6 +72,9 @@
 		struct bytes fields;
 		char type[64]; /**< its content type, cut to this length */
 		bool is_stream;
+		/** Once complete, the answer shows that the engine has run the request and still ran
+		 * afterwards: it is signed, and the engine's end wouldn't have completed it too. */
+		bool shows_run;
 		uint32_t confidence;
 	} answer;
 	struct bytes buffered_body; /**< not yet sent to the caller */
--- a/tests/process_abandoned_test.cc
+++ b/tests/process_abandoned_test.cc
@@ -82,6 +82,24 @@
 	repeat("POST", "/chat/poison", LEAVE_MS);
 }
 
+/* Guards against evidence that is withdrawn by an answer for which the request wasn't run. */
+TEST_F(Abandoned, AnAnswerWithoutARunClearsNothing)
+{
+	EXPECT_EQ(call(0, "POST", "/book/poison", "k1", "{}").status, 502);
+	tend_for(REPEAT_MS);
+	for (const auto &each : backends)
+		each->inject_fault("{\"kind\":\"deny\",\"count\":1}");
+	EXPECT_EQ(call(1, "POST", "/book/poison", "k1", "{}").status, 404);
+	tend_for(REPEAT_MS);
+	for (const auto &each : backends)
+		each->inject_fault("{\"kind\":\"none\"}");
+	for (size_t n = 0; n < 2 * INSTANCES; n++) {
+		EXPECT_NE(call(n % INSTANCES, "POST", "/book/poison", "k1", "{}").status, 200);
+		tend_for(REPEAT_MS);
+	}
+	EXPECT_EQ(crashes, MAX_CRASHES);
+}
+
 /* Instances that hear nothing of each other, and all reach the store. */
 struct Unheard : Abandoned {
 	Unheard()
--- a/tests/process_broken_answers_test.cc
+++ b/tests/process_broken_answers_test.cc
@@ -273,6 +273,19 @@
 	}
 }
 
+/* Guards against an engine's end that passes for the end of its answer: an answer without a length, which ends
+ * as its engine does, is no proof that the request ended well. */
+TEST_F(BrokenAnswers, AnEndThatCompletesAnAnswerWithoutALengthIsEvidence)
+{
+	start(1, [this](raw_connection &connection, const std::string &request) {
+		connection.send(head_of("200 OK", request, "") + "half of the bo");
+		engines[0]->refuse_connections();
+		connection.close();
+	});
+	call("POST", "/book/1");
+	EXPECT_TRUE(wait_until([&] { return instances[0].metric("requests_suspected") == 1; }));
+}
+
 /* An engine that writes its last refusal once more when the next request comes on the connection, which it
  * runs all the same. */
 struct Refusals : BrokenAnswers {
--- a/tests/standins/standin_backend.c
+++ b/tests/standins/standin_backend.c
@@ -5,6 +5,7 @@
  * It executes every request whose Expect-Instance header is missing or matches its id, and counts
  * executions by attempt id. Faults:
  * - reject: 503, not executed
+ * - deny: 404 without a signature and without executing it, as a server in front of it answers
  * - fail: executed, 500
  * - answer_lost: executed, then the connection is closed without a response
  * - mute: executed, no response
@@ -52,8 +53,8 @@
 	uint64_t cut_after; /**< aborted after this event; 0: not aborted */
 };
 
-static const char *const fault_kinds[] = { "reject", "fail", "answer_lost", "mute", "cut",
-					   "crash",  "late", "long",	    NULL };
+static const char *const fault_kinds[] = { "reject", "deny",  "fail", "answer_lost", "mute",
+					   "cut",    "crash", "late", "long",	     NULL };
 
 static struct backend *backend_of(const struct standin_request *request)
 {
@@ -225,6 +226,9 @@
 	} else if (fault_set_consume(&request->standin->faults, "reject", request->path)) {
 		backend->rejected++;
 		answer_not_executed(request, 503);
+	} else if (fault_set_consume(&request->standin->faults, "deny", request->path)) {
+		add_headers(request, false);
+		standin_answer_error(request, 404, "denied");
 	} else {
 		execute(request);
 	}
