Daemon: a request that was given up before its upstream crashed is evidence too

Change: abandoned_runs in the table of upstreams; a crash found by the connection monitor, a report or a peer counts for the runs given up in the second before. Such evidence goes to peers in a message of a type of its own, which earlier versions leave out.

--- a/src/dragonflywharfd/attempt.c
+++ b/src/dragonflywharfd/attempt.c
@@ -219,6 +219,19 @@
 		dw_counters_add(&attempt->daemon->counters, DW_COUNTER_ATTEMPTS_FAILED, 1);
 }
 
+/* The upstream may still work on the request, although nobody waits for it any more. */
+static void record_abandonment(const struct attempt *attempt)
+{
+	struct dw_abandoned_run run = {
+		.upstream = { attempt->upstream_id, attempt->incarnation },
+		.request = attempt->options.fingerprint,
+		.sent_at_us = attempt->started_us,
+		.abandoned_at_us = dw_clock_now_us(),
+	};
+
+	upstream_table_attempt_abandoned(attempt->daemon->upstreams, attempt->upstream_id, &run);
+}
+
 static void update_upstream(struct attempt *attempt, const struct dw_http_result *result,
 			    enum dw_status status)
 {
@@ -232,6 +245,9 @@
 		attempt->sample.first_token_us = attempt->first_token_us - attempt->started_us;
 	upstream_table_attempt_ended(table, attempt->upstream_id, attempt->options.fingerprint,
 				     has_sample ? &attempt->sample : NULL);
+	if (result->progress != DW_HTTP_NOT_SENT &&
+	    (result->status == DW_CANCELLED || result->status == DW_TIMEOUT))
+		record_abandonment(attempt);
 	if (result->status == DW_UPSTREAM_FAILED || result->status == DW_UNAVAILABLE)
 		upstream_table_connection_lost(table, attempt->upstream_id,
 					       attempt->options.fingerprint, attempt->incarnation);
--- a/src/dragonflywharfd/peer_bus.c
+++ b/src/dragonflywharfd/peer_bus.c
@@ -200,8 +200,8 @@
 			     DW_INT("version_id", newly_held[i]), DW_STR("told_by", from->name));
 }
 
-static void handle_quarantine(struct daemon *daemon, const struct dw_peer_identity *from,
-			      const struct dw_peer_payload *payload)
+static void merge_evidence(struct daemon *daemon, const struct dw_peer_identity *from,
+			   const struct dw_peer_payload *payload, bool is_abandoned)
 {
 	struct dw_quarantine_evidence evidence[DW_QUARANTINE_MESSAGE_ENTRIES];
 	uint64_t now_us = dw_clock_now_us();
@@ -212,6 +212,7 @@
 		return;
 	}
 	for (size_t i = 0; i < count; i++) {
+		evidence[i].is_abandoned = is_abandoned;
 		if (dw_quarantine_merge(daemon->quarantine, &evidence[i], now_us) &&
 		    dw_quarantine_check(daemon->quarantine, evidence[i].fingerprint, now_us) !=
 			    DW_OK)
@@ -220,6 +221,18 @@
 	}
 }
 
+static void handle_quarantine(struct daemon *daemon, const struct dw_peer_identity *from,
+			      const struct dw_peer_payload *payload)
+{
+	merge_evidence(daemon, from, payload, false);
+}
+
+static void handle_abandoned(struct daemon *daemon, const struct dw_peer_identity *from,
+			     const struct dw_peer_payload *payload)
+{
+	merge_evidence(daemon, from, payload, true);
+}
+
 static void handle_ledger(struct daemon *daemon, const struct dw_peer_identity *from,
 			  const struct dw_peer_payload *payload)
 {
@@ -263,6 +276,7 @@
 	[PEER_LIMITER] = handle_limiter,
 	[PEER_ROLLOUT] = handle_rollout,
 	[PEER_QUARANTINE] = handle_quarantine,
+	[PEER_ABANDONED] = handle_abandoned,
 	[PEER_LEDGER] = handle_ledger,
 	[PEER_WARMUP] = handle_warmup,
 };
@@ -404,7 +418,8 @@
 
 		peer_message_buffer_init(&buffer);
 		dw_quarantine_message_encode(&evidence, 1, &buffer.bytes);
-		peer_bus_gossip(daemon, EVIDENCE_FANOUT, PEER_QUARANTINE, &buffer);
+		peer_bus_gossip(daemon, EVIDENCE_FANOUT,
+				evidence.is_abandoned ? PEER_ABANDONED : PEER_QUARANTINE, &buffer);
 		peer_message_buffer_clear(&buffer);
 	}
 }
--- a/src/dragonflywharfd/peer_bus.h
+++ b/src/dragonflywharfd/peer_bus.h
@@ -22,6 +22,7 @@
 	PEER_SESSION_QUERY = 9,
 	PEER_SESSION_REPLY = 10,
 	PEER_CONFIG_CONFIRM = 11,
+	PEER_ABANDONED = 12, /**< as PEER_QUARANTINE, of runs that were given up before the crash */
 	PEER_MESSAGE_LIMIT
 };
 
--- a/src/dragonflywharfd/upstream_table.c
+++ b/src/dragonflywharfd/upstream_table.c
@@ -22,6 +22,7 @@
 	struct upstream *upstreams;
 	uint64_t generation;
 	bool configured; /* a refresh has found a configuration */
+	struct dw_abandoned_runs abandoned;
 };
 
 /* A load report being fetched; the upstream may have been removed when it arrives. */
@@ -114,17 +115,44 @@
 		     DW_INT("incarnation", upstream->warmup.incarnation));
 }
 
+/* Requests that were given up shortly before the crash are evidence too. @return their number */
+static uint32_t record_abandoned(struct upstream_table *table, const struct upstream *upstream,
+				 uint64_t crashed_incarnation)
+{
+	struct daemon *daemon = table->daemon;
+	struct dw_crash_upstream crashed = { upstream->id, crashed_incarnation };
+	struct dw_fingerprint requests[UPSTREAM_LOST_REQUESTS_MAX];
+	uint64_t now_us = dw_clock_now_us();
+	uint32_t count = dw_abandoned_runs_take(&table->abandoned, crashed, now_us, requests,
+						UPSTREAM_LOST_REQUESTS_MAX);
+
+	for (uint32_t i = 0; i < count; i++) {
+		struct dw_quarantine_evidence evidence = {
+			.fingerprint = requests[i],
+			.upstream_id = upstream->id,
+			.upstream_incarnation = crashed_incarnation,
+			.remaining_us = UINT64_MAX,
+			.is_abandoned = true,
+		};
+
+		dw_quarantine_merge(daemon->quarantine, &evidence, now_us);
+	}
+	return count;
+}
+
 /* Records a crash of the given incarnation as evidence against the requests that ran on it. */
 static void record_crash(struct upstream_table *table, struct upstream *upstream,
 			 uint64_t crashed_incarnation)
 {
 	struct daemon *daemon = table->daemon;
+	uint32_t abandoned = record_abandoned(table, upstream, crashed_incarnation);
 
-	if (upstream->lost_request_count == 0)
+	if (upstream->lost_request_count == 0 && abandoned == 0)
 		return;
 	dw_log_event(&daemon->log, DW_EVENT_UPSTREAM_CRASHED, DW_STR("upstream", upstream->name),
 		     DW_INT("incarnation", crashed_incarnation),
-		     DW_INT("requests", upstream->lost_request_count));
+		     DW_INT("requests", upstream->lost_request_count),
+		     DW_INT("abandoned", abandoned));
 	dw_quarantine_crashed(daemon->quarantine, upstream->id, crashed_incarnation,
 			      upstream->lost_requests, upstream->lost_request_count,
 			      dw_clock_now_us());
@@ -426,6 +454,19 @@
 		upstream->next_report_at_us = crash_check_at_us;
 }
 
+void upstream_table_attempt_abandoned(struct upstream_table *table, uint64_t id,
+				      const struct dw_abandoned_run *run)
+{
+	struct upstream *upstream = upstream_table_find(table, id);
+
+	if (!upstream || upstream->is_service || !upstream->usable)
+		return;
+	dw_abandoned_runs_add(&table->abandoned, run);
+	/* The crash is already known from a peer or another answer. */
+	if (run->upstream.incarnation != upstream->warmup.incarnation)
+		record_crash(table, upstream, run->upstream.incarnation);
+}
+
 bool upstream_table_crash_check_pending(struct upstream_table *table, uint64_t id,
 					struct dw_fingerprint fingerprint)
 {
--- a/src/dragonflywharfd/upstream_table.h
+++ b/src/dragonflywharfd/upstream_table.h
@@ -7,6 +7,7 @@
 
 #include <uthash.h>
 
+#include <dragonflywharf/abandoned_runs.h>
 #include <dragonflywharf/warmup.h>
 
 #include "dragonflywharfd/daemon.h"
@@ -88,6 +89,10 @@
 void upstream_table_connection_lost(struct upstream_table *table, uint64_t id,
 				    struct dw_fingerprint fingerprint, uint64_t incarnation);
 
+/** Records that this instance gave up a request on which the upstream worked. */
+void upstream_table_attempt_abandoned(struct upstream_table *table, uint64_t id,
+				      const struct dw_abandoned_run *run);
+
 /** Whether it is still unknown if a request's connection broke because the upstream crashed. */
 bool upstream_table_crash_check_pending(struct upstream_table *table, uint64_t id,
 					struct dw_fingerprint fingerprint);
--- a/tests/process_poison_test.cc
+++ b/tests/process_poison_test.cc
@@ -31,6 +31,7 @@
 	std::vector<support::daemon *> daemons;
 	std::string poison = chat_body("large", "hemlock", 4);
 	int crash_exits = 0;
+	int poison_after_ms = 0;
 
 	void SetUp() override
 	{
@@ -45,7 +46,8 @@
 			engines.push_back(&c.add_engine(
 				"engine-" + std::to_string(i + 1), "haarlem", { "large/1" },
 				{ "--token-us=1000", "--first-token-us=2000", "--poison=hemlock",
-				  std::string("--crash=") + GetParam() }));
+				  std::string("--crash=") + GetParam(),
+				  "--poison-after-ms=" + std::to_string(poison_after_ms) }));
 			entities.push_back(cluster::engine_entity(*engines.back(), "haarlem",
 								  { "large/1" }, 8, 8, 20));
 		}
@@ -167,6 +169,37 @@
 	EXPECT_LE(crashes(), max_crashes);
 }
 
+/* Engines that crash some time after they have begun, when the caller has left. */
+struct SlowPoison : Poison {
+	static constexpr int PATIENCE_MS = 30;
+	static constexpr int PAUSE_MS = 150;
+
+	SlowPoison()
+	{
+		poison_after_ms = 60;
+	}
+};
+
+/* Guards against a request whose caller left before its engine crashed: it left no evidence, and its repeats
+ * crashed one engine after the other. */
+TEST_P(SlowPoison, ARequestWhoseCallerLeftCrashesNoMoreThanTheBound)
+{
+	for (size_t sent = 0; sent < 24; sent++) {
+		support::http_stream caller(
+			daemons[sent % daemons.size()]->caller_port, "POST", "/v1/chat/completions",
+			poison,
+			support::http_headers{ { "authorization", "Bearer haarlemmerland" } });
+		std::this_thread::sleep_for(std::chrono::milliseconds(PATIENCE_MS));
+		caller.close();
+		std::this_thread::sleep_for(std::chrono::milliseconds(PAUSE_MS));
+		restart_crashed();
+	}
+	EXPECT_LE(crashes(), max_crashes);
+	EXPECT_GE(crashes(), 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(Crashes, SlowPoison, ::testing::Values("exit", "reset"));
+
 INSTANTIATE_TEST_SUITE_P(Crashes, Poison, ::testing::Values("exit", "reset"));
 
 } // namespace
--- a/tests/standins/engine.c
+++ b/tests/standins/engine.c
@@ -334,6 +334,11 @@
 	engine->in_flight++;
 }
 
+static void crash_late(struct standin_request *request)
+{
+	engine_crash(engine_from_request(request), "poison");
+}
+
 static void admit(struct engine *engine, struct engine_job *job)
 {
 	bool cold = engine_is_cold(engine);
@@ -343,7 +348,10 @@
 	count_peak(engine, "peak_in_flight", engine->in_flight);
 	if (cold)
 		count_peak(engine, "peak_in_flight_cold", engine->in_flight);
-	if (poison) {
+	if (poison && engine->poison_after_us > 0) {
+		job->request->on_disconnect = NULL;
+		standin_delay(job->request, engine->poison_after_us, crash_late);
+	} else if (poison) {
 		engine_crash(engine, poison);
 	} else if (cold && engine->in_flight > engine->cold_slots) {
 		engine_count(engine, "cold_breaches");
--- a/tests/standins/engine.h
+++ b/tests/standins/engine.h
@@ -16,6 +16,7 @@
 	size_t version_count;
 	const char **poisons; /* words in a prompt that crash the engine */
 	size_t poison_count;
+	uint64_t poison_after_us; /* until such a crash; the caller may have left by then */
 	size_t slots;
 	size_t cold_slots;
 	size_t max_in_flight; /* 0: no limit */
--- a/tests/standins/standin_engine.c
+++ b/tests/standins/standin_engine.c
@@ -155,6 +155,7 @@
 	OPTION_QUALITY,
 	OPTION_SEED,
 	OPTION_REPORT_LAG_MS,
+	OPTION_POISON_AFTER_MS,
 	OPTION_COUNT
 };
 
@@ -176,6 +177,8 @@
 			     "thousandths of the answers that are good (1000)" },
 	[OPTION_SEED] = { "seed", 1, "random seed that selects the good answers (1)" },
 	[OPTION_REPORT_LAG_MS] = { "report-lag-ms", 0, "age of load reports, up to 10000 (0)" },
+	[OPTION_POISON_AFTER_MS] = { "poison-after-ms", 0,
+				     "time until a poison word crashes the engine (0)" },
 };
 
 static void configure(struct engine *engine, struct arg_int *const *values)
@@ -192,6 +195,7 @@
 	engine->quality_permille = (uint64_t)values[OPTION_QUALITY]->ival[0];
 	engine->seed = (uint64_t)values[OPTION_SEED]->ival[0];
 	engine->report_lag_us = (uint64_t)values[OPTION_REPORT_LAG_MS]->ival[0] * DW_US_PER_MS;
+	engine->poison_after_us = (uint64_t)values[OPTION_POISON_AFTER_MS]->ival[0] * DW_US_PER_MS;
 	engine->counts = json_object_new_object();
 }
 
