--- a/include/dragonflywharf/abandoned_runs.h
+++ b/include/dragonflywharf/abandoned_runs.h
@@ -9,7 +9,6 @@
 #ifndef DRAGONFLYWHARF_ABANDONED_RUNS_H
 #define DRAGONFLYWHARF_ABANDONED_RUNS_H
 
-#include <stdbool.h>
 #include <stdint.h>
 
 #include <dragonflywharf/crash_check.h>
@@ -22,8 +21,6 @@
 #define DW_ABANDONED_RUNS_MAX 1024
 /** An upstream that ends later than this after a run was given up didn't end under it. */
 #define DW_ABANDONED_RUN_COUNTS_US UINT64_C(1000000)
-/** A run that was given up is taken for still running for this long. */
-#define DW_ABANDONED_RUN_LASTS_US UINT64_C(250000)
 
 struct dw_abandoned_run {
 	struct dw_crash_upstream upstream;
@@ -52,10 +49,6 @@
 uint64_t dw_abandoned_runs_count_until_us(const struct dw_abandoned_runs *runs,
 					  struct dw_crash_upstream upstream);
 
-/** Whether a run of the request that was given up may still be in progress on an upstream. */
-bool dw_abandoned_runs_may_run(const struct dw_abandoned_runs *runs, struct dw_fingerprint request,
-			       uint64_t now_us);
-
 /** Removes the runs of an upstream whose end will be no crash. */
 void dw_abandoned_runs_forget(struct dw_abandoned_runs *runs, struct dw_crash_upstream upstream);
 
--- a/include/dragonflywharf/quarantine.h
+++ b/include/dragonflywharf/quarantine.h
@@ -31,7 +31,7 @@
 /** Number of distinct crashes after which a fingerprint is quarantined. */
 #define DW_QUARANTINE_CRASHES 2
 /** How often dw_quarantine_take_news() returns a piece. */
-#define DW_QUARANTINE_SENDS 4
+#define DW_QUARANTINE_SENDS 5
 /** Crashes of abandoned runs that are found within this time count once. */
 #define DW_QUARANTINE_TOGETHER_US 50000
 /** Length of a round of dw_quarantine_take_news(). */
--- a/src/core/abandoned_runs.c
+++ b/src/core/abandoned_runs.c
@@ -1,5 +1,6 @@
 #include <dragonflywharf/abandoned_runs.h>
 
+#include <stdbool.h>
 #include <string.h>
 
 static bool is_at(const struct dw_abandoned_run *run, struct dw_crash_upstream upstream)
@@ -70,19 +71,6 @@
 	return until_us;
 }
 
-bool dw_abandoned_runs_may_run(const struct dw_abandoned_runs *runs, struct dw_fingerprint request,
-			       uint64_t now_us)
-{
-	for (uint32_t i = 0; i < DW_ABANDONED_RUNS_MAX; i++) {
-		const struct dw_abandoned_run *run = &runs->runs[i];
-
-		if (run->upstream.id != 0 && dw_fingerprint_equal(run->request, request) &&
-		    now_us < run->abandoned_at_us + DW_ABANDONED_RUN_LASTS_US)
-			return true;
-	}
-	return false;
-}
-
 void dw_abandoned_runs_forget(struct dw_abandoned_runs *runs, struct dw_crash_upstream upstream)
 {
 	for (uint32_t i = 0; i < DW_ABANDONED_RUNS_MAX; i++) {
--- a/src/core/quarantine.c
+++ b/src/core/quarantine.c
@@ -11,7 +11,7 @@
 
 /* Rounds between the sends of a piece: the first repeat is for a lost message, the last ones for an
  * instance on the way that has ended and isn't avoided yet. */
-static const uint32_t send_pauses[DW_QUARANTINE_SENDS] = { 1, 5, 20, 0 };
+static const uint32_t send_pauses[DW_QUARANTINE_SENDS] = { 1, 5, 6, 14, 0 };
 
 /* A crash of an upstream that was running the fingerprint. */
 struct crash {
--- a/src/wharf-gateway/crash_guard.c
+++ b/src/wharf-gateway/crash_guard.c
@@ -94,8 +94,7 @@
 		return CRASH_GUARD_RUN;
 	if (has_recent_crash(guard, request, now_us))
 		return CRASH_GUARD_UNDECIDED;
-	if (runs_here(guard, request) || guard->running_count == CRASH_GUARD_RUNNING_MAX ||
-	    dw_abandoned_runs_may_run(&guard->abandoned, request, now_us))
+	if (runs_here(guard, request) || guard->running_count == CRASH_GUARD_RUNNING_MAX)
 		return CRASH_GUARD_RUNS_ALREADY;
 	return CRASH_GUARD_RUN_AS_SUSPECT;
 }
--- a/tests/process_abandoned_test.cc
+++ b/tests/process_abandoned_test.cc
@@ -82,6 +82,24 @@
 	repeat("POST", "/chat/poison", LEAVE_MS);
 }
 
+/* An engine that has said that it leaves ends with the runs that its callers had given up. */
+TEST_F(Abandoned, AnEngineThatLeavesHasNotCrashedUnderCallersThatLeft)
+{
+	for (const auto &each : backends)
+		each->inject_fault("{\"kind\":\"mute\"}");
+	for (size_t n = 0; n < 2 * INSTANCES; n++)
+		ask_and_leave(n, "POST", "/book/innocent", 5);
+	for (const auto &each : backends)
+		register_backend(*each, each->id, "draining");
+	for (const auto &each : instances)
+		ASSERT_TRUE(wait_until([&] { return each.metric("engines_usable") == 0; }));
+	for (const auto &each : backends)
+		each->server->kill();
+	std::this_thread::sleep_for(std::chrono::milliseconds(300));
+	EXPECT_GT(sum_metric("attempts_abandoned_total"), 0);
+	EXPECT_EQ(sum_metric("requests_suspected") + sum_metric("requests_quarantined"), 0);
+}
+
 /* Guards against an engine that doesn't answer and is chosen again and again, since no caller waits until its
  * silence counts: the shorter the callers' patience, the idler it looks. */
 TEST_F(Abandoned, AnEngineThatIsOnlyLeftByItsCallersIsAvoided)
