Gateway: engines that say that they leave get no requests, and none within a pause that they ask for

Its end is no crash. What it runs goes on. - Retry-After in a 503: the deadline is stored (the latest holds, up to a quarter and 1 s are added at random, cut to an hour), and this instance sends nothing until then; another lifetime clears it. If all engines want a pause, a request waits if the soonest end is within its response-time goal, else it is refused at once with a Retry-After not before that end. A field that can't be read asks for nothing, is counted and logged. A suspect doesn't go to the last engine beside paused ones. Lines engine.leaves, engine.paused; metrics engines_leaving, pause_waits, pause_refusals. The fixture of tests with engines written byte by byte moves to tests/support/raw_fleet.

--- a/include/dragonflywharf/engine.h
+++ b/include/dragonflywharf/engine.h
@@ -61,6 +61,9 @@
 	enum dw_engine_state state;
 	uint64_t missing_until_us; /**< MISSING: becomes GONE at this time */
 	uint64_t cold_until_us;
+	bool says_it_leaves; /**< in an answer: this lifetime gets no new requests */
+	uint64_t
+		paused_until_us; /**< it asked this instance for no requests until then; 0: never */
 	struct dw_engine_load load;
 	uint8_t load_scope; /**< enum dw_spread_scope: where the load still has to be sent */
 	uint32_t passed_on_load; /**< running and waiting requests, as last passed on by a relay */
@@ -126,7 +129,7 @@
 uint32_t dw_engine_set_count_version(const struct dw_engine_set *set, const char *service,
 				     const char *version, uint64_t now_us);
 
-/** True if READY, or MISSING and not yet timed out. */
+/** True if READY, or MISSING and not yet timed out, and it hasn't said that it leaves. */
 bool dw_engine_is_usable(const struct dw_engine *engine, uint64_t now_us);
 bool dw_engine_is_cold(const struct dw_engine *engine, uint64_t now_us);
 bool dw_engine_has_model(const struct dw_engine *engine, const char *model);
@@ -149,6 +152,10 @@
 /** The engine reported that its cold start lasts @p cold_ms more. */
 void dw_engine_cold_start_reported(struct dw_engine *engine, uint32_t cold_ms, uint64_t now_us);
 
+/** The engine asked for no requests until @p until_us; the latest end holds. */
+void dw_engine_pause_requested(struct dw_engine *engine, uint64_t until_us);
+bool dw_engine_is_paused(const struct dw_engine *engine, uint64_t now_us);
+
 /** The engine's process has ended: it isn't selected for a while, unless no other engine is left. */
 void dw_engine_process_ended(struct dw_engine *engine, uint64_t now_us);
 
--- a/include/dragonflywharf/engine_choice.h
+++ b/include/dragonflywharf/engine_choice.h
@@ -86,6 +86,7 @@
 	DW_CHOICE_ALL_TRIED,
 	DW_CHOICE_LAST_ENGINE, /**< a request that may crash its engine, and one engine is left */
 	DW_CHOICE_BESIDE_SUSPECTS, /**< such a request, and others run at all engines */
+	DW_CHOICE_PAUSED, /**< only engines are left that asked for a pause */
 	DW_CHOICE_COLD_LIMIT, /**< only cold engines are left, and their rate limit is reached */
 	DW_CHOICE_RESULT_COUNT
 };
@@ -116,6 +117,9 @@
 /** Hash that identifies a model in the prefix index. */
 uint64_t dw_model_hash(const char *model);
 
+/** The soonest end of a pause of the engines that could serve the request; UINT64_MAX: there is none. */
+uint64_t dw_engine_pause_end_us(struct dw_engine_set *set, const struct dw_choice_request *request);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/core/engine.c
+++ b/src/core/engine.c
@@ -99,6 +99,8 @@
 	engine->failure_permille = 0;
 	engine->latency_ratio_permille = 1000;
 	engine->recent_send_count = 0;
+	engine->says_it_leaves = false;
+	engine->paused_until_us = 0;
 	if (engine->cache)
 		dw_prefix_cache_clear(engine->cache);
 }
@@ -177,6 +179,8 @@
 
 bool dw_engine_is_usable(const struct dw_engine *engine, uint64_t now_us)
 {
+	if (engine->says_it_leaves)
+		return false;
 	return engine->state == DW_ENGINE_READY ||
 	       (engine->state == DW_ENGINE_MISSING && now_us < engine->missing_until_us);
 }
@@ -290,6 +294,17 @@
 		engine->cold_until_us = until_us;
 }
 
+void dw_engine_pause_requested(struct dw_engine *engine, uint64_t until_us)
+{
+	if (until_us > engine->paused_until_us)
+		engine->paused_until_us = until_us;
+}
+
+bool dw_engine_is_paused(const struct dw_engine *engine, uint64_t now_us)
+{
+	return now_us < engine->paused_until_us;
+}
+
 static void eject(struct dw_engine *engine, uint64_t now_us)
 {
 	uint32_t doublings = engine->consecutive_failures - EJECT_AFTER_FAILURES;
--- a/src/core/engine_choice.c
+++ b/src/core/engine_choice.c
@@ -52,6 +52,7 @@
 	[DW_CHOICE_ALL_TRIED] = "all_tried",
 	[DW_CHOICE_ALL_EVACUATED] = "all_evacuated",
 	[DW_CHOICE_COLD_LIMIT] = "cold_limit",
+	[DW_CHOICE_PAUSED] = "paused",
 	[DW_CHOICE_LAST_ENGINE] = "last_engine",
 	[DW_CHOICE_ALL_EJECTED] = "all_ejected",
 	[DW_CHOICE_BESIDE_SUSPECTS] = "beside_suspects",
@@ -384,6 +385,8 @@
 		return DW_CHOICE_ALL_EVACUATED;
 	if (was_tried(request, engine))
 		return DW_CHOICE_ALL_TRIED;
+	if (dw_engine_is_paused(engine, request->now_us))
+		return DW_CHOICE_PAUSED;
 	if (is_cold_rate_exhausted(request, engine))
 		return DW_CHOICE_COLD_LIMIT;
 	return DW_CHOICE_FOUND;
@@ -416,6 +419,10 @@
 
 	if (exclusion == DW_CHOICE_ALL_EVACUATED || engine->ejected_until_us > request->now_us)
 		return;
+	if (exclusion == DW_CHOICE_PAUSED) {
+		candidates->exclusion = exclusion;
+		return;
+	}
 	candidates->in_use++;
 	if (exclusion == DW_CHOICE_FOUND && engine->suspects_in_flight > 0)
 		exclusion = DW_CHOICE_BESIDE_SUSPECTS;
@@ -481,3 +488,15 @@
 	*selection = ranking.best;
 	return DW_CHOICE_FOUND;
 }
+
+uint64_t dw_engine_pause_end_us(struct dw_engine_set *set, const struct dw_choice_request *request)
+{
+	uint64_t end_us = UINT64_MAX;
+
+	for (struct dw_engine *it = dw_engine_set_first(set); it; it = it->next) {
+		if (is_match(request, it) && find_exclusion(request, it) == DW_CHOICE_PAUSED &&
+		    it->paused_until_us < end_us)
+			end_us = it->paused_until_us;
+	}
+	return end_us;
+}
--- a/src/wharf-gateway/attempt.c
+++ b/src/wharf-gateway/attempt.c
@@ -7,6 +7,10 @@
 
 #include "base/clock.h"
 
+/* Up to this part of a pause is added to it, at random, and not more than the maximum. */
+#define PAUSE_SPREAD_PART 4
+#define PAUSE_SPREAD_MAX_US (1 * DW_US_PER_S)
+
 /* What the answer being received responds to. */
 enum answer_kind {
 	ANSWER_OTHER_REQUEST, /**< answers another request: skipped */
@@ -161,12 +165,53 @@
 	return head->status >= 300 || !attempt->requires_signature || fields->is_signed;
 }
 
+/* Instances don't send to the engine again at the same moment. */
+static uint64_t pause_end_us(struct attempt *attempt, uint64_t pause_us, uint64_t now_us)
+{
+	uint64_t spread_us = pause_us / PAUSE_SPREAD_PART;
+
+	if (spread_us > PAUSE_SPREAD_MAX_US)
+		spread_us = PAUSE_SPREAD_MAX_US;
+	return now_us + pause_us + router_random(attempt->router) % (spread_us + 1);
+}
+
+static void record_pause(struct attempt *attempt, const struct response_fields *fields)
+{
+	uint64_t now_us = dw_clock_now_us();
+	struct dw_engine *engine = attempt->engine;
+
+	dw_engine_pause_requested(engine, pause_end_us(attempt, fields->pause_us, now_us));
+	dw_log_event(attempt->router->log, DW_EVENT_ENGINE_PAUSED,
+		     DW_STR("engine", engine->entry.id), DW_STR("service", engine->entry.service),
+		     DW_STR("request", attempt->attempt_id),
+		     DW_INT("asked_ms", fields->pause_us / DW_US_PER_MS),
+		     DW_INT("until_ms", (engine->paused_until_us - now_us) / DW_US_PER_MS));
+}
+
+/* What the engine says of itself, in an answer to whatever request. */
+static void record_engine_state(struct attempt *attempt, const struct response_fields *fields)
+{
+	if (fields->is_wrong_engine)
+		return;
+	if (fields->is_leaving)
+		view_engine_leaves(attempt->router->view, attempt->engine);
+	if (fields->pause_us > 0)
+		record_pause(attempt, fields);
+	if (!fields->has_bad_pause)
+		return;
+	dw_counters_add(attempt->router->counters, DW_COUNTER_BAD_INPUTS, 1);
+	dw_log_event(attempt->router->log, DW_EVENT_INPUT_REFUSED,
+		     DW_STR("engine", attempt->engine->entry.id),
+		     DW_STR("reason", "the field that asks for a pause is malformed"));
+}
+
 static bool on_head(void *owner, const struct http_head *head)
 {
 	struct attempt *attempt = owner;
 	struct response_fields fields;
 
 	response_fields_read(head, &fields);
+	record_engine_state(attempt, &fields);
 	attempt->status = head->status;
 	if (fields.is_wrong_engine || fields.is_not_executed) {
 		attempt->answer_kind = ANSWER_NOT_EXECUTED;
--- a/src/wharf-gateway/crash_guard.c
+++ b/src/wharf-gateway/crash_guard.c
@@ -57,7 +57,8 @@
 
 static bool is_leaving(const struct dw_engine *engine)
 {
-	return engine->state == DW_ENGINE_DRAINING || engine->state == DW_ENGINE_GONE;
+	return engine->state == DW_ENGINE_DRAINING || engine->state == DW_ENGINE_GONE ||
+	       engine->says_it_leaves;
 }
 
 static bool runs_here(const struct crash_guard *guard, struct dw_fingerprint request)
--- a/src/wharf-gateway/digest_exchange.c
+++ b/src/wharf-gateway/digest_exchange.c
@@ -5,6 +5,7 @@
 #include <dragonflywharf/load_digest.h>
 
 #include "base/clock.h"
+#include "net/leaving_codec.h"
 #include "net/quarantine_codec.h"
 
 #define LOAD_PERIOD_MS 300
@@ -14,6 +15,8 @@
 #define CRASH_PERIOD_MS (DW_QUARANTINE_ROUND_US / DW_US_PER_MS)
 /* Pieces of evidence in a digest: five integers of up to nine bytes each. */
 #define CRASHES_MAX 26
+/* Engines that leave in a digest: two integers of up to nine bytes each. */
+#define LEAVING_MAX 64
 /* Digests of a kind sent in a period at most; what is left waits for the next one. */
 #define DIGESTS_MAX 16
 #define DIGEST_BYTES 1200
@@ -58,6 +61,40 @@
 	return status;
 }
 
+static size_t write_leaving(struct digest_exchange *exchange, enum dw_spread_scope scope,
+			    uint64_t now_us, uint8_t *out)
+{
+	struct dw_crash_upstream engines[LEAVING_MAX];
+	uint32_t round = (uint32_t)(now_us / DW_LEAVING_ROUND_US);
+	size_t count =
+		dw_leaving_take_news(exchange->view->leaving, scope, round, engines, LEAVING_MAX);
+	msgpack_sbuffer buffer;
+	size_t len = 0;
+
+	if (count == 0)
+		return 0;
+	msgpack_sbuffer_init(&buffer);
+	if (leaving_message_encode(engines, count, &buffer) == DW_OK &&
+	    buffer.size <= DIGEST_BYTES) {
+		len = buffer.size;
+		memcpy(out, buffer.data, len);
+	}
+	msgpack_sbuffer_destroy(&buffer);
+	return len;
+}
+
+static enum dw_status read_leaving(struct digest_exchange *exchange, enum dw_spread_scope scope,
+				   const struct dw_member *from, const uint8_t *bytes, size_t len)
+{
+	struct dw_crash_upstream engines[LEAVING_MESSAGE_ENTRIES];
+	size_t count;
+	enum dw_status status = leaving_message_decode(bytes, len, engines, &count);
+
+	if (status == DW_OK)
+		view_told_leaving(exchange->view, engines, count, scope, from->name);
+	return status;
+}
+
 struct outgoing {
 	struct peers *peers;
 	enum peers_digest kind;
@@ -79,6 +116,8 @@
 		return write_crashes(exchange, false, scope, now_us, out);
 	case PEERS_ABANDONED:
 		return write_crashes(exchange, true, scope, now_us, out);
+	case PEERS_LEAVING:
+		return write_leaving(exchange, scope, now_us, out);
 	}
 	return 0;
 }
@@ -99,6 +138,8 @@
 		return read_crashes(exchange, false, scope, from, bytes, len);
 	case PEERS_ABANDONED:
 		return read_crashes(exchange, true, scope, from, bytes, len);
+	case PEERS_LEAVING:
+		return read_leaving(exchange, scope, from, bytes, len);
 	}
 	return dw_fail(DW_INVALID_ARGUMENT, "digest of unknown kind %d", (int)kind);
 }
@@ -163,9 +204,15 @@
 	send_news(owner, PEERS_ABANDONED);
 }
 
-static void on_crash_timer(uv_timer_t *timer)
+static void on_leaving_news(void *owner)
+{
+	send_news(owner, PEERS_LEAVING);
+}
+
+static void on_news_timer(uv_timer_t *timer)
 {
 	on_crash_news(timer->data);
+	on_leaving_news(timer->data);
 }
 
 void digest_exchange_place(struct digest_exchange *exchange, const struct dw_view_member *members,
@@ -190,7 +237,9 @@
 		return;
 	start_timer(exchange, loop, &exchange->load_timer, on_load_timer, LOAD_PERIOD_MS);
 	start_timer(exchange, loop, &exchange->pin_timer, on_pin_timer, PIN_PERIOD_MS);
-	start_timer(exchange, loop, &exchange->crash_timer, on_crash_timer, CRASH_PERIOD_MS);
+	start_timer(exchange, loop, &exchange->crash_timer, on_news_timer, CRASH_PERIOD_MS);
+	view->on_leaving_news = on_leaving_news;
+	view->on_leaving_news_owner = exchange;
 	view->guard.on_news = on_crash_news;
 	view->guard.on_news_owner = exchange;
 }
--- a/src/wharf-gateway/exchange.c
+++ b/src/wharf-gateway/exchange.c
@@ -137,6 +137,19 @@
 	}
 }
 
+/* An engine that has turned the request away for a while may be asked again after that. */
+static void forget_paused_engine(struct exchange *exchange, uint64_t now_us)
+{
+	const struct dw_engine *engine;
+
+	if (exchange->tried_count == 0)
+		return;
+	engine = dw_engine_set_find(exchange->router->view->engines,
+				    exchange->tried[exchange->tried_count - 1]);
+	if (engine && dw_engine_is_paused(engine, now_us))
+		exchange->tried_count--;
+}
+
 void exchange_after_attempt(struct exchange *exchange, enum dw_attempt_outcome outcome)
 {
 	uint64_t now_us = dw_clock_now_us();
@@ -171,6 +184,8 @@
 		     DW_STR("connection", attempt_connection_name(exchange->connection)),
 		     DW_STR("fingerprint", fingerprint), DW_INT("may_retry", may_retry),
 		     DW_INT("runs", exchange->policy.runs));
+	if (outcome == DW_ATTEMPT_REJECTED)
+		forget_paused_engine(exchange, now_us);
 	apply_verdict(exchange, verdict, dw_attempt_outcome_name(outcome));
 }
 
@@ -306,6 +321,29 @@
 	return result == DW_CHOICE_COLD_LIMIT || result == DW_CHOICE_BESIDE_SUSPECTS;
 }
 
+/* All engines have asked for a pause: waits for its soonest end if that serves the request within its
+ * response-time goal, else refuses it at once. */
+static void wait_for_pause(struct exchange *exchange, const struct dw_choice_request *choice)
+{
+	uint64_t end_us = dw_engine_pause_end_us(exchange->router->view->engines, choice);
+	uint64_t goal_us =
+		exchange->request.arrived_at_us + exchange->route->target_latency_ms * DW_US_PER_MS;
+
+	if (goal_us > exchange->policy.deadline_us)
+		goal_us = exchange->policy.deadline_us;
+	if (end_us < goal_us) {
+		exchange->send_retry_at_us = end_us;
+		exchange->send_wait_deadline_us = end_us + SEND_WAIT_MAX_US;
+		exchange->router->pause_waits++;
+		exchange_set_timer(exchange);
+		return;
+	}
+	if (end_us < UINT64_MAX)
+		exchange->retry_not_before_us = end_us;
+	exchange->router->pause_refusals++;
+	give_up(exchange, dw_choice_result_name(DW_CHOICE_PAUSED));
+}
+
 static void send_to_engine(struct exchange *exchange)
 {
 	uint64_t now_us = dw_clock_now_us();
@@ -327,6 +365,10 @@
 		start_attempt(exchange, &choice, &chosen);
 		return;
 	}
+	if (result == DW_CHOICE_PAUSED) {
+		wait_for_pause(exchange, &choice);
+		return;
+	}
 	if (is_worth_waiting(result) && wait_to_send(exchange, SEND_WAIT_POLL_US, now_us))
 		return;
 	give_up(exchange, dw_choice_result_name(result));
--- a/src/wharf-gateway/exchange_reply.c
+++ b/src/wharf-gateway/exchange_reply.c
@@ -81,7 +81,12 @@
 
 static uint32_t retry_after_ms(struct exchange *exchange)
 {
-	return RETRY_AFTER_MIN_MS +
+	uint64_t now_us = dw_clock_now_us();
+	uint64_t wait_ms = exchange->retry_not_before_us > now_us
+				   ? (exchange->retry_not_before_us - now_us) / DW_US_PER_MS + 1
+				   : 0;
+
+	return RETRY_AFTER_MIN_MS + (uint32_t)wait_ms +
 	       (uint32_t)(router_random(exchange->router) % RETRY_AFTER_SPREAD_MS);
 }
 
--- a/src/wharf-gateway/exchange_state.h
+++ b/src/wharf-gateway/exchange_state.h
@@ -64,6 +64,8 @@
 	uint64_t send_wait_deadline_us;
 	uint64_t send_retry_at_us; /**< when it is tried next; valid while waiting */
 	bool is_suspect; /**< the request may crash its engine */
+	/** A refused caller isn't told to come back sooner; 0: whenever. */
+	uint64_t retry_not_before_us;
 	uint64_t first_byte_at_us;
 	uv_timer_t timer;
 	/** Head of the answer being received. */
--- a/src/wharf-gateway/peers.h
+++ b/src/wharf-gateway/peers.h
@@ -25,6 +25,7 @@
 	PEERS_PINS = 3, /**< versions that sessions use */
 	PEERS_CRASHES = 4, /**< evidence of requests that crash engines */
 	PEERS_ABANDONED = 5, /**< the same, of runs that were given up before the crash */
+	PEERS_LEAVING = 6, /**< engines that said that they leave */
 };
 
 struct peers_callbacks {
--- a/src/wharf-gateway/router.h
+++ b/src/wharf-gateway/router.h
@@ -34,6 +34,8 @@
 	struct histogram whole_answer;
 	struct histogram refusal;
 	uint32_t in_progress; /**< number of requests being answered */
+	uint64_t pause_waits; /**< requests that waited as all engines had asked for a pause */
+	uint64_t pause_refusals; /**< requests refused for that */
 };
 
 void router_init(struct router *router, uv_loop_t *loop, struct view *view);
--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -33,6 +33,7 @@
 	view->counters = counters;
 	view->engines = dw_engine_set_new();
 	view->records = dw_view_log_new();
+	view->leaving = dw_leaving_upstreams_new();
 	dw_view_source_init(&view->source, gateway_settings_change_us(settings), dw_clock_now_us());
 	crash_guard_init(&view->guard, log, view->engines);
 	shifts_init(&view->shifts, log, settings->instance);
@@ -45,6 +46,7 @@
 void view_close(struct view *view)
 {
 	dw_view_log_free(view->records);
+	dw_leaving_upstreams_free(view->leaving);
 	peers_close(&view->peers);
 	crash_guard_close(&view->guard);
 	dw_engine_set_free(view->engines);
@@ -107,6 +109,42 @@
 		     DW_INT("age_ms", age_ms(view, now_us)));
 }
 
+static struct dw_crash_upstream lifetime_of(const struct dw_engine *engine)
+{
+	return (struct dw_crash_upstream){ engine->id_hash, engine->entry.started_at_ms };
+}
+
+/* Adds a lifetime that leaves, and takes its engine out if it is known. */
+static void add_leaving(struct view *view, struct dw_crash_upstream lifetime, bool is_own,
+			enum dw_spread_scope scope, const char *from)
+{
+	struct dw_engine *engine =
+		dw_engine_set_find_run(view->engines, lifetime.id, lifetime.incarnation);
+
+	if (!dw_leaving_add(view->leaving, lifetime, is_own, scope, dw_clock_now_us()))
+		return;
+	if (engine)
+		engine->says_it_leaves = true;
+	dw_log_event(view->log, DW_EVENT_ENGINE_LEAVES,
+		     DW_STR("engine", engine ? engine->entry.id : ""),
+		     DW_STR("service", engine ? engine->entry.service : ""),
+		     DW_INT("incarnation", lifetime.incarnation), DW_STR("from", from));
+	if (view->on_leaving_news)
+		view->on_leaving_news(view->on_leaving_news_owner);
+}
+
+void view_engine_leaves(struct view *view, struct dw_engine *engine)
+{
+	add_leaving(view, lifetime_of(engine), true, DW_SPREAD_EVERYWHERE, "own");
+}
+
+void view_told_leaving(struct view *view, const struct dw_crash_upstream *engines, size_t count,
+		       enum dw_spread_scope scope, const char *from)
+{
+	for (size_t i = 0; i < count; i++)
+		add_leaving(view, engines[i], false, scope, from);
+}
+
 static void apply_engine(struct view *view, const char *id, const struct dw_store_entry *record,
 			 uint64_t now_us)
 {
@@ -131,6 +169,7 @@
 	if (change == DW_ENGINE_UNCHANGED)
 		return;
 	engine = dw_engine_set_find(view->engines, id);
+	engine->says_it_leaves = dw_leaving_has(view->leaving, lifetime_of(engine));
 	log_engine(view, engine, changes[change], now_us);
 	if (change == DW_ENGINE_STATE_CHANGED && engine->state == DW_ENGINE_DRAINING)
 		crash_guard_sign(&view->guard, engine, DW_CRASH_SIGN_LEAVING, now_us);
@@ -334,6 +373,7 @@
 	if (now_us > TOMBSTONE_TTL_US)
 		dw_view_log_forget(view->records, now_us - TOMBSTONE_TTL_US);
 	crash_guard_sweep(&view->guard, now_us);
+	dw_leaving_expire(view->leaving, now_us);
 }
 
 static void confirm(struct view *view, enum dw_view_origin origin, uint64_t confirmed_at_us,
--- a/src/wharf-gateway/view.h
+++ b/src/wharf-gateway/view.h
@@ -9,6 +9,7 @@
 #ifndef GATEWAY_VIEW_H
 #define GATEWAY_VIEW_H
 
+#include <dragonflywharf/leaving_upstreams.h>
 #include <dragonflywharf/catalog.h>
 #include <dragonflywharf/engine_choice.h>
 #include <dragonflywharf/store_outage.h>
@@ -33,6 +34,10 @@
 	struct dw_domain_list evacuated;
 	struct shifts shifts;
 	struct crash_guard guard;
+	struct dw_leaving_upstreams *leaving; /**< engines that said in an answer that they leave */
+	void (*on_leaving_news)(
+		void *owner); /**< there are some to be told to others; may be NULL */
+	void *on_leaving_news_owner;
 	struct peers peers;
 	struct reader_key reader_key;
 	struct dw_view_log *records; /**< newest known record of each key */
@@ -69,6 +74,12 @@
 void view_apply_all(struct view *view, const struct dw_store_entry *entries, size_t count,
 		    uint64_t revision, uint64_t now_us);
 
+/** The engine said in an answer that it leaves. */
+void view_engine_leaves(struct view *view, struct dw_engine *engine);
+/** The instance @p from has heard that engines leave; passed on to @p scope. */
+void view_told_leaving(struct view *view, const struct dw_crash_upstream *engines, size_t count,
+		       enum dw_spread_scope scope, const char *from);
+
 /** Removes tombstones of deleted keys for which no late event can arrive any more. */
 void view_sweep(struct view *view, uint64_t now_us);
 
--- a/tests/engine_choice_test.cc
+++ b/tests/engine_choice_test.cc
@@ -295,6 +295,37 @@
 	EXPECT_NE(choose(), "") << "other requests try engines that have failed";
 }
 
+/* Engines that asked for a pause, or said that they leave, are none that other requests can use. */
+TEST_F(SuspectChoice, NeverAtTheLastEngineBesidePausesAndLeaving)
+{
+	dw_engine_pause_requested(dw_engine_set_find(set, "e1"), choice.now_us + SECOND);
+	EXPECT_NE(choose(), "e1");
+	dw_engine_set_find(set, "e2")->says_it_leaves = true;
+	choose(DW_CHOICE_LAST_ENGINE);
+	dw_engine_pause_requested(dw_engine_set_find(set, "e3"), choice.now_us + SECOND);
+	choose(DW_CHOICE_PAUSED);
+}
+
+/* An engine in trouble asks for a pause: nothing is sent to it until its end. */
+TEST_F(SuspectChoice, PausedEnginesAreChosenAfterTheirPauseOnly)
+{
+	choice.suspect_key = 0;
+	EXPECT_EQ(dw_engine_pause_end_us(set, &choice), UINT64_MAX);
+	dw_engine_pause_requested(dw_engine_set_find(set, "e1"), choice.now_us + 2 * SECOND);
+	for (choice.random = 1; choice.random < 40; choice.random++)
+		EXPECT_NE(choose(), "e1");
+	dw_engine_pause_requested(dw_engine_set_find(set, "e2"), choice.now_us + 3 * SECOND);
+	dw_engine_pause_requested(dw_engine_set_find(set, "e3"), choice.now_us + 4 * SECOND);
+	dw_engine_pause_requested(dw_engine_set_find(set, "e1"), choice.now_us + SECOND);
+	choose(DW_CHOICE_PAUSED);
+	EXPECT_EQ(dw_engine_pause_end_us(set, &choice), choice.now_us + 2 * SECOND)
+		<< "a later request for a shorter pause doesn't end it";
+	choice.now_us += 2 * SECOND;
+	EXPECT_EQ(choose(), "e1");
+	dw_engine_set_find(set, "e1")->says_it_leaves = true;
+	choose(DW_CHOICE_PAUSED);
+}
+
 /* A service of one engine has no other that could be kept for other requests. */
 TEST_F(SuspectChoice, TheOnlyEngineOfAServiceIsUsed)
 {
--- a/tests/engine_test.cc
+++ b/tests/engine_test.cc
@@ -58,6 +58,24 @@
 	EXPECT_EQ(engine->consecutive_failures, 0U);
 }
 
+/* What an engine has said of itself holds for its lifetime, whatever discovery says of it. */
+TEST_F(Engines, ItsWordHoldsForItsLifetime)
+{
+	dw_engine *engine = add("a");
+	dw_engine_pause_requested(engine, 5 * SECOND);
+	engine->says_it_leaves = true;
+	dw_engine_entry same = entry("a");
+	dw_engine_set_put(set, &same, 0);
+	EXPECT_FALSE(dw_engine_is_usable(engine, SECOND));
+	EXPECT_TRUE(dw_engine_is_paused(engine, SECOND));
+	dw_engine_set_remove(set, "a", 2 * SECOND, SECOND);
+	EXPECT_FALSE(dw_engine_is_usable(engine, SECOND)) << "nor in an outage of the store";
+	dw_engine_entry next = entry("a", 2);
+	dw_engine_set_put(set, &next, SECOND);
+	EXPECT_TRUE(dw_engine_is_usable(engine, SECOND));
+	EXPECT_FALSE(dw_engine_is_paused(engine, SECOND));
+}
+
 TEST_F(Engines, StaysUsableForAWhileIfItsEntryExpiresInAStoreOutage)
 {
 	dw_engine *engine = add("a");
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -296,6 +296,35 @@
 	}
 }
 
+/* An engine that leaves, and one that wants a pause: both in whatever spelling they come. */
+TEST(ResponseFields, ReadsWhatEnginesSayOfThemselves)
+{
+	response_fields fields;
+	HeadBuilder response({ { "Server-Leaving", "1" }, { "Retry-After", "1.25" } });
+	response.head.status = 503;
+	response_fields_read(&response.head, &fields);
+	EXPECT_TRUE(fields.is_leaving);
+	EXPECT_EQ(fields.pause_us, 1250000U);
+	response.head.status = 429;
+	response_fields_read(&response.head, &fields);
+	EXPECT_TRUE(fields.is_leaving);
+	EXPECT_EQ(fields.pause_us, 0U) << "a pause is asked for with 503 only";
+	HeadBuilder repeated({ { "Server-Leaving", "0" },
+			       { "Retry-After", "2" },
+			       { "Retry-After", "x" },
+			       { "retry-after", "0.000001" } });
+	repeated.head.status = 503;
+	response_fields_read(&repeated.head, &fields);
+	EXPECT_FALSE(fields.is_leaving);
+	EXPECT_EQ(fields.pause_us, 2000000U) << "the longest holds";
+	EXPECT_TRUE(fields.has_bad_pause);
+	HeadBuilder huge(
+		{ { "Retry-After", "340282366920938463463374607431768211456.9999999999" } });
+	huge.head.status = 503;
+	response_fields_read(&huge.head, &fields);
+	EXPECT_EQ(fields.pause_us, 3600000000U);
+}
+
 /* A double holds integers up to 2^53; a lease has an id of any size. */
 TEST(MetadataJson, KeepsLargeNumbers)
 {
--- a/tests/process_broken_answers_test.cc
+++ b/tests/process_broken_answers_test.cc
@@ -11,13 +11,12 @@
 #include <thread>
 #include <vector>
 
-#include "support/fleet.h"
-#include "support/http.h"
-#include "support/raw_server.h"
+#include "support/raw_fleet.h"
 
+using support::answer_head;
+using support::answer_with_length;
 using support::field_of;
 using support::http_answer;
-using support::http_headers;
 using support::raw_connection;
 using support::raw_server;
 using support::wait_until;
@@ -27,20 +26,6 @@
 
 constexpr int RUN_MS = 30;
 
-std::string head_of(const std::string &status, const std::string &request, const std::string &more)
-{
-	return "HTTP/1.1 " + status + "\r\nAttempt-Id: " + field_of(request, "Attempt-Id") +
-	       "\r\nResponse-Seal: s\r\n" + more + "\r\n";
-}
-
-std::string with_length(const std::string &status, const std::string &request,
-			const std::string &body, const std::string &more = "")
-{
-	return head_of(status, request,
-		       more + "Content-Length: " + std::to_string(body.size()) + "\r\n") +
-	       body;
-}
-
 std::string chunk(const std::string &bytes)
 {
 	char size[24];
@@ -53,38 +38,11 @@
 	return "id: " + std::to_string(id) + "\ndata: part " + std::to_string(id) + "\n\n";
 }
 
-/* A gateway before engines whose answers the test writes. */
-struct BrokenAnswers : testing::Test, support::fleet {
-	std::vector<std::unique_ptr<raw_server>> engines;
-
-	BrokenAnswers() : support::fleet(1)
-	{
-	}
-	void start(size_t count, const raw_server::handler &answer)
-	{
-		for (size_t i = 0; i < count; i++) {
-			engines.push_back(std::make_unique<raw_server>(answer));
-			support::backend registered;
-			registered.port = engines.back()->port();
-			register_backend(registered, "e" + std::to_string(i + 1));
-		}
-		configure();
-		launch(0);
-		ASSERT_TRUE(wait_for_all());
-		ASSERT_TRUE(wait_until(
-			[&] { return instances[0].metric("engines_usable") == (int64_t)count; }));
-	}
+struct BrokenAnswers : support::raw_fleet {
 	http_answer call(const std::string &method, const std::string &path,
 			 const std::string &attempt_id = "")
 	{
-		http_headers headers = {
-			{ "Attempt-Id",
-			  attempt_id.empty() ? "a" + std::to_string(next_attempt++) : attempt_id },
-			{ "Deadline-Ms", "2500" },
-			{ "Credential", "k1" },
-		};
-		return support::http_call(instances[0].caller_port, method, path,
-					  method == "POST" ? "{}" : "", headers);
+		return ask(0, method, path, attempt_id);
 	}
 };
 
@@ -98,11 +56,11 @@
 std::string whole_answer(const std::string &framing, const std::string &request)
 {
 	if (framing == "length")
-		return with_length("200 OK", request, "0123456789");
+		return answer_with_length("200 OK", request, "0123456789");
 	if (framing == "chunked")
-		return head_of("200 OK", request, "Transfer-Encoding: chunked\r\n") +
+		return answer_head("200 OK", request, "Transfer-Encoding: chunked\r\n") +
 		       chunk("0123456789") + chunk("abcdef") + "0\r\n\r\n";
-	return head_of("200 OK", request, "") + "0123456789";
+	return answer_head("200 OK", request, "") + "0123456789";
 }
 
 struct EachByte : BrokenAnswers, testing::WithParamInterface<Break> {
@@ -116,7 +74,7 @@
 	start(1, [&](raw_connection &connection, const std::string &request) {
 		std::string answer = whole_answer(kind.framing, request);
 		if (request.find("/cut-") == std::string::npos) {
-			connection.send(with_length("200 OK", request, "warm"));
+			connection.send(answer_with_length("200 OK", request, "warm"));
 			return;
 		}
 		connection.send(answer.substr(0, cut_at));
@@ -155,9 +113,9 @@
 {
 	std::atomic<size_t> cut_at{ 0 };
 	auto stream = [](const std::string &request) {
-		return head_of("200 OK", request,
-			       "Content-Type: text/event-stream\r\nTransfer-Encoding: "
-			       "chunked\r\n") +
+		return answer_head("200 OK", request,
+				   "Content-Type: text/event-stream\r\nTransfer-Encoding: "
+				   "chunked\r\n") +
 		       chunk(event_text(1)) + chunk(event_text(2)) + "0\r\n\r\n";
 	};
 	start(1, [&](raw_connection &connection, const std::string &request) {
@@ -178,18 +136,20 @@
 {
 	std::string stream = "Content-Type: text/event-stream\r\n";
 	return {
-		with_length("500 Internal Server Error", request, "wrong"),
-		with_length("503 Service Unavailable", request, "wrong", "Not-Executed: 1\r\n"),
-		with_length("404 Not Found", request, "wrong\n\nwrong\n\n"),
-		with_length("429 Too Many Requests", request, "id: 2\ndata: wrong\n\n"),
-		with_length("200 OK", request, "<p>wrong</p>\n\n<p>wrong</p>\n\n",
-			    "Content-Type: text/html\r\n"),
-		with_length("200 OK", request, "{\"error\":\"wrong\"}\n\n",
-			    "Content-Type: application/json\r\n"),
-		with_length("200 OK", request, "event: error\ndata: wrong\n\n", stream),
-		with_length("200 OK", request, "data: wrong\n\nid: 9\ndata: wrong\n\n", stream),
-		with_length("200 OK", request, "wrong, no event", stream),
-		head_of("200 OK", request, stream) + "event: error\ndata: wrong\n\n",
+		answer_with_length("500 Internal Server Error", request, "wrong"),
+		answer_with_length("503 Service Unavailable", request, "wrong",
+				   "Not-Executed: 1\r\n"),
+		answer_with_length("404 Not Found", request, "wrong\n\nwrong\n\n"),
+		answer_with_length("429 Too Many Requests", request, "id: 2\ndata: wrong\n\n"),
+		answer_with_length("200 OK", request, "<p>wrong</p>\n\n<p>wrong</p>\n\n",
+				   "Content-Type: text/html\r\n"),
+		answer_with_length("200 OK", request, "{\"error\":\"wrong\"}\n\n",
+				   "Content-Type: application/json\r\n"),
+		answer_with_length("200 OK", request, "event: error\ndata: wrong\n\n", stream),
+		answer_with_length("200 OK", request, "data: wrong\n\nid: 9\ndata: wrong\n\n",
+				   stream),
+		answer_with_length("200 OK", request, "wrong, no event", stream),
+		answer_head("200 OK", request, stream) + "event: error\ndata: wrong\n\n",
 		"HTTP/1.1 500 wrong\r\nAttempt-Id: " + field_of(request, "Attempt-Id"),
 		"wrong, no answer",
 		"",
@@ -216,7 +176,7 @@
 			connection.close();
 			return;
 		}
-		connection.send(head_of(
+		connection.send(answer_head(
 			"200 OK", request,
 			"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
 		for (int i = 1; i <= events; i++)
@@ -254,14 +214,14 @@
 			is_first = sends[field_of(request, "Attempt-Id")]++ == 0;
 		}
 		if (is_first) {
-			connection.send(
-				head_of("404 Not Found", request, "Content-Length: 3000000\r\n") +
-				std::string(2000000, 'x'));
+			connection.send(answer_head("404 Not Found", request,
+						    "Content-Length: 3000000\r\n") +
+					std::string(2000000, 'x'));
 			std::this_thread::sleep_for(std::chrono::milliseconds(RUN_MS));
 		} else {
-			connection.send(head_of("200 OK", request,
-						"Content-Type: text/event-stream\r\n"
-						"Transfer-Encoding: chunked\r\n") +
+			connection.send(answer_head("200 OK", request,
+						    "Content-Type: text/event-stream\r\n"
+						    "Transfer-Encoding: chunked\r\n") +
 					chunk(event_text(1)) + "0\r\n\r\n");
 		}
 		connection.close();
@@ -278,7 +238,7 @@
 TEST_F(BrokenAnswers, AnEndThatCompletesAnAnswerWithoutALengthIsEvidence)
 {
 	start(1, [this](raw_connection &connection, const std::string &request) {
-		connection.send(head_of("200 OK", request, "") + "half of the bo");
+		connection.send(answer_head("200 OK", request, "") + "half of the bo");
 		engines[0]->refuse_connections();
 		connection.close();
 	});
@@ -318,7 +278,7 @@
 				runs[path]++;
 			}
 			std::this_thread::sleep_for(std::chrono::milliseconds(RUN_MS));
-			connection.send(with_length("200 OK", request, "done"));
+			connection.send(answer_with_length("200 OK", request, "done"));
 		});
 	}
 };
