--- /dev/null
+++ b/src/wharf-gateway/shift_records.c
@@ -0,0 +1,243 @@
+#include "wharf-gateway/shifts_state.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/random.h"
+#include "platform/records.h"
+
+#define KEY_BYTES 200
+#define VALUE_BYTES 384
+#define COUNTS_BYTES 96
+
+#define WRITE_TIMEOUT_US (800 * DW_US_PER_MS)
+/* Shortest time between two writes of an instance's evidence, which is only written while it counts
+ * against the new version. */
+#define EVIDENCE_PERIOD_US (700 * DW_US_PER_MS)
+/* The progress is written each time it has grown by this much, in thousandths of the duration. */
+#define PROGRESS_STEP_PERMILLE 125
+/* Shared records (status and progress) could be written by every instance. To save writes, the instance
+ * that wrote the last one writes at once, and each of the others with a probability of one in
+ * FIRST_WRITER_ONE_IN within FIRST_WRITER_SPREAD_US. The rest write after a backup delay if the record
+ * still hasn't been written; the delay is shorter for an outcome. */
+#define FIRST_WRITER_ONE_IN 8
+#define FIRST_WRITER_SPREAD_US (200 * DW_US_PER_MS)
+#define BACKUP_WRITER_DELAY_US (2500 * DW_US_PER_MS)
+#define BACKUP_WRITER_OUTCOME_DELAY_US (700 * DW_US_PER_MS)
+#define BACKUP_WRITER_SPREAD_US (900 * DW_US_PER_MS)
+
+static int print_count(char *out, size_t size, const struct dw_shift_counts *count)
+{
+	return snprintf(out, size, "[%u,%u,%u,%u,%u,%" PRIu64 "]", count->answers, count->bad,
+			count->timed, count->slow, count->good, count->busy_ms);
+}
+
+struct record_write {
+	struct service_shift *service;
+	struct stored_record *record;
+	const char *record_name;
+};
+
+static void end_proof_write(struct service_shift *service, enum dw_store_outcome outcome)
+{
+	service->is_proof_in_flight = false;
+	service->is_proof_told = outcome == DW_STORE_DONE;
+	service->proof_retry_at_us = dw_clock_now_us() + EVIDENCE_PERIOD_US / 2 +
+				     dw_random_next(&service->owner->random) % EVIDENCE_PERIOD_US;
+}
+
+static void on_written(const struct dw_store_put_result *result, void *data)
+{
+	struct record_write *write = data;
+	const struct dw_shift *shift = &write->service->shift;
+
+	write->record->in_flight = false;
+	write->record->write_due_us = 0;
+	if (result->outcome == DW_STORE_DONE || result->outcome == DW_STORE_CONFLICT)
+		write->record->revision = result->revision;
+	if (write->record != &write->service->evidence) {
+		write->service->is_writer = result->outcome == DW_STORE_DONE;
+	} else if (write->service->is_proof_in_flight) {
+		end_proof_write(write->service, result->outcome);
+	}
+	dw_log_event(write->service->owner->log, DW_EVENT_SHIFT_EVIDENCE,
+		     DW_STR("service", write->service->shift.order.service),
+		     DW_STR("record", write->record_name),
+		     DW_STR("outcome", dw_store_outcome_name(result->outcome)),
+		     DW_INT("revision", result->revision),
+		     DW_INT("new_answers", shift->own.counts[DW_SHIFT_NEW].answers),
+		     DW_INT("new_bad", shift->own.counts[DW_SHIFT_NEW].bad),
+		     DW_INT("new_timed", shift->own.counts[DW_SHIFT_NEW].timed),
+		     DW_INT("new_slow", shift->own.counts[DW_SHIFT_NEW].slow),
+		     DW_INT("new_good", shift->own.counts[DW_SHIFT_NEW].good),
+		     DW_INT("new_busy_ms", shift->own.counts[DW_SHIFT_NEW].busy_ms),
+		     DW_INT("new_open", shift->open[DW_SHIFT_NEW].count),
+		     DW_INT("old_good", shift->own.counts[DW_SHIFT_OLD].good),
+		     DW_INT("old_busy_ms", shift->own.counts[DW_SHIFT_OLD].busy_ms),
+		     DW_INT("old_answers", shift->own.counts[DW_SHIFT_OLD].answers),
+		     DW_INT("old_bad", shift->own.counts[DW_SHIFT_OLD].bad),
+		     DW_INT("old_timed", shift->own.counts[DW_SHIFT_OLD].timed),
+		     DW_INT("old_slow", shift->own.counts[DW_SHIFT_OLD].slow));
+	free(write);
+}
+
+static void write_record(struct service_shift *service, struct stored_record *record,
+			 const char *record_name, const char *key, const char *value)
+{
+	struct record_write *write = malloc(sizeof(*write));
+	struct dw_store_put put = {
+		.key = key,
+		.value = (const uint8_t *)value,
+		.value_len = strlen(value),
+		.expected_revision = record->revision,
+		.deadline_us = dw_clock_now_us() + WRITE_TIMEOUT_US,
+	};
+
+	if (!write)
+		abort();
+	write->service = service;
+	write->record = record;
+	write->record_name = record_name;
+	record->in_flight = true;
+	dw_store_put(service->owner->store, &put, on_written, write);
+}
+
+static uint64_t write_delay_us(struct service_shift *service, uint64_t backup_delay_us)
+{
+	struct shifts *shifts = service->owner;
+
+	if (service->is_writer)
+		return 0;
+	if (dw_random_next(&shifts->random) % FIRST_WRITER_ONE_IN == 0)
+		return dw_random_next(&shifts->random) % FIRST_WRITER_SPREAD_US;
+	return backup_delay_us + dw_random_next(&shifts->random) % BACKUP_WRITER_SPREAD_US;
+}
+
+/* Schedules the write of a shared record; @return whether it is due. */
+static bool is_write_due(struct service_shift *service, struct stored_record *record, bool wanted,
+			 uint64_t backup_delay_us, uint64_t now_us)
+{
+	if (!wanted || record->in_flight) {
+		if (!record->in_flight)
+			record->write_due_us = 0;
+		return false;
+	}
+	if (record->write_due_us == 0)
+		record->write_due_us = now_us + 1 + write_delay_us(service, backup_delay_us);
+	return now_us >= record->write_due_us;
+}
+
+static void write_status(struct service_shift *service, uint64_t now_us)
+{
+	const struct dw_shift_order *order = &service->shift.order;
+	enum dw_shift_state state = dw_shift_next_state(&service->shift, now_us);
+	bool wanted = service->written_state != state &&
+		      service->written_state != DW_SHIFT_COMPLETED &&
+		      service->written_state != DW_SHIFT_ROLLED_BACK;
+	char value[VALUE_BYTES];
+	char key[KEY_BYTES];
+
+	if (!is_write_due(service, &service->status, wanted,
+			  state == DW_SHIFT_RUNNING ? BACKUP_WRITER_DELAY_US
+						    : BACKUP_WRITER_OUTCOME_DELAY_US,
+			  now_us))
+		return;
+	record_rollout_status_key(order->service, key, sizeof(key));
+	record_write_rollout_status(state, order->service, order->target_version, value,
+				    sizeof(value));
+	write_record(service, &service->status, "status", key, value);
+}
+
+static void write_progress(struct service_shift *service, uint64_t now_us)
+{
+	uint32_t permille = dw_shift_progress(&service->shift, now_us);
+	bool wanted = service->shift.state == DW_SHIFT_RUNNING &&
+		      permille >= service->written_progress + PROGRESS_STEP_PERMILLE;
+	char value[VALUE_BYTES];
+	char key[KEY_BYTES];
+
+	if (!is_write_due(service, &service->progress, wanted, BACKUP_WRITER_DELAY_US, now_us))
+		return;
+	snprintf(key, sizeof(key), SHIFT_PROGRESS_PREFIX "%s", service->shift.order.service);
+	snprintf(value, sizeof(value), "{\"order\":%" PRIu64 ",\"permille\":%u}",
+		 service->shift.order.revision, permille);
+	write_record(service, &service->progress, "progress", key, value);
+}
+
+/* Whether this instance's evidence has grown since it was written: more bad or slow answers of the
+ * new version, or more than twice as many answers. */
+static bool has_new_evidence(const struct service_shift *service)
+{
+	const struct dw_shift_counts *new = &service->shift.own.counts[DW_SHIFT_NEW];
+
+	return new->bad + new->slow > service->written_bad_or_slow ||
+	       new->answers > 2 * service->written_answers;
+}
+
+/* This instance's counts with those of its earlier processes. */
+static struct dw_shift_counts counts_to_tell(const struct service_shift *service,
+					     enum dw_shift_side side, uint64_t now_us)
+{
+	struct dw_shift_counts sum = dw_shift_own_counts(&service->shift, side, now_us);
+	const struct peer_evidence *at = service->peers;
+
+	while (at && strcmp(at->instance, service->owner->instance) != 0)
+		at = at->next;
+	if (at)
+		shift_counts_add(&sum, &at->evidence.counts[side]);
+	return sum;
+}
+
+/* Whether to tell the others what this instance has seen: evidence against the new version as soon as
+ * there is some, and once what they need to prove it good. */
+static bool is_evidence_due(struct service_shift *service, uint64_t now_us)
+{
+	const struct dw_shift *shift = &service->shift;
+
+	if (shift->state == DW_SHIFT_COMPLETED || service->evidence.in_flight)
+		return false;
+	if (!service->is_proof_told && now_us >= service->proof_retry_at_us &&
+	    dw_shift_is_proof_due(shift, now_us)) {
+		service->is_proof_in_flight = shift->own.counts[DW_SHIFT_NEW].good > 0 ||
+					      shift->open[DW_SHIFT_NEW].count > 0;
+		service->is_proof_told = !service->is_proof_in_flight;
+		return service->is_proof_in_flight;
+	}
+	return has_new_evidence(service) && dw_shift_is_suspect(shift) &&
+	       now_us >= service->evidence_at_us + EVIDENCE_PERIOD_US;
+}
+
+static void write_evidence(struct service_shift *service, uint64_t now_us)
+{
+	struct dw_shift_counts new = counts_to_tell(service, DW_SHIFT_NEW, now_us);
+	struct dw_shift_counts old = counts_to_tell(service, DW_SHIFT_OLD, now_us);
+	char new_text[COUNTS_BYTES];
+	char old_text[COUNTS_BYTES];
+	char value[VALUE_BYTES];
+	char key[KEY_BYTES];
+
+	if (!is_evidence_due(service, now_us))
+		return;
+	service->evidence_at_us = now_us;
+	service->written_answers = service->shift.own.counts[DW_SHIFT_NEW].answers;
+	service->written_bad_or_slow = service->shift.own.counts[DW_SHIFT_NEW].bad +
+				       service->shift.own.counts[DW_SHIFT_NEW].slow;
+	print_count(new_text, sizeof(new_text), &new);
+	print_count(old_text, sizeof(old_text), &old);
+	snprintf(key, sizeof(key), SHIFT_EVIDENCE_PREFIX "%s/%s", service->shift.order.service,
+		 service->owner->instance);
+	snprintf(value, sizeof(value),
+		 "{\"order\":%" PRIu64 ",\"run\":%" PRIu64 ",\"new\":%s,\"old\":%s}",
+		 service->shift.order.revision, service->owner->run, new_text, old_text);
+	write_record(service, &service->evidence, "evidence", key, value);
+}
+
+void shift_records_write(struct service_shift *service, uint64_t now_us)
+{
+	write_status(service, now_us);
+	write_progress(service, now_us);
+	write_evidence(service, now_us);
+}
--- /dev/null
+++ b/src/wharf-gateway/shifts_state.h
@@ -0,0 +1,57 @@
+/**
+ * @file shifts_state.h
+ * The state of a service's rollout, shared by the modules that handle it: shifts.c (orders, records read,
+ * counts) and shift_records.c (records written).
+ */
+#ifndef GATEWAY_SHIFTS_STATE_H
+#define GATEWAY_SHIFTS_STATE_H
+
+#include <uthash.h>
+
+#include "wharf-gateway/shifts.h"
+
+/** Keys: the prefix and the service. */
+#define SHIFT_PROGRESS_PREFIX "wharf/progress/"
+/** Keys: the prefix, the service, a slash and the instance. */
+#define SHIFT_EVIDENCE_PREFIX "wharf/evidence/"
+
+struct peer_evidence {
+	char instance[DW_ENGINE_TEXT_BYTES];
+	struct dw_shift_evidence evidence;
+	struct peer_evidence *next;
+};
+
+/* Write state of a record in the store. */
+struct stored_record {
+	uint64_t revision; /**< of the key, as last seen */
+	uint64_t write_due_us; /**< when this instance will write; 0: no write is needed */
+	bool in_flight;
+};
+
+struct service_shift {
+	struct shifts *owner;
+	struct dw_shift shift;
+	struct peer_evidence *peers;
+	struct stored_record status;
+	struct stored_record progress;
+	struct stored_record evidence;
+	bool is_writer; /**< this instance wrote the rollout's last shared record */
+	uint32_t written_progress; /**< progress in the store, in thousandths */
+	/* Counts of the new version in this instance's evidence record in the store. */
+	uint32_t written_bad_or_slow;
+	uint32_t written_answers;
+	uint64_t evidence_at_us;
+	bool is_proof_told; /**< the counts that may prove the new version good were written */
+	bool is_proof_in_flight; /**< they are being written */
+	uint64_t proof_retry_at_us; /**< after a failed write; 0: none failed */
+	enum dw_shift_state written_state;
+	UT_hash_handle hh; /**< keyed by shift.order.service */
+};
+
+/** Adds the counts of another instance, or of an earlier process. */
+void shift_counts_add(struct dw_shift_counts *sum, const struct dw_shift_counts *count);
+
+/** Writes the records that are due: status, progress and this instance's evidence. */
+void shift_records_write(struct service_shift *service, uint64_t now_us);
+
+#endif
