--- a/src/core/leaving_upstreams.c
+++ b/src/core/leaving_upstreams.c
@@ -1,8 +1,7 @@
 #include <dragonflywharf/leaving_upstreams.h>
 
 #include <stdlib.h>
-
-#include <utlist.h>
+#include <string.h>
 
 /* The two directions in which news are sent: within the failure domain, and to the others. */
 #define DIRECTIONS 2
@@ -18,12 +17,11 @@
 	bool is_own;
 	uint8_t sends_left[DIRECTIONS];
 	uint32_t next_round[DIRECTIONS];
-	struct leaving *prev;
-	struct leaving *next;
 };
 
 struct dw_leaving_upstreams {
-	struct leaving *first; /* in the order in which they became known */
+	struct leaving
+		entries[DW_LEAVING_UPSTREAMS_MAX]; /* in the order in which they became known */
 	size_t count;
 };
 
@@ -38,61 +36,56 @@
 	return leaving;
 }
 
-static void remove_entry(struct dw_leaving_upstreams *leaving, struct leaving *entry)
-{
-	DL_DELETE(leaving->first, entry);
-	leaving->count--;
-	free(entry);
-}
-
 void dw_leaving_upstreams_free(struct dw_leaving_upstreams *leaving)
 {
-	while (leaving->first)
-		remove_entry(leaving, leaving->first);
 	free(leaving);
 }
 
-static struct leaving *find(const struct dw_leaving_upstreams *leaving,
-			    struct dw_crash_upstream upstream)
+/* The index of a lifetime; their count if it isn't known. */
+static size_t find(const struct dw_leaving_upstreams *leaving, struct dw_crash_upstream upstream)
 {
-	struct leaving *entry;
+	size_t i = 0;
 
-	DL_FOREACH(leaving->first, entry) {
-		if (entry->upstream.id == upstream.id &&
-		    entry->upstream.incarnation == upstream.incarnation)
-			return entry;
-	}
-	return NULL;
+	while (i < leaving->count &&
+	       (leaving->entries[i].upstream.id != upstream.id ||
+		leaving->entries[i].upstream.incarnation != upstream.incarnation))
+		i++;
+	return i;
+}
+
+static void remove_oldest(struct dw_leaving_upstreams *leaving)
+{
+	leaving->count--;
+	memmove(&leaving->entries[0], &leaving->entries[1],
+		leaving->count * sizeof(leaving->entries[0]));
 }
 
 bool dw_leaving_add(struct dw_leaving_upstreams *leaving, struct dw_crash_upstream upstream,
 		    bool is_own, enum dw_spread_scope scope, uint64_t now_us)
 {
-	struct leaving *entry = find(leaving, upstream);
+	size_t at = find(leaving, upstream);
+	struct leaving *entry = &leaving->entries[at];
 
-	if (entry) {
+	if (at < leaving->count) {
 		entry->heard_at_us = now_us;
 		entry->is_own = entry->is_own || is_own;
 		return false;
 	}
 	if (leaving->count == DW_LEAVING_UPSTREAMS_MAX)
-		remove_entry(leaving, leaving->first);
-	entry = calloc(1, sizeof(*entry));
-	if (!entry)
-		abort();
-	entry->upstream = upstream;
-	entry->heard_at_us = now_us;
-	entry->is_own = is_own;
-	entry->sends_left[0] = scope & DW_SPREAD_IN_DOMAIN ? SENDS : 0;
-	entry->sends_left[1] = scope & DW_SPREAD_TO_DOMAINS ? SENDS : 0;
-	DL_APPEND(leaving->first, entry);
-	leaving->count++;
+		remove_oldest(leaving);
+	leaving->entries[leaving->count++] = (struct leaving){
+		.upstream = upstream,
+		.heard_at_us = now_us,
+		.is_own = is_own,
+		.sends_left = { scope & DW_SPREAD_IN_DOMAIN ? SENDS : 0,
+				scope & DW_SPREAD_TO_DOMAINS ? SENDS : 0 },
+	};
 	return true;
 }
 
 bool dw_leaving_has(const struct dw_leaving_upstreams *leaving, struct dw_crash_upstream upstream)
 {
-	return find(leaving, upstream) != NULL;
+	return find(leaving, upstream) < leaving->count;
 }
 
 /* Whether it has to be sent in this direction in this round; notes that it is. */
@@ -124,27 +117,24 @@
 size_t dw_leaving_take_news(struct dw_leaving_upstreams *leaving, enum dw_spread_scope scope,
 			    uint32_t round, struct dw_crash_upstream *out, size_t max)
 {
-	struct leaving *entry;
 	size_t count = 0;
 
-	DL_FOREACH(leaving->first, entry) {
-		if (count == max)
-			break;
-		if (take_sends(entry, scope, round))
-			out[count++] = entry->upstream;
+	for (size_t i = 0; i < leaving->count && count < max; i++) {
+		if (take_sends(&leaving->entries[i], scope, round))
+			out[count++] = leaving->entries[i].upstream;
 	}
 	return count;
 }
 
 void dw_leaving_expire(struct dw_leaving_upstreams *leaving, uint64_t now_us)
 {
-	struct leaving *entry;
-	struct leaving *next;
+	size_t kept = 0;
 
-	DL_FOREACH_SAFE(leaving->first, entry, next) {
-		if (now_us > entry->heard_at_us + DW_LEAVING_KEPT_US)
-			remove_entry(leaving, entry);
+	for (size_t i = 0; i < leaving->count; i++) {
+		if (now_us <= leaving->entries[i].heard_at_us + DW_LEAVING_KEPT_US)
+			leaving->entries[kept++] = leaving->entries[i];
 	}
+	leaving->count = kept;
 }
 
 size_t dw_leaving_count(const struct dw_leaving_upstreams *leaving)
--- a/src/wharf-gateway/crash_guard.h
+++ b/src/wharf-gateway/crash_guard.h
@@ -5,7 +5,7 @@
  * When connections to an engine break, the guard finds out whether it has ended, by a connection of
  * its own and by what else is seen of the engine. If so, each request that was running there is a
  * suspect; with two such crashes it is quarantined and isn't sent any more. A request that was given up
- * shortly before counts as running: until then the guard keeps a connection of its own to the engine.
+ * shortly before counts as running for a second, in which the guard keeps a connection to the engine.
  * The evidence goes to the other instances in digests, a quarantine also to the store, and so does a
  * suspicion while few others are heard. A run that ends well clears a request.
  */
