Engines: a pause shows what an engine bears, and its end brings no more

Cause: each refusal took an engine away from an instance for half a second, and after it nothing kept the instance from being refused again. Change: what an instance had in flight when the engine asked for a pause is its limit there; it grows by one each 4 s and is forgotten after 20 s. No limit exists before a pause.

--- a/include/dragonflywharf/engine.h
+++ b/include/dragonflywharf/engine.h
@@ -64,6 +64,9 @@
 	bool says_it_leaves; /**< in an answer: this lifetime gets no new requests */
 	uint64_t
 		paused_until_us; /**< it asked this instance for no requests until then; 0: never */
+	uint32_t
+		limit; /**< requests in flight that it bore when it asked for a pause; 0: unknown */
+	uint64_t limit_at_us; /**< when that was */
 	struct dw_engine_load load;
 	uint8_t load_scope; /**< enum dw_spread_scope: where the load still has to be sent */
 	uint32_t passed_on_load; /**< running and waiting requests, as last passed on by a relay */
@@ -152,8 +155,14 @@
 /** The engine reported that its cold start lasts @p cold_ms more. */
 void dw_engine_cold_start_reported(struct dw_engine *engine, uint32_t cold_ms, uint64_t now_us);
 
-/** The engine asked for no requests until @p until_us; the latest end holds. */
-void dw_engine_pause_requested(struct dw_engine *engine, uint64_t until_us);
+/**
+ * The engine turned away a request that is still counted as in flight, and asked for no requests until
+ * @p until_us; the latest end holds. What else this instance has in flight is what the engine bears: for a
+ * while after the pause not much more is sent.
+ */
+void dw_engine_pause_requested(struct dw_engine *engine, uint64_t until_us, uint64_t now_us);
+/** Whether the engine bears one more request of this instance, as far as its last pause tells. */
+bool dw_engine_has_room(const struct dw_engine *engine, uint64_t now_us);
 bool dw_engine_is_paused(const struct dw_engine *engine, uint64_t now_us);
 
 /** The engine's process has ended: it isn't selected for a while, unless no other engine is left. */
--- a/include/dragonflywharf/engine_choice.h
+++ b/include/dragonflywharf/engine_choice.h
@@ -87,6 +87,7 @@
 	DW_CHOICE_LAST_ENGINE, /**< a request that may crash its engine, and one engine is left */
 	DW_CHOICE_BESIDE_SUSPECTS, /**< such a request, and others run at all engines */
 	DW_CHOICE_PAUSED, /**< only engines are left that asked for a pause */
+	DW_CHOICE_FULL, /**< only engines are left that bear no more requests of this instance */
 	DW_CHOICE_COLD_LIMIT, /**< only cold engines are left, and their rate limit is reached */
 	DW_CHOICE_RESULT_COUNT
 };
--- a/src/core/engine.c
+++ b/src/core/engine.c
@@ -21,6 +21,10 @@
 #define EJECT_MIN_US (500 * US_PER_MS)
 #define EJECT_MAX_US (4 * US_PER_S)
 
+/* A limit that a pause has shown grows by a request each step, and is forgotten after a while. */
+#define LIMIT_STEP_US (4 * US_PER_S)
+#define LIMIT_KEPT_US (20 * US_PER_S)
+
 /* Weight of one sample in the moving averages, in thousandths. */
 #define AVERAGE_WEIGHT_PERMILLE 150
 #define LATENCY_RATIO_MAX_PERMILLE 20000
@@ -101,6 +105,7 @@
 	engine->recent_send_count = 0;
 	engine->says_it_leaves = false;
 	engine->paused_until_us = 0;
+	engine->limit = 0;
 	if (engine->cache)
 		dw_prefix_cache_clear(engine->cache);
 }
@@ -294,12 +299,24 @@
 		engine->cold_until_us = until_us;
 }
 
-void dw_engine_pause_requested(struct dw_engine *engine, uint64_t until_us)
+void dw_engine_pause_requested(struct dw_engine *engine, uint64_t until_us, uint64_t now_us)
 {
+	if (!dw_engine_is_paused(engine, now_us)) {
+		engine->limit = engine->in_flight > 2 ? engine->in_flight - 1 : 1;
+		engine->limit_at_us = now_us;
+	}
 	if (until_us > engine->paused_until_us)
 		engine->paused_until_us = until_us;
 }
 
+bool dw_engine_has_room(const struct dw_engine *engine, uint64_t now_us)
+{
+	uint64_t age_us = now_us - engine->limit_at_us;
+
+	return engine->limit == 0 || age_us >= LIMIT_KEPT_US ||
+	       engine->in_flight < engine->limit + age_us / LIMIT_STEP_US;
+}
+
 bool dw_engine_is_paused(const struct dw_engine *engine, uint64_t now_us)
 {
 	return now_us < engine->paused_until_us;
--- a/src/core/engine_choice.c
+++ b/src/core/engine_choice.c
@@ -53,6 +53,7 @@
 	[DW_CHOICE_ALL_EVACUATED] = "all_evacuated",
 	[DW_CHOICE_COLD_LIMIT] = "cold_limit",
 	[DW_CHOICE_PAUSED] = "paused",
+	[DW_CHOICE_FULL] = "full",
 	[DW_CHOICE_LAST_ENGINE] = "last_engine",
 	[DW_CHOICE_ALL_EJECTED] = "all_ejected",
 	[DW_CHOICE_BESIDE_SUSPECTS] = "beside_suspects",
@@ -387,6 +388,8 @@
 		return DW_CHOICE_ALL_TRIED;
 	if (dw_engine_is_paused(engine, request->now_us))
 		return DW_CHOICE_PAUSED;
+	if (!dw_engine_has_room(engine, request->now_us))
+		return DW_CHOICE_FULL;
 	if (is_cold_rate_exhausted(request, engine))
 		return DW_CHOICE_COLD_LIMIT;
 	return DW_CHOICE_FOUND;
--- a/src/wharf-gateway/attempt.c
+++ b/src/wharf-gateway/attempt.c
@@ -180,7 +180,7 @@
 	uint64_t now_us = dw_clock_now_us();
 	struct dw_engine *engine = attempt->engine;
 
-	dw_engine_pause_requested(engine, pause_end_us(attempt, fields->pause_us, now_us));
+	dw_engine_pause_requested(engine, pause_end_us(attempt, fields->pause_us, now_us), now_us);
 	dw_log_event(attempt->router->log, DW_EVENT_ENGINE_PAUSED,
 		     DW_STR("engine", engine->entry.id), DW_STR("service", engine->entry.service),
 		     DW_STR("request", attempt->attempt_id),
--- a/src/wharf-gateway/exchange.c
+++ b/src/wharf-gateway/exchange.c
@@ -318,7 +318,8 @@
 
 static bool is_worth_waiting(enum dw_choice_result result)
 {
-	return result == DW_CHOICE_COLD_LIMIT || result == DW_CHOICE_BESIDE_SUSPECTS;
+	return result == DW_CHOICE_COLD_LIMIT || result == DW_CHOICE_BESIDE_SUSPECTS ||
+	       result == DW_CHOICE_FULL;
 }
 
 /* All engines have asked for a pause: waits for its soonest end if that serves the request within its
--- a/tests/engine_choice_test.cc
+++ b/tests/engine_choice_test.cc
@@ -298,11 +298,13 @@
 /* Engines that asked for a pause, or said that they leave, are none that other requests can use. */
 TEST_F(SuspectChoice, NeverAtTheLastEngineBesidePausesAndLeaving)
 {
-	dw_engine_pause_requested(dw_engine_set_find(set, "e1"), choice.now_us + SECOND);
+	dw_engine_pause_requested(dw_engine_set_find(set, "e1"), choice.now_us + SECOND,
+				  choice.now_us);
 	EXPECT_NE(choose(), "e1");
 	dw_engine_set_find(set, "e2")->says_it_leaves = true;
 	choose(DW_CHOICE_LAST_ENGINE);
-	dw_engine_pause_requested(dw_engine_set_find(set, "e3"), choice.now_us + SECOND);
+	dw_engine_pause_requested(dw_engine_set_find(set, "e3"), choice.now_us + SECOND,
+				  choice.now_us);
 	choose(DW_CHOICE_PAUSED);
 }
 
@@ -311,12 +313,16 @@
 {
 	choice.suspect_key = 0;
 	EXPECT_EQ(dw_engine_pause_end_us(set, &choice), UINT64_MAX);
-	dw_engine_pause_requested(dw_engine_set_find(set, "e1"), choice.now_us + 2 * SECOND);
+	dw_engine_pause_requested(dw_engine_set_find(set, "e1"), choice.now_us + 2 * SECOND,
+				  choice.now_us);
 	for (choice.random = 1; choice.random < 40; choice.random++)
 		EXPECT_NE(choose(), "e1");
-	dw_engine_pause_requested(dw_engine_set_find(set, "e2"), choice.now_us + 3 * SECOND);
-	dw_engine_pause_requested(dw_engine_set_find(set, "e3"), choice.now_us + 4 * SECOND);
-	dw_engine_pause_requested(dw_engine_set_find(set, "e1"), choice.now_us + SECOND);
+	dw_engine_pause_requested(dw_engine_set_find(set, "e2"), choice.now_us + 3 * SECOND,
+				  choice.now_us);
+	dw_engine_pause_requested(dw_engine_set_find(set, "e3"), choice.now_us + 4 * SECOND,
+				  choice.now_us);
+	dw_engine_pause_requested(dw_engine_set_find(set, "e1"), choice.now_us + SECOND,
+				  choice.now_us);
 	choose(DW_CHOICE_PAUSED);
 	EXPECT_EQ(dw_engine_pause_end_us(set, &choice), choice.now_us + 2 * SECOND)
 		<< "a later request for a shorter pause doesn't end it";
--- a/tests/engine_test.cc
+++ b/tests/engine_test.cc
@@ -58,11 +58,33 @@
 	EXPECT_EQ(engine->consecutive_failures, 0U);
 }
 
+/* After a pause an engine in trouble gets what it bore before, so that its end brings no burst. */
+TEST_F(Engines, APauseShowsWhatTheEngineBears)
+{
+	dw_engine *engine = add("a");
+	EXPECT_TRUE(dw_engine_has_room(engine, SECOND));
+	for (int i = 0; i < 4; i++)
+		dw_engine_sent(engine, SECOND);
+	dw_engine_pause_requested(engine, 2 * SECOND, SECOND);
+	dw_engine_ended(engine, DW_ENGINE_REJECTED, false, SECOND);
+	EXPECT_FALSE(dw_engine_has_room(engine, 2 * SECOND)) << "three are still in flight";
+	dw_engine_ended(engine, DW_ENGINE_ANSWERED, false, 2 * SECOND);
+	EXPECT_TRUE(dw_engine_has_room(engine, 2 * SECOND));
+	dw_engine_sent(engine, 2 * SECOND);
+	EXPECT_FALSE(dw_engine_has_room(engine, 2 * SECOND));
+	EXPECT_TRUE(dw_engine_has_room(engine, 6 * SECOND))
+		<< "it is tried with more after a while";
+	for (int i = 0; i < 40; i++)
+		dw_engine_sent(engine, 6 * SECOND);
+	EXPECT_FALSE(dw_engine_has_room(engine, 20 * SECOND));
+	EXPECT_TRUE(dw_engine_has_room(engine, 21 * SECOND)) << "the limit is forgotten";
+}
+
 /* What an engine has said of itself holds for its lifetime, whatever discovery says of it. */
 TEST_F(Engines, ItsWordHoldsForItsLifetime)
 {
 	dw_engine *engine = add("a");
-	dw_engine_pause_requested(engine, 5 * SECOND);
+	dw_engine_pause_requested(engine, 5 * SECOND, 0);
 	engine->says_it_leaves = true;
 	dw_engine_entry same = entry("a");
 	dw_engine_set_put(set, &same, 0);
