Crash guard: the age of a piece of evidence can't be negative

A piece whose remaining lifetime is above ours (another version, or malformed) put the engine's end into the future, and the runs given up there were forgotten uncounted.

--- a/src/wharf-gateway/crash_guard.c
+++ b/src/wharf-gateway/crash_guard.c
@@ -162,7 +162,8 @@
 static void note_told(struct crash_guard *guard, const struct dw_engine *engine,
 		      const struct dw_quarantine_evidence *evidence, uint64_t now_us)
 {
-	uint64_t age_us = LIFETIME_US - evidence->remaining_us;
+	uint64_t age_us =
+		evidence->remaining_us < LIFETIME_US ? LIFETIME_US - evidence->remaining_us : 0;
 
 	if (is_leaving(engine))
 		return;
--- a/src/wharf-gateway/quarantine_records.c
+++ b/src/wharf-gateway/quarantine_records.c
@@ -373,8 +373,8 @@
 		return;
 	read_value(&event->entry, change);
 	record->stored = stored_level(change);
-	/* A record of crashes that are withdrawn here still has to be marked as lifted. One crash less
-	 * than are known here is written again by on_check_timer(). */
+	/* A record of crashes that are withdrawn here still has to be marked as lifted, and one that says
+	 * less than is known here to be replaced: what is due stays due. */
 	if (change->kind == QUARANTINE_CHANGE_LIFTED)
 		record->write_due_us = 0;
 }
