Daemon: a refusal without an id stays a failed attempt, and only leaves the outcome of an at-most-once call unknown

Change: the attempt says that its answer may be an earlier refusal; the service's at-most-once path then keeps the outcome unknown. Chat and idempotent requests treat it as any failed attempt, as before: they are never told "not run" once sent.

--- a/src/dragonflywharfd/attempt.c
+++ b/src/dragonflywharfd/attempt.c
@@ -45,6 +45,7 @@
 	bool cold; /* whether the upstream was cold when the permit was acquired */
 	bool has_length;
 	bool abandoned;
+	bool may_be_earlier_refusal;
 };
 
 /* A permit kept after its attempt, until the request must have ended at the upstream. */
@@ -148,19 +149,11 @@
 
 /* Without an id, a refusal on a connection that was used before may be an earlier one that comes once
  * more, while the upstream runs this request. */
-static enum dw_status check_attribution(const struct attempt *attempt, struct dw_http_call *call,
-					const char *id)
+static bool may_be_earlier_refusal(const struct attempt *attempt, const struct dw_http_call *call,
+				   const char *id)
 {
-	bool is_refusal = attempt->http_status == 429 || attempt->http_status == 503;
-
-	if (id && strcmp(id, attempt->id) != 0)
-		return dw_fail(DW_UPSTREAM_FAILED, "the answer belongs to another attempt");
-	if (!id && is_refusal && dw_http_call_may_be_reused(call))
-		return dw_fail(DW_UPSTREAM_FAILED,
-			       "a refusal with status %d that names no attempt, on a connection "
-			       "that was used before",
-			       attempt->http_status);
-	return DW_OK;
+	return !id && (attempt->http_status == 429 || attempt->http_status == 503) &&
+	       dw_http_call_may_be_reused(call);
 }
 
 static void on_head(struct dw_http_call *call, int http_status, void *data)
@@ -179,13 +172,14 @@
 		 type ? type : "application/octet-stream");
 	attempt->has_length = dw_http_call_header(call, "content-length") != NULL;
 	id = dw_http_call_header(call, "x-attempt-id");
-	attempt->read_status = check_attribution(attempt, call, id);
-	if (attempt->read_status == DW_OK)
+	attempt->may_be_earlier_refusal = may_be_earlier_refusal(attempt, call, id);
+	if (!id || strcmp(id, attempt->id) == 0)
 		return;
+	attempt->read_status = dw_fail(DW_UPSTREAM_FAILED, "the answer belongs to another attempt");
 	dw_counters_add(&attempt->daemon->counters, DW_COUNTER_CROSSED_ANSWERS, 1);
 	dw_log_event(&attempt->daemon->log, DW_EVENT_LATE_ANSWER_DROPPED,
 		     DW_STR("request", attempt->request_id), DW_STR("attempt", attempt->id),
-		     DW_STR("answer_to", id ? id : ""));
+		     DW_STR("answer_to", id));
 	dw_http_cancel(call);
 }
 
@@ -273,6 +267,7 @@
 		.http_status = attempt->http_status,
 		.content_type = attempt->content_type,
 		.has_length = attempt->has_length,
+		.may_be_earlier_refusal = attempt->may_be_earlier_refusal,
 		.send_refused = attempt->send_refused,
 		.body = attempt->body.base ? attempt->body.base : "",
 		.body_len = attempt->body.len,
--- a/src/dragonflywharfd/attempt.h
+++ b/src/dragonflywharfd/attempt.h
@@ -27,6 +27,9 @@
 	 * the same upstream may be tried again. */
 	bool send_refused;
 	bool has_length; /**< the answer had a content-length, so that truncation is detected */
+	/** A refusal without an id on a connection that was used before: it may answer an earlier
+	 * request, and says nothing about whether this one runs. */
+	bool may_be_earlier_refusal;
 	const char *body; /**< with ATTEMPT_BUFFERED, or of an error answer */
 	size_t body_len;
 	/** For a complete answer with status 200, the owner may set the token counts here. They
--- a/src/dragonflywharfd/service_request.c
+++ b/src/dragonflywharfd/service_request.c
@@ -289,7 +289,8 @@
 		.body = end->body,
 		.body_bytes = (uint32_t)end->body_len,
 	};
-	bool complete_answer = end->status == DW_OK && is_complete(end);
+	bool complete_answer =
+		end->status == DW_OK && is_complete(end) && !end->may_be_earlier_refusal;
 
 	request->may_have_run = true;
 	if (complete_answer)
