Daemon: a run that was given up before its upstream's lifetime was known is no crash

Cause: an attempt that began before the first report knows no incarnation (0); if its caller left after the report had come, 0 was taken for an earlier lifetime that had ended, and the run, with all whose connections had broken, became evidence. upstream_table_connection_lost() leaves 0 out; the new function didn't. Change: the same check.

--- a/src/dragonflywharfd/upstream_table.c
+++ b/src/dragonflywharfd/upstream_table.c
@@ -463,7 +463,8 @@
 		return;
 	dw_abandoned_runs_add(&table->abandoned, run);
 	/* The crash is already known from a peer or another answer. */
-	if (run->upstream.incarnation != upstream->warmup.incarnation)
+	if (run->upstream.incarnation != 0 &&
+	    run->upstream.incarnation != upstream->warmup.incarnation)
 		record_crash(table, upstream, run->upstream.incarnation);
 }
 
