--- a/include/dragonflywharf/catalog.h
+++ b/include/dragonflywharf/catalog.h
@@ -77,6 +77,11 @@
 	uint32_t priority;
 };
 
+struct dw_catalog_key {
+	const char *value;
+	const struct dw_organisation_rule *owner;
+};
+
 /** Limits on what a caller may send. */
 struct dw_caller_limits {
 	uint64_t max_header_bytes;
@@ -121,6 +126,20 @@
 bool dw_catalog_needs_keys(const struct dw_catalog *catalog);
 size_t dw_catalog_route_count(const struct dw_catalog *catalog);
 
+/** Returns the route at @p position in the order of matching, longest prefix first; NULL past the
+ * last one. @p index is the route's place in the order of addition. */
+const struct dw_route_rule *dw_catalog_route_at(const struct dw_catalog *catalog, size_t position,
+						size_t *index);
+/** These return the item after @p previous, or the first one for NULL; NULL at the end. Services
+ * and organisations are in the reverse order of addition, keys in that order. */
+const struct dw_service_rule *dw_catalog_next_service(const struct dw_catalog *catalog,
+						      const struct dw_service_rule *previous);
+const struct dw_organisation_rule *
+dw_catalog_next_organisation(const struct dw_catalog *catalog,
+			     const struct dw_organisation_rule *previous);
+const struct dw_catalog_key *dw_catalog_next_key(const struct dw_catalog *catalog,
+						 const struct dw_catalog_key *previous);
+
 /** Picks a request's service by its hash, in proportion to the weights of the route's shares. */
 const char *dw_route_pick_service(const struct dw_route_rule *route, uint64_t hash);
 
--- a/src/core/catalog.c
+++ b/src/core/catalog.c
@@ -12,14 +12,15 @@
 	char bytes[];
 };
 
+/* In organisation, key and service the public part is the first member, so that a pointer to it is
+ * also one to its structure; the iteration relies on this. */
 struct organisation {
 	struct dw_organisation_rule rule;
 	struct organisation *next;
 };
 
 struct key {
-	const char *value;
-	const struct organisation *organisation;
+	struct dw_catalog_key public;
 	UT_hash_handle hh;
 };
 
@@ -28,11 +29,16 @@
 	struct service *next;
 };
 
+struct route {
+	struct dw_route_rule rule;
+	size_t index; /**< in the order of addition */
+};
+
 struct dw_catalog {
 	uint32_t references;
 	uint64_t version;
 	struct dw_caller_limits limits;
-	struct dw_route_rule *routes; /**< longest prefix first */
+	struct route *routes; /**< longest prefix first */
 	size_t route_count;
 	struct service *services;
 	struct organisation *organisations;
@@ -149,7 +155,7 @@
 
 enum dw_status dw_catalog_add_route(struct dw_catalog *catalog, const struct dw_route_rule *route)
 {
-	struct dw_route_rule *routes;
+	struct route *routes;
 	size_t index = 0;
 
 	if (!route->name || !route->host || !is_prefix_valid(route->path_prefix) ||
@@ -166,12 +172,13 @@
 		abort();
 	catalog->routes = routes;
 	while (index < catalog->route_count &&
-	       strlen(routes[index].path_prefix) >= strlen(route->path_prefix))
+	       strlen(routes[index].rule.path_prefix) >= strlen(route->path_prefix))
 		index++;
 	memmove(&routes[index + 1], &routes[index],
 		(catalog->route_count - index) * sizeof(*routes));
-	routes[index] = *route;
-	copy_route_strings(catalog, &routes[index]);
+	routes[index].rule = *route;
+	routes[index].index = catalog->route_count;
+	copy_route_strings(catalog, &routes[index].rule);
 	catalog->route_count++;
 	return DW_OK;
 }
@@ -227,9 +234,9 @@
 		return dw_fail(DW_CONFLICT, "a key of organisation %s was added before",
 			       organisation);
 	added = allocate(sizeof(*added));
-	added->value = copy_string(catalog, key);
-	added->organisation = owner;
-	HASH_ADD_KEYPTR(hh, catalog->keys, added->value, strlen(added->value), added);
+	added->public.value = copy_string(catalog, key);
+	added->public.owner = &owner->rule;
+	HASH_ADD_KEYPTR(hh, catalog->keys, added->public.value, strlen(added->public.value), added);
 	return DW_OK;
 }
 
@@ -252,7 +259,7 @@
 					     const char *path)
 {
 	for (size_t i = 0; i < catalog->route_count; i++) {
-		const struct dw_route_rule *route = &catalog->routes[i];
+		const struct dw_route_rule *route = &catalog->routes[i].rule;
 
 		if (strncmp(route->path_prefix, path, strlen(route->path_prefix)) == 0 &&
 		    strcasecmp(route->host, host) == 0)
@@ -276,7 +283,7 @@
 	struct key *found;
 
 	HASH_FIND_STR(catalog->keys, key, found);
-	return found ? &found->organisation->rule : NULL;
+	return found ? found->public.owner : NULL;
 }
 
 bool dw_catalog_needs_keys(const struct dw_catalog *catalog)
@@ -289,6 +296,42 @@
 	return catalog->route_count;
 }
 
+const struct dw_route_rule *dw_catalog_route_at(const struct dw_catalog *catalog, size_t position,
+						size_t *index)
+{
+	if (position >= catalog->route_count)
+		return NULL;
+	*index = catalog->routes[position].index;
+	return &catalog->routes[position].rule;
+}
+
+const struct dw_service_rule *dw_catalog_next_service(const struct dw_catalog *catalog,
+						      const struct dw_service_rule *previous)
+{
+	const struct service *next =
+		previous ? ((const struct service *)previous)->next : catalog->services;
+
+	return next ? &next->rule : NULL;
+}
+
+const struct dw_organisation_rule *
+dw_catalog_next_organisation(const struct dw_catalog *catalog,
+			     const struct dw_organisation_rule *previous)
+{
+	const struct organisation *next =
+		previous ? ((const struct organisation *)previous)->next : catalog->organisations;
+
+	return next ? &next->rule : NULL;
+}
+
+const struct dw_catalog_key *dw_catalog_next_key(const struct dw_catalog *catalog,
+						 const struct dw_catalog_key *previous)
+{
+	const struct key *next = previous ? ((const struct key *)previous)->hh.next : catalog->keys;
+
+	return next ? &next->public : NULL;
+}
+
 const char *dw_route_pick_service(const struct dw_route_rule *route, uint64_t hash)
 {
 	uint64_t total = 0;
--- a/tests/catalog_test.cc
+++ b/tests/catalog_test.cc
@@ -96,6 +96,36 @@
 	EXPECT_STREQ(dw_route_pick_service(&rule, 5), "first");
 }
 
+/* Guards against a check that names the wrong entry, as routes are sorted and the lists reversed. */
+TEST_F(Catalog, IterationReturnsEveryEntryOnce)
+{
+	add("short", "h", "/x/");
+	add("long", "h", "/x/y/");
+	std::string routes, names;
+	size_t index = 0;
+	for (size_t i = 0; const dw_route_rule *rule = dw_catalog_route_at(catalog, i, &index); i++)
+		routes += rule->name + std::to_string(index) + " ";
+	EXPECT_EQ(routes, "long1 short0 ");
+	for (const char *name : { "a", "b" }) {
+		dw_service_rule service{};
+		dw_organisation_rule owner = { name, false, 0 };
+		service.name = name;
+		ASSERT_EQ(dw_catalog_add_service(catalog, &service), DW_OK);
+		ASSERT_EQ(dw_catalog_add_organisation(catalog, &owner), DW_OK);
+		ASSERT_EQ(dw_catalog_add_key(catalog, name, name), DW_OK);
+	}
+	for (auto *s = dw_catalog_next_service(catalog, nullptr); s;
+	     s = dw_catalog_next_service(catalog, s))
+		names += s->name;
+	for (auto *o = dw_catalog_next_organisation(catalog, nullptr); o;
+	     o = dw_catalog_next_organisation(catalog, o))
+		names += o->name;
+	for (auto *k = dw_catalog_next_key(catalog, nullptr); k;
+	     k = dw_catalog_next_key(catalog, k))
+		names += std::string(k->value) + k->owner->name;
+	EXPECT_EQ(names, "babaaabb");
+}
+
 TEST_F(Catalog, ReferenceKeepsTheCatalogueAlive)
 {
 	add("r", "h", "/x/");
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -147,6 +147,25 @@
 	}
 }
 
+/* A message without the entry's path sends the operator through the whole file. */
+TEST(Records, ErrorsNameTheEntry)
+{
+	const std::vector<std::pair<std::string, std::string>> rows = {
+		{ with_replacement(CONFIG_RECORD, R"("stream")", R"("unknown")"),
+		  "Routes[0] (r): Kind: expected safe, unsafe or stream, found unknown" },
+		{ with_replacement(CONFIG_RECORD, R"("Name":"r",)"), "Routes[0]: route without" },
+		{ with_replacement(CONFIG_RECORD, "370", R"("x")"), "Services[0] (a): MaxConn" },
+		{ with_replacement(CONFIG_RECORD, R"("k2")", "2"), "Tenants[0] (t): ApiKeys: " },
+		{ with_replacement(CONFIG_RECORD, ":300", R"(:"300")"), "Limits: HeaderTimeoutMs" },
+	};
+	for (const auto &[text, message] : rows) {
+		dw_catalog *catalog = nullptr;
+		ASSERT_NE(record_read_config(text.data(), text.size(), &catalog), DW_OK) << text;
+		EXPECT_EQ(std::string(dw_last_message()).rfind(message, 0), 0U)
+			<< dw_last_message();
+	}
+}
+
 TEST(Records, RolloutOrderAndStatus)
 {
 	std::string text = R"({"Service":"a","Target":"v2","DurationS":24.5})";
