wharfctl check: configuration files, alone and against the one in force

Cause: there was no way to check a configuration before it is written; "check" was an unknown command. Change: "wharfctl check FILE [--against CURRENT]" reads the platform's configuration with record_read_config() and lists of entities with the reader of "apply", and prints the findings as lines or as one JSON object. An entity of two kinds is now refused by proto_json_to_message(), also in "apply": before, the first kind was lost and never freed. Ruled out: exit code 1 for notices, as each check of a wanted change would then end with it.

--- a/src/core/config_check.c
+++ b/src/core/config_check.c
@@ -18,6 +18,12 @@
 	return memory;
 }
 
+static bool matches_same(const struct dw_route_rule *left, const struct dw_route_rule *right)
+{
+	return strcmp(left->path_prefix, right->path_prefix) == 0 &&
+	       strcasecmp(left->host, right->host) == 0;
+}
+
 static void index_routes(struct dw_check_index *index, const struct dw_catalog *catalog)
 {
 	const struct dw_route_rule *route;
@@ -26,17 +32,16 @@
 	index->route_count = dw_catalog_route_count(catalog);
 	index->routes = allocate(index->route_count, sizeof(const struct dw_route_rule *));
 	index->shadowed_by = allocate(index->route_count, sizeof(*index->shadowed_by));
-	for (size_t i = 0; (route = dw_catalog_route_at(catalog, i, &place)); i++)
+	for (size_t i = 0; (route = dw_catalog_route_at(catalog, i, &place)); i++) {
 		index->routes[place] = route;
-	for (size_t i = 0; i < index->route_count; i++) {
-		size_t earlier = 0;
-
-		route = index->routes[i];
-		while (earlier < i &&
-		       (strcmp(route->path_prefix, index->routes[earlier]->path_prefix) != 0 ||
-			strcasecmp(route->host, index->routes[earlier]->host) != 0))
-			earlier++;
-		index->shadowed_by[i] = earlier < i ? earlier : SIZE_MAX;
+		index->shadowed_by[place] = SIZE_MAX;
+	}
+	for (size_t i = 1; i < index->route_count; i++) {
+		for (size_t earlier = 0; earlier < i && index->shadowed_by[i] == SIZE_MAX;
+		     earlier++) {
+			if (matches_same(index->routes[i], index->routes[earlier]))
+				index->shadowed_by[i] = earlier;
+		}
 	}
 }
 
--- a/src/core/config_compare.c
+++ b/src/core/config_compare.c
@@ -302,6 +302,9 @@
 	for (uint32_t i = 0; i < next->model_count; i++) {
 		const struct dw_service_model *old = find_model(current, next->models[i].name);
 
+		/* Of a model that is listed twice the first entry counts. */
+		if (find_model(next, next->models[i].name) != &next->models[i])
+			continue;
 		if (!old)
 			dw_check_report_add(comparison->report, DW_FINDING_MODEL_ADDED, path)
 				->subject = next->models[i].name;
--- a/src/programs/wharfctl.c
+++ b/src/programs/wharfctl.c
@@ -22,15 +22,18 @@
 	printf("Commands:\n");
 	command_print_list(stdout);
 	printf("Exit codes: 0 done, 1 usage, 2 refused, 3 conflict, 4 outcome unknown,\n"
-	       "5 unreachable, 6 no such entity.\n");
+	       "5 unreachable, 6 no such entity.\n"
+	       "Exit codes of check: 0 no errors or warnings, 1 warnings only, 2 errors.\n");
 }
 
 static int run(const struct arg_str *servers, const struct arg_str *key,
-	       const struct arg_str *words, bool json, bool allow_lower)
+	       const struct arg_str *words, const struct arg_str *against, bool json,
+	       bool allow_lower)
 {
 	struct command_context context = {
 		.json = json,
 		.allow_lower = allow_lower,
+		.against = against->count > 0 ? against->sval[0] : NULL,
 		.argc = words->count - 1,
 	};
 	const char *arguments[WORDS_MAX + 1] = { NULL };
@@ -64,10 +67,13 @@
 			 "operator address of an instance; repeated: tried in order");
 	struct arg_str *key = arg_str0("k", "key", "KEY",
 				       "operator key (default: the variable WHARF_OPERATOR_KEY)");
+	struct arg_str *against =
+		arg_str0(NULL, "against", "FILE",
+			 "configuration in force, with which \"check\" compares its file");
 	struct arg_str *words = arg_strn(NULL, NULL, "COMMAND", 0, WORDS_MAX,
 					 "command and its arguments, see below");
 	struct arg_end *end = arg_end(8);
-	void *table[] = { help, version, json, allow_lower, servers, key, words, end };
+	void *table[] = { help, version, json, allow_lower, servers, key, against, words, end };
 	int errors = arg_parse(argc, argv, table);
 
 	if (help->count > 0) {
@@ -81,7 +87,7 @@
 	if (errors > 0 || words->count == 0 || sodium_init() < 0) {
 		arg_print_errors(stderr, end, "wharfctl");
 		fprintf(stderr, "wharfctl: invalid arguments or no command; see --help\n");
-		return WHARFCTL_USAGE;
+		return command_usage_exit(words->count > 0 ? words->sval[0] : NULL);
 	}
-	return run(servers, key, words, json->count > 0, allow_lower->count > 0);
+	return run(servers, key, words, against, json->count > 0, allow_lower->count > 0);
 }
--- a/src/wharfctl/command.c
+++ b/src/wharfctl/command.c
@@ -11,7 +11,9 @@
 #include <dragonflywharf/entity.h>
 
 #include "base/clock.h"
+#include "wharfctl/command_check.h"
 #include "wharfctl/command_edit.h"
+#include "wharfctl/config_file.h"
 #include "wharfctl/proto_json.h"
 
 #define WAIT_TIMEOUT_US (30 * DW_US_PER_S)
@@ -124,12 +126,10 @@
 static enum wharfctl_exit run_apply(struct command_context *context)
 {
 	struct json_object *root = json_object_from_file(context->argv[0]);
-	struct json_object *entities;
+	struct json_object *entities = config_file_entities(root);
 	enum wharfctl_exit code = WHARFCTL_DONE;
 
-	if (!json_object_is_type(root, json_type_object) ||
-	    !json_object_object_get_ex(root, "entities", &entities) ||
-	    !json_object_is_type(entities, json_type_array)) {
+	if (!entities) {
 		dw_fail(DW_INVALID_ARGUMENT,
 			"%s: cannot read the file, or it is not {\"entities\": [...]}",
 			context->argv[0]);
@@ -304,6 +304,10 @@
 	{ "usage", 0, 1, "[ORGANISATION]: print the totals of the usage ledger", run_usage },
 	{ "wait", 1, 1, "REVISION: wait until a revision is in force on all members (30 s at most)",
 	  run_wait },
+	{ "check", 1, 1,
+	  "FILE: check a configuration file without a server (exit codes 0: no findings, "
+	  "1: warnings only, 2: errors)",
+	  command_check },
 	{ "hash-key", 1, 1, "KEY: print the hash of a bearer key, as used in the configuration",
 	  run_hash },
 };
@@ -320,12 +324,18 @@
 		if (context->argc >= command->min_args && context->argc <= command->max_args)
 			return command->run(context);
 		fprintf(stderr, "wharfctl: usage: %s %s\n", command->name, command->usage);
-		return WHARFCTL_USAGE;
+		return command_usage_exit(name);
 	}
 	fprintf(stderr, "wharfctl: unknown command \"%s\"; see --help\n", name);
 	return WHARFCTL_USAGE;
 }
 
+enum wharfctl_exit command_usage_exit(const char *name)
+{
+	/* A script must not take a mistyped option for a result of "warnings only". */
+	return name && strcmp(name, "check") == 0 ? WHARFCTL_CHECK_ERRORS : WHARFCTL_USAGE;
+}
+
 void command_print_list(FILE *out)
 {
 	for (size_t i = 0; i < COMMAND_COUNT; i++)
--- a/src/wharfctl/command.h
+++ b/src/wharfctl/command.h
@@ -19,9 +19,14 @@
 	WHARFCTL_EXIT_COUNT
 };
 
+/** Exit codes of "check", whose usage errors count as errors too. */
+#define WHARFCTL_CHECK_WARNINGS ((enum wharfctl_exit)1)
+#define WHARFCTL_CHECK_ERRORS ((enum wharfctl_exit)2)
+
 struct command_context {
 	struct operator_client client;
 	bool json; /**< print JSON instead of text */
+	const char *against; /**< "check": the configuration in force, or NULL */
 	bool allow_lower; /**< "apply" may lower the limits of an upstream */
 	int argc; /**< number of arguments after the command's name */
 	const char *const *argv;
@@ -30,6 +35,9 @@
 /** Runs the command @p name and returns the exit code of the process. */
 enum wharfctl_exit command_run(struct command_context *context, const char *name);
 
+/** Returns the exit code of the command @p name for a usage error; @p name may be NULL. */
+enum wharfctl_exit command_usage_exit(const char *name);
+
 /** Prints a help line for each command. */
 void command_print_list(FILE *out);
 
--- a/src/wharfctl/proto_json.c
+++ b/src/wharfctl/proto_json.c
@@ -243,6 +243,13 @@
 	}
 	if (field->label == PROTOBUF_C_LABEL_REPEATED)
 		return json_to_array(field, json, base);
+	/* A second one would replace the first one, which would never be freed. */
+	if ((field->flags & PROTOBUF_C_FIELD_FLAG_ONEOF) &&
+	    *(const uint32_t *)(base + field->quantifier_offset) != 0) {
+		dw_fail(DW_INVALID_ARGUMENT, "%s: %s has another kind already", name,
+			descriptor->short_name);
+		return false;
+	}
 	if (!json_to_value(field, json, base + field->offset))
 		return false;
 	if (field->flags & PROTOBUF_C_FIELD_FLAG_ONEOF)
--- a/tests/config_check_test.cc
+++ b/tests/config_check_test.cc
@@ -102,6 +102,14 @@
 	EXPECT_EQ(compare(BASE, BASE), "");
 }
 
+/* Found by fuzz_config_check: of a model that is listed twice, the second cost looked like a change. */
+TEST(ConfigCompare, ARepeatedModelIsNoChange)
+{
+	std::string twice =
+		edited({ { R"({"Name":"l","Cost":0.5})", R"({"Name":"s","Cost":9})" } });
+	EXPECT_EQ(compare(twice, twice), "");
+}
+
 TEST(ConfigCheck, EachRuleFindsItsFault)
 {
 	const std::string tail =
