Configuration check: a test of bounds that just hold

Cause: the rows of config_check_test show only limits that are broken by one, so a rule that also objects to equal ones would pass.

--- a/tests/config_check_test.cc
+++ b/tests/config_check_test.cc
@@ -102,6 +102,17 @@
 	EXPECT_EQ(compare(BASE, BASE), "");
 }
 
+/* Limits that are just met are no contradiction. */
+TEST(ConfigCheck, BoundsThatJustHoldAreNoFindings)
+{
+	EXPECT_EQ(check(edited({ { "9000,", "2000," }, { ":900,", ":2000," } })), "");
+	EXPECT_EQ(check(edited({ { "8000", "32" }, { "90000", "32" }, { "5000}", "3000}" } })), "");
+	EXPECT_EQ(check(edited({ { ":70,", ":64," }, { ":1000,", ":6," }, { "0.25", "0.5" } })),
+		  "");
+	EXPECT_EQ(check(edited({ { "/book/", "/chat/b/" }, { ":70,", ":0," } })), "");
+	EXPECT_EQ(check(edited({ { "9000,", "0," }, { R"("ColdStartS":3,)", "" } })), "");
+}
+
 /* Found by fuzz_config_check: of a model that is listed twice, the second cost looked like a change. */
 TEST(ConfigCompare, ARepeatedModelIsNoChange)
 {
