--- a/tests/config_check_test.cc
+++ b/tests/config_check_test.cc
@@ -3,14 +3,13 @@
 // much makes the exit code useless.
 #include <gtest/gtest.h>
 
-#include <sstream>
 #include <string>
 #include <vector>
 
 #include <dragonflywharf/config_check.h>
 
-#include "platform/config_path.h"
 #include "platform/records.h"
+#include "support/findings.h"
 
 namespace
 {
@@ -59,33 +58,12 @@
 	}
 };
 
-/* One finding a line: "e Routes[0] (chat).TimeoutMs kind subject other value/bound". */
-std::string printed(dw_check_report *report)
-{
-	std::ostringstream out;
-	for (size_t i = 0; i < report->count; i++) {
-		const dw_finding &finding = report->findings[i];
-		char path[200];
-		config_path_write(&finding.path, path, sizeof(path));
-		out << dw_check_severity_name(finding.severity)[0] << ' ' << path << ' '
-		    << dw_finding_kind_name(finding.kind);
-		for (const char *text : { finding.subject, finding.other })
-			if (text)
-				out << ' ' << text;
-		if (finding.has_numbers)
-			out << ' ' << finding.value << '/' << finding.bound;
-		out << '\n';
-	}
-	dw_check_report_free(report);
-	return out.str();
-}
-
 std::string check(const std::string &text)
 {
 	checked file(text);
 	dw_check_report report{};
 	dw_config_check(&file.index, &report);
-	return printed(&report);
+	return take_findings(&report);
 }
 
 std::string compare(const std::string &next, const std::string &current)
@@ -93,7 +71,7 @@
 	checked next_file(next), current_file(current);
 	dw_check_report report{};
 	dw_config_compare(&next_file.index, &current_file.index, &report);
-	return printed(&report);
+	return take_findings(&report);
 }
 
 TEST(ConfigCheck, ACleanConfigurationHasNoFindings)
@@ -131,6 +109,9 @@
 		std::string findings;
 	} rows[] = {
 		{ { { R"(],"Services")", tail } }, "e Routes[2] (tail) route_shadowed chat 0/0\n" },
+		{ { { R"("Service":"plain")", R"("Service":"llm")" }, { R"(],"Services")", tail } },
+		  "e Routes[2] (tail) route_shadowed chat 0/0\nw Services[2] (plain) "
+		  "service_unused\n" },
 		{ { { "/book/", "/bo?k/" } },
 		  "e Routes[1] (book).PathPrefix prefix_never_matches /bo?k/\n" },
 		{ { { "/book/", "/" + std::string(2047, 'b') + "/" }, { "8000", "9000" } },
@@ -278,6 +259,54 @@
 	}
 }
 
+/* Entries without effect must neither hide a change nor look like one. */
+TEST(ConfigCompare, EntriesWithoutEffectAreNoChange)
+{
+	const std::string shadowed = R"(,{"Name":"x","Host":"H","PathPrefix":"/chat/",)"
+				     R"("Kind":"safe","Service":"plain"}],"Services")";
+	const std::string with_shadowed = edited({ { R"(],"Services")", shadowed } });
+	const std::string split = R"({"Service":"llm","Weight":90},{"Service":"new","Weight":10})";
+	const std::string halves =
+		R"({"Service":"llm","Weight":45},{"Service":"llm","Weight":45},)";
+	const std::string plain = R"(,{"Name":"plain"})";
+	const std::string south = R"(,{"Name":"south","ApiKeys":["k3"]})";
+	const std::string other_south = R"(,{"Name":"south","ApiKeys":["k4"]})";
+	auto newer = [](edits list) {
+		list.push_back({ ":7,", ":8," });
+		return edited(list);
+	};
+
+	EXPECT_EQ(compare(newer({}), with_shadowed), "");
+	EXPECT_EQ(compare(newer({ { R"(],"Services")", shadowed } }), BASE), "");
+	EXPECT_EQ(compare(newer({ { R"("Service":"plain")", R"("Service":"llm")" },
+				  { R"(],"Services")", shadowed } }),
+			  BASE),
+		  "w Routes[1] (book).TrafficSplit route_leaves_service plain llm\n"
+		  "n Routes[1] (book).TrafficSplit route_joins_service llm 100/0\n"
+		  "w Services[2] (plain) service_loses_routes\n");
+	EXPECT_EQ(compare(newer({ { R"("/book/")", R"("/b/")" }, { R"("/chat/")", R"("/b/")" } }),
+			  R"({"Version":1})")
+			  .find("Routes[1]"),
+		  std::string::npos);
+	EXPECT_EQ(compare(newer({ { R"("Host":"h")", R"("Host":"H")" } }), BASE), "");
+	std::string twice = halves + R"({"Service":"new","Weight":30})";
+	EXPECT_EQ(compare(newer({ { split, twice } }), BASE),
+		  "n Routes[0] (chat).TrafficSplit share_changed llm 75/90\n"
+		  "n Routes[0] (chat).TrafficSplit share_changed new 25/10\n");
+	EXPECT_EQ(compare(newer({ { split, R"({"Service":"new","Weight":1})" } }),
+			  edited({ { split, twice } })),
+		  "w Routes[0] (chat).TrafficSplit route_leaves_service llm new\n"
+		  "n Routes[0] (chat).TrafficSplit share_changed new 100/25\n"
+		  "w Services[0] (llm) service_loses_routes\n");
+	EXPECT_EQ(compare(newer({ { plain, "" } }), edited({ { plain, plain + plain } })),
+		  "w in force: Services[3] (plain) removed\n");
+	EXPECT_EQ(compare(newer({ { south, "" } }), edited({ { south, south + other_south } })),
+		  "w in force: Tenants[1] (south) organisation_removed 2/0\n");
+	EXPECT_EQ(compare(newer({ { R"("k1","k2")", "" }, { R"("k3")", R"("k3","k1","k2")" } }),
+			  BASE),
+		  "w Tenants[0] (north).ApiKeys keys_moved south 2/0\n");
+}
+
 /* Instances ignore a version that isn't newer, so the change would silently not happen. */
 TEST(ConfigCompare, TheVersionMustBeNewer)
 {
--- a/tests/entity_set_check_test.cc
+++ b/tests/entity_set_check_test.cc
@@ -1,11 +1,10 @@
 // Checks of the project's own entities, read as for `wharfctl apply`: one row for each rule.
 #include <gtest/gtest.h>
 
-#include <sstream>
 #include <string>
 #include <vector>
 
-#include "platform/config_path.h"
+#include "support/findings.h"
 #include "wharfctl/config_file.h"
 
 namespace
@@ -37,7 +36,6 @@
 {
 	dw_check_report report{};
 	config_file files[2];
-	std::ostringstream out;
 
 	EXPECT_EQ(config_file_parse(next.data(), next.size(), false, &files[0], &report), DW_OK);
 	if (current) {
@@ -46,24 +44,11 @@
 			  DW_OK);
 	}
 	EXPECT_EQ(config_file_check(&files[0], current ? &files[1] : nullptr, &report), DW_OK);
-	for (size_t i = 0; i < report.count; i++) {
-		const dw_finding &finding = report.findings[i];
-		char path[200];
-		config_path_write(&finding.path, path, sizeof(path));
-		out << dw_check_severity_name(finding.severity)[0] << ' ' << path << ' '
-		    << dw_finding_kind_name(finding.kind);
-		for (const char *text : { finding.subject, finding.other, finding.detail })
-			if (text)
-				out << ' ' << text;
-		if (finding.has_numbers)
-			out << ' ' << finding.value << '/' << finding.bound;
-		out << '\n';
-	}
-	dw_check_report_free(&report);
+	std::string findings = take_findings(&report);
 	config_file_free(&files[0]);
 	if (current)
 		config_file_free(&files[1]);
-	return out.str();
+	return findings;
 }
 
 TEST(EntitySetCheck, EachRuleFindsItsFault)
@@ -148,6 +133,25 @@
 		EXPECT_EQ(check(edited(row.from, row.to), &BASE), row.findings) << row.to;
 }
 
+/* The lowest cost of a model's versions counts, the last entry of a key, and no change's id. */
+TEST(EntitySetCheck, RepeatedValuesAreNotFindingsOfTheirOwn)
+{
+	const std::string dear = R"({"version":{"model":"small","name":"0",)"
+				 R"("cost_micros_per_1k_tokens":5000}},{"version":)";
+	std::string in_force = edited(R"("limit":32,)", R"("limit":31,)");
+	std::string engine = BASE.substr(BASE.find(R"({"upstream")"));
+
+	engine = engine.substr(0, engine.find(R"(,{"service")"));
+	engine.replace(engine.find(":32"), 3, ":40");
+	in_force.replace(in_force.size() - 2, 2, "," + engine + "]}");
+	EXPECT_EQ(check(edited(R"({"version":)", dear)),
+		  "w entities[3] (version/small/0) without_upstreams\n");
+	EXPECT_EQ(check(edited(KEY, KEY + "\",\"" + KEY)), "");
+	EXPECT_EQ(check(edited(R"({"service":{)", R"({"change_id":"c","service":{)"), &BASE), "");
+	EXPECT_EQ(check(BASE, &in_force),
+		  "w entities[5] (upstream/e1).limit upstream_limit_lowered 32/40\n");
+}
+
 /* "apply" writes only what the file lists: a part of the configuration refers to entities in force,
  * and those that it doesn't list stay. */
 TEST(EntitySetCheck, APartIsCheckedTogetherWithWhatIsInForce)
