--- a/src/wharfctl/command.c
+++ b/src/wharfctl/command.c
@@ -305,7 +305,7 @@
 	{ "wait", 1, 1, "REVISION: wait until a revision is in force on all members (30 s at most)",
 	  run_wait },
 	{ "check", 1, 1,
-	  "FILE: check a configuration file without a server (exit codes 0: no findings, "
+	  "FILE: check a configuration file without a server (exit codes 0: clean, "
 	  "1: warnings only, 2: errors)",
 	  command_check },
 	{ "hash-key", 1, 1, "KEY: print the hash of a bearer key, as used in the configuration",
