--- a/src/core/engine_choice.c
+++ b/src/core/engine_choice.c
@@ -37,12 +37,12 @@
 #define COLD_ASSIGNED_PERMILLE 550
 
 /* Share of the engines reserved for long answers; exact up to this number of engines. */
-#define LONG_ANSWER_ENGINES_PERMILLE 110
+#define LONG_ANSWER_ENGINES_PERMILLE 200
 #define LONG_ANSWER_EXACT_ENGINES_MAX 24
 #define LONG_ANSWER_KEY UINT64_C(0xc2b2ae3d27d4eb4f)
 /* Cost of sending a long prompt to a reserved engine, or a long answer to another engine. */
-#define LONG_PROMPT_MISMATCH_US (60 * US_PER_MS)
-#define LONG_ANSWER_MISMATCH_US (150 * US_PER_MS)
+#define LONG_PROMPT_MISMATCH_US (1000 * US_PER_MS)
+#define LONG_ANSWER_MISMATCH_US (1000 * US_PER_MS)
 /* Rendezvous key that selects the engines of a subset. */
 #define SUBSET_KEY UINT64_C(0x9e3779b97f4a7c15)
 
--- a/src/wharf-gateway/exchange_answer.c
+++ b/src/wharf-gateway/exchange_answer.c
@@ -14,6 +14,15 @@
 /* First character of a comment in an event stream. */
 #define EVENT_COMMENT ':'
 
+static void record_gap(struct exchange *exchange, uint64_t now_us)
+{
+	uint64_t gap_us = now_us - exchange->last_event_at_us;
+
+	if (exchange->last_event_at_us > 0 && gap_us > exchange->longest_gap_us)
+		exchange->longest_gap_us = gap_us;
+	exchange->last_event_at_us = now_us;
+}
+
 /* Forwards a complete event of the stream, without repeats, and stops at a gap. */
 static void on_event(const char *data, size_t data_len, const char *raw, size_t raw_len,
 		     void *context)
@@ -48,6 +57,7 @@
 		caller_begin(exchange->caller, exchange->answer.status, "",
 			     &exchange->answer.fields, CALLER_CHUNKED);
 	}
+	record_gap(exchange, dw_clock_now_us());
 	caller_write(exchange->caller, raw, raw_len);
 }
 
--- a/src/wharf-gateway/exchange_reply.c
+++ b/src/wharf-gateway/exchange_reply.c
@@ -74,6 +74,9 @@
 		DW_INT("sends", exchange->send_count),
 		DW_INT("confidence", exchange->answer.confidence), DW_INT("status", status),
 		DW_INT("first_ms", first_us > 0 ? (first_us - arrived_us) / DW_US_PER_MS : 0),
+		DW_INT("gap_ms", exchange->longest_gap_us / DW_US_PER_MS),
+		DW_INT("tokens_in", exchange->fields.prompt.tokens_in),
+		DW_INT("tokens_hint", exchange->fields.expected_tokens_out),
 		DW_INT("total_ms", (now_us - arrived_us) / DW_US_PER_MS), DW_STR("reason", reason));
 }
 
--- a/src/wharf-gateway/exchange_state.h
+++ b/src/wharf-gateway/exchange_state.h
@@ -69,6 +69,8 @@
 	/** A refused caller isn't told to come back sooner; 0: whenever. */
 	uint64_t retry_not_before_us;
 	uint64_t first_byte_at_us;
+	uint64_t last_event_at_us; /**< when the last event was passed on; 0: none yet */
+	uint64_t longest_gap_us; /**< longest pause between two events that were passed on */
 	uv_timer_t timer;
 	/** Head of the answer being received. */
 	struct http_answer_head {
