--- a/src/core/engine_choice.c
+++ b/src/core/engine_choice.c
@@ -46,10 +46,10 @@
 /* The same where requests are placed by cost. */
 #define LONG_ANSWER_ENGINES_BY_COST_PERMILLE 130
 #define MISMATCH_BY_COST_US (1 * US_PER_S)
-/* Where requests are placed by cost and a service has more engines than this, a long prompt is sent to
- * its home engine or to one of about this many drawn at random: instances that act on the same news
- * would otherwise all choose the same engine. */
-#define SAMPLED_ENGINES_MIN 24
+/* With this many engines or fewer, each instance hears of all of them often enough to count requests. */
+#define PLACED_BY_COST_MIN 24
+/* Where requests are placed by cost, a long prompt is sent to its home engine or to one of about this
+ * many drawn at random: instances that act on the same news would otherwise all choose the same engine. */
 #define SAMPLED_ENGINES 3
 /* An engine that wasn't drawn is used only if the others are expected to be worse by this. */
 #define NOT_SAMPLED_US (3 * US_PER_S)
@@ -233,7 +233,6 @@
  */
 struct long_answer_engines {
 	uint64_t bound; /**< engines with a greater score are reserved */
-	uint32_t matching; /**< engines that match the request */
 };
 
 static uint64_t long_answer_score(const struct dw_engine *engine)
@@ -242,18 +241,15 @@
 }
 
 static struct long_answer_engines find_long_answer_engines(struct dw_engine_set *set,
-							   const struct dw_choice_request *request)
+							   const struct dw_choice_request *request,
+							   uint32_t matching)
 {
 	struct long_answer_engines group = { .bound = UINT64_MAX };
-	uint32_t matching = 0;
 	uint32_t permille;
 	uint32_t wanted;
 
 	if (!request->prompt)
 		return group;
-	for (struct dw_engine *it = dw_engine_set_first(set); it; it = it->next)
-		matching += is_match(request, it);
-	group.matching = matching;
 	permille = request->work_stats ? LONG_ANSWER_ENGINES_BY_COST_PERMILLE
 				       : LONG_ANSWER_ENGINES_PERMILLE;
 	wanted = (matching * permille + 500) / 1000;
@@ -377,8 +373,7 @@
 {
 	uint64_t score = dw_rendezvous_score(request->random ^ SAMPLE_KEY, engine->id_hash);
 
-	return request->is_long_answer || matching <= SAMPLED_ENGINES_MIN ||
-	       (score >> 32) % matching < SAMPLED_ENGINES;
+	return request->is_long_answer || (score >> 32) % matching < SAMPLED_ENGINES;
 }
 
 /* Adds the work at the engine to the selection. @return what it costs, besides the time to the first byte */
@@ -539,18 +534,26 @@
 	return DW_CHOICE_FOUND;
 }
 
-enum dw_choice_result dw_engine_choose(struct dw_engine_set *set,
-				       const struct dw_choice_request *request,
-				       struct dw_choice_selection *selection)
+static uint32_t count_matching(struct dw_engine_set *set, const struct dw_choice_request *request)
+{
+	uint32_t count = 0;
+
+	for (struct dw_engine *it = dw_engine_set_first(set); it; it = it->next)
+		count += is_match(request, it);
+	return count;
+}
+
+static enum dw_choice_result choose_by_rank(struct dw_engine_set *set,
+					    const struct dw_choice_request *request,
+					    uint32_t matching,
+					    struct dw_choice_selection *selection)
 {
 	struct ranking ranking = { .exclusion = DW_CHOICE_NO_ENGINE };
-	struct long_answer_engines group = find_long_answer_engines(set, request);
+	struct long_answer_engines group = find_long_answer_engines(set, request, matching);
 	const struct dw_engine *home = find_home(set, request, &group);
 	uint64_t bound = subset_bound(set, request);
 	enum dw_choice_result exclusion;
 
-	if (request->suspect_key != 0)
-		return choose_for_suspect(set, request, selection);
 	for (struct dw_engine *it = dw_engine_set_first(set); it; it = it->next) {
 		if (!is_match(request, it) || (bound > 0 && subset_score(it) < bound))
 			continue;
@@ -561,7 +564,7 @@
 				     .engine = it,
 				     .is_home = it == home,
 				     .is_in_group = is_in_matching_group(&group, request, it),
-				     .is_sampled = is_sampled(request, it, group.matching),
+				     .is_sampled = is_sampled(request, it, matching),
 			     });
 		else if (exclusion > ranking.exclusion)
 			ranking.exclusion = exclusion;
@@ -574,6 +577,21 @@
 	return DW_CHOICE_FOUND;
 }
 
+enum dw_choice_result dw_engine_choose(struct dw_engine_set *set,
+				       const struct dw_choice_request *request,
+				       struct dw_choice_selection *selection)
+{
+	struct dw_choice_request by_count = *request;
+	uint32_t matching = count_matching(set, request);
+
+	if (request->suspect_key != 0)
+		return choose_for_suspect(set, request, selection);
+	if (matching > PLACED_BY_COST_MIN)
+		return choose_by_rank(set, request, matching, selection);
+	by_count.work_stats = NULL;
+	return choose_by_rank(set, &by_count, matching, selection);
+}
+
 uint64_t dw_engine_pause_end_us(struct dw_engine_set *set, const struct dw_choice_request *request)
 {
 	uint64_t end_us = UINT64_MAX;
