Responses without a body end after their head

Cause: http_parser reads a body after a 304, 204 or 1xx with a Content-Length, and after a response to HEAD, unless on_headers_complete() tells it not to. A late response of an engine was taken for the body of a 304. A request with Connection: Upgrade was malformed, as the parser left HTTP there.

Change: the reader skips the body by status, and the connection tells it when the request is HEAD. A response to HEAD that announces a body closes its connection: a late copy of it would be read with that body otherwise. Offers of other protocols are ignored; a 101 remains malformed.

--- a/src/net/http_connection.c
+++ b/src/net/http_connection.c
@@ -142,6 +142,15 @@
 	return at ? (uint32_t)strtoul(at + strlen("timeout="), NULL, 10) * 1000 : 0;
 }
 
+/* A response to HEAD that would have a body if the request had another method. A second copy of it that
+ * comes late would be read with that body, so its connection isn't reused. */
+static bool has_body_for_other_methods(const struct http_connection *connection,
+				       const struct http_head *head)
+{
+	return connection->reader.skip_body && head->status != 204 && head->status != 304 &&
+	       !(head->has_content_length && head->content_length == 0);
+}
+
 static bool on_head(void *data, const struct http_head *head)
 {
 	struct http_connection *connection = data;
@@ -149,7 +158,8 @@
 	if (head->status < 200)
 		return true; /* an interim response: the final one follows */
 	connection->head_seen = true;
-	connection->keep_alive = head->keep_alive && !head->ends_at_close;
+	connection->keep_alive = head->keep_alive && !head->ends_at_close &&
+				 !has_body_for_other_methods(connection, head);
 	connection->server_keep_alive_ms = parse_keep_alive_ms(head);
 	if (connection->state == CONNECTION_BUSY &&
 	    connection->callbacks->on_head(connection->owner, head))
@@ -374,6 +384,13 @@
 	return connection;
 }
 
+static bool is_head_request(const char *request, size_t len)
+{
+	static const char method[] = "HEAD ";
+
+	return len >= strlen(method) && memcmp(request, method, strlen(method)) == 0;
+}
+
 struct http_connection *http_pool_send(struct http_pool *pool, const struct dw_endpoint *server,
 				       uint64_t key, const void *request, size_t len,
 				       const struct http_connection_callbacks *callbacks,
@@ -394,6 +411,7 @@
 		memcpy(connection->unsent, request, len);
 		connection->unsent_len = len;
 	}
+	connection->reader.skip_body = is_head_request(request, len);
 	connection->callbacks = callbacks;
 	connection->owner = owner;
 	connection->head_seen = false;
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -57,7 +57,7 @@
 
 /**
  * Sends a request to @p server on an idle connection, or on a new one if there is none. A new connection
- * sends it once it is established.
+ * sends it once it is established. Whether the response may have a body is told by the request's method.
  * @param key identifies the request; connections that http_connection_avoid() keeps from it aren't used
  * @return the connection, or NULL if it could not be opened.
  */
--- a/src/net/http_reader.c
+++ b/src/net/http_reader.c
@@ -164,16 +164,32 @@
 	}
 }
 
-/* A response with neither Content-Length nor chunks ends when the connection is closed. */
-static bool is_delimited_by_close(const struct http_reader *reader)
+/* Whether the message ends after its head, whatever its fields say (RFC 9112, section 6.3). */
+static bool is_without_body(const struct http_reader *reader)
 {
 	uint16_t status = reader->head.status;
 
-	return reader->kind == HTTP_READER_RESPONSE && !reader->skip_body && status >= 200 &&
-	       status != 204 && status != 304 && !reader->head.has_content_length &&
+	return reader->kind == HTTP_READER_RESPONSE &&
+	       (reader->skip_body || status < 200 || status == 204 || status == 304);
+}
+
+/* A response with neither Content-Length nor chunks ends when the connection is closed. */
+static bool is_delimited_by_close(const struct http_reader *reader)
+{
+	return reader->kind == HTTP_READER_RESPONSE && !reader->head.has_no_body &&
+	       !reader->head.has_content_length &&
 	       !http_head_get(&reader->head, "Transfer-Encoding");
 }
 
+/* A request may offer another protocol; none is supported, so the offer is ignored (RFC 9110, section
+ * 7.8). A response that switches answers no offer, and CONNECT isn't supported either. */
+static bool switches_protocol(http_parser *parser)
+{
+	if (parser->type == HTTP_REQUEST && parser->method != HTTP_CONNECT)
+		parser->upgrade = 0;
+	return parser->upgrade != 0;
+}
+
 static int on_headers_complete(http_parser *parser)
 {
 	struct http_reader *reader = parser->data;
@@ -187,9 +203,14 @@
 			       : "";
 	head->has_content_length = http_head_get(head, "Content-Length") != NULL;
 	head->content_length = head->has_content_length ? parser->content_length : 0;
+	head->has_no_body = is_without_body(reader);
+	/* Set before http_should_keep_alive(), which else expects a body that ends with the connection. */
+	if (head->has_no_body)
+		parser->flags |= F_SKIPBODY;
 	head->keep_alive = http_should_keep_alive(parser) != 0;
 	head->ends_at_close = is_delimited_by_close(reader);
-	if (!are_field_names_valid(head) || !is_message_unambiguous(reader) || parser->upgrade) {
+	if (!are_field_names_valid(head) || !is_message_unambiguous(reader) ||
+	    switches_protocol(parser)) {
 		reader->error_status = DW_INVALID_ARGUMENT;
 		return -1;
 	}
@@ -197,7 +218,7 @@
 		reader->error_status = DW_CANCELLED;
 		return -1;
 	}
-	return reader->skip_body ? 1 : 0;
+	return head->has_no_body ? 1 : 0;
 }
 
 static int on_body(http_parser *parser, const char *at, size_t len)
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -37,6 +37,7 @@
 	uint16_t status; /**< responses only */
 	bool keep_alive; /**< the connection may carry another message */
 	bool has_content_length; /**< a Content-Length field is present */
+	bool has_no_body; /**< a response that ends after its head, because of its status or the request's method */
 	bool ends_at_close; /**< a response without a length or chunks, which ends when its connection closes */
 	uint64_t content_length; /**< value of Content-Length; valid if has_content_length is set */
 	struct http_field fields[HTTP_READER_FIELDS_MAX];
@@ -78,7 +79,7 @@
 	bool in_head;
 	bool started; /**< at least one byte of the current message was received */
 	bool is_complete; /**< the current message is complete */
-	bool skip_body; /**< the response to a HEAD request has no body */
+	bool skip_body; /**< set by the owner: responses are to HEAD, so they have no body */
 	bool line_start; /**< the next raw byte of the head starts a line */
 	char previous; /**< last raw byte of the head */
 	enum dw_status error_status; /**< why a callback or check stopped the parser */
--- a/tests/http_connection_test.cc
+++ b/tests/http_connection_test.cc
@@ -122,9 +122,9 @@
 				script(accept(listener, nullptr, nullptr));
 		});
 	}
-	Outcome send(uint64_t key = 0, uint64_t avoided_key = 0)
+	Outcome send(uint64_t key = 0, uint64_t avoided_key = 0, const std::string &method = "GET")
 	{
-		static const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+		const std::string request = method + " / HTTP/1.1\r\nHost: a\r\n\r\n";
 		Outcome outcome;
 		outcome.loop = &loop;
 		outcome.avoided_key = avoided_key;
@@ -220,6 +220,59 @@
 	EXPECT_EQ(http_pool_connections_opened(pool), 2U);
 }
 
+/* A second response that follows a 304 with a length must not be read as the body of the 304. */
+TEST_F(HttpConnection, ResponseWithoutBodyIsCompleteAfterItsHead)
+{
+	const std::string head = "HTTP/1.1 304 Not Modified\r\nContent-Length: 2\r\n\r\n";
+	const std::string foreign = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb";
+	serve({ [=](int fd) {
+		       read_request(fd);
+		       write_text(fd, head);
+		       read_request(fd);
+		       write_text(fd, head + foreign);
+		       read_request(fd);
+		       close(fd);
+	       },
+		[=](int fd) {
+			read_request(fd);
+			write_text(fd, head);
+			close(fd);
+		} });
+	for (int i = 0; i < 3; i++) {
+		Outcome outcome = send();
+		EXPECT_EQ(outcome.ends, 1) << i;
+		EXPECT_EQ(outcome.body, "") << i;
+	}
+	EXPECT_EQ(http_pool_connections_opened(pool), 2U)
+		<< "reused after the first response, closed after the foreign one";
+}
+
+/* The length of a response to HEAD must not be waited for. The connection isn't reused, as a late second
+ * copy of the response would be read with a body when the next request is no HEAD. */
+TEST_F(HttpConnection, ResponseToHeadIsCompleteAfterItsHead)
+{
+	serve({ [](int fd) {
+		       read_request(fd);
+		       write_text(fd, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n");
+		       read_request(fd);
+		       close(fd);
+	       },
+		[](int fd) {
+			read_request(fd);
+			write_text(fd, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+			read_request(fd);
+			write_text(fd, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+			close(fd);
+		} });
+	for (int i = 0; i < 2; i++) {
+		Outcome outcome = send(0, 0, "HEAD");
+		EXPECT_EQ(outcome.ends, 1) << i;
+		EXPECT_EQ(outcome.body, "") << i;
+	}
+	EXPECT_EQ(send().body, "ok") << "a GET after a HEAD on the same connection";
+	EXPECT_EQ(http_pool_connections_opened(pool), 2U);
+}
+
 TEST_F(HttpConnection, ReportsKindOfFailure)
 {
 	serve({ [](int fd) {
--- a/tests/http_reader_test.cc
+++ b/tests/http_reader_test.cc
@@ -45,11 +45,13 @@
 };
 
 /* Parses one message from the text, fed in pieces of the given size. */
-Result read(http_reader_kind kind, const std::string &text, size_t piece = SIZE_MAX)
+Result read(http_reader_kind kind, const std::string &text, size_t piece = SIZE_MAX,
+	    bool skip_body = false)
 {
 	Result result;
 	http_reader reader;
 	http_reader_init(&reader, kind, 4096, &CALLBACKS, &result.parsed);
+	reader.skip_body = skip_body;
 	size_t at = 0;
 	while (at < text.size() && result.status == DW_OK && result.parsed.ends == 0) {
 		size_t used = 0;
@@ -154,6 +156,48 @@
 	EXPECT_EQ(result.rest, "X");
 }
 
+/* Guards against a later response that is taken for the body of one that has none. */
+TEST(HttpReader, ResponseWithoutBodyEndsAfterItsHead)
+{
+	for (const char *status : { "304 Not Modified", "204 No Content", "103 Early Hints" }) {
+		for (const char *framing :
+		     { "Content-Length: 3\r\n", "Transfer-Encoding: chunked\r\n", "" }) {
+			std::string head =
+				std::string("HTTP/1.1 ") + status + "\r\n" + framing + "\r\n";
+			for (size_t piece : { SIZE_MAX, (size_t)1 }) {
+				Result result = read(HTTP_READER_RESPONSE, head + "abc", piece);
+				EXPECT_EQ(result.status, DW_OK) << head;
+				EXPECT_EQ(result.parsed.ends, 1) << head;
+				EXPECT_EQ(result.parsed.body, "") << head;
+				EXPECT_EQ(result.rest, "abc") << head;
+			}
+		}
+	}
+	for (const char *framing :
+	     { "Content-Length: 3\r\n", "Transfer-Encoding: chunked\r\n", "" }) {
+		std::string head = std::string("HTTP/1.1 200 OK\r\n") + framing + "\r\n";
+		Result result = read(HTTP_READER_RESPONSE, head + "abc", SIZE_MAX, true);
+		EXPECT_EQ(result.parsed.ends, 1) << "to HEAD: " << head;
+		EXPECT_EQ(result.rest, "abc") << "to HEAD: " << head;
+	}
+}
+
+/* Guards against 400 for a request that offers another protocol, which a server may ignore. */
+TEST(HttpReader, IgnoresTheOfferOfAnotherProtocol)
+{
+	Result result = read(HTTP_READER_REQUEST, "POST / HTTP/1.1\r\n" + HOST +
+							  "Connection: Upgrade\r\nUpgrade: h2c\r\n"
+							  "Content-Length: 3\r\n\r\nabcGET");
+	EXPECT_EQ(result.status, DW_OK);
+	EXPECT_EQ(result.parsed.body, "abc");
+	EXPECT_EQ(result.rest, "GET");
+	EXPECT_NE(read(HTTP_READER_RESPONSE, "HTTP/1.1 101 Switching Protocols\r\n"
+					     "Connection: Upgrade\r\nUpgrade: h2c\r\n\r\n")
+			  .status,
+		  DW_OK)
+		<< "nothing was offered to the server";
+}
+
 TEST(HttpReader, TruncatedResponseFails)
 {
 	for (const char *text : {
