Forwarded answers without a body keep their length

Cause: the caller was told the length of what had been received, so a 304 or an answer to HEAD got Content-Length: 0 instead of the engine's.

Change: the exchange remembers that the answer ends after its head and passes the engine's length to caller_begin().

Without a Content-Length of the engine's, caller_begin() can't be told to leave the field out; that stays Content-Length: 0.

--- a/src/wharf-gateway/exchange_answer.c
+++ b/src/wharf-gateway/exchange_answer.c
@@ -194,6 +194,8 @@
 	exchange->is_continuation_due = false;
 	exchange->answer.status = head->status;
 	exchange->answer.is_stream = is_stream;
+	exchange->answer.has_no_body = head->has_no_body;
+	exchange->answer.length = (size_t)head->content_length;
 	exchange->answer.confidence = fields->confidence;
 	exchange->answer.fields.len = 0;
 	exchange->buffered_body.len = 0;
--- a/src/wharf-gateway/exchange_reply.c
+++ b/src/wharf-gateway/exchange_reply.c
@@ -155,7 +155,8 @@
 			      exchange->first_byte_at_us - arrived_us);
 	if (!exchange->policy.has_response_started)
 		caller_begin(caller, exchange->answer.status, "", &exchange->answer.fields,
-			     exchange->buffered_body.len);
+			     exchange->answer.has_no_body ? exchange->answer.length
+							  : exchange->buffered_body.len);
 	caller_write(caller, exchange->buffered_body.data, exchange->buffered_body.len);
 	exchange_close(exchange);
 	caller_end(caller);
--- a/src/wharf-gateway/exchange_state.h
+++ b/src/wharf-gateway/exchange_state.h
@@ -76,6 +76,8 @@
 		struct bytes fields;
 		char type[64]; /**< its content type, cut to this length */
 		bool is_stream;
+		bool has_no_body; /**< it ends after its head */
+		size_t length; /**< as the engine stated it; valid with has_no_body */
 		/** Once complete, the answer shows that the engine has run the request and still ran
 		 * afterwards: it is signed, and the engine's end wouldn't have completed it too. */
 		bool shows_run;
--- a/tests/process_broken_answers_test.cc
+++ b/tests/process_broken_answers_test.cc
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "support/raw_fleet.h"
+#include "support/raw_socket.h"
 
 using support::answer_head;
 using support::answer_with_length;
@@ -281,6 +282,33 @@
 	EXPECT_TRUE(wait_until([&] { return instances[0].metric("requests_suspected") == 1; }));
 }
 
+/* Guards against the next answer of a connection, possibly another caller's, as the body of a 304; and against
+ * an answer to HEAD that is waited for until the time limit. */
+TEST_F(BrokenAnswers, AnAnswerWithoutABodyKeepsItsLengthAndEndsAfterItsHead)
+{
+	start(1, [](raw_connection &connection, const std::string &request) {
+		const std::string length = "Content-Length: 40\r\n";
+		if (request.find("/kept") != std::string::npos)
+			connection.send(answer_head("304 Not Modified", request, length) +
+					answer_with_length("200 OK",
+							   "X\r\nAttempt-Id: other\r\n\r\n",
+							   std::string(40, 'x')));
+		else
+			connection.send(answer_head("200 OK", request, length));
+	});
+	for (const char *line :
+	     { "GET /look/kept", "HEAD /look/1", "HEAD /book/1", "HEAD /chat/1" }) {
+		std::string got = support::exchange_bytes(
+			"127.0.0.1", instances[0].caller_port,
+			std::string(line) + " HTTP/1.1\r\nHost: 127.0.0.1\r\nAttempt-Id: n" +
+				std::to_string(next_attempt++) +
+				"\r\nDeadline-Ms: 2000\r\nCredential: k1\r\n\r\n");
+		EXPECT_NE(got.find("Content-Length: 40\r\n"), std::string::npos) << line << got;
+		EXPECT_EQ(got.find("\r\n\r\n") + 4, got.size()) << line << got;
+		EXPECT_EQ(got.find(line[0] == 'G' ? "HTTP/1.1 304" : "HTTP/1.1 200"), 0U) << got;
+	}
+}
+
 /* An engine that writes its last refusal once more when the next request comes on the connection, which it
  * runs all the same. */
 struct Refusals : BrokenAnswers {
