Silent engines are waited for; the exchange's modules call one way only

Cause: STREAM_GAP_TIMEOUT_US (4 s) aborted a stream before anything was known about its engine, and sent it elsewhere in the same moment; bytes of a plain answer didn't restart its timeout. exchange.c, exchange_answer.c and exchange_reply.c called each other in circles.

Change: exchange_silence.c executes the decisions of silence.h. A stream waits for nearly as long as its caller, leaves only for an engine with capacity, and is sent again 450 ms after its connection was closed. Each byte restarts the limit of a plain answer, time in which a slow caller keeps the answer from being read doesn't count, and an attempt that no other could follow isn't aborted. A stream that has begun waits for paused engines as long as its caller does. The answer reports to a listener instead of calling exchange.c; the end of a request no longer counts for rollouts, as the abort of an attempt does. Headers of their own for answer, reply and silence.

--- a/include/dragonflywharf/silence.h
+++ b/include/dragonflywharf/silence.h
@@ -53,6 +53,14 @@
  */
 uint64_t dw_silence_resend_at_us(enum dw_route_kind kind, uint64_t now_us);
 
+/**
+ * Until when a request waits for upstreams that want a pause: for its response-time goal, or, if it is a stream
+ * that has begun, for as long as its caller waits for the next event; at most until its deadline.
+ */
+uint64_t dw_silence_wait_goal_us(const struct dw_route_rule *route,
+				 const struct dw_request_policy *policy, uint64_t arrived_at_us,
+				 uint64_t last_progress_at_us);
+
 /** Whether an upstream is known or likely to take one more request without queuing it. */
 bool dw_silence_has_capacity(const struct dw_engine *engine, uint64_t now_us);
 
--- a/src/core/silence.c
+++ b/src/core/silence.c
@@ -85,6 +85,17 @@
 	return kind == DW_ROUTE_STREAM ? now_us + NOTICE_US : now_us;
 }
 
+uint64_t dw_silence_wait_goal_us(const struct dw_route_rule *route,
+				 const struct dw_request_policy *policy, uint64_t arrived_at_us,
+				 uint64_t last_progress_at_us)
+{
+	uint64_t goal_us = policy->is_stream_started
+				   ? last_progress_at_us + dw_silence_patience_us(route)
+				   : arrived_at_us + route->target_latency_ms * US_PER_MS;
+
+	return goal_us < policy->deadline_us ? goal_us : policy->deadline_us;
+}
+
 bool dw_silence_has_capacity(const struct dw_engine *engine, uint64_t now_us)
 {
 	const struct dw_engine_load *load = &engine->load;
--- a/src/wharf-gateway/attempt.c
+++ b/src/wharf-gateway/attempt.c
@@ -33,6 +33,7 @@
 	uint64_t expected_us;
 	uint32_t uncached_tokens;
 	bool requires_signature;
+	bool is_paused; /**< the answer isn't read, for a slow caller */
 	bool is_answer_started; /**< the answer to this request has started */
 	enum answer_kind answer_kind;
 	enum dw_attempt_outcome not_executed_outcome; /**< valid with ANSWER_NOT_EXECUTED */
@@ -419,11 +420,6 @@
 	return http_connection_is_established(attempt->link);
 }
 
-bool attempt_answer_started(const struct attempt *attempt)
-{
-	return attempt->is_answer_started;
-}
-
 const struct dw_engine *attempt_engine(const struct attempt *attempt)
 {
 	return attempt->engine;
@@ -431,5 +427,11 @@
 
 void attempt_pause(struct attempt *attempt, bool paused)
 {
+	attempt->is_paused = paused;
 	http_connection_set_paused(attempt->link, paused);
 }
+
+bool attempt_is_paused(const struct attempt *attempt)
+{
+	return attempt->is_paused;
+}
--- a/src/wharf-gateway/attempt.h
+++ b/src/wharf-gateway/attempt.h
@@ -72,10 +72,9 @@
 		   enum dw_engine_outcome engine_outcome);
 
 bool attempt_is_connected(const struct attempt *attempt);
-/** Whether the answer to this request has started. */
-bool attempt_answer_started(const struct attempt *attempt);
 const struct dw_engine *attempt_engine(const struct attempt *attempt);
 /** Stops or resumes reading the answer, for a slow caller. */
 void attempt_pause(struct attempt *attempt, bool paused);
+bool attempt_is_paused(const struct attempt *attempt);
 
 #endif
--- a/src/wharf-gateway/exchange.c
+++ b/src/wharf-gateway/exchange.c
@@ -1,22 +1,18 @@
-#include "wharf-gateway/exchange_state.h"
+#include "wharf-gateway/exchange.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include <dragonflywharf/silence.h>
+
 #include "base/clock.h"
+#include "wharf-gateway/exchange_answer.h"
+#include "wharf-gateway/exchange_reply.h"
+#include "wharf-gateway/exchange_silence.h"
 
 /* Time limit for connecting to an engine; a connection that takes longer is expected to fail. */
 #define CONNECT_TIMEOUT_US (500 * DW_US_PER_MS)
-/* An idempotent request is retried on another engine after this silence plus SILENCE_EXPECTED_FACTOR
- * times the expected time to the first byte. Requests with a prompt have the longer timeout. */
-#define SILENCE_TIMEOUT_US (700 * DW_US_PER_MS)
-#define PROMPT_SILENCE_TIMEOUT_US (3 * DW_US_PER_S)
-#define SILENCE_EXPECTED_FACTOR 3
-/* While an engine still sends on other connections, its silence on this one is tolerated up to this
- * limit and checked again at this interval. */
-#define SILENCE_MAX_US (8 * DW_US_PER_S)
-#define SILENCE_RECHECK_US (300 * DW_US_PER_MS)
 /* How long a request waits for the rate limit of cold engines or the end of suspects, and how often it
  * tries again. */
 #define SEND_WAIT_MAX_US (250 * DW_US_PER_MS)
@@ -25,14 +21,31 @@
 #define VERDICT_POLL_US (5 * DW_US_PER_MS)
 
 static void send_to_engine(struct exchange *exchange);
+static void set_timer(struct exchange *exchange);
+static void after_attempt(struct exchange *exchange, enum dw_attempt_outcome outcome);
 static void on_timer(uv_timer_t *timer);
 
+static void wait_until(struct exchange *exchange, uint64_t send_at_us)
+{
+	exchange->send_retry_at_us = send_at_us;
+	exchange->send_wait_deadline_us = send_at_us + SEND_WAIT_MAX_US;
+	set_timer(exchange);
+}
+
+static void send_again(struct exchange *exchange)
+{
+	if (dw_clock_now_us() >= exchange->send_not_before_us)
+		send_to_engine(exchange);
+	else
+		wait_until(exchange, exchange->send_not_before_us);
+}
+
 static void apply_verdict(struct exchange *exchange, enum dw_policy_verdict verdict,
 			  const char *reason)
 {
 	switch (verdict) {
 	case DW_POLICY_SEND_AGAIN:
-		send_to_engine(exchange);
+		send_again(exchange);
 		break;
 	case DW_POLICY_PASS_ON:
 		exchange_pass_on(exchange);
@@ -71,7 +84,7 @@
 	return due_us;
 }
 
-void exchange_set_timer(struct exchange *exchange)
+static void set_timer(struct exchange *exchange)
 {
 	uint64_t now_us = dw_clock_now_us();
 	uint64_t due_us = exchange->policy.deadline_us;
@@ -86,19 +99,32 @@
 		       0);
 }
 
-/* Whether to tolerate an attempt that has passed its silence timeout: no retry is left in the budget,
- * or the engine has sent on another connection within half of STREAM_GAP_TIMEOUT_US. */
-static bool should_keep_waiting(const struct exchange *exchange, uint64_t now_us)
+/* Closes the attempt's connection, if there is an attempt, and counts it as ended. */
+static void abort_attempt(struct exchange *exchange, enum attempt_abandonment why,
+			  enum dw_engine_outcome engine_outcome)
+{
+	if (!exchange->attempt)
+		return;
+	if (why != ATTEMPT_INSTANCE_STOPS)
+		exchange_count_version_wait(exchange);
+	attempt_abort(exchange->attempt, why, engine_outcome);
+	exchange->attempt = NULL;
+	exchange_count_version_end(exchange, false);
+}
+
+/* The attempt wasn't connected in time, or its engine is silent. */
+static void give_up_attempt(struct exchange *exchange, uint64_t now_us)
 {
-	const struct dw_engine *engine = attempt_engine(exchange->attempt);
+	bool is_connected = attempt_is_connected(exchange->attempt);
 
-	if (!attempt_is_connected(exchange->attempt) || exchange->silence_deadline_us == 0 ||
-	    now_us < exchange->silence_deadline_us)
-		return false;
-	if (router_retries_left(exchange->router, exchange->service_name, now_us) == 0)
-		return true;
-	return now_us < exchange->last_progress_at_us + SILENCE_MAX_US &&
-	       engine->last_byte_at_us + STREAM_GAP_TIMEOUT_US / 2 > now_us;
+	attempt_abort(exchange->attempt, ATTEMPT_ENGINE_SILENT,
+		      is_connected ? DW_ENGINE_NO_RESPONSE : DW_ENGINE_UNREACHABLE);
+	exchange->attempt = NULL;
+	exchange->connection = ATTEMPT_CONNECTION_SILENT;
+	if (is_connected)
+		exchange->send_not_before_us =
+			dw_silence_resend_at_us(exchange->route->kind, now_us);
+	after_attempt(exchange, is_connected ? DW_ATTEMPT_NO_ANSWER : DW_ATTEMPT_NOT_SENT);
 }
 
 static void on_timer(uv_timer_t *timer)
@@ -107,33 +133,19 @@
 	uint64_t now_us = dw_clock_now_us();
 
 	if (now_us >= exchange->policy.deadline_us) {
-		if (exchange->attempt)
-			exchange_count_version_wait(exchange);
-		if (exchange->attempt)
-			attempt_abort(exchange->attempt, ATTEMPT_DEADLINE_PASSED,
-				      attempt_answer_started(exchange->attempt)
-					      ? DW_ENGINE_CANCELLED
-					      : DW_ENGINE_NO_RESPONSE);
-		exchange->attempt = NULL;
+		abort_attempt(exchange, ATTEMPT_DEADLINE_PASSED,
+			      exchange->answer_started_at_us > 0 ? DW_ENGINE_CANCELLED
+								 : DW_ENGINE_NO_RESPONSE);
 		give_up(exchange, "the time limit has passed");
-	} else if (exchange->attempt && should_keep_waiting(exchange, now_us)) {
-		exchange->silence_deadline_us = now_us + SILENCE_RECHECK_US;
-		exchange_set_timer(exchange);
+	} else if (exchange->attempt && exchange_silence_should_wait(exchange, now_us)) {
+		set_timer(exchange);
 	} else if (exchange->attempt && now_us >= attempt_deadline_us(exchange)) {
-		enum dw_attempt_outcome outcome = attempt_is_connected(exchange->attempt)
-							  ? DW_ATTEMPT_NO_ANSWER
-							  : DW_ATTEMPT_NOT_SENT;
-
-		attempt_abort(exchange->attempt, ATTEMPT_ENGINE_SILENT,
-			      outcome == DW_ATTEMPT_NOT_SENT ? DW_ENGINE_UNREACHABLE
-							     : DW_ENGINE_NO_RESPONSE);
-		exchange->attempt = NULL;
-		exchange->connection = ATTEMPT_CONNECTION_SILENT;
-		exchange_after_attempt(exchange, outcome);
-	} else if (!exchange->attempt && exchange->send_wait_deadline_us > 0) {
+		give_up_attempt(exchange, now_us);
+	} else if (!exchange->attempt && exchange->send_wait_deadline_us > 0 &&
+		   now_us >= exchange->send_retry_at_us) {
 		send_to_engine(exchange);
 	} else {
-		exchange_set_timer(exchange);
+		set_timer(exchange);
 	}
 }
 
@@ -150,17 +162,13 @@
 		exchange->tried_count--;
 }
 
-void exchange_after_attempt(struct exchange *exchange, enum dw_attempt_outcome outcome)
+static void after_attempt(struct exchange *exchange, enum dw_attempt_outcome outcome)
 {
 	uint64_t now_us = dw_clock_now_us();
 	bool may_retry = router_retries_left(exchange->router, exchange->service_name, now_us) > 0;
 	enum dw_policy_verdict verdict =
 		dw_request_policy_ended(&exchange->policy, outcome, may_retry, now_us);
-	char fingerprint[DW_FINGERPRINT_TEXT_BYTES];
-	char parts[EXCHANGE_PARTS_TEXT_BYTES];
 
-	dw_fingerprint_text(exchange->run.request, fingerprint);
-	exchange_parts_text(exchange, parts);
 	exchange_count_version_end(exchange, false);
 	if (outcome == DW_ATTEMPT_NO_ANSWER)
 		exchange_count_version_wait(exchange);
@@ -174,18 +182,7 @@
 	dw_counters_add(exchange->router->counters, DW_COUNTER_ATTEMPTS_FAILED, 1);
 	if (!may_retry)
 		dw_counters_add(exchange->router->counters, DW_COUNTER_RETRIES_DENIED, 1);
-	dw_log_event(exchange->router->log, DW_EVENT_ATTEMPT_FAILED,
-		     DW_STR("request", exchange->fields.attempt_id),
-		     DW_STR("engine", exchange->tried_count > 0
-					      ? exchange->tried[exchange->tried_count - 1]
-					      : ""),
-		     DW_INT("confidence", exchange->answer.confidence),
-		     DW_STR("end", dw_attempt_outcome_name(outcome)),
-		     DW_INT("status", exchange->answer.status),
-		     DW_STR("verdict", dw_policy_verdict_name(verdict)),
-		     DW_STR("connection", attempt_connection_name(exchange->connection)),
-		     DW_STR("fingerprint", fingerprint), DW_STR("parts", parts),
-		     DW_INT("may_retry", may_retry), DW_INT("runs", exchange->policy.runs));
+	exchange_log_attempt_failed(exchange, outcome, verdict, may_retry);
 	if (outcome == DW_ATTEMPT_REJECTED)
 		forget_paused_engine(exchange, now_us);
 	apply_verdict(exchange, verdict, dw_attempt_outcome_name(outcome));
@@ -208,9 +205,11 @@
 	memcpy(exchange->version, chosen->engine->entry.version, sizeof(exchange->version));
 	exchange->attempt_sent_at_us = now_us;
 	exchange->attempt_nominal_us = chosen->nominal_us;
+	exchange->expected_us = chosen->expected_us;
 	exchange->answer_started_at_us = 0;
 	exchange->is_wait_counted = false;
 	exchange->load_permille = 0;
+	exchange_silence_restart(exchange);
 	exchange_count_version_sent(exchange);
 	exchange_pin_session(exchange);
 }
@@ -220,8 +219,6 @@
 {
 	uint64_t now_us = choice->now_us;
 	uint64_t remaining_us = exchange->policy.deadline_us - now_us;
-	uint64_t silence_timeout_us =
-		choice->prompt ? PROMPT_SILENCE_TIMEOUT_US : SILENCE_TIMEOUT_US;
 	struct engine_request engine_fields = {
 		.engine_id = chosen->engine->entry.id,
 		.organisation = exchange->organisation ? exchange->organisation->name : NULL,
@@ -258,17 +255,16 @@
 	dw_request_policy_sent(&exchange->policy);
 	exchange->connection = ATTEMPT_CONNECTION_KEPT;
 	exchange->connect_deadline_us = now_us + CONNECT_TIMEOUT_US;
-	exchange_restart_silence_timeout(
-		exchange, silence_timeout_us + SILENCE_EXPECTED_FACTOR * chosen->expected_us);
+	exchange->has_timed_prompt = choice->prompt != NULL;
 	record_send(exchange, chosen, now_us);
 	exchange->attempt =
 		attempt_start(exchange->router, &options, &exchange_attempt_callbacks, exchange);
 	bytes_free(&request);
 	if (!exchange->attempt) {
-		exchange_after_attempt(exchange, DW_ATTEMPT_NOT_SENT);
+		after_attempt(exchange, DW_ATTEMPT_NOT_SENT);
 		return;
 	}
-	exchange_set_timer(exchange);
+	set_timer(exchange);
 }
 
 /* Tries again to send the request later. @return false if it has waited long enough */
@@ -279,7 +275,7 @@
 	if (now_us >= exchange->send_wait_deadline_us)
 		return false;
 	exchange->send_retry_at_us = now_us + poll_us;
-	exchange_set_timer(exchange);
+	set_timer(exchange);
 	return true;
 }
 
@@ -347,20 +343,17 @@
 }
 
 /* All engines have asked for a pause: waits for its soonest end if that serves the request within its
- * response-time goal, else refuses it at once. */
+ * response-time goal, else refuses it at once. A stream that has begun waits for as long as its caller. */
 static void wait_for_pause(struct exchange *exchange, const struct dw_choice_request *choice)
 {
 	uint64_t end_us = dw_engine_pause_end_us(exchange->router->view->engines, choice);
-	uint64_t goal_us =
-		exchange->request.arrived_at_us + exchange->route->target_latency_ms * DW_US_PER_MS;
+	uint64_t goal_us = dw_silence_wait_goal_us(exchange->route, &exchange->policy,
+						   exchange->request.arrived_at_us,
+						   exchange->last_progress_at_us);
 
-	if (goal_us > exchange->policy.deadline_us)
-		goal_us = exchange->policy.deadline_us;
 	if (end_us < goal_us) {
-		exchange->send_retry_at_us = end_us;
-		exchange->send_wait_deadline_us = end_us + SEND_WAIT_MAX_US;
 		exchange->router->pause_waits++;
-		exchange_set_timer(exchange);
+		wait_until(exchange, end_us);
 		return;
 	}
 	if (end_us < UINT64_MAX)
@@ -441,6 +434,11 @@
 	send_to_engine(exchange);
 }
 
+static const struct exchange_listener listener = {
+	.on_answered = exchange_pass_on,
+	.on_attempt_failed = after_attempt,
+};
+
 static struct exchange *exchange_new(struct router *router, struct caller *caller,
 				     const struct caller_request *request)
 {
@@ -450,6 +448,7 @@
 		abort();
 	exchange->router = router;
 	exchange->caller = caller;
+	exchange->listener = &listener;
 	exchange->request = *request;
 	exchange->catalog = dw_catalog_retain(view_catalog(router->view));
 	uv_timer_init(router->loop, &exchange->timer);
@@ -510,11 +509,7 @@
 
 void exchange_caller_disconnected(struct exchange *exchange)
 {
-	if (exchange->attempt) {
-		exchange_count_version_wait(exchange);
-		attempt_abort(exchange->attempt, ATTEMPT_CALLER_LEFT, DW_ENGINE_CANCELLED);
-	}
-	exchange->attempt = NULL;
+	abort_attempt(exchange, ATTEMPT_CALLER_LEFT, DW_ENGINE_CANCELLED);
 	dw_counters_add(exchange->router->counters, DW_COUNTER_CALLERS_GONE, 1);
 	exchange_log_end(exchange, DW_EVENT_CALLER_GONE, 0, "the caller left");
 	exchange_close(exchange);
@@ -522,14 +517,14 @@
 
 void exchange_stop(struct exchange *exchange)
 {
-	if (exchange->attempt)
-		attempt_abort(exchange->attempt, ATTEMPT_INSTANCE_STOPS, DW_ENGINE_CANCELLED);
-	exchange->attempt = NULL;
+	abort_attempt(exchange, ATTEMPT_INSTANCE_STOPS, DW_ENGINE_CANCELLED);
 	give_up(exchange, "the instance ends");
 }
 
 void exchange_caller_drained(struct exchange *exchange)
 {
-	if (exchange->attempt)
-		attempt_pause(exchange->attempt, false);
+	if (!exchange->attempt)
+		return;
+	attempt_pause(exchange->attempt, false);
+	exchange_silence_restart(exchange);
 }
--- a/src/wharf-gateway/exchange_answer.c
+++ b/src/wharf-gateway/exchange_answer.c
@@ -1,12 +1,12 @@
-#include "wharf-gateway/exchange_state.h"
+#include "wharf-gateway/exchange_answer.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
-#include <string.h>
 
 #include "base/clock.h"
+#include "wharf-gateway/exchange_silence.h"
 
 /* A non-streaming answer is buffered until it is complete, so that the request can still be retried;
  * a longer one is flushed whenever the buffer exceeds this size. */
@@ -51,15 +51,6 @@
 	caller_write(exchange->caller, raw, raw_len);
 }
 
-void exchange_restart_silence_timeout(struct exchange *exchange, uint64_t limit_us)
-{
-	exchange->last_progress_at_us = dw_clock_now_us();
-	if (!exchange->policy.is_idempotent || exchange->policy.runs >= exchange->policy.max_runs)
-		exchange->silence_deadline_us = 0;
-	else
-		exchange->silence_deadline_us = exchange->last_progress_at_us + limit_us;
-}
-
 void exchange_count_version_sent(struct exchange *exchange)
 {
 	if (!exchange->is_load_test)
@@ -154,7 +145,7 @@
 	exchange->model_index = exchange->route->model_count - 1;
 	exchange->model = exchange->route->models[exchange->model_index];
 	exchange->tried_count = 0;
-	exchange_after_attempt(exchange, DW_ATTEMPT_DROPPED);
+	exchange->listener->on_attempt_failed(exchange, DW_ATTEMPT_DROPPED);
 }
 
 static const char *content_type(const struct http_head *head)
@@ -186,6 +177,7 @@
 	exchange_count_version_wait(exchange);
 	exchange->answer.shows_run = fields->is_signed && !head->ends_at_close;
 	exchange->answer.began_at_us = 0;
+	exchange_silence_restart(exchange);
 	if (exchange->policy.has_response_started) {
 		/* A resumed stream keeps the head that its first engine sent. */
 		exchange->is_continuation_due = true;
@@ -205,8 +197,6 @@
 		retry_with_largest_model(exchange);
 		return false;
 	}
-	exchange_restart_silence_timeout(exchange, STREAM_GAP_TIMEOUT_US);
-	exchange_set_timer(exchange);
 	return true;
 }
 
@@ -235,12 +225,13 @@
 		bytes_put(&exchange->buffered_body, bytes, len);
 		if (exchange->buffered_body.len > MAX_BUFFERED_BODY_BYTES)
 			flush_buffered_body(exchange);
+		exchange_silence_restart(exchange);
 		return true;
 	}
 	if (event_stream_feed(&exchange->events, bytes, len, on_event, exchange) != DW_OK ||
 	    exchange->is_out_of_order)
 		return false;
-	exchange_restart_silence_timeout(exchange, STREAM_GAP_TIMEOUT_US);
+	exchange_silence_restart(exchange);
 	if (caller_is_congested(exchange->caller))
 		attempt_pause(exchange->attempt, true);
 	return true;
@@ -265,13 +256,13 @@
 
 	exchange->attempt = NULL;
 	if (exchange->answer.status >= 500) {
-		exchange_after_attempt(exchange, DW_ATTEMPT_SERVER_ERROR);
+		exchange->listener->on_attempt_failed(exchange, DW_ATTEMPT_SERVER_ERROR);
 		return;
 	}
 	if (exchange->answer.is_stream && exchange->events.len > 0) {
 		/* The body ended in the middle of an event: the engine stopped early. */
 		event_stream_clear(&exchange->events);
-		exchange_after_attempt(exchange, DW_ATTEMPT_CUT);
+		exchange->listener->on_attempt_failed(exchange, DW_ATTEMPT_CUT);
 		return;
 	}
 	if (exchange->answer.shows_run)
@@ -280,7 +271,7 @@
 	exchange_count_version_result(exchange, false);
 	if (exchange->first_byte_at_us == 0)
 		exchange->first_byte_at_us = dw_clock_now_us();
-	exchange_pass_on(exchange);
+	exchange->listener->on_answered(exchange);
 }
 
 static void on_attempt_failed(void *owner, enum dw_attempt_outcome outcome,
@@ -290,7 +281,7 @@
 
 	exchange->attempt = NULL;
 	exchange->connection = connection;
-	exchange_after_attempt(exchange, outcome);
+	exchange->listener->on_attempt_failed(exchange, outcome);
 }
 
 /* Silence and an engine's own timeout (504) aren't counted, as load causes them too. */
--- a/src/wharf-gateway/exchange_reply.c
+++ b/src/wharf-gateway/exchange_reply.c
@@ -1,4 +1,4 @@
-#include "wharf-gateway/exchange_state.h"
+#include "wharf-gateway/exchange_reply.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -9,6 +9,8 @@
 
 /* A random part of this is added to Retry-After, so that refused callers don't return together. */
 #define RETRY_AFTER_SPREAD_MS 400
+/* Bytes of the text that names the parts of a prompt, including the NUL. */
+#define PARTS_TEXT_BYTES (DW_PROMPT_PARTS_MAX * 17 + 1)
 
 static void on_timer_closed(uv_handle_t *handle)
 {
@@ -30,7 +32,6 @@
 
 void exchange_close(struct exchange *exchange)
 {
-	exchange_count_version_end(exchange, false);
 	exchange_pin_session(exchange);
 	exchange->is_finished = true;
 	exchange->caller = NULL;
@@ -38,17 +39,40 @@
 	uv_close((uv_handle_t *)&exchange->timer, on_timer_closed);
 }
 
-void exchange_parts_text(const struct exchange *exchange, char out[EXCHANGE_PARTS_TEXT_BYTES])
+/* Writes the ids of the prompt's parts, as the caller wrote them. */
+static void parts_text(const struct exchange *exchange, char out[PARTS_TEXT_BYTES])
 {
 	const struct dw_prompt *prompt = &exchange->fields.prompt;
 	size_t len = 0;
 
 	out[0] = '\0';
 	for (uint32_t i = 0; i < prompt->part_count; i++)
-		len += (size_t)snprintf(out + len, EXCHANGE_PARTS_TEXT_BYTES - len,
+		len += (size_t)snprintf(out + len, PARTS_TEXT_BYTES - len,
 					i > 0 ? ",%" PRIx64 : "%" PRIx64, prompt->parts[i].id);
 }
 
+void exchange_log_attempt_failed(const struct exchange *exchange, enum dw_attempt_outcome outcome,
+				 enum dw_policy_verdict verdict, bool may_retry)
+{
+	char fingerprint[DW_FINGERPRINT_TEXT_BYTES];
+	char parts[PARTS_TEXT_BYTES];
+
+	dw_fingerprint_text(exchange->run.request, fingerprint);
+	parts_text(exchange, parts);
+	dw_log_event(exchange->router->log, DW_EVENT_ATTEMPT_FAILED,
+		     DW_STR("request", exchange->fields.attempt_id),
+		     DW_STR("engine", exchange->tried_count > 0
+					      ? exchange->tried[exchange->tried_count - 1]
+					      : ""),
+		     DW_INT("confidence", exchange->answer.confidence),
+		     DW_STR("end", dw_attempt_outcome_name(outcome)),
+		     DW_INT("status", exchange->answer.status),
+		     DW_STR("verdict", dw_policy_verdict_name(verdict)),
+		     DW_STR("connection", attempt_connection_name(exchange->connection)),
+		     DW_STR("fingerprint", fingerprint), DW_STR("parts", parts),
+		     DW_INT("may_retry", may_retry), DW_INT("runs", exchange->policy.runs));
+}
+
 void exchange_log_end(struct exchange *exchange, enum dw_event event, int status,
 		      const char *reason)
 {
@@ -56,10 +80,10 @@
 	uint64_t arrived_us = exchange->request.arrived_at_us;
 	uint64_t first_us = exchange->first_byte_at_us;
 	char fingerprint[DW_FINGERPRINT_TEXT_BYTES];
-	char parts[EXCHANGE_PARTS_TEXT_BYTES];
+	char parts[PARTS_TEXT_BYTES];
 
 	dw_fingerprint_text(exchange->run.request, fingerprint);
-	exchange_parts_text(exchange, parts);
+	parts_text(exchange, parts);
 	dw_log_event(
 		exchange->router->log, event, DW_STR("request", exchange->fields.attempt_id),
 		DW_STR("fingerprint", fingerprint), DW_STR("parts", parts),
--- a/tests/silence_test.cc
+++ b/tests/silence_test.cc
@@ -142,4 +142,16 @@
 	EXPECT_FALSE(dw_silence_should_wait(&silence, NOW + 8 * SECOND)) << "others are served";
 }
 
+/* A stream that has begun must not be broken off for a pause that its caller would wait for. */
+TEST_F(Silence, AStreamThatHasBegunWaitsLongerForAPausedEngine)
+{
+	set_route(DW_ROUTE_STREAM, 500, 1500);
+	EXPECT_EQ(dw_silence_wait_goal_us(&route, &policy, NOW, NOW + 5 * SECOND), NOW + 500 * MS);
+	policy.is_stream_started = true;
+	EXPECT_EQ(dw_silence_wait_goal_us(&route, &policy, NOW, NOW + 5 * SECOND),
+		  NOW + 17 * SECOND);
+	EXPECT_EQ(dw_silence_wait_goal_us(&route, &policy, NOW, NOW + 59 * SECOND),
+		  policy.deadline_us);
+}
+
 } // namespace
