Growing event ids are no gap; no Retry-After excludes an engine for over 30 s

Cause: event_order took an id that isn't the next number for a missing event and broke the stream off, though engines only promise growing ids. One 503 with a long Retry-After kept an engine out for up to an hour.

Change: an id that grows passes, whatever the step; DW_EVENT_GAP is gone, as nothing can return it. An engine's pause ends 30 s after it was asked for; cut pauses end at different times in the last second.

--- a/include/dragonflywharf/engine.h
+++ b/include/dragonflywharf/engine.h
@@ -17,6 +17,8 @@
 
 #define DW_ENGINE_TEXT_BYTES 64
 #define DW_ENGINE_MODELS_MAX 8
+/** No engine is left out for longer because it asked for a pause; one that still wants none asks again. */
+#define DW_ENGINE_PAUSE_MAX_US UINT64_C(30000000)
 
 /** A decoded entry of the discovery list. */
 struct dw_engine_entry {
@@ -158,7 +160,7 @@
 
 /**
  * The engine turned away a request that is still counted as in flight, and asked for no requests until
- * @p until_us; the latest end holds. What else this instance has in flight is what the engine bears: for a
+ * @p until_us; the latest end holds, and none is later than DW_ENGINE_PAUSE_MAX_US from now. What else this instance has in flight is what the engine bears: for a
  * while after the pause not much more is sent.
  */
 void dw_engine_pause_requested(struct dw_engine *engine, uint64_t until_us, uint64_t now_us);
--- a/include/dragonflywharf/event_order.h
+++ b/include/dragonflywharf/event_order.h
@@ -1,7 +1,8 @@
 /**
  * @file event_order.h
  * Checks the event ids of a resumable stream, so that the caller receives each event once and in
- * order, also when the stream is continued from another upstream.
+ * order, also when the stream is continued from another upstream. Ids grow, but not by a fixed step, so they
+ * can't show a missing event: that an upstream continues after the id it was given is left to it.
  */
 #ifndef DRAGONFLYWHARF_EVENT_ORDER_H
 #define DRAGONFLYWHARF_EVENT_ORDER_H
@@ -22,7 +23,6 @@
 enum dw_event_verdict {
 	DW_EVENT_PASS, /**< next in order: forward it */
 	DW_EVENT_REPEATED, /**< the caller already has it: skip it */
-	DW_EVENT_GAP, /**< an earlier event is missing: the stream can't continue */
 	DW_EVENT_VERDICT_COUNT
 };
 
--- a/src/core/engine.c
+++ b/src/core/engine.c
@@ -305,6 +305,8 @@
 		engine->limit = engine->in_flight > 2 ? engine->in_flight - 1 : 1;
 		engine->limit_at_us = now_us;
 	}
+	if (until_us > now_us + DW_ENGINE_PAUSE_MAX_US)
+		until_us = now_us + DW_ENGINE_PAUSE_MAX_US;
 	if (until_us > engine->paused_until_us)
 		engine->paused_until_us = until_us;
 }
--- a/src/core/event_order.c
+++ b/src/core/event_order.c
@@ -6,8 +6,6 @@
 {
 	if (order->has_last && id <= order->last_id)
 		return DW_EVENT_REPEATED;
-	if (order->has_last && id != order->last_id + 1)
-		return DW_EVENT_GAP;
 	order->has_last = true;
 	order->last_id = id;
 	return DW_EVENT_PASS;
--- a/src/wharf-gateway/attempt.c
+++ b/src/wharf-gateway/attempt.c
@@ -167,11 +167,13 @@
 	return head->status >= 300 || !attempt->requires_signature || fields->is_signed;
 }
 
-/* Instances don't send to the engine again at the same moment. */
+/* Instances don't send to the engine again at the same moment, also when the pause is cut. */
 static uint64_t pause_end_us(struct attempt *attempt, uint64_t pause_us, uint64_t now_us)
 {
 	uint64_t spread_us = pause_us / PAUSE_SPREAD_PART;
 
+	if (pause_us > DW_ENGINE_PAUSE_MAX_US)
+		pause_us = DW_ENGINE_PAUSE_MAX_US - PAUSE_SPREAD_MAX_US;
 	if (spread_us > PAUSE_SPREAD_MAX_US)
 		spread_us = PAUSE_SPREAD_MAX_US;
 	return now_us + pause_us + router_random(attempt->router) % (spread_us + 1);
--- a/src/wharf-gateway/exchange_answer.c
+++ b/src/wharf-gateway/exchange_answer.c
@@ -14,7 +14,8 @@
 /* First character of a comment in an event stream. */
 #define EVENT_COMMENT ':'
 
-/* Forwards a complete event of the stream, without repeats, and stops at a gap. */
+/* Forwards a complete event of the stream, without repeats, and stops where a continuation must begin with an
+ * event that has an id and doesn't. */
 static void on_event(const char *data, size_t data_len, const char *raw, size_t raw_len,
 		     void *context)
 {
@@ -30,16 +31,8 @@
 		}
 	} else {
 		exchange->is_continuation_due = false;
-		switch (dw_event_order_check(&exchange->order, id)) {
-		case DW_EVENT_PASS:
-			break;
-		case DW_EVENT_REPEATED:
+		if (dw_event_order_check(&exchange->order, id) == DW_EVENT_REPEATED)
 			return;
-		case DW_EVENT_GAP:
-		case DW_EVENT_VERDICT_COUNT:
-			exchange->is_out_of_order = true;
-			return;
-		}
 	}
 	if (!exchange->policy.has_response_started) {
 		exchange->policy.has_response_started = true;
--- a/tests/engine_test.cc
+++ b/tests/engine_test.cc
@@ -58,6 +58,20 @@
 	EXPECT_EQ(engine->consecutive_failures, 0U);
 }
 
+/* Guards against an engine that one absurd Retry-After keeps out for an hour. */
+TEST_F(Engines, APauseOfAnyLengthEndsSoon)
+{
+	dw_engine *engine = add("a");
+	dw_engine_pause_requested(engine, 3601 * SECOND, SECOND);
+	EXPECT_TRUE(dw_engine_is_paused(engine, 31 * SECOND - 1));
+	EXPECT_FALSE(dw_engine_is_paused(engine, 31 * SECOND));
+	dw_engine_pause_requested(engine, UINT64_MAX, 2 * SECOND);
+	EXPECT_FALSE(dw_engine_is_paused(engine, 32 * SECOND));
+	dw_engine_pause_requested(engine, 34 * SECOND, 33 * SECOND);
+	EXPECT_TRUE(dw_engine_is_paused(engine, 34 * SECOND - 1)) << "a short one as asked";
+	EXPECT_FALSE(dw_engine_is_paused(engine, 34 * SECOND));
+}
+
 /* After a pause an engine in trouble gets what it bore before, so that its end brings no burst. */
 TEST_F(Engines, APauseShowsWhatTheEngineBears)
 {
