--- a/src/wharf-gateway/exchange.c
+++ b/src/wharf-gateway/exchange.c
@@ -137,9 +137,8 @@
 			      exchange->answer_started_at_us > 0 ? DW_ENGINE_CANCELLED
 								 : DW_ENGINE_NO_RESPONSE);
 		give_up(exchange, "the time limit has passed");
-	} else if (exchange->attempt && exchange_silence_should_wait(exchange, now_us)) {
-		set_timer(exchange);
-	} else if (exchange->attempt && now_us >= attempt_deadline_us(exchange)) {
+	} else if (exchange->attempt && now_us >= attempt_deadline_us(exchange) &&
+		   !exchange_silence_should_wait(exchange, now_us)) {
 		give_up_attempt(exchange, now_us);
 	} else if (!exchange->attempt && exchange->send_wait_deadline_us > 0 &&
 		   now_us >= exchange->send_retry_at_us) {
