--- a/src/wharf-gateway/attempt.c
+++ b/src/wharf-gateway/attempt.c
@@ -36,6 +36,7 @@
 	uint32_t running; /**< requests that the engine was known to run when it was chosen */
 	struct dw_work_stats *work_stats;
 	bool requires_signature;
+	bool is_paused; /**< the answer isn't read, for a slow caller */
 	bool is_answer_started; /**< the answer to this request has started */
 	enum answer_kind answer_kind;
 	enum dw_attempt_outcome not_executed_outcome; /**< valid with ANSWER_NOT_EXECUTED */
@@ -176,11 +177,13 @@
 	return head->status >= 300 || !attempt->requires_signature || fields->is_signed;
 }
 
-/* Instances don't send to the engine again at the same moment. */
+/* Instances don't send to the engine again at the same moment, also when the pause is cut. */
 static uint64_t pause_end_us(struct attempt *attempt, uint64_t pause_us, uint64_t now_us)
 {
 	uint64_t spread_us = pause_us / PAUSE_SPREAD_PART;
 
+	if (pause_us > DW_ENGINE_PAUSE_MAX_US)
+		pause_us = DW_ENGINE_PAUSE_MAX_US - PAUSE_SPREAD_MAX_US;
 	if (spread_us > PAUSE_SPREAD_MAX_US)
 		spread_us = PAUSE_SPREAD_MAX_US;
 	return now_us + pause_us + router_random(attempt->router) % (spread_us + 1);
@@ -435,11 +438,6 @@
 	return http_connection_is_established(attempt->link);
 }
 
-bool attempt_answer_started(const struct attempt *attempt)
-{
-	return attempt->is_answer_started;
-}
-
 const struct dw_engine *attempt_engine(const struct attempt *attempt)
 {
 	return attempt->engine;
@@ -447,5 +445,11 @@
 
 void attempt_pause(struct attempt *attempt, bool paused)
 {
+	attempt->is_paused = paused;
 	http_connection_set_paused(attempt->link, paused);
 }
+
+bool attempt_is_paused(const struct attempt *attempt)
+{
+	return attempt->is_paused;
+}
