--- a/tests/process_broken_answers_test.cc
+++ b/tests/process_broken_answers_test.cc
@@ -309,6 +309,22 @@
 	}
 }
 
+/* Guards against 400 for a request that offers another protocol, and against an engine that takes the offer. */
+TEST_F(BrokenAnswers, AnOfferOfAnotherProtocolIsIgnoredAndNotForwarded)
+{
+	start(1, [](raw_connection &connection, const std::string &request) {
+		connection.send(answer_with_length("200 OK", request,
+						   field_of(request, "Upgrade") +
+							   field_of(request, "Connection")));
+	});
+	std::string got = support::exchange_bytes(
+		"127.0.0.1", instances[0].caller_port,
+		"GET /look/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n"
+		"Attempt-Id: u1\r\nDeadline-Ms: 2000\r\nCredential: k1\r\n\r\n");
+	EXPECT_EQ(got.find("HTTP/1.1 200"), 0U) << got;
+	EXPECT_NE(got.find("Content-Length: 0\r\n"), std::string::npos) << got;
+}
+
 /* An engine that writes its last refusal once more when the next request comes on the connection, which it
  * runs all the same. */
 struct Refusals : BrokenAnswers {
