--- a/include/dragonflywharf/silence.h
+++ b/include/dragonflywharf/silence.h
@@ -42,6 +42,7 @@
 	uint64_t upstream_last_byte_at_us; /**< on any connection of this instance */
 	/** The upstream that would get the request now; NULL: none. */
 	const struct dw_engine *other;
+	bool has_answer_started; /**< the head of the response has come */
 };
 
 /** Whether to go on waiting; if not, the attempt may be aborted. */
--- a/src/core/silence.c
+++ b/src/core/silence.c
@@ -17,8 +17,9 @@
  * that mostly causes the silence. */
 #define STREAM_LIMIT_MIN_US (4 * US_PER_S)
 
-/* A safe request is retried after this silence plus EXPECTED_FACTOR times the expected time to the first
- * byte. */
+/* A safe request, or a stream whose response hasn't started, is retried after this silence plus
+ * EXPECTED_FACTOR times the expected time to the first byte: an engine that hangs answers nothing, and with
+ * the longer limit of streams in progress such requests reached their deadline. */
 #define SAFE_LIMIT_US (700 * US_PER_MS)
 #define SAFE_PROMPT_LIMIT_US (3 * US_PER_S)
 #define EXPECTED_FACTOR 3
@@ -57,7 +58,7 @@
 
 	if (!can_continue(policy) || policy->runs >= policy->max_runs)
 		return 0;
-	if (policy->kind == DW_ROUTE_STREAM)
+	if (policy->kind == DW_ROUTE_STREAM && attempt->has_answer_started)
 		return larger(dw_silence_patience_us(attempt->route) - STREAM_LEAD_US,
 			      STREAM_LIMIT_MIN_US);
 	if (attempt->has_answer_started)
@@ -74,8 +75,10 @@
 	if (state->is_reading_paused || state->retries_left == 0 || !state->other ||
 	    !can_continue(policy) || !dw_request_policy_may_send(policy, resend_at_us))
 		return true;
-	if (policy->kind == DW_ROUTE_STREAM)
-		return !dw_silence_has_capacity(state->other, now_us);
+	if (policy->kind == DW_ROUTE_STREAM && !dw_silence_has_capacity(state->other, now_us))
+		return true;
+	if (policy->kind == DW_ROUTE_STREAM && state->has_answer_started)
+		return false;
 	return now_us < state->silent_since_us + SAFE_ALIVE_LIMIT_US &&
 	       state->upstream_last_byte_at_us + ALIVE_WITHIN_US > now_us;
 }
--- a/src/wharf-gateway/exchange_silence.c
+++ b/src/wharf-gateway/exchange_silence.c
@@ -46,6 +46,7 @@
 	struct dw_silence_state state = {
 		.policy = &exchange->policy,
 		.silent_since_us = exchange->last_progress_at_us,
+		.has_answer_started = exchange->answer_started_at_us > 0,
 	};
 
 	if (!attempt_is_connected(exchange->attempt) || exchange->silence_deadline_us == 0 ||
