--- a/src/core/engine_choice.c
+++ b/src/core/engine_choice.c
@@ -45,7 +45,7 @@
 #define LONG_ANSWER_MISMATCH_US (150 * US_PER_MS)
 /* The same where requests are placed by cost. */
 #define LONG_ANSWER_ENGINES_BY_COST_PERMILLE 130
-#define MISMATCH_BY_COST_US (1 * US_PER_S)
+#define MISMATCH_BY_COST_US (400 * US_PER_MS)
 /* With this many engines or fewer, each instance hears of all of them often enough to count requests. */
 #define PLACED_BY_COST_MIN 24
 /* Where requests are placed by cost, a long prompt is sent to its home engine or to one of about this
@@ -376,6 +376,16 @@
 	return request->is_long_answer || (score >> 32) % matching < SAMPLED_ENGINES;
 }
 
+/* Whether the engine has all of the prompt cached that other requests have too, as this instance knows. */
+static bool has_shared_parts(const struct dw_choice_request *request,
+			     const struct dw_choice_selection *selection)
+{
+	const struct dw_prompt *prompt = request->prompt;
+
+	return prompt->part_count > 1 &&
+	       selection->uncached_tokens <= prompt->parts[prompt->part_count - 1].tokens;
+}
+
 /* Adds the work at the engine to the selection. @return what it costs, besides the time to the first byte */
 static uint64_t add_work(const struct dw_choice_request *request, const struct candidate *candidate,
 			 struct dw_choice_selection *selection)
@@ -393,7 +403,9 @@
 	us = cost.beside_us + cost.others_us;
 	if (pace > 100)
 		us += selection->nominal_us * (pace - 100) / 100;
-	return candidate->is_home || candidate->is_sampled ? us : us + NOT_SAMPLED_US;
+	if (candidate->is_home || candidate->is_sampled || has_shared_parts(request, selection))
+		return us;
+	return us + NOT_SAMPLED_US;
 }
 
 static void rank(struct ranking *ranking, const struct dw_choice_request *request,
