--- a/src/core/version_shift.c
+++ b/src/core/version_shift.c
@@ -19,8 +19,12 @@
 #define PROOF_MIN_GOOD 16
 #define PROOF_RATE 0.65
 #define PROOF_DEVIATIONS 1.2
+/* The same for the requests compared by route, whose times spread less. */
+#define ROUTE_PROOF_DEVIATIONS 0.6
 /* The instances tell each other their counts from this progress on. */
-#define PROOF_TOLD_PERMILLE 660
+#define PROOF_TOLD_PERMILLE 630
+/* From this progress on, they also tell what the proof still lacks. */
+#define PROOF_UPDATED_PERMILLE 660
 /* A version is rolled back below this part of the old version's answers in the same time of work, once
  * it has worked for this long. */
 #define SLUGGISH_RATE 0.35
@@ -39,20 +43,60 @@
 /* A version may be bad only under load. Before the share is raised, a load test therefore sends
  * long requests to one of its engines, until this many good answers came while at least this part
  * of the engine's slots was in use. */
-#define LOAD_TEST_END_PERMILLE 730
+#define PROMOTE_FROM_PERMILLE 730
+#define LOAD_TEST_END_PERMILLE 790
 #define LOAD_TEST_ANSWERS 3
 #define LOADED_PERMILLE 550
 /* The long requests of the traffic of this many engines are enough to load one engine. */
 #define LOAD_TEST_ENGINES 12
+/* Long requests end late, those that were sent to a loaded engine mostly after the load test. From
+ * this progress on, short requests of the traffic of this many engines test it too. */
+#define PROBES_FROM_PERMILLE 620
+#define PROBE_ENGINES 4
+/* Each instance's bound on the part of its requests within the time limit that it sends to an
+ * unproven version, the load test and the rest of the first share included. The rules allow 0.12 and
+ * 0.15, and 30 requests, for all instances. */
+#define TEST_BUDGET_PERMILLE 140
+#define TEST_BUDGET_SLACK 2
+#define LARGE_TEST_BUDGET_PERMILLE 110
+/* In less time than this the probes are sent faster, by as much. */
+#define PROBE_FULL_TIME_US UINT64_C(24000000)
+/* No more requests are sent to load the tested engine from this load on. */
+#define TEST_LOAD_MAX_PERMILLE 850
+/* A report of the tested engine's load is used for this long. */
+#define TEST_LOAD_LIFETIME_US UINT64_C(2000000)
 /* The load lasts for a while after the load test. Until this progress, response times aren't
  * evaluated. */
 #define LOAD_GONE_PERMILLE 800
 
+/* Proof under load: this many good answers at the highest level, which is LOADED_PERMILLE. Where the
+ * traffic can't load an engine as much, the measure is the load of the old version's engines: the
+ * busiest have twice their mean load, and few answers at the mean load are accepted last. */
+#define LOADED_MIN_GOOD 10
+#define BUSIEST_LOAD_FROM_PERMILLE 770
+#define BUSIEST_LOAD_FACTOR 2
+#define MEAN_LOAD_FROM_PERMILLE LOAD_TEST_END_PERMILLE
+#define MEAN_LOADED_MIN_GOOD 4
+#define TOP_LEVEL (DW_SHIFT_LOAD_LEVELS - 1)
+/* Failures are judged apart from this level on: versions that are bad under load fail from about half
+ * of the slots on. */
+#define FAILING_LOAD_LEVEL (DW_SHIFT_LOAD_LEVELS - 2)
+
 /* The new version is rolled back if it has at least this many bad answers, and their share of its
  * answers exceeds twice the old version's share by at least this much, in thousandths. */
 #define ROLLBACK_MIN_BAD 4
 #define ROLLBACK_BAD_EXCESS_PERMILLE 120
 
+/* The same for the answers under load, and for those of one route: these are few, so the excess has to
+ * be larger than chance explains, by this many standard deviations. A version with fewer failures there
+ * isn't proven good. */
+#define ROLLBACK_MIN_BAD_APART 3
+#define ROLLBACK_BAD_EXCESS_APART 0.05
+#define ROLLBACK_BAD_DEVIATIONS 3.0
+#define UNPROVEN_MIN_BAD_APART 2
+/* A share of failures of the old version below this is taken for it, as it may be lower by chance. */
+#define OLD_BAD_SHARE_MIN 0.02
+
 /* It is also rolled back if it has at least this many slow answers, and their share of its timed
  * answers exceeds twice the old version's share by at least this much, in thousandths. */
 #define ROLLBACK_MIN_SLOW 6
@@ -68,6 +112,10 @@
 #define SLOW_SLACK_US UINT64_C(150000)
 #define US_PER_MS UINT64_C(1000)
 
+static const uint32_t load_levels[DW_SHIFT_LOAD_LEVELS] = {
+	20, 40, 80, 160, 320, 450, LOADED_PERMILLE
+};
+
 static const char *const state_names[DW_SHIFT_STATE_COUNT] = {
 	[DW_SHIFT_NONE] = "none",
 	[DW_SHIFT_RUNNING] = "running",
@@ -124,8 +172,11 @@
 {
 	uint32_t progress = dw_shift_progress(shift, now_us);
 
-	return shift->state == DW_SHIFT_RUNNING && progress >= SECOND_HALF_PERMILLE &&
-	       progress < LOAD_TEST_END_PERMILLE && shift->loaded_answers < LOAD_TEST_ANSWERS;
+	return shift->state == DW_SHIFT_RUNNING && shift->promoted_at_us == 0 &&
+	       progress >= SECOND_HALF_PERMILLE && progress < LOAD_TEST_END_PERMILLE &&
+	       shift->loaded_answers < LOAD_TEST_ANSWERS &&
+	       shift->own.load.good[TOP_LEVEL] + shift->peers.load.good[TOP_LEVEL] <
+		       LOADED_MIN_GOOD;
 }
 
 /* True while engines of the new version may be under load because of the load test. */
@@ -170,10 +221,22 @@
 
 void dw_shift_request_sent(struct dw_shift *shift, enum dw_shift_side side, uint64_t now_us)
 {
+	shift->sent[side]++;
 	shift->open[side].count++;
 	shift->open[side].sent_at_sum_us += since_start_us(shift, now_us);
 }
 
+void dw_shift_load_test_sent(struct dw_shift *shift)
+{
+	shift->sent[DW_SHIFT_NEW]++;
+}
+
+void dw_shift_load_test_answered(struct dw_shift *shift, uint32_t load_permille, uint64_t now_us)
+{
+	shift->test_load_permille = load_permille;
+	shift->test_load_at_us = now_us;
+}
+
 void dw_shift_request_ended(struct dw_shift *shift, enum dw_shift_side side, uint64_t sent_at_us,
 			    bool good, uint64_t now_us)
 {
@@ -188,18 +251,168 @@
 	count->busy_ms += now_us > sent_at_us ? (now_us - sent_at_us) / US_PER_MS : 0;
 }
 
+/* Index of the route in the evidence, which is added if there is room; else DW_SHIFT_ROUTES. */
+static uint32_t find_or_add_route(struct dw_shift_evidence *evidence, uint32_t key)
+{
+	uint32_t at = 0;
+
+	while (at < evidence->route_count && evidence->routes[at].key != key)
+		at++;
+	if (at == evidence->route_count && at < DW_SHIFT_ROUTES)
+		evidence->routes[evidence->route_count++] = (struct dw_shift_route){ .key = key };
+	return at;
+}
+
+/* Requests sent during the load test aren't counted by route: their time says how loaded the tested
+ * engine was. */
+void dw_shift_route_sent(struct dw_shift *shift, uint32_t route, enum dw_shift_side side,
+			 uint64_t now_us)
+{
+	uint32_t at = find_or_add_route(&shift->own, route);
+
+	if (shift->test_began_at_us == 0 &&
+	    dw_shift_progress(shift, now_us) >= SECOND_HALF_PERMILLE)
+		shift->test_began_at_us = now_us;
+	if (at == DW_SHIFT_ROUTES || shift->test_began_at_us > 0)
+		return;
+	shift->route_open[at][side].count++;
+	shift->route_open[at][side].sent_at_sum_us += since_start_us(shift, now_us);
+}
+
+void dw_shift_route_ended(struct dw_shift *shift, uint32_t route, enum dw_shift_side side,
+			  uint64_t sent_at_us, bool good, uint64_t now_us)
+{
+	uint32_t at = find_or_add_route(&shift->own, route);
+	struct dw_shift_open *open;
+	struct dw_shift_route_counts *count;
+
+	if (at == DW_SHIFT_ROUTES ||
+	    (shift->test_began_at_us > 0 && sent_at_us >= shift->test_began_at_us))
+		return;
+	open = &shift->route_open[at][side];
+	count = &shift->own.routes[at].counts[side];
+	if (open->count == 0)
+		return;
+	open->count--;
+	open->sent_at_sum_us -= since_start_us(shift, sent_at_us);
+	count->good += good;
+	count->busy_ms += now_us > sent_at_us ? (now_us - sent_at_us) / US_PER_MS : 0;
+}
+
+void dw_shift_route_answered(struct dw_shift *shift, uint32_t route, enum dw_shift_side side,
+			     bool failed)
+{
+	uint32_t at = find_or_add_route(&shift->own, route);
+
+	if (at == DW_SHIFT_ROUTES)
+		return;
+	shift->own.routes[at].counts[side].answers++;
+	shift->own.routes[at].counts[side].bad += failed;
+}
+
+static uint64_t busy_so_far_ms(const struct dw_shift *shift, const struct dw_shift_open *open,
+			       uint64_t now_us)
+{
+	uint64_t until_now_us = open->count * since_start_us(shift, now_us);
+
+	return until_now_us > open->sent_at_sum_us
+		       ? (until_now_us - open->sent_at_sum_us) / US_PER_MS
+		       : 0;
+}
+
 struct dw_shift_counts dw_shift_own_counts(const struct dw_shift *shift, enum dw_shift_side side,
 					   uint64_t now_us)
 {
-	const struct dw_shift_open *open = &shift->open[side];
 	struct dw_shift_counts count = shift->own.counts[side];
-	uint64_t until_now_us = open->count * since_start_us(shift, now_us);
 
-	if (until_now_us > open->sent_at_sum_us)
-		count.busy_ms += (until_now_us - open->sent_at_sum_us) / US_PER_MS;
+	count.busy_ms += busy_so_far_ms(shift, &shift->open[side], now_us);
 	return count;
 }
 
+void dw_shift_own_evidence(const struct dw_shift *shift, uint64_t now_us,
+			   struct dw_shift_evidence *evidence)
+{
+	*evidence = shift->own;
+	for (int side = 0; side < DW_SHIFT_SIDE_COUNT; side++) {
+		evidence->counts[side] =
+			dw_shift_own_counts(shift, (enum dw_shift_side)side, now_us);
+		for (uint32_t i = 0; i < evidence->route_count; i++)
+			evidence->routes[i].counts[side].busy_ms +=
+				busy_so_far_ms(shift, &shift->route_open[i][side], now_us);
+	}
+}
+
+static void add_counts(struct dw_shift_counts *sum, const struct dw_shift_counts *count)
+{
+	sum->answers += count->answers;
+	sum->bad += count->bad;
+	sum->timed += count->timed;
+	sum->slow += count->slow;
+	sum->good += count->good;
+	sum->busy_ms += count->busy_ms;
+}
+
+static void add_load(struct dw_shift_load *sum, const struct dw_shift_load *load)
+{
+	sum->old_answers += load->old_answers;
+	sum->old_permille_sum += load->old_permille_sum;
+	for (int level = 0; level < DW_SHIFT_LOAD_LEVELS; level++) {
+		sum->good[level] += load->good[level];
+		sum->bad[level] += load->bad[level];
+	}
+}
+
+void dw_shift_evidence_add(struct dw_shift_evidence *sum, const struct dw_shift_evidence *evidence)
+{
+	for (int side = 0; side < DW_SHIFT_SIDE_COUNT; side++)
+		add_counts(&sum->counts[side], &evidence->counts[side]);
+	add_load(&sum->load, &evidence->load);
+	for (uint32_t i = 0; i < evidence->route_count && i < DW_SHIFT_ROUTES; i++) {
+		uint32_t at = find_or_add_route(sum, evidence->routes[i].key);
+
+		for (int side = 0; side < DW_SHIFT_SIDE_COUNT && at < DW_SHIFT_ROUTES; side++) {
+			const struct dw_shift_route_counts *from =
+				&evidence->routes[i].counts[side];
+			struct dw_shift_route_counts *to = &sum->routes[at].counts[side];
+
+			to->answers += from->answers;
+			to->bad += from->bad;
+			to->good += from->good;
+			to->busy_ms += from->busy_ms;
+		}
+	}
+}
+
+uint32_t dw_shift_level_permille(uint32_t level)
+{
+	return load_levels[level];
+}
+
+static void count_load(struct dw_shift *shift, enum dw_shift_side side, bool failed,
+		       uint32_t load_permille)
+{
+	struct dw_shift_load *load = &shift->own.load;
+
+	if (load_permille == 0)
+		return;
+	if (side == DW_SHIFT_OLD) {
+		load->old_answers++;
+		load->old_permille_sum += load_permille;
+		return;
+	}
+	shift->loaded_answers += !failed && load_permille >= LOADED_PERMILLE;
+	for (uint32_t level = 0;
+	     level < DW_SHIFT_LOAD_LEVELS && load_permille >= load_levels[level]; level++) {
+		load->good[level] += !failed;
+		load->bad[level] += failed;
+	}
+}
+
+void dw_shift_count_load(struct dw_shift *shift, enum dw_shift_side side, uint32_t load_permille)
+{
+	count_load(shift, side, false, load_permille);
+}
+
 void dw_shift_count_answer(struct dw_shift *shift, enum dw_shift_side side,
 			   const struct dw_shift_answer *answer, uint64_t now_us)
 {
@@ -207,8 +420,7 @@
 
 	count->answers++;
 	count->bad += answer->failed;
-	if (side == DW_SHIFT_NEW && !answer->failed && answer->load_permille >= LOADED_PERMILLE)
-		shift->loaded_answers++;
+	count_load(shift, side, answer->failed, answer->load_permille);
 	if (answer->first_byte_us > 0) {
 		struct dw_shift_wait wait = { .waited_us = answer->first_byte_us,
 					      .expected_us = answer->expected_first_byte_us,
@@ -276,17 +488,62 @@
 struct dw_shift_counts dw_shift_pooled_counts(const struct dw_shift *shift, enum dw_shift_side side,
 					      uint64_t now_us)
 {
-	struct dw_shift_counts own = dw_shift_own_counts(shift, side, now_us);
-	const struct dw_shift_counts *others = &shift->peers.counts[side];
+	struct dw_shift_counts sum = dw_shift_own_counts(shift, side, now_us);
+
+	add_counts(&sum, &shift->peers.counts[side]);
+	return sum;
+}
+
+static void pool_evidence(const struct dw_shift *shift, uint64_t now_us,
+			  struct dw_shift_evidence *pooled)
+{
+	dw_shift_own_evidence(shift, now_us, pooled);
+	dw_shift_evidence_add(pooled, &shift->peers);
+}
+
+static double share_of(uint32_t some, uint32_t all)
+{
+	return all > 0 ? (double)some / all : 0;
+}
 
-	return (struct dw_shift_counts){
-		.answers = own.answers + others->answers,
-		.bad = own.bad + others->bad,
-		.timed = own.timed + others->timed,
-		.slow = own.slow + others->slow,
-		.good = own.good + others->good,
-		.busy_ms = own.busy_ms + others->busy_ms,
-	};
+/* Whether a part of the new version's answers shows failures that the old version doesn't have. */
+static bool is_failing_apart(uint32_t bad, uint32_t answers, double old_share)
+{
+	double usual = old_share > OLD_BAD_SHARE_MIN ? old_share : OLD_BAD_SHARE_MIN;
+	double expected = usual * answers;
+
+	return bad >= ROLLBACK_MIN_BAD_APART &&
+	       share_of(bad, answers) >= 2 * old_share + ROLLBACK_BAD_EXCESS_APART &&
+	       bad >= expected + ROLLBACK_BAD_DEVIATIONS * sqrt(expected * (1 - usual));
+}
+
+/* The same, too weak for a rollback, but too strong for a proof. */
+static bool may_be_failing_apart(uint32_t bad, uint32_t answers, double old_share)
+{
+	return bad >= UNPROVEN_MIN_BAD_APART &&
+	       share_of(bad, answers) >= 2 * old_share + ROLLBACK_BAD_EXCESS_APART;
+}
+
+/* Applies @p judge to the answers of each route, and to those under load. */
+static bool is_any_failing(const struct dw_shift_evidence *pooled,
+			   bool (*judge)(uint32_t bad, uint32_t answers, double old_share))
+{
+	const struct dw_shift_counts *old = &pooled->counts[DW_SHIFT_OLD];
+
+	for (uint32_t i = 0; i < pooled->route_count; i++) {
+		const struct dw_shift_route_counts *counts = pooled->routes[i].counts;
+
+		if (judge(counts[DW_SHIFT_NEW].bad, counts[DW_SHIFT_NEW].answers,
+			  share_of(counts[DW_SHIFT_OLD].bad, counts[DW_SHIFT_OLD].answers)))
+			return true;
+	}
+	for (int level = FAILING_LOAD_LEVEL; level < DW_SHIFT_LOAD_LEVELS; level++) {
+		uint32_t bad = pooled->load.bad[level];
+
+		if (judge(bad, bad + pooled->load.good[level], share_of(old->bad, old->answers)))
+			return true;
+	}
+	return false;
 }
 
 /* Whether the new version completes at least this part of the requests that the old one completes in
@@ -300,37 +557,129 @@
 	return new_rate >= old_rate * part;
 }
 
-static bool is_sluggish(const struct dw_shift_counts *new, const struct dw_shift_counts *old)
+/*
+ * The same for the requests that were sent before the load test, which slows the others at the new
+ * version's few engines. The times of different routes differ by far more than those of one, so each
+ * request counts as the time that the old version takes for its route.
+ */
+static bool has_route_rate(const struct dw_shift_evidence *pooled, double part, uint32_t *good)
 {
-	return new->busy_ms >= SLUGGISH_MIN_BUSY_MS && !has_rate(new, old, SLUGGISH_RATE);
+	double old_ms = 0;
+	double new_ms = 0;
+
+	*good = 0;
+	for (uint32_t i = 0; i < pooled->route_count; i++) {
+		const struct dw_shift_route_counts *old = &pooled->routes[i].counts[DW_SHIFT_OLD];
+		const struct dw_shift_route_counts *new = &pooled->routes[i].counts[DW_SHIFT_NEW];
+
+		if (old->good == 0)
+			continue;
+		*good += new->good;
+		old_ms += (double)old->busy_ms / old->good * new->good;
+		new_ms += (double)new->busy_ms;
+	}
+	return new_ms > 0 && old_ms >= new_ms * part;
 }
 
-static bool is_bad(const struct dw_shift *shift, uint64_t now_us)
+static bool is_sluggish(const struct dw_shift_evidence *pooled)
 {
-	struct dw_shift_counts new = dw_shift_pooled_counts(shift, DW_SHIFT_NEW, now_us);
-	struct dw_shift_counts old = dw_shift_pooled_counts(shift, DW_SHIFT_OLD, now_us);
+	const struct dw_shift_counts *new = &pooled->counts[DW_SHIFT_NEW];
+	uint32_t good;
 
-	return is_failing(&new, &old) || is_slow(&new, &old) || is_sluggish(&new, &old);
+	return new->busy_ms >= SLUGGISH_MIN_BUSY_MS &&
+	       !has_rate(new, &pooled->counts[DW_SHIFT_OLD], SLUGGISH_RATE) &&
+	       !has_route_rate(pooled, SLUGGISH_RATE, &good);
 }
 
-static bool is_proven_good(const struct dw_shift *shift, uint64_t now_us)
+static bool is_bad(const struct dw_shift_evidence *pooled)
 {
-	struct dw_shift_counts new = dw_shift_pooled_counts(shift, DW_SHIFT_NEW, now_us);
-	struct dw_shift_counts old = dw_shift_pooled_counts(shift, DW_SHIFT_OLD, now_us);
+	const struct dw_shift_counts *new = &pooled->counts[DW_SHIFT_NEW];
+	const struct dw_shift_counts *old = &pooled->counts[DW_SHIFT_OLD];
 
-	if (new.good < PROOF_MIN_GOOD || is_bad(shift, now_us))
-		return false;
-	return has_rate(&new, &old, PROOF_RATE + PROOF_DEVIATIONS / sqrt(new.good));
+	return is_failing(new, old) || is_any_failing(pooled, is_failing_apart) ||
+	       is_slow(new, old) || is_sluggish(pooled);
+}
+
+static double proof_rate(uint32_t good, double deviations)
+{
+	return PROOF_RATE + deviations / sqrt(good);
+}
+
+static bool is_fast(const struct dw_shift_evidence *pooled)
+{
+	const struct dw_shift_counts *new = &pooled->counts[DW_SHIFT_NEW];
+	uint32_t good = 0;
+
+	has_route_rate(pooled, 0, &good);
+	if (good >= PROOF_MIN_GOOD &&
+	    has_route_rate(pooled, proof_rate(good, ROUTE_PROOF_DEVIATIONS), &good))
+		return true;
+	return new->good >= PROOF_MIN_GOOD &&has_rate(new, &pooled->counts[DW_SHIFT_OLD],
+						      proof_rate(new->good, PROOF_DEVIATIONS));
+}
+
+static uint32_t level_of(uint64_t permille)
+{
+	uint32_t level = 0;
+
+	while (level < TOP_LEVEL && dw_shift_level_permille(level) < permille)
+		level++;
+	return level;
+}
+
+/* Load that is required of the tested engine now, and the number of good answers there. */
+struct load_proof {
+	uint32_t level;
+	uint32_t good;
+};
+
+static struct load_proof required_load(const struct dw_shift_load *load, uint32_t progress)
+{
+	uint64_t mean = load->old_answers > 0 ? load->old_permille_sum / load->old_answers : 0;
+
+	if (progress >= MEAN_LOAD_FROM_PERMILLE)
+		return (struct load_proof){ level_of(mean), MEAN_LOADED_MIN_GOOD };
+	if (progress >= BUSIEST_LOAD_FROM_PERMILLE)
+		return (struct load_proof){ level_of(mean * BUSIEST_LOAD_FACTOR), LOADED_MIN_GOOD };
+	return (struct load_proof){ TOP_LEVEL, LOADED_MIN_GOOD };
+}
+
+/* Where no engine of the old version reports its load there is nothing to compare with. */
+static bool is_proven_under_load(const struct dw_shift_load *load, uint32_t progress)
+{
+	struct load_proof required = required_load(load, progress);
+
+	return load->old_answers == 0 || load->good[required.level] >= required.good;
 }
 
 void dw_shift_promote_if_proven(struct dw_shift *shift, uint64_t now_us)
 {
-	if (shift->state == DW_SHIFT_RUNNING && shift->promoted_at_us == 0 &&
-	    dw_shift_progress(shift, now_us) >= LOAD_TEST_END_PERMILLE &&
-	    is_proven_good(shift, now_us))
+	uint32_t progress = dw_shift_progress(shift, now_us);
+	struct dw_shift_evidence pooled;
+
+	if (shift->state != DW_SHIFT_RUNNING || shift->promoted_at_us > 0 ||
+	    progress < PROMOTE_FROM_PERMILLE)
+		return;
+	pool_evidence(shift, now_us, &pooled);
+	if (!is_bad(&pooled) && !is_any_failing(&pooled, may_be_failing_apart) &&
+	    is_fast(&pooled) && is_proven_under_load(&pooled.load, progress))
 		shift->promoted_at_us = now_us;
 }
 
+uint32_t dw_shift_proof_answers(const struct dw_shift *shift, uint64_t now_us)
+{
+	uint32_t progress = dw_shift_progress(shift, now_us);
+	struct dw_shift_evidence pooled;
+
+	if (shift->state != DW_SHIFT_RUNNING || shift->promoted_at_us > 0 ||
+	    progress < PROOF_UPDATED_PERMILLE)
+		return 0;
+	pool_evidence(shift, now_us, &pooled);
+	if (!is_proven_under_load(&pooled.load, progress))
+		return shift->own.load.good[required_load(&pooled.load, progress).level];
+	return is_fast(&pooled) ? 0 : shift->own.counts[DW_SHIFT_NEW].good;
+}
+
 bool dw_shift_is_proof_due(const struct dw_shift *shift, uint64_t now_us)
 {
 	return shift->state == DW_SHIFT_RUNNING &&
@@ -344,13 +693,23 @@
 	return new->bad > 0 || new->slow > 0;
 }
 
+bool dw_shift_is_shown_bad(const struct dw_shift *shift, uint64_t now_us)
+{
+	struct dw_shift_evidence pooled;
+
+	pool_evidence(shift, now_us, &pooled);
+	return is_bad(&pooled);
+}
+
 enum dw_shift_state dw_shift_next_state(const struct dw_shift *shift, uint64_t now_us)
 {
 	uint32_t progress = dw_shift_progress(shift, now_us);
+	struct dw_shift_evidence pooled;
 
 	if (shift->state != DW_SHIFT_RUNNING)
 		return shift->state;
-	if (is_bad(shift, now_us))
+	pool_evidence(shift, now_us, &pooled);
+	if (is_bad(&pooled))
 		return DW_SHIFT_ROLLED_BACK;
 	if (progress < COMPLETE_AT_PERMILLE)
 		return DW_SHIFT_RUNNING;
@@ -386,16 +745,6 @@
 	return progress < SECOND_HALF_PERMILLE && session_hash % 1000 < FIRST_SHARE_PERMILLE;
 }
 
-/* True if the request takes part in the load test. With up to LOAD_TEST_ENGINES engines all long
- * requests do; with more, only as many as that number of engines would get, as all of them would
- * overload the tested engine. */
-static bool joins_load_test(const struct dw_shift_request *request)
-{
-	uint64_t engines = request->target_engines > 0 ? request->target_engines : 1;
-
-	return request->is_long && (request->hash >> 32) % engines < LOAD_TEST_ENGINES;
-}
-
 /*
  * The scheduled share, reduced for large services. There a smaller share is as many requests, so it
  * gives as much evidence. It also means fewer sessions on the new version that could change to
@@ -410,25 +759,109 @@
 	return share * FULL_SHARE_ENGINES / engines;
 }
 
+/*
+ * Share of the target's engines that the requests of the share use. Rounded up for large services: at
+ * two of 60 engines, a share of 40 in 1000 is a fifth more than the others' load, and a good version
+ * there looks slow where the old one has little to spare.
+ */
+static uint32_t engines_for_share(uint32_t share, uint32_t engines)
+{
+	uint32_t count;
+
+	if (engines <= FULL_SHARE_ENGINES || share >= 1000)
+		return share;
+	count = (engines * share + 999) / 1000;
+	return (count * 1000 + engines - 1) / engines;
+}
+
+/* Whether the load test may use one more of this instance's requests. */
+static bool is_within_budget(const struct dw_shift *shift, uint32_t engines, uint64_t now_us)
+{
+	uint64_t progress = dw_shift_progress(shift, now_us);
+	uint64_t known_from = dw_shift_progress(shift, shift->ordered_at_us);
+	uint64_t sent = (uint64_t)shift->sent[DW_SHIFT_OLD] + shift->sent[DW_SHIFT_NEW];
+	uint64_t passed = progress > known_from ? progress - known_from : 1;
+	uint64_t rest = COMPLETE_AT_PERMILLE > progress ? COMPLETE_AT_PERMILLE - progress : 0;
+	uint64_t share = share_for_engines(shift, engines, now_us);
+	uint64_t budget =
+		engines <= FULL_SHARE_ENGINES ? TEST_BUDGET_PERMILLE : LARGE_TEST_BUDGET_PERMILLE;
+
+	/* Both sides in requests, times 10^6, as if the traffic continued as it was. */
+	return (uint64_t)shift->sent[DW_SHIFT_NEW] * 1000 * passed + sent * rest * share <
+	       sent * (1000 - known_from) * budget + TEST_BUDGET_SLACK * 1000 * passed;
+}
+
+static bool is_test_load_known(const struct dw_shift *shift, uint64_t now_us)
+{
+	return shift->test_load_at_us > 0 &&
+	       now_us < shift->test_load_at_us + TEST_LOAD_LIFETIME_US;
+}
+
+bool dw_shift_keeps_pins(const struct dw_shift *shift, const char *version, uint64_t now_us)
+{
+	return shift->state == DW_SHIFT_RUNNING && shift->promoted_at_us == 0 &&
+	       dw_shift_progress(shift, now_us) >= SECOND_HALF_PERMILLE &&
+	       strcmp(version, shift->order.target_version) == 0;
+}
+
+/* Number of engines whose short requests are probes. */
+static uint64_t probe_lanes(const struct dw_shift *shift)
+{
+	uint64_t duration_us = shift->order.duration_us > 0 ? shift->order.duration_us : 1;
+	uint64_t lanes = PROBE_ENGINES * PROBE_FULL_TIME_US / duration_us;
+
+	if (lanes < PROBE_ENGINES)
+		return PROBE_ENGINES;
+	return lanes < LOAD_TEST_ENGINES ? lanes : LOAD_TEST_ENGINES;
+}
+
+/*
+ * True if the request takes part in the load test. With up to LOAD_TEST_ENGINES engines all long
+ * requests do; with more, only as many as that number of engines would get, as all of them would
+ * overload the tested engine. Short ones follow as probes, and while the engine is known not to be
+ * loaded also to load it, as the long requests may be too few.
+ */
+static bool joins_load_test(const struct dw_shift *shift, const struct dw_shift_request *request,
+			    uint64_t now_us)
+{
+	uint32_t engines = request->target_engines > 0 ? request->target_engines : 1;
+	uint64_t lane = (request->hash >> 32) % engines;
+	uint64_t lanes = LOAD_TEST_ENGINES;
+	bool is_known = is_test_load_known(shift, now_us);
+
+	if (request->is_long) {
+		if (is_known && shift->test_load_permille >= TEST_LOAD_MAX_PERMILLE)
+			return false;
+	} else {
+		if (!request->may_probe || dw_shift_progress(shift, now_us) < PROBES_FROM_PERMILLE)
+			return false;
+		if (!is_known || shift->test_load_permille >= LOADED_PERMILLE)
+			lanes = probe_lanes(shift);
+	}
+	return lane < lanes && is_within_budget(shift, engines, now_us);
+}
+
 static struct dw_shift_constraint constrain_while_running(const struct dw_shift *shift,
 							  const struct dw_shift_request *request,
 							  uint64_t now_us)
 {
 	const char *pinned = request->pinned_version;
 	uint32_t share = share_for_engines(shift, request->target_engines, now_us);
+	uint32_t engines_permille = engines_for_share(share, request->target_engines);
 	struct dw_shift_constraint constraint;
 
-	if (is_load_test_running(shift, now_us) && joins_load_test(request)) {
+	if (is_load_test_running(shift, now_us) && joins_load_test(shift, request, now_us)) {
 		/* The smallest share, which gives a single engine. */
 		constraint = require_target(shift, 1);
 		constraint.is_load_test = true;
 		return constraint;
 	}
 	if (pinned && strcmp(pinned, shift->order.target_version) == 0)
-		return require_target(shift, share);
+		return require_target(shift, engines_permille);
 	if (pinned && dw_shift_progress(shift, now_us) < SECOND_HALF_PERMILLE)
 		return exclude_target(shift);
-	return request->hash % 1000 < share ? require_target(shift, share) : exclude_target(shift);
+	return request->hash % 1000 < share ? require_target(shift, engines_permille)
+					    : exclude_target(shift);
 }
 
 struct dw_shift_constraint dw_shift_constrain(const struct dw_shift *shift,
--- a/src/wharf-gateway/exchange_answer.c
+++ b/src/wharf-gateway/exchange_answer.c
@@ -60,32 +60,40 @@
 		exchange->silence_deadline_us = exchange->last_progress_at_us + limit_us;
 }
 
+static struct shift_request shift_request(const struct exchange *exchange)
+{
+	return (struct shift_request){
+		.revision = exchange->shift_revision,
+		.version = exchange->version,
+		.route = exchange->route->name,
+		.sent_at_us = exchange->attempt_sent_at_us,
+		.is_load_test = exchange->is_load_test,
+	};
+}
+
 void exchange_count_version_sent(struct exchange *exchange)
 {
-	if (!exchange->is_load_test)
-		exchange->shift_revision =
-			shifts_count_sent(&exchange->router->view->shifts, exchange->service_name,
-					  exchange->version, exchange->attempt_sent_at_us);
+	struct shift_request request = shift_request(exchange);
+
+	exchange->shift_revision = shifts_count_sent(&exchange->router->view->shifts,
+						     exchange->service_name, &request);
 }
 
 void exchange_count_version_end(struct exchange *exchange, bool is_good)
 {
-	struct shift_request request = {
-		.revision = exchange->shift_revision,
-		.version = exchange->version,
-		.sent_at_us = exchange->attempt_sent_at_us,
-	};
+	struct shift_request request = shift_request(exchange);
 
-	if (exchange->shift_revision == 0)
+	if (exchange->shift_revision == 0 && !is_good)
 		return;
 	exchange->shift_revision = 0;
 	shifts_count_end(&exchange->router->view->shifts, exchange->service_name, &request, is_good,
-			 dw_clock_now_us());
+			 exchange->load_permille, dw_clock_now_us());
 }
 
 void exchange_count_version_wait(struct exchange *exchange)
 {
 	uint64_t now_us = dw_clock_now_us();
+	struct shift_request request = shift_request(exchange);
 	struct dw_shift_wait wait = {
 		.waited_us = now_us - exchange->attempt_sent_at_us,
 		.expected_us = exchange->attempt_nominal_us,
@@ -95,20 +103,22 @@
 	if (exchange->is_wait_counted || exchange->attempt_sent_at_us == 0)
 		return;
 	exchange->is_wait_counted = true;
-	shifts_count_wait(&exchange->router->view->shifts, exchange->service_name,
-			  exchange->version, &wait, now_us);
+	shifts_count_wait(&exchange->router->view->shifts, exchange->service_name, &request, &wait,
+			  exchange->load_permille, now_us);
 }
 
 void exchange_count_version_result(struct exchange *exchange, bool failed)
 {
 	uint64_t now_us = dw_clock_now_us();
+	struct shift_request request = shift_request(exchange);
+	/* The load of a complete answer is counted with its end. */
 	struct dw_shift_answer answer = {
 		.failed = failed,
-		.load_permille = exchange->load_permille,
+		.load_permille = failed ? exchange->load_permille : 0,
 	};
 
-	shifts_count_answer(&exchange->router->view->shifts, exchange->service_name,
-			    exchange->version, &answer, now_us);
+	shifts_count_answer(&exchange->router->view->shifts, exchange->service_name, &request,
+			    &answer, now_us);
 }
 
 /* Whether to drop the answer of a smaller model and ask the largest one instead. */
--- a/src/wharf-gateway/exchange_route.c
+++ b/src/wharf-gateway/exchange_route.c
@@ -11,6 +11,8 @@
  * LONG_PROMPT_FACTOR times as many tokens. */
 #define LONG_ANSWER_TOKENS 100
 #define LONG_PROMPT_FACTOR 8
+/* Longer prompts don't take part in a rollout's load test: tens of them fill an engine's memory. */
+#define PROBE_PROMPT_TOKENS 4000
 #define URGENCY_MAX 9
 /* Urgency levels for each level of organisation priority; the route's priority chooses among them. */
 #define URGENCY_STEP 3
@@ -103,8 +105,12 @@
 	struct shifts *shifts = &exchange->router->view->shifts;
 	const struct dw_shift *shift = shifts_find(shifts, exchange->service_name);
 	uint64_t session_us = exchange->router->settings->session_timeout_ms * DW_US_PER_MS;
-	struct dw_shift_request request = { .hash = exchange_split_hash(exchange),
-					    .is_long = expects_long_answer(exchange) };
+	struct dw_shift_request request = {
+		.hash = exchange_split_hash(exchange),
+		.is_long = expects_long_answer(exchange),
+		.may_probe = exchange->fields.has_prompt &&
+			     exchange->fields.prompt.tokens_in <= PROBE_PROMPT_TOKENS,
+	};
 	struct dw_shift_constraint constraint;
 
 	if (!shift)
--- a/src/wharf-gateway/shift_records.c
+++ b/src/wharf-gateway/shift_records.c
@@ -1,6 +1,7 @@
 #include "wharf-gateway/shifts_state.h"
 
 #include <inttypes.h>
+#include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -10,8 +11,8 @@
 #include "platform/records.h"
 
 #define KEY_BYTES 200
-#define VALUE_BYTES 384
-#define COUNTS_BYTES 96
+#define STATUS_BYTES 384
+#define EVIDENCE_BYTES 2048
 
 #define WRITE_TIMEOUT_US (800 * DW_US_PER_MS)
 /* Shortest time between two writes of an instance's evidence, which is only written while it counts
@@ -29,20 +30,21 @@
 #define BACKUP_WRITER_OUTCOME_DELAY_US (700 * DW_US_PER_MS)
 #define BACKUP_WRITER_SPREAD_US (900 * DW_US_PER_MS)
 
-static int print_count(char *out, size_t size, const struct dw_shift_counts *count)
-{
-	return snprintf(out, size, "[%u,%u,%u,%u,%u,%" PRIu64 "]", count->answers, count->bad,
-			count->timed, count->slow, count->good, count->busy_ms);
-}
-
 struct record_write {
 	struct service_shift *service;
 	struct stored_record *record;
 	const char *record_name;
 };
 
-static void end_proof_write(struct service_shift *service, enum dw_store_outcome outcome)
+static void end_evidence_write(struct service_shift *service, enum dw_store_outcome outcome)
 {
+	if (outcome != DW_STORE_DONE) {
+		/* Nobody may have got it: it is due again. */
+		service->written_bad_or_slow = 0;
+		service->written_proof = 0;
+	}
+	if (!service->is_proof_in_flight)
+		return;
 	service->is_proof_in_flight = false;
 	service->is_proof_told = outcome == DW_STORE_DONE;
 	service->proof_retry_at_us = dw_clock_now_us() + EVIDENCE_PERIOD_US / 2 +
@@ -58,11 +60,10 @@
 	write->record->write_due_us = 0;
 	if (result->outcome == DW_STORE_DONE || result->outcome == DW_STORE_CONFLICT)
 		write->record->revision = result->revision;
-	if (write->record != &write->service->evidence) {
+	if (write->record != &write->service->evidence)
 		write->service->is_writer = result->outcome == DW_STORE_DONE;
-	} else if (write->service->is_proof_in_flight) {
-		end_proof_write(write->service, result->outcome);
-	}
+	else
+		end_evidence_write(write->service, result->outcome);
 	dw_log_event(write->service->owner->log, DW_EVENT_SHIFT_EVIDENCE,
 		     DW_STR("service", write->service->shift.order.service),
 		     DW_STR("record", write->record_name),
@@ -130,14 +131,25 @@
 	return now_us >= record->write_due_us;
 }
 
+/* Without proof this instance rolls back for itself, but others may have the proof: they record the
+ * completion first. */
+static bool is_unproven_early(const struct service_shift *service, enum dw_shift_state state,
+			      uint64_t now_us)
+{
+	return state == DW_SHIFT_ROLLED_BACK &&
+	       dw_shift_progress(&service->shift, now_us) < DW_SHIFT_UNPROVEN_RECORD_PERMILLE &&
+	       !dw_shift_is_shown_bad(&service->shift, now_us);
+}
+
 static void write_status(struct service_shift *service, uint64_t now_us)
 {
 	const struct dw_shift_order *order = &service->shift.order;
 	enum dw_shift_state state = dw_shift_next_state(&service->shift, now_us);
 	bool wanted = service->written_state != state &&
 		      service->written_state != DW_SHIFT_COMPLETED &&
-		      service->written_state != DW_SHIFT_ROLLED_BACK;
-	char value[VALUE_BYTES];
+		      service->written_state != DW_SHIFT_ROLLED_BACK &&
+		      !is_unproven_early(service, state, now_us);
+	char value[STATUS_BYTES];
 	char key[KEY_BYTES];
 
 	if (!is_write_due(service, &service->status, wanted,
@@ -156,7 +168,7 @@
 	uint32_t permille = dw_shift_progress(&service->shift, now_us);
 	bool wanted = service->shift.state == DW_SHIFT_RUNNING &&
 		      permille >= service->written_progress + PROGRESS_STEP_PERMILLE;
-	char value[VALUE_BYTES];
+	char value[STATUS_BYTES];
 	char key[KEY_BYTES];
 
 	if (!is_write_due(service, &service->progress, wanted, BACKUP_WRITER_DELAY_US, now_us))
@@ -177,18 +189,24 @@
 	       new->answers > 2 * service->written_answers;
 }
 
-/* This instance's counts with those of its earlier processes. */
-static struct dw_shift_counts counts_to_tell(const struct service_shift *service,
-					     enum dw_shift_side side, uint64_t now_us)
+/* This instance's evidence with that of its earlier processes. */
+static void evidence_to_tell(const struct service_shift *service, uint64_t now_us,
+			     struct dw_shift_evidence *sum)
 {
-	struct dw_shift_counts sum = dw_shift_own_counts(&service->shift, side, now_us);
 	const struct peer_evidence *at = service->peers;
 
+	dw_shift_own_evidence(&service->shift, now_us, sum);
 	while (at && strcmp(at->instance, service->owner->instance) != 0)
 		at = at->next;
 	if (at)
-		shift_counts_add(&sum, &at->evidence.counts[side]);
-	return sum;
+		dw_shift_evidence_add(sum, &at->evidence);
+}
+
+/* Whether this instance has more of the answers that the proof still lacks. */
+static bool has_new_proof(const struct service_shift *service, uint64_t now_us)
+{
+	return service->is_proof_told &&
+	       dw_shift_proof_answers(&service->shift, now_us) > service->written_proof;
 }
 
 /* Whether to tell the others what this instance has seen: evidence against the new version as soon as
@@ -206,17 +224,77 @@
 		service->is_proof_told = !service->is_proof_in_flight;
 		return service->is_proof_in_flight;
 	}
-	return has_new_evidence(service) && dw_shift_is_suspect(shift) &&
-	       now_us >= service->evidence_at_us + EVIDENCE_PERIOD_US;
+	return now_us >= service->evidence_at_us + EVIDENCE_PERIOD_US &&
+	       ((has_new_evidence(service) && dw_shift_is_suspect(shift)) ||
+		has_new_proof(service, now_us));
+}
+
+struct text {
+	char bytes[EVIDENCE_BYTES];
+	size_t len;
+};
+
+static void append(struct text *text, const char *format, ...)
+{
+	va_list arguments;
+	int len;
+
+	va_start(arguments, format);
+	len = vsnprintf(text->bytes + text->len, sizeof(text->bytes) - text->len, format,
+			arguments);
+	va_end(arguments);
+	if (len > 0 && text->len + (size_t)len < sizeof(text->bytes))
+		text->len += (size_t)len;
+}
+
+static void append_counts(struct text *text, const struct dw_shift_counts *count)
+{
+	append(text, "[%u,%u,%u,%u,%u,%" PRIu64 "]", count->answers, count->bad, count->timed,
+	       count->slow, count->good, count->busy_ms);
+}
+
+static void append_load(struct text *text, const struct dw_shift_load *load)
+{
+	append(text, "[%u,%" PRIu64, load->old_answers, load->old_permille_sum);
+	for (int level = 0; level < DW_SHIFT_LOAD_LEVELS; level++)
+		append(text, ",%u", load->good[level]);
+	for (int level = 0; level < DW_SHIFT_LOAD_LEVELS; level++)
+		append(text, ",%u", load->bad[level]);
+	append(text, "]");
+}
+
+static void append_route(struct text *text, const struct dw_shift_route *route)
+{
+	const struct dw_shift_route_counts *new = &route->counts[DW_SHIFT_NEW];
+	const struct dw_shift_route_counts *old = &route->counts[DW_SHIFT_OLD];
+
+	append(text, "[%u,%u,%u,%u,%" PRIu64 ",%u,%u,%u,%" PRIu64 "]", route->key, new->answers,
+	       new->bad, new->good, new->busy_ms, old->answers, old->bad, old->good, old->busy_ms);
+}
+
+static void print_evidence(const struct service_shift *service,
+			   const struct dw_shift_evidence *evidence, struct text *text)
+{
+	append(text,
+	       "{\"order\":%" PRIu64 ",\"run\":%" PRIu64 ",\"new\":", service->shift.order.revision,
+	       service->owner->run);
+	append_counts(text, &evidence->counts[DW_SHIFT_NEW]);
+	append(text, ",\"old\":");
+	append_counts(text, &evidence->counts[DW_SHIFT_OLD]);
+	append(text, ",\"load\":");
+	append_load(text, &evidence->load);
+	append(text, ",\"routes\":[");
+	for (uint32_t i = 0; i < evidence->route_count; i++) {
+		append(text, i > 0 ? "," : "");
+		append_route(text, &evidence->routes[i]);
+	}
+	append(text, "]}");
 }
 
 static void write_evidence(struct service_shift *service, uint64_t now_us)
 {
-	struct dw_shift_counts new = counts_to_tell(service, DW_SHIFT_NEW, now_us);
-	struct dw_shift_counts old = counts_to_tell(service, DW_SHIFT_OLD, now_us);
-	char new_text[COUNTS_BYTES];
-	char old_text[COUNTS_BYTES];
-	char value[VALUE_BYTES];
+	struct dw_shift_evidence evidence;
+	struct text value = { .len = 0 };
 	char key[KEY_BYTES];
 
 	if (!is_evidence_due(service, now_us))
@@ -225,14 +303,12 @@
 	service->written_answers = service->shift.own.counts[DW_SHIFT_NEW].answers;
 	service->written_bad_or_slow = service->shift.own.counts[DW_SHIFT_NEW].bad +
 				       service->shift.own.counts[DW_SHIFT_NEW].slow;
-	print_count(new_text, sizeof(new_text), &new);
-	print_count(old_text, sizeof(old_text), &old);
+	service->written_proof = dw_shift_proof_answers(&service->shift, now_us);
+	evidence_to_tell(service, now_us, &evidence);
+	print_evidence(service, &evidence, &value);
 	snprintf(key, sizeof(key), SHIFT_EVIDENCE_PREFIX "%s/%s", service->shift.order.service,
 		 service->owner->instance);
-	snprintf(value, sizeof(value),
-		 "{\"order\":%" PRIu64 ",\"run\":%" PRIu64 ",\"new\":%s,\"old\":%s}",
-		 service->shift.order.revision, service->owner->run, new_text, old_text);
-	write_record(service, &service->evidence, "evidence", key, value);
+	write_record(service, &service->evidence, "evidence", key, value.bytes);
 }
 
 void shift_records_write(struct service_shift *service, uint64_t now_us)
--- a/src/wharf-gateway/shifts.c
+++ b/src/wharf-gateway/shifts.c
@@ -66,6 +66,7 @@
 	service->peers = NULL;
 	service->written_answers = 0;
 	service->written_bad_or_slow = 0;
+	service->written_proof = 0;
 	service->written_progress = 0;
 	service->is_proof_told = false;
 	service->is_proof_in_flight = false;
@@ -90,7 +91,14 @@
 			const char *version, uint64_t now_us)
 {
 	const struct dw_shift *shift = shifts_find(shifts, service);
+	char kept[DW_ENGINE_TEXT_BYTES];
 
+	if (shift && dw_shift_keeps_pins(shift, version, now_us)) {
+		const char *pinned = dw_session_pins_find(shifts->pins, service, session, 0);
+
+		snprintf(kept, sizeof(kept), "%s", pinned ? pinned : version);
+		version = kept;
+	}
 	dw_session_pins_record(shifts->pins, service, session, version, now_us);
 	if (shift && dw_shift_pin_is_news(shift, dw_rendezvous_key(session, strlen(session)),
 					  version, now_us))
@@ -179,28 +187,21 @@
 	return peer;
 }
 
-void shift_counts_add(struct dw_shift_counts *sum, const struct dw_shift_counts *count)
+/* Counts are an array of numbers: answers, bad, timed, slow and good ones, and the time that requests
+ * took. Missing ones count as zero, which only weakens the evidence. */
+static void read_numbers(struct json_object *array, uint64_t *numbers, size_t count)
 {
-	sum->answers += count->answers;
-	sum->bad += count->bad;
-	sum->timed += count->timed;
-	sum->slow += count->slow;
-	sum->good += count->good;
-	sum->busy_ms += count->busy_ms;
+	if (!json_object_is_type(array, json_type_array))
+		return;
+	for (size_t i = 0; i < count && i < json_object_array_length(array); i++)
+		numbers[i] = json_object_get_uint64(json_object_array_get_idx(array, i));
 }
 
-/* Counts are an array of numbers: answers, bad, timed, slow and good ones, and the time that requests
- * took. Missing ones count as zero, which only weakens the evidence. */
 static void read_count(struct json_object *root, const char *name, struct dw_shift_counts *count)
 {
-	struct json_object *array;
 	uint64_t numbers[COUNT_FIELDS] = { 0 };
 
-	if (json_object_object_get_ex(root, name, &array) &&
-	    json_object_is_type(array, json_type_array)) {
-		for (size_t i = 0; i < COUNT_FIELDS && i < json_object_array_length(array); i++)
-			numbers[i] = json_object_get_uint64(json_object_array_get_idx(array, i));
-	}
+	read_numbers(json_object_object_get(root, name), numbers, COUNT_FIELDS);
 	*count = (struct dw_shift_counts){
 		.answers = (uint32_t)numbers[0],
 		.bad = (uint32_t)numbers[1],
@@ -211,15 +212,61 @@
 	};
 }
 
+/* The load's array: number and sum of the old version's loads, then good and bad answers of the new
+ * version by level. */
+static void read_load(struct json_object *root, struct dw_shift_load *load)
+{
+	uint64_t numbers[SHIFT_LOAD_FIELDS] = { 0 };
+
+	read_numbers(json_object_object_get(root, "load"), numbers, SHIFT_LOAD_FIELDS);
+	load->old_answers = (uint32_t)numbers[0];
+	load->old_permille_sum = numbers[1];
+	for (size_t level = 0; level < DW_SHIFT_LOAD_LEVELS; level++) {
+		load->good[level] = (uint32_t)numbers[2 + level];
+		load->bad[level] = (uint32_t)numbers[2 + DW_SHIFT_LOAD_LEVELS + level];
+	}
+}
+
+/* A route's array: its key, then answers, bad, good ones and the time of its requests, of the new and
+ * of the old version. */
+static void read_route(struct json_object *array, struct dw_shift_route *route)
+{
+	uint64_t numbers[SHIFT_ROUTE_FIELDS] = { 0 };
+	const enum dw_shift_side sides[] = { DW_SHIFT_NEW, DW_SHIFT_OLD };
+
+	read_numbers(array, numbers, SHIFT_ROUTE_FIELDS);
+	route->key = (uint32_t)numbers[0];
+	for (size_t i = 0; i < DW_SHIFT_SIDE_COUNT; i++) {
+		route->counts[sides[i]] = (struct dw_shift_route_counts){
+			.answers = (uint32_t)numbers[4 * i + 1],
+			.bad = (uint32_t)numbers[4 * i + 2],
+			.good = (uint32_t)numbers[4 * i + 3],
+			.busy_ms = numbers[4 * i + 4],
+		};
+	}
+}
+
+static void read_evidence(struct json_object *root, struct dw_shift_evidence *evidence)
+{
+	struct json_object *routes = json_object_object_get(root, "routes");
+
+	memset(evidence, 0, sizeof(*evidence));
+	read_count(root, "new", &evidence->counts[DW_SHIFT_NEW]);
+	read_count(root, "old", &evidence->counts[DW_SHIFT_OLD]);
+	read_load(root, &evidence->load);
+	if (!json_object_is_type(routes, json_type_array))
+		return;
+	for (size_t i = 0; i < DW_SHIFT_ROUTES && i < json_object_array_length(routes); i++)
+		read_route(json_object_array_get_idx(routes, i),
+			   &evidence->routes[evidence->route_count++]);
+}
+
 static void sum_evidence(struct service_shift *service)
 {
 	struct dw_shift_evidence sum = { 0 };
 
-	for (const struct peer_evidence *at = service->peers; at; at = at->next) {
-		for (int side = 0; side < DW_SHIFT_SIDE_COUNT; side++) {
-			shift_counts_add(&sum.counts[side], &at->evidence.counts[side]);
-		}
-	}
+	for (const struct peer_evidence *at = service->peers; at; at = at->next)
+		dw_shift_evidence_add(&sum, &at->evidence);
 	service->shift.peers = sum;
 }
 
@@ -228,7 +275,6 @@
 {
 	bool is_own = strcmp(instance, service->owner->instance) == 0;
 	struct json_object *root;
-	struct dw_shift_counts *counts;
 
 	if (is_own)
 		service->evidence.revision = event->deleted ? 0 : event->entry.mod_revision;
@@ -238,9 +284,7 @@
 	/* An own record of another run is what an earlier process of this instance has seen. */
 	if (read_number(root, "order") == service->shift.order.revision &&
 	    (!is_own || read_number(root, "run") != service->owner->run)) {
-		counts = find_or_add_peer(service, instance)->evidence.counts;
-		read_count(root, "new", &counts[DW_SHIFT_NEW]);
-		read_count(root, "old", &counts[DW_SHIFT_OLD]);
+		read_evidence(root, &find_or_add_peer(service, instance)->evidence);
 		sum_evidence(service);
 	}
 	json_object_put(root);
@@ -305,46 +349,81 @@
 									 : DW_SHIFT_OLD;
 }
 
-uint64_t shifts_count_sent(struct shifts *shifts, const char *service_name, const char *version,
-			   uint64_t now_us)
+static uint32_t route_key(const struct shift_request *request)
+{
+	return (uint32_t)dw_rendezvous_key(request->route, strlen(request->route));
+}
+
+uint64_t shifts_count_sent(struct shifts *shifts, const char *service_name,
+			   const struct shift_request *request)
 {
 	struct service_shift *service = find_running(shifts, service_name);
+	enum dw_shift_side side;
 
 	if (!service)
 		return 0;
-	dw_shift_request_sent(&service->shift, side_of(service, version), now_us);
+	side = side_of(service, request->version);
+	if (request->is_load_test) {
+		if (side == DW_SHIFT_NEW)
+			dw_shift_load_test_sent(&service->shift);
+		return 0;
+	}
+	dw_shift_request_sent(&service->shift, side, request->sent_at_us);
+	dw_shift_route_sent(&service->shift, route_key(request), side, request->sent_at_us);
 	return service->shift.order.revision;
 }
 
 void shifts_count_end(struct shifts *shifts, const char *service_name,
-		      const struct shift_request *request, bool is_good, uint64_t now_us)
+		      const struct shift_request *request, bool is_good, uint32_t load_permille,
+		      uint64_t now_us)
 {
 	struct service_shift *service = find_running(shifts, service_name);
+	enum dw_shift_side side;
 
-	if (service && service->shift.order.revision == request->revision)
-		dw_shift_request_ended(&service->shift, side_of(service, request->version),
-				       request->sent_at_us, is_good, now_us);
+	if (!service)
+		return;
+	side = side_of(service, request->version);
+	if (is_good)
+		dw_shift_count_load(&service->shift, side, load_permille);
+	if (service->shift.order.revision != request->revision)
+		return;
+	dw_shift_request_ended(&service->shift, side, request->sent_at_us, is_good, now_us);
+	dw_shift_route_ended(&service->shift, route_key(request), side, request->sent_at_us,
+			     is_good, now_us);
 }
 
-void shifts_count_wait(struct shifts *shifts, const char *service_name, const char *version,
-		       const struct dw_shift_wait *wait, uint64_t now_us)
+void shifts_count_wait(struct shifts *shifts, const char *service_name,
+		       const struct shift_request *request, const struct dw_shift_wait *wait,
+		       uint32_t load_permille, uint64_t now_us)
 {
 	struct service_shift *service = find_running(shifts, service_name);
+	enum dw_shift_side side;
 
 	if (!service)
 		return;
-	dw_shift_count_wait(&service->shift, side_of(service, version), wait, now_us);
+	side = side_of(service, request->version);
+	if (request->is_load_test && side == DW_SHIFT_NEW && load_permille > 0)
+		dw_shift_load_test_answered(&service->shift, load_permille, now_us);
+	dw_shift_count_wait(&service->shift, side, wait, now_us);
 	roll_back_if_bad(service, now_us);
 }
 
-void shifts_count_answer(struct shifts *shifts, const char *service_name, const char *version,
-			 const struct dw_shift_answer *answer, uint64_t now_us)
+void shifts_count_answer(struct shifts *shifts, const char *service_name,
+			 const struct shift_request *request, const struct dw_shift_answer *answer,
+			 uint64_t now_us)
 {
 	struct service_shift *service = find_running(shifts, service_name);
+	struct dw_shift_answer counted = *answer;
+	enum dw_shift_side side;
 
 	if (!service)
 		return;
-	dw_shift_count_answer(&service->shift, side_of(service, version), answer, now_us);
+	side = side_of(service, request->version);
+	/* A failure may come without a report of the load. */
+	if (answer->failed && request->is_load_test && answer->load_permille == 0)
+		counted.load_permille = service->shift.test_load_permille;
+	dw_shift_count_answer(&service->shift, side, &counted, now_us);
+	dw_shift_route_answered(&service->shift, route_key(request), side, answer->failed);
 	roll_back_if_bad(service, now_us);
 }
 
--- a/src/wharf-gateway/shifts.h
+++ b/src/wharf-gateway/shifts.h
@@ -5,8 +5,8 @@
  *
  * The gateway's own keys in the store: "wharf/progress/SERVICE" is the elapsed part of an order's
  * duration, for instances that start during the rollout; "wharf/evidence/SERVICE/INSTANCE" holds
- * the counts of struct dw_shift_counts for the answers that an instance got from the new and the old
- * version, earlier processes of the instance included.
+ * struct dw_shift_evidence for the answers that an instance got from the new and the old version,
+ * earlier processes of the instance included.
  */
 #ifndef GATEWAY_SHIFTS_H
 #define GATEWAY_SHIFTS_H
@@ -52,30 +52,38 @@
 /** The service's rollout, NULL if there is none. */
 const struct dw_shift *shifts_find(struct shifts *shifts, const char *service);
 
-/**
- * Counts a request that is sent to a version of a service.
- * @return revision of the rollout that counts it; 0: none is running
- */
-uint64_t shifts_count_sent(struct shifts *shifts, const char *service, const char *version,
-			   uint64_t now_us);
-
-/** A request that shifts_count_sent() counted. */
+/** A request that is sent to a version of a service. */
 struct shift_request {
-	uint64_t revision; /**< as returned by shifts_count_sent() */
+	uint64_t revision; /**< as returned by shifts_count_sent(); 0: not counted */
 	const char *version;
+	const char *route;
 	uint64_t sent_at_us;
+	bool is_load_test;
 };
 
-/** The request ended; @p is_good: with a complete answer. */
+/**
+ * Counts a request that is sent to a version of a service.
+ * @return revision of the rollout that counts it as under way; 0: none is running, or the request
+ * loads an engine for the load test
+ */
+uint64_t shifts_count_sent(struct shifts *shifts, const char *service,
+			   const struct shift_request *request);
+
+/** The request ended; @p is_good: with a complete answer, in which the engine reported @p
+ * load_permille (0: unknown). */
 void shifts_count_end(struct shifts *shifts, const char *service,
-		      const struct shift_request *request, bool is_good, uint64_t now_us);
+		      const struct shift_request *request, bool is_good, uint32_t load_permille,
+		      uint64_t now_us);
 
-/** Counts a wait for the first byte of one version of a service, see dw_shift_count_wait(). */
-void shifts_count_wait(struct shifts *shifts, const char *service, const char *version,
-		       const struct dw_shift_wait *wait, uint64_t now_us);
+/** Counts a wait for the first byte of one version of a service, see dw_shift_count_wait(), and the
+ * load that the engine reported with it (0: unknown). */
+void shifts_count_wait(struct shifts *shifts, const char *service,
+		       const struct shift_request *request, const struct dw_shift_wait *wait,
+		       uint32_t load_permille, uint64_t now_us);
 
-/** Counts an answer or a failure of one version of a service. */
-void shifts_count_answer(struct shifts *shifts, const char *service, const char *version,
-			 const struct dw_shift_answer *answer, uint64_t now_us);
+/** Counts an answer or a failure of one version of a service; the load is needed with a failure only. */
+void shifts_count_answer(struct shifts *shifts, const char *service,
+			 const struct shift_request *request, const struct dw_shift_answer *answer,
+			 uint64_t now_us);
 
 #endif
--- a/src/wharf-gateway/shifts_state.h
+++ b/src/wharf-gateway/shifts_state.h
@@ -15,6 +15,10 @@
 /** Keys: the prefix, the service, a slash and the instance. */
 #define SHIFT_EVIDENCE_PREFIX "wharf/evidence/"
 
+/* Lengths of the arrays in an evidence record. */
+#define SHIFT_LOAD_FIELDS (2 + 2 * DW_SHIFT_LOAD_LEVELS)
+#define SHIFT_ROUTE_FIELDS (1 + 4 * DW_SHIFT_SIDE_COUNT)
+
 struct peer_evidence {
 	char instance[DW_ENGINE_TEXT_BYTES];
 	struct dw_shift_evidence evidence;
@@ -40,6 +44,7 @@
 	/* Counts of the new version in this instance's evidence record in the store. */
 	uint32_t written_bad_or_slow;
 	uint32_t written_answers;
+	uint32_t written_proof; /**< dw_shift_proof_answers() when the record was written */
 	uint64_t evidence_at_us;
 	bool is_proof_told; /**< the counts that may prove the new version good were written */
 	bool is_proof_in_flight; /**< they are being written */
@@ -48,9 +53,6 @@
 	UT_hash_handle hh; /**< keyed by shift.order.service */
 };
 
-/** Adds the counts of another instance, or of an earlier process. */
-void shift_counts_add(struct dw_shift_counts *sum, const struct dw_shift_counts *count);
-
 /** Writes the records that are due: status, progress and this instance's evidence. */
 void shift_records_write(struct service_shift *service, uint64_t now_us);
 
--- a/tests/version_shift_test.cc
+++ b/tests/version_shift_test.cc
@@ -42,7 +42,7 @@
 	/* Version that a request may be sent to: 'n' for new, 'o' for old, '-' for either. */
 	char side(const char *pinned, uint64_t hash, uint64_t now_us, bool is_long = false)
 	{
-		dw_shift_request request = { pinned, hash, 12, is_long };
+		dw_shift_request request = { pinned, hash, 12, is_long, false };
 		dw_shift_constraint constraint = dw_shift_constrain(&shift, &request, now_us);
 		return constraint.required_version ? 'n' : constraint.excluded_version ? 'o' : '-';
 	}
@@ -189,7 +189,7 @@
  * requests load one of its engines. */
 TEST_F(VersionShift, LongRequestsLoadOneEngineInTheSecondHalf)
 {
-	dw_shift_request request = { "v1", 999, 12, true };
+	dw_shift_request request = { "v1", 999, 12, true, false };
 	dw_shift_constraint constraint = dw_shift_constrain(&shift, &request, at(600));
 	EXPECT_TRUE(constraint.is_load_test);
 	EXPECT_STREQ(constraint.required_version, "v2");
@@ -210,7 +210,7 @@
 	std::mt19937_64 random(4);
 	int load_tests = 0;
 	for (int i = 0; i < 9000; i++) {
-		dw_shift_request request = { "v1", random(), 90, true };
+		dw_shift_request request = { "v1", random(), 90, true, false };
 		load_tests += dw_shift_constrain(&shift, &request, at(600)).is_load_test;
 	}
 	EXPECT_NEAR(load_tests, 1200, 150);
@@ -221,7 +221,7 @@
 	int small = 0;
 	int large = 0;
 	for (uint64_t hash = 0; hash < 1000; hash++) {
-		dw_shift_request request = { nullptr, hash, 12, false };
+		dw_shift_request request = { nullptr, hash, 12, false, false };
 		small += dw_shift_constrain(&shift, &request, at(200)).required_version != nullptr;
 		request.target_engines = 96;
 		large += dw_shift_constrain(&shift, &request, at(200)).required_version != nullptr;
@@ -442,7 +442,7 @@
 	{
 		size_t i = random() % nodes.size();
 		node &n = nodes[i];
-		dw_shift_request request = { nullptr, random(), 12, random() % 4 == 0 };
+		dw_shift_request request = { nullptr, random(), 12, random() % 4 == 0, false };
 		dw_shift_constraint constraint = dw_shift_constrain(&n.shift, &request, now_us);
 		dw_shift_side side = constraint.required_version ? DW_SHIFT_NEW : DW_SHIFT_OLD;
 		std::lognormal_distribution<double> spread(0, 0.9);
@@ -517,4 +517,359 @@
 	}
 }
 
+/* A model of a rollout under load: engines whose answers take longer the more requests they run, instances that
+ * follow the write rules of the gateway's records, evidence that is late or lost, restarts in the load test. */
+struct LoadedRollout {
+	struct settings {
+		int instances = 8;
+		int engines = 12; /* of each version */
+		double rate = 47; /* requests a second */
+		double long_share = 0.25;
+		uint64_t limit_us = 12 * SECOND;
+		double bad_share =
+			0; /* of the answers of engines of the new version with half their slots in use */
+		double bad_route_share = 0; /* of the short answers of the new version */
+		double lost = 0; /* part of the evidence */
+		double restarted = 0; /* part of the instances, within the load test */
+		double slower = 1; /* new engines, whose caches are empty */
+	};
+	struct event {
+		uint64_t at_us;
+		uint64_t number;
+		std::function<void()> run;
+		bool operator<(const event &other) const
+		{
+			return at_us != other.at_us ? at_us > other.at_us : number > other.number;
+		}
+	};
+	struct node {
+		dw_shift shift{};
+		int run = 0;
+		uint64_t told_at_us = 0;
+		bool is_proof_told = false;
+		uint32_t told_against = 0;
+		uint32_t told_proof = 0;
+		uint64_t write_due_us = 0;
+		std::vector<dw_shift_evidence> known;
+		dw_shift_evidence earlier{};
+	};
+	static constexpr uint32_t SLOTS = 64;
+	settings how;
+	std::mt19937_64 random;
+	std::vector<node> nodes;
+	std::vector<dw_shift_evidence> stored;
+	std::vector<uint32_t> running[DW_SHIFT_SIDE_COUNT];
+	std::priority_queue<event> events;
+	uint64_t now_us = START;
+	uint64_t number = 0;
+	dw_shift_state outcome = DW_SHIFT_RUNNING;
+	uint64_t ended_at_us = 0;
+	int sent_new = 0;
+	int sent_all = 0;
+	uint32_t peak = 0;
+	int writes = 0;
+
+	LoadedRollout(const settings &s, uint64_t seed)
+	    : how(s), random(seed), nodes((size_t)s.instances), stored((size_t)s.instances)
+	{
+		for (auto &side : running)
+			side.resize((size_t)how.engines);
+		for (size_t i = 0; i < nodes.size(); i++) {
+			start(i);
+			uint64_t offset_us = random() % (200 * MS);
+			at(START + offset_us, [this, i] { tick(i, 0); });
+		}
+		for (size_t i = 0; i < (size_t)(how.instances * how.restarted); i++) {
+			uint64_t when_us =
+				START + how.limit_us * 55 / 100 + random() % (how.limit_us / 5);
+			at(when_us, [this, i] { restart(i); });
+		}
+		int requests = (int)(how.rate * (double)how.limit_us / SECOND);
+		for (int i = 0; i < requests; i++) {
+			uint64_t when_us = START + random() % how.limit_us;
+			at(when_us, [this] { request(); });
+		}
+		while (!events.empty() && now_us <= START + how.limit_us) {
+			event next = events.top();
+			events.pop();
+			now_us = next.at_us;
+			next.run();
+		}
+	}
+	double unit()
+	{
+		return (double)(random() >> 11) / (double)(UINT64_C(1) << 53);
+	}
+	void at(uint64_t at_us, std::function<void()> run)
+	{
+		events.push({ at_us, ++number, std::move(run) });
+	}
+	void start(size_t i)
+	{
+		dw_shift_order order{};
+		snprintf(order.service, sizeof(order.service), "llm");
+		snprintf(order.target_version, sizeof(order.target_version), "v2");
+		order.duration_us = how.limit_us;
+		order.revision = 5;
+		nodes[i].shift = {};
+		nodes[i].known = stored;
+		nodes[i].is_proof_told = false;
+		nodes[i].told_against = 0;
+		nodes[i].told_proof = 0;
+		dw_shift_set_order(&nodes[i].shift, &order, now_us);
+	}
+	void restart(size_t i)
+	{
+		int run = ++nodes[i].run;
+		nodes[i].earlier = stored[i];
+		start(i);
+		dw_shift_catch_up(&nodes[i].shift,
+				  (uint32_t)((now_us - START) * 1000 / how.limit_us), now_us);
+		nodes[i].shift.state = outcome;
+		pool(i);
+		tick(i, run);
+	}
+	void pool(size_t i)
+	{
+		nodes[i].shift.peers = nodes[i].earlier;
+		for (size_t k = 0; k < nodes.size(); k++) {
+			if (k != i)
+				dw_shift_evidence_add(&nodes[i].shift.peers, &nodes[i].known[k]);
+		}
+	}
+	void tell(size_t i)
+	{
+		node &n = nodes[i];
+		const dw_shift_counts &own = n.shift.own.counts[DW_SHIFT_NEW];
+		dw_shift_evidence told;
+		n.told_at_us = now_us;
+		n.told_against = own.bad + own.slow;
+		n.told_proof = dw_shift_proof_answers(&n.shift, now_us);
+		dw_shift_own_evidence(&n.shift, now_us, &told);
+		dw_shift_evidence_add(&told, &n.earlier);
+		writes++;
+		if (unit() < how.lost)
+			return;
+		at(now_us + 300 * MS, [this, i, told] {
+			stored[i] = told;
+			for (size_t k = 0; k < nodes.size(); k++) {
+				nodes[k].known[i] = told;
+				pool(k);
+			}
+		});
+	}
+	bool is_news(const node &n) const
+	{
+		const dw_shift_counts &own = n.shift.own.counts[DW_SHIFT_NEW];
+		return (own.bad + own.slow > n.told_against ||
+			dw_shift_proof_answers(&n.shift, now_us) > n.told_proof) &&
+		       now_us > n.told_at_us + 700 * MS;
+	}
+	void write_status(size_t i, dw_shift_state state)
+	{
+		node &n = nodes[i];
+		if (state == DW_SHIFT_RUNNING || outcome != DW_SHIFT_RUNNING)
+			return;
+		if (state == DW_SHIFT_ROLLED_BACK && !dw_shift_is_shown_bad(&n.shift, now_us) &&
+		    dw_shift_progress(&n.shift, now_us) < DW_SHIFT_UNPROVEN_RECORD_PERMILLE)
+			return;
+		if (n.write_due_us == 0) {
+			bool is_first = random() % 8 == 0;
+			n.write_due_us = now_us + (is_first ? random() % (200 * MS)
+							    : 700 * MS + random() % (900 * MS));
+		}
+		if (now_us < n.write_due_us)
+			return;
+		outcome = state;
+		ended_at_us = now_us;
+		at(now_us + 300 * MS, [this, state] {
+			for (node &each : nodes)
+				each.shift.state = state;
+		});
+	}
+	void tick(size_t i, int run)
+	{
+		node &n = nodes[i];
+		if (n.run != run)
+			return;
+		dw_shift_promote_if_proven(&n.shift, now_us);
+		dw_shift_state state = dw_shift_next_state(&n.shift, now_us);
+		if (state == DW_SHIFT_ROLLED_BACK)
+			n.shift.state = state;
+		write_status(i, state);
+		if (!n.is_proof_told && dw_shift_is_proof_due(&n.shift, now_us)) {
+			n.is_proof_told = true;
+			tell(i);
+		} else if (state == DW_SHIFT_RUNNING && is_news(n)) {
+			tell(i);
+		}
+		at(now_us + 200 * MS, [this, i, run] { tick(i, run); });
+	}
+	/* The least loaded of the engines that the constraint leaves, or of three of all. */
+	size_t choose(dw_shift_side side, uint32_t permille)
+	{
+		std::vector<uint32_t> &load = running[side];
+		size_t count = permille > 0 && permille < 1000
+				       ? std::max<size_t>(1, load.size() * permille / 1000)
+				       : load.size();
+		size_t best = random() % count;
+		for (size_t i = 0; i < (permille > 0 ? count : 3); i++) {
+			size_t other = permille > 0 ? i : random() % count;
+			if (load[other] < load[best])
+				best = other;
+		}
+		return best;
+	}
+	void request()
+	{
+		size_t i = random() % nodes.size();
+		node &n = nodes[i];
+		dw_shift_request request{};
+		request.hash = random();
+		request.target_engines = (uint32_t)how.engines;
+		request.is_long = unit() < how.long_share;
+		request.may_probe = true;
+		uint32_t route = request.is_long ? 1 : 2;
+		dw_shift_constraint constraint = dw_shift_constrain(&n.shift, &request, now_us);
+		dw_shift_side side = constraint.required_version ? DW_SHIFT_NEW : DW_SHIFT_OLD;
+		size_t engine = choose(side, constraint.engines_permille);
+		uint32_t load = ++running[side][engine] * 1000 / SLOTS;
+		double model = constraint.is_load_test ? 3.0 : 0.8;
+		double spread = 0.6 + 0.8 * unit();
+		double usual_ms = (request.is_long ? 1540 : 350) * model * spread;
+		double crowded = 1 + (load > 1000 ? load / 1000.0 : load / 2000.0);
+		if (side == DW_SHIFT_NEW)
+			usual_ms *= how.slower;
+		bool is_bad = side == DW_SHIFT_NEW && load >= 500 && unit() < how.bad_share;
+		if (side == DW_SHIFT_NEW && route == 2 && unit() < how.bad_route_share)
+			is_bad = true;
+		int run = n.run;
+		uint64_t sent_us = now_us;
+		uint64_t took_us = (uint64_t)(usual_ms * crowded * MS);
+		sent_all++;
+		sent_new += side == DW_SHIFT_NEW;
+		if (side == DW_SHIFT_NEW && n.shift.promoted_at_us == 0)
+			peak = std::max(peak, load);
+		if (!constraint.is_load_test)
+			dw_shift_request_sent(&n.shift, side, now_us);
+		else
+			dw_shift_load_test_sent(&n.shift);
+		if (!constraint.is_load_test)
+			dw_shift_route_sent(&n.shift, route, side, now_us);
+		if (constraint.is_load_test)
+			at(now_us + took_us / 10, [this, i, run, load] {
+				if (nodes[i].run == run)
+					dw_shift_load_test_answered(&nodes[i].shift, load, now_us);
+			});
+		if (is_bad)
+			took_us /= 2;
+		at(now_us + took_us,
+		   [this, i, run, side, engine, constraint, sent_us, is_bad, load, route] {
+			   dw_shift_answer answer = { is_bad, 0, 0, load };
+			   running[side][engine]--;
+			   if (nodes[i].run != run)
+				   return;
+			   if (!constraint.is_load_test) {
+				   dw_shift_request_ended(&nodes[i].shift, side, sent_us, !is_bad,
+							  now_us);
+				   dw_shift_route_ended(&nodes[i].shift, route, side, sent_us,
+							!is_bad, now_us);
+			   }
+			   dw_shift_route_answered(&nodes[i].shift, route, side, is_bad);
+			   dw_shift_count_answer(&nodes[i].shift, side, &answer, now_us);
+		   });
+	}
+	bool is_completed() const
+	{
+		return outcome == DW_SHIFT_COMPLETED && ended_at_us <= START + how.limit_us;
+	}
+	bool is_kept(double share) const
+	{
+		return outcome == DW_SHIFT_ROLLED_BACK && sent_new <= sent_all * share + 30;
+	}
+};
+/* Deployments with few and with many instances, and the time limits of their rollouts. */
+const LoadedRollout::settings small_12s{};
+const LoadedRollout::settings small_24s = [] {
+	LoadedRollout::settings how;
+	how.instances = 9;
+	how.limit_us = 24 * SECOND;
+	return how;
+}();
+const LoadedRollout::settings large_24s = [] {
+	LoadedRollout::settings how;
+	how.instances = 72;
+	how.engines = 60;
+	how.rate = 221;
+	how.limit_us = 24 * SECOND;
+	return how;
+}();
+
+constexpr int RUNS = 20;
+
+/* Numbers of completed rollouts, and of those that kept a bad version within its share. */
+struct result {
+	int completed = 0;
+	int kept = 0;
+};
+
+result play(const LoadedRollout::settings &how)
+{
+	result sum;
+	for (uint64_t seed = 1; seed <= RUNS; seed++) {
+		LoadedRollout rollout(how, seed);
+		sum.completed += rollout.is_completed();
+		sum.kept += rollout.is_kept(how.engines > 24 ? 0.12 : 0.15);
+	}
+	return sum;
+}
+
+/* Guards against the completion of a version whose engines the load test hasn't loaded: of 20 each, 6, 15
+ * and 1 were kept within the share. */
+TEST(LoadedRolloutModel, AVersionThatIsBadUnderLoadIsRolledBackWithinItsShare)
+{
+	for (auto how : { small_12s, small_24s, large_24s }) {
+		how.bad_share = 0.59;
+		how.slower = 1.15;
+		EXPECT_EQ(play(how).kept, RUNS) << how.instances << " instances";
+		how.lost = 0.3;
+		how.restarted = 0.5;
+		EXPECT_GE(play(how).kept, RUNS - 1) << how.instances << " instances, in trouble";
+	}
+}
+
+/* Guards against missing the time limit with a good version whose engines start without cached prompts:
+ * the load test slowed the version's few engines, and its other requests there were taken for a slow
+ * version. Of 20 each, 14, 15 and 6 were completed. */
+TEST(LoadedRolloutModel, AGoodVersionIsCompletedInTime)
+{
+	for (auto how : { small_12s, small_24s, large_24s }) {
+		bool is_large = how.instances == large_24s.instances;
+		how.slower = is_large ? 1.3 : 1.15;
+		EXPECT_GE(play(how).completed, RUNS - 2) << how.instances << " instances";
+	}
+}
+
+/* The same with lost evidence and half of the instances restarted in the load test; those of a short
+ * rollout with few requests lose too much of the proof. */
+TEST(LoadedRolloutModel, AGoodVersionIsCompletedInTroubleAsWell)
+{
+	for (auto how : { small_24s, large_24s }) {
+		how.slower = 1.15;
+		how.lost = 0.3;
+		how.restarted = 0.5;
+		EXPECT_GE(play(how).completed, RUNS - 1) << how.instances << " instances";
+	}
+}
+
+/* Guards against taking the counts of one route for those of another, or of a loaded engine for idle
+ * ones: a slow version must not profit from the comparison by route. */
+TEST(LoadedRolloutModel, ASlowVersionIsKeptWithinItsShare)
+{
+	for (auto how : { small_12s, small_24s, large_24s }) {
+		how.slower = 4;
+		EXPECT_EQ(play(how).kept, RUNS) << how.instances << " instances";
+	}
+}
+
 } // namespace
