Session pins: a process that starts late in a rollout asks for them, and sends unknown sessions to the old version

A process that reads an order together with records of its progress is late. Until it has run for SessionS it sends sessions without a known version to the old one; after that, sessions that it doesn't know have ended or were told. It asks the others for their pins, twice, as datagrams may be lost; the question is a pin of a reserved key, so relays pass it on, and gateways without this change store it as a pin that nobody uses. Each instance answers with the pins of the sessions that it served itself, so each pin is told by few.

--- a/include/dragonflywharf/session_pins.h
+++ b/include/dragonflywharf/session_pins.h
@@ -38,6 +38,14 @@
 /** Removes sessions whose last use was before @p since_us. */
 void dw_session_pins_expire(struct dw_session_pins *pins, uint64_t since_us);
 
+/**
+ * Asks the other instances to tell their pins again, in the next digest: this one has lost those that
+ * were told before it started. The question is passed on like a pin.
+ */
+void dw_session_pins_ask(struct dw_session_pins *pins, uint64_t now_us);
+/** Whether another instance has asked since the last call. The answer is dw_session_pins_tell_all(). */
+bool dw_session_pins_take_question(struct dw_session_pins *pins);
+
 /** Maximum size of a digest; fits into one datagram. */
 #define DW_SESSION_PINS_DIGEST_BYTES 1200
 
--- a/include/dragonflywharf/version_shift.h
+++ b/include/dragonflywharf/version_shift.h
@@ -268,6 +268,9 @@
 	uint32_t target_engines; /**< number of available engines of the target version */
 	bool is_long; /**< long answer to a short prompt: loads an engine at little cost */
 	bool may_probe; /**< short answer to a prompt that isn't too long to test a loaded engine */
+	/** It has a session without a known version, and this instance started so late that it may have
+	 * missed it. */
+	bool may_lack_pin;
 };
 
 /** Decides which version the request may be sent to. */
--- a/src/core/session_pins.c
+++ b/src/core/session_pins.c
@@ -21,6 +21,10 @@
 /* Older pins are ignored. */
 #define AGE_MAX_MS 60000
 
+/* A question is a pin of this session, which no session has, with a version that is never used. */
+static const struct dw_fingerprint question_key;
+#define QUESTION_VERSION "?"
+
 struct pin {
 	struct dw_fingerprint session; /**< hash of service and session */
 	uint64_t service_key; /**< hash of the service; 0: told by another instance */
@@ -36,6 +40,7 @@
 	struct pin *pins;
 	struct pin *free_list; /**< removed pins, reused for new sessions */
 	uint32_t unsent; /**< pins with a scope */
+	bool is_asked; /**< another instance has asked for the pins */
 };
 
 struct dw_session_pins *dw_session_pins_new(void)
@@ -172,6 +177,23 @@
 	}
 }
 
+void dw_session_pins_ask(struct dw_session_pins *pins, uint64_t now_us)
+{
+	struct pin *pin = find_or_add(pins, &question_key);
+
+	snprintf(pin->version, sizeof(pin->version), "%s", QUESTION_VERSION);
+	pin->used_at_us = now_us;
+	set_scope(pins, pin, DW_SPREAD_EVERYWHERE);
+}
+
+bool dw_session_pins_take_question(struct dw_session_pins *pins)
+{
+	bool is_asked = pins->is_asked;
+
+	pins->is_asked = false;
+	return is_asked;
+}
+
 static void write_pin(msgpack_packer *packer, const struct pin *pin, uint64_t now_us)
 {
 	msgpack_pack_uint64(packer, pin->session.high);
@@ -242,6 +264,8 @@
 	memcpy(pin->version, fields[2].via.str.ptr, fields[2].via.str.size);
 	pin->version[fields[2].via.str.size] = '\0';
 	set_scope(pins, pin, pin->scope | (int)scope);
+	if (memcmp(&key, &question_key, sizeof(key)) == 0)
+		pins->is_asked = true;
 }
 
 static enum dw_status apply_digest(struct dw_session_pins *pins, enum dw_spread_scope scope,
--- a/src/core/version_shift.c
+++ b/src/core/version_shift.c
@@ -874,7 +874,9 @@
 	}
 	if (pinned && strcmp(pinned, shift->order.target_version) == 0)
 		return require_target(shift, engines_permille);
-	if (pinned && dw_shift_progress(shift, now_us) < SECOND_HALF_PERMILLE)
+	/* Most sessions whose version isn't known have used the old one. */
+	if ((pinned || request->may_lack_pin) &&
+	    dw_shift_progress(shift, now_us) < SECOND_HALF_PERMILLE)
 		return exclude_target(shift);
 	return request->hash % 1000 < share ? require_target(shift, engines_permille)
 					    : exclude_target(shift);
--- a/src/wharf-gateway/exchange_route.c
+++ b/src/wharf-gateway/exchange_route.c
@@ -119,6 +119,9 @@
 		request.pinned_version = dw_session_pins_find(
 			shifts->pins, exchange->service_name, exchange->fields.session,
 			choice->now_us > session_us ? choice->now_us - session_us : 0);
+	request.may_lack_pin =
+		exchange->fields.session && !request.pinned_version &&
+		shifts_may_lack_pins(shifts, exchange->service_name, session_us, choice->now_us);
 	request.target_engines =
 		dw_engine_set_count_version(exchange->router->view->engines, exchange->service_name,
 					    shift->order.target_version, choice->now_us);
--- a/src/wharf-gateway/shifts.c
+++ b/src/wharf-gateway/shifts.c
@@ -14,6 +14,12 @@
 #define CHECK_PERIOD_MS 200
 #define KEY_BYTES 200
 #define COUNT_FIELDS 6
+/* Records that are read within this time after an order were read with it. */
+#define READ_TOGETHER_US (50 * DW_US_PER_MS)
+/* A process that starts late asks for the pins at these times after it has read the order: the first
+ * members are known then, and a lost datagram isn't repeated. */
+static const uint64_t ask_after_us[] = { 300 * DW_US_PER_MS, 1500 * DW_US_PER_MS };
+#define ASK_COUNT (sizeof(ask_after_us) / sizeof(ask_after_us[0]))
 
 void shifts_init(struct shifts *shifts, struct dw_log *log, const char *instance)
 {
@@ -71,6 +77,8 @@
 	service->is_proof_told = false;
 	service->is_proof_in_flight = false;
 	service->proof_retry_at_us = 0;
+	service->is_late = false;
+	service->questions = 0;
 	service->is_writer = false;
 	service->written_state = DW_SHIFT_NONE;
 }
@@ -128,6 +136,21 @@
 	log_shift(service, "order", now_us);
 }
 
+/* A record of the order's progress was read: if it was there with the order, this process is late. */
+static void note_progress(struct service_shift *service, uint64_t now_us)
+{
+	if (now_us < service->shift.ordered_at_us + READ_TOGETHER_US)
+		service->is_late = true;
+}
+
+bool shifts_may_lack_pins(struct shifts *shifts, const char *service_name, uint64_t session_us,
+			  uint64_t now_us)
+{
+	const struct service_shift *service = find(shifts, service_name);
+
+	return service && service->is_late && now_us < shifts->started_at_us + session_us;
+}
+
 void shifts_apply_status(struct shifts *shifts, const char *service_name, enum dw_shift_state state,
 			 const char *target, uint64_t revision)
 {
@@ -139,8 +162,10 @@
 	service->status.revision = revision;
 	before = service->shift.state;
 	dw_shift_set_outcome(&service->shift, state, target, revision);
-	if (revision > service->shift.order.revision)
+	if (revision > service->shift.order.revision) {
 		service->written_state = state;
+		note_progress(service, dw_clock_now_us());
+	}
 	if (service->shift.state != before)
 		log_shift(service, "recorded outcome", dw_clock_now_us());
 }
@@ -165,6 +190,7 @@
 	if (read_number(root, "order") == service->shift.order.revision) {
 		permille = (uint32_t)read_number(root, "permille");
 		service->written_progress = permille;
+		note_progress(service, now_us);
 		dw_shift_catch_up(&service->shift, permille, now_us);
 	}
 	json_object_put(root);
@@ -427,14 +453,34 @@
 	roll_back_if_bad(service, now_us);
 }
 
+static void ask_for_pins(struct service_shift *service, uint64_t now_us)
+{
+	if (!service->is_late || service->questions == ASK_COUNT ||
+	    service->shift.state != DW_SHIFT_RUNNING ||
+	    now_us < service->shift.ordered_at_us + ask_after_us[service->questions])
+		return;
+	service->questions++;
+	dw_session_pins_ask(service->owner->pins, now_us);
+}
+
+static void answer_question(struct service_shift *service, uint64_t now_us)
+{
+	dw_session_pins_tell_all(service->owner->pins, service->shift.order.service, is_news,
+				 &(struct pin_rule){ &service->shift, now_us });
+}
+
 static void on_check_timer(uv_timer_t *timer)
 {
 	struct shifts *shifts = timer->data;
 	uint64_t now_us = dw_clock_now_us();
+	bool is_asked = dw_session_pins_take_question(shifts->pins);
 
 	for (struct service_shift *at = shifts->services; at; at = at->hh.next) {
 		if (at->shift.state == DW_SHIFT_NONE)
 			continue;
+		if (is_asked)
+			answer_question(at, now_us);
+		ask_for_pins(at, now_us);
 		roll_back_if_bad(at, now_us);
 		shift_records_write(at, now_us);
 	}
@@ -444,6 +490,7 @@
 {
 	shifts->store = store;
 	shifts->random = seed;
+	shifts->started_at_us = dw_clock_now_us();
 	/* JSON integers are exact up to 2^53. */
 	shifts->run = dw_random_next(&shifts->random) >> 12;
 	uv_timer_init(loop, &shifts->timer);
--- a/src/wharf-gateway/shifts.h
+++ b/src/wharf-gateway/shifts.h
@@ -30,6 +30,7 @@
 	uv_timer_t timer;
 	uint64_t random;
 	uint64_t run; /**< number of this process, in its evidence records */
+	uint64_t started_at_us;
 };
 
 void shifts_init(struct shifts *shifts, struct dw_log *log, const char *instance);
@@ -49,6 +50,11 @@
 void shifts_pin_session(struct shifts *shifts, const char *service, const char *session,
 			const char *version, uint64_t now_us);
 
+/** Whether this process started so late in the service's rollout that it may not know the version of a
+ * session that is younger than @p session_us: all that are older have told theirs again or ended. */
+bool shifts_may_lack_pins(struct shifts *shifts, const char *service, uint64_t session_us,
+			  uint64_t now_us);
+
 /** The service's rollout, NULL if there is none. */
 const struct dw_shift *shifts_find(struct shifts *shifts, const char *service);
 
--- a/src/wharf-gateway/shifts_state.h
+++ b/src/wharf-gateway/shifts_state.h
@@ -39,6 +39,9 @@
 	struct stored_record status;
 	struct stored_record progress;
 	struct stored_record evidence;
+	/** The order was in the store with records of its progress: other instances had begun. */
+	bool is_late;
+	uint32_t questions; /**< how often the others were asked for their pins */
 	bool is_writer; /**< this instance wrote the rollout's last shared record */
 	uint32_t written_progress; /**< progress in the store, in thousandths */
 	/* Counts of the new version in this instance's evidence record in the store. */
--- a/tests/session_pins_test.cc
+++ b/tests/session_pins_test.cc
@@ -33,6 +33,7 @@
 struct SharedPins : testing::Test {
 	dw_session_pins *pins[2] = { dw_session_pins_new(), dw_session_pins_new() };
 	dw_shift shift{};
+	bool may_lack_pins[2] = { false, false };
 
 	SharedPins()
 	{
@@ -66,6 +67,7 @@
 			dw_session_pins_find(pins[at], "llm", session.c_str(), now_us - 6 * SECOND);
 		request.hash = hash_of(session);
 		request.target_engines = 18;
+		request.may_lack_pin = may_lack_pins[at] && !request.pinned_version;
 		return dw_shift_constrain(&shift, &request, now_us).required_version ? "v2" : "v1";
 	}
 	void exchange(int from, int to, uint64_t now_us)
@@ -104,6 +106,41 @@
 		EXPECT_EQ(choose(1, "tested-" + std::to_string(i), tested + SECOND), "v2");
 }
 
+/* Guards against an instance that is restarted in the first half and sends sessions by their hash alone: 13 of
+ * 150 that others had kept on the old version. Those on the new version are told when it asks. */
+TEST_F(SharedPins, ARestartedInstanceKeepsTheVersionsOfSessions)
+{
+	for (int i = 0; i < 150; i++)
+		use(0, "old-" + std::to_string(i), "v1", START + 3 * SECOND);
+	for (int i = 0; i < 20; i++)
+		use(0, "new-" + std::to_string(i), "v2", START + 3 * SECOND);
+	uint8_t lost[DW_SESSION_PINS_DIGEST_BYTES];
+	while (dw_session_pins_write(pins[0], DW_SPREAD_EVERYWHERE, START + 3 * SECOND, lost,
+				     sizeof(lost)) > 0)
+		;
+	may_lack_pins[1] = true;
+	int wrong = 0;
+	for (int i = 0; i < 150; i++)
+		wrong += choose(1, "old-" + std::to_string(i), START + 5 * SECOND) != "v1";
+	EXPECT_EQ(wrong, 0) << "before it knows";
+	EXPECT_FALSE(dw_session_pins_take_question(pins[0]));
+	dw_session_pins_ask(pins[1], START + 5 * SECOND);
+	exchange(1, 0, START + 5 * SECOND);
+	ASSERT_TRUE(dw_session_pins_take_question(pins[0]));
+	EXPECT_FALSE(dw_session_pins_take_question(pins[0])) << "answered once";
+	auto is_news = [](uint64_t hash, const char *version, const void *data) {
+		return dw_shift_pin_is_news((const dw_shift *)data, hash, version,
+					    START + 5 * SECOND);
+	};
+	dw_session_pins_tell_all(pins[0], "llm", is_news, &shift);
+	exchange(0, 1, START + 5 * SECOND);
+	may_lack_pins[1] = false;
+	for (int i = 0; i < 150; i++)
+		EXPECT_EQ(choose(1, "old-" + std::to_string(i), START + 6 * SECOND), "v1");
+	for (int i = 0; i < 20; i++)
+		EXPECT_EQ(choose(1, "new-" + std::to_string(i), START + 6 * SECOND), "v2");
+}
+
 /* Only what another instance would get wrong is sent. */
 TEST_F(SharedPins, MostPinsAreNotSent)
 {
--- a/tests/version_shift_test.cc
+++ b/tests/version_shift_test.cc
@@ -42,7 +42,7 @@
 	/* Version that a request may be sent to: 'n' for new, 'o' for old, '-' for either. */
 	char side(const char *pinned, uint64_t hash, uint64_t now_us, bool is_long = false)
 	{
-		dw_shift_request request = { pinned, hash, 12, is_long, false };
+		dw_shift_request request = { pinned, hash, 12, is_long, false, false };
 		dw_shift_constraint constraint = dw_shift_constrain(&shift, &request, now_us);
 		return constraint.required_version ? 'n' : constraint.excluded_version ? 'o' : '-';
 	}
@@ -265,7 +265,7 @@
  * requests load one of its engines. */
 TEST_F(VersionShift, LongRequestsLoadOneEngineInTheSecondHalf)
 {
-	dw_shift_request request = { "v1", 999, 12, true, false };
+	dw_shift_request request = { "v1", 999, 12, true, false, false };
 	dw_shift_constraint constraint = dw_shift_constrain(&shift, &request, at(600));
 	EXPECT_TRUE(constraint.is_load_test);
 	EXPECT_STREQ(constraint.required_version, "v2");
@@ -286,7 +286,7 @@
 	std::mt19937_64 random(4);
 	int load_tests = 0;
 	for (int i = 0; i < 9000; i++) {
-		dw_shift_request request = { "v1", random(), 90, true, false };
+		dw_shift_request request = { "v1", random(), 90, true, false, false };
 		load_tests += dw_shift_constrain(&shift, &request, at(600)).is_load_test;
 	}
 	EXPECT_NEAR(load_tests, 1200, 150);
@@ -297,7 +297,7 @@
 	int small = 0;
 	int large = 0;
 	for (uint64_t hash = 0; hash < 1000; hash++) {
-		dw_shift_request request = { nullptr, hash, 12, false, false };
+		dw_shift_request request = { nullptr, hash, 12, false, false, false };
 		small += dw_shift_constrain(&shift, &request, at(200)).required_version != nullptr;
 		request.target_engines = 96;
 		large += dw_shift_constrain(&shift, &request, at(200)).required_version != nullptr;
@@ -518,7 +518,9 @@
 	{
 		size_t i = random() % nodes.size();
 		node &n = nodes[i];
-		dw_shift_request request = { nullptr, random(), 12, random() % 4 == 0, false };
+		dw_shift_request request = {
+			nullptr, random(), 12, random() % 4 == 0, false, false
+		};
 		dw_shift_constraint constraint = dw_shift_constrain(&n.shift, &request, now_us);
 		dw_shift_side side = constraint.required_version ? DW_SHIFT_NEW : DW_SHIFT_OLD;
 		std::lognormal_distribution<double> spread(0, 0.9);
