Rollouts: after a conflict a record is written again only once the one in its place was read

Cause. on_written() took over the revision that a conflict showed, without reading the record. The next write, 0.2 to 1.6 s later, replaced it: an instance without the evidence could put `completed` over `rolled_back`.

The revision of a record is that of the last record read or written here; one that a conflict showed holds back writes until it was read. A conflict with a record that doesn't exist (revision 0) leads to a creation. Revisions of records that are read before a service's order are kept, as the first write would wait for ever otherwise.

Test (shift_records_test, a store that the test answers): AStatusThatWasNotReadIsNotReplaced was red, the others say that a record that was read, was read before the order or is gone is still replaced. process_odd_records_test and the two rollout tests of process_gateway_test are green.

--- a/src/wharf-gateway/shift_records.c
+++ b/src/wharf-gateway/shift_records.c
@@ -51,15 +51,30 @@
 				     dw_random_next(&service->owner->random) % EVIDENCE_PERIOD_US;
 }
 
+/* A conflict shows a record that this instance may not have read, such as another's outcome, which mustn't be
+ * replaced. So the next write waits until it was read. A record that doesn't exist says nothing. */
+static void note_result(struct stored_record *record, const struct dw_store_put_result *result)
+{
+	record->in_flight = false;
+	record->write_due_us = 0;
+	if (result->outcome == DW_STORE_DONE ||
+	    (result->outcome == DW_STORE_CONFLICT && result->revision == 0))
+		record->revision = result->revision;
+	if (result->outcome == DW_STORE_CONFLICT)
+		record->unread_revision = result->revision;
+}
+
+static bool is_unread(const struct stored_record *record)
+{
+	return record->revision < record->unread_revision;
+}
+
 static void on_written(const struct dw_store_put_result *result, void *data)
 {
 	struct record_write *write = data;
 	const struct dw_shift *shift = &write->service->shift;
 
-	write->record->in_flight = false;
-	write->record->write_due_us = 0;
-	if (result->outcome == DW_STORE_DONE || result->outcome == DW_STORE_CONFLICT)
-		write->record->revision = result->revision;
+	note_result(write->record, result);
 	if (write->record != &write->service->evidence)
 		write->service->is_writer = result->outcome == DW_STORE_DONE;
 	else
@@ -121,7 +136,7 @@
 static bool is_write_due(struct service_shift *service, struct stored_record *record, bool wanted,
 			 uint64_t backup_delay_us, uint64_t now_us)
 {
-	if (!wanted || record->in_flight) {
+	if (!wanted || record->in_flight || is_unread(record)) {
 		if (!record->in_flight)
 			record->write_due_us = 0;
 		return false;
@@ -215,7 +230,8 @@
 {
 	const struct dw_shift *shift = &service->shift;
 
-	if (shift->state == DW_SHIFT_COMPLETED || service->evidence.in_flight)
+	if (shift->state == DW_SHIFT_COMPLETED || service->evidence.in_flight ||
+	    is_unread(&service->evidence))
 		return false;
 	if (!service->is_proof_told && now_us >= service->proof_retry_at_us &&
 	    dw_shift_is_proof_due(shift, now_us)) {
--- a/src/wharf-gateway/shifts.c
+++ b/src/wharf-gateway/shifts.c
@@ -37,6 +37,23 @@
 	return found;
 }
 
+/* The records of a service may be read before its order: their revisions are kept for the writes. */
+static struct service_shift *find_or_add(struct shifts *shifts, const char *service)
+{
+	struct service_shift *found = find(shifts, service);
+	size_t len = strlen(service);
+
+	if (found || len >= sizeof(found->shift.order.service))
+		return found;
+	found = calloc(1, sizeof(*found));
+	if (!found)
+		abort();
+	found->owner = shifts;
+	memcpy(found->shift.order.service, service, len + 1);
+	HASH_ADD_STR(shifts->services, shift.order.service, found);
+	return found;
+}
+
 const struct dw_shift *shifts_find(struct shifts *shifts, const char *service)
 {
 	const struct service_shift *found = find(shifts, service);
@@ -115,17 +132,10 @@
 
 void shifts_apply_order(struct shifts *shifts, const struct dw_shift_order *order, uint64_t now_us)
 {
-	struct service_shift *service = find(shifts, order->service);
+	struct service_shift *service = find_or_add(shifts, order->service);
 
-	if (!service) {
-		service = calloc(1, sizeof(*service));
-		if (!service)
-			abort();
-		service->owner = shifts;
-		memcpy(service->shift.order.service, order->service,
-		       sizeof(service->shift.order.service));
-		HASH_ADD_STR(shifts->services, shift.order.service, service);
-	}
+	if (!service)
+		return;
 	if (service->shift.state != DW_SHIFT_NONE &&
 	    order->revision <= service->shift.order.revision)
 		return;
@@ -154,7 +164,7 @@
 void shifts_apply_status(struct shifts *shifts, const char *service_name, enum dw_shift_state state,
 			 const char *target, uint64_t revision)
 {
-	struct service_shift *service = find(shifts, service_name);
+	struct service_shift *service = find_or_add(shifts, service_name);
 	enum dw_shift_state before;
 
 	if (!service)
@@ -324,7 +334,7 @@
 	const char *slash;
 
 	if (strncmp(key, SHIFT_PROGRESS_PREFIX, strlen(SHIFT_PROGRESS_PREFIX)) == 0) {
-		service = find(shifts, key + strlen(SHIFT_PROGRESS_PREFIX));
+		service = find_or_add(shifts, key + strlen(SHIFT_PROGRESS_PREFIX));
 		if (service)
 			apply_progress(service, event, now_us);
 		return;
@@ -337,7 +347,8 @@
 		return;
 	memcpy(name, key, (size_t)(slash - key));
 	name[slash - key] = '\0';
-	service = find(shifts, name);
+	service = strcmp(slash + 1, shifts->instance) == 0 ? find_or_add(shifts, name)
+							   : find(shifts, name);
 	if (service)
 		apply_evidence(service, slash + 1, event);
 }
--- a/src/wharf-gateway/shifts_state.h
+++ b/src/wharf-gateway/shifts_state.h
@@ -27,7 +27,9 @@
 
 /* Write state of a record in the store. */
 struct stored_record {
-	uint64_t revision; /**< of the key, as last seen */
+	uint64_t revision; /**< of the key, as last read or written */
+	/** Revision that a write found in its place; no more writes until the record was read. */
+	uint64_t unread_revision;
 	uint64_t write_due_us; /**< when this instance will write; 0: no write is needed */
 	bool in_flight;
 };
