--- a/src/wharf-gateway/shifts_state.h
+++ b/src/wharf-gateway/shifts_state.h
@@ -15,6 +15,10 @@
 /** Keys: the prefix, the service, a slash and the instance. */
 #define SHIFT_EVIDENCE_PREFIX "wharf/evidence/"
 
+/* Lengths of the arrays in an evidence record. */
+#define SHIFT_LOAD_FIELDS (2 + 2 * DW_SHIFT_LOAD_LEVELS)
+#define SHIFT_ROUTE_FIELDS (1 + 4 * DW_SHIFT_SIDE_COUNT)
+
 struct peer_evidence {
 	char instance[DW_ENGINE_TEXT_BYTES];
 	struct dw_shift_evidence evidence;
@@ -23,7 +27,9 @@
 
 /* Write state of a record in the store. */
 struct stored_record {
-	uint64_t revision; /**< of the key, as last seen */
+	uint64_t revision; /**< of the key, as last read or written */
+	/** Revision that a write found in its place; no more writes until the record was read. */
+	uint64_t unread_revision;
 	uint64_t write_due_us; /**< when this instance will write; 0: no write is needed */
 	bool in_flight;
 };
@@ -35,11 +41,15 @@
 	struct stored_record status;
 	struct stored_record progress;
 	struct stored_record evidence;
+	/** The order was in the store with records of its progress: other instances had begun. */
+	bool is_late;
+	uint32_t questions; /**< how often the others were asked for their pins */
 	bool is_writer; /**< this instance wrote the rollout's last shared record */
 	uint32_t written_progress; /**< progress in the store, in thousandths */
 	/* Counts of the new version in this instance's evidence record in the store. */
 	uint32_t written_bad_or_slow;
 	uint32_t written_answers;
+	uint32_t written_proof; /**< dw_shift_proof_answers() when the record was written */
 	uint64_t evidence_at_us;
 	bool is_proof_told; /**< the counts that may prove the new version good were written */
 	bool is_proof_in_flight; /**< they are being written */
@@ -48,9 +58,6 @@
 	UT_hash_handle hh; /**< keyed by shift.order.service */
 };
 
-/** Adds the counts of another instance, or of an earlier process. */
-void shift_counts_add(struct dw_shift_counts *sum, const struct dw_shift_counts *count);
-
 /** Writes the records that are due: status, progress and this instance's evidence. */
 void shift_records_write(struct service_shift *service, uint64_t now_us);
 
