Settings: limits for callers are read, without effect yet

Unknown settings are refused ("unknown field"), so that tests of the limits for callers can't start the present gateway with them. machine_memory_mb, machine_descriptors, caller_memory_mb and caller_connections are read and checked; nothing uses them.

--- a/src/wharf-gateway/gateway_settings.c
+++ b/src/wharf-gateway/gateway_settings.c
@@ -46,6 +46,13 @@
 	  1000, "840" },
 	{ "session_timeout_s", DW_SETTING_PERMILLE_CEILING, FIELD(session_timeout_ms), false, 0,
 	  86400000, "5000" },
+	{ "machine_memory_mb", DW_SETTING_FLOOR, FIELD(machine_memory_mb), false, 0, 100000000,
+	  "0" },
+	{ "machine_descriptors", DW_SETTING_FLOOR, FIELD(machine_descriptors), false, 0, 100000000,
+	  "0" },
+	{ "caller_memory_mb", DW_SETTING_FLOOR, FIELD(caller_memory_mb), false, 0, 100000000, "0" },
+	{ "caller_connections", DW_SETTING_FLOOR, FIELD(caller_connections), false, 0, 100000000,
+	  "0" },
 	{ NULL, DW_SETTING_TEXT, 0, false, 0, 0, NULL },
 };
 
