--- a/tests/support/platform.cc
+++ b/tests/support/platform.cc
@@ -114,8 +114,9 @@
 		    route("chat", "stream", 3, ",\"Resumable\":true,\"TargetGapMs\":1500") +
 		    more_routes +
 		    "],\"Services\":[{\"Name\":\"app\",\"HealthPath\":\"/health\"}],"
-		    "\"Limits\":{\"MaxHeaderBytes\":8192,\"MaxBodyBytes\":100000,"
-		    "\"HeaderTimeoutMs\":2000,\"IdleTimeoutMs\":" +
+		    "\"Limits\":{\"MaxHeaderBytes\":8192,\"MaxBodyBytes\":" +
+		    std::to_string(max_body_bytes) +
+		    ",\"HeaderTimeoutMs\":2000,\"IdleTimeoutMs\":" +
 		    std::to_string(idle_timeout_ms) +
 		    "},\"Tenants\":[{"
 		    "\"Name\":\"workshop\",\"ApiKeys\":[" +
--- a/tests/support/platform.h
+++ b/tests/support/platform.h
@@ -36,6 +36,7 @@
 	std::vector<std::unique_ptr<backend>> backends;
 	std::string event_ms = "--event-ms=20"; /**< pause between the events of a stream */
 	int idle_timeout_ms = 5000; /**< of callers' connections, in the configuration */
+	int max_body_bytes = 100000; /**< of a request, in the configuration */
 	/** More arguments of the back ends, for instance --crash-word. */
 	std::vector<std::string> backend_arguments;
 	int version = 0; /**< of the configuration */
