Gateway: memory and connections of callers are limited, responses to HEAD have no body

Cause: nothing bounded what is held for callers. A body was buffered whatever else was held, an idle connection kept the buffers of its last request, a trickle of bytes or empty lines extended its time for ever, answers to pipelined requests piled up unread, and the end of a last answer was dropped after a second.

Change: caller.c is split by job (caller_response.c, caller_room.c). Heads, bodies, pipelined input, buffered answers and output are held on the account of caller_budget. Beyond the limit a body is rejected before it is read (503, Retry-After, not run), stalled callers are ended first, and answers are passed on sooner. A body and an unread answer need 4 KiB/s on average after 30 s. Limits come from /proc/meminfo, RLIMIT_NOFILE and the settings. Hooks in exchange_answer.c: one line each for the engine's Content-Length and for what it buffers.

--- a/src/base/bytes.c
+++ b/src/base/bytes.c
@@ -21,6 +21,16 @@
 	bytes->size = size;
 }
 
+void bytes_reserve(struct bytes *bytes, size_t len)
+{
+	if (len <= bytes->size)
+		return;
+	bytes->data = realloc(bytes->data, len);
+	if (!bytes->data)
+		abort();
+	bytes->size = len;
+}
+
 void bytes_put(struct bytes *bytes, const void *data, size_t len)
 {
 	if (len == 0)
--- a/src/wharf-gateway/caller.c
+++ b/src/wharf-gateway/caller.c
@@ -1,6 +1,5 @@
-#include "wharf-gateway/caller.h"
+#include "wharf-gateway/caller_state.h"
 
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -10,54 +9,22 @@
 #include "base/clock.h"
 #include "base/error_json.h"
 #include "net/tcp_socket.h"
+#include "platform/response_fields.h"
 
 #define READ_BUFFER_BYTES 65536
 /* Pipelined input that is buffered while a request is being answered; beyond it, reading stops. */
 #define MAX_PIPELINED_BYTES 65536
-#define CONGESTED_BYTES (256U * 1024)
-/* How long a connection lingers after its last answer, so that the caller can read it. */
-#define LINGER_MS 1000
+/* The same while over half of the memory for callers is held. */
+#define TIGHT_PIPELINED_BYTES 4096
+/* A connection that waits for its next request keeps no larger buffer for heads. */
+#define IDLE_HEAD_BYTES 4096
+/* How often it is checked whether a caller still reads the end of its answer after the idle timeout. */
+#define UNREAD_CHECK_MS 1000
 #define UNACKNOWLEDGED_TIMEOUT_MS 4000
 /* Added to the idle timeout, so that a request sent just before its end still finds the connection
  * open. */
 #define IDLE_MARGIN_MS 500
 
-enum caller_state {
-	CALLER_IDLE, /**< no byte of the next request has arrived */
-	CALLER_READING,
-	CALLER_ANSWERING,
-	CALLER_LINGERING, /**< the last answer was sent; input is discarded */
-	CALLER_CLOSING
-};
-
-struct caller {
-	uv_tcp_t tcp;
-	uv_timer_t timer;
-	uint32_t handles_open;
-	const struct caller_callbacks *callbacks;
-	void *owner;
-	enum caller_state state;
-	struct http_reader reader;
-	struct bytes body;
-	struct bytes pipelined; /**< input received while a request was being answered */
-	void *request; /**< returned by on_request, while answering */
-	bool is_refused; /**< the request being read was already answered with an error */
-	bool is_chunked; /**< the answer in progress */
-	bool close_after;
-	bool is_paused; /**< reading is stopped: too much pipelined input */
-	bool is_awaiting_drain; /**< the output queue was congested: on_drained is due */
-	bool is_feeding; /**< caller_feed() is on the stack */
-	struct caller_list *list;
-	struct caller *prev;
-	struct caller *next;
-};
-
-struct caller_write_request {
-	uv_write_t request;
-	struct caller *caller;
-	char bytes[];
-};
-
 static char read_buffer[READ_BUFFER_BYTES]; /* shared: one loop, one read at a time */
 
 static void caller_feed(struct caller *caller, const char *bytes, size_t len);
@@ -74,7 +41,7 @@
 	free(caller);
 }
 
-static void caller_close(struct caller *caller)
+void caller_close(struct caller *caller)
 {
 	void *request = caller->state == CALLER_ANSWERING ? caller->request : NULL;
 
@@ -84,135 +51,36 @@
 	caller->request = NULL;
 	DL_DELETE(caller->list->first, caller);
 	caller->list->count--;
+	caller_room_close(caller);
 	uv_close((uv_handle_t *)&caller->timer, on_handle_closed);
 	uv_close((uv_handle_t *)&caller->tcp, on_handle_closed);
 	if (request)
 		caller->callbacks->on_disconnect(request);
 }
 
-static void on_written(uv_write_t *request, int status)
-{
-	struct caller_write_request *write = (struct caller_write_request *)request;
-	struct caller *caller = write->caller;
-
-	free(write);
-	if (status != 0) {
-		caller_close(caller);
-		return;
-	}
-	if (caller->is_awaiting_drain && !caller_is_congested(caller)) {
-		caller->is_awaiting_drain = false;
-		if (caller->request)
-			caller->callbacks->on_drained(caller->request);
-	}
-}
-
-static void write_bytes(struct caller *caller, const struct bytes *bytes)
-{
-	struct caller_write_request *write;
-	uv_buf_t buffer;
-
-	if (caller->state == CALLER_CLOSING || bytes->len == 0)
-		return;
-	write = malloc(sizeof(*write) + bytes->len);
-	if (!write)
-		abort();
-	memcpy(write->bytes, bytes->data, bytes->len);
-	write->caller = caller;
-	buffer = uv_buf_init(write->bytes, (unsigned int)bytes->len);
-	if (uv_write(&write->request, (uv_stream_t *)&caller->tcp, &buffer, 1, on_written) != 0)
-		free(write); /* on_read() will report the broken connection */
-}
-
-bool caller_is_congested(const struct caller *caller)
-{
-	return uv_stream_get_write_queue_size((const uv_stream_t *)&caller->tcp) > CONGESTED_BYTES;
-}
-
-void caller_begin(struct caller *caller, int status, const char *reason, const struct bytes *fields,
-		  size_t length)
+static void on_idle_timeout(uv_timer_t *timer)
 {
-	struct bytes head = { 0 };
+	struct caller *caller = timer->data;
 
-	caller->is_chunked = length == CALLER_CHUNKED;
-	if (caller->callbacks->is_stopping(caller->owner))
-		caller->close_after = true;
-	bytes_printf(&head, "HTTP/1.1 %d %s\r\n", status, reason);
-	if (fields)
-		bytes_put(&head, fields->data, fields->len);
-	if (caller->is_chunked)
-		bytes_put_text(&head, "Transfer-Encoding: chunked\r\n");
+	if (caller_still_reads(caller))
+		uv_timer_start(timer, on_idle_timeout, UNREAD_CHECK_MS, 0);
 	else
-		bytes_printf(&head, "Content-Length: %zu\r\n", length);
-	if (caller->close_after)
-		bytes_put_text(&head, "Connection: close\r\n");
-	bytes_put_text(&head, "\r\n");
-	write_bytes(caller, &head);
-	bytes_free(&head);
-}
-
-void caller_write(struct caller *caller, const void *data, size_t len)
-{
-	struct bytes out = { 0 };
-
-	if (len == 0)
-		return;
-	if (caller->is_chunked)
-		bytes_printf(&out, "%zx\r\n", len);
-	bytes_put(&out, data, len);
-	if (caller->is_chunked)
-		bytes_put_text(&out, "\r\n");
-	write_bytes(caller, &out);
-	bytes_free(&out);
-	if (caller_is_congested(caller))
-		caller->is_awaiting_drain = true;
-}
-
-static void on_linger_timeout(uv_timer_t *timer)
-{
-	caller_close(timer->data);
-}
-
-static void on_shutdown(uv_shutdown_t *request, int status)
-{
-	free(request);
-}
-
-/* Shuts down the sending side and waits before closing. Closing at once would reset the connection if
- * input is unread, and the answer would be lost. */
-static void linger(struct caller *caller)
-{
-	uv_shutdown_t *request = malloc(sizeof(*request));
-
-	if (!request)
-		abort();
-	caller->state = CALLER_LINGERING;
-	caller->request = NULL;
-	if (uv_shutdown(request, (uv_stream_t *)&caller->tcp, on_shutdown) != 0) {
-		free(request);
 		caller_close(caller);
-		return;
-	}
-	uv_timer_start(&caller->timer, on_linger_timeout, LINGER_MS, 0);
 }
 
-static void on_idle_timeout(uv_timer_t *timer)
+static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
 {
-	caller_close(timer->data);
+	*buffer = uv_buf_init(read_buffer, sizeof(read_buffer));
 }
 
-static void wait_for_request(struct caller *caller)
-{
-	const struct dw_caller_limits *limits = caller->callbacks->limits(caller->owner);
+static void on_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buffer);
 
-	caller->state = CALLER_IDLE;
-	caller->request = NULL;
-	caller->is_refused = false;
-	caller->body.len = 0;
-	http_reader_next(&caller->reader);
-	caller->reader.max_head_bytes = limits->max_header_bytes;
-	uv_timer_start(&caller->timer, on_idle_timeout, limits->idle_timeout_ms + IDLE_MARGIN_MS,
-		       0);
+/* Whether input can be parsed now: no request is being answered, and the caller reads its answers, so that
+ * those to pipelined requests don't pile up. */
+static bool can_parse(const struct caller *caller)
+{
+	return caller->state == CALLER_READING ||
+	       (caller->state == CALLER_IDLE && !caller_is_congested(caller));
 }
 
 /* Processes pipelined input, unless caller_feed() is already running further up the stack. */
@@ -220,52 +88,49 @@
 {
 	struct bytes pipelined = caller->pipelined;
 
-	if (caller->is_feeding || caller->state != CALLER_IDLE || pipelined.len == 0)
+	if (caller->is_feeding || !can_parse(caller) || pipelined.len == 0)
 		return;
 	memset(&caller->pipelined, 0, sizeof(caller->pipelined));
 	caller_feed(caller, pipelined.data, pipelined.len);
 	bytes_free(&pipelined);
 }
 
-static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+void caller_resume_input(struct caller *caller)
 {
-	*buffer = uv_buf_init(read_buffer, sizeof(read_buffer));
-}
-
-static void on_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buffer);
-
-void caller_end(struct caller *caller)
-{
-	struct bytes last = { 0 };
-
-	if (caller->state == CALLER_CLOSING)
-		return;
-	if (caller->is_chunked) {
-		bytes_put_text(&last, "0\r\n\r\n");
-		write_bytes(caller, &last);
-		bytes_free(&last);
-	}
-	if (caller->close_after || caller->is_refused) {
-		linger(caller);
+	if (caller->state == CALLER_CLOSING || caller->state == CALLER_ANSWERING)
 		return;
-	}
-	wait_for_request(caller);
-	if (caller->is_paused) {
+	if (caller->is_paused && (caller->state == CALLER_LINGERING || can_parse(caller))) {
 		caller->is_paused = false;
 		uv_read_start((uv_stream_t *)&caller->tcp, on_alloc, on_read);
 	}
-	resume_pipelined(caller);
+	if (caller->state == CALLER_IDLE)
+		resume_pipelined(caller);
 }
 
-void caller_break_off(struct caller *caller)
+void caller_wait_for_request(struct caller *caller)
 {
+	const struct dw_caller_limits *limits = caller->callbacks->limits(caller->owner);
+
+	caller->state = CALLER_IDLE;
 	caller->request = NULL;
-	caller_close(caller);
+	caller->is_refused = false;
+	caller->has_input = false;
+	caller->method_len = 0;
+	caller->buffered_bytes = 0;
+	bytes_free(&caller->body);
+	if (caller->reader.text_size > IDLE_HEAD_BYTES)
+		http_reader_close(&caller->reader);
+	http_reader_next(&caller->reader);
+	caller->reader.max_head_bytes = limits->max_header_bytes;
+	caller_expect_reading(caller);
+	caller_room_update(caller);
+	uv_timer_start(&caller->timer, on_idle_timeout, limits->idle_timeout_ms + IDLE_MARGIN_MS,
+		       0);
+	caller_resume_input(caller);
 }
 
-/* Answers a request that can't be read to its end with an error and closes the connection. */
-static void refuse(struct caller *caller, int status, const char *reason, enum dw_status error,
-		   const char *message)
+void caller_refuse(struct caller *caller, int status, const char *reason, enum dw_status error,
+		   const char *message, uint32_t retry_after_ms)
 {
 	char *text = error_json(error, NOT_RUN_PROVEN, message);
 	struct bytes fields = { 0 };
@@ -275,6 +140,8 @@
 	caller->close_after = true;
 	caller->is_refused = true;
 	bytes_put_text(&fields, "Content-Type: application/json\r\n");
+	if (retry_after_ms > 0)
+		retry_after_write(&fields, retry_after_ms);
 	caller_begin(caller, status, reason, &fields, strlen(text));
 	caller_write(caller, text, strlen(text));
 	caller_end(caller);
@@ -290,15 +157,24 @@
 	struct bytes interim = { 0 };
 
 	if (head->has_content_length && head->content_length > limits->max_body_bytes) {
-		refuse(caller, 413, "Content Too Large", DW_TOO_LARGE,
-		       "the body is too long: over the configured maximum");
+		caller_refuse(caller, 413, "Content Too Large", DW_TOO_LARGE,
+			      "the body is too long: over the configured maximum", 0);
+		return false;
+	}
+	if (!caller_room_make(caller, head->content_length)) {
+		caller_room_reject(caller);
 		return false;
 	}
+	if (head->has_content_length)
+		bytes_reserve(&caller->body, head->content_length);
+	caller_room_update(caller);
+	caller->transfer_began_at_us = dw_clock_now_us();
+	caller->transferred_bytes = 0;
 	if (!head->keep_alive)
 		caller->close_after = true;
 	if (expect && strcasecmp(expect, "100-continue") == 0) {
 		bytes_put_text(&interim, "HTTP/1.1 100 Continue\r\n\r\n");
-		write_bytes(caller, &interim);
+		caller_send(caller, &interim);
 		bytes_free(&interim);
 	}
 	return true;
@@ -309,11 +185,21 @@
 	struct caller *caller = data;
 
 	if (caller->body.len + len > caller->callbacks->limits(caller->owner)->max_body_bytes) {
-		refuse(caller, 413, "Content Too Large", DW_TOO_LARGE,
-		       "the body is too long: over the configured maximum");
+		caller_refuse(caller, 413, "Content Too Large", DW_TOO_LARGE,
+			      "the body is too long: over the configured maximum", 0);
 		return false;
 	}
+	if (caller->body.len + len > caller->body.size) {
+		/* The buffer is doubled. */
+		size_t more = caller->body.size > len ? caller->body.size : len;
+
+		if (!caller_room_make(caller, more)) {
+			caller_room_reject(caller);
+			return false;
+		}
+	}
 	bytes_put(&caller->body, bytes, len);
+	caller->transferred_bytes += len;
 	return true;
 }
 
@@ -332,8 +218,22 @@
 {
 	struct caller *caller = timer->data;
 
-	refuse(caller, 408, "Request Timeout", DW_TIMEOUT,
-	       "the request was not received completely within the time limit");
+	caller_refuse(caller, 408, "Request Timeout", DW_TIMEOUT,
+		      "the request was not received completely within the time limit", 0);
+}
+
+/* A body has to go on within the idle timeout, and to come at the least rate, so that a trickle of bytes
+ * doesn't extend it for ever. */
+static void restart_body_timeout(struct caller *caller)
+{
+	uint64_t timeout_ms = caller->callbacks->limits(caller->owner)->idle_timeout_ms;
+	uint64_t now_us = dw_clock_now_us();
+	uint64_t end_us = dw_caller_transfer_deadline_us(caller->transfer_began_at_us,
+							 caller->transferred_bytes);
+	uint64_t left_ms = end_us > now_us ? (end_us - now_us) / DW_US_PER_MS : 0;
+
+	uv_timer_start(&caller->timer, on_reading_timeout,
+		       left_ms < timeout_ms ? left_ms : timeout_ms, 0);
 }
 
 static void dispatch_request(struct caller *caller)
@@ -354,21 +254,33 @@
 static void refuse_malformed(struct caller *caller, enum dw_status status)
 {
 	if (status == DW_TOO_LARGE)
-		refuse(caller, 431, "Request Header Fields Too Large", status,
-		       "the header is too long: over the configured maximum");
+		caller_refuse(caller, 431, "Request Header Fields Too Large", status,
+			      "the header is too long: over the configured maximum", 0);
 	else
-		refuse(caller, 400, "Bad Request", status, "the request is malformed");
+		caller_refuse(caller, 400, "Bad Request", status, "the request is malformed", 0);
 }
 
 static void buffer_pipelined(struct caller *caller, const char *bytes, size_t len)
 {
+	size_t limit = caller_room_is_tight(caller) ? TIGHT_PIPELINED_BYTES : MAX_PIPELINED_BYTES;
+
 	bytes_put(&caller->pipelined, bytes, len);
-	if (caller->pipelined.len <= MAX_PIPELINED_BYTES)
+	caller_room_update(caller);
+	if (caller->pipelined.len <= limit)
 		return;
 	caller->is_paused = true;
 	uv_read_stop((uv_stream_t *)&caller->tcp);
 }
 
+/* Keeps the first bytes of the request line, which may come one by one. */
+static void note_method(struct caller *caller, const char *bytes, size_t len)
+{
+	for (size_t i = 0; i < len && caller->method_len < sizeof(caller->method); i++) {
+		if (caller->method_len > 0 || (bytes[i] != '\r' && bytes[i] != '\n'))
+			caller->method[caller->method_len++] = bytes[i];
+	}
+}
+
 /* Parses input of one request; @return the number of bytes consumed. */
 static size_t feed_request(struct caller *caller, const char *bytes, size_t len)
 {
@@ -378,8 +290,13 @@
 
 	if (caller->state == CALLER_IDLE) {
 		caller->state = CALLER_READING;
-		uv_timer_start(&caller->timer, on_reading_timeout, limits->header_timeout_ms, 0);
+		/* Empty lines before a request don't extend the time for its head. */
+		if (!caller->has_input)
+			uv_timer_start(&caller->timer, on_reading_timeout,
+				       limits->header_timeout_ms, 0);
+		caller->has_input = true;
 	}
+	note_method(caller, bytes, len);
 	status = http_reader_feed(&caller->reader, bytes, len, &used);
 	if (caller->state == CALLER_CLOSING || caller->state == CALLER_LINGERING)
 		return len;
@@ -390,23 +307,29 @@
 	if (!caller->reader.started)
 		caller->state = CALLER_IDLE; /* only empty lines so far */
 	else if (!caller->reader.in_head && caller->state == CALLER_READING)
-		uv_timer_start(&caller->timer, on_reading_timeout, limits->idle_timeout_ms, 0);
-	if (caller->state == CALLER_ANSWERING)
+		restart_body_timeout(caller);
+	caller_room_moved(caller, used);
+	caller_room_update(caller);
+	if (caller->state == CALLER_ANSWERING) {
 		dispatch_request(caller);
+	} else if (!caller_room_make(caller, 0)) {
+		caller_room_reject(caller);
+		return len;
+	}
 	return used;
 }
 
 static void caller_feed(struct caller *caller, const char *bytes, size_t len)
 {
 	caller->is_feeding = true;
-	while (len > 0 && (caller->state == CALLER_IDLE || caller->state == CALLER_READING)) {
+	while (len > 0 && can_parse(caller)) {
 		size_t used = feed_request(caller, bytes, len);
 
 		bytes += used;
 		len -= used;
 	}
 	caller->is_feeding = false;
-	if (len > 0 && caller->state == CALLER_ANSWERING)
+	if (len > 0 && (caller->state == CALLER_ANSWERING || caller->state == CALLER_IDLE))
 		buffer_pipelined(caller, bytes, len);
 }
 
@@ -430,6 +353,7 @@
 		break;
 	case CALLER_LINGERING:
 	case CALLER_CLOSING:
+	case CALLER_STATE_COUNT:
 		break;
 	}
 }
@@ -458,8 +382,21 @@
 		return;
 	}
 	tcp_socket_set_options(&caller->tcp, UNACKNOWLEDGED_TIMEOUT_MS);
-	wait_for_request(caller);
-	uv_read_start((uv_stream_t *)&caller->tcp, on_alloc, on_read);
+	switch (caller_room_open(caller)) {
+	case DW_CALLER_ACCEPT:
+	case DW_CALLER_ADMISSION_COUNT:
+		caller_wait_for_request(caller);
+		break;
+	case DW_CALLER_REJECT:
+		caller_refuse(caller, 503, "Service Unavailable", DW_OVERLOADED,
+			      "too many connections of callers", CALLER_RETRY_AFTER_MS);
+		break;
+	case DW_CALLER_DROP:
+		caller_close(caller);
+		return;
+	}
+	if (caller->state != CALLER_CLOSING)
+		uv_read_start((uv_stream_t *)&caller->tcp, on_alloc, on_read);
 }
 
 void caller_list_close_idle(struct caller_list *list)
--- a/src/wharf-gateway/caller.h
+++ b/src/wharf-gateway/caller.h
@@ -11,6 +11,7 @@
 
 #include <uv.h>
 
+#include <dragonflywharf/caller_budget.h>
 #include <dragonflywharf/catalog.h>
 
 #include "base/bytes.h"
@@ -22,6 +23,7 @@
 struct caller_list {
 	struct caller *first;
 	uint32_t count;
+	struct dw_caller_budget *budget; /**< NULL: what is held for them isn't limited */
 };
 
 /** A complete request; its pointers are valid until its answer has ended. */
@@ -55,7 +57,8 @@
 #define CALLER_CHUNKED SIZE_MAX
 
 /**
- * Sends the head of an answer. @p fields has header lines "Name: value" without Content-Length and
+ * Sends the head of an answer. An answer to HEAD, and one with the status 1xx, 204 or 304, gets no body,
+ * whatever is written afterwards. @p fields has header lines "Name: value" without Content-Length and
  * Transfer-Encoding; @p length is the body's length, or CALLER_CHUNKED if it isn't known.
  */
 void caller_begin(struct caller *caller, int status, const char *reason, const struct bytes *fields,
@@ -67,6 +70,12 @@
 /** Closes the connection in the middle of an answer, so that the caller sees it as incomplete. */
 void caller_break_off(struct caller *caller);
 
+/** The engine's Content-Length, for a forwarded answer without a body. */
+void caller_set_answer_length(struct caller *caller, bool has_length, uint64_t length);
+
+/** Notes that the owner buffers this much of the answer. @return whether to send it now, as memory is short */
+bool caller_must_flush(struct caller *caller, size_t buffered_bytes);
+
 /** Whether the output queue is so long that the sender should pause until on_drained. */
 bool caller_is_congested(const struct caller *caller);
 
--- a/src/wharf-gateway/exchange_answer.c
+++ b/src/wharf-gateway/exchange_answer.c
@@ -198,6 +198,7 @@
 	exchange->answer.fields.len = 0;
 	exchange->buffered_body.len = 0;
 	response_fields_forward(&exchange->answer.fields, head);
+	caller_set_answer_length(exchange->caller, head->has_content_length, head->content_length);
 	snprintf(exchange->answer.type, sizeof(exchange->answer.type), "%s", content_type(head));
 	if (is_stream && needs_largest_model(exchange, fields)) {
 		retry_with_largest_model(exchange);
@@ -231,7 +232,8 @@
 		exchange->answer.began_at_us = dw_clock_now_us();
 	if (!exchange->answer.is_stream) {
 		bytes_put(&exchange->buffered_body, bytes, len);
-		if (exchange->buffered_body.len > MAX_BUFFERED_BODY_BYTES)
+		if (exchange->buffered_body.len > MAX_BUFFERED_BODY_BYTES ||
+		    caller_must_flush(exchange->caller, exchange->buffered_body.size))
 			flush_buffered_body(exchange);
 		return true;
 	}
--- a/src/wharf-gateway/gateway.c
+++ b/src/wharf-gateway/gateway.c
@@ -13,6 +13,7 @@
 #include "platform/metadata_store.h"
 #include "wharf-gateway/exchange.h"
 #include "wharf-gateway/gateway_metrics.h"
+#include "wharf-gateway/machine_limits.h"
 #include "wharf-gateway/digest_exchange.h"
 #include "wharf-gateway/store_sync.h"
 #include "wharf-gateway/view_server.h"
@@ -66,6 +67,9 @@
 	uv_timer_t stop_timer;
 	uint64_t stop_exit_at_us; /* at the latest */
 	bool has_stopped_requests;
+	struct dw_caller_budget caller_budget;
+	uint64_t callers_rejected; /* as of the last sweep */
+	uint64_t callers_ended;
 	struct caller_list callers;
 	struct caller_list monitoring_callers; /**< of the readiness and metrics listeners */
 	enum gateway_exit exit;
@@ -140,6 +144,7 @@
 		.store = gateway->store,
 		.view_sync = &gateway->view_sync,
 		.view_server = &gateway->view_server,
+		.caller_budget = &gateway->caller_budget,
 	};
 	bool ready = !is_stopping(gateway) && view_is_ready(&gateway->view, dw_clock_now_us());
 	char *text;
@@ -217,6 +222,32 @@
 			     on_caller_connection);
 }
 
+static void set_caller_limits(struct gateway *gateway)
+{
+	struct dw_caller_limits_of_machine machine = machine_limits_read(&gateway->settings);
+
+	dw_caller_budget_set_limits(&gateway->caller_budget, &machine);
+	gateway->callers.budget = &gateway->caller_budget;
+}
+
+/* One line for what was rejected and ended since the last sweep, as there may be thousands. */
+static void log_limited_callers(struct gateway *gateway)
+{
+	const struct dw_caller_budget *budget = &gateway->caller_budget;
+	uint64_t rejected = budget->rejected - gateway->callers_rejected;
+	uint64_t ended = budget->ended - gateway->callers_ended;
+
+	if (rejected + ended == 0)
+		return;
+	gateway->callers_rejected = budget->rejected;
+	gateway->callers_ended = budget->ended;
+	dw_log_event(&gateway->log, DW_EVENT_CALLERS_LIMITED, DW_INT("rejected", rejected),
+		     DW_INT("ended", ended), DW_INT("bytes", budget->bytes),
+		     DW_INT("max_bytes", budget->max_bytes),
+		     DW_INT("connections", budget->connections),
+		     DW_INT("max_connections", budget->max_connections));
+}
+
 static void on_sweep(uv_timer_t *timer)
 {
 	struct gateway *gateway = timer->data;
@@ -224,6 +255,7 @@
 	uint64_t now_us = dw_clock_now_us();
 	uint64_t session_us = gateway->settings.session_timeout_ms * DW_US_PER_MS;
 
+	log_limited_callers(gateway);
 	dw_engine_set_sweep(gateway->view.engines, now_us);
 	view_sweep(&gateway->view, now_us);
 	if (now_us > session_us)
@@ -308,6 +340,7 @@
 	memcpy(settings.instance, gateway->settings.instance, sizeof(settings.instance));
 	settings.peer_address = gateway->settings.peer_address;
 	gateway->settings = settings;
+	set_caller_limits(gateway);
 	dw_view_source_set_limit(&gateway->view.source, gateway_settings_change_us(&settings));
 	dw_log_event(&gateway->log, DW_EVENT_SETTINGS_RELOADED,
 		     DW_STR("path", gateway->settings_path));
@@ -419,6 +452,7 @@
 static enum dw_status start(struct gateway *gateway)
 {
 	signal(SIGPIPE, SIG_IGN);
+	set_caller_limits(gateway);
 	uv_loop_init(&gateway->loop);
 	view_init(&gateway->view, &gateway->settings, &gateway->log, &gateway->counters);
 	router_init(&gateway->router, &gateway->loop, &gateway->view);
--- a/src/wharf-gateway/gateway_metrics.c
+++ b/src/wharf-gateway/gateway_metrics.c
@@ -35,6 +35,7 @@
 	const struct router *router = metrics->router;
 	const struct view *view = router->view;
 	const struct peers *peers = &view->peers;
+	const struct dw_caller_budget *callers = metrics->caller_budget;
 	const struct dw_view_place *place = &view->source.place;
 	uint64_t now_us = dw_clock_now_us();
 	const struct gauge gauges[] = {
@@ -91,6 +92,17 @@
 		{ "pause_waits", "Requests that waited as all engines had asked for a pause",
 		  router->pause_waits },
 		{ "pause_refusals", "Requests refused for that", router->pause_refusals },
+		{ "caller_bytes", "Bytes held for callers", callers->bytes },
+		{ "caller_bytes_limit", "Most bytes that may be held for them",
+		  callers->max_bytes },
+		{ "caller_connections", "Connections of callers", callers->connections },
+		{ "caller_connections_limit", "Most connections of callers",
+		  callers->max_connections },
+		{ "callers_rejected",
+		  "Connections and requests rejected for want of either, since the start",
+		  callers->rejected },
+		{ "callers_ended", "Connections without progress ended to make room",
+		  callers->ended },
 		{ "requests_in_progress", "Requests being answered", router->in_progress },
 		{ "engine_connections", "Connections made to engines since the start",
 		  http_pool_connections_opened(router->pool) },
--- a/src/wharf-gateway/gateway_metrics.h
+++ b/src/wharf-gateway/gateway_metrics.h
@@ -5,6 +5,8 @@
 #ifndef GATEWAY_GATEWAY_METRICS_H
 #define GATEWAY_GATEWAY_METRICS_H
 
+#include <dragonflywharf/caller_budget.h>
+
 #include "wharf-gateway/router.h"
 #include "wharf-gateway/view_server.h"
 #include "wharf-gateway/view_sync.h"
@@ -15,6 +17,7 @@
 	const struct dw_store *store;
 	const struct view_sync *view_sync;
 	const struct view_server *view_server;
+	const struct dw_caller_budget *caller_budget;
 };
 
 /** Metrics in the Prometheus text format; freed by the caller, NULL if out of memory. */
--- a/src/wharf-gateway/gateway_settings.h
+++ b/src/wharf-gateway/gateway_settings.h
@@ -39,10 +39,10 @@
 	uint64_t rollout_slack; /**< additional requests for a bad version; no effect yet */
 	uint64_t quality_target_permille; /**< least chance that a small model's answer is good */
 	uint64_t session_timeout_ms; /**< longest pause between two requests of a session */
-	uint64_t machine_memory_mb; /**< 0: as /proc/meminfo says; no effect yet */
-	uint64_t machine_descriptors; /**< 0: as RLIMIT_NOFILE says; no effect yet */
-	uint64_t caller_memory_mb; /**< held for callers; 0: derived; no effect yet */
-	uint64_t caller_connections; /**< of callers; 0: derived; no effect yet */
+	uint64_t machine_memory_mb; /**< 0: as /proc/meminfo says */
+	uint64_t machine_descriptors; /**< 0: as RLIMIT_NOFILE says */
+	uint64_t caller_memory_mb; /**< held for callers; 0: derived */
+	uint64_t caller_connections; /**< of callers; 0: derived */
 };
 
 /**
--- a/tests/support/caller_crowd.cc
+++ b/tests/support/caller_crowd.cc
@@ -80,11 +80,11 @@
 	return poll(&poller, 1, timeout_ms) > 0;
 }
 
-std::string caller_crowd::read(size_t index, int silence_ms) const
+std::string caller_crowd::read(size_t index, int silence_ms, size_t most) const
 {
 	std::string received;
 	char buffer[4096];
-	while (wait_readable(index, silence_ms)) {
+	while (received.size() < most && wait_readable(index, silence_ms)) {
 		ssize_t len = recv(members_[index].socket, buffer, sizeof(buffer), 0);
 		if (len <= 0)
 			break;
--- a/tests/support/caller_crowd.h
+++ b/tests/support/caller_crowd.h
@@ -29,8 +29,8 @@
 	void send_all(int silence_ms = 1000);
 	/** Waits until the connection has something to read or is closed. */
 	bool wait_readable(size_t index, int timeout_ms) const;
-	/** Reads what has arrived at the connection until it is silent or closed. */
-	std::string read(size_t index, int silence_ms = 300) const;
+	/** Reads up to @p most bytes, until the connection is silent or closed. */
+	std::string read(size_t index, int silence_ms, size_t most) const;
 
 	size_t size() const
 	{
