--- a/src/base/bytes.c
+++ b/src/base/bytes.c
@@ -7,18 +7,20 @@
 
 #define INITIAL_SIZE 512
 
-static void reserve(struct bytes *bytes, size_t len)
+size_t bytes_growth(const struct bytes *bytes, size_t len)
 {
 	size_t size = bytes->size ? bytes->size : INITIAL_SIZE;
 
 	if (bytes->len + len <= bytes->size)
-		return;
+		return 0;
 	while (size < bytes->len + len)
 		size *= 2;
-	bytes->data = realloc(bytes->data, size);
-	if (!bytes->data)
-		abort();
-	bytes->size = size;
+	return size - bytes->size;
+}
+
+static void reserve(struct bytes *bytes, size_t len)
+{
+	bytes_reserve(bytes, bytes->size + bytes_growth(bytes, len));
 }
 
 void bytes_reserve(struct bytes *bytes, size_t len)
--- a/src/base/bytes.h
+++ b/src/base/bytes.h
@@ -20,6 +20,9 @@
 /** Allocates exactly @p len bytes in all, unless there are as many already. */
 void bytes_reserve(struct bytes *bytes, size_t len);
 
+/** By how much the allocation grows when @p len bytes are appended. */
+size_t bytes_growth(const struct bytes *bytes, size_t len);
+
 /** Append bytes, a string without its NUL, or formatted text. */
 void bytes_put(struct bytes *bytes, const void *data, size_t len);
 void bytes_put_text(struct bytes *bytes, const char *text);
--- a/src/wharf-gateway/caller.c
+++ b/src/wharf-gateway/caller.c
@@ -183,22 +183,21 @@
 static bool on_body(void *data, const char *bytes, size_t len)
 {
 	struct caller *caller = data;
+	size_t growth;
 
 	if (caller->body.len + len > caller->callbacks->limits(caller->owner)->max_body_bytes) {
 		caller_refuse(caller, 413, "Content Too Large", DW_TOO_LARGE,
 			      "the body is too long: over the configured maximum", 0);
 		return false;
 	}
-	if (caller->body.len + len > caller->body.size) {
-		/* The buffer is doubled. */
-		size_t more = caller->body.size > len ? caller->body.size : len;
-
-		if (!caller_room_make(caller, more)) {
-			caller_room_reject(caller);
-			return false;
-		}
+	growth = bytes_growth(&caller->body, len);
+	if (growth > 0 && !caller_room_make(caller, growth)) {
+		caller_room_reject(caller);
+		return false;
 	}
 	bytes_put(&caller->body, bytes, len);
+	if (growth > 0)
+		caller_room_update(caller);
 	caller->transferred_bytes += len;
 	return true;
 }
