--- a/src/dragonflywharfd/daemon_settings.c
+++ b/src/dragonflywharfd/daemon_settings.c
@@ -31,6 +31,10 @@
 	  "500" },
 	{ "rated_permille", DW_SETTING_INTEGER, FIELD(rated_permille), false, 0, 1000, "250" },
 	{ "list_period_ms", DW_SETTING_INTEGER, FIELD(list_period_ms), false, 20, 60000, "1000" },
+	{ "caller_memory_mb", DW_SETTING_INTEGER, FIELD(caller_memory_mb), false, 0, 100000000,
+	  "0" },
+	{ "caller_connections", DW_SETTING_INTEGER, FIELD(caller_connections), false, 0, 100000000,
+	  "0" },
 	{ NULL, DW_SETTING_TEXT, 0, false, 0, 0, NULL },
 };
 
--- a/src/dragonflywharfd/daemon_settings.h
+++ b/src/dragonflywharfd/daemon_settings.h
@@ -25,6 +25,8 @@
 	char log_file[DW_SETTINGS_TEXT_BYTES];
 	char log_level[DW_SETTINGS_TEXT_BYTES];
 	uint64_t max_body_bytes;
+	uint64_t caller_memory_mb; /**< held for callers; 0: derived from the machine's */
+	uint64_t caller_connections; /**< of callers; 0: derived from RLIMIT_NOFILE */
 	uint64_t queue_capacity;
 	uint64_t request_timeout_ms;
 	uint64_t stop_timeout_ms;
