dragonflywharfd: memory and connections of callers are limited

Cause: h2o reads bodies before the request is handed on, and nothing bounded how many of them, nor the connections. Change: http_server.c keeps the account of caller_budget for the callers' port. Connections beyond the limit are closed, and after each round of the loop stalled connections, or else the one whose body doesn't fit, are shut down; requests in progress never. machine_limits moves to src/base, as both daemons derive their limits.

--- a/src/wharf-gateway/machine_limits.c
+++ b/src/base/machine_limits.c
@@ -1,11 +1,10 @@
-#include "wharf-gateway/machine_limits.h"
+#include "base/machine_limits.h"
 
 #include <inttypes.h>
 #include <stdio.h>
 #include <sys/resource.h>
 
 #define BYTES_PER_KB UINT64_C(1024)
-#define BYTES_PER_MB (BYTES_PER_KB * BYTES_PER_KB)
 
 /* 0 if it can't be read. */
 static uint64_t read_memory_bytes(void)
@@ -38,13 +37,15 @@
 	return a < b ? a : b;
 }
 
-struct dw_caller_limits_of_machine machine_limits_read(const struct gateway_settings *settings)
+uint64_t machine_limits_mb(uint64_t mb)
+{
+	return mb * BYTES_PER_KB * BYTES_PER_KB;
+}
+
+struct dw_caller_limits_of_machine machine_limits_read(uint64_t memory_mb, uint64_t descriptors)
 {
 	return (struct dw_caller_limits_of_machine){
-		.memory_bytes = lower_limit(settings->machine_memory_mb * BYTES_PER_MB,
-					    read_memory_bytes()),
-		.descriptors = lower_limit(settings->machine_descriptors, read_descriptors()),
-		.caller_bytes = settings->caller_memory_mb * BYTES_PER_MB,
-		.caller_connections = settings->caller_connections,
+		.memory_bytes = lower_limit(machine_limits_mb(memory_mb), read_memory_bytes()),
+		.descriptors = lower_limit(descriptors, read_descriptors()),
 	};
 }
--- a/src/dragonflywharfd/caller_api.c
+++ b/src/dragonflywharfd/caller_api.c
@@ -4,6 +4,7 @@
 
 #include <sodium.h>
 
+#include "base/machine_limits.h"
 #include "dragonflywharfd/chat_request.h"
 #include "dragonflywharfd/config_sync.h"
 #include "dragonflywharfd/error_reply.h"
@@ -96,9 +97,14 @@
 		.ip = daemon->settings.ip,
 		.port = (uint16_t)daemon->settings.caller_port,
 		.max_body_bytes = daemon->settings.max_body_bytes,
+		.has_caller_limits = true,
+		.caller_limits = machine_limits_read(0, 0),
 		.handler = on_request,
 		.data = daemon,
 	};
 
+	options.caller_limits.caller_bytes = machine_limits_mb(daemon->settings.caller_memory_mb);
+	options.caller_limits.caller_connections = daemon->settings.caller_connections;
+
 	return dw_http_server_start(&daemon->caller_server, &daemon->loop, &options);
 }
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -8,6 +8,8 @@
 
 #include <h2o.h>
 
+#include "base/clock.h"
+
 #define LISTEN_BACKLOG 1024
 /* Interval at which the sockets of requests in progress are checked for a disconnected client. */
 #define DISCONNECT_CHECK_MS 100
@@ -27,10 +29,13 @@
 	size_t capacity;
 };
 
+struct connection;
+
 struct dw_http_exchange {
 	h2o_generator_t generator; /* must be first: h2o passes a pointer to it back */
 	h2o_req_t *req;
 	struct dw_http_server *server;
+	struct connection *connection; /* NULL if what is held for callers isn't limited */
 	struct dw_http_exchange *next;
 	struct dw_http_exchange *previous;
 	dw_http_exchange_callback on_disconnect;
@@ -56,12 +61,19 @@
 	struct dw_http_server *server;
 	struct connection *next;
 	struct connection *previous;
+	h2o_socket_t *sock; /* NULL if it couldn't be accepted */
+	struct dw_http_exchange *exchange; /* in progress */
+	struct dw_caller_account
+		account; /* its group is NULL without limits, and once it was ended */
+	uint64_t bytes_read; /* as of the last check */
 };
 
 struct dw_http_server {
 	uv_loop_t *loop;
 	uv_tcp_t listener;
 	uv_timer_t disconnect_timer;
+	uv_check_t room_check;
+	struct dw_caller_budget budget;
 	h2o_globalconf_t config;
 	h2o_context_t context;
 	h2o_accept_ctx_t accept;
@@ -124,6 +136,8 @@
 
 	exchange_notify_disconnect(exchange);
 	exchange_unlink(exchange);
+	if (exchange->connection)
+		exchange->connection->exchange = NULL;
 	free(exchange->pending.base);
 	free(exchange->in_flight.base);
 }
@@ -184,6 +198,16 @@
 	return h2o_strdup(&req->pool, base, len).base;
 }
 
+static struct connection *find_connection(const struct dw_http_server *server, h2o_req_t *req)
+{
+	const h2o_socket_t *sock = req->conn->callbacks->get_socket(req->conn);
+	struct connection *connection = server->connections;
+
+	while (connection && connection->sock != sock)
+		connection = connection->next;
+	return connection;
+}
+
 static struct dw_http_exchange *exchange_new(struct dw_http_server *server, h2o_req_t *req)
 {
 	struct dw_http_exchange *exchange =
@@ -203,6 +227,11 @@
 					      req->path.len - path_len - 1);
 	}
 	exchange->path = copy_string(req, req->path.base, path_len);
+	if (server->options.has_caller_limits) {
+		exchange->connection = find_connection(server, req);
+		if (exchange->connection)
+			exchange->connection->exchange = exchange;
+	}
 	exchange->next = server->exchanges;
 	if (exchange->next)
 		exchange->next->previous = exchange;
@@ -276,9 +305,117 @@
 		connection->server->connections = connection->next;
 	if (connection->next)
 		connection->next->previous = connection->previous;
+	if (connection->account.group)
+		dw_caller_budget_remove(&connection->server->budget, &connection->account);
 	free(connection);
 }
 
+static uint32_t address_of(const struct connection *connection)
+{
+	struct sockaddr_storage address;
+	int len = sizeof(address);
+
+	if (uv_tcp_getpeername(&connection->tcp, (struct sockaddr *)&address, &len) != 0 ||
+	    address.ss_family != AF_INET)
+		return 0;
+	return ntohl(((const struct sockaddr_in *)&address)->sin_addr.s_addr);
+}
+
+/* Shuts the connection down; h2o closes it when it reads the end. It leaves the account at once, so that it
+ * isn't chosen again. */
+static void end_connection(struct connection *connection)
+{
+	uv_os_fd_t fd;
+
+	connection->server->budget.ended++;
+	dw_caller_budget_remove(&connection->server->budget, &connection->account);
+	if (uv_fileno((uv_handle_t *)&connection->tcp, &fd) == 0)
+		shutdown(fd, SHUT_RDWR);
+}
+
+static struct connection *owner_of(struct dw_caller_account *account)
+{
+	return (struct connection *)((char *)account - offsetof(struct connection, account));
+}
+
+/* @return false if there are too many connections, and none of them is stalled */
+static bool admit(struct connection *connection)
+{
+	struct dw_http_server *server = connection->server;
+	uint64_t now_us = dw_clock_now_us();
+	uint32_t address = address_of(connection);
+	bool fits = dw_caller_budget_admit(&server->budget, address) == DW_CALLER_ACCEPT;
+	struct dw_caller_account *stalled;
+
+	if (!fits) {
+		stalled = dw_caller_budget_connection_to_end(&server->budget, address, now_us);
+		if (stalled) {
+			end_connection(owner_of(stalled));
+			fits = dw_caller_budget_admit(&server->budget, address) == DW_CALLER_ACCEPT;
+		}
+	}
+	if (!fits) {
+		server->budget.rejected++;
+		return false;
+	}
+	dw_caller_budget_add(&server->budget, &connection->account, address, now_us);
+	return true;
+}
+
+/* What is held for the connection: its input, in which h2o also keeps the body, and queued output. */
+static void update_account(struct connection *connection, uint64_t now_us)
+{
+	const struct dw_http_exchange *exchange = connection->exchange;
+	const h2o_buffer_t *input = connection->sock->input;
+	uint64_t held = sizeof(*connection);
+	enum dw_caller_phase phase = DW_CALLER_IDLE;
+
+	if (input && input->bytes)
+		held += input->capacity;
+	if (exchange)
+		held += exchange->pending.capacity + exchange->in_flight.capacity;
+	if (exchange)
+		phase = DW_CALLER_RUNNING;
+	else if (input && input->size > 0)
+		phase = DW_CALLER_READING;
+	dw_caller_account_enter(&connection->account, phase, now_us);
+	dw_caller_account_move(&connection->account,
+			       connection->sock->bytes_read - connection->bytes_read, now_us);
+	connection->bytes_read = connection->sock->bytes_read;
+	dw_caller_budget_hold(&connection->server->budget, &connection->account, held);
+}
+
+/* Ends connections while the account is over its limit: stalled ones, or else the one whose body doesn't
+ * fit, as it can't be rejected before h2o has read it. */
+static void make_room(struct connection *connection, uint64_t now_us)
+{
+	struct dw_caller_budget *budget = &connection->server->budget;
+	struct dw_caller_account *stalled;
+
+	while (connection->account.group && connection->account.phase == DW_CALLER_READING &&
+	       !dw_caller_budget_fits(budget, &connection->account, 0)) {
+		stalled = dw_caller_budget_memory_to_end(budget, &connection->account, now_us);
+		end_connection(stalled ? owner_of(stalled) : connection);
+	}
+}
+
+/* After each round of the loop, which reads at most some hundred KB from a connection. */
+static void on_room_check(uv_check_t *check)
+{
+	struct dw_http_server *server = check->data;
+	struct connection *connection;
+	uint64_t now_us = dw_clock_now_us();
+
+	for (connection = server->connections; connection; connection = connection->next) {
+		if (connection->account.group && connection->sock)
+			update_account(connection, now_us);
+	}
+	for (connection = server->connections; connection; connection = connection->next) {
+		if (connection->account.group && connection->sock)
+			make_room(connection, now_us);
+	}
+}
+
 static void on_connection(uv_stream_t *listener, int status)
 {
 	struct dw_http_server *server = listener->data;
@@ -287,6 +424,7 @@
 	if (status != 0)
 		return;
 	connection = h2o_mem_alloc(sizeof(*connection));
+	memset(connection, 0, sizeof(*connection));
 	connection->server = server;
 	connection->previous = NULL;
 	connection->next = server->connections;
@@ -298,9 +436,14 @@
 		uv_close((uv_handle_t *)&connection->tcp, on_connection_closed);
 		return;
 	}
+	if (server->options.has_caller_limits && !admit(connection)) {
+		uv_close((uv_handle_t *)&connection->tcp, on_connection_closed);
+		return;
+	}
 	uv_tcp_nodelay(&connection->tcp, 1);
-	h2o_accept(&server->accept,
-		   h2o_uv_socket_create((uv_stream_t *)&connection->tcp, on_connection_closed));
+	connection->sock =
+		h2o_uv_socket_create((uv_stream_t *)&connection->tcp, on_connection_closed);
+	h2o_accept(&server->accept, connection->sock);
 }
 
 void dw_http_server_abort_connections(struct dw_http_server *server)
@@ -432,6 +575,13 @@
 	uv_timer_start(&server->disconnect_timer, on_disconnect_timer, DISCONNECT_CHECK_MS,
 		       DISCONNECT_CHECK_MS);
 	uv_unref((uv_handle_t *)&server->disconnect_timer);
+	if (options->has_caller_limits) {
+		dw_caller_budget_set_limits(&server->budget, &options->caller_limits);
+		uv_check_init(loop, &server->room_check);
+		server->room_check.data = server;
+		uv_check_start(&server->room_check, on_room_check);
+		uv_unref((uv_handle_t *)&server->room_check);
+	}
 	*out = server;
 	return DW_OK;
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -13,6 +13,7 @@
 
 #include <uv.h>
 
+#include <dragonflywharf/caller_budget.h>
 #include <dragonflywharf/status.h>
 
 #ifdef __cplusplus
@@ -29,6 +30,8 @@
 	const char *ip; /**< numeric IPv4 address to bind */
 	uint16_t port; /**< 0 binds any free port, see dw_http_server_port() */
 	size_t max_body_bytes; /**< larger requests get 413 */
+	bool has_caller_limits; /**< false: what is held for callers isn't limited */
+	struct dw_caller_limits_of_machine caller_limits;
 	dw_http_handler handler; /**< called for every request */
 	void *data;
 };
--- a/src/wharf-gateway/gateway.c
+++ b/src/wharf-gateway/gateway.c
@@ -9,11 +9,11 @@
 #include <dragonflywharf/freshness.h>
 
 #include "base/clock.h"
+#include "base/machine_limits.h"
 #include "platform/response_fields.h"
 #include "platform/metadata_store.h"
 #include "wharf-gateway/exchange.h"
 #include "wharf-gateway/gateway_metrics.h"
-#include "wharf-gateway/machine_limits.h"
 #include "wharf-gateway/digest_exchange.h"
 #include "wharf-gateway/store_sync.h"
 #include "wharf-gateway/view_server.h"
@@ -224,8 +224,12 @@
 
 static void set_caller_limits(struct gateway *gateway)
 {
-	struct dw_caller_limits_of_machine machine = machine_limits_read(&gateway->settings);
+	const struct gateway_settings *settings = &gateway->settings;
+	struct dw_caller_limits_of_machine machine =
+		machine_limits_read(settings->machine_memory_mb, settings->machine_descriptors);
 
+	machine.caller_bytes = machine_limits_mb(settings->caller_memory_mb);
+	machine.caller_connections = settings->caller_connections;
 	dw_caller_budget_set_limits(&gateway->caller_budget, &machine);
 	gateway->callers.budget = &gateway->caller_budget;
 }
