--- a/src/wharf-gateway/caller.c
+++ b/src/wharf-gateway/caller.c
@@ -80,7 +80,7 @@
 static bool can_parse(const struct caller *caller)
 {
 	return caller->state == CALLER_READING ||
-	       (caller->state == CALLER_IDLE && !caller_is_congested(caller));
+	       (caller->state == CALLER_IDLE && !caller_output_is_full(caller));
 }
 
 /* Processes pipelined input, unless caller_feed() is already running further up the stack. */
@@ -345,7 +345,13 @@
 	switch (caller->state) {
 	case CALLER_IDLE:
 	case CALLER_READING:
-		caller_feed(caller, buffer->base, (size_t)len);
+		/* Input that waits because answers are unread comes first. */
+		if (caller->pipelined.len > 0) {
+			buffer_pipelined(caller, buffer->base, (size_t)len);
+			caller_resume_input(caller);
+		} else {
+			caller_feed(caller, buffer->base, (size_t)len);
+		}
 		break;
 	case CALLER_ANSWERING:
 		buffer_pipelined(caller, buffer->base, (size_t)len);
--- a/src/wharf-gateway/caller.h
+++ b/src/wharf-gateway/caller.h
@@ -77,7 +77,7 @@
 bool caller_must_flush(struct caller *caller, size_t buffered_bytes);
 
 /** Whether the output queue is so long that the sender should pause until on_drained. */
-bool caller_is_congested(const struct caller *caller);
+bool caller_is_congested(struct caller *caller);
 
 /** Closes the connections without a request in progress. */
 void caller_list_close_idle(struct caller_list *list);
--- a/src/wharf-gateway/caller_response.c
+++ b/src/wharf-gateway/caller_response.c
@@ -42,7 +42,7 @@
 	}
 	caller_room_moved(caller, len);
 	caller_room_update(caller);
-	if (caller->is_awaiting_drain && !caller_is_congested(caller)) {
+	if (caller->is_awaiting_drain && !caller_output_is_full(caller)) {
 		caller->is_awaiting_drain = false;
 		if (caller->request)
 			caller->callbacks->on_drained(caller->request);
@@ -70,13 +70,21 @@
 	caller_room_update(caller);
 }
 
-bool caller_is_congested(const struct caller *caller)
+bool caller_output_is_full(const struct caller *caller)
 {
 	size_t limit = caller_room_is_tight(caller) ? TIGHT_CONGESTED_BYTES : CONGESTED_BYTES;
 
 	return uv_stream_get_write_queue_size((const uv_stream_t *)&caller->tcp) > limit;
 }
 
+bool caller_is_congested(struct caller *caller)
+{
+	/* The limit changes with the memory of all callers: on_drained is due to whoever was told so. */
+	if (caller_output_is_full(caller))
+		caller->is_awaiting_drain = true;
+	return caller->is_awaiting_drain;
+}
+
 bool caller_must_flush(struct caller *caller, size_t buffered_bytes)
 {
 	caller->buffered_bytes = buffered_bytes;
@@ -141,8 +149,7 @@
 		bytes_put_text(&out, "\r\n");
 	caller_send(caller, &out);
 	bytes_free(&out);
-	if (caller_is_congested(caller))
-		caller->is_awaiting_drain = true;
+	caller_is_congested(caller);
 }
 
 size_t caller_unread_bytes(const struct caller *caller)
--- a/src/wharf-gateway/caller_state.h
+++ b/src/wharf-gateway/caller_state.h
@@ -76,6 +76,8 @@
 
 /** Writes bytes as they are. */
 void caller_send(struct caller *caller, const struct bytes *bytes);
+/** Whether the output queue is over its limit now. */
+bool caller_output_is_full(const struct caller *caller);
 /** Bytes that the caller hasn't read yet, as far as this machine knows. */
 size_t caller_unread_bytes(const struct caller *caller);
 /** From now on it is checked whether the caller reads what is unread. */
--- a/tests/process_caller_responses_test.cc
+++ b/tests/process_caller_responses_test.cc
@@ -2,6 +2,7 @@
 // stand before the next response of the connection; and a slow reader gets the end of its last response.
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <chrono>
 #include <string>
 #include <thread>
@@ -28,6 +29,9 @@
 constexpr int STEP_BYTES = 60000;
 constexpr int STEP_MS = 40;
 
+constexpr int PIPELINED = 40;
+constexpr size_t PIPELINED_BYTES = 200000;
+
 struct CallerResponses : support::raw_fleet {
 	void start_engine()
 	{
@@ -147,6 +151,35 @@
 	EXPECT_TRUE(ended);
 }
 
+/* Answers to pipelined requests that nobody reads would pile up in memory. They come in order once they are read. */
+TEST_F(CallerResponses, UnreadAnswersStopPipelinedRequests)
+{
+	std::string requests;
+	std::string answers;
+	std::string found;
+	std::string expected;
+	std::atomic<int> sent{ 0 };
+	start(1, [&](raw_connection &connection, const std::string &text) {
+		sent++;
+		connection.send(
+			answer_with_length("200 OK", text, std::string(PIPELINED_BYTES, 'x')));
+	});
+	for (int i = 0; i < PIPELINED; i++) {
+		expected += " r" + std::to_string(next_attempt);
+		requests += request("GET", "/look/1");
+	}
+	caller_crowd crowd(instances[0].caller_port);
+	size_t index = crowd.add(std::make_shared<const std::string>(requests), 4096);
+	crowd.send_all();
+	EXPECT_FALSE(support::wait_until([&] { return sent == PIPELINED; }, 1500));
+	answers = crowd.read(index, 3000, PIPELINED * (PIPELINED_BYTES + 1000));
+	for (size_t at = 0; (at = answers.find("Attempt-Id: ", at)) != std::string::npos;) {
+		at += 12;
+		found += " " + answers.substr(at, answers.find("\r\n", at) - at);
+	}
+	EXPECT_EQ(found, expected);
+}
+
 TEST_F(CallerResponses, ASlowReaderGetsTheEndOfItsLastResponse)
 {
 	start_engine();
