--- a/tests/process_caller_responses_test.cc
+++ b/tests/process_caller_responses_test.cc
@@ -134,6 +134,37 @@
 	EXPECT_NE(head.find("Content-Length: 1234"), std::string::npos) << head;
 }
 
+/* A caller that is told otherwise, or nothing, can't repeat a request that may run only once. */
+TEST_F(CallerResponses, RejectionsAtTheLimitsSayThatNothingRan)
+{
+	std::atomic<int> runs{ 0 };
+	auto expect_rejection = [](const std::string &answer) {
+		EXPECT_EQ(answer.substr(0, 13), "HTTP/1.1 503 ") << answer;
+		EXPECT_NE(answer.find("Retry-After: 1.500\r\n"), std::string::npos) << answer;
+		EXPECT_NE(answer.find("\"not_run\":true"), std::string::npos) << answer;
+	};
+	max_body_bytes = 1 << 20;
+	more_settings = ",\"caller_memory_mb\":4,\"caller_connections\":8";
+	start(1, [&](raw_connection &, const std::string &) { runs++; });
+	auto body = std::make_shared<const std::string>(
+		request("POST", "/book/1", "Credential: k1\r\nContent-Length: 1048576\r\n"));
+	caller_crowd crowd(instances[0].caller_port);
+	/* Two announced bodies fit into what one address gets for large ones, 9/16 of 4 MB. */
+	crowd.add(body);
+	crowd.add(body);
+	crowd.send_all();
+	ASSERT_TRUE(
+		support::wait_until([&] { return instances[0].metric("caller_bytes") > 2 << 20; }));
+	crowd.add(body);
+	crowd.send_all();
+	expect_rejection(crowd.read(2, 800, 10000));
+	/* One address gets six of the eight connections; this is within their first second. */
+	for (int i = 0; i < 4; i++)
+		crowd.add();
+	expect_rejection(crowd.read(6, 300, 10000));
+	EXPECT_EQ(runs, 0);
+}
+
 /* Otherwise empty lines, sent one after the other, hold a connection for ever. */
 TEST_F(CallerResponses, EmptyLinesDoNotExtendTheTimeForAHead)
 {
--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -68,7 +68,7 @@
 			    << (hears_peers ? peer_port : free_port())
 			    << "\",\"seeds\":[\"127.0.7.1:1\",\"127.0.7.2:1\"]"
 			    << ",\"keys_fail_closed\":true,\"revocation_ms\":" << revocation_ms
-			    << ",\"change_applied_ms\":" << change_ms
+			    << ",\"change_applied_ms\":" << change_ms << more_settings
 			    << ",\"retry_ratio\":0.9,\"retry_slack\":160,\"stop_timeout_s\":8}";
 	each.gateway = std::make_unique<process>("wharf-gateway",
 						 std::vector<std::string>{ "--settings", path });
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -41,6 +41,7 @@
 struct fleet : platform {
 	int change_ms = 2000; /**< limit for changes, in the settings */
 	int revocation_ms = 3000;
+	std::string more_settings; /**< each after a comma */
 	std::vector<std::unique_ptr<relay>> store_links; /**< one an instance; none: direct */
 	bool hears_peers = true; /**< false: no instance hears another, all reach the store */
 	uint16_t peer_port = free_port();
