Admission queue: ten priorities, late entries, and rounds of trial

Cause: the queue knows three priorities and only entries that can be dispatched once their pool has a permit. The gateway has priorities 0 to 9, and whether a request can be sent shows only when an engine is chosen for it.

Change: priorities below DW_ADMISSION_LEVELS; within one, entries that can still be in time go before late ones; peek, take and skip beside pop. An entry of dragonflywharfd sets no in_time_until_us, so its order is as before.

--- a/include/dragonflywharf/admission.h
+++ b/include/dragonflywharf/admission.h
@@ -7,6 +7,12 @@
  * request that isn't expected to finish by its deadline is refused at once. One that can no longer
  * finish by its deadline while it waits is returned by dw_admission_expire(). Neither has run.
  *
+ * Within a priority, an entry that can still be answered in time goes before one that will be late
+ * (in_time_until_us and dw_admission_mark_late(); without these no entry counts as late).
+ *
+ * A caller that knows the pools with a free permit uses dw_admission_pop(). One that has to try whether
+ * an entry can be dispatched uses dw_admission_peek(), then dw_admission_take() or dw_admission_skip().
+ *
  * Each entry waits for a pool. The caller gives a pool number to each set of upstreams that can
  * serve the same entries, so that entries of a full pool don't block those of other pools.
  */
@@ -26,6 +32,11 @@
 #define DW_ADMISSION_POOLS_MAX 64
 #define DW_ADMISSION_ALL_POOLS UINT64_MAX
 
+/** Number of priorities; 0 is the most urgent. */
+#define DW_ADMISSION_LEVELS 10
+#define DW_ADMISSION_ALL_LEVELS ((UINT32_C(1) << DW_ADMISSION_LEVELS) - 1)
+
+/** Priorities of the chat interface. */
 enum dw_admission_priority {
 	DW_ADMISSION_HIGH,
 	DW_ADMISSION_NORMAL,
@@ -38,11 +49,12 @@
 
 struct dw_admission_entry {
 	uint64_t organisation_id;
-	enum dw_admission_priority priority;
+	uint32_t priority; /**< below DW_ADMISSION_LEVELS */
 	uint32_t pool; /**< below DW_ADMISSION_POOLS_MAX */
 	uint64_t deadline_us; /**< 0: no deadline */
 	uint64_t service_us; /**< expected time from dispatch to completion */
 	void *data; /**< opaque to this module */
+	uint64_t in_time_until_us; /**< if it is dispatched later, it is late; 0: never late */
 };
 
 struct dw_admission;
@@ -95,7 +107,26 @@
 enum dw_status dw_admission_pop(struct dw_admission *admission, uint64_t pools,
 				struct dw_admission_entry *out, dw_admission_handle *handle);
 
-/** Reports that a popped entry has ended, @p service_us after its dispatch; 0 if it didn't run. */
+/**
+ * Finds the entry that dw_admission_pop() would return, among the priorities in the bit mask @p levels and
+ * without those skipped in this round. It keeps waiting.
+ */
+enum dw_status dw_admission_peek(struct dw_admission *admission, uint64_t pools, uint32_t levels,
+				 struct dw_admission_entry *out, dw_admission_handle *handle);
+
+/** Dispatches a waiting entry as dw_admission_pop() does. @return DW_OK or DW_NOT_FOUND. */
+enum dw_status dw_admission_take(struct dw_admission *admission, dw_admission_handle handle);
+
+/** Leaves a waiting entry out of this round: it can't be dispatched, though others of its pool can. */
+void dw_admission_skip(struct dw_admission *admission, dw_admission_handle handle);
+
+/** Starts a round of peeks, in which no entry has been skipped. */
+void dw_admission_begin_round(struct dw_admission *admission);
+
+/** Moves entries whose in_time_until_us has passed behind the others of their priority. */
+void dw_admission_mark_late(struct dw_admission *admission, uint64_t now_us);
+
+/** Reports that a popped or taken entry has ended, @p service_us after its dispatch; 0 if it didn't run. */
 void dw_admission_finished(struct dw_admission *admission, uint64_t organisation_id, uint32_t pool,
 			   uint64_t service_us);
 
@@ -112,6 +143,8 @@
 
 /** Number of waiting entries. */
 size_t dw_admission_waiting(const struct dw_admission *admission);
+/** Number of entries that wait for a pool. */
+size_t dw_admission_pool_waiting(const struct dw_admission *admission, uint32_t pool);
 
 #ifdef __cplusplus
 }
--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -10,6 +10,7 @@
 struct pool {
 	uint32_t concurrency; /* 0: unknown, adds no expected wait */
 	uint32_t in_flight;
+	uint32_t waiting;
 	uint64_t service_us; /* exponentially weighted moving average */
 };
 
@@ -19,6 +20,8 @@
 	uint64_t virtual_time;
 	uint64_t generation;
 	uint64_t next_expiry_us; /* no entry expires up to this time */
+	uint64_t next_late_us; /* no entry becomes late up to this time */
+	uint64_t round; /* of dw_admission_begin_round() */
 	size_t count;
 	size_t capacity;
 	size_t *free_indexes;
@@ -41,6 +44,8 @@
 		admission->free_indexes[i] = capacity - 1 - i;
 	admission->capacity = capacity;
 	admission->next_expiry_us = UINT64_MAX;
+	admission->next_late_us = UINT64_MAX;
+	admission->round = 1;
 	return admission;
 }
 
@@ -151,7 +156,7 @@
 
 		if (!queue->count)
 			continue;
-		for (int priority = 0; priority < (int)entry->priority; priority++)
+		for (uint32_t priority = 0; priority < entry->priority; priority++)
 			ahead_us += organisation_queue_work_us(queue, priority, entry->pool,
 							       UINT64_MAX);
 		if (queue != own)
@@ -190,11 +195,10 @@
 {
 	uint64_t wait_us;
 
-	if (entry->pool >= DW_ADMISSION_POOLS_MAX ||
-	    (unsigned int)entry->priority >= DW_ADMISSION_PRIORITY_COUNT)
+	if (entry->pool >= DW_ADMISSION_POOLS_MAX || entry->priority >= DW_ADMISSION_LEVELS)
 		return dw_fail(DW_INVALID_ARGUMENT,
-			       "admission queue: pool %u or priority %d out of range", entry->pool,
-			       (int)entry->priority);
+			       "admission queue: pool %u or priority %u out of range", entry->pool,
+			       entry->priority);
 	if (admission->count == admission->capacity)
 		return dw_fail(DW_OVERLOADED, "the admission queue is full: %zu requests wait",
 			       admission->count);
@@ -235,6 +239,11 @@
 	waiting = &admission->entries[index];
 	waiting->entry = *entry;
 	waiting->organisation = queue;
+	waiting->is_late = entry->in_time_until_us > 0 && now_us > entry->in_time_until_us;
+	waiting->skipped_round = 0;
+	if (entry->in_time_until_us > 0 && !waiting->is_late)
+		admission->next_late_us = min_u64(admission->next_late_us, entry->in_time_until_us);
+	admission->pools[entry->pool].waiting++;
 	waiting->handle = ++admission->generation << HANDLE_INDEX_BITS | index;
 	organisation_queue_insert(queue, waiting);
 	admission->next_expiry_us =
@@ -246,25 +255,35 @@
 static void remove_entry(struct dw_admission *admission, struct queued_entry *waiting)
 {
 	organisation_queue_remove(waiting->organisation, waiting);
+	admission->pools[waiting->entry.pool].waiting--;
 	waiting->handle = 0;
 	admission->free_indexes[admission->capacity - admission->count--] =
 		(size_t)(waiting - admission->entries);
 }
 
-enum dw_status dw_admission_cancel(struct dw_admission *admission, dw_admission_handle handle)
+/* NULL: no waiting entry has this handle. */
+static struct queued_entry *find_entry(struct dw_admission *admission, dw_admission_handle handle)
 {
 	size_t index = (size_t)(handle & UINT32_MAX);
-	struct queued_entry *waiting = &admission->entries[index];
 
-	if (!handle || index >= admission->capacity || waiting->handle != handle)
+	if (!handle || index >= admission->capacity || admission->entries[index].handle != handle)
+		return NULL;
+	return &admission->entries[index];
+}
+
+enum dw_status dw_admission_cancel(struct dw_admission *admission, dw_admission_handle handle)
+{
+	struct queued_entry *waiting = find_entry(admission, handle);
+
+	if (!waiting)
 		return dw_fail(DW_NOT_FOUND, "admission queue: no waiting request has this handle");
 	remove_entry(admission, waiting);
 	free_if_idle(admission, waiting->organisation);
 	return DW_OK;
 }
 
-static struct queued_entry *next_eligible(const struct dw_admission *admission,
-					  enum dw_admission_priority priority, uint64_t pools)
+static struct queued_entry *next_of_fairest(const struct dw_admission *admission,
+					    const struct queue_filter *filter)
 {
 	const struct organisation_queue *queue;
 	const struct organisation_queue *best = NULL;
@@ -275,7 +294,7 @@
 
 		if (best && queue->start_tag >= best->start_tag)
 			continue;
-		first = organisation_queue_first(queue, priority, pools);
+		first = organisation_queue_first(queue, filter);
 		if (!first)
 			continue;
 		best = queue;
@@ -284,6 +303,27 @@
 	return next;
 }
 
+static struct queued_entry *next_eligible(const struct dw_admission *admission, uint64_t pools,
+					  uint32_t levels)
+{
+	struct queue_filter filter = { .pools = pools, .round = admission->round };
+
+	for (; filter.priority < DW_ADMISSION_LEVELS; filter.priority++) {
+		struct queued_entry *waiting;
+
+		if (!(levels >> filter.priority & 1))
+			continue;
+		filter.is_late = false;
+		waiting = next_of_fairest(admission, &filter);
+		filter.is_late = true;
+		if (!waiting)
+			waiting = next_of_fairest(admission, &filter);
+		if (waiting)
+			return waiting;
+	}
+	return NULL;
+}
+
 static void dispatch(struct dw_admission *admission, struct queued_entry *waiting)
 {
 	struct organisation_queue *queue = waiting->organisation;
@@ -296,20 +336,72 @@
 	remove_entry(admission, waiting);
 }
 
+enum dw_status dw_admission_peek(struct dw_admission *admission, uint64_t pools, uint32_t levels,
+				 struct dw_admission_entry *out, dw_admission_handle *handle)
+{
+	struct queued_entry *waiting =
+		admission->count > 0 ? next_eligible(admission, pools, levels) : NULL;
+
+	if (!waiting)
+		return DW_NOT_FOUND;
+	*out = waiting->entry;
+	*handle = waiting->handle;
+	return DW_OK;
+}
+
+enum dw_status dw_admission_take(struct dw_admission *admission, dw_admission_handle handle)
+{
+	struct queued_entry *waiting = find_entry(admission, handle);
+
+	if (!waiting)
+		return dw_fail(DW_NOT_FOUND, "admission queue: no waiting request has this handle");
+	dispatch(admission, waiting);
+	return DW_OK;
+}
+
 enum dw_status dw_admission_pop(struct dw_admission *admission, uint64_t pools,
 				struct dw_admission_entry *out, dw_admission_handle *handle)
 {
-	for (int priority = 0; priority < DW_ADMISSION_PRIORITY_COUNT; priority++) {
-		struct queued_entry *waiting = next_eligible(admission, priority, pools);
+	enum dw_status status =
+		dw_admission_peek(admission, pools, DW_ADMISSION_ALL_LEVELS, out, handle);
 
-		if (!waiting)
+	return status ? status : dw_admission_take(admission, *handle);
+}
+
+void dw_admission_skip(struct dw_admission *admission, dw_admission_handle handle)
+{
+	struct queued_entry *waiting = find_entry(admission, handle);
+
+	if (waiting)
+		waiting->skipped_round = admission->round;
+}
+
+void dw_admission_begin_round(struct dw_admission *admission)
+{
+	admission->round++;
+}
+
+void dw_admission_mark_late(struct dw_admission *admission, uint64_t now_us)
+{
+	uint64_t next_us = UINT64_MAX;
+
+	if (now_us <= admission->next_late_us)
+		return;
+	for (size_t index = 0; index < admission->capacity; index++) {
+		struct queued_entry *waiting = &admission->entries[index];
+		uint64_t in_time_until_us = waiting->entry.in_time_until_us;
+
+		if (!waiting->handle || waiting->is_late || in_time_until_us == 0)
 			continue;
-		*out = waiting->entry;
-		*handle = waiting->handle;
-		dispatch(admission, waiting);
-		return DW_OK;
+		if (now_us <= in_time_until_us) {
+			next_us = min_u64(next_us, in_time_until_us);
+			continue;
+		}
+		organisation_queue_remove(waiting->organisation, waiting);
+		waiting->is_late = true;
+		organisation_queue_insert(waiting->organisation, waiting);
 	}
-	return DW_NOT_FOUND;
+	admission->next_late_us = next_us;
 }
 
 void dw_admission_finished(struct dw_admission *admission, uint64_t organisation_id, uint32_t pool,
@@ -368,3 +460,8 @@
 {
 	return admission->count;
 }
+
+size_t dw_admission_pool_waiting(const struct dw_admission *admission, uint32_t pool)
+{
+	return pool < DW_ADMISSION_POOLS_MAX ? admission->pools[pool].waiting : 0;
+}
--- /dev/null
+++ b/src/core/admission_floor.c
@@ -0,0 +1,50 @@
+#include <dragonflywharf/admission_floor.h>
+
+/* A priority is served at least one part in so many of how often all together are. */
+#define FLOOR_PART 4
+/* Fewer ends of a priority show nothing about it. */
+#define ENDS_MIN 16
+/* The counts are halved after so many ends, so that they follow the load. */
+#define HALVED_AFTER 512
+
+static void count_end(struct dw_admission_floor *floor)
+{
+	if (++floor->count < HALVED_AFTER)
+		return;
+	floor->count = 0;
+	for (int priority = 0; priority < DW_ADMISSION_LEVELS; priority++) {
+		floor->served[priority] /= 2;
+		floor->refused[priority] /= 2;
+	}
+}
+
+void dw_admission_floor_served(struct dw_admission_floor *floor, uint32_t priority)
+{
+	floor->served[priority]++;
+	count_end(floor);
+}
+
+void dw_admission_floor_refused(struct dw_admission_floor *floor, uint32_t priority)
+{
+	floor->refused[priority]++;
+	count_end(floor);
+}
+
+uint32_t dw_admission_floor_starving(const struct dw_admission_floor *floor)
+{
+	uint64_t served = 0;
+	uint64_t ends = 0;
+	uint32_t starving = 0;
+
+	for (int priority = 0; priority < DW_ADMISSION_LEVELS; priority++) {
+		served += floor->served[priority];
+		ends += floor->served[priority] + floor->refused[priority];
+	}
+	for (int priority = 0; priority < DW_ADMISSION_LEVELS; priority++) {
+		uint64_t own = (uint64_t)floor->served[priority] + floor->refused[priority];
+
+		if (own >= ENDS_MIN && floor->served[priority] * ends * FLOOR_PART < served * own)
+			starving |= UINT32_C(1) << priority;
+	}
+	return starving;
+}
--- /dev/null
+++ b/src/core/admission_terms.c
@@ -0,0 +1,59 @@
+#include <dragonflywharf/admission_terms.h>
+
+#define US_PER_MS UINT64_C(1000)
+/* Priorities for each level of organisation priority; the route's priority chooses among them. The urgency
+ * that model engines are sent is formed in the same way. */
+#define ORGANISATION_STEP 3
+/* A short queue passes within this time, also for requests with a short target latency. */
+#define WAIT_MIN_US (250 * US_PER_MS)
+/* Least time that an engine needs. */
+#define LEAD_MIN_US (20 * US_PER_MS)
+/* The configuration mostly arrives some hundred milliseconds after a start. */
+#define FIRST_CONFIG_MAX_US (1500 * US_PER_MS)
+
+static uint32_t priority_of(const struct dw_admission_request *request)
+{
+	uint32_t priority = request->route->priority;
+
+	if (request->organisation && request->organisation->has_priority) {
+		uint32_t step = priority < ORGANISATION_STEP ? priority : ORGANISATION_STEP - 1;
+
+		if (request->organisation->priority >= DW_ADMISSION_LEVELS)
+			return DW_ADMISSION_LEVELS - 1;
+		priority = request->organisation->priority * ORGANISATION_STEP + step;
+	}
+	return priority < DW_ADMISSION_LEVELS ? priority : DW_ADMISSION_LEVELS - 1;
+}
+
+static uint64_t subtract(uint64_t from_us, uint64_t us)
+{
+	return from_us > us ? from_us - us : 0;
+}
+
+struct dw_admission_terms dw_admission_terms_of(const struct dw_admission_request *request,
+						uint64_t now_us)
+{
+	uint64_t lead_us = request->lead_us > LEAD_MIN_US ? request->lead_us : LEAD_MIN_US;
+	uint64_t target_us = request->arrived_at_us + request->route->target_latency_ms * US_PER_MS;
+	bool has_target = request->route->target_latency_ms > 0;
+	uint64_t latest_us = subtract(request->deadline_us, lead_us);
+	struct dw_admission_terms terms = {
+		.priority = priority_of(request),
+		.in_time_until_us = has_target ? subtract(target_us, lead_us) : 0,
+	};
+
+	terms.wait_until_us = terms.in_time_until_us > now_us + WAIT_MIN_US ? terms.in_time_until_us
+									    : now_us + WAIT_MIN_US;
+	if (terms.wait_until_us > latest_us)
+		terms.wait_until_us = latest_us;
+	return terms;
+}
+
+uint64_t dw_admission_first_config_until_us(uint64_t arrived_at_us, uint64_t deadline_us)
+{
+	uint64_t wait_us = FIRST_CONFIG_MAX_US;
+
+	if (deadline_us > 0 && subtract(deadline_us, arrived_at_us) / 2 < wait_us)
+		wait_us = subtract(deadline_us, arrived_at_us) / 2;
+	return arrived_at_us + wait_us;
+}
--- a/src/core/organisation_queue.c
+++ b/src/core/organisation_queue.c
@@ -21,7 +21,7 @@
 
 void organisation_queue_insert(struct organisation_queue *queue, struct queued_entry *waiting)
 {
-	struct queued_entry **list = &queue->lists[waiting->entry.priority];
+	struct queued_entry **list = &queue->lists[waiting->entry.priority][waiting->is_late];
 	uint64_t deadline_us = queued_entry_deadline_us(waiting);
 	struct queued_entry *previous = *list ? (*list)->prev : NULL;
 
@@ -37,32 +37,31 @@
 
 void organisation_queue_remove(struct organisation_queue *queue, struct queued_entry *waiting)
 {
-	DL_DELETE(queue->lists[waiting->entry.priority], waiting);
+	DL_DELETE(queue->lists[waiting->entry.priority][waiting->is_late], waiting);
 	queue->count--;
 }
 
 struct queued_entry *organisation_queue_first(const struct organisation_queue *queue,
-					      enum dw_admission_priority priority, uint64_t pools)
+					      const struct queue_filter *filter)
 {
 	struct queued_entry *waiting;
 
 	if (queue->max_in_flight && queue->in_flight >= queue->max_in_flight)
 		return NULL;
-	DL_FOREACH(queue->lists[priority], waiting) {
-		if (pools >> waiting->entry.pool & 1)
+	DL_FOREACH(queue->lists[filter->priority][filter->is_late], waiting) {
+		if ((filter->pools >> waiting->entry.pool & 1) &&
+		    waiting->skipped_round != filter->round)
 			return waiting;
 	}
 	return NULL;
 }
 
-uint64_t organisation_queue_work_us(const struct organisation_queue *queue,
-				    enum dw_admission_priority priority, uint32_t pool,
-				    uint64_t deadline_us)
+static uint64_t list_work_us(const struct queued_entry *list, uint32_t pool, uint64_t deadline_us)
 {
 	const struct queued_entry *waiting;
 	uint64_t work_us = 0;
 
-	DL_FOREACH(queue->lists[priority], waiting) {
+	DL_FOREACH(list, waiting) {
 		if (queued_entry_deadline_us(waiting) > deadline_us)
 			break;
 		if (waiting->entry.pool == pool)
@@ -71,6 +70,13 @@
 	return work_us;
 }
 
+uint64_t organisation_queue_work_us(const struct organisation_queue *queue, uint32_t priority,
+				    uint32_t pool, uint64_t deadline_us)
+{
+	return list_work_us(queue->lists[priority][false], pool, deadline_us) +
+	       list_work_us(queue->lists[priority][true], pool, deadline_us);
+}
+
 uint64_t organisation_queue_virtual_cost(const struct organisation_queue *queue,
 					 uint64_t service_us)
 {
--- a/tests/admission_test.cc
+++ b/tests/admission_test.cc
@@ -23,7 +23,7 @@
 dw_admission_entry entry_of(uint64_t organisation, enum dw_admission_priority priority,
 			    uint64_t deadline_us, uint64_t service_us = kSecond, uint32_t pool = 0)
 {
-	return { organisation, priority, pool, deadline_us, service_us, nullptr };
+	return { organisation, priority, pool, deadline_us, service_us, nullptr, 0 };
 }
 
 enum dw_status push(const Admission &admission, const dw_admission_entry &entry,
