Gateway: requests wait in one queue for the first configuration and for capacity

Requests whose engines were cold, paused or full polled in no order, and a full plain engine served whoever asked first.

A refusal without a configuration logs config 0; before, exchange_log_end() had never been called without one.

--- a/src/wharf-gateway/exchange.c
+++ b/src/wharf-gateway/exchange.c
@@ -17,8 +17,7 @@
  * limit and checked again at this interval. */
 #define SILENCE_MAX_US (8 * DW_US_PER_S)
 #define SILENCE_RECHECK_US (300 * DW_US_PER_MS)
-/* How long a request waits for the rate limit of cold engines or the end of suspects, and how often it
- * tries again. */
+/* How long a request waits for the end of suspects, and how often it tries again. */
 #define SEND_WAIT_MAX_US (250 * DW_US_PER_MS)
 #define SEND_WAIT_POLL_US (50 * DW_US_PER_MS)
 /* The same while it isn't known whether its engine ended under it. */
@@ -340,35 +339,6 @@
 	return true;
 }
 
-static bool is_worth_waiting(enum dw_choice_result result)
-{
-	return result == DW_CHOICE_COLD_LIMIT || result == DW_CHOICE_BESIDE_SUSPECTS ||
-	       result == DW_CHOICE_FULL;
-}
-
-/* All engines have asked for a pause: waits for its soonest end if that serves the request within its
- * response-time goal, else refuses it at once. */
-static void wait_for_pause(struct exchange *exchange, const struct dw_choice_request *choice)
-{
-	uint64_t end_us = dw_engine_pause_end_us(exchange->router->view->engines, choice);
-	uint64_t goal_us =
-		exchange->request.arrived_at_us + exchange->route->target_latency_ms * DW_US_PER_MS;
-
-	if (goal_us > exchange->policy.deadline_us)
-		goal_us = exchange->policy.deadline_us;
-	if (end_us < goal_us) {
-		exchange->send_retry_at_us = end_us;
-		exchange->send_wait_deadline_us = end_us + SEND_WAIT_MAX_US;
-		exchange->router->pause_waits++;
-		exchange_set_timer(exchange);
-		return;
-	}
-	if (end_us < UINT64_MAX)
-		exchange->retry_not_before_us = end_us;
-	exchange->router->pause_refusals++;
-	give_up(exchange, dw_choice_result_name(DW_CHOICE_PAUSED));
-}
-
 static enum dw_choice_result choose_engine(struct exchange *exchange,
 					   struct dw_choice_request *choice,
 					   struct dw_choice_selection *chosen, uint64_t now_us)
@@ -386,6 +356,8 @@
 	return exchange_choose_engine(exchange, choice, chosen);
 }
 
+static const struct admission_callbacks capacity_callbacks = { send_to_engine, give_up };
+
 static void send_to_engine(struct exchange *exchange)
 {
 	uint64_t now_us = dw_clock_now_us();
@@ -400,18 +372,29 @@
 	}
 	if (!passes_crash_guard(exchange, now_us))
 		return;
+	if (admission_gate_must_wait(exchange, now_us)) {
+		admission_gate_wait(exchange, NULL, DW_CHOICE_FOUND, &capacity_callbacks, now_us);
+		return;
+	}
 	result = choose_engine(exchange, &choice, &chosen, now_us);
-	if (result == DW_CHOICE_FOUND) {
+	switch (result) {
+	case DW_CHOICE_FOUND:
 		exchange->send_wait_deadline_us = 0;
+		admission_gate_sent(exchange, now_us);
 		start_attempt(exchange, &choice, &chosen);
 		return;
-	}
-	if (result == DW_CHOICE_PAUSED) {
-		wait_for_pause(exchange, &choice);
+	case DW_CHOICE_PAUSED:
+	case DW_CHOICE_FULL:
+	case DW_CHOICE_COLD_LIMIT:
+		admission_gate_wait(exchange, &choice, result, &capacity_callbacks, now_us);
 		return;
+	case DW_CHOICE_BESIDE_SUSPECTS:
+		if (wait_to_send(exchange, SEND_WAIT_POLL_US, now_us))
+			return;
+		break;
+	default:
+		break;
 	}
-	if (is_worth_waiting(result) && wait_to_send(exchange, SEND_WAIT_POLL_US, now_us))
-		return;
 	give_up(exchange, dw_choice_result_name(result));
 }
 
@@ -463,6 +446,25 @@
 	return status == 404 ? "Not Found" : "Unauthorized";
 }
 
+/* Checks the request against the configuration in force and sends it. */
+static void admit(struct exchange *exchange)
+{
+	struct caller *caller = exchange->caller;
+	const char *reason = "";
+	enum dw_status error = DW_OK;
+	int status = 0;
+
+	if (exchange_admit(exchange, &reason, &status, &error)) {
+		route_request(exchange);
+		return;
+	}
+	dw_counters_add(exchange->router->counters, DW_COUNTER_REQUESTS_REFUSED, 1);
+	exchange_log_end(exchange, DW_EVENT_REQUEST_REFUSED, status, reason);
+	exchange_close(exchange);
+	exchange_reply_error(caller, status, reason_phrase(status), error, NOT_RUN_PROVEN, reason,
+			     0);
+}
+
 static void log_early_refusal(struct router *router, const struct http_head *head,
 			      const char *reason)
 {
@@ -476,9 +478,6 @@
 {
 	struct request_fields fields;
 	struct exchange *exchange;
-	const char *reason = "";
-	enum dw_status error = DW_OK;
-	int status = 0;
 
 	dw_counters_add(router->counters, DW_COUNTER_REQUESTS, 1);
 	if (request_fields_read(request->head, &fields) != DW_OK) {
@@ -488,24 +487,13 @@
 				     NOT_RUN_PROVEN, dw_last_message(), 0);
 		return NULL;
 	}
-	if (!view_catalog(router->view)) {
-		log_early_refusal(router, request->head, "no configuration yet");
-		exchange_reply_error(caller, 503, "Service Unavailable", DW_NO_CONFIGURATION,
-				     NOT_RUN_PROVEN, "no configuration yet", RETRY_AFTER_MIN_MS);
-		return NULL;
-	}
 	exchange = exchange_new(router, caller, request);
 	exchange->fields = fields;
-	if (exchange_admit(exchange, &reason, &status, &error)) {
-		route_request(exchange);
-		return exchange->is_finished ? NULL : exchange;
-	}
-	dw_counters_add(router->counters, DW_COUNTER_REQUESTS_REFUSED, 1);
-	exchange_log_end(exchange, DW_EVENT_REQUEST_REFUSED, status, reason);
-	exchange_close(exchange);
-	exchange_reply_error(caller, status, reason_phrase(status), error, NOT_RUN_PROVEN, reason,
-			     0);
-	return NULL;
+	if (exchange->catalog)
+		admit(exchange);
+	else
+		admission_gate_wait_for_config(exchange, admit);
+	return exchange->is_finished ? NULL : exchange;
 }
 
 void exchange_caller_disconnected(struct exchange *exchange)
--- a/src/wharf-gateway/exchange_reply.c
+++ b/src/wharf-gateway/exchange_reply.c
@@ -30,6 +30,7 @@
 
 void exchange_close(struct exchange *exchange)
 {
+	admission_gate_leave(exchange);
 	exchange_count_version_end(exchange, false);
 	exchange_pin_session(exchange);
 	exchange->is_finished = true;
@@ -68,7 +69,7 @@
 		DW_STR("engine",
 		       exchange->tried_count > 0 ? exchange->tried[exchange->tried_count - 1] : ""),
 		DW_STR("model", exchange->model ? exchange->model : ""),
-		DW_INT("config", dw_catalog_version(exchange->catalog)),
+		DW_INT("config", exchange->catalog ? dw_catalog_version(exchange->catalog) : 0),
 		DW_INT("config_age_ms",
 		       (now_us - exchange->router->view->confirmed_at_us) / DW_US_PER_MS),
 		DW_INT("sends", exchange->send_count),
--- a/src/wharf-gateway/exchange_state.h
+++ b/src/wharf-gateway/exchange_state.h
@@ -15,6 +15,7 @@
 #include "base/error_json.h"
 #include "net/event_stream.h"
 #include "platform/request_fields.h"
+#include "wharf-gateway/admission_gate.h"
 #include "wharf-gateway/attempt.h"
 #include "wharf-gateway/exchange.h"
 
@@ -62,6 +63,7 @@
 	/** Until then it is tried again to send the request; 0: not waiting. */
 	uint64_t send_wait_deadline_us;
 	uint64_t send_retry_at_us; /**< when it is tried next; valid while waiting */
+	struct admission_wait wait; /**< its place in the admission queue */
 	bool has_suspicion; /**< the request may crash its engine */
 	bool is_suspect; /**< it is counted as a suspect while it runs */
 	enum dw_choice_suspicion suspicion; /**< valid with has_suspicion */
--- a/src/wharf-gateway/gateway_metrics.c
+++ b/src/wharf-gateway/gateway_metrics.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 
 #include "base/clock.h"
+#include "wharf-gateway/admission_gate.h"
 
 struct gauge {
 	const char *name;
@@ -122,6 +123,7 @@
 	histogram_write(&router->whole_answer, "whole_answer", "From a request to its end", out);
 	histogram_write(&router->refusal, "refusal", "From a request to its refusal", out);
 	write_gauges(metrics, out);
+	admission_gate_write_metrics(router->admission, out);
 	write_store_calls(metrics->store, out);
 	fclose(out);
 	return text;
--- a/src/wharf-gateway/router.c
+++ b/src/wharf-gateway/router.c
@@ -9,6 +9,7 @@
 
 #include "base/clock.h"
 #include "base/random.h"
+#include "wharf-gateway/admission_gate.h"
 
 #define MAX_HEAD_BYTES 32768
 #define MAX_IDLE_LINKS 4
@@ -50,6 +51,7 @@
 	router->counters = view->counters;
 	router->view = view;
 	router->pool = http_pool_new(&options);
+	router->admission = admission_gate_new(router, loop);
 	uv_random(NULL, NULL, &router->random, sizeof(router->random), 0, NULL);
 }
 
@@ -72,6 +74,7 @@
 	FREE_RECORDS(service_budget, router->budgets, service);
 	FREE_RECORDS(model_record, router->models, name);
 	FREE_RECORDS(escalation_record, router->escalations, route);
+	admission_gate_free(router->admission);
 	http_pool_free(router->pool);
 }
 
--- a/src/wharf-gateway/router.h
+++ b/src/wharf-gateway/router.h
@@ -14,6 +14,7 @@
 #include "net/http_connection.h"
 #include "wharf-gateway/view.h"
 
+struct admission_gate;
 struct service_budget;
 struct model_record;
 struct escalation_record;
@@ -25,6 +26,8 @@
 	struct dw_counters *counters;
 	struct view *view;
 	struct http_pool *pool;
+	struct admission_gate
+		*admission; /**< where requests wait for the configuration or engines */
 	struct service_budget *budgets; /**< keyed by service */
 	struct model_record *models; /**< keyed by name */
 	struct escalation_record *escalations; /**< keyed by route */
