Admission: the order among instances, by limits that follow the reported loads

Cause: a model of 72 instances (admission_fleet_test) showed that a queue in each instance alone orders little: at 225 requests a second for 180, fewer than one waits at an instance at a time, and all send once the reports allow it.

Change: service_capacity has a limit of backlog for each class of requests: the most urgent priority in use, less urgent ones or organisations over their fair share (organisation_usage), both, late ones. The limit of an instance varies by half around its mean. Requests that waited for the first configuration may wait a third of their time.

Tests: admission_test 8 of 8 (2 new), admission_terms_test 7 of 7, admission_fleet_test 7 of 7, process_admission_test 4 of 4 three times, process_gateway_test 18 of 18, process_engine_state_test 13 of 13.

--- a/include/dragonflywharf/admission_floor.h
+++ b/include/dragonflywharf/admission_floor.h
@@ -27,6 +27,9 @@
 /** Bit mask of the priorities below their floor; 0 if there is none. */
 uint32_t dw_admission_floor_starving(const struct dw_admission_floor *floor);
 
+/** Whether requests of a more urgent priority have ended lately. */
+bool dw_admission_floor_has_more_urgent(const struct dw_admission_floor *floor, uint32_t priority);
+
 #ifdef __cplusplus
 }
 #endif
--- a/include/dragonflywharf/admission_terms.h
+++ b/include/dragonflywharf/admission_terms.h
@@ -17,6 +17,7 @@
 	const struct dw_organisation_rule *organisation; /**< NULL: none */
 	uint64_t arrived_at_us;
 	uint64_t deadline_us;
+	bool is_after_start; /**< it has waited for the first configuration */
 	uint64_t lead_us; /**< expected time from sending it to what its target latency measures */
 };
 
@@ -26,9 +27,14 @@
 	uint64_t wait_until_us; /**< then it is refused */
 };
 
+/** The organisation's own priority goes before the route's, which orders requests of equal priority. */
+uint32_t dw_admission_priority_of(const struct dw_route_rule *route,
+				  const struct dw_organisation_rule *organisation);
+
 /**
- * A request waits while it can still be sent in time, and 250 ms if that is longer, but not so long
- * that it can't be answered by its deadline. wait_until_us is before @p now_us if it can't wait.
+ * A request waits while it can still be sent in time, and 250 ms if that is longer, but not so long that
+ * it can't be answered by its deadline. After a start all instances have more waiting than the engines can serve in
+ * time, but only once: then it waits on, though it will be late, for a third of the time that it has left. wait_until_us is before @p now_us if it can't wait.
  */
 struct dw_admission_terms dw_admission_terms_of(const struct dw_admission_request *request,
 						uint64_t now_us);
--- a/src/core/admission_floor.c
+++ b/src/core/admission_floor.c
@@ -48,3 +48,12 @@
 	}
 	return starving;
 }
+
+bool dw_admission_floor_has_more_urgent(const struct dw_admission_floor *floor, uint32_t priority)
+{
+	for (uint32_t i = 0; i < priority && i < DW_ADMISSION_LEVELS; i++) {
+		if (floor->served[i] + floor->refused[i] > 0)
+			return true;
+	}
+	return false;
+}
--- a/src/core/admission_terms.c
+++ b/src/core/admission_terms.c
@@ -6,25 +6,34 @@
 #define ORGANISATION_STEP 3
 /* A short queue passes within this time, also for requests with a short target latency. */
 #define WAIT_MIN_US (250 * US_PER_MS)
+/* Part of the remaining time for which, after a start, a request waits though it will be late, so that its caller, if it is refused,
+ * still has time for another attempt. */
+#define DEADLINE_PART 3
 /* Least time that an engine needs. */
 #define LEAD_MIN_US (20 * US_PER_MS)
 /* The configuration mostly arrives some hundred milliseconds after a start. */
 #define FIRST_CONFIG_MAX_US (1500 * US_PER_MS)
 
-static uint32_t priority_of(const struct dw_admission_request *request)
+uint32_t dw_admission_priority_of(const struct dw_route_rule *route,
+				  const struct dw_organisation_rule *organisation)
 {
-	uint32_t priority = request->route->priority;
+	uint32_t priority = route->priority;
 
-	if (request->organisation && request->organisation->has_priority) {
+	if (organisation && organisation->has_priority) {
 		uint32_t step = priority < ORGANISATION_STEP ? priority : ORGANISATION_STEP - 1;
 
-		if (request->organisation->priority >= DW_ADMISSION_LEVELS)
+		if (organisation->priority >= DW_ADMISSION_LEVELS)
 			return DW_ADMISSION_LEVELS - 1;
-		priority = request->organisation->priority * ORGANISATION_STEP + step;
+		priority = organisation->priority * ORGANISATION_STEP + step;
 	}
 	return priority < DW_ADMISSION_LEVELS ? priority : DW_ADMISSION_LEVELS - 1;
 }
 
+static uint64_t max_u64(uint64_t a, uint64_t b)
+{
+	return a > b ? a : b;
+}
+
 static uint64_t subtract(uint64_t from_us, uint64_t us)
 {
 	return from_us > us ? from_us - us : 0;
@@ -38,12 +47,16 @@
 	bool has_target = request->route->target_latency_ms > 0;
 	uint64_t latest_us = subtract(request->deadline_us, lead_us);
 	struct dw_admission_terms terms = {
-		.priority = priority_of(request),
+		.priority = dw_admission_priority_of(request->route, request->organisation),
 		.in_time_until_us = has_target ? subtract(target_us, lead_us) : 0,
 	};
 
-	terms.wait_until_us = terms.in_time_until_us > now_us + WAIT_MIN_US ? terms.in_time_until_us
-									    : now_us + WAIT_MIN_US;
+	terms.wait_until_us = now_us + WAIT_MIN_US;
+	if (request->is_after_start)
+		terms.wait_until_us =
+			max_u64(terms.wait_until_us,
+				now_us + subtract(request->deadline_us, now_us) / DEADLINE_PART);
+	terms.wait_until_us = max_u64(terms.wait_until_us, terms.in_time_until_us);
 	if (terms.wait_until_us > latest_us)
 		terms.wait_until_us = latest_us;
 	return terms;
--- a/src/wharf-gateway/admission_gate.c
+++ b/src/wharf-gateway/admission_gate.c
@@ -6,6 +6,7 @@
 
 #include <dragonflywharf/admission_floor.h>
 #include <dragonflywharf/admission_terms.h>
+#include <dragonflywharf/organisation_usage.h>
 #include <dragonflywharf/rendezvous.h>
 #include <dragonflywharf/release_pace.h>
 #include <dragonflywharf/service_capacity.h>
@@ -30,6 +31,8 @@
 /* Assumed while the number of instances isn't known, for some seconds after a start. Too many would hold
  * requests until they are late, too few only cost some rejections by engines. */
 #define START_INSTANCES 64
+/* The limits of an instance vary with this period: that of the digests which pass on the loads. */
+#define LIMIT_PERIOD_US (300 * DW_US_PER_MS)
 #define RETRY_HINT_MAX_US (2 * DW_US_PER_S)
 
 enum refusal_cause {
@@ -61,6 +64,8 @@
 	struct dw_admission *admission;
 	struct gate_pool pools[DW_ADMISSION_POOLS_MAX];
 	uint32_t pool_count;
+	struct dw_organisation_usage usage;
+	uint64_t seed; /* of this instance's limits */
 	uv_timer_t timer;
 	struct exchange *turn; /* the request whose on_turn() runs */
 	uint64_t waited; /* requests sent after they have waited, since the start */
@@ -78,6 +83,7 @@
 	if (!gate->admission)
 		abort();
 	gate->pool_count = CONFIG_POOL + 1;
+	uv_random(NULL, NULL, &gate->seed, sizeof(gate->seed), 0, NULL);
 	uv_timer_init(loop, &gate->timer);
 	gate->timer.data = gate;
 	return gate;
@@ -247,19 +253,64 @@
 	push(exchange, &entry, dw_clock_now_us());
 }
 
+static enum dw_capacity_class class_of(const struct admission_gate *gate,
+				       const struct admission_wait *wait, uint64_t now_us)
+{
+	const struct dw_admission_floor *floor = &gate->pools[wait->pool].floor;
+	int class_ = DW_CAPACITY_FAVOURED;
+
+	if (dw_admission_floor_has_more_urgent(floor, wait->priority) &&
+	    !(dw_admission_floor_starving(floor) >> wait->priority & 1))
+		class_++;
+	if (dw_organisation_usage_is_over(&gate->usage, wait->organisation_id))
+		class_++;
+	if (wait->in_time_until_us > 0 && now_us > wait->in_time_until_us)
+		class_ = DW_CAPACITY_LATE;
+	return (enum dw_capacity_class)class_;
+}
+
+/* Whether the engines' load allows to send the request. */
+static bool has_room(const struct admission_gate *gate, const struct exchange *exchange,
+		     uint64_t now_us)
+{
+	const struct admission_wait *wait = &exchange->wait;
+	struct dw_service_capacity capacity = capacity_of(gate, &gate->pools[wait->pool], now_us);
+
+	return exchange->send_count > 0 ||
+	       dw_service_capacity_has_room(
+		       &capacity, class_of(gate, wait, now_us),
+		       dw_rendezvous_score(gate->seed, now_us / LIMIT_PERIOD_US));
+}
+
+/* Whether a request that is queued goes before this one: it isn't less urgent, nor late. */
+static bool is_behind_others(const struct admission_gate *gate, const struct admission_wait *wait,
+			     uint64_t now_us)
+{
+	struct dw_admission_entry first;
+	dw_admission_handle handle;
+
+	dw_admission_begin_round(gate->admission);
+	return dw_admission_peek(gate->admission, UINT64_C(1) << wait->pool,
+				 DW_ADMISSION_ALL_LEVELS, &first, &handle) == DW_OK &&
+	       first.priority <= wait->priority &&
+	       (first.in_time_until_us == 0 || now_us <= first.in_time_until_us);
+}
+
 bool admission_gate_must_wait(struct exchange *exchange, uint64_t now_us)
 {
 	struct admission_gate *gate = gate_of(exchange);
-	struct dw_service_capacity capacity;
-	uint32_t index;
+	struct admission_wait *wait = &exchange->wait;
+	const char *organisation = exchange->organisation ? exchange->organisation->name : "";
 
-	if (gate->turn == exchange || exchange->send_count > 0 || exchange->has_suspicion)
+	if (gate->turn == exchange || exchange->send_count > 0)
+		return false;
+	wait->pool = pool_of(gate, exchange);
+	wait->priority = dw_admission_priority_of(exchange->route, exchange->organisation);
+	wait->organisation_id = dw_rendezvous_key(organisation, strlen(organisation));
+	if (exchange->has_suspicion)
 		return false;
-	index = pool_of(gate, exchange);
-	if (exchange->wait.is_first_config || dw_admission_pool_waiting(gate->admission, index) > 0)
-		return true;
-	capacity = capacity_of(gate, &gate->pools[index], now_us);
-	return dw_service_capacity_is_short(&capacity);
+	return wait->is_first_config || is_behind_others(gate, wait, now_us) ||
+	       !has_room(gate, exchange, now_us);
 }
 
 /* A request that has been dispatched from the queue has ended, or is queued once more. */
@@ -295,18 +346,17 @@
 {
 	struct admission_wait *wait = &exchange->wait;
 	const struct gate_pool *pool = &gate_of(exchange)->pools[wait->pool];
-	const char *organisation = exchange->organisation ? exchange->organisation->name : "";
 	struct dw_admission_request request = {
 		.route = exchange->route,
 		.organisation = exchange->organisation,
 		.arrived_at_us = exchange->request.arrived_at_us,
 		.deadline_us = exchange->policy.deadline_us,
+		.is_after_start = wait->is_first_config,
 		.lead_us = pool->lead_us,
 	};
 	struct dw_admission_terms terms = dw_admission_terms_of(&request, now_us);
 
-	wait->priority = terms.priority;
-	wait->organisation_id = dw_rendezvous_key(organisation, strlen(organisation));
+	wait->in_time_until_us = terms.in_time_until_us;
 	*entry = (struct dw_admission_entry){
 		.organisation_id = wait->organisation_id,
 		.priority = terms.priority,
@@ -342,7 +392,6 @@
 		return;
 	finish(exchange, 0);
 	wait->callbacks = callbacks;
-	wait->pool = pool_of(gate, exchange);
 	pool = &gate->pools[wait->pool];
 	fill_entry(exchange, &entry, now_us);
 	if (result == DW_CHOICE_PAUSED &&
@@ -367,18 +416,17 @@
 	struct gate_pool *pool;
 
 	wait->is_first_config = false;
-	if (wait->handle == 0) {
-		finish(exchange, 0);
-		wait->pool = pool_of(gate, exchange);
-		return;
-	}
+	finish(exchange, 0);
 	pool = &gate->pools[wait->pool];
+	dw_admission_floor_served(&pool->floor, wait->priority);
+	dw_organisation_usage_sent(&gate->usage, wait->organisation_id);
+	if (wait->handle == 0)
+		return;
 	dw_admission_take(gate->admission, wait->handle);
 	wait->handle = 0;
 	wait->is_taken = true;
 	gate->waited++;
 	dw_release_pace_take(&pool->pace, interval_us(gate, pool, now_us), POLL_US, now_us);
-	dw_admission_floor_served(&pool->floor, wait->priority);
 	dw_log_event(gate->router->log, DW_EVENT_REQUEST_WAITED,
 		     DW_STR("request", exchange->fields.attempt_id),
 		     DW_STR("service", pool->service),
@@ -509,6 +557,11 @@
 		if (!exchange)
 			break;
 		pool = exchange->wait.pool;
+		if (!has_room(gate, exchange, now_us)) {
+			exchange->wait.cause = DW_CHOICE_FOUND;
+			dw_admission_skip(gate->admission, handle);
+			continue;
+		}
 		give_turn(gate, exchange);
 		if (exchange->wait.handle == handle && is_alone(gate, exchange))
 			dw_admission_skip(gate->admission, handle);
--- a/src/wharf-gateway/admission_gate.h
+++ b/src/wharf-gateway/admission_gate.h
@@ -32,6 +32,7 @@
 	void (*on_config)(struct exchange *exchange); /**< valid while it waits for that */
 	const struct admission_callbacks *callbacks; /**< valid while it waits for engines */
 	uint64_t since_us; /**< when it was queued */
+	uint64_t in_time_until_us; /**< sent later, it is late; 0: never, or not yet known */
 	uint64_t organisation_id;
 	uint32_t pool;
 	uint32_t priority;
--- a/tests/admission_test.cc
+++ b/tests/admission_test.cc
@@ -20,8 +20,8 @@
 	return Admission(dw_admission_new(capacity), dw_admission_free);
 }
 
-dw_admission_entry entry_of(uint64_t organisation, enum dw_admission_priority priority,
-			    uint64_t deadline_us, uint64_t service_us = kSecond, uint32_t pool = 0)
+dw_admission_entry entry_of(uint64_t organisation, uint32_t priority, uint64_t deadline_us,
+			    uint64_t service_us = kSecond, uint32_t pool = 0)
 {
 	return { organisation, priority, pool, deadline_us, service_us, nullptr, 0 };
 }
@@ -243,4 +243,48 @@
 	EXPECT_EQ(dw_admission_waiting(admission.get()), 1U);
 }
 
+/* Guards against a request that is late in any case and takes the place of one that can still be in time. */
+TEST(Admission, AnEntryInTimeGoesBeforeALateOneOfItsPriority)
+{
+	Admission admission = make();
+	dw_admission_entry late = entry_of(1, DW_ADMISSION_NORMAL, 10 * kSecond, 1);
+	dw_admission_entry in_time = entry_of(2, DW_ADMISSION_NORMAL, 20 * kSecond, 1);
+	dw_admission_entry urgent = entry_of(3, DW_ADMISSION_HIGH, 30 * kSecond, 1);
+	dw_admission_entry entry;
+	dw_admission_handle handle;
+
+	late.in_time_until_us = urgent.in_time_until_us = kSecond;
+	in_time.in_time_until_us = 3 * kSecond;
+	for (const auto &each : { late, in_time, urgent })
+		ASSERT_EQ(push(admission, each), DW_OK);
+	dw_admission_mark_late(admission.get(), 2 * kSecond);
+	for (uint64_t organisation : { 3, 2, 1 }) {
+		ASSERT_EQ(dw_admission_pop(admission.get(), 1, &entry, &handle), DW_OK);
+		EXPECT_EQ(entry.organisation_id, organisation);
+	}
+}
+
+/* Guards against one entry that can't be sent and keeps the others of its pool from being tried. */
+TEST(Admission, ASkippedEntryIsFoundAgainInTheNextRound)
+{
+	Admission admission = make();
+	dw_admission_entry entry;
+	dw_admission_handle first;
+	dw_admission_handle handle;
+
+	push(admission, entry_of(1, 9, kSecond, 1));
+	push(admission, entry_of(2, 9, 2 * kSecond, 1));
+	ASSERT_EQ(dw_admission_peek(admission.get(), 1, 1 << 8, &entry, &first), DW_NOT_FOUND);
+	ASSERT_EQ(dw_admission_peek(admission.get(), 1, 1 << 9, &entry, &first), DW_OK);
+	dw_admission_skip(admission.get(), first);
+	ASSERT_EQ(dw_admission_peek(admission.get(), 1, 1 << 9, &entry, &handle), DW_OK);
+	EXPECT_NE(handle, first);
+	EXPECT_EQ(dw_admission_take(admission.get(), handle), DW_OK);
+	EXPECT_EQ(dw_admission_peek(admission.get(), 1, 1 << 9, &entry, &handle), DW_NOT_FOUND);
+	dw_admission_begin_round(admission.get());
+	ASSERT_EQ(dw_admission_peek(admission.get(), 1, 1 << 9, &entry, &handle), DW_OK);
+	EXPECT_EQ(handle, first);
+	EXPECT_EQ(dw_admission_pool_waiting(admission.get(), 0), 1U);
+}
+
 } // namespace
