--- a/tests/process_admission_test.cc
+++ b/tests/process_admission_test.cc
@@ -129,4 +129,45 @@
 	EXPECT_EQ(instances[0].metric("admission_waited_total"), 0);
 }
 
+/* An engine whose only report is that four rounds of work wait there; it loses its weight within a second. */
+struct Overloaded : Admission {
+	std::atomic<int> arrivals{ 0 };
+
+	void start_overloaded()
+	{
+		start(1, [&](raw_connection &connection, const std::string &request) {
+			const char *report = arrivals++ == 0 ? "Server-Load: 6,24,6\r\n" : "";
+			connection.send(answer_with_length("200 OK", request, "{}", report));
+		});
+		ASSERT_EQ(ask(0, "POST", "/ordinary/first").status, 200);
+	}
+};
+
+/* Guards against requests that are sent into the queue of an engine that has more than it can do in time. */
+TEST_F(Overloaded, ARequestWaitsUntilTheEngineHasRoom)
+{
+	start_overloaded();
+	int64_t began_ms = now_ms();
+	EXPECT_EQ(ask(0, "POST", "/ordinary/1").status, 200);
+	EXPECT_GE(now_ms() - began_ms, 200);
+	EXPECT_EQ(instances[0].metric("admission_waited_total"), 1);
+	EXPECT_EQ(instances[0].metric("retries_total"), 0);
+}
+
+/* Guards against a request that is sent after its caller has left the queue. */
+TEST_F(Overloaded, ACallerThatLeavesTakesItsRequestOutOfTheQueue)
+{
+	start_overloaded();
+	{
+		support::http_stream stream(instances[0].caller_port, "POST", "/ordinary/1", "{}",
+					    { { "Attempt-Id", "leaves" },
+					      { "Deadline-Ms", "2500" },
+					      { "Credential", "k1" } });
+		ASSERT_TRUE(wait_until([&] { return waiting() == 1; }));
+	}
+	EXPECT_TRUE(wait_until([&] { return waiting() == 0; }));
+	EXPECT_EQ(instances[0].metric("admission_waited_total"), 0);
+	EXPECT_EQ(arrivals, 1);
+}
+
 } // namespace
