--- a/src/wharf-gateway/admission_gate.c
+++ b/src/wharf-gateway/admission_gate.c
@@ -126,6 +126,7 @@
 static bool is_alone(const struct admission_gate *gate, const struct exchange *exchange)
 {
 	return exchange->tried_count > 0 || exchange->has_suspicion ||
+	       exchange->send_wait_deadline_us > 0 ||
 	       (gate->pool_count == DW_ADMISSION_POOLS_MAX &&
 		exchange->wait.pool == DW_ADMISSION_POOLS_MAX - 1);
 }
@@ -172,6 +173,23 @@
 		uv_timer_start(&gate->timer, on_timer, after_ms, 0);
 }
 
+/* The least favoured of: not the most urgent priority in use, an organisation over its share, both, late. */
+static enum dw_capacity_class class_of(const struct admission_gate *gate,
+				       const struct admission_wait *wait, uint64_t now_us)
+{
+	const struct dw_admission_floor *floor = &gate->pools[wait->pool].floor;
+	int class_ = DW_CAPACITY_FAVOURED;
+
+	if (dw_admission_floor_has_more_urgent(floor, wait->priority) &&
+	    !(dw_admission_floor_starving(floor) >> wait->priority & 1))
+		class_++;
+	if (dw_organisation_usage_is_over(&gate->usage, wait->organisation_id))
+		class_++;
+	if (wait->in_time_until_us > 0 && now_us > wait->in_time_until_us)
+		class_ = DW_CAPACITY_LATE;
+	return (enum dw_capacity_class)class_;
+}
+
 /* Counts and logs a refusal, and tells the caller when the queue will have passed. */
 static void count_refusal(struct exchange *exchange, enum refusal_cause cause, uint64_t now_us)
 {
@@ -183,7 +201,9 @@
 	gate->refused[cause]++;
 	if (wait->pool != CONFIG_POOL) {
 		size_t waiting = dw_admission_pool_waiting(gate->admission, wait->pool);
-		uint64_t hint_us = interval_us(gate, pool, now_us) * (waiting + 1);
+		/* The less a request is favoured, the later its caller is told to come back. */
+		uint64_t hint_us = interval_us(gate, pool, now_us) * (waiting + 1) *
+				   (1 + (uint64_t)class_of(gate, wait, now_us));
 
 		if (hint_us > RETRY_HINT_MAX_US)
 			hint_us = RETRY_HINT_MAX_US;
@@ -253,22 +273,6 @@
 	push(exchange, &entry, dw_clock_now_us());
 }
 
-static enum dw_capacity_class class_of(const struct admission_gate *gate,
-				       const struct admission_wait *wait, uint64_t now_us)
-{
-	const struct dw_admission_floor *floor = &gate->pools[wait->pool].floor;
-	int class_ = DW_CAPACITY_FAVOURED;
-
-	if (dw_admission_floor_has_more_urgent(floor, wait->priority) &&
-	    !(dw_admission_floor_starving(floor) >> wait->priority & 1))
-		class_++;
-	if (dw_organisation_usage_is_over(&gate->usage, wait->organisation_id))
-		class_++;
-	if (wait->in_time_until_us > 0 && now_us > wait->in_time_until_us)
-		class_ = DW_CAPACITY_LATE;
-	return (enum dw_capacity_class)class_;
-}
-
 /* Whether the engines' load allows to send the request. */
 static bool has_room(const struct admission_gate *gate, const struct exchange *exchange,
 		     uint64_t now_us)
