Admission: the floor is a third, and the model guards it

The tests of the bursts and of the cold domain ask for 5 in 100 between priorities: with one limit for all classes they are red.

--- a/include/dragonflywharf/admission_floor.h
+++ b/include/dragonflywharf/admission_floor.h
@@ -1,7 +1,8 @@
 /**
  * @file admission_floor.h
  * The least that each priority of a pool is served, so that more urgent requests can't starve it: a
- * quarter as often as all together. A priority below that is served first until it is above it.
+ * third as often as all together, so that it isn't below a quarter. A priority below that is served first until it is
+ * above it.
  */
 #ifndef DRAGONFLYWHARF_ADMISSION_FLOOR_H
 #define DRAGONFLYWHARF_ADMISSION_FLOOR_H
--- a/src/core/admission_floor.c
+++ b/src/core/admission_floor.c
@@ -1,7 +1,8 @@
 #include <dragonflywharf/admission_floor.h>
 
-/* A priority is served at least one part in so many of how often all together are. */
-#define FLOOR_PART 4
+/* A priority is served at least one part in so many of how often all together are. A quarter is required; with 4 here
+ * the model of admission_fleet_test stays just below it, as a priority is seen to starve only once it does. */
+#define FLOOR_PART 3
 /* Fewer ends of a priority show nothing about it. */
 #define ENDS_MIN 16
 /* The counts are halved after so many ends, so that they follow the load. */
--- a/tests/admission_fleet_test.cc
+++ b/tests/admission_fleet_test.cc
@@ -383,15 +383,15 @@
 	result queued = run_with(true, load);
 	EXPECT_GT(queued.urgent.share(), direct.urgent.share() + 0.4);
 	EXPECT_GT(queued.ordinary.share(), direct.ordinary.share() + 0.3);
-	EXPECT_GT(queued.urgent.share(), queued.ordinary.share());
+	EXPECT_GT(queued.urgent.share(), queued.ordinary.share() + 0.05);
 	EXPECT_LT(queued.rejected, direct.rejected / 4);
 }
 
-/* Guards against the starvation of less urgent requests: the urgent ones alone, at 6 times their usual rate, are
- * nine tenths of the capacity. */
+/* Guards against the starvation of less urgent requests: the urgent ones alone, at 20 times their usual rate, are three
+ * times the capacity. Without the floor the others are served less than a quarter as often as all. */
 TEST(AdmissionFleet, ABurstOfUrgentRequestsDoesNotStarveTheOthers)
 {
-	result queued = run_with(true, [](World &world) { world.usual_traffic(6, 1); });
+	result queued = run_with(true, [](World &world) { world.usual_traffic(20, 20); });
 	double all = (double)(queued.urgent.served + queued.ordinary.served) /
 		     (queued.urgent.asked + queued.ordinary.asked);
 	EXPECT_GT(queued.ordinary.served_share(), all / 4);
@@ -443,7 +443,7 @@
 	result direct = run_with(false, load);
 	result queued = run_with(true, load);
 	EXPECT_GT(queued.urgent.share(), direct.urgent.share() + 0.2);
-	EXPECT_GT(queued.urgent.share(), queued.ordinary.share());
+	EXPECT_GT(queued.urgent.share(), queued.ordinary.share() + 0.05);
 }
 
 } // namespace
