Admission: class and order of an arriving request are decided in the core

The gate and the model of admission_fleet_test had each its own copy of who yields and who goes behind the queue.

--- a/include/dragonflywharf/admission.h
+++ b/include/dragonflywharf/admission.h
@@ -114,6 +114,10 @@
 enum dw_status dw_admission_peek(struct dw_admission *admission, uint64_t pools, uint32_t levels,
 				 struct dw_admission_entry *out, dw_admission_handle *handle);
 
+/** Whether an entry that waits for the pool goes before @p entry: it is neither less urgent nor late. */
+bool dw_admission_is_behind(const struct dw_admission *admission,
+			    const struct dw_admission_entry *entry, uint64_t now_us);
+
 /** Dispatches a waiting entry as dw_admission_pop() does. @return DW_OK or DW_NOT_FOUND. */
 enum dw_status dw_admission_take(struct dw_admission *admission, dw_admission_handle handle);
 
--- a/include/dragonflywharf/admission_terms.h
+++ b/include/dragonflywharf/admission_terms.h
@@ -5,8 +5,10 @@
 #ifndef DRAGONFLYWHARF_ADMISSION_TERMS_H
 #define DRAGONFLYWHARF_ADMISSION_TERMS_H
 
-#include <dragonflywharf/admission.h>
+#include <dragonflywharf/admission_floor.h>
 #include <dragonflywharf/catalog.h>
+#include <dragonflywharf/organisation_usage.h>
+#include <dragonflywharf/service_capacity.h>
 
 #ifdef __cplusplus
 extern "C" {
@@ -40,7 +42,15 @@
 						uint64_t now_us);
 
 /**
- * Until when a request waits for the first configuration, which alone tells its target latency: half of the
+ * How much a request is favoured: the less for each of a priority that isn't the most urgent in use nor starving,
+ * and an organisation over its share; least if its answer will be late.
+ */
+enum dw_capacity_class dw_admission_class_of(const struct dw_admission_entry *entry,
+					     const struct dw_admission_floor *floor,
+					     const struct dw_organisation_usage *usage,
+					     uint64_t now_us);
+
+/** * Until when a request waits for the first configuration, which alone tells its target latency: half of the
  * caller's time, so that a refused caller can still be served elsewhere, and 1.5 s at most.
  * @param deadline_us the caller's; 0: none was sent
  */
--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -6,6 +6,8 @@
 
 #define EWMA_SHIFT 3
 #define HANDLE_INDEX_BITS 32
+/* No entry is skipped in it. */
+#define NO_ROUND UINT64_MAX
 
 struct pool {
 	uint32_t concurrency; /* 0: unknown, adds no expected wait */
@@ -304,9 +306,9 @@
 }
 
 static struct queued_entry *next_eligible(const struct dw_admission *admission, uint64_t pools,
-					  uint32_t levels)
+					  uint32_t levels, uint64_t round)
 {
-	struct queue_filter filter = { .pools = pools, .round = admission->round };
+	struct queue_filter filter = { .pools = pools, .round = round };
 
 	for (; filter.priority < DW_ADMISSION_LEVELS; filter.priority++) {
 		struct queued_entry *waiting;
@@ -340,7 +342,8 @@
 				 struct dw_admission_entry *out, dw_admission_handle *handle)
 {
 	struct queued_entry *waiting =
-		admission->count > 0 ? next_eligible(admission, pools, levels) : NULL;
+		admission->count > 0 ? next_eligible(admission, pools, levels, admission->round)
+				     : NULL;
 
 	if (!waiting)
 		return DW_NOT_FOUND;
@@ -349,6 +352,18 @@
 	return DW_OK;
 }
 
+bool dw_admission_is_behind(const struct dw_admission *admission,
+			    const struct dw_admission_entry *entry, uint64_t now_us)
+{
+	const struct queued_entry *first =
+		admission->count > 0 ? next_eligible(admission, UINT64_C(1) << entry->pool,
+						     DW_ADMISSION_ALL_LEVELS, NO_ROUND)
+				     : NULL;
+
+	return first && first->entry.priority <= entry->priority &&
+	       (first->entry.in_time_until_us == 0 || now_us <= first->entry.in_time_until_us);
+}
+
 enum dw_status dw_admission_take(struct dw_admission *admission, dw_admission_handle handle)
 {
 	struct queued_entry *waiting = find_entry(admission, handle);
--- a/src/core/admission_terms.c
+++ b/src/core/admission_terms.c
@@ -70,3 +70,20 @@
 		wait_us = subtract(deadline_us, arrived_at_us) / 2;
 	return arrived_at_us + wait_us;
 }
+
+enum dw_capacity_class dw_admission_class_of(const struct dw_admission_entry *entry,
+					     const struct dw_admission_floor *floor,
+					     const struct dw_organisation_usage *usage,
+					     uint64_t now_us)
+{
+	int class_ = DW_CAPACITY_FAVOURED;
+
+	if (entry->in_time_until_us > 0 && now_us > entry->in_time_until_us)
+		return DW_CAPACITY_LATE;
+	if (dw_admission_floor_has_more_urgent(floor, entry->priority) &&
+	    !(dw_admission_floor_starving(floor) >> entry->priority & 1))
+		class_++;
+	if (dw_organisation_usage_is_over(usage, entry->organisation_id))
+		class_++;
+	return (enum dw_capacity_class)class_;
+}
--- a/src/wharf-gateway/admission_gate.c
+++ b/src/wharf-gateway/admission_gate.c
@@ -128,7 +128,7 @@
 	return exchange->tried_count > 0 || exchange->has_suspicion ||
 	       exchange->send_wait_deadline_us > 0 ||
 	       (gate->pool_count == DW_ADMISSION_POOLS_MAX &&
-		exchange->wait.pool == DW_ADMISSION_POOLS_MAX - 1);
+		exchange->wait.entry.pool == DW_ADMISSION_POOLS_MAX - 1);
 }
 
 static struct dw_service_capacity capacity_of(const struct admission_gate *gate,
@@ -173,21 +173,11 @@
 		uv_timer_start(&gate->timer, on_timer, after_ms, 0);
 }
 
-/* The least favoured of: not the most urgent priority in use, an organisation over its share, both, late. */
 static enum dw_capacity_class class_of(const struct admission_gate *gate,
 				       const struct admission_wait *wait, uint64_t now_us)
 {
-	const struct dw_admission_floor *floor = &gate->pools[wait->pool].floor;
-	int class_ = DW_CAPACITY_FAVOURED;
-
-	if (dw_admission_floor_has_more_urgent(floor, wait->priority) &&
-	    !(dw_admission_floor_starving(floor) >> wait->priority & 1))
-		class_++;
-	if (dw_organisation_usage_is_over(&gate->usage, wait->organisation_id))
-		class_++;
-	if (wait->in_time_until_us > 0 && now_us > wait->in_time_until_us)
-		class_ = DW_CAPACITY_LATE;
-	return (enum dw_capacity_class)class_;
+	return dw_admission_class_of(&wait->entry, &gate->pools[wait->entry.pool].floor,
+				     &gate->usage, now_us);
 }
 
 /* Counts and logs a refusal, and tells the caller when the queue will have passed. */
@@ -195,12 +185,12 @@
 {
 	struct admission_gate *gate = gate_of(exchange);
 	struct admission_wait *wait = &exchange->wait;
-	struct gate_pool *pool = &gate->pools[wait->pool];
+	struct gate_pool *pool = &gate->pools[wait->entry.pool];
 	uint64_t waited_us = wait->since_us > 0 ? now_us - wait->since_us : 0;
 
 	gate->refused[cause]++;
-	if (wait->pool != CONFIG_POOL) {
-		size_t waiting = dw_admission_pool_waiting(gate->admission, wait->pool);
+	if (wait->entry.pool != CONFIG_POOL) {
+		size_t waiting = dw_admission_pool_waiting(gate->admission, wait->entry.pool);
 		/* The less a request is favoured, the later its caller is told to come back. */
 		uint64_t hint_us = interval_us(gate, pool, now_us) * (waiting + 1) *
 				   (1 + (uint64_t)class_of(gate, wait, now_us));
@@ -209,14 +199,14 @@
 			hint_us = RETRY_HINT_MAX_US;
 		if (now_us + hint_us > exchange->retry_not_before_us)
 			exchange->retry_not_before_us = now_us + hint_us;
-		dw_admission_floor_refused(&pool->floor, wait->priority);
+		dw_admission_floor_refused(&pool->floor, wait->entry.priority);
 	}
 	dw_log_event(gate->router->log, DW_EVENT_WAIT_REFUSED,
 		     DW_STR("request", exchange->fields.attempt_id),
 		     DW_STR("service", exchange->service_name ? exchange->service_name : ""),
 		     DW_STR("cause", refusal_names[cause]),
 		     DW_STR("engines", dw_choice_result_name(wait->cause)),
-		     DW_INT("priority", wait->priority),
+		     DW_INT("priority", wait->entry.priority),
 		     DW_INT("waited_ms", waited_us / DW_US_PER_MS),
 		     DW_INT("waiting", dw_admission_waiting(gate->admission)));
 }
@@ -227,7 +217,7 @@
 	const struct admission_wait *wait = &exchange->wait;
 
 	count_refusal(exchange, cause, now_us);
-	if (wait->pool == CONFIG_POOL)
+	if (wait->entry.pool == CONFIG_POOL)
 		exchange_refuse(exchange, DW_NO_CONFIGURATION, "no configuration yet");
 	else if (wait->cause == DW_CHOICE_FOUND)
 		wait->callbacks->on_refused(exchange, "too many requests wait for the engines");
@@ -235,11 +225,11 @@
 		wait->callbacks->on_refused(exchange, dw_choice_result_name(wait->cause));
 }
 
-static void push(struct exchange *exchange, const struct dw_admission_entry *entry, uint64_t now_us)
+static void push(struct exchange *exchange, uint64_t now_us)
 {
 	struct admission_gate *gate = gate_of(exchange);
-	enum dw_status status =
-		dw_admission_push(gate->admission, now_us, entry, &exchange->wait.handle);
+	enum dw_status status = dw_admission_push(gate->admission, now_us, &exchange->wait.entry,
+						  &exchange->wait.handle);
 
 	if (status == DW_OK) {
 		exchange->wait.since_us = now_us;
@@ -248,7 +238,8 @@
 	} else if (status == DW_OVERLOADED) {
 		refuse(exchange, REFUSED_FULL, now_us);
 	} else {
-		refuse(exchange, entry->pool == CONFIG_POOL ? REFUSED_NO_CONFIG : REFUSED_LATE,
+		refuse(exchange,
+		       exchange->wait.entry.pool == CONFIG_POOL ? REFUSED_NO_CONFIG : REFUSED_LATE,
 		       now_us);
 	}
 }
@@ -258,7 +249,7 @@
 {
 	const struct request_fields *fields = &exchange->fields;
 	uint64_t arrived_us = exchange->request.arrived_at_us;
-	struct dw_admission_entry entry = {
+	exchange->wait.entry = (struct dw_admission_entry){
 		.pool = CONFIG_POOL,
 		.deadline_us = dw_admission_first_config_until_us(
 			arrived_us, fields->has_deadline
@@ -267,10 +258,9 @@
 		.data = exchange,
 	};
 
-	exchange->wait.pool = CONFIG_POOL;
 	exchange->wait.is_first_config = true;
 	exchange->wait.on_config = on_config;
-	push(exchange, &entry, dw_clock_now_us());
+	push(exchange, dw_clock_now_us());
 }
 
 /* Whether the engines' load allows to send the request. */
@@ -278,7 +268,8 @@
 		     uint64_t now_us)
 {
 	const struct admission_wait *wait = &exchange->wait;
-	struct dw_service_capacity capacity = capacity_of(gate, &gate->pools[wait->pool], now_us);
+	struct dw_service_capacity capacity =
+		capacity_of(gate, &gate->pools[wait->entry.pool], now_us);
 
 	return exchange->send_count > 0 ||
 	       dw_service_capacity_has_room(
@@ -286,20 +277,6 @@
 		       dw_rendezvous_score(gate->seed, now_us / LIMIT_PERIOD_US));
 }
 
-/* Whether a request that is queued goes before this one: it isn't less urgent, nor late. */
-static bool is_behind_others(const struct admission_gate *gate, const struct admission_wait *wait,
-			     uint64_t now_us)
-{
-	struct dw_admission_entry first;
-	dw_admission_handle handle;
-
-	dw_admission_begin_round(gate->admission);
-	return dw_admission_peek(gate->admission, UINT64_C(1) << wait->pool,
-				 DW_ADMISSION_ALL_LEVELS, &first, &handle) == DW_OK &&
-	       first.priority <= wait->priority &&
-	       (first.in_time_until_us == 0 || now_us <= first.in_time_until_us);
-}
-
 bool admission_gate_must_wait(struct exchange *exchange, uint64_t now_us)
 {
 	struct admission_gate *gate = gate_of(exchange);
@@ -308,12 +285,13 @@
 
 	if (gate->turn == exchange || exchange->send_count > 0)
 		return false;
-	wait->pool = pool_of(gate, exchange);
-	wait->priority = dw_admission_priority_of(exchange->route, exchange->organisation);
-	wait->organisation_id = dw_rendezvous_key(organisation, strlen(organisation));
+	wait->entry.pool = pool_of(gate, exchange);
+	wait->entry.priority = dw_admission_priority_of(exchange->route, exchange->organisation);
+	wait->entry.organisation_id = dw_rendezvous_key(organisation, strlen(organisation));
 	if (exchange->has_suspicion)
 		return false;
-	return wait->is_first_config || is_behind_others(gate, wait, now_us) ||
+	return wait->is_first_config ||
+	       dw_admission_is_behind(gate->admission, &wait->entry, now_us) ||
 	       !has_room(gate, exchange, now_us);
 }
 
@@ -325,8 +303,8 @@
 	if (!wait->is_taken)
 		return;
 	wait->is_taken = false;
-	dw_admission_finished(gate_of(exchange)->admission, wait->organisation_id, wait->pool,
-			      service_us);
+	dw_admission_finished(gate_of(exchange)->admission, wait->entry.organisation_id,
+			      wait->entry.pool, service_us);
 }
 
 /* Whether all engines pause for longer than the request may wait. */
@@ -346,10 +324,10 @@
 	return true;
 }
 
-static void fill_entry(struct exchange *exchange, struct dw_admission_entry *entry, uint64_t now_us)
+static void set_limits(struct exchange *exchange, uint64_t now_us)
 {
 	struct admission_wait *wait = &exchange->wait;
-	const struct gate_pool *pool = &gate_of(exchange)->pools[wait->pool];
+	const struct gate_pool *pool = &gate_of(exchange)->pools[wait->entry.pool];
 	struct dw_admission_request request = {
 		.route = exchange->route,
 		.organisation = exchange->organisation,
@@ -360,16 +338,10 @@
 	};
 	struct dw_admission_terms terms = dw_admission_terms_of(&request, now_us);
 
-	wait->in_time_until_us = terms.in_time_until_us;
-	*entry = (struct dw_admission_entry){
-		.organisation_id = wait->organisation_id,
-		.priority = terms.priority,
-		.pool = wait->pool,
-		.deadline_us = terms.wait_until_us + pool->lead_us,
-		.service_us = pool->lead_us,
-		.data = exchange,
-		.in_time_until_us = terms.in_time_until_us,
-	};
+	wait->entry.deadline_us = terms.wait_until_us + pool->lead_us;
+	wait->entry.service_us = pool->lead_us;
+	wait->entry.in_time_until_us = terms.in_time_until_us;
+	wait->entry.data = exchange;
 }
 
 /* Tells the queue how many requests this instance can run at once, for its estimate of the wait. */
@@ -388,7 +360,6 @@
 {
 	struct admission_gate *gate = gate_of(exchange);
 	struct admission_wait *wait = &exchange->wait;
-	struct dw_admission_entry entry;
 	struct gate_pool *pool;
 
 	wait->cause = result;
@@ -396,19 +367,19 @@
 		return;
 	finish(exchange, 0);
 	wait->callbacks = callbacks;
-	pool = &gate->pools[wait->pool];
-	fill_entry(exchange, &entry, now_us);
+	pool = &gate->pools[wait->entry.pool];
+	set_limits(exchange, now_us);
 	if (result == DW_CHOICE_PAUSED &&
-	    pauses_too_long(exchange, choice, entry.deadline_us - entry.service_us)) {
+	    pauses_too_long(exchange, choice, wait->entry.deadline_us - wait->entry.service_us)) {
 		callbacks->on_refused(exchange, dw_choice_result_name(result));
 		return;
 	}
-	update_pool(gate, wait->pool, now_us);
-	if (dw_admission_pool_waiting(gate->admission, wait->pool) == 0 &&
+	update_pool(gate, wait->entry.pool, now_us);
+	if (dw_admission_pool_waiting(gate->admission, wait->entry.pool) == 0 &&
 	    result == DW_CHOICE_FOUND)
 		dw_release_pace_stagger(&pool->pace, interval_us(gate, pool, now_us),
 					router_random(gate->router), now_us);
-	push(exchange, &entry, now_us);
+	push(exchange, now_us);
 	if (wait->handle != 0)
 		exchange_set_timer(exchange);
 }
@@ -421,9 +392,9 @@
 
 	wait->is_first_config = false;
 	finish(exchange, 0);
-	pool = &gate->pools[wait->pool];
-	dw_admission_floor_served(&pool->floor, wait->priority);
-	dw_organisation_usage_sent(&gate->usage, wait->organisation_id);
+	pool = &gate->pools[wait->entry.pool];
+	dw_admission_floor_served(&pool->floor, wait->entry.priority);
+	dw_organisation_usage_sent(&gate->usage, wait->entry.organisation_id);
 	if (wait->handle == 0)
 		return;
 	dw_admission_take(gate->admission, wait->handle);
@@ -435,7 +406,7 @@
 		     DW_STR("request", exchange->fields.attempt_id),
 		     DW_STR("service", pool->service),
 		     DW_STR("engines", dw_choice_result_name(wait->cause)),
-		     DW_INT("priority", wait->priority),
+		     DW_INT("priority", wait->entry.priority),
 		     DW_INT("waited_ms", (now_us - wait->since_us) / DW_US_PER_MS),
 		     DW_INT("waiting", dw_admission_waiting(gate->admission)));
 }
@@ -449,7 +420,7 @@
 /* Only complete answers show how long a run takes. */
 static uint64_t learn_times(struct exchange *exchange, uint64_t now_us)
 {
-	struct gate_pool *pool = &gate_of(exchange)->pools[exchange->wait.pool];
+	struct gate_pool *pool = &gate_of(exchange)->pools[exchange->wait.entry.pool];
 	uint64_t sent_us = exchange->attempt_sent_at_us;
 	uint64_t first_us = exchange->first_byte_at_us;
 	uint64_t lead_us;
@@ -470,10 +441,10 @@
 	if (wait->handle != 0)
 		dw_admission_cancel(gate->admission, wait->handle);
 	wait->handle = 0;
-	if (wait->pool == CONFIG_POOL)
+	if (wait->entry.pool == CONFIG_POOL)
 		return;
 	finish(exchange, learn_times(exchange, dw_clock_now_us()));
-	if (dw_admission_pool_waiting(gate->admission, wait->pool) > 0 && !gate->turn)
+	if (dw_admission_pool_waiting(gate->admission, wait->entry.pool) > 0 && !gate->turn)
 		set_timer(gate, WAKE_MS);
 }
 
@@ -560,7 +531,7 @@
 
 		if (!exchange)
 			break;
-		pool = exchange->wait.pool;
+		pool = exchange->wait.entry.pool;
 		if (!has_room(gate, exchange, now_us)) {
 			exchange->wait.cause = DW_CHOICE_FOUND;
 			dw_admission_skip(gate->admission, handle);
--- a/src/wharf-gateway/admission_gate.h
+++ b/src/wharf-gateway/admission_gate.h
@@ -28,14 +28,11 @@
 
 /** Part of each exchange; zero-initialised. */
 struct admission_wait {
+	struct dw_admission_entry entry;
 	dw_admission_handle handle; /**< while it is queued; 0: it isn't */
 	void (*on_config)(struct exchange *exchange); /**< valid while it waits for that */
 	const struct admission_callbacks *callbacks; /**< valid while it waits for engines */
 	uint64_t since_us; /**< when it was queued */
-	uint64_t in_time_until_us; /**< sent later, it is late; 0: never, or not yet known */
-	uint64_t organisation_id;
-	uint32_t pool;
-	uint32_t priority;
 	enum dw_choice_result cause; /**< why it couldn't be sent; FOUND: others wait before it */
 	bool is_taken; /**< it was dispatched from the queue and hasn't ended */
 	bool is_first_config; /**< it has waited for the first configuration */
--- a/tests/admission_fleet_test.cc
+++ b/tests/admission_fleet_test.cc
@@ -6,15 +6,12 @@
 #include <gtest/gtest.h>
 
 #include <functional>
-#include <queue>
+#include <map>
 #include <random>
 #include <vector>
 
-#include <dragonflywharf/admission_floor.h>
-#include <dragonflywharf/engine.h>
-#include <dragonflywharf/organisation_usage.h>
+#include <dragonflywharf/admission_terms.h>
 #include <dragonflywharf/release_pace.h>
-#include <dragonflywharf/service_capacity.h>
 #include <dragonflywharf/rendezvous.h>
 
 namespace
@@ -72,21 +69,12 @@
 		uint32_t running = 0;
 		std::vector<std::pair<size_t, request *>> waiting;
 	};
-	struct event {
-		uint64_t at_us;
-		uint64_t number;
-		std::function<void()> run;
-		bool operator<(const event &other) const
-		{
-			return at_us != other.at_us ? at_us > other.at_us : number > other.number;
-		}
-	};
 	std::mt19937_64 random;
 	bool has_queue;
 	std::vector<instance> instances{ INSTANCES };
 	std::vector<engine> engines{ 3 };
-	std::priority_queue<event> events;
-	uint64_t now_us = 100 * SECOND, start_us = now_us, number = 0;
+	std::multimap<uint64_t, std::function<void()>> events; /* by time */
+	uint64_t now_us = 100 * SECOND, start_us = now_us;
 	tally priorities[DW_ADMISSION_LEVELS], organisations[ORGANISATIONS];
 	int waited = 0, rejected = 0;
 	uint64_t ticks = 0;
@@ -94,7 +82,7 @@
 
 	World(bool queues, uint64_t seed) : random(seed), has_queue(queues)
 	{
-		for (auto &it : instances) {
+		for (instance &it : instances) {
 			it.set = dw_engine_set_new();
 			it.queue = dw_admission_new(512);
 			for (size_t e = 0; e < engines.size(); e++) {
@@ -116,7 +104,7 @@
 	}
 	void at(uint64_t after_us, std::function<void()> run)
 	{
-		events.push({ now_us + after_us, ++number, std::move(run) });
+		events.emplace(now_us + after_us, std::move(run));
 	}
 	dw_engine *engine_of(size_t i, size_t e)
 	{
@@ -147,7 +135,7 @@
 		};
 		return load(a) <= load(b) ? a : b;
 	}
-	bool send(size_t i, request *r)
+	void send(size_t i, request *r)
 	{
 		size_t e = less_loaded(i, random() % usable, random() % usable);
 		dw_engine *chosen = engine_of(i, e);
@@ -160,7 +148,6 @@
 			engines[e].waiting.push_back({ i, r });
 			fill(e);
 		}
-		return true;
 	}
 	void respond(size_t i, size_t e, enum dw_engine_outcome outcome)
 	{
@@ -196,54 +183,38 @@
 		bool is_counted = now_us >= start_us + WARM_UP_US;
 		priorities[priority].asked += is_counted;
 		organisations[organisation].asked += is_counted;
-		if (!has_queue || (!is_start && !is_behind_others(i, *r) && has_room(i, *r))) {
-			sent(i, *r);
-			send(i, r);
-			return;
-		}
-		if (dw_admission_waiting(it.queue) == 0)
-			dw_release_pace_stagger(&it.pace, interval(i), random(), now_us);
-		dw_admission_entry entry{ organisation,
+		dw_admission_entry entry{ dw_rendezvous_score(1, organisation),
 					  priority,
 					  0,
 					  now_us + (is_start ? START_WAIT_US : WAIT_US) + RUN_US,
 					  RUN_US,
 					  r,
 					  now_us + TARGET_US - RUN_US };
+		if (!has_queue || (!is_start && !dw_admission_is_behind(it.queue, &entry, now_us) &&
+				   has_room(i, entry))) {
+			pass(i, entry);
+			return;
+		}
+		if (dw_admission_waiting(it.queue) == 0)
+			dw_release_pace_stagger(&it.pace, interval(i), random(), now_us);
 		dw_admission_handle handle;
 		if (dw_admission_push(it.queue, now_us, &entry, &handle) != DW_OK) {
 			dw_admission_floor_refused(&it.floor, priority);
 			delete r;
 		}
 	}
-	void sent(size_t i, const request &r)
+	void pass(size_t i, const dw_admission_entry &entry)
 	{
-		dw_admission_floor_served(&instances[i].floor, r.priority);
-		dw_organisation_usage_sent(&instances[i].usage,
-					   dw_rendezvous_score(1, r.organisation));
-	}
-	bool is_behind_others(size_t i, const request &r)
-	{
-		dw_admission_entry first;
-		dw_admission_handle handle;
-		dw_admission_begin_round(instances[i].queue);
-		return dw_admission_peek(instances[i].queue, 1, DW_ADMISSION_ALL_LEVELS, &first,
-					 &handle) == DW_OK &&
-		       first.priority <= r.priority && now_us <= first.in_time_until_us;
+		dw_admission_floor_served(&instances[i].floor, entry.priority);
+		dw_organisation_usage_sent(&instances[i].usage, entry.organisation_id);
+		send(i, (request *)entry.data);
 	}
-	bool has_room(size_t i, const request &r)
+	bool has_room(size_t i, const dw_admission_entry &entry)
 	{
 		auto &it = instances[i];
 		dw_service_capacity sum = capacity(i);
-		int c = dw_admission_floor_has_more_urgent(&it.floor, r.priority);
-		if (dw_admission_floor_starving(&it.floor) >> r.priority & 1)
-			c = 0;
-		c += dw_organisation_usage_is_over(&it.usage,
-						   dw_rendezvous_score(1, r.organisation));
-		if (now_us > r.arrived_us + TARGET_US - RUN_US)
-			c = DW_CAPACITY_LATE;
 		return dw_service_capacity_has_room(
-			&sum, (enum dw_capacity_class)c,
+			&sum, dw_admission_class_of(&entry, &it.floor, &it.usage, now_us),
 			dw_rendezvous_score(i + 1, now_us / (DIGEST_TICKS * POLL_US)));
 	}
 	void tick()
@@ -275,8 +246,7 @@
 			    dw_admission_peek(it.queue, 1, DW_ADMISSION_ALL_LEVELS, &entry,
 					      &handle) != DW_OK)
 				return;
-			auto *r = (request *)entry.data;
-			if (!has_room(i, *r)) {
+			if (!has_room(i, entry)) {
 				dw_admission_skip(it.queue, handle);
 				continue;
 			}
@@ -284,8 +254,7 @@
 			dw_release_pace_take(&it.pace, interval(i), POLL_US, now_us);
 			dw_admission_finished(it.queue, entry.organisation_id, 0, RUN_US);
 			waited++;
-			sent(i, *r);
-			send(i, r);
+			pass(i, entry);
 		}
 	}
 	/* An engine that no instance uses. */
@@ -311,15 +280,13 @@
 		traffic(USUAL_PER_S / 4 * urgent_factor, 0);
 		traffic(USUAL_PER_S * 3 / 4 * ordinary_factor, 2);
 	}
-	World &run()
+	void run()
 	{
 		while (now_us < start_us + END_US) {
-			event next = events.top();
-			events.pop();
-			now_us = next.at_us;
-			next.run();
+			auto next = events.extract(events.begin());
+			now_us = next.key();
+			next.mapped()();
 		}
-		return *this;
 	}
 };
 
