--- a/tests/admission_fleet_test.cc
+++ b/tests/admission_fleet_test.cc
@@ -127,19 +127,16 @@
 		dw_service_capacity sum = capacity(i);
 		return dw_service_capacity_interval_us(&sum, RUN_US, INSTANCES);
 	}
-	size_t less_loaded(size_t i, size_t a, size_t b)
+	void send(size_t i, request *r)
 	{
 		auto load = [&](size_t e) {
 			const dw_engine *it = engine_of(i, e);
 			return it->load.running + it->load.waiting + it->sent_since_load;
 		};
-		return load(a) <= load(b) ? a : b;
-	}
-	void send(size_t i, request *r)
-	{
-		size_t e = less_loaded(i, random() % usable, random() % usable);
-		dw_engine *chosen = engine_of(i, e);
-		dw_engine_sent(chosen, now_us);
+		size_t e = random() % usable, other = random() % usable;
+		if (load(other) < load(e))
+			e = other;
+		dw_engine_sent(engine_of(i, e), now_us);
 		if (engines[e].waiting.size() >= QUEUE) {
 			rejected++;
 			respond(i, e, DW_ENGINE_REJECTED);
@@ -183,13 +180,15 @@
 		bool is_counted = now_us >= start_us + WARM_UP_US;
 		priorities[priority].asked += is_counted;
 		organisations[organisation].asked += is_counted;
+		uint64_t until_us = now_us + (is_start ? START_WAIT_US : WAIT_US);
+		uint64_t in_time_us = now_us + TARGET_US - RUN_US;
 		dw_admission_entry entry{ dw_rendezvous_score(1, organisation),
 					  priority,
 					  0,
-					  now_us + (is_start ? START_WAIT_US : WAIT_US) + RUN_US,
+					  until_us + RUN_US,
 					  RUN_US,
 					  r,
-					  now_us + TARGET_US - RUN_US };
+					  in_time_us };
 		if (!has_queue || (!is_start && !dw_admission_is_behind(it.queue, &entry, now_us) &&
 				   has_room(i, entry))) {
 			pass(i, entry);
@@ -320,12 +319,15 @@
 	return sum;
 }
 
+std::pair<result, result> compare(const std::function<void(World &)> &load)
+{
+	return { run_with(false, load), run_with(true, load) };
+}
+
 /* Guards against requests that are held back although the engines have room. */
 TEST(AdmissionFleet, NobodyWaitsAtTheUsualRate)
 {
-	auto load = [](World &world) { world.usual_traffic(); };
-	result direct = run_with(false, load);
-	result queued = run_with(true, load);
+	auto [direct, queued] = compare([](World &world) { world.usual_traffic(); });
 	EXPECT_EQ(queued.waited, 0);
 	EXPECT_EQ(queued.urgent.in_time, direct.urgent.in_time);
 	EXPECT_EQ(queued.ordinary.in_time, direct.ordinary.in_time);
@@ -334,9 +336,7 @@
 /* Guards against losing what the engines can still do at nine tenths of their capacity. */
 TEST(AdmissionFleet, ABurstAt1_7TimesTheUsualRateOfOneKind)
 {
-	auto load = [](World &world) { world.usual_traffic(1, 1.7); };
-	result direct = run_with(false, load);
-	result queued = run_with(true, load);
+	auto [direct, queued] = compare([](World &world) { world.usual_traffic(1, 1.7); });
 	EXPECT_GT(queued.urgent.share(), direct.urgent.share() - 0.03);
 	EXPECT_GT(queued.ordinary.share(), direct.ordinary.share() - 0.03);
 }
@@ -345,9 +345,7 @@
  * often than the others. */
 TEST(AdmissionFleet, ABurstAt2_5TimesTheUsualRateOfOneKind)
 {
-	auto load = [](World &world) { world.usual_traffic(1, 2.5); };
-	result direct = run_with(false, load);
-	result queued = run_with(true, load);
+	auto [direct, queued] = compare([](World &world) { world.usual_traffic(1, 2.5); });
 	EXPECT_GT(queued.urgent.share(), direct.urgent.share() + 0.4);
 	EXPECT_GT(queued.ordinary.share(), direct.ordinary.share() + 0.3);
 	EXPECT_GT(queued.urgent.share(), queued.ordinary.share() + 0.05);
@@ -368,12 +366,10 @@
  * sixth of all, usually sends. */
 TEST(AdmissionFleet, OneOrganisationSends7_5TimesItsUsual)
 {
-	auto load = [](World &world) {
+	auto [direct, queued] = compare([](World &world) {
 		world.usual_traffic();
 		world.traffic(USUAL_PER_S / 6 * 6.5, 2, 0);
-	};
-	result direct = run_with(false, load);
-	result queued = run_with(true, load);
+	});
 	EXPECT_GT(queued.others.share(), direct.others.share() + 0.3);
 	EXPECT_GT(queued.others.share(), queued.heavy.share());
 	EXPECT_GT(queued.heavy.served_share(), 0.25) << "nor is it starved itself";
@@ -383,15 +379,13 @@
  * configuration, which all instances get within 50 ms. */
 TEST(AdmissionFleet, AllInstancesBackAtOnce)
 {
-	auto load = [](World &world) {
+	auto [direct, queued] = compare([](World &world) {
 		for (int i = 0; i < (int)(2 * USUAL_PER_S); i++)
 			world.at(WARM_UP_US + world.random() % (50 * MS), [&world, i] {
 				world.arrive(world.random() % INSTANCES, i % 4 ? 2 : 0,
 					     world.random() % ORGANISATIONS, true);
 			});
-	};
-	result direct = run_with(false, load);
-	result queued = run_with(true, load);
+	});
 	EXPECT_GT(direct.rejected, 100);
 	EXPECT_LT(queued.rejected, direct.rejected / 50);
 	EXPECT_GT(queued.urgent.share(), direct.urgent.share());
@@ -403,12 +397,10 @@
  * served of 151. */
 TEST(AdmissionFleet, AColdFailureDomain)
 {
-	auto load = [](World &world) {
+	auto [direct, queued] = compare([](World &world) {
 		world.usual_traffic(1.4, 1.4);
 		world.take_out(2);
-	};
-	result direct = run_with(false, load);
-	result queued = run_with(true, load);
+	});
 	EXPECT_GT(queued.urgent.share(), direct.urgent.share() + 0.2);
 	EXPECT_GT(queued.urgent.share(), queued.ordinary.share() + 0.05);
 }
