--- a/src/base/event.c
+++ b/src/base/event.c
@@ -57,6 +57,8 @@
 	[DW_EVENT_ENGINE_ENDED] = { 607, DW_LEVEL_WARNING, "engine.ended" },
 	[DW_EVENT_ENGINE_LEAVES] = { 608, DW_LEVEL_INFO, "engine.leaves" },
 	[DW_EVENT_ENGINE_PAUSED] = { 609, DW_LEVEL_INFO, "engine.paused" },
+	[DW_EVENT_REQUEST_WAITED] = { 405, DW_LEVEL_INFO, "request.waited" },
+	[DW_EVENT_WAIT_REFUSED] = { 406, DW_LEVEL_INFO, "request.wait_refused" },
 	[DW_EVENT_REQUEST_SUSPECTED] = { 811, DW_LEVEL_INFO, "request.suspected" },
 	[DW_EVENT_REQUEST_CLEARED] = { 812, DW_LEVEL_INFO, "request.cleared" },
 	[DW_EVENT_PART_SUSPECTED] = { 813, DW_LEVEL_INFO, "part.suspected" },
@@ -65,7 +67,7 @@
 	[DW_EVENT_VIEW_READER] = { 212, DW_LEVEL_INFO, "view.reader" },
 	[DW_EVENT_VIEW_SOURCE] = { 213, DW_LEVEL_INFO, "view.source" },
 	[DW_EVENT_VIEW_SOURCE_FAILED] = { 214, DW_LEVEL_WARNING, "view.source_failed" },
-	[DW_EVENT_CALLERS_LIMITED] = { 405, DW_LEVEL_WARNING, "callers.limited" },
+	[DW_EVENT_CALLERS_LIMITED] = { 407, DW_LEVEL_WARNING, "callers.limited" },
 	[DW_EVENT_STANDIN] = { 900, DW_LEVEL_INFO, "standin.note" },
 };
 
