--- a/src/core/engine_choice.c
+++ b/src/core/engine_choice.c
@@ -376,16 +376,6 @@
 	return request->is_long_answer || (score >> 32) % matching < SAMPLED_ENGINES;
 }
 
-/* Whether the engine has all of the prompt cached that other requests have too, as this instance knows. */
-static bool has_shared_parts(const struct dw_choice_request *request,
-			     const struct dw_choice_selection *selection)
-{
-	const struct dw_prompt *prompt = request->prompt;
-
-	return prompt->part_count > 1 &&
-	       selection->uncached_tokens <= prompt->parts[prompt->part_count - 1].tokens;
-}
-
 /* Adds the work at the engine to the selection. @return what it costs, besides the time to the first byte */
 static uint64_t add_work(const struct dw_choice_request *request, const struct candidate *candidate,
 			 struct dw_choice_selection *selection)
@@ -403,9 +393,7 @@
 	us = cost.beside_us + cost.others_us;
 	if (pace > 100)
 		us += selection->nominal_us * (pace - 100) / 100;
-	if (candidate->is_home || candidate->is_sampled || has_shared_parts(request, selection))
-		return us;
-	return us + NOT_SAMPLED_US;
+	return candidate->is_home || candidate->is_sampled ? us : us + NOT_SAMPLED_US;
 }
 
 static void rank(struct ranking *ranking, const struct dw_choice_request *request,
