Rollouts: a request without a route ends without a crash

Cause: exchange_count_version_end() reads the route's name since "a version is promoted only after good answers under load", also for requests that were refused before they were routed; the gateway ended on a 404. Red in process_gateway_test RejectedRequestsNeverRun and SlowReadersOfLongAnswersHoldLittleMemory, green now.

--- a/src/wharf-gateway/exchange_answer.c
+++ b/src/wharf-gateway/exchange_answer.c
@@ -60,12 +60,13 @@
 		exchange->silence_deadline_us = exchange->last_progress_at_us + limit_us;
 }
 
+/* A request that was refused before it was routed has no route. */
 static struct shift_request shift_request(const struct exchange *exchange)
 {
 	return (struct shift_request){
 		.revision = exchange->shift_revision,
 		.version = exchange->version,
-		.route = exchange->route->name,
+		.route = exchange->route ? exchange->route->name : "",
 		.sent_at_us = exchange->attempt_sent_at_us,
 		.is_load_test = exchange->is_load_test,
 	};
