--- a/src/wharf-gateway/exchange_answer.c
+++ b/src/wharf-gateway/exchange_answer.c
@@ -54,7 +54,7 @@
 	caller_write(exchange->caller, raw, raw_len);
 }
 
-/* A request without a route has no attempt, but ends too. */
+/* A request that was refused before it was routed has no route. */
 static struct shift_request shift_request(const struct exchange *exchange)
 {
 	return (struct shift_request){
--- a/tests/admission_fleet_test.cc
+++ b/tests/admission_fleet_test.cc
@@ -112,7 +112,8 @@
 	}
 	dw_engine_load load_of(size_t e) const
 	{
-		return { engines[e].running, (uint32_t)engines[e].waiting.size(), SLOTS, now_us };
+		return { engines[e].running, (uint32_t)engines[e].waiting.size(), SLOTS, now_us,
+			 0 };
 	}
 	dw_service_capacity capacity(size_t i)
 	{
--- a/tests/admission_terms_test.cc
+++ b/tests/admission_terms_test.cc
@@ -65,7 +65,7 @@
 {
 	dw_engine engine{};
 	dw_service_capacity capacity{};
-	engine.load = { running, waiting, 6, NOW_US - age_us };
+	engine.load = { running, waiting, 6, NOW_US - age_us, 0 };
 	dw_service_capacity_add(&capacity, &engine, NOW_US);
 	return capacity;
 }
