Admission: requests are held back by reported load only where a setting asks for it

Change: setting hold_by_load, off by default; process_admission_test sets it. A request that waited in vain is sent if its caller's time allows.

--- a/src/wharf-gateway/admission_gate.c
+++ b/src/wharf-gateway/admission_gate.c
@@ -227,6 +227,29 @@
 		wait->callbacks->on_refused(exchange, dw_choice_result_name(wait->cause));
 }
 
+static void give_turn(struct admission_gate *gate, struct exchange *exchange)
+{
+	gate->turn = exchange;
+	exchange->wait.callbacks->on_turn(exchange);
+	gate->turn = NULL;
+}
+
+/*
+ * Ends a wait that was in vain. A request that only waited for engines with less to do is sent if its
+ * caller's time allows: the engine may have room, and a late answer is better than none.
+ */
+static void end_wait(struct exchange *exchange, enum refusal_cause cause, uint64_t now_us)
+{
+	struct admission_gate *gate = gate_of(exchange);
+	const struct admission_wait *wait = &exchange->wait;
+
+	if (cause == REFUSED_LATE && wait->cause == DW_CHOICE_FOUND && gate->turn != exchange &&
+	    now_us + gate->pools[wait->entry.pool].lead_us < exchange->policy.deadline_us)
+		give_turn(gate, exchange);
+	else
+		refuse(exchange, cause, now_us);
+}
+
 static void push(struct exchange *exchange, uint64_t now_us)
 {
 	struct admission_gate *gate = gate_of(exchange);
@@ -240,9 +263,10 @@
 	} else if (status == DW_OVERLOADED) {
 		refuse(exchange, REFUSED_FULL, now_us);
 	} else {
-		refuse(exchange,
-		       exchange->wait.entry.pool == CONFIG_POOL ? REFUSED_NO_CONFIG : REFUSED_LATE,
-		       now_us);
+		end_wait(exchange,
+			 exchange->wait.entry.pool == CONFIG_POOL ? REFUSED_NO_CONFIG
+								  : REFUSED_LATE,
+			 now_us);
 	}
 }
 
@@ -270,9 +294,11 @@
 		     uint64_t now_us)
 {
 	const struct admission_wait *wait = &exchange->wait;
-	struct dw_service_capacity capacity =
-		capacity_of(gate, &gate->pools[wait->entry.pool], now_us);
+	struct dw_service_capacity capacity;
 
+	if (!gate->router->settings->hold_by_load)
+		return true;
+	capacity = capacity_of(gate, &gate->pools[wait->entry.pool], now_us);
 	return exchange->send_count > 0 ||
 	       dw_service_capacity_has_room(
 		       &capacity, class_of(gate, wait, now_us),
@@ -462,18 +488,11 @@
 		struct exchange *exchange = entry.data;
 
 		exchange->wait.handle = 0;
-		refuse(exchange, entry.pool == CONFIG_POOL ? REFUSED_NO_CONFIG : REFUSED_LATE,
-		       now_us);
+		end_wait(exchange, entry.pool == CONFIG_POOL ? REFUSED_NO_CONFIG : REFUSED_LATE,
+			 now_us);
 	}
 }
 
-static void give_turn(struct admission_gate *gate, struct exchange *exchange)
-{
-	gate->turn = exchange;
-	exchange->wait.callbacks->on_turn(exchange);
-	gate->turn = NULL;
-}
-
 /* Those that waited for the first configuration are queued again, now in the order of their routes. */
 static void leave_config_pool(struct admission_gate *gate)
 {
--- a/src/wharf-gateway/gateway_settings.c
+++ b/src/wharf-gateway/gateway_settings.c
@@ -46,6 +46,7 @@
 	  1000, "840" },
 	{ "session_timeout_s", DW_SETTING_PERMILLE_CEILING, FIELD(session_timeout_ms), false, 0,
 	  86400000, "5000" },
+	{ "hold_by_load", DW_SETTING_BOOL, FIELD(hold_by_load), false, 0, 0, NULL },
 	{ "place_by_cost", DW_SETTING_BOOL, FIELD(place_by_cost), false, 0, 0, NULL },
 	{ "machine_memory_mb", DW_SETTING_FLOOR, FIELD(machine_memory_mb), false, 0, 100000000,
 	  "0" },
--- a/src/wharf-gateway/gateway_settings.h
+++ b/src/wharf-gateway/gateway_settings.h
@@ -38,6 +38,7 @@
 	uint64_t rollout_share_permille; /**< share of requests for a bad version; no effect yet */
 	uint64_t rollout_slack; /**< additional requests for a bad version; no effect yet */
 	uint64_t quality_target_permille; /**< least chance that a small model's answer is good */
+	bool hold_by_load; /**< hold requests back while the engines report too much work */
 	bool place_by_cost; /**< choose engines by the work that requests bring and engines have */
 	uint64_t session_timeout_ms; /**< longest pause between two requests of a session */
 	uint64_t machine_memory_mb; /**< 0: as /proc/meminfo says */
--- a/tests/process_admission_test.cc
+++ b/tests/process_admission_test.cc
@@ -25,6 +25,7 @@
 struct Admission : support::raw_fleet {
 	Admission() : support::raw_fleet(1)
 	{
+		more_settings = ",\"hold_by_load\":true";
 		more_routes =
 			"," + patient_route("urgent", "0") + "," + patient_route("ordinary", "1");
 	}
