--- a/src/core/engine_choice.c
+++ b/src/core/engine_choice.c
@@ -373,7 +373,9 @@
 {
 	uint64_t score = dw_rendezvous_score(request->random ^ SAMPLE_KEY, engine->id_hash);
 
-	return request->is_long_answer || (score >> 32) % matching < SAMPLED_ENGINES;
+	if (request->is_long_answer || matching <= SAMPLED_ENGINES)
+		return true;
+	return (score >> 32) % matching < SAMPLED_ENGINES;
 }
 
 /* Adds the work at the engine to the selection. @return what it costs, besides the time to the first byte */
