Exchange: a request in the admission queue isn't tried again by its own timer

Cause, found by reading: a request that had waited for the end of a silent engine or of a suspect, and is then queued for want of engines, kept the time of its earlier wait, so that its timer was due at once on each turn of the loop. Not seen in a run; no test of its own yet.

--- a/src/wharf-gateway/exchange.c
+++ b/src/wharf-gateway/exchange.c
@@ -359,6 +359,9 @@
 static void wait_for_capacity(struct exchange *exchange, const struct dw_choice_request *choice,
 			      enum dw_choice_result result, uint64_t now_us)
 {
+	/* From here on the queue says when to try again. With the end of an earlier wait left in place, the
+	 * timer would be due at once, again and again. */
+	exchange->send_wait_deadline_us = 0;
 	admission_gate_wait(exchange, choice, result, &capacity_callbacks, now_us);
 	if (!exchange->is_finished)
 		set_timer(exchange);
