Review of the change: one formula for priorities, no figure that nothing reads

exchange_urgency() and dw_admission_priority_of() were the same formula twice. The deviation of the mean work was learnt and never used; its line in expected_cost_test goes with it.

--- a/include/dragonflywharf/admission_terms.h
+++ b/include/dragonflywharf/admission_terms.h
@@ -35,8 +35,9 @@
 
 /**
  * A request waits while it can still be sent in time, and 250 ms if that is longer, but not so long that
- * it can't be answered by its deadline. After a start all instances have more waiting than the engines can serve in
- * time, but only once: then it waits on, though it will be late, for a third of the time that it has left. wait_until_us is before @p now_us if it can't wait.
+ * it can't be answered by its deadline. After a start, when more requests wait than the engines can serve in
+ * time, it waits on for a third of the time that it has left, though it will be late. wait_until_us is before
+ * @p now_us if it can't wait.
  */
 struct dw_admission_terms dw_admission_terms_of(const struct dw_admission_request *request,
 						uint64_t now_us);
@@ -50,7 +51,8 @@
 					     const struct dw_organisation_usage *usage,
 					     uint64_t now_us);
 
-/** * Until when a request waits for the first configuration, which alone tells its target latency: half of the
+/**
+ * Until when a request waits for the first configuration, which alone tells its target latency: half of the
  * caller's time, so that a refused caller can still be served elsewhere, and 1.5 s at most.
  * @param deadline_us the caller's; 0: none was sent
  */
--- a/include/dragonflywharf/expected_cost.h
+++ b/include/dragonflywharf/expected_cost.h
@@ -18,7 +18,6 @@
 /** What was learnt about the requests of a service. Zero-initialise. */
 struct dw_work_stats {
 	uint64_t mean_work_us; /**< of a request's prompt processing; 0: nothing learnt */
-	uint64_t work_deviation_us; /**< mean absolute deviation from it */
 	uint64_t running_sum; /**< running requests at engines when a request was sent to them */
 	uint64_t delay_sum_us; /**< time that these requests waited beyond their own work */
 };
--- a/src/core/admission_terms.c
+++ b/src/core/admission_terms.c
@@ -2,12 +2,12 @@
 
 #define US_PER_MS UINT64_C(1000)
 /* Priorities for each level of organisation priority; the route's priority chooses among them. The urgency
- * that model engines are sent is formed in the same way. */
+ * that model engines are sent is the same number. */
 #define ORGANISATION_STEP 3
 /* A short queue passes within this time, also for requests with a short target latency. */
 #define WAIT_MIN_US (250 * US_PER_MS)
-/* Part of the remaining time for which, after a start, a request waits though it will be late, so that its caller, if it is refused,
- * still has time for another attempt. */
+/* After a start, a request waits for this part of its remaining time though it will be late. A caller that
+ * is refused then still has time for another attempt. */
 #define DEADLINE_PART 3
 /* Least time that an engine needs. */
 #define LEAD_MIN_US (20 * US_PER_MS)
--- a/src/core/expected_cost.c
+++ b/src/core/expected_cost.c
@@ -11,7 +11,7 @@
 
 /* Work of a request until one was sent: 4,000 prompt tokens of a mid-sized model. */
 #define DEFAULT_WORK_US (160 * US_PER_MS)
-/* Weight of one sample in the mean work and its deviation, in thousandths. */
+/* Weight of one sample in the mean work, in thousandths. */
 #define WORK_WEIGHT_PERMILLE 20
 
 /* Delay per running request: the prior, with the weight of this many running requests, and the bounds of
@@ -37,10 +37,8 @@
 void dw_work_stats_sent(struct dw_work_stats *stats, uint64_t work_us)
 {
 	uint64_t mean_us = stats->mean_work_us > 0 ? stats->mean_work_us : DEFAULT_WORK_US;
-	uint64_t deviation_us = work_us > mean_us ? work_us - mean_us : mean_us - work_us;
 
 	stats->mean_work_us = average(mean_us, work_us);
-	stats->work_deviation_us = average(stats->work_deviation_us, deviation_us);
 }
 
 void dw_work_stats_started(struct dw_work_stats *stats, uint32_t running, uint64_t expected_us,
--- a/src/wharf-gateway/exchange_route.c
+++ b/src/wharf-gateway/exchange_route.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include <dragonflywharf/admission_terms.h>
 #include <dragonflywharf/rendezvous.h>
 
 #include "base/clock.h"
@@ -13,9 +14,6 @@
 #define LONG_PROMPT_FACTOR 8
 /* Longer prompts don't take part in a rollout's load test: tens of them fill an engine's memory. */
 #define PROBE_PROMPT_TOKENS 4000
-#define URGENCY_MAX 9
-/* Urgency levels for each level of organisation priority; the route's priority chooses among them. */
-#define URGENCY_STEP 3
 
 /* Whether the answer is long in relation to the prompt. Such a request adds little prompt processing
  * to the engine's load. */
@@ -189,16 +187,9 @@
 
 int exchange_urgency(const struct exchange *exchange)
 {
-	uint32_t route_priority = exchange->route->priority;
-	uint32_t urgency = route_priority;
-
 	if (!exchange->service || exchange->service->batch_slots == 0)
 		return -1;
-	/* The organisation's priority comes first; the route's orders requests of equal priority. */
-	if (exchange->organisation && exchange->organisation->has_priority)
-		urgency = exchange->organisation->priority * URGENCY_STEP +
-			  (route_priority < URGENCY_STEP ? route_priority : URGENCY_STEP - 1);
-	return urgency < URGENCY_MAX ? (int)urgency : URGENCY_MAX;
+	return (int)dw_admission_priority_of(exchange->route, exchange->organisation);
 }
 
 bool exchange_admit(struct exchange *exchange, const char **reason, int *status,
--- a/tests/expected_cost_test.cc
+++ b/tests/expected_cost_test.cc
@@ -33,12 +33,11 @@
 }
 
 /* Load: requests that look alike and bring very different work. */
-TEST_F(ExpectedCost, MeanWorkAndItsSpreadAreLearnt)
+TEST_F(ExpectedCost, MeanWorkIsLearnt)
 {
 	for (int i = 0; i < 2000; i++)
 		dw_work_stats_sent(&stats, i % 10 == 0 ? 500 * MS : 20 * MS);
 	EXPECT_NEAR((double)stats.mean_work_us, 68.0 * MS, 25.0 * MS);
-	EXPECT_GT(stats.work_deviation_us, stats.mean_work_us / 2);
 }
 
 /* Old traffic is forgotten: a shift from long prompts to short ones. */
