--- a/tests/process_silence_test.cc
+++ b/tests/process_silence_test.cc
@@ -5,11 +5,14 @@
 
 #include <atomic>
 #include <chrono>
+#include <fstream>
 #include <map>
 #include <mutex>
 #include <string>
 #include <thread>
 
+#include <unistd.h>
+
 #include "support/raw_fleet.h"
 
 using support::answer_head;
@@ -56,6 +59,10 @@
 		/* Callers of "stay" wait 12 s for the next event, those of "move" 4 s. */
 		more_routes =
 			stream("stay", 1500) + stream("move", 500) + "," +
+			route("late", "stream", 3,
+			      ",\"Resumable\":true,\"TargetLatencyMs\":15000,\"TimeoutMs\":" +
+				      std::to_string(TIME_LIMIT_MS)) +
+			"," +
 			route("read", "safe", 2, ",\"TimeoutMs\":" + std::to_string(TIME_LIMIT_MS));
 	}
 	http_answer call(const std::string &path)
@@ -172,4 +179,66 @@
 	EXPECT_EQ(count_sends("stay"), 4);
 }
 
+/* Processor time that a process has used so far. */
+int64_t processor_ms(pid_t pid)
+{
+	std::ifstream file("/proc/" + std::to_string(pid) + "/stat");
+	std::string text((std::istreambuf_iterator<char>(file)), {});
+	unsigned long user = 0;
+	unsigned long kernel = 0;
+	/* The fields 14 and 15; the second one, the name, may have spaces. */
+	sscanf(text.c_str() + text.rfind(')') + 1,
+	       "%*s %*s %*s %*s %*s %*s %*s %*s %*s %*s %*s %lu %lu", &user, &kernel);
+	return (int64_t)(user + kernel) * 1000 / sysconf(_SC_CLK_TCK);
+}
+
+/* Guards against a request whose timer is due again at once while it waits in the queue: its engine didn't begin, and
+ * by the time it may be sent again all engines want a pause. */
+TEST_F(SilentEngines, ARequestThatIsQueuedAfterASilenceUsesNoProcessorTime)
+{
+	constexpr int pause_ms = 3000;
+	std::atomic<bool> is_full{ false };
+
+	start(2, [this, &is_full](raw_connection &connection, const std::string &request) {
+		bool is_first;
+		if (request.find("/look/") != std::string::npos) {
+			connection.send(is_full ? answer_with_length("503 Full", request, "",
+								     "Not-Executed: 1\r\n"
+								     "Retry-After: 3\r\n")
+						: answer_with_length("200 OK", request, "{}"));
+			return;
+		}
+		{
+			std::lock_guard<std::mutex> lock(mutex);
+			is_first = sends[field_of(request, "Attempt-Id")]++ == 0;
+		}
+		if (is_first) {
+			wait_for_close(connection);
+			told_at_ms = now_ms();
+			connection.close();
+			return;
+		}
+		connection.send(answer_head("200 OK", request,
+					    "Content-Type: text/event-stream\r\n"
+					    "Transfer-Encoding: chunked\r\n") +
+				event_chunk(1) + "0\r\n\r\n");
+	});
+	/* They add to the retry budget. */
+	for (int i = 0; i < 100; i++)
+		EXPECT_EQ(ask(0, "GET", "/look/1").status, 200);
+	http_answer late;
+	std::thread caller([&] { late = call("/late/1"); });
+	EXPECT_TRUE(support::wait_until([&] { return told_at_ms > 0; }));
+	is_full = true;
+	EXPECT_EQ(ask(0, "GET", "/look/1").status, 503) << "both engines want a pause now";
+	int64_t began_ms = now_ms();
+	int64_t used_ms = processor_ms(instances[0].gateway->pid());
+	caller.join();
+	used_ms = processor_ms(instances[0].gateway->pid()) - used_ms;
+	EXPECT_TRUE(late.whole);
+	EXPECT_EQ(count_sends("late"), 2);
+	EXPECT_GE(now_ms() - began_ms, pause_ms / 2) << "it has waited";
+	EXPECT_LT(used_ms, pause_ms / 4);
+}
+
 } // namespace
