--- a/review/10/case.c
+++ b/review/10/case.c
@@ -1,12 +1,14 @@
 /*
- * Callers send ordinary requests whose prompts have many short parts: does the process stay within the memory of
- * its machine?
+ * A caller reads its answer slowly while its gateway is stopped as planned: does it get the whole answer?
  */
-#include <pthread.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "../kit-2/engine.h"
@@ -15,175 +17,134 @@
 #include "../kit-2/store.h"
 
 #define KEY "n2ctnfzs989anu6wsjnb"
-#define MEMORY_MB 120
-#define KB_PER_MB 1024
-#define ENGINES 60
-#define PARTS 16
-#define PART_TOKENS 10
-#define ORDINARY_PARTS 3
-#define ORDINARY_PART_TOKENS 240
-#define REQUESTS 90000
-#define CONNECTIONS 40
-/* Each connection sends at most 30 requests a second, all of them below 1,300. */
-#define PAUSE_MS 30
-#define LENGTH_MS 105000
-#define REQUEST_BYTES 2048
-#define CHECK_EVERY 500
-#define RECORD_EVERY 10000
-
-static struct gateway gateway;
-static uint32_t sent;
-static uint32_t served;
-static uint64_t peak_kb;
-static bool is_over;
-static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+#define GRACE_MS 8000
+#define ANSWER_BYTES 8000000
+/* The caller reads this much at a time, with this pause: at most 1.5 MB/s, so that it is done within 6 s. */
+#define READ_BYTES 60000
+#define READ_PAUSE_MS 40
+/* Of a caller on an ordinary network: segments of 1,460 bytes and a window of 64 KB. */
+#define SEGMENT_BYTES 1460
+#define WINDOW_BYTES 65536
+#define STOP_AFTER_MS 700
+
+static char body[ANSWER_BYTES + 1];
 
 static bool run(int fd, const struct message *request, struct engine *engine)
 {
-	return engine_answer(fd, request, 200, "id: 1\ndata: done\n\n", 18);
+	char id[64] = "";
+
+	message_field(request, "Attempt-Id", id, sizeof(id));
+	record("engine %s runs %s and answers it at once, whole, with a body of %d bytes",
+	       engine->id, id, ANSWER_BYTES);
+	return engine_answer(fd, request, 200, body, ANSWER_BYTES);
 }
 
 static void put_config(void)
 {
 	store_put("op/config",
-		  "{\"Version\":7,\"Routes\":[{\"Name\":\"r2\",\"Host\":\"a.example\","
-		  "\"PathPrefix\":\"/chat/\",\"Kind\":\"stream\",\"TimeoutMs\":25000,"
-		  "\"TargetLatencyMs\":1000,\"Priority\":1,\"Service\":\"llm\",\"MaxAttempts\":3,"
-		  "\"Public\":false,\"Sticky\":true,\"Resumable\":true,\"TargetGapMs\":800}],"
-		  "\"Services\":[{\"Name\":\"llm\",\"HealthPath\":\"/health\","
-		  "\"MaxConnections\":690,\"ColdStartS\":3.0,\"ColdPerS\":11.0,\"Engine\":"
-		  "{\"Slots\":64,\"KvCapacity\":367527,\"Stride\":5,"
-		  "\"Models\":[{\"Name\":\"large\",\"Cost\":0.2}]}}],"
-		  "\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,"
-		  "\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000},"
-		  "\"Tenants\":[{\"Name\":\"a\",\"ApiKeys\":[\"" KEY "\"]}]}");
-}
-
-/* The parts of a prompt are those of its own session. */
-static size_t write_request(char *out, uint32_t number)
-{
-	uint32_t parts = harness_has_trouble() ? PARTS : ORDINARY_PARTS;
-	uint32_t tokens = harness_has_trouble() ? PART_TOKENS : ORDINARY_PART_TOKENS;
-	size_t len = (size_t)snprintf(out, REQUEST_BYTES,
-				      "POST /chat/1 HTTP/1.1\r\nHost: a.example\r\n"
-				      "Attempt-Id: a%06u\r\nDeadline-Ms: 25000\r\n"
-				      "Credential: " KEY "\r\nModel: large\r\n"
-				      "Token-Usage: %u,20\r\nPrompt-Prefix: ",
-				      number, parts * tokens);
-
-	for (uint32_t i = 0; i < parts; i++)
-		len += (size_t)snprintf(out + len, REQUEST_BYTES - len, "%s%x:%u", i > 0 ? "," : "",
-					number * PARTS + i, tokens);
-	len += (size_t)snprintf(out + len, REQUEST_BYTES - len, "\r\nContent-Length: 2\r\n\r\nok");
-	return len;
+		  "{\"Version\":7,\"Routes\":[{\"Name\":\"r1\",\"Host\":\"a.example\","
+		  "\"PathPrefix\":\"/book/\",\"Kind\":\"unsafe\",\"TimeoutMs\":20000,"
+		  "\"TargetLatencyMs\":2000,\"Priority\":2,\"Service\":\"app\",\"MaxAttempts\":1,"
+		  "\"Public\":false}],\"Services\":[{\"Name\":\"app\",\"HealthPath\":\"/health\","
+		  "\"MaxConnections\":110,\"ColdStartS\":0.0,\"ColdPerS\":0.0}],\"Limits\":"
+		  "{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,\"HeaderTimeoutMs\":3000,"
+		  "\"IdleTimeoutMs\":15000},\"Tenants\":[{\"Name\":\"a\",\"ApiKeys\":[\"" KEY
+		  "\"]}]}");
 }
 
-static int ask(void)
+static int connect_as_slow_caller(uint16_t port)
 {
-	struct message answer;
-	char text[REQUEST_BYTES];
-	int status = 0;
-
-	write_request(text, 0);
-	if (call(gateway.caller_port, text, 9000, &answer) == MESSAGE_COMPLETE) {
-		status = answer.status;
-		message_free(&answer);
-	}
-	return status;
+	struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons(port) };
+	int segment = SEGMENT_BYTES;
+	int window = WINDOW_BYTES;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof(segment));
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &window, sizeof(window));
+	if (connect(fd, (struct sockaddr *)&address, sizeof(address)) != 0)
+		harness_give_up("no connection to the gateway");
+	return fd;
 }
 
-/* Number of the next request; 0: it was the last one. */
-static uint32_t next_number(void)
+/* Whether the answer has come to its end: a body of this size with a length, or in chunks. */
+static bool is_answer_complete(const char *text, size_t len)
 {
-	uint32_t number = 0;
-
-	pthread_mutex_lock(&lock);
-	if (sent < REQUESTS && !is_over && now_ms() < LENGTH_MS)
-		number = ++sent;
-	pthread_mutex_unlock(&lock);
-	return number;
+	static const char last_chunk[] = "\r\n0\r\n\r\n";
+	const char *end = strstr(text, "\r\n\r\n");
+	size_t tail = strlen(last_chunk);
+
+	if (!end || len < ANSWER_BYTES)
+		return false;
+	if (strcasestr(text, "Transfer-Encoding: chunked"))
+		return memcmp(text + len - tail, last_chunk, tail) == 0;
+	return len >= (size_t)(end + 4 - text) + ANSWER_BYTES;
 }
 
-/* The platform kills a process that exceeds the memory of its machine. */
-static void check_memory(uint32_t number)
+/* Reads slowly until the answer is complete or the connection ends, and stops the gateway meanwhile. */
+static bool read_answer(int fd, pid_t gateway_pid)
 {
-	uint64_t kb = gateway_memory_kb(&gateway);
-
-	pthread_mutex_lock(&lock);
-	if (kb > peak_kb)
-		peak_kb = kb;
-	if (number % RECORD_EVERY == 0)
-		record("after %u requests the process holds %llu KB", number,
-		       (unsigned long long)kb);
-	if (!is_over && kb > (uint64_t)MEMORY_MB * KB_PER_MB) {
-		is_over = true;
-		record("after %u requests the process holds %llu KB, more than the %d MB of its "
-		       "machine: the platform kills it",
-		       number, (unsigned long long)kb, MEMORY_MB);
-		kill(gateway.pid, SIGKILL);
-	}
-	pthread_mutex_unlock(&lock);
-}
-
-/* One connection: a request, its answer, the next request. */
-static void *send_requests(void *data)
-{
-	struct input input = { .fd = connect_to(gateway.caller_port, 9000) };
-	char text[REQUEST_BYTES];
-	uint32_t number;
-
-	while (input.fd >= 0 && (number = next_number()) > 0) {
-		struct message answer;
-
-		if (!send_all(input.fd, text, write_request(text, number)) ||
-		    message_read(&input, true, &answer) != MESSAGE_COMPLETE)
+	size_t size = ANSWER_BYTES + 65536;
+	char *text = calloc(1, size + 1);
+	uint64_t began_ms = now_ms();
+	uint64_t stopped_ms = 0;
+	size_t len = 0;
+	bool is_complete;
+
+	if (!text)
+		abort();
+	for (;;) {
+		ssize_t got =
+			recv(fd, text + len, size - len < READ_BYTES ? size - len : READ_BYTES, 0);
+
+		if (got <= 0) {
+			record("the connection ended: %s", got == 0 ? "closed" : "reset");
+			break;
+		}
+		len += (size_t)got;
+		if (is_answer_complete(text, len))
 			break;
-		pthread_mutex_lock(&lock);
-		served += answer.status == 200;
-		if (number % RECORD_EVERY == 0)
-			record("request a%06u is answered %d", number, answer.status);
-		pthread_mutex_unlock(&lock);
-		message_free(&answer);
-		if (number % CHECK_EVERY == 0)
-			check_memory(number);
-		sleep_ms(PAUSE_MS);
+		if (harness_has_trouble() && stopped_ms == 0 &&
+		    now_ms() >= began_ms + STOP_AFTER_MS) {
+			stopped_ms = now_ms();
+			record("%zu bytes read; the gateway gets SIGTERM", len);
+			kill(gateway_pid, SIGTERM);
+		}
+		sleep_ms(READ_PAUSE_MS);
 	}
-	if (input.fd >= 0)
-		close(input.fd);
-	free(input.data);
-	return NULL;
+	is_complete = is_answer_complete(text, len);
+	record("the caller has %zu bytes after %.1f s%s", len, (double)(now_ms() - began_ms) / 1000,
+	       is_complete ? ": complete" : ": cut");
+	if (stopped_ms > 0)
+		record("that is %.1f s after SIGTERM; GraceS is %.1f s",
+		       (double)(now_ms() - stopped_ms) / 1000, (double)GRACE_MS / 1000);
+	free(text);
+	return is_complete;
 }
 
 int main(int argc, char **argv)
 {
-	static struct engine engines[ENGINES];
-	static char ids[ENGINES][16];
-	struct gateway_options options = { .memory_mb = MEMORY_MB };
-	pthread_t threads[CONNECTIONS];
-	bool is_broken;
+	static const char request[] = "POST /book/1 HTTP/1.1\r\nHost: a.example\r\n"
+				      "Attempt-Id: a0001\r\nDeadline-Ms: 20000\r\n"
+				      "Credential: " KEY "\r\nContent-Length: 2\r\n\r\nok";
+	static struct engine engine = { .id = "i-1", .service = "app", .run = run };
+	static struct gateway gateway;
+	struct gateway_options options = { .memory_mb = 260 };
+	bool is_complete;
+	int fd;
 
 	harness_open(argc > 1 ? argv[1] : "record.txt");
+	memset(body, 'b', ANSWER_BYTES);
 	options.store_port = store_start();
-	for (int i = 0; i < ENGINES; i++) {
-		snprintf(ids[i], sizeof(ids[i]), "i-%d", i);
-		engines[i] = (struct engine){ .id = ids[i], .service = "llm", .run = run };
-		engine_start(&engines[i]);
-		engine_register(&engines[i], "ready", 1);
-	}
+	engine_start(&engine);
+	engine_register(&engine, "ready", 1);
 	put_config();
 	gateway_start(&gateway, &options);
-	if (ask() != 200)
-		harness_give_up("requests aren't served in calm");
-	for (int i = 0; i < CONNECTIONS; i++) {
-		if (pthread_create(&threads[i], NULL, send_requests, NULL) != 0)
-			abort();
-	}
-	for (int i = 0; i < CONNECTIONS; i++)
-		pthread_join(threads[i], NULL);
-	is_broken = is_over || !gateway_runs(&gateway);
-	record("%u requests sent on %d connections, %u answered 200, at most %llu KB of %d MB",
-	       sent, CONNECTIONS, served, (unsigned long long)peak_kb, MEMORY_MB);
-	record("one more request is answered %d", ask());
-	record("a process of the system %s", is_broken ? "ended" : "stayed within its memory");
-	harness_close(is_broken ? HARNESS_EXIT_BROKEN : HARNESS_EXIT_HELD);
+	fd = connect_as_slow_caller(gateway.caller_port);
+	record("the caller sends request a0001");
+	if (!send_all(fd, request, strlen(request)))
+		harness_give_up("the request can't be sent");
+	is_complete = read_answer(fd, gateway.pid);
+	record("rule LOST %s", is_complete ? "held" : "is broken");
+	harness_close(is_complete ? HARNESS_EXIT_HELD : HARNESS_EXIT_BROKEN);
 }
--- a/review/kit-2/engine.c
+++ b/review/kit-2/engine.c
@@ -1,13 +1,19 @@
 #include "engine.h"
 
+#include <arpa/inet.h>
+#include <errno.h>
 #include <inttypes.h>
+#include <netinet/in.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "store.h"
 
 #define SLOTS 64
+#define BORN UINT64_C(1765000000000)
 
 static bool is_expected(const struct message *request, const struct engine *engine)
 {
@@ -61,9 +67,37 @@
 	free(input.data);
 }
 
+static int start_connecting(uint16_t port)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons(port) };
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	if (connect(fd, (struct sockaddr *)&address, sizeof(address)) != 0 && errno != EINPROGRESS)
+		record("an engine that is silent may still be reached");
+	return fd;
+}
+
 void engine_start(struct engine *engine)
 {
-	engine->port = server_start(serve, engine);
+	engine->listener = server_open(&engine->port, serve, engine);
+}
+
+/* A listener whose queue of new connections is full: nobody answers them. */
+void engine_fall_silent(struct engine *engine)
+{
+	server_close(engine->listener);
+	engine->listener = listen_on(&engine->port, 0);
+	for (int i = 0; i < ENGINE_FILLERS; i++)
+		engine->fillers[i] = start_connecting(engine->port);
+}
+
+void engine_come_back(struct engine *engine)
+{
+	for (int i = 0; i < ENGINE_FILLERS; i++)
+		close(engine->fillers[i]);
+	close(engine->listener);
+	engine_start(engine);
 }
 
 void engine_register(const struct engine *engine, const char *state, uint32_t sequence)
@@ -75,8 +109,9 @@
 	snprintf(value, sizeof(value),
 		 "{\"Service\":\"%s\",\"Address\":\"127.0.0.1:%u\",\"Zone\":\"haarlem\","
 		 "\"Version\":\"v1\",\"Slots\":%d,\"State\":\"%s\",\"ColdRemainingMs\":0,"
-		 "\"Sequence\":%" PRIu32 ",\"born\":1765000000000}",
-		 engine->service, engine->port, SLOTS, state, sequence);
+		 "\"Sequence\":%" PRIu32 ",\"born\":%" PRIu64 "}",
+		 engine->service, engine->port, SLOTS, state, sequence,
+		 engine->born > 0 ? engine->born : BORN);
 	store_put(key, value);
 }
 
--- a/review/kit-2/gateway.c
+++ b/review/kit-2/gateway.c
@@ -22,11 +22,18 @@
 
 static void write_settings(const struct gateway *gateway, const struct gateway_options *options)
 {
-	uint16_t peer_port = free_port();
+	uint16_t peer_port = options->peer_port > 0 ? options->peer_port : free_port();
+	uint32_t address = options->number + 1;
+	char seeds[64];
 	FILE *file = fopen(gateway->settings_path, "w");
 
 	if (!file)
 		harness_give_up("the settings can't be written");
+	if (options->peer_port > 0)
+		snprintf(seeds, sizeof(seeds), "\"127.0.0.1:%u\", \"127.0.0.2:%u\"", peer_port,
+			 peer_port);
+	else
+		snprintf(seeds, sizeof(seeds), "\"127.0.0.1:%u\"", peer_port);
 	fprintf(file,
 		"{\n\"change_applied_ms\": 2000, \"config_applied_ms\": 2000, \"evacuated_ms\": "
 		"5000,\n"
@@ -36,14 +43,14 @@
 		"\"cold_overshoot\": 1.5, \"cold_slack\": 5, \"rollout_share\": 0.15, "
 		"\"rollout_slack\": 30,\n"
 		"\"session_timeout_s\": 5, \"place_by_cost\": true, \"machine_memory_mb\": %" PRIu32
-		",\n\"machine_descriptors\": 4100, \"seeds\": [\"127.0.0.1:%u\"],\n"
+		",\n\"machine_descriptors\": 4100, \"seeds\": [%s],\n"
 		"\"store\": \"127.0.0.1:%u\", \"store_writes_per_s\": 400, \"store_reads_per_s\": "
 		"2000,\n"
-		"\"peer_address\": \"127.0.0.1:%u\", \"metrics_address\": \"127.0.0.1:%u\",\n"
+		"\"peer_address\": \"127.0.0.%u:%u\", \"metrics_address\": \"127.0.0.1:%u\",\n"
 		"\"caller_address\": \"127.0.0.1:%u\", \"readiness_address\": \"127.0.0.1:%u\",\n"
-		"\"failure_domain\": \"haarlem\", \"instance\": \"front-haarlem-1\"\n}\n",
-		options->memory_mb, peer_port, options->store_port, peer_port, free_port(),
-		gateway->caller_port, gateway->readiness_port);
+		"\"failure_domain\": \"haarlem\", \"instance\": \"front-haarlem-%u\"\n}\n",
+		options->memory_mb, seeds, options->store_port, address, peer_port, free_port(),
+		gateway->caller_port, gateway->readiness_port, address);
 	fclose(file);
 }
 
--- a/review/kit-2/gateway.h
+++ b/review/kit-2/gateway.h
@@ -12,6 +12,8 @@
 struct gateway_options {
 	uint16_t store_port;
 	uint32_t memory_mb; /**< of its machine */
+	uint32_t number; /**< from 0 on: instance N has the peer address 127.0.0.(N + 1) */
+	uint16_t peer_port; /**< the same for all gateways; 0: there is only one */
 };
 
 struct gateway {
--- a/review/kit-2/harness.c
+++ b/review/kit-2/harness.c
@@ -19,6 +19,8 @@
 
 #define INPUT_BYTES 65536
 #define BACKLOG 512
+#define BIND_TRIES 50
+#define BIND_PAUSE_MS 5
 #define MS_PER_S 1000
 #define NS_PER_MS 1000000
 
@@ -124,9 +126,20 @@
 	return address;
 }
 
-static int listen_on_free_port(uint16_t *port)
+/* The port of a listener that has just been closed may still be taken for some milliseconds. */
+static bool bind_to(int fd, struct sockaddr_in *address)
 {
-	struct sockaddr_in address = loopback(0);
+	for (int tries = 0; tries < BIND_TRIES; tries++) {
+		if (bind(fd, (struct sockaddr *)address, sizeof(*address)) == 0)
+			return true;
+		sleep_ms(BIND_PAUSE_MS);
+	}
+	return false;
+}
+
+int listen_on(uint16_t *port, int backlog)
+{
+	struct sockaddr_in address = loopback(*port);
 	socklen_t len = sizeof(address);
 	int on = 1;
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -134,8 +147,8 @@
 	if (fd < 0)
 		harness_give_up("no socket");
 	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-	if (bind(fd, (struct sockaddr *)&address, sizeof(address)) != 0 ||
-	    listen(fd, BACKLOG) != 0 || getsockname(fd, (struct sockaddr *)&address, &len) != 0)
+	if (!bind_to(fd, &address) || listen(fd, backlog) != 0 ||
+	    getsockname(fd, (struct sockaddr *)&address, &len) != 0)
 		harness_give_up("no free port");
 	*port = ntohs(address.sin_port);
 	return fd;
@@ -143,8 +156,8 @@
 
 uint16_t free_port(void)
 {
-	uint16_t port;
-	int fd = listen_on_free_port(&port);
+	uint16_t port = 0;
+	int fd = listen_on(&port, BACKLOG);
 
 	close(fd);
 	return port;
@@ -426,8 +439,10 @@
 		int on = 1;
 		int fd = accept4(server->fd, NULL, NULL, SOCK_CLOEXEC);
 
-		if (fd < 0)
+		if (fd < 0 && errno == EINTR)
 			continue;
+		if (fd < 0)
+			break;
 		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 		connection = malloc(sizeof(*connection));
 		if (!connection)
@@ -440,17 +455,31 @@
 	return NULL;
 }
 
-uint16_t server_start(serve_connection serve, void *context)
+int server_open(uint16_t *port, serve_connection serve, void *context)
 {
 	struct server *server = malloc(sizeof(*server));
 	pthread_t thread;
-	uint16_t port;
+	int fd = listen_on(port, BACKLOG);
 
 	if (!server)
 		abort();
-	*server = (struct server){ listen_on_free_port(&port), serve, context };
+	*server = (struct server){ fd, serve, context };
 	if (pthread_create(&thread, NULL, run_server, server) != 0)
 		abort();
 	pthread_detach(thread);
+	return fd;
+}
+
+void server_close(int fd)
+{
+	shutdown(fd, SHUT_RDWR);
+	close(fd);
+}
+
+uint16_t server_start(serve_connection serve, void *context)
+{
+	uint16_t port = 0;
+
+	server_open(&port, serve, context);
 	return port;
 }
--- a/review/kit-2/harness.h
+++ b/review/kit-2/harness.h
@@ -97,6 +97,14 @@
 /** Serves one connection until it ends; the caller closes it. */
 typedef void (*serve_connection)(int fd, void *context);
 
+/** Listens on a port of 127.0.0.1; 0: a free one, which is stored. */
+int listen_on(uint16_t *port, int backlog);
+
+/** Starts a server on a port of 127.0.0.1; 0: a free one, which is stored. server_close() ends it. */
+int server_open(uint16_t *port, serve_connection serve, void *context);
+
+void server_close(int fd);
+
 /** Starts a server on 127.0.0.1 and returns its port. */
 uint16_t server_start(serve_connection serve, void *context);
 
--- a/review/kit-2/store.c
+++ b/review/kit-2/store.c
@@ -139,6 +139,16 @@
 	record("store: %s is written and acknowledged", key);
 }
 
+void store_remove(const char *key)
+{
+	pthread_mutex_lock(&lock);
+	revision++;
+	remove_key(key);
+	pthread_cond_broadcast(&changed);
+	pthread_mutex_unlock(&lock);
+	record("store: %s is removed", key);
+}
+
 static struct json_object *item_json(const struct item *item)
 {
 	struct json_object *json = json_object_new_object();
--- a/review/kit-2/store.h
+++ b/review/kit-2/store.h
@@ -14,4 +14,7 @@
 /** Writes an item as the operator or an engine does; its return is the acknowledgement. */
 void store_put(const char *key, const char *value);
 
+/** Removes an item, as when an engine's entry runs out. */
+void store_remove(const char *key);
+
 #endif
