Answers: an upstream's refusal without its proof isn't passed on

Callers saw: an engine ran an order and answered 503 without stating that it hadn't run it.

Cause: complete answers from 500 on were passed on with their status, whatever that promises; 408 and 429 too, as good answers.

Change: 408, 421, 429 and 503 without the engine's statement are an outcome of their own. The answer is dropped as it comes, the request counts as run, and is tried elsewhere if it may run again; else the caller gets 502 without the engine's seal. Related paths, each with its test: bodies over 1 MB, which are passed on before their end, each framing, each kind of route; dragonflywharfd's calls (also those that run at most once) and chat. Found beside it: a 500 over 1 MB was broken off before its end; it is passed on whole.

Seen red with the programs of: 11 of 11 of UnprovenRefusal and ALongServerError, BrokenUpstreams.ARefusalThatNothingProves.

--- a/include/dragonflywharf/request_policy.h
+++ b/include/dragonflywharf/request_policy.h
@@ -37,6 +37,9 @@
 	DW_ATTEMPT_CUT, /**< the response was truncated */
 	DW_ATTEMPT_INVALID, /**< not a valid response to this request */
 	DW_ATTEMPT_SERVER_ERROR, /**< complete 5xx response */
+	/** A response whose status promises that the request hasn't run, although the upstream didn't state
+	 * that: it may have run. */
+	DW_ATTEMPT_UNPROVEN_REFUSAL,
 	DW_ATTEMPT_DROPPED, /**< the response was discarded in favour of a better one */
 	DW_ATTEMPT_OUTCOME_COUNT
 };
--- a/src/base/error_json.c
+++ b/src/base/error_json.c
@@ -32,6 +32,19 @@
 	return (unsigned int)status < DW_STATUS_COUNT ? http_statuses[status] : 500;
 }
 
+bool error_status_is_refusal(int http_status)
+{
+	switch (http_status) {
+	case 408:
+	case 421:
+	case 429:
+	case 503:
+		return true;
+	default:
+		return false;
+	}
+}
+
 char *error_json(enum dw_status status, enum not_run not_run, const char *message)
 {
 	struct json_object *root = json_object_new_object();
--- a/src/base/error_json.h
+++ b/src/base/error_json.h
@@ -5,6 +5,8 @@
 #ifndef WHARF_BASE_ERROR_JSON_H
 #define WHARF_BASE_ERROR_JSON_H
 
+#include <stdbool.h>
+
 #include <dragonflywharf/status.h>
 
 #ifdef __cplusplus
@@ -21,6 +23,10 @@
 /** Returns the HTTP status for @p status; 500 for an invalid value. */
 int error_http_status(enum dw_status status);
 
+/** Whether callers take the status for a promise that the request hasn't run and won't, so that they may send
+ * it again: 408, 421, 429, 503. */
+bool error_status_is_refusal(int http_status);
+
 /** Formats the error as a JSON string, which the caller frees. Aborts if out of memory. */
 char *error_json(enum dw_status status, enum not_run not_run, const char *message);
 
--- a/src/core/request_policy.c
+++ b/src/core/request_policy.c
@@ -20,6 +20,7 @@
 	[DW_ATTEMPT_CUT] = "cut",
 	[DW_ATTEMPT_INVALID] = "invalid",
 	[DW_ATTEMPT_SERVER_ERROR] = "server_error",
+	[DW_ATTEMPT_UNPROVEN_REFUSAL] = "unproven_refusal",
 	[DW_ATTEMPT_DROPPED] = "dropped",
 };
 
@@ -103,6 +104,7 @@
 	case DW_ATTEMPT_CUT:
 	case DW_ATTEMPT_INVALID:
 	case DW_ATTEMPT_SERVER_ERROR:
+	case DW_ATTEMPT_UNPROVEN_REFUSAL:
 	case DW_ATTEMPT_DROPPED:
 	case DW_ATTEMPT_OUTCOME_COUNT:
 		break;
@@ -110,7 +112,7 @@
 	if (may_retry && can_continue && (has_not_run || policy->is_idempotent) &&
 	    dw_request_policy_may_send(policy, now_us))
 		return DW_POLICY_SEND_AGAIN;
-	if (outcome == DW_ATTEMPT_SERVER_ERROR && !policy->has_response_started)
+	if (outcome == DW_ATTEMPT_SERVER_ERROR && !policy->is_stream_started)
 		return DW_POLICY_PASS_ON;
 	return dw_request_policy_give_up(policy, now_us);
 }
--- a/src/dragonflywharfd/chat_request.c
+++ b/src/dragonflywharfd/chat_request.c
@@ -324,7 +324,7 @@
 
 static bool is_refusal(int http_status)
 {
-	return http_status >= 400 && http_status < 500 && http_status != 408 && http_status != 429;
+	return http_status >= 400 && http_status < 500 && !error_status_is_refusal(http_status);
 }
 
 static void on_attempt_end(const struct attempt_end *end, void *owner)
--- a/src/dragonflywharfd/service_request.c
+++ b/src/dragonflywharfd/service_request.c
@@ -289,8 +289,10 @@
 		.body = end->body,
 		.body_bytes = (uint32_t)end->body_len,
 	};
-	bool complete_answer =
-		end->status == DW_OK && is_complete(end) && !end->may_be_earlier_refusal;
+	/* The call may have run, whatever the status of its answer promises. */
+	bool complete_answer = end->status == DW_OK && is_complete(end) &&
+			       !end->may_be_earlier_refusal &&
+			       !error_status_is_refusal(end->http_status);
 
 	request->may_have_run = true;
 	if (complete_answer)
@@ -321,7 +323,8 @@
 {
 	struct service_request *request = owner;
 	bool succeeded = end->status == DW_OK && is_complete(end) &&
-			 (request->at_most_once || end->http_status < 500);
+			 (request->at_most_once || end->http_status < 500) &&
+			 !error_status_is_refusal(end->http_status);
 
 	request->pending++;
 	request->attempt = NULL;
--- a/src/wharf-gateway/exchange_answer.c
+++ b/src/wharf-gateway/exchange_answer.c
@@ -200,6 +200,7 @@
 	exchange->is_continuation_due = false;
 	exchange->answer.status = head->status;
 	exchange->answer.is_stream = is_stream;
+	exchange->answer.is_unproven_refusal = fields->has_refusal_status;
 	exchange->answer.has_no_body = head->has_no_body;
 	exchange->answer.length = (size_t)head->content_length;
 	exchange->answer.confidence = fields->confidence;
@@ -236,6 +237,10 @@
 
 	if (exchange->answer.began_at_us == 0)
 		exchange->answer.began_at_us = dw_clock_now_us();
+	if (exchange->answer.is_unproven_refusal) {
+		exchange_silence_restart(exchange);
+		return true;
+	}
 	if (!exchange->answer.is_stream) {
 		bytes_put(&exchange->buffered_body, bytes, len);
 		if (exchange->buffered_body.len > MAX_BUFFERED_BODY_BYTES ||
@@ -271,6 +276,10 @@
 	struct exchange *exchange = owner;
 
 	exchange->attempt = NULL;
+	if (exchange->answer.is_unproven_refusal) {
+		exchange->listener->on_attempt_failed(exchange, DW_ATTEMPT_UNPROVEN_REFUSAL);
+		return;
+	}
 	if (exchange->answer.status >= 500) {
 		exchange->listener->on_attempt_failed(exchange, DW_ATTEMPT_SERVER_ERROR);
 		return;
@@ -300,12 +309,15 @@
 	exchange->listener->on_attempt_failed(exchange, outcome);
 }
 
-/* Silence and an engine's own timeout (504) aren't counted, as load causes them too. */
+/* Silence and an engine's own timeout (408, 504) aren't counted, as load causes them too. */
 bool exchange_counts_as_version_failure(const struct exchange *exchange,
 					enum dw_attempt_outcome outcome)
 {
+	uint16_t status = exchange->answer.status;
+
 	return outcome == DW_ATTEMPT_CUT || outcome == DW_ATTEMPT_INVALID ||
-	       (outcome == DW_ATTEMPT_SERVER_ERROR && exchange->answer.status != 504);
+	       (outcome == DW_ATTEMPT_SERVER_ERROR && status != 504) ||
+	       (outcome == DW_ATTEMPT_UNPROVEN_REFUSAL && status != 408);
 }
 
 const struct attempt_callbacks exchange_attempt_callbacks = { on_answer_head, on_answer_body,
--- a/src/wharf-gateway/exchange_state.h
+++ b/src/wharf-gateway/exchange_state.h
@@ -82,6 +82,9 @@
 		char type[64]; /**< its content type, cut to this length */
 		bool is_stream;
 		bool has_no_body; /**< it ends after its head */
+		/** Its status would promise the caller that the request hasn't run, but the request may have run:
+		 * the answer isn't passed on. */
+		bool is_unproven_refusal;
 		size_t length; /**< as the engine stated it; valid with has_no_body */
 		/** Once complete, the answer shows that the engine has run the request and still ran
 		 * afterwards: it is signed, and the engine's end wouldn't have completed it too. */
--- a/tests/process_broken_answers_test.cc
+++ b/tests/process_broken_answers_test.cc
@@ -325,6 +325,81 @@
 	EXPECT_NE(got.find("Content-Length: 0\r\n"), std::string::npos) << got;
 }
 
+/* How an engine sends a refusal without saying that it hasn't run the request. */
+struct Refusal {
+	const char *status;
+	const char *framing; /* length, chunked, close, none */
+	size_t body_bytes;
+};
+
+struct UnprovenRefusal : BrokenAnswers, testing::WithParamInterface<Refusal> {
+	static std::string answer(const Refusal &kind, const std::string &request)
+	{
+		const std::string body(kind.body_bytes, 'x');
+		const std::string framing = kind.framing;
+		if (framing == "length")
+			return answer_with_length(kind.status, request, body);
+		if (framing == "chunked")
+			return answer_head(kind.status, request, "Transfer-Encoding: chunked\r\n") +
+			       chunk(body) + "0\r\n\r\n";
+		return answer_head(kind.status, request) + body;
+	}
+};
+
+/* Guards against an engine's 503, 429 or 408 that reaches the caller of a request which has run: these promise
+ * that it hasn't, so the caller sends it again and it runs twice. On each kind of route. */
+TEST_P(UnprovenRefusal, IsNoPromiseToTheCaller)
+{
+	const Refusal kind = GetParam();
+	std::mutex mutex;
+	std::map<std::string, int> runs; /* by path */
+	start(3, [&](raw_connection &connection, const std::string &request) {
+		std::string path = request.substr(request.find('/'));
+		{
+			std::lock_guard<std::mutex> lock(mutex);
+			runs[path.substr(0, path.find(' '))]++;
+		}
+		connection.send(answer(kind, request));
+		if (std::string(kind.framing) == "close")
+			connection.close();
+	});
+	for (const char *path : { "/book/1", "/chat/1", "/look/1" }) {
+		http_answer got = call("POST", path);
+		EXPECT_EQ(got.status, 502) << path;
+		EXPECT_TRUE(got.whole) << path;
+		EXPECT_EQ(got.headers.count("response-seal"), 0U) << path;
+		EXPECT_EQ(got.headers.count("retry-after"), 0U) << path;
+		EXPECT_NE(got.body.find("\"not_run\":false"), std::string::npos) << got.body;
+	}
+	EXPECT_EQ(runs["/book/1"], 1);
+	EXPECT_GE(runs["/look/1"], 2) << "a request that may run again is tried elsewhere";
+}
+
+INSTANTIATE_TEST_SUITE_P(Statuses, UnprovenRefusal,
+			 testing::Values(Refusal{ "503 Service Unavailable", "length", 20 },
+					 Refusal{ "503 Service Unavailable", "length", 0 },
+					 Refusal{ "503 Service Unavailable", "length", 3000000 },
+					 Refusal{ "503 Service Unavailable", "chunked", 3000000 },
+					 Refusal{ "503 Service Unavailable", "close", 20 },
+					 Refusal{ "429 Too Many Requests", "length", 20 },
+					 Refusal{ "429 Too Many Requests", "chunked", 3000000 },
+					 Refusal{ "429 Too Many Requests", "close", 20 },
+					 Refusal{ "408 Request Timeout", "length", 20 },
+					 Refusal{ "408 Request Timeout", "chunked", 3000000 }));
+
+/* Guards against a whole error of an engine that is broken off because it is long. */
+TEST_F(BrokenAnswers, ALongServerErrorIsPassedOnWhole)
+{
+	const std::string body(3000000, 'x');
+	start(1, [&](raw_connection &connection, const std::string &request) {
+		connection.send(answer_with_length("500 Internal Server Error", request, body));
+	});
+	http_answer got = call("POST", "/book/1");
+	EXPECT_EQ(got.status, 500);
+	EXPECT_TRUE(got.whole);
+	EXPECT_EQ(got.body.size(), body.size());
+}
+
 /* An engine that writes its last refusal once more when the next request comes on the connection, which it
  * runs all the same. */
 struct Refusals : BrokenAnswers {
--- a/tests/process_broken_upstreams_test.cc
+++ b/tests/process_broken_upstreams_test.cc
@@ -255,6 +255,39 @@
 	}
 }
 
+/* Guards against a status that promises that a call hasn't run, passed on from an upstream that has run it. */
+TEST_F(BrokenUpstreams, ARefusalThatNothingProvesIsNoPromiseToTheCaller)
+{
+	std::atomic<const char *> status{ "" };
+	std::mutex mutex;
+	std::map<std::string, int> runs; /* by idempotency key */
+	start(2, [&](raw_connection &connection, const std::string &request) {
+		if (!is_call(request)) {
+			connection.send(with_length("200 OK", request, "{}"));
+			return;
+		}
+		{
+			std::lock_guard<std::mutex> lock(mutex);
+			runs[field_of(request, "idempotency-key")]++;
+		}
+		connection.send(with_length(status.load(), request, "{\"full\":1}"));
+	});
+	for (const char *each : { "503 Full", "429 Full", "408 Late", "421 Elsewhere" }) {
+		status = each;
+		std::string key = std::string(each).substr(0, 3);
+		http_answer once = c.service(*entry, "mill", "desk/call", "{}",
+					     { { "idempotency-key", key } });
+		http_answer repeatable = c.service(*entry, "mill", "desk/look", "{}");
+		http_answer chat = ask(key, false);
+		for (const http_answer &got : { once, repeatable, chat }) {
+			EXPECT_EQ(got.status, 502) << each << ": " << got.body;
+			EXPECT_NE(got.body.find("\"not_run\":false"), std::string::npos)
+				<< each << ": " << got.body;
+		}
+		EXPECT_EQ(runs[key], 1) << each;
+	}
+}
+
 /* Guards against a refusal that an upstream writes once more, and that is taken for the answer to a call
  * which runs: with its id, and without one. */
 TEST_F(BrokenUpstreams, ARefusalThatComesOnceMoreIsNotTakenForTheNextCalls)
--- a/tests/request_policy_test.cc
+++ b/tests/request_policy_test.cc
@@ -56,6 +56,36 @@
 		  DW_POLICY_PASS_ON);
 }
 
+/* Guards against a 503 that is passed on, with its promise, although the upstream has run the request. */
+TEST(RequestPolicy, ARefusalThatNothingProvesIsNeitherPassedOnNorGivenAsOnesOwn)
+{
+	for (int kind = 0; kind < DW_ROUTE_KIND_COUNT; kind++) {
+		for (bool resumable : { false, true }) {
+			dw_request_policy policy = policy_of((dw_route_kind)kind, resumable, 2);
+			dw_policy_verdict verdict = DW_POLICY_SEND_AGAIN;
+			uint32_t sends = 0;
+			while (verdict == DW_POLICY_SEND_AGAIN) {
+				dw_request_policy_sent(&policy);
+				sends++;
+				verdict = dw_request_policy_ended(
+					&policy, DW_ATTEMPT_UNPROVEN_REFUSAL, true, MS);
+			}
+			EXPECT_EQ(verdict, DW_POLICY_FAIL);
+			EXPECT_EQ(sends, policy.is_idempotent ? 2U : 1U);
+		}
+	}
+}
+
+/* Guards against a server error that is broken off before its end because part of it was passed on. */
+TEST(RequestPolicy, AServerErrorThatHasStartedIsPassedOnToItsEnd)
+{
+	dw_request_policy policy = policy_of(DW_ROUTE_UNSAFE, false, 1);
+	dw_request_policy_sent(&policy);
+	policy.has_response_started = true;
+	EXPECT_EQ(dw_request_policy_ended(&policy, DW_ATTEMPT_SERVER_ERROR, true, MS),
+		  DW_POLICY_PASS_ON);
+}
+
 TEST(RequestPolicy, NoRetryWithoutBudget)
 {
 	dw_request_policy policy = policy_of(DW_ROUTE_SAFE, false, 3);
