Configuration: keys are needed also when no organisation is left

Cause: whether keys are needed was derived from the list of organisations, so an empty list counted as no list.

Change: the field itself decides, whatever its value, as a property of the catalogue. The same cause on a related path: an engine's entry with an empty list of models counted as one that serves any model; it serves none.

--- a/include/dragonflywharf/catalog.h
+++ b/include/dragonflywharf/catalog.h
@@ -122,7 +122,9 @@
 /** Returns the organisation that the key belongs to; NULL if the key is unknown. */
 const struct dw_organisation_rule *dw_catalog_key_owner(const struct dw_catalog *catalog,
 							const char *key);
-/** True if an organisation is configured; requests to non-public routes then need a key. */
+/** Requests to non-public routes need a key, also while no organisation is left that has one. */
+void dw_catalog_require_keys(struct dw_catalog *catalog);
+/** True after dw_catalog_require_keys() or if an organisation was added. */
 bool dw_catalog_needs_keys(const struct dw_catalog *catalog);
 size_t dw_catalog_route_count(const struct dw_catalog *catalog);
 
--- a/include/dragonflywharf/engine.h
+++ b/include/dragonflywharf/engine.h
@@ -32,7 +32,8 @@
 	bool is_draining;
 	uint32_t cold_remaining_ms;
 	uint64_t started_at_ms; /**< distinguishes restarts under the same id; 0: unknown */
-	char models[DW_ENGINE_MODELS_MAX][DW_ENGINE_TEXT_BYTES]; /**< served; none: all */
+	bool lists_models; /**< it serves only the models that it lists; else any */
+	char models[DW_ENGINE_MODELS_MAX][DW_ENGINE_TEXT_BYTES];
 	uint32_t model_count;
 };
 
--- a/src/core/catalog.c
+++ b/src/core/catalog.c
@@ -43,6 +43,7 @@
 	struct service *services;
 	struct organisation *organisations;
 	struct key *keys;
+	bool needs_keys;
 	struct string *strings;
 };
 
@@ -216,6 +217,7 @@
 	added->rule.name = copy_string(catalog, organisation->name);
 	added->next = catalog->organisations;
 	catalog->organisations = added;
+	catalog->needs_keys = true;
 	return DW_OK;
 }
 
@@ -286,9 +288,14 @@
 	return found ? found->public.owner : NULL;
 }
 
+void dw_catalog_require_keys(struct dw_catalog *catalog)
+{
+	catalog->needs_keys = true;
+}
+
 bool dw_catalog_needs_keys(const struct dw_catalog *catalog)
 {
-	return catalog->organisations != NULL;
+	return catalog->needs_keys;
 }
 
 size_t dw_catalog_route_count(const struct dw_catalog *catalog)
--- a/src/core/engine.c
+++ b/src/core/engine.c
@@ -224,7 +224,7 @@
 		if (strcmp(engine->entry.models[i], model) == 0)
 			return true;
 	}
-	return engine->entry.model_count == 0;
+	return !engine->entry.lists_models;
 }
 
 uint32_t dw_engine_sends_last_second(const struct dw_engine *engine, uint64_t now_us)
--- a/tests/catalog_test.cc
+++ b/tests/catalog_test.cc
@@ -82,6 +82,14 @@
 	EXPECT_EQ(dw_catalog_key_owner(catalog, "k2"), nullptr);
 }
 
+/* Guards against a configuration whose list of organisations is empty, and that asks for no key. */
+TEST_F(Catalog, NeedsKeysWithoutAnyOrganisationIfAskedTo)
+{
+	dw_catalog_require_keys(catalog);
+	EXPECT_TRUE(dw_catalog_needs_keys(catalog));
+	EXPECT_EQ(dw_catalog_key_owner(catalog, ""), nullptr);
+}
+
 TEST_F(Catalog, SplitsRequestsByWeight)
 {
 	dw_route_rule rule = route("r", "h", "/x/");
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -125,6 +125,43 @@
 	dw_catalog_release(catalog);
 }
 
+/* Guards against an empty list that is read as no list: keys were asked for only while one was left. */
+TEST(Records, AnEmptyListOfOrganisationsNeedsKeys)
+{
+	const std::string organisations = R"([{"Name":"t","ApiKeys":["k1","k2"],"Priority":2}])";
+	const std::vector<std::pair<std::string, bool>> rows = {
+		{ with_replacement(CONFIG_RECORD, organisations, "[]"), true },
+		{ with_replacement(CONFIG_RECORD, organisations, "null"), true },
+		{ with_replacement(CONFIG_RECORD, R"(,"Tenants":)" + organisations), false },
+	};
+	for (const auto &[text, needs_keys] : rows) {
+		dw_catalog *catalog = nullptr;
+		ASSERT_EQ(record_read_config(text.data(), text.size(), &catalog), DW_OK) << text;
+		EXPECT_EQ(dw_catalog_needs_keys(catalog), needs_keys) << text;
+		dw_catalog_release(catalog);
+	}
+}
+
+/* The same for an engine that lists no model: it serves none, and gets no request for one. */
+TEST(Records, AnEngineWithAnEmptyListOfModelsServesNone)
+{
+	const std::string models = R"([{"Name":"small","Version":1},{"Name":"large","Version":1}])";
+	const std::vector<std::pair<std::string, bool>> rows = {
+		{ ENGINE_RECORD, true },
+		{ with_replacement(ENGINE_RECORD, models, "[]"), false },
+		{ with_replacement(ENGINE_RECORD, R"(,"Models":)" + models), true },
+	};
+	for (const auto &[text, has_model] : rows) {
+		dw_engine_set *set = dw_engine_set_new();
+		dw_engine_entry entry{};
+		ASSERT_EQ(read_engine(text, &entry), DW_OK) << text;
+		dw_engine_set_put(set, &entry, 1);
+		EXPECT_EQ(dw_engine_has_model(dw_engine_set_find(set, "e1"), "large"), has_model)
+			<< text;
+		dw_engine_set_free(set);
+	}
+}
+
 TEST(Records, RejectsMalformedConfiguration)
 {
 	const std::vector<std::string> malformed = {
