Crash guard: engines that fall silent and come back as another lifetime have ended

Cause: the connection breaks when the next lifetime is at the address, and nothing connects it with the one before. A reset after the old entry's removal was ignored, as an engine without an entry counted as one that leaves; before it, the probe took the next lifetime for the old one; runs that were given up counted for a second only; an entry with another id at the same address was no sign.

Change: an entry at the address of an earlier lifetime of its service shows that this one has ended. A run that was given up or lost counts if its engine showed no life after it, up to 8 s; a connection accepted less than 3 s before the next lifetime is known shows nothing. Checks that end because connections are accepted keep their runs. Only engines that said so, or work on without an entry, leave. dragonflywharfd forgot runs that were given up in the same way, and has the same rule.

Ruled out: late news, and clearing by a run that ended well. Not to be taken for crashes, each with its test: engines that were cut off, engines that leave without saying so, runs that their engine has outlived.

--- a/include/dragonflywharf/engine.h
+++ b/include/dragonflywharf/engine.h
@@ -85,6 +85,12 @@
 	uint64_t suspect_key; /**< of these, see engine_choice.h */
 	uint32_t sent_since_load; /**< requests sent since the last load report */
 	uint64_t last_byte_at_us; /**< time of the latest response byte; 0: never */
+	uint64_t alive_at_us; /**< when this lifetime last answered here; 0: never */
+	/** When a connection to its address was last accepted, by this lifetime or the next; 0: never */
+	uint64_t accepted_at_us;
+	uint64_t removed_at_us; /**< when its entry was removed; 0: it is there */
+	/** When a later lifetime of its service was first seen at its address; 0: not yet */
+	uint64_t replaced_at_us;
 	uint32_t consecutive_failures;
 	uint64_t ejected_until_us; /**< not selected until then because of failures */
 	uint32_t failure_permille; /**< moving average of the failure rate */
--- a/src/core/abandoned_runs.c
+++ b/src/core/abandoned_runs.c
@@ -40,14 +40,21 @@
 }
 
 /* Whether the upstream may have ended under the run. */
-static bool counts(const struct dw_abandoned_run *run, uint64_t ended_at_us)
+static bool counts(const struct dw_abandoned_run *run, const struct dw_upstream_end *end)
 {
-	return run->sent_at_us <= ended_at_us &&
-	       ended_at_us <= run->abandoned_at_us + DW_ABANDONED_RUN_COUNTS_US;
+	uint64_t counts_until_us = run->abandoned_at_us + DW_ABANDONED_RUN_COUNTS_US;
+
+	if (run->sent_at_us > end->ended_at_us)
+		return false;
+	if (end->ended_at_us <= counts_until_us)
+		return true;
+	return end->alive_at_us < counts_until_us &&
+	       end->ended_at_us <= run->abandoned_at_us + DW_ABANDONED_RUN_SILENT_US;
 }
 
 uint32_t dw_abandoned_runs_take(struct dw_abandoned_runs *runs, struct dw_crash_upstream upstream,
-				uint64_t ended_at_us, struct dw_crash_run *out, uint32_t max)
+				const struct dw_upstream_end *end, struct dw_crash_run *out,
+				uint32_t max)
 {
 	uint32_t count = 0;
 
@@ -57,7 +64,7 @@
 
 		if (!is_at(run, upstream))
 			continue;
-		if (counts(run, ended_at_us) && count < max)
+		if (counts(run, end) && count < max)
 			out[count++] = (struct dw_crash_run){ run->request, true, runs->parts[at] };
 		remove_run(run);
 	}
--- a/src/core/engine.c
+++ b/src/core/engine.c
@@ -106,6 +106,9 @@
 	engine->says_it_leaves = false;
 	engine->paused_until_us = 0;
 	engine->limit = 0;
+	engine->alive_at_us = 0;
+	engine->accepted_at_us = 0;
+	engine->replaced_at_us = 0;
 	if (engine->cache)
 		dw_prefix_cache_clear(engine->cache);
 }
@@ -141,6 +144,7 @@
 	}
 	engine->entry = *entry;
 	engine->state = state;
+	engine->removed_at_us = 0;
 	if (entry->cold_remaining_ms > 0)
 		dw_engine_cold_start_reported(engine, entry->cold_remaining_ms, now_us);
 	return change;
@@ -153,6 +157,7 @@
 
 	if (!engine || engine->state == DW_ENGINE_GONE)
 		return engine;
+	engine->removed_at_us = now_us;
 	if (engine->state == DW_ENGINE_READY && usable_until_us > now_us) {
 		engine->state = DW_ENGINE_MISSING;
 		engine->missing_until_us = usable_until_us;
--- a/src/dragonflywharfd/upstream_table.c
+++ b/src/dragonflywharfd/upstream_table.c
@@ -123,7 +123,11 @@
 	struct dw_crash_upstream crashed = { upstream->id, crashed_incarnation };
 	struct dw_crash_run runs[UPSTREAM_LOST_REQUESTS_MAX];
 	uint64_t now_us = dw_clock_now_us();
-	uint32_t count = dw_abandoned_runs_take(&table->abandoned, crashed, now_us, runs,
+	struct dw_upstream_end end = {
+		.alive_at_us = upstream->alive_at_us,
+		.ended_at_us = now_us,
+	};
+	uint32_t count = dw_abandoned_runs_take(&table->abandoned, crashed, &end, runs,
 						UPSTREAM_LOST_REQUESTS_MAX);
 
 	for (uint32_t i = 0; i < count; i++) {
@@ -275,6 +279,7 @@
 			record_crash(table, upstream, previous_incarnation);
 		gossip_warmup_evidence(table, upstream);
 	}
+	upstream->alive_at_us = dw_clock_now_us();
 	publish_cold_state(table, upstream);
 }
 
@@ -309,8 +314,10 @@
 		return;
 	previous_incarnation = upstream->warmup.incarnation;
 	dw_warmup_merge(&upstream->warmup, evidence, upstream->cold_period_us, dw_clock_now_us());
-	if (previous_incarnation != 0 && upstream->warmup.incarnation != previous_incarnation)
+	if (previous_incarnation != 0 && upstream->warmup.incarnation != previous_incarnation) {
 		record_crash(table, upstream, previous_incarnation);
+		upstream->alive_at_us = 0;
+	}
 	publish_cold_state(table, upstream);
 }
 
--- a/src/dragonflywharfd/upstream_table.h
+++ b/src/dragonflywharfd/upstream_table.h
@@ -51,6 +51,7 @@
 	uint64_t next_report_at_us; /**< when to fetch the next load report */
 	/** When its warm state was last invalidated; only a report requested later restores it. */
 	uint64_t invalidated_at_us;
+	uint64_t alive_at_us; /**< when this incarnation last showed life here; 0: never */
 	bool report_in_flight; /**< a load report is being fetched */
 	UT_hash_handle hh;
 };
--- a/src/wharf-gateway/attempt.c
+++ b/src/wharf-gateway/attempt.c
@@ -225,6 +225,8 @@
 	struct response_fields fields;
 
 	response_fields_read(head, &fields);
+	if (!fields.is_wrong_engine)
+		attempt->engine->alive_at_us = dw_clock_now_us();
 	record_engine_state(attempt, &fields);
 	attempt->status = head->status;
 	if (fields.is_wrong_engine || fields.is_not_executed) {
@@ -264,6 +266,7 @@
 	if (attempt->answer_kind != ANSWER_THIS_REQUEST)
 		return true;
 	attempt->engine->last_byte_at_us = dw_clock_now_us();
+	attempt->engine->alive_at_us = attempt->engine->last_byte_at_us;
 	return attempt->callbacks->on_body(attempt->owner, bytes, len);
 }
 
@@ -297,7 +300,8 @@
 				 attempt->sent_at_us);
 	else if (connection == ATTEMPT_CONNECTION_CLOSED &&
 		 (outcome == DW_ATTEMPT_NO_ANSWER || outcome == DW_ATTEMPT_CUT))
-		crash_guard_connection_lost(guard, attempt->engine, &attempt->run);
+		crash_guard_connection_lost(guard, attempt->engine, &attempt->run,
+					    attempt->sent_at_us);
 	else if (outcome == DW_ATTEMPT_NO_ANSWER || outcome == DW_ATTEMPT_CUT ||
 		 outcome == DW_ATTEMPT_INVALID)
 		record_abandonment(attempt, connection == ATTEMPT_CONNECTION_SILENT
--- a/src/wharf-gateway/crash_guard.c
+++ b/src/wharf-gateway/crash_guard.c
@@ -15,6 +15,8 @@
  * reason of their own, are known by then. */
 #define SETTLE_US (30 * DW_US_PER_MS)
 #define LIFETIME_US (QUARANTINE_LIFETIME_S * DW_US_PER_S)
+/* The entry of a new lifetime comes so long after the lifetime accepts connections, at the latest. */
+#define REGISTRATION_US (3 * DW_US_PER_S)
 #define OWN "own"
 #define STORE "store"
 
@@ -56,14 +58,38 @@
 }
 
 static void check_abandoned(struct crash_guard *guard, const struct dw_engine *engine,
-			    uint64_t ended_at_us);
+			    enum dw_crash_sign sign, uint64_t ended_at_us);
 static void apply_sign(struct crash_guard *guard, const struct dw_engine *engine,
 		       enum dw_crash_sign sign, uint64_t since_us);
 
-static bool is_leaving(const struct dw_engine *engine)
+static bool has_said_it_leaves(const struct dw_engine *engine)
 {
-	return engine->state == DW_ENGINE_DRAINING || engine->state == DW_ENGINE_GONE ||
-	       engine->says_it_leaves;
+	return engine->entry.is_draining || engine->says_it_leaves;
+}
+
+/* The entry of an engine is removed when it has fallen silent, and also when it leaves without saying so: then
+ * it works on for a while. */
+static bool works_without_entry(const struct dw_engine *engine)
+{
+	return engine->state == DW_ENGINE_GONE && engine->alive_at_us > engine->removed_at_us;
+}
+
+static bool has_next_lifetime(const struct dw_engine *engine, enum dw_crash_sign sign)
+{
+	return sign == DW_CRASH_SIGN_RESTARTED || sign == DW_CRASH_SIGN_TOLD ||
+	       engine->replaced_at_us > 0;
+}
+
+/* Whether the sign shows that the engine has crashed, so that runs count that were given up. Without an entry, an
+ * engine that is only refused has left as likely as not. */
+static bool shows_crash(const struct dw_engine *engine, enum dw_crash_sign sign)
+{
+	if (has_said_it_leaves(engine) || works_without_entry(engine))
+		return false;
+	if (engine->state == DW_ENGINE_GONE)
+		return has_next_lifetime(engine, sign);
+	return sign == DW_CRASH_SIGN_REFUSED || sign == DW_CRASH_SIGN_REPLACED ||
+	       sign == DW_CRASH_SIGN_RESTARTED || sign == DW_CRASH_SIGN_TOLD;
 }
 
 static bool runs_here(const struct crash_guard *guard, struct dw_fingerprint suspect)
@@ -207,9 +233,9 @@
 	uint64_t age_us =
 		evidence->remaining_us < LIFETIME_US ? LIFETIME_US - evidence->remaining_us : 0;
 
-	if (is_leaving(engine))
+	if (!shows_crash(engine, DW_CRASH_SIGN_TOLD))
 		return;
-	check_abandoned(guard, engine, now_us - age_us);
+	check_abandoned(guard, engine, DW_CRASH_SIGN_TOLD, now_us - age_us);
 	apply_sign(guard, engine, DW_CRASH_SIGN_TOLD, now_us);
 }
 
@@ -361,22 +387,31 @@
 		DW_INT("waited_ms", (dw_clock_now_us() - requests->lost_at_us) / DW_US_PER_MS));
 }
 
-/* Whether the sign shows that the engine has just crashed, so that runs count that were given up. The
- * entry of an engine is also removed when it leaves without saying so, or can't reach the store. */
-static bool shows_crash(enum dw_crash_sign sign)
+/* When the engine's lifetime last showed life. Connections that were accepted shortly before the next one is
+ * known may have been accepted by that. */
+static uint64_t alive_at_us(const struct dw_engine *engine, enum dw_crash_sign sign,
+			    uint64_t now_us)
 {
-	return sign == DW_CRASH_SIGN_REFUSED || sign == DW_CRASH_SIGN_REPLACED ||
-	       sign == DW_CRASH_SIGN_RESTARTED || sign == DW_CRASH_SIGN_TOLD;
+	bool is_certain =
+		sign == DW_CRASH_SIGN_REFUSED || engine->accepted_at_us + REGISTRATION_US < now_us;
+
+	if (is_certain && engine->accepted_at_us > engine->alive_at_us)
+		return engine->accepted_at_us;
+	return engine->alive_at_us;
 }
 
-/* The engine ended at @p ended_at_us: adds the runs that were given up shortly before to its check. */
+/* The engine had ended by @p ended_at_us: adds the runs that were given up before to its check. */
 static void check_abandoned(struct crash_guard *guard, const struct dw_engine *engine,
-			    uint64_t ended_at_us)
+			    enum dw_crash_sign sign, uint64_t ended_at_us)
 {
+	struct dw_upstream_end end = {
+		.alive_at_us = alive_at_us(engine, sign, dw_clock_now_us()),
+		.ended_at_us = ended_at_us,
+	};
 	struct dw_crash_run runs[DW_CRASH_CHECK_REQUESTS_MAX];
 	struct dw_crash_requests late;
-	uint32_t count = dw_abandoned_runs_take(&guard->abandoned, upstream_of(engine), ended_at_us,
-						runs, DW_CRASH_CHECK_REQUESTS_MAX);
+	uint32_t count = dw_abandoned_runs_take(&guard->abandoned, upstream_of(engine), &end, runs,
+						DW_CRASH_CHECK_REQUESTS_MAX);
 
 	for (uint32_t i = 0; i < count; i++) {
 		if (dw_crash_checks_lost(guard->checks, upstream_of(engine), &runs[i], ended_at_us,
@@ -385,6 +420,22 @@
 	}
 }
 
+/* Keeps runs for which a connection was lost, in case that their engine turns out to have ended. */
+static void keep_lost(struct crash_guard *guard, const struct dw_engine *engine,
+		      const struct dw_crash_requests *requests)
+{
+	for (uint32_t i = 0; i < requests->count; i++) {
+		struct dw_abandoned_run lost = {
+			.upstream = upstream_of(engine),
+			.request = requests->items[i].request,
+			.sent_at_us = requests->lost_at_us,
+			.abandoned_at_us = requests->lost_at_us,
+		};
+
+		dw_abandoned_runs_add(&guard->abandoned, &lost, &requests->items[i].parts);
+	}
+}
+
 static void apply_sign(struct crash_guard *guard, const struct dw_engine *engine,
 		       enum dw_crash_sign sign, uint64_t since_us)
 {
@@ -399,6 +450,8 @@
 	case DW_CRASH_ALIVE:
 		if (requests.had_ended)
 			withdraw_crashes(guard, engine, &requests);
+		else if (sign == DW_CRASH_SIGN_CONNECTED)
+			keep_lost(guard, engine, &requests);
 		break;
 	case DW_CRASH_OPEN:
 	case DW_CRASH_VERDICT_COUNT:
@@ -409,16 +462,24 @@
 void crash_guard_sign(struct crash_guard *guard, const struct dw_engine *engine,
 		      enum dw_crash_sign sign, uint64_t since_us)
 {
-	if (shows_crash(sign) && !is_leaving(engine))
-		check_abandoned(guard, engine, dw_clock_now_us());
+	if (shows_crash(engine, sign))
+		check_abandoned(guard, engine, sign, dw_clock_now_us());
 	apply_sign(guard, engine, sign, since_us);
 }
 
+void crash_guard_replaced(struct crash_guard *guard, struct dw_engine *engine)
+{
+	if (engine->replaced_at_us > 0)
+		return;
+	engine->replaced_at_us = dw_clock_now_us();
+	crash_guard_sign(guard, engine, DW_CRASH_SIGN_REPLACED, engine->replaced_at_us);
+}
+
 static void on_probe_done(void *owner, const char *engine_id, enum engine_probe_result result,
 			  uint64_t started_at_us)
 {
 	struct crash_guard *guard = owner;
-	const struct dw_engine *engine = dw_engine_set_find(guard->engines, engine_id);
+	struct dw_engine *engine = dw_engine_set_find(guard->engines, engine_id);
 
 	if (!engine)
 		return;
@@ -428,6 +489,7 @@
 		break;
 	case ENGINE_PROBE_CONNECTED:
 	case ENGINE_PROBE_CLOSED:
+		engine->accepted_at_us = dw_clock_now_us();
 		crash_guard_sign(guard, engine, DW_CRASH_SIGN_CONNECTED, started_at_us);
 		break;
 	case ENGINE_PROBE_UNDECIDED:
@@ -459,16 +521,18 @@
 {
 	struct crash_guard *guard = owner;
 	uint64_t *place = find_watched(guard, dw_rendezvous_key(engine_id, strlen(engine_id)));
-	const struct dw_engine *engine = dw_engine_set_find(guard->engines, engine_id);
+	struct dw_engine *engine = dw_engine_set_find(guard->engines, engine_id);
 
 	if (place)
 		*place = 0;
 	if (!engine)
 		return;
-	if (result == ENGINE_PROBE_CONNECTED)
-		watch(guard, engine);
-	else
+	if (result != ENGINE_PROBE_CONNECTED) {
 		on_probe_done(owner, engine_id, result, started_at_us);
+		return;
+	}
+	engine->accepted_at_us = dw_clock_now_us();
+	watch(guard, engine);
 }
 
 /* Keeps a connection to the engine for as long as its end would count for a run that was given up. */
@@ -488,14 +552,18 @@
 }
 
 void crash_guard_connection_lost(struct crash_guard *guard, const struct dw_engine *engine,
-				 const struct dw_crash_run *run)
+				 const struct dw_crash_run *run, uint64_t sent_at_us)
 {
 	bool is_known = dw_crash_checks_has_upstream(guard->checks, engine->id_hash);
 	struct dw_crash_requests requests;
 
 	/* An engine that leaves ends with the requests that it couldn't complete. */
-	if (!guard->loop || is_leaving(engine))
+	if (!guard->loop || has_said_it_leaves(engine))
 		return;
+	if (engine->state == DW_ENGINE_GONE) {
+		crash_guard_abandoned(guard, engine, run, sent_at_us);
+		return;
+	}
 	if (dw_crash_checks_lost(guard->checks, upstream_of(engine), run, dw_clock_now_us(),
 				 &requests) == DW_CRASH_ENDED)
 		add_crashes(guard, engine, &requests);
@@ -513,11 +581,13 @@
 		.abandoned_at_us = dw_clock_now_us(),
 	};
 
-	if (!guard->loop || is_leaving(engine))
+	if (!guard->loop || has_said_it_leaves(engine))
 		return;
 	dw_abandoned_runs_add(&guard->abandoned, &abandoned, &run->parts);
-	if (dw_crash_checks_has_ended(guard->checks, abandoned.upstream))
-		check_abandoned(guard, engine, abandoned.abandoned_at_us);
+	if (engine->replaced_at_us > 0)
+		crash_guard_sign(guard, engine, DW_CRASH_SIGN_REPLACED, abandoned.abandoned_at_us);
+	else if (dw_crash_checks_has_ended(guard->checks, abandoned.upstream))
+		check_abandoned(guard, engine, DW_CRASH_SIGN_TOLD, abandoned.abandoned_at_us);
 	else
 		watch(guard, engine);
 }
--- a/src/wharf-gateway/crash_guard.h
+++ b/src/wharf-gateway/crash_guard.h
@@ -5,7 +5,8 @@
  * When connections to an engine break, the guard finds out whether it has ended, by a connection of
  * its own and by what else is seen of the engine. If so, each request that was running there is a
  * suspect; with two such crashes it is quarantined and isn't sent any more. A request that was given up
- * shortly before counts as running for a second, in which the guard keeps a connection to the engine.
+ * shortly before counts as running for a second, in which the guard keeps a connection to the engine; longer
+ * if the engine is silent and then turns out to have ended, as another lifetime is at its address.
  * The evidence goes to the other instances in digests, a quarantine also to the store, and so does a
  * suspicion while few others are heard. A run that ends well clears a request. The same evidence counts
  * against the parts of the prompts, see part_guard.h.
@@ -86,13 +87,15 @@
 
 /** The engine's machine closed the connection on which the engine had the request. */
 void crash_guard_connection_lost(struct crash_guard *guard, const struct dw_engine *engine,
-				 const struct dw_crash_run *run);
+				 const struct dw_crash_run *run, uint64_t sent_at_us);
 /** This instance has closed the connection, while the engine worked on the request. */
 void crash_guard_abandoned(struct crash_guard *guard, const struct dw_engine *engine,
 			   const struct dw_crash_run *run, uint64_t sent_at_us);
 /** A sign of the engine's life or end, see dw_crash_checks_sign(). */
 void crash_guard_sign(struct crash_guard *guard, const struct dw_engine *engine,
 		      enum dw_crash_sign sign, uint64_t since_us);
+/** A later lifetime of the engine's service is registered at its address. */
+void crash_guard_replaced(struct crash_guard *guard, struct dw_engine *engine);
 /** A run ended well. */
 void crash_guard_completed(struct crash_guard *guard, struct dw_fingerprint request,
 			   const char *version);
--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -180,6 +180,18 @@
 	log_engine(view, engine, "unreadable", now_us);
 }
 
+/* Engines of the same service whose address a later lifetime has now have ended. */
+static void note_replaced(struct view *view, const struct dw_engine *next)
+{
+	for (struct dw_engine *it = dw_engine_set_first(view->engines); it; it = it->next) {
+		if (it != next && it->entry.port == next->entry.port &&
+		    it->entry.started_at_ms < next->entry.started_at_ms &&
+		    strcmp(it->entry.ip, next->entry.ip) == 0 &&
+		    strcmp(it->entry.service, next->entry.service) == 0)
+			crash_guard_replaced(&view->guard, it);
+	}
+}
+
 static void apply_engine(struct view *view, const char *id, const struct dw_store_entry *record,
 			 uint64_t now_us)
 {
@@ -207,6 +219,7 @@
 	engine = dw_engine_set_find(view->engines, id);
 	engine->says_it_leaves = dw_leaving_has(view->leaving, lifetime_of(engine));
 	log_engine(view, engine, changes[change], now_us);
+	note_replaced(view, engine);
 	if (change == DW_ENGINE_STATE_CHANGED && engine->state == DW_ENGINE_DRAINING)
 		crash_guard_sign(&view->guard, engine, DW_CRASH_SIGN_LEAVING, now_us);
 }
--- a/tests/abandoned_runs_test.cc
+++ b/tests/abandoned_runs_test.cc
@@ -26,12 +26,15 @@
 		dw_abandoned_run run = { upstream, request, at_us - 30 * MS, at_us };
 		dw_abandoned_runs_add(runs.get(), &run, nullptr);
 	}
+	/* The upstream showed life until it ended, unless @p alive_at_us says otherwise. */
 	std::vector<dw_fingerprint> take(uint64_t ended_at_us, uint32_t max = 8,
-					 dw_crash_upstream upstream = ENGINE)
+					 dw_crash_upstream upstream = ENGINE,
+					 uint64_t alive_at_us = UINT64_MAX)
 	{
 		std::vector<dw_crash_run> found(max);
-		found.resize(dw_abandoned_runs_take(runs.get(), upstream, ended_at_us, found.data(),
-						    max));
+		dw_upstream_end end = { alive_at_us == UINT64_MAX ? ended_at_us : alive_at_us,
+					ended_at_us };
+		found.resize(dw_abandoned_runs_take(runs.get(), upstream, &end, found.data(), max));
 		std::vector<dw_fingerprint> requests;
 		for (const dw_crash_run &run : found) {
 			EXPECT_TRUE(run.is_abandoned);
@@ -73,6 +76,27 @@
 	EXPECT_EQ(take(NOW + DW_ABANDONED_RUN_COUNTS_US).size(), 1U);
 }
 
+/* Guards against a request that silences its engine, and whose run is forgotten before the engine is back as
+ * another lifetime. */
+TEST_F(AbandonedRuns, ASilentUpstreamMayHaveEndedUnderItUntilItIsBack)
+{
+	abandon(FIRST, NOW);
+	EXPECT_EQ(take(NOW + 6 * SECOND, 8, ENGINE, NOW - SECOND).size(), 1U);
+	abandon(FIRST, NOW);
+	EXPECT_EQ(take(NOW + 6 * SECOND, 8, ENGINE, 0).size(), 1U) << "it never showed life here";
+	abandon(FIRST, NOW);
+	EXPECT_EQ(take(NOW + 6 * SECOND, 8, ENGINE, NOW + 500 * MS).size(), 1U)
+		<< "it stops its runs within a second";
+	abandon(FIRST, NOW);
+	EXPECT_TRUE(take(NOW + 6 * SECOND, 8, ENGINE, NOW + SECOND).empty())
+		<< "it has outlived the run";
+	abandon(FIRST, NOW);
+	EXPECT_TRUE(take(NOW + DW_ABANDONED_RUN_SILENT_US + 1, 8, ENGINE, 0).empty())
+		<< "too long before";
+	abandon(FIRST, NOW);
+	EXPECT_TRUE(take(NOW - 31 * MS, 8, ENGINE, 0).empty()) << "sent after the end";
+}
+
 TEST_F(AbandonedRuns, ItTellsHowLongTheEndCounts)
 {
 	EXPECT_EQ(dw_abandoned_runs_count_until_us(runs.get(), ENGINE), 0U);
--- a/tests/process_poison_test.cc
+++ b/tests/process_poison_test.cc
@@ -3,6 +3,10 @@
 // requests that run on a crashing upstream.
 #include <gtest/gtest.h>
 
+#include <chrono>
+#include <csignal>
+#include <thread>
+
 #include <json-c/json.h>
 
 #include "support/cluster.h"
@@ -101,6 +105,58 @@
 	}
 };
 
+/* Engines that fall silent while one of them runs a request, and come back as other incarnations. */
+struct SilentEngines : testing::Test {
+	static constexpr int SILENT_MS = 1500; /* longer than a run counts that was given up */
+	cluster c;
+	std::vector<support::standin *> engines;
+	support::daemon *entry = nullptr;
+	std::string poison = chat_body("large", "hemlock", 4);
+
+	support::http_answer send_poison()
+	{
+		return c.chat(*entry, "mill", poison, { { "x-request-timeout-ms", "400" } });
+	}
+	void wait_serving()
+	{
+		cluster::wait_until("an answer", [&] {
+			return c.chat(*entry, "mill", chat_body("large", "parsley")).status == 200;
+		});
+	}
+};
+
+/* Guards against a request that silences its engines, and whose runs are forgotten when they are back. */
+TEST_F(SilentEngines, AreEvidenceAgainstTheRequestThatSilencedThem)
+{
+	for (const char *name : { "engine-1", "engine-2" })
+		engines.push_back(&c.add_engine(name, "haarlem", { "large/1" }));
+	entry = &c.add_daemon("entry-1", { .failure_domain = "haarlem" });
+	c.apply({
+		"{\"failure_domain\":{\"name\":\"haarlem\"}}",
+		"{\"model\":{\"name\":\"large\"}}",
+		"{\"version\":{\"model\":\"large\",\"name\":\"1\",\"rollout_weight\":1}}",
+		cluster::organisation_entity("mill", { "large" }),
+		cluster::engine_entity(*engines[0], "haarlem", { "large/1" }, 8, 8, 20),
+		cluster::engine_entity(*engines[1], "haarlem", { "large/1" }, 8, 8, 20),
+	});
+	for (int crash = 1; crash <= 2; crash++) {
+		wait_serving();
+		for (support::standin *engine : engines)
+			engine->running->signal(SIGSTOP);
+		EXPECT_EQ(send_poison().status, 504);
+		std::this_thread::sleep_for(std::chrono::milliseconds(SILENT_MS));
+		for (support::standin *engine : engines)
+			c.restart(*engine);
+		int seen = 0;
+		EXPECT_TRUE(c.wait_event(*entry, "upstream.crashed", [&](const support::event &) {
+			return ++seen == crash;
+		})) << crash;
+	}
+	wait_serving();
+	support::http_answer got = send_poison();
+	EXPECT_EQ(got.status, 422) << got.body;
+}
+
 TEST_P(Poison, RepeatedThroughAllInstancesItCrashesNoMoreThanTheBound)
 {
 	int consecutive_refusals = 0;
--- a/tests/support/raw_server.cc
+++ b/tests/support/raw_server.cc
@@ -13,6 +13,9 @@
 namespace support
 {
 
+constexpr int BACKLOG = 64;
+constexpr int QUEUE_FILLERS = 4;
+
 void raw_connection::send(const std::string &bytes)
 {
 	size_t sent = 0;
@@ -67,7 +70,7 @@
 	int on = 1;
 	setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
 	bind(listener_, (sockaddr *)&address, sizeof(address));
-	listen(listener_, 64);
+	listen(listener_, BACKLOG);
 	getsockname(listener_, (sockaddr *)&address, &len);
 	port_ = ntohs(address.sin_port);
 	acceptor_ = std::thread([this] { accept_connections(); });
@@ -76,6 +79,8 @@
 raw_server::~raw_server()
 {
 	is_stopping_ = true;
+	for (int fd : fillers_)
+		::close(fd);
 	acceptor_.join();
 	for (auto &thread : threads_)
 		thread.join();
@@ -87,12 +92,42 @@
 	shutdown(listener_, SHUT_RDWR);
 }
 
+/* The kernel answers connections until the listener's queue is full. */
+void raw_server::fall_silent()
+{
+	sockaddr_in address{};
+	address.sin_family = AF_INET;
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address.sin_port = htons(port_);
+	is_silent_ = true;
+	listen(listener_, 0);
+	for (int i = 0; i < QUEUE_FILLERS; i++) {
+		int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+		connect(fd, (sockaddr *)&address, sizeof(address));
+		fillers_.push_back(fd);
+	}
+}
+
+void raw_server::come_back(bool is_next_lifetime)
+{
+	for (int fd : fillers_)
+		::close(fd);
+	fillers_.clear();
+	lifetime_ += is_next_lifetime;
+	listen(listener_, BACKLOG);
+	is_silent_ = false;
+}
+
 void raw_server::accept_connections()
 {
 	pollfd poller = { listener_, POLLIN, 0 };
 	while (!is_stopping_ && !is_refusing_) {
 		if (poll(&poller, 1, 5) <= 0 || is_refusing_)
 			continue;
+		if (is_silent_) {
+			poll(nullptr, 0, 5);
+			continue;
+		}
 		int fd = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
 		if (fd >= 0)
 			threads_.emplace_back([this, fd] { serve(fd); });
@@ -116,10 +151,19 @@
 	char buffer[8192];
 	int on = 1;
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	const int lifetime = lifetime_;
 	while (connection.is_open() && !is_stopping_) {
 		pollfd poller = { fd, POLLIN, 0 };
+		if (lifetime != lifetime_) {
+			connection.reset();
+			return;
+		}
 		if (poll(&poller, 1, 5) <= 0)
 			continue;
+		if (is_silent_) {
+			poll(nullptr, 0, 5);
+			continue;
+		}
 		ssize_t got = recv(fd, buffer, sizeof(buffer), 0);
 		if (got <= 0)
 			break;
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -62,6 +62,11 @@
 	}
 	/** Closes the listener: connections are refused from then on. */
 	void refuse_connections();
+	/** Sends and reads nothing any more; new connections aren't answered. */
+	void fall_silent();
+	/** Goes on after fall_silent(): with its connections, as if it had been cut off, or as the next lifetime,
+	 * which resets those of the one before. */
+	void come_back(bool is_next_lifetime);
 
       private:
 	void accept_connections();
@@ -72,6 +77,10 @@
 	uint16_t port_ = 0;
 	std::atomic<bool> is_stopping_{ false };
 	std::atomic<bool> is_refusing_{ false };
+	std::atomic<bool> is_silent_{ false };
+	std::atomic<int> lifetime_{ 0 };
+	std::vector<int>
+		fillers_; /**< connections that fill the listener's queue while it is silent */
 	std::vector<std::thread> threads_;
 	std::thread acceptor_;
 };
