Tests: the line of a request's end may be collected late

MetricsAndLogsRecordARequest was red once in a run of all tests beside builds: the gateway writes the line before its answer, but the test looked once at what its reader thread had collected by then.

--- a/tests/process_gateway_test.cc
+++ b/tests/process_gateway_test.cc
@@ -387,11 +387,14 @@
 	std::string metrics = http_call(metrics_port, "GET", "/metrics").body;
 	EXPECT_NE(metrics.find("dragonflywharf_requests_total 1"), std::string::npos);
 	EXPECT_NE(gateway->wait_line("{\"ts_us\"", 100), "");
-	bool found = false;
-	for (const std::string &line : gateway->lines())
-		found |= line.find("\"request.done\"") != std::string::npos &&
-			 line.find("\"request\":\"a0\"") != std::string::npos;
-	EXPECT_TRUE(found);
+	/* The gateway has written the line before its answer; the thread that collects the lines may be late. */
+	EXPECT_TRUE(wait_until([&] {
+		bool found = false;
+		for (const std::string &line : gateway->lines())
+			found |= line.find("\"request.done\"") != std::string::npos &&
+				 line.find("\"request\":\"a0\"") != std::string::npos;
+		return found;
+	}));
 }
 
 } // namespace
