Answers: resets without a length, and statuses that are none

A reset (TCP state) makes such an answer incomplete; statuses outside 200 to 599, or not of three digits, are malformed.

Seen red with the programs of: BrokenUpstreams AnAnswerWithoutALengthThatIsResetIsNotWhole and AnOddStatusIsNoAnswer, OddStatus/5, 6, 7, 11.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -1,6 +1,8 @@
 #include "net/http_client.h"
 
 #include <inttypes.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -15,6 +17,9 @@
 #define IO_TIMEOUT_MS UINT64_C(600000)
 #define POOL_CAPACITY 4096
 #define POOL_IDLE_MS UINT64_C(5000)
+/* Final status codes (RFC 9110, section 15). */
+#define STATUS_FINAL_MIN 200
+#define STATUS_MAX 599
 
 struct pool {
 	uint64_t key; /* address and port */
@@ -39,6 +44,7 @@
 	h2o_header_t *headers; /* valid only within on_head */
 	size_t header_count;
 	h2o_socket_cb paused_read; /* restored by dw_http_resume(); NULL unless paused */
+	bool has_length;
 	bool may_be_reused; /* the connection may have carried another call */
 	bool is_chunked;
 	bool closes_after; /* the server said that it closes the connection after the response */
@@ -121,10 +127,22 @@
 		       0;
 }
 
+/* h2o takes any end of the connection for the end of a response without a length, a reset too. */
+static bool is_reset_without_length(const struct dw_http_call *call, const h2o_http1client_t *h2o)
+{
+	struct tcp_info info = { 0 };
+	socklen_t len = sizeof(info);
+
+	return !call->has_length && !call->is_chunked &&
+	       getsockopt(h2o_socket_get_fd(h2o->sock), IPPROTO_TCP, TCP_INFO, &info, &len) == 0 &&
+	       info.tcpi_state == TCP_CLOSE;
+}
+
 static enum dw_status end_status(const struct dw_http_call *call, const h2o_http1client_t *h2o,
 				 const char *error)
 {
-	if (error != h2o_http1client_error_is_eos || is_cut_between_chunks(call, h2o))
+	if (error != h2o_http1client_error_is_eos || is_cut_between_chunks(call, h2o) ||
+	    is_reset_without_length(call, h2o))
 		return DW_UPSTREAM_FAILED;
 	return DW_OK;
 }
@@ -163,6 +181,7 @@
 static void read_framing(struct dw_http_call *call)
 {
 	call->is_chunked = header_has(call, "transfer-encoding", "chunked");
+	call->has_length = dw_http_call_header(call, "content-length") != NULL;
 	call->closes_after = header_has(call, "connection", "close");
 }
 
@@ -172,7 +191,8 @@
 {
 	struct dw_http_call *call = h2o->data;
 
-	if (error && error != h2o_http1client_error_is_eos) {
+	if ((error && error != h2o_http1client_error_is_eos) || status < STATUS_FINAL_MIN ||
+	    status > STATUS_MAX) {
 		call_finish(call, DW_UPSTREAM_FAILED);
 		return NULL;
 	}
--- a/src/net/http_reader.c
+++ b/src/net/http_reader.c
@@ -5,6 +5,10 @@
 #include <strings.h>
 
 #define TEXT_INITIAL_BYTES 1024
+/* Others are no status codes (RFC 9110, section 15). */
+#define STATUS_MIN 100
+#define STATUS_MAX 599
+#define STATUS_DIGITS 3
 
 const char *http_head_get(const struct http_head *head, const char *name)
 {
@@ -133,8 +137,8 @@
 	return true;
 }
 
-/* Whether two parsers would read the same message from this head: at most one length and, in a
- * request, exactly one Host field, HTTP/1.x and a target that is a path. */
+/* Whether two parsers would read the same message from this head: at most one length, in a response a status
+ * code and, in a request, exactly one Host field, HTTP/1.x and a target that is a path. */
 static bool is_message_unambiguous(const struct http_reader *reader)
 {
 	const struct http_head *head = &reader->head;
@@ -145,7 +149,8 @@
 	if (coding && (strcasecmp(coding, "chunked") != 0 || head->has_content_length))
 		return false;
 	if (reader->kind == HTTP_READER_RESPONSE)
-		return true;
+		return reader->status_digits == STATUS_DIGITS && head->status >= STATUS_MIN &&
+		       head->status <= STATUS_MAX;
 	return count_fields(head, "Host") == 1 && reader->parser.http_major == 1 &&
 	       head->target[0] == '/';
 }
@@ -264,6 +269,8 @@
 	reader->is_complete = false;
 	reader->line_start = false;
 	reader->previous = '\0';
+	reader->status_line_spaces = 0;
+	reader->status_digits = 0;
 	reader->error_status = DW_OK;
 }
 
@@ -285,6 +292,15 @@
 	reader->text_size = 0;
 }
 
+/* Counts the characters of a response's status code, which the parser also takes with leading zeros. */
+static void count_status_digit(struct http_reader *reader, char c)
+{
+	if (c == ' ' || c == '\r')
+		reader->status_line_spaces++;
+	else if (reader->status_line_spaces == 1)
+		reader->status_digits++;
+}
+
 /*
  * Checks raw bytes of a head before they are parsed. @return how many of them belong to the head,
  * or 0 with reader->error_status set.
@@ -307,6 +323,8 @@
 			reader->error_status = DW_INVALID_ARGUMENT;
 			return 0;
 		}
+		if (reader->status_line_spaces < 2)
+			count_status_digit(reader, c);
 		if (reader->line_start && line_ends && reader->head_bytes > 2)
 			return i + 1;
 		/* A CR at the start of a line leaves line_start set, so that an empty line ends the head. */
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -82,6 +82,9 @@
 	bool skip_body; /**< set by the owner: responses are to HEAD, so they have no body */
 	bool line_start; /**< the next raw byte of the head starts a line */
 	char previous; /**< last raw byte of the head */
+	uint32_t status_line_spaces; /**< ends of words in the first line, up to the second */
+	uint32_t
+		status_digits; /**< characters of the second word: of a response, its status code */
 	enum dw_status error_status; /**< why a callback or check stopped the parser */
 };
 
--- a/tests/process_broken_answers_test.cc
+++ b/tests/process_broken_answers_test.cc
@@ -2,6 +2,8 @@
 // and its callers: no caller takes them for complete, nor gets what belongs elsewhere.
 #include <gtest/gtest.h>
 
+#include <sys/socket.h>
+
 #include <atomic>
 #include <chrono>
 #include <map>
@@ -9,6 +11,7 @@
 #include <mutex>
 #include <string>
 #include <thread>
+#include <tuple>
 #include <vector>
 
 #include "support/raw_fleet.h"
@@ -131,6 +134,75 @@
 	}
 }
 
+/* How an engine ends a connection on which a request is still being written. */
+enum class End { RESET, RESET_LATER, CLOSED, SHUT_DOWN };
+
+struct EarlyAnswer : BrokenAnswers, testing::WithParamInterface<std::tuple<End, size_t>> {
+};
+
+/* Guards against a part of an answer that passes for the whole: the engine answers a long upload at once, without a
+ * length, and breaks off while the upload is still being written. An orderly end completes the answer. */
+TEST_P(EarlyAnswer, IsASuccessOnlyIfItEndsInOrder)
+{
+	const auto [end, upload_bytes] = GetParam();
+	max_body_bytes = 16 << 20;
+	start(2, [end = end](raw_connection &connection, const std::string &request) {
+		connection.send(
+			answer_head("200 OK", request, "Content-Type: text/event-stream\r\n") +
+			event_text(1));
+		if (end == End::RESET_LATER)
+			std::this_thread::sleep_for(std::chrono::milliseconds(RUN_MS));
+		if (end == End::SHUT_DOWN) {
+			shutdown(connection.fd(), SHUT_WR);
+			std::this_thread::sleep_for(std::chrono::milliseconds(RUN_MS));
+		}
+		if (end == End::RESET || end == End::RESET_LATER)
+			connection.reset();
+		else
+			connection.close();
+	});
+	for (auto &each : engines)
+		each->answers_heads = true;
+	const std::string body(upload_bytes, 'x');
+	for (int i = 0; i < 10; i++) {
+		for (const char *path : { "/book/", "/chat/", "/look/" }) {
+			http_answer got = support::http_call(
+				instances[0].caller_port, "POST", path + std::to_string(i), body,
+				{ { "Attempt-Id", "u" + std::to_string(next_attempt++) },
+				  { "Deadline-Ms", "2500" },
+				  { "Credential", "k1" } });
+			EXPECT_EQ(got.status == 200 && got.whole, end == End::SHUT_DOWN)
+				<< path << i << got.body;
+		}
+	}
+}
+
+INSTANTIATE_TEST_SUITE_P(Ends, EarlyAnswer,
+			 testing::Combine(testing::Values(End::RESET, End::RESET_LATER, End::CLOSED,
+							  End::SHUT_DOWN),
+					  testing::Values(100000, 1000000, 8000000)));
+
+struct OddStatus : BrokenAnswers, testing::WithParamInterface<const char *> {
+};
+
+/* Guards against a status that is none, which reaches a caller as an answer: RFC 9110 has 100 to 599. */
+TEST_P(OddStatus, IsNoAnswer)
+{
+	const std::string status = GetParam();
+	start(2, [status](raw_connection &connection, const std::string &request) {
+		connection.send(answer_with_length(status + " Odd", request, "wrong"));
+	});
+	for (const char *path : { "/book/1", "/chat/1", "/look/1" }) {
+		http_answer got = call("POST", path);
+		EXPECT_EQ(got.status, 502) << path;
+		EXPECT_EQ(got.body.find("wrong"), std::string::npos) << path << got.body;
+	}
+}
+
+INSTANTIATE_TEST_SUITE_P(Statuses, OddStatus,
+			 testing::Values("000", "001", "099", "99", "20", "600", "799", "999",
+					 "1000", "2000", "-200", "0200", "2x0", "", "101"));
+
 /* A stream with neither a length nor chunks ends with its connection: as complete between two events, else
  * it has been broken off. So has one that is framed as whole and ends inside an event. */
 TEST_F(BrokenAnswers, AStreamThatEndsInsideAnEventIsNotComplete)
--- a/tests/process_broken_upstreams_test.cc
+++ b/tests/process_broken_upstreams_test.cc
@@ -3,8 +3,9 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
-#include <functional>
 #include <chrono>
+#include <fstream>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -255,6 +256,55 @@
 	}
 }
 
+/* Guards against a part of an answer that passes for the whole, as it could be one: it has no length, and its
+ * connection was reset. */
+TEST_F(BrokenUpstreams, AnAnswerWithoutALengthThatIsResetIsNotWhole)
+{
+	std::atomic<const char *> status{ "" };
+	start(1, [&](raw_connection &connection, const std::string &request) {
+		if (!is_call(request)) {
+			connection.send(with_length("200 OK", request, "{}"));
+			return;
+		}
+		connection.send(
+			head_of(status.load(), request, "content-type: application/json\r\n") +
+			"123");
+		std::this_thread::sleep_for(std::chrono::milliseconds(RUN_MS));
+		connection.reset();
+	});
+	for (const char *each : { "200 OK", "404 Not Found" }) {
+		status = each;
+		http_answer look = c.service(*entry, "mill", "desk/look", "{}");
+		http_answer once = c.service(*entry, "mill", "desk/call", "{}",
+					     { { "idempotency-key", each } });
+		http_answer chat = ask(each, false);
+		for (const http_answer &got : { look, once, chat })
+			EXPECT_EQ(got.status, 502) << each << ": " << got.body;
+	}
+}
+
+/* Guards against a status that is none, which reaches a caller as an answer. */
+TEST_F(BrokenUpstreams, AnOddStatusIsNoAnswer)
+{
+	std::atomic<const char *> status{ "" };
+	start(1, [&](raw_connection &connection, const std::string &request) {
+		connection.send(with_length(is_call(request) ? status.load() : "200 OK", request,
+					    "{\"wrong\":1}"));
+	});
+	for (const char *each :
+	     { "000 Odd", "001 Odd", "099 Odd", "101 Odd", "600 Odd", "999 Odd" }) {
+		status = each;
+		http_answer look = c.service(*entry, "mill", "desk/look", "{}");
+		http_answer once = c.service(*entry, "mill", "desk/call", "{}",
+					     { { "idempotency-key", each } });
+		http_answer chat = ask(each, false);
+		for (const http_answer &got : { look, once, chat }) {
+			EXPECT_EQ(got.status, 502) << each << ": " << got.body;
+			EXPECT_EQ(got.body.find("wrong"), std::string::npos) << each << got.body;
+		}
+	}
+}
+
 /* Guards against a status that promises that a call hasn't run, passed on from an upstream that has run it. */
 TEST_F(BrokenUpstreams, ARefusalThatNothingProvesIsNoPromiseToTheCaller)
 {
--- a/tests/support/raw_server.cc
+++ b/tests/support/raw_server.cc
@@ -135,11 +135,13 @@
 	close(listener_);
 }
 
-static size_t length_of(const std::string &bytes)
+static size_t length_of(const std::string &bytes, bool is_head_enough)
 {
 	size_t head = bytes.find("\r\n\r\n");
 	if (head == std::string::npos)
 		return 0;
+	if (is_head_enough)
+		return head + 4;
 	size_t body = strtoul(field_of(bytes, "content-length").c_str(), nullptr, 10);
 	return bytes.size() >= head + 4 + body ? head + 4 + body : 0;
 }
@@ -169,7 +171,7 @@
 			break;
 		bytes.append(buffer, (size_t)got);
 		size_t len;
-		while (connection.is_open() && (len = length_of(bytes)) > 0) {
+		while (connection.is_open() && (len = length_of(bytes, answers_heads)) > 0) {
 			answer_(connection, bytes.substr(0, len));
 			bytes.erase(0, len);
 			connection.request++;
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -56,6 +56,9 @@
 	raw_server(const raw_server &) = delete;
 	raw_server &operator=(const raw_server &) = delete;
 
+	/** Hands each request over as soon as its head is complete, without its body. */
+	std::atomic<bool> answers_heads{ false };
+
 	uint16_t port() const
 	{
 		return port_;
