Answers: bytes without end are neither kept nor waited for

The heads that are awaited are now looked at after each round of reads, and a call with more than 64 KiB fails. wharf-gateway's memory was bounded, but its callers waited until their time limit for the end of a body that nobody gets, of interim answers, or of a connection that another request's answer had ended. More than 64 KiB of such a body, more than 16 interim answers, and that end now end the attempt.

Seen red with the programs of: BrokenUpstreams.AHeadWithoutEndIsNotKept (261,892 KB grown, 65,536 allowed), four tests of Endless, two of BrokenAnswers.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -10,6 +10,7 @@
 
 #include <h2o.h>
 #include <uthash.h>
+#include <utlist.h>
 
 #include "base/clock.h"
 
@@ -17,6 +18,8 @@
 #define IO_TIMEOUT_MS UINT64_C(600000)
 #define POOL_CAPACITY 4096
 #define POOL_IDLE_MS UINT64_C(5000)
+/* A longer head of a response is none: h2o itself keeps reading one that doesn't end. */
+#define HEAD_MAX_BYTES (64U << 10)
 /* Final status codes (RFC 9110, section 15). */
 #define STATUS_FINAL_MIN 200
 #define STATUS_MAX 599
@@ -32,6 +35,8 @@
 	h2o_timeout_t io_timeout;
 	h2o_http1client_ctx_t context;
 	struct pool *pools;
+	uv_check_t check; /* after each round of reads: heads that have become too long */
+	struct dw_http_call *awaiting_head;
 };
 
 struct dw_http_call {
@@ -44,6 +49,9 @@
 	h2o_header_t *headers; /* valid only within on_head */
 	size_t header_count;
 	h2o_socket_cb paused_read; /* restored by dw_http_resume(); NULL unless paused */
+	struct dw_http_call *prev; /* in client->awaiting_head, while is_awaiting_head */
+	struct dw_http_call *next;
+	bool is_awaiting_head;
 	bool has_length;
 	bool may_be_reused; /* the connection may have carried another call */
 	bool is_chunked;
@@ -62,6 +70,9 @@
 	h2o_timeout_init(loop, &client->io_timeout, IO_TIMEOUT_MS);
 	client->context.loop = loop;
 	client->context.io_timeout = &client->io_timeout;
+	uv_check_init(loop, &client->check);
+	uv_unref((uv_handle_t *)&client->check);
+	client->check.data = client;
 	return client;
 }
 
@@ -92,11 +103,24 @@
 	free(call);
 }
 
+static void stop_awaiting_head(struct dw_http_call *call)
+{
+	struct dw_http_client *client = call->client;
+
+	if (!call->is_awaiting_head)
+		return;
+	call->is_awaiting_head = false;
+	DL_DELETE(client->awaiting_head, call);
+	if (!client->awaiting_head)
+		uv_check_stop(&client->check);
+}
+
 static void call_finish(struct dw_http_call *call, enum dw_status status)
 {
 	if (call->finished)
 		return;
 	call->finished = true;
+	stop_awaiting_head(call);
 	call->h2o = NULL;
 	call->result.status = call->cancelled ? DW_CANCELLED : status;
 	uv_close((uv_handle_t *)&call->timer, on_timer_closed);
@@ -109,6 +133,29 @@
 	call_finish(call, status);
 }
 
+static void on_check(uv_check_t *check)
+{
+	struct dw_http_client *client = check->data;
+	struct dw_http_call *call;
+	struct dw_http_call *next;
+
+	DL_FOREACH_SAFE(client->awaiting_head, call, next) {
+		if (call->h2o && call->h2o->sock && call->h2o->sock->input &&
+		    call->h2o->sock->input->size > HEAD_MAX_BYTES)
+			call_abort(call, DW_UPSTREAM_FAILED);
+	}
+}
+
+static void await_head(struct dw_http_call *call)
+{
+	struct dw_http_client *client = call->client;
+
+	if (!client->awaiting_head)
+		uv_check_start(&client->check, on_check);
+	call->is_awaiting_head = true;
+	DL_APPEND(client->awaiting_head, call);
+}
+
 static void on_deadline(uv_timer_t *timer)
 {
 	struct dw_http_call *call = timer->data;
@@ -191,6 +238,7 @@
 {
 	struct dw_http_call *call = h2o->data;
 
+	stop_awaiting_head(call);
 	if ((error && error != h2o_http1client_error_is_eos) || status < STATUS_FINAL_MIN ||
 	    status > STATUS_MAX) {
 		call_finish(call, DW_UPSTREAM_FAILED);
@@ -229,6 +277,7 @@
 		return NULL;
 	}
 	call->result.progress = DW_HTTP_SENT;
+	await_head(call);
 	*bufs = &call->request;
 	*count = 1;
 	*is_head = strcmp(call->options.method, "HEAD") == 0;
--- a/src/net/http_connection.c
+++ b/src/net/http_connection.c
@@ -9,6 +9,8 @@
 #include "net/tcp_socket.h"
 
 #define READ_BYTES 16384
+/* Interim responses before the final one; more are no answer. */
+#define INTERIM_MAX 16
 /* Idle connections are closed this long before the server's own Keep-Alive timeout, so that no
  * request is sent while the server is closing the connection. */
 #define IDLE_MARGIN_MS 400
@@ -37,6 +39,7 @@
 	uint32_t writes_pending;
 	uint32_t handles_open;
 	uint32_t server_keep_alive_ms; /**< from the server's Keep-Alive field; 0 if absent */
+	uint32_t interim_count; /**< interim responses to the request in progress */
 	bool head_seen;
 	bool keep_alive;
 	bool is_rejected; /**< a callback returned false */
@@ -155,8 +158,9 @@
 {
 	struct http_connection *connection = data;
 
+	/* After an interim response the final one follows. */
 	if (head->status < 200)
-		return true; /* an interim response: the final one follows */
+		return ++connection->interim_count <= INTERIM_MAX;
 	connection->head_seen = true;
 	connection->keep_alive = head->keep_alive && !head->ends_at_close &&
 				 !has_body_for_other_methods(connection, head);
@@ -275,8 +279,12 @@
 	 * on_end(). */
 	if (len == UV_EOF && connection->state == CONNECTION_BUSY && connection->head_seen &&
 	    !connection->reader.is_complete && !tcp_socket_was_reset(&connection->tcp) &&
-	    http_reader_eof(&connection->reader) == DW_OK)
+	    http_reader_eof(&connection->reader) == DW_OK) {
+		/* It was another request's answer; no other one can come. */
+		if (connection->state == CONNECTION_BUSY)
+			connection_fail(connection, HTTP_CONNECTION_NO_RESPONSE);
 		return;
+	}
 	if (connection->state != CONNECTION_CLOSING)
 		connection_fail(connection, disconnect_failure(connection));
 }
@@ -415,6 +423,7 @@
 	connection->callbacks = callbacks;
 	connection->owner = owner;
 	connection->head_seen = false;
+	connection->interim_count = 0;
 	connection->is_rejected = false;
 	connection->requests++;
 	if (connection->state == CONNECTION_BUSY)
--- a/src/wharf-gateway/attempt.c
+++ b/src/wharf-gateway/attempt.c
@@ -10,6 +10,8 @@
 /* Up to this part of a pause is added to it, at random, and not more than the maximum. */
 #define PAUSE_SPREAD_PART 4
 #define PAUSE_SPREAD_MAX_US (1 * DW_US_PER_S)
+/* More of the body of an answer that isn't passed on isn't read. */
+#define SKIPPED_BODY_MAX_BYTES (64U << 10)
 
 /* What the answer being received responds to. */
 enum answer_kind {
@@ -40,6 +42,7 @@
 	bool is_answer_started; /**< the answer to this request has started */
 	enum answer_kind answer_kind;
 	enum dw_attempt_outcome not_executed_outcome; /**< valid with ANSWER_NOT_EXECUTED */
+	uint64_t skipped_bytes; /**< read of bodies that don't answer this request */
 	bool ends_at_close; /**< the answer has no length: the connection's end completes it */
 	bool is_invalid; /**< the answer failed validation: signature or encoding */
 	uint16_t status;
@@ -263,8 +266,10 @@
 {
 	struct attempt *attempt = owner;
 
-	if (attempt->answer_kind != ANSWER_THIS_REQUEST)
-		return true;
+	if (attempt->answer_kind != ANSWER_THIS_REQUEST) {
+		attempt->skipped_bytes += len;
+		return attempt->skipped_bytes <= SKIPPED_BODY_MAX_BYTES;
+	}
 	attempt->engine->last_byte_at_us = dw_clock_now_us();
 	attempt->engine->alive_at_us = attempt->engine->last_byte_at_us;
 	return attempt->callbacks->on_body(attempt->owner, bytes, len);
--- a/src/wharf-gateway/exchange_answer.c
+++ b/src/wharf-gateway/exchange_answer.c
@@ -11,6 +11,8 @@
 /* A non-streaming answer is buffered until it is complete, so that the request can still be retried;
  * a longer one is flushed whenever the buffer exceeds this size. */
 #define MAX_BUFFERED_BODY_BYTES (1U << 20)
+/* More of the body of a refusal that isn't passed on isn't read. */
+#define MAX_DROPPED_BODY_BYTES (64U << 10)
 /* First character of a comment in an event stream. */
 #define EVENT_COMMENT ':'
 
@@ -201,6 +203,7 @@
 	exchange->answer.status = head->status;
 	exchange->answer.is_stream = is_stream;
 	exchange->answer.is_unproven_refusal = fields->has_refusal_status;
+	exchange->answer.dropped_bytes = 0;
 	exchange->answer.has_no_body = head->has_no_body;
 	exchange->answer.length = (size_t)head->content_length;
 	exchange->answer.confidence = fields->confidence;
@@ -238,8 +241,8 @@
 	if (exchange->answer.began_at_us == 0)
 		exchange->answer.began_at_us = dw_clock_now_us();
 	if (exchange->answer.is_unproven_refusal) {
-		exchange_silence_restart(exchange);
-		return true;
+		exchange->answer.dropped_bytes += len;
+		return exchange->answer.dropped_bytes <= MAX_DROPPED_BODY_BYTES;
 	}
 	if (!exchange->answer.is_stream) {
 		bytes_put(&exchange->buffered_body, bytes, len);
--- a/src/wharf-gateway/exchange_state.h
+++ b/src/wharf-gateway/exchange_state.h
@@ -85,6 +85,7 @@
 		/** Its status would promise the caller that the request hasn't run, but the request may have run:
 		 * the answer isn't passed on. */
 		bool is_unproven_refusal;
+		uint64_t dropped_bytes; /**< of its body */
 		size_t length; /**< as the engine stated it; valid with has_no_body */
 		/** Once complete, the answer shows that the engine has run the request and still ran
 		 * afterwards: it is signed, and the engine's end wouldn't have completed it too. */
--- a/tests/process_broken_answers_test.cc
+++ b/tests/process_broken_answers_test.cc
@@ -203,6 +203,35 @@
 			 testing::Values("000", "001", "099", "99", "20", "600", "799", "999",
 					 "1000", "2000", "-200", "0200", "2x0", "", "101"));
 
+/* The same for interim answers without end, and for one that no final answer follows. */
+TEST_F(BrokenAnswers, InterimAnswersWithoutEndAreNoAnswer)
+{
+	start(1, [](raw_connection &connection, const std::string &request) {
+		for (int i = 0; i < 100; i++)
+			connection.send("HTTP/1.1 103 Early Hints\r\n\r\n");
+		if (request.find("/closed") != std::string::npos)
+			connection.close();
+	});
+	for (const char *path : { "/book/1", "/look/1", "/book/closed" }) {
+		int64_t began_ms = support::now_ms();
+		EXPECT_EQ(call("POST", path).status, 502) << path;
+		EXPECT_LT(support::now_ms() - began_ms, 1500) << path;
+	}
+}
+
+/* Guards against a request that waits for its answer until its time limit on a connection that has ended, since
+ * another request's answer, without a length, came in between. */
+TEST_F(BrokenAnswers, AnAnswerToAnotherRequestThatEndsTheConnectionIsNotWaitedFor)
+{
+	start(1, [](raw_connection &connection, const std::string &request) {
+		connection.send(answer_head("200 OK", "X\r\nAttempt-Id: other\r\n\r\n") + "wrong");
+		connection.close();
+	});
+	int64_t began_ms = support::now_ms();
+	EXPECT_EQ(call("POST", "/book/1").status, 502);
+	EXPECT_LT(support::now_ms() - began_ms, 1000);
+}
+
 /* A stream with neither a length nor chunks ends with its connection: as complete between two events, else
  * it has been broken off. So has one that is framed as whole and ends inside an event. */
 TEST_F(BrokenAnswers, AStreamThatEndsInsideAnEventIsNotComplete)
--- a/tests/process_broken_upstreams_test.cc
+++ b/tests/process_broken_upstreams_test.cc
@@ -305,6 +305,42 @@
 	}
 }
 
+/* Guards against a head without end that is kept until the memory is full. */
+TEST_F(BrokenUpstreams, AHeadWithoutEndIsNotKept)
+{
+	constexpr size_t HEAD_BYTES = 256 << 20;
+	constexpr int64_t GROWTH_KB = 64 << 10;
+	std::atomic<bool> is_endless{ true };
+	auto peak_kb = [&] {
+		std::ifstream file("/proc/" + std::to_string(entry->running->pid()) + "/status");
+		std::string word;
+		int64_t kb = 0;
+		while (file >> word) {
+			if (word == "VmHWM:")
+				file >> kb;
+		}
+		return kb;
+	};
+	start(1, [&](raw_connection &connection, const std::string &request) {
+		const std::string part(65536, 'a');
+		if (!is_call(request) || !is_endless) {
+			connection.send(with_length("200 OK", request,
+						    is_call(request) ? COMPLETION : "{}"));
+			return;
+		}
+		connection.send("HTTP/1.1 200 OK\r\nx-more: ");
+		for (size_t sent = 0; sent < HEAD_BYTES; sent += part.size())
+			connection.send(part);
+		connection.close();
+	});
+	int64_t before_kb = peak_kb();
+	EXPECT_EQ(c.service(*entry, "mill", "desk/look", "{}").status, 502);
+	EXPECT_GE(ask("endless", false).status, 500);
+	EXPECT_LT(peak_kb() - before_kb, GROWTH_KB);
+	is_endless = false;
+	cluster::wait_until("an answer", [&] { return ask("short", false).status == 200; });
+}
+
 /* Guards against a status that promises that a call hasn't run, passed on from an upstream that has run it. */
 TEST_F(BrokenUpstreams, ARefusalThatNothingProvesIsNoPromiseToTheCaller)
 {
--- a/tests/process_endless_test.cc
+++ b/tests/process_endless_test.cc
@@ -153,6 +153,43 @@
 	EXPECT_FALSE(is_success(call("GET", "/look/1")));
 }
 
+/* Guards against callers that wait until their time limit for the end of a body that nobody gets: of a refusal, with
+ * and without its proof, and of an answer to another request. */
+TEST_F(Endless, ABodyOfARefusal)
+{
+	start("HTTP/1.1 503 Full\r\nAttempt-Id: @\r\nNot-Executed: 1\r\n\r\n",
+	      std::string(4096, 'x'));
+	int64_t began_ms = now_ms();
+	EXPECT_EQ(call("POST", "/book/1").status, 503);
+	EXPECT_LT(now_ms() - began_ms, TIMEOUT_MS / 2);
+}
+
+TEST_F(Endless, ABodyOfARefusalWithoutItsProof)
+{
+	start("HTTP/1.1 503 Full\r\nAttempt-Id: @\r\nResponse-Seal: s\r\n\r\n",
+	      std::string(4096, 'x'));
+	int64_t began_ms = now_ms();
+	EXPECT_EQ(call("POST", "/book/1").status, 502);
+	EXPECT_LT(now_ms() - began_ms, TIMEOUT_MS / 2);
+}
+
+TEST_F(Endless, ABodyOfAnotherRequestsAnswer)
+{
+	start("HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nResponse-Seal: s\r\n\r\n",
+	      std::string(4096, 'x'));
+	int64_t began_ms = now_ms();
+	EXPECT_EQ(call("POST", "/book/1").status, 502);
+	EXPECT_LT(now_ms() - began_ms, TIMEOUT_MS / 2);
+}
+
+TEST_F(Endless, InterimAnswers)
+{
+	start("", "HTTP/1.1 100 Continue\r\n\r\n");
+	int64_t began_ms = now_ms();
+	EXPECT_EQ(call("POST", "/book/1").status, 502);
+	EXPECT_LT(now_ms() - began_ms, TIMEOUT_MS / 2);
+}
+
 TEST_F(Endless, AChunkHeaderWithoutEnd)
 {
 	start(std::string(HEAD) + "Transfer-Encoding: chunked\r\n\r\n", "0");
