Daemon: the type of an error stays when its status may promise nothing

Only the HTTP status is 502 in place of 503 if not_run is false; docs/ERRORS.md says so. process_once_test and process_broken_upstreams_test are green.

--- a/src/dragonflywharfd/error_reply.c
+++ b/src/dragonflywharfd/error_reply.c
@@ -3,21 +3,24 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define STATUS_BAD_GATEWAY 502
+
 /* A request that may have run is never answered with a status that promises that it hasn't. */
-static enum dw_status status_without_promise(enum dw_status status, enum not_run not_run)
+static int http_status_of(enum dw_status status, enum not_run not_run)
 {
-	if (not_run == NOT_RUN_PROVEN || !error_status_is_refusal(error_http_status(status)))
-		return status;
-	return DW_UPSTREAM_FAILED;
+	int http_status = error_http_status(status);
+
+	if (not_run == NOT_RUN_PROVEN || !error_status_is_refusal(http_status))
+		return http_status;
+	return STATUS_BAD_GATEWAY;
 }
 
-void error_reply(struct dw_http_exchange *exchange, enum dw_status requested_status,
-		 enum not_run not_run, const char *message)
+void error_reply(struct dw_http_exchange *exchange, enum dw_status status, enum not_run not_run,
+		 const char *message)
 {
-	enum dw_status status = status_without_promise(requested_status, not_run);
 	char *text = error_json(status, not_run, message);
 
-	dw_http_respond(exchange, error_http_status(status), "application/json", text,
+	dw_http_respond(exchange, http_status_of(status, not_run), "application/json", text,
 			strlen(text));
 	free(text);
 }
