Router: the names of models that callers make up aren't kept for ever

Beside it: parts of prompts were bounded by their tokens only, so that short ones filled the memory; 2,048 are kept for an engine.

--- a/include/dragonflywharf/prefix_cache.h
+++ b/include/dragonflywharf/prefix_cache.h
@@ -19,6 +19,8 @@
 #endif
 
 #define DW_PROMPT_PARTS_MAX 16
+/** Parts kept for one engine, however few tokens they have: callers choose that. */
+#define DW_PREFIX_CACHE_PARTS_MAX 2048
 
 struct dw_prompt_part {
 	uint64_t id;
@@ -49,6 +51,9 @@
 void dw_prefix_cache_touch(struct dw_prefix_cache *cache, uint64_t model,
 			   const struct dw_prompt *prompt);
 
+/** Number of parts that are assumed to be cached. */
+size_t dw_prefix_cache_part_count(const struct dw_prefix_cache *cache);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/core/prefix_cache.c
+++ b/src/core/prefix_cache.c
@@ -127,6 +127,12 @@
 	 * the parts before it. */
 	for (uint32_t i = prompt->part_count; i > 0; i--)
 		touch_part(cache, model, &prompt->parts[i - 1]);
-	while (cache->cached_tokens > cache->capacity_tokens && cache->parts)
+	while (cache->parts && (cache->cached_tokens > cache->capacity_tokens ||
+				HASH_COUNT(cache->parts) > DW_PREFIX_CACHE_PARTS_MAX))
 		evict(cache, cache->parts);
 }
+
+size_t dw_prefix_cache_part_count(const struct dw_prefix_cache *cache)
+{
+	return HASH_COUNT(cache->parts);
+}
--- a/src/wharf-gateway/router.c
+++ b/src/wharf-gateway/router.c
@@ -22,12 +22,6 @@
 	UT_hash_handle hh;
 };
 
-struct model_record {
-	char *name;
-	struct dw_model_speed speed;
-	UT_hash_handle hh;
-};
-
 struct escalation_record {
 	char *route;
 	struct dw_escalation_stats stats;
@@ -78,7 +72,6 @@
 void router_close(struct router *router)
 {
 	FREE_RECORDS(service_budget, router->budgets, service);
-	FREE_RECORDS(model_record, router->models, name);
 	FREE_RECORDS(escalation_record, router->escalations, route);
 	FREE_RECORDS(work_record, router->work, service);
 	admission_gate_free(router->admission);
@@ -156,19 +149,25 @@
 	return &record->stats;
 }
 
+/* Callers name models, so their number isn't known: the one that was asked for longest ago makes room. An attempt
+ * that still learns from it then learns for the next one, which does little harm. */
 struct dw_model_speed *router_speed(struct router *router, const char *name)
 {
-	struct model_record *model;
-
-	HASH_FIND_STR(router->models, name, model);
-	if (!model) {
-		model = calloc(1, sizeof(*model));
-		if (!model)
-			abort();
-		model->name = strdup(name);
-		HASH_ADD_KEYPTR(hh, router->models, model->name, strlen(model->name), model);
+	uint64_t hash = dw_model_hash(name);
+	struct router_model *oldest = &router->models[0];
+	struct router_model *model;
+
+	for (uint32_t i = 0; i < ROUTER_MODELS_MAX; i++) {
+		model = &router->models[i];
+		if (model->used > 0 && model->hash == hash) {
+			model->used = ++router->models_used;
+			return &model->speed;
+		}
+		if (model->used < oldest->used)
+			oldest = model;
 	}
-	return &model->speed;
+	*oldest = (struct router_model){ .hash = hash, .used = ++router->models_used };
+	return &oldest->speed;
 }
 
 struct dw_work_stats *router_work_stats(struct router *router, const char *service)
--- a/src/wharf-gateway/router.h
+++ b/src/wharf-gateway/router.h
@@ -16,10 +16,18 @@
 
 struct admission_gate;
 struct service_budget;
-struct model_record;
 struct escalation_record;
 struct work_record;
 
+/** Models whose speed is remembered. */
+#define ROUTER_MODELS_MAX 64
+
+struct router_model {
+	uint64_t hash; /**< of its name */
+	uint64_t used; /**< number of the last use; 0: free place */
+	struct dw_model_speed speed;
+};
+
 struct router {
 	uv_loop_t *loop;
 	const struct gateway_settings *settings;
@@ -30,7 +38,8 @@
 	struct admission_gate
 		*admission; /**< where requests wait for the configuration or engines */
 	struct service_budget *budgets; /**< keyed by service */
-	struct model_record *models; /**< keyed by name */
+	struct router_model models[ROUTER_MODELS_MAX];
+	uint64_t models_used; /**< how often one was looked up */
 	struct escalation_record *escalations; /**< keyed by route */
 	struct work_record *work; /**< keyed by service */
 	uint64_t random;
--- a/tests/prefix_cache_test.cc
+++ b/tests/prefix_cache_test.cc
@@ -34,6 +34,16 @@
 	EXPECT_EQ(dw_prefix_cache_cached_tokens(cache, 8, &stored), 0U) << "another model";
 }
 
+/* Guards against callers whose prompts have many short parts, and fill the memory. */
+TEST_F(PrefixCache, KeepsABoundedNumberOfPartsHoweverShort)
+{
+	for (uint64_t i = 1; i <= 3 * DW_PREFIX_CACHE_PARTS_MAX; i++) {
+		dw_prompt prompt = prompt_of({ { i, 0 } });
+		dw_prefix_cache_touch(cache, 7, &prompt);
+	}
+	EXPECT_EQ(dw_prefix_cache_part_count(cache), (size_t)DW_PREFIX_CACHE_PARTS_MAX);
+}
+
 TEST_F(PrefixCache, EvictsTheLeastRecentlyUsedParts)
 {
 	dw_prompt first = prompt_of({ { 1, 400 } });
--- a/tests/process_untrusted_callers_test.cc
+++ b/tests/process_untrusted_callers_test.cc
@@ -13,6 +13,7 @@
 
 #include "support/caller_crowd.h"
 #include "support/endless_server.h"
+#include "support/kept_connection.h"
 #include "support/http.h"
 #include "support/platform.h"
 
@@ -304,4 +305,35 @@
 	check();
 }
 
+/* Guards against memory that each name of a model takes that a caller makes up, for ever. */
+TEST_F(UntrustedCallers, NamesOfModelsMadeUp)
+{
+	constexpr int REQUESTS = 6000;
+	constexpr size_t NAME_BYTES = 7000;
+	constexpr int64_t GROWTH_MB = 12;
+
+	start();
+	version += 3;
+	put("op/config",
+	    "{\"Version\":" + std::to_string(version) + ",\"Routes\":[" + route("look", "safe", 2) +
+		    "],\"Services\":[{\"Name\":\"app\",\"HealthPath\":\"/health\",\"Engine\":{"
+		    "\"Slots\":64,\"KvCapacity\":100000,\"Stride\":3}}],\"Tenants\":[{\"Name\":"
+		    "\"workshop\",\"ApiKeys\":[\"k1\"]}]}");
+	ASSERT_TRUE(wait_until([&] { return call_ordinarily().status == 200; }));
+	int64_t before_mb = peak_memory_mb();
+	support::kept_connection caller(caller_port);
+	for (int i = 0; i < REQUESTS; i++) {
+		ASSERT_TRUE(caller.send(
+			"GET", "/look/1", "",
+			{ { "Attempt-Id", "m" + std::to_string(i) },
+			  { "Deadline-Ms", "3000" },
+			  { "Credential", "k1" },
+			  { "Token-Usage", "100,10" },
+			  { "Model", std::to_string(i) + std::string(NAME_BYTES, 'x') } }));
+		ASSERT_EQ(caller.read().status, 200) << i;
+	}
+	EXPECT_LT(peak_memory_mb() - before_mb, GROWTH_MB);
+	check();
+}
+
 } // namespace
