--- a/tests/standins/standin_metadata.c
+++ b/tests/standins/standin_metadata.c
@@ -10,8 +10,11 @@
  * - answer_lost: a write is executed, then the connection is closed without a response
  *
  * Admin calls: POST /admin/put {"key", "value"} writes a key as an operator does, /admin/delete
- * {"key"} deletes one, /admin/compact discards the history.
+ * {"key"} deletes one, /admin/compact discards the history, /admin/backup keeps a copy, /admin/restore comes back from
+ * it: what was written since is gone, leases too, revisions are given out again, and the era rises by one. All answers
+ * have the era.
  */
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -26,6 +29,7 @@
 #define MAX_PAGE_ITEMS 20
 #define KEY_BUFFER_BYTES 256
 #define FIRST_REVISION 10
+#define FIRST_ERA 1
 
 struct watch {
 	struct standin_request *request;
@@ -36,8 +40,11 @@
 
 struct metadata {
 	struct kv_table *table;
+	struct kv_table *backup; /* NULL: none yet */
+	uint64_t era;
 	struct watch *watches;
 	uint64_t last_lease;
+	uint64_t last_lease_of_backup;
 	struct json_object *calls; /* count by the last part of the path */
 };
 
@@ -181,8 +188,8 @@
 	struct json_object *events;
 	struct json_object *body;
 
-	if (after_revision < table->compact_revision) {
-		standin_answer_error(request, 410, "revision has been compacted");
+	if (after_revision < table->compact_revision || after_revision > table->revision) {
+		standin_answer_error(request, 410, "no history from this revision");
 		return true;
 	}
 	events = json_object_new_array();
@@ -362,12 +369,21 @@
 		standin_answer_error(request, 404, "unknown path");
 }
 
+static void add_era(struct standin_request *request)
+{
+	char text[24];
+
+	snprintf(text, sizeof(text), "%" PRIu64, metadata_of(request->standin)->era);
+	dw_http_add_header(request->exchange, "Store-Era", text);
+}
+
 static void on_request(struct standin_request *request)
 {
 	struct standin *standin = request->standin;
 	const struct fault *slow = fault_set_consume(&standin->faults, "slow", request->path);
 
 	json_increment(metadata_of(standin)->calls, strrchr(request->path, '/') + 1, 1);
+	add_era(request);
 	if (fault_set_consume(&standin->faults, "silent", request->path))
 		return; /* the caller times out; the request is freed when it disconnects */
 	if (fault_set_consume(&standin->faults, "outage", request->path))
@@ -405,6 +421,40 @@
 	notify_watches(metadata);
 }
 
+static void close_watches(struct metadata *metadata)
+{
+	while (metadata->watches) {
+		struct standin_request *request = metadata->watches->request;
+
+		remove_watch(&metadata->watches);
+		standin_close_connection(request);
+	}
+}
+
+static void admin_backup(struct standin_request *request, struct metadata *metadata)
+{
+	kv_table_free(metadata->backup);
+	metadata->backup = kv_table_backup(metadata->table);
+	metadata->last_lease_of_backup = metadata->last_lease;
+	standin_answer(request, 200, json_object_new_object());
+}
+
+/* Calls that wait meanwhile are cut, so that no answer has the era of another table. */
+static void admin_restore(struct standin_request *request, struct metadata *metadata)
+{
+	if (!metadata->backup) {
+		standin_answer_error(request, 404, "there is no copy");
+		return;
+	}
+	close_watches(metadata);
+	kv_table_free(metadata->table);
+	metadata->table = kv_table_backup(metadata->backup);
+	metadata->table->compact_revision = metadata->table->revision;
+	metadata->last_lease = metadata->last_lease_of_backup;
+	metadata->era++;
+	standin_answer(request, 200, json_object_new_object());
+}
+
 static void on_admin(struct standin_request *request)
 {
 	struct metadata *metadata = metadata_of(request->standin);
@@ -413,6 +463,10 @@
 		admin_put(request, metadata);
 	} else if (strcmp(request->path, "/admin/delete") == 0) {
 		admin_delete(request, metadata);
+	} else if (strcmp(request->path, "/admin/backup") == 0) {
+		admin_backup(request, metadata);
+	} else if (strcmp(request->path, "/admin/restore") == 0) {
+		admin_restore(request, metadata);
 	} else if (strcmp(request->path, "/admin/compact") == 0) {
 		kv_table_compact(metadata->table, metadata->table->revision);
 		standin_answer(request, 200, json_object_new_object());
@@ -432,14 +486,8 @@
 {
 	struct metadata *metadata = metadata_of(standin);
 
-	if (strcmp(kind, "outage") != 0)
-		return;
-	while (metadata->watches) {
-		struct standin_request *request = metadata->watches->request;
-
-		remove_watch(&metadata->watches);
-		standin_close_connection(request);
-	}
+	if (strcmp(kind, "outage") == 0)
+		close_watches(metadata);
 }
 
 int main(int argc, char **argv)
@@ -465,6 +513,7 @@
 		return rc;
 	metadata.table = kv_table_new();
 	metadata.table->revision = FIRST_REVISION;
+	metadata.era = FIRST_ERA;
 	metadata.calls = json_object_new_object();
 	return standin_run(&standin, &common);
 }
