Planned stop: connections whose caller still reads its answer stay open

A request has ended when its answer is handed to its connection; the stop closed connections without a request, with what waited there. It now asks whether the caller still reads, as the idle timeout does.

--- a/src/wharf-gateway/caller.c
+++ b/src/wharf-gateway/caller.c
@@ -410,7 +410,8 @@
 	struct caller *next;
 
 	DL_FOREACH_SAFE(list->first, caller, next) {
-		if (caller->state == CALLER_IDLE)
+		/* Its last answer may still be on the way. */
+		if (caller->state == CALLER_IDLE && !caller_still_reads(caller))
 			caller_close(caller);
 	}
 }
--- a/tests/process_planned_stop_test.cc
+++ b/tests/process_planned_stop_test.cc
@@ -2,9 +2,14 @@
 // Faults: requests that come late in the grace, engines that take long.
 #include <gtest/gtest.h>
 
-#include <csignal>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
+#include <csignal>
 #include <string>
 #include <thread>
 #include <vector>
@@ -12,11 +17,14 @@
 #include "support/fleet.h"
 #include "support/http.h"
 #include "support/kept_connection.h"
+#include "support/raw_fleet.h"
 
+using support::answer_with_length;
 using support::http_answer;
 using support::http_headers;
 using support::kept_connection;
 using support::now_ms;
+using support::raw_connection;
 using support::wait_until;
 
 namespace
@@ -153,4 +161,62 @@
 	EXPECT_NE(answer.body.find("\"not_run\":false"), std::string::npos) << answer.body;
 }
 
+struct SlowReader : support::raw_fleet {
+	static constexpr size_t ANSWER_BYTES = 8000000;
+	static constexpr int READ_BYTES = 60000; /* each 40 ms: 1.5 MB/s */
+	/* As on a network: with the loopback's own, the kernel holds far more of an answer. */
+	static constexpr int SEGMENT_BYTES = 1460;
+
+	/* Reads the answer, and sends SIGTERM after a tenth of it. @return bytes of its body */
+	size_t read_slowly()
+	{
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
+		int receive_bytes = 65536;
+		int segment_bytes = SEGMENT_BYTES;
+		setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &segment_bytes, sizeof(segment_bytes));
+		setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes, sizeof(receive_bytes));
+		sockaddr_in address{};
+		address.sin_family = AF_INET;
+		address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		address.sin_port = htons(instances[0].caller_port);
+		EXPECT_EQ(connect(fd, (sockaddr *)&address, sizeof(address)), 0);
+		std::string request =
+			"POST /slow/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nAttempt-Id: r1\r\n"
+			"Deadline-Ms: 20000\r\nCredential: k1\r\n"
+			"Content-Length: 2\r\n\r\n{}";
+		EXPECT_EQ(send(fd, request.data(), request.size(), 0), (ssize_t)request.size());
+		std::string buffer(READ_BYTES, ' ');
+		size_t received = 0;
+		size_t marks = 0;
+		bool is_stopped = false;
+		for (ssize_t len; (len = recv(fd, &buffer[0], buffer.size(), 0)) > 0;) {
+			received += (size_t)len;
+			marks += (size_t)std::count(buffer.begin(), buffer.begin() + len, '~');
+			if (!is_stopped && received > ANSWER_BYTES / 10) {
+				instances[0].gateway->signal(SIGTERM);
+				is_stopped = true;
+			}
+			if (marks == ANSWER_BYTES)
+				break;
+			std::this_thread::sleep_for(std::chrono::milliseconds(40));
+		}
+		close(fd);
+		return marks;
+	}
+};
+
+/* Guards against the end of an answer that is dropped at a planned stop: its request has ended, its caller reads
+ * on, and what is left waits in the gateway's queue. */
+TEST_F(SlowReader, GetsTheWholeAnswerBeyondAPlannedStop)
+{
+	more_routes = "," + route("slow", "unsafe", 1);
+	more_routes.replace(more_routes.find("3000"), 4, "20000");
+	start(1, [](raw_connection &connection, const std::string &request) {
+		connection.send(
+			answer_with_length("200 OK", request, std::string(ANSWER_BYTES, '~')));
+	});
+	EXPECT_EQ(read_slowly(), ANSWER_BYTES);
+	EXPECT_TRUE(instances[0].gateway->wait(10000).ended);
+}
+
 } // namespace
