--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -264,6 +264,13 @@
 		EXPECT_EQ(dw_catalog_key_owner(catalog, "k3"), nullptr);
 		dw_catalog_release(catalog);
 	}
+	const std::string limits =
+		R"({"MaxHeaderBytes":100,"MaxBodyBytes":200,"HeaderTimeoutMs":300,)"
+		R"("IdleTimeoutMs":400})";
+	dw_catalog *unlimited = read_config(with_replacement(CONFIG_RECORD, limits, "5"));
+	EXPECT_STREQ(dw_catalog_defect(unlimited, 0), "Limits: expected an object");
+	EXPECT_GT(dw_catalog_limits(unlimited)->max_body_bytes, 0U) << "the default holds";
+	dw_catalog_release(unlimited);
 	dw_catalog *whole = read_config(CONFIG_RECORD);
 	EXPECT_EQ(dw_catalog_defect_count(whole), 0U);
 	dw_catalog_release(whole);
