Tests: sound engines are asked for certain, and cut-off engines had requests

One engine is left now, so each instance asks it again. ThatWereCutOffHaveNotEnded passed with a wrong implementation: no connection was kept, so no request was sent into the silence; it warms them up and asserts that runs were given up.

--- a/tests/process_endless_test.cc
+++ b/tests/process_endless_test.cc
@@ -105,6 +105,14 @@
 		EXPECT_EQ(http_call(ready_port, "GET", "/dragonflywharf/ready").status, 200);
 		return answer;
 	}
+	/* A request that may run once is answered long before its time limit. */
+	void expect_soon(const std::string &answer_start, const std::string &repeated, int status)
+	{
+		start(answer_start, repeated);
+		int64_t began_ms = now_ms();
+		EXPECT_EQ(call("POST", "/book/1").status, status);
+		EXPECT_LT(now_ms() - began_ms, TIMEOUT_MS / 2);
+	}
 };
 
 const char *const HEAD = "HTTP/1.1 200 OK\r\nAttempt-Id: @\r\nResponse-Seal: s\r\n";
@@ -154,40 +162,28 @@
 }
 
 /* Guards against callers that wait until their time limit for the end of a body that nobody gets: of a refusal, with
- * and without its proof, and of an answer to another request. */
+ * and without its proof, and of an answer to another request; and for the end of interim answers. */
 TEST_F(Endless, ABodyOfARefusal)
 {
-	start("HTTP/1.1 503 Full\r\nAttempt-Id: @\r\nNot-Executed: 1\r\n\r\n",
-	      std::string(4096, 'x'));
-	int64_t began_ms = now_ms();
-	EXPECT_EQ(call("POST", "/book/1").status, 503);
-	EXPECT_LT(now_ms() - began_ms, TIMEOUT_MS / 2);
+	expect_soon("HTTP/1.1 503 Full\r\nAttempt-Id: @\r\nNot-Executed: 1\r\n\r\n",
+		    std::string(4096, 'x'), 503);
 }
 
 TEST_F(Endless, ABodyOfARefusalWithoutItsProof)
 {
-	start("HTTP/1.1 503 Full\r\nAttempt-Id: @\r\nResponse-Seal: s\r\n\r\n",
-	      std::string(4096, 'x'));
-	int64_t began_ms = now_ms();
-	EXPECT_EQ(call("POST", "/book/1").status, 502);
-	EXPECT_LT(now_ms() - began_ms, TIMEOUT_MS / 2);
+	expect_soon("HTTP/1.1 503 Full\r\nAttempt-Id: @\r\nResponse-Seal: s\r\n\r\n",
+		    std::string(4096, 'x'), 502);
 }
 
 TEST_F(Endless, ABodyOfAnotherRequestsAnswer)
 {
-	start("HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nResponse-Seal: s\r\n\r\n",
-	      std::string(4096, 'x'));
-	int64_t began_ms = now_ms();
-	EXPECT_EQ(call("POST", "/book/1").status, 502);
-	EXPECT_LT(now_ms() - began_ms, TIMEOUT_MS / 2);
+	expect_soon("HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nResponse-Seal: s\r\n\r\n",
+		    std::string(4096, 'x'), 502);
 }
 
 TEST_F(Endless, InterimAnswers)
 {
-	start("", "HTTP/1.1 100 Continue\r\n\r\n");
-	int64_t began_ms = now_ms();
-	EXPECT_EQ(call("POST", "/book/1").status, 502);
-	EXPECT_LT(now_ms() - began_ms, TIMEOUT_MS / 2);
+	expect_soon("", "HTTP/1.1 100 Continue\r\n\r\n", 502);
 }
 
 TEST_F(Endless, AChunkHeaderWithoutEnd)
--- a/tests/process_silent_engines_test.cc
+++ b/tests/process_silent_engines_test.cc
@@ -34,6 +34,8 @@
 /* As the users' rules have it: runs later than this after the third crash are retries too many. */
 constexpr int CONTACT_MS = 3000;
 constexpr int PLAY_MS = 9000;
+/* Of each instance: it has a connection to most engines then. */
+constexpr int WARM_UP_REQUESTS = 30;
 
 std::string events(int from, int to)
 {
@@ -244,6 +246,10 @@
 TEST_P(SoundEngines, ThatWereCutOffHaveNotEnded)
 {
 	start_engines(serving());
+	/* On connections that are kept, the requests below are sent before the silence is noticed. */
+	for (int n = 0; n < WARM_UP_REQUESTS; n++)
+		for (size_t i = 0; i < INSTANCES; i++)
+			ASSERT_EQ(ask_for(i, "/look/" + std::to_string(n), 2000), 200);
 	for (auto &each : engines)
 		each->fall_silent();
 	std::vector<std::thread> callers;
@@ -254,6 +260,7 @@
 		});
 	for (auto &each : callers)
 		each.join();
+	ASSERT_GE(sum("attempts_abandoned_total"), (int64_t)INSTANCES) << "runs were given up";
 	for (const std::string &id : ids)
 		remove("servers/" + id);
 	for (const auto &each : instances)
@@ -314,15 +321,19 @@
 			std::this_thread::sleep_for(std::chrono::milliseconds(600));
 		connection.send(answer_with_length("200 OK", request, events(1, 1)));
 	});
+	/* One engine is left, so that it is asked again by each instance. */
+	for (size_t i = 1; i < ENGINES; i++)
+		remove("servers/" + ids[i]);
+	for (const auto &each : instances)
+		ASSERT_TRUE(wait_until([&] { return each.metric("engines_usable") == 1; }));
 	for (size_t i = 0; i < INSTANCES; i++)
 		ask_for(i, "/book/slow", 100);
+	ASSERT_TRUE(wait_until([&] { return sum("attempts_abandoned_total") == INSTANCES; }));
 	std::this_thread::sleep_for(std::chrono::milliseconds(1200));
-	for (int n = 0; n < 40; n++)
-		ask_for((size_t)n % INSTANCES, "/look/" + std::to_string(n), 2000);
-	for (size_t i = 0; i < ENGINES; i++) {
-		born[i]++;
-		register_lifetime(i);
-	}
+	for (size_t i = 0; i < INSTANCES; i++)
+		ASSERT_EQ(ask_for(i, "/look/again", 2000), 200);
+	born[0]++;
+	register_lifetime(0);
 	expect_no_suspicion("outlived");
 }
 
