Logs: answers that are older than the copy, and rereads

store.lost said nothing of the revision that is held, and nothing said that a read of all keys was ignored while it passed for a proof. Now view.behind tells when answers begin and cease to be older than the copy (source, both revisions, records ignored), store.lost names the revision held, and four metrics count rereads, answers and records. No decision changes.

--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -315,6 +315,34 @@
 	apply_record(view, event, now_us);
 }
 
+/* Whether the known record of the key is newer. */
+static bool is_superseded(const struct view *view, const struct dw_view_record *record)
+{
+	const struct dw_view_record *known = dw_view_log_find(view->records, record->key);
+
+	return known && known->revision > record->revision;
+}
+
+/* Says when answers begin and cease to be older than this copy, whose proof they are. */
+static void note_answered(struct view *view, const char *source, uint64_t revision,
+			  uint64_t ignored_before, uint64_t now_us)
+{
+	uint64_t known = dw_view_log_revision(view->records);
+	bool is_behind = revision < known;
+
+	view->answers_behind += is_behind;
+	if (is_behind == view->is_answer_behind)
+		return;
+	dw_log_event(view->log, DW_EVENT_VIEW_BEHIND, DW_STR("source", source),
+		     DW_INT("behind", is_behind), DW_INT("revision", known),
+		     DW_INT("answered", revision),
+		     DW_INT("ignored", view->records_ignored - ignored_before),
+		     DW_INT("lasted_ms",
+			    is_behind ? 0 : (now_us - view->behind_since_us) / DW_US_PER_MS));
+	view->is_answer_behind = is_behind;
+	view->behind_since_us = now_us;
+}
+
 void view_apply(struct view *view, const struct dw_store_event *event, uint64_t now_us)
 {
 	struct dw_view_record record = {
@@ -327,6 +355,7 @@
 	struct bytes packed = { 0 };
 
 	view_record_pack(view->records, &record, &packed);
+	view->records_ignored += is_superseded(view, &record);
 	if (dw_view_log_put(view->records, &record, now_us))
 		apply_change(view, event, now_us);
 	bytes_free(&packed);
@@ -348,6 +377,9 @@
 void view_apply_all(struct view *view, const struct dw_store_entry *entries, size_t count,
 		    uint64_t revision, uint64_t now_us)
 {
+	uint64_t ignored_before = view->records_ignored;
+
+	view->rereads++;
 	dw_view_log_begin_snapshot(view->records, revision);
 	for (size_t i = 0; i < count; i++) {
 		struct dw_store_event event = { .entry = entries[i] };
@@ -355,6 +387,7 @@
 		view_apply(view, &event, now_us);
 	}
 	apply_missing(view, revision, now_us);
+	note_answered(view, "store", revision, ignored_before, now_us);
 	dw_view_log_complete(view->records, revision);
 }
 
@@ -383,14 +416,17 @@
 	event.entry.value = record.value;
 	event.entry.value_len = record.value_len;
 	event.entry.mod_revision = record.revision;
+	view->records_ignored += is_superseded(view, &record);
 	if (dw_view_log_put(view->records, &record, now_us))
 		apply_change(view, &event, now_us);
 	bytes_free(&value);
 	return true;
 }
 
-bool view_apply_answer(struct view *view, const struct view_answer *answer, uint64_t now_us)
+bool view_apply_answer(struct view *view, const struct view_answer *answer, const char *source,
+		       uint64_t now_us)
 {
+	uint64_t ignored_before = view->records_ignored;
 	bool is_complete = true;
 
 	if (answer->is_snapshot)
@@ -401,6 +437,7 @@
 		return false;
 	if (answer->is_snapshot)
 		apply_missing(view, answer->revision, now_us);
+	note_answered(view, source, answer->revision, ignored_before, now_us);
 	view->hops = answer->hops < HOPS_MAX ? answer->hops + 1 : HOPS_MAX;
 	dw_view_log_complete(view->records, answer->revision);
 	return true;
@@ -468,6 +505,7 @@
 		return;
 	view->is_store_reached = false;
 	dw_log_event(view->log, DW_EVENT_STORE_LOST, DW_STR("reason", dw_status_name(reason)),
+		     DW_INT("revision", dw_view_log_revision(view->records)),
 		     DW_INT("abandoned_bytes", abandoned_bytes),
 		     DW_INT("age_ms", age_ms(view, now_us)));
 }
--- a/src/wharf-gateway/view.h
+++ b/src/wharf-gateway/view.h
@@ -51,6 +51,11 @@
 	uint64_t abandoned_bytes; /**< of the store's answers, as of the last call that failed */
 	uint32_t hops; /**< instances between this one and the store, as of the last proof */
 	bool is_store_reached; /**< the last call of this instance's own watch succeeded */
+	bool is_answer_behind; /**< the last answer with records was older than this copy */
+	uint64_t behind_since_us; /**< valid with is_answer_behind */
+	uint64_t answers_behind; /**< answers that were, since the start */
+	uint64_t records_ignored; /**< records of answers that were older than the known ones */
+	uint64_t rereads; /**< reads of all keys of the store since the start */
 	void (*on_confirmed)(void *owner); /**< called after each proof, with its changes applied */
 	void *on_confirmed_owner;
 };
@@ -66,10 +71,12 @@
 
 /**
  * Applies the records that another instance passed on.
+ * @param source its address, for the log
  * @return false if one can't be applied, as it refers to a value that this copy doesn't have; the
  * answer proves nothing then
  */
-bool view_apply_answer(struct view *view, const struct view_answer *answer, uint64_t now_us);
+bool view_apply_answer(struct view *view, const struct view_answer *answer, const char *source,
+		       uint64_t now_us);
 
 /**
  * Applies all keys of the store as of @p revision. Known keys that aren't among them count as deleted,
--- a/src/wharf-gateway/view_sync.c
+++ b/src/wharf-gateway/view_sync.c
@@ -99,12 +99,13 @@
 		outage_ended_at_us = now_us - answer->store_back_us;
 	finish_request(sync);
 	view_peer_answered(view, outage_ended_at_us);
-	if (!view_apply_answer(view, answer, now_us)) {
+	peers_find(&view->peers, sync->asked, &address);
+	if (!view_apply_answer(view, answer, address.ip, now_us)) {
 		dw_view_source_behind(&view->source, now_us);
 		return;
 	}
 	view_peer_current(view, confirmed_at_us, now_us);
-	if (peers_find(&view->peers, sync->asked, &address))
+	if (address.port > 0)
 		log_source(sync, sync->asked, address.ip);
 }
 
