View: what is learned from the store is ordered by its era

Callers saw: after the store had come back from an older copy, a key that was taken away went on working, a later configuration was never in force, and requests reached engines that had left, while all instances said they were ready.

Cause: revisions were trusted to grow. The view kept the highest one ever seen, dropped all records below it, asked the store for changes after it (410), read all keys, dropped them again, and took that reading for a proof that its copy was current. Class: a number that only grows is trusted to order things whose source can go back; and a proof of freshness came from an answer of which nothing was applied.

Change: revisions hold the store's era in their high bits, made in platform/; answers of an earlier era are dropped; a reading that is older than the copy proves nothing; at the first state of an era each kind of record is kept or taken by a rule of its own; what is kept goes to instances that start; instances pass on what differs.

--- a/include/dragonflywharf/engine.h
+++ b/include/dragonflywharf/engine.h
@@ -33,6 +33,7 @@
 	bool is_draining;
 	uint32_t cold_remaining_ms;
 	uint64_t started_at_ms; /**< distinguishes restarts under the same id; 0: unknown */
+	uint64_t sequence; /**< of the entry within the lifetime, rises with each heartbeat */
 	bool lists_models; /**< it serves only the models that it lists; else any */
 	uint64_t models[DW_ENGINE_MODELS_MAX]; /**< hashes of their names, dw_model_hash() */
 	uint32_t model_count;
--- a/include/dragonflywharf/view_log.h
+++ b/include/dragonflywharf/view_log.h
@@ -4,7 +4,9 @@
  * can be brought up to date: with the records that changed since a revision, or with all of them.
  *
  * Records may arrive in any order and from several sources; an older record of a key never replaces
- * a newer one. Running out of memory aborts.
+ * a newer one. Revisions hold the store's era (store_revision.h). After the store came back from an older copy, a
+ * record that it has lost may be kept over the older one that it shows: see dw_view_record.kept_over. Running out of
+ * memory aborts.
  */
 #ifndef DRAGONFLYWHARF_VIEW_LOG_H
 #define DRAGONFLYWHARF_VIEW_LOG_H
@@ -26,6 +28,9 @@
 	const uint8_t *packed; /**< the value as it is passed on if it is large; NULL: as it is */
 	size_t packed_len;
 	uint64_t base_revision; /**< revision of the value that packed refers to; 0: none */
+	/** The store has lost this record: it is kept over what the store shows up to this revision, an
+	 * older record of the key or none. 0: it isn't kept. */
+	uint64_t kept_over;
 };
 
 struct dw_view_log;
@@ -35,7 +40,8 @@
 
 /**
  * Stores a copy of a record.
- * @return false, without effect, if the same or a newer revision of the key is known.
+ * @return false, without effect, if the same or a newer revision of the key is known, or one that is kept over it. A
+ * record with the same number and value in a later era is the same.
  */
 bool dw_view_log_put(struct dw_view_log *log, const struct dw_view_record *record, uint64_t now_us);
 
@@ -69,8 +75,8 @@
 
 /**
  * Starts taking in all keys of the store as of @p revision: put them all, then call
- * dw_view_log_next_missing(). Keys that were deleted before and aren't known here stay unknown, so
- * the log covers no earlier revision from now on.
+ * dw_view_log_next_missing(). Keys that were written and deleted since the last known revision stay unknown, so
+ * the log covers no revision between that and @p revision.
  */
 void dw_view_log_begin_snapshot(struct dw_view_log *log, uint64_t revision);
 /**
@@ -80,6 +86,17 @@
 const struct dw_view_record *dw_view_log_next_missing(struct dw_view_log *log, uint64_t revision,
 						      uint64_t now_us);
 
+/** Keeps the key's record over what the store shows up to the revision @p over; counts as listed by the snapshot. */
+void dw_view_log_keep(struct dw_view_log *log, const struct dw_view_record *record, uint64_t over);
+/** Gives a kept record up, so that any record of the store replaces it. */
+void dw_view_log_give_up(struct dw_view_log *log, const struct dw_view_record *record);
+/** Whether the record's key was put, or kept, since dw_view_log_begin_snapshot(). */
+bool dw_view_log_is_listed(const struct dw_view_log *log, const struct dw_view_record *record);
+/** Number of records that are kept. */
+size_t dw_view_log_kept_count(const struct dw_view_log *log);
+/** The last value of a deleted key, if it is small; NULL if it isn't known. */
+const uint8_t *dw_view_log_last_value(const struct dw_view_record *record, size_t *len);
+
 /** Forgets deleted keys that were deleted before @p before_us. */
 void dw_view_log_forget(struct dw_view_log *log, uint64_t before_us);
 
--- a/include/dragonflywharf/view_source.h
+++ b/include/dragonflywharf/view_source.h
@@ -54,6 +54,7 @@
 	uint64_t confirmed_at_us[DW_VIEW_ORIGIN_COUNT]; /**< newest proof of each; 0: none */
 	struct dw_view_failed_source failed[DW_VIEW_SOURCES_MAX];
 	uint64_t asked; /**< the source asked last; 0: none */
+	bool wants_memory; /**< to ask a source even if the store serves this instance */
 	uint64_t behind_since_us; /**< since when no source has the changes that are missing; 0 */
 	bool is_reading;
 	uint64_t reading_since_us;
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -9,7 +9,7 @@
 	exit 1
 fi
 # Wire names of the platform may occur only in platform/ and in the tests that use its protocol.
-if grep -rnE 'Attempt-Id|Prompt-Prefix|Token-Usage|kv-(txn|watch|range|key|lease)|Not-Executed|Response-Seal|Expect-Instance|Server-Load|Deadline-Ms|"servers/|"op/' \
+if grep -rnE 'Attempt-Id|Prompt-Prefix|Token-Usage|kv-(txn|watch|range|key|lease)|Not-Executed|Response-Seal|Expect-Instance|Server-Load|Store-Era|Deadline-Ms|"servers/|"op/' \
 	src include; then
 	echo "lint: a wire name stands outside platform/" >&2
 	exit 1
--- /dev/null
+++ b/src/core/restore_rule.c
@@ -0,0 +1,70 @@
+#include <dragonflywharf/restore_rule.h>
+
+/* Revisions of both go back to the copy, so the lower one is the older one, unless it was written after the
+ * restore. That can't be told, so this decides only until lost states were written again. */
+static bool is_lost(const struct dw_restored_state *known, const struct dw_restored_state *shown,
+		    bool is_settled)
+{
+	return !is_settled && known->number > shown->number;
+}
+
+static bool keeps_config(const struct dw_restored_state *known,
+			 const struct dw_restored_state *shown, bool is_settled)
+{
+	if (!known->exists)
+		return false;
+	if (!shown->exists)
+		return true;
+	if (!known->is_readable)
+		return is_lost(known, shown, is_settled);
+	return shown->is_readable && shown->sequence < known->sequence;
+}
+
+/* Whether the shown entry is from before the known one, or from before its removal. */
+static bool is_older_report(const struct dw_restored_state *known,
+			    const struct dw_restored_state *shown)
+{
+	if (shown->lifetime != known->lifetime)
+		return shown->lifetime < known->lifetime;
+	if (shown->sequence != known->sequence)
+		return shown->sequence < known->sequence;
+	return !known->exists || (known->is_leaving && !shown->is_leaving);
+}
+
+/* An entry that isn't shown counts as removed: its engine stays in use for a while, as after an outage. */
+static bool keeps_engine(const struct dw_restored_state *known,
+			 const struct dw_restored_state *shown, bool is_settled)
+{
+	if (!shown->exists || !shown->is_readable)
+		return false;
+	if (!known->is_readable)
+		return is_lost(known, shown, is_settled);
+	return is_older_report(known, shown);
+}
+
+static bool keeps_order(const struct dw_restored_state *known,
+			const struct dw_restored_state *shown, bool is_settled)
+{
+	if (!shown->exists)
+		return known->exists && !is_settled;
+	return is_lost(known, shown, is_settled);
+}
+
+bool dw_restore_keeps(enum dw_restored_kind kind, const struct dw_restored_state *known,
+		      const struct dw_restored_state *shown, bool is_settled)
+{
+	if (!known->is_known)
+		return false;
+	switch (kind) {
+	case DW_RESTORED_CONFIG:
+		return keeps_config(known, shown, is_settled);
+	case DW_RESTORED_ENGINE:
+		return keeps_engine(known, shown, is_settled);
+	case DW_RESTORED_ORDER:
+		return keeps_order(known, shown, is_settled);
+	case DW_RESTORED_OWN:
+	case DW_RESTORED_KIND_COUNT:
+		break;
+	}
+	return false;
+}
--- a/src/core/view_log.c
+++ b/src/core/view_log.c
@@ -5,6 +5,11 @@
 
 #include <uthash.h>
 
+#include <dragonflywharf/store_revision.h>
+
+/* Larger values of deleted keys aren't remembered. */
+#define LAST_VALUE_MAX_BYTES 4096
+
 /* Eight times as much takes 0.2 s on a link of 20 Mbit/s. */
 #define PASSED_ON_MAX_BYTES (UINT64_C(64) << 10)
 
@@ -12,6 +17,8 @@
 	struct dw_view_record record; /* first: a record's address is that of its entry */
 	uint64_t updated_at_us;
 	uint64_t snapshot; /* number of the last snapshot that listed the key */
+	uint8_t *last_value; /* of a deleted key; NULL: unknown */
+	size_t last_len;
 	struct log_entry *next_forgotten;
 	UT_hash_handle hh;
 };
@@ -20,6 +27,9 @@
 	struct log_entry *entries; /* by key, in the order of their first appearance */
 	uint64_t revision;
 	uint64_t forgotten_revision; /* highest revision of a forgotten deletion */
+	/* Deletions between these two revisions may be unknown. */
+	uint64_t gap_begin;
+	uint64_t gap_end;
 	uint64_t snapshot;
 	struct log_entry *next_checked; /* by dw_view_log_next_missing() */
 };
@@ -43,6 +53,7 @@
 	free((char *)entry->record.key);
 	free((uint8_t *)entry->record.value);
 	free((uint8_t *)entry->record.packed);
+	free(entry->last_value);
 	free(entry);
 }
 
@@ -108,6 +119,67 @@
 	record->base_revision = packed ? from->base_revision : 0;
 }
 
+/* A restore leaves the records as they are that the copy has; they keep their revisions. */
+static bool is_unchanged(const struct dw_view_record *known, const struct dw_view_record *record)
+{
+	if (dw_revision_number(known->revision) != dw_revision_number(record->revision) ||
+	    known->deleted != record->deleted)
+		return false;
+	return record->deleted ||
+	       (known->value && record->value && known->value_len == record->value_len &&
+		memcmp(known->value, record->value, known->value_len) == 0);
+}
+
+static bool replaces(const struct dw_view_record *record, const struct dw_view_record *known)
+{
+	if (known->revision == 0)
+		return true;
+	if (is_unchanged(known, record))
+		return false;
+	if (known->kept_over > 0 && record->kept_over == 0)
+		return record->revision > known->kept_over;
+	if (record->kept_over > 0 && known->kept_over == 0 &&
+	    dw_revision_era(record->revision) != dw_revision_era(known->revision))
+		return known->revision <= record->kept_over;
+	return record->revision > known->revision;
+}
+
+/* Another instance says that the store has lost this record, or an earlier one of its era. */
+static void note_kept(struct dw_view_record *known, const struct dw_view_record *record)
+{
+	if (dw_revision_era(record->revision) == dw_revision_era(known->revision) &&
+	    record->kept_over > known->kept_over)
+		known->kept_over = record->kept_over;
+}
+
+static void forget_last_value(struct log_entry *entry)
+{
+	free(entry->last_value);
+	entry->last_value = NULL;
+	entry->last_len = 0;
+}
+
+static void remember_last_value(struct log_entry *entry)
+{
+	const struct dw_view_record *record = &entry->record;
+
+	if (record->deleted || !record->value || record->value_len > LAST_VALUE_MAX_BYTES)
+		return;
+	forget_last_value(entry);
+	entry->last_value = copy_bytes(record->value, record->value_len);
+	entry->last_len = record->value_len;
+}
+
+static void set_deleted(struct log_entry *entry, uint64_t revision, uint64_t now_us)
+{
+	remember_last_value(entry);
+	set_value(&entry->record, NULL);
+	entry->record.revision = revision;
+	entry->record.deleted = true;
+	entry->record.kept_over = 0;
+	entry->updated_at_us = now_us;
+}
+
 bool dw_view_log_put(struct dw_view_log *log, const struct dw_view_record *record, uint64_t now_us)
 {
 	struct log_entry *entry = find_entry(log, record->key);
@@ -115,15 +187,60 @@
 	if (!entry)
 		entry = add_entry(log, record->key);
 	entry->snapshot = log->snapshot;
-	if (record->revision <= entry->record.revision)
+	if (!replaces(record, &entry->record)) {
+		note_kept(&entry->record, record);
 		return false;
-	set_value(&entry->record, record->deleted ? NULL : record);
-	entry->record.revision = record->revision;
-	entry->record.deleted = record->deleted;
-	entry->updated_at_us = now_us;
+	}
+	if (record->deleted) {
+		set_deleted(entry, record->revision, now_us);
+	} else {
+		forget_last_value(entry);
+		set_value(&entry->record, record);
+		entry->record.revision = record->revision;
+		entry->record.deleted = false;
+		entry->updated_at_us = now_us;
+	}
+	entry->record.kept_over = record->kept_over;
 	return true;
 }
 
+void dw_view_log_keep(struct dw_view_log *log, const struct dw_view_record *record, uint64_t over)
+{
+	struct log_entry *entry = (struct log_entry *)record;
+
+	entry->record.kept_over = over;
+	entry->snapshot = log->snapshot;
+}
+
+void dw_view_log_give_up(struct dw_view_log *log, const struct dw_view_record *record)
+{
+	struct log_entry *entry = (struct log_entry *)record;
+
+	entry->record.kept_over = 0;
+}
+
+bool dw_view_log_is_listed(const struct dw_view_log *log, const struct dw_view_record *record)
+{
+	return ((const struct log_entry *)record)->snapshot == log->snapshot;
+}
+
+size_t dw_view_log_kept_count(const struct dw_view_log *log)
+{
+	size_t count = 0;
+
+	for (const struct log_entry *entry = log->entries; entry; entry = entry->hh.next)
+		count += entry->record.kept_over > 0;
+	return count;
+}
+
+const uint8_t *dw_view_log_last_value(const struct dw_view_record *record, size_t *len)
+{
+	const struct log_entry *entry = (const struct log_entry *)record;
+
+	*len = entry->last_len;
+	return entry->last_value;
+}
+
 const struct dw_view_record *dw_view_log_find(const struct dw_view_log *log, const char *key)
 {
 	const struct log_entry *entry = find_entry(log, key);
@@ -153,7 +270,8 @@
 
 bool dw_view_log_covers(const struct dw_view_log *log, uint64_t after)
 {
-	return after > 0 && after >= log->forgotten_revision;
+	return after > 0 && after >= log->forgotten_revision &&
+	       (after <= log->gap_begin || after >= log->gap_end);
 }
 
 bool dw_view_record_is_packed_for(const struct dw_view_record *record, uint64_t after)
@@ -181,8 +299,15 @@
 
 void dw_view_log_begin_snapshot(struct dw_view_log *log, uint64_t revision)
 {
-	if (revision > log->forgotten_revision)
+	if (log->revision == 0 && revision > log->forgotten_revision)
 		log->forgotten_revision = revision;
+	if (revision > log->revision && log->revision > 0) {
+		/* One gap is remembered: what lies before an earlier one is forgotten. */
+		if (log->gap_end > log->forgotten_revision)
+			log->forgotten_revision = log->gap_end;
+		log->gap_begin = log->revision;
+		log->gap_end = revision;
+	}
 	log->snapshot++;
 	log->next_checked = log->entries;
 }
@@ -197,10 +322,7 @@
 		if (entry->record.deleted || entry->snapshot == log->snapshot ||
 		    entry->record.revision > revision)
 			continue;
-		set_value(&entry->record, NULL);
-		entry->record.revision = revision;
-		entry->record.deleted = true;
-		entry->updated_at_us = now_us;
+		set_deleted(entry, revision, now_us);
 		return &entry->record;
 	}
 	return NULL;
--- a/src/core/view_source.c
+++ b/src/core/view_source.c
@@ -217,7 +217,7 @@
 /* A reader asks other instances only while the store doesn't serve it. */
 static bool needs_peer(const struct dw_view_source *source, uint64_t now_us)
 {
-	return !dw_view_source_is_reader(source) ||
+	return !dw_view_source_is_reader(source) || source->wants_memory ||
 	       age_us(source->confirmed_at_us[DW_VIEW_FROM_STORE], now_us) >
 		       source->timing.stale_us;
 }
--- a/src/net/view_codec.c
+++ b/src/net/view_codec.c
@@ -18,12 +18,20 @@
 	ANSWER_FIELD_COUNT
 };
 
-enum record_field { RECORD_KEY, RECORD_REVISION, RECORD_VALUE, RECORD_FIELD_COUNT };
+enum record_field {
+	RECORD_KEY,
+	RECORD_REVISION,
+	RECORD_VALUE,
+	RECORD_KEPT_OVER,
+	RECORD_FIELD_COUNT
+};
 enum packed_field { PACKED_BASE, PACKED_BYTES, PACKED_FIELD_COUNT };
 
 static bool is_included(const struct dw_view_record *record, const struct view_answer *answer,
 			uint64_t after)
 {
+	if (answer->with_kept && record->kept_over > 0)
+		return true;
 	return answer->is_snapshot ? !record->deleted : record->revision > after;
 }
 
@@ -33,11 +41,11 @@
 	msgpack_pack_bin_body(packer, bytes, len);
 }
 
-static void pack_record(msgpack_packer *packer, const struct dw_view_record *record, uint64_t after)
+static void pack_value(msgpack_packer *packer, const struct dw_view_record *record, uint64_t after)
 {
-	msgpack_pack_array(packer, RECORD_FIELD_COUNT);
-	dw_msgpack_pack_string(packer, record->key);
-	msgpack_pack_uint64(packer, record->revision);
+	/* The receiver needn't have the value that a kept one was packed against. */
+	if (record->kept_over > 0)
+		after = 0;
 	if (record->deleted) {
 		msgpack_pack_nil(packer);
 		return;
@@ -51,6 +59,15 @@
 	pack_bytes(packer, record->packed, record->packed_len);
 }
 
+static void pack_record(msgpack_packer *packer, const struct dw_view_record *record, uint64_t after)
+{
+	msgpack_pack_array(packer, RECORD_FIELD_COUNT);
+	dw_msgpack_pack_string(packer, record->key);
+	msgpack_pack_uint64(packer, record->revision);
+	pack_value(packer, record, after);
+	msgpack_pack_uint64(packer, record->kept_over);
+}
+
 static void pack_optional(msgpack_packer *packer, bool is_set, uint64_t value)
 {
 	if (is_set)
@@ -123,7 +140,8 @@
 	if (!fields || fields[RECORD_KEY].type != MSGPACK_OBJECT_STR ||
 	    fields[RECORD_KEY].via.str.size == 0 ||
 	    memchr(fields[RECORD_KEY].via.str.ptr, '\0', fields[RECORD_KEY].via.str.size) ||
-	    !dw_msgpack_read_uint(&fields[RECORD_REVISION], UINT64_MAX, &out->revision))
+	    !dw_msgpack_read_uint(&fields[RECORD_REVISION], UINT64_MAX, &out->revision) ||
+	    !dw_msgpack_read_uint(&fields[RECORD_KEPT_OVER], UINT64_MAX, &out->kept_over))
 		return false;
 	out->key = copy_text(text, fields[RECORD_KEY].via.str.ptr, fields[RECORD_KEY].via.str.size);
 	value = &fields[RECORD_VALUE];
--- a/src/net/view_pack.c
+++ b/src/net/view_pack.c
@@ -2,6 +2,8 @@
 
 #include <inttypes.h>
 
+#include <dragonflywharf/store_revision.h>
+
 #include "net/value_codec.h"
 
 /* Smaller values fit into the exchange as they are. */
@@ -36,7 +38,10 @@
 	enum dw_status status;
 
 	if (record->base_revision > 0) {
-		if (!known || known->deleted || known->revision != record->base_revision)
+		/* The same value may be known from another era; a checksum shows a wrong one. */
+		if (!known || known->deleted ||
+		    dw_revision_number(known->revision) !=
+			    dw_revision_number(record->base_revision))
 			return dw_fail(DW_STALE,
 				       "%s: the change refers to revision %" PRIu64
 				       ", revision %" PRIu64 " is known",
--- a/src/port/store.h
+++ b/src/port/store.h
@@ -4,9 +4,10 @@
  *
  * An adapter implements struct dw_store_ops (see store_etcd.h). The callback of a call is called
  * exactly once, from a later event loop iteration; pointers in a result are valid within it.
- * A revision counts the changes to the whole store. It never decreases, unless the store was
- * restored from a backup: a range result holds the store's revision so that the caller can detect
- * that.
+ * A revision counts the changes to the whole store, and holds the store's era (store_revision.h), which rises
+ * each time the store comes back from an older copy. So it never decreases. Leases of an earlier era have ended, also
+ * where an id was given out again: their holders drop them. An answer that was given in an earlier era than the
+ * newest known one is dropped by the adapter: the call ends with DW_UNAVAILABLE, a write with DW_STORE_UNKNOWN.
  */
 #ifndef WHARF_PORT_STORE_H
 #define WHARF_PORT_STORE_H
@@ -16,6 +17,8 @@
 #include <stdint.h>
 
 #include <dragonflywharf/status.h>
+#include <dragonflywharf/store_era.h>
+#include <dragonflywharf/store_revision.h>
 
 #ifdef __cplusplus
 extern "C" {
@@ -89,6 +92,15 @@
 	size_t value_len;
 	uint64_t expected_revision; /**< the key's mod_revision; 0: the key must not exist */
 	uint64_t lease_id; /**< the key is deleted when this lease expires; 0 for none */
+	/**
+	 * Optional. The write is applied only while this other key has this revision. Each era changes the key
+	 * before anything else is written in it (era_guard.h), so a write that was prepared in an earlier
+	 * era isn't applied because its expected revision was given out again.
+	 */
+	const char *guard_key;
+	uint64_t guard_revision;
+	/** The era that all this was prepared in: the write isn't sent in another one. 0: not checked. */
+	uint64_t era;
 	uint64_t deadline_us;
 };
 
@@ -124,7 +136,7 @@
 	/**
 	 * Called when the watch ended without dw_store_watch_cancel(); it is freed afterwards. A
 	 * new watch from @p next_revision misses no event. DW_STALE: the store no longer has the
-	 * history from that revision, or its revision decreased; read the range again.
+	 * history from that revision, or it is in another era; read the range again.
 	 */
 	void (*on_ended)(struct dw_store_watch *watch, enum dw_status status,
 			 uint64_t next_revision, void *data);
@@ -162,6 +174,7 @@
 	uint64_t calls[DW_STORE_VERB_COUNT];
 	/** Bytes of answers that were given up before their end, because of a timeout or a fault. */
 	uint64_t abandoned_bytes;
+	struct dw_store_era era; /**< as an adapter whose store has eras keeps it */
 };
 
 /** Reads one key. */
--- /dev/null
+++ b/src/wharf-gateway/era_guard.c
@@ -0,0 +1,163 @@
+#include "wharf-gateway/era_guard.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <json-c/json.h>
+
+#include <dragonflywharf/restore_writes.h>
+
+#include "base/clock.h"
+#include "base/random.h"
+
+#define GUARD_KEY "wharf/era"
+#define VALUE_BYTES 96
+#define CHECK_PERIOD_MS 100
+#define WRITE_TIMEOUT_US (900 * DW_US_PER_MS)
+#define RETRY_US (500 * DW_US_PER_MS)
+/* Instances that knew the store before the era have written by then, if there are any. */
+#define NEWCOMER_DELAY_US (3 * DW_US_PER_S)
+
+void era_guard_init(struct era_guard *guard, struct dw_log *log)
+{
+	memset(guard, 0, sizeof(*guard));
+	guard->log = log;
+}
+
+/* Whether this era gave the key's revision of the era before out to it again. */
+static bool is_revision_used(const struct era_guard *guard)
+{
+	return guard->previous_revision > 0 &&
+	       dw_revision_number(guard->revision) == dw_revision_number(guard->previous_revision);
+}
+
+bool era_guard_allows_writes(const struct era_guard *guard)
+{
+	return guard->era == 0 ||
+	       (guard->revision > 0 && guard->record_era == guard->era && !is_revision_used(guard));
+}
+
+void era_guard_condition(const struct era_guard *guard, struct dw_store_put *put)
+{
+	if (guard->era == 0)
+		return;
+	put->era = guard->era;
+	put->guard_key = GUARD_KEY;
+	put->guard_revision = guard->revision;
+}
+
+bool era_guard_allows_config(const struct era_guard *guard, uint64_t config_version)
+{
+	/* A system that starts for the first time finds no key. */
+	if (guard->era == 0 || guard->revision == 0)
+		return true;
+	return guard->record_era == guard->era && config_version >= guard->record_config;
+}
+
+static uint64_t max_u64(uint64_t a, uint64_t b)
+{
+	return a > b ? a : b;
+}
+
+static void on_written(const struct dw_store_put_result *result, void *data)
+{
+	struct era_guard *guard = data;
+
+	guard->in_flight = false;
+	if (result->outcome == DW_STORE_DONE) {
+		guard->revision = result->revision;
+		guard->record_era = dw_revision_era(result->revision);
+		guard->record_config = max_u64(guard->record_config, guard->config_version);
+	}
+	/* Another instance's write comes with the view. */
+	if (result->outcome == DW_STORE_CONFLICT)
+		guard->revision = result->revision;
+}
+
+static void write_guard(struct era_guard *guard, uint64_t now_us)
+{
+	char value[VALUE_BYTES];
+	struct dw_store_put put = {
+		.key = GUARD_KEY,
+		.value = (const uint8_t *)value,
+		.expected_revision = guard->revision,
+		.era = guard->era,
+		.deadline_us = now_us + WRITE_TIMEOUT_US,
+	};
+
+	snprintf(value, sizeof(value), "{\"era\":%" PRIu64 ",\"config\":%" PRIu64 "}", guard->era,
+		 max_u64(guard->record_config, guard->config_version));
+	put.value_len = strlen(value);
+	guard->in_flight = true;
+	dw_store_put(guard->store, &put, on_written, guard);
+}
+
+static void on_check_timer(uv_timer_t *timer)
+{
+	struct era_guard *guard = timer->data;
+	uint64_t now_us = dw_clock_now_us();
+
+	if (guard->in_flight || guard->write_due_us == 0 || now_us < guard->write_due_us)
+		return;
+	if (era_guard_allows_writes(guard)) {
+		guard->write_due_us = 0;
+		return;
+	}
+	guard->write_due_us = now_us + RETRY_US + dw_random_next(&guard->random) % RETRY_US;
+	write_guard(guard, now_us);
+}
+
+void era_guard_start(struct era_guard *guard, uv_loop_t *loop, struct dw_store *store,
+		     uint64_t seed)
+{
+	guard->store = store;
+	guard->random = seed;
+	uv_timer_init(loop, &guard->timer);
+	guard->timer.data = guard;
+	uv_timer_start(&guard->timer, on_check_timer, CHECK_PERIOD_MS, CHECK_PERIOD_MS);
+}
+
+static uint64_t read_number(struct json_object *root, const char *name)
+{
+	struct json_object *value;
+
+	return json_object_object_get_ex(root, name, &value) ? json_object_get_uint64(value) : 0;
+}
+
+void era_guard_apply(struct era_guard *guard, const struct dw_store_event *event)
+{
+	struct json_object *root;
+
+	if (strcmp(event->entry.key, GUARD_KEY) != 0)
+		return;
+	if (dw_revision_era(event->entry.mod_revision) > guard->era &&
+	    guard->record_era == guard->era)
+		guard->previous_revision = guard->revision;
+	guard->revision = event->deleted ? 0 : event->entry.mod_revision;
+	guard->record_era = 0;
+	guard->record_config = 0;
+	if (event->deleted)
+		return;
+	root = json_tokener_parse((const char *)event->entry.value);
+	guard->record_era = read_number(root, "era");
+	guard->record_config = read_number(root, "config");
+	json_object_put(root);
+}
+
+void era_guard_set_config(struct era_guard *guard, uint64_t version)
+{
+	guard->config_version = version;
+}
+
+void era_guard_entered(struct era_guard *guard, uint64_t era, bool has_memory,
+		       const struct dw_view_place *place, uint64_t now_us)
+{
+	uint64_t delay_us = dw_restore_write_delay_us(place, dw_random_next(&guard->random));
+
+	/* A first key is nobody's memory. */
+	if (!has_memory && guard->revision > 0)
+		delay_us += NEWCOMER_DELAY_US;
+	guard->era = era;
+	guard->write_due_us = now_us + 1 + delay_us;
+}
--- a/src/wharf-gateway/gateway.c
+++ b/src/wharf-gateway/gateway.c
@@ -428,6 +428,8 @@
 	view_sync_start(&gateway->view_sync, &gateway->loop, &gateway->view, &gateway->sync);
 	reader_key_start(&gateway->view.reader_key, &gateway->loop, gateway->store, is_reader,
 			 gateway);
+	era_guard_start(&gateway->view.era_guard, &gateway->loop, gateway->store,
+			router_random(&gateway->router));
 	crash_guard_start(&gateway->view.guard, &gateway->loop, gateway->store,
 			  router_random(&gateway->router));
 	shifts_start(&gateway->view.shifts, &gateway->loop, gateway->store,
--- a/src/wharf-gateway/store_sync.c
+++ b/src/wharf-gateway/store_sync.c
@@ -36,6 +36,16 @@
 		       pause_ms / 2 + dw_random_next(&sync->random) % (pause_ms / 2 + 1), 0);
 }
 
+static void report_bad_era(struct store_sync *sync)
+{
+	if (sync->is_bad_era_logged || sync->store->era.bad_answers == 0)
+		return;
+	sync->is_bad_era_logged = true;
+	dw_log_event(sync->view->log, DW_EVENT_INPUT_REFUSED, DW_STR("key", "store era"),
+		     DW_STR("reason", "missing, no number, or lower than one before"),
+		     DW_INT("era", sync->store->era.newest));
+}
+
 static void on_events(struct dw_store_watch *watch, const struct dw_store_event *events,
 		      size_t count, void *data)
 {
@@ -51,9 +61,18 @@
 {
 	struct store_sync *sync = data;
 
+	uint64_t now_us = dw_clock_now_us();
+
+	report_bad_era(sync);
 	sync->failures = 0;
-	view_store_answered(sync->view, dw_clock_now_us());
-	view_store_current(sync->view, revision, confirmed_at_us, dw_clock_now_us());
+	view_store_answered(sync->view, now_us);
+	view_store_current(sync->view, revision, confirmed_at_us, now_us);
+	if (!view_restore_is_settling_due(&sync->view->restore, now_us))
+		return;
+	dw_store_watch_cancel(sync->store, sync->watch);
+	sync->watch = NULL;
+	sync->is_history_lost = true;
+	sync_begin(sync);
 }
 
 static void on_ended(struct dw_store_watch *watch, enum dw_status status, uint64_t next_revision,
@@ -93,9 +112,8 @@
 		return;
 	}
 	view_store_answered(sync->view, now_us);
-	view_apply_all(sync->view, result->entries, result->count, result->revision, now_us);
-	view_store_current(sync->view, result->revision, sync->read_started_at_us, now_us);
-	sync->failures = 0;
+	if (view_apply_all(sync->view, result->entries, result->count, result->revision, now_us))
+		view_store_current(sync->view, result->revision, sync->read_started_at_us, now_us);
 	sync->is_history_lost = false;
 	if (sync->is_active)
 		watch_start(sync);
--- a/src/wharf-gateway/store_sync.h
+++ b/src/wharf-gateway/store_sync.h
@@ -21,6 +21,7 @@
 	uint64_t random;
 	bool is_active;
 	bool is_range_pending; /**< a read of all keys is in progress */
+	bool is_bad_era_logged;
 	bool is_history_lost; /**< all keys must be read again */
 };
 
--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -43,6 +43,8 @@
 	view->guard.records.are_few_heard_owner = &view->peers;
 	view->guard.parts.records.are_few_heard = are_few_heard;
 	view->guard.parts.records.are_few_heard_owner = &view->peers;
+	era_guard_init(&view->era_guard, log);
+	view->restore.lacks_memory = true;
 	reader_key_init(&view->reader_key, settings->instance, &settings->peer_address);
 }
 
@@ -57,6 +59,11 @@
 	dw_catalog_release(view->catalog);
 }
 
+static uint64_t max_u64(uint64_t a, uint64_t b)
+{
+	return a > b ? a : b;
+}
+
 static void reject_record(struct view *view, const char *key)
 {
 	dw_counters_add(view->counters, DW_COUNTER_BAD_INPUTS, 1);
@@ -107,6 +114,7 @@
 	}
 	dw_catalog_release(view->catalog);
 	view->catalog = catalog;
+	era_guard_set_config(&view->era_guard, dw_catalog_version(catalog));
 	dw_counters_add(view->counters, DW_COUNTER_CONFIG_APPLIED, 1);
 	dw_log_event(view->log, DW_EVENT_CONFIG_APPLIED,
 		     DW_INT("version", dw_catalog_version(catalog)),
@@ -226,7 +234,7 @@
 
 static void remove_engine(struct view *view, const char *id, uint64_t now_us)
 {
-	uint64_t ended_at_us = view->outage.ended_at_us;
+	uint64_t ended_at_us = max_u64(view->outage.ended_at_us, view->restore.entered_at_us);
 	uint64_t usable_until_us = ended_at_us > 0 ? ended_at_us + REREGISTRATION_US : 0;
 	struct dw_engine *engine = dw_engine_set_find(view->engines, id);
 	bool was_leaving = engine && engine->state == DW_ENGINE_DRAINING;
@@ -312,6 +320,7 @@
 
 	if (reader_key_apply(&view->reader_key, event, &reader))
 		peers_add_seed(&view->peers, &reader);
+	era_guard_apply(&view->era_guard, event);
 	apply_record(view, event, now_us);
 }
 
@@ -323,7 +332,8 @@
 	return known && known->revision > record->revision;
 }
 
-/* Says when answers begin and cease to be older than this copy, whose proof they are. */
+/* Says when answers begin and cease to be older than this copy: readings of the store, or copies of an earlier era of
+ * it. Another instance's copy of the same era may be some changes behind. */
 static void note_answered(struct view *view, const char *source, uint64_t revision,
 			  uint64_t ignored_before, uint64_t now_us)
 {
@@ -343,15 +353,20 @@
 	view->behind_since_us = now_us;
 }
 
-void view_apply(struct view *view, const struct dw_store_event *event, uint64_t now_us)
+static struct dw_view_record record_of(const struct dw_store_event *event)
 {
-	struct dw_view_record record = {
+	return (struct dw_view_record){
 		.key = event->entry.key,
 		.value = event->entry.value,
 		.value_len = event->entry.value_len,
 		.revision = event->entry.mod_revision,
 		.deleted = event->deleted,
 	};
+}
+
+void view_apply(struct view *view, const struct dw_store_event *event, uint64_t now_us)
+{
+	struct dw_view_record record = record_of(event);
 	struct bytes packed = { 0 };
 
 	view_record_pack(view->records, &record, &packed);
@@ -361,10 +376,86 @@
 	bytes_free(&packed);
 }
 
-static void apply_missing(struct view *view, uint64_t revision, uint64_t now_us)
+/* Entries of engines that this copy had may be missing until their engines have written them again. */
+static struct view_snapshot begin_answer(struct view *view, uint64_t revision, uint64_t now_us)
+{
+	uint64_t known = dw_view_log_revision(view->records);
+	struct view_snapshot snapshot = { .revision = revision };
+
+	snapshot.is_entering = known > 0 && dw_revision_era(revision) > dw_revision_era(known);
+	if (snapshot.is_entering)
+		view->restore.entered_at_us = now_us;
+	snapshot.is_settled = view_restore_is_settled(&view->restore, now_us);
+	return snapshot;
+}
+
+static void log_restore(struct view *view, uint64_t known, uint64_t revision)
+{
+	struct view_kept kept = view_restore_kept(view->records);
+
+	dw_log_event(view->log, DW_EVENT_STORE_RESTORED,
+		     DW_INT("era_before", dw_revision_era(known)),
+		     DW_INT("era", dw_revision_era(revision)),
+		     DW_INT("revision_before", dw_revision_number(known)),
+		     DW_INT("revision", dw_revision_number(revision)),
+		     DW_INT("kept_configs", kept.configs), DW_INT("kept_engines", kept.engines),
+		     DW_INT("kept_orders", kept.orders));
+}
+
+/* All changes up to the revision are known, maybe those of a new era. */
+static void complete(struct view *view, uint64_t revision, uint64_t now_us)
+{
+	uint64_t known = dw_view_log_revision(view->records);
+
+	dw_view_log_complete(view->records, revision);
+	if (dw_revision_era(revision) <= dw_revision_era(known))
+		return;
+	if (known > 0) {
+		view->restore.count++;
+		view->restore.awaits_settling = true;
+		log_restore(view, known, revision);
+	}
+	era_guard_entered(&view->era_guard, dw_revision_era(revision), known > 0,
+			  &view->source.place, now_us);
+}
+
+/* Applies a key that a snapshot lists, unless the known record stays in force. */
+static void apply_listed(struct view *view, const struct view_snapshot *snapshot,
+			 const struct dw_store_event *event, uint64_t now_us)
+{
+	const struct dw_view_record *known = dw_view_log_find(view->records, event->entry.key);
+	struct dw_view_record shown = record_of(event);
+	struct dw_store_event replacing = *event;
+
+	if (known && view_restore_keeps(snapshot, known, &shown)) {
+		dw_view_log_keep(view->records, known, max_u64(known->kept_over, shown.revision));
+		return;
+	}
+	/* A kept record that is given up is passed on as a change of this moment. */
+	if (known && known->kept_over >= shown.revision) {
+		dw_view_log_give_up(view->records, known);
+		replacing.entry.mod_revision = snapshot->revision;
+	}
+	view_apply(view, &replacing, now_us);
+}
+
+static void keep_missing(struct view *view, const struct view_snapshot *snapshot)
+{
+	const struct dw_view_record *record = NULL;
+
+	while ((record = dw_view_log_next(view->records, record))) {
+		if (!record->deleted && !dw_view_log_is_listed(view->records, record) &&
+		    view_restore_keeps(snapshot, record, NULL))
+			dw_view_log_keep(view->records, record, snapshot->revision);
+	}
+}
+
+static void apply_missing(struct view *view, const struct view_snapshot *snapshot, uint64_t now_us)
 {
+	uint64_t revision = snapshot->revision;
 	const struct dw_view_record *record;
 
+	keep_missing(view, snapshot);
 	while ((record = dw_view_log_next_missing(view->records, revision, now_us))) {
 		struct dw_store_event event = { .deleted = true };
 
@@ -374,21 +465,28 @@
 	}
 }
 
-void view_apply_all(struct view *view, const struct dw_store_entry *entries, size_t count,
+bool view_apply_all(struct view *view, const struct dw_store_entry *entries, size_t count,
 		    uint64_t revision, uint64_t now_us)
 {
 	uint64_t ignored_before = view->records_ignored;
+	struct view_snapshot snapshot;
 
 	view->rereads++;
+	note_answered(view, "store", revision, ignored_before, now_us);
+	if (revision < dw_view_log_revision(view->records))
+		return false;
+	snapshot = begin_answer(view, revision, now_us);
 	dw_view_log_begin_snapshot(view->records, revision);
 	for (size_t i = 0; i < count; i++) {
 		struct dw_store_event event = { .entry = entries[i] };
 
-		view_apply(view, &event, now_us);
+		apply_listed(view, &snapshot, &event, now_us);
 	}
-	apply_missing(view, revision, now_us);
-	note_answered(view, "store", revision, ignored_before, now_us);
-	dw_view_log_complete(view->records, revision);
+	apply_missing(view, &snapshot, now_us);
+	complete(view, revision, now_us);
+	if (snapshot.is_settled)
+		view->restore.awaits_settling = false;
+	return true;
 }
 
 static bool is_known(const struct view *view, const struct dw_view_record *record)
@@ -399,9 +497,10 @@
 }
 
 /* Applies a record that another instance passed on; false if it was packed and can't be unpacked. */
-static bool apply_passed_on(struct view *view, const struct dw_view_record *passed_on,
-			    uint64_t now_us)
+static bool apply_passed_on(struct view *view, const struct view_snapshot *snapshot,
+			    const struct dw_view_record *passed_on, uint64_t now_us)
 {
+	const struct dw_view_record *known = dw_view_log_find(view->records, passed_on->key);
 	struct dw_view_record record = *passed_on;
 	struct dw_store_event event = { .deleted = record.deleted };
 	struct bytes value = { 0 };
@@ -417,29 +516,48 @@
 	event.entry.value_len = record.value_len;
 	event.entry.mod_revision = record.revision;
 	view->records_ignored += is_superseded(view, &record);
-	if (dw_view_log_put(view->records, &record, now_us))
+	if (snapshot->is_entering && known && record.kept_over == 0 &&
+	    view_restore_keeps(snapshot, known, &record))
+		dw_view_log_keep(view->records, known, record.revision);
+	else if (dw_view_log_put(view->records, &record, now_us))
 		apply_change(view, &event, now_us);
 	bytes_free(&value);
 	return true;
 }
 
-bool view_apply_answer(struct view *view, const struct view_answer *answer, const char *source,
-		       uint64_t now_us)
+static bool apply_answer(struct view *view, const struct view_snapshot *snapshot,
+			 const struct view_answer *answer, uint64_t now_us)
 {
-	uint64_t ignored_before = view->records_ignored;
 	bool is_complete = true;
 
 	if (answer->is_snapshot)
 		dw_view_log_begin_snapshot(view->records, answer->revision);
 	for (size_t i = 0; i < answer->record_count; i++)
-		is_complete &= apply_passed_on(view, &answer->records[i], now_us);
+		is_complete &= apply_passed_on(view, snapshot, &answer->records[i], now_us);
+	if (is_complete && answer->is_snapshot)
+		apply_missing(view, snapshot, now_us);
+	return is_complete;
+}
+
+bool view_apply_answer(struct view *view, const struct view_answer *answer, const char *source,
+		       uint64_t now_us)
+{
+	uint64_t known = dw_view_log_revision(view->records);
+	uint64_t ignored_before = view->records_ignored;
+	struct view_snapshot snapshot;
+	bool is_complete;
+
+	if (dw_revision_era(answer->revision) < dw_revision_era(known)) {
+		note_answered(view, source, answer->revision, ignored_before, now_us);
+		return false;
+	}
+	snapshot = begin_answer(view, answer->revision, now_us);
+	is_complete = apply_answer(view, &snapshot, answer, now_us);
 	if (!is_complete)
 		return false;
-	if (answer->is_snapshot)
-		apply_missing(view, answer->revision, now_us);
-	note_answered(view, source, answer->revision, ignored_before, now_us);
 	view->hops = answer->hops < HOPS_MAX ? answer->hops + 1 : HOPS_MAX;
-	dw_view_log_complete(view->records, answer->revision);
+	view->restore.lacks_memory = false;
+	complete(view, answer->revision, now_us);
 	return true;
 }
 
@@ -451,11 +569,30 @@
 	dw_leaving_expire(view->leaving, now_us);
 }
 
+/* An instance that has started since a restore may serve once it knows that it has what was in force before. */
+static void admit(struct view *view)
+{
+	if (view->restore.is_admitted || !view->catalog)
+		return;
+	view->restore.is_admitted =
+		era_guard_allows_config(&view->era_guard, dw_catalog_version(view->catalog));
+	if (view->restore.is_admitted == view->is_waiting_logged) {
+		view->is_waiting_logged = !view->restore.is_admitted;
+		dw_log_event(view->log, DW_EVENT_VIEW_ADMITTED,
+			     DW_INT("admitted", view->restore.is_admitted),
+			     DW_INT("era", view->era_guard.era),
+			     DW_INT("record_era", view->era_guard.record_era),
+			     DW_INT("version", dw_catalog_version(view->catalog)),
+			     DW_INT("required", view->era_guard.record_config));
+	}
+}
+
 static void confirm(struct view *view, enum dw_view_origin origin, uint64_t confirmed_at_us,
 		    uint64_t now_us)
 {
 	dw_view_source_confirmed(&view->source, origin, confirmed_at_us, now_us);
 	view->confirmed_at_us = dw_view_source_confirmed_at_us(&view->source);
+	admit(view);
 	if (view->on_confirmed)
 		view->on_confirmed(view->on_confirmed_owner);
 }
@@ -477,7 +614,7 @@
 {
 	uint64_t age_before_ms = age_ms(view, now_us);
 
-	dw_view_log_complete(view->records, revision);
+	complete(view, revision, now_us);
 	view->hops = 0;
 	confirm(view, DW_VIEW_FROM_STORE, confirmed_at_us, now_us);
 	if (view->is_store_reached)
@@ -532,7 +669,13 @@
 	       (!view->is_config_unreadable || is_config_known(view, now_us));
 }
 
+bool view_wants_memory(const struct view *view)
+{
+	return view->restore.lacks_memory &&
+	       dw_revision_era(dw_view_log_revision(view->records)) > 0;
+}
+
 struct dw_catalog *view_catalog(const struct view *view)
 {
-	return view->confirmed_at_us > 0 ? view->catalog : NULL;
+	return view->confirmed_at_us > 0 && view->restore.is_admitted ? view->catalog : NULL;
 }
--- a/src/wharf-gateway/view.h
+++ b/src/wharf-gateway/view.h
@@ -21,10 +21,12 @@
 #include "base/log.h"
 #include "port/store.h"
 #include "wharf-gateway/crash_guard.h"
+#include "wharf-gateway/era_guard.h"
 #include "wharf-gateway/gateway_settings.h"
 #include "wharf-gateway/peers.h"
 #include "wharf-gateway/reader_key.h"
 #include "wharf-gateway/shifts.h"
+#include "wharf-gateway/view_restore.h"
 
 struct view {
 	const struct gateway_settings *settings;
@@ -41,6 +43,8 @@
 	void *on_leaving_news_owner;
 	struct peers peers;
 	struct reader_key reader_key;
+	struct era_guard era_guard;
+	struct view_restore restore;
 	struct dw_view_log *records; /**< newest known record of each key */
 	struct dw_view_source source; /**< from where this copy is kept up to date */
 	uint64_t confirmed_at_us; /**< when the copy was last known to be current; 0: never */
@@ -55,6 +59,7 @@
 	uint64_t behind_since_us; /**< valid with is_answer_behind */
 	uint64_t answers_behind; /**< answers that were, since the start */
 	uint64_t records_ignored; /**< records of answers that were older than the known ones */
+	bool is_waiting_logged; /**< that it may not serve yet */
 	uint64_t rereads; /**< reads of all keys of the store since the start */
 	void (*on_confirmed)(void *owner); /**< called after each proof, with its changes applied */
 	void *on_confirmed_owner;
@@ -72,17 +77,18 @@
 /**
  * Applies the records that another instance passed on.
  * @param source its address, for the log
- * @return false if one can't be applied, as it refers to a value that this copy doesn't have; the
- * answer proves nothing then
+ * @return false if one can't be applied, as it refers to a value that this copy doesn't have, or the answer is of an
+ * earlier era; the answer proves nothing then
  */
 bool view_apply_answer(struct view *view, const struct view_answer *answer, const char *source,
 		       uint64_t now_us);
 
 /**
  * Applies all keys of the store as of @p revision. Known keys that aren't among them count as deleted,
- * unless their revision is newer.
+ * unless their revision is newer, or they are kept as the store was restored (view_restore.h).
+ * @return false, without effect, if this copy knows more already: the reading proves nothing then
  */
-void view_apply_all(struct view *view, const struct dw_store_entry *entries, size_t count,
+bool view_apply_all(struct view *view, const struct dw_store_entry *entries, size_t count,
 		    uint64_t revision, uint64_t now_us);
 
 /** The engine said in an answer that it leaves. */
@@ -124,9 +130,12 @@
  */
 bool view_is_fresh(const struct view *view, uint64_t arrived_at_us);
 
-/** The configuration in force; NULL until it was once proven to be current. */
+/** The configuration in force; NULL until it was once proven to be current, and that none newer was in force. */
 struct dw_catalog *view_catalog(const struct view *view);
 
+/** Whether this instance, which has started since, must ask another one what the store lost. */
+bool view_wants_memory(const struct view *view);
+
 /** Whether the load balancer should send callers to this instance. */
 bool view_is_ready(const struct view *view, uint64_t now_us);
 
--- /dev/null
+++ b/src/wharf-gateway/view_restore.c
@@ -0,0 +1,134 @@
+#include "wharf-gateway/view_restore.h"
+
+#include <dragonflywharf/restore_rule.h>
+
+#include "base/clock.h"
+#include "platform/config_record.h"
+#include "platform/records.h"
+
+/* By then engines that run have written their entries again, and old entries of others have expired. */
+#define SETTLED_AFTER_US (6 * DW_US_PER_S)
+
+bool view_restore_is_settled(const struct view_restore *restore, uint64_t now_us)
+{
+	return now_us >= restore->entered_at_us + SETTLED_AFTER_US;
+}
+
+bool view_restore_is_settling_due(const struct view_restore *restore, uint64_t now_us)
+{
+	return restore->awaits_settling && view_restore_is_settled(restore, now_us);
+}
+
+static enum dw_restored_kind kind_of(const char *key, const char **name)
+{
+	switch (record_kind_of(key, name)) {
+	case RECORD_CONFIG:
+		return DW_RESTORED_CONFIG;
+	case RECORD_ENGINE:
+		return DW_RESTORED_ENGINE;
+	case RECORD_ROLLOUT_ORDER:
+	case RECORD_EVACUATION:
+		return DW_RESTORED_ORDER;
+	case RECORD_ROLLOUT_STATUS:
+	case RECORD_UNKNOWN:
+	case RECORD_KIND_COUNT:
+		break;
+	}
+	return DW_RESTORED_OWN;
+}
+
+static void read_engine(const char *id, const uint8_t *value, size_t len,
+			struct dw_restored_state *state)
+{
+	struct dw_engine_entry entry;
+
+	state->is_readable = value && record_read_engine(id, value, len, &entry) == DW_OK;
+	if (!state->is_readable)
+		return;
+	state->lifetime = entry.started_at_ms;
+	state->sequence = entry.sequence;
+	state->is_leaving = entry.is_draining;
+}
+
+static struct dw_restored_state state_of(enum dw_restored_kind kind, const char *name,
+					 const struct dw_view_record *record, bool is_known)
+{
+	struct dw_restored_state state = { 0 };
+	const uint8_t *value;
+	size_t len;
+
+	if (!record)
+		return state;
+	state.is_known = true;
+	state.exists = !record->deleted;
+	state.number = dw_revision_number(record->revision);
+	value = record->value;
+	len = record->value_len;
+	if (record->deleted && is_known)
+		value = dw_view_log_last_value(record, &len);
+	switch (kind) {
+	case DW_RESTORED_CONFIG:
+		state.is_readable =
+			value && config_record_version(value, len, &state.sequence) == DW_OK;
+		break;
+	case DW_RESTORED_ENGINE:
+		read_engine(name, value, len, &state);
+		break;
+	case DW_RESTORED_ORDER:
+	case DW_RESTORED_OWN:
+	case DW_RESTORED_KIND_COUNT:
+		break;
+	}
+	return state;
+}
+
+/* Whether the two may disagree because the store was restored. */
+static bool is_contested(const struct view_snapshot *snapshot, const struct dw_view_record *known)
+{
+	return known->kept_over > 0 ||
+	       (snapshot->is_entering &&
+		dw_revision_era(known->revision) < dw_revision_era(snapshot->revision));
+}
+
+bool view_restore_keeps(const struct view_snapshot *snapshot, const struct dw_view_record *known,
+			const struct dw_view_record *shown)
+{
+	struct dw_restored_state before;
+	struct dw_restored_state after;
+	enum dw_restored_kind kind;
+	const char *name;
+
+	if (!is_contested(snapshot, known))
+		return false;
+	kind = kind_of(known->key, &name);
+	before = state_of(kind, name, known, true);
+	after = state_of(kind, name, shown, false);
+	return dw_restore_keeps(kind, &before, &after, snapshot->is_settled);
+}
+
+struct view_kept view_restore_kept(const struct dw_view_log *log)
+{
+	const struct dw_view_record *record = NULL;
+	struct view_kept kept = { 0 };
+	const char *name;
+
+	while ((record = dw_view_log_next(log, record))) {
+		if (record->kept_over == 0)
+			continue;
+		switch (kind_of(record->key, &name)) {
+		case DW_RESTORED_CONFIG:
+			kept.configs++;
+			break;
+		case DW_RESTORED_ENGINE:
+			kept.engines++;
+			break;
+		case DW_RESTORED_ORDER:
+			kept.orders++;
+			break;
+		case DW_RESTORED_OWN:
+		case DW_RESTORED_KIND_COUNT:
+			break;
+		}
+	}
+	return kept;
+}
--- a/src/wharf-gateway/view_server.c
+++ b/src/wharf-gateway/view_server.c
@@ -22,6 +22,7 @@
 	struct view_server *server;
 	struct caller *caller;
 	uint64_t after;
+	bool is_new; /* the other instance has started, and may not know what the store lost */
 	uint64_t arrived_at_us;
 	uint64_t confirmed_at_us; /* the proof when it arrived */
 	struct view_request *next;
@@ -64,7 +65,7 @@
 }
 
 static void send_answer(struct view_server *server, struct caller *caller, uint64_t after,
-			uint64_t arrived_at_us)
+			bool is_new, uint64_t arrived_at_us)
 {
 	uint64_t now_us = dw_clock_now_us();
 	struct view_answer answer = make_answer(server->view, after, arrived_at_us, now_us);
@@ -76,6 +77,7 @@
 		refuse(caller, VIEW_STATUS_ASK_STORE, "Conflict");
 		return;
 	}
+	answer.with_kept = is_new || dw_revision_era(after) < dw_revision_era(answer.revision);
 	msgpack_sbuffer_init(&body);
 	msgpack_packer_init(&packer, &body, msgpack_sbuffer_write);
 	view_answer_pack(&packer, &answer, server->view->records, after);
@@ -93,7 +95,7 @@
 {
 	const struct view *view = request->server->view;
 
-	return dw_view_log_revision(view->records) > request->after ||
+	return dw_view_log_revision(view->records) > request->after || request->is_new ||
 	       view->confirmed_at_us > request->confirmed_at_us ||
 	       now_us >= request->arrived_at_us + view->source.timing.hold_us;
 }
@@ -132,7 +134,8 @@
 	}
 	for (request = due; request; request = next) {
 		next = request->next;
-		send_answer(server, request->caller, request->after, request->arrived_at_us);
+		send_answer(server, request->caller, request->after, request->is_new,
+			    request->arrived_at_us);
 		free(request);
 	}
 }
@@ -147,7 +150,7 @@
 	answer_held(timer->data);
 }
 
-static bool read_after(const char *target, uint64_t *after)
+static bool read_target(const char *target, uint64_t *after, bool *is_new)
 {
 	size_t prefix = strlen(VIEW_TARGET);
 	char *end;
@@ -157,7 +160,8 @@
 		return false;
 	errno = 0;
 	*after = strtoull(target + prefix, &end, 10);
-	return errno == 0 && *end == '\0';
+	*is_new = strcmp(end, VIEW_TARGET_NEW) == 0;
+	return errno == 0 && (*end == '\0' || *is_new);
 }
 
 static void *on_request(void *owner, struct caller *caller, const struct caller_request *received)
@@ -165,9 +169,10 @@
 	struct view_server *server = owner;
 	struct view_request *request;
 	uint64_t after;
+	bool is_new;
 
 	if (strcmp(received->head->method, "GET") != 0 ||
-	    !read_after(received->head->target, &after)) {
+	    !read_target(received->head->target, &after, &is_new)) {
 		refuse(caller, 404, "Not Found");
 		return NULL;
 	}
@@ -177,6 +182,7 @@
 	request->server = server;
 	request->caller = caller;
 	request->after = after;
+	request->is_new = is_new;
 	request->arrived_at_us = received->arrived_at_us;
 	request->confirmed_at_us = server->view->confirmed_at_us;
 	if (!has_news(request, request->arrived_at_us) &&
@@ -185,7 +191,7 @@
 		return request;
 	}
 	free(request);
-	send_answer(server, caller, after, received->arrived_at_us);
+	send_answer(server, caller, after, is_new, received->arrived_at_us);
 	return NULL;
 }
 
--- a/src/wharf-gateway/view_sync.c
+++ b/src/wharf-gateway/view_sync.c
@@ -167,7 +167,8 @@
 				 : dw_view_log_revision(sync->view->records);
 	char request[REQUEST_BYTES];
 	int len = snprintf(request, sizeof(request),
-			   "GET " VIEW_TARGET "%" PRIu64 " HTTP/1.1\r\nHost: %s:%u\r\n\r\n", after,
+			   "GET " VIEW_TARGET "%" PRIu64 "%s HTTP/1.1\r\nHost: %s:%u\r\n\r\n",
+			   after, sync->view->restore.lacks_memory ? VIEW_TARGET_NEW : "",
 			   address->ip, address->port);
 
 	sync->requested_at_us = dw_clock_now_us();
@@ -207,6 +208,7 @@
 		return;
 	if (dw_view_source_waits_for_store(&sync->view->source, now_us))
 		return;
+	sync->view->source.wants_memory = view_wants_memory(sync->view);
 	sync->asked = dw_view_source_next(&sync->view->source, now_us);
 	if (sync->asked == 0)
 		ask_seed(sync);
