Store outage: a call that failed before a proof says nothing of the time after it

Cause: a call of an instance that isn't a reader failed at 3.4 s. It then got its copies from other instances for 25 s, which didn't end the row of failed calls. At 29.2 s its copy was 2.5 s old, it read the store, and took the 25 s for an outage that had just ended: an engine that was removed at 27.0 s stayed in use for 2.2 s more. Class, as in docs/incidents/config-and-drain.md: what one instance sees of its own calls is taken for the state of the store.

Change: a proof from any instance ends the row; the next failure begins another.

--- a/include/dragonflywharf/store_outage.h
+++ b/include/dragonflywharf/store_outage.h
@@ -17,12 +17,16 @@
 #endif
 
 struct dw_store_outage {
-	uint64_t failed_since_us; /**< first of the calls that failed in a row; 0: none did */
+	uint64_t failed_since_us; /**< first call that failed since the newest proof; 0: none did */
 	uint64_t ended_at_us; /**< end of the last outage; 0: none is known */
 };
 
-/** A call of this instance got no byte of an answer, or an answer that refuses all calls. */
-void dw_store_outage_call_failed(struct dw_store_outage *outage, uint64_t now_us);
+/**
+ * A call of this instance got no byte of an answer, or an answer that refuses all calls.
+ * @param confirmed_at_us this copy's newest proof, from the store or another instance; 0: none yet
+ */
+void dw_store_outage_call_failed(struct dw_store_outage *outage, uint64_t confirmed_at_us,
+				 uint64_t now_us);
 
 /** A call of this instance broke off after some bytes of its answer: the store isn't away. */
 void dw_store_outage_call_broke_off(struct dw_store_outage *outage);
--- a/src/core/store_outage.c
+++ b/src/core/store_outage.c
@@ -2,9 +2,10 @@
 
 #include <stdbool.h>
 
-void dw_store_outage_call_failed(struct dw_store_outage *outage, uint64_t now_us)
+void dw_store_outage_call_failed(struct dw_store_outage *outage, uint64_t confirmed_at_us,
+				 uint64_t now_us)
 {
-	if (outage->failed_since_us == 0)
+	if (outage->failed_since_us == 0 || confirmed_at_us > outage->failed_since_us)
 		outage->failed_since_us = now_us;
 }
 
@@ -25,6 +26,9 @@
 	uint64_t failed_since_us = outage->failed_since_us;
 
 	outage->failed_since_us = 0;
+	/* The store has answered another instance since: what failed before belongs to an earlier time. */
+	if (confirmed_at_us > failed_since_us)
+		return;
 	if (failed_since_us > 0 && is_stale(failed_since_us, stale_us, now_us) &&
 	    is_stale(confirmed_at_us, stale_us, now_us))
 		outage->ended_at_us = now_us;
--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -636,7 +636,7 @@
 	if (abandoned_bytes > view->abandoned_bytes)
 		dw_store_outage_call_broke_off(&view->outage);
 	else if (reason != DW_STALE)
-		dw_store_outage_call_failed(&view->outage, now_us);
+		dw_store_outage_call_failed(&view->outage, view->confirmed_at_us, now_us);
 	view->abandoned_bytes = abandoned_bytes;
 	if (!view->is_store_reached)
 		return;
--- a/tests/store_outage_test.cc
+++ b/tests/store_outage_test.cc
@@ -16,7 +16,7 @@
 	void fail(uint64_t from_us, uint64_t to_us)
 	{
 		for (uint64_t at = from_us; at < to_us; at += 200 * MS)
-			dw_store_outage_call_failed(&outage, at);
+			dw_store_outage_call_failed(&outage, 0, at);
 	}
 };
 
@@ -39,11 +39,11 @@
 
 TEST_F(StoreOutage, ACallThatFailsAsTheProcessWakesUpIsNone)
 {
-	dw_store_outage_call_failed(&outage, START);
+	dw_store_outage_call_failed(&outage, 0, START);
 	dw_store_outage_call_answered(&outage, START - 5000 * MS, STALE, START + 60 * MS);
 	EXPECT_EQ(outage.ended_at_us, 0U);
 	/* A later failure doesn't count from the earlier one. */
-	dw_store_outage_call_failed(&outage, START + 9000 * MS);
+	dw_store_outage_call_failed(&outage, 0, START + 9000 * MS);
 	dw_store_outage_call_answered(&outage, START, STALE, START + 9060 * MS);
 	EXPECT_EQ(outage.ended_at_us, 0U);
 }
@@ -81,4 +81,28 @@
 	EXPECT_EQ(outage.ended_at_us, START + 9000 * MS) << "calls without a byte still are";
 }
 
+/* Guards against an outage that wasn't: an own call fails, others then prove the copy for a while, and a later copy is
+ * late. The call that failed before their proof says nothing of the time after it. */
+TEST_F(StoreOutage, ACallThatFailedBeforeAProofSaysNothingOfTheTimeAfterIt)
+{
+	fail(START, START + 400 * MS);
+	dw_store_outage_call_answered(&outage, START + 4000 * MS, STALE, START + 6500 * MS);
+	EXPECT_EQ(outage.ended_at_us, 0U);
+	/* Nor one of the time before the first call that fails after the proof. */
+	dw_store_outage_call_failed(&outage, 0, START + 10000 * MS);
+	dw_store_outage_call_failed(&outage, START + 12000 * MS, START + 14000 * MS);
+	dw_store_outage_call_answered(&outage, START + 12000 * MS, STALE, START + 14060 * MS);
+	EXPECT_EQ(outage.ended_at_us, 0U);
+}
+
+/* Without a proof since the first failure it is an outage, also if there was one before. */
+TEST_F(StoreOutage, CallsThatFailAfterAProofAreAnOutage)
+{
+	dw_store_outage_call_failed(&outage, 0, START);
+	for (uint64_t at = START + 2000 * MS; at < START + 4000 * MS; at += 200 * MS)
+		dw_store_outage_call_failed(&outage, START + 1900 * MS, at);
+	dw_store_outage_call_answered(&outage, START + 1900 * MS, STALE, START + 4000 * MS);
+	EXPECT_EQ(outage.ended_at_us, START + 4000 * MS);
+}
+
 } // namespace
