View: a reading that others have overtaken is a proof

Since a reading of all keys was no proof if the copy had more by its end, also where other instances had brought the copy further while the pages came. It is one if it has all that was known when it began: the store is linearizable within an era. Only what is older than that shows a store that has fallen back.

Found by reading.

--- a/src/wharf-gateway/store_sync.c
+++ b/src/wharf-gateway/store_sync.c
@@ -112,8 +112,11 @@
 		return;
 	}
 	view_store_answered(sync->view, now_us);
-	if (view_apply_all(sync->view, result->entries, result->count, result->revision, now_us))
+	if (view_accepts_reading(sync->view, result->revision, sync->known_before, now_us)) {
+		view_apply_all(sync->view, result->entries, result->count, result->revision,
+			       now_us);
 		view_store_current(sync->view, result->revision, sync->read_started_at_us, now_us);
+	}
 	sync->is_history_lost = false;
 	if (sync->is_active)
 		watch_start(sync);
@@ -135,6 +138,7 @@
 		return;
 	}
 	sync->read_started_at_us = dw_clock_now_us();
+	sync->known_before = dw_view_log_revision(sync->view->records);
 	sync->is_range_pending = true;
 	dw_store_range(sync->store, "", 0, sync->read_started_at_us + read_timeout_us(sync),
 		       on_all_read, sync);
--- a/src/wharf-gateway/store_sync.h
+++ b/src/wharf-gateway/store_sync.h
@@ -17,6 +17,7 @@
 	uv_timer_t retry_timer;
 	struct dw_store_watch *watch;
 	uint64_t read_started_at_us; /**< start of the latest read of all keys */
+	uint64_t known_before; /**< revision of the copy then */
 	uint32_t failures; /**< consecutive failures, for the backoff */
 	uint64_t random;
 	bool is_active;
--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -334,10 +334,9 @@
 
 /* Says when answers begin and cease to be older than this copy: readings of the store, or copies of an earlier era of
  * it. Another instance's copy of the same era may be some changes behind. */
-static void note_answered(struct view *view, const char *source, uint64_t revision,
-			  uint64_t ignored_before, uint64_t now_us)
+static void note_answered(struct view *view, const char *source, uint64_t revision, uint64_t known,
+			  uint64_t now_us)
 {
-	uint64_t known = dw_view_log_revision(view->records);
 	bool is_behind = revision < known;
 
 	view->answers_behind += is_behind;
@@ -346,7 +345,6 @@
 	dw_log_event(view->log, DW_EVENT_VIEW_BEHIND, DW_STR("source", source),
 		     DW_INT("behind", is_behind), DW_INT("revision", known),
 		     DW_INT("answered", revision),
-		     DW_INT("ignored", view->records_ignored - ignored_before),
 		     DW_INT("lasted_ms",
 			    is_behind ? 0 : (now_us - view->behind_since_us) / DW_US_PER_MS));
 	view->is_answer_behind = is_behind;
@@ -465,17 +463,19 @@
 	}
 }
 
-bool view_apply_all(struct view *view, const struct dw_store_entry *entries, size_t count,
+bool view_accepts_reading(struct view *view, uint64_t revision, uint64_t known_before,
+			  uint64_t now_us)
+{
+	view->rereads++;
+	note_answered(view, "store", revision, known_before, now_us);
+	return revision >= known_before;
+}
+
+void view_apply_all(struct view *view, const struct dw_store_entry *entries, size_t count,
 		    uint64_t revision, uint64_t now_us)
 {
-	uint64_t ignored_before = view->records_ignored;
-	struct view_snapshot snapshot;
+	struct view_snapshot snapshot = begin_answer(view, revision, now_us);
 
-	view->rereads++;
-	note_answered(view, "store", revision, ignored_before, now_us);
-	if (revision < dw_view_log_revision(view->records))
-		return false;
-	snapshot = begin_answer(view, revision, now_us);
 	dw_view_log_begin_snapshot(view->records, revision);
 	for (size_t i = 0; i < count; i++) {
 		struct dw_store_event event = { .entry = entries[i] };
@@ -486,7 +486,6 @@
 	complete(view, revision, now_us);
 	if (snapshot.is_settled)
 		view->restore.awaits_settling = false;
-	return true;
 }
 
 static bool is_known(const struct view *view, const struct dw_view_record *record)
@@ -543,12 +542,11 @@
 		       uint64_t now_us)
 {
 	uint64_t known = dw_view_log_revision(view->records);
-	uint64_t ignored_before = view->records_ignored;
 	struct view_snapshot snapshot;
 	bool is_complete;
 
 	if (dw_revision_era(answer->revision) < dw_revision_era(known)) {
-		note_answered(view, source, answer->revision, ignored_before, now_us);
+		note_answered(view, source, answer->revision, known, now_us);
 		return false;
 	}
 	snapshot = begin_answer(view, answer->revision, now_us);
--- a/src/wharf-gateway/view.h
+++ b/src/wharf-gateway/view.h
@@ -86,11 +86,17 @@
 /**
  * Applies all keys of the store as of @p revision. Known keys that aren't among them count as deleted,
  * unless their revision is newer, or they are kept as the store was restored (view_restore.h).
- * @return false, without effect, if this copy knows more already: the reading proves nothing then
  */
-bool view_apply_all(struct view *view, const struct dw_store_entry *entries, size_t count,
+void view_apply_all(struct view *view, const struct dw_store_entry *entries, size_t count,
 		    uint64_t revision, uint64_t now_us);
 
+/**
+ * A reading of all keys, begun when the copy had revision @p known_before, gave @p revision.
+ * @return false if it is older: the store has fallen back without a new era, and the reading is no proof
+ */
+bool view_accepts_reading(struct view *view, uint64_t revision, uint64_t known_before,
+			  uint64_t now_us);
+
 /** The engine said in an answer that it leaves. */
 void view_engine_leaves(struct view *view, struct dw_engine *engine);
 /** The instance @p from has heard that engines leave; passed on to @p scope. */
