View server: an instance without a proof holds the requests of new ones

With a request of an instance that has just started was answered at once, also by one that had nothing to tell yet: the answer has no proof, and the source is left alone for two seconds. Where all start together each did so with the others. Such a request is held again until there is a proof.

--- a/src/wharf-gateway/view_server.c
+++ b/src/wharf-gateway/view_server.c
@@ -95,7 +95,8 @@
 {
 	const struct view *view = request->server->view;
 
-	return dw_view_log_revision(view->records) > request->after || request->is_new ||
+	return dw_view_log_revision(view->records) > request->after ||
+	       (request->is_new && view->confirmed_at_us > 0) ||
 	       view->confirmed_at_us > request->confirmed_at_us ||
 	       now_us >= request->arrived_at_us + view->source.timing.hold_us;
 }
