--- a/src/wharfctl/command.c
+++ b/src/wharfctl/command.c
@@ -12,12 +12,14 @@
 
 #include "base/clock.h"
 #include "wharfctl/command_check.h"
+#include "wharfctl/command_gateways.h"
 #include "wharfctl/command_edit.h"
 #include "wharfctl/config_file.h"
 #include "wharfctl/proto_json.h"
 
 #define WAIT_TIMEOUT_US (30 * DW_US_PER_S)
 #define WAIT_POLL_MS 20U
+#define GATEWAYS_MAX 7
 
 struct command {
 	const char *name;
@@ -308,6 +310,11 @@
 	  "FILE: check a configuration file without a server (exit codes 0: clean, "
 	  "1: warnings only, 2: errors)",
 	  command_check },
+	{ "gateways", 1, GATEWAYS_MAX,
+	  "IP:PORT...: show the store's era and the copies of gateways, by their metrics (exit "
+	  "code 2: "
+	  "one is behind or may not serve)",
+	  command_gateways },
 	{ "hash-key", 1, 1, "KEY: print the hash of a bearer key, as used in the configuration",
 	  run_hash },
 };
