--- a/tests/standins/standin_metadata.c
+++ b/tests/standins/standin_metadata.c
@@ -12,7 +12,8 @@
  * Admin calls: POST /admin/put {"key", "value"} writes a key as an operator does, /admin/delete
  * {"key"} deletes one, /admin/compact discards the history, /admin/backup keeps a copy, /admin/restore comes back from
  * it: what was written since is gone, leases too, revisions are given out again, and the era rises by one. All answers
- * have the era.
+ * have the era. After /admin/deafen {"names_newest"} watches get no events of changes, until /admin/compact cuts them;
+ * answers at the end of a wait have the store's newest revision, or else the last one of which the watches were told.
  */
 #include <inttypes.h>
 #include <stdio.h>
@@ -43,6 +44,9 @@
 	struct kv_table *backup; /* NULL: none yet */
 	uint64_t era;
 	struct watch *watches;
+	bool is_deaf; /* watches get no events after told_revision */
+	bool names_newest; /* in answers at the end of a wait while they are */
+	uint64_t told_revision; /* valid with is_deaf */
 	uint64_t last_lease;
 	uint64_t last_lease_of_backup;
 	struct json_object *calls; /* count by the last part of the path */
@@ -185,6 +189,7 @@
 			 const char *prefix, uint64_t after_revision, bool wait_ended)
 {
 	const struct kv_table *table = metadata->table;
+	uint64_t last = metadata->is_deaf ? metadata->told_revision : table->revision;
 	struct json_object *events;
 	struct json_object *body;
 
@@ -195,7 +200,8 @@
 	events = json_object_new_array();
 	for (size_t i = kv_table_history_from(table, after_revision + 1); i < table->history_count;
 	     i++) {
-		if (has_prefix(&table->history[i], prefix))
+		if (table->history[i].mod_revision <= last &&
+		    has_prefix(&table->history[i], prefix))
 			json_object_array_add(events, item_json(&table->history[i]));
 	}
 	if (json_object_array_length(events) == 0 && !wait_ended) {
@@ -204,7 +210,9 @@
 	}
 	body = json_object_new_object();
 	json_object_object_add(body, "events", events);
-	set_number(body, "StoreRevision", table->revision);
+	if (last < after_revision || metadata->names_newest)
+		last = table->revision;
+	set_number(body, "StoreRevision", last);
 	standin_answer(request, 200, body);
 	return true;
 }
@@ -455,6 +463,24 @@
 	standin_answer(request, 200, json_object_new_object());
 }
 
+static void admin_deafen(struct standin_request *request, struct metadata *metadata)
+{
+	metadata->is_deaf = true;
+	metadata->names_newest = json_u64(request->body, "names_newest", 0) != 0;
+	metadata->told_revision = metadata->table->revision;
+	standin_answer(request, 200, json_object_new_object());
+}
+
+static void admin_compact(struct standin_request *request, struct metadata *metadata)
+{
+	kv_table_compact(metadata->table, metadata->table->revision);
+	if (metadata->is_deaf)
+		close_watches(metadata);
+	metadata->is_deaf = false;
+	metadata->names_newest = false;
+	standin_answer(request, 200, json_object_new_object());
+}
+
 static void on_admin(struct standin_request *request)
 {
 	struct metadata *metadata = metadata_of(request->standin);
@@ -468,8 +494,9 @@
 	} else if (strcmp(request->path, "/admin/restore") == 0) {
 		admin_restore(request, metadata);
 	} else if (strcmp(request->path, "/admin/compact") == 0) {
-		kv_table_compact(metadata->table, metadata->table->revision);
-		standin_answer(request, 200, json_object_new_object());
+		admin_compact(request, metadata);
+	} else if (strcmp(request->path, "/admin/deafen") == 0) {
+		admin_deafen(request, metadata);
 	} else {
 		standin_answer_error(request, 404, "unknown path");
 	}
