At most once: a restored store doesn't let a call run again

Cause: an intent was safe because its shard's revision only grows. A restore takes the intent away; an instance that hadn't seen that shard reads the older value and finds the key free. The instance that had seen it refuses the shard until the revisions are given out again, and then finds the key free too.

Change: the adapter tells a restore by a revision lower than one known when the call was sent, or by another cluster id (ranges and writes only: they are linearizable; a watch or a serializable read may come from a member that lags). A lower revision of a shard, or a missing record, is a restore too; peers are told. Operations in progress are void.

--- a/include/dragonflywharf/once.h
+++ b/include/dragonflywharf/once.h
@@ -47,6 +47,11 @@
 	uint64_t lifetime_us; /**< time to live of a record (wall clock) */
 	/** maximum difference between the wall clocks of two instances */
 	uint64_t max_clock_skew_us;
+	/** how long this instance remembers its own calls, to write them again into a restored store */
+	uint64_t keep_us;
+	uint32_t max_kept; /**< maximum number of calls remembered; the oldest is forgotten first */
+	/** after a restore no call is dispatched for this long: others write theirs again */
+	uint64_t settle_us;
 };
 
 /**
@@ -143,6 +148,11 @@
 	uint64_t replays;
 	uint64_t refusals;
 	uint64_t outcomes_not_stored;
+	uint64_t restores; /**< dw_once_store_restored(), and restores that a shard has shown */
+	uint64_t written_again; /**< records that a restored store lacked or had as older */
+	uint64_t forgotten; /**< calls dropped from memory before keep_us, for max_kept */
+	uint64_t
+		taken_over; /**< records lost by a restore whose key another call has taken since */
 };
 
 /** @return DW_OK, DW_INVALID_ARGUMENT or DW_NO_MEMORY. */
@@ -206,6 +216,20 @@
 /** Handles expired deadlines. */
 void dw_once_tick(struct dw_once *once, struct dw_once_time time);
 
+/**
+ * The store came back from an older copy, which may lack records and give out revisions again. Results of
+ * operations in progress are ignored, every shard is read again, what this instance remembers is written
+ * again, and no call gets DW_ONCE_DISPATCH before settle_us have passed.
+ */
+void dw_once_store_restored(struct dw_once *once, struct dw_once_time time);
+
+/**
+ * The store answers again after an outage. It may be an older copy that lacks what this instance has never seen, so
+ * no call gets DW_ONCE_DISPATCH before settle_us have passed: an instance that sees it writes its records again, and
+ * tells the others.
+ */
+void dw_once_store_back(struct dw_once *once, struct dw_once_time time);
+
 /**
  * Earliest monotonic time at which dw_once_tick() or a store operation is due; UINT64_MAX if none.
  */
--- a/src/core/once.c
+++ b/src/core/once.c
@@ -23,6 +23,9 @@
 		.intent_timeout_us = UINT64_C(60000000),
 		.lifetime_us = UINT64_C(86400000000),
 		.max_clock_skew_us = UINT64_C(5000000),
+		.keep_us = UINT64_C(120000000),
+		.max_kept = 2048,
+		.settle_us = UINT64_C(3000000),
 	};
 }
 
@@ -87,6 +90,7 @@
 	DL_FOREACH_SAFE(once->decisions, queued, next_queued)
 		free_queued_decision(queued);
 	free_queued_decision(once->last_decision);
+	dw_once_forget_all(once);
 	msgpack_sbuffer_destroy(&once->buffer);
 	free(once->caches);
 	free(once);
@@ -284,6 +288,7 @@
 		       DW_ONCE_CONTENT_TYPE_BYTES - 1);
 	}
 	found->state = DW_ONCE_TICKET_FINISHED;
+	dw_once_keep_outcome(once, found, time);
 	found->answer_deadline_us = time.now_us + once->options.outcome_wait_us;
 	return DW_OK;
 }
@@ -297,6 +302,7 @@
 			       "at-most-once journal: ticket %llu has no dispatched call",
 			       (unsigned long long)ticket);
 	found->state = DW_ONCE_TICKET_ABANDONED;
+	dw_once_forget(once, ticket);
 	dw_once_resolve_ticket(once, found, time);
 	return DW_OK;
 }
@@ -365,8 +371,10 @@
 			due_us = earlier(due_us, ticket->deadline_us);
 		if (ticket->state == DW_ONCE_TICKET_FINISHED && !ticket->answered)
 			due_us = earlier(due_us, ticket->answer_deadline_us);
-		if (ticket->state != DW_ONCE_TICKET_DISPATCHED && cache->operation_id == 0)
-			due_us = earlier(due_us, cache->next_operation_at_us);
+		if (cache->operation_id != 0 ||
+		    (ticket->state == DW_ONCE_TICKET_DISPATCHED && !ticket->restore_due))
+			continue;
+		due_us = earlier(due_us, cache->next_operation_at_us);
 	}
 	return due_us;
 }
--- a/src/core/once_commit.c
+++ b/src/core/once_commit.c
@@ -40,6 +40,7 @@
 		return;
 	}
 	ticket->state = DW_ONCE_TICKET_DISPATCHED;
+	dw_once_keep(once, ticket, time);
 	once->counters.dispatches++;
 	dw_once_queue_decision(once, &(struct dw_once_decision){
 					     .ticket = ticket->id,
@@ -86,7 +87,7 @@
 	if (record && record->expires_at_us + once->options.max_clock_skew_us < time.wall_us)
 		record = NULL;
 	if (!record || find_abandoned_owner(once, cache, record)) {
-		ticket->key_unused = ticket->reread;
+		ticket->key_unused = ticket->reread && time.now_us >= once->settled_at_us;
 		if (ticket->conflicts > once->options.max_conflicts)
 			dw_once_refuse(once, ticket, DW_OVERLOADED);
 		return;
@@ -113,7 +114,21 @@
 {
 	const struct dw_once_record *record = dw_once_shard_find(&cache->records, ticket->key);
 
-	if (!record || !ticket_owns(once, ticket, record) || record->state == DW_ONCE_STATE_INTENT)
+	if (!record)
+		return;
+	if (!ticket_owns(once, ticket, record)) {
+		/* Only possible if a restored store had lost the record, and another call has used its key since. */
+		once->counters.taken_over++;
+		if (!ticket->answered)
+			dw_once_queue_decision(once, &(struct dw_once_decision){
+							     .ticket = ticket->id,
+							     .kind = DW_ONCE_OUTCOME_NOT_STORED,
+							     .status = DW_CONFLICT,
+						     });
+		dw_once_remove_ticket(once, ticket);
+		return;
+	}
+	if (record->state == DW_ONCE_STATE_INTENT)
 		return;
 	if (!ticket->answered)
 		dw_once_queue_decision(once, &(struct dw_once_decision){
@@ -157,6 +172,9 @@
 		resolve_abandoned(once, cache, ticket);
 		break;
 	case DW_ONCE_TICKET_DISPATCHED:
+		if (ticket->restore_due && dw_once_shard_find(&cache->records, ticket->key))
+			ticket->restore_due = false;
+		break;
 	case DW_ONCE_TICKET_STATE_COUNT:
 		break;
 	}
@@ -179,7 +197,7 @@
 	if (cache->operation_id != 0)
 		return false;
 	DL_FOREACH(cache->tickets, ticket) {
-		if (ticket->state != DW_ONCE_TICKET_DISPATCHED)
+		if (ticket->state != DW_ONCE_TICKET_DISPATCHED || ticket->restore_due)
 			return true;
 	}
 	return false;
@@ -232,6 +250,7 @@
 		return ticket_owns(once, ticket, found) ? found : NULL;
 	if (dw_once_shard_add(&cache->records, &record) != DW_OK)
 		return NULL;
+	once->counters.written_again++;
 	return &cache->records.records[cache->records.count - 1];
 }
 
@@ -255,6 +274,27 @@
 	return true;
 }
 
+/* The intent of a call that runs, and that a restored store lacks. */
+static bool apply_lost_intent(struct dw_once *once, struct dw_once_shard_cache *cache,
+			      struct dw_once_ticket *ticket, struct dw_once_time time)
+{
+	struct dw_once_record record = {
+		.key = ticket->key,
+		.fingerprint = ticket->fingerprint,
+		.state = DW_ONCE_STATE_INTENT,
+		.owner = once->options.self,
+		.sequence = ticket->id,
+		.unknown_after_us = time.wall_us + once->options.intent_timeout_us,
+		.expires_at_us = ticket->expires_at_us,
+	};
+
+	if (!ticket->restore_due || dw_once_shard_find(&cache->records, ticket->key) ||
+	    dw_once_shard_add(&cache->records, &record) != DW_OK)
+		return false;
+	once->counters.written_again++;
+	return true;
+}
+
 /*
  * Always counts as a change, even if the record is absent: the write raises the shard's revision,
  * which makes a delayed write of the abandoned intent fail.
@@ -289,6 +329,8 @@
 			included = apply_removal(once, cache, ticket);
 		else if (state == DW_ONCE_TICKET_FINISHED)
 			included = apply_outcome(once, cache, ticket);
+		else if (state == DW_ONCE_TICKET_DISPATCHED)
+			included = apply_lost_intent(once, cache, ticket, time);
 		else if (state == DW_ONCE_TICKET_WAITING)
 			included = apply_intent(once, cache, ticket, time);
 		if (!included)
@@ -310,7 +352,9 @@
 		dw_once_shard_expire(&cache->records, time.wall_us - margin_us);
 	changed = apply_tickets(once, cache, DW_ONCE_TICKET_ABANDONED, time);
 	changed |= apply_tickets(once, cache, DW_ONCE_TICKET_FINISHED, time);
-	changed |= apply_tickets(once, cache, DW_ONCE_TICKET_WAITING, time);
+	changed |= apply_tickets(once, cache, DW_ONCE_TICKET_DISPATCHED, time);
+	if (time.now_us >= once->settled_at_us)
+		changed |= apply_tickets(once, cache, DW_ONCE_TICKET_WAITING, time);
 	return changed;
 }
 
@@ -442,7 +486,12 @@
 	dw_once_shard_clear(&cache->records);
 	if (!cache->tickets)
 		return;
-	if (completion->status != DW_OK || completion->revision < cache->highest_revision ||
+	/* One operation of a shard is in progress at a time, so a lower revision is an older copy. */
+	if (completion->status == DW_OK && completion->revision < cache->highest_revision) {
+		dw_once_store_restored(once, time);
+		return;
+	}
+	if (completion->status != DW_OK ||
 	    dw_once_shard_decode(&cache->records, completion->bytes, completion->len) != DW_OK) {
 		operation_failed(once, cache, time);
 		return;
@@ -451,6 +500,11 @@
 	cache->valid = true;
 	cache->revision = completion->revision;
 	cache->highest_revision = completion->revision;
+	/* The revisions that were lost may have been given out again since, a lost record shows it nevertheless. */
+	if (dw_once_lacks_kept(once, (uint32_t)(cache - once->caches), time.wall_us)) {
+		dw_once_store_restored(once, time);
+		return;
+	}
 	dw_once_resolve_tickets(once, cache, time);
 }
 
@@ -471,6 +525,16 @@
 	dw_once_resolve_tickets(once, cache, time);
 }
 
+/* A write may have been applied before or after the restore: the next read shows it. */
+static void void_operation(struct dw_once_shard_cache *cache)
+{
+	struct dw_once_ticket *ticket;
+
+	cache->valid = false;
+	DL_FOREACH(cache->tickets, ticket)
+		ticket->in_write = false;
+}
+
 void dw_once_complete(struct dw_once *once, const struct dw_once_completion *completion,
 		      struct dw_once_time time)
 {
@@ -480,6 +544,11 @@
 	if (completion->id == 0 || cache->operation_id != completion->id)
 		return;
 	cache->operation_id = 0;
+	if (cache->operation_void) {
+		cache->operation_void = false;
+		void_operation(cache);
+		return;
+	}
 	if (cache->operation_kind == DW_ONCE_READ)
 		read_done(once, cache, completion, time);
 	else
--- a/src/core/once_state.h
+++ b/src/core/once_state.h
@@ -41,6 +41,7 @@
 	uint64_t expires_at_us;
 	uint64_t written_at_revision; /**< expected revision of the last write that included it */
 	uint32_t conflicts;
+	bool restore_due; /**< DISPATCHED: a restored store may lack the intent */
 	bool written; /**< a write has included its intent */
 	bool in_write; /**< the write in progress includes it */
 	bool reread; /**< a read of its shard was started after the ticket was created */
@@ -65,9 +66,21 @@
 	uint64_t next_operation_at_us; /**< earliest start of the next operation */
 	uint64_t operation_id; /**< the operation in progress; 0: none */
 	enum dw_once_operation_kind operation_kind;
+	bool operation_void; /**< it began before a restore: its result says nothing */
 	struct dw_once_ticket *tickets;
 };
 
+/** A call that this instance dispatched lately: what a restored store may lack. */
+struct dw_once_kept {
+	uint64_t id; /**< of its ticket, which may have ended */
+	uint32_t shard;
+	uint64_t until_us; /**< monotonic; not before its ticket has ended */
+	struct dw_once_record record; /**< owns its body */
+	struct dw_once_kept *prev; /**< oldest first */
+	struct dw_once_kept *next;
+	UT_hash_handle hh;
+};
+
 struct dw_once_queued_decision {
 	struct dw_once_decision decision;
 	uint8_t *body; /**< owned */
@@ -79,6 +92,9 @@
 	struct dw_once_options options;
 	struct dw_once_shard_cache *caches;
 	struct dw_once_ticket *tickets; /**< by id */
+	struct dw_once_kept *kept; /**< by id */
+	struct dw_once_kept *kept_order;
+	uint64_t settled_at_us; /**< no dispatch before */
 	struct dw_once_queued_decision *decisions;
 	/** the decision that the caller took last; owns the body that the caller reads */
 	struct dw_once_queued_decision *last_decision;
@@ -89,6 +105,22 @@
 	struct dw_once_counters counters;
 };
 
+/** Remembers the call of a ticket that is being dispatched. */
+void dw_once_keep(struct dw_once *once, const struct dw_once_ticket *ticket,
+		  struct dw_once_time time);
+
+/** Updates what is remembered with the outcome of a finished ticket. */
+void dw_once_keep_outcome(struct dw_once *once, const struct dw_once_ticket *ticket,
+			  struct dw_once_time time);
+
+/** Forgets a call that provably wasn't sent. */
+void dw_once_forget(struct dw_once *once, uint64_t id);
+
+void dw_once_forget_all(struct dw_once *once);
+
+/** Whether a shard that was read lacks a remembered record of an ended call. */
+bool dw_once_lacks_kept(const struct dw_once *once, uint32_t shard, uint64_t wall_us);
+
 /** Queues a decision for the caller; the body of a REPLAY is copied. */
 void dw_once_queue_decision(struct dw_once *once, const struct dw_once_decision *decision);
 
--- a/src/dragonflywharfd/daemon.c
+++ b/src/dragonflywharfd/daemon.c
@@ -17,6 +17,7 @@
 #include "dragonflywharfd/rollout_sync.h"
 #include "dragonflywharfd/roster_sync.h"
 #include "dragonflywharfd/session_sync.h"
+#include "dragonflywharfd/store_history.h"
 #include "dragonflywharfd/upstream_table.h"
 #include "port/rater_http.h"
 #include "port/store_etcd.h"
@@ -293,6 +294,7 @@
 	daemon->session_sync = session_sync_new(daemon);
 	daemon->roster_sync = roster_sync_start(daemon);
 	daemon->config_sync = config_sync_start(daemon);
+	store_history_start(daemon);
 	status = operator_api_start(daemon);
 	if (status == DW_OK)
 		status = caller_api_start(daemon);
--- a/src/dragonflywharfd/daemon.h
+++ b/src/dragonflywharfd/daemon.h
@@ -92,6 +92,7 @@
 	uint64_t stop_deadline_us; /**< 0 while in service */
 	bool leave_started; /**< set when the last request has ended and leaving the cluster began */
 	uint32_t final_polls; /**< polls of stop_poll since the server stopped accepting */
+	uint64_t store_restored_at_us; /**< when this was last seen or told; 0: never */
 	uint64_t random_state;
 	uint64_t last_tick_us;
 	uint64_t mean_rating_us; /**< moving average of the time that one rating takes */
--- a/src/dragonflywharfd/once_sync.c
+++ b/src/dragonflywharfd/once_sync.c
@@ -7,6 +7,8 @@
 
 #include <uthash.h>
 
+#include "dragonflywharfd/store_history.h"
+
 #define CALL_TIMEOUT_US (1500 * DW_US_PER_MS)
 #define KEY_BYTES 48
 
@@ -56,10 +58,13 @@
 static void complete_operation(struct call *call, const struct dw_once_completion *completion)
 {
 	struct once_sync *sync = call->sync;
+	uint64_t restores = dw_once_read_counters(sync->once).restores;
 
 	if (completion->status == DW_UNAVAILABLE || completion->status == DW_UNKNOWN_OUTCOME)
 		dw_counters_add(&sync->daemon->counters, DW_COUNTER_STORE_FAILURES, 1);
 	dw_once_complete(sync->once, completion, time_now(sync));
+	if (dw_once_read_counters(sync->once).restores != restores)
+		store_history_receive(sync->daemon);
 	free(call);
 	once_sync_pump(sync);
 }
@@ -209,6 +214,17 @@
 	free(ticket);
 }
 
+void once_sync_store_back(struct once_sync *sync)
+{
+	dw_once_store_back(sync->once, time_now(sync));
+}
+
+void once_sync_store_restored(struct once_sync *sync)
+{
+	dw_once_store_restored(sync->once, time_now(sync));
+	once_sync_pump(sync);
+}
+
 void once_sync_tick(struct once_sync *sync)
 {
 	if (dw_clock_now_us() >= dw_once_deadline_us(sync->once))
--- a/src/dragonflywharfd/once_sync.h
+++ b/src/dragonflywharfd/once_sync.h
@@ -26,6 +26,12 @@
 /** Stops the callbacks to the owner; the ticket itself is still processed to its end. */
 void once_sync_detach(struct once_sync *sync, uint64_t ticket);
 
+/** The store answers again after an outage, see dw_once_store_back(). */
+void once_sync_store_back(struct once_sync *sync);
+
+/** The store came back from an older copy, see dw_once_store_restored(). */
+void once_sync_store_restored(struct once_sync *sync);
+
 void once_sync_tick(struct once_sync *sync);
 size_t once_sync_pending(const struct once_sync *sync);
 
--- a/src/dragonflywharfd/peer_bus.c
+++ b/src/dragonflywharfd/peer_bus.c
@@ -5,6 +5,7 @@
 #include "dragonflywharfd/config_sync.h"
 #include "dragonflywharfd/ledger_sync.h"
 #include "dragonflywharfd/session_sync.h"
+#include "dragonflywharfd/store_history.h"
 #include "dragonflywharfd/upstream_table.h"
 #include "net/member_codec.h"
 #include "net/msgpack_read.h"
@@ -266,6 +267,12 @@
 	upstream_table_merge_evidence(daemon->upstreams, &evidence);
 }
 
+static void handle_store_restored(struct daemon *daemon, const struct dw_peer_identity *from,
+				  const struct dw_peer_payload *payload)
+{
+	store_history_receive(daemon);
+}
+
 static const message_handler handlers[PEER_MESSAGE_LIMIT] = {
 	[PEER_MEMBERSHIP] = handle_membership,
 	[PEER_CONFIG_DELTA] = handle_config_delta,
@@ -279,6 +286,7 @@
 	[PEER_ABANDONED] = handle_abandoned,
 	[PEER_LEDGER] = handle_ledger,
 	[PEER_WARMUP] = handle_warmup,
+	[PEER_STORE_RESTORED] = handle_store_restored,
 };
 
 static void on_message(const struct dw_peer_identity *from, uint8_t type,
--- a/src/dragonflywharfd/peer_bus.h
+++ b/src/dragonflywharfd/peer_bus.h
@@ -23,6 +23,7 @@
 	PEER_SESSION_REPLY = 10,
 	PEER_CONFIG_CONFIRM = 11,
 	PEER_ABANDONED = 12, /**< as PEER_QUARANTINE, of runs that were given up before the crash */
+	PEER_STORE_RESTORED = 13, /**< nil; the store came back from an older copy */
 	PEER_MESSAGE_LIMIT
 };
 
--- a/src/port/etcd_json.c
+++ b/src/port/etcd_json.c
@@ -214,7 +214,8 @@
 {
 	struct json_object *header = get_field(object, "header");
 
-	return header && read_u64(header, "revision", &reply->revision);
+	return header && read_u64(header, "revision", &reply->revision) &&
+	       read_u64(header, "cluster_id", &reply->cluster_id);
 }
 
 static bool read_entry(struct json_object *kv, struct dw_store_entry *entry)
--- a/src/port/etcd_json.h
+++ b/src/port/etcd_json.h
@@ -17,6 +17,7 @@
 /** A parsed response. Which fields are set depends on the call. */
 struct dw_etcd_reply {
 	uint64_t revision; /**< store revision from the response header */
+	uint64_t cluster_id; /**< from the response header; 0 if it has none */
 	bool succeeded; /**< txn: all compares were true */
 	struct dw_store_event *events; /**< entries of a range, or events of a watch */
 	size_t count;
--- a/src/port/store.h
+++ b/src/port/store.h
@@ -174,6 +174,17 @@
 	uint64_t calls[DW_STORE_VERB_COUNT];
 	/** Bytes of answers that were given up before their end, because of a timeout or a fault. */
 	uint64_t abandoned_bytes;
+	/**
+	 * Of an adapter whose store has no eras: how often an answer has shown that the store came back from an
+	 * older copy. Answers to calls that were sent before may belong to the lost history.
+	 */
+	uint64_t restores;
+	uint64_t revision; /**< of such a store: the highest one in answers since then */
+	/** Optional; called at each, before the call that showed it ends. */
+	void (*on_restored)(uint64_t revision_before, uint64_t revision, void *data);
+	/** Optional; called at the first answer after a call that no endpoint answered: it may be of an older copy. */
+	void (*on_back)(void *data);
+	void *history_data;
 	struct dw_store_era era; /**< as an adapter whose store has eras keeps it */
 };
 
--- a/src/port/store_etcd.c
+++ b/src/port/store_etcd.c
@@ -18,6 +18,8 @@
 	struct dw_store_etcd_endpoint endpoints[DW_STORE_ETCD_MAX_ENDPOINTS];
 	size_t endpoint_count;
 	size_t current; /* endpoint of the next call's first attempt */
+	bool away; /* the last call that ended wasn't answered by any endpoint */
+	uint64_t cluster_id; /* 0 until an answer has named it */
 };
 
 /** One call. Failed attempts are retried at the next endpoint, see can_retry(). */
@@ -29,7 +31,10 @@
 	size_t attempts; /* attempts made so far */
 	uint64_t started_us;
 	uint64_t deadline_us;
+	uint64_t revision_when_sent; /* by dw_store.revision, at the last attempt */
+	uint64_t restores_when_sent;
 	bool exact;
+	bool may_be_stale;
 	union {
 		dw_store_range_done range;
 		dw_store_put_done put;
@@ -230,6 +235,39 @@
 	return (call->first_endpoint + attempts) % call->etcd->endpoint_count;
 }
 
+/*
+ * Ranges and writes are linearizable: one that was sent after an answer had a revision shows it or a later one.
+ * A serializable range may be answered by a member that lags, so it proves nothing.
+ */
+static void check_history(const struct call *call, const struct dw_etcd_reply *reply)
+{
+	struct store_etcd *etcd = call->etcd;
+	bool other_cluster =
+		etcd->cluster_id && reply->cluster_id && reply->cluster_id != etcd->cluster_id;
+
+	if (call->restores_when_sent != etcd->store.restores || call->may_be_stale)
+		return;
+	if (reply->cluster_id)
+		etcd->cluster_id = reply->cluster_id;
+	if (other_cluster || reply->revision < call->revision_when_sent) {
+		uint64_t before = etcd->store.revision;
+
+		etcd->store.restores++;
+		etcd->store.revision = reply->revision;
+		if (etcd->store.on_restored)
+			etcd->store.on_restored(before, reply->revision, etcd->store.history_data);
+	} else if (reply->revision > etcd->store.revision) {
+		etcd->store.revision = reply->revision;
+	}
+}
+
+static void note_back(struct store_etcd *etcd)
+{
+	if (etcd->away && etcd->store.on_back)
+		etcd->store.on_back(etcd->store.history_data);
+	etcd->away = false;
+}
+
 static void on_response(const struct dw_http_fetch_result *result, void *data)
 {
 	struct call *call = data;
@@ -240,12 +278,19 @@
 	if (attempt_result == ATTEMPT_ANSWERED &&
 	    parse_response(call->verb, result, &reply) != DW_OK)
 		attempt_result = ATTEMPT_LOST;
+	if (attempt_result == ATTEMPT_ANSWERED) {
+		note_back(call->etcd);
+		if (call->verb == DW_STORE_RANGE || call->verb == DW_STORE_PUT)
+			check_history(call, &reply);
+	}
 	if (attempt_result != ATTEMPT_ANSWERED) {
 		status = failure_status(attempt_result, result);
 		if (can_retry(call, attempt_result)) {
 			send_attempt(call);
 			return;
 		}
+		if (attempt_result == ATTEMPT_NOT_APPLIED || status == DW_TIMEOUT)
+			call->etcd->away = true;
 	}
 	/* Keep an endpoint with a valid response. After any failure, also a refusal, the next call
 	 * starts with the next endpoint. */
@@ -274,6 +319,8 @@
 		etcd, call->verb, endpoint_for_attempt(call, call->attempts), call->body);
 
 	options.deadline_us = attempt_deadline_us(call);
+	call->revision_when_sent = etcd->store.revision;
+	call->restores_when_sent = etcd->store.restores;
 	call->attempts++;
 	etcd->store.calls[call->verb]++;
 	dw_http_fetch(etcd->client, &options, MAX_RESPONSE_BYTES, on_response, call);
@@ -301,6 +348,7 @@
 				     range->deadline_us, data);
 
 	call->exact = range->exact;
+	call->may_be_stale = range->may_be_stale;
 	call->done.range = done;
 	send_attempt(call);
 }
