Era guard: the key is written again if it is spoiled, and held while the view lags

Cause, found while the writers were prepared to depend on the key: (1) after the key's first write of an era its timer stopped, so a key that another writer removes or makes unreadable later would end all writes for the rest of the era; (2) between the store's first answer of an era and the first state of that era in the view, writes were allowed by the key of the era before; (3) the answer to a write replaced a newer state of the key that the view had already brought.

Change: the key is due again whenever it doesn't have the view's era; no writes while the store has answered in a later era than the view's, or in any if the view has none yet; a write's revision only counts if it is higher.

--- a/src/wharf-gateway/era_guard.c
+++ b/src/wharf-gateway/era_guard.c
@@ -18,6 +18,8 @@
 #define RETRY_US (500 * DW_US_PER_MS)
 /* Instances that knew the store before the era have written by then, if there are any. */
 #define NEWCOMER_DELAY_US (3 * DW_US_PER_S)
+/* Records are written again within this time after the last of their delays. */
+#define REWRITES_TAKE_US (4 * DW_US_PER_S)
 
 void era_guard_init(struct era_guard *guard, struct dw_log *log)
 {
@@ -32,10 +34,55 @@
 	       dw_revision_number(guard->revision) == dw_revision_number(guard->previous_revision);
 }
 
+static bool is_written(const struct era_guard *guard)
+{
+	return guard->revision > 0 && guard->record_era == guard->era && !is_revision_used(guard);
+}
+
 bool era_guard_allows_writes(const struct era_guard *guard)
 {
-	return guard->era == 0 ||
-	       (guard->revision > 0 && guard->record_era == guard->era && !is_revision_used(guard));
+	if (guard->store && guard->store->era.newest > guard->era)
+		return false;
+	return guard->era == 0 || is_written(guard);
+}
+
+bool era_guard_is_from_copy(const struct era_guard *guard, uint64_t revision)
+{
+	return guard->record_era != guard->era ||
+	       dw_revision_number(revision) < dw_revision_number(guard->revision);
+}
+
+static uint64_t max_u64(uint64_t a, uint64_t b)
+{
+	return a > b ? a : b;
+}
+
+void era_guard_count_rewrite(struct era_guard *guard, enum era_rewrite kind)
+{
+	guard->rewritten[kind]++;
+	/* Many records take longer. */
+	if (guard->rewrites_logged_at_us > 0)
+		guard->rewrites_logged_at_us = max_u64(guard->rewrites_logged_at_us,
+						       dw_clock_now_us() + REWRITES_TAKE_US / 2);
+}
+
+static void log_rewrites(struct era_guard *guard)
+{
+	const uint32_t *count = guard->rewritten;
+	uint64_t sum = 0;
+
+	guard->rewrites_logged_at_us = 0;
+	for (int i = 0; i < ERA_REWRITE_COUNT; i++)
+		sum += count[i];
+	if (sum == 0)
+		return;
+	dw_log_event(guard->log, DW_EVENT_STORE_REWRITTEN, DW_INT("era", guard->era),
+		     DW_INT("quarantines", count[ERA_REWRITE_QUARANTINE]),
+		     DW_INT("parts", count[ERA_REWRITE_PART]),
+		     DW_INT("statuses", count[ERA_REWRITE_STATUS]),
+		     DW_INT("progress", count[ERA_REWRITE_PROGRESS]),
+		     DW_INT("evidence", count[ERA_REWRITE_EVIDENCE]),
+		     DW_INT("reader_keys", count[ERA_REWRITE_READER_KEY]));
 }
 
 void era_guard_condition(const struct era_guard *guard, struct dw_store_put *put)
@@ -55,17 +102,12 @@
 	return guard->record_era == guard->era && config_version >= guard->record_config;
 }
 
-static uint64_t max_u64(uint64_t a, uint64_t b)
-{
-	return a > b ? a : b;
-}
-
 static void on_written(const struct dw_store_put_result *result, void *data)
 {
 	struct era_guard *guard = data;
 
 	guard->in_flight = false;
-	if (result->outcome == DW_STORE_DONE) {
+	if (result->outcome == DW_STORE_DONE && result->revision > guard->revision) {
 		guard->revision = result->revision;
 		guard->record_era = dw_revision_era(result->revision);
 		guard->record_config = max_u64(guard->record_config, guard->config_version);
@@ -93,17 +135,29 @@
 	dw_store_put(guard->store, &put, on_written, guard);
 }
 
+static uint64_t write_delay_us(struct era_guard *guard)
+{
+	return dw_restore_write_delay_us(&guard->place, dw_random_next(&guard->random));
+}
+
 static void on_check_timer(uv_timer_t *timer)
 {
 	struct era_guard *guard = timer->data;
 	uint64_t now_us = dw_clock_now_us();
 
-	if (guard->in_flight || guard->write_due_us == 0 || now_us < guard->write_due_us)
+	if (guard->rewrites_logged_at_us > 0 && now_us >= guard->rewrites_logged_at_us)
+		log_rewrites(guard);
+	if (guard->era == 0 || guard->in_flight)
 		return;
-	if (era_guard_allows_writes(guard)) {
+	if (is_written(guard)) {
 		guard->write_due_us = 0;
 		return;
 	}
+	/* Another writer may have removed the key, or made it unreadable. */
+	if (guard->write_due_us == 0)
+		guard->write_due_us = now_us + 1 + write_delay_us(guard);
+	if (now_us < guard->write_due_us)
+		return;
 	guard->write_due_us = now_us + RETRY_US + dw_random_next(&guard->random) % RETRY_US;
 	write_guard(guard, now_us);
 }
@@ -153,11 +207,19 @@
 void era_guard_entered(struct era_guard *guard, uint64_t era, bool has_memory,
 		       const struct dw_view_place *place, uint64_t now_us)
 {
-	uint64_t delay_us = dw_restore_write_delay_us(place, dw_random_next(&guard->random));
+	uint64_t delay_us;
 
+	if (guard->rewrites_logged_at_us > 0)
+		log_rewrites(guard);
+	memset(guard->rewritten, 0, sizeof(guard->rewritten));
+	guard->place = *place;
+	delay_us = write_delay_us(guard);
 	/* A first key is nobody's memory. */
 	if (!has_memory && guard->revision > 0)
 		delay_us += NEWCOMER_DELAY_US;
 	guard->era = era;
 	guard->write_due_us = now_us + 1 + delay_us;
+	if (has_memory)
+		guard->rewrites_logged_at_us =
+			now_us + dw_restore_write_delay_us(place, 0) + REWRITES_TAKE_US;
 }
--- a/src/wharf-gateway/era_guard.h
+++ b/src/wharf-gateway/era_guard.h
@@ -8,6 +8,8 @@
  * all other writes are conditional on its revision. So a write that was prepared in an earlier era is applied only
  * on the state that it was prepared on, or not at all. It is written by one instance after the other, the
  * readers of the store first. A store without eras has no such key.
+ *
+ * The guard also counts the records that this instance has written again after a restore, and logs them.
  */
 #ifndef GATEWAY_ERA_GUARD_H
 #define GATEWAY_ERA_GUARD_H
@@ -20,6 +22,17 @@
 #include "base/log.h"
 #include "port/store.h"
 
+/** Kinds of records that are written again if the store has lost them. */
+enum era_rewrite {
+	ERA_REWRITE_QUARANTINE,
+	ERA_REWRITE_PART,
+	ERA_REWRITE_STATUS,
+	ERA_REWRITE_PROGRESS,
+	ERA_REWRITE_EVIDENCE,
+	ERA_REWRITE_READER_KEY,
+	ERA_REWRITE_COUNT
+};
+
 struct era_guard {
 	struct dw_log *log;
 	struct dw_store *store; /**< NULL until era_guard_start() */
@@ -31,6 +44,9 @@
 	uint64_t
 		previous_revision; /**< of the key in the era before, 0: unknown; not to be given out again */
 	uint64_t write_due_us; /**< 0: nothing to write */
+	struct dw_view_place place; /**< of this instance, as it entered the era */
+	uint32_t rewritten[ERA_REWRITE_COUNT]; /**< records, since the era was entered */
+	uint64_t rewrites_logged_at_us; /**< when they will be logged; 0: they are */
 	uint64_t random;
 	bool in_flight;
 	uv_timer_t timer;
@@ -52,9 +68,17 @@
 /** The newest configuration that is known here. */
 void era_guard_set_config(struct era_guard *guard, uint64_t version);
 
-/** Whether the key was written in the view's era (or the store has no eras), so that writes may follow. */
+/** Whether the key was written in the view's era (or the store has no eras), so that writes may follow; false
+ * if the store has answered in a later era than the view's. */
 bool era_guard_allows_writes(const struct era_guard *guard);
 
+/** Whether a record of this system with this revision of the view's era was already in the copy that the
+ * store came back from; it is older than all that was written in the era. */
+bool era_guard_is_from_copy(const struct era_guard *guard, uint64_t revision);
+
+/** A record that the store had lost was written again by this instance. */
+void era_guard_count_rewrite(struct era_guard *guard, enum era_rewrite kind);
+
 /** Makes a write conditional on the era; only if era_guard_allows_writes(). */
 void era_guard_condition(const struct era_guard *guard, struct dw_store_put *put);
 
--- /dev/null
+++ b/tests/era_guard_test.cc
@@ -0,0 +1,241 @@
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <cstring>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "base/clock.h"
+#include "wharf-gateway/era_guard.h"
+}
+
+namespace
+{
+
+constexpr uint64_t SECOND = 1000000;
+
+/* A store that keeps the writes that were sent to it, to be answered by the test. */
+struct FakeStore {
+	dw_store base{};
+	dw_store_ops ops{};
+	struct write {
+		std::string value;
+		uint64_t expected;
+		uint64_t era;
+		dw_store_put_done done;
+		void *data;
+	};
+	std::vector<write> writes;
+
+	FakeStore()
+	{
+		ops.put = [](dw_store *store, const struct dw_store_put *put,
+			     dw_store_put_done done, void *data) {
+			std::string value((const char *)put->value, put->value_len);
+			((FakeStore *)store)
+				->writes.push_back(
+					{ value, put->expected_revision, put->era, done, data });
+		};
+		base.ops = &ops;
+	}
+	void answer(size_t i, dw_store_outcome outcome, uint64_t revision)
+	{
+		dw_store_put_result result{ outcome, revision };
+		writes[i].done(&result, writes[i].data);
+	}
+};
+
+/* The first reader of three, in a store whose first era had the key at revision 20. */
+struct EraGuard : testing::Test {
+	char *text = nullptr;
+	size_t text_len = 0;
+	FILE *sink = open_memstream(&text, &text_len);
+	dw_log log{};
+	uv_loop_t loop{};
+	FakeStore store;
+	era_guard guard{};
+	dw_view_place place{};
+
+	EraGuard()
+	{
+		place.members = 20;
+		place.readers = 3;
+		dw_log_init(&log, sink, "front-1", DW_LEVEL_INFO);
+		uv_loop_init(&loop);
+		era_guard_init(&guard, &log);
+		era_guard_start(&guard, &loop, &store.base, 7);
+		store.base.era.newest = 1;
+		apply(1, 20, "{\"era\":1,\"config\":100}");
+		enter(1, false);
+		while (guard.write_due_us > 0)
+			uv_run(&loop, UV_RUN_ONCE);
+	}
+	~EraGuard() override
+	{
+		uv_close((uv_handle_t *)&guard.timer, nullptr);
+		uv_run(&loop, UV_RUN_DEFAULT);
+		uv_loop_close(&loop);
+		fclose(sink);
+		free(text);
+	}
+	void apply(uint64_t era, uint64_t number, const char *value)
+	{
+		dw_store_event event{};
+		event.deleted = !value;
+		event.entry.key = "wharf/era";
+		event.entry.value = (const uint8_t *)value;
+		event.entry.value_len = value ? strlen(value) : 0;
+		event.entry.mod_revision = dw_revision_make(era, number);
+		era_guard_apply(&guard, &event);
+	}
+	void enter(uint64_t era, bool has_memory)
+	{
+		store.base.era.newest = era;
+		era_guard_entered(&guard, era, has_memory, &place, dw_clock_now_us());
+	}
+	/* Runs the timer until the store has got this many writes, for at most two seconds. */
+	bool runs_until_writes(size_t count)
+	{
+		uint64_t end_us = dw_clock_now_us() + 2 * SECOND;
+		while (store.writes.size() < count && dw_clock_now_us() < end_us)
+			uv_run(&loop, UV_RUN_ONCE);
+		return store.writes.size() >= count;
+	}
+	std::string logged()
+	{
+		fflush(sink);
+		return std::string(text, text_len);
+	}
+};
+
+/* Guards against a write that is applied in another era than the one that it was prepared in. */
+TEST_F(EraGuard, WritesWaitForTheKeyOfTheEraAndDependOnIt)
+{
+	struct dw_store_put put {
+	};
+	ASSERT_TRUE(era_guard_allows_writes(&guard));
+	enter(2, true);
+	EXPECT_FALSE(era_guard_allows_writes(&guard)) << "the copy has the key of era 1";
+	ASSERT_TRUE(runs_until_writes(1));
+	EXPECT_EQ(store.writes[0].expected, dw_revision_make(1, 20));
+	EXPECT_EQ(store.writes[0].era, 2U);
+	EXPECT_EQ(store.writes[0].value, "{\"era\":2,\"config\":100}");
+	EXPECT_FALSE(era_guard_allows_writes(&guard)) << "it isn't answered";
+	store.answer(0, DW_STORE_DONE, dw_revision_make(2, 31));
+	ASSERT_TRUE(era_guard_allows_writes(&guard));
+	era_guard_condition(&guard, &put);
+	EXPECT_STREQ(put.guard_key, "wharf/era");
+	EXPECT_EQ(put.guard_revision, dw_revision_make(2, 31));
+	EXPECT_EQ(put.era, 2U);
+}
+
+/* Guards against a store without eras that gets a key, or conditions on it. */
+TEST_F(EraGuard, AStoreWithoutErasHasNoSuchKey)
+{
+	era_guard none{};
+	struct dw_store_put put {
+	};
+	era_guard_init(&none, &log);
+	EXPECT_TRUE(era_guard_allows_writes(&none));
+	era_guard_condition(&none, &put);
+	EXPECT_EQ(put.guard_key, nullptr);
+	EXPECT_EQ(put.era, 0U);
+}
+
+/* Guards against a write by what is known of the era before, while the view hasn't taken in the new one. */
+TEST_F(EraGuard, WritesWaitOnceTheStoreHasAnsweredInALaterEra)
+{
+	store.base.era.newest = 2;
+	EXPECT_FALSE(era_guard_allows_writes(&guard));
+	era_guard started{};
+	era_guard_init(&started, &log);
+	started.store = &store.base;
+	EXPECT_FALSE(era_guard_allows_writes(&started)) << "it knows no era yet";
+}
+
+/* Guards against a write of the earlier era that meets the key's old revision, given out again to the key itself. */
+TEST_F(EraGuard, AKeyThatGotItsOldRevisionIsWrittenOnceMore)
+{
+	apply(2, 18, nullptr);
+	enter(2, true);
+	ASSERT_TRUE(runs_until_writes(1));
+	store.answer(0, DW_STORE_DONE, dw_revision_make(2, 20));
+	EXPECT_FALSE(era_guard_allows_writes(&guard));
+	ASSERT_TRUE(runs_until_writes(2));
+	EXPECT_EQ(store.writes[1].expected, dw_revision_make(2, 20));
+	store.answer(1, DW_STORE_DONE, dw_revision_make(2, 21));
+	EXPECT_TRUE(era_guard_allows_writes(&guard));
+}
+
+/* Guards against a system that never writes again, as another writer has removed the key or made it unreadable. */
+TEST_F(EraGuard, AKeyThatAnotherWriterSpoiledIsWrittenAgain)
+{
+	const char *const spoiled[] = { nullptr, "{\"era\":\"two\"}", "[", "{\"era\":9}" };
+	uint64_t number = 30;
+	for (const char *value : spoiled) {
+		size_t before = store.writes.size();
+		apply(1, ++number, value);
+		EXPECT_FALSE(era_guard_allows_writes(&guard));
+		ASSERT_TRUE(runs_until_writes(before + 1)) << (value ? value : "removed");
+		EXPECT_EQ(store.writes.back().expected, value ? dw_revision_make(1, number) : 0);
+		store.answer(before, DW_STORE_DONE, dw_revision_make(1, ++number));
+		EXPECT_TRUE(era_guard_allows_writes(&guard));
+	}
+}
+
+/* Guards against a key whose newer state, which came with the view, is forgotten as the answer to a write is late. */
+TEST_F(EraGuard, ALateAnswerDoesNotReplaceANewerState)
+{
+	enter(2, true);
+	ASSERT_TRUE(runs_until_writes(1));
+	apply(2, 33, "{\"era\":2,\"config\":120}");
+	store.answer(0, DW_STORE_DONE, dw_revision_make(2, 31));
+	struct dw_store_put put {
+	};
+	era_guard_condition(&guard, &put);
+	EXPECT_EQ(put.guard_revision, dw_revision_make(2, 33));
+}
+
+/* Guards against an instance that serves an older configuration, as it has started after the restore. */
+TEST_F(EraGuard, ANewcomerNeedsTheConfigurationThatWasInForce)
+{
+	EXPECT_TRUE(era_guard_allows_config(&guard, 100));
+	EXPECT_FALSE(era_guard_allows_config(&guard, 99));
+	enter(2, false);
+	EXPECT_FALSE(era_guard_allows_config(&guard, 100)) << "nobody has said what was in force";
+	apply(2, 40, "{\"era\":2,\"config\":130}");
+	EXPECT_FALSE(era_guard_allows_config(&guard, 129));
+	EXPECT_TRUE(era_guard_allows_config(&guard, 130));
+}
+
+/* Guards against a record that is taken for one of the new era, though the store came back with it. */
+TEST_F(EraGuard, RecordsOfTheCopyAreOlderThanTheKey)
+{
+	enter(2, true);
+	EXPECT_TRUE(era_guard_is_from_copy(&guard, dw_revision_make(2, 90))) << "nobody may write";
+	apply(2, 50, "{\"era\":2,\"config\":100}");
+	EXPECT_TRUE(era_guard_is_from_copy(&guard, dw_revision_make(2, 49)));
+	EXPECT_FALSE(era_guard_is_from_copy(&guard, dw_revision_make(2, 51)));
+}
+
+/* Guards against restores whose rewritten records nobody sees, and a line for each of them. */
+TEST_F(EraGuard, WhatWasWrittenAgainIsLoggedOnce)
+{
+	enter(2, true);
+	era_guard_count_rewrite(&guard, ERA_REWRITE_PART);
+	era_guard_count_rewrite(&guard, ERA_REWRITE_PART);
+	era_guard_count_rewrite(&guard, ERA_REWRITE_READER_KEY);
+	EXPECT_EQ(logged().find("store.rewritten"), std::string::npos) << "more may follow";
+	enter(3, true);
+	enter(4, true);
+	std::string lines = logged();
+	size_t at = lines.find("\"name\":\"store.rewritten\"");
+	ASSERT_NE(at, std::string::npos) << lines;
+	EXPECT_EQ(lines.find("store.rewritten", at + 30), std::string::npos) << lines;
+	EXPECT_NE(lines.find("\"parts\":2"), std::string::npos) << lines;
+	EXPECT_NE(lines.find("\"reader_keys\":1"), std::string::npos) << lines;
+	EXPECT_NE(lines.find("\"era\":2"), std::string::npos) << lines;
+}
+
+} // namespace
