Quarantines and readers' keys: written again after a restore, in its era only

Cause: (1) what the gateway keeps in the store was written once and then trusted to be there, so a quarantine that the store lost in a restore was known to running instances only, and a lifted one came back with the copy's crashes for those that start later; (2) writes, leases and renewals went on with what was known of the era before: a revision or a lease's id that was given out again fits again; (3) an acknowledged record that was lost before the view brought it counted as stored.

Change: writers go through the era guard, before the lease is asked for and before the write. At a restore the view tells them; each record that the store had and that it now says less of, or nothing, is due again after dw_restore_write_delay_us(), at most 20 a second on average, in the same order at all instances; who reads it by then doesn't write. Dues wait, with their distances, until the era's key is written. A lift is known from its record too, and written again unless there is new evidence. A lease of the earlier era is dropped without a call.

Ruled out: writing from the merge of evidence, as the level in the store isn't known there; the lowest fingerprint first, as that takes a comparison of all records with all.

--- a/src/wharf-gateway/crash_guard.c
+++ b/src/wharf-gateway/crash_guard.c
@@ -20,7 +20,8 @@
 #define OWN "own"
 #define STORE "store"
 
-void crash_guard_init(struct crash_guard *guard, struct dw_log *log, struct dw_engine_set *engines)
+void crash_guard_init(struct crash_guard *guard, struct dw_log *log, struct dw_engine_set *engines,
+		      struct era_guard *era_guard)
 {
 	struct dw_quarantine_options options = dw_quarantine_default_options();
 
@@ -31,8 +32,9 @@
 	guard->checks = dw_crash_checks_new();
 	if (dw_quarantine_new(&guard->quarantine, &options) != DW_OK)
 		abort();
-	quarantine_records_init(&guard->records, &request_record_kind, guard->quarantine, engines);
-	part_guard_init(&guard->parts, log, engines);
+	quarantine_records_init(&guard->records, &request_record_kind, guard->quarantine, engines,
+				era_guard);
+	part_guard_init(&guard->parts, log, engines, era_guard);
 }
 
 void crash_guard_start(struct crash_guard *guard, uv_loop_t *loop, struct dw_store *store,
@@ -327,6 +329,13 @@
 	}
 }
 
+void crash_guard_store_restored(struct crash_guard *guard, const struct dw_view_place *place,
+				uint64_t now_us)
+{
+	quarantine_records_store_restored(&guard->records, place, now_us);
+	quarantine_records_store_restored(&guard->parts.records, place, now_us);
+}
+
 static struct dw_crash_upstream upstream_of(const struct dw_engine *engine)
 {
 	return (struct dw_crash_upstream){ engine->id_hash, engine->entry.started_at_ms };
--- a/src/wharf-gateway/crash_guard.h
+++ b/src/wharf-gateway/crash_guard.h
@@ -50,7 +50,8 @@
 	uint64_t probes; /**< made to find that out */
 };
 
-void crash_guard_init(struct crash_guard *guard, struct dw_log *log, struct dw_engine_set *engines);
+void crash_guard_init(struct crash_guard *guard, struct dw_log *log, struct dw_engine_set *engines,
+		      struct era_guard *era_guard);
 void crash_guard_start(struct crash_guard *guard, uv_loop_t *loop, struct dw_store *store,
 		       uint64_t seed);
 void crash_guard_close(struct crash_guard *guard);
@@ -111,5 +112,8 @@
 			     size_t count, enum dw_spread_scope scope, const char *from);
 /** A key of the store was written or deleted; others than those of quarantines are ignored. */
 void crash_guard_apply_record(struct crash_guard *guard, const struct dw_store_event *event);
+/** The store came back from an older copy: see quarantine_records_store_restored(). */
+void crash_guard_store_restored(struct crash_guard *guard, const struct dw_view_place *place,
+				uint64_t now_us);
 
 #endif
--- a/src/wharf-gateway/part_guard.c
+++ b/src/wharf-gateway/part_guard.c
@@ -10,7 +10,8 @@
 #define OWN "own"
 #define STORE "store"
 
-void part_guard_init(struct part_guard *guard, struct dw_log *log, struct dw_engine_set *engines)
+void part_guard_init(struct part_guard *guard, struct dw_log *log, struct dw_engine_set *engines,
+		     struct era_guard *era_guard)
 {
 	struct dw_part_options options = dw_part_quarantine_default_options();
 
@@ -18,7 +19,8 @@
 	options.lifetime_us = QUARANTINE_LIFETIME_S * DW_US_PER_S;
 	guard->log = log;
 	guard->quarantine = dw_part_quarantine_new(&options);
-	quarantine_records_init(&guard->records, &part_record_kind, guard->quarantine, engines);
+	quarantine_records_init(&guard->records, &part_record_kind, guard->quarantine, engines,
+				era_guard);
 }
 
 void part_guard_close(struct part_guard *guard)
--- a/src/wharf-gateway/part_guard.h
+++ b/src/wharf-gateway/part_guard.h
@@ -19,7 +19,8 @@
 	struct quarantine_records records;
 };
 
-void part_guard_init(struct part_guard *guard, struct dw_log *log, struct dw_engine_set *engines);
+void part_guard_init(struct part_guard *guard, struct dw_log *log, struct dw_engine_set *engines,
+		     struct era_guard *era_guard);
 void part_guard_close(struct part_guard *guard);
 
 /** The engine has ended under these runs, as this instance found. */
--- a/src/wharf-gateway/quarantine_records.c
+++ b/src/wharf-gateway/quarantine_records.c
@@ -6,6 +6,8 @@
 
 #include <json-c/json.h>
 
+#include <dragonflywharf/restore_writes.h>
+
 #include "base/clock.h"
 #include "base/random.h"
 
@@ -22,13 +24,22 @@
  * most are innocent, and the store's rate is shared by all instances. */
 #define SUSPICIONS_PER_PERIOD 4
 
+/* Least time between two records that are written again, on average. */
+#define REWRITE_PACE_US (50 * DW_US_PER_MS)
+/* By then, all instances have learned of a restore and written what they hold. */
+#define RESTORED_FOR_US (15 * DW_US_PER_S)
+
 struct quarantine_record {
 	struct quarantine_records *owner;
 	struct dw_fingerprint key;
 	uint64_t revision; /* of the key, as last seen */
+	uint64_t read_revision; /* of the key, as the view brought it; 0: it doesn't exist */
 	uint64_t write_due_us; /* 0: nothing to write */
 	uint64_t lease_id;
-	bool is_lifted; /* what has to be written */
+	bool is_lifted; /* what has to be written, if the store says otherwise */
+	bool is_stored_lifted; /* the store's record says so */
+	bool was_stored; /* the store had a record, and hasn't removed it at the end of its lease */
+	bool is_rewrite; /* what is due was lost in a restore */
 	uint32_t stored; /* level of the store's record; 0: none, or lifted */
 	uint64_t suspected_until_us; /* written by then if few others are heard; 0: no suspicion */
 	uint32_t written; /* level in the last write, which may be in flight */
@@ -38,12 +49,13 @@
 
 void quarantine_records_init(struct quarantine_records *records,
 			     const struct quarantine_record_kind *kind, const void *evidence,
-			     struct dw_engine_set *engines)
+			     struct dw_engine_set *engines, struct era_guard *era_guard)
 {
 	memset(records, 0, sizeof(*records));
 	records->kind = kind;
 	records->evidence = evidence;
 	records->engines = engines;
+	records->era_guard = era_guard;
 	records->suspicions_left = SUSPICIONS_PER_PERIOD;
 }
 
@@ -138,8 +150,11 @@
 /* Whether the store's record says less, or something else, than is known here. */
 static bool is_write_needed(const struct quarantine_record *record, uint64_t now_us)
 {
+	if (record->is_lifted && record->is_rewrite && level_here(record, now_us) > 0)
+		return false; /* there is evidence since it was lifted */
 	if (record->is_lifted)
-		return record->stored > 0 || record->written > 0;
+		return record->stored > 0 || record->written > 0 ||
+		       (record->is_rewrite && !record->is_stored_lifted);
 	return level_here(record, now_us) > record->stored;
 }
 
@@ -182,6 +197,22 @@
 	return root;
 }
 
+static void note_done(struct quarantine_record *record, uint64_t revision)
+{
+	struct quarantine_records *records = record->owner;
+
+	if (record->is_rewrite)
+		era_guard_count_rewrite(records->era_guard, records->kind->rewrite);
+	record->is_rewrite = false;
+	record->was_stored = true;
+	/* The view may have brought a later state already. */
+	if (revision <= record->revision)
+		return;
+	record->revision = revision;
+	record->stored = record->written;
+	record->is_stored_lifted = record->is_lifted && record->written == 0;
+}
+
 static void on_written(const struct dw_store_put_result *result, void *data)
 {
 	struct quarantine_record *record = data;
@@ -189,8 +220,7 @@
 	record->in_flight = false;
 	switch (result->outcome) {
 	case DW_STORE_DONE:
-		record->revision = result->revision;
-		record->stored = record->written;
+		note_done(record, result->revision);
 		/* It may have been lifted, or another crash be known, meanwhile. */
 		if (!is_write_needed(record, dw_clock_now_us()))
 			record->write_due_us = 0;
@@ -227,6 +257,7 @@
 	record->written = record->is_lifted ? 0 : level_here(record, now_us);
 	dw_fingerprint_text(record->key, text);
 	snprintf(key, sizeof(key), "%s%s", record->owner->kind->prefix, text);
+	era_guard_condition(record->owner->era_guard, &put);
 	dw_store_put(record->owner->store, &put, on_written, record);
 	json_object_put(root);
 }
@@ -235,7 +266,7 @@
 {
 	struct quarantine_record *record = data;
 
-	if (result->status != DW_OK) {
+	if (result->status != DW_OK || !era_guard_allows_writes(record->owner->era_guard)) {
 		record->in_flight = false;
 		return;
 	}
@@ -246,10 +277,11 @@
 static void write_if_due(struct quarantine_record *record, uint64_t now_us)
 {
 	if (!record->owner->store || record->in_flight || record->write_due_us == 0 ||
-	    now_us < record->write_due_us)
+	    now_us < record->write_due_us || !era_guard_allows_writes(record->owner->era_guard))
 		return;
 	if (!is_write_needed(record, now_us)) {
 		record->write_due_us = 0;
+		record->is_rewrite = false;
 		return;
 	}
 	record->in_flight = true;
@@ -258,6 +290,13 @@
 			     on_granted, record);
 }
 
+/* Writes that wait for the era's key keep their distance. */
+static void postpone(struct quarantine_record *record)
+{
+	if (record->write_due_us > 0 && !era_guard_allows_writes(record->owner->era_guard))
+		record->write_due_us += CHECK_PERIOD_MS * DW_US_PER_MS;
+}
+
 static void on_check_timer(uv_timer_t *timer)
 {
 	struct quarantine_records *records = timer->data;
@@ -268,6 +307,7 @@
 	while (*link) {
 		struct quarantine_record *record = *link;
 
+		postpone(record);
 		write_suspicion(record, now_us);
 		write_if_due(record, now_us);
 		if (now_us >= record->suspected_until_us)
@@ -292,6 +332,55 @@
 	uv_timer_start(&records->timer, on_check_timer, CHECK_PERIOD_MS, CHECK_PERIOD_MS);
 }
 
+static bool is_lost(const struct quarantine_record *record, uint64_t now_us)
+{
+	if (!record->was_stored)
+		return false;
+	if (record->is_lifted)
+		return !record->is_stored_lifted && level_here(record, now_us) == 0;
+	return level_here(record, now_us) > record->stored;
+}
+
+static void rewrite(struct quarantine_record *record, uint64_t pause_us, uint64_t now_us)
+{
+	struct quarantine_records *records = record->owner;
+	uint64_t random = dw_random_next(&records->random);
+
+	record->is_rewrite = true;
+	record->write_due_us =
+		now_us + 1 + pause_us + dw_restore_write_delay_us(&records->place, random);
+}
+
+/* This instance has written the record, and lost it before the view brought it. */
+static void forget_unread(struct quarantine_record *record)
+{
+	if (record->revision <= record->read_revision ||
+	    dw_revision_era(record->revision) >= record->owner->era_guard->era)
+		return;
+	record->revision = record->read_revision;
+	record->stored = 0;
+	record->is_stored_lifted = false;
+}
+
+void quarantine_records_store_restored(struct quarantine_records *records,
+				       const struct dw_view_place *place, uint64_t now_us)
+{
+	struct quarantine_record *record;
+	uint64_t lost = 0;
+
+	records->place = *place;
+	records->restored_until_us = now_us + RESTORED_FOR_US;
+	for (record = records->records; record; record = record->next) {
+		forget_unread(record);
+		lost += is_lost(record, now_us);
+	}
+	/* The pause before a record is the same at all instances, so that the first of them is first for each. */
+	for (record = records->records; record; record = record->next) {
+		if (is_lost(record, now_us))
+			rewrite(record, record->key.low % lost * REWRITE_PACE_US, now_us);
+	}
+}
+
 /* Values that are missing or no integers are 0. */
 static bool read_crash(struct json_object *values, struct quarantine_record_crash *crash)
 {
@@ -340,6 +429,13 @@
 	json_tokener_free(tokener);
 }
 
+/* Whether the event belongs to the first state of an era that this instance takes in. */
+static bool is_of_next_era(const struct quarantine_records *records,
+			   const struct dw_store_event *event)
+{
+	return dw_revision_era(event->entry.mod_revision) > records->era_guard->era;
+}
+
 void quarantine_records_apply(struct quarantine_records *records,
 			      const struct dw_store_event *event,
 			      struct quarantine_record_change *change)
@@ -354,7 +450,11 @@
 		return;
 	record = find_or_add(records, change->key);
 	record->revision = event->deleted ? 0 : event->entry.mod_revision;
+	record->read_revision = record->revision;
 	record->stored = 0;
+	record->is_stored_lifted = false;
+	record->was_stored =
+		!event->deleted || (record->was_stored && is_of_next_era(records, event));
 	/* A key may also be removed by an outage of the store: that lifts nothing. */
 	if (event->deleted)
 		return;
@@ -362,6 +462,12 @@
 	record->stored = kind->stored_level(change->crashes, change->crash_count);
 	/* A record of crashes that are withdrawn here still has to be marked as lifted, and one that says
 	 * less than is known here to be replaced: what is due stays due. */
-	if (change->kind == QUARANTINE_CHANGE_LIFTED)
+	if (change->kind == QUARANTINE_CHANGE_LIFTED) {
 		record->write_due_us = 0;
+		record->is_lifted = true;
+		record->is_stored_lifted = true;
+	} else if (record->is_lifted && dw_clock_now_us() < records->restored_until_us) {
+		/* By an instance that hadn't read before the restore that it was lifted. */
+		rewrite(record, 0, dw_clock_now_us());
+	}
 }
--- a/src/wharf-gateway/quarantine_records.h
+++ b/src/wharf-gateway/quarantine_records.h
@@ -18,6 +18,7 @@
 #include <dragonflywharf/fingerprint.h>
 
 #include "port/store.h"
+#include "wharf-gateway/era_guard.h"
 
 /** Lifetime of crash evidence and of its record, the longest that the store allows. */
 #define QUARANTINE_LIFETIME_S 600
@@ -35,6 +36,7 @@
 /** A kind of evidence that is kept in records. */
 struct quarantine_record_kind {
 	const char *prefix; /**< of its keys */
+	enum era_rewrite rewrite;
 	/** How much is known against @p key here; 0: nothing. */
 	uint32_t (*level)(const void *evidence, struct dw_fingerprint key, uint64_t now_us);
 	/** The same of what a record says. */
@@ -50,6 +52,7 @@
 	const struct quarantine_record_kind *kind;
 	const void *evidence;
 	struct dw_engine_set *engines;
+	struct era_guard *era_guard;
 	struct dw_store *store; /**< NULL until quarantine_records_start() */
 	struct quarantine_record *records;
 	/** Whether few other instances are heard; NULL: they are. */
@@ -57,12 +60,15 @@
 	const void *are_few_heard_owner;
 	uint64_t random;
 	uint32_t suspicions_left; /**< that may be written until the next check */
+	struct dw_view_place place; /**< of this instance at the last restore */
+	uint64_t
+		restored_until_us; /**< until then, lost records are written again; 0: none was lost */
 	uv_timer_t timer;
 };
 
 void quarantine_records_init(struct quarantine_records *records,
 			     const struct quarantine_record_kind *kind, const void *evidence,
-			     struct dw_engine_set *engines);
+			     struct dw_engine_set *engines, struct era_guard *era_guard);
 /** Starts writing. */
 void quarantine_records_start(struct quarantine_records *records, uv_loop_t *loop,
 			      struct dw_store *store, uint64_t seed);
@@ -77,6 +83,13 @@
 /** All evidence was withdrawn here: the record, if there is one, is marked as lifted. */
 void quarantine_records_lift(struct quarantine_records *records, struct dw_fingerprint key);
 
+/**
+ * The store came back from an older copy, and its records were applied. What it has lost is written again unless
+ * another instance does so first: quarantines and suspicions that it had, and that they were lifted.
+ */
+void quarantine_records_store_restored(struct quarantine_records *records,
+				       const struct dw_view_place *place, uint64_t now_us);
+
 enum quarantine_change {
 	QUARANTINE_CHANGE_NONE, /**< another key, a deletion, or malformed */
 	QUARANTINE_CHANGE_CRASHES,
--- a/src/wharf-gateway/reader_key.c
+++ b/src/wharf-gateway/reader_key.c
@@ -13,11 +13,12 @@
 #define CALL_TIMEOUT_US (900 * DW_US_PER_MS)
 
 void reader_key_init(struct reader_key *key, const char *instance,
-		     const struct dw_endpoint *peer_address)
+		     const struct dw_endpoint *peer_address, struct era_guard *era_guard)
 {
 	memset(key, 0, sizeof(*key));
 	key->instance = instance;
 	key->peer_address = peer_address;
+	key->era_guard = era_guard;
 }
 
 bool reader_key_apply(struct reader_key *key, const struct dw_store_event *event,
@@ -35,6 +36,12 @@
 	       dw_endpoint_parse((const char *)event->entry.value, address) == DW_OK;
 }
 
+void reader_key_store_restored(struct reader_key *key)
+{
+	key->is_rewrite = key->lease_id != 0 || key->key_revision > 0;
+	key->lease_id = 0;
+}
+
 static void on_written(const struct dw_store_put_result *result, void *data)
 {
 	struct reader_key *key = data;
@@ -42,10 +49,15 @@
 	key->is_call_pending = false;
 	if (result->outcome == DW_STORE_DONE || result->outcome == DW_STORE_CONFLICT)
 		key->key_revision = result->revision;
-	if (result->outcome != DW_STORE_DONE)
+	if (result->outcome != DW_STORE_DONE) {
 		key->lease_id = 0; /* the next period requests a new lease */
-	else
-		key->renew_at_us = dw_clock_now_us() + RENEW_PERIOD_US;
+		return;
+	}
+	key->renew_at_us = dw_clock_now_us() + RENEW_PERIOD_US;
+	if (key->is_rewrite && key->lease_id != 0) {
+		key->is_rewrite = false;
+		era_guard_count_rewrite(key->era_guard, ERA_REWRITE_READER_KEY);
+	}
 }
 
 static void write_key(struct reader_key *key)
@@ -64,6 +76,7 @@
 	snprintf(value, sizeof(value), "%s:%u", key->peer_address->ip, key->peer_address->port);
 	put.value_len = strlen(value);
 	key->is_call_pending = true;
+	era_guard_condition(key->era_guard, &put);
 	dw_store_put(key->store, &put, on_written, key);
 }
 
@@ -72,7 +85,7 @@
 	struct reader_key *key = data;
 
 	key->is_call_pending = false;
-	if (result->status != DW_OK)
+	if (result->status != DW_OK || !era_guard_allows_writes(key->era_guard))
 		return;
 	key->lease_id = result->lease_id;
 	write_key(key);
@@ -98,7 +111,8 @@
 	uint64_t now_us = dw_clock_now_us();
 	uint64_t deadline_us = now_us + CALL_TIMEOUT_US;
 
-	if (key->is_call_pending || !key->is_reader(key->owner))
+	if (key->is_call_pending || !key->is_reader(key->owner) ||
+	    !era_guard_allows_writes(key->era_guard))
 		return;
 	if (key->lease_id == 0) {
 		key->is_call_pending = true;
--- a/src/wharf-gateway/record_kinds.c
+++ b/src/wharf-gateway/record_kinds.c
@@ -120,6 +120,7 @@
 
 const struct quarantine_record_kind request_record_kind = {
 	.prefix = "wharf/quarantine/",
+	.rewrite = ERA_REWRITE_QUARANTINE,
 	.level = request_level,
 	.stored_level = request_stored_level,
 	.crashes = request_crashes,
@@ -127,6 +128,7 @@
 
 const struct quarantine_record_kind part_record_kind = {
 	.prefix = "wharf/quarantined-parts/",
+	.rewrite = ERA_REWRITE_PART,
 	.level = part_level,
 	.stored_level = part_stored_level,
 	.crashes = part_crashes,
--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -36,7 +36,7 @@
 	view->records = dw_view_log_new();
 	view->leaving = dw_leaving_upstreams_new();
 	dw_view_source_init(&view->source, gateway_settings_change_us(settings), dw_clock_now_us());
-	crash_guard_init(&view->guard, log, view->engines);
+	crash_guard_init(&view->guard, log, view->engines, &view->era_guard);
 	shifts_init(&view->shifts, log, settings->instance);
 	peers_init(&view->peers, settings, log, counters);
 	view->guard.records.are_few_heard = are_few_heard;
@@ -45,7 +45,8 @@
 	view->guard.parts.records.are_few_heard_owner = &view->peers;
 	era_guard_init(&view->era_guard, log);
 	view->restore.lacks_memory = true;
-	reader_key_init(&view->reader_key, settings->instance, &settings->peer_address);
+	reader_key_init(&view->reader_key, settings->instance, &settings->peer_address,
+			&view->era_guard);
 }
 
 void view_close(struct view *view)
@@ -417,6 +418,10 @@
 	}
 	era_guard_entered(&view->era_guard, dw_revision_era(revision), known > 0,
 			  &view->source.place, now_us);
+	if (known > 0) {
+		crash_guard_store_restored(&view->guard, &view->source.place, now_us);
+		reader_key_store_restored(&view->reader_key);
+	}
 }
 
 /* Applies a key that a snapshot lists, unless the known record stays in force. */
