Rollouts: a restore of the store neither ends, restarts nor lowers them

Cause: (1) an order with a lower revision was ignored and one with a higher one began the rollout anew, though an operator who writes the same order again after a restore gives it another revision, and a kept order of an earlier era may follow an older state that was read in the later one; (2) the status that the copy shows had a higher revision than the order, by its era, so a rolled_back of an earlier rollout to the same target ended the one under way; (3) evidence and progress named the order by its whole revision, so instances that learnt of it in different eras pooled nothing; (4) records that were lost, or acknowledged and never read, counted as written, and an unread revision of the earlier era blocked writes for ever; (5) requests under way were matched by the order's revision, so one that was sent before the order was written again would have counted as open for ever.

Change: the view decides which order is newer; one with the same target and duration that comes with an era's first state, or within 12 s of a restore, only changes its revision. What the first state says of a status is judged when it is complete: of the copy's records, whose numbers are below that of the era's key, only those after the order count. Evidence of an instance never falls. Status, progress and evidence that were lost, or name an order that was written again, are due by dw_restore_write_delay_us(), evidence spread over 20 ms an instance, 6 s at most. An outcome that isn't recorded yet waits 1 s, so that one that was lost is there first. Evidence and progress name the order by its number in the store and its target; records without a target are read. Requests are matched by a number of this instance. An instance that started takes over the copy's `completed` for its target.

VersionShift.OutcomesOfOtherOrdersAreIgnored asked that an order with a lower revision be ignored: that is the fault. It asks the same of an order with the known revision now, and AnOrderWithALowerRevisionStarts says the rest.

Ruled out: an order's number in the status record, as the platform defines it; an identical order as the known one at any time, as operators order a version again after a rollback.

Red first: with the code before behind the new functions, 14 of the 17 new tests of shift_records_test and the 2 of version_shift_test fail; of the other 3, AnOutcomeThatIsNewLeavesTimeForALostOne fails without its second of waiting, and 2 guard what was right.

--- a/include/dragonflywharf/version_shift.h
+++ b/include/dragonflywharf/version_shift.h
@@ -28,7 +28,7 @@
 	char service[DW_ENGINE_TEXT_BYTES];
 	char target_version[DW_ENGINE_TEXT_BYTES];
 	uint64_t duration_us; /**< time limit for completing the shift */
-	uint64_t revision; /**< store revision of the order; a newer order replaces an older one */
+	uint64_t revision; /**< store revision of the order */
 };
 
 enum dw_shift_state {
@@ -113,6 +113,7 @@
 
 struct dw_shift {
 	struct dw_shift_order order;
+	uint64_t first_revision; /**< the order's, when it was learnt; later outcomes are its own */
 	enum dw_shift_state state;
 	uint64_t started_at_us; /**< start of the shift by this instance's clock */
 	uint64_t ordered_at_us; /**< when this instance learnt of the order */
@@ -131,10 +132,16 @@
 	struct dw_shift_evidence peers; /**< sum of the other instances' latest evidence */
 };
 
-/** Starts an order. One that isn't newer than the current order is ignored. */
+/** Starts an order, unless it is the current one. Which of two is in force is decided by those who read them. */
 void dw_shift_set_order(struct dw_shift *shift, const struct dw_shift_order *order,
 			uint64_t now_us);
 
+/** Whether an order of the same service asks for what the current one does. */
+bool dw_shift_is_same_order(const struct dw_shift *shift, const struct dw_shift_order *order);
+
+/** The current order was written again, with another revision: the shift goes on where it was. */
+void dw_shift_renumber_order(struct dw_shift *shift, uint64_t revision);
+
 /** Catches up with another instance's progress, in thousandths, if that is further ahead. */
 void dw_shift_catch_up(struct dw_shift *shift, uint32_t permille, uint64_t now_us);
 
--- a/src/core/version_shift.c
+++ b/src/core/version_shift.c
@@ -129,15 +129,27 @@
 
 void dw_shift_set_order(struct dw_shift *shift, const struct dw_shift_order *order, uint64_t now_us)
 {
-	if (shift->state != DW_SHIFT_NONE && order->revision <= shift->order.revision)
+	if (shift->state != DW_SHIFT_NONE && order->revision == shift->order.revision)
 		return;
 	memset(shift, 0, sizeof(*shift));
 	shift->order = *order;
+	shift->first_revision = order->revision;
 	shift->state = DW_SHIFT_RUNNING;
 	shift->started_at_us = now_us;
 	shift->ordered_at_us = now_us;
 }
 
+bool dw_shift_is_same_order(const struct dw_shift *shift, const struct dw_shift_order *order)
+{
+	return shift->state != DW_SHIFT_NONE && order->duration_us == shift->order.duration_us &&
+	       strcmp(order->target_version, shift->order.target_version) == 0;
+}
+
+void dw_shift_renumber_order(struct dw_shift *shift, uint64_t revision)
+{
+	shift->order.revision = revision;
+}
+
 void dw_shift_catch_up(struct dw_shift *shift, uint32_t permille, uint64_t now_us)
 {
 	uint64_t passed_us = shift->order.duration_us * permille / 1000;
@@ -150,7 +162,7 @@
 void dw_shift_set_outcome(struct dw_shift *shift, enum dw_shift_state state, const char *target,
 			  uint64_t revision)
 {
-	if (shift->state == DW_SHIFT_NONE || revision <= shift->order.revision ||
+	if (shift->state == DW_SHIFT_NONE || revision <= shift->first_revision ||
 	    revision <= shift->status_revision)
 		return;
 	shift->status_revision = revision;
--- a/src/wharf-gateway/exchange_answer.c
+++ b/src/wharf-gateway/exchange_answer.c
@@ -60,7 +60,7 @@
 static struct shift_request shift_request(const struct exchange *exchange)
 {
 	return (struct shift_request){
-		.revision = exchange->shift_revision,
+		.number = exchange->shift_number,
 		.version = exchange->version,
 		.route = exchange->route ? exchange->route->name : "",
 		.sent_at_us = exchange->attempt_sent_at_us,
@@ -72,17 +72,17 @@
 {
 	struct shift_request request = shift_request(exchange);
 
-	exchange->shift_revision = shifts_count_sent(&exchange->router->view->shifts,
-						     exchange->service_name, &request);
+	exchange->shift_number = shifts_count_sent(&exchange->router->view->shifts,
+						   exchange->service_name, &request);
 }
 
 void exchange_count_version_end(struct exchange *exchange, bool is_good)
 {
 	struct shift_request request = shift_request(exchange);
 
-	if (exchange->shift_revision == 0 && !is_good)
+	if (exchange->shift_number == 0 && !is_good)
 		return;
-	exchange->shift_revision = 0;
+	exchange->shift_number = 0;
 	shifts_count_end(&exchange->router->view->shifts, exchange->service_name, &request, is_good,
 			 exchange->load_permille, dw_clock_now_us());
 }
--- a/src/wharf-gateway/exchange_state.h
+++ b/src/wharf-gateway/exchange_state.h
@@ -44,7 +44,7 @@
 	uint64_t attempt_sent_at_us;
 	uint64_t attempt_nominal_us; /**< time to the first byte at an engine of usual speed */
 	bool is_load_test; /**< the attempt is part of a rollout's load test */
-	uint64_t shift_revision; /**< rollout that counts the attempt as under way; 0: none */
+	uint64_t shift_number; /**< rollout that counts the attempt as under way; 0: none */
 	bool is_wait_counted; /**< the attempt's wait for its first byte was counted */
 	uint64_t answer_started_at_us; /**< of the attempt's answer; 0: not started */
 	uint32_t load_permille; /**< of the engine's slots, as reported in the answer; 0: unknown */
--- a/src/wharf-gateway/quarantine_records.c
+++ b/src/wharf-gateway/quarantine_records.c
@@ -375,7 +375,7 @@
 		lost += is_lost(record, now_us);
 	}
 	/* The pause before a record is the same at all instances, so that the first of them is first for each. */
-	for (record = records->records; record; record = record->next) {
+	for (record = records->records; record && lost > 0; record = record->next) {
 		if (is_lost(record, now_us))
 			rewrite(record, record->key.low % lost * REWRITE_PACE_US, now_us);
 	}
--- a/src/wharf-gateway/shift_records.c
+++ b/src/wharf-gateway/shift_records.c
@@ -6,13 +6,20 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <json-c/json.h>
+
+#include <dragonflywharf/restore_writes.h>
+
 #include "base/clock.h"
 #include "base/random.h"
 #include "platform/records.h"
 
 #define KEY_BYTES 200
 #define STATUS_BYTES 384
-#define EVIDENCE_BYTES 2048
+/* A text as JSON, in which each byte may be written as six. */
+#define JSON_TEXT_BYTES (6 * DW_ENGINE_TEXT_BYTES + 3)
+#define PROGRESS_BYTES (JSON_TEXT_BYTES + 100)
+#define EVIDENCE_BYTES (JSON_TEXT_BYTES + 2048)
 
 #define WRITE_TIMEOUT_US (800 * DW_US_PER_MS)
 /* Shortest time between two writes of an instance's evidence, which is only written while it counts
@@ -33,6 +40,13 @@
 #define OUTCOME_DELAY_PERMILLE 30
 #define OUTCOME_SPREAD_PERMILLE 40
 
+/* After a restore, each instance writes its evidence again: this long after each other, on average, but in time
+ * for the rollout. */
+#define EVIDENCE_PACE_US (20 * DW_US_PER_MS)
+#define EVIDENCE_SPREAD_MAX_US (6 * DW_US_PER_S)
+/* By then, an instance that knew an outcome which the store has lost has written it again. */
+#define OUTCOME_KNOWN_US (1 * DW_US_PER_S)
+
 struct record_write {
 	struct service_shift *service;
 	struct stored_record *record;
@@ -58,15 +72,44 @@
  * replaced. So the next write waits until it was read. A record that doesn't exist says nothing. */
 static void note_result(struct stored_record *record, const struct dw_store_put_result *result)
 {
+	/* A record of the copy has the number that it had in the era before. */
+	bool is_read =
+		dw_revision_number(result->revision) == dw_revision_number(record->read_revision);
+
 	record->in_flight = false;
 	record->write_due_us = 0;
-	if (result->outcome == DW_STORE_DONE ||
-	    (result->outcome == DW_STORE_CONFLICT && result->revision == 0))
+	/* The view may have brought a later state already. */
+	if (result->outcome == DW_STORE_DONE && result->revision > record->revision)
+		record->revision = result->revision;
+	if (result->outcome != DW_STORE_CONFLICT)
+		return;
+	if (result->revision == 0 || is_read)
 		record->revision = result->revision;
-	if (result->outcome == DW_STORE_CONFLICT)
+	else
 		record->unread_revision = result->revision;
 }
 
+void shift_records_read(struct stored_record *record, uint64_t revision)
+{
+	record->revision = revision;
+	record->read_revision = revision;
+}
+
+static enum era_rewrite rewrite_of(const struct service_shift *service,
+				   const struct stored_record *record)
+{
+	if (record == &service->status)
+		return ERA_REWRITE_STATUS;
+	return record == &service->progress ? ERA_REWRITE_PROGRESS : ERA_REWRITE_EVIDENCE;
+}
+
+static void count_rewrite(struct service_shift *service, struct stored_record *record)
+{
+	if (record->is_rewrite)
+		era_guard_count_rewrite(service->owner->era_guard, rewrite_of(service, record));
+	record->is_rewrite = false;
+}
+
 static bool is_unread(const struct stored_record *record)
 {
 	return record->revision < record->unread_revision;
@@ -78,6 +121,8 @@
 	const struct dw_shift *shift = &write->service->shift;
 
 	note_result(write->record, result);
+	if (result->outcome == DW_STORE_DONE)
+		count_rewrite(write->service, write->record);
 	if (write->record != &write->service->evidence)
 		write->service->is_writer = result->outcome == DW_STORE_DONE;
 	else
@@ -121,6 +166,7 @@
 	write->record = record;
 	write->record_name = record_name;
 	record->in_flight = true;
+	era_guard_condition(service->owner->era_guard, &put);
 	dw_store_put(service->owner->store, &put, on_written, write);
 }
 
@@ -164,8 +210,10 @@
 			 const struct write_delay *delay, uint64_t now_us)
 {
 	if (!wanted || record->in_flight || is_unread(record)) {
-		if (!record->in_flight)
+		if (!record->in_flight) {
 			record->write_due_us = 0;
+			record->is_rewrite = false;
+		}
 		return false;
 	}
 	if (record->write_due_us == 0)
@@ -183,6 +231,16 @@
 	       !dw_shift_is_shown_bad(&service->shift, now_us);
 }
 
+/* After a restore, others may know an outcome that was recorded before. */
+static bool may_be_lost_outcome(const struct service_shift *service, enum dw_shift_state state,
+				uint64_t now_us)
+{
+	const struct shifts *shifts = service->owner;
+
+	return state != DW_SHIFT_RUNNING && !service->is_recorded && !service->is_writer &&
+	       shifts->restored_at_us > 0 && now_us < shifts->restored_at_us + OUTCOME_KNOWN_US;
+}
+
 static void write_status(struct service_shift *service, uint64_t now_us)
 {
 	const struct dw_shift_order *order = &service->shift.order;
@@ -190,7 +248,8 @@
 	bool wanted = service->written_state != state &&
 		      service->written_state != DW_SHIFT_COMPLETED &&
 		      service->written_state != DW_SHIFT_ROLLED_BACK &&
-		      !is_unproven_early(service, state, now_us);
+		      (service->is_recorded || !is_unproven_early(service, state, now_us)) &&
+		      !may_be_lost_outcome(service, state, now_us);
 	struct write_delay delay = outcome_delay(service);
 	char value[STATUS_BYTES];
 	char key[KEY_BYTES];
@@ -204,19 +263,30 @@
 	write_record(service, &service->status, "status", key, value);
 }
 
+/* A text as a JSON string. */
+static void print_json(const char *text, char out[JSON_TEXT_BYTES])
+{
+	struct json_object *json = json_object_new_string(text);
+
+	snprintf(out, JSON_TEXT_BYTES, "%s", json_object_to_json_string(json));
+	json_object_put(json);
+}
+
 static void write_progress(struct service_shift *service, uint64_t now_us)
 {
 	uint32_t permille = dw_shift_progress(&service->shift, now_us);
 	bool wanted = service->shift.state == DW_SHIFT_RUNNING &&
 		      permille >= service->written_progress + PROGRESS_STEP_PERMILLE;
-	char value[STATUS_BYTES];
+	char target[JSON_TEXT_BYTES];
+	char value[PROGRESS_BYTES];
 	char key[KEY_BYTES];
 
 	if (!is_write_due(service, &service->progress, wanted, &usual_delay, now_us))
 		return;
 	snprintf(key, sizeof(key), SHIFT_PROGRESS_PREFIX "%s", service->shift.order.service);
-	snprintf(value, sizeof(value), "{\"order\":%" PRIu64 ",\"permille\":%u}",
-		 service->shift.order.revision, permille);
+	print_json(service->shift.order.target_version, target);
+	snprintf(value, sizeof(value), "{\"order\":%" PRIu64 ",\"target\":%s,\"permille\":%u}",
+		 dw_revision_number(service->shift.order.revision), target, permille);
 	write_record(service, &service->progress, "progress", key, value);
 }
 
@@ -317,9 +387,11 @@
 static void print_evidence(const struct service_shift *service,
 			   const struct dw_shift_evidence *evidence, struct text *text)
 {
-	append(text,
-	       "{\"order\":%" PRIu64 ",\"run\":%" PRIu64 ",\"new\":", service->shift.order.revision,
-	       service->owner->run);
+	char target[JSON_TEXT_BYTES];
+
+	print_json(service->shift.order.target_version, target);
+	append(text, "{\"order\":%" PRIu64 ",\"target\":%s,\"run\":%" PRIu64 ",\"new\":",
+	       dw_revision_number(service->shift.order.revision), target, service->owner->run);
 	append_counts(text, &evidence->counts[DW_SHIFT_NEW]);
 	append(text, ",\"old\":");
 	append_counts(text, &evidence->counts[DW_SHIFT_OLD]);
@@ -353,8 +425,74 @@
 	write_record(service, &service->evidence, "evidence", key, value.bytes);
 }
 
+/* This instance has written the record, and lost it before it was read. */
+static bool forget_unread(const struct shifts *shifts, struct stored_record *record)
+{
+	bool is_forgotten = record->revision > record->read_revision &&
+			    dw_revision_era(record->revision) < shifts->era_guard->era;
+
+	if (is_forgotten)
+		record->revision = record->read_revision;
+	if (dw_revision_era(record->unread_revision) < shifts->era_guard->era)
+		record->unread_revision = 0;
+	return is_forgotten;
+}
+
+static void rewrite(struct service_shift *service, struct stored_record *record, uint64_t now_us)
+{
+	uint64_t random = dw_random_next(&service->owner->random);
+
+	record->is_rewrite = true;
+	record->write_due_us = now_us + 1;
+	if (!service->is_writer)
+		record->write_due_us += dw_restore_write_delay_us(&service->owner->place, random);
+}
+
+static void rewrite_evidence(struct service_shift *service, uint64_t now_us)
+{
+	struct shifts *shifts = service->owner;
+	uint64_t spread_us =
+		at_most(shifts->place.members * EVIDENCE_PACE_US + 1, EVIDENCE_SPREAD_MAX_US);
+	uint64_t due_us = now_us + dw_random_next(&shifts->random) % spread_us;
+
+	/* What counts against the new version is due a period after the last write. */
+	service->evidence.is_rewrite = service->is_proof_told || service->written_answers > 0 ||
+				       service->written_bad_or_slow > 0;
+	service->evidence_at_us = due_us > EVIDENCE_PERIOD_US ? due_us - EVIDENCE_PERIOD_US : 0;
+	service->proof_retry_at_us = due_us;
+	service->written_answers = 0;
+	service->written_bad_or_slow = 0;
+	service->written_proof = 0;
+	service->is_proof_told = false;
+}
+
+void shift_records_rewrite(struct service_shift *service, uint64_t now_us)
+{
+	forget_unread(service->owner, &service->status);
+	if (forget_unread(service->owner, &service->progress))
+		service->written_progress = 0;
+	service->is_evidence_lost |= forget_unread(service->owner, &service->evidence);
+	rewrite(service, &service->status, now_us);
+	rewrite(service, &service->progress, now_us);
+	if (service->is_evidence_lost)
+		rewrite_evidence(service, now_us);
+	service->is_evidence_lost = false;
+}
+
+/* Writes that wait for the era's key keep their distance. */
+static void postpone(struct stored_record *record)
+{
+	if (record->write_due_us > 0)
+		record->write_due_us += SHIFT_CHECK_PERIOD_MS * DW_US_PER_MS;
+}
+
 void shift_records_write(struct service_shift *service, uint64_t now_us)
 {
+	if (!era_guard_allows_writes(service->owner->era_guard)) {
+		postpone(&service->status);
+		postpone(&service->progress);
+		return;
+	}
 	write_status(service, now_us);
 	write_progress(service, now_us);
 	write_evidence(service, now_us);
--- a/src/wharf-gateway/shifts.c
+++ b/src/wharf-gateway/shifts.c
@@ -11,7 +11,6 @@
 #include "base/clock.h"
 #include "base/random.h"
 
-#define CHECK_PERIOD_MS 200
 #define KEY_BYTES 200
 #define COUNT_FIELDS 6
 /* Records that are read within this time after an order were read with it. */
@@ -19,11 +18,18 @@
 /* A process that starts late asks for the pins at these times after it has read the order: the first
  * members are known then, and a lost datagram isn't repeated. */
 static const uint64_t ask_after_us[] = { 300 * DW_US_PER_MS, 1500 * DW_US_PER_MS };
+/* Operators have written again within this time after a restore what it has lost, and an order that they haven't was
+ * given up by then, see view_restore.h. */
+#define REWRITTEN_WITHIN_US (12 * DW_US_PER_S)
+/* An instance that started this long ago may know nothing of a restore. */
+#define NEWCOMER_FOR_US (10 * DW_US_PER_S)
 #define ASK_COUNT (sizeof(ask_after_us) / sizeof(ask_after_us[0]))
 
-void shifts_init(struct shifts *shifts, struct dw_log *log, const char *instance)
+void shifts_init(struct shifts *shifts, struct dw_log *log, const char *instance,
+		 struct era_guard *era_guard)
 {
 	memset(shifts, 0, sizeof(*shifts));
+	shifts->era_guard = era_guard;
 	shifts->log = log;
 	shifts->instance = instance;
 	shifts->pins = dw_session_pins_new();
@@ -107,6 +113,8 @@
 	service->questions = 0;
 	service->is_writer = false;
 	service->written_state = DW_SHIFT_NONE;
+	service->is_recorded = false;
+	service->is_evidence_lost = false;
 }
 
 struct pin_rule {
@@ -139,6 +147,45 @@
 		dw_session_pins_tell(shifts->pins, service, session);
 }
 
+/* Whether the revision belongs to an era whose first state isn't complete here. */
+static bool is_of_next_era(const struct shifts *shifts, uint64_t revision)
+{
+	return dw_revision_era(revision) > shifts->era_guard->era;
+}
+
+static bool is_newcomer(const struct shifts *shifts, uint64_t now_us)
+{
+	return shifts->restored_at_us == 0 && now_us < shifts->started_at_us + NEWCOMER_FOR_US;
+}
+
+/* Whether operators may be writing again what the store has lost, rather than the same order anew. */
+static bool is_rewriting_time(const struct service_shift *service, uint64_t revision,
+			      uint64_t now_us)
+{
+	const struct shifts *shifts = service->owner;
+
+	if (dw_revision_era(revision) == 0)
+		return false;
+	return is_of_next_era(shifts, revision) ||
+	       (shifts->restored_at_us > 0 &&
+		now_us < shifts->restored_at_us + REWRITTEN_WITHIN_US) ||
+	       (is_newcomer(shifts, now_us) && service->shift.state == DW_SHIFT_RUNNING);
+}
+
+static void renumber_order(struct service_shift *service, uint64_t revision, uint64_t now_us)
+{
+	struct shifts *shifts = service->owner;
+
+	dw_shift_renumber_order(&service->shift, revision);
+	service->written_state = DW_SHIFT_NONE;
+	service->written_progress = 0;
+	service->is_evidence_lost = true;
+	log_shift(service, "order written again", now_us);
+	/* Else at the end of the era's first state. */
+	if (!is_of_next_era(shifts, revision))
+		shift_records_rewrite(service, now_us);
+}
+
 void shifts_apply_order(struct shifts *shifts, const struct dw_shift_order *order, uint64_t now_us)
 {
 	struct service_shift *service = find_or_add(shifts, order->service);
@@ -146,9 +193,15 @@
 	if (!service)
 		return;
 	if (service->shift.state != DW_SHIFT_NONE &&
-	    order->revision <= service->shift.order.revision)
+	    order->revision == service->shift.order.revision)
 		return;
+	if (dw_shift_is_same_order(&service->shift, order) &&
+	    is_rewriting_time(service, order->revision, now_us)) {
+		renumber_order(service, order->revision, now_us);
+		return;
+	}
 	reset_evidence(service);
+	service->number++;
 	dw_shift_set_order(&service->shift, order, now_us);
 	dw_session_pins_tell_all(shifts->pins, order->service, is_news,
 				 &(struct pin_rule){ &service->shift, now_us });
@@ -170,23 +223,100 @@
 	return service && service->is_late && now_us < shifts->started_at_us + session_us;
 }
 
+/* Whether the status record was written after the order was. Of two eras, the later one's records that the copy had are
+ * as old as their numbers say. */
+static bool is_after_order(const struct service_shift *service)
+{
+	uint64_t order = service->shift.first_revision;
+	uint64_t status = service->status.read_revision;
+
+	if (dw_revision_era(status) <= dw_revision_era(order))
+		return status > order;
+	return !era_guard_is_from_copy(service->owner->era_guard, status) ||
+	       dw_revision_number(status) > dw_revision_number(order);
+}
+
+/* The copy's status says that the order's target was reached, before the order: it was written again after a restore
+ * that this instance hasn't seen. If not, as all use that version there is nothing left to do either. */
+static bool was_completed_before(const struct service_shift *service, uint64_t now_us)
+{
+	return service->stored.state == DW_SHIFT_COMPLETED &&
+	       service->shift.state == DW_SHIFT_RUNNING &&
+	       dw_revision_era(service->status.read_revision) > 0 &&
+	       era_guard_is_from_copy(service->owner->era_guard, service->status.read_revision) &&
+	       is_newcomer(service->owner, now_us);
+}
+
+/* Applies what the status record says, if that is of this rollout. */
+static void judge_status(struct service_shift *service, uint64_t now_us)
+{
+	struct stored_status *stored = &service->stored;
+	enum dw_shift_state before = service->shift.state;
+	bool is_of_target = strcmp(stored->target, service->shift.order.target_version) == 0;
+
+	stored->is_unjudged = false;
+	service->written_state = DW_SHIFT_NONE;
+	if (!is_after_order(service)) {
+		if (is_of_target && was_completed_before(service, now_us))
+			service->shift.state = DW_SHIFT_COMPLETED;
+	} else {
+		dw_shift_set_outcome(&service->shift, stored->state, stored->target,
+				     service->status.read_revision);
+		note_progress(service, now_us);
+		if (is_of_target) {
+			service->written_state = stored->state;
+			service->is_recorded |= stored->state != DW_SHIFT_RUNNING;
+		}
+	}
+	if (service->shift.state != before)
+		log_shift(service, "recorded outcome", now_us);
+}
+
 void shifts_apply_status(struct shifts *shifts, const char *service_name, enum dw_shift_state state,
 			 const char *target, uint64_t revision)
 {
 	struct service_shift *service = find_or_add(shifts, service_name);
-	enum dw_shift_state before;
 
 	if (!service)
 		return;
-	service->status.revision = revision;
-	before = service->shift.state;
-	dw_shift_set_outcome(&service->shift, state, target, revision);
-	if (revision > service->shift.order.revision) {
-		service->written_state = state;
-		note_progress(service, dw_clock_now_us());
+	shift_records_read(&service->status, revision);
+	service->stored.state = state;
+	snprintf(service->stored.target, sizeof(service->stored.target), "%s", target);
+	service->stored.is_unjudged = true;
+	if (!is_of_next_era(shifts, revision))
+		judge_status(service, dw_clock_now_us());
+}
+
+void shifts_apply_status_deleted(struct shifts *shifts, const char *service_name)
+{
+	struct service_shift *service = find(shifts, service_name);
+
+	if (!service)
+		return;
+	shift_records_read(&service->status, 0);
+	memset(&service->stored, 0, sizeof(service->stored));
+}
+
+void shifts_entered_era(struct shifts *shifts, uint64_t now_us)
+{
+	for (struct service_shift *at = shifts->services; at; at = at->hh.next) {
+		if (at->stored.is_unjudged)
+			judge_status(at, now_us);
+	}
+}
+
+void shifts_store_restored(struct shifts *shifts, const struct dw_view_place *place,
+			   uint64_t now_us)
+{
+	shifts->place = *place;
+	shifts->restored_at_us = now_us;
+	shifts_entered_era(shifts, now_us);
+	for (struct service_shift *at = shifts->services; at; at = at->hh.next) {
+		if (at->status.read_revision == 0)
+			at->written_state = DW_SHIFT_NONE;
+		if (at->shift.state != DW_SHIFT_NONE)
+			shift_records_rewrite(at, now_us);
 	}
-	if (service->shift.state != before)
-		log_shift(service, "recorded outcome", dw_clock_now_us());
 }
 
 static uint64_t read_number(struct json_object *root, const char *name)
@@ -196,17 +326,32 @@
 	return json_object_object_get_ex(root, name, &value) ? json_object_get_uint64(value) : 0;
 }
 
+/* Whether a progress or evidence record is of the current order. Earlier releases write no target. */
+static bool is_of_order(const struct service_shift *service, struct json_object *root)
+{
+	const struct dw_shift_order *order = &service->shift.order;
+	struct json_object *target;
+
+	if (read_number(root, "order") != dw_revision_number(order->revision))
+		return false;
+	if (!json_object_object_get_ex(root, "target", &target))
+		return true;
+	return json_object_is_type(target, json_type_string) &&
+	       strcmp(json_object_get_string(target), order->target_version) == 0;
+}
+
 static void apply_progress(struct service_shift *service, const struct dw_store_event *event,
 			   uint64_t now_us)
 {
 	struct json_object *root;
 	uint32_t permille;
 
-	service->progress.revision = event->deleted ? 0 : event->entry.mod_revision;
+	shift_records_read(&service->progress, event->deleted ? 0 : event->entry.mod_revision);
+	service->written_progress = 0;
 	if (event->deleted)
 		return;
 	root = json_tokener_parse((const char *)event->entry.value);
-	if (read_number(root, "order") == service->shift.order.revision) {
+	if (is_of_order(service, root)) {
 		permille = (uint32_t)read_number(root, "permille");
 		service->written_progress = permille;
 		note_progress(service, now_us);
@@ -315,21 +460,40 @@
 	service->shift.peers = sum;
 }
 
+/* Grows with all that an instance tells of an order; less of it comes from an older copy of the store. */
+static uint64_t counted(const struct dw_shift_evidence *evidence)
+{
+	uint64_t sum = 0;
+
+	for (int side = 0; side < DW_SHIFT_SIDE_COUNT; side++)
+		sum += (uint64_t)evidence->counts[side].answers + evidence->counts[side].good;
+	return sum;
+}
+
 static void apply_evidence(struct service_shift *service, const char *instance,
 			   const struct dw_store_event *event)
 {
 	bool is_own = strcmp(instance, service->owner->instance) == 0;
+	struct dw_shift_evidence evidence;
+	struct dw_shift_evidence *known;
 	struct json_object *root;
 
-	if (is_own)
-		service->evidence.revision = event->deleted ? 0 : event->entry.mod_revision;
+	if (is_own) {
+		shift_records_read(&service->evidence,
+				   event->deleted ? 0 : event->entry.mod_revision);
+		service->is_evidence_lost |=
+			is_of_next_era(service->owner, event->entry.mod_revision);
+	}
 	if (event->deleted)
 		return;
 	root = json_tokener_parse((const char *)event->entry.value);
 	/* An own record of another run is what an earlier process of this instance has seen. */
-	if (read_number(root, "order") == service->shift.order.revision &&
+	if (is_of_order(service, root) &&
 	    (!is_own || read_number(root, "run") != service->owner->run)) {
-		read_evidence(root, &find_or_add_peer(service, instance)->evidence);
+		read_evidence(root, &evidence);
+		known = &find_or_add_peer(service, instance)->evidence;
+		if (counted(&evidence) >= counted(known))
+			*known = evidence;
 		sum_evidence(service);
 	}
 	json_object_put(root);
@@ -416,7 +580,7 @@
 	}
 	dw_shift_request_sent(&service->shift, side, request->sent_at_us);
 	dw_shift_route_sent(&service->shift, route_key(request), side, request->sent_at_us);
-	return service->shift.order.revision;
+	return service->number;
 }
 
 void shifts_count_end(struct shifts *shifts, const char *service_name,
@@ -431,7 +595,7 @@
 	side = side_of(service, request->version);
 	if (is_good)
 		dw_shift_count_load(&service->shift, side, load_permille);
-	if (service->shift.order.revision != request->revision)
+	if (service->number != request->number)
 		return;
 	dw_shift_request_ended(&service->shift, side, request->sent_at_us, is_good, now_us);
 	dw_shift_route_ended(&service->shift, route_key(request), side, request->sent_at_us,
@@ -515,5 +679,6 @@
 	shifts->run = dw_random_next(&shifts->random) >> 12;
 	uv_timer_init(loop, &shifts->timer);
 	shifts->timer.data = shifts;
-	uv_timer_start(&shifts->timer, on_check_timer, CHECK_PERIOD_MS, CHECK_PERIOD_MS);
+	uv_timer_start(&shifts->timer, on_check_timer, SHIFT_CHECK_PERIOD_MS,
+		       SHIFT_CHECK_PERIOD_MS);
 }
--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -37,7 +37,7 @@
 	view->leaving = dw_leaving_upstreams_new();
 	dw_view_source_init(&view->source, gateway_settings_change_us(settings), dw_clock_now_us());
 	crash_guard_init(&view->guard, log, view->engines, &view->era_guard);
-	shifts_init(&view->shifts, log, settings->instance);
+	shifts_init(&view->shifts, log, settings->instance, &view->era_guard);
 	peers_init(&view->peers, settings, log, counters);
 	view->guard.records.are_few_heard = are_few_heard;
 	view->guard.records.are_few_heard_owner = &view->peers;
@@ -303,7 +303,9 @@
 			apply_order(view, entry, now_us);
 		break;
 	case RECORD_ROLLOUT_STATUS:
-		if (!event->deleted)
+		if (event->deleted)
+			shifts_apply_status_deleted(&view->shifts, name);
+		else
 			apply_status(view, name, entry);
 		break;
 	case RECORD_UNKNOWN:
@@ -421,6 +423,9 @@
 	if (known > 0) {
 		crash_guard_store_restored(&view->guard, &view->source.place, now_us);
 		reader_key_store_restored(&view->reader_key);
+		shifts_store_restored(&view->shifts, &view->source.place, now_us);
+	} else {
+		shifts_entered_era(&view->shifts, now_us);
 	}
 }
 
