Restore rule: unreadable bytes of the copy don't replace the configuration in force

Cause: a known configuration was kept only over a readable one. Bytes that another program had written and the operator had replaced since are back with the copy; they were taken for the newest configuration, so that the instance stopped serving requests with keys until the operator wrote again.

Change: while lost states are written again, the one with the lower number of the two is the lost one, as for a known one that can't be read.

Ruled out: keeping it for good, since a newer configuration that can't be read may have taken keys away.

--- a/src/core/restore_rule.c
+++ b/src/core/restore_rule.c
@@ -15,9 +15,9 @@
 		return false;
 	if (!shown->exists)
 		return true;
-	if (!known->is_readable)
+	if (!known->is_readable || !shown->is_readable)
 		return is_lost(known, shown, is_settled);
-	return shown->is_readable && shown->sequence < known->sequence;
+	return shown->sequence < known->sequence;
 }
 
 /* Whether the shown entry is from before the known one, or from before its removal. */
