View log: a kept record that is written again as it was is a change

Cause: a record with the same number and value in a later era counted as unchanged, also where the known one was kept because the store had lost it. Revisions are given out again, so a writer that repeats its writes gets the same number. The record kept its old revision, so instances that had started in the gap were never sent it.

Change: a kept record is replaced by whatever the store shows beyond kept_over.

Seen red: AKeptRecordWrittenAgainWithItsNumberIsAChange of view_log_test. Ruled out: dropping the comparison of values altogether, as each restore would then pass on every record.

--- a/include/dragonflywharf/view_log.h
+++ b/include/dragonflywharf/view_log.h
@@ -41,7 +41,7 @@
 /**
  * Stores a copy of a record.
  * @return false, without effect, if the same or a newer revision of the key is known, or one that is kept over it. A
- * record with the same number and value in a later era is the same.
+ * record with the same number and value in a later era is the same, unless the known one is kept.
  */
 bool dw_view_log_put(struct dw_view_log *log, const struct dw_view_record *record, uint64_t now_us);
 
--- a/src/core/view_log.c
+++ b/src/core/view_log.c
@@ -134,10 +134,11 @@
 {
 	if (known->revision == 0)
 		return true;
-	if (is_unchanged(known, record))
-		return false;
+	/* Also if it is written again as it was: others may not have it. */
 	if (known->kept_over > 0 && record->kept_over == 0)
 		return record->revision > known->kept_over;
+	if (is_unchanged(known, record))
+		return false;
 	if (record->kept_over > 0 && known->kept_over == 0 &&
 	    dw_revision_era(record->revision) != dw_revision_era(known->revision))
 		return known->revision <= record->kept_over;
--- a/tests/view_log_test.cc
+++ b/tests/view_log_test.cc
@@ -1,8 +1,11 @@
 #include <gtest/gtest.h>
 
 #include <map>
+#include <random>
 #include <string>
+#include <vector>
 
+#include <dragonflywharf/store_revision.h>
 #include <dragonflywharf/view_log.h>
 
 namespace
@@ -141,6 +144,24 @@
 	EXPECT_TRUE(dw_view_log_is_small(log, 206));
 }
 
+/* Guards against a lost record that is written again with the number and value that it had, and isn't passed on to
+ * instances that never had it. */
+TEST_F(ViewLog, AKeptRecordWrittenAgainWithItsNumberIsAChange)
+{
+	uint64_t known = dw_revision_make(1, 96);
+	uint64_t entered = dw_revision_make(2, 95);
+	put(log, "order", "v", known);
+	dw_view_log_complete(log, known);
+	dw_view_log_begin_snapshot(log, entered);
+	dw_view_log_keep(log, dw_view_log_find(log, "order"), entered);
+	dw_view_log_complete(log, entered);
+	EXPECT_FALSE(put(log, "order", "older", dw_revision_make(2, 90))) << "what the store shows";
+	EXPECT_EQ(dw_view_log_kept_count(log), 1U);
+	EXPECT_TRUE(put(log, "order", "v", dw_revision_make(2, 96)));
+	EXPECT_EQ(dw_view_log_kept_count(log), 0U);
+	EXPECT_EQ(dw_view_log_find(log, "order")->revision, dw_revision_make(2, 96));
+}
+
 TEST_F(ViewLog, WithoutACopyEverythingIsNeeded)
 {
 	EXPECT_FALSE(dw_view_log_covers(log, 0));
