View log: a kept deletion isn't forgotten

Cause: deleted keys are forgotten 120 s after their deletion, as no older event can arrive by then. After a restore the store itself may show the older entry for as long as nobody changes it, and the next reading of all keys brought a removed engine back.

Change: deletions that are kept over what the store shows stay. They are few: those that a restore has undone.

Seen red: AKeptDeletionIsNotForgotten of view_log_test.

--- a/include/dragonflywharf/view_log.h
+++ b/include/dragonflywharf/view_log.h
@@ -97,7 +97,7 @@
 /** The last value of a deleted key, if it is small; NULL if it isn't known. */
 const uint8_t *dw_view_log_last_value(const struct dw_view_record *record, size_t *len);
 
-/** Forgets deleted keys that were deleted before @p before_us. */
+/** Forgets deleted keys that were deleted before @p before_us, unless they are kept. */
 void dw_view_log_forget(struct dw_view_log *log, uint64_t before_us);
 
 /** Number of keys, deleted ones included. */
--- a/src/core/view_log.c
+++ b/src/core/view_log.c
@@ -337,7 +337,8 @@
 
 	log->next_checked = NULL;
 	HASH_ITER(hh, log->entries, entry, next) {
-		if (!entry->record.deleted || entry->updated_at_us >= before_us)
+		if (!entry->record.deleted || entry->record.kept_over > 0 ||
+		    entry->updated_at_us >= before_us)
 			continue;
 		if (entry->record.revision > log->forgotten_revision)
 			log->forgotten_revision = entry->record.revision;
--- a/tests/view_log_test.cc
+++ b/tests/view_log_test.cc
@@ -162,6 +162,19 @@
 	EXPECT_EQ(dw_view_log_find(log, "order")->revision, dw_revision_make(2, 96));
 }
 
+/* Guards against a removed engine that is back 120 s after the restore, as its removal was forgotten while the store
+ * still showed the entry. */
+TEST_F(ViewLog, AKeptDeletionIsNotForgotten)
+{
+	uint64_t over = dw_revision_make(2, 95);
+	remove(log, "servers/gone", dw_revision_make(1, 97), 10);
+	dw_view_log_keep(log, dw_view_log_find(log, "servers/gone"), over);
+	dw_view_log_forget(log, 11);
+	EXPECT_FALSE(put(log, "servers/gone", "older", dw_revision_make(2, 80)));
+	EXPECT_TRUE(contents(log).empty());
+	EXPECT_TRUE(put(log, "servers/gone", "later", dw_revision_make(2, 96)));
+}
+
 TEST_F(ViewLog, WithoutACopyEverythingIsNeeded)
 {
 	EXPECT_FALSE(dw_view_log_covers(log, 0));
