View log: a log that entered an era through changes covers no revision before it

Cause: only a reading of all keys noted the gap between two eras. A log that got the changes from another instance passed on changes from any revision within the new era as complete, though records that both had known with the same number and value still had their revision of the era before. An instance that had started in the gap never got them.

Change: dw_view_log_complete() notes the gap as well. A reading that is begun a second time extends the gap of the first instead of forgetting everything before it, which sent all instances that asked to the store.

Seen red: NoRevisionBetweenTwoErasIsCoveredAfterChanges and ASnapshotThatIsBegunTwiceForgetsNothing of view_log_test.

--- a/include/dragonflywharf/view_log.h
+++ b/include/dragonflywharf/view_log.h
@@ -54,7 +54,10 @@
 
 /** All changes up to this revision are known; 0: nothing is known yet. */
 uint64_t dw_view_log_revision(const struct dw_view_log *log);
-/** Notes that all changes up to @p revision are known. */
+/**
+ * Notes that all changes up to @p revision are known. If it is of a later era, the log covers no revision between the
+ * last one and it: a record that is the same in both eras has the revision of the earlier one.
+ */
 void dw_view_log_complete(struct dw_view_log *log, uint64_t revision);
 
 /**
--- a/src/core/view_log.c
+++ b/src/core/view_log.c
@@ -27,7 +27,7 @@
 	struct log_entry *entries; /* by key, in the order of their first appearance */
 	uint64_t revision;
 	uint64_t forgotten_revision; /* highest revision of a forgotten deletion */
-	/* Deletions between these two revisions may be unknown. */
+	/* Not all changes between these two revisions are known. */
 	uint64_t gap_begin;
 	uint64_t gap_end;
 	uint64_t snapshot;
@@ -263,10 +263,28 @@
 	return log->revision;
 }
 
+/* Deletions, and writes that repeat a number of the era before, may be unknown between the two revisions. */
+static void note_gap(struct dw_view_log *log, uint64_t revision)
+{
+	if (log->gap_end > 0 && log->gap_begin == log->revision) {
+		if (revision > log->gap_end)
+			log->gap_end = revision;
+		return;
+	}
+	/* One gap is remembered: what lies before an earlier one is forgotten. */
+	if (log->gap_end > log->forgotten_revision)
+		log->forgotten_revision = log->gap_end;
+	log->gap_begin = log->revision;
+	log->gap_end = revision;
+}
+
 void dw_view_log_complete(struct dw_view_log *log, uint64_t revision)
 {
-	if (revision > log->revision)
-		log->revision = revision;
+	if (revision <= log->revision)
+		return;
+	if (log->revision > 0 && dw_revision_era(revision) > dw_revision_era(log->revision))
+		note_gap(log, revision);
+	log->revision = revision;
 }
 
 bool dw_view_log_covers(const struct dw_view_log *log, uint64_t after)
@@ -302,13 +320,8 @@
 {
 	if (log->revision == 0 && revision > log->forgotten_revision)
 		log->forgotten_revision = revision;
-	if (revision > log->revision && log->revision > 0) {
-		/* One gap is remembered: what lies before an earlier one is forgotten. */
-		if (log->gap_end > log->forgotten_revision)
-			log->forgotten_revision = log->gap_end;
-		log->gap_begin = log->revision;
-		log->gap_end = revision;
-	}
+	if (revision > log->revision && log->revision > 0)
+		note_gap(log, revision);
 	log->snapshot++;
 	log->next_checked = log->entries;
 }
--- a/tests/view_log_test.cc
+++ b/tests/view_log_test.cc
@@ -175,6 +175,44 @@
 	EXPECT_TRUE(put(log, "servers/gone", "later", dw_revision_make(2, 96)));
 }
 
+/* Guards against a log that entered an era through another's changes, and passes changes on as complete that lack what
+ * both knew before: a record has the same number and value in both eras. */
+TEST_F(ViewLog, NoRevisionBetweenTwoErasIsCoveredAfterChanges)
+{
+	uint64_t before = dw_revision_make(1, 97);
+	uint64_t gap = dw_revision_make(2, 95);
+	uint64_t now = dw_revision_make(2, 98);
+	dw_view_log *second = dw_view_log_new();
+	for (dw_view_log *each : { log, second }) {
+		put(each, "a", "v", before);
+		dw_view_log_complete(each, before);
+	}
+	/* The copy was of 95, and "a" was written again with the number 97. */
+	dw_view_log_begin_snapshot(log, now);
+	put(log, "a", "v", dw_revision_make(2, 97));
+	dw_view_log_complete(log, now);
+	bring_up_to_date(second, before);
+	EXPECT_TRUE(dw_view_log_covers(second, before));
+	EXPECT_FALSE(dw_view_log_covers(second, gap));
+	EXPECT_TRUE(dw_view_log_covers(second, now));
+	dw_view_log_free(second);
+}
+
+/* Guards against an instance that asks the store though its source knows the changes, as a reading of all keys had
+ * been begun before and wasn't completed. */
+TEST_F(ViewLog, ASnapshotThatIsBegunTwiceForgetsNothing)
+{
+	put(log, "a", "v", dw_revision_make(1, 97));
+	dw_view_log_complete(log, dw_revision_make(1, 97));
+	dw_view_log_begin_snapshot(log, dw_revision_make(2, 95));
+	dw_view_log_begin_snapshot(log, dw_revision_make(2, 96));
+	put(log, "a", "v", dw_revision_make(2, 90));
+	dw_view_log_complete(log, dw_revision_make(2, 96));
+	EXPECT_TRUE(dw_view_log_covers(log, dw_revision_make(1, 97)));
+	EXPECT_FALSE(dw_view_log_covers(log, dw_revision_make(2, 95)));
+	EXPECT_TRUE(dw_view_log_covers(log, dw_revision_make(2, 96)));
+}
+
 TEST_F(ViewLog, WithoutACopyEverythingIsNeeded)
 {
 	EXPECT_FALSE(dw_view_log_covers(log, 0));
