View: changes over a gap are passed on as such

Cause: a log that reads all keys again notes that it doesn't know what was written and undone in between. An instance that gets the changes from it didn't note that, and passed them on as all changes to those that were at a revision within the gap: an engine whose entry was written and removed there stayed. Each restore makes such a gap at all readers.

Tests of kept records in the exchange: whatever their revision, only if asked for, deletions too, without a base.

--- a/include/dragonflywharf/view_log.h
+++ b/include/dragonflywharf/view_log.h
@@ -60,6 +60,11 @@
  */
 void dw_view_log_complete(struct dw_view_log *log, uint64_t revision);
 
+/** Whether not all changes after @p after are known, so that who gets these ones can't pass them on as all. */
+bool dw_view_log_has_gap_after(const struct dw_view_log *log, uint64_t after);
+/** Notes that not all changes up to @p revision will be known: those that were undone in between. */
+void dw_view_log_note_gap(struct dw_view_log *log, uint64_t revision);
+
 /**
  * Whether the records newer than @p after are all that an instance lacks which knows all changes up
  * to @p after. Otherwise deletions in between may have been forgotten, and it needs all records.
--- a/src/core/view_log.c
+++ b/src/core/view_log.c
@@ -119,7 +119,7 @@
 	record->base_revision = packed ? from->base_revision : 0;
 }
 
-/* A restore leaves the records as they are that the copy has; they keep their revisions. */
+/* A restore leaves the records as they are that the copy has; they keep their revisions in the log. */
 static bool is_unchanged(const struct dw_view_record *known, const struct dw_view_record *record)
 {
 	if (dw_revision_number(known->revision) != dw_revision_number(record->revision) ||
@@ -263,9 +263,10 @@
 	return log->revision;
 }
 
-/* Deletions, and writes that repeat a number of the era before, may be unknown between the two revisions. */
-static void note_gap(struct dw_view_log *log, uint64_t revision)
+void dw_view_log_note_gap(struct dw_view_log *log, uint64_t revision)
 {
+	if (log->revision == 0 || revision <= log->revision)
+		return;
 	if (log->gap_end > 0 && log->gap_begin == log->revision) {
 		if (revision > log->gap_end)
 			log->gap_end = revision;
@@ -282,11 +283,16 @@
 {
 	if (revision <= log->revision)
 		return;
-	if (log->revision > 0 && dw_revision_era(revision) > dw_revision_era(log->revision))
-		note_gap(log, revision);
+	if (dw_revision_era(revision) > dw_revision_era(log->revision))
+		dw_view_log_note_gap(log, revision);
 	log->revision = revision;
 }
 
+bool dw_view_log_has_gap_after(const struct dw_view_log *log, uint64_t after)
+{
+	return after < log->gap_end;
+}
+
 bool dw_view_log_covers(const struct dw_view_log *log, uint64_t after)
 {
 	return after > 0 && after >= log->forgotten_revision &&
@@ -320,8 +326,7 @@
 {
 	if (log->revision == 0 && revision > log->forgotten_revision)
 		log->forgotten_revision = revision;
-	if (revision > log->revision && log->revision > 0)
-		note_gap(log, revision);
+	dw_view_log_note_gap(log, revision);
 	log->snapshot++;
 	log->next_checked = log->entries;
 }
--- a/src/net/view_codec.c
+++ b/src/net/view_codec.c
@@ -10,7 +10,7 @@
 	ANSWER_VERSION,
 	ANSWER_REVISION,
 	ANSWER_HOPS,
-	ANSWER_IS_SNAPSHOT,
+	ANSWER_KIND,
 	ANSWER_HELD,
 	ANSWER_AGE,
 	ANSWER_STORE_BACK,
@@ -18,6 +18,9 @@
 	ANSWER_FIELD_COUNT
 };
 
+/* What the records of an answer are. */
+enum answer_kind { ANSWER_CHANGES, ANSWER_ALL, ANSWER_CHANGES_OVER_GAP, ANSWER_KIND_COUNT };
+
 enum record_field {
 	RECORD_KEY,
 	RECORD_REVISION,
@@ -35,6 +38,13 @@
 	return answer->is_snapshot ? !record->deleted : record->revision > after;
 }
 
+static enum answer_kind kind_of(const struct view_answer *answer)
+{
+	if (answer->is_snapshot)
+		return ANSWER_ALL;
+	return answer->is_over_gap ? ANSWER_CHANGES_OVER_GAP : ANSWER_CHANGES;
+}
+
 static void pack_bytes(msgpack_packer *packer, const uint8_t *bytes, size_t len)
 {
 	msgpack_pack_bin(packer, len);
@@ -89,7 +99,7 @@
 	msgpack_pack_uint8(packer, VIEW_CODEC_VERSION);
 	msgpack_pack_uint64(packer, answer->revision);
 	msgpack_pack_uint32(packer, answer->hops);
-	msgpack_pack_uint8(packer, answer->is_snapshot);
+	msgpack_pack_uint8(packer, (uint8_t)kind_of(answer));
 	msgpack_pack_uint64(packer, answer->held_us);
 	pack_optional(packer, answer->has_proof, answer->age_us);
 	pack_optional(packer, answer->had_outage, answer->store_back_us);
@@ -180,7 +190,7 @@
 static bool read_answer(const msgpack_object *object, size_t len, struct view_answer *out)
 {
 	const msgpack_object *fields = dw_msgpack_read_array(object, ANSWER_FIELD_COUNT);
-	uint64_t is_snapshot = 0;
+	uint64_t kind = 0;
 	uint64_t hops = 0;
 	uint64_t version = 0;
 
@@ -190,13 +200,14 @@
 		return false;
 	if (!dw_msgpack_read_uint(&fields[ANSWER_REVISION], UINT64_MAX, &out->revision) ||
 	    !dw_msgpack_read_uint(&fields[ANSWER_HOPS], UINT16_MAX, &hops) ||
-	    !dw_msgpack_read_uint(&fields[ANSWER_IS_SNAPSHOT], 1, &is_snapshot) ||
+	    !dw_msgpack_read_uint(&fields[ANSWER_KIND], ANSWER_KIND_COUNT - 1, &kind) ||
 	    !dw_msgpack_read_uint(&fields[ANSWER_HELD], UINT64_MAX, &out->held_us) ||
 	    !read_optional(&fields[ANSWER_AGE], &out->has_proof, &out->age_us) ||
 	    !read_optional(&fields[ANSWER_STORE_BACK], &out->had_outage, &out->store_back_us))
 		return false;
 	out->hops = (uint32_t)hops;
-	out->is_snapshot = is_snapshot != 0;
+	out->is_snapshot = kind == ANSWER_ALL;
+	out->is_over_gap = kind == ANSWER_CHANGES_OVER_GAP;
 	return read_records(&fields[ANSWER_RECORDS], len, out);
 }
 
--- a/src/net/view_codec.h
+++ b/src/net/view_codec.h
@@ -2,7 +2,8 @@
  * @file view_codec.h
  * Encoding of the answer in which one instance passes records of the store to another.
  *
- * The answer is a msgpack array: version of this encoding, revision, hops, whether these are all records,
+ * The answer is a msgpack array: version of this encoding, revision, hops, 1 if these are all records or 2 if they
+ * are changes over a gap, else 0,
  * time held, age of the proof or nil, time since the end of the store's last outage or nil, and the
  * records, each an array of key, revision and value; in place of the value nil for a deleted key, and
  * for a packed value (value_codec) an array of the revision of its base, 0 without one, and bytes. The fourth
@@ -29,6 +30,8 @@
 	uint64_t revision; /**< all changes up to it are known with these records */
 	uint32_t hops; /**< instances between the source and the store */
 	bool is_snapshot; /**< these are all records: keys that aren't listed don't exist */
+	/** Changes that were undone in between aren't known to the source (dw_view_log_has_gap_after()). */
+	bool is_over_gap;
 	uint64_t held_us; /**< for how long the source held the request */
 	bool has_proof; /**< the source's copy was current age_us before the answer */
 	uint64_t age_us;
--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -532,6 +532,8 @@
 
 	if (answer->is_snapshot)
 		dw_view_log_begin_snapshot(view->records, answer->revision);
+	else if (answer->is_over_gap)
+		dw_view_log_note_gap(view->records, answer->revision);
 	for (size_t i = 0; i < answer->record_count; i++)
 		is_complete &= apply_passed_on(view, snapshot, &answer->records[i], now_us);
 	if (is_complete && answer->is_snapshot)
--- a/tests/view_codec_test.cc
+++ b/tests/view_codec_test.cc
@@ -2,6 +2,8 @@
 
 #include <string>
 
+#include <dragonflywharf/store_revision.h>
+
 #include "net/view_codec.h"
 
 namespace
@@ -90,6 +92,80 @@
 	view_answer_free(&out);
 }
 
+/* Guards against changes over a gap that arrive as all changes. */
+TEST_F(ViewCodec, TheKindOfTheRecordsArrives)
+{
+	const bool kinds[][2] = { { false, false }, { true, false }, { false, true } };
+	for (const auto &kind : kinds) {
+		view_answer out;
+		answer.is_snapshot = kind[0];
+		answer.is_over_gap = kind[1];
+		pack(4);
+		ASSERT_EQ(unpack(&out, bytes.size), DW_OK);
+		EXPECT_EQ(out.is_snapshot, kind[0]);
+		EXPECT_EQ(out.is_over_gap, kind[1]);
+		view_answer_free(&out);
+	}
+}
+
+/* Guards against a kept record that arrives as one that the store shows, or not at all. */
+TEST_F(ViewCodec, KeptRecordsArriveWhateverTheirRevision)
+{
+	view_answer out;
+	uint64_t over = dw_revision_make(2, 5);
+	dw_view_log_keep(log, dw_view_log_find(log, "a"), over);
+	dw_view_log_keep(log, dw_view_log_find(log, "c"), over);
+	answer.revision = over;
+	pack(4);
+	ASSERT_EQ(unpack(&out, bytes.size), DW_OK);
+	ASSERT_EQ(out.record_count, 2U) << "not asked for: b and c only";
+	view_answer_free(&out);
+	answer.with_kept = true;
+	for (uint64_t after : { UINT64_C(4), over }) {
+		pack(after);
+		ASSERT_EQ(unpack(&out, bytes.size), DW_OK);
+		ASSERT_EQ(out.record_count, after == 4 ? 3U : 2U);
+		EXPECT_STREQ(out.records[0].key, "a");
+		EXPECT_EQ(out.records[0].revision, 3U);
+		EXPECT_EQ(out.records[0].kept_over, over);
+		const dw_view_record &last = out.records[out.record_count - 1];
+		EXPECT_STREQ(last.key, "c");
+		EXPECT_TRUE(last.deleted);
+		EXPECT_EQ(last.kept_over, over);
+		view_answer_free(&out);
+	}
+	answer.is_snapshot = true;
+	pack(0);
+	ASSERT_EQ(unpack(&out, bytes.size), DW_OK);
+	ASSERT_EQ(out.record_count, 3U) << "with the deletion that is kept";
+	EXPECT_EQ(out.records[1].kept_over, 0U);
+	EXPECT_TRUE(out.records[2].deleted);
+	view_answer_free(&out);
+}
+
+/* Guards against a kept value that is packed against one that the receiver needn't have. */
+TEST_F(ViewCodec, AKeptValueNeedsNoBase)
+{
+	const uint8_t packed[] = { 1, 2, 3 };
+	dw_view_record large{};
+	view_answer out;
+	large.key = "d";
+	large.value = (const uint8_t *)"large";
+	large.value_len = 5;
+	large.revision = 9;
+	large.packed = packed;
+	large.packed_len = sizeof(packed);
+	large.base_revision = 6;
+	large.kept_over = dw_revision_make(2, 5);
+	dw_view_log_put(log, &large, 1);
+	answer.with_kept = true;
+	pack(7);
+	ASSERT_EQ(unpack(&out, bytes.size), DW_OK);
+	EXPECT_EQ(out.records[out.record_count - 1].value_len, 5U);
+	EXPECT_EQ(out.records[out.record_count - 1].packed, nullptr);
+	view_answer_free(&out);
+}
+
 /* A packed value is sent to those who have its base, and as it is to the others. */
 TEST_F(ViewCodec, APackedValueIsSentToThoseWhoHaveItsBase)
 {
--- a/tests/view_log_test.cc
+++ b/tests/view_log_test.cc
@@ -54,6 +54,8 @@
 		bool is_snapshot = !dw_view_log_covers(log, after);
 		if (is_snapshot)
 			dw_view_log_begin_snapshot(other, dw_view_log_revision(log));
+		else if (dw_view_log_has_gap_after(log, after))
+			dw_view_log_note_gap(other, dw_view_log_revision(log));
 		while ((record = dw_view_log_next(log, record))) {
 			if (is_snapshot ? !record->deleted : record->revision > after)
 				dw_view_log_put(other, record, 1);
@@ -213,6 +215,24 @@
 	EXPECT_TRUE(dw_view_log_covers(log, dw_revision_make(2, 96)));
 }
 
+/* Guards against an engine that stays after it was removed: its entry was written and removed while the source's source
+ * had lost the store's history, and the source passed changes on as all. */
+TEST_F(ViewLog, ChangesOverAGapAreNotPassedOnAsAll)
+{
+	dw_view_log *second = dw_view_log_new();
+	dw_view_log_complete(log, 11);
+	dw_view_log_complete(second, 11);
+	dw_view_log_begin_snapshot(log, 18);
+	dw_view_log_complete(log, 18);
+	EXPECT_TRUE(dw_view_log_has_gap_after(log, 11));
+	EXPECT_FALSE(dw_view_log_has_gap_after(log, 18));
+	bring_up_to_date(second, 11);
+	EXPECT_FALSE(dw_view_log_covers(second, 17)) << "of an instance that read the store at 17";
+	EXPECT_TRUE(dw_view_log_covers(second, 11));
+	EXPECT_TRUE(dw_view_log_covers(second, 18));
+	dw_view_log_free(second);
+}
+
 TEST_F(ViewLog, WithoutACopyEverythingIsNeeded)
 {
 	EXPECT_FALSE(dw_view_log_covers(log, 0));
