View: what settles after a restore reaches the instances that don't read the store

Cause: orders that the store had lost are kept for 6 s. Then the readers read all keys and give them up, as changes of the store's revision at that moment. An instance that already knew all changes up to it was never sent them: in a store in which nothing changes, an evacuation that nobody wrote again stayed in force for good, and one that the store showed stayed out, on all instances but the readers.

Change: a record that replaced a kept one says so (was_kept), and is passed on to whoever asks for kept records. An instance that still keeps records after its 6 s asks its source for them once a second; for engines and configurations, which may be kept until they change, only for 4 s.

Seen red: WhatIsSettledIsPassedOnInAQuietStore of the new view_restore_test, which plays three views, at B and C. Ruled out: a higher revision for what is given up (the store may give it to a change), and each instance reading all keys itself.

--- a/include/dragonflywharf/view_log.h
+++ b/include/dragonflywharf/view_log.h
@@ -31,6 +31,8 @@
 	/** The store has lost this record: it is kept over what the store shows up to this revision, an
 	 * older record of the key or none. 0: it isn't kept. */
 	uint64_t kept_over;
+	/** It replaced a kept record: who keeps that one still is told, whatever this one's revision. */
+	bool was_kept;
 };
 
 struct dw_view_log;
--- a/src/core/view_log.c
+++ b/src/core/view_log.c
@@ -17,6 +17,7 @@
 	struct dw_view_record record; /* first: a record's address is that of its entry */
 	uint64_t updated_at_us;
 	uint64_t snapshot; /* number of the last snapshot that listed the key */
+	bool is_given_up; /* the record was kept, and the next one replaces it */
 	uint8_t *last_value; /* of a deleted key; NULL: unknown */
 	size_t last_len;
 	struct log_entry *next_forgotten;
@@ -179,10 +180,16 @@
 	set_value(&entry->record, NULL);
 	entry->record.revision = revision;
 	entry->record.deleted = true;
-	entry->record.kept_over = 0;
 	entry->updated_at_us = now_us;
 }
 
+static void set_kept_over(struct log_entry *entry, uint64_t over)
+{
+	entry->record.was_kept = entry->record.kept_over > 0 || entry->is_given_up;
+	entry->is_given_up = false;
+	entry->record.kept_over = over;
+}
+
 bool dw_view_log_put(struct dw_view_log *log, const struct dw_view_record *record, uint64_t now_us)
 {
 	struct log_entry *entry = find_entry(log, record->key);
@@ -203,7 +210,7 @@
 		entry->record.deleted = false;
 		entry->updated_at_us = now_us;
 	}
-	entry->record.kept_over = record->kept_over;
+	set_kept_over(entry, record->kept_over);
 	return true;
 }
 
@@ -220,6 +227,7 @@
 	struct log_entry *entry = (struct log_entry *)record;
 
 	entry->record.kept_over = 0;
+	entry->is_given_up = true;
 }
 
 bool dw_view_log_is_listed(const struct dw_view_log *log, const struct dw_view_record *record)
@@ -353,6 +361,7 @@
 		    entry->record.revision > revision)
 			continue;
 		set_deleted(entry, revision, now_us);
+		set_kept_over(entry, 0);
 		return &entry->record;
 	}
 	return NULL;
--- a/src/net/view_codec.c
+++ b/src/net/view_codec.c
@@ -33,7 +33,7 @@
 static bool is_included(const struct dw_view_record *record, const struct view_answer *answer,
 			uint64_t after)
 {
-	if (answer->with_kept && record->kept_over > 0)
+	if (answer->with_kept && (record->kept_over > 0 || record->was_kept))
 		return true;
 	return answer->is_snapshot ? !record->deleted : record->revision > after;
 }
--- a/src/net/view_codec.h
+++ b/src/net/view_codec.h
@@ -37,7 +37,8 @@
 	uint64_t age_us;
 	bool had_outage; /**< the store came back store_back_us before the answer */
 	uint64_t store_back_us;
-	bool with_kept; /**< for view_answer_pack(): also all kept records, of whatever revision */
+	bool with_kept; /**< for view_answer_pack(): also all kept records and those that replaced some,
+			  * of whatever revision */
 	/** Only set by view_answer_unpack(). A packed one has no value. */
 	struct dw_view_record *records;
 	size_t record_count;
--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -496,6 +496,14 @@
 	return known && known->revision >= record->revision;
 }
 
+/* Whether a record that the source doesn't keep may be older than the known one, as the store was restored. */
+static bool is_contested(const struct view_snapshot *snapshot, const struct dw_view_record *known,
+			 const struct dw_view_record *passed_on)
+{
+	return known && passed_on->kept_over == 0 &&
+	       (snapshot->is_entering || known->kept_over >= passed_on->revision);
+}
+
 /* Applies a record that another instance passed on; false if it was packed and can't be unpacked. */
 static bool apply_passed_on(struct view *view, const struct view_snapshot *snapshot,
 			    const struct dw_view_record *passed_on, uint64_t now_us)
@@ -516,10 +524,17 @@
 	event.entry.value_len = record.value_len;
 	event.entry.mod_revision = record.revision;
 	view->records_ignored += is_superseded(view, &record);
-	if (snapshot->is_entering && known && record.kept_over == 0 &&
-	    view_restore_keeps(snapshot, known, &record))
-		dw_view_log_keep(view->records, known, record.revision);
-	else if (dw_view_log_put(view->records, &record, now_us))
+	if (is_contested(snapshot, known, &record)) {
+		if (view_restore_keeps(snapshot, known, &record)) {
+			dw_view_log_keep(view->records, known,
+					 max_u64(known->kept_over, record.revision));
+			bytes_free(&value);
+			return true;
+		}
+		if (known->kept_over >= record.revision)
+			dw_view_log_give_up(view->records, known);
+	}
+	if (dw_view_log_put(view->records, &record, now_us))
 		apply_change(view, &event, now_us);
 	bytes_free(&value);
 	return true;
@@ -677,6 +692,12 @@
 	       dw_revision_era(dw_view_log_revision(view->records)) > 0;
 }
 
+bool view_asks_kept(struct view *view, uint64_t now_us)
+{
+	return view->restore.lacks_memory ||
+	       view_restore_asks_kept(&view->restore, view->records, now_us);
+}
+
 struct dw_catalog *view_catalog(const struct view *view)
 {
 	return view->confirmed_at_us > 0 && view->restore.is_admitted ? view->catalog : NULL;
--- a/src/wharf-gateway/view_restore.c
+++ b/src/wharf-gateway/view_restore.c
@@ -8,6 +8,8 @@
 
 /* By then engines that run have written their entries again, and old entries of others have expired. */
 #define SETTLED_AFTER_US (6 * DW_US_PER_S)
+/* Other instances settle by then, as they entered the era at most seconds later. */
+#define ASK_KEPT_US (4 * DW_US_PER_S)
 
 bool view_restore_is_settled(const struct view_restore *restore, uint64_t now_us)
 {
@@ -106,6 +108,24 @@
 	return dw_restore_keeps(kind, &before, &after, snapshot->is_settled);
 }
 
+bool view_restore_asks_kept(struct view_restore *restore, const struct dw_view_log *log,
+			    uint64_t now_us)
+{
+	struct view_kept kept;
+
+	if (!view_restore_is_settling_due(restore, now_us) ||
+	    now_us < restore->kept_asked_at_us + DW_US_PER_S)
+		return false;
+	kept = view_restore_kept(log);
+	restore->kept_asked_at_us = now_us;
+	/* Engines and configurations may be kept until they change, so the question for them ends. */
+	restore->awaits_settling =
+		kept.orders > 0 ||
+		(kept.configs + kept.engines > 0 &&
+		 now_us < restore->entered_at_us + SETTLED_AFTER_US + ASK_KEPT_US);
+	return restore->awaits_settling;
+}
+
 struct view_kept view_restore_kept(const struct dw_view_log *log)
 {
 	const struct dw_view_record *record = NULL;
--- a/src/wharf-gateway/view_restore.h
+++ b/src/wharf-gateway/view_restore.h
@@ -14,6 +14,8 @@
 	uint64_t count; /**< restores that this instance has seen */
 	uint64_t entered_at_us; /**< when it learned of the last one; 0: it has seen none */
 	bool awaits_settling; /**< records may be kept that nobody has written again */
+	uint64_t
+		kept_asked_at_us; /**< when another instance was last asked which of them it keeps; 0: never */
 	/** Started, and no other instance has answered yet: it may know less than the others of what the store lost. */
 	bool lacks_memory;
 	/** It may serve: it knew the store before the era, or knows that nothing in force is missing. */
@@ -40,6 +42,13 @@
 bool view_restore_keeps(const struct view_snapshot *snapshot, const struct dw_view_record *known,
 			const struct dw_view_record *shown);
 
+/**
+ * Whether to ask another instance which records it still keeps, at most once a second: this one keeps some that have
+ * not been written again.
+ */
+bool view_restore_asks_kept(struct view_restore *restore, const struct dw_view_log *log,
+			    uint64_t now_us);
+
 /** What is kept, by kind, for the log. */
 struct view_kept {
 	uint64_t configs;
--- a/src/wharf-gateway/view_sync.c
+++ b/src/wharf-gateway/view_sync.c
@@ -166,12 +166,14 @@
 				 ? 0
 				 : dw_view_log_revision(sync->view->records);
 	char request[REQUEST_BYTES];
-	int len = snprintf(request, sizeof(request),
-			   "GET " VIEW_TARGET "%" PRIu64 "%s HTTP/1.1\r\nHost: %s:%u\r\n\r\n",
-			   after, sync->view->restore.lacks_memory ? VIEW_TARGET_NEW : "",
-			   address->ip, address->port);
+	int len;
 
 	sync->requested_at_us = dw_clock_now_us();
+	len = snprintf(request, sizeof(request),
+		       "GET " VIEW_TARGET "%" PRIu64 "%s HTTP/1.1\r\nHost: %s:%u\r\n\r\n", after,
+		       view_asks_kept(sync->view, sync->requested_at_us) ? VIEW_TARGET_NEW : "",
+		       address->ip, address->port);
+
 	dw_transfer_start(&sync->transfer, sync->requested_at_us + timeout_us,
 			  sync->requested_at_us);
 	sync->is_sent = false;
--- /dev/null
+++ b/tests/view_restore_test.cc
@@ -0,0 +1,234 @@
+// Views of several instances over restores of the store: what each takes in from the store and from the others.
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "net/view_codec.h"
+#include "wharf-gateway/view.h"
+}
+
+namespace
+{
+
+constexpr uint64_t SECOND = 1000000;
+
+std::string config(uint64_t version, const std::string &key, size_t padding = 0)
+{
+	return R"({"Version":)" + std::to_string(version) +
+	       R"(,"Routes":[{"Name":"r","Host":"h","PathPrefix":"/x/","Kind":"safe","TimeoutMs":5000,)"
+	       R"("TargetLatencyMs":2000,"Priority":1,"TrafficSplit":[{"Service":"a","Weight":1}],)"
+	       R"("MaxAttempts":3,"Public":false}],"Services":[{"Name":"a","HealthPath":"/health",)"
+	       R"("MaxConnections":370,"ColdStartS":3.0,"ColdPerS":11.5}],)"
+	       R"("Limits":{"MaxHeaderBytes":100,"MaxBodyBytes":200,"HeaderTimeoutMs":300,)"
+	       R"("IdleTimeoutMs":400},"Tenants":[{"Name":"t","ApiKeys":[")" +
+	       key + R"("],"Priority":2}],"Padding":")" + std::string(padding, 'x') + R"("})";
+}
+
+std::string engine(uint64_t born, uint64_t sequence, const std::string &state = "ready")
+{
+	return R"({"Service":"a","Address":"10.1.2.3:8600","Zone":"a","Version":"v1","Slots":64,"State":")" +
+	       state + R"(","Sequence":)" + std::to_string(sequence) +
+	       R"(,"ColdRemainingMs":0,"born":)" + std::to_string(born) +
+	       R"(,"Stage":"unified","Models":[{"Name":"small","Version":1}]})";
+}
+
+/* What the store holds; numbers are those of the store. */
+struct Store {
+	std::map<std::string, std::pair<uint64_t, std::string>> items;
+	uint64_t era = 1;
+	uint64_t number = 10;
+
+	uint64_t revision() const
+	{
+		return dw_revision_make(era, number);
+	}
+	void put(const std::string &key, const std::string &value)
+	{
+		items[key] = { ++number, value };
+	}
+	void remove(const std::string &key)
+	{
+		number++;
+		items.erase(key);
+	}
+	/* Comes back from the copy. */
+	void restore(const Store &copy)
+	{
+		items = copy.items;
+		number = copy.number;
+		era++;
+	}
+};
+
+struct Instance {
+	gateway_settings settings{};
+	FILE *sink = fopen("/dev/null", "w");
+	dw_log log{};
+	dw_counters counters{};
+	view own{};
+
+	explicit Instance(const std::string &name)
+	{
+		snprintf(settings.instance, sizeof(settings.instance), "%s", name.c_str());
+		settings.change_applied_ms = settings.config_applied_ms = 4000;
+		settings.evacuated_ms = settings.rolled_back_ms = 4000;
+		settings.revocation_ms = 5000;
+		dw_log_init(&log, sink, name.c_str(), DW_LEVEL_ERROR);
+		view_init(&own, &settings, &log, &counters);
+	}
+	Instance(const Instance &) = delete;
+	Instance &operator=(const Instance &) = delete;
+	~Instance()
+	{
+		view_close(&own);
+		fclose(sink);
+	}
+	uint64_t revision() const
+	{
+		return dw_view_log_revision(own.records);
+	}
+	/* Reads all keys, and has the proof. */
+	bool read(const Store &store, uint64_t now_us)
+	{
+		std::vector<dw_store_entry> entries;
+		for (const auto &[key, item] : store.items) {
+			dw_store_entry entry{};
+			entry.key = key.c_str();
+			entry.value = (const uint8_t *)item.second.c_str();
+			entry.value_len = item.second.size();
+			entry.mod_revision = dw_revision_make(store.era, item.first);
+			entry.create_revision = entry.mod_revision;
+			entries.push_back(entry);
+		}
+		if (!view_apply_all(&own, entries.data(), entries.size(), store.revision(), now_us))
+			return false;
+		view_store_current(&own, store.revision(), now_us, now_us);
+		return true;
+	}
+	/* One change, as a watch delivers it. */
+	void watch(const Store &store, const std::string &key, uint64_t now_us)
+	{
+		auto found = store.items.find(key);
+		dw_store_event event{};
+		event.deleted = found == store.items.end();
+		event.entry.key = key.c_str();
+		event.entry.mod_revision = store.revision();
+		if (!event.deleted) {
+			event.entry.value = (const uint8_t *)found->second.second.c_str();
+			event.entry.value_len = found->second.second.size();
+		}
+		view_apply(&own, &event, now_us);
+		view_store_current(&own, store.revision(), now_us, now_us);
+	}
+	/* Asks another instance as view_sync and view_server do. */
+	enum result { APPLIED, REFUSED, ASK_STORE };
+	result ask(const Instance &source, uint64_t now_us, bool wants_all = false)
+	{
+		const dw_view_log *records = source.own.records;
+		uint64_t after = wants_all ? 0 : revision();
+		bool is_new = view_asks_kept(&own, now_us);
+		msgpack_sbuffer bytes;
+		msgpack_packer packer;
+		view_answer answer{};
+		view_answer out;
+
+		if (after > 0 && source.revision() > 0 && !dw_view_log_covers(records, after))
+			return ASK_STORE;
+		answer.revision = source.revision();
+		answer.hops = source.own.hops;
+		answer.is_snapshot = !dw_view_log_covers(records, after);
+		answer.is_over_gap = dw_view_log_has_gap_after(records, after);
+		answer.has_proof = true;
+		answer.with_kept =
+			is_new || dw_revision_era(after) < dw_revision_era(answer.revision);
+		msgpack_sbuffer_init(&bytes);
+		msgpack_packer_init(&packer, &bytes, msgpack_sbuffer_write);
+		view_answer_pack(&packer, &answer, records, after);
+		EXPECT_EQ(view_answer_unpack((const uint8_t *)bytes.data, bytes.size, &out), DW_OK);
+		bool is_applied = view_apply_answer(&own, &out, "other", now_us);
+		if (is_applied)
+			view_peer_current(&own, now_us, now_us);
+		view_answer_free(&out);
+		msgpack_sbuffer_destroy(&bytes);
+		return is_applied ? APPLIED : REFUSED;
+	}
+	std::string value(const std::string &key) const
+	{
+		const dw_view_record *record = dw_view_log_find(own.records, key.c_str());
+		if (!record || record->deleted)
+			return "";
+		EXPECT_NE(record->value, nullptr) << key;
+		return record->value ? std::string((const char *)record->value, record->value_len)
+				     : "";
+	}
+	uint64_t config_version() const
+	{
+		return own.catalog ? dw_catalog_version(own.catalog) : 0;
+	}
+	bool is_evacuated(const std::string &domain) const
+	{
+		return dw_domain_list_contains(&own.evacuated, domain.c_str());
+	}
+};
+
+struct ViewRestore : testing::Test {
+	Store store;
+	Store copy;
+	Instance a{ "a" };
+	Instance b{ "b" };
+	Instance c{ "c" };
+	uint64_t now_us = 1000 * SECOND;
+
+	ViewRestore()
+	{
+		store.put("op/config", config(7, "k1"));
+		store.put("servers/e1", engine(5, 9));
+		store.put("op/evacuate/old", "{}");
+		copy = store;
+	}
+	/* A reads the store, B asks A, and C asks B. */
+	void pass_on()
+	{
+		ASSERT_EQ(b.ask(a, now_us), Instance::APPLIED);
+		ASSERT_EQ(c.ask(b, now_us), Instance::APPLIED);
+	}
+	void enter_first_era()
+	{
+		ASSERT_TRUE(a.read(store, now_us));
+		pass_on();
+	}
+};
+
+/* Guards against a lost evacuation that instances other than the readers obey for ever: nothing has changed in the
+ * store when the readers settle. */
+TEST_F(ViewRestore, WhatIsSettledIsPassedOnInAQuietStore)
+{
+	enter_first_era();
+	store.put("op/evacuate/lost", "{}");
+	a.watch(store, "op/evacuate/lost", now_us);
+	store.remove("op/evacuate/old");
+	a.watch(store, "op/evacuate/old", now_us);
+	pass_on();
+	store.restore(copy);
+	ASSERT_TRUE(a.read(store, now_us));
+	pass_on();
+	for (Instance *each : { &a, &b, &c }) {
+		EXPECT_TRUE(each->is_evacuated("lost"));
+		EXPECT_FALSE(each->is_evacuated("old"));
+	}
+	now_us += 7 * SECOND;
+	ASSERT_TRUE(a.read(store, now_us));
+	pass_on();
+	for (Instance *each : { &a, &b, &c }) {
+		EXPECT_FALSE(each->is_evacuated("lost"));
+		EXPECT_TRUE(each->is_evacuated("old"));
+	}
+}
+
+} // namespace
