View: a kept value that is packed is unpacked

Cause: a packed record that is older than the known one isn't unpacked, as its value isn't needed. A kept record has an earlier era than the older one that it replaces, so the log took it over without a value. An instance that had started after a restore lost its configuration by this, as the configuration of a larger site is packed (16 KB), and passed on an empty one.

Change: a kept record is always unpacked. It never refers to another value.

Seen red: ALargeKeptConfigurationReachesAnInstanceThatHasStarted of view_restore_test (an empty value, one bad input). Other tests with this commit that were green before: who knows more than its source, a chain that starts in the gap, a restore within the settling time, a store that begins to name its era, answers of an earlier era.

--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -489,11 +489,12 @@
 	return true;
 }
 
+/* Whether the record's value isn't needed. A kept one may replace one of a later era. */
 static bool is_known(const struct view *view, const struct dw_view_record *record)
 {
 	const struct dw_view_record *known = dw_view_log_find(view->records, record->key);
 
-	return known && known->revision >= record->revision;
+	return known && record->kept_over == 0 && known->revision >= record->revision;
 }
 
 /* Whether a record that the source doesn't keep may be older than the known one, as the store was restored. */
--- a/tests/view_restore_test.cc
+++ b/tests/view_restore_test.cc
@@ -231,4 +231,140 @@
 	}
 }
 
+/* Guards against an empty configuration: a kept value that is packed was taken for a known one, as the older one that
+ * the store shows has the higher revision. */
+TEST_F(ViewRestore, ALargeKeptConfigurationReachesAnInstanceThatHasStarted)
+{
+	store.put("op/config", config(8, "k2", 40000));
+	ASSERT_TRUE(a.read(store, now_us));
+	store.restore(copy);
+	ASSERT_TRUE(a.read(store, now_us));
+	EXPECT_EQ(a.config_version(), 8U);
+	ASSERT_TRUE(b.read(store, now_us));
+	EXPECT_EQ(b.config_version(), 7U) << "as the store shows it";
+	ASSERT_EQ(b.ask(a, now_us), Instance::APPLIED);
+	EXPECT_EQ(b.config_version(), 8U);
+	EXPECT_EQ(b.value("op/config"), a.value("op/config"));
+	EXPECT_EQ(b.counters.values[DW_COUNTER_BAD_INPUTS], 0U);
+}
+
+/* Guards against an instance that takes another one's word for an era of which it knows more than that one. */
+TEST_F(ViewRestore, WhoKnowsMoreThanItsSourceReadsTheStore)
+{
+	enter_first_era();
+	store.put("op/config", config(8, "k2"));
+	store.put("servers/e2", engine(6, 1));
+	b.watch(store, "op/config", now_us);
+	b.watch(store, "servers/e2", now_us);
+	store.restore(copy);
+	ASSERT_TRUE(a.read(store, now_us)) << "A doesn't know version 8";
+	ASSERT_EQ(a.config_version(), 7U);
+	ASSERT_EQ(b.ask(a, now_us), Instance::ASK_STORE);
+	ASSERT_TRUE(b.read(store, now_us));
+	EXPECT_EQ(b.config_version(), 8U);
+	EXPECT_EQ(b.value("op/config"), config(8, "k2"));
+	EXPECT_EQ(b.value("servers/e2"), "");
+	ASSERT_EQ(c.ask(b, now_us), Instance::APPLIED);
+	EXPECT_EQ(c.config_version(), 8U) << "C never knew it";
+	/* A asks B for all records, as an instance does that no source and no store serves. */
+	ASSERT_EQ(a.ask(b, now_us, true), Instance::APPLIED);
+	EXPECT_EQ(a.config_version(), 8U);
+}
+
+/* Guards against an older configuration over a newer one at the end of a chain that started in the gap. */
+TEST_F(ViewRestore, AChainThatStartsInTheGapGetsWhatIsKept)
+{
+	ASSERT_TRUE(a.read(store, now_us));
+	store.put("op/config", config(8, "k2"));
+	a.watch(store, "op/config", now_us);
+	store.put("servers/e1", engine(5, 10, "draining"));
+	a.watch(store, "servers/e1", now_us);
+	store.restore(copy);
+	ASSERT_TRUE(a.read(store, now_us));
+	ASSERT_TRUE(b.read(store, now_us));
+	ASSERT_TRUE(c.read(store, now_us));
+	pass_on();
+	for (Instance *each : { &a, &b, &c }) {
+		EXPECT_EQ(each->config_version(), 8U);
+		EXPECT_EQ(dw_engine_set_find(each->own.engines, "e1")->state, DW_ENGINE_DRAINING);
+	}
+	/* It is written again with the number that it had. */
+	store.put("op/config", config(8, "k2"));
+	a.watch(store, "op/config", now_us);
+	pass_on();
+	for (Instance *each : { &a, &b, &c })
+		EXPECT_EQ(dw_view_log_find(each->own.records, "op/config")->kept_over, 0U);
+}
+
+/* Guards against a kept record of era 1 that is lost, or kept for good, in era 3. */
+TEST_F(ViewRestore, ARestoreWithinTheSettlingTimeOfTheOneBefore)
+{
+	enter_first_era();
+	store.put("op/config", config(8, "k2"));
+	a.watch(store, "op/config", now_us);
+	store.put("op/evacuate/lost", "{}");
+	a.watch(store, "op/evacuate/lost", now_us);
+	store.remove("servers/e1");
+	a.watch(store, "servers/e1", now_us);
+	pass_on();
+	for (int restores = 0; restores < 3; restores++) {
+		store.restore(copy);
+		ASSERT_TRUE(a.read(store, now_us));
+		pass_on();
+		now_us += 4 * SECOND;
+		ASSERT_TRUE(a.read(store, now_us)) << "not settled";
+		pass_on();
+		for (Instance *each : { &a, &b, &c }) {
+			EXPECT_EQ(each->config_version(), 8U);
+			EXPECT_EQ(each->value("op/config"), config(8, "k2"));
+			EXPECT_TRUE(each->is_evacuated("lost"));
+			EXPECT_EQ(each->value("servers/e1"), "");
+		}
+	}
+	now_us += 3 * SECOND;
+	ASSERT_TRUE(a.read(store, now_us));
+	pass_on();
+	for (Instance *each : { &a, &b, &c }) {
+		EXPECT_FALSE(each->is_evacuated("lost"));
+		EXPECT_EQ(each->config_version(), 8U);
+		EXPECT_EQ(each->own.restore.count, 3U);
+	}
+}
+
+/* Guards against a store that begins to name its era and isn't understood: nothing of the copy changes. */
+TEST_F(ViewRestore, AStoreThatBeginsToNameItsEra)
+{
+	store.era = 0;
+	enter_first_era();
+	store.era = 5;
+	ASSERT_TRUE(a.read(store, now_us));
+	pass_on();
+	EXPECT_EQ(dw_view_log_kept_count(a.own.records), 0U);
+	for (Instance *each : { &a, &b, &c }) {
+		EXPECT_EQ(each->revision(), store.revision());
+		EXPECT_EQ(each->config_version(), 7U);
+		EXPECT_EQ(each->counters.values[DW_COUNTER_CONFIG_APPLIED], 1U);
+	}
+	store.put("op/config", config(8, "k2"));
+	a.watch(store, "op/config", now_us);
+	pass_on();
+	EXPECT_EQ(c.config_version(), 8U);
+}
+
+/* Guards against an answer of an era that has passed and proves that the copy is current. */
+TEST_F(ViewRestore, AnAnswerOfAnEarlierEraProvesNothing)
+{
+	enter_first_era();
+	Store before = store;
+	store.restore(copy);
+	store.put("op/config", config(9, "k3"));
+	ASSERT_TRUE(a.read(store, now_us));
+	EXPECT_FALSE(a.read(before, now_us + 1)) << "the store";
+	EXPECT_EQ(a.ask(b, now_us + 1), Instance::REFUSED) << "another instance";
+	EXPECT_EQ(a.ask(b, now_us + 1, true), Instance::REFUSED) << "all its records";
+	EXPECT_EQ(a.own.confirmed_at_us, now_us);
+	EXPECT_EQ(a.config_version(), 9U);
+	EXPECT_EQ(a.value("op/config"), config(9, "k3"));
+}
+
 } // namespace
