View: what was written after a restore replaces a kept order

Cause: after the first reading of an era, a reading of all keys compared a kept order with whatever the store showed by their numbers. An order that was written again after the restore usually has a lower number than the lost one, so it was held back until the 6 s had passed, and a record that the operator wrote twice was the lost one meanwhile.

Change: what the store shows beyond kept_over, the revision at which the record was found lost, was written after that and counts.

Seen red: AnOrderWrittenAgainIsTakenOver of view_restore_test at A, B and C.

--- a/src/wharf-gateway/view_restore.c
+++ b/src/wharf-gateway/view_restore.c
@@ -84,12 +84,14 @@
 	return state;
 }
 
-/* Whether the two may disagree because the store was restored. */
-static bool is_contested(const struct view_snapshot *snapshot, const struct dw_view_record *known)
+/* Whether the two may disagree because the store was restored. What the store shows beyond kept_over was written
+ * after that. */
+static bool is_contested(const struct view_snapshot *snapshot, const struct dw_view_record *known,
+			 const struct dw_view_record *shown)
 {
-	return known->kept_over > 0 ||
-	       (snapshot->is_entering &&
-		dw_revision_era(known->revision) < dw_revision_era(snapshot->revision));
+	if (snapshot->is_entering)
+		return dw_revision_era(known->revision) < dw_revision_era(snapshot->revision);
+	return known->kept_over > 0 && (!shown || shown->revision <= known->kept_over);
 }
 
 bool view_restore_keeps(const struct view_snapshot *snapshot, const struct dw_view_record *known,
@@ -100,7 +102,7 @@
 	enum dw_restored_kind kind;
 	const char *name;
 
-	if (!is_contested(snapshot, known))
+	if (!is_contested(snapshot, known, shown))
 		return false;
 	kind = kind_of(known->key, &name);
 	before = state_of(kind, name, known, true);
--- a/tests/view_restore_test.cc
+++ b/tests/view_restore_test.cc
@@ -248,6 +248,26 @@
 	EXPECT_EQ(b.counters.values[DW_COUNTER_BAD_INPUTS], 0U);
 }
 
+/* Guards against a lost order over one that was written after the restore, as its number is lower. */
+TEST_F(ViewRestore, AnOrderWrittenAgainIsTakenOver)
+{
+	enter_first_era();
+	for (int i = 0; i < 20; i++)
+		store.put("elsewhere", "x");
+	store.put("op/evacuate/lost", "first");
+	a.watch(store, "op/evacuate/lost", now_us);
+	pass_on();
+	store.restore(copy);
+	ASSERT_TRUE(a.read(store, now_us));
+	pass_on();
+	store.put("op/evacuate/lost", "second");
+	/* The history is dropped, so all keys are read again. */
+	ASSERT_TRUE(a.read(store, now_us));
+	pass_on();
+	for (Instance *each : { &a, &b, &c })
+		EXPECT_EQ(each->value("op/evacuate/lost"), "second");
+}
+
 /* Guards against an instance that takes another one's word for an era of which it knows more than that one. */
 TEST_F(ViewRestore, WhoKnowsMoreThanItsSourceReadsTheStore)
 {
