View: an instance enters an era with a whole answer, and not with records read ahead

Cause: changes from another instance tell what it lost of what it knew. A record that this instance had read ahead of its revision (pages of all keys have several) isn't among them, and stayed though the store had lost it. And of an answer with a value that can't be unpacked, the records before it were taken in and passed on in the era before.

Change: with such records, and with an answer that can't be unpacked, the instance doesn't enter the era; it asks the store, as it does for changes that no source has.

Seen red: WhatWasReadAheadDoesNotOutliveTheStore and AnAnswerThatCannotBeUnpackedChangesNothing of view_restore_test.

--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -557,6 +557,27 @@
 	return is_complete;
 }
 
+/* Whether this copy can take in a new era with the answer. Changes don't say what the store has lost that was read ahead
+ * of this copy's revision. A part of the answer would mix two eras. */
+static bool can_enter(const struct view *view, const struct view_answer *answer)
+{
+	if (!answer->is_snapshot && dw_view_log_is_ahead(view->records))
+		return false;
+	for (size_t i = 0; i < answer->record_count; i++) {
+		struct dw_view_record record = answer->records[i];
+		struct bytes value = { 0 };
+		enum dw_status status = DW_OK;
+
+		if (record.packed && !is_known(view, &record))
+			status = view_record_unpack(view->records, &record, VIEW_ANSWER_MAX_BYTES,
+						    &value);
+		bytes_free(&value);
+		if (status != DW_OK)
+			return false;
+	}
+	return true;
+}
+
 bool view_apply_answer(struct view *view, const struct view_answer *answer, const char *source,
 		       uint64_t now_us)
 {
@@ -569,6 +590,8 @@
 		note_answered(view, source, answer->revision, ignored_before, now_us);
 		return false;
 	}
+	if (dw_revision_era(answer->revision) > dw_revision_era(known) && !can_enter(view, answer))
+		return false;
 	snapshot = begin_answer(view, answer->revision, now_us);
 	is_complete = apply_answer(view, &snapshot, answer, now_us);
 	if (!is_complete)
--- a/tests/view_restore_test.cc
+++ b/tests/view_restore_test.cc
@@ -268,6 +268,59 @@
 		EXPECT_EQ(each->value("op/evacuate/lost"), "second");
 }
 
+/* Guards against a record that the store has lost and that stays: it was read ahead of the revision up to which all
+ * changes are known, so the changes of another instance don't mention it. */
+TEST_F(ViewRestore, WhatWasReadAheadDoesNotOutliveTheStore)
+{
+	enter_first_era();
+	store.put("servers/e2", engine(6, 1));
+	dw_store_event ahead{};
+	std::string text = engine(6, 1);
+	ahead.entry.key = "servers/e2";
+	ahead.entry.value = (const uint8_t *)text.c_str();
+	ahead.entry.value_len = text.size();
+	ahead.entry.mod_revision = store.revision();
+	view_apply(&b.own, &ahead, now_us);
+	store.restore(copy);
+	ASSERT_TRUE(a.read(store, now_us));
+	if (b.ask(a, now_us) != Instance::APPLIED) {
+		ASSERT_TRUE(b.read(store, now_us));
+	}
+	EXPECT_EQ(b.value("servers/e2"), "");
+	EXPECT_EQ(b.revision(), a.revision());
+}
+
+/* Guards against a copy of two eras: of an answer, the records before the first one that can't be unpacked were taken
+ * in, and the instance passed them on as those of the era before. */
+TEST_F(ViewRestore, AnAnswerThatCannotBeUnpackedChangesNothing)
+{
+	enter_first_era();
+	const uint8_t bytes[] = { 1, 2, 3 };
+	std::string text = engine(6, 1);
+	dw_view_record records[2] = {};
+	records[0].key = "servers/e2";
+	records[0].value = (const uint8_t *)text.c_str();
+	records[0].value_len = text.size();
+	records[0].revision = dw_revision_make(2, 14);
+	records[1].key = "op/config";
+	records[1].packed = bytes;
+	records[1].packed_len = sizeof(bytes);
+	records[1].base_revision = dw_revision_make(2, 13);
+	records[1].revision = dw_revision_make(2, 15);
+	view_answer answer{};
+	answer.revision = dw_revision_make(2, 16);
+	answer.records = records;
+	answer.record_count = 2;
+	for (bool is_snapshot : { false, true }) {
+		answer.is_snapshot = is_snapshot;
+		EXPECT_FALSE(view_apply_answer(&a.own, &answer, "other", now_us));
+		EXPECT_EQ(a.value("servers/e2"), "");
+		EXPECT_EQ(a.value("op/config"), config(7, "k1"));
+		EXPECT_EQ(a.own.restore.entered_at_us, 0U);
+		EXPECT_EQ(a.revision(), store.revision());
+	}
+}
+
 /* Guards against an instance that takes another one's word for an era of which it knows more than that one. */
 TEST_F(ViewRestore, WhoKnowsMoreThanItsSourceReadsTheStore)
 {
