View: a copy without a proof is no memory of the era before

Cause: an instance that had just started, and had only read the copy that may be seconds old when the store was restored, counted as one that had known the store. It wrote the key of the era at once, with the version of its old configuration; the instances that knew a newer one found the key written, and those that started were admitted with the old one.

Change: who had no proof in the era before waits with the key like any other newcomer, logs no restore, and is admitted by the key only.

Seen red: ACopyWithoutAProofIsNoMemory of view_restore_test (key due after 6 ms instead of over 3 s).

--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -383,8 +383,10 @@
 	struct view_snapshot snapshot = { .revision = revision };
 
 	snapshot.is_entering = known > 0 && dw_revision_era(revision) > dw_revision_era(known);
-	if (snapshot.is_entering)
+	if (snapshot.is_entering) {
 		view->restore.entered_at_us = now_us;
+		view->restore.awaits_settling = true;
+	}
 	snapshot.is_settled = view_restore_is_settled(&view->restore, now_us);
 	return snapshot;
 }
@@ -410,9 +412,11 @@
 	dw_view_log_complete(view->records, revision);
 	if (dw_revision_era(revision) <= dw_revision_era(known))
 		return;
+	/* A copy without a proof is no memory of what was in force. */
+	if (view->confirmed_at_us == 0)
+		known = 0;
 	if (known > 0) {
 		view->restore.count++;
-		view->restore.awaits_settling = true;
 		log_restore(view, known, revision);
 	}
 	era_guard_entered(&view->era_guard, dw_revision_era(revision), known > 0,
--- a/tests/view_restore_test.cc
+++ b/tests/view_restore_test.cc
@@ -424,6 +424,29 @@
 	EXPECT_EQ(c.config_version(), 8U);
 }
 
+/* Guards against an older configuration that is served: an instance had only a copy that may be seconds old when the
+ * store was restored, and told those that start that none newer was in force. */
+TEST_F(ViewRestore, ACopyWithoutAProofIsNoMemory)
+{
+	std::vector<dw_store_entry> entries;
+	std::string text = config(7, "k1");
+	dw_store_entry entry{};
+	entry.key = "op/config";
+	entry.value = (const uint8_t *)text.c_str();
+	entry.value_len = text.size();
+	entry.mod_revision = entry.create_revision = dw_revision_make(1, 11);
+	entries.push_back(entry);
+	ASSERT_TRUE(view_apply_all(&b.own, entries.data(), 1, copy.revision(), now_us));
+	store.put("op/config", config(8, "k2"));
+	store.restore(copy);
+	store.items["wharf/era"] = { 9, R"({"era":1,"config":7})" };
+	ASSERT_TRUE(b.read(store, now_us));
+	EXPECT_EQ(b.own.restore.count, 0U);
+	EXPECT_GE(b.own.era_guard.write_due_us, now_us + 3 * SECOND)
+		<< "those that knew the store come first";
+	EXPECT_EQ(view_catalog(&b.own), nullptr);
+}
+
 /* Guards against an answer of an era that has passed and proves that the copy is current. */
 TEST_F(ViewRestore, AnAnswerOfAnEarlierEraProvesNothing)
 {
