Platform: a write that was prepared in a later era than the client knows is sent

Cause: the adapter refused each write whose era differed from the newest one in its own answers. An instance that doesn't read the store learns of a restore from another instance; its client had no answer that said so, and refused all its writes from then on, those of evidence and quarantines too, until some other call happened to be answered.

Change: a write tells the client its era.

--- a/include/dragonflywharf/store_era.h
+++ b/include/dragonflywharf/store_era.h
@@ -32,6 +32,9 @@
 bool dw_store_era_answered(struct dw_store_era *era, enum dw_era_field field, uint64_t value,
 			   uint64_t newest_when_sent);
 
+/** Another instance has seen this era, or this one in what it got from that. Lower ones are ignored. */
+void dw_store_era_told(struct dw_store_era *era, uint64_t value);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/core/store_era.c
+++ b/src/core/store_era.c
@@ -30,3 +30,9 @@
 	}
 	return assume_newest(era, newest_when_sent);
 }
+
+void dw_store_era_told(struct dw_store_era *era, uint64_t value)
+{
+	if (value > era->newest)
+		era->newest = value;
+}
--- a/src/port/store.h
+++ b/src/port/store.h
@@ -99,7 +99,8 @@
 	 */
 	const char *guard_key;
 	uint64_t guard_revision;
-	/** The era that all this was prepared in: the write isn't sent in another one. 0: not checked. */
+	/** The era that all this was prepared in: the write isn't sent once a later one is known. It may be later than
+	 * those of the answers so far, as other instances pass it on. 0: not checked. */
 	uint64_t era;
 	uint64_t deadline_us;
 };
--- a/tests/store_era_test.cc
+++ b/tests/store_era_test.cc
@@ -56,6 +56,18 @@
 	}
 }
 
+/* Guards against an era that only other instances have seen, and that is taken back by what they tell. */
+TEST(StoreEra, OthersMayKnowALaterOne)
+{
+	dw_store_era era{};
+	dw_store_era_told(&era, 3);
+	EXPECT_EQ(era.newest, 3U);
+	dw_store_era_told(&era, 2);
+	dw_store_era_told(&era, 0);
+	EXPECT_EQ(era.newest, 3U);
+	EXPECT_FALSE(dw_store_era_answered(&era, DW_ERA_GIVEN, 2, 2)) << "sent before that";
+}
+
 /* Guards against an era that ever falls, whatever arrives in whatever order. */
 TEST(StoreEra, ItNeverFalls)
 {
