View: an instance that started after a restore settles too

Cause: only an instance that entered an era in which it had known the store gave up what it kept. One that started after the restore takes over the records that its source keeps, and kept lost orders for good.

Change: being told of kept records begins the settling time, as a deadline of its own.

--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -383,10 +383,8 @@
 	struct view_snapshot snapshot = { .revision = revision };
 
 	snapshot.is_entering = known > 0 && dw_revision_era(revision) > dw_revision_era(known);
-	if (snapshot.is_entering) {
-		view->restore.entered_at_us = now_us;
-		view->restore.awaits_settling = true;
-	}
+	if (snapshot.is_entering)
+		view_restore_entered(&view->restore, now_us);
 	snapshot.is_settled = view_restore_is_settled(&view->restore, now_us);
 	return snapshot;
 }
@@ -541,6 +539,8 @@
 	}
 	if (dw_view_log_put(view->records, &record, now_us))
 		apply_change(view, &event, now_us);
+	if (record.kept_over > 0 && dw_view_log_find(view->records, record.key)->kept_over > 0)
+		view_restore_told_kept(&view->restore, now_us);
 	bytes_free(&value);
 	return true;
 }
--- a/src/wharf-gateway/view_restore.c
+++ b/src/wharf-gateway/view_restore.c
@@ -11,9 +11,24 @@
 /* Other instances settle by then, as they entered the era at most seconds later. */
 #define ASK_KEPT_US (4 * DW_US_PER_S)
 
+void view_restore_entered(struct view_restore *restore, uint64_t now_us)
+{
+	restore->entered_at_us = now_us;
+	restore->settled_at_us = now_us + SETTLED_AFTER_US;
+	restore->awaits_settling = true;
+}
+
+void view_restore_told_kept(struct view_restore *restore, uint64_t now_us)
+{
+	if (restore->awaits_settling)
+		return;
+	restore->settled_at_us = now_us + SETTLED_AFTER_US;
+	restore->awaits_settling = true;
+}
+
 bool view_restore_is_settled(const struct view_restore *restore, uint64_t now_us)
 {
-	return now_us >= restore->entered_at_us + SETTLED_AFTER_US;
+	return now_us >= restore->settled_at_us;
 }
 
 bool view_restore_is_settling_due(const struct view_restore *restore, uint64_t now_us)
@@ -123,8 +138,7 @@
 	/* Engines and configurations may be kept until they change, so the question for them ends. */
 	restore->awaits_settling =
 		kept.orders > 0 ||
-		(kept.configs + kept.engines > 0 &&
-		 now_us < restore->entered_at_us + SETTLED_AFTER_US + ASK_KEPT_US);
+		(kept.configs + kept.engines > 0 && now_us < restore->settled_at_us + ASK_KEPT_US);
 	return restore->awaits_settling;
 }
 
--- a/src/wharf-gateway/view_restore.h
+++ b/src/wharf-gateway/view_restore.h
@@ -13,6 +13,7 @@
 struct view_restore {
 	uint64_t count; /**< restores that this instance has seen */
 	uint64_t entered_at_us; /**< when it learned of the last one; 0: it has seen none */
+	uint64_t settled_at_us; /**< when what nobody has written again counts as gone */
 	bool awaits_settling; /**< records may be kept that nobody has written again */
 	uint64_t
 		kept_asked_at_us; /**< when another instance was last asked which of them it keeps; 0: never */
@@ -29,6 +30,11 @@
 	bool is_settled; /**< what the store lost has been written again, or counts as gone */
 };
 
+/** This instance takes in the first state of an era. */
+void view_restore_entered(struct view_restore *restore, uint64_t now_us);
+/** Another instance has passed on a record that it keeps; this one may have started since the restore. */
+void view_restore_told_kept(struct view_restore *restore, uint64_t now_us);
+
 /** Whether lost records have been written again, as far as they will be. */
 bool view_restore_is_settled(const struct view_restore *restore, uint64_t now_us);
 
--- a/tests/view_restore_test.cc
+++ b/tests/view_restore_test.cc
@@ -321,6 +321,27 @@
 	}
 }
 
+/* Guards against a lost order that an instance obeys for good, since it started after the restore and was told what
+ * another one keeps. */
+TEST_F(ViewRestore, WhoStartedInTheGapSettlesToo)
+{
+	ASSERT_TRUE(a.read(store, now_us));
+	store.put("op/evacuate/lost", "{}");
+	a.watch(store, "op/evacuate/lost", now_us);
+	store.restore(copy);
+	ASSERT_TRUE(a.read(store, now_us));
+	now_us += 3 * SECOND;
+	ASSERT_TRUE(b.read(store, now_us));
+	ASSERT_EQ(b.ask(a, now_us), Instance::APPLIED);
+	EXPECT_TRUE(b.is_evacuated("lost"));
+	now_us += 4 * SECOND;
+	ASSERT_TRUE(a.read(store, now_us));
+	EXPECT_FALSE(a.is_evacuated("lost"));
+	now_us += 3 * SECOND;
+	ASSERT_EQ(b.ask(a, now_us), Instance::APPLIED);
+	EXPECT_FALSE(b.is_evacuated("lost"));
+}
+
 /* Guards against an instance that takes another one's word for an era of which it knows more than that one. */
 TEST_F(ViewRestore, WhoKnowsMoreThanItsSourceReadsTheStore)
 {
