--- a/src/core/view_log.c
+++ b/src/core/view_log.c
@@ -17,6 +17,7 @@
 	struct dw_view_record record; /* first: a record's address is that of its entry */
 	uint64_t updated_at_us;
 	uint64_t snapshot; /* number of the last snapshot that listed the key */
+	bool is_given_up; /* the record was kept, and the next one replaces it */
 	uint8_t *last_value; /* of a deleted key; NULL: unknown */
 	size_t last_len;
 	struct log_entry *next_forgotten;
@@ -27,7 +28,7 @@
 	struct log_entry *entries; /* by key, in the order of their first appearance */
 	uint64_t revision;
 	uint64_t forgotten_revision; /* highest revision of a forgotten deletion */
-	/* Deletions between these two revisions may be unknown. */
+	/* Not all changes between these two revisions are known. */
 	uint64_t gap_begin;
 	uint64_t gap_end;
 	uint64_t snapshot;
@@ -119,7 +120,7 @@
 	record->base_revision = packed ? from->base_revision : 0;
 }
 
-/* A restore leaves the records as they are that the copy has; they keep their revisions. */
+/* A restore leaves the records as they are that the copy has; they keep their revisions in the log. */
 static bool is_unchanged(const struct dw_view_record *known, const struct dw_view_record *record)
 {
 	if (dw_revision_number(known->revision) != dw_revision_number(record->revision) ||
@@ -130,14 +131,17 @@
 		memcmp(known->value, record->value, known->value_len) == 0);
 }
 
-static bool replaces(const struct dw_view_record *record, const struct dw_view_record *known)
+static bool replaces(const struct dw_view_log *log, const struct dw_view_record *record,
+		     const struct dw_view_record *known)
 {
 	if (known->revision == 0)
 		return true;
-	if (is_unchanged(known, record))
-		return false;
+	/* Also if it is written again as it was: others may not have it. */
 	if (known->kept_over > 0 && record->kept_over == 0)
 		return record->revision > known->kept_over;
+	/* What was written after the log's first revision of the era may repeat a number and value. */
+	if (record->revision <= log->gap_end && is_unchanged(known, record))
+		return false;
 	if (record->kept_over > 0 && known->kept_over == 0 &&
 	    dw_revision_era(record->revision) != dw_revision_era(known->revision))
 		return known->revision <= record->kept_over;
@@ -176,10 +180,16 @@
 	set_value(&entry->record, NULL);
 	entry->record.revision = revision;
 	entry->record.deleted = true;
-	entry->record.kept_over = 0;
 	entry->updated_at_us = now_us;
 }
 
+static void set_kept_over(struct log_entry *entry, uint64_t over)
+{
+	entry->record.was_kept = entry->record.kept_over > 0 || entry->is_given_up;
+	entry->is_given_up = false;
+	entry->record.kept_over = over;
+}
+
 bool dw_view_log_put(struct dw_view_log *log, const struct dw_view_record *record, uint64_t now_us)
 {
 	struct log_entry *entry = find_entry(log, record->key);
@@ -187,7 +197,7 @@
 	if (!entry)
 		entry = add_entry(log, record->key);
 	entry->snapshot = log->snapshot;
-	if (!replaces(record, &entry->record)) {
+	if (!replaces(log, record, &entry->record)) {
 		note_kept(&entry->record, record);
 		return false;
 	}
@@ -200,7 +210,7 @@
 		entry->record.deleted = false;
 		entry->updated_at_us = now_us;
 	}
-	entry->record.kept_over = record->kept_over;
+	set_kept_over(entry, record->kept_over);
 	return true;
 }
 
@@ -217,6 +227,7 @@
 	struct log_entry *entry = (struct log_entry *)record;
 
 	entry->record.kept_over = 0;
+	entry->is_given_up = true;
 }
 
 bool dw_view_log_is_listed(const struct dw_view_log *log, const struct dw_view_record *record)
@@ -262,10 +273,43 @@
 	return log->revision;
 }
 
+void dw_view_log_note_gap(struct dw_view_log *log, uint64_t revision)
+{
+	if (log->revision == 0 || revision <= log->revision)
+		return;
+	if (log->gap_end > 0 && log->gap_begin == log->revision) {
+		if (revision > log->gap_end)
+			log->gap_end = revision;
+		return;
+	}
+	/* One gap is remembered: what lies before an earlier one is forgotten. */
+	if (log->gap_end > log->forgotten_revision)
+		log->forgotten_revision = log->gap_end;
+	log->gap_begin = log->revision;
+	log->gap_end = revision;
+}
+
 void dw_view_log_complete(struct dw_view_log *log, uint64_t revision)
 {
-	if (revision > log->revision)
-		log->revision = revision;
+	if (revision <= log->revision)
+		return;
+	if (dw_revision_era(revision) > dw_revision_era(log->revision))
+		dw_view_log_note_gap(log, revision);
+	log->revision = revision;
+}
+
+bool dw_view_log_has_gap_after(const struct dw_view_log *log, uint64_t after)
+{
+	return after < log->gap_end;
+}
+
+bool dw_view_log_is_ahead(const struct dw_view_log *log)
+{
+	for (const struct log_entry *entry = log->entries; entry; entry = entry->hh.next) {
+		if (entry->record.revision > log->revision)
+			return true;
+	}
+	return false;
 }
 
 bool dw_view_log_covers(const struct dw_view_log *log, uint64_t after)
@@ -301,13 +345,7 @@
 {
 	if (log->revision == 0 && revision > log->forgotten_revision)
 		log->forgotten_revision = revision;
-	if (revision > log->revision && log->revision > 0) {
-		/* One gap is remembered: what lies before an earlier one is forgotten. */
-		if (log->gap_end > log->forgotten_revision)
-			log->forgotten_revision = log->gap_end;
-		log->gap_begin = log->revision;
-		log->gap_end = revision;
-	}
+	dw_view_log_note_gap(log, revision);
 	log->snapshot++;
 	log->next_checked = log->entries;
 }
@@ -323,6 +361,7 @@
 		    entry->record.revision > revision)
 			continue;
 		set_deleted(entry, revision, now_us);
+		set_kept_over(entry, 0);
 		return &entry->record;
 	}
 	return NULL;
@@ -336,7 +375,8 @@
 
 	log->next_checked = NULL;
 	HASH_ITER(hh, log->entries, entry, next) {
-		if (!entry->record.deleted || entry->updated_at_us >= before_us)
+		if (!entry->record.deleted || entry->record.kept_over > 0 ||
+		    entry->updated_at_us >= before_us)
 			continue;
 		if (entry->record.revision > log->forgotten_revision)
 			log->forgotten_revision = entry->record.revision;
--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -385,7 +385,7 @@
 
 	snapshot.is_entering = known > 0 && dw_revision_era(revision) > dw_revision_era(known);
 	if (snapshot.is_entering)
-		view->restore.entered_at_us = now_us;
+		view_restore_entered(&view->restore, now_us);
 	snapshot.is_settled = view_restore_is_settled(&view->restore, now_us);
 	return snapshot;
 }
@@ -411,9 +411,11 @@
 	dw_view_log_complete(view->records, revision);
 	if (dw_revision_era(revision) <= dw_revision_era(known))
 		return;
+	/* A copy without a proof is no memory of what was in force. */
+	if (view->confirmed_at_us == 0)
+		known = 0;
 	if (known > 0) {
 		view->restore.count++;
-		view->restore.awaits_settling = true;
 		log_restore(view, known, revision);
 	}
 	era_guard_entered(&view->era_guard, dw_revision_era(revision), known > 0,
@@ -498,11 +500,20 @@
 		view->restore.awaits_settling = false;
 }
 
+/* Whether the record's value isn't needed. A kept one may replace one of a later era. */
 static bool is_known(const struct view *view, const struct dw_view_record *record)
 {
 	const struct dw_view_record *known = dw_view_log_find(view->records, record->key);
 
-	return known && known->revision >= record->revision;
+	return known && record->kept_over == 0 && known->revision >= record->revision;
+}
+
+/* Whether a record that the source doesn't keep may be older than the known one, as the store was restored. */
+static bool is_contested(const struct view_snapshot *snapshot, const struct dw_view_record *known,
+			 const struct dw_view_record *passed_on)
+{
+	return known && passed_on->kept_over == 0 &&
+	       (snapshot->is_entering || known->kept_over >= passed_on->revision);
 }
 
 /* Applies a record that another instance passed on; false if it was packed and can't be unpacked. */
@@ -525,11 +536,20 @@
 	event.entry.value_len = record.value_len;
 	event.entry.mod_revision = record.revision;
 	view->records_ignored += is_superseded(view, &record);
-	if (snapshot->is_entering && known && record.kept_over == 0 &&
-	    view_restore_keeps(snapshot, known, &record))
-		dw_view_log_keep(view->records, known, record.revision);
-	else if (dw_view_log_put(view->records, &record, now_us))
+	if (is_contested(snapshot, known, &record)) {
+		if (view_restore_keeps(snapshot, known, &record)) {
+			dw_view_log_keep(view->records, known,
+					 max_u64(known->kept_over, record.revision));
+			bytes_free(&value);
+			return true;
+		}
+		if (known->kept_over >= record.revision)
+			dw_view_log_give_up(view->records, known);
+	}
+	if (dw_view_log_put(view->records, &record, now_us))
 		apply_change(view, &event, now_us);
+	if (record.kept_over > 0 && dw_view_log_find(view->records, record.key)->kept_over > 0)
+		view_restore_told_kept(&view->restore, now_us);
 	bytes_free(&value);
 	return true;
 }
@@ -541,6 +561,8 @@
 
 	if (answer->is_snapshot)
 		dw_view_log_begin_snapshot(view->records, answer->revision);
+	else if (answer->is_over_gap)
+		dw_view_log_note_gap(view->records, answer->revision);
 	for (size_t i = 0; i < answer->record_count; i++)
 		is_complete &= apply_passed_on(view, snapshot, &answer->records[i], now_us);
 	if (is_complete && answer->is_snapshot)
@@ -548,6 +570,27 @@
 	return is_complete;
 }
 
+/* Whether this copy can take in a new era with the answer. Changes don't say what the store has lost that was read ahead
+ * of this copy's revision. A part of the answer would mix two eras. */
+static bool can_enter(const struct view *view, const struct view_answer *answer)
+{
+	if (!answer->is_snapshot && dw_view_log_is_ahead(view->records))
+		return false;
+	for (size_t i = 0; i < answer->record_count; i++) {
+		struct dw_view_record record = answer->records[i];
+		struct bytes value = { 0 };
+		enum dw_status status = DW_OK;
+
+		if (record.packed && !is_known(view, &record))
+			status = view_record_unpack(view->records, &record, VIEW_ANSWER_MAX_BYTES,
+						    &value);
+		bytes_free(&value);
+		if (status != DW_OK)
+			return false;
+	}
+	return true;
+}
+
 bool view_apply_answer(struct view *view, const struct view_answer *answer, const char *source,
 		       uint64_t now_us)
 {
@@ -559,6 +602,8 @@
 		note_answered(view, source, answer->revision, known, now_us);
 		return false;
 	}
+	if (dw_revision_era(answer->revision) > dw_revision_era(known) && !can_enter(view, answer))
+		return false;
 	snapshot = begin_answer(view, answer->revision, now_us);
 	is_complete = apply_answer(view, &snapshot, answer, now_us);
 	if (!is_complete)
@@ -683,6 +728,12 @@
 	       dw_revision_era(dw_view_log_revision(view->records)) > 0;
 }
 
+bool view_asks_kept(struct view *view, uint64_t now_us)
+{
+	return view->restore.lacks_memory ||
+	       view_restore_asks_kept(&view->restore, view->records, now_us);
+}
+
 struct dw_catalog *view_catalog(const struct view *view)
 {
 	return view->confirmed_at_us > 0 && view->restore.is_admitted ? view->catalog : NULL;
