Billing: usage that a restored store lacks is written again

Cause: a batch that was written is dropped by its owner and by the holder of its copies. "Written" was taken to last.

Change: an owner keeps the bytes of its batches for 120 s (at most 4 MB) and creates them again when it learns of a restore; one that is still there counts as written. A batch whose answer comes after the restore is due again too. A graceful shutdown waits for them.

Ruled out: billing twice. The key of a batch belongs to one run of one instance and is created only, and the ledger counts a request once.

--- a/include/dragonflywharf/ledger.h
+++ b/include/dragonflywharf/ledger.h
@@ -57,6 +57,9 @@
 	 * DW_LEDGER_EXPOSED
 	 */
 	uint64_t max_protection_wait_us;
+	uint64_t
+		keep_us; /**< how long written batches are kept, to write them again into a restored store */
+	uint32_t max_kept_bytes; /**< of all kept batches; the oldest is dropped first */
 };
 
 enum dw_ledger_message_kind {
@@ -103,6 +106,9 @@
 	uint64_t adopted;
 	uint64_t exposed;
 	uint64_t refused;
+	uint64_t
+		written_again; /**< batches that were written again after a restore, or were still there */
+	uint64_t dropped; /**< kept batches that were dropped before keep_us, for max_kept_bytes */
 };
 
 enum dw_status dw_ledger_new(struct dw_ledger **out, const struct dw_ledger_options *options);
@@ -110,7 +116,7 @@
 
 /**
  * Defaults: 16,384 own records and 16,384 copies for peers, a batch of up to 1,024 records every 2
- * s.
+ * s, which is kept for 120 s.
  */
 struct dw_ledger_options dw_ledger_default_options(struct dw_member_key self);
 
@@ -182,6 +188,14 @@
 void dw_ledger_write_done(struct dw_ledger *ledger, uint64_t id, enum dw_status status,
 			  uint64_t now_us);
 
+/**
+ * The store came back from an older copy, which may lack batches that were written: those that are kept are due again. A batch
+ * that is still there counts as written.
+ */
+void dw_ledger_store_restored(struct dw_ledger *ledger, uint64_t now_us);
+/** Number of batches that are due again. */
+size_t dw_ledger_due_again(const struct dw_ledger *ledger);
+
 /** Handles expired deadlines. */
 void dw_ledger_tick(struct dw_ledger *ledger, uint64_t now_us);
 uint64_t dw_ledger_deadline_us(const struct dw_ledger *ledger);
--- a/src/core/ledger.c
+++ b/src/core/ledger.c
@@ -26,6 +26,8 @@
 		.write_interval_us = UINT64_C(2000000),
 		.retry_interval_us = UINT64_C(200000),
 		.max_protection_wait_us = UINT64_C(250000),
+		.keep_us = UINT64_C(120000000),
+		.max_kept_bytes = 4 * 1024 * 1024,
 	};
 }
 
@@ -76,6 +78,7 @@
 	DL_FOREACH_SAFE(ledger->acks, ack, next)
 		free(ack);
 	dw_replica_table_clear(&ledger->held);
+	dw_ledger_drop_kept(ledger);
 	msgpack_sbuffer_destroy(&ledger->buffer);
 	free(ledger);
 }
@@ -216,10 +219,31 @@
 	return !failed;
 }
 
+static void set_write(const struct dw_ledger *ledger, uint64_t seq, const uint8_t *bytes,
+		      size_t len, struct dw_ledger_write *write)
+{
+	write->id = seq;
+	snprintf(write->key, sizeof(write->key), "usage/%016" PRIx64 "/%016" PRIx64 "/%010" PRIu64,
+		 ledger->options.self.instance_id, ledger->options.self.incarnation, seq);
+	write->bytes = bytes;
+	write->len = len;
+}
+
+static bool next_again(struct dw_ledger *ledger, uint64_t now_us, struct dw_ledger_write *write)
+{
+	const struct dw_ledger_batch *batch = dw_ledger_next_again(ledger, now_us);
+
+	if (!batch)
+		return false;
+	ledger->again_seq = batch->seq;
+	set_write(ledger, batch->seq, batch->bytes, batch->len, write);
+	return true;
+}
+
 bool dw_ledger_next_write(struct dw_ledger *ledger, uint64_t now_us, struct dw_ledger_write *write)
 {
 	if (ledger->write_in_progress || !ledger->tail || now_us < ledger->write_at_us)
-		return false;
+		return next_again(ledger, now_us, write);
 	choose_batch_end(ledger);
 	if (!encode_batch(ledger)) {
 		ledger->write_at_us = now_us + ledger->options.retry_interval_us;
@@ -227,25 +251,26 @@
 	}
 	ledger->write_in_progress = true;
 	ledger->write_at_us = UINT64_MAX;
-	write->id = ledger->batch_seq;
-	snprintf(write->key, sizeof(write->key), "usage/%016" PRIx64 "/%016" PRIx64 "/%010" PRIu64,
-		 ledger->options.self.instance_id, ledger->options.self.incarnation,
-		 ledger->batch_seq);
-	write->bytes = (const uint8_t *)ledger->buffer.data;
-	write->len = ledger->buffer.size;
+	set_write(ledger, ledger->batch_seq, (const uint8_t *)ledger->buffer.data,
+		  ledger->buffer.size, write);
 	return true;
 }
 
 void dw_ledger_write_done(struct dw_ledger *ledger, uint64_t id, enum dw_status status,
 			  uint64_t now_us)
 {
-	if (!ledger->write_in_progress || id != ledger->batch_seq)
+	if (!ledger->write_in_progress || id != ledger->batch_seq) {
+		dw_ledger_again_done(ledger, id, status, now_us);
 		return;
+	}
 	ledger->write_in_progress = false;
 	if (status != DW_OK && status != DW_CONFLICT) {
+		ledger->write_void = false;
 		ledger->write_at_us = now_us + ledger->options.retry_interval_us;
 		return;
 	}
+	dw_ledger_keep_batch(ledger, now_us);
+	ledger->write_void = false;
 	while (ledger->tail && ledger->tail->seq <= ledger->batch_end_seq) {
 		remove_entry(ledger, ledger->tail);
 		ledger->counters.written++;
@@ -288,6 +313,9 @@
 	const struct dw_ledger_entry *entry;
 	uint64_t due_us = ledger->write_in_progress ? UINT64_MAX : ledger->write_at_us;
 
+	if (ledger->again_seq == 0 && dw_ledger_due_again(ledger) > 0)
+		due_us = earlier(due_us, ledger->again_at_us);
+
 	if (holder->present && holder->sent_seq > holder->acked_seq &&
 	    holder->sent_seq > ledger->written_seq)
 		due_us = earlier(due_us, holder->resend_at_us);
--- a/src/core/ledger_state.h
+++ b/src/core/ledger_state.h
@@ -35,6 +35,17 @@
 	struct dw_ledger_ack *next;
 };
 
+/** A batch that was written, as a restored store may lack it. */
+struct dw_ledger_batch {
+	uint64_t seq;
+	uint64_t until_us;
+	bool due; /**< to be written again */
+	uint8_t *bytes;
+	size_t len;
+	struct dw_ledger_batch *prev; /**< oldest first */
+	struct dw_ledger_batch *next;
+};
+
 /** The peer that holds copies of the own tail. Sequence numbers start at 1. */
 struct dw_ledger_holder {
 	struct dw_member_key key;
@@ -62,6 +73,12 @@
 	uint64_t batch_end_seq; /**< last record of the batch in progress; 0: none */
 	uint64_t batch_seq;
 	bool write_in_progress;
+	bool write_void; /**< it began before a restore, and may be lost */
+	struct dw_ledger_batch *kept;
+	size_t kept_bytes;
+	uint64_t again_seq; /**< the kept batch that is being written; 0: none */
+	bool again_void; /**< that write began before a restore */
+	uint64_t again_at_us; /**< earliest time of the next one */
 	uint64_t write_at_us; /**< time of the next write; UINT64_MAX: none is due */
 	bool flushing;
 	msgpack_sbuffer buffer;
@@ -78,6 +95,19 @@
 /** Schedules the next write after the interval that the holder and the size of the tail require. */
 void dw_ledger_schedule_write(struct dw_ledger *ledger, uint64_t now_us);
 
+/** Keeps the bytes of the batch that has just been written. */
+void dw_ledger_keep_batch(struct dw_ledger *ledger, uint64_t now_us);
+
+/** The next kept batch to write again; NULL if none is due or one is in progress. */
+struct dw_ledger_batch *dw_ledger_next_again(struct dw_ledger *ledger, uint64_t now_us);
+
+/** Reports the result of writing one again. */
+void dw_ledger_again_done(struct dw_ledger *ledger, uint64_t seq, enum dw_status status,
+			  uint64_t now_us);
+
+/** Frees all kept batches. */
+void dw_ledger_drop_kept(struct dw_ledger *ledger);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/dragonflywharfd/ledger_sync.c
+++ b/src/dragonflywharfd/ledger_sync.c
@@ -278,6 +278,12 @@
 	dw_ledger_set_holder(sync->ledger, best ? &sync->holder : NULL, dw_clock_now_us());
 }
 
+void ledger_sync_store_restored(struct ledger_sync *sync)
+{
+	dw_ledger_store_restored(sync->ledger, dw_clock_now_us());
+	ledger_sync_pump(sync);
+}
+
 void ledger_sync_tick(struct ledger_sync *sync)
 {
 	choose_holder(sync);
@@ -293,5 +299,5 @@
 
 size_t ledger_sync_unwritten(const struct ledger_sync *sync)
 {
-	return dw_ledger_unwritten(sync->ledger);
+	return dw_ledger_unwritten(sync->ledger) + dw_ledger_due_again(sync->ledger);
 }
--- a/src/dragonflywharfd/ledger_sync.h
+++ b/src/dragonflywharfd/ledger_sync.h
@@ -35,6 +35,9 @@
 
 void ledger_sync_handle_dead_member(struct ledger_sync *sync, struct dw_member_key member);
 
+/** The store came back from an older copy, see dw_ledger_store_restored(). */
+void ledger_sync_store_restored(struct ledger_sync *sync);
+
 void ledger_sync_tick(struct ledger_sync *sync);
 
 /** Starts writing all unwritten records; for a graceful shutdown. */
--- a/src/dragonflywharfd/store_history.c
+++ b/src/dragonflywharfd/store_history.c
@@ -1,5 +1,6 @@
 #include "dragonflywharfd/store_history.h"
 
+#include "dragonflywharfd/ledger_sync.h"
 #include "dragonflywharfd/once_sync.h"
 #include "dragonflywharfd/peer_bus.h"
 
@@ -22,6 +23,7 @@
 	daemon->store_restored_at_us = dw_clock_now_us();
 	tell_peers(daemon);
 	once_sync_store_restored(daemon->once_sync);
+	ledger_sync_store_restored(daemon->ledger_sync);
 }
 
 static void on_restored(uint64_t revision_before, uint64_t revision, void *data)
--- a/tests/ledger_test.cc
+++ b/tests/ledger_test.cc
@@ -393,6 +393,54 @@
 	dw_ledger_free(ledger);
 }
 
+/* Guards against batches that a restored store lacks: those written before, and one whose answer comes after. */
+TEST(Ledger, ARestoredStoreGetsTheBatchesOfBeforeAgain)
+{
+	dw_ledger_options options = dw_ledger_default_options({ 1, 1 });
+	dw_ledger *ledger = nullptr;
+	std::map<std::string, std::string> batches; /* by key */
+	std::map<std::string, std::string> again;
+	uint64_t now_us = 1000 * MS;
+	dw_ledger_write write;
+	uint64_t seq;
+
+	auto append = [&](int i) {
+		dw_usage_record record = record_of(i, now_us);
+
+		ASSERT_EQ(dw_ledger_reserve(ledger), DW_OK);
+		ASSERT_EQ(dw_ledger_append(ledger, &record, now_us, &seq), DW_OK);
+		now_us += options.write_interval_us;
+		ASSERT_TRUE(dw_ledger_next_write(ledger, now_us, &write));
+		batches[write.key] = std::string((const char *)write.bytes, write.len);
+	};
+
+	ASSERT_EQ(dw_ledger_new(&ledger, &options), DW_OK);
+	for (int i = 0; i < 3; i++) {
+		append(i);
+		dw_ledger_write_done(ledger, write.id, DW_OK, now_us);
+	}
+	append(3);
+	dw_ledger_store_restored(ledger, now_us);
+	dw_ledger_write_done(ledger, write.id, DW_OK, now_us);
+	EXPECT_EQ(dw_ledger_due_again(ledger), 4u);
+	while (dw_ledger_next_write(ledger, now_us, &write)) {
+		again[write.key] = std::string((const char *)write.bytes, write.len);
+		/* A failure is repeated; one that is there already counts as written. */
+		dw_ledger_write_done(ledger, write.id, DW_UNKNOWN_OUTCOME, now_us);
+		now_us += options.retry_interval_us;
+		ASSERT_TRUE(dw_ledger_next_write(ledger, now_us, &write));
+		dw_ledger_write_done(ledger, write.id, DW_CONFLICT, now_us);
+	}
+	EXPECT_EQ(again, batches);
+	EXPECT_EQ(dw_ledger_due_again(ledger), 0u);
+	now_us += options.keep_us;
+	append(4);
+	dw_ledger_write_done(ledger, write.id, DW_OK, now_us);
+	dw_ledger_store_restored(ledger, now_us);
+	EXPECT_EQ(dw_ledger_due_again(ledger), 1u) << "batches are kept for keep_us only";
+	dw_ledger_free(ledger);
+}
+
 TEST(Ledger, AFullTailRefusesBeforeTheRequestRuns)
 {
 	dw_ledger_options options = dw_ledger_default_options({ 1, 1 });
--- a/tests/process_daemon_restore_test.cc
+++ b/tests/process_daemon_restore_test.cc
@@ -14,23 +14,30 @@
 struct DaemonRestore : public ::testing::Test {
 	cluster c;
 	support::standin *booking = nullptr;
+	support::standin *engine = nullptr;
 	support::daemon *a = nullptr;
 	support::daemon *b = nullptr;
 
 	void SetUp() override
 	{
 		booking = &c.add_service("booking", "haarlem");
+		engine = &c.add_engine("engine-1", "haarlem", { "large/1" }, { "--token-us=500" });
 		a = &c.add_daemon("entry-1", { .failure_domain = "haarlem" });
 		b = &c.add_daemon("entry-2", { .failure_domain = "zaandam" });
 		c.apply({
 			"{\"failure_domain\":{\"name\":\"haarlem\"}}",
 			cluster::service_entity(*booking, "haarlem", 64),
 			"{\"service\":{\"name\":\"booking\",\"idempotent_paths\":[\"/slots\"]}}",
-			cluster::organisation_entity("mill", {}, { "booking" }),
+			cluster::engine_entity(*engine, "haarlem", { "large/1" }, 16, 16, 50),
+			"{\"model\":{\"name\":\"large\"}}",
+			"{\"version\":{\"model\":\"large\",\"name\":\"1\",\"rollout_weight\":1}}",
+			cluster::organisation_entity("mill", { "large" }, { "booking" }),
+			cluster::organisation_entity("edam", { "large" }),
 		});
 		for (support::daemon *d : { a, b })
-			cluster::wait_until("a permit for " + d->name, [&] {
-				return c.service(*d, "mill", "booking/slots", "{}").status == 200;
+			cluster::wait_until("permits for " + d->name, [&] {
+				return c.service(*d, "mill", "booking/slots", "{}").status == 200 &&
+				       chat(*d, "edam", "permit").status == 200;
 			});
 	}
 
@@ -41,6 +48,31 @@
 			{ { "idempotency-key", key }, { "x-request-timeout-ms", "10000" } });
 	}
 
+	http_answer chat(const support::daemon &d, const std::string &organisation,
+			 const std::string &text)
+	{
+		return c.chat(d, organisation, support::chat_body("large", text, 4));
+	}
+
+	/* Answers of the model to an organisation that the store has usage records of. */
+	int64_t billed(const std::string &organisation)
+	{
+		std::string output = c.ctl({ "--json", "usage" }).output;
+
+		for (int i = 0; i < 4; i++) {
+			std::string at = std::to_string(i);
+
+			if (support::json_string(output, { "totals", at, "organisation" }) ==
+				    organisation &&
+			    support::json_string(output, { "totals", at, "version" }) == "large/1")
+				return strtoll(
+					support::json_string(output, { "totals", at, "requests" })
+						.c_str(),
+					nullptr, 10);
+		}
+		return 0;
+	}
+
 	int64_t executions(const std::string &key)
 	{
 		return std::max<int64_t>(0, booking->stat("executions." + key + " /reserve"));
@@ -88,4 +120,24 @@
 	}
 }
 
+// Guards against usage that was billed, is lost with the store's last seconds, and isn't missed by anyone.
+TEST_F(DaemonRestore, UsageThatTheStoreForgotIsBilledOnce)
+{
+	constexpr int requests = 6;
+
+	c.kv.admin("/admin/backup");
+	for (int i = 0; i < requests; i++)
+		ASSERT_EQ(chat(i % 2 ? *a : *b, "mill", "lost " + std::to_string(i)).status, 200);
+	ASSERT_TRUE(cluster::wait_until("the usage is in the store", [&] {
+		return billed("mill") == requests;
+	})) << c.ctl({ "--json", "usage" }).output;
+	restore();
+	EXPECT_TRUE(cluster::wait_until("the usage is in the store again",
+					[&] { return billed("mill") == requests; }))
+		<< billed("mill") << " of " << requests;
+	ASSERT_EQ(chat(*a, "mill", "later").status, 200);
+	EXPECT_TRUE(cluster::wait_until("later usage is added",
+					[&] { return billed("mill") == requests + 1; }));
+}
+
 } // namespace
