Freshness: a proof from the second before a watch was cut holds for its begin

Cause: while the store discards its history, its watches hear nothing for a second, and are then cut. A store that answers them in that second with the last revision of which it told them looks like one without changes, and by the answer it can't be told apart: each such answer counted as a proof. If the store was silent after that, requests with a key that had been taken away ran up to 0.4 s later than revocation_ms, of which the proofs leave a tenth.

Change: a watch that the store cuts while it waits is what tells. The adapter notes the second before it (dw_freshness_gap); for requests with keys a proof from within it holds for its begin only, until there is one from after the cut. Answers of one instance to another have the gap (encoding 4, /view/4). The dates by which sources are left and the store is read are as they were, so there are no more calls; while the store is silent and no watch was cut nothing is refused earlier.

Ruled out: a limit of revocation_ms less 1 s for all proofs, which refuses requests half a second earlier in each silence of the store; a read of one key beside each poll, which doubles the calls; to set the proof itself back, at which sources would be left for a moment at each cut.

The two encodings of the tests of malformed answers and paths are those of version 4; version 3 is among the refused ones.

--- a/include/dragonflywharf/freshness.h
+++ b/include/dragonflywharf/freshness.h
@@ -17,6 +17,25 @@
 extern "C" {
 #endif
 
+/**
+ * A time in which a watch may have heard nothing of changes: the store cuts its watches when it discards its
+ * history, and may have told them nothing for a while before. A proof from that time holds for its begin only.
+ */
+struct dw_freshness_gap {
+	uint64_t from_us;
+	uint64_t until_us; /**< 0: there was none */
+};
+
+/**
+ * Takes in a gap, unless a later one is known.
+ * @param confirmed_at_us the newest proof so far
+ */
+void dw_freshness_gap_found(struct dw_freshness_gap *gap, const struct dw_freshness_gap *found,
+			    uint64_t confirmed_at_us);
+
+/** The time for which a proof of @p confirmed_at_us holds. */
+uint64_t dw_freshness_proven_us(const struct dw_freshness_gap *gap, uint64_t confirmed_at_us);
+
 /**
  * True if a request that arrived at @p arrived_at_us may be served.
  * @param confirmed_at_us time up to which all changes are known to have been seen; 0: never
--- a/src/core/freshness.c
+++ b/src/core/freshness.c
@@ -10,6 +10,27 @@
 #define WAIT_PERMILLE 400
 #define WAIT_MAX_US UINT64_C(2000000)
 
+void dw_freshness_gap_found(struct dw_freshness_gap *gap, const struct dw_freshness_gap *found,
+			    uint64_t confirmed_at_us)
+{
+	struct dw_freshness_gap known = *gap;
+
+	if (found->until_us <= known.until_us)
+		return;
+	*gap = *found;
+	/* Without a proof between the two, the earlier one still counts. */
+	if (known.until_us > 0 && confirmed_at_us <= known.until_us &&
+	    known.from_us < found->from_us)
+		gap->from_us = known.from_us;
+}
+
+uint64_t dw_freshness_proven_us(const struct dw_freshness_gap *gap, uint64_t confirmed_at_us)
+{
+	if (confirmed_at_us > gap->until_us || confirmed_at_us < gap->from_us)
+		return confirmed_at_us;
+	return gap->from_us;
+}
+
 bool dw_freshness_allows(uint64_t confirmed_at_us, uint64_t arrived_at_us, uint64_t revocation_us)
 {
 	uint64_t limit_us = revocation_us * SERVED_PERMILLE / 1000;
--- a/src/net/view_codec.c
+++ b/src/net/view_codec.c
@@ -14,6 +14,8 @@
 	ANSWER_HELD,
 	ANSWER_AGE,
 	ANSWER_STORE_BACK,
+	ANSWER_GAP_FROM,
+	ANSWER_GAP_UNTIL,
 	ANSWER_RECORDS,
 	ANSWER_FIELD_COUNT
 };
@@ -93,6 +95,8 @@
 	msgpack_pack_uint64(packer, answer->held_us);
 	pack_optional(packer, answer->has_proof, answer->age_us);
 	pack_optional(packer, answer->had_outage, answer->store_back_us);
+	pack_optional(packer, answer->has_gap, answer->gap_from_us);
+	pack_optional(packer, answer->has_gap, answer->gap_until_us);
 	msgpack_pack_array(packer, count);
 	while ((record = dw_view_log_next(log, record))) {
 		if (is_included(record, answer, after))
@@ -182,6 +186,7 @@
 	const msgpack_object *fields = dw_msgpack_read_array(object, ANSWER_FIELD_COUNT);
 	uint64_t is_snapshot = 0;
 	uint64_t hops = 0;
+	bool has_end = false;
 	uint64_t version = 0;
 
 	if (!fields ||
@@ -193,7 +198,10 @@
 	    !dw_msgpack_read_uint(&fields[ANSWER_IS_SNAPSHOT], 1, &is_snapshot) ||
 	    !dw_msgpack_read_uint(&fields[ANSWER_HELD], UINT64_MAX, &out->held_us) ||
 	    !read_optional(&fields[ANSWER_AGE], &out->has_proof, &out->age_us) ||
-	    !read_optional(&fields[ANSWER_STORE_BACK], &out->had_outage, &out->store_back_us))
+	    !read_optional(&fields[ANSWER_STORE_BACK], &out->had_outage, &out->store_back_us) ||
+	    !read_optional(&fields[ANSWER_GAP_FROM], &out->has_gap, &out->gap_from_us) ||
+	    !read_optional(&fields[ANSWER_GAP_UNTIL], &has_end, &out->gap_until_us) ||
+	    has_end != out->has_gap || (has_end && out->gap_until_us > out->gap_from_us))
 		return false;
 	out->hops = (uint32_t)hops;
 	out->is_snapshot = is_snapshot != 0;
--- a/src/net/view_codec.h
+++ b/src/net/view_codec.h
@@ -3,12 +3,14 @@
  * Encoding of the answer in which one instance passes records of the store to another.
  *
  * The answer is a msgpack array: version of this encoding, revision, hops, whether these are all records,
- * time held, age of the proof or nil, time since the end of the store's last outage or nil, and the
+ * time held, age of the proof or nil, time since the end of the store's last outage or nil, since the
+ * begin and the end of the last time from which proofs may lack changes or nil, and the
  * records, each an array of key, revision and value; in place of the value nil for a deleted key, and
  * for a packed value (value_codec) an array of the revision of its base, 0 without one, and bytes. The fourth
  * field of a record is the revision that it is kept over, as the store has lost it in a restore, or 0. Revisions hold the store's era.
  *
- * An instance of version 2 would take such a revision for one of the store, so it gets no answer (404).
+ * An instance of version 2 would take such a revision for one of the store, so it gets no answer (404); nor does one
+ * of version 3, which doesn't know of gaps.
  */
 #ifndef WHARF_NET_VIEW_CODEC_H
 #define WHARF_NET_VIEW_CODEC_H
@@ -22,7 +24,7 @@
 extern "C" {
 #endif
 
-#define VIEW_CODEC_VERSION 3
+#define VIEW_CODEC_VERSION 4
 #define VIEW_ANSWER_MAX_BYTES (UINT64_C(32) << 20)
 
 struct view_answer {
@@ -34,6 +36,9 @@
 	uint64_t age_us;
 	bool had_outage; /**< the store came back store_back_us before the answer */
 	uint64_t store_back_us;
+	bool has_gap; /**< proofs from gap_from_us to gap_until_us before the answer may lack changes */
+	uint64_t gap_from_us;
+	uint64_t gap_until_us;
 	bool with_kept; /**< for view_answer_pack(): also all kept records, of whatever revision */
 	/** Only set by view_answer_unpack(). A packed one has no value. */
 	struct dw_view_record *records;
--- a/src/port/store.h
+++ b/src/port/store.h
@@ -16,6 +16,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include <dragonflywharf/freshness.h>
 #include <dragonflywharf/status.h>
 #include <dragonflywharf/store_era.h>
 #include <dragonflywharf/store_revision.h>
@@ -175,6 +176,8 @@
 	/** Bytes of answers that were given up before their end, because of a timeout or a fault. */
 	uint64_t abandoned_bytes;
 	struct dw_store_era era; /**< as an adapter whose store has eras keeps it */
+	/** Before a watch was last cut: proofs from then may lack changes. Set before on_ended is called. */
+	struct dw_freshness_gap unheard;
 };
 
 /** Reads one key. */
--- a/src/wharf-gateway/store_sync.c
+++ b/src/wharf-gateway/store_sync.c
@@ -82,6 +82,7 @@
 
 	sync->watch = NULL;
 	sync->is_history_lost = status == DW_STALE;
+	view_gap_found(sync->view, &sync->store->unheard);
 	retry_later(sync, status);
 }
 
--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -647,9 +647,16 @@
 		     DW_INT("age_ms", age_ms(view, now_us)));
 }
 
+void view_gap_found(struct view *view, const struct dw_freshness_gap *gap)
+{
+	dw_freshness_gap_found(&view->unheard, gap, view->confirmed_at_us);
+}
+
 uint64_t view_config_known_at_us(const struct view *view)
 {
-	return view->is_config_unreadable ? view->config_known_at_us : view->confirmed_at_us;
+	return dw_freshness_proven_us(&view->unheard, view->is_config_unreadable
+							      ? view->config_known_at_us
+							      : view->confirmed_at_us);
 }
 
 static bool is_config_known(const struct view *view, uint64_t now_us)
--- a/src/wharf-gateway/view.h
+++ b/src/wharf-gateway/view.h
@@ -48,6 +48,7 @@
 	struct dw_view_log *records; /**< newest known record of each key */
 	struct dw_view_source source; /**< from where this copy is kept up to date */
 	uint64_t confirmed_at_us; /**< when the copy was last known to be current; 0: never */
+	struct dw_freshness_gap unheard; /**< of this instance's watch, or another's */
 	/** The newest configuration can't be read: it may have taken keys away. */
 	bool is_config_unreadable;
 	uint64_t config_known_at_us; /**< last time before it; valid with is_config_unreadable */
@@ -120,6 +121,9 @@
 void view_store_lost(struct view *view, enum dw_status reason, uint64_t abandoned_bytes,
 		     uint64_t now_us);
 
+/** Proofs from that time may lack changes. To be called before a proof of the same answer is taken in. */
+void view_gap_found(struct view *view, const struct dw_freshness_gap *gap);
+
 /** When the configuration in force was last known to be the newest one; 0: never. */
 uint64_t view_config_known_at_us(const struct view *view);
 
--- a/src/wharf-gateway/view_server.c
+++ b/src/wharf-gateway/view_server.c
@@ -39,12 +39,17 @@
 		.held_us = now_us - arrived_at_us,
 		.has_proof = view->confirmed_at_us > 0,
 		.had_outage = view->outage.ended_at_us > 0,
+		.has_gap = view->unheard.until_us > 0,
 	};
 
 	if (answer.has_proof)
 		answer.age_us = now_us - view->confirmed_at_us;
 	if (answer.had_outage)
 		answer.store_back_us = now_us - view->outage.ended_at_us;
+	if (answer.has_gap) {
+		answer.gap_from_us = now_us - view->unheard.from_us;
+		answer.gap_until_us = now_us - view->unheard.until_us;
+	}
 	/* Without a copy there is nothing to tell, above all not that no key exists. */
 	if (answer.revision == 0)
 		answer.is_snapshot = false;
--- a/src/wharf-gateway/view_sync.c
+++ b/src/wharf-gateway/view_sync.c
@@ -80,12 +80,29 @@
 		DW_INT("age_ms", (dw_clock_now_us() - sync->view->confirmed_at_us) / DW_US_PER_MS));
 }
 
+/* The answer's gap on this instance's clock, at its longest: its end may be that of the answer's arrival, and its begin
+ * is dated from before the request, as proofs are. */
+static struct dw_freshness_gap dated_gap(const struct view_sync *sync,
+					 const struct view_answer *answer, uint64_t now_us)
+{
+	struct dw_freshness_gap gap = { 0 };
+	uint64_t arrived_at_us = sync->requested_at_us + answer->held_us;
+
+	if (!answer->has_gap || answer->gap_until_us >= now_us)
+		return gap;
+	gap.until_us = now_us - answer->gap_until_us;
+	if (answer->gap_from_us < arrived_at_us)
+		gap.from_us = arrived_at_us - answer->gap_from_us;
+	return gap;
+}
+
 static void apply_answer(struct view_sync *sync, const struct view_answer *answer)
 {
 	struct view *view = sync->view;
 	uint64_t now_us = dw_clock_now_us();
 	uint64_t confirmed_at_us = 0;
 	uint64_t outage_ended_at_us = 0;
+	struct dw_freshness_gap gap;
 	struct dw_endpoint address = { 0 };
 
 	if (answer->has_proof)
@@ -98,6 +115,8 @@
 	if (answer->had_outage && answer->store_back_us < now_us)
 		outage_ended_at_us = now_us - answer->store_back_us;
 	finish_request(sync);
+	gap = dated_gap(sync, answer, now_us);
+	view_gap_found(view, &gap);
 	view_peer_answered(view, outage_ended_at_us);
 	peers_find(&view->peers, sync->asked, &address);
 	if (!view_apply_answer(view, answer, address.ip, now_us)) {
--- a/tests/freshness_test.cc
+++ b/tests/freshness_test.cc
@@ -73,6 +73,43 @@
 	EXPECT_FALSE(dw_freshness_allows(0, 1, REVOCATION));
 }
 
+/* Guards against proofs that may lack changes: one from the time before a watch was cut holds for its begin only. */
+TEST(Freshness, AProofFromAGapHoldsForItsBegin)
+{
+	dw_freshness_gap gap{};
+	dw_freshness_gap found{ START, START + 1000 * MS };
+
+	EXPECT_EQ(dw_freshness_proven_us(&gap, START), START);
+	EXPECT_EQ(dw_freshness_proven_us(&gap, 0), 0U);
+	dw_freshness_gap_found(&gap, &found, START + 900 * MS);
+	EXPECT_EQ(dw_freshness_proven_us(&gap, 0), 0U);
+	EXPECT_EQ(dw_freshness_proven_us(&gap, START - 1), START - 1);
+	EXPECT_EQ(dw_freshness_proven_us(&gap, START + 900 * MS), START);
+	EXPECT_EQ(dw_freshness_proven_us(&gap, START + 1000 * MS), START);
+	EXPECT_EQ(dw_freshness_proven_us(&gap, START + 1000 * MS + 1), START + 1000 * MS + 1);
+}
+
+/* Guards against a second cut that makes a proof from before the first one good again, and against many cuts, with
+ * proofs between them, that add up to one long gap. */
+TEST(Freshness, TheLastOfSeveralGapsCountsAndThoseWithoutAProofBetween)
+{
+	dw_freshness_gap gap{};
+	dw_freshness_gap first{ START, START + 1000 * MS };
+	dw_freshness_gap second{ START + 500 * MS, START + 1500 * MS };
+	uint64_t proof = START + 900 * MS;
+
+	dw_freshness_gap_found(&gap, &first, proof);
+	dw_freshness_gap_found(&gap, &second, proof);
+	EXPECT_EQ(dw_freshness_proven_us(&gap, proof), START);
+	dw_freshness_gap_found(&gap, &first, proof);
+	EXPECT_EQ(dw_freshness_proven_us(&gap, START + 1400 * MS), START)
+		<< "an older one is known";
+
+	gap = first;
+	dw_freshness_gap_found(&gap, &second, START + 1200 * MS);
+	EXPECT_EQ(dw_freshness_proven_us(&gap, START + 1200 * MS), START + 500 * MS);
+}
+
 /* Guards against needless load on the store: without events, a call lasts for the longest wait. */
 TEST(Freshness, WithoutEventsTheWatchWaitsTheWholeTime)
 {
--- a/tests/process_fleet_test.cc
+++ b/tests/process_fleet_test.cc
@@ -276,11 +276,11 @@
 {
 	std::string long_text(3000, 'x');
 	for (const std::string &path :
-	     { std::string("/view/3?after="), std::string("/view/3?after=-1"),
-	       std::string("/view/2?after=1"), std::string("/view/4?after=1"),
-	       std::string("/view/3?after=1&new=2"), std::string("/view/1?after=1"),
-	       std::string("/view/3?after=99999999999999999999999"), "/" + long_text,
-	       std::string("/metrics") }) {
+	     { std::string("/view/4?after="), std::string("/view/4?after=-1"),
+	       std::string("/view/2?after=1"), std::string("/view/5?after=1"),
+	       std::string("/view/4?after=1&new=2"), std::string("/view/1?after=1"),
+	       std::string("/view/3?after=1"), std::string("/view/4?after=99999999999999999999999"),
+	       "/" + long_text, std::string("/metrics") }) {
 		std::string answer = support::exchange_bytes(
 			"127.0.7.1", peer_port, "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n");
 		EXPECT_EQ(answer.find("HTTP/1.1 200"), std::string::npos) << path;
--- a/tests/process_lost_history_test.cc
+++ b/tests/process_lost_history_test.cc
@@ -76,6 +76,24 @@
 		EXPECT_EQ(call(i, "GET", "/look/1", "k2").status, 200);
 }
 
+/* Guards against a key that works for longer than allowed: the last answers before the watches are cut say that
+ * there were no changes, and after the cut the store is silent. */
+TEST_F(LostHistory, AnswersShortlyBeforeTheWatchesAreCutAreNoProof)
+{
+	admin("deafen");
+	configure("\"k2\"");
+	int64_t acknowledged_ms = support::now_ms();
+	sleep_until(acknowledged_ms + DEAF_MS);
+	inject_store_fault("{\"kind\":\"silent\"}");
+	admin("compact");
+	expect_refused("k1", acknowledged_ms + revocation_ms + 1,
+		       acknowledged_ms + revocation_ms + 2000);
+	inject_store_fault("{\"kind\":\"none\"}");
+	for (size_t i = 0; i < instances.size(); i++)
+		EXPECT_TRUE(
+			wait_until([&] { return call(i, "GET", "/look/1", "k2").status == 200; }));
+}
+
 /* Guards against requests that are refused early where nothing was discarded: the store is silent, and no watch was
  * cut. */
 TEST_F(LostHistory, ASilentStoreRefusesNoKeyEarly)
--- a/tests/view_codec_test.cc
+++ b/tests/view_codec_test.cc
@@ -66,6 +66,7 @@
 	EXPECT_TRUE(out.has_proof);
 	EXPECT_EQ(out.age_us, 100U);
 	EXPECT_FALSE(out.had_outage);
+	EXPECT_FALSE(out.has_gap);
 	ASSERT_EQ(out.record_count, 2U);
 	EXPECT_STREQ(out.records[0].key, "b");
 	EXPECT_STREQ((const char *)out.records[0].value, "");
@@ -81,10 +82,16 @@
 	answer.is_snapshot = true;
 	answer.had_outage = true;
 	answer.store_back_us = 9;
+	answer.has_gap = true;
+	answer.gap_from_us = 40;
+	answer.gap_until_us = 30;
 	pack(0);
 	ASSERT_EQ(unpack(&out, bytes.size), DW_OK);
 	EXPECT_TRUE(out.is_snapshot);
 	EXPECT_EQ(out.store_back_us, 9U);
+	EXPECT_TRUE(out.has_gap);
+	EXPECT_EQ(out.gap_from_us, 40U);
+	EXPECT_EQ(out.gap_until_us, 30U);
 	ASSERT_EQ(out.record_count, 2U);
 	EXPECT_EQ(std::string((const char *)out.records[0].value, out.records[0].value_len), "one");
 	view_answer_free(&out);
@@ -127,6 +134,12 @@
 TEST_F(ViewCodec, MalformedAnswersAreRefused)
 {
 	view_answer out;
+	answer.has_gap = true;
+	answer.gap_from_us = 30;
+	answer.gap_until_us = 40;
+	pack(0);
+	EXPECT_NE(unpack(&out, bytes.size), DW_OK) << "a gap that ends before it begins";
+	answer.has_gap = false;
 	pack(0);
 	for (size_t len = 0; len < bytes.size; len++)
 		EXPECT_NE(unpack(&out, len), DW_OK) << len;
@@ -138,16 +151,16 @@
 		    DW_OK)
 			view_answer_free(&out);
 	}
-	const uint8_t no_key[] = { 0x98, 0x03, 0x01, 0x00, 0x00, 0x00, 0xc0, 0xc0,
-				   0x91, 0x94, 0xa0, 0x01, 0xc4, 0x00, 0x00 };
+	const uint8_t no_key[] = { 0x9a, 0x04, 0x01, 0x00, 0x00, 0x00, 0xc0, 0xc0, 0xc0,
+				   0xc0, 0x91, 0x94, 0xa0, 0x01, 0xc4, 0x00, 0x00 };
 	EXPECT_NE(view_answer_unpack(no_key, sizeof(no_key), &out), DW_OK);
-	for (uint8_t version : { 0x00, 0x01, 0x02, 0x04 }) {
-		const uint8_t other_version[] = { 0x98, version, 0x01, 0x00, 0x00,
-						  0x00, 0xc0,	 0xc0, 0x90 };
+	for (uint8_t version : { 0x00, 0x01, 0x02, 0x03, 0x05 }) {
+		const uint8_t other_version[] = { 0x9a, version, 0x01, 0x00, 0x00, 0x00,
+						  0xc0, 0xc0,	 0xc0, 0xc0, 0x90 };
 		EXPECT_NE(view_answer_unpack(other_version, sizeof(other_version), &out), DW_OK);
 	}
-	const uint8_t endless_array[] = { 0x98, 0x03, 0x01, 0x00, 0x00, 0x00, 0xc0,
-					  0xc0, 0xdd, 0xff, 0xff, 0xff, 0xff };
+	const uint8_t endless_array[] = { 0x9a, 0x04, 0x01, 0x00, 0x00, 0x00, 0xc0, 0xc0,
+					  0xc0, 0xc0, 0xdd, 0xff, 0xff, 0xff, 0xff };
 	EXPECT_NE(view_answer_unpack(endless_array, sizeof(endless_array), &out), DW_OK);
 }
 
