Answers: a 421 without Not-Executed doesn't prove that the request hasn't run

Cause: a 421 of an engine counted as not run whatever else it said, so a request that had run was sent elsewhere, or refused with 503 and not_run, also one that may run only once. The protocol lists 421 among the answers that have Not-Executed, and says that no other response states it.

Change: without Not-Executed a 421 is an attempt that may have run (unproven_misdirection): a request that may be repeated is sent elsewhere within its attempts and the retry budget, any other gets 502. With it nothing changes. Either way the engine counts as replaced; the failure isn't counted against its version, as it may be another engine's.

Ruled out: to take it for an unproven refusal like 503; that counts against the version, and leaves a replaced engine in use. To believe a 421 because the system names the engine it expects: the engine that was meant can send it too.

Tests: UnprovenRefusal with 421, four framings: 4 of 4 red before (503, not_run true), green after; AProvenMisdirectionIsSentElsewhere is green before and after. process_broken_answers_test 66 of 66, process_engine_state_test, process_silent_engines_test and request_policy_test green.

--- a/include/dragonflywharf/request_policy.h
+++ b/include/dragonflywharf/request_policy.h
@@ -32,7 +32,7 @@
 enum dw_attempt_outcome {
 	DW_ATTEMPT_NOT_SENT, /**< connection failed */
 	DW_ATTEMPT_REJECTED, /**< the upstream stated that it did not run the request */
-	DW_ATTEMPT_WRONG_INSTANCE, /**< another upstream answered at the address; not run */
+	DW_ATTEMPT_WRONG_INSTANCE, /**< another upstream answered at the address, and stated that it did not run the request */
 	DW_ATTEMPT_NO_ANSWER, /**< connection closed or timed out without a response */
 	DW_ATTEMPT_CUT, /**< the response was truncated */
 	DW_ATTEMPT_INVALID, /**< not a valid response to this request */
@@ -40,6 +40,8 @@
 	/** A response whose status promises that the request hasn't run, although the upstream didn't state
 	 * that: it may have run. */
 	DW_ATTEMPT_UNPROVEN_REFUSAL,
+	/** The same from an upstream that says it isn't the one at whose address it is. */
+	DW_ATTEMPT_UNPROVEN_MISDIRECTION,
 	DW_ATTEMPT_DROPPED, /**< the response was discarded in favour of a better one */
 	DW_ATTEMPT_OUTCOME_COUNT
 };
--- a/src/core/request_policy.c
+++ b/src/core/request_policy.c
@@ -21,6 +21,7 @@
 	[DW_ATTEMPT_INVALID] = "invalid",
 	[DW_ATTEMPT_SERVER_ERROR] = "server_error",
 	[DW_ATTEMPT_UNPROVEN_REFUSAL] = "unproven_refusal",
+	[DW_ATTEMPT_UNPROVEN_MISDIRECTION] = "unproven_misdirection",
 	[DW_ATTEMPT_DROPPED] = "dropped",
 };
 
@@ -105,6 +106,7 @@
 	case DW_ATTEMPT_INVALID:
 	case DW_ATTEMPT_SERVER_ERROR:
 	case DW_ATTEMPT_UNPROVEN_REFUSAL:
+	case DW_ATTEMPT_UNPROVEN_MISDIRECTION:
 	case DW_ATTEMPT_DROPPED:
 	case DW_ATTEMPT_OUTCOME_COUNT:
 		break;
--- a/src/wharf-gateway/attempt.c
+++ b/src/wharf-gateway/attempt.c
@@ -16,7 +16,7 @@
 /* What the answer being received responds to. */
 enum answer_kind {
 	ANSWER_OTHER_REQUEST, /**< answers another request: skipped */
-	ANSWER_NOT_EXECUTED, /**< the engine says that it hasn't executed the request */
+	ANSWER_REFUSAL, /**< the engine hasn't executed the request, or isn't the one meant */
 	ANSWER_THIS_REQUEST
 };
 
@@ -41,7 +41,8 @@
 	bool is_paused; /**< the answer isn't read, for a slow caller */
 	bool is_answer_started; /**< the answer to this request has started */
 	enum answer_kind answer_kind;
-	enum dw_attempt_outcome not_executed_outcome; /**< valid with ANSWER_NOT_EXECUTED */
+	enum dw_attempt_outcome refusal; /**< valid with ANSWER_REFUSAL */
+	bool is_wrong_engine; /**< valid with ANSWER_REFUSAL */
 	uint64_t skipped_bytes; /**< read of bodies that don't answer this request */
 	bool ends_at_close; /**< the answer has no length: the connection's end completes it */
 	bool is_invalid; /**< the answer failed validation: signature or encoding */
@@ -222,6 +223,15 @@
 		     DW_STR("reason", "the field that asks for a pause is malformed"));
 }
 
+/* Only the engine's own statement proves that it hasn't run the request, whatever the status. */
+static enum dw_attempt_outcome refusal_of(const struct response_fields *fields)
+{
+	if (!fields->is_wrong_engine)
+		return DW_ATTEMPT_REJECTED;
+	return fields->is_not_executed ? DW_ATTEMPT_WRONG_INSTANCE
+				       : DW_ATTEMPT_UNPROVEN_MISDIRECTION;
+}
+
 static bool on_head(void *owner, const struct http_head *head)
 {
 	struct attempt *attempt = owner;
@@ -233,9 +243,9 @@
 	record_engine_state(attempt, &fields);
 	attempt->status = head->status;
 	if (fields.is_wrong_engine || fields.is_not_executed) {
-		attempt->answer_kind = ANSWER_NOT_EXECUTED;
-		attempt->not_executed_outcome =
-			fields.is_wrong_engine ? DW_ATTEMPT_WRONG_INSTANCE : DW_ATTEMPT_REJECTED;
+		attempt->answer_kind = ANSWER_REFUSAL;
+		attempt->is_wrong_engine = fields.is_wrong_engine;
+		attempt->refusal = refusal_of(&fields);
 		if (!refuses_this_request(attempt, &fields))
 			attempt->answer_kind = ANSWER_OTHER_REQUEST;
 		else
@@ -297,7 +307,7 @@
 {
 	struct crash_guard *guard = guard_of(attempt);
 
-	if (outcome == DW_ATTEMPT_WRONG_INSTANCE)
+	if (outcome == DW_ATTEMPT_WRONG_INSTANCE || outcome == DW_ATTEMPT_UNPROVEN_MISDIRECTION)
 		crash_guard_sign(guard, attempt->engine, DW_CRASH_SIGN_REPLACED,
 				 attempt->sent_at_us);
 	else if (connection == ATTEMPT_CONNECTION_REFUSED)
@@ -326,12 +336,10 @@
 	callbacks->on_failed(owner, outcome, connection);
 }
 
-static void finish_not_executed(struct attempt *attempt)
+static void finish_refused(struct attempt *attempt)
 {
-	bool is_wrong_engine = attempt->not_executed_outcome == DW_ATTEMPT_WRONG_INSTANCE;
-
-	finish_failed(attempt, attempt->not_executed_outcome,
-		      is_wrong_engine ? DW_ENGINE_WRONG_INSTANCE : DW_ENGINE_REJECTED);
+	finish_failed(attempt, attempt->refusal,
+		      attempt->is_wrong_engine ? DW_ENGINE_WRONG_INSTANCE : DW_ENGINE_REJECTED);
 }
 
 /* The end of the connection completed the answer; it may have been that of the engine. */
@@ -350,10 +358,10 @@
 	switch (attempt->answer_kind) {
 	case ANSWER_OTHER_REQUEST:
 		return; /* the answer to this request is still to come on the connection */
-	case ANSWER_NOT_EXECUTED:
+	case ANSWER_REFUSAL:
 		http_connection_avoid(attempt->link, attempt_key(attempt));
 		http_connection_release(attempt->link);
-		finish_not_executed(attempt);
+		finish_refused(attempt);
 		return;
 	case ANSWER_THIS_REQUEST:
 		http_connection_release(attempt->link);
@@ -372,8 +380,8 @@
 
 	attempt->connection_error = http_connection_error(attempt->link);
 	attempt->link = NULL;
-	if (attempt->answer_kind == ANSWER_NOT_EXECUTED) {
-		finish_not_executed(attempt);
+	if (attempt->answer_kind == ANSWER_REFUSAL) {
+		finish_refused(attempt);
 		return;
 	}
 	switch (failure) {
--- a/tests/process_broken_answers_test.cc
+++ b/tests/process_broken_answers_test.cc
@@ -447,8 +447,8 @@
 	}
 };
 
-/* Guards against an engine's 503, 429 or 408 that reaches the caller of a request which has run: these promise
- * that it hasn't, so the caller sends it again and it runs twice. On each kind of route. */
+/* Guards against an engine's 503, 429, 421 or 408 that is a promise to the caller of a request which has run: that
+ * it hasn't, so the caller sends it again and it runs twice. On each kind of route. */
 TEST_P(UnprovenRefusal, IsNoPromiseToTheCaller)
 {
 	const Refusal kind = GetParam();
@@ -485,9 +485,37 @@
 					 Refusal{ "429 Too Many Requests", "length", 20 },
 					 Refusal{ "429 Too Many Requests", "chunked", 3000000 },
 					 Refusal{ "429 Too Many Requests", "close", 20 },
+					 Refusal{ "421 Misdirected Request", "length", 20 },
+					 Refusal{ "421 Misdirected Request", "length", 0 },
+					 Refusal{ "421 Misdirected Request", "chunked", 3000000 },
+					 Refusal{ "421 Misdirected Request", "close", 20 },
 					 Refusal{ "408 Request Timeout", "length", 20 },
 					 Refusal{ "408 Request Timeout", "chunked", 3000000 }));
 
+/* Tells a proven 421 from that: the request is sent elsewhere, also one that may run only once. */
+TEST_F(BrokenAnswers, AProvenMisdirectionIsSentElsewhere)
+{
+	std::atomic<int> refusals{ 0 };
+	std::atomic<int> runs{ 0 };
+	start(3, [&](raw_connection &connection, const std::string &request) {
+		if (request.find("/book/") != std::string::npos && refusals < 2) {
+			refusals++;
+			connection.send(answer_with_length("421 Misdirected Request", request, "",
+							   "Not-Executed: 1\r\n"));
+			return;
+		}
+		runs++;
+		connection.send(answer_with_length("200 OK", request, "done"));
+	});
+	/* Requests earn the retries of an instance that has just started. */
+	for (int i = 0; i < 5; i++)
+		EXPECT_EQ(call("GET", "/look/1").status, 200);
+	runs = 0;
+	EXPECT_EQ(call("POST", "/book/1").status, 200);
+	EXPECT_EQ(refusals, 2);
+	EXPECT_EQ(runs, 1);
+}
+
 /* Guards against a whole error of an engine that is broken off because it is long. */
 TEST_F(BrokenAnswers, ALongServerErrorIsPassedOnWhole)
 {
