Store sync: a first 410 is followed by a reading at once

Cause: the pause before the reading of all keys followed the failures so far. After an outage of a second that is up to 0.8 s, and the readers of the fleet got their 410 with the first answer after it. Meanwhile the proofs of the others grew too old, and these read the store themselves: at 300 instances 303 calls in a second instead of 37, of which each was answered with 410 too.

Change: the first watch in a row that ends since its history is gone begins the pauses anew (30 to 60 ms). A second one before a watch is up to date is a loop, and waits as before.

--- a/src/wharf-gateway/store_sync.c
+++ b/src/wharf-gateway/store_sync.c
@@ -65,6 +65,7 @@
 
 	report_bad_era(sync);
 	sync->failures = 0;
+	sync->stale_in_a_row = 0;
 	view_store_answered(sync->view, now_us);
 	view_store_current(sync->view, revision, confirmed_at_us, now_us);
 	if (!view_restore_is_settling_due(&sync->view->restore, now_us))
@@ -82,6 +83,9 @@
 
 	sync->watch = NULL;
 	sync->is_history_lost = status == DW_STALE;
+	/* The store is there, and all instances wait for its readers. Only a second time in a row is a loop. */
+	if (status == DW_STALE && sync->stale_in_a_row++ == 0)
+		sync->failures = 0;
 	retry_later(sync, status);
 }
 
--- a/src/wharf-gateway/store_sync.h
+++ b/src/wharf-gateway/store_sync.h
@@ -18,6 +18,7 @@
 	struct dw_store_watch *watch;
 	uint64_t read_started_at_us; /**< start of the latest read of all keys */
 	uint32_t failures; /**< consecutive failures, for the backoff */
+	uint32_t stale_in_a_row; /**< watches that ended with DW_STALE since one was up to date */
 	uint64_t random;
 	bool is_active;
 	bool is_range_pending; /**< a read of all keys is in progress */
