--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -36,8 +36,8 @@
 	view->records = dw_view_log_new();
 	view->leaving = dw_leaving_upstreams_new();
 	dw_view_source_init(&view->source, gateway_settings_change_us(settings), dw_clock_now_us());
-	crash_guard_init(&view->guard, log, view->engines);
-	shifts_init(&view->shifts, log, settings->instance);
+	crash_guard_init(&view->guard, log, view->engines, &view->era_guard);
+	shifts_init(&view->shifts, log, settings->instance, &view->era_guard);
 	peers_init(&view->peers, settings, log, counters);
 	view->guard.records.are_few_heard = are_few_heard;
 	view->guard.records.are_few_heard_owner = &view->peers;
@@ -45,7 +45,8 @@
 	view->guard.parts.records.are_few_heard_owner = &view->peers;
 	era_guard_init(&view->era_guard, log);
 	view->restore.lacks_memory = true;
-	reader_key_init(&view->reader_key, settings->instance, &settings->peer_address);
+	reader_key_init(&view->reader_key, settings->instance, &settings->peer_address,
+			&view->era_guard);
 }
 
 void view_close(struct view *view)
@@ -302,7 +303,9 @@
 			apply_order(view, entry, now_us);
 		break;
 	case RECORD_ROLLOUT_STATUS:
-		if (!event->deleted)
+		if (event->deleted)
+			shifts_apply_status_deleted(&view->shifts, name);
+		else
 			apply_status(view, name, entry);
 		break;
 	case RECORD_UNKNOWN:
@@ -334,10 +337,9 @@
 
 /* Says when answers begin and cease to be older than this copy: readings of the store, or copies of an earlier era of
  * it. Another instance's copy of the same era may be some changes behind. */
-static void note_answered(struct view *view, const char *source, uint64_t revision,
-			  uint64_t ignored_before, uint64_t now_us)
+static void note_answered(struct view *view, const char *source, uint64_t revision, uint64_t known,
+			  uint64_t now_us)
 {
-	uint64_t known = dw_view_log_revision(view->records);
 	bool is_behind = revision < known;
 
 	view->answers_behind += is_behind;
@@ -346,7 +348,6 @@
 	dw_log_event(view->log, DW_EVENT_VIEW_BEHIND, DW_STR("source", source),
 		     DW_INT("behind", is_behind), DW_INT("revision", known),
 		     DW_INT("answered", revision),
-		     DW_INT("ignored", view->records_ignored - ignored_before),
 		     DW_INT("lasted_ms",
 			    is_behind ? 0 : (now_us - view->behind_since_us) / DW_US_PER_MS));
 	view->is_answer_behind = is_behind;
@@ -419,6 +420,13 @@
 	}
 	era_guard_entered(&view->era_guard, dw_revision_era(revision), known > 0,
 			  &view->source.place, now_us);
+	if (known > 0) {
+		crash_guard_store_restored(&view->guard, &view->source.place, now_us);
+		reader_key_store_restored(&view->reader_key);
+		shifts_store_restored(&view->shifts, &view->source.place, now_us);
+	} else {
+		shifts_entered_era(&view->shifts, now_us);
+	}
 }
 
 /* Applies a key that a snapshot lists, unless the known record stays in force. */
@@ -467,17 +475,19 @@
 	}
 }
 
-bool view_apply_all(struct view *view, const struct dw_store_entry *entries, size_t count,
+bool view_accepts_reading(struct view *view, uint64_t revision, uint64_t known_before,
+			  uint64_t now_us)
+{
+	view->rereads++;
+	note_answered(view, "store", revision, known_before, now_us);
+	return revision >= known_before;
+}
+
+void view_apply_all(struct view *view, const struct dw_store_entry *entries, size_t count,
 		    uint64_t revision, uint64_t now_us)
 {
-	uint64_t ignored_before = view->records_ignored;
-	struct view_snapshot snapshot;
+	struct view_snapshot snapshot = begin_answer(view, revision, now_us);
 
-	view->rereads++;
-	note_answered(view, "store", revision, ignored_before, now_us);
-	if (revision < dw_view_log_revision(view->records))
-		return false;
-	snapshot = begin_answer(view, revision, now_us);
 	dw_view_log_begin_snapshot(view->records, revision);
 	for (size_t i = 0; i < count; i++) {
 		struct dw_store_event event = { .entry = entries[i] };
@@ -488,7 +498,6 @@
 	complete(view, revision, now_us);
 	if (snapshot.is_settled)
 		view->restore.awaits_settling = false;
-	return true;
 }
 
 /* Whether the record's value isn't needed. A kept one may replace one of a later era. */
@@ -586,12 +595,11 @@
 		       uint64_t now_us)
 {
 	uint64_t known = dw_view_log_revision(view->records);
-	uint64_t ignored_before = view->records_ignored;
 	struct view_snapshot snapshot;
 	bool is_complete;
 
 	if (dw_revision_era(answer->revision) < dw_revision_era(known)) {
-		note_answered(view, source, answer->revision, ignored_before, now_us);
+		note_answered(view, source, answer->revision, known, now_us);
 		return false;
 	}
 	if (dw_revision_era(answer->revision) > dw_revision_era(known) && !can_enter(view, answer))
@@ -681,7 +689,7 @@
 	if (abandoned_bytes > view->abandoned_bytes)
 		dw_store_outage_call_broke_off(&view->outage);
 	else if (reason != DW_STALE)
-		dw_store_outage_call_failed(&view->outage, now_us);
+		dw_store_outage_call_failed(&view->outage, view->confirmed_at_us, now_us);
 	view->abandoned_bytes = abandoned_bytes;
 	if (!view->is_store_reached)
 		return;
