View: a reading of an earlier era that arrives late isn't applied

Cause: a reading of all keys was accepted if it wasn't older than the copy at its begin. An instance that reads the store for want of a proof may get the new era from another instance meanwhile; its client has had no answer of that era, so the late reading was applied on the new copy. Keys that the store had removed before the restore, and that the copy has, were deleted, and nothing brought them back before the next reading.

Change: a reading of an earlier era than the copy's is refused, whenever it began. The tests follow the new interface.

--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -480,7 +480,9 @@
 {
 	view->rereads++;
 	note_answered(view, "store", revision, known_before, now_us);
-	return revision >= known_before;
+	/* Another instance may have passed a new era on meanwhile. */
+	return revision >= known_before &&
+	       dw_revision_era(revision) >= dw_revision_era(dw_view_log_revision(view->records));
 }
 
 void view_apply_all(struct view *view, const struct dw_store_entry *entries, size_t count,
--- a/src/wharf-gateway/view.h
+++ b/src/wharf-gateway/view.h
@@ -92,7 +92,8 @@
 
 /**
  * A reading of all keys, begun when the copy had revision @p known_before, gave @p revision.
- * @return false if it is older: the store has fallen back without a new era, and the reading is no proof
+ * @return false if it is older, as the store has fallen back without a new era, or if the copy has a later era by now:
+ * the reading is no proof, and mustn't be applied
  */
 bool view_accepts_reading(struct view *view, uint64_t revision, uint64_t known_before,
 			  uint64_t now_us);
--- a/tests/view_restore_test.cc
+++ b/tests/view_restore_test.cc
@@ -95,6 +95,11 @@
 	}
 	/* Reads all keys, and has the proof. */
 	bool read(const Store &store, uint64_t now_us)
+	{
+		return read_since(store, revision(), now_us);
+	}
+	/* The same, where the call was sent when the copy had this revision. */
+	bool read_since(const Store &store, uint64_t known_before, uint64_t now_us)
 	{
 		std::vector<dw_store_entry> entries;
 		for (const auto &[key, item] : store.items) {
@@ -106,8 +111,9 @@
 			entry.create_revision = entry.mod_revision;
 			entries.push_back(entry);
 		}
-		if (!view_apply_all(&own, entries.data(), entries.size(), store.revision(), now_us))
+		if (!view_accepts_reading(&own, store.revision(), known_before, now_us))
 			return false;
+		view_apply_all(&own, entries.data(), entries.size(), store.revision(), now_us);
 		view_store_current(&own, store.revision(), now_us, now_us);
 		return true;
 	}
@@ -342,6 +348,22 @@
 	EXPECT_FALSE(b.is_evacuated("lost"));
 }
 
+/* Guards against a reading of before the restore that arrives after another instance has passed the new era on, and
+ * deletes what the store has. */
+TEST_F(ViewRestore, AReadingOfAnEarlierEraThatArrivesLateChangesNothing)
+{
+	enter_first_era();
+	uint64_t sent_at = b.revision();
+	store.remove("servers/e1");
+	Store before = store;
+	store.restore(copy);
+	ASSERT_TRUE(a.read(store, now_us));
+	ASSERT_EQ(b.ask(a, now_us), Instance::APPLIED);
+	EXPECT_FALSE(b.read_since(before, sent_at, now_us));
+	EXPECT_EQ(b.value("servers/e1"), engine(5, 9));
+	EXPECT_EQ(b.revision(), store.revision());
+}
+
 /* Guards against an instance that takes another one's word for an era of which it knows more than that one. */
 TEST_F(ViewRestore, WhoKnowsMoreThanItsSourceReadsTheStore)
 {
@@ -457,7 +479,7 @@
 	entry.value_len = text.size();
 	entry.mod_revision = entry.create_revision = dw_revision_make(1, 11);
 	entries.push_back(entry);
-	ASSERT_TRUE(view_apply_all(&b.own, entries.data(), 1, copy.revision(), now_us));
+	view_apply_all(&b.own, entries.data(), 1, copy.revision(), now_us);
 	store.put("op/config", config(8, "k2"));
 	store.restore(copy);
 	store.items["wharf/era"] = { 9, R"({"era":1,"config":7})" };
