Metrics: store_era is what the instance knows, not only what the store told it

Cause: the gauge was the newest era in answers to this instance's own calls. Most instances don't call the store, so after a restore they showed the era before, or 0.

Change: the higher one of that and the era of the view.

Measured: not by a test of its own; process_store_restore_test runs with it.

--- a/src/wharf-gateway/gateway_metrics.c
+++ b/src/wharf-gateway/gateway_metrics.c
@@ -31,6 +31,14 @@
 			verb_names[verb], store->calls[verb]);
 }
 
+/* Instances that don't read the store learn of an era from the others. */
+static uint64_t newest_era(const struct dw_store *store, const struct view *view)
+{
+	uint64_t known = dw_revision_era(dw_view_log_revision(view->records));
+
+	return known > store->era.newest ? known : store->era.newest;
+}
+
 static void write_gauges(const struct gateway_metrics *metrics, FILE *out)
 {
 	const struct router *router = metrics->router;
@@ -59,7 +67,7 @@
 		{ "view_revision", "Revision of the store up to which all changes are known",
 		  dw_view_log_revision(view->records) },
 		{ "store_era", "Times that the store was restored, as it says; 0: unknown",
-		  metrics->store->era.newest },
+		  newest_era(metrics->store, view) },
 		{ "store_restores", "Restores that this instance has seen", view->restore.count },
 		{ "store_late_answers", "Answers of the store from before its last restore",
 		  metrics->store->era.late_answers },
