Logs and metrics: revisions as the store has them, with the era beside

Since revisions hold the era, lines and metrics showed numbers that no operator finds in the store. They show the store's number again, view.behind and the metric view_era the era. wharfctl gateways reads it from there.

--- a/src/wharf-gateway/shift_records.c
+++ b/src/wharf-gateway/shift_records.c
@@ -131,7 +131,7 @@
 		     DW_STR("service", write->service->shift.order.service),
 		     DW_STR("record", write->record_name),
 		     DW_STR("outcome", dw_store_outcome_name(result->outcome)),
-		     DW_INT("revision", result->revision),
+		     DW_INT("revision", dw_revision_number(result->revision)),
 		     DW_INT("new_answers", shift->own.counts[DW_SHIFT_NEW].answers),
 		     DW_INT("new_bad", shift->own.counts[DW_SHIFT_NEW].bad),
 		     DW_INT("new_timed", shift->own.counts[DW_SHIFT_NEW].timed),
--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -119,7 +119,7 @@
 	dw_counters_add(view->counters, DW_COUNTER_CONFIG_APPLIED, 1);
 	dw_log_event(view->log, DW_EVENT_CONFIG_APPLIED,
 		     DW_INT("version", dw_catalog_version(catalog)),
-		     DW_INT("revision", entry->mod_revision),
+		     DW_INT("revision", dw_revision_number(entry->mod_revision)),
 		     DW_INT("routes", dw_catalog_route_count(catalog)),
 		     DW_INT("defects", dw_catalog_defect_count(catalog)),
 		     DW_INT("bytes", entry->value_len), DW_INT("age_ms", age_ms(view, now_us)));
@@ -346,8 +346,10 @@
 	if (is_behind == view->is_answer_behind)
 		return;
 	dw_log_event(view->log, DW_EVENT_VIEW_BEHIND, DW_STR("source", source),
-		     DW_INT("behind", is_behind), DW_INT("revision", known),
-		     DW_INT("answered", revision),
+		     DW_INT("behind", is_behind), DW_INT("revision", dw_revision_number(known)),
+		     DW_INT("answered", dw_revision_number(revision)),
+		     DW_INT("era", dw_revision_era(known)),
+		     DW_INT("answered_era", dw_revision_era(revision)),
 		     DW_INT("lasted_ms",
 			    is_behind ? 0 : (now_us - view->behind_since_us) / DW_US_PER_MS));
 	view->is_answer_behind = is_behind;
@@ -676,7 +678,7 @@
 		return;
 	view->is_store_reached = true;
 	dw_log_event(view->log, DW_EVENT_STORE_BACK, DW_INT("age_ms", age_before_ms),
-		     DW_INT("revision", revision));
+		     DW_INT("revision", dw_revision_number(revision)));
 }
 
 void view_peer_current(struct view *view, uint64_t confirmed_at_us, uint64_t now_us)
@@ -697,7 +699,7 @@
 		return;
 	view->is_store_reached = false;
 	dw_log_event(view->log, DW_EVENT_STORE_LOST, DW_STR("reason", dw_status_name(reason)),
-		     DW_INT("revision", dw_view_log_revision(view->records)),
+		     DW_INT("revision", dw_revision_number(dw_view_log_revision(view->records))),
 		     DW_INT("abandoned_bytes", abandoned_bytes),
 		     DW_INT("age_ms", age_ms(view, now_us)));
 }
--- a/src/wharf-gateway/view_sync.c
+++ b/src/wharf-gateway/view_sync.c
@@ -76,7 +76,7 @@
 	sync->logged_source = source;
 	dw_log_event(
 		sync->view->log, DW_EVENT_VIEW_SOURCE, DW_STR("source", address),
-		DW_INT("revision", dw_view_log_revision(sync->view->records)),
+		DW_INT("revision", dw_revision_number(dw_view_log_revision(sync->view->records))),
 		DW_INT("age_ms", (dw_clock_now_us() - sync->view->confirmed_at_us) / DW_US_PER_MS));
 }
 
--- a/src/wharfctl/command_gateways.c
+++ b/src/wharfctl/command_gateways.c
@@ -7,8 +7,6 @@
 
 #include <json-c/json.h>
 
-#include <dragonflywharf/store_revision.h>
-
 #include "base/clock.h"
 
 #define CALL_TIMEOUT_US (3 * DW_US_PER_S)
@@ -33,7 +31,7 @@
 	const char *name; /* in the output */
 	const char *metric;
 } fields[FIELD_COUNT] = {
-	[FIELD_ERA] = { "era", "store_era" },
+	[FIELD_ERA] = { "era", "view_era" },
 	[FIELD_REVISION] = { "revision", "view_revision" },
 	[FIELD_CONFIG_VERSION] = { "config", "config_version" },
 	[FIELD_CONFIG_AGE_MS] = { "age_ms", "config_age_ms" },
@@ -73,9 +71,6 @@
 			return;
 		}
 	}
-	/* The copy's own era may be another than the newest one that the store's client has seen. */
-	gateway->values[FIELD_ERA] = dw_revision_era(gateway->values[FIELD_REVISION]);
-	gateway->values[FIELD_REVISION] = dw_revision_number(gateway->values[FIELD_REVISION]);
 }
 
 static void on_fetched(const struct dw_http_fetch_result *result, void *data)
