--- a/tests/metadata_write_test.cc
+++ b/tests/metadata_write_test.cc
@@ -49,7 +49,8 @@
 	}
 	void put(uint64_t prepared_in_era)
 	{
-		struct dw_store_put params{};
+		struct dw_store_put params {
+		};
 		params.key = "wharf/x";
 		params.value = (const uint8_t *)"1";
 		params.value_len = 1;
