Configuration: a restored store's revision is raised before changes are taken

Changes of before the restore were gone when all instances had been replaced, and the next change of the same entity brought a withdrawn permission back, as it was based on the store's older value.

The ruleset keeps the highest revision that it has seen; a change in the restored store has a revision that was given out before, and is ignored. The watch from the known revision ended as stale, all keys were read and refused, 3 times a second at each watcher, until the store's revision caught up; changes with revisions below it were missed for good. Nobody wrote lost changes again.

Change: config_return. While the store's revision may be at or below one in force, changes are refused (nothing is written), and the store isn't read or watched. One instance, the live one with the lowest id, raises the revision above every one in force by conditional writes of one key (at most 4 a tick, 200 a second), then writes again, conditionally, each key that the store lacks or has as older; other watchers check after 10 s. Each watcher reads all keys once more. A change that is based on a revision below the one in force is a conflict, and one whose answer is the first to show the restore ends as unknown, where it was "done" with a remark.

Ruled out: eras made up by the daemons (they can't agree on one without a record in the very store that lost its last writes; all keys of the copy would be newer than what is in force).

--- a/include/dragonflywharf/ruleset.h
+++ b/include/dragonflywharf/ruleset.h
@@ -85,6 +85,12 @@
 					 const struct dw_ruleset_item *items, size_t count,
 					 struct dw_ruleset_result *result);
 
+/**
+ * While set, a snapshot deletes no key that it lacks: the store may have lost it. Deletions in deltas are applied as
+ * ever.
+ */
+void dw_ruleset_keep_absent(struct dw_ruleset *ruleset, bool keep);
+
 /**
  * Advances the revision without transferring keys. A peer that is complete up to @p to_revision
  * sends its digest; if the own digest is equal, the live keys are the same. Instances often differ
--- a/src/base/event.c
+++ b/src/base/event.c
@@ -71,6 +71,7 @@
 	[DW_EVENT_STORE_RESTORED] = { 216, DW_LEVEL_WARNING, "store.restored" },
 	[DW_EVENT_VIEW_ADMITTED] = { 217, DW_LEVEL_WARNING, "view.admitted" },
 	[DW_EVENT_CALLERS_LIMITED] = { 407, DW_LEVEL_WARNING, "callers.limited" },
+	[DW_EVENT_CONFIG_RETURNED] = { 203, DW_LEVEL_INFO, "config.returned" },
 	[DW_EVENT_STANDIN] = { 900, DW_LEVEL_INFO, "standin.note" },
 };
 
--- a/src/core/ruleset.c
+++ b/src/core/ruleset.c
@@ -370,6 +370,11 @@
 	}
 }
 
+void dw_ruleset_keep_absent(struct dw_ruleset *ruleset, bool keep)
+{
+	ruleset->keep_absent = keep;
+}
+
 enum dw_status dw_ruleset_apply_snapshot(struct dw_ruleset *ruleset, uint64_t to_revision,
 					 const struct dw_ruleset_item *items, size_t count,
 					 struct dw_ruleset_result *result)
@@ -391,7 +396,7 @@
 	ruleset->apply_count++;
 	apply_staged(ruleset, &staged, result);
 	mark_seen_keys(ruleset, items, count);
-	if (is_newer && !result->diverged)
+	if (is_newer && !result->diverged && !ruleset->keep_absent)
 		delete_absent_keys(ruleset, to_revision, result);
 	/* There are no tombstones of keys that were both created and deleted since the last known
 	 * revision. */
--- a/src/core/ruleset_state.h
+++ b/src/core/ruleset_state.h
@@ -23,6 +23,7 @@
 	uint64_t revision;
 	uint64_t generation; /**< number of applies that changed a key */
 	uint64_t apply_count; /**< number of applies, for the last_*_apply fields of the entries */
+	bool keep_absent; /**< see dw_ruleset_keep_absent() */
 	uint64_t tombstone_floor; /**< deletions up to this revision may have no tombstone */
 	uint64_t digest;
 	size_t live_count;
--- a/src/dragonflywharfd/config_sync.c
+++ b/src/dragonflywharfd/config_sync.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "dragonflywharfd/config_return.h"
 #include "dragonflywharfd/dispatcher.h"
 #include "dragonflywharfd/peer_bus.h"
 #include "dragonflywharfd/upstream_table.h"
@@ -49,6 +50,7 @@
 	uint64_t written_revision; /* highest one that this daemon wrote; may not be applied yet */
 	struct version_state *versions;
 	bool reading;
+	bool read_again; /* all keys have to be read before the next watch */
 	bool store_reachable;
 	bool reachability_known; /* store_reachable has been set */
 };
@@ -167,6 +169,7 @@
 	struct dw_ruleset_result result;
 	enum dw_status status;
 
+	dw_ruleset_keep_absent(daemon->ruleset, config_return_keeps_absent(daemon->config_return));
 	if (delta->snapshot)
 		status = dw_ruleset_apply_snapshot(daemon->ruleset, delta->to_revision,
 						   delta->items, delta->count, &result);
@@ -223,6 +226,7 @@
 	sync->read_at_us = dw_clock_now_us() + RETRY_US;
 	if (result->status != DW_OK)
 		return;
+	sync->read_again = false;
 	delta.count = result->count;
 	delta.items = calloc(result->count + 1, sizeof(*delta.items));
 	if (!delta.items)
@@ -284,7 +288,8 @@
 	if (status != DW_TIMEOUT && status != DW_STALE)
 		set_reachable(sync, false);
 	sync->read_at_us = dw_clock_now_us() + (status == DW_TIMEOUT ? 0 : RETRY_US);
-	if (status == DW_STALE && !sync->reading)
+	if (status == DW_STALE && !sync->reading &&
+	    !config_return_is_behind(sync->daemon->config_return))
 		read_store(sync);
 }
 
@@ -464,12 +469,25 @@
 	return now_us < sync->started_at_us + limit_us;
 }
 
+void config_sync_read_again(struct config_sync *sync)
+{
+	sync->read_again = true;
+	if (sync->watch)
+		dw_store_watch_cancel(sync->daemon->store, sync->watch);
+	sync->watch = NULL;
+}
+
+bool config_sync_is_watcher(const struct config_sync *sync)
+{
+	return dw_membership_is_watcher(sync->daemon->membership,
+					sync->daemon->settings.failure_domain, WATCHERS_PER_DOMAIN);
+}
+
 void config_sync_tick(struct config_sync *sync)
 {
 	struct daemon *daemon = sync->daemon;
 	uint64_t now_us = dw_clock_now_us();
-	bool watcher = dw_membership_is_watcher(daemon->membership, daemon->settings.failure_domain,
-						WATCHERS_PER_DOMAIN);
+	bool watcher = config_sync_is_watcher(sync);
 	bool behind = sync->written_revision > dw_ruleset_revision(daemon->ruleset);
 
 	if (now_us >= sync->pull_at_us)
@@ -480,7 +498,12 @@
 	}
 	if (sync->reading || now_us < sync->read_at_us || is_waiting_for_peers(sync, now_us))
 		return;
-	if (dw_ruleset_revision(daemon->ruleset) == 0 || (behind && !sync->watch))
+	/* Until its revision has been raised, the store has only what is older, and no watch to give. */
+	if (dw_ruleset_revision(daemon->ruleset) > 0 &&
+	    config_return_is_behind(daemon->config_return))
+		return;
+	if (dw_ruleset_revision(daemon->ruleset) == 0 || (behind && !sync->watch) ||
+	    (watcher && sync->read_again))
 		read_store(sync);
 	else if (watcher && !sync->watch)
 		start_watch(sync);
--- a/src/dragonflywharfd/config_sync.h
+++ b/src/dragonflywharfd/config_sync.h
@@ -16,6 +16,12 @@
 struct config_sync *config_sync_start(struct daemon *daemon);
 
 /** Starts the reads, watches and pulls that are due. */
+/** Reads all keys once more: changes may have revisions that this instance has passed. */
+void config_sync_read_again(struct config_sync *sync);
+
+/** True if this instance is one of those that watch the store. */
+bool config_sync_is_watcher(const struct config_sync *sync);
+
 void config_sync_tick(struct config_sync *sync);
 
 /** True once a configuration has been applied. */
--- a/src/dragonflywharfd/daemon.c
+++ b/src/dragonflywharfd/daemon.c
@@ -8,6 +8,7 @@
 
 #include "base/random.h"
 #include "dragonflywharfd/caller_api.h"
+#include "dragonflywharfd/config_return.h"
 #include "dragonflywharfd/config_sync.h"
 #include "dragonflywharfd/dispatcher.h"
 #include "dragonflywharfd/ledger_sync.h"
@@ -179,6 +180,7 @@
 	dw_membership_tick(daemon->membership, now_us, daemon_random(daemon));
 	handle_member_events(daemon);
 	stop_if_replaced(daemon);
+	config_return_tick(daemon->config_return);
 	config_sync_tick(daemon->config_sync);
 	roster_sync_tick(daemon->roster_sync);
 	upstream_table_tick(daemon->upstreams);
@@ -293,6 +295,7 @@
 	daemon->ledger_sync = ledger_sync_start(daemon);
 	daemon->session_sync = session_sync_new(daemon);
 	daemon->roster_sync = roster_sync_start(daemon);
+	daemon->config_return = config_return_new(daemon);
 	daemon->config_sync = config_sync_start(daemon);
 	store_history_start(daemon);
 	status = operator_api_start(daemon);
--- a/src/dragonflywharfd/daemon.h
+++ b/src/dragonflywharfd/daemon.h
@@ -36,6 +36,7 @@
 #include "port/rater.h"
 #include "port/store.h"
 
+struct config_return;
 struct config_sync;
 struct roster_sync;
 struct upstream_table;
@@ -77,6 +78,7 @@
 	struct dw_session_table *sessions;
 
 	struct config_sync *config_sync;
+	struct config_return *config_return;
 	struct roster_sync *roster_sync;
 	struct upstream_table *upstreams;
 	struct dispatcher *dispatcher;
--- a/src/dragonflywharfd/operator_put.c
+++ b/src/dragonflywharfd/operator_put.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "dragonflywharfd/config_return.h"
 #include "dragonflywharfd/config_sync.h"
 #include "dragonflywharfd/operator_reply.h"
 
@@ -91,16 +92,23 @@
 		     on_read_again, put);
 }
 
-/* The new revision is above the one applied before, unless the store was restored from a backup. */
+/*
+ * The new revision is above the one applied before, unless the store was restored from a backup and this
+ * answer is the first to show it: the change is written over, or applied if no instance has had a later one.
+ */
 static void on_written(struct operator_put *put, uint64_t revision)
 {
-	bool store_is_stale = revision <= put->applied_revision;
+	bool store_is_stale = revision <= put->applied_revision ||
+			      config_return_is_behind(put->daemon->config_return);
 
 	if (store_is_stale)
 		config_sync_report_stale(put->daemon->config_sync, revision);
-	reply(put, DRAGONFLYWHARF__PUT_OUTCOME__PUT_DONE, revision,
-	      store_is_stale ? "the store is older than the configuration in force, so this change "
-			       "is not applied"
+	reply(put,
+	      store_is_stale ? DRAGONFLYWHARF__PUT_OUTCOME__PUT_UNKNOWN
+			     : DRAGONFLYWHARF__PUT_OUTCOME__PUT_DONE,
+	      revision,
+	      store_is_stale ? "the store is older than the configuration in force; write the "
+			       "change again"
 			     : "");
 }
 
@@ -132,6 +140,15 @@
 	}
 }
 
+/* The store may show less than what is in force: a change of that would take back what it lacks. */
+static bool is_based_on_older(const struct operator_put *put)
+{
+	struct dw_ruleset_item item;
+
+	return dw_ruleset_get(put->daemon->ruleset, put->key + strlen(CONFIG_PREFIX), &item) &&
+	       item.mod_revision > put->request->expected_revision;
+}
+
 static void write_entity(struct operator_put *put)
 {
 	Dragonflywharf__Entity *entity = put->request->entity;
@@ -188,5 +205,12 @@
 		reply(put, DRAGONFLYWHARF__PUT_OUTCOME__PUT_REFUSED, 0, dw_last_message());
 		return;
 	}
-	write_entity(put);
+	if (config_return_is_behind(daemon->config_return))
+		reply(put, DRAGONFLYWHARF__PUT_OUTCOME__PUT_REFUSED, 0,
+		      "the key-value service came back from an older copy; nothing was written, "
+		      "try again in some seconds");
+	else if (is_based_on_older(put))
+		read_again(put);
+	else
+		write_entity(put);
 }
--- a/src/dragonflywharfd/store_history.c
+++ b/src/dragonflywharfd/store_history.c
@@ -1,5 +1,6 @@
 #include "dragonflywharfd/store_history.h"
 
+#include "dragonflywharfd/config_return.h"
 #include "dragonflywharfd/ledger_sync.h"
 #include "dragonflywharfd/once_sync.h"
 #include "dragonflywharfd/peer_bus.h"
@@ -22,6 +23,7 @@
 {
 	daemon->store_restored_at_us = dw_clock_now_us();
 	tell_peers(daemon);
+	config_return_store_restored(daemon->config_return);
 	once_sync_store_restored(daemon->once_sync);
 	ledger_sync_store_restored(daemon->ledger_sync);
 }
@@ -31,7 +33,8 @@
 	struct daemon *daemon = data;
 
 	dw_log_event(&daemon->log, DW_EVENT_STORE_RESTORED,
-		     DW_INT("revision_before", revision_before), DW_INT("revision", revision));
+		     DW_INT("revision_before", revision_before), DW_INT("revision", revision),
+		     DW_INT("told", 0));
 	store_restored(daemon);
 }
 
@@ -54,5 +57,7 @@
 	if (daemon->store_restored_at_us != 0 &&
 	    dw_clock_now_us() < daemon->store_restored_at_us + TOLD_AGAIN_US)
 		return;
+	dw_log_event(&daemon->log, DW_EVENT_STORE_RESTORED,
+		     DW_INT("revision", daemon->store->revision), DW_INT("told", 1));
 	store_restored(daemon);
 }
