Era guard: the era begins with the key's first write in it, not its last

Cause: records of the system were taken for the copy's if their number was below that of the era's key as it is now. A key that another writer has spoiled is written again in the era, with a higher number, and the era's own records before it then count as older than the restore.

Change: the revision of the key's first write in the era is kept beside the current one.

--- a/src/wharf-gateway/era_guard.c
+++ b/src/wharf-gateway/era_guard.c
@@ -48,8 +48,8 @@
 
 bool era_guard_is_from_copy(const struct era_guard *guard, uint64_t revision)
 {
-	return guard->record_era != guard->era ||
-	       dw_revision_number(revision) < dw_revision_number(guard->revision);
+	return dw_revision_era(guard->begin_revision) != guard->era ||
+	       dw_revision_number(revision) < dw_revision_number(guard->begin_revision);
 }
 
 static uint64_t max_u64(uint64_t a, uint64_t b)
@@ -102,6 +102,14 @@
 	return guard->record_era == guard->era && config_version >= guard->record_config;
 }
 
+/* The key has its era's value; it may be written again in the era if another writer spoils it. */
+static void note_begin(struct era_guard *guard)
+{
+	if (guard->record_era == dw_revision_era(guard->revision) &&
+	    dw_revision_era(guard->begin_revision) < guard->record_era)
+		guard->begin_revision = guard->revision;
+}
+
 static void on_written(const struct dw_store_put_result *result, void *data)
 {
 	struct era_guard *guard = data;
@@ -111,6 +119,7 @@
 		guard->revision = result->revision;
 		guard->record_era = dw_revision_era(result->revision);
 		guard->record_config = max_u64(guard->record_config, guard->config_version);
+		note_begin(guard);
 	}
 	/* Another instance's write comes with the view. */
 	if (result->outcome == DW_STORE_CONFLICT)
@@ -196,6 +205,7 @@
 	root = json_tokener_parse((const char *)event->entry.value);
 	guard->record_era = read_number(root, "era");
 	guard->record_config = read_number(root, "config");
+	note_begin(guard);
 	json_object_put(root);
 }
 
--- a/src/wharf-gateway/era_guard.h
+++ b/src/wharf-gateway/era_guard.h
@@ -39,6 +39,7 @@
 	uint64_t era; /**< of the view; 0: none, or none known yet */
 	uint64_t revision; /**< of the key in the store; 0: it doesn't exist */
 	uint64_t record_era; /**< as the key's value says */
+	uint64_t begin_revision; /**< of the key as it was first written in its last known era */
 	uint64_t record_config; /**< as the key's value says */
 	uint64_t config_version; /**< newest configuration known here; 0: none */
 	uint64_t
--- a/tests/era_guard_test.cc
+++ b/tests/era_guard_test.cc
@@ -217,6 +217,13 @@
 	apply(2, 50, "{\"era\":2,\"config\":100}");
 	EXPECT_TRUE(era_guard_is_from_copy(&guard, dw_revision_make(2, 49)));
 	EXPECT_FALSE(era_guard_is_from_copy(&guard, dw_revision_make(2, 51)));
+	apply(2, 60, "[");
+	apply(2, 61, "{\"era\":2,\"config\":100}");
+	EXPECT_FALSE(era_guard_is_from_copy(&guard, dw_revision_make(2, 51)))
+		<< "written before the key was spoiled";
+	apply(3, 40, nullptr);
+	enter(3, true);
+	EXPECT_TRUE(era_guard_is_from_copy(&guard, dw_revision_make(3, 61)));
 }
 
 /* Guards against restores whose rewritten records nobody sees, and a line for each of them. */
--- a/tests/shift_records_test.cc
+++ b/tests/shift_records_test.cc
@@ -185,6 +185,7 @@
 		era.era = number;
 		era.record_era = guard_revision > 0 ? number : number - 1;
 		era.revision = at(number, guard_revision);
+		era.begin_revision = era.revision;
 	}
 	/* The records of the era's first state were applied. */
 	void restored(uint64_t number, uint64_t guard_revision)
