View: a source that never kept a record is asked for all

Cause: an instance that still keeps orders after its 6 s asks its source for kept records and those that replaced some. A source that has started since the restore has neither, so the instance kept a lost order for good.

Change: if an order is still kept 4 s later, all records are asked for, once a second; what the source doesn't list is gone then. restore_spread_test follows view_sync in this.

--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -730,10 +730,11 @@
 	       dw_revision_era(dw_view_log_revision(view->records)) > 0;
 }
 
-bool view_asks_kept(struct view *view, uint64_t now_us)
+enum view_ask view_ask(struct view *view, uint64_t now_us)
 {
-	return view->restore.lacks_memory ||
-	       view_restore_asks_kept(&view->restore, view->records, now_us);
+	if (view->restore.lacks_memory)
+		return VIEW_ASK_KEPT;
+	return view_restore_ask(&view->restore, view->records, now_us);
 }
 
 struct dw_catalog *view_catalog(const struct view *view)
--- a/src/wharf-gateway/view.h
+++ b/src/wharf-gateway/view.h
@@ -144,10 +144,10 @@
 bool view_wants_memory(const struct view *view);
 
 /**
- * Whether to ask the next instance for its kept records too: this one has started and has none of its own, or the time
- * has passed for which it keeps some. True once for each request.
+ * What to ask the next instance for: its kept records too if this one has started and has none of its own, or if the
+ * time has passed for which it keeps some. To be called once for each request.
  */
-bool view_asks_kept(struct view *view, uint64_t now_us);
+enum view_ask view_ask(struct view *view, uint64_t now_us);
 
 /** Whether the load balancer should send callers to this instance. */
 bool view_is_ready(const struct view *view, uint64_t now_us);
--- a/src/wharf-gateway/view_restore.c
+++ b/src/wharf-gateway/view_restore.c
@@ -125,21 +125,22 @@
 	return dw_restore_keeps(kind, &before, &after, snapshot->is_settled);
 }
 
-bool view_restore_asks_kept(struct view_restore *restore, const struct dw_view_log *log,
-			    uint64_t now_us)
+enum view_ask view_restore_ask(struct view_restore *restore, const struct dw_view_log *log,
+			       uint64_t now_us)
 {
+	bool is_late = now_us >= restore->settled_at_us + ASK_KEPT_US;
 	struct view_kept kept;
 
 	if (!view_restore_is_settling_due(restore, now_us) ||
 	    now_us < restore->kept_asked_at_us + DW_US_PER_S)
-		return false;
+		return VIEW_ASK_CHANGES;
 	kept = view_restore_kept(log);
 	restore->kept_asked_at_us = now_us;
 	/* Engines and configurations may be kept until they change, so the question for them ends. */
-	restore->awaits_settling =
-		kept.orders > 0 ||
-		(kept.configs + kept.engines > 0 && now_us < restore->settled_at_us + ASK_KEPT_US);
-	return restore->awaits_settling;
+	restore->awaits_settling = kept.orders > 0 || (kept.configs + kept.engines > 0 && !is_late);
+	if (!restore->awaits_settling)
+		return VIEW_ASK_CHANGES;
+	return is_late ? VIEW_ASK_ALL : VIEW_ASK_KEPT;
 }
 
 struct view_kept view_restore_kept(const struct dw_view_log *log)
--- a/src/wharf-gateway/view_restore.h
+++ b/src/wharf-gateway/view_restore.h
@@ -48,12 +48,20 @@
 bool view_restore_keeps(const struct view_snapshot *snapshot, const struct dw_view_record *known,
 			const struct dw_view_record *shown);
 
+/** What to ask another instance for. */
+enum view_ask {
+	VIEW_ASK_CHANGES,
+	VIEW_ASK_KEPT, /**< and the records that it keeps, or that replaced some */
+	VIEW_ASK_ALL, /**< all its records */
+	VIEW_ASK_COUNT
+};
+
 /**
- * Whether to ask another instance which records it still keeps, at most once a second: this one keeps some that have
- * not been written again.
+ * What to ask for while this instance keeps records that have not been written again, once a second. An instance that
+ * has started since may never have kept them, so in the end it is asked for all.
  */
-bool view_restore_asks_kept(struct view_restore *restore, const struct dw_view_log *log,
-			    uint64_t now_us);
+enum view_ask view_restore_ask(struct view_restore *restore, const struct dw_view_log *log,
+			       uint64_t now_us);
 
 /** What is kept, by kind, for the log. */
 struct view_kept {
--- a/src/wharf-gateway/view_sync.c
+++ b/src/wharf-gateway/view_sync.c
@@ -162,18 +162,19 @@
 static void send_request(struct view_sync *sync, const struct dw_endpoint *address)
 {
 	uint64_t timeout_us = sync->view->source.timing.pull_timeout_us;
-	uint64_t after = dw_view_source_wants_all(&sync->view->source, dw_clock_now_us())
-				 ? 0
-				 : dw_view_log_revision(sync->view->records);
+	uint64_t now_us = dw_clock_now_us();
+	enum view_ask asked = view_ask(sync->view, now_us);
+	uint64_t after = dw_view_log_revision(sync->view->records);
 	char request[REQUEST_BYTES];
 	int len;
 
-	sync->requested_at_us = dw_clock_now_us();
+	if (asked == VIEW_ASK_ALL || dw_view_source_wants_all(&sync->view->source, now_us))
+		after = 0;
 	len = snprintf(request, sizeof(request),
 		       "GET " VIEW_TARGET "%" PRIu64 "%s HTTP/1.1\r\nHost: %s:%u\r\n\r\n", after,
-		       view_asks_kept(sync->view, sync->requested_at_us) ? VIEW_TARGET_NEW : "",
-		       address->ip, address->port);
-
+		       asked != VIEW_ASK_CHANGES ? VIEW_TARGET_NEW : "", address->ip,
+		       address->port);
+	sync->requested_at_us = now_us;
 	dw_transfer_start(&sync->transfer, sync->requested_at_us + timeout_us,
 			  sync->requested_at_us);
 	sync->is_sent = false;
--- a/tests/restore_spread_test.cc
+++ b/tests/restore_spread_test.cc
@@ -496,8 +496,11 @@
 		if (id == 0)
 			return;
 		size_t from = (size_t)(std::find(ids.begin(), ids.end(), id) - ids.begin());
-		uint64_t after = dw_view_source_wants_all(&n.own.source, now_us) ? 0 : n.revision();
-		bool is_new = view_asks_kept(&n.own, now_us);
+		enum view_ask asked = ::view_ask(&n.own, now_us);
+		bool is_new = asked != VIEW_ASK_CHANGES;
+		bool wants_all =
+			asked == VIEW_ASK_ALL || dw_view_source_wants_all(&n.own.source, now_us);
+		uint64_t after = wants_all ? 0 : n.revision();
 		uint64_t sent_us = now_us;
 		uint64_t pull = ++number;
 		n.pull = pull;
--- a/tests/view_restore_test.cc
+++ b/tests/view_restore_test.cc
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include <cstdio>
+#include <cstring>
 #include <map>
 #include <memory>
 #include <random>
@@ -137,8 +138,9 @@
 	result ask(const Instance &source, uint64_t now_us, bool wants_all = false)
 	{
 		const dw_view_log *records = source.own.records;
-		uint64_t after = wants_all ? 0 : revision();
-		bool is_new = view_asks_kept(&own, now_us);
+		enum view_ask asked = ::view_ask(&own, now_us);
+		uint64_t after = wants_all || asked == VIEW_ASK_ALL ? 0 : revision();
+		bool is_new = asked != VIEW_ASK_CHANGES;
 		msgpack_sbuffer bytes;
 		msgpack_packer packer;
 		view_answer answer{};
@@ -364,6 +366,26 @@
 	EXPECT_EQ(b.revision(), store.revision());
 }
 
+/* Guards against a lost order that an instance keeps for good, as its source has started since and never kept it. */
+TEST_F(ViewRestore, ASourceThatNeverKeptItIsAskedForAll)
+{
+	enter_first_era();
+	store.put("op/evacuate/lost", "{}");
+	a.watch(store, "op/evacuate/lost", now_us);
+	ASSERT_EQ(b.ask(a, now_us), Instance::APPLIED);
+	store.restore(copy);
+	ASSERT_TRUE(b.read(store, now_us));
+	Instance started("started");
+	ASSERT_TRUE(started.read(store, now_us));
+	EXPECT_TRUE(b.is_evacuated("lost"));
+	for (int second = 0; second < 12; second++) {
+		now_us += SECOND;
+		ASSERT_EQ(b.ask(started, now_us), Instance::APPLIED);
+	}
+	EXPECT_FALSE(b.is_evacuated("lost"));
+	EXPECT_FALSE(b.own.restore.awaits_settling);
+}
+
 /* Guards against an instance that takes another one's word for an era of which it knows more than that one. */
 TEST_F(ViewRestore, WhoKnowsMoreThanItsSourceReadsTheStore)
 {
