View log: a kept deletion that the store shows too is a change

Cause: a reading of all keys passed over deleted records. If the removal of an order was kept over the copy, and written again by the operator, a reader that read all keys saw no change in it; an instance that had settled before, and had the order back, was never told.

Change: a kept deletion of a key that a reading doesn't list is one of that reading's revision. ViewRestoreDays plays four views, an operator and engines at random: restores at any moment, views that start, read the store and ask each other in any order. No configuration goes back at any step; once all is written again and 14 s have passed, each view has what the store has.

--- a/src/core/view_log.c
+++ b/src/core/view_log.c
@@ -350,6 +350,15 @@
 	log->next_checked = log->entries;
 }
 
+/* A kept deletion that the store shows too is one of this revision, and passed on to those that had given it up. */
+static void confirm_deletion(struct log_entry *entry, uint64_t revision, uint64_t now_us)
+{
+	if (entry->record.kept_over == 0)
+		return;
+	set_deleted(entry, revision, now_us);
+	set_kept_over(entry, 0);
+}
+
 const struct dw_view_record *dw_view_log_next_missing(struct dw_view_log *log, uint64_t revision,
 						      uint64_t now_us)
 {
@@ -357,9 +366,12 @@
 		struct log_entry *entry = log->next_checked;
 
 		log->next_checked = entry->hh.next;
-		if (entry->record.deleted || entry->snapshot == log->snapshot ||
-		    entry->record.revision > revision)
+		if (entry->snapshot == log->snapshot || entry->record.revision > revision)
+			continue;
+		if (entry->record.deleted) {
+			confirm_deletion(entry, revision, now_us);
 			continue;
+		}
 		set_deleted(entry, revision, now_us);
 		set_kept_over(entry, 0);
 		return &entry->record;
--- a/tests/view_log_test.cc
+++ b/tests/view_log_test.cc
@@ -233,6 +233,22 @@
 	dw_view_log_free(second);
 }
 
+/* Guards against an order that is back for good at an instance that had given its removal up: the removal is written
+ * again, and the log that had kept it passes no change on. */
+TEST_F(ViewLog, AKeptDeletionThatTheStoreShowsTooIsAChange)
+{
+	remove(log, "order", dw_revision_make(1, 97));
+	dw_view_log_complete(log, dw_revision_make(1, 97));
+	dw_view_log_begin_snapshot(log, dw_revision_make(2, 95));
+	dw_view_log_keep(log, dw_view_log_find(log, "order"), dw_revision_make(2, 80));
+	dw_view_log_complete(log, dw_revision_make(2, 95));
+	dw_view_log_begin_snapshot(log, dw_revision_make(2, 99));
+	EXPECT_EQ(dw_view_log_next_missing(log, dw_revision_make(2, 99), 1), nullptr)
+		<< "nothing new";
+	EXPECT_EQ(dw_view_log_find(log, "order")->revision, dw_revision_make(2, 99));
+	EXPECT_EQ(dw_view_log_kept_count(log), 0U);
+}
+
 TEST_F(ViewLog, WithoutACopyEverythingIsNeeded)
 {
 	EXPECT_FALSE(dw_view_log_covers(log, 0));
--- a/tests/view_restore_test.cc
+++ b/tests/view_restore_test.cc
@@ -528,4 +528,205 @@
 	EXPECT_EQ(a.value("op/config"), config(9, "k3"));
 }
 
+/* An operator and engines that write again what a restore has undone, and views that read the store and each other. */
+struct Days {
+	std::mt19937_64 random;
+	Store store;
+	Store copy;
+	std::vector<std::unique_ptr<Instance>> views;
+	std::vector<uint64_t> versions; /* the newest that each view has had in force */
+	std::map<std::string, std::string> orders; /* as the operator wants them */
+	std::map<std::string, uint64_t>
+		engines; /* those that run, and the numbers of their reports */
+	uint64_t version = 7;
+	uint64_t names = 0;
+	uint64_t now_us = 1000 * SECOND;
+	uint64_t restores = 0;
+	uint64_t answers = 0;
+
+	explicit Days(uint64_t seed) : random(seed), views(4), versions(4)
+	{
+		store.put("op/config", config(version, "k7"));
+		add_engine();
+		copy = store;
+		for (size_t i = 0; i < views.size(); i++)
+			start(i);
+	}
+	void start(size_t i)
+	{
+		views[i] = std::make_unique<Instance>("view-" + std::to_string(i));
+		versions[i] = 0;
+	}
+	void add_engine()
+	{
+		std::string key = "servers/e" + std::to_string(++names);
+		engines[key] = 1;
+		store.put(key, engine(names, 1));
+	}
+	static uint64_t born_of(const std::string &key)
+	{
+		return std::stoull(key.substr(strlen("servers/e")));
+	}
+	void read(size_t i)
+	{
+		views[i]->read(store, now_us);
+	}
+	void ask(size_t i, size_t source)
+	{
+		if (views[source]->revision() == 0)
+			return;
+		Instance::result result = views[i]->ask(*views[source], now_us);
+		answers += result == Instance::APPLIED;
+		if (result == Instance::ASK_STORE)
+			read(i);
+	}
+	void write()
+	{
+		std::string order = "op/evacuate/d" + std::to_string(random() % 3);
+		switch (random() % 6) {
+		case 0:
+			version += 1 + random() % 3;
+			store.put("op/config", config(version, "k" + std::to_string(version),
+						      random() % 4 == 0 ? 20000 : 0));
+			break;
+		case 1:
+			add_engine();
+			break;
+		case 2:
+			if (!engines.empty()) {
+				auto &[key, sequence] = *engines.begin();
+				store.put(key, engine(born_of(key), ++sequence, "draining"));
+			}
+			break;
+		case 3:
+			if (!engines.empty()) {
+				store.remove(engines.begin()->first);
+				engines.erase(engines.begin());
+			}
+			break;
+		case 4:
+			orders[order] = std::to_string(now_us);
+			store.put(order, orders[order]);
+			break;
+		default:
+			if (orders.erase(order) > 0)
+				store.remove(order);
+			break;
+		}
+	}
+	void step()
+	{
+		size_t i = random() % views.size();
+		size_t source = random() % views.size();
+		now_us += random() % (SECOND / 2);
+		switch (random() % 20) {
+		case 0:
+			start(i);
+			break;
+		case 1:
+			copy = store;
+			break;
+		case 2:
+			if (random() % 2 == 0) {
+				store.restore(copy);
+				restores++;
+			}
+			break;
+		case 3:
+		case 4:
+		case 5:
+			write();
+			break;
+		case 6:
+		case 7:
+		case 8:
+			read(i);
+			break;
+		default:
+			if (i != source)
+				ask(i, source);
+			break;
+		}
+		for (size_t k = 0; k < views.size(); k++) {
+			ASSERT_GE(views[k]->config_version(), versions[k]) << "view " << k;
+			versions[k] = views[k]->config_version();
+		}
+	}
+	void write_again()
+	{
+		auto items = store.items;
+		store.put("op/config", config(version, "k" + std::to_string(version)));
+		for (const auto &[key, item] : items) {
+			if ((key.rfind("servers/", 0) == 0 && engines.count(key) == 0) ||
+			    (key.rfind("op/evacuate/", 0) == 0 && orders.count(key) == 0))
+				store.remove(key);
+		}
+		for (auto &[key, sequence] : engines)
+			store.put(key, engine(born_of(key), ++sequence));
+		for (const auto &[key, value] : orders)
+			store.put(key, value);
+	}
+	/* The first view reads the store, and the others ask the one before them. */
+	void calm_down()
+	{
+		for (int second = 0; second < 14; second++) {
+			now_us += SECOND;
+			read(0);
+			for (size_t i = 1; i < views.size(); i++)
+				ask(i, i - 1);
+		}
+	}
+	void check() const
+	{
+		for (size_t i = 0; i < views.size(); i++) {
+			const Instance &each = *views[i];
+			const dw_view_record *record = nullptr;
+			size_t count = 0;
+			while ((record = dw_view_log_next(each.own.records, record))) {
+				ASSERT_EQ(record->kept_over > 0 && !record->deleted, false)
+					<< "view " << i << " keeps " << record->key;
+				count += !record->deleted;
+				ASSERT_TRUE(record->deleted || store.items.count(record->key) > 0)
+					<< "view " << i << " still has " << record->key;
+			}
+			for (const auto &[key, item] : store.items)
+				ASSERT_EQ(each.value(key), item.second)
+					<< "view " << i << ", " << key;
+			ASSERT_EQ(count, store.items.size()) << "view " << i;
+			ASSERT_EQ(each.config_version(), version) << "view " << i;
+			for (int domain = 0; domain < 3; domain++) {
+				std::string name = "d" + std::to_string(domain);
+				ASSERT_EQ(each.is_evacuated(name),
+					  orders.count("op/evacuate/" + name) > 0)
+					<< "view " << i << ", " << name;
+			}
+		}
+	}
+};
+
+/* Guards against a configuration that goes back, and views that don't have what the store has once all is written again:
+ * restores at any moment, views that start, ask each other in any order, and read the store. */
+TEST(ViewRestoreDays, AllViewsHaveTheTruthInTheEnd)
+{
+	uint64_t restores = 0;
+	uint64_t answers = 0;
+	for (uint64_t seed = 1; seed <= 150; seed++) {
+		Days days(seed);
+		SCOPED_TRACE("seed " + std::to_string(seed));
+		for (int step = 0; step < 150 && !HasFatalFailure(); step++) {
+			SCOPED_TRACE("step " + std::to_string(step));
+			days.step();
+		}
+		days.write_again();
+		days.calm_down();
+		days.check();
+		if (HasFatalFailure())
+			return;
+		restores += days.restores;
+		answers += days.answers;
+	}
+	EXPECT_GT(restores, 300U);
+	EXPECT_GT(answers, 5000U);
+}
+
 } // namespace
