Roster: instances of two histories agree on one again

Cause: the epoch only grows. The members of the lost epoch refused the older roster in the store and proposed nothing, as none of their members had changed; the joiner wrote the next epoch of the copy. Only equal epochs with equal digests count, so nothing of the joiner's was ever settled (no slot ran two requests); hearing of a later epoch it read the store at every tick. With as many joins as lost epochs, one epoch had two contents, which an instance that saw its own number took for its own.

Change: an instance that reads an earlier epoch than its own, or its own with other members, proposes the members of both (of two runs the later) under an epoch above both and above any that peers have named. One whose peers name a later epoch than the store for 2 s does so too, and reads no more than five times a second meanwhile. A roster that can't be read is followed by no proposal.

Ruled out: dropping members that only one history has: each may hold slots.

--- a/include/dragonflywharf/roster.h
+++ b/include/dragonflywharf/roster.h
@@ -68,6 +68,16 @@
 bool dw_roster_confirmed_gone(const struct dw_roster_observation *seen,
 			      const struct dw_roster_list_state *list, uint64_t now_us);
 
+/**
+ * Merges the roster in force here with the one of a store that came back from an older copy, or that others have
+ * written since: every member of either, of two runs of an instance the later one, as each may hold slots. @p out gets
+ * the higher one of both epochs and @p epoch_seen; it is to be proposed under the next.
+ *
+ * @return DW_OK or DW_TOO_LARGE.
+ */
+enum dw_status dw_roster_merge(const struct dw_roster *known, const struct dw_roster *stored,
+			       uint64_t epoch_seen, struct dw_roster *out);
+
 /**
  * Computes the successor of @p current.
  * @return DW_OK with @p next set, its epoch being one higher; DW_NOT_FOUND if no change is needed;
--- a/src/core/roster.c
+++ b/src/core/roster.c
@@ -126,6 +126,32 @@
 	return run->condition != DW_ROSTER_RELEASED && !dw_roster_confirmed_gone(run, list, now_us);
 }
 
+enum dw_status dw_roster_merge(const struct dw_roster *known, const struct dw_roster *stored,
+			       uint64_t epoch_seen, struct dw_roster *out)
+{
+	*out = *known;
+	if (stored->epoch > out->epoch)
+		out->epoch = stored->epoch;
+	if (epoch_seen > out->epoch)
+		out->epoch = epoch_seen;
+	for (uint32_t i = 0; i < stored->member_count; i++) {
+		const struct dw_roster_member *member = &stored->members[i];
+		int32_t at = dw_roster_find_instance(known, member->key.instance_id);
+
+		if (at >= 0) {
+			if (member->key.incarnation > out->members[at].key.incarnation)
+				out->members[at] = *member;
+			continue;
+		}
+		if (out->member_count == DW_ROSTER_MEMBERS_MAX)
+			return dw_fail(DW_TOO_LARGE, "merged roster has more than %d members",
+				       DW_ROSTER_MEMBERS_MAX);
+		out->members[out->member_count++] = *member;
+	}
+	qsort(out->members, out->member_count, sizeof(out->members[0]), compare_members);
+	return DW_OK;
+}
+
 enum dw_status dw_roster_propose(const struct dw_roster *current,
 				 const struct dw_roster_observation *seen, uint32_t seen_count,
 				 const struct dw_roster_list_state *list, uint64_t now_us,
--- a/src/dragonflywharfd/roster_sync.c
+++ b/src/dragonflywharfd/roster_sync.c
@@ -14,6 +14,8 @@
 #define CALL_TIMEOUT_US (1000 * DW_US_PER_MS)
 #define READ_PERIOD_US (1000 * DW_US_PER_MS)
 #define RETRY_US (200 * DW_US_PER_MS)
+/** How long the store may have an earlier epoch than peers name; after that it has lost theirs. */
+#define BEHIND_US (2 * DW_US_PER_S)
 /** A leaving member stops waiting for its removal from the roster after this time. */
 #define LEAVE_TIMEOUT_US (3 * DW_US_PER_S)
 
@@ -34,8 +36,10 @@
 	struct dw_roster_list_state list;
 	uint64_t reads; /* successful reads of the instance list */
 	uint64_t read_at_us; /* when ROSTER_KEY is read next */
+	uint64_t
+		behind_since_us; /* since when peers name a later epoch than the store; 0: they don't */
+	uint64_t behind_read_at_us;
 	uint64_t leave_deadline_us;
-	bool was_read; /* ROSTER_KEY was read at least once */
 	bool calling; /* a call to the store is in progress */
 	bool leaving;
 	bool left;
@@ -148,7 +152,7 @@
 	struct daemon *daemon = sync->daemon;
 
 	sync->revision = revision;
-	if (roster->epoch == sync->roster.epoch)
+	if (roster->epoch <= sync->roster.epoch)
 		return;
 	if (dw_limiter_set_roster(daemon->limiter, roster, dw_clock_now_us()) != DW_OK) {
 		dw_log_event(&daemon->log, DW_EVENT_CONFIG_REFUSED, DW_STR("key", ROSTER_KEY),
@@ -162,7 +166,27 @@
 		sync->left = true;
 }
 
-static void propose(struct roster_sync *sync);
+static void propose(struct roster_sync *sync, const struct dw_roster *current, bool always);
+
+/*
+ * Proposes the roster that follows the stored one. A stored one that isn't the one in force here, nor later, is of
+ * another history than this instance's: the store came back from an older copy, and others may have joined since. Both
+ * are merged then, under an epoch that neither has used.
+ */
+static void follow_roster(struct roster_sync *sync, const struct dw_roster *stored)
+{
+	static struct dw_roster merged;
+	uint64_t epoch_seen = dw_limiter_epoch_seen(sync->daemon->limiter);
+	bool same = stored->epoch == sync->roster.epoch &&
+		    dw_roster_digest(stored) == dw_roster_digest(&sync->roster);
+	bool lost = epoch_seen > stored->epoch && sync->behind_since_us != 0 &&
+		    dw_clock_now_us() >= sync->behind_since_us + BEHIND_US;
+
+	if (same && !lost)
+		propose(sync, &sync->roster, false);
+	else if (dw_roster_merge(&sync->roster, stored, epoch_seen, &merged) == DW_OK)
+		propose(sync, &merged, true);
+}
 
 static void on_read(const struct dw_store_range_result *result, void *data)
 {
@@ -171,11 +195,14 @@
 	static struct dw_roster roster;
 	size_t used = 0;
 
+	bool readable = false;
+
 	sync->calling = false;
 	sync->read_at_us = dw_clock_now_us() + READ_PERIOD_US;
 	if (result->status == DW_NOT_FOUND) {
-		sync->was_read = true;
 		sync->revision = 0;
+		roster = (struct dw_roster){ 0 };
+		readable = true;
 	} else if (result->status == DW_OK) {
 		const struct dw_store_entry *entry = &result->entries[0];
 
@@ -183,7 +210,7 @@
 		if (msgpack_unpack_next(&value, (const char *)entry->value, entry->value_len,
 					&used) == MSGPACK_UNPACK_SUCCESS &&
 		    dw_roster_unpack(&value.data, &roster) == DW_OK) {
-			sync->was_read = true;
+			readable = true;
 			apply_roster(sync, &roster, entry->mod_revision);
 		}
 		msgpack_unpacked_destroy(&value);
@@ -191,7 +218,8 @@
 		sync->read_at_us = dw_clock_now_us() + RETRY_US;
 		return;
 	}
-	propose(sync);
+	if (readable)
+		follow_roster(sync, &roster);
 	daemon_pump(sync->daemon);
 }
 
@@ -213,10 +241,12 @@
 		read_roster(sync);
 }
 
-static void propose(struct roster_sync *sync)
+/* With @p always, also if the members stay as they are. */
+static void propose(struct roster_sync *sync, const struct dw_roster *current, bool always)
 {
 	static struct dw_roster_observation observations[DW_ROSTER_MEMBERS_MAX];
 	static struct dw_roster next;
+	enum dw_status status;
 	uint32_t count;
 	msgpack_sbuffer bytes;
 	msgpack_packer packer;
@@ -226,11 +256,17 @@
 		.deadline_us = dw_clock_now_us() + CALL_TIMEOUT_US,
 	};
 
-	if (!sync->was_read || sync->left || sync->calling)
+	if (sync->left || sync->calling)
 		return;
 	count = observe(sync, observations, DW_ROSTER_MEMBERS_MAX);
-	if (dw_roster_propose(&sync->roster, observations, count, &sync->list, dw_clock_now_us(),
-			      &next) != DW_OK)
+	status = dw_roster_propose(current, observations, count, &sync->list, dw_clock_now_us(),
+				   &next);
+	if (status == DW_NOT_FOUND && always) {
+		next = *current;
+		next.epoch++;
+		status = dw_roster_check(&next);
+	}
+	if (status != DW_OK)
 		return;
 	msgpack_sbuffer_init(&bytes);
 	msgpack_packer_init(&packer, &bytes, msgpack_sbuffer_write);
@@ -269,6 +305,15 @@
 
 	if (sync->leaving && now_us >= sync->leave_deadline_us)
 		sync->left = true;
+	if (!behind)
+		sync->behind_since_us = 0;
+	else if (sync->behind_since_us == 0)
+		sync->behind_since_us = now_us;
+	/* At once when peers name a later epoch, and then not more often than after a failure. */
+	if (behind && sync->behind_since_us != now_us && now_us < sync->behind_read_at_us)
+		behind = false;
+	if (behind)
+		sync->behind_read_at_us = now_us + RETRY_US;
 	if (!sync->calling && (behind || now_us >= sync->read_at_us))
 		read_roster(sync);
 }
--- a/tests/process_daemon_restore_test.cc
+++ b/tests/process_daemon_restore_test.cc
@@ -199,4 +199,26 @@
 	expect_status("edam", 403);
 }
 
+// Guards against instances that keep rosters of different histories: none of their slots are settled, and the store
+// is read in a loop.
+TEST_F(DaemonRestore, AnInstanceThatJoinsAfterTheReturnGetsPermits)
+{
+	c.kv.admin("/admin/backup");
+	support::daemon &third = c.add_daemon("entry-3", { .failure_domain = "haarlem" });
+	cluster::wait_until("the third instance serves",
+			    [&] { return chat(third, "edam", "third").status == 200; });
+	restore();
+	support::daemon &fourth = c.add_daemon("entry-4", { .failure_domain = "zaandam" });
+	for (support::daemon *d : { &third, &fourth, a, b })
+		EXPECT_TRUE(cluster::wait_until(d->name + " serves", [&] {
+			return chat(*d, "edam", "all").status == 200;
+		}));
+	int64_t reads = c.kv.stat("calls./v3/kv/range");
+	auto end = std::chrono::steady_clock::now() + std::chrono::seconds(2);
+	cluster::wait_until("two seconds pass",
+			    [&] { return std::chrono::steady_clock::now() >= end; });
+	/* Each of the four reads the roster once a second. */
+	EXPECT_LE(c.kv.stat("calls./v3/kv/range") - reads, 2 * 4 + 8);
+}
+
 } // namespace
--- a/tests/roster_test.cc
+++ b/tests/roster_test.cc
@@ -57,6 +57,33 @@
 		  DW_NOT_FOUND);
 }
 
+/* Guards against a member of either history that loses its slots while it uses them, and an epoch with two contents. */
+TEST_F(Roster, MergesRostersOfTwoHistories)
+{
+	dw_roster stored = current;
+	dw_roster merged;
+
+	/* Lost with the store: 4 joined, and 2 was restarted. Since its return 5 has joined, and 1 was restarted. */
+	ASSERT_EQ(propose({ seen(4, 1), seen(2, 2) }), DW_OK);
+	dw_roster known = next;
+	current = stored;
+	ASSERT_EQ(propose({ seen(5, 1), seen(1, 2) }), DW_OK);
+	stored = next;
+	ASSERT_EQ(known.epoch, stored.epoch);
+	ASSERT_EQ(dw_roster_merge(&known, &stored, 0, &merged), DW_OK);
+	EXPECT_EQ(merged.epoch, known.epoch);
+	ASSERT_EQ(merged.member_count, 5U);
+	const uint64_t incarnations[] = { 2, 2, 1, 1, 1 };
+	for (uint32_t i = 0; i < 5; i++) {
+		EXPECT_EQ(merged.members[i].key.instance_id, i + 1);
+		EXPECT_EQ(merged.members[i].key.incarnation, incarnations[i]);
+	}
+	EXPECT_EQ(dw_roster_check(&merged), DW_OK);
+	ASSERT_EQ(dw_roster_merge(&stored, &known, 9, &merged), DW_OK);
+	EXPECT_EQ(merged.epoch, 9U) << "the highest epoch that a peer has named";
+	EXPECT_EQ(merged.member_count, 5U);
+}
+
 TEST_F(Roster, RemovesADeadMemberOnlyIfAFreshListHasMissedItForLong)
 {
 	dw_roster_observation dead = seen(2, 1, DW_ROSTER_DEAD);
