--- a/src/core/ledger_restore.c
+++ b/src/core/ledger_restore.c
@@ -5,14 +5,11 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <utlist.h>
-
 #include "core/ledger_state.h"
 
 static void drop(struct dw_ledger *ledger, struct dw_ledger_batch *batch)
 {
-	DL_DELETE(ledger->kept, batch);
-	ledger->kept_bytes -= batch->len;
+	HASH_DEL(ledger->kept, batch);
 	free(batch->bytes);
 	free(batch);
 }
@@ -22,18 +19,21 @@
 {
 	struct dw_ledger_batch *batch;
 	struct dw_ledger_batch *next;
+	size_t bytes = ledger->kept_bytes;
 
-	DL_FOREACH_SAFE(ledger->kept, batch, next) {
+	HASH_ITER(hh, ledger->kept, batch, next) {
 		bool expired = batch->until_us <= now_us;
 
 		if (batch->due)
 			continue;
-		if (!expired && ledger->kept_bytes <= ledger->options.max_kept_bytes)
-			return;
+		if (!expired && bytes <= ledger->options.max_kept_bytes)
+			break;
 		if (!expired)
 			ledger->counters.dropped++;
+		bytes -= batch->len;
 		drop(ledger, batch);
 	}
+	ledger->kept_bytes = bytes;
 }
 
 /* Without memory the batch isn't kept: it is in the store. */
@@ -54,7 +54,7 @@
 	batch->due = ledger->write_void;
 	batch->bytes = bytes;
 	batch->len = ledger->buffer.size;
-	DL_APPEND(ledger->kept, batch);
+	HASH_ADD(hh, ledger->kept, seq, sizeof(batch->seq), batch);
 	ledger->kept_bytes += batch->len;
 	trim(ledger, now_us);
 }
@@ -65,7 +65,7 @@
 
 	if (ledger->again_seq != 0 || now_us < ledger->again_at_us)
 		return NULL;
-	DL_FOREACH(ledger->kept, batch) {
+	for (batch = ledger->kept; batch; batch = batch->hh.next) {
 		if (batch->due)
 			return batch;
 	}
@@ -84,9 +84,8 @@
 		ledger->again_at_us = now_us + ledger->options.retry_interval_us;
 		return;
 	}
-	DL_FOREACH(ledger->kept, batch) {
-		if (batch->seq != seq)
-			continue;
+	HASH_FIND(hh, ledger->kept, &seq, sizeof(seq), batch);
+	if (batch) {
 		batch->due = ledger->again_void;
 		batch->until_us = now_us + ledger->options.keep_us;
 		ledger->counters.written_again++;
@@ -99,8 +98,7 @@
 {
 	struct dw_ledger_batch *batch;
 
-	trim(ledger, now_us);
-	DL_FOREACH(ledger->kept, batch)
+	for (batch = ledger->kept; batch; batch = batch->hh.next)
 		batch->due = true;
 	ledger->write_void = ledger->write_in_progress;
 	ledger->again_void = ledger->again_seq != 0;
@@ -112,13 +110,20 @@
 	const struct dw_ledger_batch *batch;
 	size_t count = 0;
 
-	DL_FOREACH(ledger->kept, batch)
+	for (batch = ledger->kept; batch; batch = batch->hh.next)
 		count += batch->due;
 	return count;
 }
 
 void dw_ledger_drop_kept(struct dw_ledger *ledger)
 {
-	while (ledger->kept)
-		drop(ledger, ledger->kept);
+	struct dw_ledger_batch *batch = ledger->kept;
+	struct dw_ledger_batch *next;
+
+	HASH_CLEAR(hh, ledger->kept);
+	for (; batch; batch = next) {
+		next = batch->hh.next;
+		free(batch->bytes);
+		free(batch);
+	}
 }
--- a/src/core/ledger_state.h
+++ b/src/core/ledger_state.h
@@ -42,8 +42,7 @@
 	bool due; /**< to be written again */
 	uint8_t *bytes;
 	size_t len;
-	struct dw_ledger_batch *prev; /**< oldest first */
-	struct dw_ledger_batch *next;
+	UT_hash_handle hh;
 };
 
 /** The peer that holds copies of the own tail. Sequence numbers start at 1. */
@@ -74,7 +73,7 @@
 	uint64_t batch_seq;
 	bool write_in_progress;
 	bool write_void; /**< it began before a restore, and may be lost */
-	struct dw_ledger_batch *kept;
+	struct dw_ledger_batch *kept; /**< by seq, oldest first */
 	size_t kept_bytes;
 	uint64_t again_seq; /**< the kept batch that is being written; 0: none */
 	bool again_void; /**< that write began before a restore */
--- a/src/core/once_restore.c
+++ b/src/core/once_restore.c
@@ -28,7 +28,6 @@
 static void remove_kept(struct dw_once *once, struct dw_once_kept *kept)
 {
 	HASH_DEL(once->kept, kept);
-	DL_DELETE(once->kept_order, kept);
 	free(kept->record.body);
 	free(kept);
 }
@@ -38,17 +37,19 @@
 {
 	struct dw_once_kept *kept;
 	struct dw_once_kept *next;
+	size_t count = HASH_COUNT(once->kept);
 
-	DL_FOREACH_SAFE(once->kept_order, kept, next) {
+	HASH_ITER(hh, once->kept, kept, next) {
 		bool expired = kept->until_us <= now_us;
 
-		if (!expired && HASH_COUNT(once->kept) <= once->options.max_kept)
+		if (!expired && count <= once->options.max_kept)
 			return;
 		if (find_ticket(once, kept->id))
 			continue;
 		if (!expired)
 			once->counters.forgotten++;
 		remove_kept(once, kept);
+		count--;
 	}
 }
 
@@ -73,7 +74,6 @@
 		.expires_at_us = ticket->expires_at_us,
 	};
 	HASH_ADD(hh, once->kept, id, sizeof(kept->id), kept);
-	DL_APPEND(once->kept_order, kept);
 	trim_kept(once, time.now_us);
 }
 
@@ -97,8 +97,8 @@
 		record->body_bytes = ticket->answer.body_bytes;
 	}
 	kept->until_us = time.now_us + once->options.keep_us;
-	DL_DELETE(once->kept_order, kept);
-	DL_APPEND(once->kept_order, kept);
+	HASH_DEL(once->kept, kept);
+	HASH_ADD(hh, once->kept, id, sizeof(kept->id), kept);
 }
 
 void dw_once_forget(struct dw_once *once, uint64_t id)
@@ -111,11 +111,15 @@
 
 void dw_once_forget_all(struct dw_once *once)
 {
-	struct dw_once_kept *kept;
+	struct dw_once_kept *kept = once->kept;
 	struct dw_once_kept *next;
 
-	DL_FOREACH_SAFE(once->kept_order, kept, next)
-		remove_kept(once, kept);
+	HASH_CLEAR(hh, once->kept);
+	for (; kept; kept = next) {
+		next = kept->hh.next;
+		free(kept->record.body);
+		free(kept);
+	}
 }
 
 bool dw_once_lacks_kept(const struct dw_once *once, uint32_t shard, uint64_t wall_us)
@@ -123,7 +127,7 @@
 	const struct dw_once_shard *records = &once->caches[shard].records;
 	const struct dw_once_kept *kept;
 
-	DL_FOREACH(once->kept_order, kept) {
+	for (kept = once->kept; kept; kept = kept->hh.next) {
 		if (kept->shard == shard && kept->record.expires_at_us > wall_us &&
 		    !find_ticket(once, kept->id) && !dw_once_shard_find(records, kept->record.key))
 			return true;
@@ -174,8 +178,7 @@
 
 	once->counters.restores++;
 	once->settled_at_us = time.now_us + once->options.settle_us;
-	trim_kept(once, time.now_us);
-	DL_FOREACH(once->kept_order, kept) {
+	for (kept = once->kept; kept; kept = kept->hh.next) {
 		if (!find_ticket(once, kept->id) && kept->record.expires_at_us > time.wall_us)
 			add_ticket_of_kept(once, kept);
 	}
--- a/src/core/once_state.h
+++ b/src/core/once_state.h
@@ -76,8 +76,6 @@
 	uint32_t shard;
 	uint64_t until_us; /**< monotonic; not before its ticket has ended */
 	struct dw_once_record record; /**< owns its body */
-	struct dw_once_kept *prev; /**< oldest first */
-	struct dw_once_kept *next;
 	UT_hash_handle hh;
 };
 
@@ -92,8 +90,7 @@
 	struct dw_once_options options;
 	struct dw_once_shard_cache *caches;
 	struct dw_once_ticket *tickets; /**< by id */
-	struct dw_once_kept *kept; /**< by id */
-	struct dw_once_kept *kept_order;
+	struct dw_once_kept *kept; /**< by id, oldest first */
 	uint64_t settled_at_us; /**< no dispatch before */
 	struct dw_once_queued_decision *decisions;
 	/** the decision that the caller took last; owns the body that the caller reads */
