--- a/src/net/view_codec.c
+++ b/src/net/view_codec.c
@@ -10,14 +10,19 @@
 	ANSWER_VERSION,
 	ANSWER_REVISION,
 	ANSWER_HOPS,
-	ANSWER_IS_SNAPSHOT,
+	ANSWER_KIND,
 	ANSWER_HELD,
 	ANSWER_AGE,
 	ANSWER_STORE_BACK,
+	ANSWER_GAP_FROM,
+	ANSWER_GAP_UNTIL,
 	ANSWER_RECORDS,
 	ANSWER_FIELD_COUNT
 };
 
+/* What the records of an answer are. */
+enum answer_kind { ANSWER_CHANGES, ANSWER_ALL, ANSWER_CHANGES_OVER_GAP, ANSWER_KIND_COUNT };
+
 enum record_field {
 	RECORD_KEY,
 	RECORD_REVISION,
@@ -30,11 +35,18 @@
 static bool is_included(const struct dw_view_record *record, const struct view_answer *answer,
 			uint64_t after)
 {
-	if (answer->with_kept && record->kept_over > 0)
+	if (answer->with_kept && (record->kept_over > 0 || record->was_kept))
 		return true;
 	return answer->is_snapshot ? !record->deleted : record->revision > after;
 }
 
+static enum answer_kind kind_of(const struct view_answer *answer)
+{
+	if (answer->is_snapshot)
+		return ANSWER_ALL;
+	return answer->is_over_gap ? ANSWER_CHANGES_OVER_GAP : ANSWER_CHANGES;
+}
+
 static void pack_bytes(msgpack_packer *packer, const uint8_t *bytes, size_t len)
 {
 	msgpack_pack_bin(packer, len);
@@ -89,10 +101,12 @@
 	msgpack_pack_uint8(packer, VIEW_CODEC_VERSION);
 	msgpack_pack_uint64(packer, answer->revision);
 	msgpack_pack_uint32(packer, answer->hops);
-	msgpack_pack_uint8(packer, answer->is_snapshot);
+	msgpack_pack_uint8(packer, (uint8_t)kind_of(answer));
 	msgpack_pack_uint64(packer, answer->held_us);
 	pack_optional(packer, answer->has_proof, answer->age_us);
 	pack_optional(packer, answer->had_outage, answer->store_back_us);
+	pack_optional(packer, answer->has_gap, answer->gap_from_us);
+	pack_optional(packer, answer->has_gap, answer->gap_until_us);
 	msgpack_pack_array(packer, count);
 	while ((record = dw_view_log_next(log, record))) {
 		if (is_included(record, answer, after))
@@ -180,8 +194,9 @@
 static bool read_answer(const msgpack_object *object, size_t len, struct view_answer *out)
 {
 	const msgpack_object *fields = dw_msgpack_read_array(object, ANSWER_FIELD_COUNT);
-	uint64_t is_snapshot = 0;
+	uint64_t kind = 0;
 	uint64_t hops = 0;
+	bool has_end = false;
 	uint64_t version = 0;
 
 	if (!fields ||
@@ -190,13 +205,17 @@
 		return false;
 	if (!dw_msgpack_read_uint(&fields[ANSWER_REVISION], UINT64_MAX, &out->revision) ||
 	    !dw_msgpack_read_uint(&fields[ANSWER_HOPS], UINT16_MAX, &hops) ||
-	    !dw_msgpack_read_uint(&fields[ANSWER_IS_SNAPSHOT], 1, &is_snapshot) ||
+	    !dw_msgpack_read_uint(&fields[ANSWER_KIND], ANSWER_KIND_COUNT - 1, &kind) ||
 	    !dw_msgpack_read_uint(&fields[ANSWER_HELD], UINT64_MAX, &out->held_us) ||
 	    !read_optional(&fields[ANSWER_AGE], &out->has_proof, &out->age_us) ||
-	    !read_optional(&fields[ANSWER_STORE_BACK], &out->had_outage, &out->store_back_us))
+	    !read_optional(&fields[ANSWER_STORE_BACK], &out->had_outage, &out->store_back_us) ||
+	    !read_optional(&fields[ANSWER_GAP_FROM], &out->has_gap, &out->gap_from_us) ||
+	    !read_optional(&fields[ANSWER_GAP_UNTIL], &has_end, &out->gap_until_us) ||
+	    has_end != out->has_gap || (has_end && out->gap_until_us > out->gap_from_us))
 		return false;
 	out->hops = (uint32_t)hops;
-	out->is_snapshot = is_snapshot != 0;
+	out->is_snapshot = kind == ANSWER_ALL;
+	out->is_over_gap = kind == ANSWER_CHANGES_OVER_GAP;
 	return read_records(&fields[ANSWER_RECORDS], len, out);
 }
 
--- a/src/port/store.h
+++ b/src/port/store.h
@@ -16,6 +16,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include <dragonflywharf/freshness.h>
 #include <dragonflywharf/status.h>
 #include <dragonflywharf/store_era.h>
 #include <dragonflywharf/store_revision.h>
@@ -99,7 +100,8 @@
 	 */
 	const char *guard_key;
 	uint64_t guard_revision;
-	/** The era that all this was prepared in: the write isn't sent in another one. 0: not checked. */
+	/** The era that all this was prepared in: the write isn't sent once a later one is known. It may be later than
+	 * those of the answers so far, as other instances pass it on. 0: not checked. */
 	uint64_t era;
 	uint64_t deadline_us;
 };
@@ -186,6 +188,8 @@
 	void (*on_back)(void *data);
 	void *history_data;
 	struct dw_store_era era; /**< as an adapter whose store has eras keeps it */
+	/** Before a watch was last cut: proofs from then may lack changes. Set before on_ended is called. */
+	struct dw_freshness_gap unheard;
 };
 
 /** Reads one key. */
--- /dev/null
+++ b/tests/view_restore_test.cc
@@ -0,0 +1,509 @@
+// Views of several instances over restores of the store: what each takes in from the store and from the others.
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "net/view_codec.h"
+#include "wharf-gateway/view.h"
+}
+
+namespace
+{
+
+constexpr uint64_t SECOND = 1000000;
+
+std::string config(uint64_t version, const std::string &key, size_t padding = 0)
+{
+	return R"({"Version":)" + std::to_string(version) +
+	       R"(,"Routes":[{"Name":"r","Host":"h","PathPrefix":"/x/","Kind":"safe","TimeoutMs":5000,)"
+	       R"("TargetLatencyMs":2000,"Priority":1,"TrafficSplit":[{"Service":"a","Weight":1}],)"
+	       R"("MaxAttempts":3,"Public":false}],"Services":[{"Name":"a","HealthPath":"/health",)"
+	       R"("MaxConnections":370,"ColdStartS":3.0,"ColdPerS":11.5}],)"
+	       R"("Limits":{"MaxHeaderBytes":100,"MaxBodyBytes":200,"HeaderTimeoutMs":300,)"
+	       R"("IdleTimeoutMs":400},"Tenants":[{"Name":"t","ApiKeys":[")" +
+	       key + R"("],"Priority":2}],"Padding":")" + std::string(padding, 'x') + R"("})";
+}
+
+std::string engine(uint64_t born, uint64_t sequence, const std::string &state = "ready")
+{
+	return R"({"Service":"a","Address":"10.1.2.3:8600","Zone":"a","Version":"v1","Slots":64,"State":")" +
+	       state + R"(","Sequence":)" + std::to_string(sequence) +
+	       R"(,"ColdRemainingMs":0,"born":)" + std::to_string(born) +
+	       R"(,"Stage":"unified","Models":[{"Name":"small","Version":1}]})";
+}
+
+/* What the store holds; numbers are those of the store. */
+struct Store {
+	std::map<std::string, std::pair<uint64_t, std::string>> items;
+	uint64_t era = 1;
+	uint64_t number = 10;
+
+	uint64_t revision() const
+	{
+		return dw_revision_make(era, number);
+	}
+	void put(const std::string &key, const std::string &value)
+	{
+		items[key] = { ++number, value };
+	}
+	void remove(const std::string &key)
+	{
+		number++;
+		items.erase(key);
+	}
+	/* Comes back from the copy. */
+	void restore(const Store &copy)
+	{
+		items = copy.items;
+		number = copy.number;
+		era++;
+	}
+};
+
+struct Instance {
+	gateway_settings settings{};
+	FILE *sink = fopen("/dev/null", "w");
+	dw_log log{};
+	dw_counters counters{};
+	view own{};
+
+	explicit Instance(const std::string &name)
+	{
+		snprintf(settings.instance, sizeof(settings.instance), "%s", name.c_str());
+		settings.change_applied_ms = settings.config_applied_ms = 4000;
+		settings.evacuated_ms = settings.rolled_back_ms = 4000;
+		settings.revocation_ms = 5000;
+		dw_log_init(&log, sink, name.c_str(), DW_LEVEL_ERROR);
+		view_init(&own, &settings, &log, &counters);
+	}
+	Instance(const Instance &) = delete;
+	Instance &operator=(const Instance &) = delete;
+	~Instance()
+	{
+		view_close(&own);
+		fclose(sink);
+	}
+	uint64_t revision() const
+	{
+		return dw_view_log_revision(own.records);
+	}
+	/* Reads all keys, and has the proof. */
+	bool read(const Store &store, uint64_t now_us)
+	{
+		return read_since(store, revision(), now_us);
+	}
+	/* The same, where the call was sent when the copy had this revision. */
+	bool read_since(const Store &store, uint64_t known_before, uint64_t now_us)
+	{
+		std::vector<dw_store_entry> entries;
+		for (const auto &[key, item] : store.items) {
+			dw_store_entry entry{};
+			entry.key = key.c_str();
+			entry.value = (const uint8_t *)item.second.c_str();
+			entry.value_len = item.second.size();
+			entry.mod_revision = dw_revision_make(store.era, item.first);
+			entry.create_revision = entry.mod_revision;
+			entries.push_back(entry);
+		}
+		if (!view_accepts_reading(&own, store.revision(), known_before, now_us))
+			return false;
+		view_apply_all(&own, entries.data(), entries.size(), store.revision(), now_us);
+		view_store_current(&own, store.revision(), now_us, now_us);
+		return true;
+	}
+	/* One change, as a watch delivers it. */
+	void watch(const Store &store, const std::string &key, uint64_t now_us)
+	{
+		auto found = store.items.find(key);
+		dw_store_event event{};
+		event.deleted = found == store.items.end();
+		event.entry.key = key.c_str();
+		event.entry.mod_revision = store.revision();
+		if (!event.deleted) {
+			event.entry.value = (const uint8_t *)found->second.second.c_str();
+			event.entry.value_len = found->second.second.size();
+		}
+		view_apply(&own, &event, now_us);
+		view_store_current(&own, store.revision(), now_us, now_us);
+	}
+	/* Asks another instance as view_sync and view_server do. */
+	enum result { APPLIED, REFUSED, ASK_STORE };
+	result ask(const Instance &source, uint64_t now_us, bool wants_all = false)
+	{
+		const dw_view_log *records = source.own.records;
+		uint64_t after = wants_all ? 0 : revision();
+		bool is_new = view_asks_kept(&own, now_us);
+		msgpack_sbuffer bytes;
+		msgpack_packer packer;
+		view_answer answer{};
+		view_answer out;
+
+		if (after > 0 && source.revision() > 0 && !dw_view_log_covers(records, after))
+			return ASK_STORE;
+		answer.revision = source.revision();
+		answer.hops = source.own.hops;
+		answer.is_snapshot = !dw_view_log_covers(records, after);
+		answer.is_over_gap = dw_view_log_has_gap_after(records, after);
+		answer.has_proof = true;
+		answer.with_kept =
+			is_new || dw_revision_era(after) < dw_revision_era(answer.revision);
+		msgpack_sbuffer_init(&bytes);
+		msgpack_packer_init(&packer, &bytes, msgpack_sbuffer_write);
+		view_answer_pack(&packer, &answer, records, after);
+		EXPECT_EQ(view_answer_unpack((const uint8_t *)bytes.data, bytes.size, &out), DW_OK);
+		bool is_applied = view_apply_answer(&own, &out, "other", now_us);
+		if (is_applied)
+			view_peer_current(&own, now_us, now_us);
+		view_answer_free(&out);
+		msgpack_sbuffer_destroy(&bytes);
+		return is_applied ? APPLIED : REFUSED;
+	}
+	std::string value(const std::string &key) const
+	{
+		const dw_view_record *record = dw_view_log_find(own.records, key.c_str());
+		if (!record || record->deleted)
+			return "";
+		EXPECT_NE(record->value, nullptr) << key;
+		return record->value ? std::string((const char *)record->value, record->value_len)
+				     : "";
+	}
+	uint64_t config_version() const
+	{
+		return own.catalog ? dw_catalog_version(own.catalog) : 0;
+	}
+	bool is_evacuated(const std::string &domain) const
+	{
+		return dw_domain_list_contains(&own.evacuated, domain.c_str());
+	}
+};
+
+struct ViewRestore : testing::Test {
+	Store store;
+	Store copy;
+	Instance a{ "a" };
+	Instance b{ "b" };
+	Instance c{ "c" };
+	uint64_t now_us = 1000 * SECOND;
+
+	ViewRestore()
+	{
+		store.put("op/config", config(7, "k1"));
+		store.put("servers/e1", engine(5, 9));
+		store.put("op/evacuate/old", "{}");
+		copy = store;
+	}
+	/* A reads the store, B asks A, and C asks B. */
+	void pass_on()
+	{
+		ASSERT_EQ(b.ask(a, now_us), Instance::APPLIED);
+		ASSERT_EQ(c.ask(b, now_us), Instance::APPLIED);
+	}
+	void enter_first_era()
+	{
+		ASSERT_TRUE(a.read(store, now_us));
+		pass_on();
+	}
+};
+
+/* Guards against a lost evacuation that instances other than the readers obey for ever: nothing has changed in the
+ * store when the readers settle. */
+TEST_F(ViewRestore, WhatIsSettledIsPassedOnInAQuietStore)
+{
+	enter_first_era();
+	store.put("op/evacuate/lost", "{}");
+	a.watch(store, "op/evacuate/lost", now_us);
+	store.remove("op/evacuate/old");
+	a.watch(store, "op/evacuate/old", now_us);
+	pass_on();
+	store.restore(copy);
+	ASSERT_TRUE(a.read(store, now_us));
+	pass_on();
+	for (Instance *each : { &a, &b, &c }) {
+		EXPECT_TRUE(each->is_evacuated("lost"));
+		EXPECT_FALSE(each->is_evacuated("old"));
+	}
+	now_us += 7 * SECOND;
+	ASSERT_TRUE(a.read(store, now_us));
+	pass_on();
+	for (Instance *each : { &a, &b, &c }) {
+		EXPECT_FALSE(each->is_evacuated("lost"));
+		EXPECT_TRUE(each->is_evacuated("old"));
+	}
+}
+
+/* Guards against an empty configuration: a kept value that is packed was taken for a known one, as the older one that
+ * the store shows has the higher revision. */
+TEST_F(ViewRestore, ALargeKeptConfigurationReachesAnInstanceThatHasStarted)
+{
+	store.put("op/config", config(8, "k2", 40000));
+	ASSERT_TRUE(a.read(store, now_us));
+	store.restore(copy);
+	ASSERT_TRUE(a.read(store, now_us));
+	EXPECT_EQ(a.config_version(), 8U);
+	ASSERT_TRUE(b.read(store, now_us));
+	EXPECT_EQ(b.config_version(), 7U) << "as the store shows it";
+	ASSERT_EQ(b.ask(a, now_us), Instance::APPLIED);
+	EXPECT_EQ(b.config_version(), 8U);
+	EXPECT_EQ(b.value("op/config"), a.value("op/config"));
+	EXPECT_EQ(b.counters.values[DW_COUNTER_BAD_INPUTS], 0U);
+}
+
+/* Guards against a lost order over one that was written after the restore, as its number is lower. */
+TEST_F(ViewRestore, AnOrderWrittenAgainIsTakenOver)
+{
+	enter_first_era();
+	for (int i = 0; i < 20; i++)
+		store.put("elsewhere", "x");
+	store.put("op/evacuate/lost", "first");
+	a.watch(store, "op/evacuate/lost", now_us);
+	pass_on();
+	store.restore(copy);
+	ASSERT_TRUE(a.read(store, now_us));
+	pass_on();
+	store.put("op/evacuate/lost", "second");
+	/* The history is dropped, so all keys are read again. */
+	ASSERT_TRUE(a.read(store, now_us));
+	pass_on();
+	for (Instance *each : { &a, &b, &c })
+		EXPECT_EQ(each->value("op/evacuate/lost"), "second");
+}
+
+/* Guards against a record that the store has lost and that stays: it was read ahead of the revision up to which all
+ * changes are known, so the changes of another instance don't mention it. */
+TEST_F(ViewRestore, WhatWasReadAheadDoesNotOutliveTheStore)
+{
+	enter_first_era();
+	store.put("servers/e2", engine(6, 1));
+	dw_store_event ahead{};
+	std::string text = engine(6, 1);
+	ahead.entry.key = "servers/e2";
+	ahead.entry.value = (const uint8_t *)text.c_str();
+	ahead.entry.value_len = text.size();
+	ahead.entry.mod_revision = store.revision();
+	view_apply(&b.own, &ahead, now_us);
+	store.restore(copy);
+	ASSERT_TRUE(a.read(store, now_us));
+	if (b.ask(a, now_us) != Instance::APPLIED) {
+		ASSERT_TRUE(b.read(store, now_us));
+	}
+	EXPECT_EQ(b.value("servers/e2"), "");
+	EXPECT_EQ(b.revision(), a.revision());
+}
+
+/* Guards against a copy of two eras: of an answer, the records before the first one that can't be unpacked were taken
+ * in, and the instance passed them on as those of the era before. */
+TEST_F(ViewRestore, AnAnswerThatCannotBeUnpackedChangesNothing)
+{
+	enter_first_era();
+	const uint8_t bytes[] = { 1, 2, 3 };
+	std::string text = engine(6, 1);
+	dw_view_record records[2] = {};
+	records[0].key = "servers/e2";
+	records[0].value = (const uint8_t *)text.c_str();
+	records[0].value_len = text.size();
+	records[0].revision = dw_revision_make(2, 14);
+	records[1].key = "op/config";
+	records[1].packed = bytes;
+	records[1].packed_len = sizeof(bytes);
+	records[1].base_revision = dw_revision_make(2, 13);
+	records[1].revision = dw_revision_make(2, 15);
+	view_answer answer{};
+	answer.revision = dw_revision_make(2, 16);
+	answer.records = records;
+	answer.record_count = 2;
+	for (bool is_snapshot : { false, true }) {
+		answer.is_snapshot = is_snapshot;
+		EXPECT_FALSE(view_apply_answer(&a.own, &answer, "other", now_us));
+		EXPECT_EQ(a.value("servers/e2"), "");
+		EXPECT_EQ(a.value("op/config"), config(7, "k1"));
+		EXPECT_EQ(a.own.restore.entered_at_us, 0U);
+		EXPECT_EQ(a.revision(), store.revision());
+	}
+}
+
+/* Guards against a lost order that an instance obeys for good, since it started after the restore and was told what
+ * another one keeps. */
+TEST_F(ViewRestore, WhoStartedInTheGapSettlesToo)
+{
+	ASSERT_TRUE(a.read(store, now_us));
+	store.put("op/evacuate/lost", "{}");
+	a.watch(store, "op/evacuate/lost", now_us);
+	store.restore(copy);
+	ASSERT_TRUE(a.read(store, now_us));
+	now_us += 3 * SECOND;
+	ASSERT_TRUE(b.read(store, now_us));
+	ASSERT_EQ(b.ask(a, now_us), Instance::APPLIED);
+	EXPECT_TRUE(b.is_evacuated("lost"));
+	now_us += 4 * SECOND;
+	ASSERT_TRUE(a.read(store, now_us));
+	EXPECT_FALSE(a.is_evacuated("lost"));
+	now_us += 3 * SECOND;
+	ASSERT_EQ(b.ask(a, now_us), Instance::APPLIED);
+	EXPECT_FALSE(b.is_evacuated("lost"));
+}
+
+/* Guards against a reading of before the restore that arrives after another instance has passed the new era on, and
+ * deletes what the store has. */
+TEST_F(ViewRestore, AReadingOfAnEarlierEraThatArrivesLateChangesNothing)
+{
+	enter_first_era();
+	uint64_t sent_at = b.revision();
+	store.remove("servers/e1");
+	Store before = store;
+	store.restore(copy);
+	ASSERT_TRUE(a.read(store, now_us));
+	ASSERT_EQ(b.ask(a, now_us), Instance::APPLIED);
+	EXPECT_FALSE(b.read_since(before, sent_at, now_us));
+	EXPECT_EQ(b.value("servers/e1"), engine(5, 9));
+	EXPECT_EQ(b.revision(), store.revision());
+}
+
+/* Guards against an instance that takes another one's word for an era of which it knows more than that one. */
+TEST_F(ViewRestore, WhoKnowsMoreThanItsSourceReadsTheStore)
+{
+	enter_first_era();
+	store.put("op/config", config(8, "k2"));
+	store.put("servers/e2", engine(6, 1));
+	b.watch(store, "op/config", now_us);
+	b.watch(store, "servers/e2", now_us);
+	store.restore(copy);
+	ASSERT_TRUE(a.read(store, now_us)) << "A doesn't know version 8";
+	ASSERT_EQ(a.config_version(), 7U);
+	ASSERT_EQ(b.ask(a, now_us), Instance::ASK_STORE);
+	ASSERT_TRUE(b.read(store, now_us));
+	EXPECT_EQ(b.config_version(), 8U);
+	EXPECT_EQ(b.value("op/config"), config(8, "k2"));
+	EXPECT_EQ(b.value("servers/e2"), "");
+	ASSERT_EQ(c.ask(b, now_us), Instance::APPLIED);
+	EXPECT_EQ(c.config_version(), 8U) << "C never knew it";
+	/* A asks B for all records, as an instance does that no source and no store serves. */
+	ASSERT_EQ(a.ask(b, now_us, true), Instance::APPLIED);
+	EXPECT_EQ(a.config_version(), 8U);
+}
+
+/* Guards against an older configuration over a newer one at the end of a chain that started in the gap. */
+TEST_F(ViewRestore, AChainThatStartsInTheGapGetsWhatIsKept)
+{
+	ASSERT_TRUE(a.read(store, now_us));
+	store.put("op/config", config(8, "k2"));
+	a.watch(store, "op/config", now_us);
+	store.put("servers/e1", engine(5, 10, "draining"));
+	a.watch(store, "servers/e1", now_us);
+	store.restore(copy);
+	ASSERT_TRUE(a.read(store, now_us));
+	ASSERT_TRUE(b.read(store, now_us));
+	ASSERT_TRUE(c.read(store, now_us));
+	pass_on();
+	for (Instance *each : { &a, &b, &c }) {
+		EXPECT_EQ(each->config_version(), 8U);
+		EXPECT_EQ(dw_engine_set_find(each->own.engines, "e1")->state, DW_ENGINE_DRAINING);
+	}
+	/* It is written again with the number that it had. */
+	store.put("op/config", config(8, "k2"));
+	a.watch(store, "op/config", now_us);
+	pass_on();
+	for (Instance *each : { &a, &b, &c })
+		EXPECT_EQ(dw_view_log_find(each->own.records, "op/config")->kept_over, 0U);
+}
+
+/* Guards against a kept record of era 1 that is lost, or kept for good, in era 3. */
+TEST_F(ViewRestore, ARestoreWithinTheSettlingTimeOfTheOneBefore)
+{
+	enter_first_era();
+	store.put("op/config", config(8, "k2"));
+	a.watch(store, "op/config", now_us);
+	store.put("op/evacuate/lost", "{}");
+	a.watch(store, "op/evacuate/lost", now_us);
+	store.remove("servers/e1");
+	a.watch(store, "servers/e1", now_us);
+	pass_on();
+	for (int restores = 0; restores < 3; restores++) {
+		store.restore(copy);
+		ASSERT_TRUE(a.read(store, now_us));
+		pass_on();
+		now_us += 4 * SECOND;
+		ASSERT_TRUE(a.read(store, now_us)) << "not settled";
+		pass_on();
+		for (Instance *each : { &a, &b, &c }) {
+			EXPECT_EQ(each->config_version(), 8U);
+			EXPECT_EQ(each->value("op/config"), config(8, "k2"));
+			EXPECT_TRUE(each->is_evacuated("lost"));
+			EXPECT_EQ(each->value("servers/e1"), "");
+		}
+	}
+	now_us += 3 * SECOND;
+	ASSERT_TRUE(a.read(store, now_us));
+	pass_on();
+	for (Instance *each : { &a, &b, &c }) {
+		EXPECT_FALSE(each->is_evacuated("lost"));
+		EXPECT_EQ(each->config_version(), 8U);
+		EXPECT_EQ(each->own.restore.count, 3U);
+	}
+}
+
+/* Guards against a store that begins to name its era and isn't understood: nothing of the copy changes. */
+TEST_F(ViewRestore, AStoreThatBeginsToNameItsEra)
+{
+	store.era = 0;
+	enter_first_era();
+	store.era = 5;
+	ASSERT_TRUE(a.read(store, now_us));
+	pass_on();
+	EXPECT_EQ(dw_view_log_kept_count(a.own.records), 0U);
+	for (Instance *each : { &a, &b, &c }) {
+		EXPECT_EQ(each->revision(), store.revision());
+		EXPECT_EQ(each->config_version(), 7U);
+		EXPECT_EQ(each->counters.values[DW_COUNTER_CONFIG_APPLIED], 1U);
+	}
+	store.put("op/config", config(8, "k2"));
+	a.watch(store, "op/config", now_us);
+	pass_on();
+	EXPECT_EQ(c.config_version(), 8U);
+}
+
+/* Guards against an older configuration that is served: an instance had only a copy that may be seconds old when the
+ * store was restored, and told those that start that none newer was in force. */
+TEST_F(ViewRestore, ACopyWithoutAProofIsNoMemory)
+{
+	std::vector<dw_store_entry> entries;
+	std::string text = config(7, "k1");
+	dw_store_entry entry{};
+	entry.key = "op/config";
+	entry.value = (const uint8_t *)text.c_str();
+	entry.value_len = text.size();
+	entry.mod_revision = entry.create_revision = dw_revision_make(1, 11);
+	entries.push_back(entry);
+	view_apply_all(&b.own, entries.data(), 1, copy.revision(), now_us);
+	store.put("op/config", config(8, "k2"));
+	store.restore(copy);
+	store.items["wharf/era"] = { 9, R"({"era":1,"config":7})" };
+	ASSERT_TRUE(b.read(store, now_us));
+	EXPECT_EQ(b.own.restore.count, 0U);
+	EXPECT_GE(b.own.era_guard.write_due_us, now_us + 3 * SECOND)
+		<< "those that knew the store come first";
+	EXPECT_EQ(view_catalog(&b.own), nullptr);
+}
+
+/* Guards against an answer of an era that has passed and proves that the copy is current. */
+TEST_F(ViewRestore, AnAnswerOfAnEarlierEraProvesNothing)
+{
+	enter_first_era();
+	Store before = store;
+	store.restore(copy);
+	store.put("op/config", config(9, "k3"));
+	ASSERT_TRUE(a.read(store, now_us));
+	EXPECT_FALSE(a.read(before, now_us + 1)) << "the store";
+	EXPECT_EQ(a.ask(b, now_us + 1), Instance::REFUSED) << "another instance";
+	EXPECT_EQ(a.ask(b, now_us + 1, true), Instance::REFUSED) << "all its records";
+	EXPECT_EQ(a.own.confirmed_at_us, now_us);
+	EXPECT_EQ(a.config_version(), 9U);
+	EXPECT_EQ(a.value("op/config"), config(9, "k3"));
+}
+
+} // namespace
