Crashes: a probe whose connection is reset at once makes another one

Cause: an engine that ends may accept the connection of the probe and reset it before the instance looks at it. Then making it fails with a reset, which counted as no answer: no second connection was made, and the end of the engine, with it the evidence against its request, was known only when its entry was removed (1.5 s later) or a later request met the closed address. Until then the request ended another engine. Traced from the log of a failing run of process_abandoned_test ClearsNothing: after the first connection had closed nothing was found for 1,528 ms.

Change: it is treated like a connection that is closed after it was made: the next one is made, at most three.

Ruled out: late news between the instances (the one that had lost its connection knew nothing itself); the answer without a run (it withdrew nothing).

--- a/src/wharf-gateway/engine_probe.c
+++ b/src/wharf-gateway/engine_probe.c
@@ -74,12 +74,9 @@
 	*buffer = uv_buf_init(&probe->byte, sizeof(probe->byte));
 }
 
-static void on_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buffer)
+/* The engine has accepted the connection and closed it. */
+static void on_broken(struct engine_probe *probe)
 {
-	struct engine_probe *probe = stream->data;
-
-	if (len >= 0)
-		return;
 	probe->hold_ms = ENGINE_PROBE_HOLD_MS;
 	if (probe->connections < CONNECTIONS_MAX)
 		close_connection(probe);
@@ -87,6 +84,12 @@
 		finish(probe, ENGINE_PROBE_CLOSED);
 }
 
+static void on_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buffer)
+{
+	if (len < 0)
+		on_broken(stream->data);
+}
+
 static void on_connected(uv_connect_t *request, int status)
 {
 	struct engine_probe *probe = request->data;
@@ -95,6 +98,9 @@
 		return;
 	if (status == UV_ECONNREFUSED) {
 		finish(probe, ENGINE_PROBE_REFUSED);
+	} else if (status == UV_ECONNRESET) {
+		/* It was accepted and reset before this was called. */
+		on_broken(probe);
 	} else if (status != 0) {
 		finish(probe, ENGINE_PROBE_UNDECIDED);
 	} else {
--- a/src/wharf-gateway/engine_probe.h
+++ b/src/wharf-gateway/engine_probe.h
@@ -14,6 +14,10 @@
 
 #include <dragonflywharf/engine.h>
 
+#ifdef __cplusplus
+extern "C" {
+#endif
+
 enum engine_probe_result {
 	ENGINE_PROBE_REFUSED, /**< nothing listens at its address */
 	ENGINE_PROBE_CONNECTED, /**< it accepts connections and keeps them open */
@@ -33,4 +37,8 @@
 void engine_probe_start(uv_loop_t *loop, const struct dw_engine *engine, uint32_t hold_ms,
 			engine_probe_done done, void *owner);
 
+#ifdef __cplusplus
+}
+#endif
+
 #endif
