--- a/src/dragonflywharfd/daemon.c
+++ b/src/dragonflywharfd/daemon.c
@@ -8,6 +8,7 @@
 
 #include "base/random.h"
 #include "dragonflywharfd/caller_api.h"
+#include "dragonflywharfd/config_return.h"
 #include "dragonflywharfd/config_sync.h"
 #include "dragonflywharfd/dispatcher.h"
 #include "dragonflywharfd/ledger_sync.h"
@@ -17,6 +18,7 @@
 #include "dragonflywharfd/rollout_sync.h"
 #include "dragonflywharfd/roster_sync.h"
 #include "dragonflywharfd/session_sync.h"
+#include "dragonflywharfd/store_history.h"
 #include "dragonflywharfd/upstream_table.h"
 #include "port/rater_http.h"
 #include "port/store_etcd.h"
@@ -178,6 +180,7 @@
 	dw_membership_tick(daemon->membership, now_us, daemon_random(daemon));
 	handle_member_events(daemon);
 	stop_if_replaced(daemon);
+	config_return_tick(daemon->config_return);
 	config_sync_tick(daemon->config_sync);
 	roster_sync_tick(daemon->roster_sync);
 	upstream_table_tick(daemon->upstreams);
@@ -292,7 +295,9 @@
 	daemon->ledger_sync = ledger_sync_start(daemon);
 	daemon->session_sync = session_sync_new(daemon);
 	daemon->roster_sync = roster_sync_start(daemon);
+	daemon->config_return = config_return_new(daemon);
 	daemon->config_sync = config_sync_start(daemon);
+	store_history_start(daemon);
 	status = operator_api_start(daemon);
 	if (status == DW_OK)
 		status = caller_api_start(daemon);
--- a/src/port/store.h
+++ b/src/port/store.h
@@ -100,7 +100,8 @@
 	 */
 	const char *guard_key;
 	uint64_t guard_revision;
-	/** The era that all this was prepared in: the write isn't sent in another one. 0: not checked. */
+	/** The era that all this was prepared in: the write isn't sent once a later one is known. It may be later than
+	 * those of the answers so far, as other instances pass it on. 0: not checked. */
 	uint64_t era;
 	uint64_t deadline_us;
 };
@@ -175,6 +176,17 @@
 	uint64_t calls[DW_STORE_VERB_COUNT];
 	/** Bytes of answers that were given up before their end, because of a timeout or a fault. */
 	uint64_t abandoned_bytes;
+	/**
+	 * Of an adapter whose store has no eras: how often an answer has shown that the store came back from an
+	 * older copy. Answers to calls that were sent before may belong to the lost history.
+	 */
+	uint64_t restores;
+	uint64_t revision; /**< of such a store: the highest one in answers since then */
+	/** Optional; called at each, before the call that showed it ends. */
+	void (*on_restored)(uint64_t revision_before, uint64_t revision, void *data);
+	/** Optional; called at the first answer after a call that no endpoint answered: it may be of an older copy. */
+	void (*on_back)(void *data);
+	void *history_data;
 	struct dw_store_era era; /**< as an adapter whose store has eras keeps it */
 	/** Before a watch was last cut: proofs from then may lack changes. Set before on_ended is called. */
 	struct dw_freshness_gap unheard;
--- a/src/wharf-gateway/store_sync.c
+++ b/src/wharf-gateway/store_sync.c
@@ -65,6 +65,7 @@
 
 	report_bad_era(sync);
 	sync->failures = 0;
+	sync->stale_in_a_row = 0;
 	view_store_answered(sync->view, now_us);
 	view_store_current(sync->view, revision, confirmed_at_us, now_us);
 	if (!view_restore_is_settling_due(&sync->view->restore, now_us))
@@ -83,6 +84,9 @@
 	sync->watch = NULL;
 	sync->is_history_lost = status == DW_STALE;
 	view_gap_found(sync->view, &sync->store->unheard);
+	/* The store is there, and all instances wait for its readers. Only a second time in a row is a loop. */
+	if (status == DW_STALE && sync->stale_in_a_row++ == 0)
+		sync->failures = 0;
 	retry_later(sync, status);
 }
 
@@ -113,8 +117,11 @@
 		return;
 	}
 	view_store_answered(sync->view, now_us);
-	if (view_apply_all(sync->view, result->entries, result->count, result->revision, now_us))
+	if (view_accepts_reading(sync->view, result->revision, sync->known_before, now_us)) {
+		view_apply_all(sync->view, result->entries, result->count, result->revision,
+			       now_us);
 		view_store_current(sync->view, result->revision, sync->read_started_at_us, now_us);
+	}
 	sync->is_history_lost = false;
 	if (sync->is_active)
 		watch_start(sync);
@@ -136,6 +143,7 @@
 		return;
 	}
 	sync->read_started_at_us = dw_clock_now_us();
+	sync->known_before = dw_view_log_revision(sync->view->records);
 	sync->is_range_pending = true;
 	dw_store_range(sync->store, "", 0, sync->read_started_at_us + read_timeout_us(sync),
 		       on_all_read, sync);
--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -36,8 +36,8 @@
 	view->records = dw_view_log_new();
 	view->leaving = dw_leaving_upstreams_new();
 	dw_view_source_init(&view->source, gateway_settings_change_us(settings), dw_clock_now_us());
-	crash_guard_init(&view->guard, log, view->engines);
-	shifts_init(&view->shifts, log, settings->instance);
+	crash_guard_init(&view->guard, log, view->engines, &view->era_guard);
+	shifts_init(&view->shifts, log, settings->instance, &view->era_guard);
 	peers_init(&view->peers, settings, log, counters);
 	view->guard.records.are_few_heard = are_few_heard;
 	view->guard.records.are_few_heard_owner = &view->peers;
@@ -45,7 +45,8 @@
 	view->guard.parts.records.are_few_heard_owner = &view->peers;
 	era_guard_init(&view->era_guard, log);
 	view->restore.lacks_memory = true;
-	reader_key_init(&view->reader_key, settings->instance, &settings->peer_address);
+	reader_key_init(&view->reader_key, settings->instance, &settings->peer_address,
+			&view->era_guard);
 }
 
 void view_close(struct view *view)
@@ -118,7 +119,7 @@
 	dw_counters_add(view->counters, DW_COUNTER_CONFIG_APPLIED, 1);
 	dw_log_event(view->log, DW_EVENT_CONFIG_APPLIED,
 		     DW_INT("version", dw_catalog_version(catalog)),
-		     DW_INT("revision", entry->mod_revision),
+		     DW_INT("revision", dw_revision_number(entry->mod_revision)),
 		     DW_INT("routes", dw_catalog_route_count(catalog)),
 		     DW_INT("defects", dw_catalog_defect_count(catalog)),
 		     DW_INT("bytes", entry->value_len), DW_INT("age_ms", age_ms(view, now_us)));
@@ -302,7 +303,9 @@
 			apply_order(view, entry, now_us);
 		break;
 	case RECORD_ROLLOUT_STATUS:
-		if (!event->deleted)
+		if (event->deleted)
+			shifts_apply_status_deleted(&view->shifts, name);
+		else
 			apply_status(view, name, entry);
 		break;
 	case RECORD_UNKNOWN:
@@ -334,19 +337,19 @@
 
 /* Says when answers begin and cease to be older than this copy: readings of the store, or copies of an earlier era of
  * it. Another instance's copy of the same era may be some changes behind. */
-static void note_answered(struct view *view, const char *source, uint64_t revision,
-			  uint64_t ignored_before, uint64_t now_us)
+static void note_answered(struct view *view, const char *source, uint64_t revision, uint64_t known,
+			  uint64_t now_us)
 {
-	uint64_t known = dw_view_log_revision(view->records);
 	bool is_behind = revision < known;
 
 	view->answers_behind += is_behind;
 	if (is_behind == view->is_answer_behind)
 		return;
 	dw_log_event(view->log, DW_EVENT_VIEW_BEHIND, DW_STR("source", source),
-		     DW_INT("behind", is_behind), DW_INT("revision", known),
-		     DW_INT("answered", revision),
-		     DW_INT("ignored", view->records_ignored - ignored_before),
+		     DW_INT("behind", is_behind), DW_INT("revision", dw_revision_number(known)),
+		     DW_INT("answered", dw_revision_number(revision)),
+		     DW_INT("era", dw_revision_era(known)),
+		     DW_INT("answered_era", dw_revision_era(revision)),
 		     DW_INT("lasted_ms",
 			    is_behind ? 0 : (now_us - view->behind_since_us) / DW_US_PER_MS));
 	view->is_answer_behind = is_behind;
@@ -384,7 +387,7 @@
 
 	snapshot.is_entering = known > 0 && dw_revision_era(revision) > dw_revision_era(known);
 	if (snapshot.is_entering)
-		view->restore.entered_at_us = now_us;
+		view_restore_entered(&view->restore, now_us);
 	snapshot.is_settled = view_restore_is_settled(&view->restore, now_us);
 	return snapshot;
 }
@@ -410,13 +413,22 @@
 	dw_view_log_complete(view->records, revision);
 	if (dw_revision_era(revision) <= dw_revision_era(known))
 		return;
+	/* A copy without a proof is no memory of what was in force. */
+	if (view->confirmed_at_us == 0)
+		known = 0;
 	if (known > 0) {
 		view->restore.count++;
-		view->restore.awaits_settling = true;
 		log_restore(view, known, revision);
 	}
 	era_guard_entered(&view->era_guard, dw_revision_era(revision), known > 0,
 			  &view->source.place, now_us);
+	if (known > 0) {
+		crash_guard_store_restored(&view->guard, &view->source.place, now_us);
+		reader_key_store_restored(&view->reader_key);
+		shifts_store_restored(&view->shifts, &view->source.place, now_us);
+	} else {
+		shifts_entered_era(&view->shifts, now_us);
+	}
 }
 
 /* Applies a key that a snapshot lists, unless the known record stays in force. */
@@ -465,17 +477,21 @@
 	}
 }
 
-bool view_apply_all(struct view *view, const struct dw_store_entry *entries, size_t count,
+bool view_accepts_reading(struct view *view, uint64_t revision, uint64_t known_before,
+			  uint64_t now_us)
+{
+	view->rereads++;
+	note_answered(view, "store", revision, known_before, now_us);
+	/* Another instance may have passed a new era on meanwhile. */
+	return revision >= known_before &&
+	       dw_revision_era(revision) >= dw_revision_era(dw_view_log_revision(view->records));
+}
+
+void view_apply_all(struct view *view, const struct dw_store_entry *entries, size_t count,
 		    uint64_t revision, uint64_t now_us)
 {
-	uint64_t ignored_before = view->records_ignored;
-	struct view_snapshot snapshot;
+	struct view_snapshot snapshot = begin_answer(view, revision, now_us);
 
-	view->rereads++;
-	note_answered(view, "store", revision, ignored_before, now_us);
-	if (revision < dw_view_log_revision(view->records))
-		return false;
-	snapshot = begin_answer(view, revision, now_us);
 	dw_view_log_begin_snapshot(view->records, revision);
 	for (size_t i = 0; i < count; i++) {
 		struct dw_store_event event = { .entry = entries[i] };
@@ -486,14 +502,22 @@
 	complete(view, revision, now_us);
 	if (snapshot.is_settled)
 		view->restore.awaits_settling = false;
-	return true;
 }
 
+/* Whether the record's value isn't needed. A kept one may replace one of a later era. */
 static bool is_known(const struct view *view, const struct dw_view_record *record)
 {
 	const struct dw_view_record *known = dw_view_log_find(view->records, record->key);
 
-	return known && known->revision >= record->revision;
+	return known && record->kept_over == 0 && known->revision >= record->revision;
+}
+
+/* Whether a record that the source doesn't keep may be older than the known one, as the store was restored. */
+static bool is_contested(const struct view_snapshot *snapshot, const struct dw_view_record *known,
+			 const struct dw_view_record *passed_on)
+{
+	return known && passed_on->kept_over == 0 &&
+	       (snapshot->is_entering || known->kept_over >= passed_on->revision);
 }
 
 /* Applies a record that another instance passed on; false if it was packed and can't be unpacked. */
@@ -516,11 +540,20 @@
 	event.entry.value_len = record.value_len;
 	event.entry.mod_revision = record.revision;
 	view->records_ignored += is_superseded(view, &record);
-	if (snapshot->is_entering && known && record.kept_over == 0 &&
-	    view_restore_keeps(snapshot, known, &record))
-		dw_view_log_keep(view->records, known, record.revision);
-	else if (dw_view_log_put(view->records, &record, now_us))
+	if (is_contested(snapshot, known, &record)) {
+		if (view_restore_keeps(snapshot, known, &record)) {
+			dw_view_log_keep(view->records, known,
+					 max_u64(known->kept_over, record.revision));
+			bytes_free(&value);
+			return true;
+		}
+		if (known->kept_over >= record.revision)
+			dw_view_log_give_up(view->records, known);
+	}
+	if (dw_view_log_put(view->records, &record, now_us))
 		apply_change(view, &event, now_us);
+	if (record.kept_over > 0 && dw_view_log_find(view->records, record.key)->kept_over > 0)
+		view_restore_told_kept(&view->restore, now_us);
 	bytes_free(&value);
 	return true;
 }
@@ -532,6 +565,8 @@
 
 	if (answer->is_snapshot)
 		dw_view_log_begin_snapshot(view->records, answer->revision);
+	else if (answer->is_over_gap)
+		dw_view_log_note_gap(view->records, answer->revision);
 	for (size_t i = 0; i < answer->record_count; i++)
 		is_complete &= apply_passed_on(view, snapshot, &answer->records[i], now_us);
 	if (is_complete && answer->is_snapshot)
@@ -539,18 +574,40 @@
 	return is_complete;
 }
 
+/* Whether this copy can take in a new era with the answer. Changes don't say what the store has lost that was read ahead
+ * of this copy's revision. A part of the answer would mix two eras. */
+static bool can_enter(const struct view *view, const struct view_answer *answer)
+{
+	if (!answer->is_snapshot && dw_view_log_is_ahead(view->records))
+		return false;
+	for (size_t i = 0; i < answer->record_count; i++) {
+		struct dw_view_record record = answer->records[i];
+		struct bytes value = { 0 };
+		enum dw_status status = DW_OK;
+
+		if (record.packed && !is_known(view, &record))
+			status = view_record_unpack(view->records, &record, VIEW_ANSWER_MAX_BYTES,
+						    &value);
+		bytes_free(&value);
+		if (status != DW_OK)
+			return false;
+	}
+	return true;
+}
+
 bool view_apply_answer(struct view *view, const struct view_answer *answer, const char *source,
 		       uint64_t now_us)
 {
 	uint64_t known = dw_view_log_revision(view->records);
-	uint64_t ignored_before = view->records_ignored;
 	struct view_snapshot snapshot;
 	bool is_complete;
 
 	if (dw_revision_era(answer->revision) < dw_revision_era(known)) {
-		note_answered(view, source, answer->revision, ignored_before, now_us);
+		note_answered(view, source, answer->revision, known, now_us);
 		return false;
 	}
+	if (dw_revision_era(answer->revision) > dw_revision_era(known) && !can_enter(view, answer))
+		return false;
 	snapshot = begin_answer(view, answer->revision, now_us);
 	is_complete = apply_answer(view, &snapshot, answer, now_us);
 	if (!is_complete)
@@ -621,7 +678,7 @@
 		return;
 	view->is_store_reached = true;
 	dw_log_event(view->log, DW_EVENT_STORE_BACK, DW_INT("age_ms", age_before_ms),
-		     DW_INT("revision", revision));
+		     DW_INT("revision", dw_revision_number(revision)));
 }
 
 void view_peer_current(struct view *view, uint64_t confirmed_at_us, uint64_t now_us)
@@ -636,13 +693,13 @@
 	if (abandoned_bytes > view->abandoned_bytes)
 		dw_store_outage_call_broke_off(&view->outage);
 	else if (reason != DW_STALE)
-		dw_store_outage_call_failed(&view->outage, now_us);
+		dw_store_outage_call_failed(&view->outage, view->confirmed_at_us, now_us);
 	view->abandoned_bytes = abandoned_bytes;
 	if (!view->is_store_reached)
 		return;
 	view->is_store_reached = false;
 	dw_log_event(view->log, DW_EVENT_STORE_LOST, DW_STR("reason", dw_status_name(reason)),
-		     DW_INT("revision", dw_view_log_revision(view->records)),
+		     DW_INT("revision", dw_revision_number(dw_view_log_revision(view->records))),
 		     DW_INT("abandoned_bytes", abandoned_bytes),
 		     DW_INT("age_ms", age_ms(view, now_us)));
 }
@@ -682,6 +739,12 @@
 	       dw_revision_era(dw_view_log_revision(view->records)) > 0;
 }
 
+bool view_asks_kept(struct view *view, uint64_t now_us)
+{
+	return view->restore.lacks_memory ||
+	       view_restore_asks_kept(&view->restore, view->records, now_us);
+}
+
 struct dw_catalog *view_catalog(const struct view *view)
 {
 	return view->confirmed_at_us > 0 && view->restore.is_admitted ? view->catalog : NULL;
--- a/src/wharf-gateway/view.h
+++ b/src/wharf-gateway/view.h
@@ -87,11 +87,18 @@
 /**
  * Applies all keys of the store as of @p revision. Known keys that aren't among them count as deleted,
  * unless their revision is newer, or they are kept as the store was restored (view_restore.h).
- * @return false, without effect, if this copy knows more already: the reading proves nothing then
  */
-bool view_apply_all(struct view *view, const struct dw_store_entry *entries, size_t count,
+void view_apply_all(struct view *view, const struct dw_store_entry *entries, size_t count,
 		    uint64_t revision, uint64_t now_us);
 
+/**
+ * A reading of all keys, begun when the copy had revision @p known_before, gave @p revision.
+ * @return false if it is older, as the store has fallen back without a new era, or if the copy has a later era by now:
+ * the reading is no proof, and mustn't be applied
+ */
+bool view_accepts_reading(struct view *view, uint64_t revision, uint64_t known_before,
+			  uint64_t now_us);
+
 /** The engine said in an answer that it leaves. */
 void view_engine_leaves(struct view *view, struct dw_engine *engine);
 /** The instance @p from has heard that engines leave; passed on to @p scope. */
@@ -140,6 +147,12 @@
 /** Whether this instance, which has started since, must ask another one what the store lost. */
 bool view_wants_memory(const struct view *view);
 
+/**
+ * Whether to ask the next instance for its kept records too: this one has started and has none of its own, or the time
+ * has passed for which it keeps some. True once for each request.
+ */
+bool view_asks_kept(struct view *view, uint64_t now_us);
+
 /** Whether the load balancer should send callers to this instance. */
 bool view_is_ready(const struct view *view, uint64_t now_us);
 
--- a/src/wharf-gateway/view_restore.c
+++ b/src/wharf-gateway/view_restore.c
@@ -8,10 +8,27 @@
 
 /* By then engines that run have written their entries again, and old entries of others have expired. */
 #define SETTLED_AFTER_US (6 * DW_US_PER_S)
+/* Other instances settle by then, as they entered the era at most seconds later. */
+#define ASK_KEPT_US (4 * DW_US_PER_S)
+
+void view_restore_entered(struct view_restore *restore, uint64_t now_us)
+{
+	restore->entered_at_us = now_us;
+	restore->settled_at_us = now_us + SETTLED_AFTER_US;
+	restore->awaits_settling = true;
+}
+
+void view_restore_told_kept(struct view_restore *restore, uint64_t now_us)
+{
+	if (restore->awaits_settling)
+		return;
+	restore->settled_at_us = now_us + SETTLED_AFTER_US;
+	restore->awaits_settling = true;
+}
 
 bool view_restore_is_settled(const struct view_restore *restore, uint64_t now_us)
 {
-	return now_us >= restore->entered_at_us + SETTLED_AFTER_US;
+	return now_us >= restore->settled_at_us;
 }
 
 bool view_restore_is_settling_due(const struct view_restore *restore, uint64_t now_us)
@@ -82,12 +99,14 @@
 	return state;
 }
 
-/* Whether the two may disagree because the store was restored. */
-static bool is_contested(const struct view_snapshot *snapshot, const struct dw_view_record *known)
+/* Whether the two may disagree because the store was restored. What the store shows beyond kept_over was written
+ * after that. */
+static bool is_contested(const struct view_snapshot *snapshot, const struct dw_view_record *known,
+			 const struct dw_view_record *shown)
 {
-	return known->kept_over > 0 ||
-	       (snapshot->is_entering &&
-		dw_revision_era(known->revision) < dw_revision_era(snapshot->revision));
+	if (snapshot->is_entering)
+		return dw_revision_era(known->revision) < dw_revision_era(snapshot->revision);
+	return known->kept_over > 0 && (!shown || shown->revision <= known->kept_over);
 }
 
 bool view_restore_keeps(const struct view_snapshot *snapshot, const struct dw_view_record *known,
@@ -98,7 +117,7 @@
 	enum dw_restored_kind kind;
 	const char *name;
 
-	if (!is_contested(snapshot, known))
+	if (!is_contested(snapshot, known, shown))
 		return false;
 	kind = kind_of(known->key, &name);
 	before = state_of(kind, name, known, true);
@@ -106,6 +125,23 @@
 	return dw_restore_keeps(kind, &before, &after, snapshot->is_settled);
 }
 
+bool view_restore_asks_kept(struct view_restore *restore, const struct dw_view_log *log,
+			    uint64_t now_us)
+{
+	struct view_kept kept;
+
+	if (!view_restore_is_settling_due(restore, now_us) ||
+	    now_us < restore->kept_asked_at_us + DW_US_PER_S)
+		return false;
+	kept = view_restore_kept(log);
+	restore->kept_asked_at_us = now_us;
+	/* Engines and configurations may be kept until they change, so the question for them ends. */
+	restore->awaits_settling =
+		kept.orders > 0 ||
+		(kept.configs + kept.engines > 0 && now_us < restore->settled_at_us + ASK_KEPT_US);
+	return restore->awaits_settling;
+}
+
 struct view_kept view_restore_kept(const struct dw_view_log *log)
 {
 	const struct dw_view_record *record = NULL;
--- a/src/wharf-gateway/view_server.c
+++ b/src/wharf-gateway/view_server.c
@@ -36,6 +36,7 @@
 		.revision = dw_view_log_revision(view->records),
 		.hops = view->hops,
 		.is_snapshot = !dw_view_log_covers(view->records, after),
+		.is_over_gap = dw_view_log_has_gap_after(view->records, after),
 		.held_us = now_us - arrived_at_us,
 		.has_proof = view->confirmed_at_us > 0,
 		.had_outage = view->outage.ended_at_us > 0,
@@ -100,7 +101,8 @@
 {
 	const struct view *view = request->server->view;
 
-	return dw_view_log_revision(view->records) > request->after || request->is_new ||
+	return dw_view_log_revision(view->records) > request->after ||
+	       (request->is_new && view->confirmed_at_us > 0) ||
 	       view->confirmed_at_us > request->confirmed_at_us ||
 	       now_us >= request->arrived_at_us + view->source.timing.hold_us;
 }
--- a/src/wharf-gateway/view_sync.c
+++ b/src/wharf-gateway/view_sync.c
@@ -76,7 +76,7 @@
 	sync->logged_source = source;
 	dw_log_event(
 		sync->view->log, DW_EVENT_VIEW_SOURCE, DW_STR("source", address),
-		DW_INT("revision", dw_view_log_revision(sync->view->records)),
+		DW_INT("revision", dw_revision_number(dw_view_log_revision(sync->view->records))),
 		DW_INT("age_ms", (dw_clock_now_us() - sync->view->confirmed_at_us) / DW_US_PER_MS));
 }
 
@@ -185,12 +185,14 @@
 				 ? 0
 				 : dw_view_log_revision(sync->view->records);
 	char request[REQUEST_BYTES];
-	int len = snprintf(request, sizeof(request),
-			   "GET " VIEW_TARGET "%" PRIu64 "%s HTTP/1.1\r\nHost: %s:%u\r\n\r\n",
-			   after, sync->view->restore.lacks_memory ? VIEW_TARGET_NEW : "",
-			   address->ip, address->port);
+	int len;
 
 	sync->requested_at_us = dw_clock_now_us();
+	len = snprintf(request, sizeof(request),
+		       "GET " VIEW_TARGET "%" PRIu64 "%s HTTP/1.1\r\nHost: %s:%u\r\n\r\n", after,
+		       view_asks_kept(sync->view, sync->requested_at_us) ? VIEW_TARGET_NEW : "",
+		       address->ip, address->port);
+
 	dw_transfer_start(&sync->transfer, sync->requested_at_us + timeout_us,
 			  sync->requested_at_us);
 	sync->is_sent = false;
