View: orders of a new era are obeyed in time, and engines that live come back

Found by review, each with a test in view_restore_test that was red before: - An evacuation that the source saw after it had entered the era was ignored by instances that entered later, as theirs had a higher number from before the restore: only what the first state of the era showed can be older. Answers have its revision. - One that was written before a reader's first reading was ignored for 6 s, with a limit of 5 s: an order that is shown counts after 3 s. - An engine whose removal the store has lost stayed out for ever if it only renewed its lease: its entry counts again after 6 s.

--- a/include/dragonflywharf/restore_rule.h
+++ b/include/dragonflywharf/restore_rule.h
@@ -33,12 +33,17 @@
 	bool is_leaving; /**< ENGINE */
 };
 
-/**
- * @param is_settled the time has passed in which lost states are written again
- * @return whether the known state stays in force
- */
+/** What has passed since the restore. */
+enum dw_restore_phase {
+	DW_RESTORE_FRESH, /**< writers may not have written again yet what was lost */
+	DW_RESTORE_ORDERS_SETTLED, /**< operators' orders count as written again, or as gone */
+	DW_RESTORE_SETTLED, /**< entries of engines that have ended have expired, too */
+	DW_RESTORE_PHASE_COUNT
+};
+
+/** @return whether the known state stays in force */
 bool dw_restore_keeps(enum dw_restored_kind kind, const struct dw_restored_state *known,
-		      const struct dw_restored_state *shown, bool is_settled);
+		      const struct dw_restored_state *shown, enum dw_restore_phase phase);
 
 #ifdef __cplusplus
 }
--- a/include/dragonflywharf/view_log.h
+++ b/include/dragonflywharf/view_log.h
@@ -63,6 +63,9 @@
  */
 void dw_view_log_complete(struct dw_view_log *log, uint64_t revision);
 
+/** Forgets which revisions are known, so that the next reading of all keys replaces everything. */
+void dw_view_log_restart(struct dw_view_log *log);
+
 /** Whether not all changes after @p after are known, so that who gets these ones can't pass them on as all. */
 bool dw_view_log_has_gap_after(const struct dw_view_log *log, uint64_t after);
 /** Notes that not all changes up to @p revision will be known: those that were undone in between. */
--- a/src/core/restore_rule.c
+++ b/src/core/restore_rule.c
@@ -9,14 +9,14 @@
 }
 
 static bool keeps_config(const struct dw_restored_state *known,
-			 const struct dw_restored_state *shown, bool is_settled)
+			 const struct dw_restored_state *shown, enum dw_restore_phase phase)
 {
 	if (!known->exists)
 		return false;
 	if (!shown->exists)
 		return true;
 	if (!known->is_readable || !shown->is_readable)
-		return is_lost(known, shown, is_settled);
+		return is_lost(known, shown, phase == DW_RESTORE_SETTLED);
 	return shown->sequence < known->sequence;
 }
 
@@ -31,37 +31,42 @@
 	return !known->exists || (known->is_leaving && !shown->is_leaving);
 }
 
-/* An entry that isn't shown counts as removed: its engine stays in use for a while, as after an outage. */
+/* An entry that isn't shown counts as removed: its engine stays in use for a while, as after an outage. One that is still
+ * shown when those of ended engines have expired is of an engine that lives, also if it was known as removed. */
 static bool keeps_engine(const struct dw_restored_state *known,
-			 const struct dw_restored_state *shown, bool is_settled)
+			 const struct dw_restored_state *shown, enum dw_restore_phase phase)
 {
 	if (!shown->exists || !shown->is_readable)
 		return false;
+	if (!known->exists && phase == DW_RESTORE_SETTLED)
+		return false;
 	if (!known->is_readable)
-		return is_lost(known, shown, is_settled);
+		return is_lost(known, shown, phase == DW_RESTORE_SETTLED);
 	return is_older_report(known, shown);
 }
 
+/* A lost evacuation is kept for longer than one that is shown is ignored: a domain that was taken out gets no requests
+ * meanwhile, and one that is taken out anew must get none before the operators' limit. */
 static bool keeps_order(const struct dw_restored_state *known,
-			const struct dw_restored_state *shown, bool is_settled)
+			const struct dw_restored_state *shown, enum dw_restore_phase phase)
 {
 	if (!shown->exists)
-		return known->exists && !is_settled;
-	return is_lost(known, shown, is_settled);
+		return known->exists && phase < DW_RESTORE_SETTLED;
+	return is_lost(known, shown, phase >= DW_RESTORE_ORDERS_SETTLED);
 }
 
 bool dw_restore_keeps(enum dw_restored_kind kind, const struct dw_restored_state *known,
-		      const struct dw_restored_state *shown, bool is_settled)
+		      const struct dw_restored_state *shown, enum dw_restore_phase phase)
 {
 	if (!known->is_known)
 		return false;
 	switch (kind) {
 	case DW_RESTORED_CONFIG:
-		return keeps_config(known, shown, is_settled);
+		return keeps_config(known, shown, phase);
 	case DW_RESTORED_ENGINE:
-		return keeps_engine(known, shown, is_settled);
+		return keeps_engine(known, shown, phase);
 	case DW_RESTORED_ORDER:
-		return keeps_order(known, shown, is_settled);
+		return keeps_order(known, shown, phase);
 	case DW_RESTORED_OWN:
 	case DW_RESTORED_KIND_COUNT:
 		break;
--- a/src/core/view_log.c
+++ b/src/core/view_log.c
@@ -298,6 +298,18 @@
 	log->revision = revision;
 }
 
+void dw_view_log_restart(struct dw_view_log *log)
+{
+	log->revision = 0;
+	log->forgotten_revision = 0;
+	log->gap_begin = 0;
+	log->gap_end = 0;
+	for (struct log_entry *entry = log->entries; entry; entry = entry->hh.next) {
+		entry->record.revision = 0;
+		entry->record.kept_over = 0;
+	}
+}
+
 bool dw_view_log_has_gap_after(const struct dw_view_log *log, uint64_t after)
 {
 	return after < log->gap_end;
--- a/src/net/view_codec.c
+++ b/src/net/view_codec.c
@@ -3,12 +3,15 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <dragonflywharf/store_revision.h>
+
 #include "core/msgpack_check.h"
 #include "net/msgpack_read.h"
 
 enum answer_field {
 	ANSWER_VERSION,
 	ANSWER_REVISION,
+	ANSWER_ERA_BEGIN,
 	ANSWER_HOPS,
 	ANSWER_KIND,
 	ANSWER_HELD,
@@ -37,7 +40,12 @@
 {
 	if (answer->with_kept && (record->kept_over > 0 || record->was_kept))
 		return true;
-	return answer->is_snapshot ? !record->deleted : record->revision > after;
+	if (answer->is_snapshot)
+		return !record->deleted;
+	/* What is still kept over a later state is news to who has an earlier one of the same era. */
+	return record->revision > after ||
+	       (record->kept_over > after &&
+		dw_revision_era(record->kept_over) == dw_revision_era(after));
 }
 
 static enum answer_kind kind_of(const struct view_answer *answer)
@@ -100,6 +108,7 @@
 	msgpack_pack_array(packer, ANSWER_FIELD_COUNT);
 	msgpack_pack_uint8(packer, VIEW_CODEC_VERSION);
 	msgpack_pack_uint64(packer, answer->revision);
+	msgpack_pack_uint64(packer, answer->era_begin);
 	msgpack_pack_uint32(packer, answer->hops);
 	msgpack_pack_uint8(packer, (uint8_t)kind_of(answer));
 	msgpack_pack_uint64(packer, answer->held_us);
@@ -204,6 +213,7 @@
 	    version != VIEW_CODEC_VERSION)
 		return false;
 	if (!dw_msgpack_read_uint(&fields[ANSWER_REVISION], UINT64_MAX, &out->revision) ||
+	    !dw_msgpack_read_uint(&fields[ANSWER_ERA_BEGIN], UINT64_MAX, &out->era_begin) ||
 	    !dw_msgpack_read_uint(&fields[ANSWER_HOPS], UINT16_MAX, &hops) ||
 	    !dw_msgpack_read_uint(&fields[ANSWER_KIND], ANSWER_KIND_COUNT - 1, &kind) ||
 	    !dw_msgpack_read_uint(&fields[ANSWER_HELD], UINT64_MAX, &out->held_us) ||
--- a/src/net/view_codec.h
+++ b/src/net/view_codec.h
@@ -2,7 +2,7 @@
  * @file view_codec.h
  * Encoding of the answer in which one instance passes records of the store to another.
  *
- * The answer is a msgpack array: version of this encoding, revision, hops, 1 if these are all records or 2 if they
+ * The answer is a msgpack array: version of this encoding, revision, first known revision of its era, hops, 1 if these are all records or 2 if they
  * are changes over a gap, else 0, time held, age of the proof or nil, time since the end of the store's last outage or
  * nil, since the begin and the end of the last time from which proofs may lack changes or nil, and the
  * records, each an array of key, revision and value; in place of the value nil for a deleted key, and
@@ -29,6 +29,7 @@
 
 struct view_answer {
 	uint64_t revision; /**< all changes up to it are known with these records */
+	uint64_t era_begin; /**< first revision of its era that was known */
 	uint32_t hops; /**< instances between the source and the store */
 	bool is_snapshot; /**< these are all records: keys that aren't listed don't exist */
 	/** Changes that were undone in between aren't known to the source (dw_view_log_has_gap_after()). */
--- a/src/wharf-gateway/era_guard.c
+++ b/src/wharf-gateway/era_guard.c
@@ -110,6 +110,13 @@
 		guard->begin_revision = guard->revision;
 }
 
+/* If nobody remembers what was in force, it is what the store shows. */
+static uint64_t required_config(const struct era_guard *guard)
+{
+	return guard->has_memory ? max_u64(guard->record_config, guard->config_version)
+				 : guard->config_version;
+}
+
 static void on_written(const struct dw_store_put_result *result, void *data)
 {
 	struct era_guard *guard = data;
@@ -118,11 +125,12 @@
 	if (result->outcome == DW_STORE_DONE && result->revision > guard->revision) {
 		guard->revision = result->revision;
 		guard->record_era = dw_revision_era(result->revision);
-		guard->record_config = max_u64(guard->record_config, guard->config_version);
+		guard->record_config = required_config(guard);
 		note_begin(guard);
 	}
 	/* Another instance's write comes with the view. */
-	if (result->outcome == DW_STORE_CONFLICT)
+	if (result->outcome == DW_STORE_CONFLICT &&
+	    (result->revision == 0 || result->revision > guard->revision))
 		guard->revision = result->revision;
 }
 
@@ -138,7 +146,7 @@
 	};
 
 	snprintf(value, sizeof(value), "{\"era\":%" PRIu64 ",\"config\":%" PRIu64 "}", guard->era,
-		 max_u64(guard->record_config, guard->config_version));
+		 required_config(guard));
 	put.value_len = strlen(value);
 	guard->in_flight = true;
 	dw_store_put(guard->store, &put, on_written, guard);
@@ -228,6 +236,7 @@
 	if (!has_memory && guard->revision > 0)
 		delay_us += NEWCOMER_DELAY_US;
 	guard->era = era;
+	guard->has_memory = has_memory;
 	guard->write_due_us = now_us + 1 + delay_us;
 	if (has_memory)
 		guard->rewrites_logged_at_us =
--- a/src/wharf-gateway/era_guard.h
+++ b/src/wharf-gateway/era_guard.h
@@ -49,6 +49,7 @@
 	uint32_t rewritten[ERA_REWRITE_COUNT]; /**< records, since the era was entered */
 	uint64_t rewrites_logged_at_us; /**< when they will be logged; 0: they are */
 	uint64_t random;
+	bool has_memory; /**< this instance knew the store before the era */
 	bool in_flight;
 	uv_timer_t timer;
 };
--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -356,6 +356,11 @@
 	view->behind_since_us = now_us;
 }
 
+static bool is_of_earlier_era(const struct view *view, uint64_t revision)
+{
+	return dw_revision_era(revision) < dw_revision_era(dw_view_log_revision(view->records));
+}
+
 static struct dw_view_record record_of(const struct dw_store_event *event)
 {
 	return (struct dw_view_record){
@@ -372,6 +377,10 @@
 	struct dw_view_record record = record_of(event);
 	struct bytes packed = { 0 };
 
+	/* Another instance may have told of a new era before the store's answer of the one before came. */
+	if (is_of_earlier_era(view, record.revision))
+		return;
+
 	view_record_pack(view->records, &record, &packed);
 	view->records_ignored += is_superseded(view, &record);
 	if (dw_view_log_put(view->records, &record, now_us))
@@ -380,15 +389,18 @@
 }
 
 /* Entries of engines that this copy had may be missing until their engines have written them again. */
-static struct view_snapshot begin_answer(struct view *view, uint64_t revision, uint64_t now_us)
+static struct view_snapshot begin_answer(struct view *view, uint64_t revision, uint64_t era_begin,
+					 uint64_t now_us)
 {
 	uint64_t known = dw_view_log_revision(view->records);
-	struct view_snapshot snapshot = { .revision = revision };
+	struct view_snapshot snapshot = { .revision = revision, .era_begin = era_begin };
 
+	if (dw_revision_era(revision) > dw_revision_era(known))
+		view->restore.era_begin = era_begin;
 	snapshot.is_entering = known > 0 && dw_revision_era(revision) > dw_revision_era(known);
 	if (snapshot.is_entering)
 		view_restore_entered(&view->restore, now_us);
-	snapshot.is_settled = view_restore_is_settled(&view->restore, now_us);
+	snapshot.phase = view_restore_phase(&view->restore, now_us);
 	return snapshot;
 }
 
@@ -481,6 +493,11 @@
 			  uint64_t now_us)
 {
 	view->rereads++;
+	/* The copy of the start may be of before a restore whatever its era says: it bounds nothing. */
+	if (view->confirmed_at_us == 0 && revision < known_before) {
+		dw_view_log_restart(view->records);
+		known_before = 0;
+	}
 	note_answered(view, "store", revision, known_before, now_us);
 	/* Another instance may have passed a new era on meanwhile. */
 	return revision >= known_before &&
@@ -490,7 +507,7 @@
 void view_apply_all(struct view *view, const struct dw_store_entry *entries, size_t count,
 		    uint64_t revision, uint64_t now_us)
 {
-	struct view_snapshot snapshot = begin_answer(view, revision, now_us);
+	struct view_snapshot snapshot = begin_answer(view, revision, revision, now_us);
 
 	dw_view_log_begin_snapshot(view->records, revision);
 	for (size_t i = 0; i < count; i++) {
@@ -500,7 +517,8 @@
 	}
 	apply_missing(view, &snapshot, now_us);
 	complete(view, revision, now_us);
-	if (snapshot.is_settled)
+	view->restore.are_orders_read |= snapshot.phase >= DW_RESTORE_ORDERS_SETTLED;
+	if (snapshot.phase == DW_RESTORE_SETTLED)
 		view->restore.awaits_settling = false;
 }
 
@@ -608,7 +626,7 @@
 	}
 	if (dw_revision_era(answer->revision) > dw_revision_era(known) && !can_enter(view, answer))
 		return false;
-	snapshot = begin_answer(view, answer->revision, now_us);
+	snapshot = begin_answer(view, answer->revision, answer->era_begin, now_us);
 	is_complete = apply_answer(view, &snapshot, answer, now_us);
 	if (!is_complete)
 		return false;
@@ -671,6 +689,8 @@
 {
 	uint64_t age_before_ms = age_ms(view, now_us);
 
+	if (is_of_earlier_era(view, revision))
+		return;
 	complete(view, revision, now_us);
 	view->hops = 0;
 	confirm(view, DW_VIEW_FROM_STORE, confirmed_at_us, now_us);
--- a/src/wharf-gateway/view_restore.c
+++ b/src/wharf-gateway/view_restore.c
@@ -6,6 +6,8 @@
 #include "platform/config_record.h"
 #include "platform/records.h"
 
+/* Operators have written their orders again by then, and what they have written since must be in force soon after. */
+#define ORDERS_SETTLED_AFTER_US (3 * DW_US_PER_S)
 /* By then engines that run have written their entries again, and old entries of others have expired. */
 #define SETTLED_AFTER_US (6 * DW_US_PER_S)
 /* Other instances settle by then, as they entered the era at most seconds later. */
@@ -14,7 +16,9 @@
 void view_restore_entered(struct view_restore *restore, uint64_t now_us)
 {
 	restore->entered_at_us = now_us;
+	restore->orders_settled_at_us = now_us + ORDERS_SETTLED_AFTER_US;
 	restore->settled_at_us = now_us + SETTLED_AFTER_US;
+	restore->are_orders_read = false;
 	restore->awaits_settling = true;
 }
 
@@ -22,18 +26,32 @@
 {
 	if (restore->awaits_settling)
 		return;
+	restore->orders_settled_at_us = now_us + ORDERS_SETTLED_AFTER_US;
 	restore->settled_at_us = now_us + SETTLED_AFTER_US;
+	restore->are_orders_read = false;
 	restore->awaits_settling = true;
 }
 
-bool view_restore_is_settled(const struct view_restore *restore, uint64_t now_us)
+enum dw_restore_phase view_restore_phase(const struct view_restore *restore, uint64_t now_us)
 {
-	return now_us >= restore->settled_at_us;
+	if (now_us >= restore->settled_at_us)
+		return DW_RESTORE_SETTLED;
+	return now_us >= restore->orders_settled_at_us ? DW_RESTORE_ORDERS_SETTLED
+						       : DW_RESTORE_FRESH;
 }
 
 bool view_restore_is_settling_due(const struct view_restore *restore, uint64_t now_us)
 {
-	return restore->awaits_settling && view_restore_is_settled(restore, now_us);
+	switch (view_restore_phase(restore, now_us)) {
+	case DW_RESTORE_ORDERS_SETTLED:
+		return restore->awaits_settling && !restore->are_orders_read;
+	case DW_RESTORE_SETTLED:
+		return restore->awaits_settling;
+	case DW_RESTORE_FRESH:
+	case DW_RESTORE_PHASE_COUNT:
+		break;
+	}
+	return false;
 }
 
 static enum dw_restored_kind kind_of(const char *key, const char **name)
@@ -105,7 +123,8 @@
 			 const struct dw_view_record *shown)
 {
 	if (snapshot->is_entering)
-		return dw_revision_era(known->revision) < dw_revision_era(snapshot->revision);
+		return dw_revision_era(known->revision) < dw_revision_era(snapshot->revision) &&
+		       (!shown || shown->revision <= snapshot->era_begin);
 	return known->kept_over > 0 && (!shown || shown->revision <= known->kept_over);
 }
 
@@ -122,7 +141,7 @@
 	kind = kind_of(known->key, &name);
 	before = state_of(kind, name, known, true);
 	after = state_of(kind, name, shown, false);
-	return dw_restore_keeps(kind, &before, &after, snapshot->is_settled);
+	return dw_restore_keeps(kind, &before, &after, snapshot->phase);
 }
 
 enum view_ask view_restore_ask(struct view_restore *restore, const struct dw_view_log *log,
@@ -137,7 +156,11 @@
 	kept = view_restore_kept(log);
 	restore->kept_asked_at_us = now_us;
 	/* Engines and configurations may be kept until they change, so the question for them ends. */
-	restore->awaits_settling = kept.orders > 0 || (kept.configs + kept.engines > 0 && !is_late);
+	if (view_restore_phase(restore, now_us) == DW_RESTORE_SETTLED)
+		restore->awaits_settling =
+			kept.orders > 0 || (kept.configs + kept.engines > 0 && !is_late);
+	else
+		restore->are_orders_read = kept.orders == 0;
 	if (!restore->awaits_settling)
 		return VIEW_ASK_CHANGES;
 	return is_late ? VIEW_ASK_ALL : VIEW_ASK_KEPT;
--- a/src/wharf-gateway/view_restore.h
+++ b/src/wharf-gateway/view_restore.h
@@ -6,6 +6,7 @@
 #ifndef GATEWAY_VIEW_RESTORE_H
 #define GATEWAY_VIEW_RESTORE_H
 
+#include <dragonflywharf/restore_rule.h>
 #include <dragonflywharf/view_log.h>
 
 #include "port/store.h"
@@ -13,7 +14,11 @@
 struct view_restore {
 	uint64_t count; /**< restores that this instance has seen */
 	uint64_t entered_at_us; /**< when it learned of the last one; 0: it has seen none */
+	uint64_t era_begin; /**< see struct view_snapshot */
+	uint64_t
+		orders_settled_at_us; /**< when an order that nobody has written again may be replaced */
 	uint64_t settled_at_us; /**< when what nobody has written again counts as gone */
+	bool are_orders_read; /**< since they count as settled */
 	bool awaits_settling; /**< records may be kept that nobody has written again */
 	uint64_t
 		kept_asked_at_us; /**< when another instance was last asked which of them it keeps; 0: never */
@@ -27,7 +32,9 @@
 struct view_snapshot {
 	uint64_t revision;
 	bool is_entering; /**< the first one of its era that this view takes in */
-	bool is_settled; /**< what the store lost has been written again, or counts as gone */
+	/** The first revision of the era that is known: what was written after it wasn't in the copy. */
+	uint64_t era_begin;
+	enum dw_restore_phase phase;
 };
 
 /** This instance takes in the first state of an era. */
@@ -36,7 +43,7 @@
 void view_restore_told_kept(struct view_restore *restore, uint64_t now_us);
 
 /** Whether lost records have been written again, as far as they will be. */
-bool view_restore_is_settled(const struct view_restore *restore, uint64_t now_us);
+enum dw_restore_phase view_restore_phase(const struct view_restore *restore, uint64_t now_us);
 
 /** Whether to read all keys once more, now that they have been. */
 bool view_restore_is_settling_due(const struct view_restore *restore, uint64_t now_us);
--- a/src/wharf-gateway/view_server.c
+++ b/src/wharf-gateway/view_server.c
@@ -34,6 +34,7 @@
 {
 	struct view_answer answer = {
 		.revision = dw_view_log_revision(view->records),
+		.era_begin = view->restore.era_begin,
 		.hops = view->hops,
 		.is_snapshot = !dw_view_log_covers(view->records, after),
 		.is_over_gap = dw_view_log_has_gap_after(view->records, after),
--- a/tests/era_guard_test.cc
+++ b/tests/era_guard_test.cc
@@ -209,6 +209,34 @@
 	EXPECT_TRUE(era_guard_allows_config(&guard, 130));
 }
 
+/* Guards against a fleet that never serves again: all instances have started, and the key asks for a configuration that
+ * nobody remembers. */
+TEST_F(EraGuard, NewcomersServeWhatTheStoreShowsIfNobodyRemembers)
+{
+	era_guard_set_config(&guard, 90);
+	enter(2, false);
+	for (int i = 0; i < 4 && store.writes.empty(); i++)
+		runs_until_writes(1);
+	ASSERT_FALSE(store.writes.empty());
+	store.answer(0, DW_STORE_DONE, dw_revision_make(2, 30));
+	EXPECT_TRUE(era_guard_allows_writes(&guard));
+	EXPECT_TRUE(era_guard_allows_config(&guard, 90));
+}
+
+/* Guards against writes that are refused for ever: the conflict's answer arrives after the view has brought the next
+ * state of the key. */
+TEST_F(EraGuard, ALateConflictDoesNotReplaceANewerState)
+{
+	enter(2, true);
+	ASSERT_TRUE(runs_until_writes(1));
+	apply(2, 31, "{\"era\":2,\"config\":100}");
+	store.answer(0, DW_STORE_CONFLICT, dw_revision_make(2, 30));
+	struct dw_store_put put {
+	};
+	era_guard_condition(&guard, &put);
+	EXPECT_EQ(put.guard_revision, dw_revision_make(2, 31));
+}
+
 /* Guards against a record that is taken for one of the new era, though the store came back with it. */
 TEST_F(EraGuard, RecordsOfTheCopyAreOlderThanTheKey)
 {
--- a/tests/restore_spread_test.cc
+++ b/tests/restore_spread_test.cc
@@ -549,6 +549,7 @@
 		msgpack_sbuffer buffer;
 		msgpack_packer packer;
 		answer.revision = n.revision();
+		answer.era_begin = n.own.restore.era_begin;
 		answer.hops = n.own.hops;
 		answer.is_snapshot = answer.revision > 0 && !dw_view_log_covers(records, after);
 		answer.is_over_gap = dw_view_log_has_gap_after(records, after);
--- a/tests/view_restore_test.cc
+++ b/tests/view_restore_test.cc
@@ -149,6 +149,7 @@
 		if (after > 0 && source.revision() > 0 && !dw_view_log_covers(records, after))
 			return ASK_STORE;
 		answer.revision = source.revision();
+		answer.era_begin = source.own.restore.era_begin;
 		answer.hops = source.own.hops;
 		answer.is_snapshot = !dw_view_log_covers(records, after);
 		answer.is_over_gap = dw_view_log_has_gap_after(records, after);
@@ -386,6 +387,99 @@
 	EXPECT_FALSE(b.own.restore.awaits_settling);
 }
 
+/* Guards against an engine that lives and is left out for ever: the store has lost its removal, so its entry stays, and
+ * an engine that only renews its lease writes no other one. */
+TEST_F(ViewRestore, AnEngineWhoseRemovalIsLostIsUsedOnceItsEntryHasOutlivedItsLease)
+{
+	enter_first_era();
+	store.remove("servers/e1");
+	a.watch(store, "servers/e1", now_us);
+	pass_on();
+	store.restore(copy);
+	ASSERT_TRUE(a.read(store, now_us));
+	pass_on();
+	for (int second = 0; second < 12; second++) {
+		now_us += SECOND;
+		ASSERT_TRUE(a.read(store, now_us));
+		pass_on();
+	}
+	for (Instance *each : { &a, &b, &c })
+		EXPECT_EQ(each->value("servers/e1"), engine(5, 9));
+}
+
+/* Guards against a lost evacuation that is obeyed: another instance told of the era before a watch's answer of the
+ * one before arrived. */
+TEST_F(ViewRestore, AnEventOfAnEarlierEraThatArrivesLateChangesNothing)
+{
+	enter_first_era();
+	Store before = store;
+	before.put("op/evacuate/lost", "{}");
+	store.restore(copy);
+	ASSERT_TRUE(a.read(store, now_us));
+	ASSERT_EQ(b.ask(a, now_us), Instance::APPLIED);
+	b.watch(before, "op/evacuate/lost", now_us);
+	EXPECT_FALSE(b.is_evacuated("lost"));
+}
+
+/* Guards against an evacuation of the new era that other instances than the readers ignore, as the same domain had been
+ * taken back shortly before the restore at a higher number. */
+TEST_F(ViewRestore, AnEvacuationThatTheSourceSawAfterTheRestoreIsObeyedAtOnce)
+{
+	enter_first_era();
+	store.put("op/evacuate/z", "{}");
+	a.watch(store, "op/evacuate/z", now_us);
+	store.remove("op/evacuate/z");
+	a.watch(store, "op/evacuate/z", now_us);
+	pass_on();
+	store.restore(copy);
+	ASSERT_TRUE(a.read(store, now_us));
+	store.put("op/evacuate/z", "{}");
+	a.watch(store, "op/evacuate/z", now_us);
+	pass_on();
+	EXPECT_TRUE(a.is_evacuated("z"));
+	EXPECT_TRUE(b.is_evacuated("z"));
+	for (int i = 0; i < 60; i++) {
+		now_us += SECOND;
+		ASSERT_TRUE(a.read(store, now_us));
+		pass_on();
+	}
+	EXPECT_TRUE(b.is_evacuated("z")) << "after a minute";
+	EXPECT_TRUE(c.is_evacuated("z")) << "after a minute";
+	EXPECT_EQ(::view_ask(&b.own, now_us + 2 * SECOND), VIEW_ASK_CHANGES)
+		<< "still asks each second";
+}
+
+/* Guards against an evacuation that a reader ignores beyond the limit of 5 s, as it was written before the reader's first
+ * reading. */
+TEST_F(ViewRestore, AnEvacuationWrittenBeforeTheFirstReadingIsObeyedInTime)
+{
+	enter_first_era();
+	store.put("op/evacuate/z", "{}");
+	a.watch(store, "op/evacuate/z", now_us);
+	store.remove("op/evacuate/z");
+	a.watch(store, "op/evacuate/z", now_us);
+	store.restore(copy);
+	store.put("op/evacuate/z", "{}");
+	for (int i = 0; i < 6; i++) {
+		ASSERT_TRUE(a.read(store, now_us + i * SECOND - (i == 5)));
+		/* Two seconds are left to pass it on. */
+		EXPECT_TRUE(i < 3 || a.is_evacuated("z")) << i << " s";
+	}
+}
+
+/* Guards against an instance that refuses every reading: the copy that it started with was read from a part of the store
+ * that was still as before the restore, but named the new era. */
+TEST_F(ViewRestore, AStaleFirstCopyDoesNotKeepTheInstanceFromTheStore)
+{
+	for (int i = 0; i < 20; i++)
+		store.put("op/evacuate/x", "{}");
+	dw_store_entry none{};
+	view_apply_all(&a.own, &none, 0, dw_revision_make(2, store.number), now_us);
+	store.restore(copy);
+	EXPECT_TRUE(a.read(store, now_us));
+	EXPECT_TRUE(a.read(store, now_us + SECOND));
+}
+
 /* Guards against an instance that takes another one's word for an era of which it knows more than that one. */
 TEST_F(ViewRestore, WhoKnowsMoreThanItsSourceReadsTheStore)
 {
