View log: a record that is kept elsewhere with the revision of another era is kept

Cause: a record that has been the same over a restore has the revision of the era before at some instances, and that of the era after at those that started there. When it was lost in a later restore, the kept record of one didn't mark that of the other, which kept it for good.

Change: the same number and value counts, if the known one isn't of a later era.

Seen red: ARecordOfAnEarlierEraIsKeptToo of view_log_test.

--- a/src/core/view_log.c
+++ b/src/core/view_log.c
@@ -148,10 +148,14 @@
 	return record->revision > known->revision;
 }
 
-/* Another instance says that the store has lost this record, or an earlier one of its era. */
+/* Another instance says that the store has lost this record, or an earlier one of its era. It may have been the same
+ * over restores before, and have the revision of another era there. */
 static void note_kept(struct dw_view_record *known, const struct dw_view_record *record)
 {
-	if (dw_revision_era(record->revision) == dw_revision_era(known->revision) &&
+	uint64_t era = dw_revision_era(record->revision);
+	uint64_t known_era = dw_revision_era(known->revision);
+
+	if ((known_era == era || (known_era < era && is_unchanged(known, record))) &&
 	    record->kept_over > known->kept_over)
 		known->kept_over = record->kept_over;
 }
--- a/tests/view_log_test.cc
+++ b/tests/view_log_test.cc
@@ -249,6 +249,24 @@
 	EXPECT_EQ(dw_view_log_kept_count(log), 0U);
 }
 
+/* Guards against a lost order that an instance obeys for good: it has been the same over an earlier restore, and the source
+ * that keeps it has it with the revision of another era. */
+TEST_F(ViewLog, ARecordOfAnEarlierEraIsKeptToo)
+{
+	uint64_t over = dw_revision_make(3, 19);
+	put(log, "order", "v", dw_revision_make(1, 15));
+	dw_view_log_complete(log, dw_revision_make(2, 18));
+	dw_view_record kept{};
+	kept.key = "order";
+	kept.value = (const uint8_t *)"v";
+	kept.value_len = 1;
+	kept.revision = dw_revision_make(2, 15);
+	kept.kept_over = over;
+	dw_view_log_note_gap(log, over);
+	dw_view_log_put(log, &kept, 1);
+	EXPECT_EQ(dw_view_log_find(log, "order")->kept_over, over);
+}
+
 TEST_F(ViewLog, WithoutACopyEverythingIsNeeded)
 {
 	EXPECT_FALSE(dw_view_log_covers(log, 0));
