--- a/src/core/view_log.c
+++ b/src/core/view_log.c
@@ -155,7 +155,8 @@
 	uint64_t era = dw_revision_era(record->revision);
 	uint64_t known_era = dw_revision_era(known->revision);
 
-	if ((known_era == era || (known_era < era && is_unchanged(known, record))) &&
+	if ((known_era == era ||
+	     (known->revision <= record->kept_over && is_unchanged(known, record))) &&
 	    record->kept_over > known->kept_over)
 		known->kept_over = record->kept_over;
 }
--- a/tests/view_log_test.cc
+++ b/tests/view_log_test.cc
@@ -255,6 +255,7 @@
 {
 	uint64_t over = dw_revision_make(3, 19);
 	put(log, "order", "v", dw_revision_make(1, 15));
+	put(log, "later", "v", dw_revision_make(2, 15));
 	dw_view_log_complete(log, dw_revision_make(2, 18));
 	dw_view_record kept{};
 	kept.key = "order";
@@ -265,6 +266,15 @@
 	dw_view_log_note_gap(log, over);
 	dw_view_log_put(log, &kept, 1);
 	EXPECT_EQ(dw_view_log_find(log, "order")->kept_over, over);
+	kept.key = "later";
+	kept.revision = dw_revision_make(1, 15);
+	dw_view_log_put(log, &kept, 1);
+	EXPECT_EQ(dw_view_log_find(log, "later")->kept_over, over);
+	put(log, "again", "v", dw_revision_make(3, 25));
+	kept.key = "again";
+	kept.revision = dw_revision_make(2, 25);
+	dw_view_log_put(log, &kept, 1);
+	EXPECT_EQ(dw_view_log_find(log, "again")->kept_over, 0U) << "written since";
 }
 
 TEST_F(ViewLog, WithoutACopyEverythingIsNeeded)
