--- a/src/wharf-gateway/store_sync.c
+++ b/src/wharf-gateway/store_sync.c
@@ -83,6 +83,7 @@
 
 	sync->watch = NULL;
 	sync->is_history_lost = status == DW_STALE;
+	view_gap_found(sync->view, &sync->store->unheard);
 	/* The store is there, and all instances wait for its readers. Only a second time in a row is a loop. */
 	if (status == DW_STALE && sync->stale_in_a_row++ == 0)
 		sync->failures = 0;
