Tests: which answers show etcd's restore

A fall of the revision is told once, though two calls were under way; a serializable read and an outage alone prove nothing; the first answer after an outage is told.

--- a/tests/store_etcd_test.cc
+++ b/tests/store_etcd_test.cc
@@ -274,6 +274,49 @@
 	EXPECT_EQ(put("k", "v", 0).outcome, DW_STORE_UNAVAILABLE);
 }
 
+/* Guards against a restore that isn't seen, one that is seen twice, and one seen in an answer that proves nothing. */
+TEST_F(StoreEtcd, AFallOfTheRevisionIsARestoreAndIsToldOnce)
+{
+	struct history {
+		int back = 0;
+		std::vector<std::pair<uint64_t, uint64_t>> falls;
+	} seen;
+	range_outcome copy;
+	range_outcome reads[2];
+
+	store->history_data = &seen;
+	store->on_back = [](void *data) { static_cast<history *>(data)->back++; };
+	store->on_restored = [](uint64_t before, uint64_t revision, void *data) {
+		static_cast<history *>(data)->falls.emplace_back(before, revision);
+	};
+	uint64_t kept = put("k", "v", 0).revision;
+	admin("backup");
+	put("lost", "v", 0);
+	uint64_t last = put("lost-too", "v", 0).revision;
+	get("k");
+	EXPECT_TRUE(seen.falls.empty());
+	admin("restore");
+	dw_store_read_copy(store.get(), "k", dw_clock_now_us() + CALL_US, on_range, &copy);
+	ASSERT_TRUE(run_until([&] { return copy.done; }));
+	EXPECT_TRUE(seen.falls.empty()) << "a member that lags may have answered";
+	for (range_outcome &read : reads)
+		dw_store_get(store.get(), "k", dw_clock_now_us() + CALL_US, on_range, &read);
+	ASSERT_TRUE(run_until([&] { return reads[0].done && reads[1].done; }));
+	ASSERT_EQ(seen.falls.size(), 1U);
+	EXPECT_EQ(seen.falls[0], std::make_pair(last, kept));
+	EXPECT_EQ(store->revision, kept);
+	put("later", "v", 0);
+	EXPECT_EQ(seen.falls.size(), 1U);
+	EXPECT_EQ(store->restores, 1U);
+	EXPECT_EQ(seen.back, 0);
+	admin("fault", R"({"kind":"outage"})");
+	EXPECT_EQ(get("k").status, DW_UNAVAILABLE);
+	admin("fault", R"({"kind":"none"})");
+	get("k");
+	get("k");
+	EXPECT_EQ(seen.back, 1);
+}
+
 TEST_F(StoreEtcd, TriesTheNextEndpointAndStaysWithOneThatWorks)
 {
 	process dead("standin_kv", {});
