Tests: the store's stand-in has leases, calls and answers in transit, and wrong eras

Cause: the stand-in's restore cut all calls that waited, leases never ended, a call whose caller had left wasn't executed, and all answers named the right era. So no process test could show what a restore does to a write in transit, a lease, a watch that waits, a 410 that is lost, an old read or an era that is wrong.

Change: leases end, are renewed and are lost with what was written since the copy (lease_set); "slow" executes a write also if its caller has left or the store was restored meanwhile; "late" delays answers; "watches_kept", "gone_lost", "stale_reads", "era_missing", "era_unreadable" and "era_lower" are new.

--- a/tests/standins/standin_metadata.c
+++ b/tests/standins/standin_metadata.c
@@ -1,18 +1,23 @@
 /**
  * @file standin_metadata.c
  * In-memory stand-in for the platform's metadata store: keys with revisions, conditional
- * transactions, long-polling watches and a bounded history.
+ * transactions, leases, long-polling watches and a bounded history.
  *
  * Faults:
  * - outage: calls get 503, and the connections of open watches are closed
  * - silent: calls get no response and have no effect
- * - slow: calls are executed n ms late
+ * - slow: calls are n ms in transit and executed after that, also if their caller has left or the store was restored
+ * - late: answers are n ms in transit, with what was true when the call was executed
  * - answer_lost: a write is executed, then the connection is closed without a response
+ * - watches_kept: an outage and a restore don't close the connections of open watches
+ * - gone_lost: an answer 410 isn't sent
+ * - stale_reads: reads that allow it are n to 2n ms old
+ * - era_missing, era_unreadable, era_lower: in this way the era of an answer is wrong
  *
  * Admin calls: POST /admin/put {"key", "value"} writes a key as an operator does, /admin/delete
  * {"key"} deletes one, /admin/compact discards the history, /admin/backup keeps a copy, /admin/restore comes back from
- * it: what was written since is gone, leases too, revisions are given out again, and the era rises by one. All answers
- * have the era.
+ * it: what was written since is gone, leases too, revisions are given out again, and the era rises by one. Leases of the
+ * copy run on from where they were. All answers have the era.
  */
 #include <inttypes.h>
 #include <stdio.h>
@@ -24,9 +29,12 @@
 #include "base/clock.h"
 #include "standins/json.h"
 #include "standins/kv_table.h"
+#include "standins/lease_set.h"
 #include "standins/standin.h"
 
 #define MAX_PAGE_ITEMS 20
+#define CALL_PREFIX "/dragonflywharf/"
+#define TICK_MS 20
 #define KEY_BUFFER_BYTES 256
 #define FIRST_REVISION 10
 #define FIRST_ERA 1
@@ -43,18 +51,85 @@
 	struct kv_table *backup; /* NULL: none yet */
 	uint64_t era;
 	struct watch *watches;
-	uint64_t last_lease;
-	uint64_t last_lease_of_backup;
-	struct json_object *calls; /* count by the last part of the path */
+	struct lease_set leases;
+	struct lease_set leases_of_backup;
+	uint64_t backup_at_us;
+	struct kv_table *older[2]; /* for stale reads, the oldest first; NULL: none yet */
+	uint64_t copied_at_us;
+	uv_timer_t tick;
+	struct json_object *calls; /* count by the first part of the path */
 };
 
-static const char *const fault_kinds[] = { "outage", "silent", "slow", "answer_lost", NULL };
+/* An answer in transit. */
+struct late_answer {
+	int status;
+	struct json_object *body;
+};
+
+static const char *const fault_kinds[] = { "outage",	     "silent",	    "slow",
+					   "late",	     "answer_lost", "watches_kept",
+					   "gone_lost",	     "stale_reads", "era_missing",
+					   "era_unreadable", "era_lower",   NULL };
 
 static struct metadata *metadata_of(const struct standin *standin)
 {
 	return standin->data;
 }
 
+static bool has_fault(struct standin_request *request, const char *kind)
+{
+	return fault_set_consume(&request->standin->faults, kind, request->path) != NULL;
+}
+
+static void add_era(struct standin_request *request)
+{
+	uint64_t era = metadata_of(request->standin)->era;
+	char text[24];
+
+	if (!request->exchange || has_fault(request, "era_missing"))
+		return;
+	if (has_fault(request, "era_lower"))
+		era--;
+	snprintf(text, sizeof(text), "%" PRIu64, era);
+	dw_http_add_header(request->exchange, "Store-Era",
+			   has_fault(request, "era_unreadable") ? "x1" : text);
+}
+
+static void on_late_end(struct standin_request *request)
+{
+	struct late_answer *late = request->data;
+
+	standin_answer(request, late->status, late->body);
+	free(late);
+}
+
+static void answer(struct standin_request *request, int status, struct json_object *body)
+{
+	const struct fault *fault =
+		fault_set_consume(&request->standin->faults, "late", request->path);
+	struct late_answer *late;
+
+	add_era(request);
+	if (!fault) {
+		standin_answer(request, status, body);
+		return;
+	}
+	late = malloc(sizeof(*late));
+	if (!late)
+		abort();
+	*late = (struct late_answer){ .status = status, .body = body };
+	request->data = late;
+	standin_delay(request, fault->n * DW_US_PER_MS, on_late_end);
+}
+
+static void answer_error(struct standin_request *request, int status, const char *message)
+{
+	struct json_object *body = json_object_new_object();
+
+	json_set_text(body, "error", message);
+	answer(request, status, body);
+}
+
 static int hex_digit(char c)
 {
 	return c >= '0' && c <= '9' ? c - '0' : (c | 0x20) - 'a' + 10;
@@ -136,12 +211,24 @@
 	bytes = key_bytes(key);
 	entry = kv_table_find(metadata->table, &bytes);
 	if (!entry) {
-		standin_answer_error(request, 404, "key not found");
+		answer_error(request, 404, "key not found");
 		return;
 	}
 	body = item_json(entry);
 	set_number(body, "StoreRevision", metadata->table->revision);
-	standin_answer(request, 200, body);
+	answer(request, 200, body);
+}
+
+/* Reads that allow it may be older than the newest change. */
+static const struct kv_table *table_to_read(struct standin_request *request,
+					    const struct metadata *metadata, const char *query)
+{
+	char number[8];
+
+	query_param(query, "Serializable", number, sizeof(number));
+	if (strcmp(number, "1") == 0 && metadata->older[0] && has_fault(request, "stale_reads"))
+		return metadata->older[0];
+	return metadata->table;
 }
 
 static void answer_range(struct standin_request *request, struct metadata *metadata,
@@ -151,13 +238,14 @@
 	struct json_object *items = json_object_new_array();
 	char prefix[KEY_BUFFER_BYTES];
 	char after_key[KEY_BUFFER_BYTES];
+	const struct kv_table *table = table_to_read(request, metadata, query);
 	size_t count = 0;
 	bool has_more = false;
 
 	query_param(query, "PathPrefix", prefix, sizeof(prefix));
 	query_param(query, "After", after_key, sizeof(after_key));
-	for (size_t i = 0; i < metadata->table->count; i++) {
-		const struct kv_entry *entry = &metadata->table->entries[i];
+	for (size_t i = 0; i < table->count; i++) {
+		const struct kv_entry *entry = &table->entries[i];
 		char key[KEY_BUFFER_BYTES];
 
 		snprintf(key, sizeof(key), "%.*s", (int)entry->key.len,
@@ -173,8 +261,8 @@
 	}
 	json_object_object_add(body, "Items", items);
 	json_object_object_add(body, "HasMore", json_object_new_boolean(has_more));
-	set_number(body, "StoreRevision", metadata->table->revision);
-	standin_answer(request, 200, body);
+	set_number(body, "StoreRevision", table->revision);
+	answer(request, 200, body);
 }
 
 /*
@@ -189,7 +277,9 @@
 	struct json_object *body;
 
 	if (after_revision < table->compact_revision || after_revision > table->revision) {
-		standin_answer_error(request, 410, "no history from this revision");
+		/* Without a response the caller times out, as in the fault "silent". */
+		if (!has_fault(request, "gone_lost"))
+			answer_error(request, 410, "no history from this revision");
 		return true;
 	}
 	events = json_object_new_array();
@@ -205,7 +295,7 @@
 	body = json_object_new_object();
 	json_object_object_add(body, "events", events);
 	set_number(body, "StoreRevision", table->revision);
-	standin_answer(request, 200, body);
+	answer(request, 200, body);
 	return true;
 }
 
@@ -308,6 +398,17 @@
 	return matches;
 }
 
+static bool leases_exist(const struct metadata *metadata, struct json_object *puts)
+{
+	for (size_t i = 0; puts && i < json_object_array_length(puts); i++) {
+		uint64_t id = json_u64(json_object_array_get_idx(puts, i), "Lease", 0);
+
+		if (id != 0 && !lease_set_has(&metadata->leases, id))
+			return false;
+	}
+	return true;
+}
+
 static void answer_transaction(struct standin_request *request, struct metadata *metadata)
 {
 	struct json_object *items = json_object_new_array();
@@ -316,10 +417,15 @@
 
 	if (!conditions_match(metadata, json_field(request->body, "ExpectedRevision"), items)) {
 		json_object_object_add(body, "Items", items);
-		standin_answer(request, 412, body);
+		answer(request, 412, body);
 		return;
 	}
 	json_object_put(items);
+	if (!leases_exist(metadata, puts)) {
+		json_object_put(body);
+		answer_error(request, 404, "no such lease");
+		return;
+	}
 	metadata->table->revision++;
 	for (size_t i = 0; puts && i < json_object_array_length(puts); i++) {
 		struct json_object *put = json_object_array_get_idx(puts, i);
@@ -328,66 +434,112 @@
 			   json_u64(put, "Lease", 0));
 	}
 	set_number(body, "Revision", metadata->table->revision);
-	if (fault_set_consume(&request->standin->faults, "answer_lost", request->path)) {
+	if (has_fault(request, "answer_lost")) {
 		json_object_put(body);
+		add_era(request);
 		standin_close_connection(request);
 	} else {
-		standin_answer(request, 200, body);
+		answer(request, 200, body);
 	}
 	notify_watches(metadata);
 }
 
-/* Leases don't expire here. */
 static void answer_lease(struct standin_request *request, struct metadata *metadata)
 {
-	struct json_object *body = json_object_new_object();
+	uint64_t ttl_ms = json_u64(request->body, "TtlMs", 0);
+	uint64_t id = lease_set_grant(&metadata->leases, ttl_ms * DW_US_PER_MS, dw_clock_now_us());
+	struct json_object *body;
+
+	if (id == 0) {
+		answer_error(request, 429, "too many leases");
+		return;
+	}
+	body = json_object_new_object();
+	set_number(body, "Lease", id);
+	set_number(body, "TtlMs", ttl_ms);
+	answer(request, 200, body);
+}
+
+static uint64_t lease_in_path(const struct standin_request *request)
+{
+	return strtoull(strrchr(request->path, '/') + 1, NULL, 10);
+}
 
-	set_number(body, "Lease", ++metadata->last_lease);
-	set_number(body, "TtlMs", json_u64(request->body, "TtlMs", 0));
-	standin_answer(request, 200, body);
+static void answer_keep(struct standin_request *request, struct metadata *metadata)
+{
+	if (lease_set_renew(&metadata->leases, lease_in_path(request), dw_clock_now_us()))
+		answer(request, 200, json_object_new_object());
+	else
+		answer_error(request, 404, "no such lease");
+}
+
+static void delete_keys_of(struct metadata *metadata, uint64_t lease)
+{
+	kv_table_delete_by_lease(metadata->table, lease);
+	notify_watches(metadata);
+}
+
+static void answer_lease_end(struct standin_request *request, struct metadata *metadata)
+{
+	uint64_t lease = lease_in_path(request);
+
+	if (!lease_set_end(&metadata->leases, lease)) {
+		answer_error(request, 404, "no such lease");
+		return;
+	}
+	answer(request, 200, json_object_new_object());
+	delete_keys_of(metadata, lease);
+}
+
+/* The part of the path that names the call. */
+static void call_name(const struct standin_request *request, char *out, size_t size)
+{
+	const char *name = request->path;
+
+	if (strncmp(name, CALL_PREFIX, strlen(CALL_PREFIX)) == 0)
+		name += strlen(CALL_PREFIX);
+	snprintf(out, size, "%.*s", (int)strcspn(name, "/"), name);
 }
 
 static void execute_call(struct standin_request *request)
 {
 	struct metadata *metadata = metadata_of(request->standin);
 	const char *query = request->exchange ? dw_http_query(request->exchange) : NULL;
-	const char *call_name = strrchr(request->path, '/') + 1;
+	char name[KEY_BUFFER_BYTES];
 
-	if (!request->exchange)
+	call_name(request, name, sizeof(name));
+	if (!request->exchange && strcmp(request->method, "GET") == 0)
 		standin_request_free(request);
-	else if (strcmp(call_name, "kv-key") == 0)
+	else if (strcmp(name, "kv-key") == 0)
 		answer_key(request, metadata, query);
-	else if (strcmp(call_name, "kv-range") == 0)
+	else if (strcmp(name, "kv-range") == 0)
 		answer_range(request, metadata, query);
-	else if (strcmp(call_name, "kv-watch") == 0)
+	else if (strcmp(name, "kv-watch") == 0)
 		start_watch(request, metadata, query);
-	else if (strcmp(call_name, "kv-txn") == 0)
+	else if (strcmp(name, "kv-txn") == 0)
 		answer_transaction(request, metadata);
-	else if (strcmp(call_name, "kv-lease") == 0)
+	else if (strcmp(name, "kv-lease") == 0)
 		answer_lease(request, metadata);
+	else if (strcmp(name, "kv-keep") == 0)
+		answer_keep(request, metadata);
+	else if (strcmp(name, "kv-lease-end") == 0)
+		answer_lease_end(request, metadata);
 	else
-		standin_answer_error(request, 404, "unknown path");
-}
-
-static void add_era(struct standin_request *request)
-{
-	char text[24];
-
-	snprintf(text, sizeof(text), "%" PRIu64, metadata_of(request->standin)->era);
-	dw_http_add_header(request->exchange, "Store-Era", text);
+		answer_error(request, 404, "unknown path");
 }
 
 static void on_request(struct standin_request *request)
 {
 	struct standin *standin = request->standin;
 	const struct fault *slow = fault_set_consume(&standin->faults, "slow", request->path);
+	char name[KEY_BUFFER_BYTES];
 
-	json_increment(metadata_of(standin)->calls, strrchr(request->path, '/') + 1, 1);
-	add_era(request);
-	if (fault_set_consume(&standin->faults, "silent", request->path))
+	call_name(request, name, sizeof(name));
+	json_increment(metadata_of(standin)->calls, name, 1);
+	if (has_fault(request, "silent"))
 		return; /* the caller times out; the request is freed when it disconnects */
-	if (fault_set_consume(&standin->faults, "outage", request->path))
-		standin_answer_error(request, 503, "unavailable");
+	if (has_fault(request, "outage"))
+		answer_error(request, 503, "unavailable");
 	else if (slow)
 		standin_delay(request, slow->n * DW_US_PER_MS, execute_call);
 	else
@@ -421,12 +573,17 @@
 	notify_watches(metadata);
 }
 
-static void close_watches(struct metadata *metadata)
+static void close_watches(struct standin *standin)
 {
+	struct metadata *metadata = metadata_of(standin);
+
+	if (fault_set_find(&standin->faults, "watches_kept", ""))
+		return;
 	while (metadata->watches) {
 		struct standin_request *request = metadata->watches->request;
 
 		remove_watch(&metadata->watches);
+		add_era(request);
 		standin_close_connection(request);
 	}
 }
@@ -435,22 +592,32 @@
 {
 	kv_table_free(metadata->backup);
 	metadata->backup = kv_table_backup(metadata->table);
-	metadata->last_lease_of_backup = metadata->last_lease;
+	metadata->leases_of_backup = metadata->leases;
+	metadata->backup_at_us = dw_clock_now_us();
 	standin_answer(request, 200, json_object_new_object());
 }
 
-/* Calls that wait meanwhile are cut, so that no answer has the era of another table. */
+static void forget_older(struct metadata *metadata)
+{
+	for (size_t i = 0; i < 2; i++) {
+		kv_table_free(metadata->older[i]);
+		metadata->older[i] = NULL;
+	}
+}
+
 static void admin_restore(struct standin_request *request, struct metadata *metadata)
 {
 	if (!metadata->backup) {
 		standin_answer_error(request, 404, "there is no copy");
 		return;
 	}
-	close_watches(metadata);
+	close_watches(request->standin);
+	forget_older(metadata);
 	kv_table_free(metadata->table);
 	metadata->table = kv_table_backup(metadata->backup);
 	metadata->table->compact_revision = metadata->table->revision;
-	metadata->last_lease = metadata->last_lease_of_backup;
+	metadata->leases = metadata->leases_of_backup;
+	lease_set_postpone(&metadata->leases, dw_clock_now_us() - metadata->backup_at_us);
 	metadata->era++;
 	standin_answer(request, 200, json_object_new_object());
 }
@@ -479,15 +646,42 @@
 {
 	json_object_object_add(stats, "calls", json_object_get(metadata_of(standin)->calls));
 	json_set_u64(stats, "revision", metadata_of(standin)->table->revision);
+	json_set_u64(stats, "era", metadata_of(standin)->era);
+	json_set_u64(stats, "leases", metadata_of(standin)->leases.count);
 }
 
 /* An outage closes the connections of open watches. */
 static void on_fault(struct standin *standin, const char *kind)
 {
+	if (strcmp(kind, "outage") == 0)
+		close_watches(standin);
+}
+
+static void on_tick(uv_timer_t *timer)
+{
+	struct standin *standin = timer->data;
 	struct metadata *metadata = metadata_of(standin);
+	const struct fault *stale = fault_set_find(&standin->faults, "stale_reads", "");
+	uint64_t now_us = dw_clock_now_us();
+	uint64_t lease;
 
-	if (strcmp(kind, "outage") == 0)
-		close_watches(metadata);
+	while ((lease = lease_set_take_expired(&metadata->leases, now_us)))
+		delete_keys_of(metadata, lease);
+	if (!stale || now_us < metadata->copied_at_us + stale->n * DW_US_PER_MS)
+		return;
+	kv_table_free(metadata->older[0]);
+	metadata->older[0] = metadata->older[1];
+	metadata->older[1] = kv_table_backup(metadata->table);
+	metadata->copied_at_us = now_us;
+}
+
+static void on_start(struct standin *standin)
+{
+	struct metadata *metadata = metadata_of(standin);
+
+	uv_timer_init(standin->loop, &metadata->tick);
+	metadata->tick.data = standin;
+	uv_timer_start(&metadata->tick, on_tick, TICK_MS, TICK_MS);
 }
 
 int main(int argc, char **argv)
@@ -501,6 +695,7 @@
 		.on_admin = on_admin,
 		.on_stats = on_stats,
 		.on_fault = on_fault,
+		.on_start = on_start,
 		.data = &metadata,
 	};
 	struct standin_common common;
--- a/tests/standins_test.cc
+++ b/tests/standins_test.cc
@@ -2,7 +2,9 @@
 // right.
 #include <gtest/gtest.h>
 
+#include <chrono>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "base/clock.h"
@@ -74,6 +76,124 @@
 	}
 };
 
+/** The platform's store, and calls to it as an instance makes them. */
+struct metadata : standin {
+	metadata() : standin("standin_metadata", {})
+	{
+	}
+	http_answer get(const std::string &call, int timeout_ms = 5000)
+	{
+		return http_call(port, "GET", "/dragonflywharf/" + call, "", {}, timeout_ms);
+	}
+	http_answer post(const std::string &call, const std::string &body, int timeout_ms = 5000)
+	{
+		return http_call(port, "POST", "/dragonflywharf/" + call, body, {}, timeout_ms);
+	}
+	void put(const std::string &key, const std::string &value)
+	{
+		admin("put", "{\"key\":\"" + key + "\",\"value\":\"" + value + "\"}");
+	}
+	int64_t revision()
+	{
+		return count({ "revision" });
+	}
+};
+
+TEST(StandinMetadata, ARestoreTakesLeasesAndWritesBackAndAWriteInTransitMeetsTheNewEra)
+{
+	metadata store;
+	std::string lease = "{\"TtlMs\":60000}";
+
+	EXPECT_EQ(json_number(store.post("kv-lease", lease).body, { "Lease" }), 1);
+	store.admin("backup");
+	EXPECT_EQ(json_number(store.post("kv-lease", lease).body, { "Lease" }), 2);
+	store.put("lost", "x");
+	store.fault(
+		"{\"kind\":\"slow\",\"n\":300,\"count\":1,\"path\":\"/dragonflywharf/kv-txn\"}");
+	store.post("kv-txn", "{\"Puts\":[{\"Key\":\"k\",\"Value\":\"eA==\",\"Lease\":1}]}", 50);
+	store.admin("restore");
+	EXPECT_EQ(store.get("kv-key?Key=lost").status, 404);
+	EXPECT_EQ(store.post("kv-keep/1", "{}").status, 200);
+	EXPECT_EQ(store.post("kv-keep/2", "{}").status, 404);
+	EXPECT_TRUE(wait_until([&] { return store.get("kv-key?Key=k").status == 200; }));
+	EXPECT_EQ(store.get("kv-key?Key=k").headers["store-era"], "2");
+	EXPECT_EQ(
+		store.post("kv-txn", "{\"Puts\":[{\"Key\":\"k\",\"Value\":\"eA==\",\"Lease\":2}]}")
+			.status,
+		404);
+}
+
+TEST(StandinMetadata, ALeaseThatIsNotRenewedEndsWithItsKeys)
+{
+	metadata store;
+
+	store.post("kv-lease", "{\"TtlMs\":100}");
+	store.post("kv-txn", "{\"Puts\":[{\"Key\":\"k\",\"Value\":\"eA==\",\"Lease\":1}]}");
+	EXPECT_TRUE(wait_until([&] { return store.get("kv-key?Key=k").status == 404; }));
+	EXPECT_EQ(store.post("kv-keep/1", "{}").status, 404);
+}
+
+TEST(StandinMetadata, AnAnswerInTransitSaysWhatWasTrueBeforeTheRestore)
+{
+	metadata store;
+	http_answer late;
+
+	store.admin("backup");
+	store.put("k", "x");
+	store.fault("{\"kind\":\"late\",\"n\":300,\"count\":1}");
+	std::thread caller([&] { late = store.get("kv-range?PathPrefix="); });
+	EXPECT_TRUE(wait_until([&] { return store.count({ "calls", "kv-range" }) == 1; }));
+	store.admin("restore");
+	caller.join();
+	EXPECT_EQ(late.headers["store-era"], "1");
+	EXPECT_EQ(json_string(late.body, { "Items", "0", "Key" }), "k");
+	EXPECT_EQ(store.get("kv-key?Key=k").headers["store-era"], "2");
+}
+
+TEST(StandinMetadata, AWatchIsKeptOverARestoreAndItsEndMayBeLost)
+{
+	metadata store;
+	std::string watch = "kv-watch?PathPrefix=&WaitMs=300&After=";
+
+	store.admin("backup");
+	store.put("k", "x");
+	store.fault("{\"kind\":\"watches_kept\"}");
+	store.fault("{\"kind\":\"gone_lost\",\"count\":1}");
+	http_answer kept;
+	std::thread caller(
+		[&] { kept = store.get(watch + std::to_string(store.revision()), 1000); });
+	EXPECT_TRUE(wait_until([&] { return store.count({ "calls", "kv-watch" }) == 1; }));
+	store.admin("restore");
+	caller.join();
+	EXPECT_EQ(kept.status, 0) << "the 410 is lost";
+	EXPECT_EQ(store.get(watch + "99").status, 410);
+}
+
+TEST(StandinMetadata, ErasAreWrongAndReadsOldAsAsked)
+{
+	metadata store;
+
+	store.put("k", "x");
+	store.fault("{\"kind\":\"era_missing\",\"count\":1}");
+	EXPECT_EQ(store.get("kv-key?Key=k").headers.count("store-era"), 0U);
+	store.fault("{\"kind\":\"era_unreadable\",\"count\":1}");
+	EXPECT_EQ(store.get("kv-key?Key=k").headers["store-era"], "x1");
+	store.fault("{\"kind\":\"era_lower\",\"count\":1}");
+	EXPECT_EQ(store.get("kv-key?Key=k").headers["store-era"], "0");
+	EXPECT_EQ(store.get("kv-key?Key=k").headers["store-era"], "1");
+	store.fault("{\"kind\":\"stale_reads\",\"n\":200}");
+	int64_t revision = store.revision();
+	auto read = [&](const std::string &more) {
+		return json_number(store.get("kv-range?PathPrefix=" + more).body,
+				   { "StoreRevision" });
+	};
+	std::this_thread::sleep_for(std::chrono::milliseconds(500));
+	store.put("k", "y");
+	EXPECT_EQ(read("&Serializable=1"), revision);
+	EXPECT_EQ(read(""), revision + 1);
+	EXPECT_TRUE(wait_until([&] { return read("&Serializable=1") == revision + 1; }));
+}
+
 } // namespace
 
 static const std::vector<std::string> CONTENT = { "choices", "0", "message", "content" };
