--- a/include/dragonflywharf/view_log.h
+++ b/include/dragonflywharf/view_log.h
@@ -31,6 +31,8 @@
 	/** The store has lost this record: it is kept over what the store shows up to this revision, an
 	 * older record of the key or none. 0: it isn't kept. */
 	uint64_t kept_over;
+	/** It replaced a kept record: who keeps that one still is told, whatever this one's revision. */
+	bool was_kept;
 };
 
 struct dw_view_log;
@@ -41,7 +43,8 @@
 /**
  * Stores a copy of a record.
  * @return false, without effect, if the same or a newer revision of the key is known, or one that is kept over it. A
- * record with the same number and value in a later era is the same.
+ * record with the same number and value in a later era is the same, unless the known one is kept, or it was written
+ * after the first known revision of that era.
  */
 bool dw_view_log_put(struct dw_view_log *log, const struct dw_view_record *record, uint64_t now_us);
 
@@ -54,9 +57,20 @@
 
 /** All changes up to this revision are known; 0: nothing is known yet. */
 uint64_t dw_view_log_revision(const struct dw_view_log *log);
-/** Notes that all changes up to @p revision are known. */
+/**
+ * Notes that all changes up to @p revision are known. If it is of a later era, the log covers no revision between the
+ * last one and it: a record that is the same in both eras has the revision of the earlier one.
+ */
 void dw_view_log_complete(struct dw_view_log *log, uint64_t revision);
 
+/** Whether not all changes after @p after are known, so that who gets these ones can't pass them on as all. */
+bool dw_view_log_has_gap_after(const struct dw_view_log *log, uint64_t after);
+/** Notes that not all changes up to @p revision will be known: those that were undone in between. */
+void dw_view_log_note_gap(struct dw_view_log *log, uint64_t revision);
+
+/** Whether a record is newer than the last revision up to which all changes are known. */
+bool dw_view_log_is_ahead(const struct dw_view_log *log);
+
 /**
  * Whether the records newer than @p after are all that an instance lacks which knows all changes up
  * to @p after. Otherwise deletions in between may have been forgotten, and it needs all records.
@@ -97,7 +111,7 @@
 /** The last value of a deleted key, if it is small; NULL if it isn't known. */
 const uint8_t *dw_view_log_last_value(const struct dw_view_record *record, size_t *len);
 
-/** Forgets deleted keys that were deleted before @p before_us. */
+/** Forgets deleted keys that were deleted before @p before_us, unless they are kept. */
 void dw_view_log_forget(struct dw_view_log *log, uint64_t before_us);
 
 /** Number of keys, deleted ones included. */
--- a/src/wharf-gateway/view.h
+++ b/src/wharf-gateway/view.h
@@ -48,6 +48,7 @@
 	struct dw_view_log *records; /**< newest known record of each key */
 	struct dw_view_source source; /**< from where this copy is kept up to date */
 	uint64_t confirmed_at_us; /**< when the copy was last known to be current; 0: never */
+	struct dw_freshness_gap unheard; /**< of this instance's watch, or another's */
 	/** The newest configuration can't be read: it may have taken keys away. */
 	bool is_config_unreadable;
 	uint64_t config_known_at_us; /**< last time before it; valid with is_config_unreadable */
@@ -86,11 +87,18 @@
 /**
  * Applies all keys of the store as of @p revision. Known keys that aren't among them count as deleted,
  * unless their revision is newer, or they are kept as the store was restored (view_restore.h).
- * @return false, without effect, if this copy knows more already: the reading proves nothing then
  */
-bool view_apply_all(struct view *view, const struct dw_store_entry *entries, size_t count,
+void view_apply_all(struct view *view, const struct dw_store_entry *entries, size_t count,
 		    uint64_t revision, uint64_t now_us);
 
+/**
+ * A reading of all keys, begun when the copy had revision @p known_before, gave @p revision.
+ * @return false if it is older, as the store has fallen back without a new era, or if the copy has a later era by now:
+ * the reading is no proof, and mustn't be applied
+ */
+bool view_accepts_reading(struct view *view, uint64_t revision, uint64_t known_before,
+			  uint64_t now_us);
+
 /** The engine said in an answer that it leaves. */
 void view_engine_leaves(struct view *view, struct dw_engine *engine);
 /** The instance @p from has heard that engines leave; passed on to @p scope. */
@@ -120,6 +128,9 @@
 void view_store_lost(struct view *view, enum dw_status reason, uint64_t abandoned_bytes,
 		     uint64_t now_us);
 
+/** Proofs from that time may lack changes. To be called before a proof of the same answer is taken in. */
+void view_gap_found(struct view *view, const struct dw_freshness_gap *gap);
+
 /** When the configuration in force was last known to be the newest one; 0: never. */
 uint64_t view_config_known_at_us(const struct view *view);
 
@@ -136,6 +147,12 @@
 /** Whether this instance, which has started since, must ask another one what the store lost. */
 bool view_wants_memory(const struct view *view);
 
+/**
+ * What to ask the next instance for: its kept records too if this one has started and has none of its own, or if the
+ * time has passed for which it keeps some. To be called once for each request.
+ */
+enum view_ask view_ask(struct view *view, uint64_t now_us);
+
 /** Whether the load balancer should send callers to this instance. */
 bool view_is_ready(const struct view *view, uint64_t now_us);
 
--- a/src/wharf-gateway/view_server.c
+++ b/src/wharf-gateway/view_server.c
@@ -36,15 +36,21 @@
 		.revision = dw_view_log_revision(view->records),
 		.hops = view->hops,
 		.is_snapshot = !dw_view_log_covers(view->records, after),
+		.is_over_gap = dw_view_log_has_gap_after(view->records, after),
 		.held_us = now_us - arrived_at_us,
 		.has_proof = view->confirmed_at_us > 0,
 		.had_outage = view->outage.ended_at_us > 0,
+		.has_gap = view->unheard.until_us > 0,
 	};
 
 	if (answer.has_proof)
 		answer.age_us = now_us - view->confirmed_at_us;
 	if (answer.had_outage)
 		answer.store_back_us = now_us - view->outage.ended_at_us;
+	if (answer.has_gap) {
+		answer.gap_from_us = now_us - view->unheard.from_us;
+		answer.gap_until_us = now_us - view->unheard.until_us;
+	}
 	/* Without a copy there is nothing to tell, above all not that no key exists. */
 	if (answer.revision == 0)
 		answer.is_snapshot = false;
@@ -95,7 +101,8 @@
 {
 	const struct view *view = request->server->view;
 
-	return dw_view_log_revision(view->records) > request->after || request->is_new ||
+	return dw_view_log_revision(view->records) > request->after ||
+	       (request->is_new && view->confirmed_at_us > 0) ||
 	       view->confirmed_at_us > request->confirmed_at_us ||
 	       now_us >= request->arrived_at_us + view->source.timing.hold_us;
 }
--- a/src/wharf-gateway/view_sync.c
+++ b/src/wharf-gateway/view_sync.c
@@ -76,16 +76,33 @@
 	sync->logged_source = source;
 	dw_log_event(
 		sync->view->log, DW_EVENT_VIEW_SOURCE, DW_STR("source", address),
-		DW_INT("revision", dw_view_log_revision(sync->view->records)),
+		DW_INT("revision", dw_revision_number(dw_view_log_revision(sync->view->records))),
 		DW_INT("age_ms", (dw_clock_now_us() - sync->view->confirmed_at_us) / DW_US_PER_MS));
 }
 
+/* The answer's gap on this instance's clock, at its longest: its end may be that of the answer's arrival, and its begin
+ * is dated from before the request, as proofs are. */
+static struct dw_freshness_gap dated_gap(const struct view_sync *sync,
+					 const struct view_answer *answer, uint64_t now_us)
+{
+	struct dw_freshness_gap gap = { 0 };
+	uint64_t arrived_at_us = sync->requested_at_us + answer->held_us;
+
+	if (!answer->has_gap || answer->gap_until_us >= now_us)
+		return gap;
+	gap.until_us = now_us - answer->gap_until_us;
+	if (answer->gap_from_us < arrived_at_us)
+		gap.from_us = arrived_at_us - answer->gap_from_us;
+	return gap;
+}
+
 static void apply_answer(struct view_sync *sync, const struct view_answer *answer)
 {
 	struct view *view = sync->view;
 	uint64_t now_us = dw_clock_now_us();
 	uint64_t confirmed_at_us = 0;
 	uint64_t outage_ended_at_us = 0;
+	struct dw_freshness_gap gap;
 	struct dw_endpoint address = { 0 };
 
 	if (answer->has_proof)
@@ -98,6 +115,8 @@
 	if (answer->had_outage && answer->store_back_us < now_us)
 		outage_ended_at_us = now_us - answer->store_back_us;
 	finish_request(sync);
+	gap = dated_gap(sync, answer, now_us);
+	view_gap_found(view, &gap);
 	view_peer_answered(view, outage_ended_at_us);
 	peers_find(&view->peers, sync->asked, &address);
 	if (!view_apply_answer(view, answer, address.ip, now_us)) {
@@ -162,16 +181,19 @@
 static void send_request(struct view_sync *sync, const struct dw_endpoint *address)
 {
 	uint64_t timeout_us = sync->view->source.timing.pull_timeout_us;
-	uint64_t after = dw_view_source_wants_all(&sync->view->source, dw_clock_now_us())
-				 ? 0
-				 : dw_view_log_revision(sync->view->records);
+	uint64_t now_us = dw_clock_now_us();
+	enum view_ask asked = view_ask(sync->view, now_us);
+	uint64_t after = dw_view_log_revision(sync->view->records);
 	char request[REQUEST_BYTES];
-	int len = snprintf(request, sizeof(request),
-			   "GET " VIEW_TARGET "%" PRIu64 "%s HTTP/1.1\r\nHost: %s:%u\r\n\r\n",
-			   after, sync->view->restore.lacks_memory ? VIEW_TARGET_NEW : "",
-			   address->ip, address->port);
+	int len;
 
-	sync->requested_at_us = dw_clock_now_us();
+	if (asked == VIEW_ASK_ALL || dw_view_source_wants_all(&sync->view->source, now_us))
+		after = 0;
+	len = snprintf(request, sizeof(request),
+		       "GET " VIEW_TARGET "%" PRIu64 "%s HTTP/1.1\r\nHost: %s:%u\r\n\r\n", after,
+		       asked != VIEW_ASK_CHANGES ? VIEW_TARGET_NEW : "", address->ip,
+		       address->port);
+	sync->requested_at_us = now_us;
 	dw_transfer_start(&sync->transfer, sync->requested_at_us + timeout_us,
 			  sync->requested_at_us);
 	sync->is_sent = false;
