Tests: a watch of the store's stand-in that isn't cut goes on at its revision in the new era

Cause: such a watch got 410 at the first change after a restore, so no test had the case in which the store's revision passes that of a watch that began before: its events lack what was written below it.

Change: with "watches_kept", a watch that began before a restore isn't asked whether its history is there.

--- a/tests/standins/standin_metadata.c
+++ b/tests/standins/standin_metadata.c
@@ -9,7 +9,7 @@
  * - slow: calls are n ms in transit and executed after that, also if their caller has left or the store was restored
  * - late: answers are n ms in transit, with what was true when the call was executed
  * - answer_lost: a write is executed, then the connection is closed without a response
- * - watches_kept: an outage and a restore don't close the connections of open watches
+ * - watches_kept: an outage and a restore don't close the connections of open watches, which go on from their revision
  * - gone_lost: an answer 410 isn't sent
  * - stale_reads: reads that allow it are n to 2n ms old
  * - era_missing, era_unreadable, era_lower: in this way the era of an answer is wrong
@@ -45,6 +45,7 @@
 	struct standin_request *request;
 	char prefix[KEY_BUFFER_BYTES];
 	uint64_t after_revision;
+	uint64_t era;
 	struct watch *next;
 };
 
@@ -271,18 +272,20 @@
 }
 
 /*
- * Answers a watch with the events after @p after_revision, or with 410 if these were compacted.
- * Without events it is answered only if @p wait_ended. @return whether it was answered
+ * Answers a watch with the events after its revision, or with 410 if these were compacted; one that began before a
+ * restore isn't asked. Without events it is answered only if @p wait_ended. @return whether it was answered
  */
-static bool answer_watch(struct metadata *metadata, struct standin_request *request,
-			 const char *prefix, uint64_t after_revision, bool wait_ended)
+static bool answer_watch(struct metadata *metadata, const struct watch *watch, bool wait_ended)
 {
+	struct standin_request *request = watch->request;
+	uint64_t after_revision = watch->after_revision;
 	const struct kv_table *table = metadata->table;
 	uint64_t last = metadata->is_deaf ? metadata->told_revision : table->revision;
 	struct json_object *events;
 	struct json_object *body;
 
-	if (after_revision < table->compact_revision || after_revision > table->revision) {
+	if (watch->era == metadata->era &&
+	    (after_revision < table->compact_revision || after_revision > table->revision)) {
 		/* Without a response the caller times out, as in the fault "silent". */
 		if (!has_fault(request, "gone_lost"))
 			answer_error(request, 410, "no history from this revision");
@@ -292,7 +295,7 @@
 	for (size_t i = kv_table_history_from(table, after_revision + 1); i < table->history_count;
 	     i++) {
 		if (table->history[i].mod_revision <= last &&
-		    has_prefix(&table->history[i], prefix))
+		    has_prefix(&table->history[i], watch->prefix))
 			json_object_array_add(events, item_json(&table->history[i]));
 	}
 	if (json_object_array_length(events) == 0 && !wait_ended) {
@@ -337,7 +340,7 @@
 	}
 	watch = **at;
 	remove_watch(at);
-	answer_watch(metadata, request, watch.prefix, watch.after_revision, true);
+	answer_watch(metadata, &watch, true);
 }
 
 static void start_watch(struct standin_request *request, struct metadata *metadata,
@@ -350,12 +353,13 @@
 	if (!watch)
 		abort();
 	watch->request = request;
+	watch->era = metadata->era;
 	query_param(query, "PathPrefix", watch->prefix, sizeof(watch->prefix));
 	query_param(query, "After", number, sizeof(number));
 	watch->after_revision = strtoull(number, NULL, 10);
 	query_param(query, "WaitMs", number, sizeof(number));
 	wait_ms = strtoull(number, NULL, 10);
-	if (answer_watch(metadata, request, watch->prefix, watch->after_revision, wait_ms == 0)) {
+	if (answer_watch(metadata, watch, wait_ms == 0)) {
 		free(watch);
 		return;
 	}
@@ -373,8 +377,7 @@
 		struct watch watch = **at;
 
 		/* A watch whose caller has disconnected is removed when its wait ends. */
-		if (watch.request->exchange && answer_watch(metadata, watch.request, watch.prefix,
-							    watch.after_revision, false))
+		if (watch.request->exchange && answer_watch(metadata, &watch, false))
 			remove_watch(at);
 		else
 			at = &(*at)->next;
--- a/tests/standins_test.cc
+++ b/tests/standins_test.cc
@@ -150,22 +150,26 @@
 	EXPECT_EQ(store.get("kv-key?Key=k").headers["store-era"], "2");
 }
 
-TEST(StandinMetadata, AWatchIsKeptOverARestoreAndItsEndMayBeLost)
+TEST(StandinMetadata, AWatchIsKeptOverARestoreAndA410MayBeLost)
 {
 	metadata store;
-	std::string watch = "kv-watch?PathPrefix=&WaitMs=300&After=";
+	std::string watch = "kv-watch?PathPrefix=&WaitMs=2000&After=";
+	http_answer kept;
 
 	store.admin("backup");
 	store.put("k", "x");
+	store.put("k", "y");
 	store.fault("{\"kind\":\"watches_kept\"}");
-	store.fault("{\"kind\":\"gone_lost\",\"count\":1}");
-	http_answer kept;
-	std::thread caller(
-		[&] { kept = store.get(watch + std::to_string(store.revision()), 1000); });
+	std::thread caller([&] { kept = store.get(watch + std::to_string(store.revision())); });
 	EXPECT_TRUE(wait_until([&] { return store.count({ "calls", "kv-watch" }) == 1; }));
 	store.admin("restore");
+	for (const char *key : { "a", "b", "c" })
+		store.put(key, "z");
 	caller.join();
-	EXPECT_EQ(kept.status, 0) << "the 410 is lost";
+	EXPECT_EQ(kept.headers["store-era"], "2");
+	EXPECT_EQ(json_string(kept.body, { "events", "0", "Key" }), "c") << "a and b are missing";
+	store.fault("{\"kind\":\"gone_lost\",\"count\":1}");
+	EXPECT_EQ(store.get(watch + "99", 300).status, 0);
 	EXPECT_EQ(store.get(watch + "99").status, 410);
 }
 
