View: an instance that has caught up no longer says that answers are behind

Operators saw: view_answer_behind stays 1, and view.behind isn't followed by its end, at an instance whose records are current.

Cause: the end was noticed only when all keys were read again, or with an answer of another instance in an earlier era. An instance that had started in the gap, or was behind once during two restores, and then only watches or follows another one, never compares again.

Change: each proof that is taken in ends it: one from the store always, one from another instance where this one doesn't read the store.

--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -649,6 +649,10 @@
 {
 	dw_view_source_confirmed(&view->source, origin, confirmed_at_us, now_us);
 	view->confirmed_at_us = dw_view_source_confirmed_at_us(&view->source);
+	/* Instances that don't read the store have no later answer of it to compare. */
+	if (origin == DW_VIEW_FROM_STORE || !dw_view_source_is_reader(&view->source))
+		note_answered(view, origin == DW_VIEW_FROM_STORE ? "store" : "peer",
+			      dw_view_log_revision(view->records), view->records_ignored, now_us);
 	admit(view);
 	if (view->on_confirmed)
 		view->on_confirmed(view->on_confirmed_owner);
