Era guard: the key that another instance wrote is read at once

Cause: four instances that don't hear each other write the key as they start. Those that lose know its revision, but not its value: they wrote it again, which made the conditions of the others wrong, and all waited for their copies, which come after 0.7 s there. A suspicion at 0.0 s was in the store after 1.2 s.

--- a/src/wharf-gateway/era_guard.c
+++ b/src/wharf-gateway/era_guard.c
@@ -117,6 +117,30 @@
 				 : guard->config_version;
 }
 
+static void on_read(const struct dw_store_range_result *result, void *data)
+{
+	struct era_guard *guard = data;
+	struct dw_store_event event = { 0 };
+
+	guard->in_flight = false;
+	if (result->status == DW_NOT_FOUND)
+		guard->revision = 0;
+	if (result->status != DW_OK || result->count != 1)
+		return;
+	event.entry = result->entries[0];
+	/* The view may have brought a later state. */
+	if (event.entry.mod_revision > guard->revision)
+		era_guard_apply(guard, &event);
+}
+
+/* Another instance was faster. Its write comes with the view too, but where instances don't hear each other that takes
+ * a while, in which nothing could be written. */
+static void read_key(struct era_guard *guard)
+{
+	guard->in_flight = true;
+	dw_store_get(guard->store, GUARD_KEY, dw_clock_now_us() + WRITE_TIMEOUT_US, on_read, guard);
+}
+
 static void on_written(const struct dw_store_put_result *result, void *data)
 {
 	struct era_guard *guard = data;
@@ -128,10 +152,8 @@
 		guard->record_config = required_config(guard);
 		note_begin(guard);
 	}
-	/* Another instance's write comes with the view. */
-	if (result->outcome == DW_STORE_CONFLICT &&
-	    (result->revision == 0 || result->revision > guard->revision))
-		guard->revision = result->revision;
+	if (result->outcome == DW_STORE_CONFLICT)
+		read_key(guard);
 }
 
 static void write_guard(struct era_guard *guard, uint64_t now_us)
--- a/tests/era_guard_test.cc
+++ b/tests/era_guard_test.cc
@@ -27,9 +27,16 @@
 		void *data;
 	};
 	std::vector<write> writes;
+	dw_store_range_done read_done = nullptr; /* of the last reading */
+	void *read_data = nullptr;
 
 	FakeStore()
 	{
+		ops.range = [](dw_store *store, const struct dw_store_range *,
+			       dw_store_range_done done, void *data) {
+			((FakeStore *)store)->read_done = done;
+			((FakeStore *)store)->read_data = data;
+		};
 		ops.put = [](dw_store *store, const struct dw_store_put *put,
 			     dw_store_put_done done, void *data) {
 			std::string value((const char *)put->value, put->value_len);
@@ -237,6 +244,30 @@
 	EXPECT_EQ(put.guard_revision, dw_revision_make(2, 31));
 }
 
+/* Guards against instances that can't write for a second, as their copy comes late: another one's key is read at once. */
+TEST_F(EraGuard, TheKeyThatAnotherInstanceWroteIsRead)
+{
+	std::string value = "{\"era\":2,\"config\":100}";
+	dw_store_entry entry{};
+	dw_store_range_result result{};
+
+	enter(2, true);
+	ASSERT_TRUE(runs_until_writes(1));
+	store.answer(0, DW_STORE_CONFLICT, dw_revision_make(2, 30));
+	ASSERT_TRUE(store.read_done);
+	EXPECT_FALSE(era_guard_allows_writes(&guard));
+	entry.key = "wharf/era";
+	entry.value = (const uint8_t *)value.c_str();
+	entry.value_len = value.size();
+	entry.mod_revision = dw_revision_make(2, 30);
+	result.status = DW_OK;
+	result.entries = &entry;
+	result.count = 1;
+	store.read_done(&result, store.read_data);
+	EXPECT_TRUE(era_guard_allows_writes(&guard));
+	EXPECT_EQ(guard.revision, dw_revision_make(2, 30));
+}
+
 /* Guards against a record that is taken for one of the new era, though the store came back with it. */
 TEST_F(EraGuard, RecordsOfTheCopyAreOlderThanTheKey)
 {
--- a/tests/process_store_restore_faults_test.cc
+++ b/tests/process_store_restore_faults_test.cc
@@ -373,4 +373,31 @@
 	EXPECT_EQ(crashes, support::MAX_CRASHES);
 }
 
+/* Guards against requests of an instance that started before the restore, but after an engine had left, to this engine: it has
+ * never known the entry that is back with the copy. */
+TEST_F(RestoreFaults, AnInstanceThatStartedAfterAnEngineHadLeftIsToldOfIt)
+{
+	start();
+	add_engine("e2");
+	ASSERT_TRUE(wait_metric("engines_usable", 2));
+	back_up();
+	leave("e2");
+	ASSERT_TRUE(wait_metric("engines_usable", 1));
+	for (size_t i : { 0, 1 }) { /* one of them reads the store */
+		instances[i].gateway->kill();
+		launch(i);
+		ASSERT_TRUE(wait_until([&] { return instances[i].is_ready(); }));
+	}
+	sleep_ms(IN_FORCE_MS);
+	steady_caller caller(*this, { 0, 1 }, "/look/", "k2");
+	restore();
+	sleep_ms(1000);
+	write_config_again();
+	report("e1");
+	sleep_ms(1500);
+	for (const sent_request &each : caller.stop())
+		EXPECT_NE(each.engine, "e2");
+	EXPECT_EQ(find("e2").read_stat("runs"), 0);
+}
+
 } // namespace
