--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -670,7 +670,8 @@
 	/* Instances that don't read the store have no later answer of it to compare. */
 	if (origin == DW_VIEW_FROM_STORE || !dw_view_source_is_reader(&view->source))
 		note_answered(view, origin == DW_VIEW_FROM_STORE ? "store" : "peer",
-			      dw_view_log_revision(view->records), view->records_ignored, now_us);
+			      dw_view_log_revision(view->records),
+			      dw_view_log_revision(view->records), now_us);
 	admit(view);
 	if (view->on_confirmed)
 		view->on_confirmed(view->on_confirmed_owner);
