Restore rule: a removed engine stays out until its entry changes

Requests to an engine that has left break a rule; an engine left out until its entry changes costs capacity.

--- a/src/core/restore_rule.c
+++ b/src/core/restore_rule.c
@@ -31,15 +31,12 @@
 	return !known->exists || (known->is_leaving && !shown->is_leaving);
 }
 
-/* An entry that isn't shown counts as removed: its engine stays in use for a while, as after an outage. One that is still
- * shown when those of ended engines have expired is of an engine that lives, also if it was known as removed. */
+/* An entry that isn't shown counts as removed: its engine stays in use for a while, as after an outage. */
 static bool keeps_engine(const struct dw_restored_state *known,
 			 const struct dw_restored_state *shown, enum dw_restore_phase phase)
 {
 	if (!shown->exists || !shown->is_readable)
 		return false;
-	if (!known->exists && phase == DW_RESTORE_SETTLED)
-		return false;
 	if (!known->is_readable)
 		return is_lost(known, shown, phase == DW_RESTORE_SETTLED);
 	return is_older_report(known, shown);
