Restore: instances that start are told what was deleted before

Cause: the memory of removals ended with the processes that had seen them. An instance that starts asked its first source for what that keeps, once, and whatever that one knew: the source may have started as late.

Now an instance that starts is also told the deletions of the last 30 s with their last values, and asks the member that has run for the longest, then the next, until one that isn't itself without memory has answered (within 3 s of the start all count as such, as a fleet that starts together knows no more). The answer says whether its sender has memory. Removals that others keep take an engine out at once: the grace after an outage is for entries that expired in it.

--- a/include/dragonflywharf/view_log.h
+++ b/include/dragonflywharf/view_log.h
@@ -25,6 +25,9 @@
 	size_t value_len;
 	uint64_t revision; /**< store revision of the key's last change */
 	bool deleted;
+	const uint8_t *last_value; /**< of a deleted key, if it is small; NULL: not known */
+	size_t last_len;
+	uint64_t updated_at_us; /**< in a log: when it took the record in */
 	const uint8_t *packed; /**< the value as it is passed on if it is large; NULL: as it is */
 	size_t packed_len;
 	uint64_t base_revision; /**< revision of the value that packed refers to; 0: none */
@@ -109,11 +112,14 @@
 void dw_view_log_give_up(struct dw_view_log *log, const struct dw_view_record *record);
 /** Whether the record's key was put, or kept, since dw_view_log_begin_snapshot(). */
 bool dw_view_log_is_listed(const struct dw_view_log *log, const struct dw_view_record *record);
+/**
+ * Notes the deletion of a key that the log doesn't know, as another instance tells it: the store may come back from a
+ * copy that has the key. It is no change.
+ */
+void dw_view_log_tell_deleted(struct dw_view_log *log, const struct dw_view_record *record,
+			      uint64_t now_us);
 /** Number of records that are kept. */
 size_t dw_view_log_kept_count(const struct dw_view_log *log);
-/** The last value of a deleted key, if it is small; NULL if it isn't known. */
-const uint8_t *dw_view_log_last_value(const struct dw_view_record *record, size_t *len);
-
 /** Forgets deleted keys that were deleted before @p before_us, unless they are kept. */
 void dw_view_log_forget(struct dw_view_log *log, uint64_t before_us);
 
--- a/src/core/view_log.c
+++ b/src/core/view_log.c
@@ -15,11 +15,8 @@
 
 struct log_entry {
 	struct dw_view_record record; /* first: a record's address is that of its entry */
-	uint64_t updated_at_us;
 	uint64_t snapshot; /* number of the last snapshot that listed the key */
 	bool is_given_up; /* the record was kept, and the next one replaces it */
-	uint8_t *last_value; /* of a deleted key; NULL: unknown */
-	size_t last_len;
 	struct log_entry *next_forgotten;
 	UT_hash_handle hh;
 };
@@ -54,7 +51,7 @@
 	free((char *)entry->record.key);
 	free((uint8_t *)entry->record.value);
 	free((uint8_t *)entry->record.packed);
-	free(entry->last_value);
+	free((uint8_t *)entry->record.last_value);
 	free(entry);
 }
 
@@ -163,29 +160,28 @@
 
 static void forget_last_value(struct log_entry *entry)
 {
-	free(entry->last_value);
-	entry->last_value = NULL;
-	entry->last_len = 0;
+	free((uint8_t *)entry->record.last_value);
+	entry->record.last_value = NULL;
+	entry->record.last_len = 0;
 }
 
-static void remember_last_value(struct log_entry *entry)
+static void set_last_value(struct log_entry *entry, const uint8_t *value, size_t len)
 {
-	const struct dw_view_record *record = &entry->record;
-
-	if (record->deleted || !record->value || record->value_len > LAST_VALUE_MAX_BYTES)
+	if (!value || len > LAST_VALUE_MAX_BYTES)
 		return;
 	forget_last_value(entry);
-	entry->last_value = copy_bytes(record->value, record->value_len);
-	entry->last_len = record->value_len;
+	entry->record.last_value = copy_bytes(value, len);
+	entry->record.last_len = len;
 }
 
 static void set_deleted(struct log_entry *entry, uint64_t revision, uint64_t now_us)
 {
-	remember_last_value(entry);
+	if (!entry->record.deleted)
+		set_last_value(entry, entry->record.value, entry->record.value_len);
 	set_value(&entry->record, NULL);
 	entry->record.revision = revision;
 	entry->record.deleted = true;
-	entry->updated_at_us = now_us;
+	entry->record.updated_at_us = now_us;
 }
 
 static void set_kept_over(struct log_entry *entry, uint64_t over)
@@ -208,12 +204,13 @@
 	}
 	if (record->deleted) {
 		set_deleted(entry, record->revision, now_us);
+		set_last_value(entry, record->last_value, record->last_len);
 	} else {
 		forget_last_value(entry);
 		set_value(&entry->record, record);
 		entry->record.revision = record->revision;
 		entry->record.deleted = false;
-		entry->updated_at_us = now_us;
+		entry->record.updated_at_us = now_us;
 	}
 	set_kept_over(entry, record->kept_over);
 	return true;
@@ -249,12 +246,11 @@
 	return count;
 }
 
-const uint8_t *dw_view_log_last_value(const struct dw_view_record *record, size_t *len)
+void dw_view_log_tell_deleted(struct dw_view_log *log, const struct dw_view_record *record,
+			      uint64_t now_us)
 {
-	const struct log_entry *entry = (const struct log_entry *)record;
-
-	*len = entry->last_len;
-	return entry->last_value;
+	if (!find_entry(log, record->key))
+		dw_view_log_put(log, record, now_us);
 }
 
 const struct dw_view_record *dw_view_log_find(const struct dw_view_log *log, const char *key)
@@ -405,7 +401,7 @@
 	log->next_checked = NULL;
 	HASH_ITER(hh, log->entries, entry, next) {
 		if (!entry->record.deleted || entry->record.kept_over > 0 ||
-		    entry->updated_at_us >= before_us)
+		    entry->record.updated_at_us >= before_us)
 			continue;
 		if (entry->record.revision > log->forgotten_revision)
 			log->forgotten_revision = entry->record.revision;
--- a/src/net/view_codec.c
+++ b/src/net/view_codec.c
@@ -20,6 +20,7 @@
 	ANSWER_GAP_FROM,
 	ANSWER_GAP_UNTIL,
 	ANSWER_RECORDS,
+	ANSWER_MEMORY,
 	ANSWER_FIELD_COUNT
 };
 
@@ -31,6 +32,7 @@
 	RECORD_REVISION,
 	RECORD_VALUE,
 	RECORD_KEPT_OVER,
+	RECORD_LAST_VALUE,
 	RECORD_FIELD_COUNT
 };
 enum packed_field { PACKED_BASE, PACKED_BYTES, PACKED_FIELD_COUNT };
@@ -40,6 +42,9 @@
 {
 	if (answer->with_kept && (record->kept_over > 0 || record->was_kept))
 		return true;
+	if (answer->deleted_since_us > 0 && record->deleted &&
+	    record->updated_at_us >= answer->deleted_since_us)
+		return true;
 	if (answer->is_snapshot)
 		return !record->deleted;
 	/* What is still kept over a later state is news to who has an earlier one of the same era. */
@@ -86,6 +91,10 @@
 	msgpack_pack_uint64(packer, record->revision);
 	pack_value(packer, record, after);
 	msgpack_pack_uint64(packer, record->kept_over);
+	if (record->last_value)
+		pack_bytes(packer, record->last_value, record->last_len);
+	else
+		msgpack_pack_nil(packer);
 }
 
 static void pack_optional(msgpack_packer *packer, bool is_set, uint64_t value)
@@ -121,6 +130,7 @@
 		if (is_included(record, answer, after))
 			pack_record(packer, record, known);
 	}
+	msgpack_pack_uint8(packer, answer->has_memory);
 }
 
 static bool read_optional(const msgpack_object *object, bool *is_set, uint64_t *value)
@@ -155,6 +165,17 @@
 	return true;
 }
 
+static bool read_last_value(const msgpack_object *object, char **text, struct dw_view_record *out)
+{
+	if (object->type == MSGPACK_OBJECT_NIL)
+		return true;
+	if (object->type != MSGPACK_OBJECT_BIN)
+		return false;
+	out->last_len = object->via.bin.size;
+	out->last_value = (uint8_t *)copy_text(text, object->via.bin.ptr, object->via.bin.size);
+	return true;
+}
+
 static bool read_record(const msgpack_object *object, char **text, struct dw_view_record *out)
 {
 	const msgpack_object *fields = dw_msgpack_read_array(object, RECORD_FIELD_COUNT);
@@ -170,7 +191,7 @@
 	value = &fields[RECORD_VALUE];
 	out->deleted = value->type == MSGPACK_OBJECT_NIL;
 	if (out->deleted)
-		return true;
+		return read_last_value(&fields[RECORD_LAST_VALUE], text, out);
 	if (value->type == MSGPACK_OBJECT_ARRAY)
 		return read_packed(value, text, out);
 	if (value->type != MSGPACK_OBJECT_BIN)
@@ -206,6 +227,7 @@
 	uint64_t kind = 0;
 	uint64_t hops = 0;
 	bool has_end = false;
+	uint64_t has_memory = 0;
 	uint64_t version = 0;
 
 	if (!fields ||
@@ -221,9 +243,11 @@
 	    !read_optional(&fields[ANSWER_STORE_BACK], &out->had_outage, &out->store_back_us) ||
 	    !read_optional(&fields[ANSWER_GAP_FROM], &out->has_gap, &out->gap_from_us) ||
 	    !read_optional(&fields[ANSWER_GAP_UNTIL], &has_end, &out->gap_until_us) ||
+	    !dw_msgpack_read_uint(&fields[ANSWER_MEMORY], 1, &has_memory) ||
 	    has_end != out->has_gap || (has_end && out->gap_until_us > out->gap_from_us))
 		return false;
 	out->hops = (uint32_t)hops;
+	out->has_memory = has_memory;
 	out->is_snapshot = kind == ANSWER_ALL;
 	out->is_over_gap = kind == ANSWER_CHANGES_OVER_GAP;
 	return read_records(&fields[ANSWER_RECORDS], len, out);
--- a/src/net/view_codec.h
+++ b/src/net/view_codec.h
@@ -7,7 +7,9 @@
  * nil, since the begin and the end of the last time from which proofs may lack changes or nil, and the
  * records, each an array of key, revision and value; in place of the value nil for a deleted key, and
  * for a packed value (value_codec) an array of the revision of its base, 0 without one, and bytes. The fourth
- * field of a record is the revision that it is kept over, as the store has lost it in a restore, or 0. Revisions hold the store's era.
+ * field of a record is the revision that it is kept over, as the store has lost it in a restore, or 0; the fifth the last
+ * value of a deleted key, or nil. The last field of the answer is 1 if the source knows what instances that run
+ * for long know of the past. Revisions hold the store's era.
  *
  * An instance of version 2 would take such a revision for one of the store, so it gets no answer (404); nor does one
  * of version 3, which doesn't know of gaps.
@@ -42,6 +44,9 @@
 	bool has_gap; /**< proofs from gap_from_us to gap_until_us before the answer may lack changes */
 	uint64_t gap_from_us;
 	uint64_t gap_until_us;
+	bool has_memory; /**< the source hasn't just started, or was told by one that hasn't */
+	/** For view_answer_pack(): also deletions, of whatever revision, since this time; 0: none. */
+	uint64_t deleted_since_us;
 	bool with_kept; /**< for view_answer_pack(): also all kept records and those that replaced some,
 			  * of whatever revision */
 	/** Only set by view_answer_unpack(). A packed one has no value. */
--- a/src/wharf-gateway/peers.c
+++ b/src/wharf-gateway/peers.c
@@ -409,6 +409,45 @@
 	return true;
 }
 
+static bool is_elder(const struct dw_member *member, const struct dw_member *other)
+{
+	if (member->key.incarnation != other->key.incarnation)
+		return member->key.incarnation < other->key.incarnation;
+	return member->key.instance_id < other->key.instance_id;
+}
+
+/* The eldest of the other members that are younger than this one; NULL: of all. */
+static const struct dw_member *next_elder(const struct peers *peers, const struct dw_member *after)
+{
+	const struct dw_member *eldest = NULL;
+
+	for (size_t i = 0; i < dw_membership_count(peers->membership); i++) {
+		const struct dw_member *member = dw_membership_at(peers->membership, i);
+
+		if (takes_part(member) && member->key.instance_id != peers->instance_id &&
+		    (!after || is_elder(after, member)) && (!eldest || is_elder(member, eldest)))
+			eldest = member;
+	}
+	return eldest;
+}
+
+uint64_t peers_elder(const struct peers *peers, uint32_t index)
+{
+	const struct dw_member *member = NULL;
+
+	if (!peers->membership)
+		return 0;
+	for (uint32_t i = 0; i <= index; i++) {
+		member = next_elder(peers, member);
+		if (!member && i == 0)
+			return 0;
+		/* From the eldest one again, if there are fewer. */
+		if (!member)
+			member = next_elder(peers, NULL);
+	}
+	return member->key.instance_id;
+}
+
 void peers_send_digest(struct peers *peers, uint64_t to, enum peers_digest kind,
 		       const uint8_t *bytes, size_t len)
 {
--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -44,7 +44,7 @@
 	view->guard.parts.records.are_few_heard = are_few_heard;
 	view->guard.parts.records.are_few_heard_owner = &view->peers;
 	era_guard_init(&view->era_guard, log);
-	view->restore.lacks_memory = true;
+	view_restore_init(&view->restore, dw_clock_now_us());
 	reader_key_init(&view->reader_key, settings->instance, &settings->peer_address,
 			&view->era_guard);
 }
@@ -177,16 +177,15 @@
 		add_leaving(view, engines[i], false, scope, from);
 }
 
-/* An entry that can't be read names no engine to use: it may say that the engine leaves, or that its service or
- * address is another one now. That isn't evidence of a crash. */
-static void disable_engine(struct view *view, const char *id, uint64_t now_us)
+/* Takes an engine out at once. That isn't evidence of a crash. */
+static void disable_engine(struct view *view, const char *id, const char *change, uint64_t now_us)
 {
 	struct dw_engine *engine = dw_engine_set_find(view->engines, id);
 
 	if (!engine || engine->state == DW_ENGINE_GONE)
 		return;
 	dw_engine_set_remove(view->engines, id, 0, now_us);
-	log_engine(view, engine, "unreadable", now_us);
+	log_engine(view, engine, change, now_us);
 }
 
 /* Engines of the same service whose address a later lifetime has now have ended. */
@@ -216,7 +215,8 @@
 
 	if (record_read_engine(id, record->value, record->value_len, &entry) != DW_OK) {
 		reject_record(view, record->key);
-		disable_engine(view, id, now_us);
+		/* It may say that the engine leaves, or that its service or address is another one now. */
+		disable_engine(view, id, "unreadable", now_us);
 		return;
 	}
 	engine = dw_engine_set_find(view->engines, id);
@@ -538,15 +538,34 @@
 	       (snapshot->is_entering || known->kept_over >= passed_on->revision);
 }
 
+/* Whether the record tells of a deletion before this copy's revision, or before that of the snapshot. Of a key that is
+ * known, only one that is kept may have to be replaced. */
+static bool is_past_deletion(const struct view *view, bool is_snapshot,
+			     const struct dw_view_record *known,
+			     const struct dw_view_record *record)
+{
+	if (!record->deleted || record->kept_over > 0)
+		return false;
+	if (known)
+		return is_snapshot && known->kept_over == 0;
+	return is_snapshot || record->revision <= dw_view_log_revision(view->records);
+}
+
 /* Applies a record that another instance passed on; false if it was packed and can't be unpacked. */
 static bool apply_passed_on(struct view *view, const struct view_snapshot *snapshot,
-			    const struct dw_view_record *passed_on, uint64_t now_us)
+			    bool is_snapshot, const struct dw_view_record *passed_on,
+			    uint64_t now_us)
 {
 	const struct dw_view_record *known = dw_view_log_find(view->records, passed_on->key);
 	struct dw_view_record record = *passed_on;
 	struct dw_store_event event = { .deleted = record.deleted };
 	struct bytes value = { 0 };
+	const char *name;
 
+	if (is_past_deletion(view, is_snapshot, known, &record)) {
+		dw_view_log_tell_deleted(view->records, &record, now_us);
+		return true;
+	}
 	if (record.packed && !is_known(view, &record) &&
 	    view_record_unpack(view->records, &record, VIEW_ANSWER_MAX_BYTES, &value) != DW_OK) {
 		bytes_free(&value);
@@ -568,8 +587,13 @@
 		if (known->kept_over >= record.revision)
 			dw_view_log_give_up(view->records, known);
 	}
-	if (dw_view_log_put(view->records, &record, now_us))
+	if (dw_view_log_put(view->records, &record, now_us)) {
+		/* It was removed before the store was away, so it doesn't come back. */
+		if (record.deleted && record.kept_over > 0 &&
+		    record_kind_of(record.key, &name) == RECORD_ENGINE)
+			disable_engine(view, name, "lost removal", now_us);
 		apply_change(view, &event, now_us);
+	}
 	if (record.kept_over > 0 && dw_view_log_find(view->records, record.key)->kept_over > 0)
 		view_restore_told_kept(&view->restore, now_us);
 	bytes_free(&value);
@@ -586,7 +610,8 @@
 	else if (answer->is_over_gap)
 		dw_view_log_note_gap(view->records, answer->revision);
 	for (size_t i = 0; i < answer->record_count; i++)
-		is_complete &= apply_passed_on(view, snapshot, &answer->records[i], now_us);
+		is_complete &= apply_passed_on(view, snapshot, answer->is_snapshot,
+					       &answer->records[i], now_us);
 	if (is_complete && answer->is_snapshot)
 		apply_missing(view, snapshot, now_us);
 	return is_complete;
@@ -631,7 +656,7 @@
 	if (!is_complete)
 		return false;
 	view->hops = answer->hops < HOPS_MAX ? answer->hops + 1 : HOPS_MAX;
-	view->restore.lacks_memory = false;
+	view_restore_told(&view->restore, answer->has_memory, now_us);
 	complete(view, answer->revision, now_us);
 	return true;
 }
@@ -766,8 +791,6 @@
 
 enum view_ask view_ask(struct view *view, uint64_t now_us)
 {
-	if (view->restore.lacks_memory)
-		return VIEW_ASK_KEPT;
 	return view_restore_ask(&view->restore, view->records, now_us);
 }
 
--- a/src/wharf-gateway/view_restore.c
+++ b/src/wharf-gateway/view_restore.c
@@ -1,5 +1,7 @@
 #include "wharf-gateway/view_restore.h"
 
+#include <string.h>
+
 #include <dragonflywharf/restore_rule.h>
 
 #include "base/clock.h"
@@ -15,6 +17,56 @@
 /* Shorter than a request is held in between, so that each second one asks: three levels of the tree within ASK_KEPT_US. */
 #define ASK_PERIOD_US (300 * DW_US_PER_MS)
 
+/* An instance that started with the others gets all that they know within this time. */
+#define MEMORY_AFTER_US (3 * DW_US_PER_S)
+
+static const char *const ask_names[VIEW_ASK_COUNT] = {
+	[VIEW_ASK_CHANGES] = "",
+	[VIEW_ASK_KEPT] = "kept",
+	[VIEW_ASK_ALL] = "kept",
+	[VIEW_ASK_MEMORY] = "past",
+};
+
+const char *view_ask_name(enum view_ask ask)
+{
+	return ask_names[ask];
+}
+
+bool view_ask_read(const char *name, enum view_ask *ask)
+{
+	for (int i = VIEW_ASK_KEPT; i < VIEW_ASK_COUNT; i++) {
+		if (strcmp(name, ask_names[i]) != 0)
+			continue;
+		*ask = (enum view_ask)i;
+		return true;
+	}
+	return false;
+}
+
+void view_restore_init(struct view_restore *restore, uint64_t now_us)
+{
+	restore->lacks_memory = true;
+	restore->memory_due_us = now_us + MEMORY_AFTER_US;
+}
+
+bool view_restore_is_memory_due(const struct view_restore *restore, uint64_t now_us)
+{
+	return restore->lacks_memory &&
+	       (!restore->was_told || now_us >= restore->kept_asked_at_us + ASK_PERIOD_US);
+}
+
+void view_restore_told(struct view_restore *restore, bool has_memory, uint64_t now_us)
+{
+	restore->was_told = true;
+	if (has_memory || now_us >= restore->memory_due_us)
+		restore->lacks_memory = false;
+}
+
+bool view_restore_has_memory(const struct view_restore *restore, uint64_t now_us)
+{
+	return !restore->lacks_memory || now_us >= restore->memory_due_us;
+}
+
 void view_restore_entered(struct view_restore *restore, uint64_t now_us)
 {
 	restore->entered_at_us = now_us;
@@ -101,8 +153,10 @@
 	state.number = dw_revision_number(record->revision);
 	value = record->value;
 	len = record->value_len;
-	if (record->deleted && is_known)
-		value = dw_view_log_last_value(record, &len);
+	if (record->deleted && is_known) {
+		value = record->last_value;
+		len = record->last_len;
+	}
 	switch (kind) {
 	case DW_RESTORED_CONFIG:
 		state.is_readable =
@@ -152,6 +206,10 @@
 	bool is_late = now_us >= restore->settled_at_us + ASK_KEPT_US;
 	struct view_kept kept;
 
+	if (view_restore_is_memory_due(restore, now_us)) {
+		restore->kept_asked_at_us = now_us;
+		return VIEW_ASK_MEMORY;
+	}
 	if (!view_restore_is_settling_due(restore, now_us) ||
 	    now_us < restore->kept_asked_at_us + ASK_PERIOD_US)
 		return VIEW_ASK_CHANGES;
--- a/src/wharf-gateway/view_restore.h
+++ b/src/wharf-gateway/view_restore.h
@@ -22,8 +22,10 @@
 	bool awaits_settling; /**< records may be kept that nobody has written again */
 	uint64_t
 		kept_asked_at_us; /**< when another instance was last asked which of them it keeps; 0: never */
-	/** Started, and no other instance has answered yet: it may know less than the others of what the store lost. */
+	/** Started, and not told yet what others know of the past: kept records, and keys that were deleted. */
 	bool lacks_memory;
+	bool was_told; /**< since its start, if only by one that lacks memory too */
+	uint64_t memory_due_us; /**< by then it has run for long enough to have seen that itself */
 	/** It may serve: it knew the store before the era, or knows that nothing in force is missing. */
 	bool is_admitted;
 };
@@ -59,10 +61,25 @@
 enum view_ask {
 	VIEW_ASK_CHANGES,
 	VIEW_ASK_KEPT, /**< and the records that it keeps, or that replaced some */
-	VIEW_ASK_ALL, /**< all its records */
+	VIEW_ASK_ALL, /**< all its records, and the same */
+	VIEW_ASK_MEMORY, /**< and the same and recent deletions, which the store may lose */
 	VIEW_ASK_COUNT
 };
 
+/** Its name in the request: of VIEW_ASK_ALL and VIEW_ASK_KEPT the same. */
+const char *view_ask_name(enum view_ask ask);
+/** @return false if there is no such name */
+bool view_ask_read(const char *name, enum view_ask *ask);
+
+/** This instance starts. */
+void view_restore_init(struct view_restore *restore, uint64_t now_us);
+/** Whether to ask another instance for what it knows of the past. */
+bool view_restore_is_memory_due(const struct view_restore *restore, uint64_t now_us);
+/** Another instance has told it what it asked for. */
+void view_restore_told(struct view_restore *restore, bool has_memory, uint64_t now_us);
+/** Whether what it knows of the past needn't be less than what others know. */
+bool view_restore_has_memory(const struct view_restore *restore, uint64_t now_us);
+
 /**
  * What to ask for while this instance keeps records that have not been written again, some times a second. An instance that
  * has started since may never have kept them, so in the end it is asked for all.
--- a/src/wharf-gateway/view_server.c
+++ b/src/wharf-gateway/view_server.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 #include "base/clock.h"
-#include "net/view_codec.h"
+#include "wharf-gateway/view_answer.h"
 
 #define LISTEN_BACKLOG 512
 #define CHECK_PERIOD_MS 100
@@ -22,69 +22,33 @@
 	struct view_server *server;
 	struct caller *caller;
 	uint64_t after;
-	bool is_new; /* the other instance has started, and may not know what the store lost */
+	enum view_ask asked;
 	uint64_t arrived_at_us;
 	uint64_t confirmed_at_us; /* the proof when it arrived */
 	struct view_request *next;
 	struct view_request **link; /* the pointer to this request */
 };
 
-static struct view_answer make_answer(const struct view *view, uint64_t after,
-				      uint64_t arrived_at_us, uint64_t now_us)
-{
-	struct view_answer answer = {
-		.revision = dw_view_log_revision(view->records),
-		.era_begin = view->restore.era_begin,
-		.hops = view->hops,
-		.is_snapshot = !dw_view_log_covers(view->records, after),
-		.is_over_gap = dw_view_log_has_gap_after(view->records, after),
-		.held_us = now_us - arrived_at_us,
-		.has_proof = view->confirmed_at_us > 0,
-		.had_outage = view->outage.ended_at_us > 0,
-		.has_gap = view->unheard.until_us > 0,
-	};
-
-	if (answer.has_proof)
-		answer.age_us = now_us - view->confirmed_at_us;
-	if (answer.had_outage)
-		answer.store_back_us = now_us - view->outage.ended_at_us;
-	if (answer.has_gap) {
-		answer.gap_from_us = now_us - view->unheard.from_us;
-		answer.gap_until_us = now_us - view->unheard.until_us;
-	}
-	/* Without a copy there is nothing to tell, above all not that no key exists. */
-	if (answer.revision == 0)
-		answer.is_snapshot = false;
-	return answer;
-}
-
 static void refuse(struct caller *caller, int status, const char *reason)
 {
 	caller_begin(caller, status, reason, NULL, 0);
 	caller_end(caller);
 }
 
-/* An instance that has a copy gets changes that are few and known from here, all others from the store. */
-static bool should_ask_store(const struct dw_view_log *records, uint64_t after)
-{
-	return after > 0 && dw_view_log_revision(records) > 0 &&
-	       (!dw_view_log_covers(records, after) || !dw_view_log_is_small(records, after));
-}
-
 static void send_answer(struct view_server *server, struct caller *caller, uint64_t after,
-			bool is_new, uint64_t arrived_at_us)
+			enum view_ask asked, uint64_t arrived_at_us)
 {
 	uint64_t now_us = dw_clock_now_us();
-	struct view_answer answer = make_answer(server->view, after, arrived_at_us, now_us);
+	struct view_answer answer =
+		view_answer_make(server->view, after, asked, arrived_at_us, now_us);
 	struct bytes fields = { 0 };
 	msgpack_sbuffer body;
 	msgpack_packer packer;
 
-	if (should_ask_store(server->view->records, after)) {
+	if (view_answer_is_in_store(server->view, after)) {
 		refuse(caller, VIEW_STATUS_ASK_STORE, "Conflict");
 		return;
 	}
-	answer.with_kept = is_new || dw_revision_era(after) < dw_revision_era(answer.revision);
 	msgpack_sbuffer_init(&body);
 	msgpack_packer_init(&packer, &body, msgpack_sbuffer_write);
 	view_answer_pack(&packer, &answer, server->view->records, after);
@@ -103,7 +67,7 @@
 	const struct view *view = request->server->view;
 
 	return dw_view_log_revision(view->records) > request->after ||
-	       (request->is_new && view->confirmed_at_us > 0) ||
+	       (request->asked != VIEW_ASK_CHANGES && view->confirmed_at_us > 0) ||
 	       view->confirmed_at_us > request->confirmed_at_us ||
 	       now_us >= request->arrived_at_us + view->source.timing.hold_us;
 }
@@ -142,7 +106,7 @@
 	}
 	for (request = due; request; request = next) {
 		next = request->next;
-		send_answer(server, request->caller, request->after, request->is_new,
+		send_answer(server, request->caller, request->after, request->asked,
 			    request->arrived_at_us);
 		free(request);
 	}
@@ -158,7 +122,17 @@
 	answer_held(timer->data);
 }
 
-static bool read_target(const char *target, uint64_t *after, bool *is_new)
+static bool read_asked(const char *text, enum view_ask *asked)
+{
+	*asked = VIEW_ASK_CHANGES;
+	if (*text == '\0')
+		return true;
+	if (strncmp(text, VIEW_TARGET_WITH, strlen(VIEW_TARGET_WITH)) != 0)
+		return false;
+	return view_ask_read(text + strlen(VIEW_TARGET_WITH), asked);
+}
+
+static bool read_target(const char *target, uint64_t *after, enum view_ask *asked)
 {
 	size_t prefix = strlen(VIEW_TARGET);
 	char *end;
@@ -168,8 +142,7 @@
 		return false;
 	errno = 0;
 	*after = strtoull(target + prefix, &end, 10);
-	*is_new = strcmp(end, VIEW_TARGET_NEW) == 0;
-	return errno == 0 && (*end == '\0' || *is_new);
+	return errno == 0 && read_asked(end, asked);
 }
 
 static void *on_request(void *owner, struct caller *caller, const struct caller_request *received)
@@ -177,10 +150,10 @@
 	struct view_server *server = owner;
 	struct view_request *request;
 	uint64_t after;
-	bool is_new;
+	enum view_ask asked;
 
 	if (strcmp(received->head->method, "GET") != 0 ||
-	    !read_target(received->head->target, &after, &is_new)) {
+	    !read_target(received->head->target, &after, &asked)) {
 		refuse(caller, 404, "Not Found");
 		return NULL;
 	}
@@ -190,16 +163,16 @@
 	request->server = server;
 	request->caller = caller;
 	request->after = after;
-	request->is_new = is_new;
+	request->asked = asked;
 	request->arrived_at_us = received->arrived_at_us;
 	request->confirmed_at_us = server->view->confirmed_at_us;
 	if (!has_news(request, request->arrived_at_us) &&
-	    !should_ask_store(server->view->records, after)) {
+	    !view_answer_is_in_store(server->view, after)) {
 		hold(server, request);
 		return request;
 	}
 	free(request);
-	send_answer(server, caller, after, is_new, received->arrived_at_us);
+	send_answer(server, caller, after, asked, received->arrived_at_us);
 	return NULL;
 }
 
--- a/src/wharf-gateway/view_server.h
+++ b/src/wharf-gateway/view_server.h
@@ -1,7 +1,7 @@
 /**
  * @file view_server.h
  * Passes this instance's copy of the store's records on to other instances, over HTTP on the peer
- * address: GET /view/4?after=REVISION, from an instance that has just started with &new=1. The request is held until there are newer records or a newer
+ * address: GET /view/4?after=REVISION, with &with=kept or &with=past if these are asked for too (enum view_ask). The request is held until there are newer records or a newer
  * proof that the copy is current, but not for long, so that the other side can tell a silent
  * instance from one without news. 409: the changes since that revision have been
  * forgotten, or are too large: the store has them.
@@ -15,7 +15,7 @@
 #include "wharf-gateway/view.h"
 
 #define VIEW_TARGET "/view/4?after="
-#define VIEW_TARGET_NEW "&new=1"
+#define VIEW_TARGET_WITH "&with="
 /** The changes since that revision aren't all known, or too large; after=0 asks for all records. */
 #define VIEW_STATUS_ASK_STORE 409
 
--- a/src/wharf-gateway/view_sync.c
+++ b/src/wharf-gateway/view_sync.c
@@ -68,6 +68,11 @@
 	return true;
 }
 
+static bool is_read_from_store(const struct view *view)
+{
+	return dw_view_source_is_reader(&view->source) && view->is_store_reached;
+}
+
 /* Logs from where the copy is kept up to date, when that has changed. */
 static void log_source(struct view_sync *sync, uint64_t source, const char *address)
 {
@@ -124,7 +129,7 @@
 		return;
 	}
 	view_peer_current(view, confirmed_at_us, now_us);
-	if (address.port > 0)
+	if (address.port > 0 && !is_read_from_store(view))
 		log_source(sync, sync->asked, address.ip);
 }
 
@@ -190,9 +195,9 @@
 	if (asked == VIEW_ASK_ALL || dw_view_source_wants_all(&sync->view->source, now_us))
 		after = 0;
 	len = snprintf(request, sizeof(request),
-		       "GET " VIEW_TARGET "%" PRIu64 "%s HTTP/1.1\r\nHost: %s:%u\r\n\r\n", after,
-		       asked != VIEW_ASK_CHANGES ? VIEW_TARGET_NEW : "", address->ip,
-		       address->port);
+		       "GET " VIEW_TARGET "%" PRIu64 "%s%s HTTP/1.1\r\nHost: %s:%u\r\n\r\n", after,
+		       asked != VIEW_ASK_CHANGES ? VIEW_TARGET_WITH : "", view_ask_name(asked),
+		       address->ip, address->port);
 	sync->requested_at_us = now_us;
 	dw_transfer_start(&sync->transfer, sync->requested_at_us + timeout_us,
 			  sync->requested_at_us);
@@ -212,12 +217,30 @@
 	uint32_t count = peers_seed_count(&sync->view->peers);
 	struct dw_endpoint address;
 
-	if (sync->view->confirmed_at_us > 0 || sync->view->source.place.members > 1 || count == 0)
+	if ((sync->view->confirmed_at_us > 0 && !sync->view->source.wants_memory) ||
+	    sync->view->source.place.members > 1 || count == 0)
 		return;
 	address = peers_seed(&sync->view->peers, sync->next_seed++ % count);
 	send_request(sync, &address);
 }
 
+/* An instance that has started asks the one that has run for the longest what it knows of the past, then the next one:
+ * its own source may have started as late. */
+static uint64_t next_source(struct view_sync *sync, uint64_t now_us)
+{
+	struct view *view = sync->view;
+	uint64_t elder = 0;
+
+	view->source.wants_memory = view_wants_memory(view);
+	if (view->source.wants_memory && view_restore_is_memory_due(&view->restore, now_us))
+		elder = peers_elder(&view->peers, sync->elders_asked);
+	if (elder == 0)
+		return dw_view_source_next(&view->source, now_us);
+	sync->elders_asked++;
+	view->source.asked = elder;
+	return elder;
+}
+
 /* Asks the next source, unless a request is in progress. With a copy the answer has only changes. */
 static void ask(struct view_sync *sync)
 {
@@ -230,8 +253,7 @@
 		return;
 	if (dw_view_source_waits_for_store(&sync->view->source, now_us))
 		return;
-	sync->view->source.wants_memory = view_wants_memory(sync->view);
-	sync->asked = dw_view_source_next(&sync->view->source, now_us);
+	sync->asked = next_source(sync, now_us);
 	if (sync->asked == 0)
 		ask_seed(sync);
 	else if (peers_find(&sync->view->peers, sync->asked, &address))
@@ -257,7 +279,7 @@
 					    ? (now_us - sync->view->confirmed_at_us) / DW_US_PER_MS
 					    : 0));
 	store_sync_set_active(sync->store, reads);
-	if (reads && dw_view_source_is_reader(source) && sync->view->is_store_reached)
+	if (reads && is_read_from_store(sync->view))
 		log_source(sync, 0, "store");
 	ask(sync);
 }
--- a/tests/restore_spread_test.cc
+++ b/tests/restore_spread_test.cc
@@ -19,6 +19,7 @@
 extern "C" {
 #include "net/view_codec.h"
 #include "wharf-gateway/view.h"
+#include "wharf-gateway/view_answer.h"
 }
 
 namespace
@@ -170,6 +171,7 @@
 		settings.revocation_ms = 5000;
 		dw_log_init(&log, sink, name.c_str(), DW_LEVEL_ERROR);
 		view_init(&own, &settings, &log, &counters);
+		view_restore_init(&own.restore, now_us);
 		dw_view_source_init(&own.source, 4 * SECOND, now_us);
 		own.source.has_seeds = true;
 		client = {};
@@ -497,7 +499,6 @@
 			return;
 		size_t from = (size_t)(std::find(ids.begin(), ids.end(), id) - ids.begin());
 		enum view_ask asked = ::view_ask(&n.own, now_us);
-		bool is_new = asked != VIEW_ASK_CHANGES;
 		bool wants_all =
 			asked == VIEW_ASK_ALL || dw_view_source_wants_all(&n.own.source, now_us);
 		uint64_t after = wants_all ? 0 : n.revision();
@@ -515,24 +516,22 @@
 			ask(i);
 		});
 		later(from, latency_us(i, from),
-		      [=, this](Node &) { receive(i, from, pull, after, is_new, sent_us); });
+		      [=, this](Node &) { receive(i, from, pull, after, asked, sent_us); });
 	}
-	void receive(size_t i, size_t from, uint64_t pull, uint64_t after, bool is_new,
+	void receive(size_t i, size_t from, uint64_t pull, uint64_t after, enum view_ask asked,
 		     uint64_t sent_us)
 	{
 		uint64_t arrived_us = now_us;
 		uint64_t known = nodes[from]->own.confirmed_at_us;
 		auto answer = [=, this](bool) {
 			Node &n = *nodes[from];
-			bool has_news = n.revision() > after || is_new ||
+			bool has_news = n.revision() > after || asked != VIEW_ASK_CHANGES ||
 					n.own.confirmed_at_us > known ||
 					now_us >= arrived_us + n.own.source.timing.hold_us;
-			bool asks_store = after > 0 && n.revision() > 0 &&
-					  (!dw_view_log_covers(n.own.records, after) ||
-					   !dw_view_log_is_small(n.own.records, after));
+			bool asks_store = view_answer_is_in_store(&n.own, after);
 			if (!has_news && !asks_store)
 				return false;
-			send(i, from, pull, asks_store ? "" : packed(n, after, is_new, arrived_us),
+			send(i, from, pull, asks_store ? "" : packed(n, after, asked, arrived_us),
 			     sent_us);
 			return true;
 		};
@@ -542,22 +541,13 @@
 		later(from, nodes[from]->own.source.timing.hold_us,
 		      [this](Node &m) { answer_held(m); });
 	}
-	std::string packed(const Node &n, uint64_t after, bool is_new, uint64_t arrived_us) const
+	std::string packed(const Node &n, uint64_t after, enum view_ask asked,
+			   uint64_t arrived_us) const
 	{
 		const dw_view_log *records = n.own.records;
-		view_answer answer{};
+		view_answer answer = view_answer_make(&n.own, after, asked, arrived_us, now_us);
 		msgpack_sbuffer buffer;
 		msgpack_packer packer;
-		answer.revision = n.revision();
-		answer.era_begin = n.own.restore.era_begin;
-		answer.hops = n.own.hops;
-		answer.is_snapshot = answer.revision > 0 && !dw_view_log_covers(records, after);
-		answer.is_over_gap = dw_view_log_has_gap_after(records, after);
-		answer.held_us = now_us - arrived_us;
-		answer.has_proof = n.own.confirmed_at_us > 0;
-		answer.age_us = answer.has_proof ? now_us - n.own.confirmed_at_us : 0;
-		answer.with_kept =
-			is_new || dw_revision_era(after) < dw_revision_era(answer.revision);
 		msgpack_sbuffer_init(&buffer);
 		msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
 		view_answer_pack(&packer, &answer, records, after);
--- a/tests/view_codec_test.cc
+++ b/tests/view_codec_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <cstring>
 #include <string>
 
 #include <dragonflywharf/store_revision.h>
@@ -206,6 +207,40 @@
 	view_answer_free(&out);
 }
 
+/* Guards against an instance that started after a key was deleted, and takes it for a new one when a copy of the store
+ * shows it: deletions of before arrive with their last values. */
+TEST_F(ViewCodec, RecentDeletionsArriveIfAskedFor)
+{
+	view_answer out;
+	dw_view_record gone{};
+	gone.key = "a";
+	gone.revision = 8;
+	gone.deleted = true;
+	dw_view_log_put(log, &gone, 100);
+	answer.revision = 8;
+	for (bool is_snapshot : { false, true }) {
+		answer.is_snapshot = is_snapshot;
+		for (uint64_t since_us : { 0, 101, 100 }) {
+			answer.deleted_since_us = since_us;
+			pack(8);
+			ASSERT_EQ(unpack(&out, bytes.size), DW_OK);
+			bool is_told = false;
+			for (size_t i = 0; i < out.record_count; i++) {
+				const dw_view_record &record = out.records[i];
+				if (strcmp(record.key, "a") != 0)
+					continue;
+				is_told = true;
+				EXPECT_TRUE(record.deleted);
+				EXPECT_EQ(std::string((const char *)record.last_value,
+						      record.last_len),
+					  "one");
+			}
+			EXPECT_EQ(is_told, since_us == 100) << since_us;
+			view_answer_free(&out);
+		}
+	}
+}
+
 /* One malformed message doesn't take the process down, and nothing is read beyond its end. */
 TEST_F(ViewCodec, MalformedAnswersAreRefused)
 {
@@ -227,15 +262,15 @@
 		    DW_OK)
 			view_answer_free(&out);
 	}
-	const uint8_t no_key[] = { 0x9b, 0x04, 0x01, 0x01, 0x00, 0x00, 0x00, 0xc0, 0xc0,
-				   0xc0, 0xc0, 0x91, 0x94, 0xa0, 0x01, 0xc4, 0x00, 0x00 };
+	const uint8_t no_key[] = { 0x9c, 0x04, 0x01, 0x01, 0x00, 0x00, 0x00, 0xc0, 0xc0, 0xc0,
+				   0xc0, 0x91, 0x95, 0xa0, 0x01, 0xc4, 0x00, 0x00, 0xc0, 0x01 };
 	EXPECT_NE(view_answer_unpack(no_key, sizeof(no_key), &out), DW_OK);
 	for (uint8_t version : { 0x00, 0x01, 0x02, 0x03, 0x05 }) {
-		const uint8_t other_version[] = { 0x9b, version, 0x01, 0x01, 0x00, 0x00,
-						  0x00, 0xc0,	 0xc0, 0xc0, 0xc0, 0x90 };
+		const uint8_t other_version[] = { 0x9c, version, 0x01, 0x01, 0x00, 0x00, 0x00,
+						  0xc0, 0xc0,	 0xc0, 0xc0, 0x90, 0x01 };
 		EXPECT_NE(view_answer_unpack(other_version, sizeof(other_version), &out), DW_OK);
 	}
-	const uint8_t endless_array[] = { 0x9b, 0x04, 0x01, 0x01, 0x00, 0x00, 0x00, 0xc0,
+	const uint8_t endless_array[] = { 0x9c, 0x04, 0x01, 0x01, 0x00, 0x00, 0x00, 0xc0,
 					  0xc0, 0xc0, 0xc0, 0xdd, 0xff, 0xff, 0xff, 0xff };
 	EXPECT_NE(view_answer_unpack(endless_array, sizeof(endless_array), &out), DW_OK);
 }
--- a/tests/view_restore_test.cc
+++ b/tests/view_restore_test.cc
@@ -12,6 +12,7 @@
 extern "C" {
 #include "net/view_codec.h"
 #include "wharf-gateway/view.h"
+#include "wharf-gateway/view_answer.h"
 }
 
 namespace
@@ -82,6 +83,7 @@
 		settings.revocation_ms = 5000;
 		dw_log_init(&log, sink, name.c_str(), DW_LEVEL_ERROR);
 		view_init(&own, &settings, &log, &counters);
+		view_restore_init(&own.restore, 1000 * SECOND);
 	}
 	Instance(const Instance &) = delete;
 	Instance &operator=(const Instance &) = delete;
@@ -140,22 +142,14 @@
 		const dw_view_log *records = source.own.records;
 		enum view_ask asked = ::view_ask(&own, now_us);
 		uint64_t after = wants_all || asked == VIEW_ASK_ALL ? 0 : revision();
-		bool is_new = asked != VIEW_ASK_CHANGES;
 		msgpack_sbuffer bytes;
 		msgpack_packer packer;
-		view_answer answer{};
+		view_answer answer;
 		view_answer out;
 
-		if (after > 0 && source.revision() > 0 && !dw_view_log_covers(records, after))
+		if (view_answer_is_in_store(&source.own, after))
 			return ASK_STORE;
-		answer.revision = source.revision();
-		answer.era_begin = source.own.restore.era_begin;
-		answer.hops = source.own.hops;
-		answer.is_snapshot = !dw_view_log_covers(records, after);
-		answer.is_over_gap = dw_view_log_has_gap_after(records, after);
-		answer.has_proof = true;
-		answer.with_kept =
-			is_new || dw_revision_era(after) < dw_revision_era(answer.revision);
+		answer = view_answer_make(&source.own, after, asked, now_us, now_us);
 		msgpack_sbuffer_init(&bytes);
 		msgpack_packer_init(&packer, &bytes, msgpack_sbuffer_write);
 		view_answer_pack(&packer, &answer, records, after);
@@ -257,6 +251,51 @@
 	EXPECT_EQ(b.counters.values[DW_COUNTER_BAD_INPUTS], 0U);
 }
 
+/* Guards against requests to an engine that left before this instance started, and whose entry is back with the copy. The
+ * instance asked may have started too. */
+TEST_F(ViewRestore, AnInstanceIsToldWhatWasDeletedBeforeItStarted)
+{
+	store.put("servers/e2", engine(6, 1));
+	copy = store;
+	enter_first_era();
+	store.remove("servers/e2");
+	store.remove("op/evacuate/old");
+	a.watch(store, "servers/e2", now_us);
+	a.watch(store, "op/evacuate/old", now_us);
+	now_us += 20 * SECOND;
+	Instance d("d");
+	Instance e("e");
+	for (Instance *started : { &d, &e }) {
+		view_restore_init(&started->own.restore, now_us);
+		ASSERT_TRUE(started->read(store, now_us));
+	}
+	ASSERT_EQ(e.ask(d, now_us), Instance::APPLIED);
+	EXPECT_TRUE(view_wants_memory(&e.own)) << "d knows no more";
+	ASSERT_EQ(d.ask(a, now_us), Instance::APPLIED);
+	now_us += SECOND;
+	ASSERT_EQ(e.ask(d, now_us), Instance::APPLIED);
+	EXPECT_FALSE(view_wants_memory(&e.own));
+	store.restore(copy);
+	for (Instance *started : { &d, &e }) {
+		ASSERT_TRUE(started->read(store, now_us));
+		dw_engine *engine = dw_engine_set_find(started->own.engines, "e2");
+		EXPECT_TRUE(!engine || engine->state == DW_ENGINE_GONE);
+		EXPECT_FALSE(started->is_evacuated("old"));
+	}
+}
+
+/* Guards against instances that started together and ask each other without end for what none of them knows. */
+TEST_F(ViewRestore, WhatNobodyRemembersIsNotAskedForWithoutEnd)
+{
+	enter_first_era();
+	EXPECT_TRUE(view_wants_memory(&b.own)) << "a has just started";
+	now_us += 4 * SECOND;
+	ASSERT_TRUE(a.read(store, now_us));
+	pass_on();
+	EXPECT_FALSE(view_wants_memory(&b.own));
+	EXPECT_EQ(::view_ask(&b.own, now_us + SECOND), VIEW_ASK_CHANGES);
+}
+
 /* Guards against a lost order over one that was written after the restore, as its number is lower. */
 TEST_F(ViewRestore, AnOrderWrittenAgainIsTakenOver)
 {
@@ -665,14 +704,15 @@
 	{
 		views[i]->read(store, now_us);
 	}
-	void ask(size_t i, size_t source)
+	Instance::result ask(size_t i, size_t source)
 	{
 		if (views[source]->revision() == 0)
-			return;
+			return Instance::REFUSED;
 		Instance::result result = views[i]->ask(*views[source], now_us);
 		answers += result == Instance::APPLIED;
 		if (result == Instance::ASK_STORE)
 			read(i);
+		return result;
 	}
 	void write()
 	{
@@ -760,14 +800,16 @@
 		for (const auto &[key, value] : orders)
 			store.put(key, value);
 	}
-	/* The first view reads the store, and the others ask the one before them. */
+	/* The first view reads the store, and the others ask the one before them, or the store if that can't tell. */
 	void calm_down()
 	{
 		for (int second = 0; second < 14; second++) {
 			now_us += SECOND;
 			read(0);
-			for (size_t i = 1; i < views.size(); i++)
-				ask(i, i - 1);
+			for (size_t i = 1; i < views.size(); i++) {
+				if (ask(i, i - 1) == Instance::REFUSED)
+					read(i);
+			}
 		}
 	}
 	void check() const
