Restore: an engine lives whose entry outlives its lease

An engine whose entry was removed (silence of three heartbeats) and that lives was left out for good if the store lost the removal: its entry was back with the copy, and an engine that only renews its entry doesn't change it.

Cause: a kept removal ended only when the entry changed.

The settings now tell the engines' heartbeat (engine_heartbeat_ms, from the platform's HeartbeatMs). After four of them and 1 s, 6 s at least, an entry that is still there has been renewed, and a kept removal of it is given up. Without the setting it stays out as before, which process_store_restore_test AnEngineGoneBeforeItGetsNoRequests asks for an entry that stays for 7.4 s. The phases since a restore are one table of deadlines in place of two flags.

--- a/include/dragonflywharf/restore_rule.h
+++ b/include/dragonflywharf/restore_rule.h
@@ -38,6 +38,7 @@
 	DW_RESTORE_FRESH, /**< writers may not have written again yet what was lost */
 	DW_RESTORE_ORDERS_SETTLED, /**< operators' orders count as written again, or as gone */
 	DW_RESTORE_SETTLED, /**< what nobody has written again counts as gone; removed engines stay out */
+	DW_RESTORE_LEASES_ENDED, /**< an engine whose entry is still there lives: it has renewed its lease */
 	DW_RESTORE_PHASE_COUNT
 };
 
--- a/src/core/restore_rule.c
+++ b/src/core/restore_rule.c
@@ -16,7 +16,7 @@
 	if (!shown->exists)
 		return true;
 	if (!known->is_readable || !shown->is_readable)
-		return is_lost(known, shown, phase == DW_RESTORE_SETTLED);
+		return is_lost(known, shown, phase >= DW_RESTORE_SETTLED);
 	return shown->sequence < known->sequence;
 }
 
@@ -37,8 +37,10 @@
 {
 	if (!shown->exists || !shown->is_readable)
 		return false;
+	if (!known->exists && phase >= DW_RESTORE_LEASES_ENDED)
+		return false;
 	if (!known->is_readable)
-		return is_lost(known, shown, phase == DW_RESTORE_SETTLED);
+		return is_lost(known, shown, phase >= DW_RESTORE_SETTLED);
 	return is_older_report(known, shown);
 }
 
--- a/src/wharf-gateway/gateway_settings.c
+++ b/src/wharf-gateway/gateway_settings.c
@@ -30,6 +30,8 @@
 	{ "rolled_back_ms", DW_SETTING_FLOOR, FIELD(rolled_back_ms), false, 100, 3600000,
 	  "3600000" },
 	{ "revocation_ms", DW_SETTING_FLOOR, FIELD(revocation_ms), false, 100, 3600000, "5000" },
+	{ "engine_heartbeat_ms", DW_SETTING_FLOOR, FIELD(engine_heartbeat_ms), false, 0, 3600000,
+	  "0" },
 	{ "keys_fail_closed", DW_SETTING_BOOL, FIELD(keys_fail_closed), false, 0, 0, NULL },
 	{ "retry_window_s", DW_SETTING_PERMILLE_CEILING, FIELD(retry_window_ms), false, 100,
 	  3600000, "10000" },
@@ -58,6 +60,10 @@
 	{ NULL, DW_SETTING_TEXT, 0, false, 0, 0, NULL },
 };
 
+/* An entry is removed after three heartbeats without one; one more, and as much as the store may be late. */
+#define LEASE_HEARTBEATS 4
+#define LEASE_LATE_MS 1000
+
 static uint64_t min_u64(uint64_t a, uint64_t b)
 {
 	return a < b ? a : b;
@@ -78,3 +84,10 @@
 	least_ms = min_u64(least_ms, settings->rolled_back_ms);
 	return least_ms * 1000;
 }
+
+uint64_t gateway_settings_engine_lease_us(const struct gateway_settings *settings)
+{
+	if (settings->engine_heartbeat_ms == 0)
+		return 0;
+	return (settings->engine_heartbeat_ms * LEASE_HEARTBEATS + LEASE_LATE_MS) * 1000;
+}
--- a/src/wharf-gateway/gateway_settings.h
+++ b/src/wharf-gateway/gateway_settings.h
@@ -29,6 +29,7 @@
 	uint64_t evacuated_ms;
 	uint64_t rolled_back_ms;
 	uint64_t revocation_ms; /**< time limit for refusing a revoked key */
+	uint64_t engine_heartbeat_ms; /**< between the writes of an engine's entry; 0: not known */
 	bool keys_fail_closed; /**< refuse API keys while the configuration may be outdated */
 	uint64_t retry_window_ms;
 	uint64_t retry_ratio_permille; /**< retries allowed per request in the window */
@@ -57,4 +58,7 @@
 /** The shortest of the time limits for applying a change in the store, in microseconds. */
 uint64_t gateway_settings_change_us(const struct gateway_settings *settings);
 
+/** After this time without a heartbeat an engine's entry has surely been removed; 0: not known. */
+uint64_t gateway_settings_engine_lease_us(const struct gateway_settings *settings);
+
 #endif
--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -44,7 +44,8 @@
 	view->guard.parts.records.are_few_heard = are_few_heard;
 	view->guard.parts.records.are_few_heard_owner = &view->peers;
 	era_guard_init(&view->era_guard, log);
-	view_restore_init(&view->restore, dw_clock_now_us());
+	view_restore_init(&view->restore, gateway_settings_engine_lease_us(settings),
+			  dw_clock_now_us());
 	reader_key_init(&view->reader_key, settings->instance, &settings->peer_address,
 			&view->era_guard);
 }
@@ -517,9 +518,7 @@
 	}
 	apply_missing(view, &snapshot, now_us);
 	complete(view, revision, now_us);
-	view->restore.are_orders_read |= snapshot.phase >= DW_RESTORE_ORDERS_SETTLED;
-	if (snapshot.phase == DW_RESTORE_SETTLED)
-		view->restore.awaits_settling = false;
+	view_restore_read(&view->restore, snapshot.phase);
 }
 
 /* Whether the record's value isn't needed. A kept one may replace one of a later era. */
--- a/src/wharf-gateway/view_restore.c
+++ b/src/wharf-gateway/view_restore.c
@@ -43,8 +43,10 @@
 	return false;
 }
 
-void view_restore_init(struct view_restore *restore, uint64_t now_us)
+void view_restore_init(struct view_restore *restore, uint64_t engine_lease_us, uint64_t now_us)
 {
+	restore->read_phase = DW_RESTORE_PHASE_COUNT - 1;
+	restore->engine_lease_us = engine_lease_us;
 	restore->lacks_memory = true;
 	restore->memory_due_us = now_us + MEMORY_AFTER_US;
 }
@@ -67,45 +69,57 @@
 	return !restore->lacks_memory || now_us >= restore->memory_due_us;
 }
 
+static void begin(struct view_restore *restore, uint64_t now_us)
+{
+	uint64_t lease_us = restore->engine_lease_us;
+	uint64_t leases_us = lease_us > SETTLED_AFTER_US ? lease_us : SETTLED_AFTER_US;
+
+	restore->phase_begin_us[DW_RESTORE_FRESH] = now_us;
+	restore->phase_begin_us[DW_RESTORE_ORDERS_SETTLED] = now_us + ORDERS_SETTLED_AFTER_US;
+	restore->phase_begin_us[DW_RESTORE_SETTLED] = now_us + SETTLED_AFTER_US;
+	restore->phase_begin_us[DW_RESTORE_LEASES_ENDED] =
+		lease_us > 0 ? now_us + leases_us : UINT64_MAX;
+	restore->read_phase = DW_RESTORE_FRESH;
+}
+
 void view_restore_entered(struct view_restore *restore, uint64_t now_us)
 {
 	restore->entered_at_us = now_us;
-	restore->orders_settled_at_us = now_us + ORDERS_SETTLED_AFTER_US;
-	restore->settled_at_us = now_us + SETTLED_AFTER_US;
-	restore->are_orders_read = false;
-	restore->awaits_settling = true;
+	begin(restore, now_us);
+}
+
+bool view_restore_awaits_settling(const struct view_restore *restore)
+{
+	bool are_leases_known = restore->engine_lease_us > 0;
+
+	return restore->read_phase <
+	       (are_leases_known ? DW_RESTORE_LEASES_ENDED : DW_RESTORE_SETTLED);
 }
 
 void view_restore_told_kept(struct view_restore *restore, uint64_t now_us)
 {
-	if (restore->awaits_settling)
-		return;
-	restore->orders_settled_at_us = now_us + ORDERS_SETTLED_AFTER_US;
-	restore->settled_at_us = now_us + SETTLED_AFTER_US;
-	restore->are_orders_read = false;
-	restore->awaits_settling = true;
+	if (!view_restore_awaits_settling(restore))
+		begin(restore, now_us);
+}
+
+void view_restore_read(struct view_restore *restore, enum dw_restore_phase phase)
+{
+	if (phase > restore->read_phase)
+		restore->read_phase = phase;
 }
 
 enum dw_restore_phase view_restore_phase(const struct view_restore *restore, uint64_t now_us)
 {
-	if (now_us >= restore->settled_at_us)
-		return DW_RESTORE_SETTLED;
-	return now_us >= restore->orders_settled_at_us ? DW_RESTORE_ORDERS_SETTLED
-						       : DW_RESTORE_FRESH;
+	int phase = DW_RESTORE_PHASE_COUNT - 1;
+
+	while (phase > DW_RESTORE_FRESH && now_us < restore->phase_begin_us[phase])
+		phase--;
+	return (enum dw_restore_phase)phase;
 }
 
 bool view_restore_is_settling_due(const struct view_restore *restore, uint64_t now_us)
 {
-	switch (view_restore_phase(restore, now_us)) {
-	case DW_RESTORE_ORDERS_SETTLED:
-		return restore->awaits_settling && !restore->are_orders_read;
-	case DW_RESTORE_SETTLED:
-		return restore->awaits_settling;
-	case DW_RESTORE_FRESH:
-	case DW_RESTORE_PHASE_COUNT:
-		break;
-	}
-	return false;
+	return view_restore_phase(restore, now_us) > restore->read_phase;
 }
 
 static enum dw_restored_kind kind_of(const char *key, const char **name)
@@ -200,11 +214,21 @@
 	return dw_restore_keeps(kind, &before, &after, snapshot->phase);
 }
 
+/* Whether other instances may still keep, or have given up, what this one keeps. Engines and configurations may be kept
+ * until they change, so the question for them ends. */
+static bool may_be_told(const struct view_kept *kept, enum dw_restore_phase phase, bool is_late)
+{
+	if (kept->orders > 0)
+		return true;
+	return phase >= DW_RESTORE_SETTLED && kept->configs + kept->engines > 0 && !is_late;
+}
+
 enum view_ask view_restore_ask(struct view_restore *restore, const struct dw_view_log *log,
 			       uint64_t now_us)
 {
-	bool is_late = now_us >= restore->settled_at_us + ASK_KEPT_US;
+	enum dw_restore_phase phase = view_restore_phase(restore, now_us);
 	struct view_kept kept;
+	bool is_late;
 
 	if (view_restore_is_memory_due(restore, now_us)) {
 		restore->kept_asked_at_us = now_us;
@@ -213,15 +237,12 @@
 	if (!view_restore_is_settling_due(restore, now_us) ||
 	    now_us < restore->kept_asked_at_us + ASK_PERIOD_US)
 		return VIEW_ASK_CHANGES;
+	is_late = now_us >= restore->phase_begin_us[phase] + ASK_KEPT_US;
 	kept = view_restore_kept(log);
 	restore->kept_asked_at_us = now_us;
-	/* Engines and configurations may be kept until they change, so the question for them ends. */
-	if (view_restore_phase(restore, now_us) == DW_RESTORE_SETTLED)
-		restore->awaits_settling =
-			kept.orders > 0 || (kept.configs + kept.engines > 0 && !is_late);
-	else
-		restore->are_orders_read = kept.orders == 0;
-	if (!restore->awaits_settling)
+	if (!may_be_told(&kept, phase, is_late))
+		view_restore_read(restore, phase);
+	if (!view_restore_awaits_settling(restore))
 		return VIEW_ASK_CHANGES;
 	return is_late ? VIEW_ASK_ALL : VIEW_ASK_KEPT;
 }
--- a/src/wharf-gateway/view_restore.h
+++ b/src/wharf-gateway/view_restore.h
@@ -15,11 +15,11 @@
 	uint64_t count; /**< restores that this instance has seen */
 	uint64_t entered_at_us; /**< when it learned of the last one; 0: it has seen none */
 	uint64_t era_begin; /**< see struct view_snapshot */
-	uint64_t
-		orders_settled_at_us; /**< when an order that nobody has written again may be replaced */
-	uint64_t settled_at_us; /**< when what nobody has written again counts as gone */
-	bool are_orders_read; /**< since they count as settled */
-	bool awaits_settling; /**< records may be kept that nobody has written again */
+	/** When each phase begins; UINT64_MAX: never. */
+	uint64_t phase_begin_us[DW_RESTORE_PHASE_COUNT];
+	/** In which all keys were last read, or another instance was asked for what it keeps. */
+	enum dw_restore_phase read_phase;
+	uint64_t engine_lease_us; /**< of engines' entries; 0: not known */
 	uint64_t
 		kept_asked_at_us; /**< when another instance was last asked which of them it keeps; 0: never */
 	/** Started, and not told yet what others know of the past: kept records, and keys that were deleted. */
@@ -47,7 +47,12 @@
 /** Whether lost records have been written again, as far as they will be. */
 enum dw_restore_phase view_restore_phase(const struct view_restore *restore, uint64_t now_us);
 
-/** Whether to read all keys once more, now that they have been. */
+/** Whether records may be kept that nobody has written again. */
+bool view_restore_awaits_settling(const struct view_restore *restore);
+/** All keys were read in this phase. */
+void view_restore_read(struct view_restore *restore, enum dw_restore_phase phase);
+
+/** Whether to read all keys once more, now that a later phase has begun. */
 bool view_restore_is_settling_due(const struct view_restore *restore, uint64_t now_us);
 
 /**
@@ -72,7 +77,7 @@
 bool view_ask_read(const char *name, enum view_ask *ask);
 
 /** This instance starts. */
-void view_restore_init(struct view_restore *restore, uint64_t now_us);
+void view_restore_init(struct view_restore *restore, uint64_t engine_lease_us, uint64_t now_us);
 /** Whether to ask another instance for what it knows of the past. */
 bool view_restore_is_memory_due(const struct view_restore *restore, uint64_t now_us);
 /** Another instance has told it what it asked for. */
--- a/tests/restore_rule_test.cc
+++ b/tests/restore_rule_test.cc
@@ -136,6 +136,12 @@
 		EXPECT_EQ(dw_restore_keeps(row.kind, &row.known, &row.shown, DW_RESTORE_SETTLED),
 			  row.keeps_settled)
 			<< "settled: " << row.failure;
+		/* A living engine whose removal is lost writes no new entry. */
+		bool is_removal = row.kind == ENGINE && !row.known.exists;
+		EXPECT_EQ(
+			dw_restore_keeps(row.kind, &row.known, &row.shown, DW_RESTORE_LEASES_ENDED),
+			row.keeps_settled && !is_removal)
+			<< "leases ended: " << row.failure;
 	}
 }
 
@@ -149,6 +155,8 @@
 						      DW_RESTORE_FRESH));
 			EXPECT_FALSE(dw_restore_keeps((dw_restored_kind)kind, &known, &shown,
 						      DW_RESTORE_SETTLED));
+			EXPECT_FALSE(dw_restore_keeps((dw_restored_kind)kind, &known, &shown,
+						      DW_RESTORE_LEASES_ENDED));
 		}
 	}
 }
--- a/tests/restore_spread_test.cc
+++ b/tests/restore_spread_test.cc
@@ -171,7 +171,7 @@
 		settings.revocation_ms = 5000;
 		dw_log_init(&log, sink, name.c_str(), DW_LEVEL_ERROR);
 		view_init(&own, &settings, &log, &counters);
-		view_restore_init(&own.restore, now_us);
+		view_restore_init(&own.restore, 0, now_us);
 		dw_view_source_init(&own.source, 4 * SECOND, now_us);
 		own.source.has_seeds = true;
 		client = {};
--- a/tests/view_restore_test.cc
+++ b/tests/view_restore_test.cc
@@ -81,9 +81,11 @@
 		settings.change_applied_ms = settings.config_applied_ms = 4000;
 		settings.evacuated_ms = settings.rolled_back_ms = 4000;
 		settings.revocation_ms = 5000;
+		settings.engine_heartbeat_ms = 1200;
 		dw_log_init(&log, sink, name.c_str(), DW_LEVEL_ERROR);
 		view_init(&own, &settings, &log, &counters);
-		view_restore_init(&own.restore, 1000 * SECOND);
+		view_restore_init(&own.restore, gateway_settings_engine_lease_us(&settings),
+				  1000 * SECOND);
 	}
 	Instance(const Instance &) = delete;
 	Instance &operator=(const Instance &) = delete;
@@ -266,7 +268,7 @@
 	Instance d("d");
 	Instance e("e");
 	for (Instance *started : { &d, &e }) {
-		view_restore_init(&started->own.restore, now_us);
+		view_restore_init(&started->own.restore, 0, now_us);
 		ASSERT_TRUE(started->read(store, now_us));
 	}
 	ASSERT_EQ(e.ask(d, now_us), Instance::APPLIED);
@@ -423,7 +425,7 @@
 		ASSERT_EQ(b.ask(started, now_us), Instance::APPLIED);
 	}
 	EXPECT_FALSE(b.is_evacuated("lost"));
-	EXPECT_FALSE(b.own.restore.awaits_settling);
+	EXPECT_FALSE(view_restore_awaits_settling(&b.own.restore));
 }
 
 /* Guards against an engine that lives and is left out for ever: the store has lost its removal, so its entry stays, and
