Restore: a kept record that is given up is replaced by any other

A view that had kept a removal over the restored record and gave it up for the record of another instance, which had never kept the removal, had neither: the record's revision was lower than the removal's, so the log refused it. Whoever asked that view was then never told of the record's end: an evacuation or an engine's entry stayed for good.

Cause: readings of the store raise the revision of what replaces a kept record to their own; answers of other instances didn't.

ARemovalIsGivenUpForARecordThatWasNeverKept is red before, green now.

--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -583,8 +583,10 @@
 			bytes_free(&value);
 			return true;
 		}
-		if (known->kept_over >= record.revision)
+		if (known->kept_over >= record.revision) {
 			dw_view_log_give_up(view->records, known);
+			record.revision = event.entry.mod_revision = snapshot->revision;
+		}
 	}
 	if (dw_view_log_put(view->records, &record, now_us)) {
 		/* It was removed before the store was away, so it doesn't come back. */
--- a/tests/view_restore_test.cc
+++ b/tests/view_restore_test.cc
@@ -340,6 +340,26 @@
 	EXPECT_EQ(b.revision(), a.revision());
 }
 
+/* Guards against a removal that is given up and neither kept nor undone: who tells of the record has never kept it, and its
+ * revision is lower than the removal's. Later removals were passed on to nobody. */
+TEST_F(ViewRestore, ARemovalIsGivenUpForARecordThatWasNeverKept)
+{
+	enter_first_era();
+	store.remove("op/evacuate/old");
+	a.watch(store, "op/evacuate/old", now_us);
+	pass_on();
+	store.restore(copy);
+	ASSERT_TRUE(a.read(store, now_us));
+	pass_on();
+	EXPECT_FALSE(b.is_evacuated("old"));
+	Instance d("d");
+	ASSERT_TRUE(d.read(store, now_us));
+	now_us += 11 * SECOND;
+	ASSERT_EQ(b.ask(d, now_us, true), Instance::APPLIED);
+	EXPECT_TRUE(b.is_evacuated("old"));
+	EXPECT_EQ(b.value("op/evacuate/old"), "{}");
+}
+
 /* Guards against a copy of two eras: of an answer, the records before the first one that can't be unpacked were taken
  * in, and the instance passed them on as those of the era before. */
 TEST_F(ViewRestore, AnAnswerThatCannotBeUnpackedChangesNothing)
