View: changes over a gap don't complete a copy that was read ahead

An engine or an evacuation that had ended stayed for good at an instance that had taken in its record ahead of the revision up to which it knew all changes (an answer of which one record couldn't be unpacked), when its next source had read all keys since: written and removed within that reading, the key is in no change that the source can tell.

Cause: the answer says that it is over a gap, and was taken as complete all the same. That was looked at only for a new era. Now an instance that is ahead refuses such an answer, and the store is read.

WhatWasReadAheadAndIsGoneIsNotLeftOut is red before, green now.

--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -618,12 +618,20 @@
 	return is_complete;
 }
 
-/* Whether this copy can take in a new era with the answer. Changes don't say what the store has lost that was read ahead
- * of this copy's revision. A part of the answer would mix two eras. */
-static bool can_enter(const struct view *view, const struct view_answer *answer)
+/* Whether the answer may leave a record out that is gone again: it was read ahead of this copy's revision, and the source
+ * doesn't know all changes since, or the store has lost it. */
+static bool may_lack_removals(const struct view *view, const struct view_answer *answer)
+{
+	bool is_new_era = dw_revision_era(answer->revision) >
+			  dw_revision_era(dw_view_log_revision(view->records));
+
+	return !answer->is_snapshot && (answer->is_over_gap || is_new_era) &&
+	       dw_view_log_is_ahead(view->records);
+}
+
+/* Whether this copy can take in a new era with the answer: a part of it would mix two eras. */
+static bool can_unpack_all(const struct view *view, const struct view_answer *answer)
 {
-	if (!answer->is_snapshot && dw_view_log_is_ahead(view->records))
-		return false;
 	for (size_t i = 0; i < answer->record_count; i++) {
 		struct dw_view_record record = answer->records[i];
 		struct bytes value = { 0 };
@@ -650,7 +658,9 @@
 		note_answered(view, source, answer->revision, known, now_us);
 		return false;
 	}
-	if (dw_revision_era(answer->revision) > dw_revision_era(known) && !can_enter(view, answer))
+	if (may_lack_removals(view, answer) ||
+	    (dw_revision_era(answer->revision) > dw_revision_era(known) &&
+	     !can_unpack_all(view, answer)))
 		return false;
 	snapshot = begin_answer(view, answer->revision, answer->era_begin, now_us);
 	is_complete = apply_answer(view, &snapshot, answer, now_us);
--- a/tests/view_restore_test.cc
+++ b/tests/view_restore_test.cc
@@ -340,6 +340,27 @@
 	EXPECT_EQ(b.revision(), a.revision());
 }
 
+/* Guards against an engine that is used for ever after it has gone: its entry was read ahead, and the source has read all
+ * keys since, so that it never knew the entry. */
+TEST_F(ViewRestore, WhatWasReadAheadAndIsGoneIsNotLeftOut)
+{
+	enter_first_era();
+	store.put("servers/e2", engine(6, 1));
+	dw_store_event ahead{};
+	std::string text = engine(6, 1);
+	ahead.entry.key = "servers/e2";
+	ahead.entry.value = (const uint8_t *)text.c_str();
+	ahead.entry.value_len = text.size();
+	ahead.entry.mod_revision = store.revision();
+	view_apply(&b.own, &ahead, now_us);
+	store.remove("servers/e2");
+	ASSERT_TRUE(a.read(store, now_us));
+	if (b.ask(a, now_us) != Instance::APPLIED) {
+		ASSERT_TRUE(b.read(store, now_us));
+	}
+	EXPECT_EQ(b.value("servers/e2"), "");
+}
+
 /* Guards against a removal that is given up and neither kept nor undone: who tells of the record has never kept it, and its
  * revision is lower than the removal's. Later removals were passed on to nobody. */
 TEST_F(ViewRestore, ARemovalIsGivenUpForARecordThatWasNeverKept)
