View: a record that a source behind this copy still has is gone

An evacuation that had ended was obeyed for good at an instance that had just started: it had read the store, then asked another instance for what that keeps, and got a record that had replaced a kept one. The source was behind, and the key removed since.

Cause: of a key that isn't known any record was taken, also one of before the copy's revision, up to which all changes are known. Now it is ignored, unless the answer brings a new era.

WhatASourceThatIsBehindStillHasIsNotTaken is red before, green now.

--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -550,6 +550,17 @@
 	return is_snapshot || record->revision <= dw_view_log_revision(view->records);
 }
 
+/* Whether the record has gone since: the source is behind this copy, which doesn't have the key. */
+static bool is_gone_since(const struct view *view, const struct view_snapshot *snapshot,
+			  const struct dw_view_record *known, const struct dw_view_record *record)
+{
+	uint64_t revision = dw_view_log_revision(view->records);
+
+	return !known && !record->deleted && record->kept_over == 0 &&
+	       record->revision <= revision &&
+	       dw_revision_era(snapshot->revision) == dw_revision_era(revision);
+}
+
 /* Applies a record that another instance passed on; false if it was packed and can't be unpacked. */
 static bool apply_passed_on(struct view *view, const struct view_snapshot *snapshot,
 			    bool is_snapshot, const struct dw_view_record *passed_on,
@@ -565,6 +576,8 @@
 		dw_view_log_tell_deleted(view->records, &record, now_us);
 		return true;
 	}
+	if (is_gone_since(view, snapshot, known, &record))
+		return true;
 	if (record.packed && !is_known(view, &record) &&
 	    view_record_unpack(view->records, &record, VIEW_ANSWER_MAX_BYTES, &value) != DW_OK) {
 		bytes_free(&value);
--- a/tests/view_restore_test.cc
+++ b/tests/view_restore_test.cc
@@ -361,6 +361,26 @@
 	EXPECT_EQ(b.value("servers/e2"), "");
 }
 
+/* Guards against an evacuation that is obeyed for ever after it has ended: an instance that has read the store since asks
+ * one that is behind what it has kept. */
+TEST_F(ViewRestore, WhatASourceThatIsBehindStillHasIsNotTaken)
+{
+	enter_first_era();
+	store.remove("op/evacuate/old");
+	a.watch(store, "op/evacuate/old", now_us);
+	store.restore(copy);
+	ASSERT_TRUE(a.read(store, now_us));
+	EXPECT_FALSE(a.is_evacuated("old"));
+	now_us += 7 * SECOND;
+	ASSERT_TRUE(a.read(store, now_us));
+	EXPECT_TRUE(a.is_evacuated("old"));
+	store.remove("op/evacuate/old");
+	Instance d("d");
+	ASSERT_TRUE(d.read(store, now_us));
+	ASSERT_EQ(d.ask(a, now_us), Instance::APPLIED);
+	EXPECT_FALSE(d.is_evacuated("old"));
+}
+
 /* Guards against a removal that is given up and neither kept nor undone: who tells of the record has never kept it, and its
  * revision is lower than the removal's. Later removals were passed on to nobody. */
 TEST_F(ViewRestore, ARemovalIsGivenUpForARecordThatWasNeverKept)
@@ -889,7 +909,7 @@
 {
 	uint64_t restores = 0;
 	uint64_t answers = 0;
-	for (uint64_t seed = 1; seed <= 150; seed++) {
+	for (uint64_t seed = 1; seed <= 4000; seed++) {
 		Days days(seed);
 		SCOPED_TRACE("seed " + std::to_string(seed));
 		for (int step = 0; step < 150 && !HasFatalFailure(); step++) {
