Store: an era that counts from 0 is one

Requests with a key that had been taken away ran after the first restore of a store that counts its restores from 0, at an instance that started in the gap (red: all its requests until the operator wrote again).

Cause: era 0 stood for a store without eras, too. So the key of the era wasn't written before the first restore, writes had no condition on it, and an instance that started in the gap had nothing to tell it that a newer configuration was in force.

Now the era of a revision is what the store says plus one; logs, metrics and pages show what the store says.

Measured: RestoreFaults.TheFirstRestoreOfAStoreThatCountsFromZero red with the adapter of before, green now. Tests that set the header or read the log's era count accordingly; the stand-in can set its era.

--- a/src/wharf-gateway/era_guard.c
+++ b/src/wharf-gateway/era_guard.c
@@ -76,7 +76,7 @@
 		sum += count[i];
 	if (sum == 0)
 		return;
-	dw_log_event(guard->log, DW_EVENT_STORE_REWRITTEN, DW_INT("era", guard->era),
+	dw_log_event(guard->log, DW_EVENT_STORE_REWRITTEN, DW_INT("era", dw_era_name(guard->era)),
 		     DW_INT("quarantines", count[ERA_REWRITE_QUARANTINE]),
 		     DW_INT("parts", count[ERA_REWRITE_PART]),
 		     DW_INT("statuses", count[ERA_REWRITE_STATUS]),
--- a/src/wharf-gateway/store_sync.c
+++ b/src/wharf-gateway/store_sync.c
@@ -43,7 +43,7 @@
 	sync->is_bad_era_logged = true;
 	dw_log_event(sync->view->log, DW_EVENT_INPUT_REFUSED, DW_STR("key", "store era"),
 		     DW_STR("reason", "missing, no number, or lower than one before"),
-		     DW_INT("era", sync->store->era.newest));
+		     DW_INT("era", dw_era_name(sync->store->era.newest)));
 }
 
 static void on_events(struct dw_store_watch *watch, const struct dw_store_event *events,
--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -349,8 +349,8 @@
 	dw_log_event(view->log, DW_EVENT_VIEW_BEHIND, DW_STR("source", source),
 		     DW_INT("behind", is_behind), DW_INT("revision", dw_revision_number(known)),
 		     DW_INT("answered", dw_revision_number(revision)),
-		     DW_INT("era", dw_revision_era(known)),
-		     DW_INT("answered_era", dw_revision_era(revision)),
+		     DW_INT("era", dw_era_name(dw_revision_era(known))),
+		     DW_INT("answered_era", dw_era_name(dw_revision_era(revision))),
 		     DW_INT("lasted_ms",
 			    is_behind ? 0 : (now_us - view->behind_since_us) / DW_US_PER_MS));
 	view->is_answer_behind = is_behind;
@@ -410,8 +410,8 @@
 	struct view_kept kept = view_restore_kept(view->records);
 
 	dw_log_event(view->log, DW_EVENT_STORE_RESTORED,
-		     DW_INT("era_before", dw_revision_era(known)),
-		     DW_INT("era", dw_revision_era(revision)),
+		     DW_INT("era_before", dw_era_name(dw_revision_era(known))),
+		     DW_INT("era", dw_era_name(dw_revision_era(revision))),
 		     DW_INT("revision_before", dw_revision_number(known)),
 		     DW_INT("revision", dw_revision_number(revision)),
 		     DW_INT("kept_configs", kept.configs), DW_INT("kept_engines", kept.engines),
@@ -704,8 +704,8 @@
 		view->is_waiting_logged = !view->restore.is_admitted;
 		dw_log_event(view->log, DW_EVENT_VIEW_ADMITTED,
 			     DW_INT("admitted", view->restore.is_admitted),
-			     DW_INT("era", view->era_guard.era),
-			     DW_INT("record_era", view->era_guard.record_era),
+			     DW_INT("era", dw_era_name(view->era_guard.era)),
+			     DW_INT("record_era", dw_era_name(view->era_guard.record_era)),
 			     DW_INT("version", dw_catalog_version(view->catalog)),
 			     DW_INT("required", view->era_guard.record_config));
 	}
--- a/tests/era_guard_test.cc
+++ b/tests/era_guard_test.cc
@@ -301,7 +301,7 @@
 	EXPECT_EQ(lines.find("store.rewritten", at + 30), std::string::npos) << lines;
 	EXPECT_NE(lines.find("\"parts\":2"), std::string::npos) << lines;
 	EXPECT_NE(lines.find("\"reader_keys\":1"), std::string::npos) << lines;
-	EXPECT_NE(lines.find("\"era\":2"), std::string::npos) << lines;
+	EXPECT_NE(lines.find("\"era\":1"), std::string::npos) << "as the store calls era 2: " << lines;
 }
 
 } // namespace
--- a/tests/metadata_store_test.cc
+++ b/tests/metadata_store_test.cc
@@ -18,11 +18,18 @@
 
 constexpr uint64_t SECOND = 1000000;
 
-/* An answer with its era; "" for none. */
+/* What a store calls its era, which counts from 0. What is no era stays as it is. */
+std::string era_name(const std::string &era)
+{
+	bool is_small = era.size() == 1 && era[0] >= '1' && era[0] <= '9';
+	return is_small ? std::to_string(std::stoi(era) - 1) : era;
+}
+
+/* An answer with its era, from 1; "" for none. */
 std::string answer(int status, const std::string &era, const std::string &body)
 {
 	return "HTTP/1.1 " + std::to_string(status) + " X\r\n" +
-	       (era.empty() ? "" : "Store-Era: " + era + "\r\n") +
+	       (era.empty() ? "" : "Store-Era: " + era_name(era) + "\r\n") +
 	       "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
@@ -307,7 +314,7 @@
 	learn(4);
 	uint64_t bad = 0;
 	for (const char *era : { "", "x", "-1", "+5", " ", "0x5", "4.0", "5 6", "3", "0",
-				 "99999999999999999999", "8388608" }) {
+				 "99999999999999999999", "8388607" }) {
 		set(answer(200, era, page({ item("a", 6) }, 10)));
 		read_result got = read();
 		EXPECT_EQ(got.status, DW_OK) << era;
--- a/tests/metadata_write_test.cc
+++ b/tests/metadata_write_test.cc
@@ -11,7 +11,7 @@
 {
 
 struct MetadataWrite : testing::Test {
-	std::string era = "2";
+	std::string era = "1"; /* of era 2: a store counts from 0 */
 	int received = 0;
 	support::raw_server server{ [this](support::raw_connection &connection,
 					   const std::string &request) {
--- a/tests/process_store_restore_faults_test.cc
+++ b/tests/process_store_restore_faults_test.cc
@@ -122,6 +122,31 @@
 	expect_none_run(caller, "no other instance runs");
 }
 
+/* Guards against a store that counts its restores from 0 and passes for one without eras: an instance that starts in the gap
+ * of the first restore isn't held back, and no write is conditional on the era before it. */
+TEST_F(RestoreFaults, TheFirstRestoreOfAStoreThatCountsFromZero)
+{
+	support::http_call(store_port, "POST", "/admin/era", "{\"era\":0}");
+	start();
+	EXPECT_TRUE(wait_until([&] {
+		return read_range("wharf/era").find("Key") != std::string::npos;
+	})) << "the key of the era is written before any restore";
+	take_key_away_after_copy();
+	for (auto &each : instances)
+		each.gateway->kill();
+	restore();
+	launch(0);
+	steady_caller caller(*this, { 0 }, "/look/", "k1");
+	sleep_ms(1000);
+	write_config_again();
+	EXPECT_TRUE(
+		wait_until([&] { return send_request(*this, 0, "/look/1", "k2").status == 200; },
+			   IN_FORCE_MS));
+	sleep_ms(2000);
+	expect_none_run(caller, "no other instance runs");
+	EXPECT_EQ(instances[0].metric("store_era"), 1);
+}
+
 /* Guards against an instance that is cut off from the store while the others change era: it must follow them, and must
  * not bring back the era before once it reaches the store again. */
 TEST_F(RestoreFaults, AnInstanceThatIsCutOffMeanwhileFollowsTheOthers)
--- a/tests/standins/standin_metadata.c
+++ b/tests/standins/standin_metadata.c
@@ -19,7 +19,7 @@
  * it: what was written since is gone, leases too, revisions are given out again, and the era rises by one. Leases of the
  * copy run on from where they were. All answers have the era. After /admin/deafen {"names_newest"} watches get no events
  * of changes, until /admin/compact cuts them; answers at the end of a wait have the store's newest revision, or else the
- * last one of which the watches were told.
+ * last one of which the watches were told. /admin/era {"era"} sets the era.
  */
 #include <inttypes.h>
 #include <stdio.h>
@@ -634,6 +634,12 @@
 	standin_answer(request, 200, json_object_new_object());
 }
 
+static void admin_era(struct standin_request *request, struct metadata *metadata)
+{
+	metadata->era = json_u64(request->body, "era", FIRST_ERA);
+	standin_answer(request, 200, json_object_new_object());
+}
+
 static void admin_deafen(struct standin_request *request, struct metadata *metadata)
 {
 	metadata->is_deaf = true;
@@ -664,6 +670,8 @@
 		admin_backup(request, metadata);
 	} else if (strcmp(request->path, "/admin/restore") == 0) {
 		admin_restore(request, metadata);
+	} else if (strcmp(request->path, "/admin/era") == 0) {
+		admin_era(request, metadata);
 	} else if (strcmp(request->path, "/admin/compact") == 0) {
 		admin_compact(request, metadata);
 	} else if (strcmp(request->path, "/admin/deafen") == 0) {
