--- a/src/wharf-gateway/view.h
+++ b/src/wharf-gateway/view.h
@@ -131,6 +131,9 @@
 /** Proofs from that time may lack changes. To be called before a proof of the same answer is taken in. */
 void view_gap_found(struct view *view, const struct dw_freshness_gap *gap);
 
+/** Age of the proof that the copy was current; 0: there was none yet. */
+uint64_t view_age_ms(const struct view *view, uint64_t now_us);
+
 /** When the configuration in force was last known to be the newest one; 0: never. */
 uint64_t view_config_known_at_us(const struct view *view);
 
