Tests: one fake of the store, and what restore tests wrote twice

quarantine_records_test, reader_key_test and era_guard_test each had a fake of the store, process_store_restore_faults_test and view_restore_test runs of the same lines in two tests. The fake moves to tests/support/fake_store.h, the runs into the fixtures. No check changes.

--- a/tests/era_guard_test.cc
+++ b/tests/era_guard_test.cc
@@ -10,49 +10,13 @@
 #include "wharf-gateway/era_guard.h"
 }
 
+#include "support/fake_store.h"
+
 namespace
 {
 
 constexpr uint64_t SECOND = 1000000;
 
-/* A store that keeps the writes that were sent to it, to be answered by the test. */
-struct FakeStore {
-	dw_store base{};
-	dw_store_ops ops{};
-	struct write {
-		std::string value;
-		uint64_t expected;
-		uint64_t era;
-		dw_store_put_done done;
-		void *data;
-	};
-	std::vector<write> writes;
-	dw_store_range_done read_done = nullptr; /* of the last reading */
-	void *read_data = nullptr;
-
-	FakeStore()
-	{
-		ops.range = [](dw_store *store, const struct dw_store_range *,
-			       dw_store_range_done done, void *data) {
-			((FakeStore *)store)->read_done = done;
-			((FakeStore *)store)->read_data = data;
-		};
-		ops.put = [](dw_store *store, const struct dw_store_put *put,
-			     dw_store_put_done done, void *data) {
-			std::string value((const char *)put->value, put->value_len);
-			((FakeStore *)store)
-				->writes.push_back(
-					{ value, put->expected_revision, put->era, done, data });
-		};
-		base.ops = &ops;
-	}
-	void answer(size_t i, dw_store_outcome outcome, uint64_t revision)
-	{
-		dw_store_put_result result{ outcome, revision };
-		writes[i].done(&result, writes[i].data);
-	}
-};
-
 /* The first reader of three, in a store whose first era had the key at revision 20. */
 struct EraGuard : testing::Test {
 	char *text = nullptr;
@@ -60,7 +24,7 @@
 	FILE *sink = open_memstream(&text, &text_len);
 	dw_log log{};
 	uv_loop_t loop{};
-	FakeStore store;
+	support::fake_store store;
 	era_guard guard{};
 	dw_view_place place{};
 
@@ -301,7 +265,8 @@
 	EXPECT_EQ(lines.find("store.rewritten", at + 30), std::string::npos) << lines;
 	EXPECT_NE(lines.find("\"parts\":2"), std::string::npos) << lines;
 	EXPECT_NE(lines.find("\"reader_keys\":1"), std::string::npos) << lines;
-	EXPECT_NE(lines.find("\"era\":1"), std::string::npos) << "as the store calls era 2: " << lines;
+	EXPECT_NE(lines.find("\"era\":1"), std::string::npos)
+		<< "as the store calls era 2: " << lines;
 }
 
 } // namespace
--- a/tests/process_store_restore_faults_test.cc
+++ b/tests/process_store_restore_faults_test.cc
@@ -48,6 +48,22 @@
 				within_ms))
 				<< what << ", instance " << i;
 	}
+	/* All instances end, and one starts in the gap of a restore. */
+	void expect_the_only_one_waits_for_the_operator()
+	{
+		for (auto &each : instances)
+			each.gateway->kill();
+		restore();
+		launch(0);
+		steady_caller caller(*this, { 0 }, "/look/", "k1");
+		sleep_ms(1000);
+		write_config_again();
+		EXPECT_TRUE(wait_until(
+			[&] { return send_request(*this, 0, "/look/1", "k2").status == 200; },
+			IN_FORCE_MS));
+		sleep_ms(2000);
+		expect_none_run(caller, "no other instance runs");
+	}
 	/* Whether all instances follow the store and believe the same. */
 	void expect_healthy(const std::string &what)
 	{
@@ -108,18 +124,7 @@
 {
 	start();
 	take_key_away_after_copy();
-	for (auto &each : instances)
-		each.gateway->kill();
-	restore();
-	launch(0);
-	steady_caller caller(*this, { 0 }, "/look/", "k1");
-	sleep_ms(1000);
-	write_config_again();
-	EXPECT_TRUE(
-		wait_until([&] { return send_request(*this, 0, "/look/1", "k2").status == 200; },
-			   IN_FORCE_MS));
-	sleep_ms(2000);
-	expect_none_run(caller, "no other instance runs");
+	expect_the_only_one_waits_for_the_operator();
 }
 
 /* Guards against a store that counts its restores from 0 and passes for one without eras: an instance that starts in the gap
@@ -132,18 +137,7 @@
 		return read_range("wharf/era").find("Key") != std::string::npos;
 	})) << "the key of the era is written before any restore";
 	take_key_away_after_copy();
-	for (auto &each : instances)
-		each.gateway->kill();
-	restore();
-	launch(0);
-	steady_caller caller(*this, { 0 }, "/look/", "k1");
-	sleep_ms(1000);
-	write_config_again();
-	EXPECT_TRUE(
-		wait_until([&] { return send_request(*this, 0, "/look/1", "k2").status == 200; },
-			   IN_FORCE_MS));
-	sleep_ms(2000);
-	expect_none_run(caller, "no other instance runs");
+	expect_the_only_one_waits_for_the_operator();
 	EXPECT_EQ(instances[0].metric("store_era"), 1);
 }
 
--- a/tests/quarantine_records_test.cc
+++ b/tests/quarantine_records_test.cc
@@ -12,6 +12,8 @@
 #include "wharf-gateway/crash_guard.h"
 }
 
+#include "support/fake_store.h"
+
 namespace
 {
 
@@ -23,52 +25,12 @@
 const char *const PART_CRASHES = "{\"crashes\":[[1,100,51,7,9000,0],[2,100,52,7,6000,0],[3,100,53,"
 				 "7,3000,0]],\"engines\":[]}";
 
-/* A store that grants all leases and keeps the writes, to be answered by the test. */
-struct FakeStore {
-	dw_store base{};
-	dw_store_ops ops{};
-	struct write {
-		std::string key;
-		std::string value;
-		uint64_t expected;
-		uint64_t guard_revision;
-		uint64_t lease;
-		dw_store_put_done done;
-		void *data;
-	};
-	std::vector<write> writes;
-	uint64_t leases = 0;
-
-	FakeStore()
-	{
-		ops.put = [](dw_store *store, const struct dw_store_put *put,
-			     dw_store_put_done done, void *data) {
-			std::string value((const char *)put->value, put->value_len);
-			((FakeStore *)store)
-				->writes.push_back({ put->key, value, put->expected_revision,
-						     put->guard_key ? put->guard_revision : 0,
-						     put->lease_id, done, data });
-		};
-		ops.lease_grant = [](dw_store *store, uint64_t, uint64_t, dw_store_lease_done done,
-				     void *data) {
-			dw_store_lease_result result{ DW_OK, ++((FakeStore *)store)->leases, 0 };
-			done(&result, data);
-		};
-		base.ops = &ops;
-	}
-	void answer(size_t i, dw_store_outcome outcome, uint64_t revision)
-	{
-		dw_store_put_result result{ outcome, revision };
-		writes[i].done(&result, writes[i].data);
-	}
-};
-
 /* One instance, the first reader, in the first era of a store. */
 struct QuarantineRecords : testing::Test {
 	FILE *sink = fopen("/dev/null", "w");
 	dw_log log{};
 	uv_loop_t loop{};
-	FakeStore store;
+	support::fake_store store;
 	era_guard era{};
 	dw_engine_set *engines = dw_engine_set_new();
 	crash_guard guard{};
--- a/tests/reader_key_test.cc
+++ b/tests/reader_key_test.cc
@@ -10,61 +10,19 @@
 #include "wharf-gateway/reader_key.h"
 }
 
+#include "support/fake_store.h"
+
 namespace
 {
 
 constexpr uint64_t SECOND = 1000000;
 
-/* A store that grants all leases, and keeps writes and renewals. */
-struct FakeStore {
-	dw_store base{};
-	dw_store_ops ops{};
-	struct write {
-		uint64_t expected;
-		uint64_t guard_revision;
-		uint64_t lease;
-		dw_store_put_done done;
-		void *data;
-	};
-	std::vector<write> writes;
-	std::vector<uint64_t> renewed;
-	uint64_t leases = 0;
-
-	FakeStore()
-	{
-		ops.put = [](dw_store *store, const struct dw_store_put *put,
-			     dw_store_put_done done, void *data) {
-			((FakeStore *)store)
-				->writes.push_back({ put->expected_revision,
-						     put->guard_key ? put->guard_revision : 0,
-						     put->lease_id, done, data });
-		};
-		ops.lease_grant = [](dw_store *store, uint64_t, uint64_t, dw_store_lease_done done,
-				     void *data) {
-			dw_store_lease_result result{ DW_OK, ++((FakeStore *)store)->leases, 0 };
-			done(&result, data);
-		};
-		ops.lease_keep_alive = [](dw_store *store, uint64_t lease, uint64_t,
-					  dw_store_lease_done done, void *data) {
-			dw_store_lease_result result{ DW_OK, lease, 0 };
-			((FakeStore *)store)->renewed.push_back(lease);
-			done(&result, data);
-		};
-		base.ops = &ops;
-	}
-	void answer(size_t i, dw_store_outcome outcome, uint64_t revision)
-	{
-		dw_store_put_result result{ outcome, revision };
-		writes[i].done(&result, writes[i].data);
-	}
-};
-
 /* A reader whose key is in the store, in its first era, with lease 1. */
 struct ReaderKey : testing::Test {
 	FILE *sink = fopen("/dev/null", "w");
 	dw_log log{};
 	uv_loop_t loop{};
-	FakeStore store;
+	support::fake_store store;
 	era_guard era{};
 	dw_endpoint address{};
 	reader_key key{};
--- a/tests/view_restore_test.cc
+++ b/tests/view_restore_test.cc
@@ -208,6 +208,18 @@
 		ASSERT_TRUE(a.read(store, now_us));
 		pass_on();
 	}
+	/* B takes in an entry beyond the revision up to which it knows all changes. */
+	void read_ahead_of_e2()
+	{
+		store.put("servers/e2", engine(6, 1));
+		dw_store_event ahead{};
+		std::string text = engine(6, 1);
+		ahead.entry.key = "servers/e2";
+		ahead.entry.value = (const uint8_t *)text.c_str();
+		ahead.entry.value_len = text.size();
+		ahead.entry.mod_revision = store.revision();
+		view_apply(&b.own, &ahead, now_us);
+	}
 };
 
 /* Guards against a lost evacuation that instances other than the readers obey for ever: nothing has changed in the
@@ -323,14 +335,7 @@
 TEST_F(ViewRestore, WhatWasReadAheadDoesNotOutliveTheStore)
 {
 	enter_first_era();
-	store.put("servers/e2", engine(6, 1));
-	dw_store_event ahead{};
-	std::string text = engine(6, 1);
-	ahead.entry.key = "servers/e2";
-	ahead.entry.value = (const uint8_t *)text.c_str();
-	ahead.entry.value_len = text.size();
-	ahead.entry.mod_revision = store.revision();
-	view_apply(&b.own, &ahead, now_us);
+	read_ahead_of_e2();
 	store.restore(copy);
 	ASSERT_TRUE(a.read(store, now_us));
 	if (b.ask(a, now_us) != Instance::APPLIED) {
@@ -345,14 +350,7 @@
 TEST_F(ViewRestore, WhatWasReadAheadAndIsGoneIsNotLeftOut)
 {
 	enter_first_era();
-	store.put("servers/e2", engine(6, 1));
-	dw_store_event ahead{};
-	std::string text = engine(6, 1);
-	ahead.entry.key = "servers/e2";
-	ahead.entry.value = (const uint8_t *)text.c_str();
-	ahead.entry.value_len = text.size();
-	ahead.entry.mod_revision = store.revision();
-	view_apply(&b.own, &ahead, now_us);
+	read_ahead_of_e2();
 	store.remove("servers/e2");
 	ASSERT_TRUE(a.read(store, now_us));
 	if (b.ask(a, now_us) != Instance::APPLIED) {
