View: an engine's entry that a source behind this copy keeps is gone

An engine that had left after a restore was kept for good at an instance that had just started: it had read the store, which no longer had the entry, and was told of it by one that was behind and kept a draining state over the older one that the store had shown.

Cause: a kept record of a key that isn't known was always taken. An engine's entry is never kept over none, so one that was kept over a state before this copy's revision has gone since. Configurations and orders are kept over none, and taken as before.

AnEngineThatASourceKeepsAndThatIsGoneIsNotTaken is red before, green now.

--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -289,15 +289,20 @@
 	return is_snapshot || record->revision <= dw_view_log_revision(view->records);
 }
 
-/* Whether the record has gone since: the source is behind this copy, which doesn't have the key. */
+/* Whether the record has gone since: the source is behind this copy, which doesn't have the key. An engine's entry isn't kept
+ * over none, others may be. */
 static bool is_gone_since(const struct view *view, const struct view_snapshot *snapshot,
 			  const struct dw_view_record *known, const struct dw_view_record *record)
 {
 	uint64_t revision = dw_view_log_revision(view->records);
+	const char *name;
 
-	return !known && !record->deleted && record->kept_over == 0 &&
-	       record->revision <= revision &&
-	       dw_revision_era(snapshot->revision) == dw_revision_era(revision);
+	if (known || record->deleted ||
+	    dw_revision_era(snapshot->revision) != dw_revision_era(revision))
+		return false;
+	if (record->kept_over == 0)
+		return record->revision <= revision;
+	return record->kept_over <= revision && record_kind_of(record->key, &name) == RECORD_ENGINE;
 }
 
 /* Applies a record that another instance passed on; false if it was packed and can't be unpacked. */
--- a/tests/view_restore_test.cc
+++ b/tests/view_restore_test.cc
@@ -379,6 +379,22 @@
 	EXPECT_FALSE(d.is_evacuated("old"));
 }
 
+/* Guards against an engine that has gone and is kept for good: a source that is behind keeps its entry over an older one. */
+TEST_F(ViewRestore, AnEngineThatASourceKeepsAndThatIsGoneIsNotTaken)
+{
+	enter_first_era();
+	store.put("servers/e1", engine(5, 12, "draining"));
+	a.watch(store, "servers/e1", now_us);
+	store.restore(copy);
+	ASSERT_TRUE(a.read(store, now_us));
+	EXPECT_EQ(a.value("servers/e1"), engine(5, 12, "draining"));
+	store.remove("servers/e1");
+	Instance d("d");
+	ASSERT_TRUE(d.read(store, now_us));
+	ASSERT_EQ(d.ask(a, now_us), Instance::APPLIED);
+	EXPECT_EQ(d.value("servers/e1"), "");
+}
+
 /* Guards against a removal that is given up and neither kept nor undone: who tells of the record has never kept it, and its
  * revision is lower than the removal's. Later removals were passed on to nobody. */
 TEST_F(ViewRestore, ARemovalIsGivenUpForARecordThatWasNeverKept)
