--- a/src/net/view_codec.h
+++ b/src/net/view_codec.h
@@ -2,14 +2,14 @@
  * @file view_codec.h
  * Encoding of the answer in which one instance passes records of the store to another.
  *
- * The answer is a msgpack array: version of this encoding, revision, first known revision of its era, hops, 1 if these are all records or 2 if they
- * are changes over a gap, else 0, time held, age of the proof or nil, time since the end of the store's last outage or
- * nil, since the begin and the end of the last time from which proofs may lack changes or nil, and the
- * records, each an array of key, revision and value; in place of the value nil for a deleted key, and
- * for a packed value (value_codec) an array of the revision of its base, 0 without one, and bytes. The fourth
- * field of a record is the revision that it is kept over, as the store has lost it in a restore, or 0; the fifth the last
- * value of a deleted key, or nil. The last field of the answer is 1 if the source knows what instances that run
- * for long know of the past. Revisions hold the store's era.
+ * The answer is a msgpack array: version of this encoding, revision, first known revision of its era, hops, 1 if these are
+ * all records or 2 if they are changes over a gap, else 0, time held, age of the proof or nil, time since the end of the
+ * store's last outage or nil, since the begin and the end of the last time from which proofs may lack changes or nil, the
+ * records, and 1 if the source knows of the past what instances that run for long know, else 0.
+ *
+ * A record is an array of key, revision, value, the revision that it is kept over, as the store has lost it in a restore,
+ * or 0, and the last value of a deleted key or nil. In place of the value there is nil for a deleted key, and for a packed
+ * value (value_codec) an array of the revision of its base, 0 without one, and bytes. Revisions hold the store's era.
  *
  * An instance of version 2 would take such a revision for one of the store, so it gets no answer (404); nor does one
  * of version 3, which doesn't know of gaps.
--- a/src/wharf-gateway/view_restore.h
+++ b/src/wharf-gateway/view_restore.h
@@ -21,11 +21,11 @@
 	enum dw_restore_phase read_phase;
 	uint64_t engine_lease_us; /**< of engines' entries; 0: not known */
 	uint64_t
-		kept_asked_at_us; /**< when another instance was last asked which of them it keeps; 0: never */
+		kept_asked_at_us; /**< when another instance was last asked for more than changes */
 	/** Started, and not told yet what others know of the past: kept records, and keys that were deleted. */
 	bool lacks_memory;
 	bool was_told; /**< since its start, if only by one that lacks memory too */
-	uint64_t memory_due_us; /**< by then it has run for long enough to have seen that itself */
+	uint64_t memory_due_us; /**< by then it has run for long enough to have seen it itself */
 	/** It may serve: it knew the store before the era, or knows that nothing in force is missing. */
 	bool is_admitted;
 };
--- a/src/wharf-gateway/view_server.h
+++ b/src/wharf-gateway/view_server.h
@@ -1,10 +1,10 @@
 /**
  * @file view_server.h
- * Passes this instance's copy of the store's records on to other instances, over HTTP on the peer
- * address: GET /view/4?after=REVISION, with &with=kept or &with=past if these are asked for too (enum view_ask). The request is held until there are newer records or a newer
- * proof that the copy is current, but not for long, so that the other side can tell a silent
- * instance from one without news. 409: the changes since that revision have been
- * forgotten, or are too large: the store has them.
+ * Passes this instance's copy of the store's records on to other instances, over HTTP on the peer address:
+ * GET /view/4?after=REVISION, followed by &with=kept or &with=past for more than the changes (enum view_ask). The request
+ * is held until there are newer records or a newer proof that the copy is current, but not for long, so that the other
+ * side can tell a silent instance from one without news; one for more is answered at once. 409: the changes since that
+ * revision have been forgotten, or are too large: the store has them.
  */
 #ifndef GATEWAY_VIEW_SERVER_H
 #define GATEWAY_VIEW_SERVER_H
