--- a/src/net/view_codec.c
+++ b/src/net/view_codec.c
@@ -84,14 +84,15 @@
 	pack_bytes(packer, record->packed, record->packed_len);
 }
 
-static void pack_record(msgpack_packer *packer, const struct dw_view_record *record, uint64_t after)
+static void pack_record(msgpack_packer *packer, const struct dw_view_record *record, uint64_t after,
+			bool with_last_value)
 {
 	msgpack_pack_array(packer, RECORD_FIELD_COUNT);
 	dw_msgpack_pack_string(packer, record->key);
 	msgpack_pack_uint64(packer, record->revision);
 	pack_value(packer, record, after);
 	msgpack_pack_uint64(packer, record->kept_over);
-	if (record->last_value)
+	if (with_last_value && record->last_value)
 		pack_bytes(packer, record->last_value, record->last_len);
 	else
 		msgpack_pack_nil(packer);
@@ -128,7 +129,7 @@
 	msgpack_pack_array(packer, count);
 	while ((record = dw_view_log_next(log, record))) {
 		if (is_included(record, answer, after))
-			pack_record(packer, record, known);
+			pack_record(packer, record, known, answer->deleted_since_us > 0);
 	}
 	msgpack_pack_uint8(packer, answer->has_memory);
 }
