Tests: models share their queue of events

crash_spread_test, pause_model_test, view_spread_test and version_shift_test (twice) each had the same queue of events in simulated time. It moves to tests/support/event_queue.h.

--- a/tests/crash_spread_test.cc
+++ b/tests/crash_spread_test.cc
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <functional>
-#include <queue>
 #include <random>
 #include <string>
 #include <vector>
@@ -14,6 +13,8 @@
 #include <dragonflywharf/quarantine.h>
 #include <dragonflywharf/spread.h>
 
+#include "support/event_queue.h"
+
 namespace
 {
 
@@ -30,7 +31,7 @@
 constexpr uint64_t CHECK_US = 10 * MS;
 constexpr size_t BYTES_PER_PIECE = 45;
 
-struct Fleet {
+struct Fleet : support::event_queue {
 	struct engine {
 		uint64_t incarnation = 1;
 		bool runs = true;
@@ -43,22 +44,10 @@
 		uint64_t knows_at_us = 0; /* of the quarantine */
 		uint64_t messages = 0;
 	};
-	struct event {
-		uint64_t at_us;
-		uint64_t number;
-		std::function<void()> run;
-		bool operator<(const event &other) const
-		{
-			return at_us != other.at_us ? at_us > other.at_us : number > other.number;
-		}
-	};
 	std::mt19937_64 random;
 	std::vector<node> nodes;
 	std::vector<engine> engines;
 	std::vector<dw_view_member> members;
-	std::priority_queue<event> events;
-	uint64_t now_us = 1000 * SECOND;
-	uint64_t number = 0;
 	uint64_t loss_permille;
 	bool callers_leave = false; /* before the engine ends: abandoned runs, and no retry */
 	int crashes = 0;
@@ -68,7 +57,8 @@
 	int last_engine_lost = 0; /* crashes that left the service without an engine */
 
 	Fleet(size_t count, uint32_t domains, size_t engine_count, uint64_t seed, uint64_t loss)
-	    : random(seed), nodes(count), engines(engine_count), loss_permille(loss)
+	    : event_queue(1000 * SECOND), random(seed), nodes(count), engines(engine_count),
+	      loss_permille(loss)
 	{
 		dw_quarantine_options options = dw_quarantine_default_options();
 		for (uint64_t i = 0; i < count; i++)
@@ -80,7 +70,7 @@
 			nodes[i].engines = dw_engine_set_new();
 			for (size_t e = 0; e < engine_count; e++)
 				put_engine(i, e);
-			at(random() % (100 * MS), [this, i] { tick(i); });
+			after(random() % (100 * MS), [this, i] { tick(i); });
 		}
 	}
 	~Fleet()
@@ -91,10 +81,6 @@
 			dw_engine_set_free(n.engines);
 		}
 	}
-	void at(uint64_t after_us, std::function<void()> run)
-	{
-		events.push({ now_us + after_us, ++number, std::move(run) });
-	}
 	void put_engine(size_t i, size_t e)
 	{
 		dw_engine_entry entry{};
@@ -107,7 +93,7 @@
 	void tick(size_t i)
 	{
 		send_news(i);
-		at(DW_QUARANTINE_ROUND_US, [this, i] { tick(i); });
+		after(DW_QUARANTINE_ROUND_US, [this, i] { tick(i); });
 	}
 	void send_news(size_t i)
 	{
@@ -142,7 +128,7 @@
 		bytes += news.size() * BYTES_PER_PIECE;
 		if (random() % 1000 < loss_permille)
 			return;
-		at(MS / 2 + random() % (9 * MS), [this, from, to, news] {
+		after(MS / 2 + random() % (9 * MS), [this, from, to, news] {
 			dw_spread_scope scope =
 				dw_spread_received(nodes[to].spread, from + 1, now_us);
 			for (const auto &piece : news) {
@@ -194,12 +180,12 @@
 		tried.push_back(chosen.engine->entry.id);
 		uint64_t incarnation = engines[e].incarnation;
 		uint64_t id_hash = chosen.engine->id_hash;
-		at(RUN_US, [this, i, e, incarnation, id_hash, tried] {
+		after(RUN_US, [this, i, e, incarnation, id_hash, tried] {
 			end_engine(e, incarnation);
-			at(CHECK_US, [this, i, incarnation, id_hash, tried] {
+			after(CHECK_US, [this, i, incarnation, id_hash, tried] {
 				find_crash(i, id_hash, incarnation);
 				if (tried.size() < 2 && !callers_leave)
-					at(SETTLE_US, [this, i, tried] { attempt(i, tried); });
+					after(SETTLE_US, [this, i, tried] { attempt(i, tried); });
 			});
 		});
 	}
@@ -211,7 +197,7 @@
 		crashes++;
 		last_engine_lost += std::none_of(engines.begin(), engines.end(),
 						 [](const engine &each) { return each.runs; });
-		at(BACK_US, [this, e] {
+		after(BACK_US, [this, e] {
 			engines[e].runs = true;
 			engines[e].incarnation++;
 			for (size_t i = 0; i < nodes.size(); i++)
@@ -232,12 +218,8 @@
 	{
 		uint64_t until_us = now_us + for_us;
 		for (uint64_t after_us = 0; after_us < for_us; after_us += repeat_us)
-			at(after_us, [this] { attempt(random() % nodes.size()); });
-		while (!events.empty() && events.top().at_us <= until_us) {
-			event next = events.top();
-			events.pop();
-			now_us = next.at_us;
-			next.run();
+			after(after_us, [this] { attempt(random() % nodes.size()); });
+		while (run_next(until_us)) {
 		}
 	}
 	/* Time from the second crash until the last instance knew of it; UINT64_MAX: one never did. */
--- a/tests/pause_model_test.cc
+++ b/tests/pause_model_test.cc
@@ -4,13 +4,14 @@
 
 #include <algorithm>
 #include <functional>
-#include <queue>
 #include <random>
 #include <string>
 #include <vector>
 
 #include <dragonflywharf/engine_choice.h>
 
+#include "support/event_queue.h"
+
 namespace
 {
 
@@ -27,36 +28,25 @@
 /* Arrivals are counted in windows of this length. */
 constexpr uint64_t WINDOW_US = RUN_US / 5;
 
-struct World {
+struct World : support::event_queue {
 	struct engine {
 		uint32_t running = 0;
 		std::vector<uint64_t> queue; /* arrival times of the requests that wait */
 		uint64_t window = 0;
 		uint32_t arrivals = 0; /* in this window */
 	};
-	struct event {
-		uint64_t at_us;
-		uint64_t number;
-		std::function<void()> run;
-		bool operator<(const event &other) const
-		{
-			return at_us != other.at_us ? at_us > other.at_us : number > other.number;
-		}
-	};
 	std::mt19937_64 random;
 	bool heeds;
 	std::vector<dw_engine_set *> instances;
 	std::vector<engine> engines;
-	std::priority_queue<event> events;
-	uint64_t now_us = 100 * SECOND;
-	uint64_t number = 0;
 	int asked = 0;
 	int in_time = 0;
 	int turned_away = 0; /* arrivals that an engine rejected */
 	uint32_t peak = 0; /* arrivals at an engine in one window */
 
 	World(size_t instance_count, size_t engine_count, uint64_t seed, bool heeds_pauses)
-	    : random(seed), heeds(heeds_pauses), instances(instance_count), engines(engine_count)
+	    : event_queue(100 * SECOND), random(seed), heeds(heeds_pauses),
+	      instances(instance_count), engines(engine_count)
 	{
 		for (auto &set : instances) {
 			set = dw_engine_set_new();
@@ -75,10 +65,6 @@
 		for (auto *set : instances)
 			dw_engine_set_free(set);
 	}
-	void at(uint64_t after_us, std::function<void()> run)
-	{
-		events.push({ now_us + after_us, ++number, std::move(run) });
-	}
 	/* One attempt of a request that came at @arrived_us; it has been turned away @rejections times. */
 	void attempt(size_t i, uint64_t arrived_us, uint32_t rejections)
 	{
@@ -92,13 +78,13 @@
 		if (result == DW_CHOICE_PAUSED) {
 			uint64_t end_us = dw_engine_pause_end_us(instances[i], &choice);
 			if (end_us < arrived_us + GOAL_US)
-				at(end_us - now_us, [=] { attempt(i, arrived_us, rejections); });
+				after(end_us - now_us, [=] { attempt(i, arrived_us, rejections); });
 			return;
 		}
 		if (result == DW_CHOICE_FOUND)
 			send(i, chosen.engine, arrived_us, rejections);
 		else if (result == DW_CHOICE_FULL && now_us < arrived_us + GOAL_US / 2)
-			at(POLL_US, [=] { attempt(i, arrived_us, rejections); });
+			after(POLL_US, [=] { attempt(i, arrived_us, rejections); });
 	}
 	void count_arrival(engine &each)
 	{
@@ -117,7 +103,7 @@
 			start(i, to, each, arrived_us);
 		} else if (each.queue.size() < QUEUE) {
 			each.queue.push_back(arrived_us);
-			at(0, [] {});
+			after(0, [] {});
 			waiting.push_back({ i, to });
 		} else {
 			turned_away++;
@@ -126,7 +112,7 @@
 					to, now_us + PAUSE_US + random() % (PAUSE_US / 4), now_us);
 			dw_engine_ended(to, DW_ENGINE_REJECTED, false, now_us);
 			if (rejections + 1 < 3)
-				at(0, [=] { attempt(i, arrived_us, rejections + 1); });
+				after(0, [=] { attempt(i, arrived_us, rejections + 1); });
 		}
 	}
 	struct origin {
@@ -138,7 +124,7 @@
 	void start(size_t i, dw_engine *to, engine &each, uint64_t arrived_us)
 	{
 		each.running++;
-		at(RUN_US, [this, i, to, &each, arrived_us] {
+		after(RUN_US, [this, i, to, &each, arrived_us] {
 			in_time += now_us <= arrived_us + GOAL_US;
 			dw_engine_ended(to, DW_ENGINE_ANSWERED, false, now_us);
 			each.running--;
@@ -167,16 +153,12 @@
 		/* Integers only, for the same arrivals on all machines. */
 		uint64_t gap_ns = RUN_US * 1000 * 100 / (LOAD_PERCENT * engines.size() * SLOTS);
 		for (uint64_t t_ns = 0; t_ns < DAY_US * 1000; t_ns += random() % (2 * gap_ns)) {
-			at(t_ns / 1000, [this] {
+			after(t_ns / 1000, [this] {
 				asked++;
 				attempt(random() % instances.size(), now_us, 0);
 			});
 		}
-		while (!events.empty() && events.top().at_us <= until_us + SECOND) {
-			event first = events.top();
-			events.pop();
-			now_us = first.at_us;
-			first.run();
+		while (run_next(until_us + SECOND)) {
 		}
 	}
 };
--- a/tests/version_shift_test.cc
+++ b/tests/version_shift_test.cc
@@ -5,7 +5,6 @@
 #include <cstdio>
 #include <cstring>
 #include <functional>
-#include <queue>
 #include <random>
 #include <string>
 #include <vector>
@@ -13,6 +12,8 @@
 #include <dragonflywharf/store_revision.h>
 #include <dragonflywharf/version_shift.h>
 
+#include "support/event_queue.h"
+
 namespace
 {
 
@@ -404,7 +405,7 @@
 
 /* A model of a rollout: instances that run the library's decisions under traffic, with restarts in the
  * middle and evidence that is late or lost. */
-struct Rollout {
+struct Rollout : support::event_queue {
 	struct settings {
 		int instances = 9;
 		int requests = 1000; /* within the time limit */
@@ -414,15 +415,6 @@
 		double lost = 0; /* part of the evidence */
 		uint64_t delay_us = 500 * MS; /* of records between instances */
 	};
-	struct event {
-		uint64_t at_us;
-		uint64_t number;
-		std::function<void()> run;
-		bool operator<(const event &other) const
-		{
-			return at_us != other.at_us ? at_us > other.at_us : number > other.number;
-		}
-	};
 	struct node {
 		dw_shift shift{};
 		uint64_t run = 0;
@@ -437,15 +429,13 @@
 	std::mt19937_64 random;
 	std::vector<node> nodes;
 	std::vector<dw_shift_evidence> stored;
-	std::priority_queue<event> events;
-	uint64_t now_us = START;
-	uint64_t number = 0;
 	dw_shift_state outcome = DW_SHIFT_RUNNING;
 	int sent_new = 0;
 	int sent_all = 0;
 
 	Rollout(const settings &s, uint64_t seed)
-	    : how(s), random(seed), nodes((size_t)s.instances), stored((size_t)s.instances)
+	    : event_queue(START), how(s), random(seed), nodes((size_t)s.instances),
+	      stored((size_t)s.instances)
 	{
 		for (size_t i = 0; i < nodes.size(); i++) {
 			start(i, START);
@@ -464,19 +454,9 @@
 			});
 		for (int i = 0; i < how.requests; i++)
 			at(START + random() % LIMIT, [this] { request(); });
-		while (!events.empty()) {
-			event next = events.top();
-			events.pop();
-			now_us = next.at_us;
-			if (now_us > START + LIMIT)
-				break;
-			next.run();
+		while (run_next(START + LIMIT)) {
 		}
 	}
-	void at(uint64_t at_us, std::function<void()> run)
-	{
-		events.push({ at_us, ++number, std::move(run) });
-	}
 	void start(size_t i, uint64_t start_us)
 	{
 		dw_shift_order order{};
@@ -634,7 +614,7 @@
 
 /* A model of a rollout under load: engines whose answers take longer the more requests they run, instances that
  * follow the write rules of the gateway's records, evidence that is late or lost, restarts in the load test. */
-struct LoadedRollout {
+struct LoadedRollout : support::event_queue {
 	struct settings {
 		int instances = 8;
 		int engines = 12; /* of each version */
@@ -650,15 +630,6 @@
 		double restarted = 0; /* part of the instances, within the load test */
 		double slower = 1; /* new engines, whose caches are empty */
 	};
-	struct event {
-		uint64_t at_us;
-		uint64_t number;
-		std::function<void()> run;
-		bool operator<(const event &other) const
-		{
-			return at_us != other.at_us ? at_us > other.at_us : number > other.number;
-		}
-	};
 	struct node {
 		dw_shift shift{};
 		int run = 0;
@@ -676,9 +647,6 @@
 	std::vector<node> nodes;
 	std::vector<dw_shift_evidence> stored;
 	std::vector<uint32_t> running[DW_SHIFT_SIDE_COUNT];
-	std::priority_queue<event> events;
-	uint64_t now_us = START;
-	uint64_t number = 0;
 	dw_shift_state outcome = DW_SHIFT_RUNNING;
 	uint64_t ended_at_us = 0;
 	int sent_new = 0;
@@ -687,7 +655,8 @@
 	int writes = 0;
 
 	LoadedRollout(const settings &s, uint64_t seed)
-	    : how(s), random(seed), nodes((size_t)s.instances), stored((size_t)s.instances)
+	    : event_queue(START), how(s), random(seed), nodes((size_t)s.instances),
+	      stored((size_t)s.instances)
 	{
 		for (auto &side : running)
 			side.resize((size_t)how.engines);
@@ -706,21 +675,13 @@
 			uint64_t when_us = START + random() % how.limit_us;
 			at(when_us, [this] { request(); });
 		}
-		while (!events.empty() && now_us <= START + how.limit_us) {
-			event next = events.top();
-			events.pop();
-			now_us = next.at_us;
-			next.run();
+		while (now_us <= START + how.limit_us && run_next(UINT64_MAX)) {
 		}
 	}
 	double unit()
 	{
 		return (double)(random() >> 11) / (double)(UINT64_C(1) << 53);
 	}
-	void at(uint64_t at_us, std::function<void()> run)
-	{
-		events.push({ at_us, ++number, std::move(run) });
-	}
 	void start(size_t i)
 	{
 		dw_shift_order order{};
--- a/tests/view_spread_test.cc
+++ b/tests/view_spread_test.cc
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <functional>
-#include <queue>
 #include <random>
 #include <vector>
 
@@ -12,6 +11,8 @@
 #include <dragonflywharf/rendezvous.h>
 #include <dragonflywharf/view_source.h>
 
+#include "support/event_queue.h"
+
 namespace
 {
 
@@ -24,7 +25,7 @@
 constexpr uint64_t CONTACT_US = 5 * SECOND;
 constexpr uint64_t REVOCATION_US = 5 * SECOND;
 
-struct Fleet {
+struct Fleet : support::event_queue {
 	struct node {
 		dw_view_source source{};
 		uint64_t clock_offset_us = 0; /* clocks count from each machine's own start */
@@ -44,22 +45,11 @@
 		std::vector<std::function<void()>> waiting; /* messages that arrived in a pause */
 		std::vector<std::function<bool(bool)>> held; /* requests of others */
 	};
-	struct event {
-		uint64_t at_us;
-		uint64_t number;
-		std::function<void()> run;
-		bool operator<(const event &other) const
-		{
-			return at_us != other.at_us ? at_us > other.at_us : number > other.number;
-		}
-	};
 
 	std::mt19937_64 random;
 	std::vector<node> nodes;
 	uint32_t domains;
-	uint64_t now_us = 1000 * SECOND;
-	uint64_t number = 0;
-	std::priority_queue<event> events;
+	uint64_t last_call = 0; /* number of a poll or a request */
 	std::vector<uint64_t> changed_at_us{ 0 }; /* by revision */
 	uint64_t store_revision = 0;
 	bool is_store_up = true;
@@ -72,7 +62,7 @@
 	std::vector<uint32_t> hidden; /* nodes that the members' lists don't contain */
 
 	Fleet(size_t count, uint32_t domain_count, uint64_t seed)
-	    : random(seed), nodes(count), domains(domain_count)
+	    : event_queue(1000 * SECOND), random(seed), nodes(count), domains(domain_count)
 	{
 		change();
 		for (size_t i = 0; i < count; i++)
@@ -87,10 +77,6 @@
 	{
 		return now_us + nodes[i].clock_offset_us;
 	}
-	void at(uint64_t at_us, std::function<void()> run)
-	{
-		events.push({ at_us, ++number, std::move(run) });
-	}
 	void change()
 	{
 		store_revision++;
@@ -175,7 +161,7 @@
 	void poll_store(size_t i)
 	{
 		node &n = nodes[i];
-		uint64_t poll = ++number;
+		uint64_t poll = ++last_call;
 		uint64_t run = n.run;
 		uint64_t sent_us = local_us(i);
 		uint64_t confirmed = n.source.confirmed_at_us[DW_VIEW_FROM_STORE];
@@ -276,7 +262,7 @@
 	{
 		node &n = nodes[i];
 		uint64_t id = dw_view_source_next(&n.source, local_us(i));
-		uint64_t number_of_pull = ++number;
+		uint64_t number_of_pull = ++last_call;
 		uint64_t run = n.run;
 		uint64_t sent_us = local_us(i);
 		if (id == 0)
@@ -397,13 +383,7 @@
 	void run(uint64_t for_us)
 	{
 		uint64_t end_us = now_us + for_us;
-		while (!events.empty() && events.top().at_us <= end_us) {
-			event next = events.top();
-			events.pop();
-			now_us = next.at_us;
-			next.run();
-		}
-		now_us = end_us;
+		run_until(end_us);
 		check_pending();
 	}
 	/* Changes that haven't arrived yet count with the time that they have taken so far. */
