Restore: only an answer that tells of the past is memory

Callers saw: requests to an engine that had left, at an instance that had started shortly before the store came back from an older copy.

Cause: an instance that starts asks for what was deleted (`&with=past`), and for changes in between. Each answer of a source that has memory ended the asking, also one to a question for changes, which tells no deletions. The two differ when the source is told between the two questions, as where several instances start together.

Evidence: ViewRestore.OnlyAnAnswerToTheQuestionTellsWhatWasDeleted was red before: the instance took itself for told and had the engine's entry again after the restore.

Change: an answer says that it has memory only if it was asked for it.

--- a/src/net/view_codec.h
+++ b/src/net/view_codec.h
@@ -8,8 +8,8 @@
  * records, each an array of key, revision and value; in place of the value nil for a deleted key, and
  * for a packed value (value_codec) an array of the revision of its base, 0 without one, and bytes. The fourth
  * field of a record is the revision that it is kept over, as the store has lost it in a restore, or 0; the fifth the last
- * value of a deleted key, or nil. The last field of the answer is 1 if the source knows what instances that run
- * for long know of the past. Revisions hold the store's era.
+ * value of a deleted key, or nil. The last field of the answer is 1 if it tells of the past, and the source knows what
+ * instances that run for long know of it. Revisions hold the store's era.
  *
  * An instance of version 2 would take such a revision for one of the store, so it gets no answer (404); nor does one
  * of version 3, which doesn't know of gaps.
@@ -44,7 +44,8 @@
 	bool has_gap; /**< proofs from gap_from_us to gap_until_us before the answer may lack changes */
 	uint64_t gap_from_us;
 	uint64_t gap_until_us;
-	bool has_memory; /**< the source hasn't just started, or was told by one that hasn't */
+	/** The answer tells of the past, and its source hasn't just started, or was told by one that hasn't. */
+	bool has_memory;
 	/** For view_answer_pack(): also deletions, of whatever revision, since this time; 0: none. */
 	uint64_t deleted_since_us;
 	bool with_kept; /**< for view_answer_pack(): also all kept records and those that replaced some,
--- a/src/wharf-gateway/view_answer.c
+++ b/src/wharf-gateway/view_answer.c
@@ -46,7 +46,9 @@
 		.has_proof = view->confirmed_at_us > 0,
 		.had_outage = view->outage.ended_at_us > 0,
 		.has_gap = view->unheard.until_us > 0,
-		.has_memory = view_restore_has_memory(&view->restore, now_us),
+		/* Only who asked for it has it after this answer. */
+		.has_memory =
+			asked == VIEW_ASK_MEMORY && view_restore_has_memory(&view->restore, now_us),
 		.with_kept = asked != VIEW_ASK_CHANGES ||
 			     dw_revision_era(after) < dw_revision_era(revision),
 		.deleted_since_us = deleted_since_us(asked, now_us),
--- a/tests/view_restore_test.cc
+++ b/tests/view_restore_test.cc
@@ -286,6 +286,35 @@
 	}
 }
 
+/* Guards against an instance that takes itself for told, as the answer to another question came from one that has been told
+ * meanwhile. */
+TEST_F(ViewRestore, OnlyAnAnswerToTheQuestionTellsWhatWasDeleted)
+{
+	store.put("servers/e2", engine(6, 1));
+	copy = store;
+	enter_first_era();
+	store.remove("servers/e2");
+	a.watch(store, "servers/e2", now_us);
+	now_us += 20 * SECOND;
+	Instance d("d");
+	Instance e("e");
+	for (Instance *started : { &d, &e }) {
+		view_restore_init(&started->own.restore, 0, now_us);
+		ASSERT_TRUE(started->read(store, now_us));
+	}
+	ASSERT_EQ(e.ask(d, now_us), Instance::APPLIED);
+	ASSERT_EQ(d.ask(a, now_us), Instance::APPLIED);
+	now_us += SECOND / 10;
+	ASSERT_EQ(e.ask(d, now_us), Instance::APPLIED);
+	EXPECT_TRUE(view_wants_memory(&e.own)) << "it asked for changes only";
+	now_us += SECOND;
+	ASSERT_EQ(e.ask(d, now_us), Instance::APPLIED);
+	EXPECT_FALSE(view_wants_memory(&e.own));
+	store.restore(copy);
+	ASSERT_TRUE(e.read(store, now_us));
+	EXPECT_EQ(e.value("servers/e2"), "");
+}
+
 /* Guards against instances that started together and ask each other without end for what none of them knows. */
 TEST_F(ViewRestore, WhatNobodyRemembersIsNotAskedForWithoutEnd)
 {
