Restore: a removal that the source never kept is given up too

Callers saw: an engine that lives got no requests from some instances until its entry changed, after a restore that had lost its removal.

One that isn't a reader asks its source for kept records for 4 s of that phase, and then ceased. A source that has started since the restore, or never knew the removal, has nothing kept to tell; in the phases before it is asked for all its records for that, but no phase follows the last one.

Evidence: ViewRestore.AnEngineWhoseRemovalTheSourceNeverKeptIsUsedToo was red before: 16 s after the restore the engine was still out.

Change: while it keeps removals in the last phase, an instance asks for all records after these 4 s too, for 4 s at most, so that a removal that nobody gives up costs no more.

--- a/src/wharf-gateway/view_restore.c
+++ b/src/wharf-gateway/view_restore.c
@@ -14,6 +14,8 @@
 #define SETTLED_AFTER_US (6 * DW_US_PER_S)
 /* Other instances settle by then, as they entered the era at most seconds later. */
 #define ASK_KEPT_US (4 * DW_US_PER_S)
+/* Then for all their records, for as long as an instance waits for a source that doesn't answer, or longer. */
+#define ASK_ALL_US (4 * DW_US_PER_S)
 /* Shorter than a request is held in between, so that each second one asks: three levels of the tree within ASK_KEPT_US. */
 #define ASK_PERIOD_US (300 * DW_US_PER_MS)
 
@@ -215,12 +217,17 @@
 }
 
 /* Whether other instances may still keep, or have given up, what this one keeps. Engines and configurations may be kept
- * until they change, so the question for them ends. */
-static bool may_be_told(const struct view_kept *kept, enum dw_restore_phase phase, bool is_late)
+ * until they change, so the question for them ends; that for removals once all records were asked for, as they are given
+ * up in the last phase. */
+static bool may_be_told(const struct view_kept *kept, enum dw_restore_phase phase,
+			uint64_t phase_age_us)
 {
 	if (kept->orders > 0)
 		return true;
-	return phase >= DW_RESTORE_SETTLED && kept->configs + kept->engines > 0 && !is_late;
+	if (kept->removals > 0 && phase == DW_RESTORE_LEASES_ENDED)
+		return phase_age_us < ASK_KEPT_US + ASK_ALL_US;
+	return phase >= DW_RESTORE_SETTLED && kept->configs + kept->engines > 0 &&
+	       phase_age_us < ASK_KEPT_US;
 }
 
 enum view_ask view_restore_ask(struct view_restore *restore, const struct dw_view_log *log,
@@ -228,7 +235,7 @@
 {
 	enum dw_restore_phase phase = view_restore_phase(restore, now_us);
 	struct view_kept kept;
-	bool is_late;
+	uint64_t phase_age_us;
 
 	if (view_restore_is_memory_due(restore, now_us)) {
 		restore->kept_asked_at_us = now_us;
@@ -237,14 +244,14 @@
 	if (!view_restore_is_settling_due(restore, now_us) ||
 	    now_us < restore->kept_asked_at_us + ASK_PERIOD_US)
 		return VIEW_ASK_CHANGES;
-	is_late = now_us >= restore->phase_begin_us[phase] + ASK_KEPT_US;
+	phase_age_us = now_us - restore->phase_begin_us[phase];
 	kept = view_restore_kept(log);
 	restore->kept_asked_at_us = now_us;
-	if (!may_be_told(&kept, phase, is_late))
+	if (!may_be_told(&kept, phase, phase_age_us))
 		view_restore_read(restore, phase);
 	if (!view_restore_awaits_settling(restore))
 		return VIEW_ASK_CHANGES;
-	return is_late ? VIEW_ASK_ALL : VIEW_ASK_KEPT;
+	return phase_age_us >= ASK_KEPT_US ? VIEW_ASK_ALL : VIEW_ASK_KEPT;
 }
 
 struct view_kept view_restore_kept(const struct dw_view_log *log)
@@ -262,6 +269,7 @@
 			break;
 		case DW_RESTORED_ENGINE:
 			kept.engines++;
+			kept.removals += record->deleted;
 			break;
 		case DW_RESTORED_ORDER:
 			kept.orders++;
--- a/src/wharf-gateway/view_restore.h
+++ b/src/wharf-gateway/view_restore.h
@@ -96,6 +96,7 @@
 struct view_kept {
 	uint64_t configs;
 	uint64_t engines;
+	uint64_t removals; /**< of engines; counted in engines too */
 	uint64_t orders;
 };
 
--- a/tests/view_restore_test.cc
+++ b/tests/view_restore_test.cc
@@ -538,6 +538,26 @@
 		EXPECT_EQ(each->value("servers/e1"), engine(5, 9));
 }
 
+/* Guards against the same at an instance whose source has started since and never kept the removal. */
+TEST_F(ViewRestore, AnEngineWhoseRemovalTheSourceNeverKeptIsUsedToo)
+{
+	enter_first_era();
+	store.remove("servers/e1");
+	a.watch(store, "servers/e1", now_us);
+	ASSERT_EQ(b.ask(a, now_us), Instance::APPLIED);
+	store.restore(copy);
+	ASSERT_TRUE(b.read(store, now_us));
+	Instance started("started");
+	ASSERT_TRUE(started.read(store, now_us));
+	EXPECT_EQ(b.value("servers/e1"), "");
+	for (int second = 0; second < 16; second++) {
+		now_us += SECOND;
+		ASSERT_EQ(b.ask(started, now_us), Instance::APPLIED);
+	}
+	EXPECT_EQ(b.value("servers/e1"), engine(5, 9));
+	EXPECT_EQ(::view_ask(&b.own, now_us + SECOND), VIEW_ASK_CHANGES);
+}
+
 /* Guards against a lost evacuation that is obeyed: another instance told of the era before a watch's answer of the
  * one before arrived. */
 TEST_F(ViewRestore, AnEventOfAnEarlierEraThatArrivesLateChangesNothing)
