Restore: a store without eras is asked for no memory

Callers saw: nothing yet. With a store that names no era, instances that start asked the others for deletions, got those of the last 30 s, and asked again three times a second until one had memory. Such a store isn't known to go back, so nothing was to change there.

Evidence: ViewRestore.AStoreWithoutErasNeedsNoMemory was red before, both for the question and for the deletions in the answer.

Change: an instance that has a copy of a store without eras asks for changes only, and a source whose copy has no era tells no deletions.

--- a/src/wharf-gateway/view_answer.c
+++ b/src/wharf-gateway/view_answer.c
@@ -24,9 +24,9 @@
 	}
 }
 
-static uint64_t deleted_since_us(enum view_ask asked, uint64_t now_us)
+static uint64_t deleted_since_us(enum view_ask asked, uint64_t revision, uint64_t now_us)
 {
-	if (asked != VIEW_ASK_MEMORY)
+	if (asked != VIEW_ASK_MEMORY || dw_revision_era(revision) == 0)
 		return 0;
 	return now_us > DELETIONS_TOLD_US ? now_us - DELETIONS_TOLD_US : 1;
 }
@@ -51,7 +51,7 @@
 			asked == VIEW_ASK_MEMORY && view_restore_has_memory(&view->restore, now_us),
 		.with_kept = asked != VIEW_ASK_CHANGES ||
 			     dw_revision_era(after) < dw_revision_era(revision),
-		.deleted_since_us = deleted_since_us(asked, now_us),
+		.deleted_since_us = deleted_since_us(asked, revision, now_us),
 	};
 
 	add_times(&answer, view, now_us);
--- a/src/wharf-gateway/view_restore.c
+++ b/src/wharf-gateway/view_restore.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include <dragonflywharf/restore_rule.h>
+#include <dragonflywharf/store_revision.h>
 
 #include "base/clock.h"
 #include "platform/config_record.h"
@@ -230,6 +231,14 @@
 	       phase_age_us < ASK_KEPT_US;
 }
 
+/* A store without eras isn't known to go back. Without a copy it isn't known yet whether it has eras. */
+static bool may_store_go_back(const struct dw_view_log *log)
+{
+	uint64_t revision = dw_view_log_revision(log);
+
+	return revision == 0 || dw_revision_era(revision) > 0;
+}
+
 enum view_ask view_restore_ask(struct view_restore *restore, const struct dw_view_log *log,
 			       uint64_t now_us)
 {
@@ -237,7 +246,7 @@
 	struct view_kept kept;
 	uint64_t phase_age_us;
 
-	if (view_restore_is_memory_due(restore, now_us)) {
+	if (may_store_go_back(log) && view_restore_is_memory_due(restore, now_us)) {
 		restore->kept_asked_at_us = now_us;
 		return VIEW_ASK_MEMORY;
 	}
--- a/tests/view_restore_test.cc
+++ b/tests/view_restore_test.cc
@@ -315,6 +315,22 @@
 	EXPECT_EQ(e.value("servers/e2"), "");
 }
 
+/* Guards against questions and deletions that a store without eras gives no use for: it never goes back. */
+TEST_F(ViewRestore, AStoreWithoutErasNeedsNoMemory)
+{
+	store.era = 0;
+	enter_first_era();
+	store.remove("servers/e1");
+	a.watch(store, "servers/e1", now_us);
+	Instance d("d");
+	ASSERT_TRUE(d.read(store, now_us));
+	EXPECT_FALSE(view_wants_memory(&d.own));
+	EXPECT_EQ(::view_ask(&d.own, now_us), VIEW_ASK_CHANGES);
+	Instance e("e");
+	ASSERT_EQ(e.ask(a, now_us), Instance::APPLIED);
+	EXPECT_EQ(dw_view_log_find(e.own.records, "servers/e1"), nullptr);
+}
+
 /* Guards against instances that started together and ask each other without end for what none of them knows. */
 TEST_F(ViewRestore, WhatNobodyRemembersIsNotAskedForWithoutEnd)
 {
