View: an instance without a proof asks its source, not the eldest

Callers saw: after a start of the whole fleet some instances were ready later than before, by the model.

Cause: each instance reads a copy of the store as it starts, which proves nothing, and knows from it that the store has eras. From then on it asked the members that had run for the longest in place of its source, as it wanted to know what was deleted. If all start at once, these have no proof either and hold the request for 0.8 s, while its source gets one from the readers.

The model answered a question for more than changes at once; it now does so only if the instance has a proof, as view_server does. That is stricter, and the first play, without it, hid the fault.

Change: elders are asked once there is a proof.

--- a/src/wharf-gateway/view_sync.c
+++ b/src/wharf-gateway/view_sync.c
@@ -224,15 +224,15 @@
 	send_request(sync, &address);
 }
 
-/* An instance that has started asks the one that has run for the longest what it knows of the past, then the next one:
- * its own source may have started as late. */
+/* An instance that has started asks its source what it knows of the past. If that may have started as late, it asks the one
+ * that has run for the longest, then the next one. */
 static uint64_t next_source(struct view_sync *sync, uint64_t now_us)
 {
 	struct view *view = sync->view;
 	uint64_t elder = 0;
 
 	view->source.wants_memory = view_wants_memory(view);
-	if (view->source.wants_memory && view_restore_is_memory_due(&view->restore, now_us))
+	if (view_asks_elder(view, now_us))
 		elder = peers_elder(&view->peers, sync->elders_asked);
 	if (elder == 0)
 		return dw_view_source_next(&view->source, now_us);
--- a/tests/restore_spread_test.cc
+++ b/tests/restore_spread_test.cc
@@ -148,6 +148,10 @@
 	/* view_sync */
 	uint64_t pull = 0;
 	uint64_t requested_at_us = 0;
+	uint32_t elders_asked = 0;
+	uint64_t started_us = 0;
+	uint64_t ready_us = 0;
+	bool is_copy_pending = false;
 	/* records of the system */
 	uint64_t written_era = 0;
 	std::vector<uint64_t> due_us;
@@ -177,7 +181,10 @@
 		client = {};
 		is_active = is_history_lost = is_calling = false;
 		next_call_us = failures = stale_in_a_row = 0;
-		pull = requested_at_us = written_era = entered_us = 0;
+		pull = requested_at_us = written_era = entered_us = ready_us = 0;
+		elders_asked = 0;
+		started_us = now_us;
+		is_copy_pending = false;
 		due_us.clear();
 		held.clear();
 	}
@@ -225,6 +232,8 @@
 	uint64_t messages = 0;
 	uint64_t bytes = 0;
 	uint64_t loss_permille = 0;
+	bool has_copy = false; /* an instance that starts reads a copy that proves nothing */
+	bool has_elders = false; /* and asks elders */
 
 	Fleet(size_t count, size_t record_count, uint64_t seed, bool naive)
 	    : random(seed), is_naive(naive), own_records(record_count)
@@ -272,9 +281,38 @@
 			dw_view_place_find(members.data(), (uint32_t)members.size(), ids[i],
 					   &place);
 			dw_view_source_place(&n.own.source, &place);
+			if (has_copy)
+				read_copy(i);
 			tick(i);
 		});
 	}
+	/* What an instance that starts reads at once; it proves nothing. */
+	void read_copy(size_t i)
+	{
+		nodes[i]->is_copy_pending = true;
+		later(i, STORE_US + ANSWER_US, [this](Node &n) {
+			n.is_copy_pending = false;
+			if (n.revision() == 0)
+				apply_entries(n, store);
+		});
+	}
+	/* As view_sync and peers choose it; 0: its source. */
+	uint64_t elder_of(size_t i)
+	{
+		std::vector<size_t> others;
+		if (!has_elders || !view_asks_elder(&nodes[i]->own, now_us))
+			return 0;
+		for (size_t k = 0; k < nodes.size(); k++) {
+			if (k != i && nodes[k]->is_up)
+				others.push_back(k);
+		}
+		if (others.empty())
+			return 0;
+		std::sort(others.begin(), others.end(), [this](size_t a, size_t b) {
+			return nodes[a]->started_us < nodes[b]->started_us;
+		});
+		return ids[others[nodes[i]->elders_asked++ % others.size()]];
+	}
 	void tick(size_t i)
 	{
 		Node &n = *nodes[i];
@@ -354,7 +392,7 @@
 			});
 		});
 	}
-	void apply_all(Node &n, const Store &state, uint64_t sent_us, uint64_t known_before)
+	void apply_entries(Node &n, const Store &state) const
 	{
 		std::vector<dw_store_entry> entries;
 		for (const auto &[key, item] : state.items) {
@@ -366,10 +404,13 @@
 				dw_revision_make(state.era, item.number);
 			entries.push_back(entry);
 		}
+		view_apply_all(&n.own, entries.data(), entries.size(), state.revision(), now_us);
+	}
+	void apply_all(Node &n, const Store &state, uint64_t sent_us, uint64_t known_before)
+	{
 		view_store_answered(&n.own, now_us);
 		if (view_accepts_reading(&n.own, state.revision(), known_before, now_us)) {
-			view_apply_all(&n.own, entries.data(), entries.size(), state.revision(),
-				       now_us);
+			apply_entries(n, state);
 			view_store_current(&n.own, state.revision(), sent_us, now_us);
 			applied(n);
 		}
@@ -468,6 +509,8 @@
 	/* The copy is current: those that wait get their answers. */
 	void applied(Node &n)
 	{
+		if (n.ready_us == 0 && view_catalog(&n.own))
+			n.ready_us = now_us;
 		if (n.entered_us == 0 && dw_revision_era(n.revision()) == store.era)
 			n.entered_us = now_us;
 		answer_held(n);
@@ -491,10 +534,15 @@
 	{
 		Node &n = *nodes[i];
 		if (n.pull > 0 || now_us < n.requested_at_us + 10 * MS ||
+		    (n.is_copy_pending && now_us < n.started_us + SECOND) ||
 		    dw_view_source_waits_for_store(&n.own.source, now_us))
 			return;
 		n.own.source.wants_memory = view_wants_memory(&n.own);
-		uint64_t id = dw_view_source_next(&n.own.source, now_us);
+		uint64_t id = elder_of(i);
+		if (id > 0)
+			n.own.source.asked = id;
+		else
+			id = dw_view_source_next(&n.own.source, now_us);
 		if (id == 0)
 			return;
 		size_t from = (size_t)(std::find(ids.begin(), ids.end(), id) - ids.begin());
@@ -525,7 +573,8 @@
 		uint64_t known = nodes[from]->own.confirmed_at_us;
 		auto answer = [=, this](bool) {
 			Node &n = *nodes[from];
-			bool has_news = n.revision() > after || asked != VIEW_ASK_CHANGES ||
+			bool has_news = n.revision() > after ||
+					(asked != VIEW_ASK_CHANGES && n.own.confirmed_at_us > 0) ||
 					n.own.confirmed_at_us > known ||
 					now_us >= arrived_us + n.own.source.timing.hold_us;
 			bool asks_store = view_answer_is_in_store(&n.own, after);
@@ -895,6 +944,43 @@
 	}
 }
 
+/* Guards against a fleet that serves later when all start at once: instances that have a copy without a proof wait for
+ * others that have none either. */
+TEST_P(RestoreSpread, WhoAsksEldersIsReadyAsSoon)
+{
+	for (uint64_t seed = 1; seed <= 3; seed++) {
+		uint64_t last_ms[2];
+		uint64_t mean_ms[2];
+		for (bool has_elders : { false, true }) {
+			Fleet fleet(GetParam(), 0, seed, false);
+			uint64_t sum_us = 0;
+			uint64_t last_us = 0;
+			fleet.has_copy = true;
+			fleet.has_elders = has_elders;
+			fleet.store.items["wharf/era"] = { 5, R"({"era":1,"config":7})" };
+			fleet.run(10 * SECOND);
+			for (const auto &n : fleet.nodes) {
+				ASSERT_GT(n->ready_us, 0U) << "seed " << seed;
+				sum_us += n->ready_us - n->started_us;
+				last_us = std::max(last_us, n->ready_us - n->started_us);
+			}
+			last_ms[has_elders] = last_us / MS;
+			mean_ms[has_elders] = sum_us / GetParam() / MS;
+			printf("%4zu instances, seed %llu, %s: ready after %llu ms, on average "
+			       "%llu ms, reads %llu, messages %llu, %llu KB\n",
+			       GetParam(), (unsigned long long)seed,
+			       has_elders ? "elders" : "sources only",
+			       (unsigned long long)last_ms[has_elders],
+			       (unsigned long long)mean_ms[has_elders],
+			       (unsigned long long)fleet.reads.total,
+			       (unsigned long long)fleet.messages,
+			       (unsigned long long)fleet.bytes / 1024);
+		}
+		EXPECT_LE(last_ms[true], last_ms[false] + 100) << "seed " << seed;
+		EXPECT_LE(mean_ms[true], mean_ms[false] + 100) << "seed " << seed;
+	}
+}
+
 INSTANTIATE_TEST_SUITE_P(Sizes, RestoreSpread, testing::Values(10, 100, 300));
 
 } // namespace
