View: questions for memory are paced, and end when nobody is there

Callers saw: nothing. An instance that was left alone asked its seeds without end, 20 times a second, and wrote a line (`view.source_failed`) for each. The same held for readers whose others don't answer, such as those of an earlier version (404), and instances that read the store for want of an answer never asked their own source again.

Cause: asking ended with an answer only, and was paced only after the first one.

Change: an instance that has a proof waits 0.3 s between two of these questions, whether or not they are answered, and follows its source in between. Seeds are asked until it has run for as long as an instance needs to have seen itself what others remember. Members are asked on.

The cases of other readers and of earlier versions: by reading.

--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -813,10 +813,15 @@
 	       dw_revision_era(dw_view_log_revision(view->records)) > 0;
 }
 
+bool view_asks_memory(const struct view *view, uint64_t now_us)
+{
+	return view_wants_memory(view) &&
+	       (view->confirmed_at_us == 0 || view_restore_may_ask_again(&view->restore, now_us));
+}
+
 bool view_asks_elder(const struct view *view, uint64_t now_us)
 {
-	return view->confirmed_at_us > 0 && view_wants_memory(view) &&
-	       view_restore_is_memory_due(&view->restore, now_us);
+	return view->confirmed_at_us > 0 && view_asks_memory(view, now_us);
 }
 
 enum view_ask view_ask(struct view *view, uint64_t now_us)
--- a/src/wharf-gateway/view.h
+++ b/src/wharf-gateway/view.h
@@ -146,6 +146,8 @@
 
 /** Whether this instance, which has started since, must ask another one what the store lost. */
 bool view_wants_memory(const struct view *view);
+/** Whether to ask another instance for that now. One that has a proof waits in between, whether or not others answer. */
+bool view_asks_memory(const struct view *view, uint64_t now_us);
 /** Whether to ask the instances that have run for the longest, instead of the usual source: that gives the first proof. */
 bool view_asks_elder(const struct view *view, uint64_t now_us);
 
--- a/src/wharf-gateway/view_restore.c
+++ b/src/wharf-gateway/view_restore.c
@@ -54,10 +54,15 @@
 	restore->memory_due_us = now_us + MEMORY_AFTER_US;
 }
 
+bool view_restore_may_ask_again(const struct view_restore *restore, uint64_t now_us)
+{
+	return now_us >= restore->kept_asked_at_us + ASK_PERIOD_US;
+}
+
 bool view_restore_is_memory_due(const struct view_restore *restore, uint64_t now_us)
 {
 	return restore->lacks_memory &&
-	       (!restore->was_told || now_us >= restore->kept_asked_at_us + ASK_PERIOD_US);
+	       (!restore->was_told || view_restore_may_ask_again(restore, now_us));
 }
 
 void view_restore_told(struct view_restore *restore, bool has_memory, uint64_t now_us)
@@ -251,7 +256,7 @@
 		return VIEW_ASK_MEMORY;
 	}
 	if (!view_restore_is_settling_due(restore, now_us) ||
-	    now_us < restore->kept_asked_at_us + ASK_PERIOD_US)
+	    !view_restore_may_ask_again(restore, now_us))
 		return VIEW_ASK_CHANGES;
 	phase_age_us = now_us - restore->phase_begin_us[phase];
 	kept = view_restore_kept(log);
--- a/src/wharf-gateway/view_restore.h
+++ b/src/wharf-gateway/view_restore.h
@@ -78,6 +78,8 @@
 
 /** This instance starts. */
 void view_restore_init(struct view_restore *restore, uint64_t engine_lease_us, uint64_t now_us);
+/** Whether some time has passed since it last asked others for more than changes. */
+bool view_restore_may_ask_again(const struct view_restore *restore, uint64_t now_us);
 /** Whether to ask another instance for what it knows of the past. */
 bool view_restore_is_memory_due(const struct view_restore *restore, uint64_t now_us);
 /** Another instance has told it what it asked for. */
--- a/src/wharf-gateway/view_sync.c
+++ b/src/wharf-gateway/view_sync.c
@@ -211,14 +211,22 @@
 		fail_request(sync, "no connection");
 }
 
+/* After some time alone it has seen itself what others could tell. */
+static bool needs_seed(const struct view *view)
+{
+	if (view->confirmed_at_us == 0)
+		return true;
+	return view->source.wants_memory &&
+	       !view_restore_has_memory(&view->restore, dw_clock_now_us());
+}
+
 /* An instance that has just started knows no other one, but where some should be. */
 static void ask_seed(struct view_sync *sync)
 {
 	uint32_t count = peers_seed_count(&sync->view->peers);
 	struct dw_endpoint address;
 
-	if ((sync->view->confirmed_at_us > 0 && !sync->view->source.wants_memory) ||
-	    sync->view->source.place.members > 1 || count == 0)
+	if (!needs_seed(sync->view) || sync->view->source.place.members > 1 || count == 0)
 		return;
 	address = peers_seed(&sync->view->peers, sync->next_seed++ % count);
 	send_request(sync, &address);
@@ -231,7 +239,7 @@
 	struct view *view = sync->view;
 	uint64_t elder = 0;
 
-	view->source.wants_memory = view_wants_memory(view);
+	view->source.wants_memory = view_asks_memory(view, now_us);
 	if (view_asks_elder(view, now_us))
 		elder = peers_elder(&view->peers, sync->elders_asked);
 	if (elder == 0)
--- a/tests/process_store_restore_faults_test.cc
+++ b/tests/process_store_restore_faults_test.cc
@@ -147,6 +147,21 @@
 	EXPECT_EQ(instances[0].metric("store_era"), 1);
 }
 
+/* Guards against an instance that never ceases to ask others that aren't there what they remember, and to log that they fail:
+ * the last one of its fleet has started again. */
+TEST_F(RestoreFaults, AnInstanceThatIsLeftAloneCeasesToAskForMemory)
+{
+	start();
+	for (auto &each : instances)
+		each.gateway->kill();
+	launch(0);
+	EXPECT_TRUE(wait_until([&] { return instances[0].metric("config_version") == version; }));
+	sleep_ms(5000);
+	int64_t before = instances[0].metric("view_requests");
+	sleep_ms(3000);
+	EXPECT_EQ(instances[0].metric("view_requests") - before, 0);
+}
+
 /* Guards against an instance that is cut off from the store while the others change era: it must follow them, and must
  * not bring back the era before once it reaches the store again. */
 TEST_F(RestoreFaults, AnInstanceThatIsCutOffMeanwhileFollowsTheOthers)
--- a/tests/restore_spread_test.cc
+++ b/tests/restore_spread_test.cc
@@ -537,7 +537,7 @@
 		    (n.is_copy_pending && now_us < n.started_us + SECOND) ||
 		    dw_view_source_waits_for_store(&n.own.source, now_us))
 			return;
-		n.own.source.wants_memory = view_wants_memory(&n.own);
+		n.own.source.wants_memory = view_asks_memory(&n.own, now_us);
 		uint64_t id = elder_of(i);
 		if (id > 0)
 			n.own.source.asked = id;
