Peers: the search for an elder doesn't grow with the questions

Callers saw: nothing yet; by reading, an instance whose others never answer its questions for memory (as those of an earlier version don't) would have answered ever later.

Cause: the number of questions asked so far was the number of members walked, with a search among all of them for each. Nothing but an answer ended the asking. Reckoned: at 300 members and 20 questions a second, 72 million steps for each second of the loop after 10 minutes.

Change: the number counts round among the members that there are.

--- a/src/wharf-gateway/peers.c
+++ b/src/wharf-gateway/peers.c
@@ -409,6 +409,20 @@
 	return true;
 }
 
+static bool is_other(const struct peers *peers, const struct dw_member *member)
+{
+	return takes_part(member) && member->key.instance_id != peers->instance_id;
+}
+
+static uint32_t count_others(const struct peers *peers)
+{
+	uint32_t count = 0;
+
+	for (size_t i = 0; i < dw_membership_count(peers->membership); i++)
+		count += is_other(peers, dw_membership_at(peers->membership, i));
+	return count;
+}
+
 static bool is_elder(const struct dw_member *member, const struct dw_member *other)
 {
 	if (member->key.incarnation != other->key.incarnation)
@@ -424,8 +438,8 @@
 	for (size_t i = 0; i < dw_membership_count(peers->membership); i++) {
 		const struct dw_member *member = dw_membership_at(peers->membership, i);
 
-		if (takes_part(member) && member->key.instance_id != peers->instance_id &&
-		    (!after || is_elder(after, member)) && (!eldest || is_elder(member, eldest)))
+		if (is_other(peers, member) && (!after || is_elder(after, member)) &&
+		    (!eldest || is_elder(member, eldest)))
 			eldest = member;
 	}
 	return eldest;
@@ -433,18 +447,13 @@
 
 uint64_t peers_elder(const struct peers *peers, uint32_t index)
 {
+	uint32_t count = peers->membership ? count_others(peers) : 0;
 	const struct dw_member *member = NULL;
 
-	if (!peers->membership)
+	if (count == 0)
 		return 0;
-	for (uint32_t i = 0; i <= index; i++) {
+	for (uint32_t i = 0; i <= index % count; i++)
 		member = next_elder(peers, member);
-		if (!member && i == 0)
-			return 0;
-		/* From the eldest one again, if there are fewer. */
-		if (!member)
-			member = next_elder(peers, NULL);
-	}
 	return member->key.instance_id;
 }
 
--- a/src/wharf-gateway/peers.h
+++ b/src/wharf-gateway/peers.h
@@ -78,7 +78,9 @@
 /** The peer address of a member; false if it isn't known or dead. */
 bool peers_find(const struct peers *peers, uint64_t instance_id, struct dw_endpoint *address);
 
-/** The other member that has run for the longest, or the one after @p index of these; 0 if there are none. */
+/**
+ * The other member that has run for the longest, or the one after @p index of these, from the first one again
+ * if they are fewer; 0 if there are none. */
 uint64_t peers_elder(const struct peers *peers, uint32_t index);
 
 /** Sends a digest to a member. */
