Tests: memory of deletions outlives a rolling restart

Guards a property that no test showed: all instances start again one after the other between a removal and the restore, and the last one still keeps the engine out. Green on the code as it is, 5 restarts 2 s apart; no fault was found here.

--- a/tests/view_restore_test.cc
+++ b/tests/view_restore_test.cc
@@ -331,6 +331,34 @@
 	EXPECT_EQ(dw_view_log_find(e.own.records, "servers/e1"), nullptr);
 }
 
+/* Guards against a memory that ends with its process: all instances start again, one after the other, between a removal and
+ * the restore. */
+TEST_F(ViewRestore, MemoryOutlivesARollingRestart)
+{
+	std::vector<std::unique_ptr<Instance>> started;
+	const Instance *source = &a;
+	store.put("servers/e2", engine(6, 1));
+	copy = store;
+	enter_first_era();
+	now_us += 20 * SECOND;
+	store.remove("servers/e2");
+	a.watch(store, "servers/e2", now_us);
+	for (int i = 0; i < 5; i++) {
+		now_us += 2 * SECOND;
+		started.push_back(std::make_unique<Instance>("started"));
+		Instance &each = *started.back();
+		view_restore_init(&each.own.restore, 0, now_us);
+		ASSERT_TRUE(each.read(store, now_us));
+		ASSERT_EQ(each.ask(*source, now_us), Instance::APPLIED);
+		EXPECT_FALSE(view_wants_memory(&each.own));
+		source = &each;
+	}
+	store.restore(copy);
+	Instance &last = *started.back();
+	ASSERT_TRUE(last.read(store, now_us));
+	EXPECT_EQ(last.value("servers/e2"), "");
+}
+
 /* Guards against instances that started together and ask each other without end for what none of them knows. */
 TEST_F(ViewRestore, WhatNobodyRemembersIsNotAskedForWithoutEnd)
 {
