Restore: a deletion that is passed on keeps its age

Callers saw: nothing. While instances start one after the other, as in a rolling restart, answers to those that start grew with all that had been deleted since the first of them, where only the last 30 s are meant.

Cause: an instance that is told of a deletion dated it by the answer's arrival, and told it for 30 s again.

Evidence: ViewRestore.ADeletionThatIsPassedOnGrowsOld was red before.

--- a/include/dragonflywharf/view_log.h
+++ b/include/dragonflywharf/view_log.h
@@ -27,7 +27,9 @@
 	bool deleted;
 	const uint8_t *last_value; /**< of a deleted key, if it is small; NULL: not known */
 	size_t last_len;
-	uint64_t updated_at_us; /**< in a log: when it took the record in */
+	uint64_t
+		updated_at_us; /**< in a log: when it took the record in; of a deletion that it was told: when that was */
+	uint64_t deleted_for_us; /**< of a deleted key that is passed on; 0: in a log */
 	const uint8_t *packed; /**< the value as it is passed on if it is large; NULL: as it is */
 	size_t packed_len;
 	uint64_t base_revision; /**< revision of the value that packed refers to; 0: none */
@@ -114,10 +116,10 @@
 bool dw_view_log_is_listed(const struct dw_view_log *log, const struct dw_view_record *record);
 /**
  * Notes the deletion of a key that the log doesn't know, as another instance tells it: the store may come back from a
- * copy that has the key. It is no change.
+ * copy that has the key. It is no change. @p deleted_at_us: when the key was.
  */
 void dw_view_log_tell_deleted(struct dw_view_log *log, const struct dw_view_record *record,
-			      uint64_t now_us);
+			      uint64_t deleted_at_us);
 /** Number of records that are kept. */
 size_t dw_view_log_kept_count(const struct dw_view_log *log);
 /** Forgets deleted keys that were deleted before @p before_us, unless they are kept. */
--- a/src/core/view_log.c
+++ b/src/core/view_log.c
@@ -247,10 +247,10 @@
 }
 
 void dw_view_log_tell_deleted(struct dw_view_log *log, const struct dw_view_record *record,
-			      uint64_t now_us)
+			      uint64_t deleted_at_us)
 {
 	if (!find_entry(log, record->key))
-		dw_view_log_put(log, record, now_us);
+		dw_view_log_put(log, record, deleted_at_us);
 }
 
 const struct dw_view_record *dw_view_log_find(const struct dw_view_log *log, const char *key)
--- a/src/net/view_codec.c
+++ b/src/net/view_codec.c
@@ -33,6 +33,7 @@
 	RECORD_VALUE,
 	RECORD_KEPT_OVER,
 	RECORD_LAST_VALUE,
+	RECORD_DELETED_FOR,
 	RECORD_FIELD_COUNT
 };
 enum packed_field { PACKED_BASE, PACKED_BYTES, PACKED_FIELD_COUNT };
@@ -84,7 +85,14 @@
 	pack_bytes(packer, record->packed, record->packed_len);
 }
 
-static void pack_record(msgpack_packer *packer, const struct dw_view_record *record, uint64_t after)
+static uint64_t deleted_for_us(const struct dw_view_record *record, uint64_t now_us)
+{
+	return record->deleted && now_us > record->updated_at_us ? now_us - record->updated_at_us
+								 : 0;
+}
+
+static void pack_record(msgpack_packer *packer, const struct dw_view_record *record, uint64_t after,
+			uint64_t now_us)
 {
 	msgpack_pack_array(packer, RECORD_FIELD_COUNT);
 	dw_msgpack_pack_string(packer, record->key);
@@ -95,6 +103,7 @@
 		pack_bytes(packer, record->last_value, record->last_len);
 	else
 		msgpack_pack_nil(packer);
+	msgpack_pack_uint64(packer, deleted_for_us(record, now_us));
 }
 
 static void pack_optional(msgpack_packer *packer, bool is_set, uint64_t value)
@@ -128,7 +137,7 @@
 	msgpack_pack_array(packer, count);
 	while ((record = dw_view_log_next(log, record))) {
 		if (is_included(record, answer, after))
-			pack_record(packer, record, known);
+			pack_record(packer, record, known, answer->now_us);
 	}
 	msgpack_pack_uint8(packer, answer->has_memory);
 }
@@ -185,7 +194,8 @@
 	    fields[RECORD_KEY].via.str.size == 0 ||
 	    memchr(fields[RECORD_KEY].via.str.ptr, '\0', fields[RECORD_KEY].via.str.size) ||
 	    !dw_msgpack_read_uint(&fields[RECORD_REVISION], UINT64_MAX, &out->revision) ||
-	    !dw_msgpack_read_uint(&fields[RECORD_KEPT_OVER], UINT64_MAX, &out->kept_over))
+	    !dw_msgpack_read_uint(&fields[RECORD_KEPT_OVER], UINT64_MAX, &out->kept_over) ||
+	    !dw_msgpack_read_uint(&fields[RECORD_DELETED_FOR], UINT64_MAX, &out->deleted_for_us))
 		return false;
 	out->key = copy_text(text, fields[RECORD_KEY].via.str.ptr, fields[RECORD_KEY].via.str.size);
 	value = &fields[RECORD_VALUE];
--- a/src/net/view_codec.h
+++ b/src/net/view_codec.h
@@ -8,7 +8,7 @@
  * records, each an array of key, revision and value; in place of the value nil for a deleted key, and
  * for a packed value (value_codec) an array of the revision of its base, 0 without one, and bytes. The fourth
  * field of a record is the revision that it is kept over, as the store has lost it in a restore, or 0; the fifth the last
- * value of a deleted key, or nil. The last field of the answer is 1 if it tells of the past, and the source knows what
+ * value of a deleted key, or nil, and the sixth for how long it has been deleted. The last field of the answer is 1 if it tells of the past, and the source knows what
  * instances that run for long know of it. Revisions hold the store's era.
  *
  * An instance of version 2 would take such a revision for one of the store, so it gets no answer (404); nor does one
@@ -46,6 +46,7 @@
 	uint64_t gap_until_us;
 	/** The answer tells of the past, and its source hasn't just started, or was told by one that hasn't. */
 	bool has_memory;
+	uint64_t now_us; /**< for view_answer_pack(): when the answer is made */
 	/** For view_answer_pack(): also deletions, of whatever revision, since this time; 0: none. */
 	uint64_t deleted_since_us;
 	bool with_kept; /**< for view_answer_pack(): also all kept records and those that replaced some,
--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -61,6 +61,11 @@
 	dw_catalog_release(view->catalog);
 }
 
+static uint64_t min_u64(uint64_t a, uint64_t b)
+{
+	return a < b ? a : b;
+}
+
 static uint64_t max_u64(uint64_t a, uint64_t b)
 {
 	return a > b ? a : b;
@@ -573,7 +578,8 @@
 	const char *name;
 
 	if (is_past_deletion(view, is_snapshot, known, &record)) {
-		dw_view_log_tell_deleted(view->records, &record, now_us);
+		dw_view_log_tell_deleted(view->records, &record,
+					 now_us - min_u64(record.deleted_for_us, now_us));
 		return true;
 	}
 	if (is_gone_since(view, snapshot, known, &record))
--- a/src/wharf-gateway/view_answer.c
+++ b/src/wharf-gateway/view_answer.c
@@ -42,6 +42,7 @@
 		/* Without a copy there is nothing to tell, above all not that no key exists. */
 		.is_snapshot = revision > 0 && !dw_view_log_covers(view->records, after),
 		.is_over_gap = dw_view_log_has_gap_after(view->records, after),
+		.now_us = now_us,
 		.held_us = now_us - arrived_at_us,
 		.has_proof = view->confirmed_at_us > 0,
 		.had_outage = view->outage.ended_at_us > 0,
--- a/tests/view_restore_test.cc
+++ b/tests/view_restore_test.cc
@@ -359,6 +359,25 @@
 	EXPECT_EQ(last.value("servers/e2"), "");
 }
 
+/* Guards against deletions that are told for as long as instances start, however old: each took them in as new ones, and
+ * answers grew with all that had gone since the first start. */
+TEST_F(ViewRestore, ADeletionThatIsPassedOnGrowsOld)
+{
+	enter_first_era();
+	store.remove("servers/e1");
+	a.watch(store, "servers/e1", now_us);
+	Instance d("d");
+	Instance e("e");
+	now_us += 20 * SECOND;
+	ASSERT_TRUE(d.read(store, now_us));
+	ASSERT_EQ(d.ask(a, now_us), Instance::APPLIED);
+	EXPECT_NE(dw_view_log_find(d.own.records, "servers/e1"), nullptr);
+	now_us += 20 * SECOND;
+	ASSERT_TRUE(e.read(store, now_us));
+	ASSERT_EQ(e.ask(d, now_us), Instance::APPLIED);
+	EXPECT_EQ(dw_view_log_find(e.own.records, "servers/e1"), nullptr);
+}
+
 /* Guards against instances that started together and ask each other without end for what none of them knows. */
 TEST_F(ViewRestore, WhatNobodyRemembersIsNotAskedForWithoutEnd)
 {
