--- a/src/net/view_codec.h
+++ b/src/net/view_codec.h
@@ -5,11 +5,12 @@
  * The answer is a msgpack array: version of this encoding, revision, first known revision of its era, hops, 1 if these are
  * all records or 2 if they are changes over a gap, else 0, time held, age of the proof or nil, time since the end of the
  * store's last outage or nil, since the begin and the end of the last time from which proofs may lack changes or nil, the
- * records, and 1 if the source knows of the past what instances that run for long know, else 0.
+ * records, and 1 if the answer tells of the past, and the source knows of it what instances that run for long know, else 0.
  *
  * A record is an array of key, revision, value, the revision that it is kept over, as the store has lost it in a restore,
- * or 0, and the last value of a deleted key or nil. In place of the value there is nil for a deleted key, and for a packed
- * value (value_codec) an array of the revision of its base, 0 without one, and bytes. Revisions hold the store's era.
+ * or 0, the last value of a deleted key or nil, and for how long it has been deleted. In place of the value there is nil
+ * for a deleted key, and for a packed value (value_codec) an array of the revision of its base, 0 without one, and bytes.
+ * Revisions hold the store's era.
  *
  * An instance of version 2 would take such a revision for one of the store, so it gets no answer (404); nor does one
  * of version 3, which doesn't know of gaps.
@@ -44,7 +45,9 @@
 	bool has_gap; /**< proofs from gap_from_us to gap_until_us before the answer may lack changes */
 	uint64_t gap_from_us;
 	uint64_t gap_until_us;
-	bool has_memory; /**< the source hasn't just started, or was told by one that hasn't */
+	/** The answer tells of the past, and its source hasn't just started, or was told by one that hasn't. */
+	bool has_memory;
+	uint64_t now_us; /**< for view_answer_pack(): when the answer is made */
 	/** For view_answer_pack(): also deletions, of whatever revision, since this time, and the last values of deleted
 	 * keys, which others know; 0: none. */
 	uint64_t deleted_since_us;
--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -57,6 +57,11 @@
 	dw_catalog_release(view->catalog);
 }
 
+static uint64_t min_u64(uint64_t a, uint64_t b)
+{
+	return a < b ? a : b;
+}
+
 static uint64_t max_u64(uint64_t a, uint64_t b)
 {
 	return a > b ? a : b;
@@ -317,7 +322,8 @@
 	const char *name;
 
 	if (is_past_deletion(view, is_snapshot, known, &record)) {
-		dw_view_log_tell_deleted(view->records, &record, now_us);
+		dw_view_log_tell_deleted(view->records, &record,
+					 now_us - min_u64(record.deleted_for_us, now_us));
 		return true;
 	}
 	if (is_gone_since(view, snapshot, known, &record))
@@ -557,6 +563,17 @@
 	       dw_revision_era(dw_view_log_revision(view->records)) > 0;
 }
 
+bool view_asks_memory(const struct view *view, uint64_t now_us)
+{
+	return view_wants_memory(view) &&
+	       (view->confirmed_at_us == 0 || view_restore_may_ask_again(&view->restore, now_us));
+}
+
+bool view_asks_elder(const struct view *view, uint64_t now_us)
+{
+	return view->confirmed_at_us > 0 && view_asks_memory(view, now_us);
+}
+
 enum view_ask view_ask(struct view *view, uint64_t now_us)
 {
 	return view_restore_ask(&view->restore, view->records, now_us);
--- a/tests/view_restore_test.cc
+++ b/tests/view_restore_test.cc
@@ -298,6 +298,98 @@
 	}
 }
 
+/* Guards against an instance that takes itself for told, as the answer to another question came from one that has been told
+ * meanwhile. */
+TEST_F(ViewRestore, OnlyAnAnswerToTheQuestionTellsWhatWasDeleted)
+{
+	store.put("servers/e2", engine(6, 1));
+	copy = store;
+	enter_first_era();
+	store.remove("servers/e2");
+	a.watch(store, "servers/e2", now_us);
+	now_us += 20 * SECOND;
+	Instance d("d");
+	Instance e("e");
+	for (Instance *started : { &d, &e }) {
+		view_restore_init(&started->own.restore, 0, now_us);
+		ASSERT_TRUE(started->read(store, now_us));
+	}
+	ASSERT_EQ(e.ask(d, now_us), Instance::APPLIED);
+	ASSERT_EQ(d.ask(a, now_us), Instance::APPLIED);
+	now_us += SECOND / 10;
+	ASSERT_EQ(e.ask(d, now_us), Instance::APPLIED);
+	EXPECT_TRUE(view_wants_memory(&e.own)) << "it asked for changes only";
+	now_us += SECOND;
+	ASSERT_EQ(e.ask(d, now_us), Instance::APPLIED);
+	EXPECT_FALSE(view_wants_memory(&e.own));
+	store.restore(copy);
+	ASSERT_TRUE(e.read(store, now_us));
+	EXPECT_EQ(e.value("servers/e2"), "");
+}
+
+/* Guards against questions and deletions that a store without eras gives no use for: it never goes back. */
+TEST_F(ViewRestore, AStoreWithoutErasNeedsNoMemory)
+{
+	store.era = 0;
+	enter_first_era();
+	store.remove("servers/e1");
+	a.watch(store, "servers/e1", now_us);
+	Instance d("d");
+	ASSERT_TRUE(d.read(store, now_us));
+	EXPECT_FALSE(view_wants_memory(&d.own));
+	EXPECT_EQ(::view_ask(&d.own, now_us), VIEW_ASK_CHANGES);
+	Instance e("e");
+	ASSERT_EQ(e.ask(a, now_us), Instance::APPLIED);
+	EXPECT_EQ(dw_view_log_find(e.own.records, "servers/e1"), nullptr);
+}
+
+/* Guards against a memory that ends with its process: all instances start again, one after the other, between a removal and
+ * the restore. */
+TEST_F(ViewRestore, MemoryOutlivesARollingRestart)
+{
+	std::vector<std::unique_ptr<Instance>> started;
+	const Instance *source = &a;
+	store.put("servers/e2", engine(6, 1));
+	copy = store;
+	enter_first_era();
+	now_us += 20 * SECOND;
+	store.remove("servers/e2");
+	a.watch(store, "servers/e2", now_us);
+	for (int i = 0; i < 5; i++) {
+		now_us += 2 * SECOND;
+		started.push_back(std::make_unique<Instance>("started"));
+		Instance &each = *started.back();
+		view_restore_init(&each.own.restore, 0, now_us);
+		ASSERT_TRUE(each.read(store, now_us));
+		ASSERT_EQ(each.ask(*source, now_us), Instance::APPLIED);
+		EXPECT_FALSE(view_wants_memory(&each.own));
+		source = &each;
+	}
+	store.restore(copy);
+	Instance &last = *started.back();
+	ASSERT_TRUE(last.read(store, now_us));
+	EXPECT_EQ(last.value("servers/e2"), "");
+}
+
+/* Guards against deletions that are told for as long as instances start, however old: each took them in as new ones, and
+ * answers grew with all that had gone since the first start. */
+TEST_F(ViewRestore, ADeletionThatIsPassedOnGrowsOld)
+{
+	enter_first_era();
+	store.remove("servers/e1");
+	a.watch(store, "servers/e1", now_us);
+	Instance d("d");
+	Instance e("e");
+	now_us += 20 * SECOND;
+	ASSERT_TRUE(d.read(store, now_us));
+	ASSERT_EQ(d.ask(a, now_us), Instance::APPLIED);
+	EXPECT_NE(dw_view_log_find(d.own.records, "servers/e1"), nullptr);
+	now_us += 20 * SECOND;
+	ASSERT_TRUE(e.read(store, now_us));
+	ASSERT_EQ(e.ask(d, now_us), Instance::APPLIED);
+	EXPECT_EQ(dw_view_log_find(e.own.records, "servers/e1"), nullptr);
+}
+
 /* Guards against instances that started together and ask each other without end for what none of them knows. */
 TEST_F(ViewRestore, WhatNobodyRemembersIsNotAskedForWithoutEnd)
 {
@@ -523,6 +615,26 @@
 		EXPECT_EQ(each->value("servers/e1"), engine(5, 9));
 }
 
+/* Guards against the same at an instance whose source has started since and never kept the removal. */
+TEST_F(ViewRestore, AnEngineWhoseRemovalTheSourceNeverKeptIsUsedToo)
+{
+	enter_first_era();
+	store.remove("servers/e1");
+	a.watch(store, "servers/e1", now_us);
+	ASSERT_EQ(b.ask(a, now_us), Instance::APPLIED);
+	store.restore(copy);
+	ASSERT_TRUE(b.read(store, now_us));
+	Instance started("started");
+	ASSERT_TRUE(started.read(store, now_us));
+	EXPECT_EQ(b.value("servers/e1"), "");
+	for (int second = 0; second < 16; second++) {
+		now_us += SECOND;
+		ASSERT_EQ(b.ask(started, now_us), Instance::APPLIED);
+	}
+	EXPECT_EQ(b.value("servers/e1"), engine(5, 9));
+	EXPECT_EQ(::view_ask(&b.own, now_us + SECOND), VIEW_ASK_CHANGES);
+}
+
 /* Guards against a lost evacuation that is obeyed: another instance told of the era before a watch's answer of the
  * one before arrived. */
 TEST_F(ViewRestore, AnEventOfAnEarlierEraThatArrivesLateChangesNothing)
