View exchange: a last value that the receiver may not know is passed on

Callers could get an engine that had left: an instance that heard of its last report and its removal at once knew an earlier report only. After a restore to a copy from between the two it took the copy's report for a later one, and used the engine.

The log now notes with a last value the revision of that value; for one that another instance told of, that of the deletion. It goes to receivers that ask for changes after an earlier revision, to those that ask for the past, and with a removal that is kept (the last by reading, for an instance that has no record of the key).

--- a/include/dragonflywharf/view_log.h
+++ b/include/dragonflywharf/view_log.h
@@ -27,6 +27,7 @@
 	bool deleted;
 	const uint8_t *last_value; /**< of a deleted key, if it is small; NULL: not known */
 	size_t last_len;
+	uint64_t last_revision; /**< in a log: who knows all changes up to it has the last value */
 	uint64_t updated_at_us; /**< in a log: when it took the record in */
 	const uint8_t *packed; /**< the value as it is passed on if it is large; NULL: as it is */
 	size_t packed_len;
--- a/src/core/view_log.c
+++ b/src/core/view_log.c
@@ -163,21 +163,25 @@
 	free((uint8_t *)entry->record.last_value);
 	entry->record.last_value = NULL;
 	entry->record.last_len = 0;
+	entry->record.last_revision = 0;
 }
 
-static void set_last_value(struct log_entry *entry, const uint8_t *value, size_t len)
+static void set_last_value(struct log_entry *entry, const uint8_t *value, size_t len,
+			   uint64_t revision)
 {
 	if (!value || len > LAST_VALUE_MAX_BYTES)
 		return;
 	forget_last_value(entry);
 	entry->record.last_value = copy_bytes(value, len);
 	entry->record.last_len = len;
+	entry->record.last_revision = revision;
 }
 
 static void set_deleted(struct log_entry *entry, uint64_t revision, uint64_t now_us)
 {
 	if (!entry->record.deleted)
-		set_last_value(entry, entry->record.value, entry->record.value_len);
+		set_last_value(entry, entry->record.value, entry->record.value_len,
+			       entry->record.revision);
 	set_value(&entry->record, NULL);
 	entry->record.revision = revision;
 	entry->record.deleted = true;
@@ -204,7 +208,7 @@
 	}
 	if (record->deleted) {
 		set_deleted(entry, record->revision, now_us);
-		set_last_value(entry, record->last_value, record->last_len);
+		set_last_value(entry, record->last_value, record->last_len, record->revision);
 	} else {
 		forget_last_value(entry);
 		set_value(&entry->record, record);
--- a/src/net/view_codec.c
+++ b/src/net/view_codec.c
@@ -84,6 +84,14 @@
 	pack_bytes(packer, record->packed, record->packed_len);
 }
 
+/* Who knows all changes up to the last value has it, unless it has just started or the store was restored since. */
+static bool needs_last_value(const struct dw_view_record *record, const struct view_answer *answer,
+			     uint64_t after)
+{
+	return answer->deleted_since_us > 0 || record->kept_over > 0 ||
+	       record->last_revision > after;
+}
+
 static void pack_record(msgpack_packer *packer, const struct dw_view_record *record, uint64_t after,
 			bool with_last_value)
 {
@@ -129,7 +137,7 @@
 	msgpack_pack_array(packer, count);
 	while ((record = dw_view_log_next(log, record))) {
 		if (is_included(record, answer, after))
-			pack_record(packer, record, known, answer->deleted_since_us > 0);
+			pack_record(packer, record, known, needs_last_value(record, answer, after));
 	}
 	msgpack_pack_uint8(packer, answer->has_memory);
 }
--- a/src/net/view_codec.h
+++ b/src/net/view_codec.h
@@ -45,8 +45,8 @@
 	uint64_t gap_from_us;
 	uint64_t gap_until_us;
 	bool has_memory; /**< the source hasn't just started, or was told by one that hasn't */
-	/** For view_answer_pack(): also deletions, of whatever revision, since this time, and the last values of deleted
-	 * keys, which others know; 0: none. */
+	/** For view_answer_pack(): also deletions, of whatever revision, since this time, and the last values of all
+	 * deleted keys; 0: none, and only last values that the receiver may not know. */
 	uint64_t deleted_since_us;
 	bool with_kept; /**< for view_answer_pack(): also all kept records and those that replaced some,
 			  * of whatever revision */
--- a/tests/view_restore_test.cc
+++ b/tests/view_restore_test.cc
@@ -395,6 +395,24 @@
 	EXPECT_EQ(d.value("servers/e1"), "");
 }
 
+/* Guards against requests to an engine that left: its last report and its removal came at once, so the instance knew an
+ * earlier report than the one that is back with the copy. */
+TEST_F(ViewRestore, AnEngineThatLeftStaysOutWhereItsLastReportWasMissed)
+{
+	enter_first_era();
+	store.put("servers/e1", engine(5, 10));
+	a.watch(store, "servers/e1", now_us);
+	copy = store;
+	store.remove("servers/e1");
+	a.watch(store, "servers/e1", now_us);
+	pass_on();
+	store.restore(copy);
+	for (Instance *each : { &a, &b, &c }) {
+		ASSERT_TRUE(each->read(store, now_us));
+		EXPECT_EQ(each->value("servers/e1"), "");
+	}
+}
+
 /* Guards against a removal that is given up and neither kept nor undone: who tells of the record has never kept it, and its
  * revision is lower than the removal's. Later removals were passed on to nobody. */
 TEST_F(ViewRestore, ARemovalIsGivenUpForARecordThatWasNeverKept)
