--- a/src/net/view_codec.c
+++ b/src/net/view_codec.c
@@ -91,6 +91,14 @@
 								 : 0;
 }
 
+/* Who knows all changes up to the last value has it, unless it has just started or the store was restored since. */
+static bool needs_last_value(const struct dw_view_record *record, const struct view_answer *answer,
+			     uint64_t after)
+{
+	return answer->deleted_since_us > 0 || record->kept_over > 0 ||
+	       record->last_revision > after;
+}
+
 static void pack_record(msgpack_packer *packer, const struct dw_view_record *record,
 			const struct view_answer *answer, uint64_t after)
 {
@@ -99,7 +107,7 @@
 	msgpack_pack_uint64(packer, record->revision);
 	pack_value(packer, record, after);
 	msgpack_pack_uint64(packer, record->kept_over);
-	if (answer->deleted_since_us > 0 && record->last_value)
+	if (record->last_value && needs_last_value(record, answer, after))
 		pack_bytes(packer, record->last_value, record->last_len);
 	else
 		msgpack_pack_nil(packer);
--- a/src/net/view_codec.h
+++ b/src/net/view_codec.h
@@ -48,8 +48,8 @@
 	/** The answer tells of the past, and its source hasn't just started, or was told by one that hasn't. */
 	bool has_memory;
 	uint64_t now_us; /**< for view_answer_pack(): when the answer is made */
-	/** For view_answer_pack(): also deletions, of whatever revision, since this time, and the last values of deleted
-	 * keys, which others know; 0: none. */
+	/** For view_answer_pack(): also deletions, of whatever revision, since this time, and the last values of all
+	 * deleted keys; 0: none, and only last values that the receiver may not know. */
 	uint64_t deleted_since_us;
 	bool with_kept; /**< for view_answer_pack(): also all kept records and those that replaced some,
 			  * of whatever revision */
