Store client: an answer with events that has a later revision than these is no proof

What callers saw: a key that had been taken away went on working at an instance, past the limit for changes and until the next change of the configuration. In process_lost_history_test, ARevisionBeyondTheEventsIsNoProof: instance 1 ran a request with it 2,000 ms after the acknowledgement, "0 ms too late".

Cause: while the store discards its history, its watches get no events of the changes that are made. An answer with the events of before that, but the store's newest revision, was accepted: the watch went on from there, so the changes between were never delivered. The history that was discarded ends at this revision, so no 410 follows. Instances that aren't readers were told this revision too.

The other instances are launched 0.2 s before, so one reader's record may still be undelivered when the store falls silent to its watches.

Ruled out: to go on from the newest event instead. The next poll is answered without events at the end of its wait, and ends the watch then, after up to a poll interval and a wait (0.7 s of a limit of 2 s).

--- a/tests/metadata_store_test.cc
+++ b/tests/metadata_store_test.cc
@@ -494,6 +494,32 @@
 	EXPECT_EQ(back.proofs, 0U);
 }
 
+/* Guards against changes that are never seen, as the watch goes on from a revision beyond the events that it got. */
+TEST_F(MetadataStore, AnAnswerWithSomeOfTheChangesIsNoProof)
+{
+	std::string odd = R"({"Key":"b","Value":"?","Revision":14,"CreateRevision":14})";
+	for (const std::string &some :
+	     { events({ item("a", 13) }, 14), events({ item("b", 13), item("a", 12) }, 14),
+	       events({ item("a", 13), odd }, 15) }) {
+		watch_result got = watch(12, answer(200, "", some));
+		EXPECT_EQ(got.status, DW_STALE) << some;
+		EXPECT_EQ(got.proofs, 0U) << some;
+	}
+	/* All changes are told, in any order; one can't be read. */
+	watch_result out;
+	std::atomic<int> polls{ 0 };
+	set([&](const std::string &) {
+		return answer(200, "",
+			      polls++ == 0 ? events({ item("c", 13), odd, item("a", 12) }, 14)
+					   : events({}, 14));
+	});
+	struct dw_store_watch *sound = start_watch(&out, 11);
+	EXPECT_TRUE(run_until([&] { return out.proofs >= 2 || out.has_ended; }));
+	EXPECT_FALSE(out.has_ended);
+	EXPECT_EQ(out.event_count, 2U);
+	dw_store_watch_cancel(store, sound);
+}
+
 /* Guards against a watch in an era that its client hasn't heard of: the copy has it from another instance. */
 TEST_F(MetadataStore, AWatchInALaterEraThanItsClientKnows)
 {
--- a/tests/process_lost_history_test.cc
+++ b/tests/process_lost_history_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <iostream>
 #include <string>
 #include <thread>
 
@@ -32,6 +33,16 @@
 			ASSERT_TRUE(wait_until(
 				[&] { return call(i, "GET", "/look/1", "k1").status == 200; }));
 	}
+	/* Says what the instances did if a test has failed. */
+	void TearDown() override
+	{
+		for (const auto &each : instances) {
+			if (!HasFailure() || !each.gateway)
+				continue;
+			for (const std::string &line : each.gateway->lines())
+				std::cerr << line << "\n";
+		}
+	}
 	void admin(const std::string &path, const std::string &body = "{}") const
 	{
 		support::http_call(store_port, "POST", "/admin/" + path, body);
@@ -54,6 +65,19 @@
 			std::this_thread::sleep_for(std::chrono::milliseconds(20));
 		}
 	}
+	/* A change whose events the watches don't get, though their answers have its revision, is in force in time. */
+	void expect_change_in_time()
+	{
+		admin("deafen", "{\"names_newest\":1}");
+		configure("\"k2\"");
+		int64_t acknowledged_ms = support::now_ms();
+		sleep_until(acknowledged_ms + DEAF_MS);
+		admin("compact");
+		expect_refused("k1", acknowledged_ms + change_ms,
+			       acknowledged_ms + 2 * revocation_ms);
+		for (size_t i = 0; i < instances.size(); i++)
+			EXPECT_EQ(call(i, "GET", "/look/1", "k2").status, 200);
+	}
 	int64_t sum_metric(const std::string &name) const
 	{
 		int64_t sum = 0;
@@ -66,14 +90,18 @@
 /* Guards against changes that are never seen, as a watch goes on from a revision beyond them. */
 TEST_F(LostHistory, ARevisionBeyondTheEventsIsNoProof)
 {
-	admin("deafen", "{\"names_newest\":1}");
-	configure("\"k2\"");
-	int64_t acknowledged_ms = support::now_ms();
-	sleep_until(acknowledged_ms + DEAF_MS);
-	admin("compact");
-	expect_refused("k1", acknowledged_ms + change_ms, acknowledged_ms + 2 * revocation_ms);
-	for (size_t i = 0; i < instances.size(); i++)
-		EXPECT_EQ(call(i, "GET", "/look/1", "k2").status, 200);
+	expect_change_in_time();
+}
+
+/* Guards against the same after an answer with events: they are those of before the store fell silent to its watches. */
+TEST_F(LostHistory, EventsOfBeforeWithARevisionBeyondThemAreNoProof)
+{
+	/* One ends the polls that wait, the next one those that follow at once; the last one waits for the poll interval. */
+	for (const char *key : { "other/1", "other/2", "other/3" }) {
+		put(key, "x");
+		std::this_thread::sleep_for(std::chrono::milliseconds(20));
+	}
+	expect_change_in_time();
 }
 
 /* Guards against a key that works for longer than allowed: the last answers before the watches are cut say that
