View: a reader that asks others for the past is as near to the store as before

What was seen: process_fleet_test Fleet.AFewInstancesReadTheStore is red, 4 of 4: both readers have view_hops of 1 or more, the metric that says how many instances are between one and the store.

The number isn't used for decisions; it is passed on, so instances behind readers showed one too many.

Change: an answer of another instance doesn't count while this one is a reader that the store serves.

Measured: the test 3 of 3 after, process_fleet_test 9 of 9 twice, process_lost_history_test 4 of 4.

--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -660,6 +660,11 @@
 	return true;
 }
 
+bool view_is_read_from_store(const struct view *view)
+{
+	return dw_view_source_is_reader(&view->source) && view->is_store_reached;
+}
+
 bool view_apply_answer(struct view *view, const struct view_answer *answer, const char *source,
 		       uint64_t now_us)
 {
@@ -679,7 +684,9 @@
 	is_complete = apply_answer(view, &snapshot, answer, now_us);
 	if (!is_complete)
 		return false;
-	view->hops = answer->hops < HOPS_MAX ? answer->hops + 1 : HOPS_MAX;
+	/* A reader asks others for the past too. */
+	if (!view_is_read_from_store(view))
+		view->hops = answer->hops < HOPS_MAX ? answer->hops + 1 : HOPS_MAX;
 	view_restore_told(&view->restore, answer->has_memory, now_us);
 	complete(view, answer->revision, now_us);
 	return true;
--- a/src/wharf-gateway/view.h
+++ b/src/wharf-gateway/view.h
@@ -75,6 +75,9 @@
 
 struct view_answer;
 
+/** Whether this instance is a reader, and the store serves it. */
+bool view_is_read_from_store(const struct view *view);
+
 /**
  * Applies the records that another instance passed on.
  * @param source its address, for the log
--- a/src/wharf-gateway/view_sync.c
+++ b/src/wharf-gateway/view_sync.c
@@ -68,11 +68,6 @@
 	return true;
 }
 
-static bool is_read_from_store(const struct view *view)
-{
-	return dw_view_source_is_reader(&view->source) && view->is_store_reached;
-}
-
 /* Logs from where the copy is kept up to date, when that has changed. */
 static void log_source(struct view_sync *sync, uint64_t source, const char *address)
 {
@@ -129,7 +124,7 @@
 		return;
 	}
 	view_peer_current(view, confirmed_at_us, now_us);
-	if (address.port > 0 && !is_read_from_store(view))
+	if (address.port > 0 && !view_is_read_from_store(view))
 		log_source(sync, sync->asked, address.ip);
 }
 
@@ -279,7 +274,7 @@
 					    ? (now_us - sync->view->confirmed_at_us) / DW_US_PER_MS
 					    : 0));
 	store_sync_set_active(sync->store, reads);
-	if (reads && is_read_from_store(sync->view))
+	if (reads && view_is_read_from_store(sync->view))
 		log_source(sync, 0, "store");
 	ask(sync);
 }
