Store history: an instance that was told of a restore begins anew

Seen: dragonflywharfd: an instance that heard of a restore from another one took its own next answer for another restore: it logged store.restored twice, began recovery again, and told four others. In between it took the store for raised, as it compared its revision of before the restore with those in force, and read the older configuration (config.refused).

Cause: store_history_receive left the adapter's revision as it was, which is of the lost history.

Change: dw_store_forget_history. The revision is 0 until a call that is sent afterwards is answered; that answer begins the new history, whatever its revision and cluster. Raising isn't taken as done before, as 0 is above nothing; it can't stay so while the store answers, since each instance reads the roster every second, and the writer's own writes are answered.

Not covered: a second restore between the news and the first answer isn't told apart from the first by this instance; it has read nothing of the first one then.

--- a/src/dragonflywharfd/store_history.c
+++ b/src/dragonflywharfd/store_history.c
@@ -59,5 +59,6 @@
 		return;
 	dw_log_event(&daemon->log, DW_EVENT_STORE_RESTORED,
 		     DW_INT("revision", daemon->store->revision), DW_INT("told", 1));
+	dw_store_forget_history(daemon->store);
 	store_restored(daemon);
 }
--- a/src/port/store.c
+++ b/src/port/store.c
@@ -32,6 +32,12 @@
 	store->ops->range(store, &range, done, data);
 }
 
+void dw_store_forget_history(struct dw_store *store)
+{
+	store->restores++;
+	store->revision = 0;
+}
+
 void dw_store_put(struct dw_store *store, const struct dw_store_put *put, dw_store_put_done done,
 		  void *data)
 {
--- a/src/port/store.h
+++ b/src/port/store.h
@@ -181,7 +181,8 @@
 	 * older copy. Answers to calls that were sent before may belong to the lost history.
 	 */
 	uint64_t restores;
-	uint64_t revision; /**< of such a store: the highest one in answers since then */
+	/** Of such a store: the highest one in answers since then; 0: none since then, see dw_store_forget_history(). */
+	uint64_t revision;
 	/** Optional; called at each, before the call that showed it ends. */
 	void (*on_restored)(uint64_t revision_before, uint64_t revision, void *data);
 	/** Optional; called at the first answer after a call that no endpoint answered: it may be of an older copy. */
@@ -208,6 +209,13 @@
 void dw_store_put(struct dw_store *store, const struct dw_store_put *put, dw_store_put_done done,
 		  void *data);
 
+/**
+ * Another instance has seen that the store, which has no eras, came back from an older copy: the next answer to a call
+ * that is sent from now on begins the new history, whatever its revision, and answers to earlier calls say nothing
+ * of it. on_restored isn't called.
+ */
+void dw_store_forget_history(struct dw_store *store);
+
 /** Creates a lease of @p ttl_s seconds. */
 void dw_store_lease_grant(struct dw_store *store, uint64_t ttl_s, uint64_t deadline_us,
 			  dw_store_lease_done done, void *data);
--- a/src/port/store_etcd.c
+++ b/src/port/store_etcd.c
@@ -242,8 +242,9 @@
 static void check_history(const struct call *call, const struct dw_etcd_reply *reply)
 {
 	struct store_etcd *etcd = call->etcd;
-	bool other_cluster =
-		etcd->cluster_id && reply->cluster_id && reply->cluster_id != etcd->cluster_id;
+	/* Without a revision nothing is known of this history, so the answer begins it. */
+	bool other_cluster = etcd->store.revision && etcd->cluster_id && reply->cluster_id &&
+			     reply->cluster_id != etcd->cluster_id;
 
 	if (call->restores_when_sent != etcd->store.restores || call->may_be_stale)
 		return;
--- a/tests/process_daemon_restore_test.cc
+++ b/tests/process_daemon_restore_test.cc
@@ -94,6 +94,16 @@
 		c.kv.fault("{\"kind\":\"none\"}");
 	}
 
+	/* This many readings of the store, of all instances together. */
+	void wait_reads(int count)
+	{
+		int64_t before = c.kv.stat("calls./v3/kv/range");
+
+		cluster::wait_until("the store is read", [&] {
+			return c.kv.stat("calls./v3/kv/range") >= before + count;
+		});
+	}
+
 	/* Changes that take the store's revision far above that of the copy. */
 	void lose_changes(int count)
 	{
@@ -221,4 +231,34 @@
 	EXPECT_LE(c.kv.stat("calls./v3/kv/range") - reads, 2 * 4 + 8);
 }
 
+// Guards against an instance that takes the answer after the news of a restore for another one, and whose own old
+// revision ends the wait for the store to be raised before it has read the restored store.
+TEST_F(DaemonRestore, AnInstanceThatWasToldWaitsForItsOwnAnswerAndRecoversOnce)
+{
+	support::daemon &told =
+		c.add_daemon("entry-4", { .failure_domain = "haarlem", .store_relay = true });
+
+	cluster::wait_until("the third instance serves",
+			    [&] { return chat(told, "edam", "third").status == 200; });
+	c.kv.admin("/admin/backup");
+	lose_changes(40);
+	c.wait_in_force();
+	ASSERT_EQ(chat(*a, "mill", "usage is above the configuration").status, 200);
+	cluster::wait_until("the usage is in the store", [&] { return billed("mill") == 1; });
+	wait_reads(9);
+	told.store_relay->set_mode(support::relay_mode::hold);
+	/* Nothing is written, so the store stays below what the instance knows. */
+	c.kv.fault("{\"kind\":\"outage\",\"path\":\"/v3/kv/txn\"}");
+	c.kv.admin("/admin/restore");
+	ASSERT_TRUE(c.wait_event(told, "store.restored"));
+	told.store_relay->set_mode(support::relay_mode::pass);
+	wait_reads(12);
+	c.kv.fault("{\"kind\":\"none\"}");
+	EXPECT_TRUE(cluster::wait_until("a change is accepted", [&] {
+		return c.ctl({ "limit", "engine-1", "20" }, &told).exit_code == 0;
+	}));
+	EXPECT_EQ(told.events("store.restored").size(), 1U);
+	EXPECT_EQ(told.events("config.refused").size(), 0U) << "read before it was raised";
+}
+
 } // namespace
--- a/tests/store_etcd_test.cc
+++ b/tests/store_etcd_test.cc
@@ -317,6 +317,32 @@
 	EXPECT_EQ(seen.back, 1);
 }
 
+/* Guards against the answer after another instance's news of a restore that counts as a second one, or an answer to a call
+ * of before as one of the new history. */
+TEST_F(StoreEtcd, AfterNewsOfARestoreTheNextAnswerBeginsTheHistory)
+{
+	int falls = 0;
+	range_outcome before;
+
+	store->history_data = &falls;
+	store->on_restored = [](uint64_t, uint64_t, void *data) { ++*static_cast<int *>(data); };
+	uint64_t kept = put("k", "v", 0).revision;
+	admin("backup");
+	put("lost", "v", 0);
+	dw_store_get(store.get(), "k", dw_clock_now_us() + CALL_US, on_range, &before);
+	dw_store_forget_history(store.get());
+	ASSERT_TRUE(run_until([&] { return before.done; }));
+	EXPECT_EQ(store->revision, 0U) << "it was sent before the news";
+	admin("restore");
+	get("k");
+	EXPECT_EQ(store->revision, kept);
+	EXPECT_EQ(falls, 0);
+	put("later", "v", 0);
+	admin("restore");
+	get("k");
+	EXPECT_EQ(falls, 1) << "a restore after the news";
+}
+
 TEST_F(StoreEtcd, TriesTheNextEndpointAndStaysWithOneThatWorks)
 {
 	process dead("standin_kv", {});
