Tests: two restores of the daemons' store within ten seconds

Guards what was known by reading only: calls and changes between two restores aren't lost, and no call runs twice.

--- a/tests/process_daemon_restore_test.cc
+++ b/tests/process_daemon_restore_test.cc
@@ -290,4 +290,26 @@
 	expect_status("mill", 200);
 }
 
+// Guards against a restore soon after another one that passes for the same: calls and changes from between are lost.
+TEST_F(DaemonRestore, TwoRestoresWithinTenSecondsLoseNothing)
+{
+	c.kv.admin("/admin/backup");
+	ASSERT_EQ(reserve(*a, "first").status, 200);
+	lose_changes(10);
+	for (const char *round : { "second", "third" }) {
+		restore();
+		change({ "forbid", round == std::string("second") ? "mill" : "edam", "large" });
+		cluster::wait_until("a call is run",
+				    [&] { return reserve(*b, round).status == 200; });
+	}
+	for (const char *key : { "first", "second", "third" }) {
+		for (support::daemon *d : { b, a })
+			cluster::wait_until("the stored answer of " + std::string(key),
+					    [&] { return reserve(*d, key).status == 200; });
+		EXPECT_EQ(executions(key), 1) << key;
+	}
+	expect_status("mill", 403);
+	expect_status("edam", 403);
+}
+
 } // namespace
