--- a/tests/process_daemon_restore_test.cc
+++ b/tests/process_daemon_restore_test.cc
@@ -94,6 +94,16 @@
 		c.kv.fault("{\"kind\":\"none\"}");
 	}
 
+	/* This many readings of the store, of all instances together. */
+	void wait_reads(int count)
+	{
+		int64_t before = c.kv.stat("calls./v3/kv/range");
+
+		cluster::wait_until("the store is read", [&] {
+			return c.kv.stat("calls./v3/kv/range") >= before + count;
+		});
+	}
+
 	/* Changes that take the store's revision far above that of the copy. */
 	void lose_changes(int count)
 	{
@@ -221,4 +231,85 @@
 	EXPECT_LE(c.kv.stat("calls./v3/kv/range") - reads, 2 * 4 + 8);
 }
 
+// Guards against an instance that takes the answer after the news of a restore for another one, and whose own old
+// revision ends the wait for the store to be raised before it has read the restored store.
+TEST_F(DaemonRestore, AnInstanceThatWasToldWaitsForItsOwnAnswerAndRecoversOnce)
+{
+	support::daemon &told =
+		c.add_daemon("entry-4", { .failure_domain = "haarlem", .store_relay = true });
+
+	cluster::wait_until("the third instance serves",
+			    [&] { return chat(told, "edam", "third").status == 200; });
+	c.kv.admin("/admin/backup");
+	lose_changes(40);
+	c.wait_in_force();
+	ASSERT_EQ(chat(*a, "mill", "usage is above the configuration").status, 200);
+	cluster::wait_until("the usage is in the store", [&] { return billed("mill") == 1; });
+	wait_reads(9);
+	told.store_relay->set_mode(support::relay_mode::hold);
+	/* Nothing is written, so the store stays below what the instance knows. */
+	c.kv.fault("{\"kind\":\"outage\",\"path\":\"/v3/kv/txn\"}");
+	c.kv.admin("/admin/restore");
+	ASSERT_TRUE(c.wait_event(told, "store.restored"));
+	told.store_relay->set_mode(support::relay_mode::pass);
+	wait_reads(12);
+	c.kv.fault("{\"kind\":\"none\"}");
+	EXPECT_TRUE(cluster::wait_until("a change is accepted", [&] {
+		return c.ctl({ "limit", "engine-1", "20" }, &told).exit_code == 0;
+	}));
+	EXPECT_EQ(told.events("store.restored").size(), 1U);
+	EXPECT_EQ(told.events("config.refused").size(), 0U) << "read before it was raised";
+}
+
+// Guards against changes that are refused for as long as the one instance that raises the store's revision can't reach
+// the store.
+TEST_F(DaemonRestore, TheStoreIsRaisedWhileTheFirstWriterIsCutOff)
+{
+	/* The lowest instance id, a hash of the name. */
+	support::daemon &cut =
+		c.add_daemon("entry-3", { .failure_domain = "haarlem", .store_relay = true });
+
+	cluster::wait_until("the first writer serves",
+			    [&] { return chat(cut, "edam", "third").status == 200; });
+	c.kv.admin("/admin/backup");
+	lose_changes(40);
+	c.wait_in_force();
+	cut.store_relay->set_mode(support::relay_mode::hold);
+	restore();
+	EXPECT_TRUE(cluster::wait_until("a change is accepted", [&] {
+		return c.ctl({ "forbid", "mill", "large" }, a).exit_code == 0;
+	}));
+	expect_status("mill", 403);
+	EXPECT_TRUE(cluster::wait_until(
+		"the cut instance has the change",
+		[&] { return chat(cut, "mill", "may I").status == 403; }, 3000));
+	cut.store_relay->set_mode(support::relay_mode::pass);
+	EXPECT_TRUE(cluster::wait_until("a change is accepted there", [&] {
+		return c.ctl({ "allow", "mill", "large" }, &cut).exit_code == 0;
+	}));
+	expect_status("mill", 200);
+}
+
+// Guards against a restore soon after another one that passes for the same: calls and changes from between are lost.
+TEST_F(DaemonRestore, TwoRestoresWithinTenSecondsLoseNothing)
+{
+	c.kv.admin("/admin/backup");
+	ASSERT_EQ(reserve(*a, "first").status, 200);
+	lose_changes(10);
+	for (const char *round : { "second", "third" }) {
+		restore();
+		change({ "forbid", round == std::string("second") ? "mill" : "edam", "large" });
+		cluster::wait_until("a call is run",
+				    [&] { return reserve(*b, round).status == 200; });
+	}
+	for (const char *key : { "first", "second", "third" }) {
+		for (support::daemon *d : { b, a })
+			cluster::wait_until("the stored answer of " + std::string(key),
+					    [&] { return reserve(*d, key).status == 200; });
+		EXPECT_EQ(executions(key), 1) << key;
+	}
+	expect_status("mill", 403);
+	expect_status("edam", 403);
+}
+
 } // namespace
