View: a kept record isn't given up for that of a source that is behind

An evacuation that had been lost, written anew and ended was obeyed for good: an instance that kept the lost one over a state in which there was none gave it up for the new one, told by a source that hadn't seen that state yet, and then knew all later changes.

Cause: a record up to the revision that a kept one is kept over counted as what the store shows, whichever revision the source had. Now a source that is behind that revision says nothing of it.

AKeptOrderIsNotGivenUpForThatOfASourceThatIsBehind is red before, green now.

--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -340,7 +340,9 @@
 	event.entry.mod_revision = record.revision;
 	view->records_ignored += is_superseded(view, &record);
 	if (is_contested(snapshot, known, &record)) {
-		if (view_restore_keeps(snapshot, known, &record)) {
+		/* What a source that is behind still has says nothing of the state that it is kept over. */
+		if (snapshot->revision < known->kept_over ||
+		    view_restore_keeps(snapshot, known, &record)) {
 			dw_view_log_keep(view->records, known,
 					 max_u64(known->kept_over, record.revision));
 			bytes_free(&value);
--- a/tests/view_restore_test.cc
+++ b/tests/view_restore_test.cc
@@ -505,6 +505,30 @@
 	}
 }
 
+/* Guards against an evacuation that has ended twice, lost and written anew, and is obeyed for good: a kept one was given up
+ * for that of a source that is behind the state that it is kept over. */
+TEST_F(ViewRestore, AKeptOrderIsNotGivenUpForThatOfASourceThatIsBehind)
+{
+	enter_first_era();
+	store.put("op/evacuate/z", "first");
+	a.watch(store, "op/evacuate/z", now_us);
+	pass_on();
+	store.restore(copy);
+	ASSERT_TRUE(a.read(store, now_us));
+	pass_on();
+	store.put("op/evacuate/z", "second");
+	Instance d("d");
+	ASSERT_TRUE(d.read(store, now_us));
+	store.remove("op/evacuate/z");
+	ASSERT_TRUE(a.read(store, now_us));
+	EXPECT_EQ(a.value("op/evacuate/z"), "first");
+	now_us += 7 * SECOND;
+	ASSERT_EQ(a.ask(d, now_us, true), Instance::APPLIED);
+	EXPECT_EQ(a.value("op/evacuate/z"), "first") << "d is behind";
+	ASSERT_TRUE(a.read(store, now_us));
+	EXPECT_FALSE(a.is_evacuated("z"));
+}
+
 /* Guards against a removal that is given up and neither kept nor undone: who tells of the record has never kept it, and its
  * revision is lower than the removal's. Later removals were passed on to nobody. */
 TEST_F(ViewRestore, ARemovalIsGivenUpForARecordThatWasNeverKept)
