Stand-in: a restart drops what had arrived before it

Seen: process_cold_test TheEngineRestartsWithoutWarning (KNOWN-RED.txt): 2 of 16 cases red beside other work (load 8 to 12), one breach of the cold limit each, after a restart within the stand-in's process each time, not after a killed process.

Cause: the stand-in's restart shuts its connections down, but what has arrived on one and wasn't read yet can still be read, and connections that the system has accepted are served. So requests that instances had sent to the engine before it restarted, within the warm limit, were run after it and counted against the cold limit. No instance can know of the restart then. The end of a process drops both.

Change: dw_http_server_abort_connections, which only the stand-in uses, closes connections that wait to be accepted and drops what was not read; first of all, as callers whose jobs end open new connections, which are served.

Not shown: that the red runs of before had this cause; it is the fault that was found, and all seen here were of that form.

Measured: TheEngineRestartsWithoutWarning /0 and /1 beside other work (load 8 to 12): 2 of 16 red before, 0 of 26 now. process_poison_test, whose engines restart in this way too, without its known red: green, one run. The gateway's tests with such engines weren't run.

Tests: none relaxed. standins_test WhatArrivedBefore... stops the process, so that the restart and two requests are read at once: red 40 of 40 before, green 60 of 60 now; the rest of standins_test green 4 of 4.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <h2o.h>
 
@@ -446,14 +447,36 @@
 	h2o_accept(&server->accept, connection->sock);
 }
 
+/* What has arrived and wasn't read yet could be read after a shutdown. */
+static void abort_connection(int fd)
+{
+	char bytes[4096];
+
+	shutdown(fd, SHUT_RDWR);
+	while (recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT) > 0)
+		;
+}
+
+/* Connections that the system has accepted and the server hasn't. */
+static void abort_waiting(int listener)
+{
+	int fd;
+
+	while ((fd = accept(listener, NULL, NULL)) >= 0)
+		close(fd);
+}
+
 void dw_http_server_abort_connections(struct dw_http_server *server)
 {
 	struct connection *connection;
 	uv_os_fd_t fd;
 
+	/* First, as callers whose connections end open new ones, which are accepted. */
+	if (uv_fileno((uv_handle_t *)&server->listener, &fd) == 0)
+		abort_waiting(fd);
 	for (connection = server->connections; connection; connection = connection->next) {
 		if (uv_fileno((uv_handle_t *)&connection->tcp, &fd) == 0)
-			shutdown(fd, SHUT_RDWR);
+			abort_connection(fd);
 	}
 }
 
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -43,8 +43,8 @@
 /** The bound port. */
 uint16_t dw_http_server_port(const struct dw_http_server *server);
 
-/** Shuts down all open connections immediately, as if the process had been killed. New connections
- * are still accepted. */
+/** Shuts down all open connections immediately, as if the process had been killed: what has arrived on them, or waits
+ * to be accepted, is dropped. New connections are still accepted. */
 void dw_http_server_abort_connections(struct dw_http_server *server);
 
 /** Closes each connection after its next response. New connections are still accepted. */
--- a/tests/standins/engine.c
+++ b/tests/standins/engine.c
@@ -89,12 +89,12 @@
 {
 	uint64_t now_us = dw_clock_wall_us();
 
+	/* All, also idle ones, as the end of a process would; first, as callers whose jobs end open new ones. */
+	dw_http_server_abort_connections(engine->server);
 	while (engine->jobs) {
 		engine_count(engine, "cut_by_restart");
 		abort_job(engine, engine->jobs);
 	}
-	/* Close idle connections too, as the end of a process would. */
-	dw_http_server_abort_connections(engine->server);
 	engine->incarnation = now_us > engine->incarnation ? now_us : engine->incarnation + 1;
 	engine->cold_until_us = dw_clock_now_us() + engine->cold_us;
 	engine->cache.count = 0;
--- a/tests/standins_test.cc
+++ b/tests/standins_test.cc
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <csignal>
+#include <fstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -10,6 +12,7 @@
 #include "base/clock.h"
 #include "support/http.h"
 #include "support/json.h"
+#include "support/kept_connection.h"
 #include "support/process.h"
 
 using support::http_answer;
@@ -203,6 +206,40 @@
 static const std::vector<std::string> CONTENT = { "choices", "0", "message", "content" };
 static const int ENDLESS = 1000000;
 
+static bool is_stopped(pid_t pid)
+{
+	std::ifstream stat("/proc/" + std::to_string(pid) + "/stat");
+	std::string id, name, state;
+
+	stat >> id >> name >> state;
+	return state == "T";
+}
+
+// Guards against a restart that a process's end isn't like: requests that had arrived before it were run after it, by
+// an engine that is cold and whose callers don't know of it yet.
+TEST(StandinEngine, WhatArrivedBeforeARestartIsNotRunAfterIt)
+{
+	engine e;
+	support::kept_connection admin(e.port);
+	support::kept_connection accepted(e.port);
+
+	for (support::kept_connection *each : { &admin, &accepted }) {
+		ASSERT_TRUE(each->send("GET", "/admin/stats", "", {}));
+		ASSERT_EQ(each->read().status, 200);
+	}
+	e.child.signal(SIGSTOP);
+	ASSERT_TRUE(wait_until([&] { return is_stopped(e.child.pid()); }));
+	support::kept_connection waiting(e.port);
+	ASSERT_TRUE(admin.send("POST", "/admin/restart", "{}", {}));
+	for (support::kept_connection *each : { &accepted, &waiting })
+		ASSERT_TRUE(each->send("POST", "/v1/chat/completions", e.chat(false, 2), {}));
+	e.child.signal(SIGCONT);
+	EXPECT_EQ(accepted.read().status, 0);
+	EXPECT_EQ(waiting.read().status, 0);
+	ASSERT_GT(e.count({ "incarnation" }), 0);
+	EXPECT_EQ(e.count({ "requests" }), e.count({ "cut_by_restart" }));
+}
+
 TEST(StandinEngine, AnswersWholeAndCountsTokens)
 {
 	engine engine;
