Restore: engines write again from the store's return on, not from when it is heard of

Requests reached an engine up to 0.7 s later than the 3 s allowed after it had left: it left 0.5 s after the store's return, and an instance that took in the new era 1.4 to 1.9 s after that, by a reading of its own, saw that the entry was missing, and used the engine for 2.2 s from then on, as engines write lost entries again within two seconds.

Cause: that time counted from when the instance took in the era. The store is back earlier: its answer 410 to the watch, after which an instance that isn't a reader waits before it reads, didn't count as an answer, and the end of the outage that others tell of not at all. Now the time counts from the first of them since the last proof, and a 410 ends an outage.

--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -133,6 +133,20 @@
 	bytes_free(&packed);
 }
 
+/* When the store was back after an outage: an answer since the last proof, of this instance or another one, shows it. Engines
+ * write their entries again from then on, however late the era is heard of. */
+static uint64_t returned_at_us(const struct view *view, uint64_t now_us)
+{
+	uint64_t returned_us = now_us;
+
+	if (view->stale_at_us > view->confirmed_at_us)
+		returned_us = view->stale_at_us;
+	if (view->outage.ended_at_us > view->confirmed_at_us &&
+	    view->outage.ended_at_us < returned_us)
+		returned_us = view->outage.ended_at_us;
+	return returned_us;
+}
+
 /* Entries of engines that this copy had may be missing until their engines have written them again. */
 static struct view_snapshot begin_answer(struct view *view, uint64_t revision, uint64_t era_begin,
 					 uint64_t now_us)
@@ -144,7 +158,7 @@
 		view->restore.era_begin = era_begin;
 	snapshot.is_entering = known > 0 && dw_revision_era(revision) > dw_revision_era(known);
 	if (snapshot.is_entering)
-		view_restore_entered(&view->restore, now_us);
+		view_restore_entered(&view->restore, returned_at_us(view, now_us), now_us);
 	snapshot.phase = view_restore_phase(&view->restore, now_us);
 	return snapshot;
 }
@@ -519,13 +533,23 @@
 	confirm(view, DW_VIEW_FROM_PEER, confirmed_at_us, now_us);
 }
 
+/* The store is there, though it no longer has the history. */
+static void note_stale(struct view *view, uint64_t now_us)
+{
+	view_store_answered(view, now_us);
+	if (view->stale_at_us <= view->confirmed_at_us)
+		view->stale_at_us = now_us;
+}
+
 void view_store_lost(struct view *view, enum dw_status reason, uint64_t abandoned_bytes,
 		     uint64_t now_us)
 {
 	dw_counters_add(view->counters, DW_COUNTER_STORE_FAILURES, 1);
 	if (abandoned_bytes > view->abandoned_bytes)
 		dw_store_outage_call_broke_off(&view->outage);
-	else if (reason != DW_STALE)
+	else if (reason == DW_STALE)
+		note_stale(view, now_us);
+	else
 		dw_store_outage_call_failed(&view->outage, view->confirmed_at_us, now_us);
 	view->abandoned_bytes = abandoned_bytes;
 	if (!view->is_store_reached)
--- a/src/wharf-gateway/view.h
+++ b/src/wharf-gateway/view.h
@@ -53,6 +53,7 @@
 	bool is_config_unreadable;
 	uint64_t config_known_at_us; /**< last time before it; valid with is_config_unreadable */
 	struct dw_store_outage outage; /**< of the store, for all instances */
+	uint64_t stale_at_us; /**< first answer 410 since the last proof; 0: none yet */
 	uint64_t abandoned_bytes; /**< of the store's answers, as of the last call that failed */
 	uint32_t hops; /**< instances between this one and the store, as of the last proof */
 	bool is_store_reached; /**< the last call of this instance's own watch succeeded */
--- a/src/wharf-gateway/view_records.c
+++ b/src/wharf-gateway/view_records.c
@@ -179,7 +179,7 @@
 
 static void remove_engine(struct view *view, const char *id, uint64_t now_us)
 {
-	uint64_t ended_at_us = max_u64(view->outage.ended_at_us, view->restore.entered_at_us);
+	uint64_t ended_at_us = max_u64(view->outage.ended_at_us, view->restore.returned_at_us);
 	uint64_t usable_until_us = ended_at_us > 0 ? ended_at_us + REREGISTRATION_US : 0;
 	struct dw_engine *engine = dw_engine_set_find(view->engines, id);
 	bool was_leaving = engine && engine->state == DW_ENGINE_DRAINING;
--- a/src/wharf-gateway/view_restore.c
+++ b/src/wharf-gateway/view_restore.c
@@ -90,9 +90,9 @@
 	restore->read_phase = DW_RESTORE_FRESH;
 }
 
-void view_restore_entered(struct view_restore *restore, uint64_t now_us)
+void view_restore_entered(struct view_restore *restore, uint64_t returned_at_us, uint64_t now_us)
 {
-	restore->entered_at_us = now_us;
+	restore->returned_at_us = returned_at_us;
 	begin(restore, now_us);
 }
 
--- a/src/wharf-gateway/view_restore.h
+++ b/src/wharf-gateway/view_restore.h
@@ -13,7 +13,9 @@
 
 struct view_restore {
 	uint64_t count; /**< restores that this instance has seen */
-	uint64_t entered_at_us; /**< when it learned of the last one; 0: it has seen none */
+	/** When the store was back after the last one, as far as is known: at the latest when this instance took it in;
+	 * 0: it has seen none. */
+	uint64_t returned_at_us;
 	uint64_t era_begin; /**< see struct view_snapshot */
 	/** When each phase begins; UINT64_MAX: never. */
 	uint64_t phase_begin_us[DW_RESTORE_PHASE_COUNT];
@@ -39,8 +41,8 @@
 	enum dw_restore_phase phase;
 };
 
-/** This instance takes in the first state of an era. */
-void view_restore_entered(struct view_restore *restore, uint64_t now_us);
+/** This instance takes in the first state of an era, whose store was back at @p returned_at_us. */
+void view_restore_entered(struct view_restore *restore, uint64_t returned_at_us, uint64_t now_us);
 /** Another instance has passed on a record that it keeps; this one may have started since the restore. */
 void view_restore_told_kept(struct view_restore *restore, uint64_t now_us);
 
--- a/tests/view_restore_test.cc
+++ b/tests/view_restore_test.cc
@@ -529,6 +529,23 @@
 	EXPECT_FALSE(a.is_evacuated("z"));
 }
 
+/* Guards against requests to an engine that left after the restore, at an instance that hears of the new era late: engines
+ * have to write again from the store's return on, not from then. */
+TEST_F(ViewRestore, AnEngineThatLeftAfterTheReturnIsOutInTimeWhereTheEraIsHeardOfLate)
+{
+	enter_first_era();
+	view_store_lost(&b.own, DW_UNAVAILABLE, 0, now_us + SECOND / 10);
+	store.restore(copy);
+	uint64_t returned_us = now_us + 2 * SECOND;
+	view_store_lost(&b.own, DW_STALE, 0, returned_us + SECOND / 10);
+	store.remove("servers/e1");
+	ASSERT_TRUE(b.read(store, returned_us + 1830000));
+	dw_engine *engine = dw_engine_set_find(b.own.engines, "e1");
+	ASSERT_NE(engine, nullptr);
+	ASSERT_EQ(engine->state, DW_ENGINE_MISSING);
+	EXPECT_LE(engine->missing_until_us, returned_us + 5 * SECOND / 2);
+}
+
 /* Guards against a removal that is given up and neither kept nor undone: who tells of the record has never kept it, and its
  * revision is lower than the removal's. Later removals were passed on to nobody. */
 TEST_F(ViewRestore, ARemovalIsGivenUpForARecordThatWasNeverKept)
@@ -575,7 +592,7 @@
 		EXPECT_FALSE(view_apply_answer(&a.own, &answer, "other", now_us));
 		EXPECT_EQ(a.value("servers/e2"), "");
 		EXPECT_EQ(a.value("op/config"), config(7, "k1"));
-		EXPECT_EQ(a.own.restore.entered_at_us, 0U);
+		EXPECT_EQ(a.own.restore.returned_at_us, 0U);
 		EXPECT_EQ(a.revision(), store.revision());
 	}
 }
