--- a/src/wharf-gateway/peers.c
+++ b/src/wharf-gateway/peers.c
@@ -423,29 +423,29 @@
 	return count;
 }
 
-static bool is_elder(const struct dw_member *member, const struct dw_member *other)
+static bool is_older(const struct dw_member *member, const struct dw_member *other)
 {
 	if (member->key.incarnation != other->key.incarnation)
 		return member->key.incarnation < other->key.incarnation;
 	return member->key.instance_id < other->key.instance_id;
 }
 
-/* The eldest of the other members that are younger than this one; NULL: of all. */
-static const struct dw_member *next_elder(const struct peers *peers, const struct dw_member *after)
+/* The oldest of the other members that are younger than this one; NULL: of all. */
+static const struct dw_member *next_oldest(const struct peers *peers, const struct dw_member *after)
 {
-	const struct dw_member *eldest = NULL;
+	const struct dw_member *oldest = NULL;
 
 	for (size_t i = 0; i < dw_membership_count(peers->membership); i++) {
 		const struct dw_member *member = dw_membership_at(peers->membership, i);
 
-		if (is_other(peers, member) && (!after || is_elder(after, member)) &&
-		    (!eldest || is_elder(member, eldest)))
-			eldest = member;
+		if (is_other(peers, member) && (!after || is_older(after, member)) &&
+		    (!oldest || is_older(member, oldest)))
+			oldest = member;
 	}
-	return eldest;
+	return oldest;
 }
 
-uint64_t peers_elder(const struct peers *peers, uint32_t index)
+uint64_t peers_oldest(const struct peers *peers, uint32_t index)
 {
 	uint32_t count = peers->membership ? count_others(peers) : 0;
 	const struct dw_member *member = NULL;
@@ -453,7 +453,7 @@
 	if (count == 0)
 		return 0;
 	for (uint32_t i = 0; i <= index % count; i++)
-		member = next_elder(peers, member);
+		member = next_oldest(peers, member);
 	return member->key.instance_id;
 }
 
--- a/src/wharf-gateway/peers.h
+++ b/src/wharf-gateway/peers.h
@@ -81,7 +81,7 @@
 /**
  * The other member that has run for the longest, or the one after @p index of these, from the first one again
  * if they are fewer; 0 if there are none. */
-uint64_t peers_elder(const struct peers *peers, uint32_t index);
+uint64_t peers_oldest(const struct peers *peers, uint32_t index);
 
 /** Sends a digest to a member. */
 void peers_send_digest(struct peers *peers, uint64_t to, enum peers_digest kind,
--- a/src/wharf-gateway/view.c
+++ b/src/wharf-gateway/view.c
@@ -602,7 +602,7 @@
 	       (view->confirmed_at_us == 0 || view_restore_may_ask_again(&view->restore, now_us));
 }
 
-bool view_asks_elder(const struct view *view, uint64_t now_us)
+bool view_asks_oldest(const struct view *view, uint64_t now_us)
 {
 	return view->confirmed_at_us > 0 && view_asks_memory(view, now_us);
 }
--- a/src/wharf-gateway/view.h
+++ b/src/wharf-gateway/view.h
@@ -156,7 +156,7 @@
 /** Whether to ask another instance for that now. One that has a proof waits in between, whether or not others answer. */
 bool view_asks_memory(const struct view *view, uint64_t now_us);
 /** Whether to ask the instances that have run for the longest, instead of the usual source: that gives the first proof. */
-bool view_asks_elder(const struct view *view, uint64_t now_us);
+bool view_asks_oldest(const struct view *view, uint64_t now_us);
 
 /**
  * What to ask the next instance for: its kept records too if this one has started and has none of its own, or if the
--- a/src/wharf-gateway/view_sync.c
+++ b/src/wharf-gateway/view_sync.c
@@ -232,16 +232,16 @@
 static uint64_t next_source(struct view_sync *sync, uint64_t now_us)
 {
 	struct view *view = sync->view;
-	uint64_t elder = 0;
+	uint64_t oldest = 0;
 
 	view->source.wants_memory = view_asks_memory(view, now_us);
-	if (view_asks_elder(view, now_us))
-		elder = peers_elder(&view->peers, sync->elders_asked);
-	if (elder == 0)
+	if (view_asks_oldest(view, now_us))
+		oldest = peers_oldest(&view->peers, sync->oldest_asked);
+	if (oldest == 0)
 		return dw_view_source_next(&view->source, now_us);
-	sync->elders_asked++;
-	view->source.asked = elder;
-	return elder;
+	sync->oldest_asked++;
+	view->source.asked = oldest;
+	return oldest;
 }
 
 /* Asks the next source, unless a request is in progress. With a copy the answer has only changes. */
--- a/src/wharf-gateway/view_sync.h
+++ b/src/wharf-gateway/view_sync.h
@@ -24,7 +24,7 @@
 	struct bytes body; /**< of its answer */
 	uint16_t status;
 	uint64_t asked; /**< the instance asked last; 0: a seed */
-	uint32_t elders_asked; /**< for what they know of the past */
+	uint32_t oldest_asked; /**< for what they know of the past */
 	uint32_t next_seed; /**< a number; the seeds are asked in turn */
 	bool is_sent; /**< the request's connection is established */
 	uint64_t started_at_us;
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -54,18 +54,18 @@
 	}
 };
 
-/* Guards against a question to one that has just started, as the first one asked isn't the eldest. */
-TEST_F(Peers, EldersAreAskedInTurn)
+/* Guards against a question to one that has just started, as the first one asked isn't the oldest. */
+TEST_F(Peers, TheOldestAreAskedInTurn)
 {
-	EXPECT_EQ(peers_elder(&own, 0), 0U);
+	EXPECT_EQ(peers_oldest(&own, 0), 0U);
 	hear(1, 30);
 	hear(2, 10);
 	hear(3, 20);
 	hear(4, 5, true);
-	EXPECT_EQ(peers_elder(&own, 0), 2U);
-	EXPECT_EQ(peers_elder(&own, 1), 3U);
-	EXPECT_EQ(peers_elder(&own, 2), 1U);
-	EXPECT_EQ(peers_elder(&own, 3), 2U) << "from the eldest one again";
+	EXPECT_EQ(peers_oldest(&own, 0), 2U);
+	EXPECT_EQ(peers_oldest(&own, 1), 3U);
+	EXPECT_EQ(peers_oldest(&own, 2), 1U);
+	EXPECT_EQ(peers_oldest(&own, 3), 2U) << "from the oldest one again";
 }
 
 /* Guards against a loop that stands still: each question that failed made the search for the next one longer. */
@@ -76,7 +76,7 @@
 	hear(2, 10);
 	hear(3, 20);
 	for (uint32_t asked = 30000000; asked < 30000006; asked++)
-		EXPECT_EQ(peers_elder(&own, asked), peers_elder(&own, asked % 3));
+		EXPECT_EQ(peers_oldest(&own, asked), peers_oldest(&own, asked % 3));
 	EXPECT_LT(dw_clock_now_us() - started_us, DW_US_PER_S / 10);
 }
 
--- a/tests/restore_spread_test.cc
+++ b/tests/restore_spread_test.cc
@@ -148,7 +148,7 @@
 	/* view_sync */
 	uint64_t pull = 0;
 	uint64_t requested_at_us = 0;
-	uint32_t elders_asked = 0;
+	uint32_t oldest_asked = 0;
 	uint64_t started_us = 0;
 	uint64_t ready_us = 0;
 	bool is_copy_pending = false;
@@ -182,7 +182,7 @@
 		is_active = is_history_lost = is_calling = false;
 		next_call_us = failures = stale_in_a_row = 0;
 		pull = requested_at_us = written_era = entered_us = ready_us = 0;
-		elders_asked = 0;
+		oldest_asked = 0;
 		started_us = now_us;
 		is_copy_pending = false;
 		due_us.clear();
@@ -233,7 +233,7 @@
 	uint64_t bytes = 0;
 	uint64_t loss_permille = 0;
 	bool has_copy = false; /* an instance that starts reads a copy that proves nothing */
-	bool has_elders = false; /* and asks elders */
+	bool asks_oldest = false; /* and asks the oldest ones */
 
 	Fleet(size_t count, size_t record_count, uint64_t seed, bool naive)
 	    : random(seed), is_naive(naive), own_records(record_count)
@@ -297,10 +297,10 @@
 		});
 	}
 	/* As view_sync and peers choose it; 0: its source. */
-	uint64_t elder_of(size_t i)
+	uint64_t oldest_of(size_t i)
 	{
 		std::vector<size_t> others;
-		if (!has_elders || !view_asks_elder(&nodes[i]->own, now_us))
+		if (!asks_oldest || !view_asks_oldest(&nodes[i]->own, now_us))
 			return 0;
 		for (size_t k = 0; k < nodes.size(); k++) {
 			if (k != i && nodes[k]->is_up)
@@ -311,7 +311,7 @@
 		std::sort(others.begin(), others.end(), [this](size_t a, size_t b) {
 			return nodes[a]->started_us < nodes[b]->started_us;
 		});
-		return ids[others[nodes[i]->elders_asked++ % others.size()]];
+		return ids[others[nodes[i]->oldest_asked++ % others.size()]];
 	}
 	void tick(size_t i)
 	{
@@ -538,7 +538,7 @@
 		    dw_view_source_waits_for_store(&n.own.source, now_us))
 			return;
 		n.own.source.wants_memory = view_asks_memory(&n.own, now_us);
-		uint64_t id = elder_of(i);
+		uint64_t id = oldest_of(i);
 		if (id > 0)
 			n.own.source.asked = id;
 		else
@@ -947,17 +947,17 @@
 
 /* Guards against a fleet that serves later when all start at once: instances that have a copy without a proof wait for
  * others that have none either. */
-TEST_P(RestoreSpread, WhoAsksEldersIsReadyAsSoon)
+TEST_P(RestoreSpread, WhoAsksTheOldestIsReadyAsSoon)
 {
 	for (uint64_t seed = 1; seed <= 3; seed++) {
 		uint64_t last_ms[2];
 		uint64_t mean_ms[2];
-		for (bool has_elders : { false, true }) {
+		for (bool asks_oldest : { false, true }) {
 			Fleet fleet(GetParam(), 0, seed, false);
 			uint64_t sum_us = 0;
 			uint64_t last_us = 0;
 			fleet.has_copy = true;
-			fleet.has_elders = has_elders;
+			fleet.asks_oldest = asks_oldest;
 			fleet.store.items["wharf/era"] = { 5, R"({"era":1,"config":7})" };
 			fleet.run(10 * SECOND);
 			for (const auto &n : fleet.nodes) {
@@ -965,14 +965,14 @@
 				sum_us += n->ready_us - n->started_us;
 				last_us = std::max(last_us, n->ready_us - n->started_us);
 			}
-			last_ms[has_elders] = last_us / MS;
-			mean_ms[has_elders] = sum_us / GetParam() / MS;
+			last_ms[asks_oldest] = last_us / MS;
+			mean_ms[asks_oldest] = sum_us / GetParam() / MS;
 			printf("%4zu instances, seed %llu, %s: ready after %llu ms, on average "
 			       "%llu ms, reads %llu, messages %llu, %llu KB\n",
 			       GetParam(), (unsigned long long)seed,
-			       has_elders ? "elders" : "sources only",
-			       (unsigned long long)last_ms[has_elders],
-			       (unsigned long long)mean_ms[has_elders],
+			       asks_oldest ? "the oldest" : "sources only",
+			       (unsigned long long)last_ms[asks_oldest],
+			       (unsigned long long)mean_ms[asks_oldest],
 			       (unsigned long long)fleet.reads.total,
 			       (unsigned long long)fleet.messages,
 			       (unsigned long long)fleet.bytes / 1024);
