--- a/tests/view_restore_test.cc
+++ b/tests/view_restore_test.cc
@@ -551,6 +551,8 @@
 TEST_F(ViewRestore, ARemovalIsGivenUpForARecordThatWasNeverKept)
 {
 	enter_first_era();
+	Instance d("d");
+	ASSERT_TRUE(d.read(store, now_us)) << "it doesn't hear of the removal";
 	store.remove("op/evacuate/old");
 	a.watch(store, "op/evacuate/old", now_us);
 	pass_on();
@@ -558,7 +560,6 @@
 	ASSERT_TRUE(a.read(store, now_us));
 	pass_on();
 	EXPECT_FALSE(b.is_evacuated("old"));
-	Instance d("d");
 	ASSERT_TRUE(d.read(store, now_us));
 	now_us += 11 * SECOND;
 	ASSERT_EQ(b.ask(d, now_us, true), Instance::APPLIED);
